--- a/src/policy/owner.rs
+++ b/src/policy/owner.rs
@@ -103,6 +103,8 @@
 
 #[derive(Debug)]
 struct Slot {
+    /// Tells a later load of the same adapter from this one.
+    generation: u64,
     loaded_at_ms: Option<u64>,
     running: u32,
     /// Requests on the engine that this owner did not send: those of the owner before it.
@@ -117,7 +119,8 @@
 
 #[derive(Debug)]
 struct Running {
-    adapter: Option<AdapterKey>,
+    /// The adapter and the generation of its slot.
+    slot: Option<(AdapterKey, u64)>,
     workspace: Arc<str>,
     started_ms: u64,
 }
@@ -291,7 +294,10 @@
                 self.running_by_workspace.remove(&running.workspace);
             }
         }
-        if let Some(slot) = running.adapter.and_then(|adapter| self.slots.get_mut(&adapter)) {
+        if let Some((adapter, generation)) = running.slot
+            && let Some(slot) = self.slots.get_mut(&adapter)
+            && slot.generation == generation
+        {
             slot.running = slot.running.saturating_sub(1);
         }
         self.pump(now_ms);
@@ -352,8 +358,9 @@
         if let Some(victim) = &evict {
             self.slots.remove(victim);
         }
-        self.slots.insert(adapter.clone(), Slot { loaded_at_ms: None, running: 0, foreign: 0 });
         self.changes += 1;
+        let slot = Slot { generation: self.changes, loaded_at_ms: None, running: 0, foreign: 0 };
+        self.slots.insert(adapter.clone(), slot);
         self.loading += 1;
         self.effects.push(Effect::Load { adapter, evict, permit });
         self.pump(now_ms);
@@ -394,7 +401,8 @@
         for (adapter, running) in reported {
             let slot = self.slots.entry(adapter.clone()).or_insert_with(|| {
                 self.changes += 1;
-                Slot { loaded_at_ms: Some(now_ms), running: 0, foreign: 0 }
+                let generation = self.changes;
+                Slot { generation, loaded_at_ms: Some(now_ms), running: 0, foreign: 0 }
             });
             slot.foreign = running.saturating_sub(slot.running);
         }
@@ -506,14 +514,17 @@
 
     fn dispatch(&mut self, now_ms: u64, job: Job) {
         let mut load_wait_ms = 0;
-        if let Some(slot) = job.adapter.as_ref().and_then(|adapter| self.slots.get_mut(adapter)) {
+        let mut held = None;
+        if let Some(adapter) = job.adapter
+            && let Some(slot) = self.slots.get_mut(&adapter)
+        {
             slot.running += 1;
             let loaded_at_ms = slot.loaded_at_ms.unwrap_or(0);
             load_wait_ms = loaded_at_ms.saturating_sub(job.arrived_ms);
+            held = Some((adapter, slot.generation));
         }
         *self.running_by_workspace.entry(job.workspace.clone()).or_insert(0) += 1;
-        let running =
-            Running { adapter: job.adapter, workspace: job.workspace, started_ms: now_ms };
+        let running = Running { slot: held, workspace: job.workspace, started_ms: now_ms };
         self.running.insert(job.id, running);
         self.effects.push(Effect::Dispatch { job: job.id, load_wait_ms });
     }
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,5 @@
+//! What the tests share.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+pub mod group;
