--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -593,6 +593,7 @@
             "sessions": sessions,
             "permits_in_use": self.permits.in_use(),
             "permits_waiting": self.permits.waiting(),
+            "peer_traffic": crate::wire::traffic(),
             "counters": self.metrics.totals(),
         })
     }
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -126,6 +126,9 @@
                     error!(event = "storage_failed", error = %error);
                     std::process::exit(EXIT_STORAGE);
                 }
+                state.metrics.count(Counter::Flushes);
+                // Nothing came after this that another flush would have to serve.
+                return Ok(());
             }
             ReplicaMessage::Dump(reply) => {
                 let _ = reply.send(state.replica.dump());
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -16,7 +16,7 @@
 use crate::http::{Answer, BodyFault, HttpHandler, json_answer, read_body};
 use crate::logging;
 use crate::message::{ApplyReply, ControlReply, ControlRequest, Verdict};
-use crate::wire::BoxFuture;
+use crate::wire::{BoxFuture, traffic};
 
 const APPLY_TIMEOUT_MS: u64 = 20_000;
 const READ_TIMEOUT_MS: u64 = 5_000;
@@ -199,6 +199,7 @@
         "endpoints_owned": endpoints,
         "requests_in_progress": shared.in_progress.load(Ordering::Relaxed),
         "requests_running": shared.running.load(Ordering::Relaxed),
+        "peer_traffic": traffic(),
         "counters": shared.metrics.totals(),
     })
 }
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -1,6 +1,8 @@
 //! What a gateway has followed: services, gateways and endpoints.
 
+use std::borrow::Borrow;
 use std::collections::{HashMap, HashSet};
+use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -11,13 +13,69 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     index: u64,
-    services: HashMap<Arc<str>, Arc<Service>>,
-    by_adapter: HashMap<AdapterKey, Vec<Arc<Service>>>,
+    services: HashSet<ByName>,
+    by_adapter: HashSet<ByAdapter>,
+    /// Further services with an adapter that stands in `by_adapter` already.
+    more_holders: HashMap<AdapterKey, Vec<Arc<Service>>>,
     gateways: HashMap<Arc<str>, GatewayRecord>,
     endpoints: HashMap<Arc<str>, EndpointRecord>,
     names: HashSet<Arc<str>>,
 }
 
+/// A service in a set by its name: the set holds one pointer and no copy of the name.
+#[derive(Debug)]
+struct ByName(Arc<Service>);
+
+impl Borrow<str> for ByName {
+    fn borrow(&self) -> &str {
+        &self.0.name
+    }
+}
+
+impl Hash for ByName {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        (*self.0.name).hash(state);
+    }
+}
+
+impl PartialEq for ByName {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.name == other.0.name
+    }
+}
+
+impl Eq for ByName {}
+
+/// A service in a set by its adapter; only services that have one are put there.
+#[derive(Debug)]
+struct ByAdapter(Arc<Service>);
+
+impl ByAdapter {
+    fn adapter(&self) -> &AdapterKey {
+        self.0.adapter.as_ref().expect("only services with an adapter are put in this set")
+    }
+}
+
+impl Borrow<AdapterKey> for ByAdapter {
+    fn borrow(&self) -> &AdapterKey {
+        self.adapter()
+    }
+}
+
+impl Hash for ByAdapter {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.adapter().hash(state);
+    }
+}
+
+impl PartialEq for ByAdapter {
+    fn eq(&self, other: &Self) -> bool {
+        self.adapter() == other.adapter()
+    }
+}
+
+impl Eq for ByAdapter {}
+
 impl Directory {
     /// An empty directory.
     pub fn new() -> Self {
@@ -65,19 +123,35 @@
         service.pool = self.intern(service.pool);
         service.workspace = self.intern(service.workspace);
         let service = Arc::new(service);
-        if let Some(adapter) = &service.adapter {
-            self.by_adapter.entry(adapter.clone()).or_default().push(service.clone());
+        if service.adapter.is_some() {
+            self.put_holder(service.clone());
+        }
+        self.services.insert(ByName(service));
+    }
+
+    fn put_holder(&mut self, service: Arc<Service>) {
+        let key = ByAdapter(service.clone());
+        if self.by_adapter.contains(&key) {
+            let Some(adapter) = service.adapter.clone() else { return };
+            self.more_holders.entry(adapter).or_default().push(service);
+        } else {
+            self.by_adapter.insert(key);
         }
-        self.services.insert(service.name.clone(), service);
     }
 
     fn remove_service(&mut self, name: &str) {
-        let Some(service) = self.services.remove(name) else { return };
+        let Some(ByName(service)) = self.services.take(name) else { return };
         let Some(adapter) = &service.adapter else { return };
-        let Some(holders) = self.by_adapter.get_mut(adapter) else { return };
-        holders.retain(|holder| holder.name != service.name);
-        if holders.is_empty() {
+        let holds_first =
+            self.by_adapter.get(adapter).is_some_and(|first| first.0.name == service.name);
+        let mut rest = self.more_holders.remove(adapter).unwrap_or_default();
+        if holds_first {
             self.by_adapter.remove(adapter);
+        } else {
+            rest.retain(|holder| holder.name != service.name);
+        }
+        for holder in rest {
+            self.put_holder(holder);
         }
     }
 
@@ -91,17 +165,17 @@
 
     /// The service of this name.
     pub fn service(&self, name: &str) -> Option<Arc<Service>> {
-        self.services.get(name).cloned()
+        self.services.get(name).map(|found| found.0.clone())
     }
 
     /// A service with this adapter and version.
     pub fn service_of(&self, adapter: &AdapterKey) -> Option<Arc<Service>> {
-        self.by_adapter.get(adapter)?.first().cloned()
+        self.by_adapter.get(adapter).map(|found| found.0.clone())
     }
 
     /// Every service.
     pub fn services(&self) -> impl ExactSizeIterator<Item = &Arc<Service>> {
-        self.services.values()
+        self.services.iter().map(|found| &found.0)
     }
 
     /// Every endpoint.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -76,6 +76,8 @@
     EntriesApplied => "control.entries_applied",
     /// Syncs of the log.
     LogSyncs => "control.log_syncs",
+    /// Rounds of storing, sending and applying.
+    Flushes => "control.flushes",
     /// Elections won.
     ElectionsWon => "control.elections_won",
     /// Gateways whose lease ran out.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bincode::config::standard;
@@ -35,6 +36,22 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
 
+static SENT_BYTES: AtomicU64 = AtomicU64::new(0);
+static RECEIVED_BYTES: AtomicU64 = AtomicU64::new(0);
+static SENT_MESSAGES: AtomicU64 = AtomicU64::new(0);
+static RECEIVED_MESSAGES: AtomicU64 = AtomicU64::new(0);
+
+/// What this process has exchanged with others of the system: messages and their bytes, without
+/// what `h2`, TCP and IP put around them.
+pub fn traffic() -> serde_json::Value {
+    serde_json::json!({
+        "sent_messages": SENT_MESSAGES.load(Ordering::Relaxed),
+        "sent_bytes": SENT_BYTES.load(Ordering::Relaxed),
+        "received_messages": RECEIVED_MESSAGES.load(Ordering::Relaxed),
+        "received_bytes": RECEIVED_BYTES.load(Ordering::Relaxed),
+    })
+}
+
 /// A future that is boxed so that it can cross a trait object.
 pub type BoxFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
 
@@ -86,6 +103,8 @@
     /// The stream or connection was closed by the peer.
     pub async fn send(&mut self, message: &T) -> Result<()> {
         let mut data = encode(message)?;
+        SENT_MESSAGES.fetch_add(1, Ordering::Relaxed);
+        SENT_BYTES.fetch_add(data.len() as u64, Ordering::Relaxed);
         while !data.is_empty() {
             self.stream.reserve_capacity(data.len());
             let mut capacity = self.stream.capacity();
@@ -190,6 +209,8 @@
         }
         self.buffer.advance(LENGTH_BYTES);
         let body = self.buffer.split_to(length);
+        RECEIVED_MESSAGES.fetch_add(1, Ordering::Relaxed);
+        RECEIVED_BYTES.fetch_add((LENGTH_BYTES + length) as u64, Ordering::Relaxed);
         let (message, _) = bincode::serde::decode_from_slice(&body, standard())
             .map_err(|error| self.fail(error))?;
         Ok(Some(message))
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -11,5 +11,7 @@
 pub mod plain;
 pub mod platform;
 pub mod ports;
+pub mod region;
 pub mod server;
 pub mod store;
+pub mod usage;
--- a/tests/common/region.rs
+++ b/standin/src/region.rs
@@ -1,4 +1,5 @@
-//! A region of real processes before stand-ins that live in the test.
+//! A region of real processes before stand-ins that live in the calling process, for process tests
+//! and measurements. Only those start it; no part of the system starts another process.
 
 use std::fs::File;
 use std::net::SocketAddr;
@@ -7,6 +8,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::engine::{Engine, EngineOptions};
+use crate::plain::Plain;
+use crate::platform::Platform;
+use crate::ports::free_ports;
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode};
 use http_body_util::BodyExt;
@@ -16,13 +21,10 @@
 use winchvane::document::parse;
 use winchvane::http::{HttpClient, request};
 use winchvane::yaml::Faults;
-use winchvane_standin::engine::{Engine, EngineOptions};
-use winchvane_standin::plain::Plain;
-use winchvane_standin::platform::Platform;
-use winchvane_standin::ports::free_ports;
 
 const WAIT: Duration = Duration::from_secs(30);
 
+/// What a region starts with.
 pub const DECLARATIONS: &str = "\
 kind: Template
 name: quote
@@ -57,14 +59,21 @@
 
 /// A process of the system.
 pub struct Process {
+    /// The name.
     pub name: String,
-    binary: &'static str,
+    binary: PathBuf,
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
 }
 
 impl Process {
+    /// The process's number.
+    pub fn id(&self) -> u32 {
+        self.child.as_ref().map_or(0, Child::id)
+    }
+
+    /// Starts the program.
     pub fn start(&mut self) {
         self.start_under(&[]);
     }
@@ -74,11 +83,11 @@
         let log = File::options().create(true).append(true).open(&self.log).expect("a log opens");
         let mut command = if let [limits] = shell {
             let mut command = Command::new("bash");
-            let line = format!("{limits}; exec {} --settings \"$0\"", self.binary);
+            let line = format!("{limits}; exec {} --settings \"$0\"", self.binary.display());
             command.arg("-c").arg(line).arg(&self.settings);
             command
         } else {
-            let mut command = Command::new(self.binary);
+            let mut command = Command::new(&self.binary);
             command.arg("--settings").arg(&self.settings);
             command
         };
@@ -101,6 +110,7 @@
         assert!(status.success(), "kill -{signal} {}", self.name);
     }
 
+    /// Ends the process without warning.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
@@ -108,18 +118,22 @@
         }
     }
 
+    /// Stops the process until it is thawed.
     pub fn freeze(&self) {
         self.signal("STOP");
     }
 
+    /// Lets a frozen process go on.
     pub fn thaw(&self) {
         self.signal("CONT");
     }
 
+    /// Asks the process to stop.
     pub fn terminate(&self) {
         self.signal("TERM");
     }
 
+    /// Waits until the process has ended.
     pub async fn wait(&mut self) -> ExitStatus {
         let mut status = None;
         wait_for(&format!("{} ends", self.name), async || {
@@ -132,6 +146,7 @@
         status.expect("the process has ended")
     }
 
+    /// What the process has logged.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
     }
@@ -146,49 +161,72 @@
 /// What a caller got.
 #[derive(Debug, Clone)]
 pub struct Got {
+    /// The status.
     pub status: StatusCode,
+    /// The headers.
     pub headers: HeaderMap,
+    /// The body.
     pub body: String,
 }
 
 impl Got {
+    /// A header's value, empty when it is absent.
     pub fn header(&self, name: &str) -> &str {
         self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("")
     }
 
+    /// The body as JSON.
     pub fn json(&self) -> Value {
         serde_json::from_str(&self.body).unwrap_or(Value::Null)
     }
 
+    /// The code of an error.
     pub fn code(&self) -> String {
         self.json()["error"]["code"].as_str().unwrap_or("").to_owned()
     }
 }
 
+/// The processes and stand-ins of a region.
 pub struct Region {
+    /// Where settings, logs and data are.
     pub folder: TempDir,
+    /// The replicas of control.
     pub controls: Vec<Process>,
+    /// The gateways.
     pub gateways: Vec<Process>,
+    /// The engines.
     pub engines: Vec<Arc<Engine>>,
+    /// The plain service.
     pub plain: Arc<Plain>,
+    /// The platform's list.
     pub platform: Arc<Platform>,
+    /// The instances as first listed.
     pub instances: Vec<PlatformInstance>,
+    /// A client.
     pub client: HttpClient,
     ports: Vec<u16>,
 }
 
 /// How a region is built.
 pub struct RegionOptions {
+    /// The folder of the programs.
+    pub bin_folder: PathBuf,
+    /// Gateways.
     pub gateways: usize,
+    /// Engines.
     pub engines: usize,
+    /// How the engines are built.
     pub engine: EngineOptions,
+    /// Entries between two snapshots of a replica.
     pub snapshot_entries: u64,
+    /// More lines for the gateways' settings.
     pub gateway_settings: &'static str,
 }
 
 impl Default for RegionOptions {
     fn default() -> Self {
         Self {
+            bin_folder: PathBuf::new(),
             gateways: 3,
             engines: 2,
             engine: EngineOptions::default(),
@@ -234,14 +272,14 @@
         for number in 0..3 {
             let settings = region.control_settings(number, platform_address, &options);
             let name = format!("control-{number}");
-            let binary = env!("CARGO_BIN_EXE_winchvane-control");
-            region.controls.push(process(region.folder.path(), &name, binary, &settings));
+            let binary = options.bin_folder.join("winchvane-control");
+            region.controls.push(process(region.folder.path(), &name, &binary, &settings));
         }
         for number in 0..options.gateways {
             let settings = region.gateway_settings(number, options.gateway_settings);
             let name = format!("gateway-{number}");
-            let binary = env!("CARGO_BIN_EXE_winchvane-gateway");
-            region.gateways.push(process(region.folder.path(), &name, binary, &settings));
+            let binary = options.bin_folder.join("winchvane-gateway");
+            region.gateways.push(process(region.folder.path(), &name, &binary, &settings));
         }
         for process in region.controls.iter_mut().chain(&mut region.gateways) {
             process.start();
@@ -300,22 +338,27 @@
         )
     }
 
+    /// The data folder of a replica.
     pub fn data_folder(&self, number: usize) -> PathBuf {
         self.folder.path().join(format!("data-{number}"))
     }
 
+    /// Where a gateway takes callers.
     pub fn callers(&self, number: usize) -> SocketAddr {
         loopback(self.ports[6 + number * 3])
     }
 
+    /// Where a gateway takes peers.
     pub fn peers(&self, number: usize) -> SocketAddr {
         loopback(self.ports[7 + number * 3])
     }
 
+    /// Where a gateway takes operators.
     pub fn admin(&self, number: usize) -> SocketAddr {
         loopback(self.ports[8 + number * 3])
     }
 
+    /// Where a replica takes peers.
     pub fn control_peers(&self, number: usize) -> SocketAddr {
         loopback(self.ports[number * 2])
     }
@@ -324,6 +367,7 @@
         loopback(self.ports[number * 2 + 1])
     }
 
+    /// Waits until a gateway is ready.
     pub async fn wait_ready(&self, gateway: usize) {
         let what = format!("gateway {gateway} ready");
         wait_for(&what, async || {
@@ -333,6 +377,7 @@
         .await;
     }
 
+    /// Waits until a service is in force at a gateway.
     pub async fn wait_in_force(&self, gateway: usize, service: &str) {
         wait_for(&format!("{service} at gateway {gateway}"), async || {
             let path = format!("/v1/models/{service}");
@@ -355,6 +400,10 @@
         .await;
     }
 
+    /// The group's status.
+    ///
+    /// # Errors
+    /// No gateway answers.
     pub async fn status(&self) -> Result<Value, String> {
         for number in 0..self.gateways.len() {
             if let Ok(got) = self.send(self.admin(number), Method::GET, "/status", &[], "").await
@@ -395,16 +444,19 @@
         leader.expect("it was found")
     }
 
+    /// The state dump of a replica.
     pub async fn control_dump(&self, number: usize) -> Value {
         let got = self.send(self.control_admin(number), Method::GET, "/dump", &[], "").await;
         got.map_or(Value::Null, |got| got.json())
     }
 
+    /// The state dump of a gateway.
     pub async fn gateway_dump(&self, number: usize) -> Value {
         let got = self.send(self.admin(number), Method::GET, "/dump", &[], "").await;
         got.map_or(Value::Null, |got| got.json())
     }
 
+    /// Submits declarations at a gateway.
     pub async fn apply(&self, gateway: usize, text: &str) -> Got {
         let mut faults = Faults::new();
         let located = parse(&"test.yaml".into(), text, &mut faults);
@@ -416,10 +468,12 @@
             .unwrap_or_else(|error| panic!("apply: {error}"))
     }
 
+    /// Asks for a short completion.
     pub async fn quote(&self, gateway: usize, model: &str) -> Got {
         self.complete(gateway, &json!({"model": model, "prompt": "x", "max_tokens": 4})).await
     }
 
+    /// Asks for a completion.
     pub async fn complete(&self, gateway: usize, body: &Value) -> Got {
         let json = [("content-type", "application/json")];
         let path = "/v1/completions";
@@ -428,12 +482,20 @@
             .unwrap_or_else(|error| panic!("complete: {error}"))
     }
 
+    /// Places an order that may not be repeated.
+    ///
+    /// # Errors
+    /// No answer came.
     pub async fn order(&self, gateway: usize, key: &str) -> Result<Got, String> {
         let headers = [("content-type", "application/json"), ("idempotency-key", key)];
         let path = "/services/shop/orders";
         self.send(self.callers(gateway), Method::POST, path, &headers, "{\"pallets\":1}").await
     }
 
+    /// Sends a request.
+    ///
+    /// # Errors
+    /// No answer came.
     pub async fn send(
         &self,
         address: SocketAddr,
@@ -473,6 +535,7 @@
     }
 }
 
+/// An instance as the platform lists it.
 pub fn instance(name: &str, address: SocketAddr, pool: &str) -> PlatformInstance {
     PlatformInstance {
         name: name.into(),
@@ -483,11 +546,11 @@
     }
 }
 
-fn process(folder: &Path, name: &str, binary: &'static str, settings: &str) -> Process {
+fn process(folder: &Path, name: &str, binary: &Path, settings: &str) -> Process {
     let path = folder.join(format!("{name}.yaml"));
     std::fs::write(&path, settings).expect("settings can be written");
     let log = folder.join(format!("{name}.log"));
-    Process { name: name.to_owned(), binary, settings: path, log, child: None }
+    Process { name: name.to_owned(), binary: binary.to_owned(), settings: path, log, child: None }
 }
 
 /// Waits for a condition; a test that gives up says for what.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,4 +3,3 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 pub mod group;
-pub mod region;
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -3,26 +3,27 @@
 //! Every test waits on conditions; none depends on how fast the machine is, beyond the bounds that
 //! it states.
 
-mod common;
-
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::path::Path;
 use std::time::{Duration, Instant};
 
-use common::region::{Region, RegionOptions, wait_for};
 use http::{Method, StatusCode};
 use serde_json::json;
 use winchvane::control::listing::PlatformState;
 use winchvane_standin::engine::{EngineFault, EngineOptions};
 use winchvane_standin::forwarder::{Forwarder, Mode};
 use winchvane_standin::plain::PlainFault;
+use winchvane_standin::region::{Region, RegionOptions, instance, wait_for};
 
 fn engine() -> EngineOptions {
     EngineOptions { load_ms: 20, step_ms: 2, tokens: 4, ..EngineOptions::default() }
 }
 
 fn options() -> RegionOptions {
-    RegionOptions { engine: engine(), ..RegionOptions::default() }
+    let gateway = Path::new(env!("CARGO_BIN_EXE_winchvane-gateway"));
+    let bin_folder = gateway.parent().expect("programs are in a folder").to_owned();
+    RegionOptions { bin_folder, engine: engine(), ..RegionOptions::default() }
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -440,7 +441,7 @@
     let mut region = Region::start(RegionOptions { engines: 1, engine: slow, ..options() }).await;
     let real = region.instances[0].address;
     let (forwarder, address) = Forwarder::start(real).await.expect("the forwarder starts");
-    region.instances[0] = common::region::instance("engine-9", address, "quotes");
+    region.instances[0] = instance("engine-9", address, "quotes");
     region.platform.set(region.instances.clone());
     wait_for("the list is followed", async || {
         let status = region.status().await.expect("a gateway answers");
@@ -647,3 +648,18 @@
     })
     .await;
 }
+
+/// Each round of storing and sending once scheduled the next one, and a replica with nothing to do
+/// kept a whole core busy.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idle_replica_does_not_spin() {
+    let region = Region::start(options()).await;
+    let leader = region.leader().await;
+    let flushes = async || {
+        region.control_dump(leader).await["counters"]["control.flushes"].as_u64().unwrap_or(0)
+    };
+    let before = flushes().await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let rounds = flushes().await - before;
+    assert!(rounds > 0 && rounds < 2_000, "{rounds} rounds in a second");
+}
