policy: measured against plain baselines; long popularity, second places by wait, bounded load waits

After a surge or a slow store the backlog of loads kept stalls up for over 90 s. Change: half-life 300 s; a second place only when the wait at the first outweighs a load; a request that needs one more load is refused at once while loads take longer than load_wait_max_ms, one load at each engine always allowed.

--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -162,6 +162,7 @@
             (_, Some(Refusal::DeadlineUnmeetable)) => {
                 (StatusCode::SERVICE_UNAVAILABLE, "deadline_unmeetable")
             }
+            (_, Some(Refusal::LoadBacklog)) => (StatusCode::SERVICE_UNAVAILABLE, "load_backlog"),
             (_, Some(Refusal::LoadFailed)) => (StatusCode::SERVICE_UNAVAILABLE, "load_failed"),
             _ => (StatusCode::SERVICE_UNAVAILABLE, "no_endpoint"),
         };
--- a/src/message.rs
+++ b/src/message.rs
@@ -555,6 +555,8 @@
     DeadlinePassed,
     /// The adapter could not be loaded.
     LoadFailed,
+    /// Too many loads wait for the weight store.
+    LoadBacklog,
     /// The engine refused the request before it started.
     EndpointRefused,
     /// The owner's lease cannot be confirmed.
@@ -568,7 +570,10 @@
 impl Refusal {
     /// True when another endpoint may still take the request.
     pub fn is_worth_another_endpoint(self) -> bool {
-        !matches!(self, Self::DeadlinePassed | Self::WorkspaceShare | Self::Cancelled)
+        !matches!(
+            self,
+            Self::DeadlinePassed | Self::WorkspaceShare | Self::LoadBacklog | Self::Cancelled
+        )
     }
 
     /// A short name for logs, metrics and error texts.
@@ -582,6 +587,7 @@
             Self::DeadlineUnmeetable => "deadline_unmeetable",
             Self::DeadlinePassed => "deadline_passed",
             Self::LoadFailed => "load_failed",
+            Self::LoadBacklog => "load_backlog",
             Self::EndpointRefused => "endpoint_refused",
             Self::LeaseLost => "lease_lost",
             Self::Stopping => "stopping",
--- a/src/policy/owner.rs
+++ b/src/policy/owner.rs
@@ -15,6 +15,8 @@
 const FAILED_LOAD_PAUSE_MAX_MS: u64 = 30_000;
 const RETRY_AFTER_MIN_MS: u64 = 100;
 const ESTIMATE_SHARE: f64 = 0.1;
+/// How much the latest load counts in the estimate of waits for loads.
+const LOAD_WAIT_SHARE: f64 = 0.3;
 /// How much earlier than its arrival a request counts for each request that its workspace does not
 /// have running.
 const FAIRNESS_MS: u64 = 25;
@@ -148,6 +150,8 @@
     permit_pause_until_ms: u64,
     loading: usize,
     load_ms: f64,
+    /// From the first request for an adapter until it was loaded, the store's queue included.
+    load_wait_ms: f64,
     service_ms: f64,
     changes: u64,
     sequence: u64,
@@ -196,6 +200,7 @@
             permit_pause_until_ms: 0,
             loading: 0,
             load_ms: settings.load_estimate_ms as f64,
+            load_wait_ms: settings.load_estimate_ms as f64,
             service_ms: settings.service_estimate_ms as f64,
             changes: 0,
             sequence: 0,
@@ -246,6 +251,11 @@
                 return;
             }
         }
+        if job.adapter.as_ref().is_some_and(|adapter| self.has_load_backlog(adapter)) {
+            let retry_after_ms = self.load_wait_ms as u64;
+            self.refuse(job.id, Refusal::LoadBacklog, retry_after_ms);
+            return;
+        }
         let wait_ms = self.expected_wait_ms(job.adapter.as_ref());
         if now_ms + wait_ms > job.deadline_ms {
             self.refuse(job.id, Refusal::DeadlineUnmeetable, wait_ms);
@@ -313,6 +323,7 @@
             if let Some(slot) = self.slots.get_mut(adapter) {
                 slot.loaded_at_ms = Some(now_ms);
             }
+            self.note_load_wait(now_ms, adapter);
         } else {
             self.slots.remove(adapter);
             let retry_after_ms = self.note_failure(now_ms, adapter);
@@ -323,6 +334,28 @@
         self.pump(now_ms);
     }
 
+    fn note_load_wait(&mut self, now_ms: u64, adapter: &AdapterKey) {
+        let Some(group) = self.queue.groups().get(&Some(adapter.clone())) else { return };
+        let Some(first_ms) = group.heads().map(|job| job.arrived_ms).min() else { return };
+        let waited_ms = now_ms.saturating_sub(first_ms) as f64;
+        self.load_wait_ms += (waited_ms - self.load_wait_ms) * LOAD_WAIT_SHARE;
+    }
+
+    /// True when loads wait too long for one more to be added. One load is always allowed, so that
+    /// the estimate is never older than the last load.
+    fn has_load_backlog(&self, adapter: &AdapterKey) -> bool {
+        if self.load_wait_ms < self.settings.load_wait_max_ms as f64 {
+            return false;
+        }
+        if self.slots.contains_key(adapter) || self.queue.waits_for(adapter) {
+            return false;
+        }
+        let waits = |(adapter, _): (&Option<AdapterKey>, &Group)| {
+            adapter.as_ref().is_some_and(|adapter| !self.slots.contains_key(adapter))
+        };
+        self.loading > 0 || self.queue.groups().iter().any(waits)
+    }
+
     fn note_failure(&mut self, now_ms: u64, adapter: &AdapterKey) -> u64 {
         let count = self.failures.get(adapter).map_or(0, |failure| failure.count + 1);
         let pause_ms = (FAILED_LOAD_PAUSE_MS << count.min(10)).min(FAILED_LOAD_PAUSE_MAX_MS);
@@ -540,7 +573,7 @@
             let Some(adapter) = adapter else { continue };
             if self.may_load(now_ms, adapter) {
                 wanted += 1;
-                urgency = urgency.max(urgency_of(now_ms, group));
+                urgency = urgency.max(self.urgency_of(now_ms, group));
             }
         }
         let allowed = self.settings.loads_at_once.saturating_sub(self.loading).min(room);
@@ -565,7 +598,7 @@
             if !self.may_load(now_ms, adapter) {
                 continue;
             }
-            let urgency = urgency_of(now_ms, group);
+            let urgency = self.urgency_of(now_ms, group);
             if best.as_ref().is_none_or(|(_, best)| urgency > *best) {
                 best = Some((adapter.clone(), urgency));
             }
@@ -573,6 +606,24 @@
         best
     }
 
+    /// How much waits for a load: requests by priority, and the longer the more.
+    fn urgency_of(&self, now_ms: u64, group: &Group) -> f32 {
+        let waited_s = |job: &Job| now_ms.saturating_sub(job.arrived_ms) as f32 / 1_000.0;
+        if !self.settings.loads_by_urgency {
+            return group.jobs().map(waited_s).fold(0.0, f32::max);
+        }
+        let mut urgency = 0.0;
+        for job in group.jobs() {
+            let weight = match job.priority {
+                Priority::Interactive => 4.0,
+                Priority::Standard => 2.0,
+                Priority::Batch => 1.0,
+            };
+            urgency += weight * (1.0 + waited_s(job));
+        }
+        urgency
+    }
+
     /// True when nothing runs on the slot and nothing waits for it.
     fn is_idle(&self, adapter: &AdapterKey, slot: &Slot) -> bool {
         self.verified
@@ -640,17 +691,3 @@
     Free,
     Evict(AdapterKey),
 }
-
-fn urgency_of(now_ms: u64, group: &Group) -> f32 {
-    let mut urgency = 0.0;
-    for job in group.jobs() {
-        let weight = match job.priority {
-            Priority::Interactive => 4.0,
-            Priority::Standard => 2.0,
-            Priority::Batch => 1.0,
-        };
-        let waited_s = now_ms.saturating_sub(job.arrived_ms) as f32 / 1_000.0;
-        urgency += weight * (1.0 + waited_s);
-    }
-    urgency
-}
--- a/src/policy/route.rs
+++ b/src/policy/route.rs
@@ -11,9 +11,9 @@
 use crate::message::{AdapterKey, Summary};
 use crate::settings::PolicySettings;
 
-/// How many endpoints are weighed for an adapter that is loaded nowhere, in the order of their
+/// The most endpoints that are weighed for an adapter that is loaded nowhere, in the order of their
 /// hash with the adapter: all gateways look at the same few, so that they rarely load it twice.
-const HOMES: usize = 4;
+pub const MAX_HOMES: usize = 32;
 /// What each later one of these endpoints costs more, as a share of a load.
 const HOME_ORDER_COST: f64 = 0.05;
 /// The time within which an evicted adapter is expected to be missed.
@@ -52,6 +52,10 @@
 }
 
 impl Place {
+    fn load(&self) -> f64 {
+        f64::from((self.running + self.queued).max(self.own))
+    }
+
     fn takes_work(&self, now_ms: u64) -> bool {
         self.healthy && !self.leaving && self.owner.is_some() && now_ms >= self.avoided_until_ms
     }
@@ -262,8 +266,13 @@
         for place in self.admitted(holders, &filter) {
             best.offer(self.load_cost(place), place);
         }
-        if best.place.is_some() && best.cost < self.miss_cost(0.0) {
-            return best.place;
+        // A second place pays only once the wait at the first outweighs a load; how full the batches
+        // are must not decide this, or adapters would follow the fullest engine.
+        if let Some(place) = best.place {
+            let wait_ms = self.wait_ms(place);
+            if !self.settings.second_place || wait_ms < self.miss_cost(0.0).max(self.load_ms) {
+                return best.place;
+            }
         }
         for (order, place) in
             self.homes(adapter, members, &filter).into_iter().flatten().enumerate()
@@ -291,10 +300,8 @@
 
     /// The wait and the batch at an endpoint, in milliseconds of a request's time.
     fn load_cost(&self, place: &Place) -> f64 {
-        let load = f64::from((place.running + place.queued).max(place.own));
-        let places = f64::from(place.places);
-        let wait_ms = (load + 1.0 - places).max(0.0) / places * self.service_ms;
-        let fill = (load / places).min(1.0);
+        let wait_ms = self.wait_ms(place);
+        let fill = (place.load() / f64::from(place.places)).min(1.0);
         let crowd_ms = self.settings.load_stall_weight * fill * FULL_BATCH_COST * self.service_ms;
         let empty_ms = self.settings.batch_efficiency_weight
             * (1.0 - fill)
@@ -303,6 +310,12 @@
         wait_ms + crowd_ms + empty_ms
     }
 
+    /// How long a request is expected to wait for a place.
+    fn wait_ms(&self, place: &Place) -> f64 {
+        let places = f64::from(place.places);
+        (place.load() + 1.0 - places).max(0.0) / places * self.service_ms
+    }
+
     /// What loading costs this request and, later, those of the adapter that is evicted for it.
     fn miss_cost(&self, coldest_rate: f64) -> f64 {
         let missed = (coldest_rate * EVICTION_HORIZON_S).min(4.0);
@@ -315,12 +328,12 @@
         adapter: &AdapterKey,
         members: &'a [usize],
         filter: &Filter<'_>,
-    ) -> [Option<&'a Place>; HOMES] {
+    ) -> [Option<&'a Place>; MAX_HOMES] {
         let seed = xxh3_64(adapter.name.as_bytes()) ^ u64::from(adapter.version);
-        let mut homes: [Option<(u64, &Place)>; HOMES] = [None; HOMES];
+        let mut homes: [Option<(u64, &Place)>; MAX_HOMES] = [None; MAX_HOMES];
         for place in self.admitted(members, filter) {
             let mut candidate = (mix(seed ^ place.hash), place);
-            for home in &mut homes {
+            for home in &mut homes[..self.settings.homes] {
                 match home {
                     Some((rank, _)) if *rank >= candidate.0 => {}
                     Some(lower) => std::mem::swap(lower, &mut candidate),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -10,6 +10,7 @@
 use crate::control::permit::StoreBudget;
 use crate::control::raft::Timing;
 use crate::document::is_name;
+use crate::policy::route::MAX_HOMES;
 use crate::yaml::{Fault, Faults, Node, Source};
 
 const DAY_MS: u64 = 86_400_000;
@@ -144,12 +145,21 @@
     pub aging_ms: u64,
     /// Loads that one engine may have under way.
     pub loads_at_once: usize,
+    /// The longest wait for a load, by what loads took of late, at which a request that needs one
+    /// more is still taken.
+    pub load_wait_max_ms: u64,
     /// How long a load takes, before any was seen.
     pub load_estimate_ms: u64,
     /// How long a request runs, before any was seen.
     pub service_estimate_ms: u64,
     /// The time in which an adapter's popularity halves.
     pub popularity_half_life_ms: u64,
+    /// How many endpoints are weighed for an adapter that is loaded nowhere.
+    pub homes: usize,
+    /// True when a busy adapter may be loaded at a second endpoint.
+    pub second_place: bool,
+    /// True when the loads that most requests wait for go first.
+    pub loads_by_urgency: bool,
 }
 
 impl Default for PolicySettings {
@@ -161,9 +171,13 @@
             workspace_share: 0.5,
             aging_ms: 2_000,
             loads_at_once: 2,
+            load_wait_max_ms: 4_000,
             load_estimate_ms: 450,
             service_estimate_ms: 1_000,
-            popularity_half_life_ms: 20_000,
+            popularity_half_life_ms: 300_000,
+            homes: 4,
+            second_place: true,
+            loads_by_urgency: true,
         }
     }
 }
@@ -336,6 +350,13 @@
         }
     }
 
+    fn bool_or(&mut self, name: &'static str, default: bool) -> bool {
+        match self.optional(name) {
+            Some(node) => node.bool(self.faults).unwrap_or(default),
+            None => default,
+        }
+    }
+
     fn address(&mut self, name: &'static str) -> Option<SocketAddr> {
         let node = self.required(name, "an address such as 127.0.0.1:7000")?;
         read_address(&node, self.faults)
@@ -695,6 +716,11 @@
         aging_ms: fields.int_or("aging_ms", default.aging_ms, 1..=600_000),
         loads_at_once: fields.int_or("loads_at_once", default.loads_at_once as u64, 1..=64)
             as usize,
+        load_wait_max_ms: fields.int_or(
+            "load_wait_max_ms",
+            default.load_wait_max_ms,
+            1..=3_600_000,
+        ),
         load_estimate_ms: fields.int_or("load_estimate_ms", default.load_estimate_ms, 1..=600_000),
         service_estimate_ms: fields.int_or(
             "service_estimate_ms",
@@ -706,6 +732,9 @@
             default.popularity_half_life_ms,
             100..=3_600_000,
         ),
+        homes: fields.int_or("homes", default.homes as u64, 1..=MAX_HOMES as u64) as usize,
+        second_place: fields.bool_or("second_place", default.second_place),
+        loads_by_urgency: fields.bool_or("loads_by_urgency", default.loads_by_urgency),
     }
 }
 
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod engine;
 pub mod forwarder;
+pub mod measure;
 pub mod plain;
 pub mod platform;
 pub mod ports;
