bench: control's cost by number of gateways; losses and idle at the default periods

Cause: docs/CAPACITY.md needs slopes of leases, summaries and spread that are measured at several sizes, and the test region's short periods flattered losses and burdened idle figures. Change: winchvane-bench fleet; RegionOptions::quick.

--- a/standin/src/bin/winchvane-bench.rs
+++ b/standin/src/bin/winchvane-bench.rs
@@ -17,7 +17,10 @@
 use winchvane::control::ledger::{Claim, ClaimOutcome, KeyDigest};
 use winchvane::document::{Document, FieldValue, ServiceDeclaration};
 use winchvane::http::{HttpClient, request};
-use winchvane::message::{ControlReply, ControlRequest};
+use winchvane::message::{
+    AdapterKey, Change, ControlReply, ControlRequest, SessionDown, SessionHello, SessionUp, Summary,
+};
+use winchvane::wire::{Channel, Peer};
 use winchvane_standin::engine::EngineOptions;
 use winchvane_standin::region::{Region, RegionOptions, wait_for};
 use winchvane_standin::usage::{cpu_us, memory_mb};
@@ -95,6 +98,22 @@
         #[arg(long, default_value_t = 10)]
         seconds: u64,
     },
+    /// What control costs by number of gateways: small sessions in this process, each with the
+    /// messages of a gateway, against one real group of three replicas.
+    Fleet {
+        /// Sessions, each measured in turn.
+        #[arg(long, default_value = "50,100,200,400", value_delimiter = ',')]
+        sessions: Vec<usize>,
+        /// Changes of configuration a second.
+        #[arg(long, default_value_t = 1.0)]
+        changes_per_s: f64,
+        /// Summaries that each session sends with one renewal in ten.
+        #[arg(long, default_value_t = 1)]
+        summaries: usize,
+        /// How long each is measured.
+        #[arg(long, default_value_t = 6)]
+        seconds: u64,
+    },
 }
 
 #[tokio::main]
@@ -113,6 +132,9 @@
         Command::Spread { changes, background } => spread(options, changes, &background).await,
         Command::Losses { rounds } => losses(options, rounds).await,
         Command::Restart { changes } => restart(options, &changes).await,
+        Command::Fleet { sessions, changes_per_s, summaries, seconds } => {
+            fleet(options, &sessions, changes_per_s, summaries, seconds).await;
+        }
         Command::Idle { gateways, seconds } => idle(options, gateways, seconds).await,
     }
 }
@@ -441,7 +463,7 @@
 
 async fn losses(options: RegionOptions, rounds: usize) {
     let engine = EngineOptions { load_ms: 20, step_ms: 1, tokens: 2, ..EngineOptions::default() };
-    let options = RegionOptions { engine, engines: 1, gateways: 4, ..options };
+    let options = RegionOptions { engine, engines: 1, gateways: 4, quick: false, ..options };
     let mut region = Region::start(options).await;
     for round in 0..rounds {
         let leader = region.leader().await;
@@ -525,7 +547,7 @@
 }
 
 async fn idle(options: RegionOptions, gateways: usize, seconds: u64) {
-    let options = RegionOptions { gateways, engines: 18, ..options };
+    let options = RegionOptions { gateways, engines: 18, quick: false, ..options };
     let region = Region::start(options).await;
     tokio::time::sleep(Duration::from_secs(2)).await;
     let leader = region.leader().await;
@@ -575,3 +597,139 @@
 fn take(name: String, traffic: Value, id: u32) -> Sample {
     Sample { name, traffic, cpu_us: cpu_us(id), memory_mb: memory_mb(id) }
 }
+
+async fn fleet(
+    options: RegionOptions,
+    sizes: &[usize],
+    changes_per_s: f64,
+    summaries: usize,
+    seconds: u64,
+) {
+    let region = Region::start(RegionOptions { gateways: 1, quick: false, ..options }).await;
+    let client = Arc::new(control_client(&region));
+    let leader = region.leader().await;
+    println!(
+        "sessions  role      cpu_percent  resident_mb  sent_B/s  recv_B/s  msg/s    \
+         session: recv_B/s  spread_p99_ms"
+    );
+    let mut version = 0;
+    let mut tasks = Vec::new();
+    let seen = Arc::new(Seen::default());
+    for size in sizes {
+        while tasks.len() < *size {
+            let peers = region.control_peers(leader);
+            tasks.push(tokio::spawn(session(peers, tasks.len(), summaries, seen.clone())));
+        }
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        let before = sample(&region, leader).await;
+        let received = seen.bytes.load(std::sync::atomic::Ordering::Relaxed);
+        let mut spread = histogram();
+        let end = Instant::now() + Duration::from_secs(seconds);
+        let pause = Duration::from_secs_f64(1.0 / changes_per_s);
+        while Instant::now() < end {
+            version += 1;
+            seen.reached.store(0, std::sync::atomic::Ordering::Relaxed);
+            apply(&client, vec![service(version as usize % 50_000, 1 + version / 50_000)]).await;
+            let accepted = Instant::now();
+            while seen.reached.load(std::sync::atomic::Ordering::Relaxed) < *size
+                && accepted.elapsed() < pause
+            {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            spread.saturating_record(accepted.elapsed().as_micros() as u64);
+            tokio::time::sleep(pause.saturating_sub(accepted.elapsed())).await;
+        }
+        let after = sample(&region, leader).await;
+        let received = seen.bytes.load(std::sync::atomic::Ordering::Relaxed) - received;
+        let each = received as f64 / *size as f64 / seconds as f64;
+        for (before, after) in before.iter().zip(&after) {
+            if after.name.starts_with("gateway") {
+                continue;
+            }
+            let rate = |name: &str| -> f64 {
+                let value = |sample: &Sample| sample.traffic[name].as_f64().unwrap_or(0.0);
+                (value(after) - value(before)) / seconds as f64
+            };
+            println!(
+                "{size:<9} {:<9} {:<12.2} {:<12.1} {:<9.0} {:<9.0} {:<8.0} {each:<18.0} {:.1}",
+                after.name,
+                (after.cpu_us - before.cpu_us) / 1e4 / seconds as f64,
+                after.memory_mb,
+                rate("sent_bytes"),
+                rate("received_bytes"),
+                rate("sent_messages") + rate("received_messages"),
+                spread.value_at_quantile(0.99) as f64 / 1e3
+            );
+        }
+    }
+}
+
+/// What the sessions of `fleet` have received.
+#[derive(Default)]
+struct Seen {
+    bytes: std::sync::atomic::AtomicU64,
+    reached: std::sync::atomic::AtomicUsize,
+}
+
+/// Keeps one session as a gateway does: a renewal each second, and now and then a summary.
+async fn session(leader: SocketAddr, number: usize, summaries: usize, seen: Arc<Seen>) {
+    use std::sync::atomic::Ordering;
+    let peer = Peer::new(leader);
+    let opened = peer.open::<SessionUp, SessionDown>(Channel::Session).await;
+    let (mut sender, mut receiver) = opened.expect("the leader takes sessions");
+    let hello = SessionHello {
+        name: format!("small-{number:04}").into(),
+        boot_id: 1,
+        zone: format!("zone-{}", number % 3).into(),
+        address: ([127, 0, 0, 1], 9).into(),
+        applied_index: 0,
+    };
+    sender.send(&SessionUp::Hello(hello)).await.expect("the hello is sent");
+    let mut renewals = tokio::time::interval(Duration::from_secs(1));
+    let mut sequence = 0;
+    loop {
+        tokio::select! {
+            down = receiver.next() => {
+                let Ok(Some(down)) = down else { return };
+                let size = bincode::serde::encode_to_vec(&down, bincode::config::standard());
+                seen.bytes.fetch_add(size.map_or(0, |bytes| bytes.len() as u64 + 4), Ordering::Relaxed);
+                if let SessionDown::Changes { reset: false, changes, .. } = &down
+                    && changes.iter().any(|change| matches!(change, Change::Service(_)))
+                {
+                    seen.reached.fetch_add(1, Ordering::Relaxed);
+                }
+            }
+            _ = renewals.tick() => {
+                sequence += 1;
+                let mut summary = Vec::new();
+                if (sequence + number as u64).is_multiple_of(10) {
+                    for endpoint in 0..summaries {
+                        summary.push(small_summary(number, endpoint, sequence));
+                    }
+                }
+                let renew = SessionUp::Renew { sent_at_ms: sequence, summaries: summary };
+                if sender.send(&renew).await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// A summary in which one of eight loaded adapters has changed.
+fn small_summary(number: usize, endpoint: usize, sequence: u64) -> Summary {
+    Summary {
+        endpoint: format!("engine-{number:04}-{endpoint}").into(),
+        epoch: 1,
+        sequence,
+        healthy: true,
+        adapters: Some(
+            (0..8).map(|slot| AdapterKey::new(format!("adapter-{slot:05}"), 1)).collect(),
+        ),
+        running: 4,
+        queued: 0,
+        places: 16,
+        slots: 8,
+        coldest_rate: 0.1,
+    }
+}
--- a/standin/src/region.rs
+++ b/standin/src/region.rs
@@ -219,6 +219,9 @@
     pub engine: EngineOptions,
     /// Entries between two snapshots of a replica.
     pub snapshot_entries: u64,
+    /// True for short leases and frequent polls, so that tests need not wait long; false for the
+    /// periods that are the settings' defaults.
+    pub quick: bool,
     /// More lines for the gateways' settings.
     pub gateway_settings: &'static str,
 }
@@ -231,6 +234,7 @@
             engines: 2,
             engine: EngineOptions::default(),
             snapshot_entries: 50_000,
+            quick: true,
             gateway_settings: "",
         }
     }
@@ -276,7 +280,7 @@
             region.controls.push(process(region.folder.path(), &name, &binary, &settings));
         }
         for number in 0..options.gateways {
-            let settings = region.gateway_settings(number, options.gateway_settings);
+            let settings = region.gateway_settings(number, &options);
             let name = format!("gateway-{number}");
             let binary = options.bin_folder.join("winchvane-gateway");
             region.gateways.push(process(region.folder.path(), &name, &binary, &settings));
@@ -307,12 +311,13 @@
             let port = self.ports[other * 2];
             replicas.push_str(&format!("  - {{name: c{other}, address: \"127.0.0.1:{port}\"}}\n"));
         }
+        let periods = if options.quick { "lease_ms: 1500\nplatform_poll_ms: 100\n" } else { "" };
         format!(
             "name: control-{number}\nzone: zone-{number}\nregion: test\n\
              listen_peers: 127.0.0.1:{}\nlisten_admin: 127.0.0.1:{}\n\
-             data_folder: {}\nreplicas:\n{replicas}lease_ms: 1500\n\
+             data_folder: {}\nreplicas:\n{replicas}{periods}\
              snapshot_entries: {}\nstore: {{loads_per_s: 50, concurrent_loads: 8}}\n\
-             platform_address: {platform}\nplatform_poll_ms: 100\npools:\n\
+             platform_address: {platform}\npools:\n\
              \x20 - {{name: quotes, kind: engine, checks_epoch: true}}\n\
              \x20 - {{name: portal, kind: plain, checks_epoch: false}}\n",
             self.ports[number * 2],
@@ -322,19 +327,24 @@
         )
     }
 
-    fn gateway_settings(&self, number: usize, more: &str) -> String {
+    fn gateway_settings(&self, number: usize, options: &RegionOptions) -> String {
         let control: Vec<String> =
             (0..3).map(|other| format!("\"127.0.0.1:{}\"", self.ports[other * 2])).collect();
+        let periods = if options.quick {
+            "lease: {renew_ms: 200, lease_ms: 1500, margin_ms: 300, freshness_ms: 2000}\n\
+             endpoints: {status_poll_ms: 100, load_timeout_ms: 1500}\n"
+        } else {
+            ""
+        };
         format!(
             "name: gateway-{number}\nzone: zone-{number}\n\
              listen_callers: {}\nlisten_peers: {}\nlisten_admin: {}\ncontrol: [{}]\n\
-             lease: {{renew_ms: 200, lease_ms: 1500, margin_ms: 300, freshness_ms: 2000}}\n\
-             endpoints: {{status_poll_ms: 100, load_timeout_ms: 1500}}\n\
-             stop_grace_ms: 100\n{more}\n",
+             stop_grace_ms: 100\n{periods}{}\n",
             self.callers(number),
             self.peers(number),
             self.admin(number),
-            control.join(", ")
+            control.join(", "),
+            options.gateway_settings
         )
     }
 
