--- /dev/null
+++ b/scripts/mutations.sh
@@ -0,0 +1,74 @@
+#!/usr/bin/env bash
+# Takes one protecting rule at a time out of a copy of the tree and runs the test that must fail then.
+# Prints one line for each rule: "caught" when the test failed without the rule, "MISSED" otherwise.
+# Not part of CI: it builds the tree once for every rule.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+git archive HEAD | tar -x -C "$copy"
+cd "$copy"
+export CARGO_TARGET_DIR="$copy/target"
+cargo test --locked --no-run --quiet 2>/dev/null
+missed=0
+
+mutate() { # rule | file | perl substitution | cargo test arguments
+  local rule=$1 file=$2 substitution=$3
+  shift 3
+  cp "$file" "$copy/original"
+  perl -0pi -e "$substitution" "$file"
+  if cmp -s "$file" "$copy/original"; then
+    echo "NO CHANGE  $rule"
+    missed=$((missed + 1))
+    return
+  fi
+  if timeout 300 cargo test --locked --quiet "$@" >"$copy/output" 2>&1; then
+    echo "MISSED     $rule"
+    missed=$((missed + 1))
+  elif grep -q 'could not compile' "$copy/output"; then
+    echo "NO BUILD   $rule"
+    missed=$((missed + 1))
+  else
+    echo "caught     $rule ($*)"
+  fi
+  cp "$copy/original" "$file"
+}
+
+raft=src/control/raft.rs
+ledger=src/control/ledger.rs
+owner=src/policy/owner.rs
+random="--test random"
+scripts="--test scenarios"
+processes="--test processes"
+
+mutate "votes only for an up-to-date log" $raft 's/\(last_term, last_index\) >= own/true/' $random
+mutate "a vote is stored" $raft 's/self\.hard\.vote = Some\(from\);\n\s*self\.hard_changed = true;/self.hard.vote = Some(from);/' $random
+mutate "a read waits for a majority round" $raft 's/if !self\.members\.has_quorum\(&confirmed\) \{\n\s*return;\n\s*\}//' $scripts control
+mutate "a leader that hears no majority steps down" $raft 's/if !self\.members\.has_quorum\(&heard\)/if false/' $scripts control
+mutate "the leader counts itself only once stored" $raft 's/indexes\.push\(self\.stable\)/indexes.push(self.last_index())/' $scripts control
+mutate "a lost claimer leaves its claims unknown" $ledger 's/record\.state = RecordState::Unknown;\n\s*self\.settled\.push_back/self.settled.push_back/' $scripts control
+mutate "keys without a time are never forgotten" $ledger 's/RecordState::Finished\(answer\) => \*answer = None,/RecordState::Finished(_) => { self.records.remove(&key); }/' $scripts control
+mutate "a claim that is sent again is the same" $ledger 's/RecordState::Claimed \{ \.\. \} if record\.claim_id == claim\.claim_id => \{/RecordState::Claimed { .. } if false => {/' $scripts control
+mutate "an ended registration claims nothing" $ledger 's/if !gateway_is_current \{/if false {/' $scripts control
+mutate "one key is one call" $ledger 's/if record\.body != claim\.body/if false/' $scripts control
+mutate "equal versions need equal content" src/control/config.rs 's/if document == stored \{/if document.version() == stored_version {/' $scripts control
+mutate "a release needs the epoch" src/control/fleet.rs 's/record\.epoch != epoch \|\| record\.owner\.is_none\(\)/record.owner.is_none()/' $scripts control
+mutate "what serves is not idle" $owner 's/\&\& slot\.running == 0\n/\n/' $scripts owner
+mutate "what an earlier owner runs is not idle" $owner 's/\&\& slot\.foreign == 0\n/\n/' $scripts owner
+mutate "nothing is unloaded before the engine was asked" $owner 's/verified: !is_engine,/verified: true,/' $scripts owner
+mutate "a request counts on its own load only" $owner 's/\&\& slot\.generation == generation\n/\n/' $scripts owner
+mutate "queues are bounded" $owner 's/if self\.queue\.len\(\) < self\.settings\.queue_max \{/if true {/' $scripts owner
+mutate "a damaged middle is refused" src/control/storage.rs 's/if let Some\(next\) = find_record\(&bytes, offset \+ 1\) \{/if let Some(next) = None::<usize> {/' --test storage
+mutate "a replaced log is dropped" src/control/storage.rs 's/self\.replaced = entry\.term != self\.base_term;/self.replaced = false;/' --test storage
+mutate "a cut stream is not whole" src/gateway/stream.rs 's/self\.done \&\& self\.buffer\.is_empty\(\)/true/' --test streams
+mutate "the version must be the one named" src/gateway/stream.rs 's/ \&\& version\.parse\(\) == Ok\(adapter\.version\)//' --test streams
+mutate "a new leader waits for old permits" src/control/permit.rs 's/now_ms \+ self\.budget\.load_timeout_ms \};/now_ms };/' --test permits
+mutate "a round schedules no other" src/control/server.rs 's/\/\/ Nothing came after this.*?return Ok\(\(\)\);//s' $processes an_idle_replica
+mutate "a silent owner whose lease ended is given up" src/gateway/exchange.rs 's/if self\.owner_is_gone\(\) \{/if false {/' $processes a_frozen_owner
+mutate "old settings are not served" src/gateway/callers.rs 's/if shared\.lease\.is_fresh\(shared\.now_ms\(\)\) \{/if true {/' $processes a_gateway_cut_off
+mutate "an unknown outcome is not run again" src/gateway/exchange.rs 's/run == RunState::Unknown \&\& !exchange\.repeatable/false/' $processes an_order_runs
+mutate "a lost disk is a new replica" src/control/boot.rs 's/if stages\.contains\(&Some\(ProbeReply::Established\)\)/if false/' $processes a_replica_with
+mutate "a planned stop hands over" src/gateway/process.rs 's/let _ = shared\.session\.send\(SessionUp::Leave\);//' $processes a_planned_stop
+echo "$missed rules without a test that fails"
+[ "$missed" = 0 ]
--- a/src/gateway/owner.rs
+++ b/src/gateway/owner.rs
@@ -26,7 +26,7 @@
 use crate::policy::owner::{Effect, EngineStatus, Owner, Usability};
 use crate::policy::queue::Job;
 
-const TICK: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(100);
 const PERMIT_WAIT_MS: u32 = 2_000;
 const PERMIT_RETRY_MS: u64 = 200;
 const ANSWER_MAX_BYTES: usize = 64 << 20;
--- a/src/policy/route.rs
+++ b/src/policy/route.rs
@@ -14,6 +14,8 @@
 /// The most endpoints that are weighed for an adapter that is loaded nowhere, in the order of their
 /// hash with the adapter: all gateways look at the same few, so that they rarely load it twice.
 pub const MAX_HOMES: usize = 32;
+/// How many more are ranked than wanted.
+const SPARE_HOMES: usize = 4;
 /// What each later one of these endpoints costs more, as a share of a load.
 const HOME_ORDER_COST: f64 = 0.05;
 /// The time within which an evicted adapter is expected to be missed.
@@ -40,7 +42,6 @@
     pub leaving: bool,
     healthy: bool,
     avoided_until_ms: u64,
-    hash: u64,
     running: u32,
     queued: u32,
     /// Requests that this gateway itself has under way there.
@@ -61,13 +62,20 @@
     }
 }
 
+/// An endpoint in its pool, with its hash at hand: ranking a pool must not touch every place.
+#[derive(Debug, Clone, Copy)]
+struct Member {
+    position: usize,
+    hash: u64,
+}
+
 /// The endpoints of the region and the rule that picks one of them.
 #[derive(Debug)]
 pub struct Router {
     settings: PolicySettings,
     places: Vec<Option<Place>>,
     by_name: HashMap<Arc<str>, usize>,
-    pools: HashMap<Arc<str>, Vec<usize>>,
+    pools: HashMap<Arc<str>, Vec<Member>>,
     holders: HashMap<AdapterKey, Vec<usize>>,
     load_ms: f64,
     service_ms: f64,
@@ -123,7 +131,6 @@
             leaving,
             healthy: true,
             avoided_until_ms: 0,
-            hash: xxh3_64(name.as_bytes()),
             running: 0,
             queued: 0,
             own: 0,
@@ -133,7 +140,8 @@
             adapters: Vec::new(),
         }));
         self.by_name.insert(name.clone(), position);
-        self.pools.entry(pool.clone()).or_default().push(position);
+        let member = Member { position, hash: xxh3_64(name.as_bytes()) };
+        self.pools.entry(pool.clone()).or_default().push(member);
     }
 
     /// Drops an endpoint.
@@ -142,7 +150,7 @@
         self.set_adapters(position, Vec::new());
         let Some(place) = self.places[position].take() else { return };
         if let Some(pool) = self.pools.get_mut(&place.pool) {
-            pool.retain(|member| *member != position);
+            pool.retain(|member| member.position != position);
         }
     }
 
@@ -257,13 +265,15 @@
         let filter = Filter { now_ms, pool, tried };
         let mut best = Best::default();
         let Some(adapter) = adapter else {
-            for place in self.admitted(members, &filter) {
+            for member in members {
+                let Some(place) = self.admitted(member.position, &filter) else { continue };
                 best.offer(self.load_cost(place), place);
             }
             return best.place;
         };
         let holders = self.holders.get(adapter).map_or(&[][..], Vec::as_slice);
-        for place in self.admitted(holders, &filter) {
+        for position in holders {
+            let Some(place) = self.admitted(*position, &filter) else { continue };
             best.offer(self.load_cost(place), place);
         }
         // A second place pays only once the wait at the first outweighs a load; how full the batches
@@ -274,9 +284,7 @@
                 return best.place;
             }
         }
-        for (order, place) in
-            self.homes(adapter, members, &filter).into_iter().flatten().enumerate()
-        {
+        for (order, place) in self.homes(adapter, members, &filter).into_iter().enumerate() {
             if place.adapters.contains(adapter) {
                 continue;
             }
@@ -287,15 +295,8 @@
         best.place
     }
 
-    fn admitted<'a>(
-        &'a self,
-        positions: &'a [usize],
-        filter: &Filter<'_>,
-    ) -> impl Iterator<Item = &'a Place> {
-        positions
-            .iter()
-            .filter_map(|position| self.places[*position].as_ref())
-            .filter(move |place| filter.admits(place))
+    fn admitted(&self, position: usize, filter: &Filter<'_>) -> Option<&Place> {
+        self.places[position].as_ref().filter(|place| filter.admits(place))
     }
 
     /// The wait and the batch at an endpoint, in milliseconds of a request's time.
@@ -322,30 +323,41 @@
         self.settings.load_stall_weight * self.load_ms * (1.0 + missed)
     }
 
-    /// The first endpoints of a pool in the order of their hash with the adapter.
-    fn homes<'a>(
-        &'a self,
-        adapter: &AdapterKey,
-        members: &'a [usize],
-        filter: &Filter<'_>,
-    ) -> [Option<&'a Place>; MAX_HOMES] {
+    /// The first endpoints of a pool, in the order of their hash with the adapter, that take work.
+    fn homes(&self, adapter: &AdapterKey, members: &[Member], filter: &Filter<'_>) -> Vec<&Place> {
         let seed = xxh3_64(adapter.name.as_bytes()) ^ u64::from(adapter.version);
-        let mut homes: [Option<(u64, &Place)>; MAX_HOMES] = [None; MAX_HOMES];
-        for place in self.admitted(members, filter) {
-            let mut candidate = (mix(seed ^ place.hash), place);
-            for home in &mut homes[..self.settings.homes] {
-                match home {
-                    Some((rank, _)) if *rank >= candidate.0 => {}
-                    Some(lower) => std::mem::swap(lower, &mut candidate),
-                    None => {
-                        *home = Some(candidate);
-                        break;
-                    }
+        let wanted = self.settings.homes;
+        // A few more are ranked, in case some of the first do not take work; all of them if need be.
+        for ranked in [(wanted + SPARE_HOMES).min(MAX_HOMES), members.len()] {
+            let mut homes = Vec::with_capacity(wanted);
+            for position in first_by_hash(seed, members, ranked) {
+                let Some(place) = self.admitted(position, filter) else { continue };
+                homes.push(place);
+                if homes.len() == wanted {
+                    break;
                 }
             }
+            if !homes.is_empty() {
+                return homes;
+            }
+        }
+        Vec::new()
+    }
+}
+
+/// The positions of the `count` members with the highest hash, highest first.
+fn first_by_hash(seed: u64, members: &[Member], count: usize) -> Vec<usize> {
+    let mut first: Vec<(u64, usize)> = Vec::with_capacity(count + 1);
+    for member in members {
+        let rank = mix(seed ^ member.hash);
+        if first.len() == count && first.last().is_some_and(|(lowest, _)| *lowest >= rank) {
+            continue;
         }
-        homes.map(|home| home.map(|(_, place)| place))
+        let place = first.partition_point(|(higher, _)| *higher > rank);
+        first.insert(place, (rank, member.position));
+        first.truncate(count);
     }
+    first.into_iter().map(|(_, position)| position).collect()
 }
 
 struct Filter<'a> {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -741,7 +741,7 @@
 fn default_endpoints() -> EndpointSettings {
     EndpointSettings {
         connect_timeout_ms: 500,
-        status_poll_ms: 500,
+        status_poll_ms: 1_000,
         failures_to_down: 3,
         load_timeout_ms: 10_000,
         idle_timeout_ms: 30_000,
