--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -149,6 +149,11 @@
         self.state().fault = fault;
     }
 
+    /// Requests that run.
+    pub fn running(&self) -> u32 {
+        self.state().running
+    }
+
     /// What the engine has done.
     pub fn counts(&self) -> EngineCounts {
         self.state().counts.clone()
--- a/standin/src/plain.rs
+++ b/standin/src/plain.rs
@@ -19,6 +19,8 @@
 pub struct PlainFault {
     /// Every call takes this long.
     pub delay_ms: u64,
+    /// Each call takes up to this much longer, by its path, so that answers come out of order.
+    pub scatter_ms: u64,
     /// Calls run, and then no answer comes.
     pub runs_without_answer: bool,
 }
@@ -83,7 +85,9 @@
             runs.values().sum::<u64>()
         };
         let fault = self.fault.lock().expect("no holder panics").clone();
-        tokio::time::sleep(Duration::from_millis(fault.delay_ms)).await;
+        let scatter: u64 = path.bytes().map(u64::from).sum();
+        let scatter_ms = scatter * 7 % (fault.scatter_ms + 1);
+        tokio::time::sleep(Duration::from_millis(fault.delay_ms + scatter_ms)).await;
         if fault.runs_without_answer {
             std::future::pending::<()>().await;
         }
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -649,6 +649,139 @@
     .await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_runs_at_most_once_when_its_claimer_is_killed_before_dispatch() {
+    let gateway_settings = "limits: {in_progress_wait_ms: 50}";
+    let mut region = Region::start(RegionOptions { gateway_settings, ..options() }).await;
+    let owner = region.owner_of("plain-0").await;
+    let claimer = (owner + 1) % 3;
+    let other = (owner + 2) % 3;
+    // The owner is frozen, so the claimed order is under way and not dispatched.
+    region.gateways[owner].freeze();
+    let first = region.order(claimer, "order-4");
+    let killed = async {
+        wait_for("the order is claimed", async || {
+            region.order(other, "order-4").await.is_ok_and(|got| got.code() == "in_progress")
+        })
+        .await;
+    };
+    tokio::select! {
+        _ = first => panic!("the order was answered by a frozen owner"),
+        () = killed => {}
+    }
+    region.gateways[claimer].kill();
+    region.gateways[owner].thaw();
+    wait_for("the outcome is final", async || {
+        region.order(other, "order-4").await.is_ok_and(|got| got.code() == "outcome_unknown")
+    })
+    .await;
+    retry_order(&region, "order-4", &[owner, other]).await;
+    assert!(region.plain.runs().get("order-4").copied().unwrap_or(0) <= 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answered_order_is_answered_again_after_its_claimer_is_killed() {
+    let mut region = Region::start(options()).await;
+    let claimer = (region.owner_of("plain-0").await + 1) % 3;
+    let first = region.order(claimer, "order-5").await.expect("an answer");
+    assert_eq!(first.status, StatusCode::OK);
+    region.gateways[claimer].kill();
+    let leader = region.leader().await;
+    region.controls[leader].kill();
+    let others: Vec<usize> = (0..3).filter(|gateway| *gateway != claimer).collect();
+    wait_for("answered again", async || {
+        region.order(others[0], "order-5").await.is_ok_and(|got| got.status == StatusCode::OK)
+    })
+    .await;
+    for (status, _, body) in retry_order(&region, "order-5", &others).await {
+        assert_eq!((status, body.as_str()), (200, first.body.as_str()));
+    }
+    assert_eq!(region.plain.runs()["order-5"], 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_caller_gets_its_own_answer_when_answers_come_out_of_order() {
+    let region = Region::start(options()).await;
+    set_plain_fault(&region, PlainFault { scatter_ms: 200, ..PlainFault::default() }).await;
+    let mut tasks = Vec::new();
+    for number in 0..120 {
+        let client = region.client.clone();
+        let at = region.callers(number % 3);
+        tasks.push(tokio::spawn(async move {
+            let path = format!("/stock/{number}");
+            let request = winchvane::http::request(
+                Method::GET,
+                at,
+                &format!("/services/shop{path}"),
+                None,
+                bytes::Bytes::new(),
+            );
+            let answer = client.exchange(request.expect("a request"), 10_000, 1 << 20).await;
+            let (status, body) = answer.expect("an answer");
+            let body: serde_json::Value = serde_json::from_slice(&body).expect("JSON");
+            assert_eq!((status, body["path"].as_str()), (StatusCode::OK, Some(path.as_str())));
+        }));
+    }
+    for task in tasks {
+        task.await.expect("the answer is the right one");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_goes_away_cancels_its_request() {
+    let slow = EngineOptions { tokens: 5_000, step_ms: 10, ..engine() };
+    let options = RegionOptions { engines: 1, engine: slow, ..options() };
+    let region = Region::start(options).await;
+    let other = (region.owner_of("engine-0").await + 1) % 3;
+    let body = json!({"model": "taichung", "prompt": "x", "stream": true});
+    let runs = wait_for("it runs", async || region.engines[0].running() == 1);
+    tokio::select! {
+        _ = region.complete(other, &body) => panic!("the answer ended"),
+        () = runs => {}
+    }
+    wait_for("it is cancelled", async || region.engines[0].running() == 0).await;
+    assert_eq!(region.engines[0].counts().finished, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_that_died_is_avoided_while_the_list_calls_it_live() {
+    let mut region = Region::start(options()).await;
+    let (forwarder, address) =
+        Forwarder::start(region.instances[0].address).await.expect("the forwarder starts");
+    region.instances[0] = instance("engine-9", address, "quotes");
+    region.platform.set(region.instances.clone());
+    wait_for("the list is followed", async || {
+        let endpoints = region.status().await.expect("a gateway answers")["endpoints"].to_string();
+        endpoints.contains("engine-9") && !endpoints.contains("engine-0")
+    })
+    .await;
+    region.wait_owned().await;
+    for model in ["taichung", "hsinchu"] {
+        assert_eq!(region.quote(0, model).await.status, StatusCode::OK);
+    }
+    for _ in 0..2 {
+        // The same failure twice in a row.
+        forwarder.set(Mode::Break);
+        for gateway in [0, 1, 2, 0, 1, 2] {
+            for model in ["taichung", "hsinchu"] {
+                let got = region.quote(gateway, model).await;
+                assert_eq!(got.status, StatusCode::OK, "{}", got.body);
+            }
+        }
+        forwarder.set(Mode::Pass);
+        wait_for("it is used again", async || {
+            let before = region.engines[0].counts().started;
+            for gateway in 0..3 {
+                for model in ["taichung", "hsinchu"] {
+                    region.quote(gateway, model).await;
+                }
+            }
+            region.engines[0].counts().started > before
+        })
+        .await;
+    }
+}
+
 /// Each round of storing and sending once scheduled the next one, and a replica with nothing to do
 /// kept a whole core busy.
 #[tokio::test(flavor = "multi_thread")]
--- /dev/null
+++ b/tests/wire.rs
@@ -0,0 +1,134 @@
+//! Streams between processes: other versions, other purposes and broken messages are refused.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use tokio::net::{TcpListener, TcpStream};
+use winchvane::Result;
+use winchvane::metrics::{Counter, Metrics};
+use winchvane::wire::{BoxFuture, Channel, Handler, Incoming, Peer, serve};
+use yare::parameterized;
+
+/// Sends back what it gets.
+struct Echo;
+
+impl Handler for Echo {
+    fn handle(&self, incoming: Incoming) -> BoxFuture<'static, Result<()>> {
+        Box::pin(async move {
+            let (mut receiver, mut sender) = incoming.accept::<String, String>()?;
+            while let Some(text) = receiver.next().await? {
+                sender.send(&text).await?;
+            }
+            sender.finish();
+            Ok(())
+        })
+    }
+}
+
+async fn start() -> (std::net::SocketAddr, Metrics) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    let metrics = Metrics::local();
+    tokio::spawn(serve(listener, Arc::new(Echo), metrics.clone()));
+    (address, metrics)
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(test);
+}
+
+#[parameterized(
+    older_version = { "/forward", Some("0") },
+    no_version = { "/forward", None },
+    unknown_purpose = { "/gossip", Some("1") },
+)]
+fn other_versions_and_purposes_are_refused(path: &str, version: Option<&str>) {
+    run(async {
+        let (address, metrics) = start().await;
+        let stream = TcpStream::connect(address).await.expect("it connects");
+        let (sender, connection) = h2::client::handshake(stream).await.expect("h2");
+        tokio::spawn(connection);
+        let mut request = Request::builder().method(Method::POST).uri(format!("http://x{path}"));
+        if let Some(version) = version {
+            request = request.header("winchvane-wire", version);
+        }
+        let request = request.body(()).expect("a request");
+        let mut sender = sender.ready().await.expect("ready");
+        let (response, _stream) = sender.send_request(request, false).expect("it is sent");
+        assert_eq!(response.await.expect("an answer").status(), StatusCode::NOT_IMPLEMENTED);
+        assert_eq!(metrics.total(Counter::PeerRefused), 1);
+        // The listener goes on serving others.
+        let echo: String = Peer::new(address)
+            .call(Channel::Control, &"still here".to_owned(), 2_000)
+            .await
+            .expect("an answer");
+        assert_eq!(echo, "still here");
+    });
+}
+
+#[test]
+fn a_message_that_is_none_breaks_its_stream_only() {
+    run(async {
+        let (address, _) = start().await;
+        let stream = TcpStream::connect(address).await.expect("it connects");
+        let (sender, connection) = h2::client::handshake(stream).await.expect("h2");
+        tokio::spawn(connection);
+        for bytes in [vec![0xff; 64], vec![3, 0, 0, 0, 0xff, 0xff, 0xff]] {
+            let mut sender = sender.clone().ready().await.expect("ready");
+            let request = Request::builder()
+                .method(Method::POST)
+                .uri("http://x/control")
+                .header("winchvane-wire", "1")
+                .body(())
+                .expect("a request");
+            let (response, mut stream) = sender.send_request(request, false).expect("it is sent");
+            stream.send_data(Bytes::from(bytes), true).expect("it is sent");
+            let mut body = response.await.expect("the stream is accepted").into_body();
+            let next = tokio::time::timeout(Duration::from_secs(5), body.data()).await;
+            assert!(!matches!(next.expect("it ends"), Some(Ok(_))), "nothing is echoed");
+        }
+        let peer = Peer::new(address);
+        let echo: String =
+            peer.call(Channel::Control, &"fine".to_owned(), 2_000).await.expect("an answer");
+        assert_eq!(echo, "fine");
+    });
+}
+
+#[test]
+fn messages_larger_than_any_window_arrive_whole() {
+    run(async {
+        let (address, _) = start().await;
+        let large = "x".repeat(20 << 20);
+        let echo: String =
+            Peer::new(address).call(Channel::Control, &large, 20_000).await.expect("an answer");
+        assert_eq!(echo.len(), large.len());
+    });
+}
+
+#[test]
+fn an_answer_that_never_comes_is_an_error_that_leaves_the_outcome_open() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let address = listener.local_addr().expect("it is bound");
+        let silent = tokio::spawn(async move {
+            let mut streams = Vec::new();
+            while let Ok((stream, _)) = listener.accept().await {
+                streams.push(stream);
+            }
+        });
+        let result: Result<String> =
+            Peer::new(address).call(Channel::Control, &"x".to_owned(), 200).await;
+        assert!(!result.expect_err("no answer").is_invalid());
+        silent.abort();
+        let closed: Result<String> =
+            Peer::new(address).call(Channel::Control, &"x".to_owned(), 2_000).await;
+        let _ = closed;
+        let nobody = "127.0.0.1:1".parse().expect("an address");
+        let refused: Result<String> =
+            Peer::new(nobody).call(Channel::Control, &"x".to_owned(), 2_000).await;
+        assert!(refused.expect_err("nobody listens").is_not_run());
+    });
+}
