owner: requests that wait for an endpoint which goes silent are given up once it counts as down

Cause: a request sent to an engine whose connection was cut without a sign waited for idle_timeout_ms, 30 s, since only new work avoided an endpoint that is down; found by adding a silent phase to an_endpoint_that_died_is_avoided_while_the_list_calls_it_live. Change: calls to engines that wait for the head or the whole of an answer end once the endpoint counts as down, as unknown, and repeatable ones go on elsewhere; calls of plain services are waited for. status_timeout_ms is a setting. Generator of declarations at any size; tests of the router.

--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -27,7 +27,6 @@
 
 const STATUS_MAX_BYTES: usize = 1 << 20;
 const ERROR_MAX_BYTES: usize = 64 << 10;
-const STATUS_TIMEOUT_MS: u64 = 2_000;
 
 /// A call as it goes to the endpoint.
 #[derive(Debug, Clone)]
@@ -237,7 +236,8 @@
         let path = if self.is_engine { "/status" } else { "/health" };
         let mut request = request(Method::GET, self.address, path, None, Bytes::new())?;
         request.headers_mut().insert(EPOCH_HEADER, epoch.into());
-        let exchange = self.client.exchange(request, STATUS_TIMEOUT_MS, STATUS_MAX_BYTES);
+        let timeout_ms = self.settings.status_timeout_ms;
+        let exchange = self.client.exchange(request, timeout_ms, STATUS_MAX_BYTES);
         let (status, body) = exchange.await?;
         if !status.is_success() {
             return Err(Error::failed("read status", self.peer(), format!("status {status}")));
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -146,7 +146,7 @@
 }
 
 enum Attempt {
-    Answered(Reply),
+    Answered(Box<Reply>),
     Refused { refusal: Refusal, retry_after_ms: u32 },
     Unreachable(String),
     Failed { run: RunState, detail: String },
@@ -177,7 +177,7 @@
             return Err(course.given_up);
         }
         match course.attempt(&choice).await {
-            Attempt::Answered(reply) => return Ok(reply),
+            Attempt::Answered(reply) => return Ok(*reply),
             Attempt::Refused { refusal, retry_after_ms } => {
                 course.note_refusal(choice, refusal, retry_after_ms);
                 if !refusal.is_worth_another_endpoint() {
@@ -327,12 +327,12 @@
             match rest.next().await {
                 ForwardEvent::Data(first) if may_stream => {
                     let streaming = Streaming { content_type, first, load_wait_ms, rest };
-                    return Attempt::Answered(Reply::Stream(streaming));
+                    return Attempt::Answered(Box::new(Reply::Stream(streaming)));
                 }
                 ForwardEvent::Data(part) => body.extend_from_slice(&part),
                 ForwardEvent::End { .. } => {
                     let whole = Whole { status, content_type, body, load_wait_ms };
-                    return Attempt::Answered(Reply::Whole(whole));
+                    return Attempt::Answered(Box::new(Reply::Whole(whole)));
                 }
                 ForwardEvent::Failed { run, detail } => return Attempt::Failed { run, detail },
                 ForwardEvent::Head { .. } | ForwardEvent::Refused { .. } => {
--- a/src/gateway/owner.rs
+++ b/src/gateway/owner.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, Limited};
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use serde_json::json;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 use tracing::{debug, info, warn};
 
@@ -95,6 +95,8 @@
     status_failures: u32,
     leaving: bool,
     handed_over: bool,
+    /// True while the endpoint counts as down; calls that wait for its answer follow it.
+    down: watch::Sender<bool>,
     published: Option<Published>,
 }
 
@@ -201,6 +203,7 @@
             status_due_ms: 0,
             status_failures: 0,
             handed_over: false,
+            down: watch::Sender::new(false),
             published: None,
         })
     }
@@ -374,6 +377,11 @@
         } else {
             Usability::Usable
         };
+        let is_down = usability == Usability::Down;
+        if self.down.send_if_modified(|down| std::mem::replace(down, is_down) != is_down) && is_down
+        {
+            warn!(event = "calls_given_up", endpoint = %self.record.name());
+        }
         self.owner.set_usability(now_ms, usability);
     }
 
@@ -426,6 +434,7 @@
             request: held.request.clone(),
             events: held.events.clone(),
             load_wait_ms: u32::try_from(load_wait_ms).unwrap_or(u32::MAX),
+            down: self.down.subscribe(),
         };
         if load_wait_ms > 0 {
             self.shared.metrics.time(Timer::LoadWait, load_wait_ms);
@@ -575,6 +584,7 @@
     request: Arc<ForwardRequest>,
     events: mpsc::Sender<ForwardEvent>,
     load_wait_ms: u32,
+    down: watch::Receiver<bool>,
 }
 
 impl Run {
@@ -595,7 +605,14 @@
             priority: self.request.priority,
             call: self.request.call.clone(),
         };
-        match self.endpoint.send(order).await {
+        let sent = tokio::select! {
+            sent = self.endpoint.send(order) => sent,
+            () = given_up(self.down.clone(), &self.request) => {
+                self.fail("the endpoint does not answer any more").await;
+                return None;
+            }
+        };
+        match sent {
             Ok(Sent::Answer(answer)) => self.pass(answer).await,
             Ok(Sent::Refused(EngineRefusal::StaleEpoch)) => self.refuse(Refusal::NotOwner).await,
             Ok(Sent::Refused(refusal)) => return Some(refusal),
@@ -650,6 +667,9 @@
         let body = tokio::select! {
             body = timeout(Duration::from_millis(idle_ms), body) => body,
             () = self.events.closed() => return,
+            () = given_up(self.down.clone(), &self.request) => {
+                return self.fail("the endpoint does not answer any more").await;
+            }
         };
         let body = match body {
             Ok(Ok(body)) => body.to_bytes(),
@@ -733,6 +753,14 @@
     }
 }
 
+/// Returns once the endpoint of an adapter's request counts as down. Calls of plain services are
+/// waited for to the end, since many of them may not be repeated.
+async fn given_up(mut down: watch::Receiver<bool>, request: &ForwardRequest) {
+    if request.adapter.is_none() || down.wait_for(|down| *down).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
 /// The channel on which a request's events come back.
 pub fn event_channel() -> (mpsc::Sender<ForwardEvent>, mpsc::Receiver<ForwardEvent>) {
     mpsc::channel(EVENT_QUEUE)
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -189,6 +189,8 @@
     pub connect_timeout_ms: u64,
     /// How often the status is read.
     pub status_poll_ms: u64,
+    /// The longest time for a status.
+    pub status_timeout_ms: u64,
     /// Failed status reads until the endpoint counts as down.
     pub failures_to_down: u32,
     /// The longest time for a load.
@@ -742,6 +744,7 @@
     EndpointSettings {
         connect_timeout_ms: 500,
         status_poll_ms: 1_000,
+        status_timeout_ms: 1_000,
         failures_to_down: 3,
         load_timeout_ms: 10_000,
         idle_timeout_ms: 30_000,
@@ -757,6 +760,11 @@
             10..=60_000,
         ),
         status_poll_ms: fields.int_or("status_poll_ms", default.status_poll_ms, 20..=60_000),
+        status_timeout_ms: fields.int_or(
+            "status_timeout_ms",
+            default.status_timeout_ms,
+            20..=60_000,
+        ),
         failures_to_down: fields.int_or(
             "failures_to_down",
             u64::from(default.failures_to_down),
--- a/standin/src/bin/winchvane-standin.rs
+++ b/standin/src/bin/winchvane-standin.rs
@@ -27,6 +27,18 @@
         /// How many.
         count: usize,
     },
+    /// Print a template and many services made from it, at the brief's sizes or any other.
+    Declarations {
+        /// How many services.
+        #[arg(long, default_value_t = 3_000)]
+        services: usize,
+        /// The pool of the template.
+        #[arg(long, default_value = "quotes")]
+        pool: String,
+        /// Workspaces, over which the services are spread.
+        #[arg(long, default_value_t = 100)]
+        workspaces: usize,
+    },
     /// Run a whole fleet, print its addresses as one line of JSON, and go on until ended.
     Fleet(FleetArguments),
 }
@@ -83,6 +95,10 @@
             }
             Ok(())
         }
+        Command::Declarations { services, pool, workspaces } => {
+            print_declarations(services, &pool, workspaces);
+            Ok(())
+        }
         Command::Fleet(arguments) => run_fleet(arguments).await,
     };
     match result {
@@ -94,6 +110,20 @@
     }
 }
 
+fn print_declarations(services: usize, pool: &str, workspaces: usize) {
+    println!(
+        "kind: Template\nname: generated\nversion: 1\npool: {pool}\n\
+         parameters:\n  adapter: {{type: text}}\nservice:\n  adapter: $adapter\n  adapter_version: 1"
+    );
+    for number in 0..services {
+        println!(
+            "---\n{{kind: Service, name: service-{number:05}, version: 1, workspace: workspace-{}, \
+             template: generated, parameters: {{adapter: adapter-{number:05}}}}}",
+            number % workspaces
+        );
+    }
+}
+
 fn loopback(port: u16) -> SocketAddr {
     (Ipv4Addr::LOCALHOST, port).into()
 }
--- a/standin/src/region.rs
+++ b/standin/src/region.rs
@@ -1,6 +1,7 @@
 //! A region of real processes before stand-ins that live in the calling process, for process tests
 //! and measurements. Only those start it; no part of the system starts another process.
 
+use std::fmt::Write;
 use std::fs::File;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -309,7 +310,7 @@
         let mut replicas = String::new();
         for other in 0..3 {
             let port = self.ports[other * 2];
-            replicas.push_str(&format!("  - {{name: c{other}, address: \"127.0.0.1:{port}\"}}\n"));
+            let _ = writeln!(replicas, "  - {{name: c{other}, address: \"127.0.0.1:{port}\"}}");
         }
         let periods = if options.quick { "lease_ms: 1500\nplatform_poll_ms: 100\n" } else { "" };
         format!(
@@ -531,7 +532,7 @@
     pub fn logs(&self) -> String {
         let mut text = String::new();
         for process in self.controls.iter().chain(&self.gateways) {
-            text.push_str(&format!("--- {}\n{}", process.name, process.log()));
+            let _ = write!(text, "--- {}\n{}", process.name, process.log());
         }
         text
     }
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -46,6 +46,9 @@
     assert_eq!(region.plain.runs()["key-1"], 1);
 }
 
+/// Method, path, headers and body, and the status and code that must come back.
+type BadCall<'a> = (Method, &'a str, Vec<(&'a str, &'a str)>, &'a str, u16, &'a str);
+
 #[tokio::test(flavor = "multi_thread")]
 async fn bad_input_gets_its_own_clear_error() {
     let more = "limits: {body_max_bytes: 4096, header_timeout_ms: 300, body_timeout_ms: 300}";
@@ -56,7 +59,7 @@
     let large = format!("{{\"model\": \"taichung\", \"prompt\": \"{}\"}}", "x".repeat(5_000));
     let completions = "/v1/completions";
     let valid = r#"{"model": "taichung", "prompt": "x"}"#;
-    let cases: Vec<(Method, &str, Vec<(&str, &str)>, &str, u16, &str)> = vec![
+    let cases: Vec<BadCall<'_>> = vec![
         (Method::POST, completions, vec![json_type], "{", 400, "invalid_body"),
         (Method::POST, completions, vec![json_type], "[]", 400, "invalid_body"),
         (Method::POST, completions, vec![json_type], r#"{"prompt": "x"}"#, 400, "invalid_body"),
@@ -759,6 +762,13 @@
     for model in ["taichung", "hsinchu"] {
         assert_eq!(region.quote(0, model).await.status, StatusCode::OK);
     }
+    // It goes silent: a request that waits for it is given up and run elsewhere.
+    forwarder.set(Mode::Hold);
+    for model in ["taichung", "hsinchu"] {
+        let got = region.quote(0, model).await;
+        assert_eq!(got.status, StatusCode::OK, "{}", got.body);
+    }
+    forwarder.set(Mode::Pass);
     for _ in 0..2 {
         // The same failure twice in a row.
         forwarder.set(Mode::Break);
--- a/tests/raft.rs
+++ b/tests/raft.rs
@@ -31,7 +31,8 @@
 
 #[test]
 fn a_replica_votes_once_in_a_term_also_across_a_restart() {
-    let mut raft = replica(HardState::default());
+    // The term is known already, so that only the vote itself makes the state worth storing.
+    let mut raft = replica(HardState { term: 5, vote: None });
     let (granted, stored) = ask(&mut raft, 2, 5);
     assert!(granted);
     let stored = stored.expect("a vote is stored before it is told");
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -9,6 +9,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use winchvane::control::ledger::{KeyDigest, Settlement};
+use winchvane::control::raft::Raft;
 use winchvane::control::state::Operation;
 
 const DEFAULT_SEEDS: u64 = 24;
@@ -128,8 +129,8 @@
         let mut voters = 0;
         let mut behind = false;
         let leader = self.group.leader();
-        let Some(commit) = leader
-            .and_then(|leader| self.group.node(&leader).raft.as_ref().map(|raft| raft.commit()))
+        let Some(commit) =
+            leader.and_then(|leader| self.group.node(&leader).raft.as_ref().map(Raft::commit))
         else {
             return;
         };
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -1,5 +1,7 @@
 //! Answers that are late, cut or wrong at every byte are never passed on as whole.
 
+use std::fmt::Write;
+
 use winchvane::gateway::stream::{EventChecker, StreamFault, check_json};
 use winchvane::message::AdapterKey;
 use yare::parameterized;
@@ -11,9 +13,10 @@
 fn stream() -> String {
     let mut text = String::from(": comment\n\n");
     for token in ["one", "two \\n\\n", "three"] {
-        text.push_str(&format!(
+        let _ = write!(
+            text,
             "data: {{\"id\":\"x\",\"model\":\"shop@3\",\"choices\":[{{\"text\":\"{token}\"}}]}}\n\n"
-        ));
+        );
     }
     text + "data: [DONE]\n\n"
 }
