gateway: what was known stays in force while everything comes anew

Cause: read as a newcomer, a session that resets a gateway's directory cleared it first and filled it in parts of 1,000; requests admitted in between met services in force with 404 and not run. Change: the new directory is staged and takes the place of the old one when it is complete.

--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -20,6 +20,8 @@
     gateways: HashMap<Arc<str>, GatewayRecord>,
     endpoints: HashMap<Arc<str>, EndpointRecord>,
     names: HashSet<Arc<str>>,
+    /// Everything anew, until it is complete and takes the place of the rest.
+    staged: Option<Box<Directory>>,
 }
 
 /// A service in a set by its name: the set holds one pointer and no copy of the name.
@@ -92,9 +94,57 @@
         self.index = self.index.max(index);
     }
 
-    /// Drops everything.
-    pub fn clear(&mut self) {
-        *self = Self::default();
+    /// Drops what a session has sent of a whole new directory before it ended.
+    pub fn drop_staged(&mut self) {
+        self.staged = None;
+    }
+
+    /// Follows changes up to `index` and returns the endpoints that they touch.
+    ///
+    /// With `reset`, everything is sent anew in several parts. What was known stays in force until the
+    /// last part has come: a service must not be unknown in between.
+    pub fn follow(
+        &mut self,
+        index: u64,
+        reset: bool,
+        complete: bool,
+        changes: Vec<Change>,
+    ) -> HashSet<Arc<str>> {
+        if reset {
+            self.staged = Some(Box::default());
+        }
+        let mut touched = HashSet::new();
+        if let Some(mut staged) = self.staged.take() {
+            staged.apply_all(changes, &mut touched);
+            if !complete {
+                self.staged = Some(staged);
+                return HashSet::new();
+            }
+            touched.extend(self.endpoints.keys().cloned());
+            touched.extend(staged.endpoints.keys().cloned());
+            *self = *staged;
+        } else {
+            self.apply_all(changes, &mut touched);
+        }
+        if complete {
+            self.set_index(index);
+        }
+        touched
+    }
+
+    fn apply_all(&mut self, changes: Vec<Change>, touched: &mut HashSet<Arc<str>>) {
+        for change in changes {
+            match &change {
+                Change::Endpoint(record) => {
+                    touched.insert(record.name().clone());
+                }
+                Change::EndpointRemoved(name) => {
+                    touched.insert(name.clone());
+                }
+                _ => {}
+            }
+            self.apply(change);
+        }
     }
 
     /// Applies one change.
--- a/src/gateway/session.rs
+++ b/src/gateway/session.rs
@@ -1,6 +1,5 @@
 //! The gateway's session with the leader of control.
 
-use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -55,6 +54,7 @@
     let peer = Peer::new(leader);
     let (mut sender, mut receiver): Streams = peer.open(Channel::Session).await?;
     let common = &shared.settings.common;
+    shared.directory_mut().drop_staged();
     let hello = SessionHello {
         name: common.name.clone(),
         boot_id,
@@ -150,29 +150,8 @@
 }
 
 fn apply(shared: &Arc<Shared>, index: u64, reset: bool, complete: bool, changes: Vec<Change>) {
-    let mut touched = HashSet::new();
     let mut directory = shared.directory_mut();
-    if reset {
-        for endpoint in directory.endpoints() {
-            touched.insert(endpoint.name().clone());
-        }
-        directory.clear();
-    }
-    for change in changes {
-        match &change {
-            Change::Endpoint(record) => {
-                touched.insert(record.name().clone());
-            }
-            Change::EndpointRemoved(name) => {
-                touched.insert(name.clone());
-            }
-            _ => {}
-        }
-        directory.apply(change);
-    }
-    if complete {
-        directory.set_index(index);
-    }
+    let touched = directory.follow(index, reset, complete, changes);
     let mut records = Vec::with_capacity(touched.len());
     for name in touched {
         let record = directory.endpoint(&name).cloned();
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -40,3 +40,24 @@
     assert!(directory.service_of(&AdapterKey::new("shop", 2)).is_some());
     assert_eq!(directory.services().len(), 1);
 }
+
+/// A gateway that was far behind got everything anew in parts, and knew only the first parts of it
+/// while it went on admitting requests: services in force were answered with 404.
+#[test]
+fn what_was_known_stays_in_force_until_everything_has_come_anew() {
+    let mut directory = Directory::new();
+    directory.follow(5, true, true, vec![service("one", "a@1"), service("two", "b@1")]);
+    directory.follow(9, true, false, vec![service("three", "c@1")]);
+    assert!(directory.service("one").is_some() && directory.service("three").is_none());
+    assert_eq!(directory.index(), 5);
+    directory.follow(9, false, true, vec![service("two", "b@2")]);
+    let names: Vec<bool> =
+        ["one", "two", "three"].map(|name| directory.service(name).is_some()).to_vec();
+    assert_eq!(names, [false, true, true]);
+    assert_eq!(directory.index(), 9);
+    // A session that ends within a reset leaves nothing behind.
+    directory.follow(12, true, false, vec![service("four", "d@1")]);
+    directory.drop_staged();
+    directory.follow(10, false, true, vec![service("five", "e@1")]);
+    assert!(directory.service("two").is_some() && directory.service("four").is_none());
+}
--- /dev/null
+++ b/tests/lease.rs
@@ -0,0 +1,56 @@
+//! The gateway's lease and freshness, by its own clock.
+
+use winchvane::gateway::lease::Lease;
+use winchvane::settings::LeaseSettings;
+
+const SETTINGS: LeaseSettings =
+    LeaseSettings { renew_ms: 500, lease_ms: 2_500, margin_ms: 300, freshness_ms: 5_000 };
+const HOUR_MS: u64 = 3_600_000;
+
+fn renewed(lease: &Lease, sent_at_ms: u64) {
+    lease.renewed(sent_at_ms);
+    lease.confirmed(sent_at_ms);
+}
+
+#[test]
+fn a_lease_counts_from_the_sending_less_a_margin() {
+    let lease = Lease::new(SETTINGS);
+    lease.register(7);
+    assert!(!lease.is_valid(0) && !lease.is_fresh(0), "nothing is confirmed yet");
+    renewed(&lease, 1_000);
+    assert!(lease.is_valid(3_199) && !lease.is_valid(3_200));
+    assert!(lease.is_fresh(5_999) && !lease.is_fresh(6_000));
+}
+
+#[test]
+fn late_confirmations_shorten_nothing() {
+    let lease = Lease::new(SETTINGS);
+    renewed(&lease, 2_000);
+    renewed(&lease, 1_000);
+    assert!(lease.is_valid(4_199) && lease.is_fresh(6_999));
+}
+
+#[test]
+fn a_gateway_cut_off_for_an_hour_neither_admits_nor_sends_until_confirmed_anew() {
+    let lease = Lease::new(SETTINGS);
+    lease.register(7);
+    renewed(&lease, 1_000);
+    for now_ms in [6_000, 60_000, HOUR_MS] {
+        assert!(!lease.is_valid(now_ms) && !lease.is_fresh(now_ms));
+    }
+    // A new registration alone gives no lease.
+    lease.register(8);
+    assert!(!lease.is_valid(HOUR_MS));
+    renewed(&lease, HOUR_MS);
+    assert!(lease.is_valid(HOUR_MS + 1) && lease.is_fresh(HOUR_MS + 1));
+}
+
+#[test]
+fn an_ended_lease_sends_nothing_even_before_its_time() {
+    let lease = Lease::new(SETTINGS);
+    renewed(&lease, 1_000);
+    lease.expired();
+    assert!(!lease.is_valid(1_001));
+    // What was confirmed may still be admitted, for owners elsewhere.
+    assert!(lease.is_fresh(1_001));
+}
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -375,6 +375,8 @@
     .await;
     let status = region.gateways[owner].wait().await;
     assert_eq!(status.code(), Some(0));
+    let log = region.gateways[owner].log();
+    assert!(log.contains("event=stopped") && !log.contains("event=not_handed_over"), "{log}");
     for answer in answers {
         let text = answer.await.expect("the task ends");
         assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
@@ -567,6 +569,8 @@
         members.len() == 3 && own.is_some_and(|member| member[3] == true)
     })
     .await;
+    let id = region.control_dump(0).await["group"]["id"].as_u64();
+    assert!(id > Some(3), "it came back as the founder that it was: {id:?}");
     region.controls[1].kill();
     wait_for("changes are accepted again", async || {
         let text = "{kind: Service, name: new, version: 1, workspace: w2, template: quote, \
