control: the platform's load reports reach the owners of plain services as hints

Cause: the issue asks for load reports as hints beside the owner's own counts; they were not read. Change: running in the platform's list; the leader passes a changed report to the endpoint's owner with its renewal; what exceeds the owner's own recent most takes places, never the last one.

--- a/src/control/listing.rs
+++ b/src/control/listing.rs
@@ -12,10 +12,11 @@
 use serde::{Deserialize, Serialize};
 use tracing::warn;
 
-use crate::control::fleet::ListedEndpoint;
+use crate::control::fleet::{EndpointKind, ListedEndpoint};
 use crate::control::server::ReplicaMessage;
 use crate::error::{Error, Result};
 use crate::http::HttpClient;
+use crate::message::LoadReport;
 use crate::settings::{ControlSettings, PoolSettings};
 
 const LIST_MAX_BYTES: usize = 16 << 20;
@@ -34,6 +35,9 @@
     pub pool: Arc<str>,
     /// Live or leaving.
     pub state: PlatformState,
+    /// How many requests the platform saw running there, some time ago; not every platform tells.
+    #[serde(default)]
+    pub running: Option<u32>,
 }
 
 /// The states of the platform's list.
@@ -61,7 +65,8 @@
         }
         match read(&client, &settings).await {
             Ok(listed) => {
-                if actor.cast(ReplicaMessage::Listed(listed)).is_err() {
+                let Listing { endpoints, load_reports } = listed;
+                if actor.cast(ReplicaMessage::Listed(endpoints, load_reports)).is_err() {
                     return;
                 }
             }
@@ -70,20 +75,30 @@
     }
 }
 
-async fn read(client: &HttpClient, settings: &ControlSettings) -> Result<Vec<ListedEndpoint>> {
+/// What the list says: which endpoints there are, and how loaded some of them were.
+struct Listing {
+    endpoints: Vec<ListedEndpoint>,
+    load_reports: Vec<LoadReport>,
+}
+
+async fn read(client: &HttpClient, settings: &ControlSettings) -> Result<Listing> {
     let address = settings.platform_address;
     let body = client.get(address, "/instances", LIST_TIMEOUT_MS, LIST_MAX_BYTES).await?;
     let instances: Vec<PlatformInstance> = serde_json::from_slice(&body)
         .map_err(|error| Error::failed("read platform list", address.to_string(), error))?;
-    let mut listed = Vec::with_capacity(instances.len());
+    let mut endpoints = Vec::with_capacity(instances.len());
+    let mut load_reports = Vec::new();
     for instance in instances {
         let Some(pool) = settings.pools.iter().find(|pool| pool.name == instance.pool) else {
             warn!(event = "instance_of_unknown_pool", instance = %instance.name, pool = %instance.pool);
             continue;
         };
-        listed.push(describe(instance, pool));
+        if let (EndpointKind::Plain, Some(running)) = (pool.kind, instance.running) {
+            load_reports.push(LoadReport { endpoint: instance.name.clone(), running });
+        }
+        endpoints.push(describe(instance, pool));
     }
-    Ok(listed)
+    Ok(Listing { endpoints, load_reports })
 }
 
 fn describe(instance: PlatformInstance, pool: &PoolSettings) -> ListedEndpoint {
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -19,8 +19,8 @@
 use crate::document::DocumentKind;
 use crate::error::Result;
 use crate::message::{
-    Change, ControlReply, ControlRequest, GroupStatus, ProbeReply, SessionDown, SessionHello,
-    SessionUp,
+    Change, ControlReply, ControlRequest, GroupStatus, LoadReport, ProbeReply, SessionDown,
+    SessionHello, SessionUp,
 };
 use crate::metrics::{Counter, Metrics};
 
@@ -72,6 +72,7 @@
     permits: Permits,
     permit_waiters: HashMap<u64, RpcReplyPort<ControlReply>>,
     renewed_at_ms: HashMap<Arc<str>, u64>,
+    load_reports: HashMap<Arc<str>, u32>,
     removal_polls: u32,
 }
 
@@ -95,6 +96,7 @@
             permits: Permits::new(settings.store, 0),
             permit_waiters: HashMap::new(),
             renewed_at_ms: HashMap::new(),
+            load_reports: HashMap::new(),
             removal_polls: 0,
         }
     }
@@ -420,6 +422,14 @@
         self.propose(wall_ms, operation, Waiter::Nobody);
     }
 
+    /// Takes the platform's reports of load in; they are hints and are not kept in the log.
+    pub fn note_load_reports(&mut self, reports: Vec<LoadReport>) {
+        self.load_reports.clear();
+        for report in reports {
+            self.load_reports.insert(report.endpoint, report.running);
+        }
+    }
+
     /// Applies what has been committed and answers what waited for it.
     ///
     /// # Errors
@@ -530,7 +540,8 @@
             return;
         }
         let summaries = self.summaries.unseen(session, &self.state);
-        if !session.send(SessionDown::Renewed { sent_at_ms, index, summaries }) {
+        let load_reports = session.unseen_reports(&self.load_reports, &self.state);
+        if !session.send(SessionDown::Renewed { sent_at_ms, index, summaries, load_reports }) {
             self.sessions.remove(&id);
         }
     }
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -17,7 +17,8 @@
 use crate::control::storage::{Batch, Storage};
 use crate::error::{Error, Result};
 use crate::message::{
-    ControlReply, ControlRequest, PeerMessage, ProbeReply, SessionDown, SessionHello, SessionUp,
+    ControlReply, ControlRequest, LoadReport, PeerMessage, ProbeReply, SessionDown, SessionHello,
+    SessionUp,
 };
 use crate::metrics::{Counter, Metrics, Timer};
 use crate::wire::{BoxFuture, Channel, Handler, Incoming, Peer, Receiver, Sender};
@@ -47,8 +48,8 @@
     Up(u64, SessionUp),
     /// A session's stream has ended.
     Close(u64),
-    /// The platform's list.
-    Listed(Vec<ListedEndpoint>),
+    /// The platform's list and its reports of load.
+    Listed(Vec<ListedEndpoint>, Vec<LoadReport>),
     /// Asks for the state dump.
     Dump(RpcReplyPort<serde_json::Value>),
     /// Hand leadership over; the process is about to stop.
@@ -155,7 +156,10 @@
                 state.replica.session_message(now_ms, wall_ms(), session, up);
             }
             ReplicaMessage::Close(session) => state.replica.close(session),
-            ReplicaMessage::Listed(listed) => state.replica.listed(wall_ms(), listed),
+            ReplicaMessage::Listed(listed, load_reports) => {
+                state.replica.listed(wall_ms(), listed);
+                state.replica.note_load_reports(load_reports);
+            }
         }
         // One flush serves every message that is queued before it: one sync for many.
         if !state.flush_due {
--- a/src/control/session.rs
+++ b/src/control/session.rs
@@ -1,12 +1,12 @@
 //! The leader's sessions with gateways: leases, changes and summaries that they follow.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 
 use tokio::sync::mpsc;
 
 use crate::control::state::State;
-use crate::message::{Change, SessionDown, SessionHello, Summary};
+use crate::message::{Change, LoadReport, SessionDown, SessionHello, Summary};
 
 const MAX_KEPT_CHANGES: usize = 20_000;
 const CHANGES_PER_MESSAGE: usize = 1_000;
@@ -60,12 +60,13 @@
     pub epoch: Option<u64>,
     down: mpsc::Sender<SessionDown>,
     summaries_seen: u64,
+    reports_sent: HashMap<Arc<str>, u32>,
 }
 
 impl Session {
     /// A session that sends to `down`.
     pub fn new(hello: SessionHello, down: mpsc::Sender<SessionDown>) -> Self {
-        Self { hello, epoch: None, down, summaries_seen: 0 }
+        Self { hello, epoch: None, down, summaries_seen: 0, reports_sent: HashMap::new() }
     }
 
     /// Sends without waiting; false when the gateway does not keep up or has gone.
@@ -114,6 +115,25 @@
         true
     }
 
+    /// The reports on the gateway's own endpoints that differ from those sent last.
+    pub fn unseen_reports(
+        &mut self,
+        reports: &HashMap<Arc<str>, u32>,
+        state: &State,
+    ) -> Vec<LoadReport> {
+        let mut unseen = Vec::new();
+        for (endpoint, running) in reports {
+            let record = state.fleet.endpoints().get(endpoint);
+            let owner = record.and_then(|record| record.owner.as_ref());
+            if owner != Some(&self.hello.name) || self.reports_sent.get(endpoint) == Some(running) {
+                continue;
+            }
+            self.reports_sent.insert(endpoint.clone(), *running);
+            unseen.push(LoadReport { endpoint: endpoint.clone(), running: *running });
+        }
+        unseen
+    }
+
     /// Sends the changes of one entry.
     pub fn follow(&self, index: u64, changes: &[Change]) -> bool {
         self.epoch.is_none() || self.send_changes(index, false, changes)
--- a/src/gateway/owner.rs
+++ b/src/gateway/owner.rs
@@ -19,8 +19,8 @@
 use crate::gateway::shared::{Owned, Shared};
 use crate::gateway::stream::{EventChecker, StreamFault, check_json};
 use crate::message::{
-    AdapterKey, ControlReply, ControlRequest, ForwardEvent, ForwardRequest, PermitRequest, Refusal,
-    RunState, SessionUp,
+    AdapterKey, ControlReply, ControlRequest, ForwardEvent, ForwardRequest, LoadReport,
+    PermitRequest, Refusal, RunState, SessionUp,
 };
 use crate::metrics::{Counter, Timer};
 use crate::policy::owner::{Effect, EngineStatus, Owner, Usability};
@@ -59,6 +59,8 @@
     Tick,
     /// The platform's list tells whether the endpoint is leaving.
     Leaving(bool),
+    /// The platform tells how many requests it saw running there.
+    LoadReport(u32),
     /// The endpoint has another owner now, or is about to.
     HandOver {
         /// True when control waits for it to be released.
@@ -149,6 +151,14 @@
     }
 }
 
+/// Passes the platform's report of load on to the endpoint's actor.
+pub fn report_load(shared: &Shared, report: &LoadReport) {
+    let owned = shared.owned().get(&report.endpoint).cloned();
+    if let Some(owned) = owned {
+        let _ = owned.actor.cast(OwnerMessage::LoadReport(report.running));
+    }
+}
+
 fn start(shared: &Arc<Shared>, name: &Arc<str>, record: EndpointRecord, release: bool) {
     let client = shared.http.clone();
     let settings = shared.settings.endpoints;
@@ -232,6 +242,7 @@
             OwnerMessage::Status(result, changes) => state.observe(now_ms, result, changes),
             OwnerMessage::Tick => state.tick(now_ms, &myself),
             OwnerMessage::Leaving(leaving) => state.leaving = leaving,
+            OwnerMessage::LoadReport(running) => state.owner.note_load_report(now_ms, running),
             OwnerMessage::HandOver { release } => state.hand_over(release),
             OwnerMessage::Dump(reply) => {
                 let _ = reply.send(state.dump());
@@ -541,6 +552,7 @@
             "usability": format!("{:?}", self.owner.usability()),
             "running": self.owner.running(),
             "queued": self.owner.queued(),
+            "others_running": self.owner.others_running(),
             "adapters": adapters,
         })
     }
--- a/src/gateway/session.rs
+++ b/src/gateway/session.rs
@@ -130,7 +130,7 @@
 
 fn take(shared: &Arc<Shared>, down: SessionDown) {
     match down {
-        SessionDown::Renewed { sent_at_ms, index, summaries } => {
+        SessionDown::Renewed { sent_at_ms, index, summaries, load_reports } => {
             shared.lease.renewed(sent_at_ms);
             // The changes up to `index` came before this on the same stream.
             let mut directory = shared.directory_mut();
@@ -141,6 +141,10 @@
             for summary in summaries {
                 router.observe(summary);
             }
+            drop(router);
+            for report in load_reports {
+                owner::report_load(shared, &report);
+            }
         }
         SessionDown::Changes { index, reset, complete, changes } => {
             apply(shared, index, reset, complete, changes);
--- a/src/message.rs
+++ b/src/message.rs
@@ -197,6 +197,15 @@
     GatewayRemoved(Arc<str>),
 }
 
+/// How many requests the platform saw running at an endpoint, some time ago.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// The endpoint.
+    pub endpoint: Arc<str>,
+    /// The requests, those of this system among them.
+    pub running: u32,
+}
+
 /// What a gateway sends on its session with the leader.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum SessionUp {
@@ -262,6 +271,8 @@
         index: u64,
         /// Summaries of other gateways' endpoints that changed.
         summaries: Vec<Summary>,
+        /// Reports on the gateway's own endpoints that changed.
+        load_reports: Vec<LoadReport>,
     },
     /// This replica does not lead, or no longer.
     NotLeader {
--- a/src/policy/owner.rs
+++ b/src/policy/owner.rs
@@ -143,6 +143,10 @@
     slots: BTreeMap<AdapterKey, Slot>,
     queue: Queue,
     running: HashMap<u64, Running>,
+    /// The most that ran at once since the last report of load.
+    running_peak: u32,
+    /// Requests that others run at the endpoint, as the last report suggests.
+    others_running: u32,
     running_by_workspace: HashMap<Arc<str>, u64>,
     failures: HashMap<AdapterKey, Failure>,
     popularity: Popularity,
@@ -193,6 +197,8 @@
             slots: BTreeMap::new(),
             queue: Queue::new(),
             running: HashMap::new(),
+            running_peak: 0,
+            others_running: 0,
             running_by_workspace: HashMap::new(),
             failures: HashMap::new(),
             popularity: Popularity::new(settings.popularity_half_life_ms),
@@ -219,6 +225,11 @@
         self.running.len()
     }
 
+    /// Requests that others run at the endpoint, as the last report of load suggests.
+    pub fn others_running(&self) -> u32 {
+        self.others_running
+    }
+
     /// Requests that wait.
     pub fn queued(&self) -> usize {
         self.queue.len()
@@ -459,6 +470,19 @@
         self.pump(now_ms);
     }
 
+    /// Takes the platform's report of load in. It is some time old, so only what exceeds the most that
+    /// this owner had running lately counts as the load of others.
+    pub fn note_load_report(&mut self, now_ms: u64, running: u32) {
+        self.others_running = running.saturating_sub(self.running_peak);
+        self.running_peak = self.running.len() as u32;
+        self.pump(now_ms);
+    }
+
+    /// The places that others leave free, one at least: a report is a hint and must not stop work.
+    fn usable_places(&self) -> u32 {
+        self.places.saturating_sub(self.others_running).max(self.places.min(1))
+    }
+
     /// Lets time pass: requests whose deadline has come get their answer.
     pub fn tick(&mut self, now_ms: u64) {
         let retry_after_ms = self.drain_ms();
@@ -507,7 +531,7 @@
         if self.usability != Usability::Usable {
             return;
         }
-        while (self.running.len() as u32) < self.places {
+        while (self.running.len() as u32) < self.usable_places() {
             let Some((adapter, priority)) = self.next_to_dispatch(now_ms) else { break };
             let Some(job) = self.queue.pop(&adapter, priority) else { break };
             self.dispatch(now_ms, job);
@@ -559,6 +583,7 @@
         *self.running_by_workspace.entry(job.workspace.clone()).or_insert(0) += 1;
         let running = Running { slot: held, workspace: job.workspace, started_ms: now_ms };
         self.running.insert(job.id, running);
+        self.running_peak = self.running_peak.max(self.running.len() as u32);
         self.effects.push(Effect::Dispatch { job: job.id, load_wait_ms });
     }
 
--- a/standin/src/bin/winchvane-standin.rs
+++ b/standin/src/bin/winchvane-standin.rs
@@ -175,5 +175,6 @@
         zone: zone.as_str().into(),
         pool: pool.into(),
         state: PlatformState::Live,
+        running: None,
     }
 }
--- a/standin/src/region.rs
+++ b/standin/src/region.rs
@@ -554,6 +554,7 @@
         zone: "zone-0".into(),
         pool: pool.into(),
         state: PlatformState::Live,
+        running: None,
     }
 }
 
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -501,6 +501,25 @@
     .await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn the_platforms_load_report_reaches_the_owner() {
+    let mut region = Region::start(options()).await;
+    let owner = region.owner_of("plain-0").await;
+    let plain = region.instances.iter_mut().find(|instance| &*instance.pool == "portal");
+    plain.expect("there is one").running = Some(50);
+    region.platform.set(region.instances.clone());
+    wait_for("the owner counts the load of others", async || {
+        let dump = region.gateway_dump(owner).await;
+        let endpoints = dump["endpoints_owned"].as_array().cloned().unwrap_or_default();
+        endpoints
+            .iter()
+            .any(|found| found["endpoint"] == "plain-0" && found["others_running"] == 50)
+    })
+    .await;
+    let got = region.order(0, "order-6").await.expect("an answer");
+    assert_eq!(got.status, StatusCode::OK, "a hint stops no work");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn accepted_changes_survive_a_killed_and_a_frozen_leader() {
     let mut region = Region::start(options()).await;
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -375,6 +375,10 @@
                 let adapter = adapter(positional(&mut arguments)?)?;
                 self.owner.load_ended(now_ms, &adapter, 400, false);
             }
+            "report" => {
+                let running = positional(&mut arguments)?.parse()?;
+                self.owner.note_load_report(now_ms, running);
+            }
             "missing" => {
                 let adapter = adapter(positional(&mut arguments)?)?;
                 self.owner.adapter_missing(now_ms, &adapter);
