--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -24,6 +24,8 @@
 };
 use crate::metrics::{Counter, Metrics};
 
+/// Recorded answers can make entries large, so their bytes bound the log as well as their number.
+const SNAPSHOT_BYTES: usize = 64 << 20;
 const PERMIT_WAIT_MAX_MS: u64 = 5_000;
 /// Polls in a row that must agree before most of the endpoints are taken for gone.
 const MASS_REMOVAL_POLLS: u32 = 5;
@@ -60,6 +62,8 @@
     pub raft: Raft,
     state: State,
     applied: u64,
+    /// Bytes of commands applied since the last snapshot.
+    unsnapshotted_bytes: usize,
     settings: ReplicaSettings,
     metrics: Metrics,
     leading: bool,
@@ -84,6 +88,7 @@
             raft,
             state,
             applied,
+            unsnapshotted_bytes: 0,
             settings,
             metrics,
             leading: false,
@@ -457,6 +462,7 @@
         let mut outcome = Outcome::Done;
         let mut changes = Vec::new();
         if let Payload::Command(bytes) = payload {
+            self.unsnapshotted_bytes += bytes.len();
             (outcome, changes) = self.state.apply(index, Command::decode(&bytes)?);
         }
         self.applied = index;
@@ -557,11 +563,13 @@
         Ok(())
     }
 
-    /// A snapshot of the state, when enough entries have been applied since the last one.
-    pub fn snapshot_due(&self) -> Option<Snapshot> {
-        if self.applied < self.raft.snapshot_index() + self.settings.snapshot_entries {
+    /// A snapshot of the state, when enough entries or bytes have been applied since the last one.
+    pub fn snapshot_due(&mut self) -> Option<Snapshot> {
+        let has_many = self.applied >= self.raft.snapshot_index() + self.settings.snapshot_entries;
+        if !has_many && self.unsnapshotted_bytes < SNAPSHOT_BYTES {
             return None;
         }
+        self.unsnapshotted_bytes = 0;
         Some(Snapshot {
             index: self.applied,
             term: self.raft.term_at(self.applied)?,
