code: large files split by concept; the silent engine's test can fail now

Cause: files of 600 to 1,080 lines held several concepts. scripts/mutations.sh showed that the test of an engine that goes silent passed without the rule it is meant for: its adapters could be on the other engine, and the forwarder let the end of a held connection through. Change: raft, document, settings and message are folders; a dispatched request and a caller's problem have files of their own. A test of its own for the silent engine; a held connection's end is held too.

--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -35,7 +35,7 @@
   cp "$copy/original" "$file"
 }
 
-raft=src/control/raft.rs
+raft=src/control/raft/mod.rs
 ledger=src/control/ledger.rs
 owner=src/policy/owner.rs
 random="--test random"
@@ -67,7 +67,7 @@
 mutate "a new leader waits for old permits" src/control/permit.rs 's/now_ms \+ self\.budget\.load_timeout_ms \};/now_ms };/' --test permits
 mutate "a round schedules no other" src/control/server.rs 's/\/\/ Nothing came after this.*?return Ok\(\(\)\);//s' $processes an_idle_replica
 mutate "a silent owner whose lease ended is given up" src/gateway/exchange.rs 's/if self\.owner_is_gone\(\) \{/if false {/' $processes a_frozen_owner
-mutate "a silent engine that is down is given up" src/gateway/owner.rs 's/if request\.adapter\.is_none\(\) \|\|/if true ||/' $processes an_endpoint_that
+mutate "a silent engine that is down is given up" src/gateway/run.rs 's/if request\.adapter\.is_none\(\) \|\|/if true ||/' $processes a_request_at_an_engine
 mutate "old settings are not served" src/gateway/callers.rs 's/if shared\.lease\.is_fresh\(shared\.now_ms\(\)\) \{/if true {/' $processes a_gateway_cut_off
 mutate "an unknown outcome is not run again" src/gateway/exchange.rs 's/run == RunState::Unknown \&\& !exchange\.repeatable/false/' $processes an_order_runs
 mutate "a lost disk is a new replica" src/control/boot.rs 's/if stages\.contains\(&Some\(ProbeReply::Established\)\)/if false/' $processes a_replica_with
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use futures_util::stream;
-use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use http::header::{CONTENT_TYPE, HeaderValue};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -17,24 +17,21 @@
 use crate::control::ledger::RecordedAnswer;
 use crate::endpoint::{IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER};
 use crate::gateway::claims::{self, Claimed};
-use crate::gateway::exchange::{self, Exchange, GivenUp, Reply, Rest, Streaming, Whole};
-use crate::gateway::openai::{BodyError, CompletionKind, CompletionRequest, error_object};
+use crate::gateway::exchange::{self, Exchange, Reply, Rest, Streaming, Whole};
+use crate::gateway::openai::{CompletionKind, CompletionRequest, error_object};
+use crate::gateway::problem::{Problem, RUN_HEADER};
 use crate::gateway::shared::Shared;
 use crate::http::{Answer, BodyFault, HttpHandler, answer, full, header, json_answer, read_body};
-use crate::message::{AdapterKey, Call, ForwardEvent, Priority, Refusal, RunState, Service};
+use crate::message::{AdapterKey, Call, ForwardEvent, Priority, RunState, Service};
 use crate::metrics::{Counter, Gauge, Timer};
 use crate::wire::BoxFuture;
 
-/// Tells whether a request that failed may have run.
-pub const RUN_HEADER: &str = "winchvane-run";
 /// The adapter that answered.
 pub const ADAPTER_HEADER: &str = "winchvane-adapter";
 /// The version of the adapter that answered.
 pub const ADAPTER_VERSION_HEADER: &str = "winchvane-adapter-version";
 /// How long the request waited for its adapter to load.
 pub const LOAD_WAIT_HEADER: &str = "winchvane-load-wait-ms";
-/// When to come back, more finely than in `Retry-After`.
-pub const RETRY_AFTER_MS_HEADER: &str = "winchvane-retry-after-ms";
 /// The priority that a caller asks for.
 pub const PRIORITY_HEADER: &str = "winchvane-priority";
 /// The longest time that a caller waits.
@@ -79,105 +76,6 @@
     }
 }
 
-/// An error on its way to the caller.
-struct Problem {
-    status: StatusCode,
-    kind: &'static str,
-    code: &'static str,
-    param: Option<&'static str>,
-    message: String,
-    run: RunState,
-    retry_after_ms: Option<u32>,
-}
-
-impl Problem {
-    fn invalid(status: StatusCode, code: &'static str, message: impl Into<String>) -> Self {
-        Self {
-            status,
-            kind: "invalid_request_error",
-            code,
-            param: None,
-            message: message.into(),
-            run: RunState::NotRun,
-            retry_after_ms: None,
-        }
-    }
-
-    fn busy(code: &'static str, message: impl Into<String>, retry_after_ms: u32) -> Self {
-        Self {
-            status: StatusCode::SERVICE_UNAVAILABLE,
-            kind: "server_error",
-            code,
-            param: None,
-            message: message.into(),
-            run: RunState::NotRun,
-            retry_after_ms: Some(retry_after_ms),
-        }
-    }
-
-    fn into_answer(self, shared: &Shared, request_id: &str) -> Answer {
-        let counter = match (self.run, self.status.is_client_error()) {
-            (RunState::Unknown, _) => Counter::RequestsUnknown,
-            (RunState::NotRun, true) if self.retry_after_ms.is_none() => Counter::RequestsInvalid,
-            (RunState::NotRun, _) => Counter::RequestsRefused,
-        };
-        shared.metrics.count(counter);
-        info!(
-            event = "request_failed",
-            request = request_id,
-            status = self.status.as_u16(),
-            code = self.code,
-            run = self.run.as_str(),
-            detail = %self.message
-        );
-        let object = error_object(self.kind, &self.message, self.param, self.code);
-        let mut answer = json_answer(self.status, &object);
-        let headers = answer.headers_mut();
-        headers.insert(RUN_HEADER, HeaderValue::from_static(self.run.as_str()));
-        if let Some(retry_after_ms) = self.retry_after_ms {
-            headers.insert(RETRY_AFTER, retry_after_ms.div_ceil(1_000).max(1).into());
-            headers.insert(RETRY_AFTER_MS_HEADER, retry_after_ms.into());
-        }
-        answer
-    }
-}
-
-impl From<BodyError> for Problem {
-    fn from(error: BodyError) -> Self {
-        let mut problem = Self::invalid(StatusCode::BAD_REQUEST, "invalid_body", error.message);
-        problem.param = error.param;
-        problem
-    }
-}
-
-impl From<GivenUp> for Problem {
-    fn from(given_up: GivenUp) -> Self {
-        let GivenUp { run, refusal, retry_after_ms, detail } = given_up;
-        let (status, code) = match (run, refusal) {
-            (RunState::Unknown, _) => (StatusCode::BAD_GATEWAY, "outcome_unknown"),
-            (_, Some(Refusal::QueueFull | Refusal::WorkspaceShare)) => {
-                (StatusCode::TOO_MANY_REQUESTS, "overloaded")
-            }
-            (_, Some(Refusal::DeadlinePassed)) => (StatusCode::GATEWAY_TIMEOUT, "deadline_passed"),
-            (_, Some(Refusal::DeadlineUnmeetable)) => {
-                (StatusCode::SERVICE_UNAVAILABLE, "deadline_unmeetable")
-            }
-            (_, Some(Refusal::LoadBacklog)) => (StatusCode::SERVICE_UNAVAILABLE, "load_backlog"),
-            (_, Some(Refusal::LoadFailed)) => (StatusCode::SERVICE_UNAVAILABLE, "load_failed"),
-            _ => (StatusCode::SERVICE_UNAVAILABLE, "no_endpoint"),
-        };
-        Self {
-            status,
-            kind: "server_error",
-            code,
-            param: None,
-            message: detail,
-            run,
-            retry_after_ms: Some(retry_after_ms),
-        }
-    }
-}
-
 /// Counts a request for as long as it is in progress.
 struct InProgress {
     shared: Arc<Shared>,
--- a/src/gateway/owner.rs
+++ b/src/gateway/owner.rs
@@ -5,22 +5,19 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use serde_json::json;
 use tokio::sync::{mpsc, watch};
-use tokio::time::timeout;
 use tracing::{debug, info, warn};
 
 use crate::control::fleet::{EndpointKind, EndpointRecord};
-use crate::endpoint::{Endpoint, EndpointAnswer, EngineRefusal, HttpEndpoint, Order, Sent};
+use crate::endpoint::{Endpoint, EngineRefusal, HttpEndpoint};
 use crate::error::{Error, Result};
+use crate::gateway::run::Run;
 use crate::gateway::shared::{Owned, Shared};
-use crate::gateway::stream::{EventChecker, StreamFault, check_json};
 use crate::message::{
     AdapterKey, ControlReply, ControlRequest, ForwardEvent, ForwardRequest, LoadReport,
-    PermitRequest, Refusal, RunState, SessionUp,
+    PermitRequest, Refusal, SessionUp,
 };
 use crate::metrics::{Counter, Timer};
 use crate::policy::owner::{Effect, EngineStatus, Owner, Usability};
@@ -29,10 +26,9 @@
 const TICK: Duration = Duration::from_millis(100);
 const PERMIT_WAIT_MS: u32 = 2_000;
 const PERMIT_RETRY_MS: u64 = 200;
-const ANSWER_MAX_BYTES: usize = 64 << 20;
 const RESUBMITS: u32 = 2;
 const EVENT_QUEUE: usize = 64;
-const JSON_RETRY_AFTER_MS: u32 = 100;
+const RETRY_AFTER_MS: u32 = 100;
 
 /// What the actor is told.
 pub enum OwnerMessage {
@@ -294,7 +290,7 @@
                 return;
             }
         }
-        let retry_after_ms = JSON_RETRY_AFTER_MS;
+        let retry_after_ms = RETRY_AFTER_MS;
         let refused = ForwardEvent::Refused {
             refusal: Refusal::EndpointRefused,
             retry_after_ms,
@@ -588,191 +584,6 @@
     }
 }
 
-/// One dispatched request.
-struct Run {
-    shared: Arc<Shared>,
-    endpoint: Arc<dyn Endpoint>,
-    epoch: u64,
-    request: Arc<ForwardRequest>,
-    events: mpsc::Sender<ForwardEvent>,
-    load_wait_ms: u32,
-    down: watch::Receiver<bool>,
-}
-
-impl Run {
-    /// Runs the request and passes its answer on; a refusal when the engine did not start it.
-    async fn run(self) -> Option<EngineRefusal> {
-        // The last look at the lease before the request is written: what remains is the time
-        // between here and the write, which the lease's margin covers.
-        if !self.shared.lease.is_valid(self.shared.now_ms()) {
-            self.refuse(Refusal::LeaseLost).await;
-            return None;
-        }
-        if self.events.is_closed() {
-            return None;
-        }
-        let order = Order {
-            epoch: self.epoch,
-            request_id: self.request.request_id.clone(),
-            priority: self.request.priority,
-            call: self.request.call.clone(),
-        };
-        let sent = tokio::select! {
-            sent = self.endpoint.send(order) => sent,
-            () = given_up(self.down.clone(), &self.request) => {
-                self.fail("the endpoint does not answer any more").await;
-                return None;
-            }
-        };
-        match sent {
-            Ok(Sent::Answer(answer)) => self.pass(answer).await,
-            Ok(Sent::Refused(EngineRefusal::StaleEpoch)) => self.refuse(Refusal::NotOwner).await,
-            Ok(Sent::Refused(refusal)) => return Some(refusal),
-            Err(error) if error.is_not_run() => {
-                debug!(event = "endpoint_unreachable", request = %self.request.request_id, error = %error);
-                self.refuse(Refusal::EndpointDown).await;
-            }
-            Err(error) => self.fail(&error.to_string()).await,
-        }
-        None
-    }
-
-    async fn refuse(&self, refusal: Refusal) {
-        let retry_after_ms = JSON_RETRY_AFTER_MS;
-        let refused = ForwardEvent::Refused { refusal, retry_after_ms, summary: None };
-        let _ = self.events.send(refused).await;
-    }
-
-    async fn fail(&self, detail: &str) {
-        warn!(event = "answer_failed", request = %self.request.request_id, detail = detail);
-        let detail = detail.to_owned();
-        let _ = self.events.send(ForwardEvent::Failed { run: RunState::Unknown, detail }).await;
-    }
-
-    async fn pass(&self, answer: EndpointAnswer) {
-        let head = ForwardEvent::Head {
-            status: answer.status,
-            content_type: answer.content_type.clone(),
-            load_wait_ms: self.load_wait_ms,
-        };
-        let is_success = (200..300).contains(&answer.status);
-        let is_stream = answer.content_type.starts_with("text/event-stream");
-        match &self.request.adapter {
-            Some(adapter) if is_success && is_stream => {
-                let checker = EventChecker::new(adapter.clone());
-                self.pass_events(head, answer, checker).await;
-            }
-            Some(adapter) if is_success => self.pass_whole(head, answer, Some(adapter)).await,
-            _ => self.pass_whole(head, answer, None).await,
-        }
-    }
-
-    /// Passes a whole answer on, checked first if an adapter must have made it.
-    async fn pass_whole(
-        &self,
-        head: ForwardEvent,
-        answer: EndpointAnswer,
-        adapter: Option<&AdapterKey>,
-    ) {
-        let idle_ms = self.shared.settings.endpoints.idle_timeout_ms;
-        let body = Limited::new(answer.body, ANSWER_MAX_BYTES).collect();
-        let body = tokio::select! {
-            body = timeout(Duration::from_millis(idle_ms), body) => body,
-            () = self.events.closed() => return,
-            () = given_up(self.down.clone(), &self.request) => {
-                return self.fail("the endpoint does not answer any more").await;
-            }
-        };
-        let body = match body {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(error)) => return self.fail(&format!("the answer broke off: {error}")).await,
-            Err(_) => return self.fail("the answer did not come in time").await,
-        };
-        if let Some(adapter) = adapter
-            && let Err(fault) = check_json(&body, adapter)
-        {
-            return self.reject(&fault).await;
-        }
-        if self.events.send(head).await.is_err() {
-            return;
-        }
-        if self.events.send(ForwardEvent::Data(body.to_vec())).await.is_ok() {
-            let _ = self.events.send(ForwardEvent::End { summary: None }).await;
-        }
-    }
-
-    async fn pass_events(
-        &self,
-        head: ForwardEvent,
-        mut answer: EndpointAnswer,
-        mut checker: EventChecker,
-    ) {
-        let mut head = Some(head);
-        let idle = Duration::from_millis(self.shared.settings.endpoints.idle_timeout_ms);
-        loop {
-            let frame = tokio::select! {
-                frame = timeout(idle, answer.body.frame()) => frame,
-                // Dropping the answer closes its connection, which cancels it at the engine.
-                () = self.events.closed() => return,
-            };
-            let piece: Bytes = match frame {
-                Ok(Some(Ok(frame))) => match frame.into_data() {
-                    Ok(piece) => piece,
-                    Err(_) => continue,
-                },
-                Ok(None) => break,
-                Ok(Some(Err(error))) => {
-                    return self.fail(&format!("the stream broke off: {error}")).await;
-                }
-                Err(_) => return self.fail("the stream stood still").await,
-            };
-            let events = match checker.push(&piece) {
-                Ok(Some(events)) => events,
-                Ok(None) => continue,
-                Err(fault) => return self.reject(&fault).await,
-            };
-            if let Some(head) = head.take()
-                && self.events.send(head).await.is_err()
-            {
-                return;
-            }
-            if self.events.send(ForwardEvent::Data(events.to_vec())).await.is_err() {
-                return;
-            }
-        }
-        if checker.is_whole() {
-            let _ = self.events.send(ForwardEvent::End { summary: None }).await;
-        } else {
-            self.fail("the stream ended before its last event").await;
-        }
-    }
-
-    async fn reject(&self, fault: &StreamFault) {
-        match fault {
-            StreamFault::WrongAdapter(found) => {
-                self.shared.metrics.count(Counter::WrongAdapter);
-                let wanted = self.request.adapter.as_ref().map(ToString::to_string);
-                warn!(
-                    event = "wrong_adapter",
-                    request = %self.request.request_id,
-                    wanted = wanted.as_deref().unwrap_or(""),
-                    found = %found
-                );
-                self.fail(&format!("the endpoint answered with adapter {found}")).await;
-            }
-            StreamFault::Malformed(detail) => self.fail(detail).await,
-        }
-    }
-}
-
-/// Returns once the endpoint of an adapter's request counts as down. Calls of plain services are
-/// waited for to the end, since many of them may not be repeated.
-async fn given_up(mut down: watch::Receiver<bool>, request: &ForwardRequest) {
-    if request.adapter.is_none() || down.wait_for(|down| *down).await.is_err() {
-        std::future::pending::<()>().await;
-    }
-}
-
 /// The channel on which a request's events come back.
 pub fn event_channel() -> (mpsc::Sender<ForwardEvent>, mpsc::Receiver<ForwardEvent>) {
     mpsc::channel(EVENT_QUEUE)
--- /dev/null
+++ b/src/settings/reader.rs
@@ -0,0 +1,183 @@
+//! Reading settings field by field, with every fault noted.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::document::is_name;
+use crate::settings::Common;
+use crate::yaml::{Fault, Faults, Node, Source};
+
+pub(super) fn parse_with<T>(
+    file: &Arc<str>,
+    text: &str,
+    read: fn(&Node<'_>, &mut Faults) -> Option<T>,
+) -> Result<T, Vec<Fault>> {
+    let mut faults = Faults::new();
+    let source = Source::parse(file, text, &mut faults);
+    let roots = source.roots();
+    let mut settings = None;
+    if let [root] = roots.as_slice() {
+        settings = read(root, &mut faults);
+    } else if faults.is_empty() {
+        faults.add_file(file, 1, "expected one document with settings");
+    }
+    match settings {
+        Some(settings) if faults.is_empty() => Ok(settings),
+        _ => Err(faults.into_vec()),
+    }
+}
+
+/// Hands out the fields of a mapping, and at the end complains of those that nobody asked for.
+pub(super) struct Fields<'a, 'f> {
+    pub(super) node: Node<'a>,
+    found: Vec<(String, Node<'a>)>,
+    asked: BTreeSet<&'static str>,
+    pub(super) faults: &'f mut Faults,
+}
+
+impl<'a, 'f> Fields<'a, 'f> {
+    pub(super) fn new(node: &Node<'a>, faults: &'f mut Faults) -> Self {
+        let found = node.fields(faults);
+        Self { node: node.clone(), found, asked: BTreeSet::new(), faults }
+    }
+
+    pub(super) fn optional(&mut self, name: &'static str) -> Option<Node<'a>> {
+        self.asked.insert(name);
+        self.found.iter().find(|(found, _)| found == name).map(|(_, node)| node.clone())
+    }
+
+    pub(super) fn required(&mut self, name: &'static str, expected: &str) -> Option<Node<'a>> {
+        let found = self.optional(name);
+        if found.is_none() {
+            self.faults
+                .add(&self.node, format!("the field {name} is missing; expected {expected}"));
+        }
+        found
+    }
+
+    pub(super) fn name(&mut self, name: &'static str) -> Option<Arc<str>> {
+        let node = self.required(name, "a name")?;
+        let text = node.text(self.faults)?;
+        if !is_name(&text) {
+            self.faults.add(&node, format!("\"{text}\" is not a name"));
+            return None;
+        }
+        Some(text)
+    }
+
+    pub(super) fn text_or(&mut self, name: &'static str, default: &str) -> Arc<str> {
+        match self.optional(name) {
+            Some(node) => node.text(self.faults).unwrap_or_else(|| default.into()),
+            None => default.into(),
+        }
+    }
+
+    pub(super) fn int_or(
+        &mut self,
+        name: &'static str,
+        default: u64,
+        range: std::ops::RangeInclusive<u64>,
+    ) -> u64 {
+        match self.optional(name) {
+            Some(node) => node.int(range, self.faults).unwrap_or(default),
+            None => default,
+        }
+    }
+
+    pub(super) fn number_or(
+        &mut self,
+        name: &'static str,
+        default: f64,
+        range: std::ops::RangeInclusive<f64>,
+    ) -> f64 {
+        match self.optional(name) {
+            Some(node) => node.number(range, self.faults).unwrap_or(default),
+            None => default,
+        }
+    }
+
+    pub(super) fn bool_or(&mut self, name: &'static str, default: bool) -> bool {
+        match self.optional(name) {
+            Some(node) => node.bool(self.faults).unwrap_or(default),
+            None => default,
+        }
+    }
+
+    pub(super) fn address(&mut self, name: &'static str) -> Option<SocketAddr> {
+        let node = self.required(name, "an address such as 127.0.0.1:7000")?;
+        read_address(&node, self.faults)
+    }
+
+    pub(super) fn optional_address(&mut self, name: &'static str) -> Option<SocketAddr> {
+        let node = self.optional(name)?;
+        read_address(&node, self.faults)
+    }
+
+    /// Reads a nested mapping; one that is absent reads like an empty one.
+    pub(super) fn section<T>(
+        &mut self,
+        name: &'static str,
+        default: T,
+        read: impl FnOnce(&mut Fields<'_, '_>) -> T,
+    ) -> T {
+        let Some(node) = self.optional(name) else { return default };
+        let mut fields = Fields::new(&node, self.faults);
+        let value = read(&mut fields);
+        fields.finish();
+        value
+    }
+
+    pub(super) fn finish(self) {
+        let known: Vec<&str> = self.asked.iter().copied().collect();
+        for (name, node) in &self.found {
+            if self.asked.contains(name.as_str()) {
+                continue;
+            }
+            let expected = known.join(", ");
+            self.faults.add(node, format!("unknown field; expected one of {expected}"));
+        }
+    }
+}
+
+pub(super) fn read_address(node: &Node<'_>, faults: &mut Faults) -> Option<SocketAddr> {
+    let text = node.text(faults)?;
+    let Ok(address) = text.parse::<SocketAddr>() else {
+        let expected = "expected an address such as 127.0.0.1:7000";
+        faults.add(node, format!("{expected}, found the text \"{text}\""));
+        return None;
+    };
+    Some(address)
+}
+
+pub(super) fn read_common(fields: &mut Fields<'_, '_>) -> Option<Common> {
+    let name = fields.name("name");
+    let zone = fields.name("zone");
+    let listen_peers = fields.address("listen_peers");
+    let listen_admin = fields.address("listen_admin");
+    let log_level = fields.text_or("log_level", "info");
+    let metrics_address = fields.optional_address("metrics_address");
+    let metrics_prefix = fields.text_or("metrics_prefix", "winchvane");
+    Some(Common {
+        name: name?,
+        zone: zone?,
+        listen_peers: listen_peers?,
+        listen_admin: listen_admin?,
+        log_level,
+        metrics_address,
+        metrics_prefix,
+    })
+}
+
+/// Complains of two listeners on one port.
+pub(super) fn check_ports(node: &Node<'_>, listeners: &[(&str, SocketAddr)], faults: &mut Faults) {
+    for (position, (name, address)) in listeners.iter().enumerate() {
+        for (other_name, other) in &listeners[..position] {
+            if address.port() != other.port() || address.port() == 0 {
+                continue;
+            }
+            let detail = format!("{name} and {other_name} both use port {}", address.port());
+            faults.add(node, detail);
+        }
+    }
+}
--- a/standin/src/forwarder.rs
+++ b/standin/src/forwarder.rs
@@ -63,19 +63,18 @@
 async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut mode: watch::Receiver<Mode>) {
     let mut buffer = vec![0; 16 << 10];
     loop {
-        let size = tokio::select! {
-            read = from.read(&mut buffer) => match read {
-                Ok(0) | Err(_) => return,
-                Ok(size) => size,
-            },
+        let read = tokio::select! {
+            read = from.read(&mut buffer) => read,
             _ = mode.wait_for(|mode| *mode == Mode::Break) => return,
         };
+        // The end of a connection is held back like its bytes.
         if mode.wait_for(|mode| *mode != Mode::Hold).await.is_err() {
             return;
         }
         if *mode.borrow() == Mode::Break {
             return;
         }
+        let Ok(size @ 1..) = read else { return };
         if to.write_all(&buffer[..size]).await.is_err() {
             return;
         }
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -785,13 +785,6 @@
     for model in ["taichung", "hsinchu"] {
         assert_eq!(region.quote(0, model).await.status, StatusCode::OK);
     }
-    // It goes silent: a request that waits for it is given up and run elsewhere.
-    forwarder.set(Mode::Hold);
-    for model in ["taichung", "hsinchu"] {
-        let got = region.quote(0, model).await;
-        assert_eq!(got.status, StatusCode::OK, "{}", got.body);
-    }
-    forwarder.set(Mode::Pass);
     for _ in 0..2 {
         // The same failure twice in a row.
         forwarder.set(Mode::Break);
@@ -815,6 +808,35 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_at_an_engine_that_goes_silent_is_run_elsewhere() {
+    let mut region = Region::start(options()).await;
+    let other = region.instances.remove(1);
+    let (forwarder, address) =
+        Forwarder::start(region.instances[0].address).await.expect("the forwarder starts");
+    region.instances[0] = instance("engine-9", address, "quotes");
+    region.platform.set(region.instances.clone());
+    wait_for("only engine-9 is listed", async || {
+        let endpoints = region.status().await.expect("a gateway answers")["endpoints"].to_string();
+        endpoints.contains("engine-9")
+            && !endpoints.contains("engine-0")
+            && !endpoints.contains("engine-1")
+    })
+    .await;
+    wait_for("its adapter is loaded there", async || {
+        region.quote(0, "taichung").await.status == StatusCode::OK
+    })
+    .await;
+    region.instances.push(other);
+    region.platform.set(region.instances.clone());
+    region.wait_owned().await;
+    let before = region.engines[1].counts().started;
+    forwarder.set(Mode::Hold);
+    let got = region.quote(0, "taichung").await;
+    assert_eq!(got.status, StatusCode::OK, "{}", got.body);
+    assert!(region.engines[1].counts().started > before, "it ran at the other engine");
+}
+
 /// Each round of storing and sending once scheduled the next one, and a replica with nothing to do
 /// kept a whole core busy.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -68,7 +68,11 @@
 fn every_setting_is_documented() {
     let root = Path::new(env!("CARGO_MANIFEST_DIR"));
     let page = std::fs::read_to_string(root.join("docs/SETTINGS.md")).expect("the page exists");
-    let source = std::fs::read_to_string(root.join("src/settings.rs")).expect("the source exists");
+    let mut source = String::new();
+    for file in ["reader.rs", "control.rs", "gateway.rs"] {
+        let path = root.join("src/settings").join(file);
+        source.push_str(&std::fs::read_to_string(path).expect("the source exists"));
+    }
     let calls =
         ["int_or(", "number_or(", "text_or(", "name(", "address(", "optional(", "required("];
     for call in calls {
