--- /dev/null
+++ b/src/admin.rs
@@ -0,0 +1,33 @@
+//! What the admin listeners of all processes have in common.
+
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+use serde_json::json;
+use tracing::info;
+
+use crate::http::{Answer, json_answer, read_body};
+use crate::logging;
+
+const LEVEL_MAX_BYTES: usize = 1_024;
+const LEVEL_TIMEOUT_MS: u64 = 5_000;
+
+/// An error for operators.
+pub fn problem(status: StatusCode, message: &str) -> Answer {
+    json_answer(status, &json!({"error": message}))
+}
+
+/// Sets the log level of the process from a request's body.
+pub async fn set_log_level(request: Request<Incoming>) -> Answer {
+    let body = read_body(request.into_body(), LEVEL_MAX_BYTES, LEVEL_TIMEOUT_MS).await;
+    let Ok(body) = body else {
+        return problem(StatusCode::BAD_REQUEST, "expected a log level such as debug");
+    };
+    let level = String::from_utf8_lossy(&body);
+    match logging::set_level(level.trim()) {
+        Ok(()) => {
+            info!(event = "log_level_set", level = level.trim());
+            json_answer(StatusCode::OK, &json!({"level": level.trim()}))
+        }
+        Err(error) => problem(StatusCode::BAD_REQUEST, &error.to_string()),
+    }
+}
--- a/src/bin/winchvane-gateway.rs
+++ b/src/bin/winchvane-gateway.rs
@@ -1,53 +1,28 @@
 //! The gateway process.
 
-use std::path::PathBuf;
 use std::process::ExitCode;
-use std::sync::Arc;
 
 use clap::Parser;
-use tracing::error;
-use winchvane::gateway::process;
-use winchvane::settings::{GatewaySettings, load};
+use winchvane::gateway;
+use winchvane::process::{ProcessArguments, start};
+use winchvane::settings::GatewaySettings;
 
 /// Takes callers' requests, routes them, and owns some of the endpoints.
 #[derive(Parser)]
 #[command(version)]
 struct Arguments {
-    /// The settings file.
-    #[arg(long, value_name = "FILE")]
-    settings: PathBuf,
-    /// Check the settings and exit.
-    #[arg(long)]
-    check_settings: bool,
+    #[command(flatten)]
+    process: ProcessArguments,
 }
 
-const EXIT_SETTINGS: u8 = 2;
-
 #[tokio::main]
 async fn main() -> ExitCode {
-    let arguments = Arguments::parse();
-    let settings = match load(&arguments.settings, GatewaySettings::parse) {
-        Ok(settings) => settings,
-        Err(faults) => {
-            for fault in faults {
-                eprintln!("{fault}");
-            }
-            return ExitCode::from(EXIT_SETTINGS);
-        }
-    };
-    if arguments.check_settings {
-        println!("settings are valid");
-        return ExitCode::SUCCESS;
-    }
-    if let Err(fault) = winchvane::logging::start(&settings.common.log_level) {
-        eprintln!("{}: log_level: {fault}", arguments.settings.display());
-        return ExitCode::from(EXIT_SETTINGS);
-    }
-    match process::run(Arc::new(settings)).await {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(failure) => {
-            error!(event = "stopped", error = %failure);
-            ExitCode::FAILURE
-        }
-    }
+    let arguments = Arguments::parse().process;
+    start(
+        arguments,
+        GatewaySettings::parse,
+        |settings| &settings.common.log_level,
+        gateway::process::run,
+    )
+    .await
 }
--- a/src/control/process.rs
+++ b/src/control/process.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 use tracing::info;
 
+use crate::admin::{problem, set_log_level};
 use crate::clock::Clock;
 use crate::control::boot::{self, Booted};
 use crate::control::listing;
@@ -19,10 +20,9 @@
     ControlHandler, ReplicaActor, ReplicaArguments, ReplicaMessage, Stage,
 };
 use crate::error::{Error, Result};
-use crate::gateway::admin::{problem, set_log_level};
-use crate::gateway::process::listen;
 use crate::http::{Answer, HttpHandler, ServerLimits, json_answer, serve};
 use crate::metrics::Metrics;
+use crate::process::listen;
 use crate::settings::ControlSettings;
 use crate::wire::{self, BoxFuture};
 
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -21,6 +21,7 @@
     SessionUp,
 };
 use crate::metrics::{Counter, Metrics, Timer};
+use crate::process::EXIT_STORAGE;
 use crate::wire::{BoxFuture, Channel, Handler, Incoming, Peer, Receiver, Sender};
 
 const TICK: Duration = Duration::from_millis(20);
@@ -29,8 +30,6 @@
 const LINK_SEND_TIMEOUT: Duration = Duration::from_secs(2);
 const SESSION_QUEUE: usize = 512;
 const CALL_TIMEOUT_MS: u64 = 10_000;
-/// Exit status of a replica that cannot trust its disk any more.
-pub const EXIT_STORAGE: i32 = 3;
 
 /// What the actor is told.
 pub enum ReplicaMessage {
@@ -125,7 +124,7 @@
                 if let Err(error) = state.flush().await {
                     // What the disk holds is not known any more, so nothing may be promised.
                     error!(event = "storage_failed", error = %error);
-                    std::process::exit(EXIT_STORAGE);
+                    std::process::exit(i32::from(EXIT_STORAGE));
                 }
                 state.metrics.count(Counter::Flushes);
                 // Nothing came after this that another flush would have to serve.
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -9,12 +9,12 @@
 use serde_json::json;
 use tracing::info;
 
+use crate::admin::{problem, set_log_level};
 use crate::document::{Document, DocumentKind, validate};
 use crate::error::Error;
 use crate::gateway::owner::OwnerMessage;
 use crate::gateway::shared::Shared;
 use crate::http::{Answer, BodyFault, HttpHandler, json_answer, read_body};
-use crate::logging;
 use crate::message::{ApplyReply, ControlReply, ControlRequest, Verdict};
 use crate::wire::{BoxFuture, traffic};
 
@@ -68,26 +68,6 @@
     }
 }
 
-/// An error for operators.
-pub fn problem(status: StatusCode, message: &str) -> Answer {
-    json_answer(status, &json!({"error": message}))
-}
-
-/// Sets the log level of the process from a request's body.
-pub async fn set_log_level(request: Request<Incoming>) -> Answer {
-    let Ok(body) = read_body(request.into_body(), 1_024, BODY_TIMEOUT_MS).await else {
-        return problem(StatusCode::BAD_REQUEST, "expected a log level such as debug");
-    };
-    let level = String::from_utf8_lossy(&body);
-    match logging::set_level(level.trim()) {
-        Ok(()) => {
-            info!(event = "log_level_set", level = level.trim());
-            json_answer(StatusCode::OK, &json!({"level": level.trim()}))
-        }
-        Err(error) => problem(StatusCode::BAD_REQUEST, &error.to_string()),
-    }
-}
-
 async fn apply(shared: &Shared, request: Request<Incoming>) -> Answer {
     let body = match read_body(request.into_body(), BODY_MAX_BYTES, BODY_TIMEOUT_MS).await {
         Ok(body) => body,
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -1,12 +1,10 @@
 //! The gateway process from start to planned stop.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use rand::RngExt;
-use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tracing::{info, warn};
@@ -20,25 +18,18 @@
 use crate::http::{self, ServerLimits};
 use crate::message::SessionUp;
 use crate::metrics::Metrics;
+use crate::process::listen;
 use crate::settings::GatewaySettings;
 use crate::wire;
 
 const STOP_POLL: Duration = Duration::from_millis(20);
 const HAND_OVER_MAX: Duration = Duration::from_secs(5);
 
-/// Opens a listener.
-///
-/// # Errors
-/// The address is taken or not this machine's.
-pub async fn listen(step: &'static str, address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address).await.map_err(|error| Error::io(step, address.to_string(), error))
-}
-
 /// Runs a gateway until it is told to stop.
 ///
 /// # Errors
 /// A listener that cannot be opened, or metrics that cannot be sent.
-pub async fn run(settings: Arc<GatewaySettings>) -> Result<()> {
+pub async fn run(settings: GatewaySettings) -> Result<()> {
     let common = &settings.common;
     let metrics = Metrics::new(&common.metrics_prefix, common.metrics_address)?;
     let callers = listen("listen for callers", settings.listen_callers).await?;
@@ -47,7 +38,7 @@
     let mut terminate = signal(SignalKind::terminate())
         .map_err(|error| Error::io("watch signals", "process", error))?;
     let (session, queue) = mpsc::unbounded_channel();
-    let shared = Arc::new(Shared::new((*settings).clone(), metrics.clone(), session));
+    let shared = Arc::new(Shared::new(settings.clone(), metrics.clone(), session));
     let boot_id = rand::rng().random();
     let handler = Arc::new(GatewayHandler::new(shared.clone()));
     tokio::spawn(wire::serve(peers, handler, metrics.clone()));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,6 +48,7 @@
 //! - [`endpoint`]: the border towards engines and plain services.
 //! - [`wire`] and [`message`]: what the system's processes tell each other.
 
+pub mod admin;
 pub mod clock;
 pub mod control;
 pub mod document;
@@ -60,6 +61,7 @@
 pub mod metrics;
 pub mod operator;
 pub mod policy;
+pub mod process;
 pub mod settings;
 pub mod wire;
 pub mod yaml;
--- /dev/null
+++ b/src/process.rs
@@ -0,0 +1,73 @@
+//! How every process of the system starts: arguments, checked settings, logs, listeners.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use clap::Args;
+use tokio::net::TcpListener;
+use tracing::error;
+
+use crate::error::{Error, Result};
+use crate::logging;
+use crate::settings::load;
+use crate::yaml::Fault;
+
+/// Exit status for settings that are wrong.
+pub const EXIT_SETTINGS: u8 = 2;
+/// Exit status of a replica whose disk failed or whose log is damaged.
+pub const EXIT_STORAGE: u8 = 3;
+
+/// The arguments of a process.
+#[derive(Args)]
+pub struct ProcessArguments {
+    /// The settings file.
+    #[arg(long, value_name = "FILE")]
+    settings: PathBuf,
+    /// Check the settings and exit.
+    #[arg(long)]
+    check_settings: bool,
+}
+
+/// Reads the settings with `parse`, starts logging at the level that `log_level` finds in them, and
+/// runs the process to its end.
+pub async fn start<T, R: Future<Output = Result<()>>>(
+    arguments: ProcessArguments,
+    parse: fn(&Arc<str>, &str) -> std::result::Result<T, Vec<Fault>>,
+    log_level: fn(&T) -> &str,
+    run: impl FnOnce(T) -> R,
+) -> ExitCode {
+    let settings = match load(&arguments.settings, parse) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            for fault in faults {
+                eprintln!("{fault}");
+            }
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if arguments.check_settings {
+        println!("settings are valid");
+        return ExitCode::SUCCESS;
+    }
+    if let Err(fault) = logging::start(log_level(&settings)) {
+        eprintln!("{}: log_level: {fault}", arguments.settings.display());
+        return ExitCode::from(EXIT_SETTINGS);
+    }
+    match run(settings).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            error!(event = "stopped", error = %failure);
+            ExitCode::from(if failure.is_damaged() { EXIT_STORAGE } else { 1 })
+        }
+    }
+}
+
+/// Opens a listener.
+///
+/// # Errors
+/// The address is taken or not this machine's.
+pub async fn listen(step: &'static str, address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).await.map_err(|error| Error::io(step, address.to_string(), error))
+}
