--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -72,6 +72,7 @@
                     self.redirect(address, None);
                 }
                 Ok(reply) => return Ok(reply),
+                Err(error) if !error.is_retryable() => return Err(error),
                 Err(error) => {
                     debug!(event = "control_call_failed", peer = %address, error = %error);
                     may_have_run |= !error.is_not_run();
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -21,7 +21,7 @@
 use crate::gateway::openai::{CompletionKind, CompletionRequest, error_object};
 use crate::gateway::problem::{Problem, RUN_HEADER};
 use crate::gateway::shared::Shared;
-use crate::http::{Answer, BodyFault, HttpHandler, answer, full, header, json_answer, read_body};
+use crate::http::{Answer, BodyFault, HttpHandler, answer, header, json_answer, read_body};
 use crate::message::{AdapterKey, Call, ForwardEvent, Priority, RunState, Service};
 use crate::metrics::{Counter, Gauge, Timer};
 use crate::wire::BoxFuture;
@@ -529,10 +529,3 @@
     object["error"][RUN_HEADER] = RunState::Unknown.as_str().into();
     format!("data: {object}\n\n").into()
 }
-
-/// An empty answer, for handlers that have nothing to say.
-pub fn empty_answer(status: StatusCode) -> Answer {
-    let mut answer = Response::new(full(Bytes::new()));
-    *answer.status_mut() = status;
-    answer
-}
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -350,10 +350,8 @@
             endpoint = %choice.endpoint,
             refusal = refusal.as_str()
         );
-        self.in_transition = matches!(
-            refusal,
-            Refusal::NotOwner | Refusal::LeaseLost | Refusal::Stopping | Refusal::EndpointDown
-        );
+        self.in_transition =
+            matches!(refusal, Refusal::NotOwner | Refusal::LeaseLost | Refusal::EndpointDown);
         if refusal == Refusal::EndpointDown {
             self.shared.router().note_down(self.shared.now_ms(), &choice.endpoint);
         }
--- a/src/gateway/owner.rs
+++ b/src/gateway/owner.rs
@@ -350,6 +350,7 @@
         for job in gone {
             // A request that runs ends by itself, once its answer can't be passed on.
             if self.owner.cancel(job) {
+                self.shared.metrics.count(Counter::CallersGone);
                 self.held.remove(&job);
             }
         }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -115,7 +115,10 @@
         let body = Limited::new(answer.body, ANSWER_MAX_BYTES).collect();
         let body = tokio::select! {
             body = timeout(Duration::from_millis(idle_ms), body) => body,
-            () = self.events.closed() => return,
+            () = self.events.closed() => {
+                self.shared.metrics.count(Counter::CallersGone);
+                return;
+            }
             () = given_up(self.down.clone(), &self.request) => {
                 return self.fail("the endpoint does not answer any more").await;
             }
@@ -150,7 +153,10 @@
             let frame = tokio::select! {
                 frame = timeout(idle, answer.body.frame()) => frame,
                 // Dropping the answer closes its connection, which cancels it at the engine.
-                () = self.events.closed() => return,
+                () = self.events.closed() => {
+                    self.shared.metrics.count(Counter::CallersGone);
+                    return;
+                }
             };
             let piece: Bytes = match frame {
                 Ok(Some(Ok(frame))) => match frame.into_data() {
--- a/src/message/forward.rs
+++ b/src/message/forward.rs
@@ -104,19 +104,12 @@
     EndpointRefused,
     /// The owner's lease cannot be confirmed.
     LeaseLost,
-    /// The owner is stopping.
-    Stopping,
-    /// The caller has gone.
-    Cancelled,
 }
 
 impl Refusal {
     /// True when another endpoint may still take the request.
     pub fn is_worth_another_endpoint(self) -> bool {
-        !matches!(
-            self,
-            Self::DeadlinePassed | Self::WorkspaceShare | Self::LoadBacklog | Self::Cancelled
-        )
+        !matches!(self, Self::DeadlinePassed | Self::WorkspaceShare | Self::LoadBacklog)
     }
 
     /// A short name for logs, metrics and error texts.
@@ -133,8 +126,6 @@
             Self::LoadBacklog => "load_backlog",
             Self::EndpointRefused => "endpoint_refused",
             Self::LeaseLost => "lease_lost",
-            Self::Stopping => "stopping",
-            Self::Cancelled => "cancelled",
         }
     }
 }
--- a/src/policy/route.rs
+++ b/src/policy/route.rs
@@ -208,12 +208,6 @@
         self.pools.get(pool).is_some_and(|members| !members.is_empty())
     }
 
-    /// Notes what was learnt of load and service times.
-    pub fn set_estimates(&mut self, load_ms: f64, service_ms: f64) {
-        self.load_ms = load_ms;
-        self.service_ms = service_ms;
-    }
-
     /// Notes that a request was sent to an endpoint; [`note_ended`](Self::note_ended) follows.
     pub fn note_sent(&mut self, name: &str, adapter: Option<&AdapterKey>) {
         let Some(position) = self.by_name.get(name).copied() else { return };
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -767,6 +767,9 @@
     }
     wait_for("it is cancelled", async || region.engines[0].running() == 0).await;
     assert_eq!(region.engines[0].counts().finished, 0);
+    let owner = region.owner_of("engine-0").await;
+    let dump = region.gateway_dump(owner).await;
+    assert_eq!(dump["counters"]["requests.callers_gone"], 1);
 }
 
 #[tokio::test(flavor = "multi_thread")]
