--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -36,18 +36,21 @@
 }
 
 raft=src/control/raft/mod.rs
+election=src/control/raft/election.rs
+leading=src/control/raft/leading.rs
 ledger=src/control/ledger.rs
-owner=src/policy/owner.rs
+owner=src/policy/owner/mod.rs
+loads=src/policy/owner/loads.rs
 random="--test random"
 scripts="--test scenarios"
 processes="--test processes"
 
-mutate "votes only for an up-to-date log" $raft 's/\(last_term, last_index\) >= own/true/' $random
-mutate "a vote is stored" $raft 's/self\.hard\.vote = Some\(from\);\n\s*self\.hard_changed = true;/self.hard.vote = Some(from);/' --test raft
+mutate "votes only for an up-to-date log" $election 's/\(last_term, last_index\) >= own/true/' $random
+mutate "a vote is stored" $election 's/self\.hard\.vote = Some\(from\);\n\s*self\.hard_changed = true;/self.hard.vote = Some(from);/' --test raft
 mutate "a replica that hears a leader does not vote" $raft 's/Message::Vote \{ transfer, \.\. \} if !transfer \&\& self\.hears_leader\(now_ms\) => return,//' --test raft
-mutate "a read waits for a majority round" $raft 's/if !self\.members\.has_quorum\(&confirmed\) \{\n\s*return;\n\s*\}//' $scripts control
-mutate "a leader that hears no majority steps down" $raft 's/if !self\.members\.has_quorum\(&heard\)/if false/' $scripts control
-mutate "the leader counts itself only once stored" $raft 's/indexes\.push\(self\.stable\)/indexes.push(self.last_index())/' --test raft
+mutate "a read waits for a majority round" $leading 's/if !self\.members\.has_quorum\(&confirmed\) \{\n\s*return;\n\s*\}//' $scripts control
+mutate "a leader that hears no majority steps down" $leading 's/if !self\.members\.has_quorum\(&heard\)/if false/' $scripts control
+mutate "the leader counts itself only once stored" $leading 's/indexes\.push\(self\.stable\)/indexes.push(self.last_index())/' --test raft
 mutate "a lost claimer leaves its claims unknown" $ledger 's/record\.state = RecordState::Unknown;\n\s*self\.settled\.push_back/self.settled.push_back/' $scripts control
 mutate "keys without a time are never forgotten" $ledger 's/RecordState::Finished\(answer\) => \*answer = None,/RecordState::Finished(_) => { self.records.remove(&key); }/' $scripts control
 mutate "a claim that is sent again is the same" $ledger 's/RecordState::Claimed \{ \.\. \} if record\.claim_id == claim\.claim_id => \{/RecordState::Claimed { .. } if false => {/' $scripts control
@@ -55,8 +58,8 @@
 mutate "one key is one call" $ledger 's/if record\.body != claim\.body/if false/' $scripts control
 mutate "equal versions need equal content" src/control/config.rs 's/if document == stored \{/if document.version() == stored_version {/' $scripts control
 mutate "a release needs the epoch" src/control/fleet.rs 's/record\.epoch != epoch \|\| record\.owner\.is_none\(\)/record.owner.is_none()/' $scripts control
-mutate "what serves is not idle" $owner 's/\&\& slot\.running == 0\n/\n/' $scripts owner
-mutate "what an earlier owner runs is not idle" $owner 's/\&\& slot\.foreign == 0\n/\n/' $scripts owner
+mutate "what serves is not idle" $loads 's/\&\& slot\.running == 0\n/\n/' $scripts owner
+mutate "what an earlier owner runs is not idle" $loads 's/\&\& slot\.foreign == 0\n/\n/' $scripts owner
 mutate "nothing is unloaded before the engine was asked" $owner 's/self\.verified = !self\.is_engine;//' $scripts owner
 mutate "a request counts on its own load only" $owner 's/\&\& slot\.generation == generation\n/\n/' $scripts owner
 mutate "queues are bounded" $owner 's/if self\.queue\.len\(\) < self\.settings\.queue_max \{/if true {/' $scripts owner
--- /dev/null
+++ b/src/control/raft/election.rs
@@ -0,0 +1,163 @@
+//! Elections: pre-votes, votes, and how a replica becomes leader or follower.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use rand::RngExt;
+
+use super::leading::{Leading, Progress};
+use super::types::{HardState, Message, NodeId, Payload};
+use super::{Raft, Role};
+
+impl Raft {
+    pub(super) fn hears_leader(&self, now_ms: u64) -> bool {
+        if self.is_leader() {
+            return true;
+        }
+        self.leader.is_some()
+            && self.heard_at_ms.is_some_and(|heard| heard + self.timing.election_ms > now_ms)
+    }
+
+    pub(super) fn is_up_to_date(&self, last_index: u64, last_term: u64) -> bool {
+        let own = (self.term_at(self.last_index()).unwrap_or(0), self.last_index());
+        (last_term, last_index) >= own
+    }
+
+    pub(super) fn start_pre_vote(&mut self, now_ms: u64) {
+        self.reset_election(now_ms);
+        self.leader = None;
+        let votes = BTreeSet::from([self.id]);
+        if self.members.has_quorum(&votes) {
+            self.start_vote(now_ms, false);
+            return;
+        }
+        self.role = Role::PreCandidate(votes);
+        let last_index = self.last_index();
+        let last_term = self.term_at(last_index).unwrap_or(0);
+        let term = self.hard.term + 1;
+        for to in self.other_voters() {
+            self.send_late_in(term, to, Message::PreVote { last_index, last_term });
+        }
+    }
+
+    pub(super) fn on_pre_vote_reply(
+        &mut self,
+        now_ms: u64,
+        from: NodeId,
+        term: u64,
+        granted: bool,
+    ) {
+        if !granted {
+            if term > self.hard.term {
+                self.become_follower(now_ms, term, None);
+            }
+            return;
+        }
+        let wanted = self.hard.term + 1;
+        let Role::PreCandidate(votes) = &mut self.role else { return };
+        if term != wanted {
+            return;
+        }
+        votes.insert(from);
+        if self.members.has_quorum(votes) {
+            self.start_vote(now_ms, false);
+        }
+    }
+
+    pub(super) fn start_vote(&mut self, now_ms: u64, transfer: bool) {
+        if !self.members.is_voter(self.id) {
+            return;
+        }
+        self.reset_election(now_ms);
+        self.leader = None;
+        self.hard = HardState { term: self.hard.term + 1, vote: Some(self.id) };
+        self.hard_changed = true;
+        let votes = BTreeSet::from([self.id]);
+        let wins = self.members.has_quorum(&votes);
+        self.role = Role::Candidate(votes);
+        if wins {
+            self.become_leader(now_ms);
+            return;
+        }
+        let last_index = self.last_index();
+        let last_term = self.term_at(last_index).unwrap_or(0);
+        for to in self.other_voters() {
+            self.send_late(to, Message::Vote { last_index, last_term, transfer });
+        }
+    }
+
+    pub(super) fn on_vote(&mut self, now_ms: u64, from: NodeId, last_index: u64, last_term: u64) {
+        let free = self.hard.vote.is_none_or(|vote| vote == from);
+        let granted = free
+            && matches!(self.role, Role::Follower | Role::PreCandidate(_))
+            && self.is_up_to_date(last_index, last_term);
+        if granted {
+            if self.hard.vote.is_none() {
+                self.hard.vote = Some(from);
+                self.hard_changed = true;
+            }
+            self.reset_election(now_ms);
+        }
+        self.send_late(from, Message::VoteReply { granted });
+    }
+
+    pub(super) fn on_vote_reply(&mut self, now_ms: u64, from: NodeId, granted: bool) {
+        let Role::Candidate(votes) = &mut self.role else { return };
+        if !granted {
+            return;
+        }
+        votes.insert(from);
+        if self.members.has_quorum(votes) {
+            self.become_leader(now_ms);
+        }
+    }
+
+    pub(super) fn become_leader(&mut self, now_ms: u64) {
+        let next = self.last_index() + 1;
+        let mut progress = BTreeMap::new();
+        for id in self.members.0.keys() {
+            if *id != self.id {
+                progress.insert(*id, Progress::new(next, now_ms));
+            }
+        }
+        self.leader = Some(self.id);
+        self.role = Role::Leader(Box::new(Leading {
+            progress,
+            first_index: next,
+            round: 1,
+            reads: VecDeque::new(),
+            heartbeat_due_ms: now_ms + self.timing.heartbeat_ms,
+            broadcast: true,
+            transfer_to: None,
+        }));
+        self.propose(Payload::Noop);
+    }
+
+    pub(super) fn become_follower(&mut self, now_ms: u64, term: u64, leader: Option<NodeId>) {
+        if term > self.hard.term {
+            self.hard = HardState { term, vote: None };
+            self.hard_changed = true;
+        }
+        self.drop_reads();
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.reset_election(now_ms);
+    }
+
+    pub(super) fn follow(&mut self, now_ms: u64, leader: NodeId) {
+        if !matches!(self.role, Role::Follower) {
+            self.become_follower(now_ms, self.hard.term, Some(leader));
+        }
+        self.leader = Some(leader);
+        self.heard_at_ms = Some(now_ms);
+        self.reset_election(now_ms);
+    }
+
+    pub(super) fn other_voters(&self) -> Vec<NodeId> {
+        self.members.voters().filter(|id| *id != self.id).collect()
+    }
+
+    pub(super) fn reset_election(&mut self, now_ms: u64) {
+        let spread_ms = self.rng.random_range(0..=self.timing.election_ms);
+        self.election_due_ms = now_ms + self.timing.election_ms + spread_ms;
+    }
+}
--- a/src/policy/owner.rs
+++ b/src/policy/owner/mod.rs
@@ -3,20 +3,20 @@
 //! Calls take the present time and leave [`Effect`]s, which the caller fetches with
 //! [`Owner::take_effects`] and carries out.
 
+mod loads;
+
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use crate::message::{AdapterKey, Priority, Refusal, Summary};
+use crate::policy::owner::loads::Room;
 use crate::policy::popularity::Popularity;
-use crate::policy::queue::{Group, Job, Queue};
+use crate::policy::queue::{Job, Queue};
 use crate::settings::PolicySettings;
 
-const FAILED_LOAD_PAUSE_MS: u64 = 500;
 const FAILED_LOAD_PAUSE_MAX_MS: u64 = 30_000;
 const RETRY_AFTER_MIN_MS: u64 = 100;
 const ESTIMATE_SHARE: f64 = 0.1;
-/// How much the latest load counts in the estimate of waits for loads.
-const LOAD_WAIT_SHARE: f64 = 0.3;
 /// How much earlier than its arrival a request counts for each request that its workspace does not
 /// have running.
 const FAIRNESS_MS: u64 = 25;
@@ -324,57 +324,6 @@
         self.pump(now_ms);
     }
 
-    /// Notes how a load ended.
-    pub fn load_ended(&mut self, now_ms: u64, adapter: &AdapterKey, took_ms: u64, loaded: bool) {
-        self.loading = self.loading.saturating_sub(1);
-        self.changes += 1;
-        if loaded {
-            self.load_ms += (took_ms as f64 - self.load_ms) * ESTIMATE_SHARE;
-            self.failures.remove(adapter);
-            if let Some(slot) = self.slots.get_mut(adapter) {
-                slot.loaded_at_ms = Some(now_ms);
-            }
-            self.note_load_wait(now_ms, adapter);
-        } else {
-            self.slots.remove(adapter);
-            let retry_after_ms = self.note_failure(now_ms, adapter);
-            self.refuse_waiting(Refusal::LoadFailed, retry_after_ms, |job| {
-                job.adapter.as_ref() == Some(adapter)
-            });
-        }
-        self.pump(now_ms);
-    }
-
-    fn note_load_wait(&mut self, now_ms: u64, adapter: &AdapterKey) {
-        let Some(group) = self.queue.groups().get(&Some(adapter.clone())) else { return };
-        let Some(first_ms) = group.heads().map(|job| job.arrived_ms).min() else { return };
-        let waited_ms = now_ms.saturating_sub(first_ms) as f64;
-        self.load_wait_ms += (waited_ms - self.load_wait_ms) * LOAD_WAIT_SHARE;
-    }
-
-    /// True when loads wait too long for one more to be added. One load is always allowed, so that
-    /// the estimate is never older than the last load.
-    fn has_load_backlog(&self, adapter: &AdapterKey) -> bool {
-        if self.load_wait_ms < self.settings.load_wait_max_ms as f64 {
-            return false;
-        }
-        if self.slots.contains_key(adapter) || self.queue.waits_for(adapter) {
-            return false;
-        }
-        let waits = |(adapter, _): (&Option<AdapterKey>, &Group)| {
-            adapter.as_ref().is_some_and(|adapter| !self.slots.contains_key(adapter))
-        };
-        self.loading > 0 || self.queue.groups().iter().any(waits)
-    }
-
-    fn note_failure(&mut self, now_ms: u64, adapter: &AdapterKey) -> u64 {
-        let count = self.failures.get(adapter).map_or(0, |failure| failure.count + 1);
-        let pause_ms = (FAILED_LOAD_PAUSE_MS << count.min(10)).min(FAILED_LOAD_PAUSE_MAX_MS);
-        let until_ms = now_ms + pause_ms;
-        self.failures.insert(adapter.clone(), Failure { until_ms, count });
-        pause_ms
-    }
-
     /// Notes that the engine does not have an adapter that this owner took for loaded.
     pub fn adapter_missing(&mut self, now_ms: u64, adapter: &AdapterKey) {
         if self.slots.get(adapter).is_some_and(|slot| slot.loaded_at_ms.is_some()) {
@@ -384,38 +333,6 @@
         self.pump(now_ms);
     }
 
-    /// Takes a permit and uses it for what now waits most.
-    pub fn permit_granted(&mut self, now_ms: u64, permit: u64) {
-        self.permits_asked = self.permits_asked.saturating_sub(1);
-        let Some((adapter, _)) = self.most_urgent_load(now_ms) else {
-            self.effects.push(Effect::ReturnPermit { permit });
-            return;
-        };
-        let Some(room) = self.find_room(now_ms) else {
-            self.effects.push(Effect::ReturnPermit { permit });
-            return;
-        };
-        let evict = match room {
-            Room::Free => None,
-            Room::Evict(victim) => Some(victim),
-        };
-        if let Some(victim) = &evict {
-            self.slots.remove(victim);
-        }
-        self.changes += 1;
-        let slot = Slot { generation: self.changes, loaded_at_ms: None, running: 0, foreign: 0 };
-        self.slots.insert(adapter.clone(), slot);
-        self.loading += 1;
-        self.effects.push(Effect::Load { adapter, evict, permit });
-        self.pump(now_ms);
-    }
-
-    /// Notes that no permit could be had.
-    pub fn permit_denied(&mut self, now_ms: u64, retry_after_ms: u64) {
-        self.permits_asked = self.permits_asked.saturating_sub(1);
-        self.permit_pause_until_ms = now_ms + retry_after_ms;
-    }
-
     /// Takes in what the engine says of itself, unless adapters changed since `changes` was read.
     ///
     /// Returns true when the engine has restarted.
@@ -587,99 +504,6 @@
         self.effects.push(Effect::Dispatch { job: job.id, load_wait_ms });
     }
 
-    fn ask_permits(&mut self, now_ms: u64) {
-        if !self.verified || now_ms < self.permit_pause_until_ms {
-            return;
-        }
-        let room = self.room_count();
-        let mut wanted = 0;
-        let mut urgency = 0.0_f32;
-        for (adapter, group) in self.queue.groups() {
-            let Some(adapter) = adapter else { continue };
-            if self.may_load(now_ms, adapter) {
-                wanted += 1;
-                urgency = urgency.max(self.urgency_of(now_ms, group));
-            }
-        }
-        let allowed = self.settings.loads_at_once.saturating_sub(self.loading).min(room);
-        while self.permits_asked < allowed.min(wanted) {
-            self.permits_asked += 1;
-            self.effects.push(Effect::AskPermit { urgency });
-        }
-    }
-
-    fn may_load(&self, now_ms: u64, adapter: &AdapterKey) -> bool {
-        !self.slots.contains_key(adapter)
-            && self.failures.get(adapter).is_none_or(|failure| failure.until_ms <= now_ms)
-    }
-
-    fn most_urgent_load(&self, now_ms: u64) -> Option<(AdapterKey, f32)> {
-        let mut best: Option<(AdapterKey, f32)> = None;
-        if !self.verified || self.usability != Usability::Usable {
-            return None;
-        }
-        for (adapter, group) in self.queue.groups() {
-            let Some(adapter) = adapter else { continue };
-            if !self.may_load(now_ms, adapter) {
-                continue;
-            }
-            let urgency = self.urgency_of(now_ms, group);
-            if best.as_ref().is_none_or(|(_, best)| urgency > *best) {
-                best = Some((adapter.clone(), urgency));
-            }
-        }
-        best
-    }
-
-    /// How much waits for a load: requests by priority, and the longer the more.
-    fn urgency_of(&self, now_ms: u64, group: &Group) -> f32 {
-        let waited_s = |job: &Job| now_ms.saturating_sub(job.arrived_ms) as f32 / 1_000.0;
-        if !self.settings.loads_by_urgency {
-            return group.jobs().map(waited_s).fold(0.0, f32::max);
-        }
-        let mut urgency = 0.0;
-        for job in group.jobs() {
-            let weight = match job.priority {
-                Priority::Interactive => 4.0,
-                Priority::Standard => 2.0,
-                Priority::Batch => 1.0,
-            };
-            urgency += weight * (1.0 + waited_s(job));
-        }
-        urgency
-    }
-
-    /// True when nothing runs on the slot and nothing waits for it.
-    fn is_idle(&self, adapter: &AdapterKey, slot: &Slot) -> bool {
-        self.verified
-            && slot.loaded_at_ms.is_some()
-            && slot.running == 0
-            && slot.foreign == 0
-            && !self.queue.waits_for(adapter)
-    }
-
-    fn room_count(&self) -> usize {
-        let free = (self.slot_count as usize).saturating_sub(self.slots.len());
-        free + self.slots.iter().filter(|(adapter, slot)| self.is_idle(adapter, slot)).count()
-    }
-
-    fn find_room(&self, now_ms: u64) -> Option<Room> {
-        if self.slots.len() < self.slot_count as usize {
-            return Some(Room::Free);
-        }
-        let mut coldest: Option<(f64, &AdapterKey)> = None;
-        for (adapter, slot) in &self.slots {
-            if !self.is_idle(adapter, slot) {
-                continue;
-            }
-            let rate = self.popularity.rate_per_s(now_ms, adapter);
-            if coldest.is_none_or(|(coldest, _)| rate < coldest) {
-                coldest = Some((rate, adapter));
-            }
-        }
-        coldest.map(|(_, adapter)| Room::Evict(adapter.clone()))
-    }
-
     fn expected_wait_ms(&self, adapter: Option<&AdapterKey>) -> u64 {
         let ahead = (self.running.len() + self.queue.len() + 1) as f64 - f64::from(self.places);
         let queue_ms = ahead.max(0.0) / f64::from(self.places.max(1)) * self.service_ms;
@@ -711,8 +535,3 @@
         self.effects.push(Effect::Refuse { job, refusal, retry_after_ms });
     }
 }
-
-enum Room {
-    Free,
-    Evict(AdapterKey),
-}
