--- a/src/control/raft/leading.rs
+++ b/src/control/raft/leading.rs
@@ -85,7 +85,7 @@
         None
     }
 
-    /// Asks for a read under `token`; confirmed in [`Output::reads`] after a majority round.
+    /// Asks for a read under `token`; confirmed in `Output::reads` after a majority round.
     ///
     /// False when this replica does not lead or has not yet committed in its term.
     pub fn request_read(&mut self, token: u64) -> bool {
--- a/src/control/raft/types.rs
+++ b/src/control/raft/types.rs
@@ -187,7 +187,7 @@
     pub reads: Vec<(u64, u64)>,
     /// Reads that failed because leadership was lost.
     pub lost_reads: Vec<u64>,
-    /// Replicas that need a snapshot; answer with [`Raft::send_snapshot`].
+    /// Replicas that need a snapshot; answer with `Raft::send_snapshot`.
     pub need_snapshot: Vec<NodeId>,
 }
 
--- a/src/message/mod.rs
+++ b/src/message/mod.rs
@@ -1,7 +1,7 @@
 //! The values that travel between the system's processes.
 //!
-//! What concerns control stands in [`control`], requests on their way to an owner in [`forward`];
-//! both are found here as well.
+//! What concerns control stands in a file of its own, and so do requests on their way to an owner;
+//! all are found here.
 
 mod control;
 mod forward;
