--- a/standin/src/bin/winchvane-measure.rs
+++ b/standin/src/bin/winchvane-measure.rs
@@ -7,9 +7,8 @@
 use winchvane::message::AdapterKey;
 use winchvane::policy::route::Router;
 use winchvane::settings::PolicySettings;
-use winchvane_standin::measure::{
-    Deployment, Fault, Options, Policy, Report, capacity_rate, clairvoyant, run,
-};
+use winchvane_standin::clairvoyant::clairvoyant;
+use winchvane_standin::measure::{Deployment, Fault, Options, Policy, Report, capacity_rate, run};
 
 /// Runs the deciding code before fake engines under a virtual clock.
 #[derive(Parser)]
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`forwarder`] for a connection that can be cut, and [`platform`] for the platform's list of instances. All take
 //! faults at `PUT /fault`, so that a test can make each of them fail in a chosen way.
 
+pub mod clairvoyant;
 pub mod engine;
 pub mod forwarder;
 pub mod measure;
