--- /dev/null
+++ b/src/control/api.rs
@@ -0,0 +1,54 @@
+//! Calls of a platform's interface to the replica in the same process.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, PoisonError, RwLock};
+
+use crate::control::server::Stage;
+use crate::message::{ControlReply, ControlRequest};
+
+/// A caller that waits longer than a second goes elsewhere, so an answer later than this is lost.
+const CALL_TIMEOUT_MS: u64 = 900;
+
+/// The replica of this process, as its platform's interface calls it.
+#[derive(Clone)]
+pub struct ControlApi {
+    stage: Arc<RwLock<Stage>>,
+}
+
+/// What came of a call.
+#[derive(Debug)]
+pub enum CallOutcome {
+    /// The leader's answer.
+    Answered(ControlReply),
+    /// Another replica leads, at this address among replicas.
+    Elsewhere(SocketAddr),
+    /// Nothing certain can be said now; the caller may come again.
+    Unknown,
+}
+
+impl ControlApi {
+    /// The replica that `stage` comes to run.
+    pub fn new(stage: Arc<RwLock<Stage>>) -> Self {
+        Self { stage }
+    }
+
+    /// Makes one call.
+    pub async fn call(&self, request: ControlRequest) -> CallOutcome {
+        let actor = match &*self.stage.read().unwrap_or_else(PoisonError::into_inner) {
+            Stage::Running(actor) => actor.clone(),
+            Stage::Empty | Stage::Founding => return CallOutcome::Unknown,
+        };
+        let reply = ractor::call_t!(
+            actor,
+            |reply| crate::control::server::ReplicaMessage::Call(request, reply),
+            CALL_TIMEOUT_MS
+        );
+        match reply {
+            Ok(ControlReply::NotLeader { leader: Some(leader) }) => CallOutcome::Elsewhere(leader),
+            Ok(ControlReply::NotLeader { leader: None } | ControlReply::Lost) | Err(_) => {
+                CallOutcome::Unknown
+            }
+            Ok(reply) => CallOutcome::Answered(reply),
+        }
+    }
+}
--- a/src/control/boot.rs
+++ b/src/control/boot.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 use crate::clock::Clock;
 use crate::control::raft::{HardState, Member, Members, NodeId, Raft, Timing};
@@ -81,7 +81,7 @@
         snapshot_index = opened.snapshot.as_ref().map_or(0, |snapshot| snapshot.index)
     );
     let seed = rand::rng().random();
-    let raft = Raft::new(
+    let mut raft = Raft::new(
         identity.id,
         identity.founders,
         opened.recovered,
@@ -89,11 +89,16 @@
         seed,
         clock.now_ms(),
     );
+    if let Some(seeds) = &settings.seeds {
+        raft = raft.with_voters(seeds.voters);
+    }
     let replica_settings = ReplicaSettings {
         lease_ms: settings.lease_ms,
         snapshot_entries: settings.snapshot_entries,
         ledger: settings.ledger,
         store: settings.store,
+        placement: settings.placement,
+        founding_wait_ms: settings.founding_wait_ms,
     };
     let replica = Replica::new(raft, state, replica_settings, metrics.clone());
     Ok(Booted { replica, storage: Box::new(opened.storage), joins })
@@ -131,7 +136,7 @@
             info!(event = "joining_as_new_replica", id = id);
             break Identity { id, founders: Members::default(), started: false };
         }
-        if !stages.contains(&None) {
+        if !stages.contains(&None) && may_found(settings) {
             break founding_identity(settings)?;
         }
         info!(event = "waiting_for_replicas", answered = stages.iter().flatten().count());
@@ -141,6 +146,13 @@
     Ok(identity)
 }
 
+/// Replicas that are all named found their group; seeds only do so at the system's first start.
+fn may_found(settings: &ControlSettings) -> bool {
+    let Some(seeds) = &settings.seeds else { return true };
+    let own = settings.common.listen_peers;
+    seeds.found && settings.replicas.iter().any(|replica| replica.address == own)
+}
+
 fn founding_identity(settings: &ControlSettings) -> Result<Identity> {
     let mut sorted: Vec<&ReplicaAddress> = settings.replicas.iter().collect();
     sorted.sort_by(|one, other| one.name.cmp(&other.name));
@@ -186,17 +198,26 @@
 
 /// Asks the group to take this replica in as a learner.
 pub async fn ask_to_join(settings: &ControlSettings, id: NodeId) {
+    let mut tried = std::collections::BTreeSet::new();
     let name = settings
         .replicas
         .iter()
         .find(|replica| replica.address == settings.common.listen_peers)
-        .map_or_else(|| settings.common.name.clone(), |replica| replica.name.clone());
+        .map_or_else(|| settings.common.listen_peers.to_string().into(), |replica| replica.name.clone());
     let request = ControlRequest::Join { id, name, address: settings.common.listen_peers };
-    for address in others(settings) {
+    let mut addresses = others(settings);
+    while let Some(address) = addresses.pop() {
+        if !tried.insert(address) {
+            continue;
+        }
         let reply: Result<ControlReply> =
             Peer::new(address).call(Channel::Control, &request, PROBE_TIMEOUT_MS).await;
-        if matches!(reply, Ok(ControlReply::Joining)) {
-            return;
+        match reply {
+            Ok(ControlReply::Joining) => return,
+            // The leader need not be among those that the settings name.
+            Ok(ControlReply::NotLeader { leader: Some(leader) }) => addresses.push(leader),
+            Ok(_) => {}
+            Err(error) => debug!(event = "join_call_failed", peer = %address, error = %error),
         }
     }
 }
--- a/src/control/listing.rs
+++ b/src/control/listing.rs
@@ -53,6 +53,7 @@
 /// Reads the list again and again while this replica leads.
 pub async fn poll(
     settings: ControlSettings,
+    address: SocketAddr,
     leads: Arc<AtomicBool>,
     actor: ActorRef<ReplicaMessage>,
 ) {
@@ -63,7 +64,7 @@
         if !leads.load(Ordering::Relaxed) {
             continue;
         }
-        match read(&client, &settings).await {
+        match read(&client, address, &settings).await {
             Ok(listed) => {
                 let Listing { endpoints, load_reports } = listed;
                 if actor.cast(ReplicaMessage::Listed(endpoints, load_reports)).is_err() {
@@ -81,8 +82,11 @@
     load_reports: Vec<LoadReport>,
 }
 
-async fn read(client: &HttpClient, settings: &ControlSettings) -> Result<Listing> {
-    let address = settings.platform_address;
+async fn read(
+    client: &HttpClient,
+    address: SocketAddr,
+    settings: &ControlSettings,
+) -> Result<Listing> {
     let body = client.get(address, "/instances", LIST_TIMEOUT_MS, LIST_MAX_BYTES).await?;
     let instances: Vec<PlatformInstance> = serde_json::from_slice(&body)
         .map_err(|error| Error::failed("read platform list", address.to_string(), error))?;
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! Control: the replicated log and what is kept in it.
 
+pub mod api;
 pub mod boot;
 pub mod client;
 pub mod config;
@@ -7,8 +8,10 @@
 pub mod ledger;
 pub mod listing;
 pub mod permit;
+pub mod placement;
 pub mod process;
 pub mod raft;
+pub mod registry;
 pub mod replica;
 pub mod server;
 pub mod session;
--- /dev/null
+++ b/src/control/placement/endpoint.rs
@@ -0,0 +1,379 @@
+//! What one endpoint holds and which order it is carrying out.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use super::demand::Demand;
+use super::order::{EngineReport, OrderKind, OrderOutcome, OrderResult};
+use super::{KEEP_USED_MS, SILENT_MS};
+use crate::message::{Placed, RegisteredEndpoint, Weights, WeightsName};
+
+/// Adapters that an endpoint is taken to have copies of, the latest ones; engines drop the copies
+/// that were unused for longest.
+const COPIES_MAX: usize = 90;
+/// How soon a load is looked at first; a load from an engine's own copy takes about this long.
+const FIRST_CHECK_MS: u64 = 26;
+/// How soon a load is looked at again, at most.
+const CHECK_MAX_MS: u64 = 120;
+/// An order without an answer may be carried out up to this much later.
+const LATE_ORDER_MS: u64 = 13_000;
+/// How often an endpoint with an unanswered order is asked what became of it.
+const REPORT_PAUSE_MS: u64 = 700;
+/// A heartbeat may have been sent this long before it arrives; younger knowledge goes before it.
+const HEARTBEAT_LATE_MS: u64 = 3_000;
+/// A load that is not done after this long is looked for in a report.
+const LOAD_MAX_MS: u64 = 8_000;
+
+/// The state of a place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlaceState {
+    /// Ordered and not seen yet.
+    Loading {
+        /// When to look.
+        check_at_ms: u64,
+        /// The pause before the look after that.
+        pause_ms: u64,
+    },
+    /// Requests may use it.
+    Ready,
+    /// Ordered away.
+    Unloading,
+}
+
+/// Weights at an endpoint.
+#[derive(Debug, Clone)]
+pub struct Place {
+    /// The version.
+    pub version: u64,
+    /// The state.
+    pub state: PlaceState,
+    changed_at_ms: u64,
+    used_at_ms: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Pending {
+    number: u64,
+}
+
+/// One endpoint.
+#[derive(Debug, Clone)]
+pub struct EndpointPlaces {
+    /// Its registration.
+    pub endpoint: RegisteredEndpoint,
+    /// When its last heartbeat came.
+    pub heard_at_ms: u64,
+    /// Base models and adapters.
+    pub places: BTreeMap<WeightsName, Place>,
+    /// Orders it has taken; none until a report told.
+    pub sequence: Option<u64>,
+    /// Weights of which it has copies, the latest last.
+    pub copies: VecDeque<WeightsName>,
+    pending: Option<Pending>,
+    report_from_ms: u64,
+    unanswered_until_ms: u64,
+    dropped_at_ms: BTreeMap<WeightsName, u64>,
+}
+
+impl EndpointPlaces {
+    /// An endpoint of which nothing is known but its registration.
+    pub fn new(now_ms: u64, endpoint: RegisteredEndpoint) -> Self {
+        Self {
+            endpoint,
+            heard_at_ms: now_ms,
+            places: BTreeMap::new(),
+            sequence: None,
+            copies: VecDeque::new(),
+            pending: None,
+            report_from_ms: 0,
+            unanswered_until_ms: 0,
+            dropped_at_ms: BTreeMap::new(),
+        }
+    }
+
+    /// True when its heartbeats come.
+    pub fn is_live(&self, now_ms: u64) -> bool {
+        self.heard_at_ms + SILENT_MS > now_ms
+    }
+
+    /// True when it may hold further weights.
+    pub fn takes_weights(&self, now_ms: u64) -> bool {
+        self.is_live(now_ms) && !self.endpoint.leaving
+    }
+
+    /// True when an order may be given now.
+    pub fn is_free_for_orders(&self, now_ms: u64) -> bool {
+        self.pending.is_none() && self.sequence.is_some() && self.unanswered_until_ms <= now_ms
+    }
+
+    /// True when a report has to tell what the endpoint holds.
+    pub fn needs_report(&self, now_ms: u64) -> bool {
+        self.pending.is_none()
+            && self.is_live(now_ms)
+            && now_ms >= self.report_from_ms
+            && (self.sequence.is_none() || self.unanswered_until_ms > now_ms)
+    }
+
+    /// True when the base model of `name` is ready here.
+    pub fn holds_base(&self, name: &WeightsName) -> bool {
+        self.places.get(&name.base()).is_some_and(|place| place.state == PlaceState::Ready)
+    }
+
+    /// True when the endpoint has a copy of `name` at hand.
+    pub fn has_copy(&self, name: &WeightsName) -> bool {
+        self.copies.contains(name)
+    }
+
+    /// How many adapters are here, those on their way and those not gone yet included.
+    pub fn adapters(&self) -> usize {
+        self.places.keys().filter(|name| name.adapter.is_some()).count()
+    }
+
+    /// Notes that requests used `name`.
+    pub fn note_use(&mut self, now_ms: u64, name: &WeightsName) {
+        if let Some(place) = self.places.get_mut(name) {
+            place.used_at_ms = now_ms;
+        }
+    }
+
+    /// The adapter that is asked for least, when it is asked for less than `rate` times a second.
+    pub fn coldest(&self, now_ms: u64, demand: &Demand, rate: f64) -> Option<WeightsName> {
+        let mut coldest: Option<(f64, &WeightsName)> = None;
+        for (name, place) in &self.places {
+            let is_idle = place.state == PlaceState::Ready
+                && place.used_at_ms + KEEP_USED_MS <= now_ms
+                && name.adapter.is_some();
+            if !is_idle {
+                continue;
+            }
+            let own = demand.rate(now_ms, name);
+            if coldest.is_none_or(|(known, _)| own < known) {
+                coldest = Some((own, name));
+            }
+        }
+        coldest.filter(|(own, _)| *own < rate).map(|(_, name)| name.clone())
+    }
+
+    /// A load that should be looked at now.
+    pub fn load_to_check(&self, now_ms: u64) -> Option<WeightsName> {
+        if !self.is_free_for_orders(now_ms) {
+            return None;
+        }
+        for (name, place) in &self.places {
+            if let PlaceState::Loading { check_at_ms, .. } = place.state
+                && check_at_ms <= now_ms
+            {
+                return Some(name.clone());
+            }
+        }
+        None
+    }
+
+    /// Notes an order that is about to be sent.
+    pub fn start_order(
+        &mut self,
+        now_ms: u64,
+        number: u64,
+        kind: &OrderKind,
+        placed: &mut Vec<Placed>,
+    ) {
+        self.pending = Some(Pending { number });
+        match kind {
+            OrderKind::Report => {}
+            OrderKind::Load { name, version } => {
+                let version = version.unwrap_or(1);
+                let known = self.places.get(name).map(|place| (place.state, place.version));
+                if let Some((PlaceState::Loading { .. }, _)) = known {
+                    return;
+                }
+                if known.is_some() {
+                    placed.push(self.gone(name));
+                }
+                self.copies.retain(|copy| copy != name);
+                self.copies.push_back(name.clone());
+                if self.copies.len() > COPIES_MAX {
+                    self.copies.pop_front();
+                }
+                let state =
+                    PlaceState::Loading { check_at_ms: u64::MAX, pause_ms: FIRST_CHECK_MS };
+                self.put(now_ms, name, version, state);
+            }
+            OrderKind::Unload { name } => {
+                let version = self.places.get(name).map_or(1, |place| place.version);
+                placed.push(self.gone(name));
+                self.put(now_ms, name, version, PlaceState::Unloading);
+            }
+        }
+    }
+
+    fn put(&mut self, now_ms: u64, name: &WeightsName, version: u64, state: PlaceState) {
+        let used_at_ms = now_ms;
+        let place = Place { version, state, changed_at_ms: now_ms, used_at_ms };
+        self.places.insert(name.clone(), place);
+    }
+
+    fn gone(&self, name: &WeightsName) -> Placed {
+        Placed { endpoint: self.endpoint.id.clone(), name: name.clone(), version: None }
+    }
+
+    /// Takes the outcome of an order in.
+    pub fn ordered(&mut self, now_ms: u64, result: &OrderResult, placed: &mut Vec<Placed>) {
+        if !self.pending.is_some_and(|pending| pending.number == result.number) {
+            return;
+        }
+        self.pending = None;
+        match &result.outcome {
+            OrderOutcome::Report(report) => self.reported(now_ms, report, placed),
+            OrderOutcome::UnderWay => self.under_way(now_ms, &result.kind),
+            OrderOutcome::Done => self.done(now_ms, &result.kind, placed),
+            OrderOutcome::Conflict => {
+                // Something else was carried out here; only a report tells what.
+                self.sequence = None;
+                self.report_from_ms = now_ms + CHECK_MAX_MS;
+                self.recheck(now_ms, &result.kind);
+            }
+            OrderOutcome::Refused | OrderOutcome::NotSent => {
+                self.take_back(now_ms, &result.kind, placed);
+                self.report_from_ms = now_ms + REPORT_PAUSE_MS;
+            }
+            OrderOutcome::Unknown => {
+                self.sequence = None;
+                self.report_from_ms = now_ms + REPORT_PAUSE_MS;
+                if result.kind != OrderKind::Report {
+                    self.unanswered_until_ms = now_ms + LATE_ORDER_MS;
+                }
+            }
+        }
+    }
+
+    fn under_way(&mut self, now_ms: u64, kind: &OrderKind) {
+        self.sequence = self.sequence.map(|sequence| sequence + 1);
+        self.recheck(now_ms, kind);
+    }
+
+    fn recheck(&mut self, now_ms: u64, kind: &OrderKind) {
+        let OrderKind::Load { name, .. } = kind else { return };
+        let Some(place) = self.places.get_mut(name) else { return };
+        if let PlaceState::Loading { pause_ms, .. } = place.state {
+            if place.changed_at_ms + LOAD_MAX_MS < now_ms {
+                self.sequence = None;
+            }
+            place.state = PlaceState::Loading {
+                check_at_ms: now_ms + pause_ms,
+                pause_ms: (pause_ms * 3 / 2).min(CHECK_MAX_MS),
+            };
+        }
+    }
+
+    fn done(&mut self, now_ms: u64, kind: &OrderKind, placed: &mut Vec<Placed>) {
+        match kind {
+            OrderKind::Report => {}
+            OrderKind::Load { name, .. } => {
+                let version = self.places.get(name).map_or(1, |place| place.version);
+                self.put(now_ms, name, version, PlaceState::Ready);
+                placed.push(Placed {
+                    endpoint: self.endpoint.id.clone(),
+                    name: name.clone(),
+                    version: Some(version),
+                });
+            }
+            OrderKind::Unload { name } => {
+                self.sequence = self.sequence.map(|sequence| sequence + 1);
+                self.places.remove(name);
+                self.dropped_at_ms.retain(|_, at_ms| *at_ms + HEARTBEAT_LATE_MS > now_ms);
+                self.dropped_at_ms.insert(name.clone(), now_ms);
+            }
+        }
+    }
+
+    fn take_back(&mut self, now_ms: u64, kind: &OrderKind, placed: &mut Vec<Placed>) {
+        match kind {
+            OrderKind::Report => {}
+            OrderKind::Load { name, .. } => {
+                self.places.remove(name);
+                placed.push(self.gone(name));
+                self.sequence = None;
+            }
+            OrderKind::Unload { name } => {
+                let version = self.places.get(name).map_or(1, |place| place.version);
+                self.put(now_ms, name, version, PlaceState::Ready);
+                self.sequence = None;
+            }
+        }
+    }
+
+    fn reported(&mut self, now_ms: u64, report: &EngineReport, placed: &mut Vec<Placed>) {
+        self.sequence = Some(report.sequence);
+        self.reconcile(now_ms, &report.holds, 0, placed);
+        for coming in &report.coming {
+            if !self.places.contains_key(&coming.name) {
+                let state =
+                    PlaceState::Loading { check_at_ms: now_ms, pause_ms: FIRST_CHECK_MS };
+                self.put(now_ms, &coming.name, coming.version, state);
+            }
+        }
+        if self.unanswered_until_ms > now_ms {
+            // The order may still come, so what it names keeps its place and is looked at again.
+            self.sequence = None;
+            self.report_from_ms = now_ms + REPORT_PAUSE_MS;
+            return;
+        }
+        for place in self.places.values_mut() {
+            if let PlaceState::Loading { pause_ms, .. } = place.state {
+                place.state = PlaceState::Loading { check_at_ms: now_ms, pause_ms };
+            }
+        }
+    }
+
+    /// Takes over what a heartbeat told, as far as nothing younger is known.
+    pub fn observe(&mut self, now_ms: u64, holds: &[Weights], placed: &mut Vec<Placed>) {
+        if self.pending.is_some() {
+            return;
+        }
+        self.reconcile(now_ms, holds, HEARTBEAT_LATE_MS, placed);
+    }
+
+    fn reconcile(
+        &mut self,
+        now_ms: u64,
+        holds: &[Weights],
+        younger_ms: u64,
+        placed: &mut Vec<Placed>,
+    ) {
+        for weights in holds {
+            let known = self.places.get(&weights.name);
+            let is_settled = known.is_none_or(|place| {
+                place.changed_at_ms + younger_ms <= now_ms && place.state != PlaceState::Unloading
+            });
+            let is_known = known.is_some_and(|place| {
+                place.state == PlaceState::Ready && place.version == weights.version
+            });
+            let dropped_at_ms = self.dropped_at_ms.get(&weights.name);
+            let is_old_news = dropped_at_ms.is_some_and(|at_ms| at_ms + younger_ms > now_ms);
+            if !is_settled || is_known || is_old_news {
+                continue;
+            }
+            self.put(now_ms, &weights.name, weights.version, PlaceState::Ready);
+            if !self.copies.contains(&weights.name) {
+                self.copies.push_back(weights.name.clone());
+            }
+            placed.push(Placed {
+                endpoint: self.endpoint.id.clone(),
+                name: weights.name.clone(),
+                version: Some(weights.version),
+            });
+        }
+        let mut missing = Vec::new();
+        for (name, place) in &self.places {
+            let is_listed = holds.iter().any(|weights| weights.name == *name);
+            let is_settled = place.changed_at_ms + younger_ms.max(500) <= now_ms;
+            let is_loading = matches!(place.state, PlaceState::Loading { .. });
+            if !is_listed && is_settled && !is_loading {
+                missing.push(name.clone());
+            }
+        }
+        for name in missing {
+            self.places.remove(&name);
+            placed.push(self.gone(&name));
+        }
+    }
+}
--- /dev/null
+++ b/src/control/placement/mod.rs
@@ -0,0 +1,403 @@
+//! Which endpoints hold which weights: what the leader of control knows, wants and orders.
+//!
+//! Only the leader gives orders, one at a time to an endpoint, and only while its lease lasts. What
+//! endpoints hold is learnt from their heartbeats, their reports and the outcome of orders, so a new
+//! leader needs nothing of the earlier one. An adapter has its home at the endpoint that a hash of
+//! both puts first, so that each endpoint meets few adapters and finds them in its own copies.
+
+mod demand;
+mod endpoint;
+mod order;
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+
+use tracing::info;
+
+pub use demand::{Demand, StoreAllowance};
+pub use endpoint::{EndpointPlaces, Place, PlaceState};
+pub use order::{
+    EngineClient, EngineOrder, EngineReport, OrderKind, OrderLease, OrderOutcome, OrderResult,
+};
+
+use crate::message::{AdapterNeed, Heartbeat, Placed, RegisteredEndpoint, WeightsName, WeightsUse};
+use crate::routing::{EngineSpec, RoutingConfiguration};
+
+/// An endpoint that said nothing for this long gets no new adapters: twice the usual period of
+/// heartbeats and a second for one that is late.
+const SILENT_MS: u64 = 4_000;
+/// The share of an engine's slots that the requests of one adapter may fill before it gets a further
+/// home; measured on the users' deployments, see docs/PLATFORM.md.
+const HOME_FILL: f64 = 0.4;
+/// How long a generated answer takes, about; only used to turn rates into requests under way.
+const ANSWER_S: f64 = 0.7;
+/// A place that was used this recently is not given to another adapter.
+const KEEP_USED_MS: u64 = 400;
+
+/// Bounds of orders.
+#[derive(Debug, Clone, Copy)]
+pub struct PlacementSettings {
+    /// How long the orders of an earlier leader may still count; a new one waits as long.
+    pub order_lease_ms: u64,
+    /// The share of the weight store's rate that is used.
+    pub store_share: f64,
+    /// Requests within a short time that justify a load from the weight store.
+    pub store_load_min_requests: f64,
+}
+
+impl Default for PlacementSettings {
+    fn default() -> Self {
+        Self { order_lease_ms: 3_000, store_share: 0.85, store_load_min_requests: 1.0 }
+    }
+}
+
+/// What the leader knows and wants of the weights on endpoints.
+pub struct Placement {
+    settings: PlacementSettings,
+    holder: Arc<str>,
+    token: u64,
+    orders_from_ms: u64,
+    endpoints: BTreeMap<Arc<str>, EndpointPlaces>,
+    engines: HashMap<Arc<str>, EngineSpec>,
+    versions: HashMap<WeightsName, u64>,
+    demand: Demand,
+    wanted: BTreeMap<(Arc<str>, WeightsName), u64>,
+    store: HashMap<Arc<str>, StoreAllowance>,
+    orders: Vec<EngineOrder>,
+    placed: Vec<Placed>,
+    next_order: u64,
+}
+
+impl Placement {
+    /// Knows nothing and may order nothing.
+    pub fn new(settings: PlacementSettings, holder: Arc<str>) -> Self {
+        Self {
+            settings,
+            holder,
+            token: 0,
+            orders_from_ms: u64::MAX,
+            endpoints: BTreeMap::new(),
+            engines: HashMap::new(),
+            versions: HashMap::new(),
+            demand: Demand::new(),
+            wanted: BTreeMap::new(),
+            store: HashMap::new(),
+            orders: Vec::new(),
+            placed: Vec::new(),
+            next_order: 0,
+        }
+    }
+
+    /// Starts a leader's time: orders may go out once those of an earlier leader no longer count.
+    pub fn lead(&mut self, now_ms: u64, token: u64) {
+        *self = Self::new(self.settings, self.holder.clone());
+        self.token = token;
+        self.orders_from_ms = now_ms + self.settings.order_lease_ms;
+    }
+
+    /// Takes the configuration's engines over.
+    pub fn configure(&mut self, now_ms: u64, configuration: &RoutingConfiguration) {
+        self.engines.clear();
+        for service in &configuration.services {
+            let Some(engine) = &service.engine else { continue };
+            self.engines.insert(service.name.clone(), engine.clone());
+            let rate = engine.store_loads_per_s * self.settings.store_share;
+            self.store
+                .entry(service.name.clone())
+                .or_insert_with(|| StoreAllowance::new(now_ms))
+                .set_rate(rate);
+        }
+    }
+
+    /// Notes an endpoint's registration.
+    pub fn register(&mut self, now_ms: u64, endpoint: &RegisteredEndpoint) {
+        let known = self
+            .endpoints
+            .entry(endpoint.id.clone())
+            .or_insert_with(|| EndpointPlaces::new(now_ms, endpoint.clone()));
+        known.endpoint = endpoint.clone();
+    }
+
+    /// Forgets an endpoint that is gone.
+    pub fn deregister(&mut self, id: &str) {
+        self.endpoints.remove(id);
+    }
+
+    /// Notes the newest version of weights.
+    pub fn set_version(&mut self, name: WeightsName, version: u64) {
+        self.versions.insert(name, version);
+    }
+
+    /// Takes a heartbeat in.
+    pub fn observe(&mut self, now_ms: u64, heartbeat: &Heartbeat) {
+        let Some(endpoint) = self.endpoints.get_mut(&heartbeat.endpoint.id) else { return };
+        endpoint.heard_at_ms = now_ms;
+        if let Some(holds) = &heartbeat.holds {
+            endpoint.observe(now_ms, holds, &mut self.placed);
+        }
+    }
+
+    /// Takes what gateways lack.
+    pub fn need(&mut self, now_ms: u64, needs: Vec<AdapterNeed>) {
+        for need in needs {
+            self.demand.add(now_ms, &need.weights, need.requests);
+            self.wanted.insert((need.service, need.weights), now_ms);
+        }
+    }
+
+    /// Takes what gateways used.
+    pub fn used(&mut self, now_ms: u64, used: Vec<WeightsUse>) {
+        for weights in used {
+            self.demand.add(now_ms, &weights.name, weights.requests);
+            for endpoint in self.endpoints.values_mut() {
+                endpoint.note_use(now_ms, &weights.name);
+            }
+        }
+    }
+
+    /// Everything that endpoints hold, for a gateway that has just come.
+    pub fn all_placed(&self) -> Vec<Placed> {
+        let mut placed = Vec::new();
+        for (id, endpoint) in &self.endpoints {
+            for (name, place) in &endpoint.places {
+                if place.state != PlaceState::Ready {
+                    continue;
+                }
+                placed.push(Placed {
+                    endpoint: id.clone(),
+                    name: name.clone(),
+                    version: Some(place.version),
+                });
+            }
+        }
+        placed
+    }
+
+    /// What changed for gateways since the last call.
+    pub fn take_placed(&mut self) -> Vec<Placed> {
+        std::mem::take(&mut self.placed)
+    }
+
+    /// The orders to send.
+    pub fn take_orders(&mut self) -> Vec<EngineOrder> {
+        std::mem::take(&mut self.orders)
+    }
+
+    /// Takes the outcome of an order in.
+    pub fn ordered(&mut self, now_ms: u64, result: OrderResult) {
+        let Some(endpoint) = self.endpoints.get_mut(&result.endpoint) else { return };
+        endpoint.ordered(now_ms, &result, &mut self.placed);
+    }
+
+    /// Decides what is to be ordered now.
+    pub fn advance(&mut self, now_ms: u64) {
+        if now_ms < self.orders_from_ms {
+            return;
+        }
+        self.ask_for_reports(now_ms);
+        self.check_loads(now_ms);
+        self.replace_old_versions(now_ms);
+        self.load_base_models(now_ms);
+        self.load_wanted(now_ms);
+    }
+
+    fn ask_for_reports(&mut self, now_ms: u64) {
+        let mut due = Vec::new();
+        for (id, endpoint) in &self.endpoints {
+            if self.engines.contains_key(&endpoint.endpoint.service) && endpoint.needs_report(now_ms)
+            {
+                due.push(id.clone());
+            }
+        }
+        for id in due {
+            self.order(now_ms, &id, OrderKind::Report);
+        }
+    }
+
+    fn check_loads(&mut self, now_ms: u64) {
+        let mut due = Vec::new();
+        for (id, endpoint) in &self.endpoints {
+            let Some(name) = endpoint.load_to_check(now_ms) else { continue };
+            due.push((id.clone(), name));
+        }
+        for (id, name) in due {
+            let version = self.version_of(&name);
+            self.order(now_ms, &id, OrderKind::Load { name, version });
+        }
+    }
+
+    fn replace_old_versions(&mut self, now_ms: u64) {
+        let mut due = Vec::new();
+        for (id, endpoint) in &self.endpoints {
+            if !endpoint.is_free_for_orders(now_ms) {
+                continue;
+            }
+            for (name, place) in &endpoint.places {
+                let newest = self.versions.get(name).copied().unwrap_or(place.version);
+                if place.state == PlaceState::Ready && place.version < newest {
+                    due.push((id.clone(), name.clone(), newest));
+                    break;
+                }
+            }
+        }
+        for (id, name, version) in due {
+            info!(event = "weights_replaced", endpoint = %id, weights = %name, version = version);
+            self.order(now_ms, &id, OrderKind::Load { name, version: Some(version) });
+        }
+    }
+
+    fn load_base_models(&mut self, now_ms: u64) {
+        let mut due = Vec::new();
+        for (id, endpoint) in &self.endpoints {
+            let Some(engine) = self.engines.get(&endpoint.endpoint.service) else { continue };
+            let [model] = engine.models.as_slice() else { continue };
+            let name = WeightsName::new(model.name.clone(), None);
+            let is_due = endpoint.is_free_for_orders(now_ms)
+                && endpoint.is_live(now_ms)
+                && !endpoint.endpoint.leaving
+                && endpoint.places.is_empty();
+            if is_due {
+                due.push((id.clone(), endpoint.endpoint.service.clone(), name));
+            }
+        }
+        for (id, service, name) in due {
+            self.load_with_allowance(now_ms, &service, &id, &name);
+        }
+    }
+
+    fn load_wanted(&mut self, now_ms: u64) {
+        let mut wanted: Vec<(Arc<str>, WeightsName, f64)> = Vec::new();
+        for (service, name) in self.wanted.keys() {
+            wanted.push((service.clone(), name.clone(), self.demand.rate(now_ms, name)));
+        }
+        wanted.sort_by(|one, other| other.2.total_cmp(&one.2));
+        for (service, name, rate) in wanted {
+            if self.load_one(now_ms, &service, &name, rate) {
+                self.wanted.remove(&(service, name));
+            }
+        }
+    }
+
+    /// Tries to get `name` one more home; true when nothing more is to be done for it.
+    fn load_one(&mut self, now_ms: u64, service: &Arc<str>, name: &WeightsName, rate: f64) -> bool {
+        let Some(engine) = self.engines.get(service) else { return true };
+        let homes_wanted = wanted_homes(rate, engine.slots);
+        let adapter_places = engine.adapter_places;
+        let mut homes = 0;
+        let mut on_their_way = 0;
+        let mut candidates = Vec::new();
+        for (id, endpoint) in &self.endpoints {
+            if endpoint.endpoint.service != *service || !endpoint.takes_weights(now_ms) {
+                continue;
+            }
+            match endpoint.places.get(name).map(|place| place.state) {
+                Some(PlaceState::Ready) => homes += 1,
+                Some(PlaceState::Loading { .. }) => on_their_way += 1,
+                Some(PlaceState::Unloading) => {}
+                None if endpoint.holds_base(name) => {
+                    candidates.push((affinity(name, &endpoint.endpoint), id.clone()));
+                }
+                None => {}
+            }
+        }
+        if homes >= homes_wanted {
+            return true;
+        }
+        if homes + on_their_way >= homes_wanted {
+            return false;
+        }
+        candidates.sort_unstable_by(|one, other| other.0.cmp(&one.0));
+        for (_, id) in candidates {
+            let Some(endpoint) = self.endpoints.get(&id) else { continue };
+            if !endpoint.is_free_for_orders(now_ms) {
+                return false;
+            }
+            let is_wanted_enough = endpoint.has_copy(name)
+                || self.demand.recent(now_ms, name) >= self.settings.store_load_min_requests;
+            if !is_wanted_enough {
+                return true;
+            }
+            if endpoint.adapters() < adapter_places {
+                self.load_with_allowance(now_ms, service, &id, name);
+                return false;
+            }
+            if let Some(victim) = endpoint.coldest(now_ms, &self.demand, rate) {
+                self.order(now_ms, &id, OrderKind::Unload { name: victim });
+                return false;
+            }
+        }
+        false
+    }
+
+    fn load_with_allowance(
+        &mut self,
+        now_ms: u64,
+        service: &Arc<str>,
+        id: &Arc<str>,
+        name: &WeightsName,
+    ) {
+        let Some(endpoint) = self.endpoints.get(id) else { return };
+        if !endpoint.has_copy(name) {
+            let Some(store) = self.store.get_mut(service) else { return };
+            if !store.take(now_ms) {
+                return;
+            }
+        }
+        let version = self.version_of(name);
+        self.order(now_ms, id, OrderKind::Load { name: name.clone(), version });
+    }
+
+    fn version_of(&self, name: &WeightsName) -> Option<u64> {
+        self.versions.get(name).copied()
+    }
+
+    fn order(&mut self, now_ms: u64, id: &Arc<str>, kind: OrderKind) {
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return };
+        self.next_order += 1;
+        endpoint.start_order(now_ms, self.next_order, &kind, &mut self.placed);
+        self.orders.push(EngineOrder {
+            number: self.next_order,
+            endpoint: id.clone(),
+            address: endpoint.endpoint.address,
+            kind,
+            expected_sequence: endpoint.sequence,
+            holder: self.holder.clone(),
+            token: self.token,
+        });
+    }
+
+    /// The state dump.
+    pub fn dump(&self) -> serde_json::Value {
+        let mut endpoints = Vec::new();
+        for (id, endpoint) in &self.endpoints {
+            endpoints.push(serde_json::json!({
+                "id": id, "adapters": endpoint.adapters(), "sequence": endpoint.sequence,
+                "copies": endpoint.copies.len(),
+            }));
+        }
+        serde_json::json!({ "endpoints": endpoints, "wanted": self.wanted.len() })
+    }
+
+    /// The ids of endpoints that still take work but were not heard for long.
+    pub fn silent(&self, now_ms: u64) -> HashSet<Arc<str>> {
+        let mut silent = HashSet::new();
+        for (id, endpoint) in &self.endpoints {
+            if !endpoint.is_live(now_ms) {
+                silent.insert(id.clone());
+            }
+        }
+        silent
+    }
+}
+
+/// How many endpoints an adapter asked for at `rate` requests a second should be at.
+fn wanted_homes(rate: f64, slots: u32) -> usize {
+    let under_way = rate * ANSWER_S;
+    1 + (under_way / (f64::from(slots.max(1)) * HOME_FILL)) as usize
+}
+
+/// How well an endpoint fits weights; by address, so that a restarted one finds its own copies.
+fn affinity(name: &WeightsName, endpoint: &RegisteredEndpoint) -> u64 {
+    let key = format!("{name}@{}", endpoint.address);
+    xxhash_rust::xxh3::xxh3_64(key.as_bytes())
+}
--- a/src/control/process.rs
+++ b/src/control/process.rs
@@ -14,8 +14,10 @@
 
 use crate::admin::{problem, set_log_level};
 use crate::clock::Clock;
+use crate::control::api::ControlApi;
 use crate::control::boot::{self, Booted};
 use crate::control::listing;
+use crate::control::placement::EngineClient;
 use crate::control::server::{
     ControlHandler, ReplicaActor, ReplicaArguments, ReplicaMessage, Stage,
 };
@@ -30,11 +32,28 @@
 const JOIN_PAUSE: Duration = Duration::from_millis(500);
 const TRANSFER_PAUSE: Duration = Duration::from_millis(200);
 
+/// What a platform adds to control: its own interface for endpoints and operators, and the way
+/// to its engines.
+pub struct ControlBorder {
+    /// How orders reach engines.
+    pub engines: Arc<dyn EngineClient>,
+    /// Makes what serves the interface.
+    pub serve_api: Box<dyn FnOnce(ControlApi) -> Arc<dyn HttpHandler> + Send>,
+}
+
 /// Runs a replica until it is told to stop.
 ///
 /// # Errors
 /// A listener that cannot be opened, or a data folder that cannot be used.
 pub async fn run(settings: ControlSettings) -> Result<()> {
+    run_with(settings, None).await
+}
+
+/// Runs a replica with a platform's interface until it is told to stop.
+///
+/// # Errors
+/// A listener that cannot be opened, or a data folder that cannot be used.
+pub async fn run_with(settings: ControlSettings, border: Option<ControlBorder>) -> Result<()> {
     let common = &settings.common;
     let metrics = Metrics::new(&common.metrics_prefix, common.metrics_address)?;
     let peers = listen("listen for peers", common.listen_peers).await?;
@@ -48,12 +67,19 @@
     let (stop, stopped) = watch::channel(false);
     let admin_handler = Arc::new(AdminHandler { stage: stage.clone() });
     let limits = ServerLimits::default();
-    tokio::spawn(serve(admin, admin_handler, limits, metrics.clone(), stopped));
+    tokio::spawn(serve(admin, admin_handler, limits, metrics.clone(), stopped.clone()));
+    let mut engines = None;
+    if let (Some(border), Some(address)) = (border, settings.listen_api) {
+        let listener = listen("listen for the platform", address).await?;
+        let handler = (border.serve_api)(ControlApi::new(stage.clone()));
+        tokio::spawn(serve(listener, handler, limits, metrics.clone(), stopped));
+        engines = Some(border.engines);
+    }
     let booted = tokio::select! {
         booted = boot::boot(&settings, &stage, clock, &metrics) => booted?,
         _ = terminate.recv() => return Ok(()),
     };
-    let actor = start(&settings, booted, clock, metrics).await?;
+    let actor = start(&settings, booted, clock, metrics, engines).await?;
     *stage.write().unwrap_or_else(PoisonError::into_inner) = Stage::Running(actor.clone());
     info!(event = "started", name = %common.name, peers = %common.listen_peers);
     terminate.recv().await;
@@ -70,6 +96,7 @@
     booted: Booted,
     clock: Clock,
     metrics: Metrics,
+    engines: Option<Arc<dyn EngineClient>>,
 ) -> Result<ActorRef<ReplicaMessage>> {
     let id = booted.replica.raft.id();
     let leads = Arc::new(AtomicBool::new(false));
@@ -80,17 +107,24 @@
         clock,
         metrics,
         leads: leads.clone(),
+        engines,
     };
     let (actor, _) = ReplicaActor::spawn(None, ReplicaActor, arguments)
         .await
         .map_err(|error| Error::failed("start replica", "actor", error))?;
-    tokio::spawn(listing::poll(settings.clone(), leads, actor.clone()));
-    if booted.joins {
+    if let Some(address) = settings.platform_address {
+        tokio::spawn(listing::poll(settings.clone(), address, leads, actor.clone()));
+    }
+    if booted.joins || settings.seeds.is_some() {
         let settings = settings.clone();
         let member = actor.clone();
         tokio::spawn(async move {
-            while !is_member(&member, id).await {
-                boot::ask_to_join(&settings, id).await;
+            loop {
+                if needs_to_join(&member, id).await {
+                    boot::ask_to_join(&settings, id).await;
+                } else if settings.seeds.is_none() {
+                    return;
+                }
                 tokio::time::sleep(JOIN_PAUSE).await;
             }
         });
@@ -98,12 +132,14 @@
     Ok(actor)
 }
 
-async fn is_member(actor: &ActorRef<ReplicaMessage>, id: u64) -> bool {
+/// True for a replica that is no member, or that hears of no leader and may have been replaced.
+async fn needs_to_join(actor: &ActorRef<ReplicaMessage>, id: u64) -> bool {
     let Ok(dump) = ractor::call_t!(actor, ReplicaMessage::Dump, DUMP_TIMEOUT_MS) else {
-        return false;
+        return true;
     };
     let members = dump["group"]["members"].as_array().cloned().unwrap_or_default();
-    members.iter().any(|member| member[1].as_u64() == Some(id))
+    let is_member = members.iter().any(|member| member[1].as_u64() == Some(id));
+    !is_member || dump["group"]["leader"].is_null()
 }
 
 struct AdminHandler {
--- a/src/control/raft/election.rs
+++ b/src/control/raft/election.rs
@@ -124,6 +124,8 @@
             progress,
             first_index: next,
             round: 1,
+            rounds_sent: VecDeque::new(),
+            confirmed_at_ms: None,
             reads: VecDeque::new(),
             heartbeat_due_ms: now_ms + self.timing.heartbeat_ms,
             broadcast: true,
--- a/src/control/raft/leading.rs
+++ b/src/control/raft/leading.rs
@@ -10,6 +10,10 @@
 const SNAPSHOT_RESEND_MS: u64 = 5_000;
 /// A learner this close to the commit index is made a voter.
 const PROMOTION_GAP: u64 = 256;
+/// Rounds whose sending time is remembered; older ones are no longer awaited.
+const ROUNDS_REMEMBERED: usize = 256;
+/// A voter that said nothing for this long gives its place to a learner that holds the log.
+const REPLACED_AFTER_MS: u64 = 1_500;
 
 #[derive(Debug)]
 pub(super) struct Progress {
@@ -25,6 +29,10 @@
     pub(super) progress: BTreeMap<NodeId, Progress>,
     pub(super) first_index: u64,
     pub(super) round: u64,
+    /// When each recent round was sent, for the leader's lease.
+    pub(super) rounds_sent: VecDeque<(u64, u64)>,
+    /// When the latest round was sent that a majority has answered.
+    pub(super) confirmed_at_ms: Option<u64>,
     pub(super) reads: VecDeque<PendingRead>,
     pub(super) heartbeat_due_ms: u64,
     pub(super) broadcast: bool,
@@ -41,7 +49,10 @@
 impl Raft {
     /// The next step of replacing a lost replica, if one is due: a learner that holds the log
     /// becomes a voter, then the replica that had its name before is removed.
-    pub fn next_members(&self) -> Option<Members> {
+    ///
+    /// Where a number of voters is wanted, a learner beyond it waits until a voter falls silent,
+    /// and takes its place.
+    pub fn next_members(&self, now_ms: u64) -> Option<Members> {
         let Role::Leader(leading) = &self.role else { return None };
         if !self.is_settled_leader() || self.members_index > self.commit {
             return None;
@@ -51,20 +62,91 @@
                 continue;
             }
             let Some(progress) = leading.progress.get(id) else { continue };
-            if progress.matched + PROMOTION_GAP < self.commit {
+            if progress.matched + PROMOTION_GAP < self.commit || !self.has_room_for(now_ms, member) {
                 continue;
             }
             let mut members = self.members.clone();
             members.0.insert(*id, Member { voter: true, ..member.clone() });
             return Some(members);
         }
-        self.replaced_member().map(|id| {
+        self.replaced_member().or_else(|| self.surplus_voter(now_ms)).map(|id| {
             let mut members = self.members.clone();
             members.0.remove(&id);
             members
         })
     }
 
+    fn has_room_for(&self, now_ms: u64, learner: &Member) -> bool {
+        let Some(wanted) = self.voters_wanted else { return true };
+        let mut voters = 0;
+        for (id, member) in &self.members.0 {
+            if !member.voter {
+                continue;
+            }
+            voters += 1;
+            if member.name == learner.name || self.is_silent(now_ms, *id) {
+                return true;
+            }
+        }
+        voters < wanted
+    }
+
+    fn is_silent(&self, now_ms: u64, id: NodeId) -> bool {
+        let Role::Leader(leading) = &self.role else { return false };
+        let Some(progress) = leading.progress.get(&id) else { return false };
+        progress.acked_at_ms + REPLACED_AFTER_MS <= now_ms
+    }
+
+    /// A silent voter that is one too many, or a learner that fell silent.
+    fn surplus_voter(&self, now_ms: u64) -> Option<NodeId> {
+        let wanted = self.voters_wanted?;
+        let is_surplus = self.members.voters().count() > wanted;
+        for (id, member) in &self.members.0 {
+            if member.voter && is_surplus && self.is_silent(now_ms, *id) {
+                return Some(*id);
+            }
+        }
+        None
+    }
+
+    /// Until when this leader may act alone: no other one can be elected before.
+    ///
+    /// It counts from when a round was sent that a majority has answered, so that answers which
+    /// were read late, after a pause of the process, prolong nothing.
+    pub fn leader_until_ms(&self) -> u64 {
+        let Role::Leader(leading) = &self.role else { return 0 };
+        if leading.transfer_to.is_some() || !self.is_settled_leader() {
+            return 0;
+        }
+        leading.confirmed_at_ms.map_or(0, |sent_at_ms| sent_at_ms + self.timing.election_ms)
+    }
+
+    fn note_confirmed_round(&mut self) {
+        let quorum = self.members.quorum();
+        let is_voter = self.members.is_voter(self.id);
+        let voters: Vec<NodeId> = self.members.voters().collect();
+        let Role::Leader(leading) = &mut self.role else { return };
+        let mut rounds = Vec::new();
+        for (id, progress) in &leading.progress {
+            if voters.contains(id) {
+                rounds.push(progress.acked_round);
+            }
+        }
+        rounds.sort_unstable_by(|one, other| other.cmp(one));
+        let others_needed = quorum - usize::from(is_voter);
+        let confirmed = match others_needed.checked_sub(1) {
+            None => leading.round,
+            Some(position) => rounds.get(position).copied().unwrap_or(0),
+        };
+        while let Some((round, sent_at_ms)) = leading.rounds_sent.front().copied() {
+            if round > confirmed {
+                break;
+            }
+            leading.confirmed_at_ms = Some(sent_at_ms);
+            leading.rounds_sent.pop_front();
+        }
+    }
+
     /// A voter whose name a later voter has taken over: the one that was heard from less recently.
     pub(super) fn replaced_member(&self) -> Option<NodeId> {
         let Role::Leader(leading) = &self.role else { return None };
@@ -166,6 +248,7 @@
         }
         self.advance_commit();
         self.confirm_reads();
+        self.note_confirmed_round();
         self.try_transfer();
     }
 
@@ -221,6 +304,10 @@
         // A read asked for from now on needs a round that has not been sent yet.
         let round = leading.round;
         leading.round += 1;
+        leading.rounds_sent.push_back((round, now_ms));
+        if leading.rounds_sent.len() > ROUNDS_REMEMBERED {
+            leading.rounds_sent.pop_front();
+        }
         let peers: Vec<NodeId> = leading.progress.keys().copied().collect();
         for to in peers {
             self.send_append(now_ms, to, round);
--- a/src/control/raft/mod.rs
+++ b/src/control/raft/mod.rs
@@ -50,6 +50,7 @@
     leader: Option<NodeId>,
     heard_at_ms: Option<u64>,
     election_due_ms: u64,
+    voters_wanted: Option<usize>,
     output: Output,
 }
 
@@ -85,6 +86,7 @@
             leader: None,
             heard_at_ms: None,
             election_due_ms: 0,
+            voters_wanted: None,
             output: Output::default(),
         };
         raft.find_members();
@@ -92,6 +94,19 @@
         raft
     }
 
+    /// Keeps `voters` voters: learners beyond them wait until one falls silent.
+    #[must_use]
+    pub fn with_voters(mut self, voters: usize) -> Self {
+        self.voters_wanted = Some(voters);
+        self
+    }
+
+    /// True when the group has as many voters as it should.
+    pub fn has_voters_wanted(&self) -> bool {
+        let wanted = self.voters_wanted.unwrap_or(1);
+        self.members.voters().count() >= wanted && self.members_index <= self.commit
+    }
+
     /// This replica's identity.
     pub fn id(&self) -> NodeId {
         self.id
--- /dev/null
+++ b/src/control/registry.rs
@@ -0,0 +1,140 @@
+//! What is replicated of routes, registered endpoints and versions of weights.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::message::{Change, NewestVersion, RegisteredEndpoint, WeightsName};
+use crate::routing::RoutingConfiguration;
+
+/// Incarnations that ended and must not come back with a late heartbeat; at 4,800 restarts a day
+/// this covers half a day, and heartbeats are late by seconds.
+const DEPARTED_MAX: usize = 2_400;
+
+/// Routes, registered endpoints and the newest versions of weights.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Registry {
+    routing: Option<StoredRouting>,
+    endpoints: BTreeMap<Arc<str>, RegisteredEndpoint>,
+    departed: VecDeque<Arc<str>>,
+    versions: BTreeMap<WeightsName, u64>,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct StoredRouting {
+    configuration: Arc<RoutingConfiguration>,
+    document: Arc<str>,
+}
+
+impl Registry {
+    /// The configuration in force.
+    pub fn routing(&self) -> Option<&Arc<RoutingConfiguration>> {
+        self.routing.as_ref().map(|stored| &stored.configuration)
+    }
+
+    /// The operator's document of the configuration in force.
+    pub fn routing_document(&self) -> Option<&Arc<str>> {
+        self.routing.as_ref().map(|stored| &stored.document)
+    }
+
+    /// The version in force; 0 before the first configuration.
+    pub fn routing_version(&self) -> u64 {
+        self.routing().map_or(0, |configuration| configuration.version)
+    }
+
+    /// The registered endpoints by id.
+    pub fn endpoints(&self) -> &BTreeMap<Arc<str>, RegisteredEndpoint> {
+        &self.endpoints
+    }
+
+    /// True when the incarnation `id` has ended.
+    pub fn has_departed(&self, id: &str) -> bool {
+        self.departed.iter().any(|departed| &**departed == id)
+    }
+
+    /// The newest version of `name`; 1 when none was ever named.
+    pub fn version(&self, name: &WeightsName) -> u64 {
+        self.versions.get(name).copied().unwrap_or(1)
+    }
+
+    /// The versions that were named.
+    pub fn versions(&self) -> &BTreeMap<WeightsName, u64> {
+        &self.versions
+    }
+
+    /// Takes a configuration in when its version is above the one in force.
+    pub fn put_routing(
+        &mut self,
+        configuration: Arc<RoutingConfiguration>,
+        document: Arc<str>,
+    ) -> Vec<Change> {
+        if self.routing.is_some() && configuration.version <= self.routing_version() {
+            return Vec::new();
+        }
+        self.routing = Some(StoredRouting { configuration: configuration.clone(), document });
+        vec![Change::Routing(configuration)]
+    }
+
+    /// Registers an endpoint, or takes over what it tells anew.
+    ///
+    /// An earlier incarnation at the same address has ended: an address has one holder.
+    pub fn register(&mut self, endpoint: RegisteredEndpoint) -> Vec<Change> {
+        let known = self.endpoints.get(&endpoint.id);
+        if known == Some(&endpoint) || self.has_departed(&endpoint.id) {
+            return Vec::new();
+        }
+        let mut replaced = Vec::new();
+        for other in self.endpoints.values() {
+            if other.address == endpoint.address && other.id != endpoint.id {
+                replaced.push(other.id.clone());
+            }
+        }
+        let mut changes = Vec::new();
+        for id in replaced {
+            changes.extend(self.deregister(&id));
+        }
+        self.endpoints.insert(endpoint.id.clone(), endpoint.clone());
+        changes.push(Change::Registered(endpoint));
+        changes
+    }
+
+    /// Ends the incarnation `id`, whether it is known or not.
+    pub fn deregister(&mut self, id: &Arc<str>) -> Vec<Change> {
+        if !self.has_departed(id) {
+            self.departed.push_back(id.clone());
+            if self.departed.len() > DEPARTED_MAX {
+                self.departed.pop_front();
+            }
+        }
+        if self.endpoints.remove(id).is_none() {
+            return Vec::new();
+        }
+        vec![Change::Deregistered(id.clone())]
+    }
+
+    /// Takes over a newer version.
+    pub fn put_version(&mut self, newest: NewestVersion) -> Vec<Change> {
+        if newest.version <= self.version(&newest.name) {
+            return Vec::new();
+        }
+        self.versions.insert(newest.name.clone(), newest.version);
+        vec![Change::Version(newest)]
+    }
+
+    /// Everything that a gateway follows, as if it had just been added.
+    pub fn all_changes(&self) -> Vec<Change> {
+        let mut changes = Vec::new();
+        if let Some(configuration) = self.routing() {
+            changes.push(Change::Routing(configuration.clone()));
+        }
+        for endpoint in self.endpoints.values() {
+            changes.push(Change::Registered(endpoint.clone()));
+        }
+        for (name, version) in &self.versions {
+            let newest = NewestVersion { name: name.clone(), version: *version };
+            changes.push(Change::Version(newest));
+        }
+        changes
+    }
+}
--- a/src/control/replica.rs
+++ b/src/control/replica/mod.rs
@@ -3,16 +3,20 @@
 //! [`Replica`] has no input or output of its own but channels that never block. What has to be
 //! stored or sent to peers is handed to the actor in [`crate::control::server`].
 
+mod registration;
+
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use ractor::RpcReplyPort;
 use serde_json::json;
 use tokio::sync::mpsc;
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 use crate::control::fleet::{ListedEndpoint, Registration};
 use crate::control::permit::{PermitOutcome, Permits, StoreBudget};
+use crate::control::placement::{Placement, PlacementSettings};
+use crate::control::replica::registration::Registered;
 use crate::control::raft::{Entry, Member, Output, Payload, Raft, Snapshot};
 use crate::control::session::{RecentChanges, Session, Summaries};
 use crate::control::state::{Command, Operation, Outcome, State};
@@ -41,6 +45,10 @@
     pub ledger: crate::control::ledger::LedgerLimits,
     /// What the weight store allows.
     pub store: StoreBudget,
+    /// Bounds of orders to engines.
+    pub placement: PlacementSettings,
+    /// How long a new group waits for all its voters before it accepts anything.
+    pub founding_wait_ms: u64,
 }
 
 enum Waiter {
@@ -51,6 +59,8 @@
 
 enum Read {
     Renewal { session: u64, sent_at_ms: u64 },
+    Welcome { session: u64 },
+    Routing(RpcReplyPort<ControlReply>),
     Get { kind: Option<DocumentKind>, name: Option<Arc<str>>, reply: RpcReplyPort<ControlReply> },
     Status(RpcReplyPort<ControlReply>),
     DryRun { documents: Vec<crate::document::Document>, reply: RpcReplyPort<ControlReply> },
@@ -78,11 +88,13 @@
     renewed_at_ms: HashMap<Arc<str>, u64>,
     load_reports: HashMap<Arc<str>, u32>,
     removal_polls: u32,
+    registered: Registered,
 }
 
 impl Replica {
     /// A replica with the state of its snapshot; the log's entries are applied as they commit.
     pub fn new(raft: Raft, state: State, settings: ReplicaSettings, metrics: Metrics) -> Self {
+        let holder: Arc<str> = raft.id().to_string().into();
         let applied = raft.snapshot_index();
         Self {
             raft,
@@ -103,6 +115,7 @@
             renewed_at_ms: HashMap::new(),
             load_reports: HashMap::new(),
             removal_polls: 0,
+            registered: Registered::new(Placement::new(settings.placement, holder)),
         }
     }
 
@@ -129,7 +142,9 @@
         }
         self.poll_permits(now_ms);
         self.expire_gateways(now_ms, wall_ms);
-        if let Some(members) = self.raft.next_members() {
+        self.advance_placement(now_ms);
+        self.tell_followers(now_ms);
+        if let Some(members) = self.raft.next_members(now_ms) {
             info!(event = "members_proposed", members = members.0.len());
             self.raft.propose_members(members);
         }
@@ -176,6 +191,7 @@
         for name in self.state.fleet.gateways().keys() {
             self.renewed_at_ms.insert(name.clone(), now_ms);
         }
+        self.lead_registered(now_ms, term);
         self.propose(wall_ms, Operation::SetLimits(self.settings.ledger), Waiter::Nobody);
     }
 
@@ -235,12 +251,15 @@
     fn lose_read(&mut self, read: Read) {
         let not_leader = self.not_leader();
         match read {
-            Read::Renewal { session, .. } => {
+            Read::Renewal { session, .. } | Read::Welcome { session } => {
                 if let Some(session) = self.sessions.remove(&session) {
                     session.send(SessionDown::NotLeader { leader: self.leader_address() });
                 }
             }
-            Read::Get { reply, .. } | Read::Status(reply) | Read::DryRun { reply, .. } => {
+            Read::Get { reply, .. }
+            | Read::Status(reply)
+            | Read::DryRun { reply, .. }
+            | Read::Routing(reply) => {
                 let _ = reply.send(not_leader);
             }
         }
@@ -276,6 +295,17 @@
             }
             ControlRequest::Get { kind, name } => self.read(Read::Get { kind, name, reply }),
             ControlRequest::Status => self.read(Read::Status(reply)),
+            ControlRequest::GetRouting => self.read(Read::Routing(reply)),
+            ControlRequest::PutRouting { configuration, document } => {
+                self.put_routing(now_ms, wall_ms, configuration, document, reply);
+            }
+            ControlRequest::PutVersion(newest) => self.put_version(wall_ms, newest, reply),
+            ControlRequest::Heartbeat(heartbeat) => {
+                self.heartbeat(now_ms, wall_ms, heartbeat, reply);
+            }
+            ControlRequest::Deregister(id) => {
+                self.propose(wall_ms, Operation::DeregisterEndpoint(id), Waiter::Call(reply));
+            }
             ControlRequest::Claim(claim) => {
                 self.propose(wall_ms, Operation::Claim(claim), Waiter::Call(reply));
             }
@@ -350,7 +380,12 @@
         let SessionHello { name, boot_id, zone, address, .. } = opened.hello.clone();
         info!(event = "session_opened", gateway = %name, session = session);
         self.renewed_at_ms.insert(name.clone(), now_ms);
+        let owns_endpoints = opened.hello.owns_endpoints;
         self.sessions.insert(session, opened);
+        if !owns_endpoints {
+            self.read(Read::Welcome { session });
+            return;
+        }
         let operation = Operation::Register(Registration { name, boot_id, zone, address });
         self.propose(wall_ms, operation, Waiter::Register { session });
     }
@@ -360,6 +395,10 @@
         let Some(found) = self.sessions.get(&session) else { return };
         let Some(epoch) = found.epoch else { return };
         let gateway = found.hello.name.clone();
+        if !found.hello.owns_endpoints {
+            self.follower_message(now_ms, session, up);
+            return;
+        }
         if self.state.fleet.gateway_epoch(&gateway) != Some(epoch) {
             found.send(SessionDown::Expired);
             self.sessions.remove(&session);
@@ -380,6 +419,9 @@
             SessionUp::Release { endpoint, epoch } => {
                 self.propose(wall_ms, Operation::Release { endpoint, epoch }, Waiter::Nobody);
             }
+            SessionUp::Needs(_) | SessionUp::Traffic { .. } => {
+                debug!(event = "report_ignored", gateway = %gateway, reason = "owns endpoints");
+            }
         }
     }
 
@@ -488,6 +530,7 @@
                 self.summaries.remove(name);
             }
         }
+        self.note_registered(&changes);
         let changes: Arc<[Change]> = changes.into();
         self.recent.push(index, changes.clone());
         self.sessions.retain(|_, session| {
@@ -512,6 +555,7 @@
                     Outcome::Applied(applied) => ControlReply::Applied(applied),
                     Outcome::Claimed(claimed) => ControlReply::Claimed(claimed),
                     Outcome::Done | Outcome::Registered(_) => ControlReply::Settled,
+                    Outcome::Accepted => ControlReply::Accepted,
                 };
                 let _ = reply.send(answer);
             }
@@ -522,6 +566,11 @@
     fn serve_read(&mut self, read: Read) {
         match read {
             Read::Renewal { session, sent_at_ms } => self.renewed(session, sent_at_ms),
+            Read::Welcome { session } => self.welcome_follower(session),
+            Read::Routing(reply) => {
+                let document = self.state.registry.routing_document().cloned();
+                let _ = reply.send(ControlReply::Routing(document));
+            }
             Read::Get { kind, name, reply } => {
                 let documents = self.state.config.documents(kind, name.as_deref());
                 let _ = reply.send(ControlReply::Documents(documents));
@@ -540,7 +589,7 @@
         let index = self.applied;
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let current = self.state.fleet.gateway_epoch(&session.hello.name);
-        if current != session.epoch {
+        if session.hello.owns_endpoints && current != session.epoch {
             session.send(SessionDown::Expired);
             self.sessions.remove(&id);
             return;
@@ -610,6 +659,7 @@
             "last_index": self.raft.last_index(),
             "snapshot_index": self.raft.snapshot_index(),
             "sessions": sessions,
+            "placement": self.registered.placement.dump(),
             "permits_in_use": self.permits.in_use(),
             "permits_waiting": self.permits.waiting(),
             "peer_traffic": crate::wire::traffic(),
--- a/src/control/session.rs
+++ b/src/control/session.rs
@@ -61,12 +61,24 @@
     down: mpsc::Sender<SessionDown>,
     summaries_seen: u64,
     reports_sent: HashMap<Arc<str>, u32>,
+    /// Requests that it has under way, by endpoint.
+    pub running: HashMap<Arc<str>, u32>,
+    /// The counts over all gateways that it was told last, by endpoint.
+    pub loads_told: HashMap<Arc<str>, u32>,
 }
 
 impl Session {
     /// A session that sends to `down`.
     pub fn new(hello: SessionHello, down: mpsc::Sender<SessionDown>) -> Self {
-        Self { hello, epoch: None, down, summaries_seen: 0, reports_sent: HashMap::new() }
+        Self {
+            hello,
+            epoch: None,
+            down,
+            summaries_seen: 0,
+            reports_sent: HashMap::new(),
+            running: HashMap::new(),
+            loads_told: HashMap::new(),
+        }
     }
 
     /// Sends without waiting; false when the gateway does not keep up or has gone.
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -8,9 +8,11 @@
 use crate::control::config::Config;
 use crate::control::fleet::{Fleet, ListedEndpoint, Registration};
 use crate::control::ledger::{Claim, ClaimOutcome, KeyDigest, Ledger, LedgerLimits, Settlement};
+use crate::control::registry::Registry;
 use crate::document::Document;
 use crate::error::{Error, Result};
-use crate::message::{ApplyReply, Change};
+use crate::message::{ApplyReply, Change, NewestVersion, RegisteredEndpoint};
+use crate::routing::RoutingConfiguration;
 
 /// One entry's command.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -72,6 +74,19 @@
         /// Endpoints that are gone.
         removed: Vec<Arc<str>>,
     },
+    /// Takes a whole routing configuration in.
+    PutRouting {
+        /// The configuration.
+        configuration: Arc<RoutingConfiguration>,
+        /// The operator's own document.
+        document: Arc<str>,
+    },
+    /// Registers an endpoint, or takes over what it tells anew.
+    RegisterEndpoint(RegisteredEndpoint),
+    /// Ends an endpoint's incarnation.
+    DeregisterEndpoint(Arc<str>),
+    /// Names the newest version of weights.
+    PutVersion(NewestVersion),
 }
 
 /// What an operation came to.
@@ -85,6 +100,8 @@
     Claimed(ClaimOutcome),
     /// The epoch of a registration.
     Registered(u64),
+    /// Taken in, or known before.
+    Accepted,
 }
 
 /// Everything that is replicated.
@@ -97,6 +114,8 @@
     pub ledger: Ledger,
     /// Gateways and endpoints.
     pub fleet: Fleet,
+    /// Routes and endpoints that register themselves.
+    pub registry: Registry,
 }
 
 impl State {
@@ -148,6 +167,18 @@
             Operation::List { listed, removed } => {
                 (Outcome::Done, self.fleet.list(index, listed, removed))
             }
+            Operation::PutRouting { configuration, document } => {
+                (Outcome::Accepted, self.registry.put_routing(configuration, document))
+            }
+            Operation::RegisterEndpoint(endpoint) => {
+                (Outcome::Accepted, self.registry.register(endpoint))
+            }
+            Operation::DeregisterEndpoint(id) => {
+                (Outcome::Accepted, self.registry.deregister(&id))
+            }
+            Operation::PutVersion(newest) => {
+                (Outcome::Accepted, self.registry.put_version(newest))
+            }
         }
     }
 
@@ -176,6 +207,7 @@
         for service in self.config.services() {
             changes.push(Change::Service(service.clone()));
         }
+        changes.extend(self.registry.all_changes());
         changes
     }
 
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -1,6 +1,5 @@
 //! The callers' side: HTTP requests in, whole answers or clear errors out.
 
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -16,6 +15,7 @@
 
 use crate::control::ledger::RecordedAnswer;
 use crate::endpoint::{IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER};
+use crate::error::Error;
 use crate::gateway::claims::{self, Claimed};
 use crate::gateway::exchange::{self, Exchange, Reply, Rest, Streaming, Whole};
 use crate::gateway::openai::{CompletionKind, CompletionRequest, error_object};
@@ -502,7 +502,7 @@
 }
 
 type Frames = Option<(Option<Vec<u8>>, Rest, StreamingBody)>;
-type FrameResult = Result<Frame<Bytes>, Infallible>;
+type FrameResult = Result<Frame<Bytes>, Error>;
 
 async fn next_frame(frames: Frames) -> Option<(FrameResult, Frames)> {
     let (first, mut rest, body) = frames?;
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -164,6 +164,11 @@
             Change::GatewayRemoved(name) => {
                 self.gateways.remove(&name);
             }
+            // Routes and endpoints that register themselves are served by the relay.
+            Change::Routing(_)
+            | Change::Registered(_)
+            | Change::Deregistered(_)
+            | Change::Version(_) => {}
         }
     }
 
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -48,6 +48,7 @@
         connections: settings.limits.connections,
         header_max_bytes: settings.limits.header_max_bytes,
         header_timeout_ms: settings.limits.header_timeout_ms,
+        half_close: true,
     };
     let admin_handler = Arc::new(AdminHandler::new(shared.clone()));
     let admin_server = http::serve(
--- a/src/gateway/session.rs
+++ b/src/gateway/session.rs
@@ -61,6 +61,7 @@
         zone: common.zone.clone(),
         address: common.listen_peers,
         applied_index: shared.directory().index(),
+        owns_endpoints: true,
     };
     send(&mut sender, &SessionUp::Hello(hello)).await?;
     let mut renewals = interval(Duration::from_millis(shared.settings.lease.renew_ms));
@@ -149,7 +150,12 @@
         SessionDown::Changes { index, reset, complete, changes } => {
             apply(shared, index, reset, complete, changes);
         }
-        SessionDown::Welcome { .. } | SessionDown::NotLeader { .. } | SessionDown::Expired => {}
+        SessionDown::Welcome { .. }
+        | SessionDown::NotLeader { .. }
+        | SessionDown::Expired
+        | SessionDown::Placed { .. }
+        | SessionDown::Loads(_)
+        | SessionDown::Group { .. } => {}
     }
 }
 
--- a/src/http.rs
+++ b/src/http.rs
@@ -23,15 +23,16 @@
 use crate::metrics::{Counter, Metrics};
 use crate::wire::BoxFuture;
 
-/// The body of an answer.
-pub type AnswerBody = BoxBody<Bytes, Infallible>;
+/// The body of an answer; an error breaks the connection off, so that the answer is not taken for
+/// whole.
+pub type AnswerBody = BoxBody<Bytes, Error>;
 
 /// An answer to a caller.
 pub type Answer = Response<AnswerBody>;
 
 /// A whole body.
 pub fn full(body: impl Into<Bytes>) -> AnswerBody {
-    Full::new(body.into()).boxed()
+    Full::new(body.into()).map_err(|never: Infallible| match never {}).boxed()
 }
 
 /// An answer with a whole body.
@@ -208,11 +209,19 @@
     pub header_max_bytes: usize,
     /// The longest time for the headers to arrive.
     pub header_timeout_ms: u64,
+    /// True when a client may close its sending side and still wait for the answer; otherwise it
+    /// counts as gone and its request is given up.
+    pub half_close: bool,
 }
 
 impl Default for ServerLimits {
     fn default() -> Self {
-        Self { connections: 1_024, header_max_bytes: 32 << 10, header_timeout_ms: 5_000 }
+        Self {
+            connections: 1_024,
+            header_max_bytes: 32 << 10,
+            header_timeout_ms: 5_000,
+            half_close: true,
+        }
     }
 }
 
@@ -271,7 +280,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.header_timeout_ms))
         .max_buf_size(limits.header_max_bytes.max(8_192))
-        .half_close(true)
+        .half_close(limits.half_close)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let result = tokio::select! {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -62,6 +62,8 @@
 pub mod operator;
 pub mod policy;
 pub mod process;
+pub mod relay;
+pub mod routing;
 pub mod settings;
 pub mod wire;
 pub mod yaml;
--- a/src/message/control.rs
+++ b/src/message/control.rs
@@ -9,7 +9,11 @@
 use crate::control::ledger::{Claim, ClaimOutcome, KeyDigest, Settlement};
 use crate::control::raft::{Envelope, NodeId};
 use crate::document::{Document, DocumentKind};
-use crate::message::{Service, Summary};
+use crate::message::{
+    AdapterNeed, EndpointLoad, Heartbeat, NewestVersion, Placed, RegisteredEndpoint, Service,
+    Summary, WeightsUse,
+};
+use crate::routing::RoutingConfiguration;
 
 /// A change that gateways follow.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -26,6 +30,14 @@
     Gateway(GatewayRecord),
     /// A gateway is gone.
     GatewayRemoved(Arc<str>),
+    /// Another routing configuration is in force.
+    Routing(Arc<RoutingConfiguration>),
+    /// An endpoint registered itself, or told something new of itself.
+    Registered(RegisteredEndpoint),
+    /// A registered endpoint is gone.
+    Deregistered(Arc<str>),
+    /// Weights have a newer version.
+    Version(NewestVersion),
 }
 
 /// How many requests the platform saw running at an endpoint, some time ago.
@@ -58,6 +70,15 @@
         /// The epoch under which it was owned.
         epoch: u64,
     },
+    /// Adapters that no endpoint known to the gateway holds, or too few.
+    Needs(Vec<AdapterNeed>),
+    /// What went through the gateway since its last report.
+    Traffic {
+        /// Requests under way, for each endpoint where their number changed.
+        running: Vec<EndpointLoad>,
+        /// Weights that were used.
+        used: Vec<WeightsUse>,
+    },
 }
 
 /// Who a gateway is and up to where it has followed the changes.
@@ -73,6 +94,8 @@
     pub address: SocketAddr,
     /// The index of the last change that it holds; 0 for none.
     pub applied_index: u64,
+    /// True when it may own endpoints; one that only follows is not entered in the log.
+    pub owns_endpoints: bool,
 }
 
 /// What the leader sends on a session.
@@ -112,6 +135,22 @@
     },
     /// The gateway's lease has run out; it has to start a new session under a new epoch.
     Expired,
+    /// What endpoints hold, where it changed.
+    Placed {
+        /// True when all that is known follows and everything else is to be dropped.
+        reset: bool,
+        /// The changes.
+        placed: Vec<Placed>,
+    },
+    /// Requests under way at all gateways, for each endpoint where their number changed.
+    Loads(Vec<EndpointLoad>),
+    /// The replicas of control, and how many gateways follow this leader.
+    Group {
+        /// Where the replicas serve gateways.
+        replicas: Vec<SocketAddr>,
+        /// Gateways that follow.
+        gateways: u32,
+    },
 }
 
 /// A single call to control.
@@ -164,6 +203,21 @@
     },
     /// A view of the group.
     Status,
+    /// Takes a whole routing configuration in, unless its version is not above the one held.
+    PutRouting {
+        /// The configuration.
+        configuration: Arc<RoutingConfiguration>,
+        /// The operator's own document, given back on reads.
+        document: Arc<str>,
+    },
+    /// Reads the routing configuration.
+    GetRouting,
+    /// Names the newest version of weights.
+    PutVersion(NewestVersion),
+    /// An endpoint's heartbeat.
+    Heartbeat(Heartbeat),
+    /// An endpoint is about to end.
+    Deregister(Arc<str>),
 }
 
 /// A request for one load from the weight store.
@@ -219,6 +273,12 @@
     Status(GroupStatus),
     /// The call is not valid.
     Invalid(String),
+    /// What was asked for is committed, or was so before.
+    Accepted,
+    /// The group is not ready for it yet; the caller may come again.
+    NotReady,
+    /// The operator's document of the newest routing configuration; none before the first.
+    Routing(Option<Arc<str>>),
 }
 
 /// What a replica tells one that has an empty data folder.
--- a/src/message/mod.rs
+++ b/src/message/mod.rs
@@ -5,6 +5,7 @@
 
 mod control;
 mod forward;
+mod registration;
 
 use std::fmt;
 use std::sync::Arc;
@@ -16,6 +17,10 @@
     PeerMessage, PermitRequest, ProbeReply, SessionDown, SessionHello, SessionUp, Verdict,
 };
 pub use forward::{Call, ForwardEvent, ForwardRequest, Refusal};
+pub use registration::{
+    AdapterNeed, EndpointLoad, Heartbeat, NewestVersion, Placed, RegisteredEndpoint, Weights,
+    WeightsName, WeightsUse,
+};
 
 /// What is known about a request that got no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- /dev/null
+++ b/src/message/registration.rs
@@ -0,0 +1,125 @@
+//! Endpoints that register themselves, and what the leader tells gateways about their adapters.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// A base model, or an adapter of one.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct WeightsName {
+    /// The base model.
+    pub model: Arc<str>,
+    /// The adapter; none for the base model itself.
+    pub adapter: Option<Arc<str>>,
+}
+
+impl WeightsName {
+    /// The adapter `adapter` of `model`.
+    pub fn new(model: impl Into<Arc<str>>, adapter: Option<&str>) -> Self {
+        Self { model: model.into(), adapter: adapter.map(Into::into) }
+    }
+
+    /// The base model without an adapter.
+    pub fn base(&self) -> Self {
+        Self { model: self.model.clone(), adapter: None }
+    }
+}
+
+impl fmt::Display for WeightsName {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.adapter {
+            Some(adapter) => write!(out, "{}/{adapter}", self.model),
+            None => write!(out, "{}", self.model),
+        }
+    }
+}
+
+/// Weights at a version.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Weights {
+    /// What they are of.
+    pub name: WeightsName,
+    /// Their version.
+    pub version: u64,
+}
+
+/// One life of an endpoint, as it registers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RegisteredEndpoint {
+    /// The incarnation's own name; a restart brings another one.
+    pub id: Arc<str>,
+    /// The service that it serves.
+    pub service: Arc<str>,
+    /// Where it serves.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// True once it has announced that it leaves.
+    pub leaving: bool,
+}
+
+/// What an endpoint tells again and again.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Who it is.
+    pub endpoint: RegisteredEndpoint,
+    /// Rises with each heartbeat of one incarnation.
+    pub sequence: u64,
+    /// What it holds; none when the endpoint tells nothing of weights.
+    pub holds: Option<Vec<Weights>>,
+}
+
+/// An adapter that requests ask for and that no endpoint known to the gateway holds, or too few.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AdapterNeed {
+    /// The service whose endpoints may hold it.
+    pub service: Arc<str>,
+    /// The adapter, or the base model.
+    pub weights: WeightsName,
+    /// How many requests asked since the last time.
+    pub requests: u32,
+    /// True when the endpoints that hold it are full and one more is asked for.
+    pub more: bool,
+}
+
+/// What an endpoint holds, as the leader of control knows.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placed {
+    /// The endpoint's id.
+    pub endpoint: Arc<str>,
+    /// What it is about.
+    pub name: WeightsName,
+    /// The version that it holds; none when it does not hold it any more.
+    pub version: Option<u64>,
+}
+
+/// How many requests run on an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointLoad {
+    /// The endpoint's id.
+    pub endpoint: Arc<str>,
+    /// Requests under way there.
+    pub running: u32,
+}
+
+/// How often weights were used through one gateway since its last report.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightsUse {
+    /// The weights.
+    pub name: WeightsName,
+    /// Requests that used them.
+    pub requests: u32,
+}
+
+/// A version of weights that was named as the newest.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NewestVersion {
+    /// The weights.
+    pub name: WeightsName,
+    /// Their newest version.
+    pub version: u64,
+}
--- /dev/null
+++ b/src/relay/border.rs
@@ -0,0 +1,66 @@
+//! How a platform spells requests and answers.
+
+use std::sync::Arc;
+
+use http::{HeaderMap, StatusCode};
+
+use crate::message::WeightsName;
+
+/// What a request's headers say.
+#[derive(Debug, Clone, Default)]
+pub struct RequestMeta {
+    /// The client's id for this attempt of its own.
+    pub id: Arc<str>,
+    /// How long the client waits.
+    pub deadline_ms: Option<u64>,
+    /// The weights that have to answer it.
+    pub weights: Option<WeightsName>,
+    /// The tokens of its prompt.
+    pub prompt_tokens: u32,
+    /// The most tokens that its answer may have.
+    pub output_tokens: u32,
+    /// The number of the last event that the client has, where it takes a stream up.
+    pub last_event: Option<u64>,
+}
+
+/// What the relay adds to a request for one endpoint.
+#[derive(Debug, Clone)]
+pub struct SendMeta {
+    /// The endpoint's incarnation; any other one must refuse.
+    pub endpoint: Arc<str>,
+    /// How long the answer may take.
+    pub deadline_ms: u64,
+    /// The last event that the client has, where a stream is taken up.
+    pub last_event: Option<u64>,
+    /// The version that the weights must have, where it matters.
+    pub weights_version: Option<u64>,
+}
+
+/// What an answer's head says.
+#[derive(Debug, Clone, Default)]
+pub struct AnswerMeta {
+    /// True when the endpoint says that it did not start the request and will not.
+    pub not_run: bool,
+    /// True when another incarnation answered, or one that lacks the weights.
+    pub misdirected: bool,
+    /// The id of the request that is answered.
+    pub request_id: Option<Arc<str>>,
+}
+
+/// Reads and writes what a platform puts into headers.
+pub trait RelayBorder: Send + Sync + 'static {
+    /// Reads a client's request.
+    ///
+    /// # Errors
+    /// What the client has to correct.
+    fn read_request(&self, headers: &HeaderMap) -> std::result::Result<RequestMeta, String>;
+
+    /// Writes what the relay adds, over what the client sent under the same names.
+    fn write_request(&self, headers: &mut HeaderMap, send: &SendMeta);
+
+    /// Reads the head of an endpoint's answer.
+    fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerMeta;
+
+    /// True when `path` asks whether this gateway takes requests.
+    fn is_ready_path(&self, path: &str) -> bool;
+}
--- /dev/null
+++ b/src/relay/exchange.rs
@@ -0,0 +1,684 @@
+//! One request's way: route, endpoint, answer.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::timeout;
+use tracing::{info, warn};
+
+use super::border::{AnswerMeta, RelayBorder, RequestMeta, SendMeta};
+use super::budget::RetryBudget;
+use super::fleet::{Fleet, Picked};
+use super::pool::{self, Connection, Pool, SendFailure};
+use super::stream;
+use crate::clock::Clock;
+use crate::http::{Answer, BodyFault, HttpHandler, answer, full, header, read_body};
+use crate::message::{AdapterNeed, Change, Placed};
+use crate::metrics::{Counter, Metrics};
+use crate::routing::{Chosen, Repeat, Route, RouteTable};
+use crate::settings::RelaySettings;
+use crate::wire::BoxFuture;
+
+/// A configuration that was confirmed this recently may say that there is no such route.
+const CONFIRMED_MS: u64 = 2_000;
+/// How much before a quarter of the latency objective a request that found no place is refused; a
+/// refusal costs nothing until then.
+const PATIENCE_MARGIN_MS: u64 = 12;
+/// How long a client's body may take.
+const BODY_TIMEOUT_MS: u64 = 3_000;
+/// The largest answer that is read whole before it is passed on.
+const WHOLE_ANSWER_MAX_BYTES: usize = 256 << 10;
+/// What is left of the deadline for the answer's way back.
+const RETURN_MS: u64 = 5;
+/// Sends that endpoints refused, beyond the attempts that the route allows.
+const REFUSED_SENDS_MAX: u32 = 3;
+
+/// What all requests of a relay share.
+pub struct Relay {
+    /// The settings.
+    pub settings: RelaySettings,
+    /// Counters.
+    pub metrics: Metrics,
+    pub(super) border: Arc<dyn RelayBorder>,
+    pub(super) pool: Pool,
+    pub(super) changed: Notify,
+    clock: Clock,
+    fleet: Mutex<Fleet>,
+    table: RwLock<Arc<RouteTable>>,
+    budgets: Mutex<HashMap<Arc<str>, RetryBudget>>,
+    needs: mpsc::UnboundedSender<AdapterNeed>,
+    gateways: AtomicU32,
+    confirmed_at_ms: AtomicU64,
+    stopping: AtomicBool,
+    in_progress: AtomicU32,
+}
+
+impl Relay {
+    /// A relay that knows nothing yet.
+    pub fn new(
+        settings: RelaySettings,
+        border: Arc<dyn RelayBorder>,
+        metrics: Metrics,
+        needs: mpsc::UnboundedSender<AdapterNeed>,
+    ) -> Self {
+        let clock = Clock::new();
+        let fleet = Fleet::new(settings.zone.clone());
+        Self {
+            settings,
+            metrics,
+            border,
+            pool: Pool::new(clock),
+            changed: Notify::new(),
+            clock,
+            fleet: Mutex::new(fleet),
+            table: RwLock::default(),
+            budgets: Mutex::default(),
+            needs,
+            gateways: AtomicU32::new(1),
+            confirmed_at_ms: AtomicU64::new(0),
+            stopping: AtomicBool::new(false),
+            in_progress: AtomicU32::new(0),
+        }
+    }
+
+    pub(super) fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
+    pub(super) fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The routes in force.
+    pub fn table(&self) -> Arc<RouteTable> {
+        self.table.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    pub(super) fn set_gateways(&self, gateways: u32) {
+        self.gateways.store(gateways, Ordering::Relaxed);
+    }
+
+    /// Notes that what is known is complete as of when the renewal was sent.
+    pub(super) fn confirmed(&self, sent_at_ms: u64) {
+        self.confirmed_at_ms.fetch_max(sent_at_ms.max(1), Ordering::Relaxed);
+    }
+
+    fn is_confirmed(&self, now_ms: u64) -> bool {
+        let confirmed_at_ms = self.confirmed_at_ms.load(Ordering::Relaxed);
+        confirmed_at_ms > 0 && confirmed_at_ms + CONFIRMED_MS > now_ms
+    }
+
+    /// True once requests can be served and until the process is about to stop.
+    pub fn is_ready(&self) -> bool {
+        self.table().version() > 0 && !self.is_stopping()
+    }
+
+    /// Starts a planned stop.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// True once a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Requests whose answers are not whole yet.
+    pub fn in_progress(&self) -> u32 {
+        self.in_progress.load(Ordering::Relaxed)
+    }
+
+    /// Takes changes over that the leader told.
+    pub(super) fn follow(&self, reset: bool, changes: Vec<Change>) {
+        let now_ms = self.now_ms();
+        let mut ids = Vec::new();
+        let mut fleet = self.fleet();
+        for change in changes {
+            match change {
+                Change::Routing(configuration) => self.set_table(RouteTable::new(configuration)),
+                Change::Registered(endpoint) => {
+                    ids.push(endpoint.id.clone());
+                    info!(
+                        event = "endpoint_known",
+                        endpoint = %endpoint.id,
+                        address = %endpoint.address,
+                        leaving = endpoint.leaving
+                    );
+                    fleet.register(endpoint);
+                }
+                Change::Deregistered(id) => {
+                    info!(event = "endpoint_gone", endpoint = %id);
+                    if let Some(address) = fleet.deregister(&id) {
+                        self.pool.forget(address);
+                    }
+                }
+                Change::Version(newest) => fleet.set_newest(now_ms, newest.name, newest.version),
+                _ => {}
+            }
+        }
+        if reset {
+            fleet.keep_only(&ids);
+        }
+        drop(fleet);
+        self.changed.notify_waiters();
+    }
+
+    fn set_table(&self, table: RouteTable) {
+        let mut known = self.table.write().unwrap_or_else(PoisonError::into_inner);
+        if table.version() <= known.version() {
+            return;
+        }
+        info!(event = "routing_in_force", version = table.version(), before = known.version());
+        *known = Arc::new(table);
+    }
+
+    pub(super) fn placed(&self, reset: bool, placed: Vec<Placed>) {
+        self.fleet().place(reset, placed);
+        self.changed.notify_waiters();
+    }
+
+    fn may_retry(&self, now_ms: u64, service: &Arc<str>) -> bool {
+        let gateways = self.gateways.load(Ordering::Relaxed);
+        self.budget(service, |budget| budget.take(now_ms, gateways))
+    }
+
+    fn budget<T>(&self, service: &Arc<str>, use_it: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        let retry = self.settings.retry;
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(retry.ratio, retry.slack, retry.window_ms));
+        use_it(budget)
+    }
+}
+
+/// Takes clients' requests in.
+pub struct RelayHandler {
+    relay: Arc<Relay>,
+}
+
+impl RelayHandler {
+    /// A handler for clients of `relay`.
+    pub fn new(relay: Arc<Relay>) -> Self {
+        Self { relay }
+    }
+}
+
+impl HttpHandler for RelayHandler {
+    fn handle(&self, request: Request<Incoming>) -> BoxFuture<'static, Answer> {
+        let relay = self.relay.clone();
+        Box::pin(async move {
+            relay.in_progress.fetch_add(1, Ordering::Relaxed);
+            let counted = InProgress(relay.clone());
+            let mut answer = serve(&relay, request).await;
+            if relay.is_stopping() {
+                answer.headers_mut().insert(CONNECTION, http::HeaderValue::from_static("close"));
+            }
+            let (head, body) = answer.into_parts();
+            Response::from_parts(head, stream::hold(body, counted))
+        })
+    }
+}
+
+/// Counts a request until its answer is whole.
+pub(super) struct InProgress(Arc<Relay>);
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.in_progress.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// One request on its way.
+pub(super) struct Exchange {
+    pub(super) relay: Arc<Relay>,
+    pub(super) meta: RequestMeta,
+    pub(super) chosen: Chosen,
+    pub(super) started_ms: u64,
+    pub(super) ends_at_ms: u64,
+    method: Method,
+    target: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+    tried: Vec<Arc<str>>,
+    /// Sends that an endpoint may have started.
+    given: u32,
+    /// Sends that endpoints refused.
+    refused: u32,
+}
+
+/// A request that runs at an endpoint; dropped when its answer has ended either way.
+pub(super) struct Flight {
+    relay: Arc<Relay>,
+    pub(super) endpoint: Arc<str>,
+    pub(super) address: std::net::SocketAddr,
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.relay.fleet().finish(&self.endpoint);
+        self.relay.changed.notify_waiters();
+    }
+}
+
+/// The head of an endpoint's answer, its body still on the way.
+pub(super) struct Started {
+    pub(super) flight: Flight,
+    pub(super) connection: Connection,
+    pub(super) response: Response<Incoming>,
+}
+
+/// Why nothing could be sent.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum NotSent {
+    /// No endpoint could take it in time.
+    NoPlace(&'static str),
+    /// The deadline passed.
+    Late,
+    /// The retry budget is used up.
+    NoBudget,
+}
+
+/// What came of one send.
+enum Attempt {
+    Started(Started),
+    NotRun(&'static str),
+    Unknown(String),
+}
+
+async fn serve(relay: &Arc<Relay>, request: Request<Incoming>) -> Answer {
+    let started_ms = relay.now_ms();
+    if relay.border.is_ready_path(request.uri().path()) {
+        let status = ready_status(relay);
+        return answer(status, "text/plain", Bytes::new());
+    }
+    relay.metrics.count(Counter::RequestsReceived);
+    match admit(relay, started_ms, request).await {
+        Ok(exchange) => exchange.run().await,
+        Err(refusal) => {
+            relay.metrics.count(Counter::RequestsRefused);
+            refusal
+        }
+    }
+}
+
+/// Whether new connections should come here.
+pub(super) fn ready_status(relay: &Relay) -> StatusCode {
+    if relay.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
+}
+
+async fn admit(
+    relay: &Arc<Relay>,
+    started_ms: u64,
+    request: Request<Incoming>,
+) -> Result<Exchange, Answer> {
+    let (head, body) = request.into_parts();
+    let meta = relay.border.read_request(&head.headers).map_err(|detail| {
+        info!(event = "request_invalid", detail = %detail);
+        own_answer(StatusCode::BAD_REQUEST, &detail)
+    })?;
+    let table = relay.table();
+    let host = header(&head.headers, HOST.as_str()).unwrap_or_default();
+    let Some(chosen) = table.find(host, head.uri.path(), &meta.id) else {
+        return Err(no_route(relay, &table, &meta));
+    };
+    let limits = table.configuration().limits;
+    let body = read_body(body, limits.body_max_bytes, BODY_TIMEOUT_MS).await.map_err(|fault| {
+        info!(event = "request_refused", request = %meta.id, reason = ?fault);
+        match fault {
+            BodyFault::TooLarge => own_answer(StatusCode::PAYLOAD_TOO_LARGE, "too large"),
+            BodyFault::TooSlow | BodyFault::Broken => {
+                own_answer(StatusCode::REQUEST_TIMEOUT, "the body did not arrive")
+            }
+        }
+    })?;
+    let Route { timeout_ms, .. } = *chosen.route;
+    let allowed_ms = meta.deadline_ms.map_or(timeout_ms, |deadline_ms| deadline_ms.min(timeout_ms));
+    relay.budget(&chosen.service.name, |budget| budget.note_request(started_ms));
+    let mut headers = head.headers;
+    remove_connection_headers(&mut headers);
+    headers.remove(CONTENT_LENGTH);
+    Ok(Exchange {
+        relay: relay.clone(),
+        meta,
+        chosen,
+        started_ms,
+        ends_at_ms: started_ms + allowed_ms,
+        method: head.method,
+        target: head.uri,
+        headers,
+        body,
+        tried: Vec::new(),
+        given: 0,
+        refused: 0,
+    })
+}
+
+fn no_route(relay: &Relay, table: &RouteTable, meta: &RequestMeta) -> Answer {
+    let is_certain = table.version() > 0 && relay.is_confirmed(relay.now_ms());
+    info!(event = "no_route", request = %meta.id, version = table.version(), certain = is_certain);
+    if is_certain {
+        return own_answer(StatusCode::NOT_FOUND, "no route");
+    }
+    come_back("the routes are not known for certain", 300)
+}
+
+impl Exchange {
+    async fn run(mut self) -> Answer {
+        let id = self.meta.id.clone();
+        let started = match self.start(None).await {
+            Ok(started) => started,
+            Err(failure) => return self.give_up(failure),
+        };
+        let head = self.read_head(&started);
+        let endpoint = started.flight.endpoint.clone();
+        let status = started.response.status();
+        info!(
+            event = "answered",
+            request = %id,
+            endpoint = %endpoint,
+            status = status.as_u16(),
+            version = self.relay.table().version(),
+            tried = self.tried.len(),
+            after_ms = self.relay.now_ms() - self.started_ms
+        );
+        self.relay.metrics.count(Counter::RequestsAnswered);
+        debug_assert!(!head.not_run, "a refused send is not started");
+        if self.chosen.route.streams && status.is_success() {
+            return stream::answer(self, started);
+        }
+        self.pass_whole(started).await
+    }
+
+    pub(super) fn read_head(&self, started: &Started) -> AnswerMeta {
+        let response = &started.response;
+        self.relay.border.read_answer(response.status(), response.headers())
+    }
+
+    /// Sends the request, again where it may be, until an endpoint starts to answer.
+    pub(super) async fn start(&mut self, last_event: Option<u64>) -> Result<Started, Failure> {
+        loop {
+            let picked = self.pick().await.map_err(Failure::NotSent)?;
+            let (id, address, weights_version) = picked;
+            let is_first = self.given + self.refused == 0;
+            let now_ms = self.relay.now_ms();
+            if !is_first && !self.relay.may_retry(now_ms, &self.chosen.service.name) {
+                self.relay.metrics.count(Counter::RetriesDenied);
+                return Err(Failure::NotSent(NotSent::NoBudget));
+            }
+            let send = SendMeta {
+                endpoint: id.clone(),
+                deadline_ms: self.left_ms(now_ms),
+                last_event: last_event.or(self.meta.last_event),
+                weights_version,
+            };
+            match self.attempt(&send, address).await {
+                Attempt::Started(started) => {
+                    self.given += 1;
+                    let head = self.read_head(&started);
+                    let retries_failure = started.response.status().is_server_error()
+                        && self.chosen.route.repeat == Repeat::Any
+                        && self.may_give_again();
+                    self.tried.push(id);
+                    if head.request_id.as_ref().is_some_and(|answered| *answered != self.meta.id) {
+                        warn!(event = "foreign_answer", request = %self.meta.id, endpoint = %send.endpoint);
+                        self.after_unknown("the answer belongs to another request".to_owned())?;
+                        continue;
+                    }
+                    if retries_failure {
+                        info!(
+                            event = "sent_again",
+                            request = %self.meta.id,
+                            endpoint = %send.endpoint,
+                            reason = started.response.status().as_u16()
+                        );
+                        continue;
+                    }
+                    return Ok(started);
+                }
+                Attempt::NotRun(reason) => {
+                    self.refused += 1;
+                    info!(event = "send_refused", request = %self.meta.id, endpoint = %id, reason);
+                    self.tried.push(id);
+                    if self.refused > REFUSED_SENDS_MAX {
+                        return Err(Failure::NotSent(NotSent::NoPlace(reason)));
+                    }
+                }
+                Attempt::Unknown(detail) => {
+                    self.given += 1;
+                    self.relay.fleet().failed(self.relay.now_ms(), &id);
+                    self.relay.pool.forget(address);
+                    self.tried.push(id);
+                    self.after_unknown(detail)?;
+                }
+            }
+        }
+    }
+
+    fn after_unknown(&self, detail: String) -> Result<(), Failure> {
+        info!(event = "send_failed", request = %self.meta.id, tried = self.tried.len(), detail = %detail);
+        if self.chosen.route.repeat == Repeat::Once || !self.may_give_again() {
+            return Err(Failure::Unknown(detail));
+        }
+        Ok(())
+    }
+
+    pub(super) fn may_give_again(&self) -> bool {
+        self.given < self.chosen.route.attempts.max(1)
+            && self.relay.now_ms() + RETURN_MS < self.ends_at_ms
+    }
+
+    pub(super) fn left_ms(&self, now_ms: u64) -> u64 {
+        self.ends_at_ms.saturating_sub(now_ms).max(1)
+    }
+
+    /// Waits until an endpoint can take the request, as long as that is worth it.
+    async fn pick(
+        &self,
+    ) -> Result<(Arc<str>, std::net::SocketAddr, Option<u64>), NotSent> {
+        let quarter_ms = self.chosen.route.latency_objective_ms / 4;
+        let patience_ms = quarter_ms.saturating_sub(PATIENCE_MARGIN_MS);
+        let until_ms = (self.started_ms + patience_ms).min(self.ends_at_ms);
+        let mut asked = false;
+        loop {
+            let changed = self.relay.changed.notified();
+            let now_ms = self.relay.now_ms();
+            let weights = self.meta.weights.as_ref().filter(|_| self.chosen.service.engine.is_some());
+            let service = &self.chosen.service.name;
+            let picked = self.relay.fleet().pick(now_ms, service, weights, &self.tried);
+            let reason = match picked {
+                Picked::Endpoint { id, address, weights_version } => {
+                    return Ok((id, address, weights_version));
+                }
+                Picked::NoEndpoint => "no endpoint",
+                Picked::Full => "endpoints are full",
+                Picked::NoHome => "weights are not loaded",
+            };
+            if let (Some(weights), false) = (weights, asked) {
+                asked = true;
+                let need = AdapterNeed {
+                    service: service.clone(),
+                    weights: weights.clone(),
+                    requests: 1,
+                    more: picked == Picked::Full,
+                };
+                // The receiver lives as long as the process.
+                let _ = self.relay.needs.send(need);
+            }
+            if now_ms >= self.ends_at_ms {
+                return Err(NotSent::Late);
+            }
+            if now_ms >= until_ms {
+                return Err(NotSent::NoPlace(reason));
+            }
+            let wait = Duration::from_millis(until_ms - now_ms);
+            let _ = timeout(wait, changed).await;
+        }
+    }
+
+    async fn attempt(&self, send: &SendMeta, address: std::net::SocketAddr) -> Attempt {
+        let relay = &self.relay;
+        let mut connection = match relay.pool.connection(address).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                relay.fleet().failed(relay.now_ms(), &send.endpoint);
+                info!(event = "endpoint_unreachable", endpoint = %send.endpoint, error = %error);
+                return Attempt::NotRun("the endpoint cannot be reached");
+            }
+        };
+        let weights = self.meta.weights.as_ref();
+        relay.fleet().start(&send.endpoint, weights);
+        let endpoint = send.endpoint.clone();
+        let flight = Flight { relay: relay.clone(), endpoint, address };
+        let left = Duration::from_millis(self.left_ms(relay.now_ms()));
+        let peer = &*send.endpoint;
+        let sent = timeout(left, pool::send(&mut connection, peer, self.request(send))).await;
+        let response = match sent {
+            Err(_) => return Attempt::Unknown("no answer before the deadline".to_owned()),
+            Ok(Err(SendFailure::NotSent(error))) => {
+                info!(event = "send_lost", endpoint = %send.endpoint, error = %error);
+                return Attempt::NotRun("the connection was closed");
+            }
+            Ok(Err(SendFailure::Unknown(error))) => return Attempt::Unknown(error.to_string()),
+            Ok(Ok(response)) => response,
+        };
+        let head = relay.border.read_answer(response.status(), response.headers());
+        if head.misdirected {
+            if let Some(weights) = weights {
+                relay.fleet().not_held(&send.endpoint, weights);
+            }
+            return Attempt::NotRun("the endpoint does not hold the weights");
+        }
+        if head.not_run {
+            relay.fleet().refused(relay.now_ms(), &send.endpoint);
+            return Attempt::NotRun("the endpoint refused");
+        }
+        relay.fleet().answered(&send.endpoint);
+        Attempt::Started(Started { flight, connection, response })
+    }
+
+    fn request(&self, send: &SendMeta) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.target.clone();
+        *request.headers_mut() = self.headers.clone();
+        self.relay.border.write_request(request.headers_mut(), send);
+        request
+    }
+
+    /// Reads the answer whole, so that one which breaks off can still be asked for elsewhere.
+    async fn pass_whole(mut self, started: Started) -> Answer {
+        let mut started = started;
+        loop {
+            let Started { flight, connection, response } = started;
+            let (head, body) = response.into_parts();
+            let left = Duration::from_millis(self.left_ms(self.relay.now_ms()));
+            let collected = timeout(left, Limited::new(body, WHOLE_ANSWER_MAX_BYTES).collect());
+            let detail = match collected.await {
+                Ok(Ok(body)) => {
+                    self.relay.pool.keep(flight.address, connection, &head.headers);
+                    let mut answer = Response::from_parts(head, full(body.to_bytes()));
+                    remove_connection_headers(answer.headers_mut());
+                    answer.headers_mut().remove(CONTENT_LENGTH);
+                    return answer;
+                }
+                Ok(Err(error)) => error.to_string(),
+                Err(_) => "the answer did not end before the deadline".to_owned(),
+            };
+            drop(flight);
+            if let Err(failure) = self.after_unknown(detail) {
+                return self.give_up(failure);
+            }
+            started = match self.start(None).await {
+                Ok(started) => started,
+                Err(failure) => return self.give_up(failure),
+            };
+        }
+    }
+
+    fn give_up(&self, failure: Failure) -> Answer {
+        let after_ms = self.relay.now_ms() - self.started_ms;
+        let request = &self.meta.id;
+        let may_have_run = self.given > 0;
+        match failure {
+            Failure::NotSent(reason) if !may_have_run => {
+                self.relay.metrics.count(Counter::RequestsRefused);
+                info!(event = "refused", request = %request, reason = ?reason, after_ms);
+                let detail = match reason {
+                    NotSent::NoPlace(detail) => detail,
+                    NotSent::Late => "the deadline passed",
+                    NotSent::NoBudget => "too many requests were sent again",
+                };
+                come_back(detail, self.come_back_ms(reason))
+            }
+            Failure::NotSent(reason) => {
+                self.relay.metrics.count(Counter::RequestsUnknown);
+                info!(event = "failed", request = %request, reason = ?reason, after_ms);
+                own_answer(StatusCode::BAD_GATEWAY, "the endpoint failed")
+            }
+            Failure::Unknown(detail) => {
+                self.relay.metrics.count(Counter::RequestsUnknown);
+                info!(event = "failed", request = %request, reason = %detail, after_ms);
+                if self.relay.now_ms() + RETURN_MS >= self.ends_at_ms {
+                    return own_answer(StatusCode::GATEWAY_TIMEOUT, "no answer in time");
+                }
+                own_answer(StatusCode::BAD_GATEWAY, "the endpoint failed")
+            }
+        }
+    }
+
+    fn come_back_ms(&self, reason: NotSent) -> u64 {
+        match reason {
+            NotSent::NoPlace("weights are not loaded") => 350,
+            NotSent::NoPlace(_) | NotSent::Late => 200,
+            NotSent::NoBudget => 500,
+        }
+    }
+}
+
+/// Why a request has no answer.
+pub(super) enum Failure {
+    NotSent(NotSent),
+    Unknown(String),
+}
+
+/// A refusal: the request did not run and will not; the client may come again after a while.
+fn come_back(detail: &str, after_ms: u64) -> Answer {
+    let mut refusal = own_answer(StatusCode::SERVICE_UNAVAILABLE, detail);
+    let seconds = format!("{}.{:03}", after_ms / 1_000, after_ms % 1_000);
+    if let Ok(value) = seconds.parse() {
+        refusal.headers_mut().insert(http::header::RETRY_AFTER, value);
+    }
+    refusal
+}
+
+fn own_answer(status: StatusCode, detail: &str) -> Answer {
+    answer(status, "text/plain", detail.to_owned())
+}
+
+/// Takes out what concerns one connection only.
+pub(super) fn remove_connection_headers(headers: &mut HeaderMap) {
+    let mut named = Vec::new();
+    for value in headers.get_all(CONNECTION) {
+        let Ok(value) = value.to_str() else { continue };
+        for name in value.split(',') {
+            named.push(name.trim().to_ascii_lowercase());
+        }
+    }
+    for name in named {
+        headers.remove(name);
+    }
+    for name in ["keep-alive", "proxy-connection", "te", "trailer", "upgrade"] {
+        headers.remove(name);
+    }
+    headers.remove(CONNECTION);
+    headers.remove(TRANSFER_ENCODING);
+}
--- /dev/null
+++ b/src/relay/fleet.rs
@@ -0,0 +1,294 @@
+//! What a relay knows of endpoints, and which one gets a request.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::message::{EndpointLoad, Placed, RegisteredEndpoint, WeightsName, WeightsUse};
+
+/// The first pause after an endpoint failed; doubled with each further failure in a row.
+const DOWN_MS: u64 = 400;
+/// The longest pause: an endpoint that came back under the same incarnation is missed this long.
+const DOWN_MAX_MS: u64 = 5_000;
+/// An endpoint that said it is full gets nothing for this long.
+const FULL_MS: u64 = 60;
+/// Weights whose newest version is older than this must have it; the users allow five seconds.
+const OLD_VERSION_MS: u64 = 2_500;
+/// How much fuller an endpoint in the own zone may be and still go first, as a share of its slots.
+const ZONE_PREFERENCE: f64 = 0.15;
+
+/// Registered endpoints with what this gateway knows of their load and weights.
+#[derive(Debug)]
+pub struct Fleet {
+    zone: Arc<str>,
+    endpoints: HashMap<Arc<str>, Known>,
+    by_service: HashMap<Arc<str>, Vec<Arc<str>>>,
+    homes: HashMap<WeightsName, BTreeMap<Arc<str>, u64>>,
+    newest: HashMap<WeightsName, (u64, u64)>,
+    running_changed: HashMap<Arc<str>, u32>,
+    used: HashMap<WeightsName, u32>,
+    rotation: u64,
+}
+
+#[derive(Debug)]
+struct Known {
+    endpoint: RegisteredEndpoint,
+    own_running: u32,
+    others_running: u32,
+    failures: u32,
+    closed_until_ms: u64,
+}
+
+/// Where a request may go.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Picked {
+    /// To this endpoint.
+    Endpoint {
+        /// Its incarnation.
+        id: Arc<str>,
+        /// Its address.
+        address: SocketAddr,
+        /// The version that its weights must have, where that matters.
+        weights_version: Option<u64>,
+    },
+    /// The endpoints that could take it are full.
+    Full,
+    /// No endpoint holds its weights.
+    NoHome,
+    /// No endpoint of the service is known to be up.
+    NoEndpoint,
+}
+
+impl Fleet {
+    /// No endpoints yet, for a gateway in `zone`.
+    pub fn new(zone: Arc<str>) -> Self {
+        Self {
+            zone,
+            endpoints: HashMap::new(),
+            by_service: HashMap::new(),
+            homes: HashMap::new(),
+            newest: HashMap::new(),
+            running_changed: HashMap::new(),
+            used: HashMap::new(),
+            rotation: 0,
+        }
+    }
+
+    /// Takes a registration over.
+    pub fn register(&mut self, endpoint: RegisteredEndpoint) {
+        if let Some(known) = self.endpoints.get_mut(&endpoint.id) {
+            known.endpoint = endpoint;
+            return;
+        }
+        let ids = self.by_service.entry(endpoint.service.clone()).or_default();
+        ids.push(endpoint.id.clone());
+        let known = Known {
+            endpoint: endpoint.clone(),
+            own_running: 0,
+            others_running: 0,
+            failures: 0,
+            closed_until_ms: 0,
+        };
+        self.endpoints.insert(endpoint.id, known);
+    }
+
+    /// Forgets an endpoint that is gone; its address is returned.
+    pub fn deregister(&mut self, id: &str) -> Option<SocketAddr> {
+        let known = self.endpoints.remove(id)?;
+        if let Some(ids) = self.by_service.get_mut(&known.endpoint.service) {
+            ids.retain(|known| &**known != id);
+        }
+        for homes in self.homes.values_mut() {
+            homes.remove(id);
+        }
+        Some(known.endpoint.address)
+    }
+
+    /// Forgets the endpoints that `ids` does not name.
+    pub fn keep_only(&mut self, ids: &[Arc<str>]) {
+        let mut gone = Vec::new();
+        for id in self.endpoints.keys() {
+            if !ids.contains(id) {
+                gone.push(id.clone());
+            }
+        }
+        for id in gone {
+            self.deregister(&id);
+        }
+    }
+
+    /// Takes over what endpoints hold.
+    pub fn place(&mut self, reset: bool, placed: Vec<Placed>) {
+        if reset {
+            self.homes.clear();
+        }
+        for Placed { endpoint, name, version } in placed {
+            let homes = self.homes.entry(name).or_default();
+            match version {
+                Some(version) => homes.insert(endpoint, version),
+                None => homes.remove(&endpoint),
+            };
+        }
+    }
+
+    /// Notes that an endpoint turned out not to hold `name`.
+    pub fn not_held(&mut self, endpoint: &str, name: &WeightsName) {
+        if let Some(homes) = self.homes.get_mut(name) {
+            homes.remove(endpoint);
+        }
+    }
+
+    /// Notes the newest version of weights.
+    pub fn set_newest(&mut self, now_ms: u64, name: WeightsName, version: u64) {
+        let known = self.newest.get(&name).map_or(0, |(known, _)| *known);
+        if version > known {
+            self.newest.insert(name, (version, now_ms));
+        }
+    }
+
+    /// Takes over what the other gateways have under way.
+    pub fn note_loads(&mut self, loads: Vec<EndpointLoad>) {
+        for load in loads {
+            if let Some(known) = self.endpoints.get_mut(&load.endpoint) {
+                known.others_running = load.running;
+            }
+        }
+    }
+
+    /// Picks an endpoint of `service` that is not in `tried`, and holds `weights` if any are named.
+    pub fn pick(
+        &mut self,
+        now_ms: u64,
+        service: &str,
+        weights: Option<&WeightsName>,
+        tried: &[Arc<str>],
+    ) -> Picked {
+        self.rotation += 1;
+        let Some(ids) = self.by_service.get(service) else { return Picked::NoEndpoint };
+        let homes = weights.map(|name| self.homes.get(name));
+        let (required, expected) = weights.map_or((0, None), |name| self.version(now_ms, name));
+        let mut best: Option<(f64, &Known)> = None;
+        let (mut up, mut holding) = (0, 0);
+        for step in 0..ids.len() {
+            // Starting elsewhere each time spreads requests among endpoints that are alike.
+            let id = &ids[(step + self.rotation as usize) % ids.len()];
+            let Some(known) = self.endpoints.get(id) else { continue };
+            if known.endpoint.leaving || tried.contains(id) {
+                continue;
+            }
+            up += 1;
+            if let Some(homes) = &homes {
+                let version = homes.and_then(|homes| homes.get(id));
+                if version.is_none_or(|version| *version < required) {
+                    continue;
+                }
+            }
+            holding += 1;
+            let running = known.own_running + known.others_running;
+            if known.closed_until_ms > now_ms || running >= known.endpoint.slots {
+                continue;
+            }
+            let mut fill = f64::from(running) / f64::from(known.endpoint.slots.max(1));
+            if known.endpoint.zone == self.zone {
+                fill -= ZONE_PREFERENCE;
+            }
+            if best.is_none_or(|(best_fill, _)| fill < best_fill) {
+                best = Some((fill, known));
+            }
+        }
+        match best {
+            Some((_, known)) => Picked::Endpoint {
+                id: known.endpoint.id.clone(),
+                address: known.endpoint.address,
+                weights_version: expected,
+            },
+            None if up == 0 => Picked::NoEndpoint,
+            None if holding == 0 => Picked::NoHome,
+            None => Picked::Full,
+        }
+    }
+
+    /// The lowest version that will do, and the one to ask for where weights were renewed.
+    fn version(&self, now_ms: u64, name: &WeightsName) -> (u64, Option<u64>) {
+        match self.newest.get(name) {
+            Some((version, since_ms)) if since_ms + OLD_VERSION_MS <= now_ms => {
+                (*version, Some(*version))
+            }
+            _ => (0, None),
+        }
+    }
+
+    /// Counts a request that is sent to `id`.
+    pub fn start(&mut self, id: &Arc<str>, weights: Option<&WeightsName>) {
+        if let Some(known) = self.endpoints.get_mut(id) {
+            known.own_running += 1;
+            self.running_changed.insert(id.clone(), known.own_running);
+        }
+        if let Some(name) = weights {
+            *self.used.entry(name.clone()).or_default() += 1;
+        }
+    }
+
+    /// Counts a request that has ended at `id`.
+    pub fn finish(&mut self, id: &Arc<str>) {
+        if let Some(known) = self.endpoints.get_mut(id) {
+            known.own_running = known.own_running.saturating_sub(1);
+            self.running_changed.insert(id.clone(), known.own_running);
+        }
+    }
+
+    /// Notes an answer of `id`.
+    pub fn answered(&mut self, id: &str) {
+        if let Some(known) = self.endpoints.get_mut(id) {
+            known.failures = 0;
+        }
+    }
+
+    /// Notes that `id` is full.
+    pub fn refused(&mut self, now_ms: u64, id: &str) {
+        if let Some(known) = self.endpoints.get_mut(id) {
+            known.closed_until_ms = known.closed_until_ms.max(now_ms + FULL_MS);
+        }
+    }
+
+    /// Notes that `id` could not be reached or broke off.
+    pub fn failed(&mut self, now_ms: u64, id: &str) {
+        if let Some(known) = self.endpoints.get_mut(id) {
+            let pause_ms = (DOWN_MS << known.failures.min(8)).min(DOWN_MAX_MS);
+            known.failures += 1;
+            known.closed_until_ms = now_ms + pause_ms;
+        }
+    }
+
+    /// What changed since the last call: requests under way, and weights that were used.
+    pub fn take_traffic(&mut self) -> (Vec<EndpointLoad>, Vec<WeightsUse>) {
+        let mut running = Vec::new();
+        for (endpoint, count) in self.running_changed.drain() {
+            running.push(EndpointLoad { endpoint, running: count });
+        }
+        let mut used = Vec::new();
+        for (name, requests) in self.used.drain() {
+            used.push(WeightsUse { name, requests });
+        }
+        (running, used)
+    }
+
+    /// What this gateway has under way everywhere, for a leader that does not know it.
+    pub fn all_running(&self) -> Vec<EndpointLoad> {
+        let mut running = Vec::new();
+        for (id, known) in &self.endpoints {
+            running.push(EndpointLoad { endpoint: id.clone(), running: known.own_running });
+        }
+        running
+    }
+
+    /// How many endpoints are known.
+    pub fn len(&self) -> usize {
+        self.endpoints.len()
+    }
+
+    /// True when no endpoint is known.
+    pub fn is_empty(&self) -> bool {
+        self.endpoints.is_empty()
+    }
+}
--- /dev/null
+++ b/src/relay/mod.rs
@@ -0,0 +1,25 @@
+//! The relay: requests passed on unchanged, by host and path, straight to endpoints that guard
+//! themselves.
+//!
+//! A relay follows the leader of control for routes, registered endpoints and the weights that they
+//! hold. The gateway that read a request is the only one that may send it, so a request that may
+//! run only once needs no claim: once its bytes may have left for an endpoint, it is never sent
+//! again. How the platform spells requests is behind [`RelayBorder`].
+
+mod border;
+mod budget;
+mod events;
+mod exchange;
+mod fleet;
+mod idle;
+mod pool;
+mod process;
+mod session;
+mod stream;
+
+pub use border::{AnswerMeta, RelayBorder, RequestMeta, SendMeta};
+pub use budget::RetryBudget;
+pub use events::EventSplitter;
+pub use fleet::{Fleet, Picked};
+pub use idle::IdleConnections;
+pub use process::run;
--- /dev/null
+++ b/src/relay/pool.rs
@@ -0,0 +1,131 @@
+//! Connections to endpoints: one request at a time on each, kept between requests.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tracing::debug;
+
+use super::idle::IdleConnections;
+use crate::clock::Clock;
+use crate::error::{Error, Result};
+
+/// A connection that comes up at all does so within a round trip; a lost packet costs a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// What was sent and is not acknowledged for this long breaks the connection.
+const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(2);
+
+/// A connection with nothing under way on it.
+pub type Connection = SendRequest<Full<Bytes>>;
+
+/// A request that was not answered.
+pub enum SendFailure {
+    /// Not a byte of it was written.
+    NotSent(Error),
+    /// It may have arrived.
+    Unknown(Error),
+}
+
+/// Connections to all endpoints.
+pub struct Pool {
+    clock: Clock,
+    idle: Mutex<IdleConnections<Connection>>,
+}
+
+impl Pool {
+    /// No connections yet.
+    pub fn new(clock: Clock) -> Self {
+        Self { clock, idle: Mutex::new(IdleConnections::new()) }
+    }
+
+    /// A connection to `address`: an idle one, or a new one.
+    ///
+    /// # Errors
+    /// "Not run" when none could be made.
+    pub async fn connection(&self, address: SocketAddr) -> Result<Connection> {
+        if let Some(connection) = self.idle().take(self.clock.now_ms(), address, SendRequest::is_ready)
+        {
+            return Ok(connection);
+        }
+        let peer = address.to_string();
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+            .await
+            .map_err(|_| Error::refused("connect", peer.clone(), "no answer in time"))?
+            .map_err(|error| Error::refused("connect", peer.clone(), error))?;
+        let options = SockRef::from(&stream);
+        options
+            .set_tcp_nodelay(true)
+            .and_then(|()| options.set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX)))
+            .map_err(|error| Error::refused("set socket options", peer.clone(), error))?;
+        let (connection, driver) = handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| Error::refused("handshake", peer.clone(), error))?;
+        tokio::spawn(async move {
+            if let Err(error) = driver.await {
+                debug!(event = "endpoint_connection_ended", peer = %peer, error = %error);
+            }
+        });
+        Ok(connection)
+    }
+
+    /// Keeps a connection whose answer was read whole.
+    pub fn keep(&self, address: SocketAddr, connection: Connection, headers: &HeaderMap) {
+        if connection.is_closed() {
+            return;
+        }
+        let kept_ms = keep_alive_ms(headers);
+        self.idle().put(self.clock.now_ms(), address, connection, kept_ms);
+    }
+
+    /// Drops the idle connections to `address`.
+    pub fn forget(&self, address: SocketAddr) {
+        self.idle().forget(address);
+    }
+
+    /// Drops what has been idle for too long.
+    pub fn prune(&self) {
+        self.idle().prune(self.clock.now_ms());
+    }
+
+    fn idle(&self) -> std::sync::MutexGuard<'_, IdleConnections<Connection>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Sends `request` and waits for the answer's head.
+///
+/// # Errors
+/// Whether anything of it was written.
+pub async fn send(
+    connection: &mut Connection,
+    peer: &str,
+    request: Request<Full<Bytes>>,
+) -> std::result::Result<Response<Incoming>, SendFailure> {
+    connection.try_send_request(request).await.map_err(|mut failure| {
+        let is_unsent = failure.take_message().is_some();
+        let error = failure.into_error();
+        if is_unsent {
+            return SendFailure::NotSent(Error::refused("send request", peer, error));
+        }
+        SendFailure::Unknown(Error::failed("send request", peer, error))
+    })
+}
+
+/// How long the endpoint promises to keep the connection, from `Keep-Alive: timeout=SECONDS`.
+fn keep_alive_ms(headers: &HeaderMap) -> Option<u64> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    for part in value.split(',') {
+        let Some(seconds) = part.trim().strip_prefix("timeout=") else { continue };
+        return seconds.trim().parse::<u64>().ok().map(|seconds| seconds * 1_000);
+    }
+    None
+}
--- /dev/null
+++ b/src/relay/process.rs
@@ -0,0 +1,149 @@
+//! The process of a relay from start to planned stop.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use rand::RngExt;
+use serde_json::json;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+use tracing::{info, warn};
+
+use super::border::RelayBorder;
+use super::exchange::{Relay, RelayHandler, ready_status};
+use super::session;
+use crate::admin::{problem, set_log_level};
+use crate::error::{Error, Result};
+use crate::http::{Answer, HttpHandler, ServerLimits, answer, json_answer, serve};
+use crate::metrics::Metrics;
+use crate::process::listen;
+use crate::settings::RelaySettings;
+use crate::wire::BoxFuture;
+
+/// How often the end of a planned stop is looked for.
+const STOP_POLL: Duration = Duration::from_millis(50);
+/// How often idle connections are looked through.
+const PRUNE: Duration = Duration::from_secs(2);
+/// Connections of clients at once; below the descriptors of the users' instances.
+const CONNECTIONS_MAX: usize = 3_000;
+/// A client's connection may be idle this long, whatever the routing configuration says now: one
+/// that was accepted under a longer bound must keep it.
+const CLIENT_IDLE_MS: u64 = 90_000;
+
+/// Runs a relay until it is told to stop.
+///
+/// # Errors
+/// A listener that cannot be opened.
+pub async fn run(settings: RelaySettings, border: Arc<dyn RelayBorder>) -> Result<()> {
+    let metrics = Metrics::new(&settings.metrics_prefix, settings.metrics_address)?;
+    let clients = listen("listen for clients", settings.listen_clients).await?;
+    let ready = listen("listen for health checks", settings.listen_ready).await?;
+    let admin = listen("listen for operators", settings.listen_admin).await?;
+    let mut terminate = signal(SignalKind::terminate())
+        .map_err(|error| Error::io("watch signals", "process", error))?;
+    let mut hang_up =
+        signal(SignalKind::hangup()).map_err(|error| Error::io("watch signals", "process", error))?;
+    let (needs, wanted) = mpsc::unbounded_channel();
+    let relay = Arc::new(Relay::new(settings.clone(), border, metrics.clone(), needs));
+    tokio::spawn(session::run(relay.clone(), rand::rng().random(), wanted));
+    tokio::spawn(prune(relay.clone()));
+    let (stop, stopped) = watch::channel(false);
+    let ready_handler = Arc::new(ReadyHandler { relay: relay.clone() });
+    let limits = ServerLimits::default();
+    tokio::spawn(serve(ready, ready_handler, limits, metrics.clone(), stopped.clone()));
+    let admin_handler = Arc::new(RelayAdmin { relay: relay.clone() });
+    tokio::spawn(serve(admin, admin_handler, limits, metrics.clone(), stopped.clone()));
+    let limits = ServerLimits {
+        connections: CONNECTIONS_MAX,
+        header_max_bytes: settings.header_max_bytes,
+        header_timeout_ms: CLIENT_IDLE_MS,
+        half_close: false,
+    };
+    let handler = Arc::new(RelayHandler::new(relay.clone()));
+    let server = tokio::spawn(serve(clients, handler, limits, metrics, stopped));
+    info!(event = "started", name = %settings.name, clients = %settings.listen_clients);
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hang_up.recv() => info!(event = "reload", changed = "nothing that a relay uses"),
+        }
+    }
+    planned_stop(&relay, &stop, server).await;
+    Ok(())
+}
+
+async fn prune(relay: Arc<Relay>) {
+    loop {
+        tokio::time::sleep(PRUNE).await;
+        relay.pool.prune();
+    }
+}
+
+/// Says not ready at once, serves what comes on open connections, then closes them when idle.
+async fn planned_stop(
+    relay: &Arc<Relay>,
+    stop: &watch::Sender<bool>,
+    server: tokio::task::JoinHandle<()>,
+) {
+    info!(event = "stopping", in_progress = relay.in_progress());
+    relay.stop();
+    tokio::time::sleep(Duration::from_millis(relay.settings.stop_serve_ms)).await;
+    let _ = stop.send(true);
+    let left_ms = relay.settings.stop_timeout_ms.saturating_sub(relay.settings.stop_serve_ms);
+    let finished = async {
+        while relay.in_progress() > 0 {
+            tokio::time::sleep(STOP_POLL).await;
+        }
+        let _ = server.await;
+    };
+    if tokio::time::timeout(Duration::from_millis(left_ms), finished).await.is_err() {
+        warn!(event = "stopped_with_requests", in_progress = relay.in_progress());
+        return;
+    }
+    info!(event = "stopped");
+}
+
+struct ReadyHandler {
+    relay: Arc<Relay>,
+}
+
+impl HttpHandler for ReadyHandler {
+    fn handle(&self, request: Request<Incoming>) -> BoxFuture<'static, Answer> {
+        let status = if self.relay.border.is_ready_path(request.uri().path()) {
+            ready_status(&self.relay)
+        } else {
+            StatusCode::NOT_FOUND
+        };
+        Box::pin(async move { answer(status, "text/plain", Vec::new()) })
+    }
+}
+
+struct RelayAdmin {
+    relay: Arc<Relay>,
+}
+
+impl HttpHandler for RelayAdmin {
+    fn handle(&self, request: Request<Incoming>) -> BoxFuture<'static, Answer> {
+        let relay = self.relay.clone();
+        Box::pin(async move {
+            match (request.method(), request.uri().path()) {
+                (&Method::GET, "/dump") => json_answer(StatusCode::OK, &dump(&relay)),
+                (&Method::PUT, "/log-level") => set_log_level(request).await,
+                (_, path) => problem(StatusCode::NOT_FOUND, &format!("no path {path} here")),
+            }
+        })
+    }
+}
+
+fn dump(relay: &Relay) -> serde_json::Value {
+    json!({
+        "role": "relay",
+        "ready": relay.is_ready(),
+        "routing_version": relay.table().version(),
+        "endpoints": relay.fleet().len(),
+        "in_progress": relay.in_progress(),
+        "counters": relay.metrics.totals(),
+    })
+}
--- /dev/null
+++ b/src/relay/session.rs
@@ -0,0 +1,189 @@
+//! Following the leader of control.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::time::{MissedTickBehavior, interval, timeout};
+use tracing::{info, warn};
+
+use super::exchange::Relay;
+use crate::error::{Error, Result};
+use crate::message::{AdapterNeed, Change, SessionDown, SessionHello, SessionUp};
+use crate::wire::{Channel, Peer, Receiver, Sender};
+
+/// How often a relay asks whether it holds everything; half of what the leader may take to tell.
+const RENEW: Duration = Duration::from_millis(500);
+/// How often a relay tells what it has under way, when that changed.
+const REPORT: Duration = Duration::from_millis(150);
+/// A leader that was silent this long is given up: three renewals unanswered.
+const SILENCE_MS: u64 = 1_500;
+const PAUSE: Duration = Duration::from_millis(50);
+const SEND_TIMEOUT: Duration = Duration::from_secs(1);
+const OPEN_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Follows whoever leads, until the task is dropped.
+pub async fn run(relay: Arc<Relay>, boot_id: u64, mut needs: mpsc::UnboundedReceiver<AdapterNeed>) {
+    let mut search = LeaderSearch::new(relay.settings.seeds.clone());
+    loop {
+        let address = search.next();
+        match follow(&relay, boot_id, address, &mut search, &mut needs).await {
+            Ok(hint) => search.hint(hint),
+            Err(error) => warn!(event = "control_lost", peer = %address, error = %error),
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+/// Which replica to try next: the one named as leader, then all known ones by turns.
+struct LeaderSearch {
+    seeds: Vec<SocketAddr>,
+    replicas: Vec<SocketAddr>,
+    hint: Option<SocketAddr>,
+    turn: usize,
+}
+
+impl LeaderSearch {
+    fn new(seeds: Vec<SocketAddr>) -> Self {
+        Self { seeds, replicas: Vec::new(), hint: None, turn: 0 }
+    }
+
+    fn hint(&mut self, hint: Option<SocketAddr>) {
+        self.hint = hint;
+    }
+
+    fn next(&mut self) -> SocketAddr {
+        if let Some(hint) = self.hint.take() {
+            return hint;
+        }
+        self.turn += 1;
+        let known = self.replicas.len() + self.seeds.len();
+        let position = self.turn % known;
+        self.replicas.get(position).copied().unwrap_or_else(|| {
+            self.seeds[(position - self.replicas.len()).min(self.seeds.len() - 1)]
+        })
+    }
+}
+
+type Streams = (Sender<SessionUp>, Receiver<SessionDown>);
+
+/// Follows the replica at `address`; returns where the leader may be when it is another one.
+async fn follow(
+    relay: &Arc<Relay>,
+    boot_id: u64,
+    address: SocketAddr,
+    search: &mut LeaderSearch,
+    needs: &mut mpsc::UnboundedReceiver<AdapterNeed>,
+) -> Result<Option<SocketAddr>> {
+    let peer = Peer::new(address);
+    let opened = timeout(OPEN_TIMEOUT, peer.open(Channel::Session)).await;
+    let (mut sender, mut receiver): Streams = opened.map_err(|_| {
+        Error::timeout("open session", address.to_string(), OPEN_TIMEOUT.as_millis() as u64)
+    })??;
+    let hello = SessionHello {
+        name: relay.settings.name.clone(),
+        boot_id,
+        zone: relay.settings.zone.clone(),
+        address,
+        applied_index: 0,
+        owns_endpoints: false,
+    };
+    send(&mut sender, &SessionUp::Hello(hello)).await?;
+    let mut renewals = interval(RENEW);
+    renewals.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut reports = interval(REPORT);
+    reports.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut heard_at_ms = relay.now_ms();
+    let mut is_welcome = false;
+    let mut staged = Vec::new();
+    loop {
+        tokio::select! {
+            down = receiver.next() => {
+                heard_at_ms = relay.now_ms();
+                let Some(down) = down? else {
+                    return Err(Error::failed("follow", address.to_string(), "the session ended"));
+                };
+                match down {
+                    SessionDown::NotLeader { leader } => return Ok(leader),
+                    SessionDown::Expired => return Ok(Some(address)),
+                    SessionDown::Welcome { .. } => {
+                        info!(event = "control_regained", leader = %address);
+                        is_welcome = true;
+                        let running = relay.fleet().all_running();
+                        send(&mut sender, &SessionUp::Traffic { running, used: Vec::new() }).await?;
+                    }
+                    SessionDown::Group { replicas, gateways } => {
+                        search.replicas = replicas;
+                        relay.set_gateways(gateways);
+                    }
+                    down => take(relay, down, &mut staged),
+                }
+            }
+            Some(need) = needs.recv(), if is_welcome => {
+                let needs = gather(need, needs);
+                send(&mut sender, &SessionUp::Needs(needs)).await?;
+            }
+            _ = reports.tick(), if is_welcome => {
+                let (running, used) = relay.fleet().take_traffic();
+                if !running.is_empty() || !used.is_empty() {
+                    send(&mut sender, &SessionUp::Traffic { running, used }).await?;
+                }
+            }
+            _ = renewals.tick() => {
+                let now_ms = relay.now_ms();
+                if now_ms > heard_at_ms + SILENCE_MS {
+                    return Err(Error::timeout("follow", address.to_string(), SILENCE_MS));
+                }
+                if is_welcome {
+                    let renewal = SessionUp::Renew { sent_at_ms: now_ms, summaries: Vec::new() };
+                    send(&mut sender, &renewal).await?;
+                }
+            }
+        }
+    }
+}
+
+/// Everything that waits, with one entry for each of the weights.
+fn gather(
+    first: AdapterNeed,
+    needs: &mut mpsc::UnboundedReceiver<AdapterNeed>,
+) -> Vec<AdapterNeed> {
+    let mut by_weights = HashMap::new();
+    let mut next = Some(first);
+    while let Some(need) = next {
+        let key = (need.service.clone(), need.weights.clone());
+        let known = by_weights.entry(key).or_insert_with(|| AdapterNeed { requests: 0, ..need.clone() });
+        known.requests += need.requests;
+        next = needs.try_recv().ok();
+    }
+    by_weights.into_values().collect()
+}
+
+async fn send(sender: &mut Sender<SessionUp>, up: &SessionUp) -> Result<()> {
+    timeout(SEND_TIMEOUT, sender.send(up))
+        .await
+        .map_err(|_| Error::timeout("send", "leader", SEND_TIMEOUT.as_millis() as u64))?
+}
+
+fn take(relay: &Arc<Relay>, down: SessionDown, staged: &mut Vec<Change>) {
+    match down {
+        SessionDown::Changes { reset, complete, changes, .. } => {
+            if reset {
+                staged.clear();
+            }
+            staged.extend(changes);
+            if complete {
+                relay.follow(reset, std::mem::take(staged));
+            }
+        }
+        SessionDown::Renewed { sent_at_ms, .. } => relay.confirmed(sent_at_ms),
+        SessionDown::Placed { reset, placed } => relay.placed(reset, placed),
+        SessionDown::Loads(loads) => relay.fleet().note_loads(loads),
+        SessionDown::Welcome { .. }
+        | SessionDown::NotLeader { .. }
+        | SessionDown::Expired
+        | SessionDown::Group { .. } => {}
+    }
+}
--- /dev/null
+++ b/src/relay/stream.rs
@@ -0,0 +1,175 @@
+//! Passing a stream of events on, and taking it up elsewhere when it breaks.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::header::CONTENT_LENGTH;
+use http::response::Parts;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Body, Frame, Incoming};
+use tokio::time::timeout;
+use tracing::{info, warn};
+
+use super::events::EventSplitter;
+use super::exchange::{Exchange, Flight, InProgress, Started, remove_connection_headers};
+use super::pool::Connection;
+use crate::error::{Error, Result};
+use crate::http::{Answer, AnswerBody};
+use crate::routing::Repeat;
+
+/// A stream that has started.
+struct Running {
+    exchange: Exchange,
+    endpoint: Upstream,
+    events: Option<EventSplitter>,
+}
+
+/// The endpoint's side of a stream.
+struct Upstream {
+    head: Parts,
+    body: Incoming,
+    connection: Connection,
+    flight: Flight,
+}
+
+impl Upstream {
+    fn new(started: Started) -> Self {
+        let (head, body) = started.response.into_parts();
+        Self { head, body, connection: started.connection, flight: started.flight }
+    }
+
+    async fn next(&mut self, left: Duration) -> Result<Option<Bytes>> {
+        let peer = self.flight.endpoint.clone();
+        loop {
+            let frame = timeout(left, self.body.frame())
+                .await
+                .map_err(|_| Error::timeout("read stream", peer.clone(), left.as_millis() as u64))?;
+            let Some(frame) = frame else { return Ok(None) };
+            let frame = frame.map_err(|error| Error::failed("read stream", peer.clone(), error))?;
+            if let Ok(data) = frame.into_data() {
+                return Ok(Some(data));
+            }
+        }
+    }
+}
+
+/// The answer to a request whose endpoint has begun to stream.
+pub(super) fn answer(exchange: Exchange, started: Started) -> Answer {
+    let endpoint = Upstream::new(started);
+    let can_resume = exchange.chosen.route.repeat == Repeat::Resume;
+    let events = can_resume.then(|| EventSplitter::new(exchange.meta.last_event));
+    let mut head = endpoint.head.clone();
+    remove_connection_headers(&mut head.headers);
+    if can_resume {
+        head.headers.remove(CONTENT_LENGTH);
+    }
+    let running = Running { exchange, endpoint, events };
+    let body = StreamBody::new(stream::unfold(Some(running), next_frame));
+    Answer::from_parts(head, body.boxed())
+}
+
+type FrameResult = Result<Frame<Bytes>>;
+
+async fn next_frame(running: Option<Running>) -> Option<(FrameResult, Option<Running>)> {
+    let mut running = running?;
+    loop {
+        let left = Duration::from_millis(running.exchange.left_ms(running.exchange.relay.now_ms()));
+        match running.endpoint.next(left).await {
+            Ok(Some(data)) => {
+                let Some(events) = &mut running.events else {
+                    return Some((Ok(Frame::data(data)), Some(running)));
+                };
+                let Some(whole) = events.push(&data) else { continue };
+                return Some((Ok(Frame::data(whole)), Some(running)));
+            }
+            Ok(None) => return finish(running),
+            Err(error) => {
+                running = match resume(running, &error).await {
+                    Ok(running) => running,
+                    Err(error) => return Some((Err(error), None)),
+                };
+            }
+        }
+    }
+}
+
+fn finish(running: Running) -> Option<(FrameResult, Option<Running>)> {
+    let Running { exchange, endpoint, events } = running;
+    let Upstream { head, connection, flight, .. } = endpoint;
+    let after_ms = exchange.relay.now_ms() - exchange.started_ms;
+    info!(
+        event = "stream_ended",
+        request = %exchange.meta.id,
+        endpoint = %flight.endpoint,
+        after_ms
+    );
+    exchange.relay.pool.keep(flight.address, connection, &head.headers);
+    let rest = events.and_then(|mut events| events.take_rest())?;
+    Some((Ok(Frame::data(rest)), None))
+}
+
+/// Takes a broken stream up at another endpoint, where that may be done.
+async fn resume(running: Running, error: &Error) -> Result<Running> {
+    let Running { mut exchange, endpoint, events } = running;
+    let id = exchange.meta.id.clone();
+    let peer = endpoint.flight.endpoint.clone();
+    exchange.relay.fleet().failed(exchange.relay.now_ms(), &peer);
+    drop(endpoint);
+    let failure = || Error::failed("pass stream on", peer.clone(), error);
+    let Some(mut events) = events else {
+        warn!(event = "stream_broken", request = %id, endpoint = %peer, error = %error);
+        return Err(failure());
+    };
+    events.drop_partial();
+    let last_event = events.last_event();
+    if !exchange.may_give_again() {
+        warn!(event = "stream_broken", request = %id, endpoint = %peer, error = %error);
+        return Err(failure());
+    }
+    let Ok(started) = exchange.start(last_event).await else { return Err(failure()) };
+    info!(
+        event = "stream_resumed",
+        request = %id,
+        from = %peer,
+        endpoint = %started.flight.endpoint,
+        last_event = last_event.unwrap_or(0)
+    );
+    if !started.response.status().is_success() {
+        return Err(failure());
+    }
+    Ok(Running { exchange, endpoint: Upstream::new(started), events: Some(events) })
+}
+
+/// A body that keeps `counted` until it has ended.
+pub(super) fn hold(body: AnswerBody, counted: InProgress) -> AnswerBody {
+    if body.is_end_stream() {
+        return body;
+    }
+    Holding { body, _counted: counted }.boxed()
+}
+
+struct Holding {
+    body: AnswerBody,
+    _counted: InProgress,
+}
+
+impl Body for Holding {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(
+        mut self: std::pin::Pin<&mut Self>,
+        context: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<std::result::Result<Frame<Bytes>, Error>>> {
+        std::pin::Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> hyper::body::SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/src/routing/mod.rs
@@ -0,0 +1,183 @@
+//! Routes by host and path: what an operator declares as one whole configuration.
+//!
+//! A [`RoutingConfiguration`] carries one version for everything in it. The highest version is the
+//! one in force; a lower or equal one changes nothing. Each service is a set of endpoints that
+//! register themselves; an engine service says what its endpoints can hold.
+
+mod table;
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+pub use table::{Chosen, RouteTable};
+
+/// Everything that is routed, under one version.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct RoutingConfiguration {
+    /// The version; the highest one is in force.
+    pub version: u64,
+    /// The routes.
+    pub routes: Vec<Route>,
+    /// The services that routes name.
+    pub services: Vec<ServiceSpec>,
+    /// What clients may send.
+    pub limits: RequestLimits,
+}
+
+/// What may be done again when a request fails.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Repeat {
+    /// The request may run any number of times.
+    Any,
+    /// The request runs once at most.
+    Once,
+    /// A stream that runs once at most, but may be taken up at another endpoint after its last
+    /// event.
+    Resume,
+}
+
+/// One route.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Route {
+    /// The operator's name for it.
+    pub name: Arc<str>,
+    /// The host that requests name.
+    pub host: Arc<str>,
+    /// The beginning of the path; starts and ends with a slash.
+    pub path_prefix: Arc<str>,
+    /// What may be done again.
+    pub repeat: Repeat,
+    /// True when answers are streams of events.
+    pub streams: bool,
+    /// True when requests name a model and carry the parts of their prompt.
+    pub generates: bool,
+    /// The longest time a request is held.
+    pub timeout_ms: u64,
+    /// The time within which an answer, or the first event of one, is in time.
+    pub latency_objective_ms: u64,
+    /// The longest pause between two events of a stream that is still in time.
+    pub gap_objective_ms: u64,
+    /// The rank; 0 goes first.
+    pub priority: u8,
+    /// How many endpoints one request may be given to.
+    pub attempts: u32,
+    /// The services that share the route's requests.
+    pub targets: Vec<Target>,
+}
+
+/// A service's share of a route.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Target {
+    /// The service.
+    pub service: Arc<str>,
+    /// Its weight among the route's targets.
+    pub weight: u32,
+}
+
+/// A set of endpoints.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ServiceSpec {
+    /// The name.
+    pub name: Arc<str>,
+    /// How many connections an endpoint takes from all gateways together.
+    pub connections_max: u32,
+    /// What each endpoint holds, where they are engines.
+    pub engine: Option<EngineSpec>,
+}
+
+/// What the engines of a service can hold.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EngineSpec {
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Tokens that fit an engine's memory.
+    pub memory_tokens: u64,
+    /// Adapters that fit at once.
+    pub adapter_places: usize,
+    /// Room for weights and adapters together.
+    pub weights_mb: f64,
+    /// Loads from the weight store that all endpoints together may begin in a second.
+    pub store_loads_per_s: f64,
+    /// The base models.
+    pub models: Vec<ModelSpec>,
+}
+
+/// A base model.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ModelSpec {
+    /// The name.
+    pub name: Arc<str>,
+    /// The size of its weights.
+    pub weights_mb: f64,
+    /// The size of one of its adapters.
+    pub adapter_mb: f64,
+    /// How long its weights take to arrive from the store.
+    pub load_ms: u64,
+}
+
+/// Bounds on what clients send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestLimits {
+    /// The largest set of headers.
+    pub header_max_bytes: usize,
+    /// The largest body.
+    pub body_max_bytes: usize,
+    /// The longest time for the headers to arrive.
+    pub header_timeout_ms: u64,
+    /// How long a connection may stay idle.
+    pub idle_timeout_ms: u64,
+}
+
+impl Default for RequestLimits {
+    // In force until the first configuration has come.
+    fn default() -> Self {
+        Self {
+            header_max_bytes: 16 << 10,
+            body_max_bytes: 4 << 20,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        }
+    }
+}
+
+impl RoutingConfiguration {
+    /// The faults that keep this configuration from being accepted, in the order of its routes.
+    pub fn faults(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        let mut services = BTreeSet::new();
+        for service in &self.services {
+            if !services.insert(&service.name) {
+                faults.push(format!("service {} stands twice", service.name));
+            }
+        }
+        let mut places = BTreeSet::new();
+        for route in &self.routes {
+            let Route { name, host, path_prefix, .. } = route;
+            if !path_prefix.starts_with('/') || !path_prefix.ends_with('/') {
+                faults.push(format!("route {name}: prefix {path_prefix} needs slashes around it"));
+            }
+            if !places.insert((host, path_prefix)) {
+                faults.push(format!("route {name}: {host}{path_prefix} has a route already"));
+            }
+            if route.timeout_ms == 0 {
+                faults.push(format!("route {name}: the timeout is 0"));
+            }
+            if route.targets.iter().map(|target| u64::from(target.weight)).sum::<u64>() == 0 {
+                faults.push(format!("route {name}: the weights add up to 0"));
+            }
+            for target in &route.targets {
+                if !services.contains(&target.service) {
+                    faults.push(format!("route {name}: there is no service {}", target.service));
+                }
+            }
+        }
+        faults
+    }
+
+    /// The service called `name`.
+    pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
+        self.services.iter().find(|service| &*service.name == name)
+    }
+}
--- /dev/null
+++ b/src/routing/table.rs
@@ -0,0 +1,95 @@
+//! Finding the route of a request.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{Route, RoutingConfiguration, ServiceSpec};
+
+/// A configuration arranged for lookups.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    version: u64,
+    by_host: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>>,
+    services: HashMap<Arc<str>, Arc<ServiceSpec>>,
+    configuration: Arc<RoutingConfiguration>,
+}
+
+/// Where a request goes.
+#[derive(Debug, Clone)]
+pub struct Chosen {
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service among the route's targets.
+    pub service: Arc<ServiceSpec>,
+}
+
+impl RouteTable {
+    /// The table of `configuration`.
+    pub fn new(configuration: Arc<RoutingConfiguration>) -> Self {
+        let mut by_host: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>> = HashMap::new();
+        for route in &configuration.routes {
+            let host: Arc<str> = route.host.to_ascii_lowercase().into();
+            let prefixes = by_host.entry(host).or_default();
+            prefixes.insert(route.path_prefix.clone(), Arc::new(route.clone()));
+        }
+        let mut services = HashMap::new();
+        for service in &configuration.services {
+            services.insert(service.name.clone(), Arc::new(service.clone()));
+        }
+        Self { version: configuration.version, by_host, services, configuration }
+    }
+
+    /// The version in force; 0 while there is none.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The configuration that the table was made of.
+    pub fn configuration(&self) -> &Arc<RoutingConfiguration> {
+        &self.configuration
+    }
+
+    /// The route whose prefix is the longest one that begins `path`, and the service that serves
+    /// the request with `request_id`.
+    ///
+    /// The service is drawn by a hash of the id, so that the same request goes to the same service
+    /// at every gateway.
+    pub fn find(&self, host: &str, path: &str, request_id: &str) -> Option<Chosen> {
+        let route = self.find_route(host, path)?;
+        let service = pick_target(&route, request_id)?;
+        let service = self.services.get(service)?.clone();
+        Some(Chosen { route, service })
+    }
+
+    fn find_route(&self, host: &str, path: &str) -> Option<Arc<Route>> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
+        let prefixes = self.by_host.get(host.as_str())?;
+        for (position, byte) in path.bytes().enumerate().rev() {
+            if byte != b'/' {
+                continue;
+            }
+            if let Some(route) = prefixes.get(&path[..=position]) {
+                return Some(route.clone());
+            }
+        }
+        None
+    }
+}
+
+fn pick_target<'a>(route: &'a Route, request_id: &str) -> Option<&'a Arc<str>> {
+    if let [only] = route.targets.as_slice() {
+        return Some(&only.service);
+    }
+    let total: u64 = route.targets.iter().map(|target| u64::from(target.weight)).sum();
+    let mut point = xxh3_64(request_id.as_bytes()) % total.max(1);
+    for target in &route.targets {
+        let weight = u64::from(target.weight);
+        if point < weight {
+            return Some(&target.service);
+        }
+        point -= weight;
+    }
+    None
+}
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -6,8 +6,9 @@
 use crate::control::ledger::LedgerLimits;
 use crate::control::permit::StoreBudget;
 use crate::control::raft::Timing;
-use crate::settings::reader::{Fields, check_ports, read_common};
-use crate::settings::{ControlSettings, PoolSettings, ReplicaAddress};
+use crate::control::placement::PlacementSettings;
+use crate::settings::reader::{Fields, check_ports, read_address, read_common};
+use crate::settings::{ControlSettings, PoolSettings, ReplicaAddress, SeedSettings};
 use crate::yaml::{Faults, Node};
 
 const DAY_MS: u64 = 86_400_000;
@@ -19,7 +20,11 @@
     let data_folder = fields
         .required("data_folder", "the path of a folder")
         .and_then(|node| node.text(fields.faults));
-    let replicas = read_replicas(&mut fields);
+    let seeds = read_seeds(&mut fields);
+    let (seeds, replicas) = match seeds {
+        Some((seeds, replicas)) => (Some(seeds), replicas),
+        None => (None, read_replicas(&mut fields)),
+    };
     let timing = fields.section("timing", Timing::default(), read_timing);
     let lease_ms = fields.int_or("lease_ms", 2_500, 500..=60_000);
     let snapshot_entries = fields.int_or("snapshot_entries", 50_000, 10..=10_000_000);
@@ -28,14 +33,17 @@
         max_keys: fields.int_or("max_keys", 1_000_000, 1..=100_000_000) as usize,
     });
     let store = read_store(&mut fields);
-    let platform_address = fields.address("platform_address");
+    let platform_address = fields.optional_address("platform_address");
+    let listen_api = fields.optional_address("listen_api");
+    let placement = fields.section("placement", PlacementSettings::default(), read_placement);
+    let founding_wait_ms = fields.int_or("founding_wait_ms", 6_000, 0..=600_000);
     let platform_poll_ms = fields.int_or("platform_poll_ms", 1_000, 50..=60_000);
-    let pools = read_pools(&mut fields);
+    let pools = if platform_address.is_some() { read_pools(&mut fields) } else { Vec::new() };
     fields.finish();
     let common = common?;
     let listeners = [("listen_peers", common.listen_peers), ("listen_admin", common.listen_admin)];
     check_ports(root, &listeners, faults);
-    if !replicas.iter().any(|replica| replica.address == common.listen_peers) {
+    if seeds.is_none() && !replicas.iter().any(|replica| replica.address == common.listen_peers) {
         let address = common.listen_peers;
         faults.add(root, format!("replicas must name this replica's own listen_peers {address}"));
     }
@@ -49,9 +57,13 @@
         snapshot_entries,
         ledger,
         store: store?,
-        platform_address: platform_address?,
+        platform_address,
         platform_poll_ms,
         pools,
+        seeds,
+        listen_api,
+        placement,
+        founding_wait_ms,
     })
 }
 
@@ -65,6 +77,40 @@
     Timing { heartbeat_ms, election_ms }
 }
 
+fn read_placement(fields: &mut Fields<'_, '_>) -> PlacementSettings {
+    let default = PlacementSettings::default();
+    PlacementSettings {
+        order_lease_ms: fields.int_or("order_lease_ms", default.order_lease_ms, 0..=600_000),
+        store_share: fields.number_or("store_share", default.store_share, 0.01..=1.0),
+        store_load_min_requests: fields.number_or(
+            "store_load_min_requests",
+            default.store_load_min_requests,
+            0.0..=1_000.0,
+        ),
+    }
+}
+
+/// Seeds are named by where they serve anyone; `peer_port` is where they serve each other.
+fn read_seeds(fields: &mut Fields<'_, '_>) -> Option<(SeedSettings, Vec<ReplicaAddress>)> {
+    let node = fields.optional("seeds")?;
+    let mut seeds = Fields::new(&node, fields.faults);
+    let found = seeds.bool_or("found", false);
+    let failures = seeds.int_or("failures", 1, 0..=100);
+    let peer_port = seeds.int_or("peer_port", 0, 0..=65_535) as u16;
+    let mut replicas = Vec::new();
+    if let Some(list) = seeds.required("addresses", "a list of addresses") {
+        for item in list.items(seeds.faults) {
+            let Some(mut address) = read_address(&item, seeds.faults) else { continue };
+            if peer_port != 0 {
+                address.set_port(peer_port);
+            }
+            replicas.push(ReplicaAddress { name: address.to_string().into(), address });
+        }
+    }
+    seeds.finish();
+    Some((SeedSettings { found, voters: failures as usize * 2 + 1 }, replicas))
+}
+
 fn read_replicas(fields: &mut Fields<'_, '_>) -> Vec<ReplicaAddress> {
     let mut replicas: Vec<ReplicaAddress> = Vec::new();
     let Some(node) = fields.required("replicas", "a list of {name, address}") else {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -3,6 +3,7 @@
 mod control;
 mod gateway;
 mod reader;
+mod relay;
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -11,10 +12,12 @@
 use crate::control::fleet::EndpointKind;
 use crate::control::ledger::LedgerLimits;
 use crate::control::permit::StoreBudget;
+use crate::control::placement::PlacementSettings;
 use crate::control::raft::Timing;
 use crate::settings::control::read_control;
 use crate::settings::gateway::read_gateway;
 use crate::settings::reader::parse_with;
+pub use crate::settings::relay::{RelayRetrySettings, RelaySettings};
 use crate::yaml::{Fault, Faults};
 
 /// Settings that every process has.
@@ -80,11 +83,28 @@
     /// What the weight store allows.
     pub store: StoreBudget,
     /// Where the platform lists its instances.
-    pub platform_address: SocketAddr,
+    pub platform_address: Option<SocketAddr>,
     /// How often the list is read.
     pub platform_poll_ms: u64,
     /// The pools of endpoints.
     pub pools: Vec<PoolSettings>,
+    /// How the group is found where `replicas` are not named.
+    pub seeds: Option<SeedSettings>,
+    /// Where endpoints and operators of a platform call, if there is one.
+    pub listen_api: Option<SocketAddr>,
+    /// Bounds of orders to engines.
+    pub placement: PlacementSettings,
+    /// How long a new group waits for all its voters before it takes a configuration.
+    pub founding_wait_ms: u64,
+}
+
+/// How a replica finds its group when only some of the replicas are known beforehand.
+#[derive(Debug, Clone)]
+pub struct SeedSettings {
+    /// True at the first start of the whole system; only then a group may be founded.
+    pub found: bool,
+    /// How many voters the group should have.
+    pub voters: usize,
 }
 
 /// Bounds on what callers may send.
--- a/standin/src/bin/winchvane-bench.rs
+++ b/standin/src/bin/winchvane-bench.rs
@@ -683,6 +683,7 @@
         zone: format!("zone-{}", number % 3).into(),
         address: ([127, 0, 0, 1], 9).into(),
         applied_index: 0,
+        owns_endpoints: true,
     };
     sender.send(&SessionUp::Hello(hello)).await.expect("the hello is sent");
     let mut renewals = tokio::time::interval(Duration::from_secs(1));
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -1,7 +1,6 @@
 //! A model engine: loads adapters, batches requests and streams tokens.
 
 use std::collections::BTreeMap;
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -14,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use winchvane::endpoint::{EPOCH_HEADER, LoadedBody, LoraBody, StatusBody, refusal_code};
+use winchvane::error::Error;
 use winchvane::http::{Answer, HttpClient, header, json_answer};
 
 use crate::server::{FnHandler, bad_request, json_body, start};
@@ -416,8 +416,7 @@
     let tokens =
         Tokens { running, shape, left: tokens, cut_after_bytes, sent_bytes: 0, ended: false };
     let body = StreamBody::new(stream::unfold(tokens, next_piece));
-    // The server's body type cannot fail; a cut is an end without the last event.
-    let body = body.map_err(|_| -> Infallible { unreachable!("pieces do not fail") }).boxed();
+    let body = body.map_err(|error| Error::io("stream", "engine", error)).boxed();
     let mut answer = Response::new(body);
     let value = http::HeaderValue::from_static("text/event-stream");
     answer.headers_mut().insert(http::header::CONTENT_TYPE, value);
--- a/tests/common/group.rs
+++ b/tests/common/group.rs
@@ -151,7 +151,7 @@
                 continue;
             }
             let Some(raft) = &mut node.raft else { continue };
-            if let Some(members) = raft.next_members() {
+            if let Some(members) = raft.next_members(self.now_ms) {
                 raft.propose_members(members);
             }
         }
@@ -565,6 +565,7 @@
 fn describe(outcome: &Outcome) -> String {
     match outcome {
         Outcome::Done => "done".to_owned(),
+        Outcome::Accepted => "accepted".to_owned(),
         Outcome::Registered(epoch) => format!("registered under epoch {epoch}"),
         Outcome::Applied(reply) => {
             let verdicts: Vec<String> =
