--- a/src/control/placement/endpoint.rs
+++ b/src/control/placement/endpoint.rs
@@ -1,11 +1,13 @@
 //! What one endpoint holds and which order it is carrying out.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 
 use super::demand::Demand;
 use super::order::{EngineReport, OrderKind, OrderOutcome, OrderResult};
 use super::{KEEP_USED_MS, SILENT_MS};
-use crate::message::{Placed, RegisteredEndpoint, Weights, WeightsName};
+use tracing::info;
+
+use crate::message::{Holding, Placed, RegisteredEndpoint, Weights, WeightsName};
 
 /// Adapters that an endpoint is taken to have copies of, the latest ones; engines drop the copies
 /// that were unused for longest.
@@ -46,6 +48,8 @@
     pub version: u64,
     /// The state.
     pub state: PlaceState,
+    /// True while it comes from the weight store, not from the endpoint's own copies.
+    pub from_store: bool,
     changed_at_ms: u64,
     used_at_ms: u64,
 }
@@ -53,6 +57,9 @@
 #[derive(Debug, Clone, Copy)]
 struct Pending {
     number: u64,
+    /// True for a load that is ordered once more to see whether it is done; engines take it for
+    /// the same order.
+    repeats: bool,
 }
 
 /// One endpoint.
@@ -66,8 +73,9 @@
     pub places: BTreeMap<WeightsName, Place>,
     /// Orders it has taken; none until a report told.
     pub sequence: Option<u64>,
-    /// Weights of which it has copies, the latest last.
-    pub copies: VecDeque<WeightsName>,
+    /// Weights of which it has copies, with when they were ordered last.
+    pub copies: HashMap<WeightsName, u64>,
+    hash: u64,
     pending: Option<Pending>,
     report_from_ms: u64,
     unanswered_until_ms: u64,
@@ -77,12 +85,14 @@
 impl EndpointPlaces {
     /// An endpoint of which nothing is known but its registration.
     pub fn new(now_ms: u64, endpoint: RegisteredEndpoint) -> Self {
+        let hash = hash_of(&endpoint.address.to_string());
         Self {
             endpoint,
+            hash,
             heard_at_ms: now_ms,
             places: BTreeMap::new(),
             sequence: None,
-            copies: VecDeque::new(),
+            copies: HashMap::new(),
             pending: None,
             report_from_ms: 0,
             unanswered_until_ms: 0,
@@ -90,6 +100,14 @@
         }
     }
 
+    /// How well it fits weights with this hash; by address, so that an endpoint that restarted
+    /// finds its own copies.
+    pub fn affinity(&self, hash: u64) -> u64 {
+        // A multiplicative mix: the constant is 2^64 divided by the golden ratio.
+        let mixed = (self.hash ^ hash).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        mixed ^ (mixed >> 29)
+    }
+
     /// True when its heartbeats come.
     pub fn is_live(&self, now_ms: u64) -> bool {
         self.heard_at_ms + SILENT_MS > now_ms
@@ -120,7 +138,7 @@
 
     /// True when the endpoint has a copy of `name` at hand.
     pub fn has_copy(&self, name: &WeightsName) -> bool {
-        self.copies.contains(name)
+        self.copies.contains_key(name)
     }
 
     /// How many adapters are here, those on their way and those not gone yet included.
@@ -128,6 +146,17 @@
         self.places.keys().filter(|name| name.adapter.is_some()).count()
     }
 
+    /// How many adapters are on their way from the weight store.
+    pub fn coming_from_store(&self) -> usize {
+        let mut coming = 0;
+        for place in self.places.values() {
+            coming += usize::from(
+                place.from_store && matches!(place.state, PlaceState::Loading { .. }),
+            );
+        }
+        coming
+    }
+
     /// Notes that requests used `name`.
     pub fn note_use(&mut self, now_ms: u64, name: &WeightsName) {
         if let Some(place) = self.places.get_mut(name) {
@@ -176,30 +205,31 @@
         kind: &OrderKind,
         placed: &mut Vec<Placed>,
     ) {
-        self.pending = Some(Pending { number });
+        let repeats = match kind {
+            OrderKind::Load { name, .. } => self.is_loading(name),
+            OrderKind::Report | OrderKind::Unload { .. } => false,
+        };
+        self.pending = Some(Pending { number, repeats });
         match kind {
             OrderKind::Report => {}
             OrderKind::Load { name, version } => {
                 let version = version.unwrap_or(1);
-                let known = self.places.get(name).map(|place| (place.state, place.version));
-                if let Some((PlaceState::Loading { .. }, _)) = known {
+                if repeats {
                     return;
                 }
-                if known.is_some() {
-                    placed.push(self.gone(name));
-                }
-                self.copies.retain(|copy| copy != name);
-                self.copies.push_back(name.clone());
-                if self.copies.len() > COPIES_MAX {
-                    self.copies.pop_front();
-                }
+                placed.push(self.tell(name, Holding::Coming));
+                let from_store = !self.has_copy(name);
+                self.note_copy(now_ms, name);
                 let state =
                     PlaceState::Loading { check_at_ms: u64::MAX, pause_ms: FIRST_CHECK_MS };
                 self.put(now_ms, name, version, state);
+                if let Some(place) = self.places.get_mut(name) {
+                    place.from_store = from_store;
+                }
             }
             OrderKind::Unload { name } => {
                 let version = self.places.get(name).map_or(1, |place| place.version);
-                placed.push(self.gone(name));
+                placed.push(self.tell(name, Holding::Gone));
                 self.put(now_ms, name, version, PlaceState::Unloading);
             }
         }
@@ -207,23 +237,40 @@
 
     fn put(&mut self, now_ms: u64, name: &WeightsName, version: u64, state: PlaceState) {
         let used_at_ms = now_ms;
-        let place = Place { version, state, changed_at_ms: now_ms, used_at_ms };
+        let place = Place { version, state, from_store: false, changed_at_ms: now_ms, used_at_ms };
         self.places.insert(name.clone(), place);
     }
 
-    fn gone(&self, name: &WeightsName) -> Placed {
-        Placed { endpoint: self.endpoint.id.clone(), name: name.clone(), version: None }
+    fn note_copy(&mut self, now_ms: u64, name: &WeightsName) {
+        self.copies.insert(name.clone(), now_ms);
+        if self.copies.len() <= COPIES_MAX {
+            return;
+        }
+        let oldest = self.copies.iter().min_by_key(|(_, at_ms)| **at_ms);
+        if let Some(oldest) = oldest.map(|(name, _)| name.clone()) {
+            self.copies.remove(&oldest);
+        }
+    }
+
+    fn is_loading(&self, name: &WeightsName) -> bool {
+        self.places
+            .get(name)
+            .is_some_and(|place| matches!(place.state, PlaceState::Loading { .. }))
+    }
+
+    fn tell(&self, name: &WeightsName, holding: Holding) -> Placed {
+        Placed { endpoint: self.endpoint.id.clone(), name: name.clone(), holding }
     }
 
     /// Takes the outcome of an order in.
     pub fn ordered(&mut self, now_ms: u64, result: &OrderResult, placed: &mut Vec<Placed>) {
-        if !self.pending.is_some_and(|pending| pending.number == result.number) {
+        let Some(pending) = self.pending.filter(|pending| pending.number == result.number) else {
             return;
-        }
+        };
         self.pending = None;
         match &result.outcome {
             OrderOutcome::Report(report) => self.reported(now_ms, report, placed),
-            OrderOutcome::UnderWay => self.under_way(now_ms, &result.kind),
+            OrderOutcome::UnderWay => self.under_way(now_ms, &result.kind, pending.repeats),
             OrderOutcome::Done => self.done(now_ms, &result.kind, placed),
             OrderOutcome::Conflict => {
                 // Something else was carried out here; only a report tells what.
@@ -245,8 +292,10 @@
         }
     }
 
-    fn under_way(&mut self, now_ms: u64, kind: &OrderKind) {
-        self.sequence = self.sequence.map(|sequence| sequence + 1);
+    fn under_way(&mut self, now_ms: u64, kind: &OrderKind, repeats: bool) {
+        if !repeats {
+            self.sequence = self.sequence.map(|sequence| sequence + 1);
+        }
         self.recheck(now_ms, kind);
     }
 
@@ -268,13 +317,18 @@
         match kind {
             OrderKind::Report => {}
             OrderKind::Load { name, .. } => {
-                let version = self.places.get(name).map_or(1, |place| place.version);
+                let Some(place) = self.places.get(name) else { return };
+                let version = place.version;
+                info!(
+                    event = "weights_ready",
+                    endpoint = %self.endpoint.id,
+                    weights = %name,
+                    version,
+                    from_store = place.from_store,
+                    after_ms = now_ms - place.changed_at_ms
+                );
                 self.put(now_ms, name, version, PlaceState::Ready);
-                placed.push(Placed {
-                    endpoint: self.endpoint.id.clone(),
-                    name: name.clone(),
-                    version: Some(version),
-                });
+                placed.push(self.tell(name, Holding::Ready(version)));
             }
             OrderKind::Unload { name } => {
                 self.sequence = self.sequence.map(|sequence| sequence + 1);
@@ -290,7 +344,7 @@
             OrderKind::Report => {}
             OrderKind::Load { name, .. } => {
                 self.places.remove(name);
-                placed.push(self.gone(name));
+                placed.push(self.tell(name, Holding::Gone));
                 self.sequence = None;
             }
             OrderKind::Unload { name } => {
@@ -353,14 +407,8 @@
                 continue;
             }
             self.put(now_ms, &weights.name, weights.version, PlaceState::Ready);
-            if !self.copies.contains(&weights.name) {
-                self.copies.push_back(weights.name.clone());
-            }
-            placed.push(Placed {
-                endpoint: self.endpoint.id.clone(),
-                name: weights.name.clone(),
-                version: Some(weights.version),
-            });
+            self.note_copy(now_ms, &weights.name);
+            placed.push(self.tell(&weights.name, Holding::Ready(weights.version)));
         }
         let mut missing = Vec::new();
         for (name, place) in &self.places {
@@ -373,7 +421,12 @@
         }
         for name in missing {
             self.places.remove(&name);
-            placed.push(self.gone(&name));
+            placed.push(self.tell(&name, Holding::Gone));
         }
     }
 }
+
+/// A hash that is the same in every process.
+pub(super) fn hash_of(text: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(text.as_bytes())
+}
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -20,7 +20,9 @@
     EngineClient, EngineOrder, EngineReport, OrderKind, OrderLease, OrderOutcome, OrderResult,
 };
 
-use crate::message::{AdapterNeed, Heartbeat, Placed, RegisteredEndpoint, WeightsName, WeightsUse};
+use crate::message::{
+    AdapterNeed, Heartbeat, Holding, Placed, RegisteredEndpoint, WeightsName, WeightsUse,
+};
 use crate::routing::{EngineSpec, RoutingConfiguration};
 
 /// An endpoint that said nothing for this long gets no new adapters: twice the usual period of
@@ -31,6 +33,13 @@
 const HOME_FILL: f64 = 0.4;
 /// How long a generated answer takes, about; only used to turn rates into requests under way.
 const ANSWER_S: f64 = 0.7;
+/// Weights that nobody asked for again in this time are no longer wanted: clients come back sooner.
+const WANTED_MS: u64 = 1_500;
+/// How many wants are looked at in one pass, the most asked for first; the weight store takes fewer
+/// in the time between two passes.
+const WANTED_PER_PASS: usize = 64;
+/// The shortest time between two passes.
+const PASS_MS: u64 = 5;
 /// A place that was used this recently is not given to another adapter.
 const KEEP_USED_MS: u64 = 400;
 
@@ -43,14 +52,30 @@
     pub store_share: f64,
     /// Requests within a short time that justify a load from the weight store.
     pub store_load_min_requests: f64,
+    /// Adapters that may be on their way from the weight store at once; beyond some number each
+    /// takes longer, so that more at once gain nothing.
+    pub store_adapters_at_once: usize,
 }
 
 impl Default for PlacementSettings {
     fn default() -> Self {
-        Self { order_lease_ms: 3_000, store_share: 0.85, store_load_min_requests: 1.0 }
+        Self {
+            order_lease_ms: 3_000,
+            store_share: 0.85,
+            store_load_min_requests: 0.0,
+            store_adapters_at_once: 8,
+        }
     }
 }
 
+/// Weights that gateways asked for.
+#[derive(Debug, Clone, Copy)]
+struct Want {
+    asked_at_ms: u64,
+    /// The hash that finds their home among endpoints.
+    hash: u64,
+}
+
 /// What the leader knows and wants of the weights on endpoints.
 pub struct Placement {
     settings: PlacementSettings,
@@ -61,7 +86,8 @@
     engines: HashMap<Arc<str>, EngineSpec>,
     versions: HashMap<WeightsName, u64>,
     demand: Demand,
-    wanted: BTreeMap<(Arc<str>, WeightsName), u64>,
+    wanted: HashMap<(Arc<str>, WeightsName), Want>,
+    advanced_at_ms: u64,
     store: HashMap<Arc<str>, StoreAllowance>,
     orders: Vec<EngineOrder>,
     placed: Vec<Placed>,
@@ -80,7 +106,8 @@
             engines: HashMap::new(),
             versions: HashMap::new(),
             demand: Demand::new(),
-            wanted: BTreeMap::new(),
+            wanted: HashMap::new(),
+            advanced_at_ms: 0,
             store: HashMap::new(),
             orders: Vec::new(),
             placed: Vec::new(),
@@ -141,7 +168,9 @@
     pub fn need(&mut self, now_ms: u64, needs: Vec<AdapterNeed>) {
         for need in needs {
             self.demand.add(now_ms, &need.weights, need.requests);
-            self.wanted.insert((need.service, need.weights), now_ms);
+            let hash = endpoint::hash_of(&need.weights.to_string());
+            let want = Want { asked_at_ms: now_ms, hash };
+            self.wanted.insert((need.service, need.weights), want);
         }
     }
 
@@ -160,14 +189,12 @@
         let mut placed = Vec::new();
         for (id, endpoint) in &self.endpoints {
             for (name, place) in &endpoint.places {
-                if place.state != PlaceState::Ready {
-                    continue;
-                }
-                placed.push(Placed {
-                    endpoint: id.clone(),
-                    name: name.clone(),
-                    version: Some(place.version),
-                });
+                let holding = match place.state {
+                    PlaceState::Ready => Holding::Ready(place.version),
+                    PlaceState::Loading { .. } => Holding::Coming,
+                    PlaceState::Unloading => continue,
+                };
+                placed.push(Placed { endpoint: id.clone(), name: name.clone(), holding });
             }
         }
         placed
@@ -191,9 +218,10 @@
 
     /// Decides what is to be ordered now.
     pub fn advance(&mut self, now_ms: u64) {
-        if now_ms < self.orders_from_ms {
+        if now_ms < self.orders_from_ms.max(self.advanced_at_ms + PASS_MS) {
             return;
         }
+        self.advanced_at_ms = now_ms;
         self.ask_for_reports(now_ms);
         self.check_loads(now_ms);
         self.replace_old_versions(now_ms);
@@ -266,20 +294,28 @@
     }
 
     fn load_wanted(&mut self, now_ms: u64) {
-        let mut wanted: Vec<(Arc<str>, WeightsName, f64)> = Vec::new();
-        for (service, name) in self.wanted.keys() {
-            wanted.push((service.clone(), name.clone(), self.demand.rate(now_ms, name)));
+        self.wanted.retain(|_, want| want.asked_at_ms + WANTED_MS > now_ms);
+        let mut wanted = Vec::with_capacity(self.wanted.len());
+        for (key, want) in &self.wanted {
+            wanted.push((self.demand.rate(now_ms, &key.1), key.clone(), *want));
         }
-        wanted.sort_by(|one, other| other.2.total_cmp(&one.2));
-        for (service, name, rate) in wanted {
-            if self.load_one(now_ms, &service, &name, rate) {
+        wanted.sort_unstable_by(|one, other| other.0.total_cmp(&one.0));
+        for (rate, (service, name), want) in wanted.into_iter().take(WANTED_PER_PASS) {
+            if self.load_one(now_ms, &service, &name, want.hash, rate) {
                 self.wanted.remove(&(service, name));
             }
         }
     }
 
     /// Tries to get `name` one more home; true when nothing more is to be done for it.
-    fn load_one(&mut self, now_ms: u64, service: &Arc<str>, name: &WeightsName, rate: f64) -> bool {
+    fn load_one(
+        &mut self,
+        now_ms: u64,
+        service: &Arc<str>,
+        name: &WeightsName,
+        hash: u64,
+        rate: f64,
+    ) -> bool {
         let Some(engine) = self.engines.get(service) else { return true };
         let homes_wanted = wanted_homes(rate, engine.slots);
         let adapter_places = engine.adapter_places;
@@ -295,7 +331,7 @@
                 Some(PlaceState::Loading { .. }) => on_their_way += 1,
                 Some(PlaceState::Unloading) => {}
                 None if endpoint.holds_base(name) => {
-                    candidates.push((affinity(name, &endpoint.endpoint), id.clone()));
+                    candidates.push((endpoint.affinity(hash), id.clone()));
                 }
                 None => {}
             }
@@ -337,7 +373,15 @@
         name: &WeightsName,
     ) {
         let Some(endpoint) = self.endpoints.get(id) else { return };
-        if !endpoint.has_copy(name) {
+        if !endpoint.has_copy(name) && name.adapter.is_some() {
+            let coming: usize =
+                self.endpoints.values().map(EndpointPlaces::coming_from_store).sum();
+            if coming >= self.settings.store_adapters_at_once {
+                return;
+            }
+        }
+        // The store counts loads of base models only.
+        if !endpoint.has_copy(name) && name.adapter.is_none() {
             let Some(store) = self.store.get_mut(service) else { return };
             if !store.take(now_ms) {
                 return;
@@ -395,9 +439,3 @@
     let under_way = rate * ANSWER_S;
     1 + (under_way / (f64::from(slots.max(1)) * HOME_FILL)) as usize
 }
-
-/// How well an endpoint fits weights; by address, so that a restarted one finds its own copies.
-fn affinity(name: &WeightsName, endpoint: &RegisteredEndpoint) -> u64 {
-    let key = format!("{name}@{}", endpoint.address);
-    xxhash_rust::xxh3::xxh3_64(key.as_bytes())
-}
--- a/src/message/mod.rs
+++ b/src/message/mod.rs
@@ -18,7 +18,7 @@
 };
 pub use forward::{Call, ForwardEvent, ForwardRequest, Refusal};
 pub use registration::{
-    AdapterNeed, EndpointLoad, Heartbeat, NewestVersion, Placed, RegisteredEndpoint, Weights,
+    AdapterNeed, EndpointLoad, Heartbeat, Holding, NewestVersion, Placed, RegisteredEndpoint, Weights,
     WeightsName, WeightsUse,
 };
 
--- a/src/message/registration.rs
+++ b/src/message/registration.rs
@@ -93,8 +93,19 @@
     pub endpoint: Arc<str>,
     /// What it is about.
     pub name: WeightsName,
-    /// The version that it holds; none when it does not hold it any more.
-    pub version: Option<u64>,
+    /// What is known of them there.
+    pub holding: Holding,
+}
+
+/// Whether an endpoint holds weights.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Holding {
+    /// Requests may use them, at this version.
+    Ready(u64),
+    /// They are on their way.
+    Coming,
+    /// It does not hold them any more.
+    Gone,
 }
 
 /// How many requests run on an endpoint.
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -32,6 +32,8 @@
 /// How much before a quarter of the latency objective a request that found no place is refused; a
 /// refusal costs nothing until then.
 const PATIENCE_MARGIN_MS: u64 = 12;
+/// How long a request waits for weights that are on their way, as a share of the latency objective.
+const LOAD_HOLD_PERCENT: u64 = 180;
 /// How long a client's body may take.
 const BODY_TIMEOUT_MS: u64 = 3_000;
 /// The largest answer that is read whole before it is passed on.
@@ -384,6 +386,8 @@
         info!(
             event = "answered",
             request = %id,
+            route = %self.chosen.route.name,
+            weights = %self.meta.weights.as_ref().map_or_else(String::new, ToString::to_string),
             endpoint = %endpoint,
             status = status.as_u16(),
             version = self.relay.table().version(),
@@ -487,6 +491,9 @@
         let quarter_ms = self.chosen.route.latency_objective_ms / 4;
         let patience_ms = quarter_ms.saturating_sub(PATIENCE_MARGIN_MS);
         let until_ms = (self.started_ms + patience_ms).min(self.ends_at_ms);
+        // Weights that are on their way are worth more than a refusal, also when the answer is late.
+        let hold_ms = self.chosen.route.latency_objective_ms * LOAD_HOLD_PERCENT / 100;
+        let hold_until_ms = (self.started_ms + hold_ms).min(self.ends_at_ms);
         let mut asked = false;
         loop {
             let changed = self.relay.changed.notified();
@@ -500,8 +507,10 @@
                 }
                 Picked::NoEndpoint => "no endpoint",
                 Picked::Full => "endpoints are full",
+                Picked::Coming => "weights are on their way",
                 Picked::NoHome => "weights are not loaded",
             };
+            let until_ms = if picked == Picked::Coming { hold_until_ms } else { until_ms };
             if let (Some(weights), false) = (weights, asked) {
                 asked = true;
                 let need = AdapterNeed {
@@ -611,7 +620,14 @@
         match failure {
             Failure::NotSent(reason) if !may_have_run => {
                 self.relay.metrics.count(Counter::RequestsRefused);
-                info!(event = "refused", request = %request, reason = ?reason, after_ms);
+                info!(
+                    event = "refused",
+                    request = %request,
+                    route = %self.chosen.route.name,
+                    weights = %self.meta.weights.as_ref().map_or_else(String::new, ToString::to_string),
+                    reason = ?reason,
+                    after_ms
+                );
                 let detail = match reason {
                     NotSent::NoPlace(detail) => detail,
                     NotSent::Late => "the deadline passed",
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::message::{EndpointLoad, Placed, RegisteredEndpoint, WeightsName, WeightsUse};
+use crate::message::{EndpointLoad, Holding, Placed, RegisteredEndpoint, WeightsName, WeightsUse};
 
 /// The first pause after an endpoint failed; doubled with each further failure in a row.
 const DOWN_MS: u64 = 400;
@@ -23,7 +23,7 @@
     zone: Arc<str>,
     endpoints: HashMap<Arc<str>, Known>,
     by_service: HashMap<Arc<str>, Vec<Arc<str>>>,
-    homes: HashMap<WeightsName, BTreeMap<Arc<str>, u64>>,
+    homes: HashMap<WeightsName, BTreeMap<Arc<str>, Holding>>,
     newest: HashMap<WeightsName, (u64, u64)>,
     running_changed: HashMap<Arc<str>, u32>,
     used: HashMap<WeightsName, u32>,
@@ -53,6 +53,8 @@
     },
     /// The endpoints that could take it are full.
     Full,
+    /// No endpoint holds its weights, but they are on their way to one.
+    Coming,
     /// No endpoint holds its weights.
     NoHome,
     /// No endpoint of the service is known to be up.
@@ -122,11 +124,11 @@
         if reset {
             self.homes.clear();
         }
-        for Placed { endpoint, name, version } in placed {
+        for Placed { endpoint, name, holding } in placed {
             let homes = self.homes.entry(name).or_default();
-            match version {
-                Some(version) => homes.insert(endpoint, version),
-                None => homes.remove(&endpoint),
+            match holding {
+                Holding::Gone => homes.remove(&endpoint),
+                holding => homes.insert(endpoint, holding),
             };
         }
     }
@@ -168,7 +170,7 @@
         let homes = weights.map(|name| self.homes.get(name));
         let (required, expected) = weights.map_or((0, None), |name| self.version(now_ms, name));
         let mut best: Option<(f64, &Known)> = None;
-        let (mut up, mut holding) = (0, 0);
+        let (mut up, mut holding, mut coming) = (0, 0, 0);
         for step in 0..ids.len() {
             // Starting elsewhere each time spreads requests among endpoints that are alike.
             let id = &ids[(step + self.rotation as usize) % ids.len()];
@@ -178,9 +180,13 @@
             }
             up += 1;
             if let Some(homes) = &homes {
-                let version = homes.and_then(|homes| homes.get(id));
-                if version.is_none_or(|version| *version < required) {
-                    continue;
+                match homes.and_then(|homes| homes.get(id)) {
+                    Some(Holding::Ready(version)) if *version >= required => {}
+                    Some(Holding::Coming) => {
+                        coming += 1;
+                        continue;
+                    }
+                    _ => continue,
                 }
             }
             holding += 1;
@@ -203,6 +209,7 @@
                 weights_version: expected,
             },
             None if up == 0 => Picked::NoEndpoint,
+            None if holding == 0 && coming > 0 => Picked::Coming,
             None if holding == 0 => Picked::NoHome,
             None => Picked::Full,
         }
