placement: 24 adapters on their way from the store at once

Cause: wants queued behind eight slots while the store still gave each full speed (278 ms median). Change: the default is 24.

--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -63,7 +63,7 @@
             order_lease_ms: 3_000,
             store_share: 0.85,
             store_load_min_requests: 0.0,
-            store_adapters_at_once: 8,
+            store_adapters_at_once: 24,
         }
     }
 }
