placement: orders without an answer are given again; a full disk waits; SIGHUP reloads

Change: the repeat carries the same expected sequence, so one of the two is carried out; writes wait while the disk is full and cut what was taken in part; every process reloads its log level on SIGHUP.

--- a/src/control/placement/endpoint.rs
+++ b/src/control/placement/endpoint.rs
@@ -16,8 +16,12 @@
 const FIRST_CHECK_MS: u64 = 26;
 /// How soon a load is looked at again, at most.
 const CHECK_MAX_MS: u64 = 120;
-/// An order without an answer may be carried out up to this much later.
-const LATE_ORDER_MS: u64 = 13_000;
+/// How soon an order without an answer is given again. Both expect the same sequence, so the endpoint
+/// carries out one of them at most, however late the first one arrives.
+const AGAIN_MS: u64 = 30;
+/// How long an endpoint that a gateway cannot reach counts as no home; gateways try it again within
+/// this time.
+const FAILING_MS: u64 = 1_500;
 /// How often an endpoint with an unanswered order is asked what became of it.
 const REPORT_PAUSE_MS: u64 = 700;
 /// A heartbeat may have been sent this long before it arrives; younger knowledge goes before it.
@@ -78,7 +82,8 @@
     hash: u64,
     pending: Option<Pending>,
     report_from_ms: u64,
-    unanswered_until_ms: u64,
+    again_from_ms: u64,
+    failing_until_ms: u64,
     dropped_at_ms: BTreeMap<WeightsName, u64>,
 }
 
@@ -95,7 +100,8 @@
             copies: HashMap::new(),
             pending: None,
             report_from_ms: 0,
-            unanswered_until_ms: 0,
+            again_from_ms: 0,
+            failing_until_ms: 0,
             dropped_at_ms: BTreeMap::new(),
         }
     }
@@ -115,12 +121,12 @@
 
     /// True when it may hold further weights.
     pub fn takes_weights(&self, now_ms: u64) -> bool {
-        self.is_live(now_ms) && !self.endpoint.leaving
+        self.is_live(now_ms) && !self.endpoint.leaving && self.failing_until_ms <= now_ms
     }
 
     /// True when an order may be given now.
     pub fn is_free_for_orders(&self, now_ms: u64) -> bool {
-        self.pending.is_none() && self.sequence.is_some() && self.unanswered_until_ms <= now_ms
+        self.pending.is_none() && self.sequence.is_some() && self.again_from_ms <= now_ms
     }
 
     /// True when a report has to tell what the endpoint holds.
@@ -128,7 +134,7 @@
         self.pending.is_none()
             && self.is_live(now_ms)
             && now_ms >= self.report_from_ms
-            && (self.sequence.is_none() || self.unanswered_until_ms > now_ms)
+            && self.sequence.is_none()
     }
 
     /// True when the base model of `name` is ready here.
@@ -182,6 +188,20 @@
         coldest.filter(|(own, _)| *own < rate).map(|(_, name)| name.clone())
     }
 
+    /// An unload whose outcome is not known.
+    pub fn unload_to_repeat(&self, now_ms: u64) -> Option<WeightsName> {
+        if !self.is_free_for_orders(now_ms) {
+            return None;
+        }
+        let unloading = self.places.iter().find(|(_, place)| place.state == PlaceState::Unloading);
+        unloading.map(|(name, _)| name.clone())
+    }
+
+    /// Notes that a gateway cannot reach the endpoint.
+    pub fn note_failing(&mut self, now_ms: u64) {
+        self.failing_until_ms = now_ms + FAILING_MS;
+    }
+
     /// A load that should be looked at now.
     pub fn load_to_check(&self, now_ms: u64) -> Option<WeightsName> {
         if !self.is_free_for_orders(now_ms) {
@@ -283,11 +303,9 @@
                 self.report_from_ms = now_ms + REPORT_PAUSE_MS;
             }
             OrderOutcome::Unknown => {
-                self.sequence = None;
+                self.again_from_ms = now_ms + AGAIN_MS;
                 self.report_from_ms = now_ms + REPORT_PAUSE_MS;
-                if result.kind != OrderKind::Report {
-                    self.unanswered_until_ms = now_ms + LATE_ORDER_MS;
-                }
+                self.recheck(now_ms, &result.kind);
             }
         }
     }
@@ -365,12 +383,6 @@
                 self.put(now_ms, &coming.name, coming.version, state);
             }
         }
-        if self.unanswered_until_ms > now_ms {
-            // The order may still come, so what it names keeps its place and is looked at again.
-            self.sequence = None;
-            self.report_from_ms = now_ms + REPORT_PAUSE_MS;
-            return;
-        }
         for place in self.places.values_mut() {
             if let PlaceState::Loading { pause_ms, .. } = place.state {
                 place.state = PlaceState::Loading { check_at_ms: now_ms, pause_ms };
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -184,6 +184,15 @@
         }
     }
 
+    /// Notes endpoints that a gateway cannot reach.
+    pub fn failing(&mut self, now_ms: u64, endpoints: &[Arc<str>]) {
+        for id in endpoints {
+            let Some(endpoint) = self.endpoints.get_mut(id) else { continue };
+            info!(event = "endpoint_failing", endpoint = %id);
+            endpoint.note_failing(now_ms);
+        }
+    }
+
     /// Everything that endpoints hold, for a gateway that has just come.
     pub fn all_placed(&self) -> Vec<Placed> {
         let mut placed = Vec::new();
@@ -224,6 +233,7 @@
         self.advanced_at_ms = now_ms;
         self.ask_for_reports(now_ms);
         self.check_loads(now_ms);
+        self.repeat_unloads(now_ms);
         self.replace_old_versions(now_ms);
         self.load_base_models(now_ms);
         self.load_wanted(now_ms);
@@ -254,6 +264,17 @@
         }
     }
 
+    fn repeat_unloads(&mut self, now_ms: u64) {
+        let mut due = Vec::new();
+        for (id, endpoint) in &self.endpoints {
+            let Some(name) = endpoint.unload_to_repeat(now_ms) else { continue };
+            due.push((id.clone(), name));
+        }
+        for (id, name) in due {
+            self.order(now_ms, &id, OrderKind::Unload { name });
+        }
+    }
+
     fn replace_old_versions(&mut self, now_ms: u64) {
         let mut due = Vec::new();
         for (id, endpoint) in &self.endpoints {
--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -196,8 +196,9 @@
                 self.registered.placement.need(now_ms, needs);
                 self.registered.placement.advance(now_ms);
             }
-            SessionUp::Traffic { running, used } => {
+            SessionUp::Traffic { running, used, failing } => {
                 self.registered.placement.used(now_ms, used);
+                self.registered.placement.failing(now_ms, &failing);
                 let Some(session) = self.sessions.get_mut(&id) else { return };
                 for load in running {
                     session.running.insert(load.endpoint, load.running);
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -29,6 +29,8 @@
 const LINK_QUEUE: usize = 4_096;
 const LINK_RETRY: Duration = Duration::from_millis(50);
 const LINK_SEND_TIMEOUT: Duration = Duration::from_secs(2);
+/// How often a full disk is tried again.
+const DISK_FULL_PAUSE: Duration = Duration::from_millis(200);
 const SESSION_QUEUE: usize = 512;
 const CALL_TIMEOUT_MS: u64 = 10_000;
 
@@ -239,7 +241,8 @@
         };
         let last_index = batch.append.last().map(|entry| entry.index);
         let started_ms = self.clock.now_ms();
-        self.with_storage(move |storage| storage.save(&batch)).await?;
+        let batch = Arc::new(batch);
+        self.retry_while_full(move |storage| storage.save(&batch)).await?;
         self.metrics.count(Counter::LogSyncs);
         self.metrics.time(Timer::LogSync, self.clock.now_ms() - started_ms);
         if let Some(index) = last_index {
@@ -257,8 +260,37 @@
             }
         }
         self.metrics.count(Counter::SnapshotsWritten);
-        self.with_storage(move |storage| storage.save_snapshot(&snapshot, hard_state, &entries))
-            .await
+        let (snapshot, entries) = (Arc::new(snapshot), Arc::new(entries));
+        self.retry_while_full(move |storage| {
+            storage.save_snapshot(&snapshot, hard_state, &entries)
+        })
+        .await
+    }
+
+    /// Waits while the disk is full: nothing that has to be stored is promised meanwhile, and the
+    /// other replicas go on without this one.
+    async fn retry_while_full(
+        &mut self,
+        work: impl Fn(&mut dyn Storage) -> Result<()> + Clone + Send + 'static,
+    ) -> Result<()> {
+        let mut was_full = false;
+        loop {
+            match self.with_storage(work.clone()).await {
+                Err(error) if error.is_disk_full() => {
+                    if !was_full {
+                        error!(event = "disk_full", error = %error);
+                    }
+                    was_full = true;
+                    tokio::time::sleep(DISK_FULL_PAUSE).await;
+                }
+                result => {
+                    if was_full && result.is_ok() {
+                        info!(event = "disk_regained");
+                    }
+                    return result;
+                }
+            }
+        }
     }
 
     async fn compact(&mut self) -> Result<()> {
--- a/src/control/storage.rs
+++ b/src/control/storage.rs
@@ -85,6 +85,7 @@
     log: File,
     log_path: PathBuf,
     generation: u64,
+    size_bytes: u64,
     buffer: Vec<u8>,
 }
 
@@ -127,7 +128,14 @@
         let size = log.metadata().map_err(|error| file_error("stat", &log_path, error))?.len();
         sync_folder(folder)?;
         let storage =
-            Self { folder: folder.to_owned(), log, log_path, generation, buffer: Vec::new() };
+            Self {
+            folder: folder.to_owned(),
+            log,
+            log_path,
+            generation,
+            size_bytes: size,
+            buffer: Vec::new(),
+        };
         Ok(Opened { storage, recovered, snapshot, dropped_bytes, is_blank: size == 0 })
     }
 
@@ -147,10 +155,17 @@
         write_whole(folder, IDENTITY_FILE, identity)
     }
 
+    /// Appends the buffer. When the disk takes only a part of it, that part is cut off again, so
+    /// that the same batch can be saved later.
     fn write_buffer(&mut self) -> Result<()> {
         let path = &self.log_path;
-        self.log.write_all(&self.buffer).map_err(|error| file_error("append", path, error))?;
-        self.log.sync_data().map_err(|error| file_error("sync", path, error))
+        if let Err(error) = self.log.write_all(&self.buffer) {
+            self.log.set_len(self.size_bytes).map_err(|error| file_error("cut", path, error))?;
+            return Err(file_error("append", path, error));
+        }
+        self.log.sync_data().map_err(|error| file_error("sync", path, error))?;
+        self.size_bytes += self.buffer.len() as u64;
+        Ok(())
     }
 }
 
@@ -178,9 +193,7 @@
         // The snapshot comes first: a crash between the two files leaves the old log, which reads
         // well on top of a newer snapshot.
         write_whole(&self.folder, SNAPSHOT_FILE, snapshot)?;
-        let old_path = self.log_path.clone();
-        self.generation += 1;
-        self.log_path = log_path(&self.folder, self.generation);
+        let new_path = log_path(&self.folder, self.generation + 1);
         let temporary = self.folder.join("log.tmp");
         let mut buffer = Vec::new();
         encode_record(&Record::Hard(hard_state), &mut buffer)?;
@@ -188,13 +201,16 @@
             encode_record(&Record::Entry(entry.clone()), &mut buffer)?;
         }
         write_synced(&temporary, &buffer)?;
-        fs::rename(&temporary, &self.log_path)
-            .map_err(|error| file_error("rename", &self.log_path, error))?;
+        fs::rename(&temporary, &new_path)
+            .map_err(|error| file_error("rename", &new_path, error))?;
         sync_folder(&self.folder)?;
         self.log = OpenOptions::new()
             .append(true)
-            .open(&self.log_path)
-            .map_err(|error| file_error("open", &self.log_path, error))?;
+            .open(&new_path)
+            .map_err(|error| file_error("open", &new_path, error))?;
+        self.generation += 1;
+        self.size_bytes = buffer.len() as u64;
+        let old_path = std::mem::replace(&mut self.log_path, new_path);
         fs::remove_file(&old_path).map_err(|error| file_error("remove", &old_path, error))
     }
 
--- a/src/error.rs
+++ b/src/error.rs
@@ -94,6 +94,11 @@
         matches!(*self.0, Kind::Invalid { .. })
     }
 
+    /// True when a disk took no more bytes; it may take them later.
+    pub fn is_disk_full(&self) -> bool {
+        matches!(&*self.0, Kind::Io { source, .. } if source.kind() == io::ErrorKind::StorageFull)
+    }
+
     /// True when stored data was found damaged.
     pub fn is_damaged(&self) -> bool {
         matches!(*self.0, Kind::Damaged { .. })
--- a/src/message/control.rs
+++ b/src/message/control.rs
@@ -78,6 +78,8 @@
         running: Vec<EndpointLoad>,
         /// Weights that were used.
         used: Vec<WeightsUse>,
+        /// Endpoints that could not be reached again and again.
+        failing: Vec<Arc<str>>,
     },
 }
 
--- a/src/process.rs
+++ b/src/process.rs
@@ -7,7 +7,8 @@
 
 use clap::Args;
 use tokio::net::TcpListener;
-use tracing::error;
+use tokio::signal::unix::{SignalKind, signal};
+use tracing::{error, info, warn};
 
 use crate::error::{Error, Result};
 use crate::logging;
@@ -32,7 +33,7 @@
 
 /// Reads the settings with `parse`, starts logging at the level that `log_level` finds in them, and
 /// runs the process to its end.
-pub async fn start<T, R: Future<Output = Result<()>>>(
+pub async fn start<T: 'static, R: Future<Output = Result<()>>>(
     arguments: ProcessArguments,
     parse: fn(&Arc<str>, &str) -> std::result::Result<T, Vec<Fault>>,
     log_level: fn(&T) -> &str,
@@ -55,6 +56,7 @@
         eprintln!("{}: log_level: {fault}", arguments.settings.display());
         return ExitCode::from(EXIT_SETTINGS);
     }
+    tokio::spawn(reload(arguments.settings.clone(), parse, log_level));
     match run(settings).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => {
@@ -64,6 +66,35 @@
     }
 }
 
+/// Reads the settings again on each SIGHUP and takes the log level over; everything else holds from
+/// the start of a process to its end.
+async fn reload<T: 'static>(
+    path: PathBuf,
+    parse: fn(&Arc<str>, &str) -> std::result::Result<T, Vec<Fault>>,
+    log_level: fn(&T) -> &str,
+) {
+    let mut hang_up = match signal(SignalKind::hangup()) {
+        Ok(hang_up) => hang_up,
+        Err(error) => {
+            error!(event = "signals_unwatched", error = %error);
+            return;
+        }
+    };
+    while hang_up.recv().await.is_some() {
+        match load(&path, parse) {
+            Ok(settings) => match logging::set_level(log_level(&settings)) {
+                Ok(()) => info!(event = "reload", log_level = log_level(&settings)),
+                Err(error) => warn!(event = "reload_failed", error = %error),
+            },
+            Err(faults) => {
+                for fault in faults {
+                    warn!(event = "reload_failed", error = %fault);
+                }
+            }
+        }
+    }
+}
+
 /// Opens a listener.
 ///
 /// # Errors
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -538,7 +538,7 @@
         let mut connection = match relay.pool.connection(address).await {
             Ok(connection) => connection,
             Err(error) => {
-                relay.fleet().failed(relay.now_ms(), &send.endpoint);
+                relay.fleet().unreachable(relay.now_ms(), &send.endpoint);
                 info!(event = "endpoint_unreachable", endpoint = %send.endpoint, error = %error);
                 return Attempt::NotRun("the endpoint cannot be reached");
             }
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -1,6 +1,6 @@
 //! What a relay knows of endpoints, and which one gets a request.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -10,6 +10,8 @@
 const DOWN_MS: u64 = 400;
 /// The longest pause: an endpoint that came back under the same incarnation is missed this long.
 const DOWN_MAX_MS: u64 = 5_000;
+/// Failures in a row after which an endpoint that can be reached is left alone for a while.
+const FAILURES_TO_DOWN: u32 = 3;
 /// An endpoint that said it is full gets nothing for this long.
 const FULL_MS: u64 = 60;
 /// Weights whose newest version is older than this must have it; the users allow five seconds.
@@ -27,6 +29,7 @@
     newest: HashMap<WeightsName, (u64, u64)>,
     running_changed: HashMap<Arc<str>, u32>,
     used: HashMap<WeightsName, u32>,
+    failing: HashSet<Arc<str>>,
     rotation: u64,
 }
 
@@ -39,6 +42,17 @@
     closed_until_ms: u64,
 }
 
+/// What goes through a gateway, as it tells the leader.
+#[derive(Debug, Clone, Default)]
+pub struct Traffic {
+    /// Requests under way, where their number changed.
+    pub running: Vec<EndpointLoad>,
+    /// Weights that were used.
+    pub used: Vec<WeightsUse>,
+    /// Endpoints that could not be reached, or failed again and again.
+    pub failing: Vec<Arc<str>>,
+}
+
 /// Where a request may go.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Picked {
@@ -72,6 +86,7 @@
             newest: HashMap::new(),
             running_changed: HashMap::new(),
             used: HashMap::new(),
+            failing: HashSet::new(),
             rotation: 0,
         }
     }
@@ -258,17 +273,29 @@
         }
     }
 
-    /// Notes that `id` could not be reached or broke off.
-    pub fn failed(&mut self, now_ms: u64, id: &str) {
+    /// Notes that `id` could not be reached.
+    pub fn unreachable(&mut self, now_ms: u64, id: &Arc<str>) {
         if let Some(known) = self.endpoints.get_mut(id) {
             let pause_ms = (DOWN_MS << known.failures.min(8)).min(DOWN_MAX_MS);
             known.failures += 1;
             known.closed_until_ms = now_ms + pause_ms;
+            self.failing.insert(id.clone());
+        }
+    }
+
+    /// Notes that `id` broke off or answered wrongly; once may be chance.
+    pub fn failed(&mut self, now_ms: u64, id: &Arc<str>) {
+        let Some(known) = self.endpoints.get_mut(id) else { return };
+        known.failures += 1;
+        if known.failures < FAILURES_TO_DOWN {
+            return;
         }
+        known.closed_until_ms = now_ms + (DOWN_MS << known.failures.min(8)).min(DOWN_MAX_MS);
+        self.failing.insert(id.clone());
     }
 
-    /// What changed since the last call: requests under way, and weights that were used.
-    pub fn take_traffic(&mut self) -> (Vec<EndpointLoad>, Vec<WeightsUse>) {
+    /// What changed since the last call.
+    pub fn take_traffic(&mut self) -> Traffic {
         let mut running = Vec::new();
         for (endpoint, count) in self.running_changed.drain() {
             running.push(EndpointLoad { endpoint, running: count });
@@ -277,7 +304,8 @@
         for (name, requests) in self.used.drain() {
             used.push(WeightsUse { name, requests });
         }
-        (running, used)
+        let failing = self.failing.drain().collect();
+        Traffic { running, used, failing }
     }
 
     /// What this gateway has under way everywhere, for a leader that does not know it.
--- a/src/relay/process.rs
+++ b/src/relay/process.rs
@@ -43,8 +43,6 @@
     let admin = listen("listen for operators", settings.listen_admin).await?;
     let mut terminate = signal(SignalKind::terminate())
         .map_err(|error| Error::io("watch signals", "process", error))?;
-    let mut hang_up =
-        signal(SignalKind::hangup()).map_err(|error| Error::io("watch signals", "process", error))?;
     let (needs, wanted) = mpsc::unbounded_channel();
     let relay = Arc::new(Relay::new(settings.clone(), border, metrics.clone(), needs));
     tokio::spawn(session::run(relay.clone(), rand::rng().random(), wanted));
@@ -64,12 +62,7 @@
     let handler = Arc::new(RelayHandler::new(relay.clone()));
     let server = tokio::spawn(serve(clients, handler, limits, metrics, stopped));
     info!(event = "started", name = %settings.name, clients = %settings.listen_clients);
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = hang_up.recv() => info!(event = "reload", changed = "nothing that a relay uses"),
-        }
-    }
+    terminate.recv().await;
     planned_stop(&relay, &stop, server).await;
     Ok(())
 }
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -10,6 +10,7 @@
 use tracing::{info, warn};
 
 use super::exchange::Relay;
+use super::fleet::Traffic;
 use crate::error::{Error, Result};
 use crate::message::{AdapterNeed, Change, SessionDown, SessionHello, SessionUp};
 use crate::wire::{Channel, Peer, Receiver, Sender};
@@ -112,7 +113,8 @@
                         info!(event = "control_regained", leader = %address);
                         is_welcome = true;
                         let running = relay.fleet().all_running();
-                        send(&mut sender, &SessionUp::Traffic { running, used: Vec::new() }).await?;
+                        let (used, failing) = (Vec::new(), Vec::new());
+                        send(&mut sender, &SessionUp::Traffic { running, used, failing }).await?;
                     }
                     SessionDown::Group { replicas, gateways } => {
                         search.replicas = replicas;
@@ -126,9 +128,9 @@
                 send(&mut sender, &SessionUp::Needs(needs)).await?;
             }
             _ = reports.tick(), if is_welcome => {
-                let (running, used) = relay.fleet().take_traffic();
-                if !running.is_empty() || !used.is_empty() {
-                    send(&mut sender, &SessionUp::Traffic { running, used }).await?;
+                let Traffic { running, used, failing } = relay.fleet().take_traffic();
+                if !running.is_empty() || !used.is_empty() || !failing.is_empty() {
+                    send(&mut sender, &SessionUp::Traffic { running, used, failing }).await?;
                 }
             }
             _ = renewals.tick() => {
