--- a/src/control/placement/endpoint.rs
+++ b/src/control/placement/endpoint.rs
@@ -19,6 +19,8 @@
 /// How soon an order without an answer is given again. Both expect the same sequence, so the endpoint
 /// carries out one of them at most, however late the first one arrives.
 const AGAIN_MS: u64 = 30;
+/// The share of an endpoint's slots beyond which further adapters go elsewhere first.
+const CROWDED: f64 = 0.65;
 /// How long an endpoint that a gateway cannot reach counts as no home; gateways try it again within
 /// this time.
 const FAILING_MS: u64 = 1_500;
@@ -75,6 +77,8 @@
     pub heard_at_ms: u64,
     /// Base models and adapters.
     pub places: BTreeMap<WeightsName, Place>,
+    /// Requests under way there, from all gateways.
+    pub running: u32,
     /// Orders it has taken; none until a report told.
     pub sequence: Option<u64>,
     /// Weights of which it has copies, with when they were ordered last.
@@ -96,6 +100,7 @@
             hash,
             heard_at_ms: now_ms,
             places: BTreeMap::new(),
+            running: 0,
             sequence: None,
             copies: HashMap::new(),
             pending: None,
@@ -124,6 +129,11 @@
         self.is_live(now_ms) && !self.endpoint.leaving && self.failing_until_ms <= now_ms
     }
 
+    /// True when more of its slots are taken than leave room for another adapter's requests.
+    pub fn is_crowded(&self) -> bool {
+        f64::from(self.running) >= f64::from(self.endpoint.slots) * CROWDED
+    }
+
     /// True when an order may be given now.
     pub fn is_free_for_orders(&self, now_ms: u64) -> bool {
         self.pending.is_none() && self.sequence.is_some() && self.again_from_ms <= now_ms
@@ -170,8 +180,11 @@
         }
     }
 
-    /// The adapter that is asked for least, when it is asked for less than `rate` times a second.
-    pub fn coldest(&self, now_ms: u64, demand: &Demand, rate: f64) -> Option<WeightsName> {
+    /// The adapter that is asked for least among those that nobody used just now.
+    ///
+    /// One that is asked for again soon comes back from the endpoint's own copy, which takes less
+    /// time than a client waits.
+    pub fn coldest(&self, now_ms: u64, demand: &Demand) -> Option<WeightsName> {
         let mut coldest: Option<(f64, &WeightsName)> = None;
         for (name, place) in &self.places {
             let is_idle = place.state == PlaceState::Ready
@@ -185,7 +198,7 @@
                 coldest = Some((own, name));
             }
         }
-        coldest.filter(|(own, _)| *own < rate).map(|(_, name)| name.clone())
+        coldest.map(|(_, name)| name.clone())
     }
 
     /// An unload whose outcome is not known.
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -41,7 +41,7 @@
 /// The shortest time between two passes.
 const PASS_MS: u64 = 5;
 /// A place that was used this recently is not given to another adapter.
-const KEEP_USED_MS: u64 = 400;
+const KEEP_USED_MS: u64 = 700;
 
 /// Bounds of orders.
 #[derive(Debug, Clone, Copy)]
@@ -74,6 +74,8 @@
     asked_at_ms: u64,
     /// The hash that finds their home among endpoints.
     hash: u64,
+    /// True when the endpoints that hold them are full.
+    more: bool,
 }
 
 /// What the leader knows and wants of the weights on endpoints.
@@ -169,7 +171,7 @@
         for need in needs {
             self.demand.add(now_ms, &need.weights, need.requests);
             let hash = endpoint::hash_of(&need.weights.to_string());
-            let want = Want { asked_at_ms: now_ms, hash };
+            let want = Want { asked_at_ms: now_ms, hash, more: need.more };
             self.wanted.insert((need.service, need.weights), want);
         }
     }
@@ -184,6 +186,13 @@
         }
     }
 
+    /// Notes how many requests are under way at an endpoint, from all gateways.
+    pub fn note_running(&mut self, id: &str, running: u32) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.running = running;
+        }
+    }
+
     /// Notes endpoints that a gateway cannot reach.
     pub fn failing(&mut self, now_ms: u64, endpoints: &[Arc<str>]) {
         for id in endpoints {
@@ -322,7 +331,7 @@
         }
         wanted.sort_unstable_by(|one, other| other.0.total_cmp(&one.0));
         for (rate, (service, name), want) in wanted.into_iter().take(WANTED_PER_PASS) {
-            if self.load_one(now_ms, &service, &name, want.hash, rate) {
+            if self.load_one(now_ms, &service, &name, want, rate) {
                 self.wanted.remove(&(service, name));
             }
         }
@@ -334,13 +343,14 @@
         now_ms: u64,
         service: &Arc<str>,
         name: &WeightsName,
-        hash: u64,
+        want: Want,
         rate: f64,
     ) -> bool {
         let Some(engine) = self.engines.get(service) else { return true };
-        let homes_wanted = wanted_homes(rate, engine.slots);
+        let mut homes_wanted = wanted_homes(rate, engine.slots);
         let adapter_places = engine.adapter_places;
         let mut homes = 0;
+        let mut crowded_homes = 0;
         let mut on_their_way = 0;
         let mut candidates = Vec::new();
         for (id, endpoint) in &self.endpoints {
@@ -348,15 +358,22 @@
                 continue;
             }
             match endpoint.places.get(name).map(|place| place.state) {
-                Some(PlaceState::Ready) => homes += 1,
+                Some(PlaceState::Ready) => {
+                    homes += 1;
+                    crowded_homes += usize::from(endpoint.is_crowded());
+                }
                 Some(PlaceState::Loading { .. }) => on_their_way += 1,
                 Some(PlaceState::Unloading) => {}
                 None if endpoint.holds_base(name) => {
-                    candidates.push((endpoint.affinity(hash), id.clone()));
+                    let fit = (!endpoint.is_crowded(), endpoint.affinity(want.hash));
+                    candidates.push((fit, id.clone()));
                 }
                 None => {}
             }
         }
+        if want.more && homes == crowded_homes {
+            homes_wanted = homes_wanted.max(homes + 1);
+        }
         if homes >= homes_wanted {
             return true;
         }
@@ -378,7 +395,7 @@
                 self.load_with_allowance(now_ms, service, &id, name);
                 return false;
             }
-            if let Some(victim) = endpoint.coldest(now_ms, &self.demand, rate) {
+            if let Some(victim) = endpoint.coldest(now_ms, &self.demand) {
                 self.order(now_ms, &id, OrderKind::Unload { name: victim });
                 return false;
             }
--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -247,6 +247,9 @@
                 *totals.entry(endpoint.clone()).or_default() += running;
             }
         }
+        for (endpoint, running) in &totals {
+            self.registered.placement.note_running(endpoint, *running);
+        }
         for session in self.sessions.values_mut() {
             let mut changed = Vec::new();
             for (endpoint, running) in &totals {
