--- a/src/control/placement/endpoint.rs
+++ b/src/control/placement/endpoint.rs
@@ -14,6 +14,8 @@
 const COPIES_MAX: usize = 90;
 /// How soon a load is looked at first; a load from an engine's own copy takes about this long.
 const FIRST_CHECK_MS: u64 = 26;
+/// How often an unload that waits for its runs is looked at.
+const UNLOAD_CHECK_MS: u64 = 60;
 /// How soon a load is looked at again, at most.
 const CHECK_MAX_MS: u64 = 120;
 /// How soon an order without an answer is given again. Both expect the same sequence, so the endpoint
@@ -24,7 +26,9 @@
 /// How long an endpoint that a gateway cannot reach counts as no home; gateways try it again within
 /// this time.
 const FAILING_MS: u64 = 1_500;
-/// How often an endpoint with an unanswered order is asked what became of it.
+/// A report shows an endpoint as it was some time ago; after this pause it shows the last order.
+const REPORT_LAG_MS: u64 = 260;
+/// How soon an endpoint that gave no report is asked again.
 const REPORT_PAUSE_MS: u64 = 700;
 /// A heartbeat may have been sent this long before it arrives; younger knowledge goes before it.
 const HEARTBEAT_LATE_MS: u64 = 3_000;
@@ -56,6 +60,8 @@
     pub state: PlaceState,
     /// True while it comes from the weight store, not from the endpoint's own copies.
     pub from_store: bool,
+    /// True once the endpoint said that it takes the order to load them.
+    accepted: bool,
     changed_at_ms: u64,
     used_at_ms: u64,
 }
@@ -173,6 +179,17 @@
         coming
     }
 
+    /// How many adapters are on their way here.
+    pub fn coming(&self) -> usize {
+        let mut coming = 0;
+        for (name, place) in &self.places {
+            coming += usize::from(
+                name.adapter.is_some() && matches!(place.state, PlaceState::Loading { .. }),
+            );
+        }
+        coming
+    }
+
     /// Notes that requests used `name`.
     pub fn note_use(&mut self, now_ms: u64, name: &WeightsName) {
         if let Some(place) = self.places.get_mut(name) {
@@ -206,7 +223,9 @@
         if !self.is_free_for_orders(now_ms) {
             return None;
         }
-        let unloading = self.places.iter().find(|(_, place)| place.state == PlaceState::Unloading);
+        let unloading = self.places.iter().find(|(_, place)| {
+            place.state == PlaceState::Unloading && place.changed_at_ms + UNLOAD_CHECK_MS <= now_ms
+        });
         unloading.map(|(name, _)| name.clone())
     }
 
@@ -238,16 +257,23 @@
         kind: &OrderKind,
         placed: &mut Vec<Placed>,
     ) {
-        let repeats = match kind {
-            OrderKind::Load { name, .. } => self.is_loading(name),
-            OrderKind::Report | OrderKind::Unload { .. } => false,
+        let (is_known, repeats) = match kind {
+            OrderKind::Load { name, .. } => {
+                let is_loading = self.is_loading(name);
+                (is_loading, is_loading && self.is_accepted(name))
+            }
+            OrderKind::Unload { name } => {
+                let is_unloading = self.is_unloading(name);
+                (is_unloading, is_unloading && self.is_accepted(name))
+            }
+            OrderKind::Report => (false, false),
         };
         self.pending = Some(Pending { number, repeats });
         match kind {
             OrderKind::Report => {}
             OrderKind::Load { name, version } => {
                 let version = version.unwrap_or(1);
-                if repeats {
+                if is_known {
                     return;
                 }
                 placed.push(self.tell(name, Holding::Coming));
@@ -261,6 +287,9 @@
                 }
             }
             OrderKind::Unload { name } => {
+                if is_known {
+                    return;
+                }
                 let version = self.places.get(name).map_or(1, |place| place.version);
                 placed.push(self.tell(name, Holding::Gone));
                 self.put(now_ms, name, version, PlaceState::Unloading);
@@ -270,7 +299,14 @@
 
     fn put(&mut self, now_ms: u64, name: &WeightsName, version: u64, state: PlaceState) {
         let used_at_ms = now_ms;
-        let place = Place { version, state, from_store: false, changed_at_ms: now_ms, used_at_ms };
+        let place = Place {
+            version,
+            state,
+            from_store: false,
+            accepted: false,
+            changed_at_ms: now_ms,
+            used_at_ms,
+        };
         self.places.insert(name.clone(), place);
     }
 
@@ -285,6 +321,14 @@
         }
     }
 
+    fn is_accepted(&self, name: &WeightsName) -> bool {
+        self.places.get(name).is_some_and(|place| place.accepted)
+    }
+
+    fn is_unloading(&self, name: &WeightsName) -> bool {
+        self.places.get(name).is_some_and(|place| place.state == PlaceState::Unloading)
+    }
+
     fn is_loading(&self, name: &WeightsName) -> bool {
         self.places
             .get(name)
@@ -304,11 +348,11 @@
         match &result.outcome {
             OrderOutcome::Report(report) => self.reported(now_ms, report, placed),
             OrderOutcome::UnderWay => self.under_way(now_ms, &result.kind, pending.repeats),
-            OrderOutcome::Done => self.done(now_ms, &result.kind, placed),
+            OrderOutcome::Done => self.done(now_ms, &result.kind, pending.repeats, placed),
             OrderOutcome::Conflict => {
                 // Something else was carried out here; only a report tells what.
                 self.sequence = None;
-                self.report_from_ms = now_ms + CHECK_MAX_MS;
+                self.report_from_ms = now_ms + REPORT_LAG_MS;
                 self.recheck(now_ms, &result.kind);
             }
             OrderOutcome::Refused | OrderOutcome::NotSent => {
@@ -327,12 +371,20 @@
         if !repeats {
             self.sequence = self.sequence.map(|sequence| sequence + 1);
         }
+        if let OrderKind::Load { name, .. } | OrderKind::Unload { name } = kind
+            && let Some(place) = self.places.get_mut(name)
+        {
+            place.accepted = true;
+        }
         self.recheck(now_ms, kind);
     }
 
     fn recheck(&mut self, now_ms: u64, kind: &OrderKind) {
-        let OrderKind::Load { name, .. } = kind else { return };
+        let (OrderKind::Load { name, .. } | OrderKind::Unload { name }) = kind else { return };
         let Some(place) = self.places.get_mut(name) else { return };
+        if place.state == PlaceState::Unloading {
+            place.changed_at_ms = now_ms;
+        }
         if let PlaceState::Loading { pause_ms, .. } = place.state {
             if place.changed_at_ms + LOAD_MAX_MS < now_ms {
                 self.sequence = None;
@@ -344,7 +396,13 @@
         }
     }
 
-    fn done(&mut self, now_ms: u64, kind: &OrderKind, placed: &mut Vec<Placed>) {
+    fn done(
+        &mut self,
+        now_ms: u64,
+        kind: &OrderKind,
+        repeats: bool,
+        placed: &mut Vec<Placed>,
+    ) {
         match kind {
             OrderKind::Report => {}
             OrderKind::Load { name, .. } => {
@@ -362,7 +420,10 @@
                 placed.push(self.tell(name, Holding::Ready(version)));
             }
             OrderKind::Unload { name } => {
-                self.sequence = self.sequence.map(|sequence| sequence + 1);
+                // One that waited for its runs was counted when it was taken.
+                if !repeats {
+                    self.sequence = self.sequence.map(|sequence| sequence + 1);
+                }
                 self.places.remove(name);
                 self.dropped_at_ms.retain(|_, at_ms| *at_ms + HEARTBEAT_LATE_MS > now_ms);
                 self.dropped_at_ms.insert(name.clone(), now_ms);
@@ -388,6 +449,7 @@
 
     fn reported(&mut self, now_ms: u64, report: &EngineReport, placed: &mut Vec<Placed>) {
         self.sequence = Some(report.sequence);
+        self.drop_loads_not_taken(now_ms, report, placed);
         self.reconcile(now_ms, &report.holds, 0, placed);
         for coming in &report.coming {
             if !self.places.contains_key(&coming.name) {
@@ -395,6 +457,9 @@
                     PlaceState::Loading { check_at_ms: now_ms, pause_ms: FIRST_CHECK_MS };
                 self.put(now_ms, &coming.name, coming.version, state);
             }
+            if let Some(place) = self.places.get_mut(&coming.name) {
+                place.accepted = true;
+            }
         }
         for place in self.places.values_mut() {
             if let PlaceState::Loading { pause_ms, .. } = place.state {
@@ -403,6 +468,28 @@
         }
     }
 
+    /// Forgets loads that the endpoint neither holds nor expects.
+    fn drop_loads_not_taken(
+        &mut self,
+        now_ms: u64,
+        report: &EngineReport,
+        placed: &mut Vec<Placed>,
+    ) {
+        let mut dropped = Vec::new();
+        for (name, place) in &self.places {
+            let is_listed =
+                report.holds.iter().chain(&report.coming).any(|weights| weights.name == *name);
+            let is_loading = matches!(place.state, PlaceState::Loading { .. });
+            if is_loading && !is_listed && place.changed_at_ms + REPORT_LAG_MS <= now_ms {
+                dropped.push(name.clone());
+            }
+        }
+        for name in dropped {
+            self.places.remove(&name);
+            placed.push(self.tell(&name, Holding::Gone));
+        }
+    }
+
     /// Takes over what a heartbeat told, as far as nothing younger is known.
     pub fn observe(&mut self, now_ms: u64, holds: &[Weights], placed: &mut Vec<Placed>) {
         if self.pending.is_some() {
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -38,6 +38,9 @@
 /// How many wants are looked at in one pass, the most asked for first; the weight store takes fewer
 /// in the time between two passes.
 const WANTED_PER_PASS: usize = 64;
+/// Adapters that an engine takes on their way to it at once; it answers a further one with a conflict
+/// (the users' protocol, "Model placement").
+const COMING_MAX: usize = 4;
 /// The shortest time between two passes.
 const PASS_MS: u64 = 5;
 /// A place that was used this recently is not given to another adapter.
@@ -78,6 +81,16 @@
     more: bool,
 }
 
+/// Why wants of a pass are still open.
+#[derive(Debug, Clone, Copy, Default)]
+struct OpenWants {
+    on_their_way: usize,
+    endpoint_busy: usize,
+    store_busy: usize,
+    ordered: usize,
+    no_victim: usize,
+}
+
 /// What the leader knows and wants of the weights on endpoints.
 pub struct Placement {
     settings: PlacementSettings,
@@ -90,6 +103,8 @@
     demand: Demand,
     wanted: HashMap<(Arc<str>, WeightsName), Want>,
     advanced_at_ms: u64,
+    open: OpenWants,
+    told_at_ms: u64,
     store: HashMap<Arc<str>, StoreAllowance>,
     orders: Vec<EngineOrder>,
     placed: Vec<Placed>,
@@ -110,6 +125,8 @@
             demand: Demand::new(),
             wanted: HashMap::new(),
             advanced_at_ms: 0,
+            open: OpenWants::default(),
+            told_at_ms: 0,
             store: HashMap::new(),
             orders: Vec::new(),
             placed: Vec::new(),
@@ -330,6 +347,11 @@
             wanted.push((self.demand.rate(now_ms, &key.1), key.clone(), *want));
         }
         wanted.sort_unstable_by(|one, other| other.0.total_cmp(&one.0));
+        if self.told_at_ms + 1_000 <= now_ms && !wanted.is_empty() {
+            self.told_at_ms = now_ms;
+            info!(event = "weights_wanted", wanted = wanted.len(), open = ?self.open);
+        }
+        self.open = OpenWants::default();
         for (rate, (service, name), want) in wanted.into_iter().take(WANTED_PER_PASS) {
             if self.load_one(now_ms, &service, &name, want, rate) {
                 self.wanted.remove(&(service, name));
@@ -378,12 +400,14 @@
             return true;
         }
         if homes + on_their_way >= homes_wanted {
+            self.open.on_their_way += 1;
             return false;
         }
         candidates.sort_unstable_by(|one, other| other.0.cmp(&one.0));
         for (_, id) in candidates {
             let Some(endpoint) = self.endpoints.get(&id) else { continue };
-            if !endpoint.is_free_for_orders(now_ms) {
+            if !endpoint.is_free_for_orders(now_ms) || endpoint.coming() >= COMING_MAX {
+                self.open.endpoint_busy += 1;
                 return false;
             }
             let is_wanted_enough = endpoint.has_copy(name)
@@ -396,10 +420,12 @@
                 return false;
             }
             if let Some(victim) = endpoint.coldest(now_ms, &self.demand) {
+                self.open.ordered += 1;
                 self.order(now_ms, &id, OrderKind::Unload { name: victim });
                 return false;
             }
         }
+        self.open.no_victim += 1;
         false
     }
 
@@ -415,6 +441,7 @@
             let coming: usize =
                 self.endpoints.values().map(EndpointPlaces::coming_from_store).sum();
             if coming >= self.settings.store_adapters_at_once {
+                self.open.store_busy += 1;
                 return;
             }
         }
