placement: adapters in use are not unloaded

Change: gateways tell of weights as long as a request uses them; an accepted unload closes the endpoint for orders until a report shows it done.

--- a/src/control/placement/endpoint.rs
+++ b/src/control/placement/endpoint.rs
@@ -376,6 +376,11 @@
         {
             place.accepted = true;
         }
+        if let OrderKind::Unload { .. } = kind {
+            // The endpoint takes no other order until its runs have ended; a report tells when.
+            self.sequence = None;
+            self.report_from_ms = now_ms + REPORT_LAG_MS;
+        }
         self.recheck(now_ms, kind);
     }
 
@@ -450,6 +455,7 @@
     fn reported(&mut self, now_ms: u64, report: &EngineReport, placed: &mut Vec<Placed>) {
         self.sequence = Some(report.sequence);
         self.drop_loads_not_taken(now_ms, report, placed);
+        self.finish_unloads(now_ms, report);
         self.reconcile(now_ms, &report.holds, 0, placed);
         for coming in &report.coming {
             if !self.places.contains_key(&coming.name) {
@@ -468,6 +474,30 @@
         }
     }
 
+    /// Sees which unloads that waited for their runs are done.
+    fn finish_unloads(&mut self, now_ms: u64, report: &EngineReport) {
+        let mut waits = false;
+        let mut gone = Vec::new();
+        for (name, place) in &self.places {
+            if place.state != PlaceState::Unloading {
+                continue;
+            }
+            if report.holds.iter().any(|weights| weights.name == *name) {
+                waits |= place.accepted;
+            } else {
+                gone.push(name.clone());
+            }
+        }
+        for name in gone {
+            self.places.remove(&name);
+            self.dropped_at_ms.insert(name, now_ms);
+        }
+        if waits {
+            self.sequence = None;
+            self.report_from_ms = now_ms + REPORT_LAG_MS;
+        }
+    }
+
     /// Forgets loads that the endpoint neither holds nor expects.
     fn drop_loads_not_taken(
         &mut self,
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -43,8 +43,9 @@
 const COMING_MAX: usize = 4;
 /// The shortest time between two passes.
 const PASS_MS: u64 = 5;
-/// A place that was used this recently is not given to another adapter.
-const KEEP_USED_MS: u64 = 700;
+/// A place that was used this recently is not given to another adapter: gateways tell of use several
+/// times in this time, as long as a request runs.
+const KEEP_USED_MS: u64 = 500;
 
 /// Bounds of orders.
 #[derive(Debug, Clone, Copy)]
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -21,7 +21,7 @@
 use super::stream;
 use crate::clock::Clock;
 use crate::http::{Answer, BodyFault, HttpHandler, answer, full, header, read_body};
-use crate::message::{AdapterNeed, Change, Placed};
+use crate::message::{AdapterNeed, Change, Placed, WeightsName};
 use crate::metrics::{Counter, Metrics};
 use crate::routing::{Chosen, Repeat, Route, RouteTable};
 use crate::settings::RelaySettings;
@@ -260,13 +260,14 @@
 /// A request that runs at an endpoint; dropped when its answer has ended either way.
 pub(super) struct Flight {
     relay: Arc<Relay>,
+    weights: Option<WeightsName>,
     pub(super) endpoint: Arc<str>,
     pub(super) address: std::net::SocketAddr,
 }
 
 impl Drop for Flight {
     fn drop(&mut self) {
-        self.relay.fleet().finish(&self.endpoint);
+        self.relay.fleet().finish(&self.endpoint, self.weights.as_ref());
         self.relay.changed.notify_waiters();
     }
 }
@@ -546,7 +547,8 @@
         let weights = self.meta.weights.as_ref();
         relay.fleet().start(&send.endpoint, weights);
         let endpoint = send.endpoint.clone();
-        let flight = Flight { relay: relay.clone(), endpoint, address };
+        let flight =
+            Flight { relay: relay.clone(), weights: weights.cloned(), endpoint, address };
         let left = Duration::from_millis(self.left_ms(relay.now_ms()));
         let peer = &*send.endpoint;
         let sent = timeout(left, pool::send(&mut connection, peer, self.request(send))).await;
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -29,6 +29,7 @@
     newest: HashMap<WeightsName, (u64, u64)>,
     running_changed: HashMap<Arc<str>, u32>,
     used: HashMap<WeightsName, u32>,
+    running_weights: HashMap<WeightsName, u32>,
     failing: HashSet<Arc<str>>,
     rotation: u64,
 }
@@ -86,6 +87,7 @@
             newest: HashMap::new(),
             running_changed: HashMap::new(),
             used: HashMap::new(),
+            running_weights: HashMap::new(),
             failing: HashSet::new(),
             rotation: 0,
         }
@@ -248,11 +250,20 @@
         }
         if let Some(name) = weights {
             *self.used.entry(name.clone()).or_default() += 1;
+            *self.running_weights.entry(name.clone()).or_default() += 1;
         }
     }
 
     /// Counts a request that has ended at `id`.
-    pub fn finish(&mut self, id: &Arc<str>) {
+    pub fn finish(&mut self, id: &Arc<str>, weights: Option<&WeightsName>) {
+        if let Some(name) = weights
+            && let Some(running) = self.running_weights.get_mut(name)
+        {
+            *running -= 1;
+            if *running == 0 {
+                self.running_weights.remove(name);
+            }
+        }
         if let Some(known) = self.endpoints.get_mut(id) {
             known.own_running = known.own_running.saturating_sub(1);
             self.running_changed.insert(id.clone(), known.own_running);
@@ -300,6 +311,10 @@
         for (endpoint, count) in self.running_changed.drain() {
             running.push(EndpointLoad { endpoint, running: count });
         }
+        // Weights that are still in use are told again and again, so that they are not unloaded.
+        for name in self.running_weights.keys() {
+            self.used.entry(name.clone()).or_default();
+        }
         let mut used = Vec::new();
         for (name, requests) in self.used.drain() {
             used.push(WeightsUse { name, requests });
