--- /dev/null
+++ b/tests/placement.rs
@@ -0,0 +1,256 @@
+//! Which orders the leader gives to engines, and when.
+
+
+use winchvane::control::placement::{
+    EngineOrder, EngineReport, OrderKind, OrderOutcome, OrderResult, Placement, PlacementSettings,
+    StoreAllowance,
+};
+use winchvane::message::{
+    AdapterNeed, Holding, RegisteredEndpoint, Weights, WeightsName, WeightsUse,
+};
+use winchvane::routing::{
+    EngineSpec, ModelSpec, RequestLimits, RoutingConfiguration, ServiceSpec,
+};
+
+const LEASE_MS: u64 = 3_000;
+
+fn configuration(adapter_places: usize) -> RoutingConfiguration {
+    let model = ModelSpec { name: "base".into(), weights_mb: 60_000.0, adapter_mb: 10.0, load_ms: 600 };
+    let engine = EngineSpec {
+        slots: 8,
+        memory_tokens: 100_000,
+        adapter_places,
+        weights_mb: 66_000.0,
+        store_loads_per_s: 10.0,
+        models: vec![model],
+    };
+    let service =
+        ServiceSpec { name: "quotes".into(), connections_max: 100, engine: Some(engine) };
+    RoutingConfiguration {
+        version: 1,
+        routes: Vec::new(),
+        services: vec![service],
+        limits: RequestLimits::default(),
+    }
+}
+
+fn adapter(number: usize) -> WeightsName {
+    WeightsName::new("base", Some(&format!("a{number}")))
+}
+
+/// A leader whose lease has begun, before one endpoint that holds the base model only.
+struct Leader {
+    placement: Placement,
+    now_ms: u64,
+}
+
+impl Leader {
+    fn new(adapter_places: usize) -> Self {
+        let mut placement = Placement::new(PlacementSettings::default(), "control-1".into());
+        placement.lead(0, 7);
+        placement.configure(0, &configuration(adapter_places));
+        placement.register(LEASE_MS, &RegisteredEndpoint {
+            id: "e1".into(),
+            service: "quotes".into(),
+            address: ([127, 0, 0, 1], 7_001).into(),
+            zone: "a".into(),
+            slots: 8,
+            leaving: false,
+        });
+        let mut leader = Self { placement, now_ms: LEASE_MS };
+        let report = leader.next_order();
+        assert_eq!(report.kind, OrderKind::Report, "nothing is ordered before a report");
+        let base = Weights { name: adapter(0).base(), version: 1 };
+        let outcome =
+            EngineReport { sequence: 5, holds: vec![base], coming: Vec::new() };
+        leader.answer(&report, OrderOutcome::Report(outcome));
+        leader
+    }
+
+    fn need(&mut self, number: usize) {
+        let need = AdapterNeed {
+            service: "quotes".into(),
+            weights: adapter(number),
+            requests: 1,
+            more: false,
+        };
+        self.placement.need(self.now_ms, vec![need]);
+    }
+
+    fn pass(&mut self, passed_ms: u64) -> Vec<EngineOrder> {
+        self.now_ms += passed_ms;
+        self.placement.advance(self.now_ms);
+        self.placement.take_orders()
+    }
+
+    fn next_order(&mut self) -> EngineOrder {
+        for _ in 0..1_000 {
+            if let Some(order) = self.pass(10).pop() {
+                return order;
+            }
+        }
+        panic!("no order in ten seconds");
+    }
+
+    fn answer(&mut self, order: &EngineOrder, outcome: OrderOutcome) {
+        self.now_ms += 1;
+        let result = OrderResult {
+            number: order.number,
+            endpoint: order.endpoint.clone(),
+            kind: order.kind.clone(),
+            outcome,
+        };
+        self.placement.ordered(self.now_ms, result);
+    }
+
+    /// Loads an adapter to its end.
+    fn load(&mut self, number: usize) {
+        self.need(number);
+        let order = self.next_order();
+        assert_eq!(order.kind, OrderKind::Load { name: adapter(number), version: None });
+        self.answer(&order, OrderOutcome::UnderWay);
+        let repeat = self.next_order();
+        assert_eq!(repeat.kind, order.kind);
+        self.answer(&repeat, OrderOutcome::Done);
+    }
+}
+
+#[test]
+fn a_new_leader_waits_until_orders_of_the_former_one_no_longer_count() {
+    let mut placement = Placement::new(PlacementSettings::default(), "control-1".into());
+    placement.lead(1_000, 7);
+    placement.configure(1_000, &configuration(2));
+    placement.register(1_000, &RegisteredEndpoint {
+        id: "e1".into(),
+        service: "quotes".into(),
+        address: ([127, 0, 0, 1], 7_001).into(),
+        zone: "a".into(),
+        slots: 8,
+        leaving: false,
+    });
+    placement.advance(1_000 + LEASE_MS - 1);
+    assert!(placement.take_orders().is_empty());
+    placement.advance(1_000 + LEASE_MS);
+    assert_eq!(placement.take_orders().len(), 1);
+}
+
+#[test]
+fn a_load_that_is_ordered_again_moves_no_sequence() {
+    let mut leader = Leader::new(4);
+    leader.need(1);
+    let first = leader.next_order();
+    assert_eq!(first.expected_sequence, Some(5));
+    leader.answer(&first, OrderOutcome::UnderWay);
+    for _ in 0..3 {
+        let repeat = leader.next_order();
+        assert_eq!(repeat.expected_sequence, Some(6));
+        leader.answer(&repeat, OrderOutcome::UnderWay);
+    }
+    let last = leader.next_order();
+    leader.answer(&last, OrderOutcome::Done);
+    let told = leader.placement.take_placed();
+    assert_eq!(told.last().map(|placed| placed.holding), Some(Holding::Ready(1)));
+}
+
+#[test]
+fn an_order_without_an_answer_is_given_again_under_the_same_sequence() {
+    let mut leader = Leader::new(4);
+    leader.need(1);
+    let lost = leader.next_order();
+    leader.answer(&lost, OrderOutcome::Unknown);
+    let again = leader.next_order();
+    assert_eq!((again.kind, again.expected_sequence), (lost.kind, lost.expected_sequence));
+}
+
+#[test]
+fn no_more_adapters_than_places_are_ordered() {
+    let mut leader = Leader::new(2);
+    leader.load(1);
+    leader.load(2);
+    leader.need(3);
+    let order = leader.next_order();
+    let OrderKind::Unload { name } = &order.kind else { panic!("a place is made first") };
+    assert!(*name == adapter(1) || *name == adapter(2));
+    leader.answer(&order, OrderOutcome::Done);
+    assert_eq!(
+        leader.next_order().kind,
+        OrderKind::Load { name: adapter(3), version: None }
+    );
+}
+
+#[test]
+fn an_adapter_in_use_is_not_unloaded() {
+    let mut leader = Leader::new(1);
+    leader.load(1);
+    for _ in 0..50 {
+        leader.need(2);
+        let used = WeightsUse { name: adapter(1), requests: 0 };
+        leader.placement.used(leader.now_ms, vec![used]);
+        assert!(leader.pass(20).is_empty(), "it is in use");
+    }
+    leader.need(2);
+    assert_eq!(leader.next_order().kind, OrderKind::Unload { name: adapter(1) });
+}
+
+#[test]
+fn an_unload_that_waits_for_its_runs_closes_the_endpoint_for_orders() {
+    let mut leader = Leader::new(1);
+    leader.load(1);
+    leader.need(2);
+    let unload = leader.next_order();
+    assert_eq!(unload.kind, OrderKind::Unload { name: adapter(1) });
+    leader.answer(&unload, OrderOutcome::UnderWay);
+    leader.need(2);
+    let next = leader.next_order();
+    assert_eq!(next.kind, OrderKind::Report, "only a report tells when it is done");
+}
+
+#[test]
+fn no_more_than_four_adapters_are_on_their_way_to_an_endpoint() {
+    let mut leader = Leader::new(16);
+    for number in 0..10 {
+        leader.need(number);
+    }
+    let mut on_their_way = std::collections::BTreeSet::new();
+    for _ in 0..60 {
+        for order in leader.pass(10) {
+            if let OrderKind::Load { name, .. } = &order.kind {
+                on_their_way.insert(name.clone());
+            }
+            leader.answer(&order, OrderOutcome::UnderWay);
+        }
+        for number in 0..10 {
+            leader.need(number);
+        }
+    }
+    assert_eq!(on_their_way.len(), 4);
+}
+
+#[test]
+fn a_newer_version_is_loaded_in_place_of_the_older_one() {
+    let mut leader = Leader::new(4);
+    leader.load(1);
+    leader.placement.set_version(adapter(1), 2);
+    let order = leader.next_order();
+    assert_eq!(order.kind, OrderKind::Load { name: adapter(1), version: Some(2) });
+}
+
+#[test]
+fn the_stores_rate_holds_over_any_window_and_across_leaders() {
+    let window_ms = 5_000;
+    let mut taken: Vec<u64> = Vec::new();
+    let mut allowance = StoreAllowance::new(0);
+    for now_ms in 0..30_000 {
+        if now_ms % 7_000 == 0 {
+            allowance = StoreAllowance::new(now_ms);
+        }
+        allowance.set_rate(10.0);
+        if allowance.take(now_ms) {
+            taken.push(now_ms);
+        }
+    }
+    for start_ms in (0..25_000).step_by(100) {
+        let within = |at_ms: &&u64| **at_ms >= start_ms && **at_ms < start_ms + window_ms;
+        assert!(taken.iter().filter(within).count() <= 53, "10 a second and three more");
+    }
+}
--- a/tests/raft.rs
+++ b/tests/raft.rs
@@ -69,3 +69,62 @@
     raft.persisted(1);
     assert_eq!(raft.commit(), 1);
 }
+
+/// A leader of three voters with one learner that holds the log.
+fn leader_with_learner(voters_wanted: usize) -> Raft {
+    let mut members = founders();
+    let learner = Member { name: "n9".into(), address: ([127, 0, 0, 1], 7_009).into(), voter: false };
+    members.0.insert(9, learner);
+    let mut raft = Raft::new(1, members, Recovered::default(), Timing::default(), 1, 0)
+        .with_voters(voters_wanted);
+    raft.tick(5_000);
+    raft.take_output(5_000);
+    for message in [Message::PreVoteReply { granted: true }, Message::VoteReply { granted: true }] {
+        raft.receive(5_010, Envelope { from: 2, to: 1, term: 1, message });
+        raft.take_output(5_010);
+    }
+    raft.persisted(1);
+    answer(&mut raft, &[2, 3, 9], 5_020, 1);
+    raft
+}
+
+/// Lets replicas answer the round that was sent last.
+fn answer(raft: &mut Raft, replicas: &[u64], now_ms: u64, round: u64) {
+    raft.take_output(now_ms);
+    for from in replicas {
+        let message = Message::AppendReply { matched: true, index: 1, round };
+        raft.receive(now_ms, Envelope { from: *from, to: 1, term: 1, message });
+    }
+}
+
+#[test]
+fn a_learner_waits_while_all_voters_answer() {
+    let raft = leader_with_learner(3);
+    assert_eq!(raft.next_members(5_030), None);
+}
+
+#[test]
+fn a_learner_is_made_a_voter_while_voters_are_missing() {
+    let raft = leader_with_learner(5);
+    let members = raft.next_members(5_030).expect("five voters are wanted");
+    assert!(members.0[&9].voter);
+}
+
+#[test]
+fn a_learner_takes_the_place_of_a_voter_that_fell_silent() {
+    let mut raft = leader_with_learner(3);
+    answer(&mut raft, &[2, 9], 7_000, 2);
+    let members = raft.next_members(7_000).expect("voter 3 is silent");
+    assert!(members.0[&9].voter && members.0.len() == 4);
+}
+
+#[test]
+fn a_leader_may_act_alone_only_for_a_time_after_it_sent_what_a_majority_answered() {
+    let mut raft = leader_with_learner(3);
+    let sent_by_ms = raft.leader_until_ms();
+    assert!(sent_by_ms <= 5_020 + Timing::default().election_ms);
+    // An answer that is read late, say after the process stood still, prolongs nothing.
+    let message = Message::AppendReply { matched: true, index: 1, round: 1 };
+    raft.receive(60_000, Envelope { from: 3, to: 1, term: 1, message });
+    assert!(raft.leader_until_ms() <= 5_020 + Timing::default().election_ms);
+}
--- /dev/null
+++ b/tests/relay.rs
@@ -0,0 +1,158 @@
+//! The parts of a relay that decide: which endpoint, which retries, which events.
+
+use winchvane::message::{EndpointLoad, Holding, Placed, RegisteredEndpoint, WeightsName};
+use winchvane::relay::{EventSplitter, Fleet, IdleConnections, Picked, RetryBudget};
+
+fn endpoint(id: &str, zone: &str, slots: u32) -> RegisteredEndpoint {
+    RegisteredEndpoint {
+        id: id.into(),
+        service: "quotes".into(),
+        address: ([127, 0, 0, 1], 7_000 + u16::from(id.as_bytes()[0])).into(),
+        zone: zone.into(),
+        slots,
+        leaving: false,
+    }
+}
+
+fn adapter() -> WeightsName {
+    WeightsName::new("base", Some("shop"))
+}
+
+fn place(fleet: &mut Fleet, id: &str, holding: Holding) {
+    fleet.place(false, vec![Placed { endpoint: id.into(), name: adapter(), holding }]);
+}
+
+fn picked(fleet: &mut Fleet, now_ms: u64, weights: Option<&WeightsName>) -> Option<String> {
+    match fleet.pick(now_ms, "quotes", weights, &[]) {
+        Picked::Endpoint { id, .. } => Some(id.to_string()),
+        _ => None,
+    }
+}
+
+#[test]
+fn the_least_loaded_endpoint_is_picked_and_the_own_zone_first() {
+    let mut fleet = Fleet::new("near".into());
+    fleet.register(endpoint("n", "near", 10));
+    fleet.register(endpoint("f", "far", 10));
+    assert_eq!(picked(&mut fleet, 0, None).as_deref(), Some("n"));
+    fleet.note_loads(vec![EndpointLoad { endpoint: "n".into(), running: 3 }]);
+    assert_eq!(picked(&mut fleet, 0, None).as_deref(), Some("f"), "too much fuller to be worth it");
+}
+
+#[test]
+fn an_endpoint_that_leaves_gets_nothing_more() {
+    let mut fleet = Fleet::new("near".into());
+    fleet.register(endpoint("n", "near", 10));
+    fleet.register(RegisteredEndpoint { leaving: true, ..endpoint("n", "near", 10) });
+    assert_eq!(fleet.pick(0, "quotes", None, &[]), Picked::NoEndpoint);
+}
+
+#[test]
+fn weights_are_looked_for_where_they_are() {
+    let mut fleet = Fleet::new("near".into());
+    fleet.register(endpoint("n", "near", 1));
+    fleet.register(endpoint("f", "far", 1));
+    let name = adapter();
+    assert_eq!(fleet.pick(0, "quotes", Some(&name), &[]), Picked::NoHome);
+    place(&mut fleet, "f", Holding::Coming);
+    assert_eq!(fleet.pick(0, "quotes", Some(&name), &[]), Picked::Coming);
+    place(&mut fleet, "f", Holding::Ready(1));
+    assert_eq!(picked(&mut fleet, 0, Some(&name)).as_deref(), Some("f"));
+    fleet.start(&"f".into(), Some(&name));
+    assert_eq!(fleet.pick(0, "quotes", Some(&name), &[]), Picked::Full);
+    fleet.finish(&"f".into(), Some(&name));
+    assert_eq!(picked(&mut fleet, 0, Some(&name)).as_deref(), Some("f"));
+    place(&mut fleet, "f", Holding::Gone);
+    assert_eq!(fleet.pick(0, "quotes", Some(&name), &[]), Picked::NoHome);
+}
+
+#[test]
+fn an_old_version_is_used_only_for_a_while() {
+    let mut fleet = Fleet::new("near".into());
+    fleet.register(endpoint("n", "near", 1));
+    let name = adapter();
+    place(&mut fleet, "n", Holding::Ready(1));
+    fleet.set_newest(1_000, name.clone(), 2);
+    assert_eq!(picked(&mut fleet, 1_100, Some(&name)).as_deref(), Some("n"));
+    assert_eq!(fleet.pick(4_000, "quotes", Some(&name), &[]), Picked::NoHome);
+    place(&mut fleet, "n", Holding::Ready(2));
+    let Picked::Endpoint { weights_version, .. } = fleet.pick(4_000, "quotes", Some(&name), &[])
+    else {
+        panic!("the new version is there");
+    };
+    assert_eq!(weights_version, Some(2), "the endpoint is told which version it must have");
+}
+
+#[test]
+fn weights_are_told_as_used_while_a_request_runs() {
+    let mut fleet = Fleet::new("near".into());
+    fleet.register(endpoint("n", "near", 4));
+    let name = adapter();
+    fleet.start(&"n".into(), Some(&name));
+    assert_eq!(fleet.take_traffic().used[0].requests, 1);
+    assert_eq!(fleet.take_traffic().used[0].requests, 0, "still in use, nothing new");
+    fleet.finish(&"n".into(), Some(&name));
+    assert!(fleet.take_traffic().used.is_empty());
+}
+
+#[test]
+fn one_failure_closes_nothing_and_unreachable_does() {
+    let mut fleet = Fleet::new("near".into());
+    fleet.register(endpoint("n", "near", 4));
+    fleet.failed(0, &"n".into());
+    assert_eq!(picked(&mut fleet, 0, None).as_deref(), Some("n"));
+    fleet.unreachable(0, &"n".into());
+    assert_eq!(fleet.pick(0, "quotes", None, &[]), Picked::Full);
+    assert_eq!(fleet.take_traffic().failing.len(), 1);
+    assert_eq!(picked(&mut fleet, 10_000, None).as_deref(), Some("n"), "it is tried again");
+}
+
+#[test]
+fn retries_keep_the_budget_of_all_gateways_over_any_window() {
+    let (ratio, slack, window_ms, gateways) = (0.2, 50.0, 10_000, 5);
+    let mut budgets = Vec::new();
+    for _ in 0..gateways {
+        budgets.push(RetryBudget::new(ratio, slack, window_ms));
+    }
+    let mut retries = Vec::new();
+    let mut requests = Vec::new();
+    for now_ms in (0..40_000).step_by(10) {
+        let busy = &mut budgets[0];
+        busy.note_request(now_ms);
+        requests.push(now_ms);
+        for budget in &mut budgets {
+            if budget.take(now_ms, gateways) {
+                retries.push(now_ms);
+            }
+        }
+    }
+    for start_ms in (0..30_000).step_by(500) {
+        let within = |at_ms: &&u64| **at_ms >= start_ms && **at_ms < start_ms + window_ms;
+        let allowed = requests.iter().filter(within).count() as f64 * ratio + slack;
+        assert!(retries.iter().filter(within).count() as f64 <= allowed);
+    }
+    assert!(retries.len() > 100, "the budget can be used");
+}
+
+#[test]
+fn only_whole_events_are_given_out() {
+    let mut events = EventSplitter::new(None);
+    assert_eq!(events.push(b"id: 1\ndata: a\n\nid: 2\nda").as_deref(), Some(&b"id: 1\ndata: a\n\n"[..]));
+    assert_eq!(events.last_event(), Some(1));
+    assert_eq!(events.push(b"ta: b"), None);
+    events.drop_partial();
+    assert_eq!(events.push(b"id: 2\ndata: b\n\n").as_deref(), Some(&b"id: 2\ndata: b\n\n"[..]));
+    assert_eq!(events.last_event(), Some(2));
+    assert_eq!(events.take_rest(), None);
+}
+
+#[test]
+fn idle_connections_are_used_before_the_endpoint_closes_them() {
+    let address = ([127, 0, 0, 1], 7_001).into();
+    let mut idle = IdleConnections::new();
+    idle.put(0, address, "first", Some(2_000));
+    idle.put(0, address, "second", None);
+    assert_eq!(idle.take(1_000, address, |_| true), Some("second"), "the latest first");
+    assert_eq!(idle.take(1_000, address, |_| false), None, "one that is not ready stays");
+    assert_eq!(idle.take(1_900, address, |_| true), None, "it could be closed at any moment");
+}
