--- a/src/admin.rs
+++ b/src/admin.rs
@@ -1,12 +1,15 @@
 //! What the admin listeners of all processes have in common.
 
+use std::time::Duration;
+
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
 use serde_json::json;
 use tracing::info;
 
-use crate::http::{Answer, json_answer, read_body};
+use crate::http::{Answer, answer, json_answer, read_body};
 use crate::logging;
+use crate::metrics::Metrics;
 
 const LEVEL_MAX_BYTES: usize = 1_024;
 const LEVEL_TIMEOUT_MS: u64 = 5_000;
@@ -16,6 +19,22 @@
     json_answer(status, &json!({"error": message}))
 }
 
+/// The process's figures as text.
+pub fn metrics_text(metrics: &Metrics) -> Answer {
+    answer(StatusCode::OK, "text/plain; version=0.0.4", metrics.text())
+}
+
+/// How often recent durations are moved into their histograms.
+const TIDY: Duration = Duration::from_secs(5);
+
+/// Keeps the figures of a process in order until the task is dropped.
+pub async fn tidy_metrics(metrics: Metrics) {
+    loop {
+        tokio::time::sleep(TIDY).await;
+        metrics.tidy();
+    }
+}
+
 /// Sets the log level of the process from a request's body.
 pub async fn set_log_level(request: Request<Incoming>) -> Answer {
     let body = read_body(request.into_body(), LEVEL_MAX_BYTES, LEVEL_TIMEOUT_MS).await;
--- a/src/control/process.rs
+++ b/src/control/process.rs
@@ -12,7 +12,7 @@
 use tokio::sync::watch;
 use tracing::info;
 
-use crate::admin::{problem, set_log_level};
+use crate::admin::{metrics_text, problem, set_log_level, tidy_metrics};
 use crate::clock::Clock;
 use crate::control::api::ControlApi;
 use crate::control::boot::{self, Booted};
@@ -64,8 +64,9 @@
     let stage = Arc::new(RwLock::new(Stage::Empty));
     let handler = Arc::new(ControlHandler::new(stage.clone()));
     tokio::spawn(wire::serve(peers, handler, metrics.clone()));
+    tokio::spawn(tidy_metrics(metrics.clone()));
     let (stop, stopped) = watch::channel(false);
-    let admin_handler = Arc::new(AdminHandler { stage: stage.clone() });
+    let admin_handler = Arc::new(AdminHandler { stage: stage.clone(), metrics: metrics.clone() });
     let limits = ServerLimits::default();
     tokio::spawn(serve(admin, admin_handler, limits, metrics.clone(), stopped.clone()));
     let mut engines = None;
@@ -144,6 +145,7 @@
 
 struct AdminHandler {
     stage: Arc<RwLock<Stage>>,
+    metrics: Metrics,
 }
 
 impl HttpHandler for AdminHandler {
@@ -152,16 +154,18 @@
             Stage::Running(actor) => Some(actor.clone()),
             Stage::Empty | Stage::Founding => None,
         };
-        Box::pin(serve_admin(actor, request))
+        Box::pin(serve_admin(actor, self.metrics.clone(), request))
     }
 }
 
 async fn serve_admin(
     actor: Option<ActorRef<ReplicaMessage>>,
+    metrics: Metrics,
     request: Request<Incoming>,
 ) -> Answer {
     match (request.method(), request.uri().path()) {
         (&Method::GET, "/health") => json_answer(StatusCode::OK, &json!({"status": "ok"})),
+        (&Method::GET, "/metrics") => metrics_text(&metrics),
         (&Method::PUT, "/log-level") => set_log_level(request).await,
         (&Method::GET, "/dump") => {
             let Some(actor) = actor else {
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -9,7 +9,7 @@
 use serde_json::json;
 use tracing::info;
 
-use crate::admin::{problem, set_log_level};
+use crate::admin::{metrics_text, problem, set_log_level};
 use crate::document::{Document, DocumentKind, validate};
 use crate::error::Error;
 use crate::gateway::owner::OwnerMessage;
@@ -56,6 +56,7 @@
 async fn serve(shared: &Arc<Shared>, request: Request<Incoming>) -> Answer {
     match (request.method(), request.uri().path()) {
         (&Method::GET, "/health") => json_answer(StatusCode::OK, &json!({"status": "ok"})),
+        (&Method::GET, "/metrics") => metrics_text(&shared.metrics),
         (&Method::GET, "/dump") => json_answer(StatusCode::OK, &dump(shared).await),
         (&Method::GET, "/status") => status(shared).await,
         (&Method::PUT, "/log-level") => set_log_level(request).await,
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -2,6 +2,7 @@
 
 use std::sync::OnceLock;
 
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::filter::EnvFilter;
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::reload;
@@ -12,17 +13,30 @@
 
 static FILTER: OnceLock<reload::Handle<EnvFilter, Registry>> = OnceLock::new();
 
-/// Starts logging to standard error at `level`, such as `info` or `info,winchvane::wire=debug`.
+/// Lines that wait to be written; beyond them lines are dropped and counted, since a reader that has
+/// stopped must not stop the process.
+const LINES_WAITING_MAX: usize = 4_096;
+
+static DROPPED: OnceLock<ErrorCounter> = OnceLock::new();
+static WRITER: OnceLock<WorkerGuard> = OnceLock::new();
+
+/// Starts logging to standard output at `level`, such as `info` or `info,winchvane::wire=debug`.
 ///
 /// # Errors
 /// A level that cannot be read, or a second call in one process.
 pub fn start(level: &str) -> Result<()> {
+    let (writer, guard) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(LINES_WAITING_MAX)
+        .finish(std::io::stdout());
+    let _ = DROPPED.set(writer.error_counter());
+    let _ = WRITER.set(guard);
     let (filter, handle) = reload::Layer::new(parse(level)?);
     let lines = tracing_logfmt::builder()
         .with_span_name(false)
         .with_span_path(false)
         .layer()
-        .with_writer(std::io::stderr);
+        .with_writer(writer);
     tracing_subscriber::registry()
         .with(lines.with_filter(filter))
         .try_init()
@@ -43,6 +57,11 @@
         .map_err(|error| Error::invalid(format!("the level cannot be changed: {error}")))
 }
 
+/// Lines that were dropped because too many waited.
+pub fn dropped_lines() -> u64 {
+    DROPPED.get().map_or(0, |dropped| dropped.dropped_lines() as u64)
+}
+
 fn parse(level: &str) -> Result<EnvFilter> {
     EnvFilter::try_new(level)
         .map_err(|error| Error::invalid(format!("\"{level}\" is not a log level: {error}")))
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,4 +1,5 @@
-//! Counters, gauges and timers, sent as statsd lines over UDP and kept for the state dump.
+//! Counters, gauges and timers: kept for the state dump, served as text, and sent as statsd lines
+//! over UDP where an address is given.
 
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
@@ -6,6 +7,8 @@
 
 use cadence::prelude::*;
 use cadence::{BufferedUdpMetricSink, NopMetricSink, QueuingMetricSink, StatsdClient};
+use metrics::{Histogram, Key, Label, Level, Metadata, Recorder};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle, PrometheusRecorder};
 
 use crate::error::{Error, Result};
 
@@ -99,7 +102,16 @@
     LogSync,
 }
 
+/// Upper bounds of the histograms' buckets in milliseconds: the latency objectives of the users lie
+/// between 70 ms and a second.
+const BUCKETS_MS: [f64; 14] = [
+    1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 70.0, 150.0, 300.0, 600.0, 920.0, 2_000.0, 5_000.0, 20_000.0,
+];
+
 impl Timer {
+    /// All timers.
+    pub const ALL: [Self; 4] = [Self::FirstByte, Self::LoadWait, Self::Load, Self::LogSync];
+
     /// The name under which it is sent.
     pub fn name(self) -> &'static str {
         match self {
@@ -123,6 +135,9 @@
 }
 
 impl Gauge {
+    /// All gauges.
+    pub const ALL: [Self; 3] = [Self::RequestsInProgress, Self::EndpointsOwned, Self::Services];
+
     /// The name under which it is sent.
     pub fn name(self) -> &'static str {
         match self {
@@ -140,6 +155,9 @@
 struct Inner {
     client: StatsdClient,
     counts: Vec<AtomicU64>,
+    gauges: Vec<AtomicU64>,
+    histograms: Vec<Histogram>,
+    text: PrometheusHandle,
 }
 
 impl Metrics {
@@ -165,7 +183,39 @@
         };
         let mut counts = Vec::with_capacity(Counter::ALL.len());
         counts.resize_with(Counter::ALL.len(), AtomicU64::default);
-        Ok(Self(Arc::new(Inner { client, counts })))
+        let mut gauges = Vec::with_capacity(Gauge::ALL.len());
+        gauges.resize_with(Gauge::ALL.len(), AtomicU64::default);
+        let recorder = PrometheusBuilder::new()
+            .set_buckets(&BUCKETS_MS)
+            .map_err(|error| Error::invalid(format!("the buckets are not valid: {error}")))?
+            .build_recorder();
+        let histograms = Timer::ALL.iter().map(|timer| histogram(&recorder, *timer)).collect();
+        let text = recorder.handle();
+        Ok(Self(Arc::new(Inner { client, counts, gauges, histograms, text })))
+    }
+
+    /// Everything as text, one line a figure, in the format that Prometheus reads.
+    pub fn text(&self) -> String {
+        let mut text = self.0.text.render();
+        for counter in Counter::ALL {
+            let name = text_name(counter.name());
+            text.push_str(&format!("# TYPE {name} counter\n{name} {}\n", self.total(*counter)));
+        }
+        for gauge in Gauge::ALL {
+            let name = text_name(gauge.name());
+            let value = self.0.gauges[gauge as usize].load(Ordering::Relaxed);
+            text.push_str(&format!("# TYPE {name} gauge\n{name} {value}\n"));
+        }
+        let dropped = crate::logging::dropped_lines();
+        text.push_str(&format!(
+            "# TYPE winchvane_log_lines_dropped counter\nwinchvane_log_lines_dropped {dropped}\n"
+        ));
+        text
+    }
+
+    /// Moves recent durations into their histograms; they pile up until then.
+    pub fn tidy(&self) {
+        self.0.text.run_upkeep();
     }
 
     /// Metrics that are only counted.
@@ -187,11 +237,13 @@
 
     /// Reports a duration.
     pub fn time(&self, timer: Timer, duration_ms: u64) {
+        self.0.histograms[timer as usize].record(duration_ms as f64);
         let _ = self.0.client.time(timer.name(), duration_ms);
     }
 
     /// Reports a level.
     pub fn gauge(&self, gauge: Gauge, value: u64) {
+        self.0.gauges[gauge as usize].store(value, Ordering::Relaxed);
         let _ = self.0.client.gauge(gauge.name(), value);
     }
 
@@ -209,3 +261,14 @@
         totals
     }
 }
+
+fn histogram(recorder: &PrometheusRecorder, timer: Timer) -> Histogram {
+    let name = format!("{}_ms", text_name(timer.name()));
+    let key = Key::from_parts(name, Vec::<Label>::new());
+    recorder.register_histogram(&key, &Metadata::new(module_path!(), Level::INFO, None))
+}
+
+/// `requests.first_byte` as `winchvane_requests_first_byte`.
+fn text_name(name: &str) -> String {
+    format!("winchvane_{}", name.replace('.', "_"))
+}
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -22,7 +22,7 @@
 use crate::clock::Clock;
 use crate::http::{Answer, BodyFault, HttpHandler, answer, full, header, read_body};
 use crate::message::{AdapterNeed, Change, Placed, WeightsName};
-use crate::metrics::{Counter, Metrics};
+use crate::metrics::{Counter, Metrics, Timer};
 use crate::routing::{Chosen, Repeat, Route, RouteTable};
 use crate::settings::RelaySettings;
 use crate::wire::BoxFuture;
@@ -396,6 +396,8 @@
             after_ms = self.relay.now_ms() - self.started_ms
         );
         self.relay.metrics.count(Counter::RequestsAnswered);
+        let first_byte_ms = self.relay.now_ms() - self.started_ms;
+        self.relay.metrics.time(Timer::FirstByte, first_byte_ms);
         debug_assert!(!head.not_run, "a refused send is not started");
         if self.chosen.route.streams && status.is_success() {
             return stream::answer(self, started);
--- a/src/relay/process.rs
+++ b/src/relay/process.rs
@@ -14,7 +14,7 @@
 use super::border::RelayBorder;
 use super::exchange::{Relay, RelayHandler, ready_status};
 use super::session;
-use crate::admin::{problem, set_log_level};
+use crate::admin::{metrics_text, problem, set_log_level, tidy_metrics};
 use crate::error::{Error, Result};
 use crate::http::{Answer, HttpHandler, ServerLimits, answer, json_answer, serve};
 use crate::metrics::Metrics;
@@ -47,6 +47,7 @@
     let relay = Arc::new(Relay::new(settings.clone(), border, metrics.clone(), needs));
     tokio::spawn(session::run(relay.clone(), rand::rng().random(), wanted));
     tokio::spawn(prune(relay.clone()));
+    tokio::spawn(tidy_metrics(metrics.clone()));
     let (stop, stopped) = watch::channel(false);
     let ready_handler = Arc::new(ReadyHandler { relay: relay.clone() });
     let limits = ServerLimits::default();
@@ -123,6 +124,7 @@
         Box::pin(async move {
             match (request.method(), request.uri().path()) {
                 (&Method::GET, "/dump") => json_answer(StatusCode::OK, &dump(&relay)),
+                (&Method::GET, "/metrics") => metrics_text(&relay.metrics),
                 (&Method::PUT, "/log-level") => set_log_level(request).await,
                 (_, path) => problem(StatusCode::NOT_FOUND, &format!("no path {path} here")),
             }
