--- a/src/control/boot.rs
+++ b/src/control/boot.rs
@@ -203,7 +203,10 @@
         .replicas
         .iter()
         .find(|replica| replica.address == settings.common.listen_peers)
-        .map_or_else(|| settings.common.listen_peers.to_string().into(), |replica| replica.name.clone());
+        .map_or_else(
+            || settings.common.listen_peers.to_string().into(),
+            |replica| replica.name.clone(),
+        );
     let request = ControlRequest::Join { id, name, address: settings.common.listen_peers };
     let mut addresses = others(settings);
     while let Some(address) = addresses.pop() {
--- a/src/control/placement/endpoint.rs
+++ b/src/control/placement/endpoint.rs
@@ -8,6 +8,7 @@
 use tracing::info;
 
 use crate::message::{Holding, Placed, RegisteredEndpoint, Weights, WeightsName};
+use crate::routing::EngineSpec;
 
 /// Adapters that an endpoint is taken to have copies of, the latest ones; engines drop the copies
 /// that were unused for longest.
@@ -172,13 +173,17 @@
     pub fn coming_from_store(&self) -> usize {
         let mut coming = 0;
         for place in self.places.values() {
-            coming += usize::from(
-                place.from_store && matches!(place.state, PlaceState::Loading { .. }),
-            );
+            coming +=
+                usize::from(place.from_store && matches!(place.state, PlaceState::Loading { .. }));
         }
         coming
     }
 
+    /// True while anything is on its way here.
+    pub fn is_loading_any(&self) -> bool {
+        self.places.values().any(|place| matches!(place.state, PlaceState::Loading { .. }))
+    }
+
     /// How many adapters are on their way here.
     pub fn coming(&self) -> usize {
         let mut coming = 0;
@@ -190,13 +195,44 @@
         coming
     }
 
-    /// Notes that requests used `name`.
-    pub fn note_use(&mut self, now_ms: u64, name: &WeightsName) {
-        if let Some(place) = self.places.get_mut(name) {
+    /// Notes that requests used `name`; an old version is on its way out and no longer counts.
+    pub fn note_use(&mut self, now_ms: u64, name: &WeightsName, newest: u64) {
+        if let Some(place) = self.places.get_mut(name).filter(|place| place.version >= newest) {
             place.used_at_ms = now_ms;
         }
     }
 
+    /// The room that weights take here, those on their way and those not gone yet included.
+    pub fn used_mb(&self, engine: &EngineSpec) -> f64 {
+        let mut used_mb = 0.0;
+        for name in self.places.keys() {
+            used_mb += engine.size_mb(name);
+        }
+        used_mb
+    }
+
+    /// The base model that is asked for least among those that nobody used just now.
+    pub fn coldest_model(&self, now_ms: u64, demand: &Demand) -> Option<(WeightsName, f64)> {
+        let mut coldest: Option<(WeightsName, f64)> = None;
+        for (name, place) in &self.places {
+            let is_idle = name.adapter.is_none() && place.state == PlaceState::Ready;
+            if !is_idle || self.is_model_used(now_ms, name) {
+                continue;
+            }
+            let own = demand.rate(now_ms, name);
+            if coldest.as_ref().is_none_or(|(_, known)| own < *known) {
+                coldest = Some((name.clone(), own));
+            }
+        }
+        coldest
+    }
+
+    fn is_model_used(&self, now_ms: u64, model: &WeightsName) -> bool {
+        self.places.iter().any(|(name, place)| {
+            name.model == model.model && place.used_at_ms + KEEP_USED_MS > now_ms
+        })
+    }
+
     /// The adapter that is asked for least among those that nobody used just now.
     ///
     /// One that is asked for again soon comes back from the endpoint's own copy, which takes less
@@ -279,8 +315,7 @@
                 placed.push(self.tell(name, Holding::Coming));
                 let from_store = !self.has_copy(name);
                 self.note_copy(now_ms, name);
-                let state =
-                    PlaceState::Loading { check_at_ms: u64::MAX, pause_ms: FIRST_CHECK_MS };
+                let state = PlaceState::Loading { check_at_ms: u64::MAX, pause_ms: FIRST_CHECK_MS };
                 self.put(now_ms, name, version, state);
                 if let Some(place) = self.places.get_mut(name) {
                     place.from_store = from_store;
@@ -291,7 +326,9 @@
                     return;
                 }
                 let version = self.places.get(name).map_or(1, |place| place.version);
-                placed.push(self.tell(name, Holding::Gone));
+                for gone in self.with_adapters(name) {
+                    placed.push(self.tell(&gone, Holding::Gone));
+                }
                 self.put(now_ms, name, version, PlaceState::Unloading);
             }
         }
@@ -321,6 +358,20 @@
         }
     }
 
+    /// The weights that go with `name`: a base model's adapters go with it.
+    fn with_adapters(&self, name: &WeightsName) -> Vec<WeightsName> {
+        let mut names = vec![name.clone()];
+        if name.adapter.is_some() {
+            return names;
+        }
+        for other in self.places.keys() {
+            if other.model == name.model && other != name {
+                names.push(other.clone());
+            }
+        }
+        names
+    }
+
     fn is_accepted(&self, name: &WeightsName) -> bool {
         self.places.get(name).is_some_and(|place| place.accepted)
     }
@@ -330,9 +381,7 @@
     }
 
     fn is_loading(&self, name: &WeightsName) -> bool {
-        self.places
-            .get(name)
-            .is_some_and(|place| matches!(place.state, PlaceState::Loading { .. }))
+        self.places.get(name).is_some_and(|place| matches!(place.state, PlaceState::Loading { .. }))
     }
 
     fn tell(&self, name: &WeightsName, holding: Holding) -> Placed {
@@ -401,13 +450,7 @@
         }
     }
 
-    fn done(
-        &mut self,
-        now_ms: u64,
-        kind: &OrderKind,
-        repeats: bool,
-        placed: &mut Vec<Placed>,
-    ) {
+    fn done(&mut self, now_ms: u64, kind: &OrderKind, repeats: bool, placed: &mut Vec<Placed>) {
         match kind {
             OrderKind::Report => {}
             OrderKind::Load { name, .. } => {
@@ -429,7 +472,9 @@
                 if !repeats {
                     self.sequence = self.sequence.map(|sequence| sequence + 1);
                 }
-                self.places.remove(name);
+                for gone in self.with_adapters(name) {
+                    self.places.remove(&gone);
+                }
                 self.dropped_at_ms.retain(|_, at_ms| *at_ms + HEARTBEAT_LATE_MS > now_ms);
                 self.dropped_at_ms.insert(name.clone(), now_ms);
             }
@@ -459,8 +504,7 @@
         self.reconcile(now_ms, &report.holds, 0, placed);
         for coming in &report.coming {
             if !self.places.contains_key(&coming.name) {
-                let state =
-                    PlaceState::Loading { check_at_ms: now_ms, pause_ms: FIRST_CHECK_MS };
+                let state = PlaceState::Loading { check_at_ms: now_ms, pause_ms: FIRST_CHECK_MS };
                 self.put(now_ms, &coming.name, coming.version, state);
             }
             if let Some(place) = self.places.get_mut(&coming.name) {
--- /dev/null
+++ b/src/control/placement/homes.rs
@@ -0,0 +1,286 @@
+//! Where weights should be: homes for what is asked for, for new versions and for empty endpoints.
+
+use std::sync::Arc;
+
+use tracing::info;
+
+use super::endpoint::{EndpointPlaces, PlaceState};
+use super::order::OrderKind;
+use super::{OpenWants, Placement, Want};
+use crate::message::WeightsName;
+use crate::routing::EngineSpec;
+
+/// The share of an engine's slots that the requests of one adapter may fill before it gets a further
+/// home; measured on the users' deployments, see docs/PLATFORM.md.
+const HOME_FILL: f64 = 0.4;
+/// How long a generated answer takes, about; only used to turn rates into requests under way.
+const ANSWER_S: f64 = 0.7;
+/// Weights that nobody asked for again in this time are no longer wanted: clients come back sooner.
+const WANTED_MS: u64 = 1_500;
+/// How many wants are looked at in one pass, the most asked for first; the weight store takes fewer
+/// in the time between two passes.
+const WANTED_PER_PASS: usize = 64;
+/// Adapters that an engine takes on their way to it at once; it answers a further one with a conflict
+/// (the users' protocol, "Model placement").
+const COMING_MAX: usize = 4;
+/// A model goes before one that is loaded only when it is asked for this much more often; loads of
+/// models take seconds and much of the store.
+const MODEL_GAIN: f64 = 2.0;
+/// Requests within a short time above which a new version of weights is fetched ahead of a request.
+const VERSION_MIN_REQUESTS: f64 = 0.2;
+
+/// What endpoints of a service hold of some weights.
+#[derive(Default)]
+struct Survey {
+    homes: usize,
+    crowded_homes: usize,
+    on_their_way: usize,
+    /// Endpoints that could become a home, with how well they fit.
+    candidates: Vec<((bool, u64), Arc<str>)>,
+    /// Homes of an older version.
+    outdated: Vec<Arc<str>>,
+}
+
+impl Placement {
+    /// Wants the newest version of what is used in an older one.
+    ///
+    /// Another endpoint gets it, so that the older version serves until then.
+    pub(super) fn want_newest_versions(&mut self, now_ms: u64) {
+        let mut wanted = Vec::new();
+        for (name, newest) in &self.versions {
+            if self.demand.recent(now_ms, name) < VERSION_MIN_REQUESTS {
+                continue;
+            }
+            for endpoint in self.endpoints.values() {
+                let Some(place) = endpoint.places.get(name) else { continue };
+                if place.version < *newest {
+                    wanted.push((endpoint.endpoint.service.clone(), name.clone()));
+                    break;
+                }
+            }
+        }
+        for (service, name) in wanted {
+            let hash = super::endpoint::hash_of(&name.to_string());
+            let want = Want { asked_at_ms: now_ms, hash, more: false };
+            self.wanted.entry((service, name)).or_insert(want);
+        }
+    }
+
+    /// Gives endpoints that hold nothing the model that lacks homes most.
+    pub(super) fn fill_empty_endpoints(&mut self, now_ms: u64) {
+        let mut due = Vec::new();
+        for (id, endpoint) in &self.endpoints {
+            let Some(engine) = self.engines.get(&endpoint.endpoint.service) else { continue };
+            let is_due = endpoint.is_free_for_orders(now_ms)
+                && endpoint.takes_weights(now_ms)
+                && endpoint.places.is_empty();
+            let Some(model) = is_due.then(|| self.scarcest_model(now_ms, engine)).flatten() else {
+                continue;
+            };
+            due.push((id.clone(), endpoint.endpoint.service.clone(), model));
+        }
+        for (id, service, name) in due {
+            self.load_with_allowance(now_ms, &service, &id, &name);
+        }
+    }
+
+    fn scarcest_model(&self, now_ms: u64, engine: &EngineSpec) -> Option<WeightsName> {
+        let mut scarcest: Option<(f64, WeightsName)> = None;
+        for model in &engine.models {
+            let name = WeightsName::new(model.name.clone(), None);
+            let holds = |endpoint: &&EndpointPlaces| endpoint.places.contains_key(&name);
+            let homes = self.endpoints.values().filter(holds).count();
+            let lack = (self.demand.rate(now_ms, &name) + 1.0) / (homes + 1) as f64;
+            if scarcest.as_ref().is_none_or(|(known, _)| lack > *known) {
+                scarcest = Some((lack, name));
+            }
+        }
+        scarcest.map(|(_, name)| name)
+    }
+
+    /// Tries to get homes for what gateways asked for, the most asked for first.
+    pub(super) fn load_wanted(&mut self, now_ms: u64) {
+        self.wanted.retain(|_, want| want.asked_at_ms + WANTED_MS > now_ms);
+        let mut wanted = Vec::with_capacity(self.wanted.len());
+        for (key, want) in &self.wanted {
+            wanted.push((self.demand.rate(now_ms, &key.1), key.clone(), *want));
+        }
+        wanted.sort_unstable_by(|one, other| other.0.total_cmp(&one.0));
+        if self.told_at_ms + 1_000 <= now_ms && !wanted.is_empty() {
+            self.told_at_ms = now_ms;
+            info!(event = "weights_wanted", wanted = wanted.len(), open = ?self.open);
+        }
+        self.open = OpenWants::default();
+        for (rate, (service, name), want) in wanted.into_iter().take(WANTED_PER_PASS) {
+            if self.load_one(now_ms, &service, &name, want, rate) {
+                self.wanted.remove(&(service, name));
+            }
+        }
+    }
+
+    /// Tries to get `name` one more home; true when nothing more is to be done for it.
+    fn load_one(
+        &mut self,
+        now_ms: u64,
+        service: &Arc<str>,
+        name: &WeightsName,
+        want: Want,
+        rate: f64,
+    ) -> bool {
+        let Some(engine) = self.engines.get(service).cloned() else { return true };
+        let mut survey = self.survey(now_ms, service, name, want);
+        let mut homes_wanted = wanted_homes(rate, engine.slots);
+        if want.more && survey.homes == survey.crowded_homes {
+            homes_wanted = homes_wanted.max(survey.homes + 1);
+        }
+        if survey.homes >= homes_wanted {
+            return true;
+        }
+        if survey.homes + survey.on_their_way >= homes_wanted {
+            self.open.on_their_way += 1;
+            return false;
+        }
+        survey.candidates.sort_unstable_by(|one, other| other.0.cmp(&one.0));
+        if name.adapter.is_none() {
+            return self.load_model(now_ms, service, &engine, name, rate, &survey);
+        }
+        if survey.candidates.is_empty() && survey.homes + survey.on_their_way == 0 {
+            return self.load_without_candidates(now_ms, service, name, rate, want, &survey);
+        }
+        self.load_adapter(now_ms, service, &engine, name, &survey)
+    }
+
+    fn survey(&self, now_ms: u64, service: &str, name: &WeightsName, want: Want) -> Survey {
+        let newest = self.versions.get(name).copied().unwrap_or(0);
+        let mut survey = Survey::default();
+        for (id, endpoint) in &self.endpoints {
+            if &*endpoint.endpoint.service != service || !endpoint.takes_weights(now_ms) {
+                continue;
+            }
+            let fit = (!endpoint.is_crowded(), endpoint.affinity(want.hash));
+            let Some(place) = endpoint.places.get(name) else {
+                if name.adapter.is_none() || endpoint.holds_base(name) {
+                    survey.candidates.push((fit, id.clone()));
+                }
+                continue;
+            };
+            match place.state {
+                PlaceState::Ready if place.version < newest => survey.outdated.push(id.clone()),
+                PlaceState::Ready => {
+                    survey.homes += 1;
+                    survey.crowded_homes += usize::from(endpoint.is_crowded());
+                }
+                PlaceState::Loading { .. } => survey.on_their_way += 1,
+                PlaceState::Unloading => {}
+            }
+        }
+        survey
+    }
+
+    fn load_adapter(
+        &mut self,
+        now_ms: u64,
+        service: &Arc<str>,
+        engine: &EngineSpec,
+        name: &WeightsName,
+        survey: &Survey,
+    ) -> bool {
+        for (_, id) in &survey.candidates {
+            let Some(endpoint) = self.endpoints.get(id) else { continue };
+            if !endpoint.is_free_for_orders(now_ms) || endpoint.coming() >= COMING_MAX {
+                self.open.endpoint_busy += 1;
+                return false;
+            }
+            let is_wanted_enough = endpoint.has_copy(name)
+                || self.demand.recent(now_ms, name) >= self.settings.store_load_min_requests;
+            if !is_wanted_enough {
+                return true;
+            }
+            let needed_mb = endpoint.used_mb(engine) + engine.size_mb(name);
+            if endpoint.adapters() < engine.adapter_places && needed_mb <= engine.weights_mb {
+                self.load_with_allowance(now_ms, service, id, name);
+                return false;
+            }
+            if let Some(victim) = endpoint.coldest(now_ms, &self.demand) {
+                self.open.ordered += 1;
+                self.order(now_ms, id, OrderKind::Unload { name: victim });
+                return false;
+            }
+        }
+        self.open.no_victim += 1;
+        false
+    }
+
+    /// No endpoint can take the adapter as it is: its base model needs a home first, or every
+    /// endpoint has an older version, which one of them then replaces.
+    fn load_without_candidates(
+        &mut self,
+        now_ms: u64,
+        service: &Arc<str>,
+        name: &WeightsName,
+        rate: f64,
+        want: Want,
+        survey: &Survey,
+    ) -> bool {
+        let Some(id) = survey.outdated.first() else {
+            let base = name.base();
+            self.load_one(now_ms, service, &base, want, rate);
+            return false;
+        };
+        let is_free =
+            self.endpoints.get(id).is_some_and(|endpoint| endpoint.is_free_for_orders(now_ms));
+        if is_free {
+            let version = self.version_of(name);
+            self.order(now_ms, id, OrderKind::Load { name: name.clone(), version });
+        }
+        false
+    }
+
+    fn load_model(
+        &mut self,
+        now_ms: u64,
+        service: &Arc<str>,
+        engine: &EngineSpec,
+        name: &WeightsName,
+        rate: f64,
+        survey: &Survey,
+    ) -> bool {
+        let has_home = survey.homes > 0;
+        for (_, id) in &survey.candidates {
+            let Some(endpoint) = self.endpoints.get(id) else { continue };
+            if !endpoint.is_free_for_orders(now_ms) || endpoint.is_loading_any() {
+                continue;
+            }
+            if endpoint.used_mb(engine) + engine.size_mb(name) <= engine.weights_mb {
+                self.load_with_allowance(now_ms, service, id, name);
+                return false;
+            }
+            let Some((victim, victim_rate)) = endpoint.coldest_model(now_ms, &self.demand) else {
+                continue;
+            };
+            let homes_of_victim = self.homes_of(&victim);
+            let is_worth_it = if has_home {
+                rate > victim_rate * MODEL_GAIN && homes_of_victim > 1
+            } else {
+                homes_of_victim > 1 || rate > victim_rate * MODEL_GAIN
+            };
+            if is_worth_it {
+                info!(event = "model_gives_way", endpoint = %id, model = %victim, to = %name);
+                self.order(now_ms, id, OrderKind::Unload { name: victim });
+                return false;
+            }
+        }
+        self.open.no_victim += 1;
+        false
+    }
+
+    fn homes_of(&self, name: &WeightsName) -> usize {
+        self.endpoints.values().filter(|endpoint| endpoint.holds_base(name)).count()
+    }
+}
+
+/// How many endpoints weights asked for at `rate` requests a second should be at.
+fn wanted_homes(rate: f64, slots: u32) -> usize {
+    let under_way = rate * ANSWER_S;
+    1 + (under_way / (f64::from(slots.max(1)) * HOME_FILL)) as usize
+}
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -7,6 +7,7 @@
 
 mod demand;
 mod endpoint;
+mod homes;
 mod order;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -28,19 +29,6 @@
 /// An endpoint that said nothing for this long gets no new adapters: twice the usual period of
 /// heartbeats and a second for one that is late.
 const SILENT_MS: u64 = 4_000;
-/// The share of an engine's slots that the requests of one adapter may fill before it gets a further
-/// home; measured on the users' deployments, see docs/PLATFORM.md.
-const HOME_FILL: f64 = 0.4;
-/// How long a generated answer takes, about; only used to turn rates into requests under way.
-const ANSWER_S: f64 = 0.7;
-/// Weights that nobody asked for again in this time are no longer wanted: clients come back sooner.
-const WANTED_MS: u64 = 1_500;
-/// How many wants are looked at in one pass, the most asked for first; the weight store takes fewer
-/// in the time between two passes.
-const WANTED_PER_PASS: usize = 64;
-/// Adapters that an engine takes on their way to it at once; it answers a further one with a conflict
-/// (the users' protocol, "Model placement").
-const COMING_MAX: usize = 4;
 /// The shortest time between two passes.
 const PASS_MS: u64 = 5;
 /// A place that was used this recently is not given to another adapter: gateways tell of use several
@@ -198,8 +186,12 @@
     pub fn used(&mut self, now_ms: u64, used: Vec<WeightsUse>) {
         for weights in used {
             self.demand.add(now_ms, &weights.name, weights.requests);
+            if weights.name.adapter.is_some() {
+                self.demand.add(now_ms, &weights.name.base(), weights.requests);
+            }
+            let newest = self.versions.get(&weights.name).copied().unwrap_or(0);
             for endpoint in self.endpoints.values_mut() {
-                endpoint.note_use(now_ms, &weights.name);
+                endpoint.note_use(now_ms, &weights.name, newest);
             }
         }
     }
@@ -261,15 +253,16 @@
         self.ask_for_reports(now_ms);
         self.check_loads(now_ms);
         self.repeat_unloads(now_ms);
-        self.replace_old_versions(now_ms);
-        self.load_base_models(now_ms);
+        self.want_newest_versions(now_ms);
+        self.fill_empty_endpoints(now_ms);
         self.load_wanted(now_ms);
     }
 
     fn ask_for_reports(&mut self, now_ms: u64) {
         let mut due = Vec::new();
         for (id, endpoint) in &self.endpoints {
-            if self.engines.contains_key(&endpoint.endpoint.service) && endpoint.needs_report(now_ms)
+            if self.engines.contains_key(&endpoint.endpoint.service)
+                && endpoint.needs_report(now_ms)
             {
                 due.push(id.clone());
             }
@@ -302,134 +295,6 @@
         }
     }
 
-    fn replace_old_versions(&mut self, now_ms: u64) {
-        let mut due = Vec::new();
-        for (id, endpoint) in &self.endpoints {
-            if !endpoint.is_free_for_orders(now_ms) {
-                continue;
-            }
-            for (name, place) in &endpoint.places {
-                let newest = self.versions.get(name).copied().unwrap_or(place.version);
-                if place.state == PlaceState::Ready && place.version < newest {
-                    due.push((id.clone(), name.clone(), newest));
-                    break;
-                }
-            }
-        }
-        for (id, name, version) in due {
-            info!(event = "weights_replaced", endpoint = %id, weights = %name, version = version);
-            self.order(now_ms, &id, OrderKind::Load { name, version: Some(version) });
-        }
-    }
-
-    fn load_base_models(&mut self, now_ms: u64) {
-        let mut due = Vec::new();
-        for (id, endpoint) in &self.endpoints {
-            let Some(engine) = self.engines.get(&endpoint.endpoint.service) else { continue };
-            let [model] = engine.models.as_slice() else { continue };
-            let name = WeightsName::new(model.name.clone(), None);
-            let is_due = endpoint.is_free_for_orders(now_ms)
-                && endpoint.is_live(now_ms)
-                && !endpoint.endpoint.leaving
-                && endpoint.places.is_empty();
-            if is_due {
-                due.push((id.clone(), endpoint.endpoint.service.clone(), name));
-            }
-        }
-        for (id, service, name) in due {
-            self.load_with_allowance(now_ms, &service, &id, &name);
-        }
-    }
-
-    fn load_wanted(&mut self, now_ms: u64) {
-        self.wanted.retain(|_, want| want.asked_at_ms + WANTED_MS > now_ms);
-        let mut wanted = Vec::with_capacity(self.wanted.len());
-        for (key, want) in &self.wanted {
-            wanted.push((self.demand.rate(now_ms, &key.1), key.clone(), *want));
-        }
-        wanted.sort_unstable_by(|one, other| other.0.total_cmp(&one.0));
-        if self.told_at_ms + 1_000 <= now_ms && !wanted.is_empty() {
-            self.told_at_ms = now_ms;
-            info!(event = "weights_wanted", wanted = wanted.len(), open = ?self.open);
-        }
-        self.open = OpenWants::default();
-        for (rate, (service, name), want) in wanted.into_iter().take(WANTED_PER_PASS) {
-            if self.load_one(now_ms, &service, &name, want, rate) {
-                self.wanted.remove(&(service, name));
-            }
-        }
-    }
-
-    /// Tries to get `name` one more home; true when nothing more is to be done for it.
-    fn load_one(
-        &mut self,
-        now_ms: u64,
-        service: &Arc<str>,
-        name: &WeightsName,
-        want: Want,
-        rate: f64,
-    ) -> bool {
-        let Some(engine) = self.engines.get(service) else { return true };
-        let mut homes_wanted = wanted_homes(rate, engine.slots);
-        let adapter_places = engine.adapter_places;
-        let mut homes = 0;
-        let mut crowded_homes = 0;
-        let mut on_their_way = 0;
-        let mut candidates = Vec::new();
-        for (id, endpoint) in &self.endpoints {
-            if endpoint.endpoint.service != *service || !endpoint.takes_weights(now_ms) {
-                continue;
-            }
-            match endpoint.places.get(name).map(|place| place.state) {
-                Some(PlaceState::Ready) => {
-                    homes += 1;
-                    crowded_homes += usize::from(endpoint.is_crowded());
-                }
-                Some(PlaceState::Loading { .. }) => on_their_way += 1,
-                Some(PlaceState::Unloading) => {}
-                None if endpoint.holds_base(name) => {
-                    let fit = (!endpoint.is_crowded(), endpoint.affinity(want.hash));
-                    candidates.push((fit, id.clone()));
-                }
-                None => {}
-            }
-        }
-        if want.more && homes == crowded_homes {
-            homes_wanted = homes_wanted.max(homes + 1);
-        }
-        if homes >= homes_wanted {
-            return true;
-        }
-        if homes + on_their_way >= homes_wanted {
-            self.open.on_their_way += 1;
-            return false;
-        }
-        candidates.sort_unstable_by(|one, other| other.0.cmp(&one.0));
-        for (_, id) in candidates {
-            let Some(endpoint) = self.endpoints.get(&id) else { continue };
-            if !endpoint.is_free_for_orders(now_ms) || endpoint.coming() >= COMING_MAX {
-                self.open.endpoint_busy += 1;
-                return false;
-            }
-            let is_wanted_enough = endpoint.has_copy(name)
-                || self.demand.recent(now_ms, name) >= self.settings.store_load_min_requests;
-            if !is_wanted_enough {
-                return true;
-            }
-            if endpoint.adapters() < adapter_places {
-                self.load_with_allowance(now_ms, service, &id, name);
-                return false;
-            }
-            if let Some(victim) = endpoint.coldest(now_ms, &self.demand) {
-                self.open.ordered += 1;
-                self.order(now_ms, &id, OrderKind::Unload { name: victim });
-                return false;
-            }
-        }
-        self.open.no_victim += 1;
-        false
-    }
-
     fn load_with_allowance(
         &mut self,
         now_ms: u64,
@@ -499,9 +364,3 @@
         silent
     }
 }
-
-/// How many endpoints an adapter asked for at `rate` requests a second should be at.
-fn wanted_homes(rate: f64, slots: u32) -> usize {
-    let under_way = rate * ANSWER_S;
-    1 + (under_way / (f64::from(slots.max(1)) * HOME_FILL)) as usize
-}
--- a/src/control/raft/leading.rs
+++ b/src/control/raft/leading.rs
@@ -62,7 +62,8 @@
                 continue;
             }
             let Some(progress) = leading.progress.get(id) else { continue };
-            if progress.matched + PROMOTION_GAP < self.commit || !self.has_room_for(now_ms, member) {
+            if progress.matched + PROMOTION_GAP < self.commit || !self.has_room_for(now_ms, member)
+            {
                 continue;
             }
             let mut members = self.members.clone();
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -261,10 +261,8 @@
         }
         self.metrics.count(Counter::SnapshotsWritten);
         let (snapshot, entries) = (Arc::new(snapshot), Arc::new(entries));
-        self.retry_while_full(move |storage| {
-            storage.save_snapshot(&snapshot, hard_state, &entries)
-        })
-        .await
+        self.retry_while_full(move |storage| storage.save_snapshot(&snapshot, hard_state, &entries))
+            .await
     }
 
     /// Waits while the disk is full: nothing that has to be stored is promised meanwhile, and the
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -173,12 +173,8 @@
             Operation::RegisterEndpoint(endpoint) => {
                 (Outcome::Accepted, self.registry.register(endpoint))
             }
-            Operation::DeregisterEndpoint(id) => {
-                (Outcome::Accepted, self.registry.deregister(&id))
-            }
-            Operation::PutVersion(newest) => {
-                (Outcome::Accepted, self.registry.put_version(newest))
-            }
+            Operation::DeregisterEndpoint(id) => (Outcome::Accepted, self.registry.deregister(&id)),
+            Operation::PutVersion(newest) => (Outcome::Accepted, self.registry.put_version(newest)),
         }
     }
 
--- a/src/control/storage.rs
+++ b/src/control/storage.rs
@@ -127,8 +127,7 @@
             .map_err(|error| file_error("open", &log_path, error))?;
         let size = log.metadata().map_err(|error| file_error("stat", &log_path, error))?.len();
         sync_folder(folder)?;
-        let storage =
-            Self {
+        let storage = Self {
             folder: folder.to_owned(),
             log,
             log_path,
--- a/src/message/mod.rs
+++ b/src/message/mod.rs
@@ -18,8 +18,8 @@
 };
 pub use forward::{Call, ForwardEvent, ForwardRequest, Refusal};
 pub use registration::{
-    AdapterNeed, EndpointLoad, Heartbeat, Holding, NewestVersion, Placed, RegisteredEndpoint, Weights,
-    WeightsName, WeightsUse,
+    AdapterNeed, EndpointLoad, Heartbeat, Holding, NewestVersion, Placed, RegisteredEndpoint,
+    Weights, WeightsName, WeightsUse,
 };
 
 /// What is known about a request that got no answer.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -104,9 +104,8 @@
 
 /// Upper bounds of the histograms' buckets in milliseconds: the latency objectives of the users lie
 /// between 70 ms and a second.
-const BUCKETS_MS: [f64; 14] = [
-    1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 70.0, 150.0, 300.0, 600.0, 920.0, 2_000.0, 5_000.0, 20_000.0,
-];
+const BUCKETS_MS: [f64; 14] =
+    [1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 70.0, 150.0, 300.0, 600.0, 920.0, 2_000.0, 5_000.0, 20_000.0];
 
 impl Timer {
     /// All timers.
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -488,9 +488,7 @@
     }
 
     /// Waits until an endpoint can take the request, as long as that is worth it.
-    async fn pick(
-        &self,
-    ) -> Result<(Arc<str>, std::net::SocketAddr, Option<u64>), NotSent> {
+    async fn pick(&self) -> Result<(Arc<str>, std::net::SocketAddr, Option<u64>), NotSent> {
         let quarter_ms = self.chosen.route.latency_objective_ms / 4;
         let patience_ms = quarter_ms.saturating_sub(PATIENCE_MARGIN_MS);
         let until_ms = (self.started_ms + patience_ms).min(self.ends_at_ms);
@@ -501,7 +499,8 @@
         loop {
             let changed = self.relay.changed.notified();
             let now_ms = self.relay.now_ms();
-            let weights = self.meta.weights.as_ref().filter(|_| self.chosen.service.engine.is_some());
+            let weights =
+                self.meta.weights.as_ref().filter(|_| self.chosen.service.engine.is_some());
             let service = &self.chosen.service.name;
             let picked = self.relay.fleet().pick(now_ms, service, weights, &self.tried);
             let reason = match picked {
@@ -549,8 +548,7 @@
         let weights = self.meta.weights.as_ref();
         relay.fleet().start(&send.endpoint, weights);
         let endpoint = send.endpoint.clone();
-        let flight =
-            Flight { relay: relay.clone(), weights: weights.cloned(), endpoint, address };
+        let flight = Flight { relay: relay.clone(), weights: weights.cloned(), endpoint, address };
         let left = Duration::from_millis(self.left_ms(relay.now_ms()));
         let peer = &*send.endpoint;
         let sent = timeout(left, pool::send(&mut connection, peer, self.request(send))).await;
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -52,7 +52,8 @@
     /// # Errors
     /// "Not run" when none could be made.
     pub async fn connection(&self, address: SocketAddr) -> Result<Connection> {
-        if let Some(connection) = self.idle().take(self.clock.now_ms(), address, SendRequest::is_ready)
+        if let Some(connection) =
+            self.idle().take(self.clock.now_ms(), address, SendRequest::is_ready)
         {
             return Ok(connection);
         }
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -156,7 +156,8 @@
     let mut next = Some(first);
     while let Some(need) = next {
         let key = (need.service.clone(), need.weights.clone());
-        let known = by_weights.entry(key).or_insert_with(|| AdapterNeed { requests: 0, ..need.clone() });
+        let known =
+            by_weights.entry(key).or_insert_with(|| AdapterNeed { requests: 0, ..need.clone() });
         known.requests += need.requests;
         next = needs.try_recv().ok();
     }
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -42,9 +42,9 @@
     async fn next(&mut self, left: Duration) -> Result<Option<Bytes>> {
         let peer = self.flight.endpoint.clone();
         loop {
-            let frame = timeout(left, self.body.frame())
-                .await
-                .map_err(|_| Error::timeout("read stream", peer.clone(), left.as_millis() as u64))?;
+            let frame = timeout(left, self.body.frame()).await.map_err(|_| {
+                Error::timeout("read stream", peer.clone(), left.as_millis() as u64)
+            })?;
             let Some(frame) = frame else { return Ok(None) };
             let frame = frame.map_err(|error| Error::failed("read stream", peer.clone(), error))?;
             if let Ok(data) = frame.into_data() {
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -13,6 +13,8 @@
 
 pub use table::{Chosen, RouteTable};
 
+use crate::message::WeightsName;
+
 /// Everything that is routed, under one version.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct RoutingConfiguration {
@@ -142,6 +144,17 @@
     }
 }
 
+impl EngineSpec {
+    /// The room that `name` takes; nothing for weights that the service does not declare.
+    pub fn size_mb(&self, name: &WeightsName) -> f64 {
+        let model = self.models.iter().find(|model| model.name == name.model);
+        model.map_or(0.0, |model| match name.adapter {
+            Some(_) => model.adapter_mb,
+            None => model.weights_mb,
+        })
+    }
+}
+
 impl RoutingConfiguration {
     /// The faults that keep this configuration from being accepted, in the order of its routes.
     pub fn faults(&self) -> Vec<String> {
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -1,6 +1,5 @@
 //! Which orders the leader gives to engines, and when.
 
-
 use winchvane::control::placement::{
     EngineOrder, EngineReport, OrderKind, OrderOutcome, OrderResult, Placement, PlacementSettings,
     StoreAllowance,
@@ -8,14 +7,13 @@
 use winchvane::message::{
     AdapterNeed, Holding, RegisteredEndpoint, Weights, WeightsName, WeightsUse,
 };
-use winchvane::routing::{
-    EngineSpec, ModelSpec, RequestLimits, RoutingConfiguration, ServiceSpec,
-};
+use winchvane::routing::{EngineSpec, ModelSpec, RequestLimits, RoutingConfiguration, ServiceSpec};
 
 const LEASE_MS: u64 = 3_000;
 
 fn configuration(adapter_places: usize) -> RoutingConfiguration {
-    let model = ModelSpec { name: "base".into(), weights_mb: 60_000.0, adapter_mb: 10.0, load_ms: 600 };
+    let model =
+        ModelSpec { name: "base".into(), weights_mb: 60_000.0, adapter_mb: 10.0, load_ms: 600 };
     let engine = EngineSpec {
         slots: 8,
         memory_tokens: 100_000,
@@ -24,8 +22,7 @@
         store_loads_per_s: 10.0,
         models: vec![model],
     };
-    let service =
-        ServiceSpec { name: "quotes".into(), connections_max: 100, engine: Some(engine) };
+    let service = ServiceSpec { name: "quotes".into(), connections_max: 100, engine: Some(engine) };
     RoutingConfiguration {
         version: 1,
         routes: Vec::new(),
@@ -49,20 +46,22 @@
         let mut placement = Placement::new(PlacementSettings::default(), "control-1".into());
         placement.lead(0, 7);
         placement.configure(0, &configuration(adapter_places));
-        placement.register(LEASE_MS, &RegisteredEndpoint {
-            id: "e1".into(),
-            service: "quotes".into(),
-            address: ([127, 0, 0, 1], 7_001).into(),
-            zone: "a".into(),
-            slots: 8,
-            leaving: false,
-        });
+        placement.register(
+            LEASE_MS,
+            &RegisteredEndpoint {
+                id: "e1".into(),
+                service: "quotes".into(),
+                address: ([127, 0, 0, 1], 7_001).into(),
+                zone: "a".into(),
+                slots: 8,
+                leaving: false,
+            },
+        );
         let mut leader = Self { placement, now_ms: LEASE_MS };
         let report = leader.next_order();
         assert_eq!(report.kind, OrderKind::Report, "nothing is ordered before a report");
         let base = Weights { name: adapter(0).base(), version: 1 };
-        let outcome =
-            EngineReport { sequence: 5, holds: vec![base], coming: Vec::new() };
+        let outcome = EngineReport { sequence: 5, holds: vec![base], coming: Vec::new() };
         leader.answer(&report, OrderOutcome::Report(outcome));
         leader
     }
@@ -120,14 +119,17 @@
     let mut placement = Placement::new(PlacementSettings::default(), "control-1".into());
     placement.lead(1_000, 7);
     placement.configure(1_000, &configuration(2));
-    placement.register(1_000, &RegisteredEndpoint {
-        id: "e1".into(),
-        service: "quotes".into(),
-        address: ([127, 0, 0, 1], 7_001).into(),
-        zone: "a".into(),
-        slots: 8,
-        leaving: false,
-    });
+    placement.register(
+        1_000,
+        &RegisteredEndpoint {
+            id: "e1".into(),
+            service: "quotes".into(),
+            address: ([127, 0, 0, 1], 7_001).into(),
+            zone: "a".into(),
+            slots: 8,
+            leaving: false,
+        },
+    );
     placement.advance(1_000 + LEASE_MS - 1);
     assert!(placement.take_orders().is_empty());
     placement.advance(1_000 + LEASE_MS);
@@ -172,10 +174,7 @@
     let OrderKind::Unload { name } = &order.kind else { panic!("a place is made first") };
     assert!(*name == adapter(1) || *name == adapter(2));
     leader.answer(&order, OrderOutcome::Done);
-    assert_eq!(
-        leader.next_order().kind,
-        OrderKind::Load { name: adapter(3), version: None }
-    );
+    assert_eq!(leader.next_order().kind, OrderKind::Load { name: adapter(3), version: None });
 }
 
 #[test]
--- a/tests/raft.rs
+++ b/tests/raft.rs
@@ -73,7 +73,8 @@
 /// A leader of three voters with one learner that holds the log.
 fn leader_with_learner(voters_wanted: usize) -> Raft {
     let mut members = founders();
-    let learner = Member { name: "n9".into(), address: ([127, 0, 0, 1], 7_009).into(), voter: false };
+    let learner =
+        Member { name: "n9".into(), address: ([127, 0, 0, 1], 7_009).into(), voter: false };
     members.0.insert(9, learner);
     let mut raft = Raft::new(1, members, Recovered::default(), Timing::default(), 1, 0)
         .with_voters(voters_wanted);
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -137,7 +137,10 @@
 #[test]
 fn only_whole_events_are_given_out() {
     let mut events = EventSplitter::new(None);
-    assert_eq!(events.push(b"id: 1\ndata: a\n\nid: 2\nda").as_deref(), Some(&b"id: 1\ndata: a\n\n"[..]));
+    assert_eq!(
+        events.push(b"id: 1\ndata: a\n\nid: 2\nda").as_deref(),
+        Some(&b"id: 1\ndata: a\n\n"[..])
+    );
     assert_eq!(events.last_event(), Some(1));
     assert_eq!(events.push(b"ta: b"), None);
     events.drop_partial();
