control: who gave the last orders is replicated; the last leader stands first

Change: the holder of orders is a committed fact; the same instance goes on without waiting; a replica that voted for itself in the last term stands first. Loads from the store are looked at when they should be done, by the fastest ones seen.

--- a/src/control/boot.rs
+++ b/src/control/boot.rs
@@ -93,6 +93,7 @@
         raft = raft.with_voters(seeds.voters);
     }
     let replica_settings = ReplicaSettings {
+        instance: settings.common.listen_peers.to_string().into(),
         lease_ms: settings.lease_ms,
         snapshot_entries: settings.snapshot_entries,
         ledger: settings.ledger,
--- a/src/control/placement/endpoint.rs
+++ b/src/control/placement/endpoint.rs
@@ -19,6 +19,8 @@
 const UNLOAD_CHECK_MS: u64 = 60;
 /// How soon a load is looked at again, at most.
 const CHECK_MAX_MS: u64 = 120;
+/// How soon a load is looked at again, at least.
+const CHECK_MIN_MS: u64 = 14;
 /// How soon an order without an answer is given again. Both expect the same sequence, so the endpoint
 /// carries out one of them at most, however late the first one arrives.
 const AGAIN_MS: u64 = 30;
@@ -291,6 +293,7 @@
         now_ms: u64,
         number: u64,
         kind: &OrderKind,
+        store_load_ms: u64,
         placed: &mut Vec<Placed>,
     ) {
         let (is_known, repeats) = match kind {
@@ -315,7 +318,9 @@
                 placed.push(self.tell(name, Holding::Coming));
                 let from_store = !self.has_copy(name);
                 self.note_copy(now_ms, name);
-                let state = PlaceState::Loading { check_at_ms: u64::MAX, pause_ms: FIRST_CHECK_MS };
+                let expected_ms = if from_store { store_load_ms } else { 0 };
+                let pause_ms = FIRST_CHECK_MS.max(expected_ms);
+                let state = PlaceState::Loading { check_at_ms: u64::MAX, pause_ms };
                 self.put(now_ms, name, version, state);
                 if let Some(place) = self.places.get_mut(name) {
                     place.from_store = from_store;
@@ -389,11 +394,17 @@
     }
 
     /// Takes the outcome of an order in.
-    pub fn ordered(&mut self, now_ms: u64, result: &OrderResult, placed: &mut Vec<Placed>) {
-        let Some(pending) = self.pending.filter(|pending| pending.number == result.number) else {
-            return;
-        };
+    ///
+    /// Returns how long a load from the weight store took, when this showed one to be done.
+    pub fn ordered(
+        &mut self,
+        now_ms: u64,
+        result: &OrderResult,
+        placed: &mut Vec<Placed>,
+    ) -> Option<u64> {
+        let pending = self.pending.filter(|pending| pending.number == result.number)?;
         self.pending = None;
+        let took_ms = self.store_load_took_ms(now_ms, result);
         match &result.outcome {
             OrderOutcome::Report(report) => self.reported(now_ms, report, placed),
             OrderOutcome::UnderWay => self.under_way(now_ms, &result.kind, pending.repeats),
@@ -414,6 +425,14 @@
                 self.recheck(now_ms, &result.kind);
             }
         }
+        took_ms
+    }
+
+    fn store_load_took_ms(&self, now_ms: u64, result: &OrderResult) -> Option<u64> {
+        let OrderKind::Load { name, .. } = &result.kind else { return None };
+        let place = self.places.get(name)?;
+        let is_done = matches!(result.outcome, OrderOutcome::Done);
+        (is_done && place.from_store && place.accepted).then(|| now_ms - place.changed_at_ms)
     }
 
     fn under_way(&mut self, now_ms: u64, kind: &OrderKind, repeats: bool) {
@@ -445,7 +464,7 @@
             }
             place.state = PlaceState::Loading {
                 check_at_ms: now_ms + pause_ms,
-                pause_ms: (pause_ms * 3 / 2).min(CHECK_MAX_MS),
+                pause_ms: (pause_ms / 6).clamp(CHECK_MIN_MS, CHECK_MAX_MS),
             };
         }
     }
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -29,6 +29,8 @@
 /// An endpoint that said nothing for this long gets no new adapters: twice the usual period of
 /// heartbeats and a second for one that is late.
 const SILENT_MS: u64 = 4_000;
+/// What a load from the weight store is taken to last until one was seen.
+const STORE_LOAD_FIRST_MS: u64 = 100;
 /// The shortest time between two passes.
 const PASS_MS: u64 = 5;
 /// A place that was used this recently is not given to another adapter: gateways tell of use several
@@ -98,6 +100,8 @@
     orders: Vec<EngineOrder>,
     placed: Vec<Placed>,
     next_order: u64,
+    /// How long a load from the weight store takes when nothing slows it, as seen so far.
+    store_load_ms: u64,
 }
 
 impl Placement {
@@ -120,14 +124,23 @@
             orders: Vec::new(),
             placed: Vec::new(),
             next_order: 0,
+            store_load_ms: STORE_LOAD_FIRST_MS,
         }
     }
 
-    /// Starts a leader's time: orders may go out once those of an earlier leader no longer count.
-    pub fn lead(&mut self, now_ms: u64, token: u64) {
+    /// Starts a leader's time: orders may go out once those of `former`, which gave orders last, no
+    /// longer count; its own still count, so they hold it up no longer than it takes to lead.
+    pub fn lead(&mut self, now_ms: u64, token: u64, former: Option<&str>) {
         *self = Self::new(self.settings, self.holder.clone());
         self.token = token;
-        self.orders_from_ms = now_ms + self.settings.order_lease_ms;
+        let takes_over = former.is_some_and(|former| former != &*self.holder);
+        let wait_ms = if takes_over { self.settings.order_lease_ms } else { 0 };
+        self.orders_from_ms = now_ms + wait_ms;
+    }
+
+    /// Who gives the orders.
+    pub fn holder(&self) -> &Arc<str> {
+        &self.holder
     }
 
     /// Takes the configuration's engines over.
@@ -241,7 +254,9 @@
     /// Takes the outcome of an order in.
     pub fn ordered(&mut self, now_ms: u64, result: OrderResult) {
         let Some(endpoint) = self.endpoints.get_mut(&result.endpoint) else { return };
-        endpoint.ordered(now_ms, &result, &mut self.placed);
+        let Some(took_ms) = endpoint.ordered(now_ms, &result, &mut self.placed) else { return };
+        // Follows the fastest loads, since slower ones only tell that the store was busy.
+        self.store_load_ms = took_ms.min((self.store_load_ms * 15 + took_ms) / 16);
     }
 
     /// Decides what is to be ordered now.
@@ -329,7 +344,8 @@
     fn order(&mut self, now_ms: u64, id: &Arc<str>, kind: OrderKind) {
         let Some(endpoint) = self.endpoints.get_mut(id) else { return };
         self.next_order += 1;
-        endpoint.start_order(now_ms, self.next_order, &kind, &mut self.placed);
+        let store_load_ms = self.store_load_ms;
+        endpoint.start_order(now_ms, self.next_order, &kind, store_load_ms, &mut self.placed);
         self.orders.push(EngineOrder {
             number: self.next_order,
             endpoint: id.clone(),
--- a/src/control/raft/election.rs
+++ b/src/control/raft/election.rs
@@ -159,7 +159,14 @@
     }
 
     pub(super) fn reset_election(&mut self, now_ms: u64) {
-        let spread_ms = self.rng.random_range(0..=self.timing.election_ms);
+        // The last leader stands first, so that what it alone may do goes on without a pause when
+        // the whole group was stopped.
+        let range = if self.hard.vote == Some(self.id) {
+            0..=self.timing.election_ms / 8
+        } else {
+            self.timing.election_ms / 4..=self.timing.election_ms
+        };
+        let spread_ms = self.rng.random_range(range);
         self.election_due_ms = now_ms + self.timing.election_ms + spread_ms;
     }
 }
--- a/src/control/registry.rs
+++ b/src/control/registry.rs
@@ -19,6 +19,7 @@
     endpoints: BTreeMap<Arc<str>, RegisteredEndpoint>,
     departed: VecDeque<Arc<str>>,
     versions: BTreeMap<WeightsName, u64>,
+    order_holder: Option<Arc<str>>,
 }
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -63,6 +64,16 @@
         &self.versions
     }
 
+    /// The instance that gave orders to engines last.
+    pub fn order_holder(&self) -> Option<&Arc<str>> {
+        self.order_holder.as_ref()
+    }
+
+    /// Records which instance gives orders from now on.
+    pub fn set_order_holder(&mut self, holder: Arc<str>) {
+        self.order_holder = Some(holder);
+    }
+
     /// Takes a configuration in when its version is above the one in force.
     pub fn put_routing(
         &mut self,
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -35,8 +35,10 @@
 const MASS_REMOVAL_POLLS: u32 = 5;
 
 /// Bounds and periods of a replica.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct ReplicaSettings {
+    /// The instance, by where its peers reach it: it outlives the replica's disk.
+    pub instance: Arc<str>,
     /// How long a gateway's lease lasts.
     pub lease_ms: u64,
     /// Entries between two snapshots.
@@ -94,7 +96,8 @@
 impl Replica {
     /// A replica with the state of its snapshot; the log's entries are applied as they commit.
     pub fn new(raft: Raft, state: State, settings: ReplicaSettings, metrics: Metrics) -> Self {
-        let holder: Arc<str> = raft.id().to_string().into();
+        let placement = Placement::new(settings.placement, settings.instance.clone());
+        let permits = Permits::new(settings.store, 0);
         let applied = raft.snapshot_index();
         Self {
             raft,
@@ -110,12 +113,12 @@
             sessions: BTreeMap::new(),
             recent: RecentChanges::new(applied),
             summaries: Summaries::new(),
-            permits: Permits::new(settings.store, 0),
+            permits,
             permit_waiters: HashMap::new(),
             renewed_at_ms: HashMap::new(),
             load_reports: HashMap::new(),
             removal_polls: 0,
-            registered: Registered::new(Placement::new(settings.placement, holder)),
+            registered: Registered::new(placement),
         }
     }
 
@@ -192,6 +195,10 @@
             self.renewed_at_ms.insert(name.clone(), now_ms);
         }
         self.lead_registered(now_ms, term);
+        let holder = self.registered.placement.holder().clone();
+        if self.state.registry.order_holder() != Some(&holder) {
+            self.propose(wall_ms, Operation::TakeOrders { holder }, Waiter::Nobody);
+        }
         self.propose(wall_ms, Operation::SetLimits(self.settings.ledger), Waiter::Nobody);
     }
 
--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -50,7 +50,8 @@
         registered.leading_since_ms = now_ms;
         registered.ticked_at_ms = now_ms;
         registered.group_told = (Vec::new(), 0);
-        registered.placement.lead(now_ms, term);
+        let former = self.state.registry.order_holder().cloned();
+        registered.placement.lead(now_ms, term, former.as_deref());
         if let Some(configuration) = self.state.registry.routing() {
             registered.placement.configure(now_ms, configuration);
         }
@@ -155,7 +156,10 @@
     /// Lets the placement decide; its orders are fetched with [`take_orders`](Self::take_orders).
     pub(super) fn advance_placement(&mut self, now_ms: u64) {
         self.registered.ticked_at_ms = now_ms;
-        self.registered.placement.advance(now_ms);
+        // Nobody may take this instance's orders for another one's.
+        if self.state.registry.order_holder() == Some(self.registered.placement.holder()) {
+            self.registered.placement.advance(now_ms);
+        }
     }
 
     /// The orders to send to engines.
@@ -169,7 +173,7 @@
             return;
         }
         self.registered.placement.ordered(now_ms, result);
-        self.registered.placement.advance(now_ms);
+        self.advance_placement(now_ms);
         self.tell_placed();
     }
 
@@ -194,7 +198,7 @@
             }
             SessionUp::Needs(needs) => {
                 self.registered.placement.need(now_ms, needs);
-                self.registered.placement.advance(now_ms);
+                self.advance_placement(now_ms);
             }
             SessionUp::Traffic { running, used, failing } => {
                 self.registered.placement.used(now_ms, used);
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -87,6 +87,11 @@
     DeregisterEndpoint(Arc<str>),
     /// Names the newest version of weights.
     PutVersion(NewestVersion),
+    /// Records which instance gives orders to engines from now on.
+    TakeOrders {
+        /// The instance.
+        holder: Arc<str>,
+    },
 }
 
 /// What an operation came to.
@@ -175,6 +180,10 @@
             }
             Operation::DeregisterEndpoint(id) => (Outcome::Accepted, self.registry.deregister(&id)),
             Operation::PutVersion(newest) => (Outcome::Accepted, self.registry.put_version(newest)),
+            Operation::TakeOrders { holder } => {
+                self.registry.set_order_holder(holder);
+                (Outcome::Done, Vec::new())
+            }
         }
     }
 
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -44,7 +44,7 @@
 impl Leader {
     fn new(adapter_places: usize) -> Self {
         let mut placement = Placement::new(PlacementSettings::default(), "control-1".into());
-        placement.lead(0, 7);
+        placement.lead(0, 7, Some("control-2"));
         placement.configure(0, &configuration(adapter_places));
         placement.register(
             LEASE_MS,
@@ -117,7 +117,7 @@
 #[test]
 fn a_new_leader_waits_until_orders_of_the_former_one_no_longer_count() {
     let mut placement = Placement::new(PlacementSettings::default(), "control-1".into());
-    placement.lead(1_000, 7);
+    placement.lead(1_000, 7, Some("control-2"));
     placement.configure(1_000, &configuration(2));
     placement.register(
         1_000,
@@ -136,6 +136,26 @@
     assert_eq!(placement.take_orders().len(), 1);
 }
 
+#[test]
+fn a_leader_that_gave_the_last_orders_itself_goes_on_at_once() {
+    let mut placement = Placement::new(PlacementSettings::default(), "control-1".into());
+    placement.lead(1_000, 7, Some("control-1"));
+    placement.configure(1_000, &configuration(2));
+    placement.register(
+        1_000,
+        &RegisteredEndpoint {
+            id: "e1".into(),
+            service: "quotes".into(),
+            address: ([127, 0, 0, 1], 7_001).into(),
+            zone: "a".into(),
+            slots: 8,
+            leaving: false,
+        },
+    );
+    placement.advance(1_010);
+    assert_eq!(placement.take_orders().len(), 1);
+}
+
 #[test]
 fn a_load_that_is_ordered_again_moves_no_sequence() {
     let mut leader = Leader::new(4);
