soak: real programs as processes under random faults, promises checked from outside

Change: winchvane-soak starts five replicas, gateways and endpoints behind loopback proxies, injects kills, pauses, stops, lost and torn disks, reloads, resets, delays, one-way cuts and silence, and checks at-most-once, not-run, whole answers and streams, acknowledged configurations, own exits and recovery. A replica may be reached at another address than it listens on (advertise_peers).

--- /dev/null
+++ b/soak/src/endpoint.rs
@@ -0,0 +1,177 @@
+//! Endpoints that speak the platform's protocol and note what they run.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::json;
+use tokio::net::TcpListener;
+
+use crate::client::call_control;
+use crate::record::Record;
+
+/// Events of a stream.
+pub const EVENTS: u64 = 8;
+const EVENT_PAUSE: Duration = Duration::from_millis(40);
+const WORK: Duration = Duration::from_millis(15);
+const HEARTBEAT: Duration = Duration::from_millis(600);
+const SLOTS: u32 = 64;
+
+type Answer = Response<BoxBody<Bytes, std::io::Error>>;
+
+/// One endpoint of the plain service.
+pub struct Endpoint {
+    service: &'static str,
+    address: SocketAddr,
+    public: SocketAddr,
+    incarnation: AtomicU64,
+    breaks: AtomicBool,
+    record: Arc<Record>,
+}
+
+impl Endpoint {
+    /// An endpoint that serves at `address` and is reached at `public`.
+    pub fn new(address: SocketAddr, public: SocketAddr, record: Arc<Record>) -> Arc<Self> {
+        let incarnation = AtomicU64::new(1);
+        let breaks = AtomicBool::new(false);
+        Arc::new(Self { service: "plain", address, public, incarnation, breaks, record })
+    }
+
+    fn id(&self) -> String {
+        format!("i-{}-{}", self.public.ip(), self.incarnation.load(Ordering::SeqCst))
+    }
+
+    /// Starts another incarnation: what is sent to the one before is refused from now on.
+    pub fn restart(&self) {
+        self.incarnation.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// Breaks answers off in the middle from now on, or no longer.
+    pub fn set_breaks(&self, breaks: bool) {
+        self.breaks.store(breaks, Ordering::SeqCst);
+    }
+
+    /// Serves requests and sends heartbeats until the run ends.
+    ///
+    /// # Errors
+    /// The address is taken.
+    pub async fn start(self: Arc<Self>, control: Vec<SocketAddr>) -> std::io::Result<()> {
+        let listener = TcpListener::bind(self.address).await?;
+        tokio::spawn(self.clone().beat(control));
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let endpoint = self.clone();
+                let service = service_fn(move |request| {
+                    let endpoint = endpoint.clone();
+                    async move { Ok::<_, Infallible>(endpoint.serve(request).await) }
+                });
+                let connection = hyper::server::conn::http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service);
+                // A connection that breaks is what this program is about.
+                tokio::spawn(async move { drop(connection.await) });
+            }
+        });
+        Ok(())
+    }
+
+    async fn beat(self: Arc<Self>, control: Vec<SocketAddr>) {
+        let mut sequence = 0;
+        let mut turn = 0;
+        loop {
+            sequence += 1;
+            let body = json!({
+                "service": self.service, "address": self.public, "zone": "zone-1", "version": "v1",
+                "slots": SLOTS, "state": "ready", "cold_remaining_ms": 0, "sequence": sequence,
+            });
+            let path = format!("/winchvane/instances/{}", self.id());
+            let answered =
+                call_control(&control, turn, http::Method::PUT, &path, body.to_string()).await;
+            turn += usize::from(answered.is_none());
+            tokio::time::sleep(HEARTBEAT).await;
+        }
+    }
+
+    async fn serve(&self, request: Request<Incoming>) -> Answer {
+        let headers = request.headers().clone();
+        let id = text(&headers, "request-id");
+        if text(&headers, "expect-instance") != self.id() {
+            return whole(StatusCode::MISDIRECTED_REQUEST, &id, String::new());
+        }
+        // A request whose body did not arrive is not run.
+        if request.into_body().collect().await.is_err() {
+            return whole(StatusCode::BAD_REQUEST, &id, String::new());
+        }
+        let run = self.record.run(&id);
+        tokio::time::sleep(WORK).await;
+        if text(&headers, "x-stream").is_empty() {
+            let body = format!("done {id}");
+            if self.breaks.load(Ordering::SeqCst) && run == 1 {
+                return broken(&id, body);
+            }
+            return whole(StatusCode::OK, &id, body);
+        }
+        let first = text(&headers, "last-event-id").parse::<u64>().map_or(1, |last| last + 1);
+        let last = if self.breaks.load(Ordering::SeqCst) { EVENTS / 2 } else { EVENTS };
+        streamed(&id, first, last)
+    }
+}
+
+fn text(headers: &HeaderMap, name: &str) -> String {
+    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned()
+}
+
+fn head(status: StatusCode, id: &str) -> http::response::Builder {
+    Response::builder().status(status).header("request-id", id).header("server-stamp", "stamp")
+}
+
+fn whole(status: StatusCode, id: &str, body: String) -> Answer {
+    let body = Full::new(Bytes::from(body)).map_err(|never| match never {}).boxed();
+    head(status, id).body(body).expect("the parts are valid")
+}
+
+/// Half of a body, then a break.
+fn broken(id: &str, body: String) -> Answer {
+    let length = body.len();
+    let half = Bytes::from(body.into_bytes()).slice(..length / 2);
+    let frames = stream::iter([
+        Ok(Frame::data(half)),
+        Err(std::io::Error::other("broken off by the endpoint")),
+    ]);
+    head(StatusCode::OK, id)
+        .header("content-length", length)
+        .body(StreamBody::new(frames).boxed())
+        .expect("the parts are valid")
+}
+
+/// Events from `first` to `last`; a stream that ends before its last event breaks off.
+fn streamed(id: &str, first: u64, last: u64) -> Answer {
+    let id_owned = id.to_owned();
+    let frames = stream::unfold(first, move |number| {
+        let id = id_owned.clone();
+        async move {
+            if number > EVENTS {
+                return None;
+            }
+            tokio::time::sleep(EVENT_PAUSE).await;
+            if number > last {
+                return Some((Err(std::io::Error::other("broken off")), EVENTS + 1));
+            }
+            let event = format!("id: {number}\ndata: {id}\n\n");
+            Some((Ok(Frame::data(Bytes::from(event))), number + 1))
+        }
+    });
+    head(StatusCode::OK, id)
+        .header("content-type", "text/event-stream")
+        .body(StreamBody::new(frames).boxed())
+        .expect("the parts are valid")
+}
--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,116 @@
+//! Runs the real programs as separate processes on this machine, injects faults from outside them,
+//! and checks the promises from what clients and endpoints see.
+//!
+//! A seed decides which faults come when; what the machine makes of them differs from run to run.
+
+mod client;
+mod endpoint;
+mod faults;
+mod proxy;
+mod record;
+mod region;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use clap::Parser;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::record::Record;
+use crate::region::{Region, Size};
+
+/// How long after the last fault everything must be served again; the users allow 12 s.
+const RECOVERY: Duration = Duration::from_secs(12);
+/// How long the region is watched after that.
+const CALM: Duration = Duration::from_secs(4);
+
+/// Runs the system under random faults and checks its promises.
+#[derive(Parser)]
+#[command(version)]
+struct Arguments {
+    /// The seed of the first run; each further run takes the next one.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// How many runs.
+    #[arg(long, default_value_t = 1)]
+    runs: u64,
+    /// How long faults come in each run.
+    #[arg(long, default_value_t = 20.0)]
+    seconds: f64,
+    /// Gateways.
+    #[arg(long, default_value_t = 3)]
+    gateways: u8,
+    /// Endpoints of the plain service.
+    #[arg(long, default_value_t = 4)]
+    endpoints: u8,
+    /// Clients that send one request after the other.
+    #[arg(long, default_value_t = 12)]
+    clients: u32,
+    /// The second number of the loopback addresses; runs in different blocks go on side by side.
+    #[arg(long, default_value_t = 77)]
+    block: u8,
+    /// Where the programs are; beside this one unless named.
+    #[arg(long)]
+    programs: Option<PathBuf>,
+    /// Where the logs of runs with a breach are kept.
+    #[arg(long, default_value = "target/soak")]
+    keep: PathBuf,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let own = std::env::current_exe().unwrap_or_default();
+    let beside = own.parent().map(PathBuf::from).unwrap_or_default();
+    let programs = arguments.programs.clone().unwrap_or(beside);
+    let mut breached = 0;
+    for seed in arguments.seed..arguments.seed + arguments.runs {
+        let started = Instant::now();
+        let breaches = run(&arguments, &programs, seed).await;
+        let verdict = if breaches.is_empty() { "clean" } else { "BREACH" };
+        println!("seed {seed}: {verdict} after {:.1} s", started.elapsed().as_secs_f64());
+        for breach in &breaches {
+            println!("  {breach}");
+        }
+        breached += u64::from(!breaches.is_empty());
+    }
+    println!("{} passed, {breached} failed", arguments.runs - breached);
+    if breached == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+async fn run(arguments: &Arguments, programs: &std::path::Path, seed: u64) -> Vec<String> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let record = Arc::new(Record::new());
+    let size = Size {
+        gateways: arguments.gateways,
+        endpoints: arguments.endpoints,
+        block: arguments.block,
+    };
+    let mut region = match Region::start(programs, size, record.clone()).await {
+        Ok(region) => region,
+        Err(error) => return vec![format!("the region did not start: {error}")],
+    };
+    let clients = client::start(region.gateway_addresses(), arguments.clients, record.clone());
+    let operator = client::start_operator(region.control_addresses(), record.clone());
+    let until = Instant::now() + Duration::from_secs_f64(arguments.seconds);
+    faults::inject(&mut region, &mut rng, until, &record).await;
+    region.heal();
+    tokio::time::sleep(RECOVERY).await;
+    record.start_calm();
+    tokio::time::sleep(CALM).await;
+    operator.abort();
+    for client in clients {
+        client.abort();
+    }
+    client::read_back(&region.control_addresses(), &record).await;
+    let breaches = record.breaches(&region.exits());
+    println!("seed {seed}: {}", record.summary());
+    if !breaches.is_empty() {
+        region.keep_logs(&arguments.keep.join(seed.to_string()), &record);
+    }
+    region.stop();
+    breaches
+}
--- /dev/null
+++ b/soak/src/proxy.rs
@@ -0,0 +1,134 @@
+//! A loopback proxy that delays, resets, cuts one way or silences connections.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+/// What a proxy does to what passes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Mode {
+    /// Nothing.
+    Pass = 0,
+    /// Each piece waits.
+    Delay = 1,
+    /// What goes to the server is held back.
+    CutForward = 2,
+    /// What comes from the server is held back.
+    CutBack = 3,
+    /// Nothing passes, and new connections hang.
+    Silent = 4,
+}
+
+const DELAY: Duration = Duration::from_millis(120);
+const POLL: Duration = Duration::from_millis(20);
+
+struct State {
+    mode: AtomicU8,
+    resets: AtomicU64,
+    reset: Notify,
+}
+
+/// One proxy in front of one address.
+#[derive(Clone)]
+pub struct Proxy(Arc<State>);
+
+impl Proxy {
+    /// Passes connections to `from` on to `to`.
+    ///
+    /// # Errors
+    /// The address is taken.
+    pub async fn start(from: SocketAddr, to: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(from).await?;
+        let state = Arc::new(State {
+            mode: AtomicU8::new(0),
+            resets: AtomicU64::new(0),
+            reset: Notify::new(),
+        });
+        let proxy = Self(state);
+        let accepting = proxy.clone();
+        tokio::spawn(async move {
+            while let Ok((client, _)) = listener.accept().await {
+                tokio::spawn(accepting.clone().pass(client, to));
+            }
+        });
+        Ok(proxy)
+    }
+
+    /// Sets what is done from now on, also to open connections.
+    pub fn set(&self, mode: Mode) {
+        self.0.mode.store(mode as u8, Ordering::SeqCst);
+    }
+
+    /// Resets every open connection.
+    pub fn reset(&self) {
+        self.0.resets.fetch_add(1, Ordering::SeqCst);
+        self.0.reset.notify_waiters();
+    }
+
+    fn is(&self, mode: Mode) -> bool {
+        self.0.mode.load(Ordering::SeqCst) == mode as u8
+    }
+
+    async fn pass(self, client: TcpStream, to: SocketAddr) {
+        let resets = self.0.resets.load(Ordering::SeqCst);
+        while self.is(Mode::Silent) {
+            tokio::time::sleep(POLL).await;
+        }
+        let Ok(server) = TcpStream::connect(to).await else {
+            reset_stream(&client);
+            return;
+        };
+        let _ = (client.set_nodelay(true), server.set_nodelay(true));
+        let reset = self.0.reset.notified();
+        let (client_read, client_write) = client.into_split();
+        let (server_read, server_write) = server.into_split();
+        let forward = self.copy(client_read, server_write, Mode::CutForward);
+        let back = self.copy(server_read, client_write, Mode::CutBack);
+        tokio::pin!(forward, back);
+        let mut open = (true, true);
+        tokio::pin!(reset);
+        while open.0 || open.1 {
+            if self.0.resets.load(Ordering::SeqCst) != resets {
+                return;
+            }
+            tokio::select! {
+                () = &mut forward, if open.0 => open.0 = false,
+                () = &mut back, if open.1 => return,
+                () = &mut reset => return,
+            }
+        }
+    }
+
+    async fn copy(&self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf, cut: Mode) {
+        let mut buffer = vec![0; 16 << 10];
+        loop {
+            let Ok(read) = from.read(&mut buffer).await else { return };
+            while self.is(cut) || self.is(Mode::Silent) {
+                tokio::time::sleep(POLL).await;
+            }
+            if self.is(Mode::Delay) {
+                tokio::time::sleep(DELAY).await;
+            }
+            if read == 0 {
+                let _ = to.shutdown().await;
+                return;
+            }
+            if to.write_all(&buffer[..read]).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// Closes a connection with a reset instead of an end.
+fn reset_stream(stream: &TcpStream) {
+    // A failure leaves an ordinary close, which is a fault as well.
+    let _ = stream.set_zero_linger();
+}
--- /dev/null
+++ b/soak/src/region.rs
@@ -0,0 +1,332 @@
+//! The processes of one run: their settings, proxies, signals and exits.
+
+use std::fs::{self, File};
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::Duration;
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use tempfile::TempDir;
+
+use crate::client;
+use crate::endpoint::Endpoint;
+use crate::proxy::{Mode, Proxy};
+use crate::record::Record;
+
+/// Replicas of control; two may be lost at once.
+pub const REPLICAS: u8 = 5;
+const SEEDS: u8 = 3;
+const PEER_PORT: u16 = 17_380;
+const API_PORT: u16 = 17_144;
+const CLIENT_PORT: u16 = 17_149;
+const READY_PORT: u16 = 17_141;
+const ADMIN_PORT: u16 = 17_464;
+const SERVE_PORT: u16 = 17_108;
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// How many processes a run has.
+#[derive(Debug, Clone, Copy)]
+pub struct Size {
+    /// Gateways.
+    pub gateways: u8,
+    /// Endpoints, which are part of this process.
+    pub endpoints: u8,
+    /// The second number of the loopback addresses.
+    pub block: u8,
+}
+
+/// A program that is run as a process, again after it was killed.
+pub struct Program {
+    /// Its name in logs.
+    pub name: String,
+    /// True for a replica of control.
+    pub is_control: bool,
+    program: PathBuf,
+    settings: PathBuf,
+    data: Option<PathBuf>,
+    log: PathBuf,
+    child: Option<Child>,
+    expected_exit: bool,
+}
+
+/// Everything that runs.
+pub struct Region {
+    /// The processes.
+    pub programs: Vec<Program>,
+    /// The proxies between replicas and before endpoints.
+    pub proxies: Vec<(String, Proxy)>,
+    /// The endpoints.
+    pub endpoints: Vec<Arc<Endpoint>>,
+    size: Size,
+    folder: TempDir,
+    exits: Vec<String>,
+}
+
+impl Size {
+    /// The address of one process; runs in different blocks can go on side by side.
+    fn at(self, group: u8, number: u8, port: u16) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, self.block, group, number)), port)
+    }
+
+    fn seeds(self) -> String {
+        let mut addresses = Vec::new();
+        for number in 1..=SEEDS {
+            addresses.push(format!("\"{}\"", self.at(2, number, API_PORT)));
+        }
+        format!("[{}]", addresses.join(", "))
+    }
+}
+
+impl Region {
+    /// Starts all processes and waits until a request could be served.
+    ///
+    /// # Errors
+    /// A program that is missing, or a group that does not form.
+    pub async fn start(programs: &Path, size: Size, record: Arc<Record>) -> io::Result<Self> {
+        let folder = tempfile::tempdir()?;
+        let mut region = Self {
+            programs: Vec::new(),
+            proxies: Vec::new(),
+            endpoints: Vec::new(),
+            size,
+            folder,
+            exits: Vec::new(),
+        };
+        for number in 1..=REPLICAS {
+            let (public, own) = (size.at(2, number, PEER_PORT), size.at(1, number, PEER_PORT));
+            let proxy = Proxy::start(public, own).await?;
+            region.proxies.push((format!("control-{number}"), proxy));
+            region.add_control(programs, number)?;
+        }
+        for number in 1..=size.gateways {
+            region.add_gateway(programs, number)?;
+        }
+        for number in 1..=size.endpoints {
+            let (public, own) = (size.at(5, number, SERVE_PORT), size.at(4, number, SERVE_PORT));
+            let proxy = Proxy::start(public, own).await?;
+            region.proxies.push((format!("endpoint-{number}"), proxy));
+            let endpoint = Endpoint::new(own, public, record.clone());
+            endpoint.clone().start(region.control_addresses()).await?;
+            region.endpoints.push(endpoint);
+        }
+        for program in &mut region.programs {
+            program.start()?;
+        }
+        region.wait_until_ready(&record).await?;
+        Ok(region)
+    }
+
+    fn add_control(&mut self, programs: &Path, number: u8) -> io::Result<()> {
+        let name = format!("control-{number}");
+        let data = self.folder.path().join(&name);
+        let text = format!(
+            "name: {name}\nzone: zone-1\nregion: soak\nlisten_peers: {}\nadvertise_peers: {}\n\
+             listen_admin: {}\nlisten_api: {}\ndata_folder: {}\nlog_level: info\n\
+             seeds:\n  found: FOUND\n  failures: 2\n  peer_port: {PEER_PORT}\n  addresses: {}\n\
+             store:\n  loads_per_s: 1\n  concurrent_loads: 1\n",
+            self.size.at(1, number, PEER_PORT),
+            self.size.at(2, number, PEER_PORT),
+            self.size.at(1, number, ADMIN_PORT),
+            self.size.at(1, number, API_PORT),
+            data.display(),
+            self.size.seeds(),
+        );
+        self.add(programs, "winchvane-platform-control", name, Some(data), &text)
+    }
+
+    fn add_gateway(&mut self, programs: &Path, number: u8) -> io::Result<()> {
+        let name = format!("gateway-{number}");
+        let text = format!(
+            "name: {name}\nzone: zone-1\nlisten_clients: {}\nlisten_ready: {}\nlisten_admin: {}\n\
+             seeds:\n  peer_port: {PEER_PORT}\n  addresses: {}\n\
+             retry:\n  ratio: 0.2\n  slack: 50\n  window_ms: 10000\n",
+            self.size.at(3, number, CLIENT_PORT),
+            self.size.at(3, number, READY_PORT),
+            self.size.at(3, number, ADMIN_PORT),
+            self.size.seeds(),
+        );
+        self.add(programs, "winchvane-platform-gateway", name, None, &text)
+    }
+
+    fn add(
+        &mut self,
+        programs: &Path,
+        program: &str,
+        name: String,
+        data: Option<PathBuf>,
+        settings: &str,
+    ) -> io::Result<()> {
+        let path = self.folder.path().join(format!("{name}.yaml"));
+        fs::write(&path, settings.replace("FOUND", "true"))?;
+        self.programs.push(Program {
+            is_control: data.is_some(),
+            program: programs.join(program),
+            settings: path,
+            data,
+            log: self.folder.path().join(format!("{name}.log")),
+            child: None,
+            expected_exit: false,
+            name,
+        });
+        Ok(())
+    }
+
+    async fn wait_until_ready(&mut self, record: &Record) -> io::Result<()> {
+        let until = tokio::time::Instant::now() + START_TIMEOUT;
+        let control = self.control_addresses();
+        let mut turn = 0;
+        while !client::put(&control, turn, 2, record).await {
+            if tokio::time::Instant::now() > until {
+                return Err(io::Error::other("no configuration was acknowledged in time"));
+            }
+            turn += 1;
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        // From now on no replica may take an empty disk for the system's first start.
+        for program in self.programs.iter().filter(|program| program.is_control) {
+            let text = fs::read_to_string(&program.settings)?;
+            fs::write(&program.settings, text.replace("found: true", "found: false"))?;
+        }
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        Ok(())
+    }
+
+    /// Where clients call.
+    pub fn gateway_addresses(&self) -> Vec<SocketAddr> {
+        (1..=self.size.gateways).map(|number| self.size.at(3, number, CLIENT_PORT)).collect()
+    }
+
+    /// Where endpoints and the operator call.
+    pub fn control_addresses(&self) -> Vec<SocketAddr> {
+        (1..=REPLICAS).map(|number| self.size.at(1, number, API_PORT)).collect()
+    }
+
+    /// Ends all faults that last.
+    pub fn heal(&mut self) {
+        for (_, proxy) in &self.proxies {
+            proxy.set(Mode::Pass);
+        }
+        for endpoint in &self.endpoints {
+            endpoint.set_breaks(false);
+        }
+        for program in &mut self.programs {
+            program.signal(Signal::SIGCONT);
+            if program.child.is_none() && program.start().is_err() {
+                self.exits.push(format!("{} does not start any more", program.name));
+            }
+        }
+    }
+
+    /// Notes processes that ended without being told to, and starts them again.
+    pub fn look_for_exits(&mut self) {
+        for program in &mut self.programs {
+            let Some(child) = &mut program.child else { continue };
+            let Ok(Some(status)) = child.try_wait() else { continue };
+            if !program.expected_exit {
+                self.exits.push(format!("{} ended by itself: {status}", program.name));
+            }
+            program.child = None;
+            if program.start().is_err() {
+                self.exits.push(format!("{} does not start any more", program.name));
+            }
+        }
+    }
+
+    /// Processes that ended by themselves.
+    pub fn exits(&mut self) -> Vec<String> {
+        self.look_for_exits();
+        self.exits.clone()
+    }
+
+    /// Copies logs and faults of a run with a breach to `folder`.
+    pub fn keep_logs(&self, folder: &Path, record: &Record) {
+        let kept = fs::create_dir_all(folder)
+            .and_then(|()| fs::write(folder.join("faults.txt"), record.faults()));
+        if let Err(error) = kept {
+            println!("the logs cannot be kept: {error}");
+            return;
+        }
+        for program in &self.programs {
+            if let Err(error) = fs::copy(&program.log, folder.join(format!("{}.log", program.name)))
+            {
+                println!("the log of {} cannot be kept: {error}", program.name);
+            }
+        }
+    }
+
+    /// Ends every process that this run started.
+    pub fn stop(&mut self) {
+        for program in &mut self.programs {
+            program.kill();
+        }
+    }
+}
+
+impl Drop for Region {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+impl Program {
+    /// Starts the process; its output goes to its log.
+    ///
+    /// # Errors
+    /// The program is missing, or its log cannot be opened.
+    pub fn start(&mut self) -> io::Result<()> {
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let child = Command::new(&self.program)
+            .arg("--settings")
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        self.child = Some(child);
+        self.expected_exit = false;
+        Ok(())
+    }
+
+    /// Sends a signal to the process, by its id.
+    pub fn signal(&mut self, signal: Signal) {
+        let Some(child) = &self.child else { return };
+        if signal == Signal::SIGTERM {
+            self.expected_exit = true;
+        }
+        // A process that has just ended is seen when exits are looked for.
+        let _ = kill(Pid::from_raw(child.id().cast_signed()), signal);
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        let Some(mut child) = self.child.take() else { return };
+        // A process that ended before cannot be killed, which is as good.
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+
+    /// Removes what a killed replica has stored.
+    pub fn wipe(&mut self) {
+        let Some(data) = &self.data else { return };
+        // A folder that was never made is as empty as a removed one.
+        let _ = fs::remove_dir_all(data);
+    }
+
+    /// Adds bytes that are no record to the end of a killed replica's log, as a torn write leaves.
+    pub fn tear(&mut self) {
+        let Some(data) = &self.data else { return };
+        let Ok(files) = fs::read_dir(data) else { return };
+        for file in files.flatten() {
+            if !file.file_name().to_string_lossy().starts_with("log-") {
+                continue;
+            }
+            let Ok(mut log) = File::options().append(true).open(file.path()) else { continue };
+            // A write that fails leaves the log as it was, which is a valid case too.
+            let _ = io::Write::write_all(&mut log, &[0x5A; 11]);
+        }
+    }
+}
--- a/src/control/boot.rs
+++ b/src/control/boot.rs
@@ -93,7 +93,7 @@
         raft = raft.with_voters(seeds.voters);
     }
     let replica_settings = ReplicaSettings {
-        instance: settings.common.listen_peers.to_string().into(),
+        instance: settings.common.peers_address().to_string().into(),
         lease_ms: settings.lease_ms,
         snapshot_entries: settings.snapshot_entries,
         ledger: settings.ledger,
@@ -150,7 +150,7 @@
 /// Replicas that are all named found their group; seeds only do so at the system's first start.
 fn may_found(settings: &ControlSettings) -> bool {
     let Some(seeds) = &settings.seeds else { return true };
-    let own = settings.common.listen_peers;
+    let own = settings.common.peers_address();
     seeds.found && settings.replicas.iter().any(|replica| replica.address == own)
 }
 
@@ -161,7 +161,7 @@
     let mut own = None;
     for (position, replica) in sorted.into_iter().enumerate() {
         let id = position as NodeId + 1;
-        if replica.address == settings.common.listen_peers {
+        if replica.address == settings.common.peers_address() {
             own = Some(id);
         }
         let member = Member { name: replica.name.clone(), address: replica.address, voter: true };
@@ -190,7 +190,7 @@
 fn others(settings: &ControlSettings) -> Vec<SocketAddr> {
     let mut others = Vec::new();
     for replica in &settings.replicas {
-        if replica.address != settings.common.listen_peers {
+        if replica.address != settings.common.peers_address() {
             others.push(replica.address);
         }
     }
@@ -203,12 +203,12 @@
     let name = settings
         .replicas
         .iter()
-        .find(|replica| replica.address == settings.common.listen_peers)
+        .find(|replica| replica.address == settings.common.peers_address())
         .map_or_else(
-            || settings.common.listen_peers.to_string().into(),
+            || settings.common.peers_address().to_string().into(),
             |replica| replica.name.clone(),
         );
-    let request = ControlRequest::Join { id, name, address: settings.common.listen_peers };
+    let request = ControlRequest::Join { id, name, address: settings.common.peers_address() };
     let mut addresses = others(settings);
     while let Some(address) = addresses.pop() {
         if !tried.insert(address) {
--- a/src/control/process.rs
+++ b/src/control/process.rs
@@ -104,7 +104,7 @@
     let arguments = ReplicaArguments {
         replica: booted.replica,
         storage: booted.storage,
-        address: settings.common.listen_peers,
+        address: settings.common.peers_address(),
         clock,
         metrics,
         leads: leads.clone(),
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -43,8 +43,9 @@
     let common = common?;
     let listeners = [("listen_peers", common.listen_peers), ("listen_admin", common.listen_admin)];
     check_ports(root, &listeners, faults);
-    if seeds.is_none() && !replicas.iter().any(|replica| replica.address == common.listen_peers) {
-        let address = common.listen_peers;
+    if seeds.is_none() && !replicas.iter().any(|replica| replica.address == common.peers_address())
+    {
+        let address = common.peers_address();
         faults.add(root, format!("replicas must name this replica's own listen_peers {address}"));
     }
     Some(ControlSettings {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -29,6 +29,8 @@
     pub zone: Arc<str>,
     /// Where peers reach this process.
     pub listen_peers: SocketAddr,
+    /// Where other processes reach `listen_peers`, when that is another address.
+    pub advertise_peers: Option<SocketAddr>,
     /// Where state dumps, log levels and, on gateways, declarations are taken.
     pub listen_admin: SocketAddr,
     /// The log level at the start.
@@ -265,6 +267,13 @@
     }
 }
 
+impl Common {
+    /// Where other processes of the system reach this one.
+    pub fn peers_address(&self) -> SocketAddr {
+        self.advertise_peers.unwrap_or(self.listen_peers)
+    }
+}
+
 impl ControlSettings {
     /// Reads and checks settings.
     ///
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -154,6 +154,7 @@
     let name = fields.name("name");
     let zone = fields.name("zone");
     let listen_peers = fields.address("listen_peers");
+    let advertise_peers = fields.optional_address("advertise_peers");
     let listen_admin = fields.address("listen_admin");
     let log_level = fields.text_or("log_level", "info");
     let metrics_address = fields.optional_address("metrics_address");
@@ -162,6 +163,7 @@
         name: name?,
         zone: zone?,
         listen_peers: listen_peers?,
+        advertise_peers,
         listen_admin: listen_admin?,
         log_level,
         metrics_address,
