--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -24,6 +24,8 @@
 
 /// How long after the last fault everything must be served again; the users allow 12 s.
 const RECOVERY: Duration = Duration::from_secs(12);
+/// How long the tasks of a run may take to end.
+const END_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long the region is watched after that.
 const CALM: Duration = Duration::from_secs(4);
 
@@ -60,8 +62,7 @@
     keep: PathBuf,
 }
 
-#[tokio::main]
-async fn main() -> ExitCode {
+fn main() -> ExitCode {
     let arguments = Arguments::parse();
     let own = std::env::current_exe().unwrap_or_default();
     let beside = own.parent().map(PathBuf::from).unwrap_or_default();
@@ -69,7 +70,15 @@
     let mut breached = 0;
     for seed in arguments.seed..arguments.seed + arguments.runs {
         let started = Instant::now();
-        let breaches = run(&arguments, &programs, seed).await;
+        // A runtime for each run: proxies and endpoints of the run before end with theirs.
+        let breaches = match tokio::runtime::Runtime::new() {
+            Ok(runtime) => {
+                let breaches = runtime.block_on(run(&arguments, &programs, seed));
+                runtime.shutdown_timeout(END_TIMEOUT);
+                breaches
+            }
+            Err(error) => vec![format!("no runtime: {error}")],
+        };
         let verdict = if breaches.is_empty() { "clean" } else { "BREACH" };
         println!("seed {seed}: {verdict} after {:.1} s", started.elapsed().as_secs_f64());
         for breach in &breaches {
--- /dev/null
+++ b/tests/disk_full.rs
@@ -0,0 +1,120 @@
+//! A replica whose disk takes no more bytes for a while.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::Duration;
+
+use ractor::{Actor, ActorRef};
+use winchvane::clock::Clock;
+use winchvane::control::ledger::LedgerLimits;
+use winchvane::control::permit::StoreBudget;
+use winchvane::control::placement::PlacementSettings;
+use winchvane::control::raft::{
+    Entry, HardState, Member, Members, Raft, Recovered, Snapshot, Timing,
+};
+use winchvane::control::replica::{Replica, ReplicaSettings};
+use winchvane::control::server::{ReplicaActor, ReplicaArguments, ReplicaMessage};
+use winchvane::control::state::State;
+use winchvane::control::storage::{Batch, Storage};
+use winchvane::error::{Error, Result};
+use winchvane::message::{ControlReply, ControlRequest};
+use winchvane::metrics::Metrics;
+use winchvane::routing::RoutingConfiguration;
+
+/// Keeps nothing, and is full while told so.
+struct FullDisk {
+    full: Arc<AtomicBool>,
+    refused: Arc<AtomicU32>,
+}
+
+impl FullDisk {
+    fn write(&self) -> Result<()> {
+        if !self.full.load(Ordering::SeqCst) {
+            return Ok(());
+        }
+        self.refused.fetch_add(1, Ordering::SeqCst);
+        Err(Error::io("append", "log", std::io::ErrorKind::StorageFull.into()))
+    }
+}
+
+impl Storage for FullDisk {
+    fn save(&mut self, _: &Batch) -> Result<()> {
+        self.write()
+    }
+
+    fn save_snapshot(&mut self, _: &Snapshot, _: HardState, _: &[Entry]) -> Result<()> {
+        self.write()
+    }
+
+    fn load_snapshot(&self) -> Result<Option<Snapshot>> {
+        Ok(None)
+    }
+}
+
+async fn start(disk: FullDisk) -> ActorRef<ReplicaMessage> {
+    let address: SocketAddr = ([127, 0, 0, 1], 9).into();
+    let mut members = Members::default();
+    members.0.insert(1, Member { name: "n1".into(), address, voter: true });
+    let clock = Clock::new();
+    let raft = Raft::new(1, members, Recovered::default(), Timing::default(), 1, clock.now_ms());
+    let settings = ReplicaSettings {
+        instance: "n1".into(),
+        lease_ms: 2_500,
+        snapshot_entries: 1_000,
+        ledger: LedgerLimits::default(),
+        store: StoreBudget { loads_per_s: 1.0, concurrent_loads: 1, load_timeout_ms: 1_000 },
+        placement: PlacementSettings::default(),
+        founding_wait_ms: 0,
+    };
+    let metrics = Metrics::local();
+    let replica = Replica::new(raft, State::new(), settings, metrics.clone());
+    let arguments = ReplicaArguments {
+        replica,
+        storage: Box::new(disk),
+        address,
+        clock,
+        metrics,
+        leads: Arc::default(),
+        engines: None,
+    };
+    ReplicaActor::spawn(None, ReplicaActor, arguments).await.expect("the replica starts").0
+}
+
+fn put(version: u64) -> ControlRequest {
+    let configuration = RoutingConfiguration { version, ..RoutingConfiguration::default() };
+    ControlRequest::PutRouting {
+        configuration: Arc::new(configuration),
+        document: version.to_string().into(),
+    }
+}
+
+async fn call(actor: &ActorRef<ReplicaMessage>, request: ControlRequest) -> Option<ControlReply> {
+    let reply = ractor::call_t!(actor, |reply| ReplicaMessage::Call(request, reply), 500);
+    reply.ok()
+}
+
+async fn call_until_accepted(actor: &ActorRef<ReplicaMessage>, version: u64) {
+    for _ in 0..100 {
+        if matches!(call(actor, put(version)).await, Some(ControlReply::Accepted)) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("version {version} was never accepted");
+}
+
+#[tokio::test]
+async fn a_full_disk_promises_nothing_and_is_used_again_once_it_takes_bytes() {
+    let (full, refused) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU32::new(0)));
+    let actor = start(FullDisk { full: full.clone(), refused: refused.clone() }).await;
+    call_until_accepted(&actor, 1).await;
+    full.store(true, Ordering::SeqCst);
+    let reply = call(&actor, put(2)).await;
+    assert!(!matches!(reply, Some(ControlReply::Accepted)), "nothing holds it yet");
+    assert!(refused.load(Ordering::SeqCst) > 0);
+    full.store(false, Ordering::SeqCst);
+    call_until_accepted(&actor, 3).await;
+    let read = call(&actor, ControlRequest::GetRouting).await;
+    assert!(matches!(read, Some(ControlReply::Routing(Some(document))) if &*document == "3"));
+}
