relay: what comes late after SIGTERM is not taken; placement: no waiting behind four loads

Adapters waited for their first endpoint while four were on their way to it. Change: 28% of the grace; the next endpoint takes what the first cannot now.

--- a/src/control/placement/endpoint.rs
+++ b/src/control/placement/endpoint.rs
@@ -143,6 +143,11 @@
         f64::from(self.running) >= f64::from(self.endpoint.slots) * CROWDED
     }
 
+    /// True while the answer to an order is awaited.
+    pub fn has_order_pending(&self) -> bool {
+        self.pending.is_some()
+    }
+
     /// True when an order may be given now.
     pub fn is_free_for_orders(&self, now_ms: u64) -> bool {
         self.pending.is_none() && self.sequence.is_some() && self.again_from_ms <= now_ms
--- a/src/control/placement/homes.rs
+++ b/src/control/placement/homes.rs
@@ -187,10 +187,14 @@
     ) -> bool {
         for (_, id) in &survey.candidates {
             let Some(endpoint) = self.endpoints.get(id) else { continue };
-            if !endpoint.is_free_for_orders(now_ms) || endpoint.coming() >= COMING_MAX {
+            if endpoint.has_order_pending() {
+                // Its answer is a few milliseconds away.
                 self.open.endpoint_busy += 1;
                 return false;
             }
+            if !endpoint.is_free_for_orders(now_ms) || endpoint.coming() >= COMING_MAX {
+                continue;
+            }
             let is_wanted_enough = endpoint.has_copy(name)
                 || self.demand.recent(now_ms, name) >= self.settings.store_load_min_requests;
             if !is_wanted_enough {
--- a/src/relay/process.rs
+++ b/src/relay/process.rs
@@ -75,6 +75,12 @@
     }
 }
 
+/// The part of the grace in percent for which open connections take further requests. What comes
+/// later would not have the time to end; the balancer looks elsewhere after two seconds.
+const SERVE_PERCENT: u64 = 28;
+/// What is left of the grace for the process to end.
+const END_MS: u64 = 500;
+
 /// Says not ready at once, serves what comes on open connections, then closes them when idle.
 async fn planned_stop(
     relay: &Arc<Relay>,
@@ -83,9 +89,11 @@
 ) {
     info!(event = "stopping", in_progress = relay.in_progress());
     relay.stop();
-    tokio::time::sleep(Duration::from_millis(relay.settings.stop_serve_ms)).await;
+    let grace_ms = relay.settings.stop_grace_ms;
+    let serve_ms = grace_ms * SERVE_PERCENT / 100;
+    tokio::time::sleep(Duration::from_millis(serve_ms)).await;
     let _ = stop.send(true);
-    let left_ms = relay.settings.stop_timeout_ms.saturating_sub(relay.settings.stop_serve_ms);
+    let left_ms = grace_ms.saturating_sub(serve_ms + END_MS);
     let finished = async {
         while relay.in_progress() > 0 {
             tokio::time::sleep(STOP_POLL).await;
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -25,10 +25,8 @@
     pub retry: RelayRetrySettings,
     /// The largest set of headers.
     pub header_max_bytes: usize,
-    /// How long open connections are served on after a planned stop began.
-    pub stop_serve_ms: u64,
-    /// When a planned stop ends at the latest.
-    pub stop_timeout_ms: u64,
+    /// How long after a planned stop began the process may still run.
+    pub stop_grace_ms: u64,
     /// What is logged.
     pub log_level: Arc<str>,
     /// Where metrics are sent, if anywhere.
@@ -72,8 +70,7 @@
         window_ms: fields.int_or("window_ms", 10_000, 100..=3_600_000),
     });
     let header_max_bytes = fields.int_or("header_max_bytes", 64 << 10, 1_024..=16 << 20) as usize;
-    let stop_serve_ms = fields.int_or("stop_serve_ms", 3_500, 0..=3_600_000);
-    let stop_timeout_ms = fields.int_or("stop_timeout_ms", 7_500, 0..=3_600_000);
+    let stop_grace_ms = fields.int_or("stop_grace_ms", 8_000, 0..=3_600_000);
     let log_level = fields.text_or("log_level", "info");
     let metrics_address = fields.optional_address("metrics_address");
     let metrics_prefix = fields.text_or("metrics_prefix", "winchvane");
@@ -98,8 +95,7 @@
         seeds,
         retry,
         header_max_bytes,
-        stop_serve_ms,
-        stop_timeout_ms,
+        stop_grace_ms,
         log_level,
         metrics_address,
         metrics_prefix,
