--- a/src/control/placement/homes.rs
+++ b/src/control/placement/homes.rs
@@ -111,7 +111,17 @@
             info!(event = "weights_wanted", wanted = wanted.len(), open = ?self.open);
         }
         self.open = OpenWants::default();
-        for (rate, (service, name), want) in wanted.into_iter().take(WANTED_PER_PASS) {
+        let is_store_full = self.is_store_full();
+        let mut looked_at = 0;
+        for (rate, (service, name), want) in wanted {
+            if is_store_full && name.adapter.is_some() && !self.copied.contains(&name) {
+                self.open.store_busy += 1;
+                continue;
+            }
+            looked_at += 1;
+            if looked_at > WANTED_PER_PASS {
+                break;
+            }
             if self.load_one(now_ms, &service, &name, want, rate) {
                 self.wanted.remove(&(service, name));
             }
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -31,6 +31,9 @@
 const SILENT_MS: u64 = 4_000;
 /// What a load from the weight store is taken to last until one was seen.
 const STORE_LOAD_FIRST_MS: u64 = 100;
+/// Adapters on their way at once for every three endpoints: 24 for 18, which slowed none on the
+/// users' first deployment, and as many for each endpoint of a larger one.
+const STORE_LOADS_PER_THREE_ENDPOINTS: usize = 4;
 /// The shortest time between two passes.
 const PASS_MS: u64 = 5;
 /// A place that was used this recently is not given to another adapter: gateways tell of use several
@@ -46,8 +49,8 @@
     pub store_share: f64,
     /// Requests within a short time that justify a load from the weight store.
     pub store_load_min_requests: f64,
-    /// Adapters that may be on their way from the weight store at once; beyond some number each
-    /// takes longer, so that more at once gain nothing.
+    /// Adapters that may be on their way from the weight store at once, at least; a store that
+    /// serves many endpoints bears more.
     pub store_adapters_at_once: usize,
 }
 
@@ -102,6 +105,8 @@
     next_order: u64,
     /// How long a load from the weight store takes when nothing slows it, as seen so far.
     store_load_ms: u64,
+    /// Weights of which some endpoint has a copy.
+    copied: HashSet<WeightsName>,
 }
 
 impl Placement {
@@ -125,6 +130,7 @@
             placed: Vec::new(),
             next_order: 0,
             store_load_ms: STORE_LOAD_FIRST_MS,
+            copied: HashSet::new(),
         }
     }
 
@@ -319,9 +325,7 @@
     ) {
         let Some(endpoint) = self.endpoints.get(id) else { return };
         if !endpoint.has_copy(name) && name.adapter.is_some() {
-            let coming: usize =
-                self.endpoints.values().map(EndpointPlaces::coming_from_store).sum();
-            if coming >= self.settings.store_adapters_at_once {
+            if self.is_store_full() {
                 self.open.store_busy += 1;
                 return;
             }
@@ -333,10 +337,21 @@
                 return;
             }
         }
+        self.copied.insert(name.clone());
         let version = self.version_of(name);
         self.order(now_ms, id, OrderKind::Load { name: name.clone(), version });
     }
 
+    /// True while the store has as many adapters on their way as it bears.
+    fn is_store_full(&self) -> bool {
+        let by_endpoints = self.endpoints.len() * STORE_LOADS_PER_THREE_ENDPOINTS / 3;
+        self.coming_from_store() >= by_endpoints.max(self.settings.store_adapters_at_once)
+    }
+
+    fn coming_from_store(&self) -> usize {
+        self.endpoints.values().map(EndpointPlaces::coming_from_store).sum()
+    }
+
     fn version_of(&self, name: &WeightsName) -> Option<u64> {
         self.versions.get(name).copied()
     }
--- a/src/process.rs
+++ b/src/process.rs
@@ -7,7 +7,7 @@
 
 use clap::Args;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tracing::{error, info, warn};
 
 use crate::error::{Error, Result};
@@ -39,6 +39,8 @@
     log_level: fn(&T) -> &str,
     run: impl FnOnce(T) -> R,
 ) -> ExitCode {
+    // Watched before anything else: until then a SIGHUP ends the process.
+    let hang_up = signal(SignalKind::hangup());
     let settings = match load(&arguments.settings, parse) {
         Ok(settings) => settings,
         Err(faults) => {
@@ -56,7 +58,7 @@
         eprintln!("{}: log_level: {fault}", arguments.settings.display());
         return ExitCode::from(EXIT_SETTINGS);
     }
-    tokio::spawn(reload(arguments.settings.clone(), parse, log_level));
+    tokio::spawn(reload(hang_up, arguments.settings.clone(), parse, log_level));
     match run(settings).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => {
@@ -69,11 +71,12 @@
 /// Reads the settings again on each SIGHUP and takes the log level over; everything else holds from
 /// the start of a process to its end.
 async fn reload<T: 'static>(
+    hang_up: std::io::Result<Signal>,
     path: PathBuf,
     parse: fn(&Arc<str>, &str) -> std::result::Result<T, Vec<Fault>>,
     log_level: fn(&T) -> &str,
 ) {
-    let mut hang_up = match signal(SignalKind::hangup()) {
+    let mut hang_up = match hang_up {
         Ok(hang_up) => hang_up,
         Err(error) => {
             error!(event = "signals_unwatched", error = %error);
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -10,6 +10,7 @@
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use rand::RngExt;
 use tokio::sync::{Notify, mpsc};
 use tokio::time::timeout;
 use tracing::{info, warn};
@@ -72,7 +73,7 @@
         needs: mpsc::UnboundedSender<AdapterNeed>,
     ) -> Self {
         let clock = Clock::new();
-        let fleet = Fleet::new(settings.zone.clone());
+        let fleet = Fleet::new(settings.zone.clone(), rand::rng().random());
         Self {
             settings,
             metrics,
@@ -106,6 +107,7 @@
 
     pub(super) fn set_gateways(&self, gateways: u32) {
         self.gateways.store(gateways, Ordering::Relaxed);
+        self.fleet().set_gateways(gateways);
     }
 
     /// Notes that what is known is complete as of when the renewal was sent.
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -4,6 +4,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
 use crate::message::{EndpointLoad, Holding, Placed, RegisteredEndpoint, WeightsName, WeightsUse};
 
 /// The first pause after an endpoint failed; doubled with each further failure in a row.
@@ -12,6 +15,10 @@
 const DOWN_MAX_MS: u64 = 5_000;
 /// Failures in a row after which an endpoint that can be reached is left alone for a while.
 const FAILURES_TO_DOWN: u32 = 3;
+/// Endpoints that are compared for a request, at least.
+const COMPARED_MIN: usize = 2;
+/// So few gateways compare all endpoints; more of them a share, down to two.
+const ALL_COMPARED_BY: usize = 8;
 /// An endpoint that said it is full gets nothing for this long.
 const FULL_MS: u64 = 60;
 /// Weights whose newest version is older than this must have it; the users allow five seconds.
@@ -31,7 +38,8 @@
     used: HashMap<WeightsName, u32>,
     running_weights: HashMap<WeightsName, u32>,
     failing: HashSet<Arc<str>>,
-    rotation: u64,
+    random: SmallRng,
+    gateways: usize,
 }
 
 #[derive(Debug)]
@@ -54,6 +62,16 @@
     pub failing: Vec<Arc<str>>,
 }
 
+impl Known {
+    /// Requests that may be under way here. An endpoint queues a few more than it runs, and what
+    /// the other gateways have under way is known late, so that full by that may be half empty.
+    /// An engine gives none: each request more slows every other one there.
+    fn places(&self, is_engine: bool) -> u32 {
+        let queued = if is_engine { 0 } else { self.endpoint.slots / 2 };
+        self.endpoint.slots + queued
+    }
+}
+
 /// Where a request may go.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Picked {
@@ -77,8 +95,8 @@
 }
 
 impl Fleet {
-    /// No endpoints yet, for a gateway in `zone`.
-    pub fn new(zone: Arc<str>) -> Self {
+    /// No endpoints yet, for a gateway in `zone`; `seed` decides which endpoints are compared.
+    pub fn new(zone: Arc<str>, seed: u64) -> Self {
         Self {
             zone,
             endpoints: HashMap::new(),
@@ -89,10 +107,16 @@
             used: HashMap::new(),
             running_weights: HashMap::new(),
             failing: HashSet::new(),
-            rotation: 0,
+            random: SmallRng::seed_from_u64(seed),
+            gateways: 1,
         }
     }
 
+    /// Notes how many gateways there are.
+    pub fn set_gateways(&mut self, gateways: u32) {
+        self.gateways = gateways as usize;
+    }
+
     /// Takes a registration over.
     pub fn register(&mut self, endpoint: RegisteredEndpoint) {
         if let Some(known) = self.endpoints.get_mut(&endpoint.id) {
@@ -182,15 +206,16 @@
         weights: Option<&WeightsName>,
         tried: &[Arc<str>],
     ) -> Picked {
-        self.rotation += 1;
         let Some(ids) = self.by_service.get(service) else { return Picked::NoEndpoint };
         let homes = weights.map(|name| self.homes.get(name));
         let (required, expected) = weights.map_or((0, None), |name| self.version(now_ms, name));
         let mut best: Option<(f64, &Known)> = None;
-        let (mut up, mut holding, mut coming) = (0, 0, 0);
+        let compared_max = (ids.len() * ALL_COMPARED_BY / self.gateways.max(1)).max(COMPARED_MIN);
+        let start = self.random.random_range(0..ids.len().max(1));
+        let (mut up, mut holding, mut coming, mut compared) = (0, 0, 0, 0);
         for step in 0..ids.len() {
             // Starting elsewhere each time spreads requests among endpoints that are alike.
-            let id = &ids[(step + self.rotation as usize) % ids.len()];
+            let id = &ids[(step + start) % ids.len()];
             let Some(known) = self.endpoints.get(id) else { continue };
             if known.endpoint.leaving || tried.contains(id) {
                 continue;
@@ -208,7 +233,7 @@
             }
             holding += 1;
             let running = known.own_running + known.others_running;
-            if known.closed_until_ms > now_ms || running >= known.endpoint.slots {
+            if known.closed_until_ms > now_ms || running >= known.places(weights.is_some()) {
                 continue;
             }
             let mut fill = f64::from(running) / f64::from(known.endpoint.slots.max(1));
@@ -218,6 +243,12 @@
             if best.is_none_or(|(best_fill, _)| fill < best_fill) {
                 best = Some((fill, known));
             }
+            compared += 1;
+            // All gateways see the same counts late, so that the best of all would get everything
+            // at once; the better of two spreads.
+            if compared == compared_max {
+                break;
+            }
         }
         match best {
             Some((_, known)) => Picked::Endpoint {
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -31,7 +31,7 @@
 
 #[test]
 fn the_least_loaded_endpoint_is_picked_and_the_own_zone_first() {
-    let mut fleet = Fleet::new("near".into());
+    let mut fleet = Fleet::new("near".into(), 1);
     fleet.register(endpoint("n", "near", 10));
     fleet.register(endpoint("f", "far", 10));
     assert_eq!(picked(&mut fleet, 0, None).as_deref(), Some("n"));
@@ -41,7 +41,7 @@
 
 #[test]
 fn an_endpoint_that_leaves_gets_nothing_more() {
-    let mut fleet = Fleet::new("near".into());
+    let mut fleet = Fleet::new("near".into(), 1);
     fleet.register(endpoint("n", "near", 10));
     fleet.register(RegisteredEndpoint { leaving: true, ..endpoint("n", "near", 10) });
     assert_eq!(fleet.pick(0, "quotes", None, &[]), Picked::NoEndpoint);
@@ -49,7 +49,7 @@
 
 #[test]
 fn weights_are_looked_for_where_they_are() {
-    let mut fleet = Fleet::new("near".into());
+    let mut fleet = Fleet::new("near".into(), 1);
     fleet.register(endpoint("n", "near", 1));
     fleet.register(endpoint("f", "far", 1));
     let name = adapter();
@@ -68,7 +68,7 @@
 
 #[test]
 fn an_old_version_is_used_only_for_a_while() {
-    let mut fleet = Fleet::new("near".into());
+    let mut fleet = Fleet::new("near".into(), 1);
     fleet.register(endpoint("n", "near", 1));
     let name = adapter();
     place(&mut fleet, "n", Holding::Ready(1));
@@ -85,7 +85,7 @@
 
 #[test]
 fn weights_are_told_as_used_while_a_request_runs() {
-    let mut fleet = Fleet::new("near".into());
+    let mut fleet = Fleet::new("near".into(), 1);
     fleet.register(endpoint("n", "near", 4));
     let name = adapter();
     fleet.start(&"n".into(), Some(&name));
@@ -97,7 +97,7 @@
 
 #[test]
 fn one_failure_closes_nothing_and_unreachable_does() {
-    let mut fleet = Fleet::new("near".into());
+    let mut fleet = Fleet::new("near".into(), 1);
     fleet.register(endpoint("n", "near", 4));
     fleet.failed(0, &"n".into());
     assert_eq!(picked(&mut fleet, 0, None).as_deref(), Some("n"));
