--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -125,11 +125,11 @@
 }
 
 fn events(id: &str) -> String {
-    let mut events = String::new();
+    let mut events = Vec::new();
     for number in 1..=EVENTS {
-        events.push_str(&format!("id: {number}\ndata: {id}\n\n"));
+        events.push(format!("id: {number}\ndata: {id}\n\n"));
     }
-    events
+    events.concat()
 }
 
 /// The configuration under `version`.
--- a/soak/src/region.rs
+++ b/soak/src/region.rs
@@ -45,7 +45,7 @@
     pub name: String,
     /// True for a replica of control.
     pub is_control: bool,
-    program: PathBuf,
+    executable: PathBuf,
     settings: PathBuf,
     data: Option<PathBuf>,
     log: PathBuf,
@@ -164,7 +164,7 @@
         fs::write(&path, settings.replace("FOUND", "true"))?;
         self.programs.push(Program {
             is_control: data.is_some(),
-            program: programs.join(program),
+            executable: programs.join(program),
             settings: path,
             data,
             log: self.folder.path().join(format!("{name}.log")),
@@ -279,7 +279,7 @@
     /// The program is missing, or its log cannot be opened.
     pub fn start(&mut self) -> io::Result<()> {
         let log = File::options().create(true).append(true).open(&self.log)?;
-        let child = Command::new(&self.program)
+        let child = Command::new(&self.executable)
             .arg("--settings")
             .arg(&self.settings)
             .stdin(Stdio::null())
--- a/src/control/placement/homes.rs
+++ b/src/control/placement/homes.rs
@@ -150,7 +150,7 @@
             self.open.on_their_way += 1;
             return false;
         }
-        survey.candidates.sort_unstable_by(|one, other| other.0.cmp(&one.0));
+        survey.candidates.sort_unstable_by_key(|candidate| std::cmp::Reverse(candidate.0));
         if name.adapter.is_none() {
             return self.load_model(now_ms, service, &engine, name, rate, &survey);
         }
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -324,11 +324,9 @@
         name: &WeightsName,
     ) {
         let Some(endpoint) = self.endpoints.get(id) else { return };
-        if !endpoint.has_copy(name) && name.adapter.is_some() {
-            if self.is_store_full() {
-                self.open.store_busy += 1;
-                return;
-            }
+        if !endpoint.has_copy(name) && name.adapter.is_some() && self.is_store_full() {
+            self.open.store_busy += 1;
+            return;
         }
         // The store counts loads of base models only.
         if !endpoint.has_copy(name) && name.adapter.is_none() {
--- a/src/message/registration.rs
+++ b/src/message/registration.rs
@@ -22,6 +22,7 @@
     }
 
     /// The base model without an adapter.
+    #[must_use]
     pub fn base(&self) -> Self {
         Self { model: self.model.clone(), adapter: None }
     }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -197,18 +197,13 @@
     pub fn text(&self) -> String {
         let mut text = self.0.text.render();
         for counter in Counter::ALL {
-            let name = text_name(counter.name());
-            text.push_str(&format!("# TYPE {name} counter\n{name} {}\n", self.total(*counter)));
+            text.push_str(&text_line(counter.name(), "counter", self.total(*counter)));
         }
         for gauge in Gauge::ALL {
-            let name = text_name(gauge.name());
             let value = self.0.gauges[gauge as usize].load(Ordering::Relaxed);
-            text.push_str(&format!("# TYPE {name} gauge\n{name} {value}\n"));
+            text.push_str(&text_line(gauge.name(), "gauge", value));
         }
-        let dropped = crate::logging::dropped_lines();
-        text.push_str(&format!(
-            "# TYPE winchvane_log_lines_dropped counter\nwinchvane_log_lines_dropped {dropped}\n"
-        ));
+        text.push_str(&text_line("log_lines_dropped", "counter", crate::logging::dropped_lines()));
         text
     }
 
@@ -271,3 +266,8 @@
 fn text_name(name: &str) -> String {
     format!("winchvane_{}", name.replace('.', "_"))
 }
+
+fn text_line(name: &str, kind: &str, value: u64) -> String {
+    let name = text_name(name);
+    format!("# TYPE {name} {kind}\n{name} {value}\n")
+}
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -294,7 +294,7 @@
 
 /// What came of one send.
 enum Attempt {
-    Started(Started),
+    Started(Box<Started>),
     NotRun(&'static str),
     Unknown(String),
 }
@@ -451,7 +451,7 @@
                         );
                         continue;
                     }
-                    return Ok(started);
+                    return Ok(*started);
                 }
                 Attempt::NotRun(reason) => {
                     self.refused += 1;
@@ -575,7 +575,7 @@
             return Attempt::NotRun("the endpoint refused");
         }
         relay.fleet().answered(&send.endpoint);
-        Attempt::Started(Started { flight, connection, response })
+        Attempt::Started(Box::new(Started { flight, connection, response }))
     }
 
     fn request(&self, send: &SendMeta) -> Request<Full<Bytes>> {
@@ -637,7 +637,7 @@
                     NotSent::Late => "the deadline passed",
                     NotSent::NoBudget => "too many requests were sent again",
                 };
-                come_back(detail, self.come_back_ms(reason))
+                come_back(detail, come_back_ms(reason))
             }
             Failure::NotSent(reason) => {
                 self.relay.metrics.count(Counter::RequestsUnknown);
@@ -654,14 +654,6 @@
             }
         }
     }
-
-    fn come_back_ms(&self, reason: NotSent) -> u64 {
-        match reason {
-            NotSent::NoPlace("weights are not loaded") => 350,
-            NotSent::NoPlace(_) | NotSent::Late => 200,
-            NotSent::NoBudget => 500,
-        }
-    }
 }
 
 /// Why a request has no answer.
@@ -670,6 +662,15 @@
     Unknown(String),
 }
 
+/// When a client that was refused should come again; about what a load takes, or a few answers.
+fn come_back_ms(reason: NotSent) -> u64 {
+    match reason {
+        NotSent::NoPlace("weights are not loaded") => 350,
+        NotSent::NoPlace(_) | NotSent::Late => 200,
+        NotSent::NoBudget => 500,
+    }
+}
+
 /// A refusal: the request did not run and will not; the client may come again after a while.
 fn come_back(detail: &str, after_ms: u64) -> Answer {
     let mut refusal = own_answer(StatusCode::SERVICE_UNAVAILABLE, detail);
