--- a/standin/src/region.rs
+++ b/standin/src/region.rs
@@ -94,7 +94,7 @@
         };
         let child = command
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log.try_clone().expect("a log can be written by two"))
             .stderr(log)
             .spawn()
             .expect("the program starts");
