--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -17,6 +17,7 @@
 use crate::control::replica::Replica;
 use crate::control::storage::{Batch, Storage};
 use crate::error::{Error, Result};
+use crate::logging;
 use crate::message::{
     ControlReply, ControlRequest, LoadReport, PeerMessage, ProbeReply, SessionDown, SessionHello,
     SessionUp,
@@ -135,6 +136,7 @@
                 if let Err(error) = state.flush().await {
                     // What the disk holds is not known any more, so nothing may be promised.
                     error!(event = "storage_failed", error = %error);
+                    logging::finish();
                     std::process::exit(i32::from(EXIT_STORAGE));
                 }
                 state.metrics.count(Counter::Flushes);
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,6 +1,6 @@
 //! Logs: one line of key=value pairs for each event, at a level that can be changed at run time.
 
-use std::sync::OnceLock;
+use std::sync::{Mutex, OnceLock, PoisonError};
 
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::filter::EnvFilter;
@@ -18,7 +18,7 @@
 const LINES_WAITING_MAX: usize = 4_096;
 
 static DROPPED: OnceLock<ErrorCounter> = OnceLock::new();
-static WRITER: OnceLock<WorkerGuard> = OnceLock::new();
+static WRITER: Mutex<Option<WorkerGuard>> = Mutex::new(None);
 
 /// Starts logging to standard output at `level`, such as `info` or `info,winchvane::wire=debug`.
 ///
@@ -30,7 +30,7 @@
         .buffered_lines_limit(LINES_WAITING_MAX)
         .finish(std::io::stdout());
     let _ = DROPPED.set(writer.error_counter());
-    let _ = WRITER.set(guard);
+    *WRITER.lock().unwrap_or_else(PoisonError::into_inner) = Some(guard);
     let (filter, handle) = reload::Layer::new(parse(level)?);
     let lines = tracing_logfmt::builder()
         .with_span_name(false)
@@ -57,6 +57,11 @@
         .map_err(|error| Error::invalid(format!("the level cannot be changed: {error}")))
 }
 
+/// Writes what waits; called right before a process ends, after which nothing is logged.
+pub fn finish() {
+    drop(WRITER.lock().unwrap_or_else(PoisonError::into_inner).take());
+}
+
 /// Lines that were dropped because too many waited.
 pub fn dropped_lines() -> u64 {
     DROPPED.get().map_or(0, |dropped| dropped.dropped_lines() as u64)
--- a/src/process.rs
+++ b/src/process.rs
@@ -59,13 +59,15 @@
         return ExitCode::from(EXIT_SETTINGS);
     }
     tokio::spawn(reload(hang_up, arguments.settings.clone(), parse, log_level));
-    match run(settings).await {
+    let code = match run(settings).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => {
             error!(event = "stopped", error = %failure);
             ExitCode::from(if failure.is_damaged() { EXIT_STORAGE } else { 1 })
         }
-    }
+    };
+    logging::finish();
+    code
 }
 
 /// Reads the settings again on each SIGHUP and takes the log level over; everything else holds from
