--- a/src/control/placement/endpoint.rs
+++ b/src/control/placement/endpoint.rs
@@ -24,6 +24,9 @@
 /// How soon an order without an answer is given again. Both expect the same sequence, so the endpoint
 /// carries out one of them at most, however late the first one arrives.
 const AGAIN_MS: u64 = 30;
+/// An order that has no answer for this long is taken for lost; answers take a few milliseconds, or
+/// as many as a link across the region delays them.
+const OVERDUE_MS: u64 = 60;
 /// The share of an endpoint's slots beyond which further adapters go elsewhere first.
 const CROWDED: f64 = 0.65;
 /// How long an endpoint that a gateway cannot reach counts as no home; gateways try it again within
@@ -69,9 +72,18 @@
     used_at_ms: u64,
 }
 
+impl Place {
+    /// True for a load that was ordered a while ago and not accepted: the answer is lost, and the
+    /// order may be carried out late or never.
+    pub fn is_overdue(&self, now_ms: u64) -> bool {
+        !self.accepted && self.changed_at_ms + OVERDUE_MS <= now_ms
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Pending {
     number: u64,
+    given_at_ms: u64,
     /// True for a load that is ordered once more to see whether it is done; engines take it for
     /// the same order.
     repeats: bool,
@@ -143,9 +155,14 @@
         f64::from(self.running) >= f64::from(self.endpoint.slots) * CROWDED
     }
 
-    /// True while the answer to an order is awaited.
-    pub fn has_order_pending(&self) -> bool {
-        self.pending.is_some()
+    /// True when every slot is taken.
+    pub fn is_full(&self) -> bool {
+        self.running >= self.endpoint.slots
+    }
+
+    /// True while the answer to an order is about to come.
+    pub fn expects_answer(&self, now_ms: u64) -> bool {
+        self.pending.is_some_and(|pending| pending.given_at_ms + OVERDUE_MS > now_ms)
     }
 
     /// True when an order may be given now.
@@ -312,7 +329,7 @@
             }
             OrderKind::Report => (false, false),
         };
-        self.pending = Some(Pending { number, repeats });
+        self.pending = Some(Pending { number, given_at_ms: now_ms, repeats });
         match kind {
             OrderKind::Report => {}
             OrderKind::Load { name, version } => {
--- a/src/control/placement/homes.rs
+++ b/src/control/placement/homes.rs
@@ -29,6 +29,19 @@
 /// Requests within a short time above which a new version of weights is fetched ahead of a request.
 const VERSION_MIN_REQUESTS: f64 = 0.2;
 
+/// How well an endpoint fits as a further home; the fields are compared in their order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Fit {
+    /// It has a copy, which loads ten times as fast as the weight store and costs it nothing.
+    has_copy: bool,
+    /// Its slots leave room for another adapter's requests.
+    has_room: bool,
+    /// It is in the availability zone that asked, so that answers need not cross zones.
+    is_near: bool,
+    /// The hash of both, so that an adapter finds the endpoint again that has its copy.
+    affinity: u64,
+}
+
 /// What endpoints of a service hold of some weights.
 #[derive(Default)]
 struct Survey {
@@ -36,7 +49,7 @@
     crowded_homes: usize,
     on_their_way: usize,
     /// Endpoints that could become a home, with how well they fit.
-    candidates: Vec<((bool, u64), Arc<str>)>,
+    candidates: Vec<(Fit, Arc<str>)>,
     /// Homes of an older version.
     outdated: Vec<Arc<str>>,
 }
@@ -61,7 +74,8 @@
         }
         for (service, name) in wanted {
             let hash = super::endpoint::hash_of(&name.to_string());
-            let want = Want { asked_at_ms: now_ms, hash, more: false };
+            // No gateway asked, so that no availability zone goes before another one.
+            let want = Want { asked_at_ms: now_ms, hash, more: false, zone: Arc::from("") };
             self.wanted.entry((service, name)).or_insert(want);
         }
     }
@@ -103,7 +117,7 @@
         self.wanted.retain(|_, want| want.asked_at_ms + WANTED_MS > now_ms);
         let mut wanted = Vec::with_capacity(self.wanted.len());
         for (key, want) in &self.wanted {
-            wanted.push((self.demand.rate(now_ms, &key.1), key.clone(), *want));
+            wanted.push((self.demand.rate(now_ms, &key.1), key.clone(), want.clone()));
         }
         wanted.sort_unstable_by(|one, other| other.0.total_cmp(&one.0));
         if self.told_at_ms + 1_000 <= now_ms && !wanted.is_empty() {
@@ -122,7 +136,7 @@
             if looked_at > WANTED_PER_PASS {
                 break;
             }
-            if self.load_one(now_ms, &service, &name, want, rate) {
+            if self.load_one(now_ms, &service, &name, &want, rate) {
                 self.wanted.remove(&(service, name));
             }
         }
@@ -134,7 +148,7 @@
         now_ms: u64,
         service: &Arc<str>,
         name: &WeightsName,
-        want: Want,
+        want: &Want,
         rate: f64,
     ) -> bool {
         let Some(engine) = self.engines.get(service).cloned() else { return true };
@@ -160,16 +174,21 @@
         self.load_adapter(now_ms, service, &engine, name, &survey)
     }
 
-    fn survey(&self, now_ms: u64, service: &str, name: &WeightsName, want: Want) -> Survey {
+    fn survey(&self, now_ms: u64, service: &str, name: &WeightsName, want: &Want) -> Survey {
         let newest = self.versions.get(name).copied().unwrap_or(0);
         let mut survey = Survey::default();
         for (id, endpoint) in &self.endpoints {
             if &*endpoint.endpoint.service != service || !endpoint.takes_weights(now_ms) {
                 continue;
             }
-            let fit = (!endpoint.is_crowded(), endpoint.affinity(want.hash));
             let Some(place) = endpoint.places.get(name) else {
                 if name.adapter.is_none() || endpoint.holds_base(name) {
+                    let fit = Fit {
+                        has_copy: endpoint.has_copy(name) && !endpoint.is_full(),
+                        has_room: !endpoint.is_crowded(),
+                        is_near: endpoint.endpoint.zone == want.zone,
+                        affinity: endpoint.affinity(want.hash),
+                    };
                     survey.candidates.push((fit, id.clone()));
                 }
                 continue;
@@ -180,7 +199,9 @@
                     survey.homes += 1;
                     survey.crowded_homes += usize::from(endpoint.is_crowded());
                 }
-                PlaceState::Loading { .. } => survey.on_their_way += 1,
+                PlaceState::Loading { .. } => {
+                    survey.on_their_way += usize::from(!place.is_overdue(now_ms));
+                }
                 PlaceState::Unloading => {}
             }
         }
@@ -197,7 +218,7 @@
     ) -> bool {
         for (_, id) in &survey.candidates {
             let Some(endpoint) = self.endpoints.get(id) else { continue };
-            if endpoint.has_order_pending() {
+            if endpoint.expects_answer(now_ms) {
                 // Its answer is a few milliseconds away.
                 self.open.endpoint_busy += 1;
                 return false;
@@ -233,7 +254,7 @@
         service: &Arc<str>,
         name: &WeightsName,
         rate: f64,
-        want: Want,
+        want: &Want,
         survey: &Survey,
     ) -> bool {
         let Some(id) = survey.outdated.first() else {
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -66,13 +66,15 @@
 }
 
 /// Weights that gateways asked for.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Want {
     asked_at_ms: u64,
     /// The hash that finds their home among endpoints.
     hash: u64,
     /// True when the endpoints that hold them are full.
     more: bool,
+    /// The availability zone of the gateway that asked last.
+    zone: Arc<str>,
 }
 
 /// Why wants of a pass are still open.
@@ -191,12 +193,13 @@
         }
     }
 
-    /// Takes what gateways lack.
-    pub fn need(&mut self, now_ms: u64, needs: Vec<AdapterNeed>) {
+    /// Takes what a gateway in `zone` lacks.
+    pub fn need(&mut self, now_ms: u64, zone: &Arc<str>, needs: Vec<AdapterNeed>) {
         for need in needs {
             self.demand.add(now_ms, &need.weights, need.requests);
             let hash = endpoint::hash_of(&need.weights.to_string());
-            let want = Want { asked_at_ms: now_ms, hash, more: need.more };
+            let zone = zone.clone();
+            let want = Want { asked_at_ms: now_ms, hash, more: need.more, zone };
             self.wanted.insert((need.service, need.weights), want);
         }
     }
--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -197,7 +197,8 @@
                 self.read(Read::Renewal { session: id, sent_at_ms });
             }
             SessionUp::Needs(needs) => {
-                self.registered.placement.need(now_ms, needs);
+                let Some(session) = self.sessions.get(&id) else { return };
+                self.registered.placement.need(now_ms, &session.hello.zone, needs);
                 self.advance_placement(now_ms);
             }
             SessionUp::Traffic { running, used, failing } => {
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -198,7 +198,10 @@
         }
     }
 
-    /// Picks an endpoint of `service` that is not in `tried`, and holds `weights` if any are named.
+    /// Picks an endpoint of `service` that holds `weights`, if any are named.
+    ///
+    /// Those in `tried` come last: an endpoint that failed once may well serve the next request, and
+    /// where no other one holds the weights, it is the only one that can.
     pub fn pick(
         &mut self,
         now_ms: u64,
@@ -210,6 +213,7 @@
         let homes = weights.map(|name| self.homes.get(name));
         let (required, expected) = weights.map_or((0, None), |name| self.version(now_ms, name));
         let mut best: Option<(f64, &Known)> = None;
+        let mut best_tried: Option<(f64, &Known)> = None;
         let compared_max = (ids.len() * ALL_COMPARED_BY / self.gateways.max(1)).max(COMPARED_MIN);
         let start = self.random.random_range(0..ids.len().max(1));
         let (mut up, mut holding, mut coming, mut compared) = (0, 0, 0, 0);
@@ -217,7 +221,7 @@
             // Starting elsewhere each time spreads requests among endpoints that are alike.
             let id = &ids[(step + start) % ids.len()];
             let Some(known) = self.endpoints.get(id) else { continue };
-            if known.endpoint.leaving || tried.contains(id) {
+            if known.endpoint.leaving {
                 continue;
             }
             up += 1;
@@ -240,6 +244,12 @@
             if known.endpoint.zone == self.zone {
                 fill -= ZONE_PREFERENCE;
             }
+            if tried.contains(id) {
+                if best_tried.is_none_or(|(best_fill, _)| fill < best_fill) {
+                    best_tried = Some((fill, known));
+                }
+                continue;
+            }
             if best.is_none_or(|(best_fill, _)| fill < best_fill) {
                 best = Some((fill, known));
             }
@@ -250,7 +260,7 @@
                 break;
             }
         }
-        match best {
+        match best.or(best_tried) {
             Some((_, known)) => Picked::Endpoint {
                 id: known.endpoint.id.clone(),
                 address: known.endpoint.address,
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -73,7 +73,7 @@
             requests: 1,
             more: false,
         };
-        self.placement.need(self.now_ms, vec![need]);
+        self.placement.need(self.now_ms, &"a".into(), vec![need]);
     }
 
     fn pass(&mut self, passed_ms: u64) -> Vec<EngineOrder> {
