--- a/src/control/placement/endpoint.rs
+++ b/src/control/placement/endpoint.rs
@@ -7,7 +7,7 @@
 use super::{KEEP_USED_MS, SILENT_MS};
 use tracing::info;
 
-use crate::message::{Holding, Placed, RegisteredEndpoint, Weights, WeightsName};
+use crate::message::{Holding, Load, Placed, RegisteredEndpoint, Weights, WeightsName};
 use crate::routing::EngineSpec;
 
 /// Adapters that an endpoint is taken to have copies of, the latest ones; engines drop the copies
@@ -29,6 +29,9 @@
 const OVERDUE_MS: u64 = 60;
 /// The share of an endpoint's slots beyond which further adapters go elsewhere first.
 const CROWDED: f64 = 0.65;
+/// Waiting tokens beyond which further adapters go elsewhere first: a tenth of a second of reading at
+/// the pace of the users' engines.
+const CROWDED_TOKENS: u32 = 4_000;
 /// How long an endpoint that a gateway cannot reach counts as no home; gateways try it again within
 /// this time.
 const FAILING_MS: u64 = 1_500;
@@ -98,8 +101,8 @@
     pub heard_at_ms: u64,
     /// Base models and adapters.
     pub places: BTreeMap<WeightsName, Place>,
-    /// Requests under way there, from all gateways.
-    pub running: u32,
+    /// What all gateways together have under way there.
+    pub load: Load,
     /// Orders it has taken; none until a report told.
     pub sequence: Option<u64>,
     /// Weights of which it has copies, with when they were ordered last.
@@ -121,7 +124,7 @@
             hash,
             heard_at_ms: now_ms,
             places: BTreeMap::new(),
-            running: 0,
+            load: Load::default(),
             sequence: None,
             copies: HashMap::new(),
             pending: None,
@@ -150,14 +153,15 @@
         self.is_live(now_ms) && !self.endpoint.leaving && self.failing_until_ms <= now_ms
     }
 
-    /// True when more of its slots are taken than leave room for another adapter's requests.
+    /// True when too much runs or waits for another adapter's requests.
     pub fn is_crowded(&self) -> bool {
-        f64::from(self.running) >= f64::from(self.endpoint.slots) * CROWDED
+        f64::from(self.load.running) >= f64::from(self.endpoint.slots) * CROWDED
+            || self.load.waiting_tokens >= CROWDED_TOKENS
     }
 
     /// True when every slot is taken.
     pub fn is_full(&self) -> bool {
-        self.running >= self.endpoint.slots
+        self.load.running >= self.endpoint.slots
     }
 
     /// True while the answer to an order is about to come.
--- a/src/control/placement/homes.rs
+++ b/src/control/placement/homes.rs
@@ -7,12 +7,15 @@
 use super::endpoint::{EndpointPlaces, PlaceState};
 use super::order::OrderKind;
 use super::{OpenWants, Placement, Want};
-use crate::message::WeightsName;
+use crate::message::{WeightsName, WeightsUse};
 use crate::routing::EngineSpec;
 
 /// The share of an engine's slots that the requests of one adapter may fill before it gets a further
 /// home; measured on the users' deployments, see docs/PLATFORM.md.
 const HOME_FILL: f64 = 0.4;
+/// Requests a second for each home: with more of them, a long prompt at one home should not hold up
+/// all. A further home costs one load, which each of many later requests pays back.
+const HOME_RATE_PER_S: f64 = 3.0;
 /// How long a generated answer takes, about; only used to turn rates into requests under way.
 const ANSWER_S: f64 = 0.7;
 /// Weights that nobody asked for again in this time are no longer wanted: clients come back sooner.
@@ -75,11 +78,33 @@
         for (service, name) in wanted {
             let hash = super::endpoint::hash_of(&name.to_string());
             // No gateway asked, so that no availability zone goes before another one.
-            let want = Want { asked_at_ms: now_ms, hash, more: false, zone: Arc::from("") };
+            let (more, is_further, zone) = (false, true, Arc::from(""));
+            let want = Want { asked_at_ms: now_ms, hash, more, is_further, zone };
             self.wanted.entry((service, name)).or_insert(want);
         }
     }
 
+    /// Wants a further home for what is used more often than its homes should bear.
+    pub(super) fn want_further_home(&mut self, now_ms: u64, zone: &Arc<str>, weights: &WeightsUse) {
+        let name = &weights.name;
+        let rate = self.demand.rate(now_ms, name);
+        if name.adapter.is_none() || rate < HOME_RATE_PER_S {
+            return;
+        }
+        let mut service = None;
+        for endpoint in self.endpoints.values() {
+            if endpoint.places.contains_key(name) {
+                service = Some(endpoint.endpoint.service.clone());
+                break;
+            }
+        }
+        let Some(service) = service else { return };
+        let hash = super::endpoint::hash_of(&name.to_string());
+        let (more, is_further, zone) = (false, true, zone.clone());
+        let want = Want { asked_at_ms: now_ms, hash, more, is_further, zone };
+        self.wanted.entry((service, name.clone())).or_insert(want);
+    }
+
     /// Gives endpoints that hold nothing the model that lacks homes most.
     pub(super) fn fill_empty_endpoints(&mut self, now_ms: u64) {
         let mut due = Vec::new();
@@ -119,7 +144,10 @@
         for (key, want) in &self.wanted {
             wanted.push((self.demand.rate(now_ms, &key.1), key.clone(), want.clone()));
         }
-        wanted.sort_unstable_by(|one, other| other.0.total_cmp(&one.0));
+        // First homes go before further ones: without one, every request is refused.
+        wanted.sort_unstable_by(|one, other| {
+            one.2.is_further.cmp(&other.2.is_further).then(other.0.total_cmp(&one.0))
+        });
         if self.told_at_ms + 1_000 <= now_ms && !wanted.is_empty() {
             self.told_at_ms = now_ms;
             info!(event = "weights_wanted", wanted = wanted.len(), open = ?self.open);
@@ -317,5 +345,6 @@
 /// How many endpoints weights asked for at `rate` requests a second should be at.
 fn wanted_homes(rate: f64, slots: u32) -> usize {
     let under_way = rate * ANSWER_S;
-    1 + (under_way / (f64::from(slots.max(1)) * HOME_FILL)) as usize
+    let by_fill = under_way / (f64::from(slots.max(1)) * HOME_FILL);
+    1 + by_fill.max(rate / HOME_RATE_PER_S) as usize
 }
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -22,7 +22,7 @@
 };
 
 use crate::message::{
-    AdapterNeed, Heartbeat, Holding, Placed, RegisteredEndpoint, WeightsName, WeightsUse,
+    AdapterNeed, Heartbeat, Holding, Load, Placed, RegisteredEndpoint, WeightsName, WeightsUse,
 };
 use crate::routing::{EngineSpec, RoutingConfiguration};
 
@@ -73,6 +73,8 @@
     hash: u64,
     /// True when the endpoints that hold them are full.
     more: bool,
+    /// True when some endpoint holds them already.
+    is_further: bool,
     /// The availability zone of the gateway that asked last.
     zone: Arc<str>,
 }
@@ -199,15 +201,17 @@
             self.demand.add(now_ms, &need.weights, need.requests);
             let hash = endpoint::hash_of(&need.weights.to_string());
             let zone = zone.clone();
-            let want = Want { asked_at_ms: now_ms, hash, more: need.more, zone };
+            let more = need.more;
+            let want = Want { asked_at_ms: now_ms, hash, more, is_further: more, zone };
             self.wanted.insert((need.service, need.weights), want);
         }
     }
 
-    /// Takes what gateways used.
-    pub fn used(&mut self, now_ms: u64, used: Vec<WeightsUse>) {
+    /// Takes what a gateway in `zone` used.
+    pub fn used(&mut self, now_ms: u64, zone: &Arc<str>, used: Vec<WeightsUse>) {
         for weights in used {
             self.demand.add(now_ms, &weights.name, weights.requests);
+            self.want_further_home(now_ms, zone, &weights);
             if weights.name.adapter.is_some() {
                 self.demand.add(now_ms, &weights.name.base(), weights.requests);
             }
@@ -218,10 +222,10 @@
         }
     }
 
-    /// Notes how many requests are under way at an endpoint, from all gateways.
-    pub fn note_running(&mut self, id: &str, running: u32) {
+    /// Notes what all gateways together have under way at an endpoint.
+    pub fn note_load(&mut self, id: &str, load: Load) {
         if let Some(endpoint) = self.endpoints.get_mut(id) {
-            endpoint.running = running;
+            endpoint.load = load;
         }
     }
 
--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -11,7 +11,8 @@
 use crate::control::placement::{EngineOrder, OrderResult, Placement};
 use crate::control::state::Operation;
 use crate::message::{
-    Change, ControlReply, EndpointLoad, Heartbeat, NewestVersion, Placed, SessionDown, SessionUp,
+    Change, ControlReply, EndpointLoad, Heartbeat, Load, NewestVersion, Placed, SessionDown,
+    SessionUp,
 };
 use crate::routing::RoutingConfiguration;
 
@@ -201,12 +202,14 @@
                 self.registered.placement.need(now_ms, &session.hello.zone, needs);
                 self.advance_placement(now_ms);
             }
-            SessionUp::Traffic { running, used, failing } => {
-                self.registered.placement.used(now_ms, used);
+            SessionUp::Traffic { loads, used, failing } => {
+                let Some(session) = self.sessions.get(&id) else { return };
+                let zone = session.hello.zone.clone();
+                self.registered.placement.used(now_ms, &zone, used);
                 self.registered.placement.failing(now_ms, &failing);
                 let Some(session) = self.sessions.get_mut(&id) else { return };
-                for load in running {
-                    session.running.insert(load.endpoint, load.running);
+                for load in loads {
+                    session.loads.insert(load.endpoint, load.load);
                 }
             }
             SessionUp::Hello(_) | SessionUp::Leave | SessionUp::Release { .. } => {}
@@ -246,25 +249,26 @@
     }
 
     fn tell_loads(&mut self) {
-        let mut totals: BTreeMap<Arc<str>, u32> = BTreeMap::new();
+        let mut totals: BTreeMap<Arc<str>, Load> = BTreeMap::new();
         for session in self.sessions.values() {
-            for (endpoint, running) in &session.running {
-                *totals.entry(endpoint.clone()).or_default() += running;
+            for (endpoint, load) in &session.loads {
+                let total = totals.entry(endpoint.clone()).or_default();
+                *total = total.plus(*load);
             }
         }
-        for (endpoint, running) in &totals {
-            self.registered.placement.note_running(endpoint, *running);
+        for (endpoint, load) in &totals {
+            self.registered.placement.note_load(endpoint, *load);
         }
         for session in self.sessions.values_mut() {
             let mut changed = Vec::new();
-            for (endpoint, running) in &totals {
-                let own = session.running.get(endpoint).copied().unwrap_or(0);
-                let others = running - own;
-                if session.loads_told.get(endpoint).copied().unwrap_or(0) == others {
+            for (endpoint, total) in &totals {
+                let own = session.loads.get(endpoint).copied().unwrap_or_default();
+                let others = total.minus(own);
+                if session.loads_told.get(endpoint).copied().unwrap_or_default() == others {
                     continue;
                 }
                 session.loads_told.insert(endpoint.clone(), others);
-                changed.push(EndpointLoad { endpoint: endpoint.clone(), running: others });
+                changed.push(EndpointLoad { endpoint: endpoint.clone(), load: others });
             }
             if !changed.is_empty() {
                 session.send(SessionDown::Loads(changed));
--- a/src/control/session.rs
+++ b/src/control/session.rs
@@ -6,7 +6,7 @@
 use tokio::sync::mpsc;
 
 use crate::control::state::State;
-use crate::message::{Change, LoadReport, SessionDown, SessionHello, Summary};
+use crate::message::{Change, Load, LoadReport, SessionDown, SessionHello, Summary};
 
 const MAX_KEPT_CHANGES: usize = 20_000;
 const CHANGES_PER_MESSAGE: usize = 1_000;
@@ -61,10 +61,10 @@
     down: mpsc::Sender<SessionDown>,
     summaries_seen: u64,
     reports_sent: HashMap<Arc<str>, u32>,
-    /// Requests that it has under way, by endpoint.
-    pub running: HashMap<Arc<str>, u32>,
-    /// The counts over all gateways that it was told last, by endpoint.
-    pub loads_told: HashMap<Arc<str>, u32>,
+    /// What it has under way, by endpoint.
+    pub loads: HashMap<Arc<str>, Load>,
+    /// What it was told last of the other gateways' loads, by endpoint.
+    pub loads_told: HashMap<Arc<str>, Load>,
 }
 
 impl Session {
@@ -76,7 +76,7 @@
             down,
             summaries_seen: 0,
             reports_sent: HashMap::new(),
-            running: HashMap::new(),
+            loads: HashMap::new(),
             loads_told: HashMap::new(),
         }
     }
--- a/src/message/control.rs
+++ b/src/message/control.rs
@@ -74,8 +74,8 @@
     Needs(Vec<AdapterNeed>),
     /// What went through the gateway since its last report.
     Traffic {
-        /// Requests under way, for each endpoint where their number changed.
-        running: Vec<EndpointLoad>,
+        /// What is under way, for each endpoint where it changed.
+        loads: Vec<EndpointLoad>,
         /// Weights that were used.
         used: Vec<WeightsUse>,
         /// Endpoints that could not be reached again and again.
--- a/src/message/mod.rs
+++ b/src/message/mod.rs
@@ -18,7 +18,7 @@
 };
 pub use forward::{Call, ForwardEvent, ForwardRequest, Refusal};
 pub use registration::{
-    AdapterNeed, EndpointLoad, Heartbeat, Holding, NewestVersion, Placed, RegisteredEndpoint,
+    AdapterNeed, EndpointLoad, Heartbeat, Holding, Load, NewestVersion, Placed, RegisteredEndpoint,
     Weights, WeightsName, WeightsUse,
 };
 
--- a/src/message/registration.rs
+++ b/src/message/registration.rs
@@ -109,13 +109,42 @@
     Gone,
 }
 
-/// How many requests run on an endpoint.
+/// What gateways have under way at an endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests.
+    pub running: u32,
+    /// The prompts' tokens of those that are not answered yet.
+    pub waiting_tokens: u32,
+}
+
+impl Load {
+    /// The sum of both.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            running: self.running.saturating_add(other.running),
+            waiting_tokens: self.waiting_tokens.saturating_add(other.waiting_tokens),
+        }
+    }
+
+    /// What is left without `other`.
+    #[must_use]
+    pub fn minus(self, other: Self) -> Self {
+        Self {
+            running: self.running.saturating_sub(other.running),
+            waiting_tokens: self.waiting_tokens.saturating_sub(other.waiting_tokens),
+        }
+    }
+}
+
+/// What one gateway, or all others, have under way at one endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointLoad {
     /// The endpoint's id.
     pub endpoint: Arc<str>,
-    /// Requests under way there.
-    pub running: u32,
+    /// What is under way there.
+    pub load: Load,
 }
 
 /// How often weights were used through one gateway since its last report.
--- a/src/relay/border.rs
+++ b/src/relay/border.rs
@@ -34,6 +34,8 @@
     pub last_event: Option<u64>,
     /// The version that the weights must have, where it matters.
     pub weights_version: Option<u64>,
+    /// The rank of the request's route; 0 goes first.
+    pub priority: u8,
 }
 
 /// What an answer's head says.
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -263,13 +263,16 @@
 pub(super) struct Flight {
     relay: Arc<Relay>,
     weights: Option<WeightsName>,
+    number: u64,
     pub(super) endpoint: Arc<str>,
     pub(super) address: std::net::SocketAddr,
 }
 
 impl Drop for Flight {
     fn drop(&mut self) {
-        self.relay.fleet().finish(&self.endpoint, self.weights.as_ref());
+        let now_ms = self.relay.now_ms();
+        let weights = self.weights.as_ref();
+        self.relay.fleet().finish(now_ms, &self.endpoint, weights, self.number);
         self.relay.changed.notify_waiters();
     }
 }
@@ -428,6 +431,7 @@
                 deadline_ms: self.left_ms(now_ms),
                 last_event: last_event.or(self.meta.last_event),
                 weights_version,
+                priority: self.chosen.route.priority,
             };
             match self.attempt(&send, address).await {
                 Attempt::Started(started) => {
@@ -548,9 +552,15 @@
             }
         };
         let weights = self.meta.weights.as_ref();
-        relay.fleet().start(&send.endpoint, weights);
-        let endpoint = send.endpoint.clone();
-        let flight = Flight { relay: relay.clone(), weights: weights.cloned(), endpoint, address };
+        let tokens = self.meta.prompt_tokens;
+        let number = relay.fleet().start(relay.now_ms(), &send.endpoint, weights, tokens);
+        let flight = Flight {
+            relay: relay.clone(),
+            weights: weights.cloned(),
+            number,
+            endpoint: send.endpoint.clone(),
+            address,
+        };
         let left = Duration::from_millis(self.left_ms(relay.now_ms()));
         let peer = &*send.endpoint;
         let sent = timeout(left, pool::send(&mut connection, peer, self.request(send))).await;
@@ -574,7 +584,7 @@
             relay.fleet().refused(relay.now_ms(), &send.endpoint);
             return Attempt::NotRun("the endpoint refused");
         }
-        relay.fleet().answered(&send.endpoint);
+        relay.fleet().answered(relay.now_ms(), &send.endpoint, number);
         Attempt::Started(Box::new(Started { flight, connection, response }))
     }
 
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -7,7 +7,10 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::message::{EndpointLoad, Holding, Placed, RegisteredEndpoint, WeightsName, WeightsUse};
+use super::waiting::{ReadingPace, Waiting};
+use crate::message::{
+    EndpointLoad, Holding, Load, Placed, RegisteredEndpoint, WeightsName, WeightsUse,
+};
 
 /// The first pause after an endpoint failed; doubled with each further failure in a row.
 const DOWN_MS: u64 = 400;
@@ -23,8 +26,11 @@
 const FULL_MS: u64 = 60;
 /// Weights whose newest version is older than this must have it; the users allow five seconds.
 const OLD_VERSION_MS: u64 = 2_500;
-/// How much fuller an endpoint in the own zone may be and still go first, as a share of its slots.
-const ZONE_PREFERENCE: f64 = 0.15;
+/// What a full batch costs a request: each one more slows every other one.
+const FULL_BATCH_MS: f64 = 100.0;
+/// How much longer a request may wait in the own zone and still go there: a link between zones takes
+/// a few milliseconds, and its bytes cost.
+const ZONE_PREFERENCE_MS: f64 = 15.0;
 
 /// Registered endpoints with what this gateway knows of their load and weights.
 #[derive(Debug)]
@@ -34,12 +40,14 @@
     by_service: HashMap<Arc<str>, Vec<Arc<str>>>,
     homes: HashMap<WeightsName, BTreeMap<Arc<str>, Holding>>,
     newest: HashMap<WeightsName, (u64, u64)>,
-    running_changed: HashMap<Arc<str>, u32>,
+    loads_changed: HashSet<Arc<str>>,
     used: HashMap<WeightsName, u32>,
     running_weights: HashMap<WeightsName, u32>,
     failing: HashSet<Arc<str>>,
     random: SmallRng,
     gateways: usize,
+    pace: ReadingPace,
+    sends: u64,
 }
 
 #[derive(Debug)]
@@ -47,6 +55,7 @@
     endpoint: RegisteredEndpoint,
     own_running: u32,
     others_running: u32,
+    waiting: Waiting,
     failures: u32,
     closed_until_ms: u64,
 }
@@ -54,8 +63,8 @@
 /// What goes through a gateway, as it tells the leader.
 #[derive(Debug, Clone, Default)]
 pub struct Traffic {
-    /// Requests under way, where their number changed.
-    pub running: Vec<EndpointLoad>,
+    /// What is under way, where it changed.
+    pub loads: Vec<EndpointLoad>,
     /// Weights that were used.
     pub used: Vec<WeightsUse>,
     /// Endpoints that could not be reached, or failed again and again.
@@ -70,6 +79,19 @@
         let queued = if is_engine { 0 } else { self.endpoint.slots / 2 };
         self.endpoint.slots + queued
     }
+
+    fn load(&self) -> Load {
+        Load { running: self.own_running, waiting_tokens: self.waiting.own_tokens() }
+    }
+
+    /// What a request sent now waits here, and what it suffers from those that run beside it.
+    fn cost_ms(&self, now_ms: u64, is_engine: bool, pace: ReadingPace) -> f64 {
+        let running = f64::from(self.own_running + self.others_running);
+        let batch_ms = running / f64::from(self.endpoint.slots.max(1)) * FULL_BATCH_MS;
+        // A plain service works on several requests at once: one that takes long holds up no other.
+        let wait_ms = if is_engine { self.waiting.wait_ms(now_ms, pace) } else { 0.0 };
+        batch_ms + wait_ms
+    }
 }
 
 /// Where a request may go.
@@ -103,12 +125,14 @@
             by_service: HashMap::new(),
             homes: HashMap::new(),
             newest: HashMap::new(),
-            running_changed: HashMap::new(),
+            loads_changed: HashSet::new(),
             used: HashMap::new(),
             running_weights: HashMap::new(),
             failing: HashSet::new(),
             random: SmallRng::seed_from_u64(seed),
             gateways: 1,
+            pace: ReadingPace::new(),
+            sends: 0,
         }
     }
 
@@ -129,6 +153,7 @@
             endpoint: endpoint.clone(),
             own_running: 0,
             others_running: 0,
+            waiting: Waiting::new(),
             failures: 0,
             closed_until_ms: 0,
         };
@@ -193,7 +218,8 @@
     pub fn note_loads(&mut self, loads: Vec<EndpointLoad>) {
         for load in loads {
             if let Some(known) = self.endpoints.get_mut(&load.endpoint) {
-                known.others_running = load.running;
+                known.others_running = load.load.running;
+                known.waiting.set_others(load.load.waiting_tokens);
             }
         }
     }
@@ -240,18 +266,18 @@
             if known.closed_until_ms > now_ms || running >= known.places(weights.is_some()) {
                 continue;
             }
-            let mut fill = f64::from(running) / f64::from(known.endpoint.slots.max(1));
+            let mut cost_ms = known.cost_ms(now_ms, weights.is_some(), self.pace);
             if known.endpoint.zone == self.zone {
-                fill -= ZONE_PREFERENCE;
+                cost_ms -= ZONE_PREFERENCE_MS;
             }
             if tried.contains(id) {
-                if best_tried.is_none_or(|(best_fill, _)| fill < best_fill) {
-                    best_tried = Some((fill, known));
+                if best_tried.is_none_or(|(best_ms, _)| cost_ms < best_ms) {
+                    best_tried = Some((cost_ms, known));
                 }
                 continue;
             }
-            if best.is_none_or(|(best_fill, _)| fill < best_fill) {
-                best = Some((fill, known));
+            if best.is_none_or(|(best_ms, _)| cost_ms < best_ms) {
+                best = Some((cost_ms, known));
             }
             compared += 1;
             // All gateways see the same counts late, so that the best of all would get everything
@@ -283,20 +309,35 @@
         }
     }
 
-    /// Counts a request that is sent to `id`.
-    pub fn start(&mut self, id: &Arc<str>, weights: Option<&WeightsName>) {
+    /// Counts a request with a prompt of `tokens` that is sent to `id`; returns its number.
+    pub fn start(
+        &mut self,
+        now_ms: u64,
+        id: &Arc<str>,
+        weights: Option<&WeightsName>,
+        tokens: u32,
+    ) -> u64 {
+        self.sends += 1;
         if let Some(known) = self.endpoints.get_mut(id) {
             known.own_running += 1;
-            self.running_changed.insert(id.clone(), known.own_running);
+            known.waiting.send(now_ms, self.sends, tokens);
+            self.loads_changed.insert(id.clone());
         }
         if let Some(name) = weights {
             *self.used.entry(name.clone()).or_default() += 1;
             *self.running_weights.entry(name.clone()).or_default() += 1;
         }
+        self.sends
     }
 
-    /// Counts a request that has ended at `id`.
-    pub fn finish(&mut self, id: &Arc<str>, weights: Option<&WeightsName>) {
+    /// Counts a request that has ended at `id`, under the number that it was sent with.
+    pub fn finish(
+        &mut self,
+        now_ms: u64,
+        id: &Arc<str>,
+        weights: Option<&WeightsName>,
+        number: u64,
+    ) {
         if let Some(name) = weights
             && let Some(running) = self.running_weights.get_mut(name)
         {
@@ -307,14 +348,19 @@
         }
         if let Some(known) = self.endpoints.get_mut(id) {
             known.own_running = known.own_running.saturating_sub(1);
-            self.running_changed.insert(id.clone(), known.own_running);
+            known.waiting.end(now_ms, number);
+            self.loads_changed.insert(id.clone());
         }
     }
 
-    /// Notes an answer of `id`.
-    pub fn answered(&mut self, id: &str) {
-        if let Some(known) = self.endpoints.get_mut(id) {
-            known.failures = 0;
+    /// Notes that `id` began to answer the request sent under `number`.
+    pub fn answered(&mut self, now_ms: u64, id: &Arc<str>, number: u64) {
+        let Some(known) = self.endpoints.get_mut(id) else { return };
+        known.failures = 0;
+        known.waiting.answered(now_ms);
+        if let Some((tokens, took_ms)) = known.waiting.end(now_ms, number) {
+            self.pace.note(tokens, took_ms);
+            self.loads_changed.insert(id.clone());
         }
     }
 
@@ -348,9 +394,10 @@
 
     /// What changed since the last call.
     pub fn take_traffic(&mut self) -> Traffic {
-        let mut running = Vec::new();
-        for (endpoint, count) in self.running_changed.drain() {
-            running.push(EndpointLoad { endpoint, running: count });
+        let mut loads = Vec::new();
+        for endpoint in self.loads_changed.drain() {
+            let load = self.endpoints.get(&endpoint).map(Known::load).unwrap_or_default();
+            loads.push(EndpointLoad { endpoint, load });
         }
         // Weights that are still in use are told again and again, so that they are not unloaded.
         for name in self.running_weights.keys() {
@@ -361,16 +408,16 @@
             used.push(WeightsUse { name, requests });
         }
         let failing = self.failing.drain().collect();
-        Traffic { running, used, failing }
+        Traffic { loads, used, failing }
     }
 
     /// What this gateway has under way everywhere, for a leader that does not know it.
-    pub fn all_running(&self) -> Vec<EndpointLoad> {
-        let mut running = Vec::new();
+    pub fn all_loads(&self) -> Vec<EndpointLoad> {
+        let mut loads = Vec::new();
         for (id, known) in &self.endpoints {
-            running.push(EndpointLoad { endpoint: id.clone(), running: known.own_running });
+            loads.push(EndpointLoad { endpoint: id.clone(), load: known.load() });
         }
-        running
+        loads
     }
 
     /// How many endpoints are known.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -16,6 +16,7 @@
 mod process;
 mod session;
 mod stream;
+mod waiting;
 
 pub use border::{AnswerMeta, RelayBorder, RequestMeta, SendMeta};
 pub use budget::RetryBudget;
@@ -24,3 +25,4 @@
 pub use idle::IdleConnections;
 pub use process::run;
 pub use session::reconnect_max_ms;
+pub use waiting::{ReadingPace, Waiting};
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -119,9 +119,9 @@
                     SessionDown::Welcome { .. } => {
                         info!(event = "control_regained", leader = %address);
                         is_welcome = true;
-                        let running = relay.fleet().all_running();
+                        let loads = relay.fleet().all_loads();
                         let (used, failing) = (Vec::new(), Vec::new());
-                        send(&mut sender, &SessionUp::Traffic { running, used, failing }).await?;
+                        send(&mut sender, &SessionUp::Traffic { loads, used, failing }).await?;
                     }
                     SessionDown::Group { replicas, gateways } => {
                         search.replicas = replicas;
@@ -135,9 +135,9 @@
                 send(&mut sender, &SessionUp::Needs(needs)).await?;
             }
             _ = reports.tick(), if is_welcome => {
-                let Traffic { running, used, failing } = relay.fleet().take_traffic();
-                if !running.is_empty() || !used.is_empty() || !failing.is_empty() {
-                    send(&mut sender, &SessionUp::Traffic { running, used, failing }).await?;
+                let Traffic { loads, used, failing } = relay.fleet().take_traffic();
+                if !loads.is_empty() || !used.is_empty() || !failing.is_empty() {
+                    send(&mut sender, &SessionUp::Traffic { loads, used, failing }).await?;
                 }
             }
             _ = renewals.tick() => {
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -46,24 +46,30 @@
         let mut placement = Placement::new(PlacementSettings::default(), "control-1".into());
         placement.lead(0, 7, Some("control-2"));
         placement.configure(0, &configuration(adapter_places));
-        placement.register(
-            LEASE_MS,
+        let mut leader = Self { placement, now_ms: LEASE_MS };
+        leader.add_endpoint("e1");
+        leader
+    }
+
+    /// Registers an endpoint that holds the base model only.
+    fn add_endpoint(&mut self, id: &str) {
+        let port = 7_000 + u16::from(id.as_bytes()[1]);
+        self.placement.register(
+            self.now_ms,
             &RegisteredEndpoint {
-                id: "e1".into(),
+                id: id.into(),
                 service: "quotes".into(),
-                address: ([127, 0, 0, 1], 7_001).into(),
+                address: ([127, 0, 0, 1], port).into(),
                 zone: "a".into(),
                 slots: 8,
                 leaving: false,
             },
         );
-        let mut leader = Self { placement, now_ms: LEASE_MS };
-        let report = leader.next_order();
+        let report = self.next_order();
         assert_eq!(report.kind, OrderKind::Report, "nothing is ordered before a report");
         let base = Weights { name: adapter(0).base(), version: 1 };
         let outcome = EngineReport { sequence: 5, holds: vec![base], coming: Vec::new() };
-        leader.answer(&report, OrderOutcome::Report(outcome));
-        leader
+        self.answer(&report, OrderOutcome::Report(outcome));
     }
 
     fn need(&mut self, number: usize) {
@@ -204,7 +210,7 @@
     for _ in 0..50 {
         leader.need(2);
         let used = WeightsUse { name: adapter(1), requests: 0 };
-        leader.placement.used(leader.now_ms, vec![used]);
+        leader.placement.used(leader.now_ms, &"a".into(), vec![used]);
         assert!(leader.pass(20).is_empty(), "it is in use");
     }
     leader.need(2);
@@ -273,3 +279,53 @@
         assert!(taken.iter().filter(within).count() <= 53, "10 a second and three more");
     }
 }
+
+#[test]
+fn what_is_used_often_gets_a_further_home_and_first_homes_go_before() {
+    let mut leader = Leader::new(8);
+    leader.load(1);
+    leader.add_endpoint("e2");
+    let used = |requests| vec![WeightsUse { name: adapter(1), requests }];
+    leader.placement.used(leader.now_ms, &"a".into(), used(1));
+    assert!(leader.pass(10).is_empty(), "one home is enough for a few requests");
+    leader.placement.used(leader.now_ms, &"a".into(), used(40));
+    leader.need(2);
+    let orders = leader.pass(10);
+    assert_eq!(orders[0].kind, OrderKind::Load { name: adapter(2), version: None });
+    assert_eq!(orders[1].kind, OrderKind::Load { name: adapter(1), version: None });
+    assert_eq!(&*orders[1].endpoint, "e2");
+}
+
+#[test]
+fn an_adapter_goes_where_its_copy_is() {
+    let mut leader = Leader::new(1);
+    leader.load(1);
+    // Its only place goes to another adapter, so that nobody holds the first one any more.
+    leader.now_ms += 1_000;
+    leader.need(2);
+    let unload = leader.next_order();
+    assert_eq!(unload.kind, OrderKind::Unload { name: adapter(1) });
+    leader.answer(&unload, OrderOutcome::Done);
+    leader.load(2);
+    leader.add_endpoint("e2");
+    leader.now_ms += 1_000;
+    for _ in 0..2 {
+        leader.need(1);
+        let order = leader.next_order();
+        assert_eq!(&*order.endpoint, "e1", "its copy loads ten times as fast");
+        leader.answer(&order, OrderOutcome::Done);
+    }
+}
+
+#[test]
+fn an_order_without_an_answer_does_not_hold_up_a_first_home() {
+    let mut leader = Leader::new(8);
+    leader.add_endpoint("e2");
+    leader.need(1);
+    let lost = leader.next_order();
+    leader.now_ms += 100;
+    leader.need(1);
+    let other = leader.next_order();
+    assert_eq!(other.kind, lost.kind);
+    assert_ne!(other.endpoint, lost.endpoint);
+}
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -1,8 +1,9 @@
 //! The parts of a relay that decide: which endpoint, which retries, which events.
 
-use winchvane::message::{EndpointLoad, Holding, Placed, RegisteredEndpoint, WeightsName};
+use winchvane::message::{EndpointLoad, Holding, Load, Placed, RegisteredEndpoint, WeightsName};
 use winchvane::relay::{
-    EventSplitter, Fleet, IdleConnections, Picked, RetryBudget, reconnect_max_ms,
+    EventSplitter, Fleet, IdleConnections, Picked, ReadingPace, RetryBudget, Waiting,
+    reconnect_max_ms,
 };
 
 fn endpoint(id: &str, zone: &str, slots: u32) -> RegisteredEndpoint {
@@ -24,6 +25,10 @@
     fleet.place(false, vec![Placed { endpoint: id.into(), name: adapter(), holding }]);
 }
 
+fn loaded(id: &str, running: u32, waiting_tokens: u32) -> EndpointLoad {
+    EndpointLoad { endpoint: id.into(), load: Load { running, waiting_tokens } }
+}
+
 fn picked(fleet: &mut Fleet, now_ms: u64, weights: Option<&WeightsName>) -> Option<String> {
     match fleet.pick(now_ms, "quotes", weights, &[]) {
         Picked::Endpoint { id, .. } => Some(id.to_string()),
@@ -37,10 +42,49 @@
     fleet.register(endpoint("n", "near", 10));
     fleet.register(endpoint("f", "far", 10));
     assert_eq!(picked(&mut fleet, 0, None).as_deref(), Some("n"));
-    fleet.note_loads(vec![EndpointLoad { endpoint: "n".into(), running: 3 }]);
+    fleet.note_loads(vec![loaded("n", 3, 0)]);
     assert_eq!(picked(&mut fleet, 0, None).as_deref(), Some("f"), "too much fuller to be worth it");
 }
 
+#[test]
+fn requests_go_around_an_endpoint_that_reads_a_long_prompt() {
+    let mut fleet = Fleet::new("near".into(), 1);
+    fleet.register(endpoint("n", "near", 10));
+    fleet.register(endpoint("f", "far", 10));
+    let name = adapter();
+    place(&mut fleet, "n", Holding::Ready(1));
+    place(&mut fleet, "f", Holding::Ready(1));
+    let number = fleet.start(0, &"n".into(), Some(&name), 9_000);
+    assert_eq!(picked(&mut fleet, 1, Some(&name)).as_deref(), Some("f"), "a long prompt is read");
+    fleet.answered(240, &"n".into(), number);
+    assert_eq!(picked(&mut fleet, 240, Some(&name)).as_deref(), Some("n"));
+    fleet.note_loads(vec![loaded("n", 1, 9_000)]);
+    assert_eq!(picked(&mut fleet, 240, Some(&name)).as_deref(), Some("f"), "another gateway's");
+}
+
+#[test]
+fn requests_go_around_an_endpoint_that_answers_nothing() {
+    let mut waiting = Waiting::new();
+    let pace = ReadingPace::new();
+    waiting.send(1_000, 1, 0);
+    waiting.send(1_100, 2, 0);
+    assert!(waiting.wait_ms(1_500, pace) >= 500.0, "nothing was answered for half a second");
+    waiting.answered(1_501);
+    waiting.end(1_501, 2);
+    assert!(waiting.wait_ms(1_600, pace) < 1.0, "it answers; the first request may just be rare");
+}
+
+#[test]
+fn the_pace_of_reading_is_learnt_from_the_faster_answers() {
+    let mut pace = ReadingPace::new();
+    for turn in 0..1_000 {
+        // Half of the prompts wait behind others.
+        pace.note(1_000, if turn % 2 == 0 { 50 } else { 300 });
+    }
+    let learnt_ms = pace.reading_ms(1_000);
+    assert!((40.0..80.0).contains(&learnt_ms), "{learnt_ms}");
+}
+
 #[test]
 fn an_endpoint_that_leaves_gets_nothing_more() {
     let mut fleet = Fleet::new("near".into(), 1);
@@ -60,9 +104,9 @@
     assert_eq!(fleet.pick(0, "quotes", Some(&name), &[]), Picked::Coming);
     place(&mut fleet, "f", Holding::Ready(1));
     assert_eq!(picked(&mut fleet, 0, Some(&name)).as_deref(), Some("f"));
-    fleet.start(&"f".into(), Some(&name));
+    let number = fleet.start(0, &"f".into(), Some(&name), 0);
     assert_eq!(fleet.pick(0, "quotes", Some(&name), &[]), Picked::Full);
-    fleet.finish(&"f".into(), Some(&name));
+    fleet.finish(0, &"f".into(), Some(&name), number);
     assert_eq!(picked(&mut fleet, 0, Some(&name)).as_deref(), Some("f"));
     place(&mut fleet, "f", Holding::Gone);
     assert_eq!(fleet.pick(0, "quotes", Some(&name), &[]), Picked::NoHome);
@@ -90,10 +134,10 @@
     let mut fleet = Fleet::new("near".into(), 1);
     fleet.register(endpoint("n", "near", 4));
     let name = adapter();
-    fleet.start(&"n".into(), Some(&name));
+    let number = fleet.start(0, &"n".into(), Some(&name), 0);
     assert_eq!(fleet.take_traffic().used[0].requests, 1);
     assert_eq!(fleet.take_traffic().used[0].requests, 0, "still in use, nothing new");
-    fleet.finish(&"n".into(), Some(&name));
+    fleet.finish(0, &"n".into(), Some(&name), number);
     assert!(fleet.take_traffic().used.is_empty());
 }
 
