--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -19,13 +19,18 @@
 /// Failures in a row after which an endpoint that can be reached is left alone for a while.
 const FAILURES_TO_DOWN: u32 = 3;
 /// Endpoints that are compared for a request, at least.
-const COMPARED_MIN: usize = 2;
-/// So few gateways compare all endpoints; more of them a share, down to two.
+const COMPARED_MIN: usize = 8;
+/// So few gateways compare all endpoints and take the cheapest; more of them compare a share.
 const ALL_COMPARED_BY: usize = 8;
 /// An endpoint that said it is full gets nothing for this long.
 const FULL_MS: u64 = 60;
 /// Weights whose newest version is older than this must have it; the users allow five seconds.
 const OLD_VERSION_MS: u64 = 2_500;
+/// Requests that a plain service queues for each one that it runs, at least; the users' queue four
+/// for each, and two of them wait no longer than the latency objectives allow.
+const QUEUED_PER_SLOT: u32 = 2;
+/// By how much an endpoint must be cheaper than another one to be taken 2.7 times as often.
+const SPREAD_MS: f64 = 50.0;
 /// What a full batch costs a request: each one more slows every other one.
 const FULL_BATCH_MS: f64 = 100.0;
 /// How much longer a request may wait in the own zone and still go there: a link between zones takes
@@ -72,12 +77,12 @@
 }
 
 impl Known {
-    /// Requests that may be under way here. An endpoint queues a few more than it runs, and what
-    /// the other gateways have under way is known late, so that full by that may be half empty.
-    /// An engine gives none: each request more slows every other one there.
-    fn places(&self, is_engine: bool) -> u32 {
-        let queued = if is_engine { 0 } else { self.endpoint.slots / 2 };
-        self.endpoint.slots + queued
+    /// True when as many requests are under way here as it takes. An endpoint queues a few more
+    /// than it runs, and what the other gateways have under way is known late, so that full by
+    /// that may be half empty. An engine gives no room: each request more slows every other one.
+    fn is_full(&self, is_engine: bool) -> bool {
+        let queued = if is_engine { 0 } else { self.endpoint.slots * QUEUED_PER_SLOT };
+        self.own_running + self.others_running >= self.endpoint.slots + queued
     }
 
     fn load(&self) -> Load {
@@ -94,6 +99,34 @@
     }
 }
 
+/// An endpoint that could take a request.
+#[derive(Debug, Clone, Copy)]
+struct Candidate<'a> {
+    cost_ms: f64,
+    known: &'a Known,
+}
+
+fn cheapest<'a>(candidates: &[Candidate<'a>]) -> Option<Candidate<'a>> {
+    candidates.iter().copied().min_by(|one, other| one.cost_ms.total_cmp(&other.cost_ms))
+}
+
+/// One of `candidates`, cheap ones more often than dear ones; `draw` is random, from 0 to 1.
+///
+/// Many gateways see the same counts late. If each took the cheapest, all would go to the same
+/// endpoint until the next counts arrive, and to the next one after that.
+fn draw_cheap<'a>(candidates: &[Candidate<'a>], draw: f64) -> Option<Candidate<'a>> {
+    let least_ms = cheapest(candidates)?.cost_ms;
+    let share = |candidate: &Candidate<'_>| ((least_ms - candidate.cost_ms) / SPREAD_MS).exp();
+    let mut left = draw * candidates.iter().map(share).sum::<f64>();
+    for candidate in candidates {
+        left -= share(candidate);
+        if left <= 0.0 {
+            return Some(*candidate);
+        }
+    }
+    candidates.last().copied()
+}
+
 /// Where a request may go.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Picked {
@@ -224,6 +257,14 @@
         }
     }
 
+    /// Forgets what the other gateways have under way; without a leader nobody tells when it ends.
+    pub fn forget_loads(&mut self) {
+        for known in self.endpoints.values_mut() {
+            known.others_running = 0;
+            known.waiting.set_others(0);
+        }
+    }
+
     /// Picks an endpoint of `service` that holds `weights`, if any are named.
     ///
     /// Those in `tried` come last: an endpoint that failed once may well serve the next request, and
@@ -238,11 +279,11 @@
         let Some(ids) = self.by_service.get(service) else { return Picked::NoEndpoint };
         let homes = weights.map(|name| self.homes.get(name));
         let (required, expected) = weights.map_or((0, None), |name| self.version(now_ms, name));
-        let mut best: Option<(f64, &Known)> = None;
-        let mut best_tried: Option<(f64, &Known)> = None;
+        let mut candidates: Vec<Candidate<'_>> = Vec::new();
+        let mut best_tried: Option<Candidate<'_>> = None;
         let compared_max = (ids.len() * ALL_COMPARED_BY / self.gateways.max(1)).max(COMPARED_MIN);
         let start = self.random.random_range(0..ids.len().max(1));
-        let (mut up, mut holding, mut coming, mut compared) = (0, 0, 0, 0);
+        let (mut up, mut holding, mut coming) = (0, 0, 0);
         for step in 0..ids.len() {
             // Starting elsewhere each time spreads requests among endpoints that are alike.
             let id = &ids[(step + start) % ids.len()];
@@ -262,32 +303,33 @@
                 }
             }
             holding += 1;
-            let running = known.own_running + known.others_running;
-            if known.closed_until_ms > now_ms || running >= known.places(weights.is_some()) {
+            if known.closed_until_ms > now_ms || known.is_full(weights.is_some()) {
                 continue;
             }
             let mut cost_ms = known.cost_ms(now_ms, weights.is_some(), self.pace);
             if known.endpoint.zone == self.zone {
                 cost_ms -= ZONE_PREFERENCE_MS;
             }
+            let candidate = Candidate { cost_ms, known };
             if tried.contains(id) {
-                if best_tried.is_none_or(|(best_ms, _)| cost_ms < best_ms) {
-                    best_tried = Some((cost_ms, known));
+                if best_tried.is_none_or(|best| cost_ms < best.cost_ms) {
+                    best_tried = Some(candidate);
                 }
                 continue;
             }
-            if best.is_none_or(|(best_ms, _)| cost_ms < best_ms) {
-                best = Some((cost_ms, known));
-            }
-            compared += 1;
-            // All gateways see the same counts late, so that the best of all would get everything
-            // at once; the better of two spreads.
-            if compared == compared_max {
+            candidates.push(candidate);
+            if candidates.len() == compared_max {
                 break;
             }
         }
+        let draw: f64 = self.random.random();
+        let best = if self.gateways > ALL_COMPARED_BY {
+            draw_cheap(&candidates, draw)
+        } else {
+            cheapest(&candidates)
+        };
         match best.or(best_tried) {
-            Some((_, known)) => Picked::Endpoint {
+            Some(Candidate { known, .. }) => Picked::Endpoint {
                 id: known.endpoint.id.clone(),
                 address: known.endpoint.address,
                 weights_version: expected,
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -41,6 +41,7 @@
             Ok(hint) => search.hint(hint),
             Err(error) => warn!(event = "control_lost", peer = %address, error = %error),
         }
+        relay.fleet().forget_loads();
         tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
     }
 }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -62,6 +62,33 @@
     assert_eq!(picked(&mut fleet, 240, Some(&name)).as_deref(), Some("f"), "another gateway's");
 }
 
+#[test]
+fn many_gateways_do_not_all_take_the_endpoint_that_looks_emptiest() {
+    let mut fleet = Fleet::new("far".into(), 1);
+    fleet.set_gateways(71);
+    for id in ["a", "b", "c", "d"] {
+        fleet.register(endpoint(id, "near", 6));
+    }
+    fleet.note_loads(vec![loaded("a", 0, 0), loaded("b", 3, 0), loaded("c", 3, 0)]);
+    fleet.note_loads(vec![loaded("d", 6, 0)]);
+    let mut taken = std::collections::BTreeMap::new();
+    for _ in 0..4_000 {
+        *taken.entry(picked(&mut fleet, 0, None).unwrap()).or_insert(0) += 1;
+    }
+    assert!(taken["a"] < 2_400, "the emptiest one is not taken by all: {taken:?}");
+    assert!(taken["a"] > taken["d"] * 2, "the fullest one is spared: {taken:?}");
+}
+
+#[test]
+fn loads_of_others_are_forgotten_with_the_leader_that_told_them() {
+    let mut fleet = Fleet::new("near".into(), 1);
+    fleet.register(endpoint("n", "near", 2));
+    fleet.note_loads(vec![loaded("n", 6, 0)]);
+    assert_eq!(fleet.pick(0, "quotes", None, &[]), Picked::Full);
+    fleet.forget_loads();
+    assert_eq!(picked(&mut fleet, 0, None).as_deref(), Some("n"));
+}
+
 #[test]
 fn requests_go_around_an_endpoint_that_answers_nothing() {
     let mut waiting = Waiting::new();
