--- a/src/control/placement/endpoint.rs
+++ b/src/control/placement/endpoint.rs
@@ -3,11 +3,14 @@
 use std::collections::{BTreeMap, HashMap};
 
 use super::demand::Demand;
-use super::order::{EngineReport, OrderKind, OrderOutcome, OrderResult};
+use super::holders::OrderHolder;
 use super::{KEEP_USED_MS, SILENT_MS};
 use tracing::info;
 
-use crate::message::{Holding, Load, Placed, RegisteredEndpoint, Weights, WeightsName};
+use crate::message::{
+    EngineReport, Holding, Load, OrderKind, OrderOutcome, OrderResult, Placed, RegisteredEndpoint,
+    Weights, WeightsName,
+};
 use crate::routing::EngineSpec;
 
 /// Adapters that an endpoint is taken to have copies of, the latest ones; engines drop the copies
@@ -27,6 +30,9 @@
 /// An order that has no answer for this long is taken for lost; answers take a few milliseconds, or
 /// as many as a link across the region delays them.
 const OVERDUE_MS: u64 = 60;
+/// An order without an outcome for this long is lost with its gateway: connecting and the answer take
+/// half a second at most, and the rest is the way there and back.
+const OUTCOME_MAX_MS: u64 = 1_000;
 /// The share of an endpoint's slots beyond which further adapters go elsewhere first.
 const CROWDED: f64 = 0.65;
 /// Waiting tokens beyond which further adapters go elsewhere first: a tenth of a second of reading at
@@ -83,9 +89,10 @@
     }
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Pending {
     number: u64,
+    kind: OrderKind,
     given_at_ms: u64,
     /// True for a load that is ordered once more to see whether it is done; engines take it for
     /// the same order.
@@ -107,6 +114,8 @@
     pub sequence: Option<u64>,
     /// Weights of which it has copies, with when they were ordered last.
     pub copies: HashMap<WeightsName, u64>,
+    /// Through whom it can be ordered now.
+    pub(super) holder: Option<OrderHolder>,
     hash: u64,
     pending: Option<Pending>,
     report_from_ms: u64,
@@ -127,6 +136,7 @@
             load: Load::default(),
             sequence: None,
             copies: HashMap::new(),
+            holder: None,
             pending: None,
             report_from_ms: 0,
             again_from_ms: 0,
@@ -166,17 +176,21 @@
 
     /// True while the answer to an order is about to come.
     pub fn expects_answer(&self, now_ms: u64) -> bool {
-        self.pending.is_some_and(|pending| pending.given_at_ms + OVERDUE_MS > now_ms)
+        self.pending.as_ref().is_some_and(|pending| pending.given_at_ms + OVERDUE_MS > now_ms)
     }
 
     /// True when an order may be given now.
     pub fn is_free_for_orders(&self, now_ms: u64) -> bool {
-        self.pending.is_none() && self.sequence.is_some() && self.again_from_ms <= now_ms
+        self.pending.is_none()
+            && self.holder.is_some()
+            && self.sequence.is_some()
+            && self.again_from_ms <= now_ms
     }
 
     /// True when a report has to tell what the endpoint holds.
     pub fn needs_report(&self, now_ms: u64) -> bool {
         self.pending.is_none()
+            && self.holder.is_some()
             && self.is_live(now_ms)
             && now_ms >= self.report_from_ms
             && self.sequence.is_none()
@@ -198,11 +212,11 @@
     }
 
     /// How many adapters are on their way from the weight store.
-    pub fn coming_from_store(&self) -> usize {
+    pub fn coming_from_store(&self, now_ms: u64) -> usize {
         let mut coming = 0;
         for place in self.places.values() {
-            coming +=
-                usize::from(place.from_store && matches!(place.state, PlaceState::Loading { .. }));
+            let is_loading = matches!(place.state, PlaceState::Loading { .. });
+            coming += usize::from(place.from_store && is_loading && !place.is_overdue(now_ms));
         }
         coming
     }
@@ -333,7 +347,7 @@
             }
             OrderKind::Report => (false, false),
         };
-        self.pending = Some(Pending { number, given_at_ms: now_ms, repeats });
+        self.pending = Some(Pending { number, kind: kind.clone(), given_at_ms: now_ms, repeats });
         match kind {
             OrderKind::Report => {}
             OrderKind::Load { name, version } => {
@@ -419,6 +433,20 @@
         Placed { endpoint: self.endpoint.id.clone(), name: name.clone(), holding }
     }
 
+    /// The outcome of an order whose gateway went before it told one.
+    pub fn lost_order(&self, now_ms: u64) -> Option<OrderResult> {
+        let pending = self.pending.as_ref()?;
+        if pending.given_at_ms + OUTCOME_MAX_MS > now_ms {
+            return None;
+        }
+        Some(OrderResult {
+            number: pending.number,
+            endpoint: self.endpoint.id.clone(),
+            kind: pending.kind.clone(),
+            outcome: OrderOutcome::Unknown,
+        })
+    }
+
     /// Takes the outcome of an order in.
     ///
     /// Returns how long a load from the weight store took, when this showed one to be done.
@@ -428,8 +456,7 @@
         result: &OrderResult,
         placed: &mut Vec<Placed>,
     ) -> Option<u64> {
-        let pending = self.pending.filter(|pending| pending.number == result.number)?;
-        self.pending = None;
+        let pending = self.pending.take_if(|pending| pending.number == result.number)?;
         let took_ms = self.store_load_took_ms(now_ms, result);
         match &result.outcome {
             OrderOutcome::Report(report) => self.reported(now_ms, report, placed),
@@ -442,6 +469,10 @@
                 self.recheck(now_ms, &result.kind);
             }
             OrderOutcome::Refused | OrderOutcome::NotSent => {
+                let is_unreachable = matches!(result.outcome, OrderOutcome::NotSent);
+                if is_unreachable && result.kind != OrderKind::Report {
+                    self.note_failing(now_ms);
+                }
                 self.take_back(now_ms, &result.kind, placed);
                 self.report_from_ms = now_ms + REPORT_PAUSE_MS;
             }
--- a/src/control/placement/homes.rs
+++ b/src/control/placement/homes.rs
@@ -5,9 +5,8 @@
 use tracing::info;
 
 use super::endpoint::{EndpointPlaces, PlaceState};
-use super::order::OrderKind;
 use super::{OpenWants, Placement, Want};
-use crate::message::{WeightsName, WeightsUse};
+use crate::message::{OrderKind, WeightsName, WeightsUse};
 use crate::routing::EngineSpec;
 
 /// The share of an engine's slots that the requests of one adapter may fill before it gets a further
@@ -153,7 +152,7 @@
             info!(event = "weights_wanted", wanted = wanted.len(), open = ?self.open);
         }
         self.open = OpenWants::default();
-        let is_store_full = self.is_store_full();
+        let is_store_full = self.is_store_full(now_ms);
         let mut looked_at = 0;
         for (rate, (service, name), want) in wanted {
             if is_store_full && name.adapter.is_some() && !self.copied.contains(&name) {
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -1,14 +1,14 @@
 //! Which endpoints hold which weights: what the leader of control knows, wants and orders.
 //!
-//! Only the leader gives orders, one at a time to an endpoint, and only while its lease lasts. What
+//! The leader decides; the gateway that holds an endpoint gives it its orders, one at a time. What
 //! endpoints hold is learnt from their heartbeats, their reports and the outcome of orders, so a new
 //! leader needs nothing of the earlier one. An adapter has its home at the endpoint that a hash of
 //! both puts first, so that each endpoint meets few adapters and finds them in its own copies.
 
 mod demand;
 mod endpoint;
+mod holders;
 mod homes;
-mod order;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
@@ -17,14 +17,14 @@
 
 pub use demand::{Demand, StoreAllowance};
 pub use endpoint::{EndpointPlaces, Place, PlaceState};
-pub use order::{
-    EngineClient, EngineOrder, EngineReport, OrderKind, OrderLease, OrderOutcome, OrderResult,
-};
+pub use holders::{HolderChoice, OrderHolder, OrderHolders};
 
 use crate::message::{
-    AdapterNeed, Heartbeat, Holding, Load, Placed, RegisteredEndpoint, WeightsName, WeightsUse,
+    AdapterNeed, EngineOrder, Heartbeat, Holding, Load, OrderKind, OrderResult, Placed,
+    RegisteredEndpoint, WeightsName, WeightsUse,
 };
 use crate::routing::{EngineSpec, RoutingConfiguration};
+use holders::HolderWatch;
 
 /// An endpoint that said nothing for this long gets no new adapters: twice the usual period of
 /// heartbeats and a second for one that is late.
@@ -43,7 +43,7 @@
 /// Bounds of orders.
 #[derive(Debug, Clone, Copy)]
 pub struct PlacementSettings {
-    /// How long the orders of an earlier leader may still count; a new one waits as long.
+    /// How long the orders of a gateway may still count after it gave them.
     pub order_lease_ms: u64,
     /// The share of the weight store's rate that is used.
     pub store_share: f64,
@@ -92,9 +92,7 @@
 /// What the leader knows and wants of the weights on endpoints.
 pub struct Placement {
     settings: PlacementSettings,
-    holder: Arc<str>,
-    token: u64,
-    orders_from_ms: u64,
+    holder_watch: HolderWatch,
     endpoints: BTreeMap<Arc<str>, EndpointPlaces>,
     engines: HashMap<Arc<str>, EngineSpec>,
     versions: HashMap<WeightsName, u64>,
@@ -114,13 +112,11 @@
 }
 
 impl Placement {
-    /// Knows nothing and may order nothing.
-    pub fn new(settings: PlacementSettings, holder: Arc<str>) -> Self {
+    /// Knows nothing yet, at the start of a leader's time.
+    pub fn new(now_ms: u64, settings: PlacementSettings) -> Self {
         Self {
             settings,
-            holder,
-            token: 0,
-            orders_from_ms: u64::MAX,
+            holder_watch: HolderWatch::new(now_ms),
             endpoints: BTreeMap::new(),
             engines: HashMap::new(),
             versions: HashMap::new(),
@@ -138,21 +134,6 @@
         }
     }
 
-    /// Starts a leader's time: orders may go out once those of `former`, which gave orders last, no
-    /// longer count; its own still count, so they hold it up no longer than it takes to lead.
-    pub fn lead(&mut self, now_ms: u64, token: u64, former: Option<&str>) {
-        *self = Self::new(self.settings, self.holder.clone());
-        self.token = token;
-        let takes_over = former.is_some_and(|former| former != &*self.holder);
-        let wait_ms = if takes_over { self.settings.order_lease_ms } else { 0 };
-        self.orders_from_ms = now_ms + wait_ms;
-    }
-
-    /// Who gives the orders.
-    pub fn holder(&self) -> &Arc<str> {
-        &self.holder
-    }
-
     /// Takes the configuration's engines over.
     pub fn configure(&mut self, now_ms: u64, configuration: &RoutingConfiguration) {
         self.engines.clear();
@@ -272,12 +253,14 @@
         self.store_load_ms = took_ms.min((self.store_load_ms * 15 + took_ms) / 16);
     }
 
-    /// Decides what is to be ordered now.
-    pub fn advance(&mut self, now_ms: u64) {
-        if now_ms < self.orders_from_ms.max(self.advanced_at_ms + PASS_MS) {
+    /// Decides what is to be ordered now, through the gateways that are recorded in `holders`.
+    pub fn advance(&mut self, now_ms: u64, holders: &OrderHolders) {
+        if now_ms < self.advanced_at_ms + PASS_MS {
             return;
         }
         self.advanced_at_ms = now_ms;
+        self.follow_holders(now_ms, holders);
+        self.give_up_lost_orders(now_ms);
         self.ask_for_reports(now_ms);
         self.check_loads(now_ms);
         self.repeat_unloads(now_ms);
@@ -286,6 +269,17 @@
         self.load_wanted(now_ms);
     }
 
+    fn give_up_lost_orders(&mut self, now_ms: u64) {
+        let mut lost = Vec::new();
+        for endpoint in self.endpoints.values() {
+            lost.extend(endpoint.lost_order(now_ms));
+        }
+        for result in lost {
+            info!(event = "order_lost", endpoint = %result.endpoint, number = result.number);
+            self.ordered(now_ms, result);
+        }
+    }
+
     fn ask_for_reports(&mut self, now_ms: u64) {
         let mut due = Vec::new();
         for (id, endpoint) in &self.endpoints {
@@ -331,7 +325,7 @@
         name: &WeightsName,
     ) {
         let Some(endpoint) = self.endpoints.get(id) else { return };
-        if !endpoint.has_copy(name) && name.adapter.is_some() && self.is_store_full() {
+        if !endpoint.has_copy(name) && name.adapter.is_some() && self.is_store_full(now_ms) {
             self.open.store_busy += 1;
             return;
         }
@@ -348,13 +342,13 @@
     }
 
     /// True while the store has as many adapters on their way as it bears.
-    fn is_store_full(&self) -> bool {
+    fn is_store_full(&self, now_ms: u64) -> bool {
         let by_endpoints = self.endpoints.len() * STORE_LOADS_PER_THREE_ENDPOINTS / 3;
-        self.coming_from_store() >= by_endpoints.max(self.settings.store_adapters_at_once)
+        self.coming_from_store(now_ms) >= by_endpoints.max(self.settings.store_adapters_at_once)
     }
 
-    fn coming_from_store(&self) -> usize {
-        self.endpoints.values().map(EndpointPlaces::coming_from_store).sum()
+    fn coming_from_store(&self, now_ms: u64) -> usize {
+        self.endpoints.values().map(|endpoint| endpoint.coming_from_store(now_ms)).sum()
     }
 
     fn version_of(&self, name: &WeightsName) -> Option<u64> {
@@ -363,6 +357,7 @@
 
     fn order(&mut self, now_ms: u64, id: &Arc<str>, kind: OrderKind) {
         let Some(endpoint) = self.endpoints.get_mut(id) else { return };
+        let Some(OrderHolder { gateway, token }) = endpoint.holder().cloned() else { return };
         self.next_order += 1;
         let store_load_ms = self.store_load_ms;
         endpoint.start_order(now_ms, self.next_order, &kind, store_load_ms, &mut self.placed);
@@ -372,8 +367,8 @@
             address: endpoint.endpoint.address,
             kind,
             expected_sequence: endpoint.sequence,
-            holder: self.holder.clone(),
-            token: self.token,
+            holder: gateway,
+            token,
         });
     }
 
--- a/src/control/process.rs
+++ b/src/control/process.rs
@@ -17,7 +17,6 @@
 use crate::control::api::ControlApi;
 use crate::control::boot::{self, Booted};
 use crate::control::listing;
-use crate::control::placement::EngineClient;
 use crate::control::server::{
     ControlHandler, ReplicaActor, ReplicaArguments, ReplicaMessage, Stage,
 };
@@ -32,11 +31,8 @@
 const JOIN_PAUSE: Duration = Duration::from_millis(500);
 const TRANSFER_PAUSE: Duration = Duration::from_millis(200);
 
-/// What a platform adds to control: its own interface for endpoints and operators, and the way
-/// to its engines.
+/// What a platform adds to control: its own interface for endpoints and operators.
 pub struct ControlBorder {
-    /// How orders reach engines.
-    pub engines: Arc<dyn EngineClient>,
     /// Makes what serves the interface.
     pub serve_api: Box<dyn FnOnce(ControlApi) -> Arc<dyn HttpHandler> + Send>,
 }
@@ -69,18 +65,16 @@
     let admin_handler = Arc::new(AdminHandler { stage: stage.clone(), metrics: metrics.clone() });
     let limits = ServerLimits::default();
     tokio::spawn(serve(admin, admin_handler, limits, metrics.clone(), stopped.clone()));
-    let mut engines = None;
     if let (Some(border), Some(address)) = (border, settings.listen_api) {
         let listener = listen("listen for the platform", address).await?;
         let handler = (border.serve_api)(ControlApi::new(stage.clone()));
         tokio::spawn(serve(listener, handler, limits, metrics.clone(), stopped));
-        engines = Some(border.engines);
     }
     let booted = tokio::select! {
         booted = boot::boot(&settings, &stage, clock, &metrics) => booted?,
         _ = terminate.recv() => return Ok(()),
     };
-    let actor = start(&settings, booted, clock, metrics, engines).await?;
+    let actor = start(&settings, booted, clock, metrics).await?;
     *stage.write().unwrap_or_else(PoisonError::into_inner) = Stage::Running(actor.clone());
     info!(event = "started", name = %common.name, peers = %common.listen_peers);
     terminate.recv().await;
@@ -97,7 +91,6 @@
     booted: Booted,
     clock: Clock,
     metrics: Metrics,
-    engines: Option<Arc<dyn EngineClient>>,
 ) -> Result<ActorRef<ReplicaMessage>> {
     let id = booted.replica.raft.id();
     let leads = Arc::new(AtomicBool::new(false));
@@ -108,7 +101,6 @@
         clock,
         metrics,
         leads: leads.clone(),
-        engines,
     };
     let (actor, _) = ReplicaActor::spawn(None, ReplicaActor, arguments)
         .await
--- a/src/control/registry.rs
+++ b/src/control/registry.rs
@@ -1,10 +1,11 @@
 //! What is replicated of routes, registered endpoints and versions of weights.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
+use crate::control::placement::{HolderChoice, OrderHolder, OrderHolders};
 use crate::message::{Change, NewestVersion, RegisteredEndpoint, WeightsName};
 use crate::routing::RoutingConfiguration;
 
@@ -12,6 +13,10 @@
 /// this covers half a day, and heartbeats are late by seconds.
 const DEPARTED_MAX: usize = 2_400;
 
+/// Holders that are remembered for addresses where no endpoint is; restarts take seconds, and 4,800 a
+/// day are expected.
+const UNUSED_HOLDERS_MAX: usize = 2_400;
+
 /// Routes, registered endpoints and the newest versions of weights.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Registry {
@@ -19,7 +24,7 @@
     endpoints: BTreeMap<Arc<str>, RegisteredEndpoint>,
     departed: VecDeque<Arc<str>>,
     versions: BTreeMap<WeightsName, u64>,
-    order_holder: Option<Arc<str>>,
+    order_holders: OrderHolders,
 }
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -64,14 +69,21 @@
         &self.versions
     }
 
-    /// The instance that gave orders to engines last.
-    pub fn order_holder(&self) -> Option<&Arc<str>> {
-        self.order_holder.as_ref()
+    /// Which gateways give endpoints their orders.
+    pub fn order_holders(&self) -> &OrderHolders {
+        &self.order_holders
     }
 
-    /// Records which instance gives orders from now on.
-    pub fn set_order_holder(&mut self, holder: Arc<str>) {
-        self.order_holder = Some(holder);
+    /// Records under `token` which gateways give endpoints their orders from now on.
+    pub fn choose_holders(&mut self, token: u64, choices: Vec<HolderChoice>) {
+        for HolderChoice { address, gateway } in choices {
+            self.order_holders.insert(address, OrderHolder { gateway, token });
+        }
+        if self.order_holders.len() <= self.endpoints.len() + UNUSED_HOLDERS_MAX {
+            return;
+        }
+        let used: HashSet<_> = self.endpoints.values().map(|endpoint| endpoint.address).collect();
+        self.order_holders.retain(|address, _| used.contains(address));
     }
 
     /// Takes a configuration in when its version is above the one in force.
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -96,7 +96,7 @@
 impl Replica {
     /// A replica with the state of its snapshot; the log's entries are applied as they commit.
     pub fn new(raft: Raft, state: State, settings: ReplicaSettings, metrics: Metrics) -> Self {
-        let placement = Placement::new(settings.placement, settings.instance.clone());
+        let placement = Placement::new(0, settings.placement);
         let permits = Permits::new(settings.store, 0);
         let applied = raft.snapshot_index();
         Self {
@@ -145,7 +145,7 @@
         }
         self.poll_permits(now_ms);
         self.expire_gateways(now_ms, wall_ms);
-        self.advance_placement(now_ms);
+        self.advance_placement(now_ms, wall_ms);
         self.tell_followers(now_ms);
         if let Some(members) = self.raft.next_members(now_ms) {
             info!(event = "members_proposed", members = members.0.len());
@@ -194,11 +194,7 @@
         for name in self.state.fleet.gateways().keys() {
             self.renewed_at_ms.insert(name.clone(), now_ms);
         }
-        self.lead_registered(now_ms, term);
-        let holder = self.registered.placement.holder().clone();
-        if self.state.registry.order_holder() != Some(&holder) {
-            self.propose(wall_ms, Operation::TakeOrders { holder }, Waiter::Nobody);
-        }
+        self.lead_registered(now_ms);
         self.propose(wall_ms, Operation::SetLimits(self.settings.ledger), Waiter::Nobody);
     }
 
@@ -403,7 +399,7 @@
         let Some(epoch) = found.epoch else { return };
         let gateway = found.hello.name.clone();
         if !found.hello.owns_endpoints {
-            self.follower_message(now_ms, session, up);
+            self.follower_message(now_ms, wall_ms, session, up);
             return;
         }
         if self.state.fleet.gateway_epoch(&gateway) != Some(epoch) {
@@ -426,7 +422,7 @@
             SessionUp::Release { endpoint, epoch } => {
                 self.propose(wall_ms, Operation::Release { endpoint, epoch }, Waiter::Nobody);
             }
-            SessionUp::Needs(_) | SessionUp::Traffic { .. } => {
+            SessionUp::Needs(_) | SessionUp::Traffic { .. } | SessionUp::Ordered(_) => {
                 debug!(event = "report_ignored", gateway = %gateway, reason = "owns endpoints");
             }
         }
@@ -595,6 +591,7 @@
     fn renewed(&mut self, id: u64, sent_at_ms: u64) {
         let index = self.applied;
         let Some(session) = self.sessions.get_mut(&id) else { return };
+        session.renewed_at_ms = Some(self.registered.ticked_at_ms());
         let current = self.state.fleet.gateway_epoch(&session.hello.name);
         if session.hello.owns_endpoints && current != session.epoch {
             session.send(SessionDown::Expired);
--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -8,11 +8,11 @@
 use tracing::{info, warn};
 
 use super::{Read, Replica, Waiter};
-use crate::control::placement::{EngineOrder, OrderResult, Placement};
+use crate::control::placement::Placement;
 use crate::control::state::Operation;
 use crate::message::{
-    Change, ControlReply, EndpointLoad, Heartbeat, Load, NewestVersion, Placed, SessionDown,
-    SessionUp,
+    Change, ControlReply, EndpointLoad, EngineOrder, Heartbeat, Load, NewestVersion, OrderOutcome,
+    OrderResult, Placed, SessionDown, SessionUp,
 };
 use crate::routing::RoutingConfiguration;
 
@@ -43,16 +43,22 @@
     }
 }
 
+impl Registered {
+    /// The time of the last tick.
+    pub(super) fn ticked_at_ms(&self) -> u64 {
+        self.ticked_at_ms
+    }
+}
+
 impl Replica {
     /// Starts knowing endpoints anew, from what is replicated.
-    pub(super) fn lead_registered(&mut self, now_ms: u64, term: u64) {
+    pub(super) fn lead_registered(&mut self, now_ms: u64) {
         let registered = &mut self.registered;
         registered.sequences.clear();
         registered.leading_since_ms = now_ms;
         registered.ticked_at_ms = now_ms;
         registered.group_told = (Vec::new(), 0);
-        let former = self.state.registry.order_holder().cloned();
-        registered.placement.lead(now_ms, term, former.as_deref());
+        registered.placement = Placement::new(now_ms, self.settings.placement);
         if let Some(configuration) = self.state.registry.routing() {
             registered.placement.configure(now_ms, configuration);
         }
@@ -154,28 +160,45 @@
         }
     }
 
-    /// Lets the placement decide; its orders are fetched with [`take_orders`](Self::take_orders).
-    pub(super) fn advance_placement(&mut self, now_ms: u64) {
+    /// Lets the placement decide and passes its orders to the gateways that give them.
+    pub(super) fn advance_placement(&mut self, now_ms: u64, wall_ms: u64) {
         self.registered.ticked_at_ms = now_ms;
-        // Nobody may take this instance's orders for another one's.
-        if self.state.registry.order_holder() == Some(self.registered.placement.holder()) {
-            self.registered.placement.advance(now_ms);
+        let holders = self.state.registry.order_holders();
+        self.registered.placement.advance(now_ms, holders);
+        let choices = self.registered.placement.take_choices();
+        if !choices.is_empty() {
+            self.propose(wall_ms, Operation::ChooseHolders(choices), Waiter::Nobody);
+        }
+        for order in self.registered.placement.take_orders() {
+            self.pass_order(now_ms, order);
         }
     }
 
-    /// The orders to send to engines.
-    pub fn take_orders(&mut self) -> Vec<EngineOrder> {
-        self.registered.placement.take_orders()
+    fn pass_order(&mut self, now_ms: u64, order: EngineOrder) {
+        for session in self.sessions.values() {
+            if session.gives_orders(now_ms) && session.hello.name == order.holder {
+                let (number, endpoint) = (order.number, order.endpoint.clone());
+                if session.send(SessionDown::Order(order.clone())) {
+                    return;
+                }
+                warn!(event = "order_not_passed", endpoint = %endpoint, number);
+                break;
+            }
+        }
+        let EngineOrder { number, endpoint, kind, .. } = order;
+        let result = OrderResult { number, endpoint, kind, outcome: OrderOutcome::NotSent };
+        self.registered.placement.ordered(now_ms, result);
     }
 
-    /// Takes the outcome of an order in.
-    pub fn ordered(&mut self, now_ms: u64, result: OrderResult) {
-        if !self.leading {
-            return;
+    /// Tells the placement which gateways can give orders.
+    fn note_gateways(&mut self, now_ms: u64) {
+        let mut connected = BTreeMap::new();
+        for session in self.sessions.values() {
+            if session.gives_orders(now_ms) {
+                connected.insert(session.hello.name.clone(), session.hello.zone.clone());
+            }
         }
-        self.registered.placement.ordered(now_ms, result);
-        self.advance_placement(now_ms);
-        self.tell_placed();
+        self.registered.placement.set_gateways(now_ms, connected);
     }
 
     /// Brings a follower up to what is committed.
@@ -192,7 +215,7 @@
     }
 
     /// Takes a message of a gateway that only follows.
-    pub(super) fn follower_message(&mut self, now_ms: u64, id: u64, up: SessionUp) {
+    pub(super) fn follower_message(&mut self, now_ms: u64, wall_ms: u64, id: u64, up: SessionUp) {
         match up {
             SessionUp::Renew { sent_at_ms, .. } => {
                 self.read(Read::Renewal { session: id, sent_at_ms });
@@ -200,7 +223,12 @@
             SessionUp::Needs(needs) => {
                 let Some(session) = self.sessions.get(&id) else { return };
                 self.registered.placement.need(now_ms, &session.hello.zone, needs);
-                self.advance_placement(now_ms);
+                self.advance_placement(now_ms, wall_ms);
+            }
+            SessionUp::Ordered(result) => {
+                self.registered.placement.ordered(now_ms, result);
+                self.advance_placement(now_ms, wall_ms);
+                self.tell_placed();
             }
             SessionUp::Traffic { loads, used, failing } => {
                 let Some(session) = self.sessions.get(&id) else { return };
@@ -223,6 +251,7 @@
             return;
         }
         self.registered.loads_due_ms = now_ms + LOADS_EVERY_MS;
+        self.note_gateways(now_ms);
         self.tell_group();
         self.tell_loads();
     }
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -12,7 +12,6 @@
 
 use crate::clock::{Clock, wall_ms};
 use crate::control::fleet::ListedEndpoint;
-use crate::control::placement::{EngineClient, OrderLease, OrderResult};
 use crate::control::raft::{Envelope, NodeId, Output, Snapshot};
 use crate::control::replica::Replica;
 use crate::control::storage::{Batch, Storage};
@@ -53,8 +52,6 @@
     Close(u64),
     /// The platform's list and its reports of load.
     Listed(Vec<ListedEndpoint>, Vec<LoadReport>),
-    /// What became of an order to an engine.
-    Ordered(OrderResult),
     /// Asks for the state dump.
     Dump(RpcReplyPort<serde_json::Value>),
     /// Hand leadership over; the process is about to stop.
@@ -75,8 +72,6 @@
     pub metrics: Metrics,
     /// Set while this replica leads.
     pub leads: Arc<AtomicBool>,
-    /// How orders reach engines; none where control gives no orders.
-    pub engines: Option<Arc<dyn EngineClient>>,
 }
 
 /// The actor's state.
@@ -87,8 +82,6 @@
     clock: Clock,
     metrics: Metrics,
     leads: Arc<AtomicBool>,
-    engines: Option<Arc<dyn EngineClient>>,
-    order_lease: OrderLease,
     links: HashMap<NodeId, (SocketAddr, mpsc::Sender<PeerMessage>)>,
     addresses: HashMap<NodeId, SocketAddr>,
     flush_due: bool,
@@ -115,8 +108,6 @@
             clock: arguments.clock,
             metrics: arguments.metrics,
             leads: arguments.leads,
-            engines: arguments.engines,
-            order_lease: OrderLease::new(arguments.clock),
             links: HashMap::new(),
             addresses: HashMap::new(),
             flush_due: false,
@@ -140,7 +131,6 @@
                     std::process::exit(i32::from(EXIT_STORAGE));
                 }
                 state.metrics.count(Counter::Flushes);
-                state.send_orders(&myself);
                 // Nothing came after this that another flush would have to serve.
                 return Ok(());
             }
@@ -169,7 +159,6 @@
                 state.replica.session_message(now_ms, wall_ms(), session, up);
             }
             ReplicaMessage::Close(session) => state.replica.close(session),
-            ReplicaMessage::Ordered(result) => state.replica.ordered(now_ms, result),
             ReplicaMessage::Listed(listed, load_reports) => {
                 state.replica.listed(wall_ms(), listed);
                 state.replica.note_load_reports(load_reports);
@@ -185,23 +174,6 @@
 }
 
 impl ReplicaState {
-    fn send_orders(&mut self, myself: &ActorRef<ReplicaMessage>) {
-        self.order_lease.set_until(self.replica.raft.leader_until_ms());
-        let Some(engines) = &self.engines else { return };
-        for order in self.replica.take_orders() {
-            let (engines, lease, myself) =
-                (engines.clone(), self.order_lease.clone(), myself.clone());
-            tokio::spawn(async move {
-                let number = order.number;
-                let (endpoint, kind) = (order.endpoint.clone(), order.kind.clone());
-                let outcome = engines.carry_out(order, lease).await;
-                let result = OrderResult { number, endpoint, kind, outcome };
-                // The actor is only gone when the process ends.
-                let _ = myself.cast(ReplicaMessage::Ordered(result));
-            });
-        }
-    }
-
     async fn flush(&mut self) -> Result<()> {
         loop {
             let now_ms = self.clock.now_ms();
--- a/src/control/session.rs
+++ b/src/control/session.rs
@@ -10,6 +10,9 @@
 
 const MAX_KEPT_CHANGES: usize = 20_000;
 const CHANGES_PER_MESSAGE: usize = 1_000;
+/// A gateway whose last renewal is older than this gets no orders: two renewals are missing, and its
+/// own lease is about to end.
+const SILENT_MS: u64 = 750;
 
 /// The changes of recent entries, for followers that are not far behind.
 #[derive(Debug, Default)]
@@ -61,6 +64,8 @@
     down: mpsc::Sender<SessionDown>,
     summaries_seen: u64,
     reports_sent: HashMap<Arc<str>, u32>,
+    /// When its last renewal was confirmed.
+    pub renewed_at_ms: Option<u64>,
     /// What it has under way, by endpoint.
     pub loads: HashMap<Arc<str>, Load>,
     /// What it was told last of the other gateways' loads, by endpoint.
@@ -76,11 +81,18 @@
             down,
             summaries_seen: 0,
             reports_sent: HashMap::new(),
+            renewed_at_ms: None,
             loads: HashMap::new(),
             loads_told: HashMap::new(),
         }
     }
 
+    /// True when it follows and can give orders to engines now.
+    pub fn gives_orders(&self, now_ms: u64) -> bool {
+        let is_confirmed = self.renewed_at_ms.is_some_and(|at_ms| at_ms + SILENT_MS > now_ms);
+        is_confirmed && !self.hello.owns_endpoints
+    }
+
     /// Sends without waiting; false when the gateway does not keep up or has gone.
     pub fn send(&self, message: SessionDown) -> bool {
         self.down.try_send(message).is_ok()
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -8,6 +8,7 @@
 use crate::control::config::Config;
 use crate::control::fleet::{Fleet, ListedEndpoint, Registration};
 use crate::control::ledger::{Claim, ClaimOutcome, KeyDigest, Ledger, LedgerLimits, Settlement};
+use crate::control::placement::HolderChoice;
 use crate::control::registry::Registry;
 use crate::document::Document;
 use crate::error::{Error, Result};
@@ -87,11 +88,8 @@
     DeregisterEndpoint(Arc<str>),
     /// Names the newest version of weights.
     PutVersion(NewestVersion),
-    /// Records which instance gives orders to engines from now on.
-    TakeOrders {
-        /// The instance.
-        holder: Arc<str>,
-    },
+    /// Records which gateways give endpoints their orders from now on.
+    ChooseHolders(Vec<HolderChoice>),
 }
 
 /// What an operation came to.
@@ -180,8 +178,8 @@
             }
             Operation::DeregisterEndpoint(id) => (Outcome::Accepted, self.registry.deregister(&id)),
             Operation::PutVersion(newest) => (Outcome::Accepted, self.registry.put_version(newest)),
-            Operation::TakeOrders { holder } => {
-                self.registry.set_order_holder(holder);
+            Operation::ChooseHolders(choices) => {
+                self.registry.choose_holders(index, choices);
                 (Outcome::Done, Vec::new())
             }
         }
--- a/src/gateway/session.rs
+++ b/src/gateway/session.rs
@@ -154,6 +154,7 @@
         | SessionDown::NotLeader { .. }
         | SessionDown::Expired
         | SessionDown::Placed { .. }
+        | SessionDown::Order(_)
         | SessionDown::Loads(_)
         | SessionDown::Group { .. } => {}
     }
--- a/src/message/control.rs
+++ b/src/message/control.rs
@@ -10,8 +10,8 @@
 use crate::control::raft::{Envelope, NodeId};
 use crate::document::{Document, DocumentKind};
 use crate::message::{
-    AdapterNeed, EndpointLoad, Heartbeat, NewestVersion, Placed, RegisteredEndpoint, Service,
-    Summary, WeightsUse,
+    AdapterNeed, EndpointLoad, EngineOrder, Heartbeat, NewestVersion, OrderResult, Placed,
+    RegisteredEndpoint, Service, Summary, WeightsUse,
 };
 use crate::routing::RoutingConfiguration;
 
@@ -72,6 +72,8 @@
     },
     /// Adapters that no endpoint known to the gateway holds, or too few.
     Needs(Vec<AdapterNeed>),
+    /// What became of an order.
+    Ordered(OrderResult),
     /// What went through the gateway since its last report.
     Traffic {
         /// What is under way, for each endpoint where it changed.
@@ -146,6 +148,8 @@
     },
     /// Requests under way at all gateways, for each endpoint where their number changed.
     Loads(Vec<EndpointLoad>),
+    /// An order that the gateway has to give to an engine.
+    Order(EngineOrder),
     /// The replicas of control, and how many gateways follow this leader.
     Group {
         /// Where the replicas serve gateways.
--- a/src/message/mod.rs
+++ b/src/message/mod.rs
@@ -5,6 +5,7 @@
 
 mod control;
 mod forward;
+mod order;
 mod registration;
 
 use std::fmt;
@@ -17,6 +18,7 @@
     PeerMessage, PermitRequest, ProbeReply, SessionDown, SessionHello, SessionUp, Verdict,
 };
 pub use forward::{Call, ForwardEvent, ForwardRequest, Refusal};
+pub use order::{EngineOrder, EngineReport, OrderKind, OrderOutcome, OrderResult};
 pub use registration::{
     AdapterNeed, EndpointLoad, Heartbeat, Holding, Load, NewestVersion, Placed, RegisteredEndpoint,
     Weights, WeightsName, WeightsUse,
--- a/src/control/placement/order.rs
+++ b/src/message/order.rs
@@ -2,14 +2,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 
-use crate::clock::Clock;
-use crate::message::{Weights, WeightsName};
-use crate::wire::BoxFuture;
+use serde::{Deserialize, Serialize};
+
+use super::{Weights, WeightsName};
 
 /// One order.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct EngineOrder {
     /// Counts this leader's orders.
     pub number: u64,
@@ -21,14 +20,14 @@
     pub kind: OrderKind,
     /// The number of orders that the endpoint must have taken before this one.
     pub expected_sequence: Option<u64>,
-    /// Who orders.
+    /// The gateway that gives the endpoint its orders.
     pub holder: Arc<str>,
-    /// Rises with each leader.
+    /// Rises with each holder.
     pub token: u64,
 }
 
 /// What is ordered.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OrderKind {
     /// Tell what you hold; changes nothing.
     Report,
@@ -47,7 +46,7 @@
 }
 
 /// What an engine tells of itself.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct EngineReport {
     /// Orders taken since the start.
     pub sequence: u64,
@@ -58,7 +57,7 @@
 }
 
 /// What became of an order.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum OrderOutcome {
     /// The report that was asked for.
     Report(EngineReport),
@@ -77,7 +76,7 @@
 }
 
 /// An order's outcome with what it belongs to.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct OrderResult {
     /// The order's number.
     pub number: u64,
@@ -88,33 +87,3 @@
     /// What became of it.
     pub outcome: OrderOutcome,
 }
-
-/// Until when a leader may give orders; looked at right before each one is written.
-#[derive(Debug, Clone)]
-pub struct OrderLease {
-    until_ms: Arc<AtomicU64>,
-    clock: Clock,
-}
-
-impl OrderLease {
-    /// A lease that has not begun.
-    pub fn new(clock: Clock) -> Self {
-        Self { until_ms: Arc::default(), clock }
-    }
-
-    /// Sets the end.
-    pub fn set_until(&self, until_ms: u64) {
-        self.until_ms.store(until_ms, Ordering::Release);
-    }
-
-    /// True while orders may be given.
-    pub fn holds(&self) -> bool {
-        self.clock.now_ms() < self.until_ms.load(Ordering::Acquire)
-    }
-}
-
-/// How orders reach engines.
-pub trait EngineClient: Send + Sync + 'static {
-    /// Sends `order` unless `lease` has ended, and waits for the outcome.
-    fn carry_out(&self, order: EngineOrder, lease: OrderLease) -> BoxFuture<'static, OrderOutcome>;
-}
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -18,6 +18,7 @@
 use super::border::{AnswerMeta, RelayBorder, RequestMeta, SendMeta};
 use super::budget::RetryBudget;
 use super::fleet::{Fleet, Picked};
+use super::orders::OrderLease;
 use super::pool::{self, Connection, Pool, SendFailure};
 use super::stream;
 use crate::clock::Clock;
@@ -53,6 +54,7 @@
     pub(super) border: Arc<dyn RelayBorder>,
     pub(super) pool: Pool,
     pub(super) changed: Notify,
+    pub(super) order_lease: OrderLease,
     clock: Clock,
     fleet: Mutex<Fleet>,
     table: RwLock<Arc<RouteTable>>,
@@ -80,6 +82,7 @@
             border,
             pool: Pool::new(clock),
             changed: Notify::new(),
+            order_lease: OrderLease::new(clock),
             clock,
             fleet: Mutex::new(fleet),
             table: RwLock::default(),
@@ -113,6 +116,7 @@
     /// Notes that what is known is complete as of when the renewal was sent.
     pub(super) fn confirmed(&self, sent_at_ms: u64) {
         self.confirmed_at_ms.fetch_max(sent_at_ms.max(1), Ordering::Relaxed);
+        self.order_lease.confirm(sent_at_ms);
     }
 
     fn is_confirmed(&self, now_ms: u64) -> bool {
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -79,10 +79,12 @@
 impl Known {
     /// True when as many requests are under way here as it takes. An endpoint queues a few more
     /// than it runs, and what the other gateways have under way is known late, so that full by
-    /// that may be half empty. An engine gives no room: each request more slows every other one.
+    /// that may be half empty.
     fn is_full(&self, is_engine: bool) -> bool {
-        let queued = if is_engine { 0 } else { self.endpoint.slots * QUEUED_PER_SLOT };
-        self.own_running + self.others_running >= self.endpoint.slots + queued
+        let slots = self.endpoint.slots;
+        // An engine gives no room: each request more slows every other one there.
+        let queued = if is_engine { 0 } else { slots * QUEUED_PER_SLOT };
+        self.own_running + self.others_running >= slots + queued
     }
 
     fn load(&self) -> Load {
--- a/src/relay/process.rs
+++ b/src/relay/process.rs
@@ -13,6 +13,7 @@
 
 use super::border::RelayBorder;
 use super::exchange::{Relay, RelayHandler, ready_status};
+use super::orders::EngineClient;
 use super::session;
 use crate::admin::{metrics_text, problem, set_log_level, tidy_metrics};
 use crate::error::{Error, Result};
@@ -36,7 +37,11 @@
 ///
 /// # Errors
 /// A listener that cannot be opened.
-pub async fn run(settings: RelaySettings, border: Arc<dyn RelayBorder>) -> Result<()> {
+pub async fn run(
+    settings: RelaySettings,
+    border: Arc<dyn RelayBorder>,
+    engines: Arc<dyn EngineClient>,
+) -> Result<()> {
     let metrics = Metrics::new(&settings.metrics_prefix, settings.metrics_address)?;
     let clients = listen("listen for clients", settings.listen_clients).await?;
     let ready = listen("listen for health checks", settings.listen_ready).await?;
@@ -45,7 +50,7 @@
         .map_err(|error| Error::io("watch signals", "process", error))?;
     let (needs, wanted) = mpsc::unbounded_channel();
     let relay = Arc::new(Relay::new(settings.clone(), border, metrics.clone(), needs));
-    tokio::spawn(session::run(relay.clone(), rand::rng().random(), wanted));
+    tokio::spawn(session::run(relay.clone(), rand::rng().random(), wanted, engines));
     tokio::spawn(prune(relay.clone()));
     tokio::spawn(tidy_metrics(metrics.clone()));
     let (stop, stopped) = watch::channel(false);
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -11,8 +11,11 @@
 
 use super::exchange::Relay;
 use super::fleet::Traffic;
+use super::orders::EngineClient;
 use crate::error::{Error, Result};
-use crate::message::{AdapterNeed, Change, SessionDown, SessionHello, SessionUp};
+use crate::message::{
+    AdapterNeed, Change, EngineOrder, OrderResult, SessionDown, SessionHello, SessionUp,
+};
 use crate::wire::{Channel, Peer, Receiver, Sender};
 
 /// How often a relay asks whether it holds everything.
@@ -33,11 +36,16 @@
 }
 
 /// Follows whoever leads, until the task is dropped.
-pub async fn run(relay: Arc<Relay>, boot_id: u64, mut needs: mpsc::UnboundedReceiver<AdapterNeed>) {
+pub async fn run(
+    relay: Arc<Relay>,
+    boot_id: u64,
+    mut needs: mpsc::UnboundedReceiver<AdapterNeed>,
+    engines: Arc<dyn EngineClient>,
+) {
     let mut search = LeaderSearch::new(relay.settings.seeds.clone());
     loop {
         let address = search.next();
-        match follow(&relay, boot_id, address, &mut search, &mut needs).await {
+        match follow(&relay, boot_id, address, &mut search, &mut needs, &engines).await {
             Ok(hint) => search.hint(hint),
             Err(error) => warn!(event = "control_lost", peer = %address, error = %error),
         }
@@ -85,6 +93,7 @@
     address: SocketAddr,
     search: &mut LeaderSearch,
     needs: &mut mpsc::UnboundedReceiver<AdapterNeed>,
+    engines: &Arc<dyn EngineClient>,
 ) -> Result<Option<SocketAddr>> {
     let peer = Peer::new(address);
     let limit = Duration::from_millis(OPEN_TIMEOUT_MS);
@@ -107,6 +116,7 @@
     let mut heard_at_ms = relay.now_ms();
     let mut is_welcome = false;
     let mut staged = Vec::new();
+    let (results, mut ordered) = mpsc::unbounded_channel();
     loop {
         tokio::select! {
             down = receiver.next() => {
@@ -123,11 +133,21 @@
                         let loads = relay.fleet().all_loads();
                         let (used, failing) = (Vec::new(), Vec::new());
                         send(&mut sender, &SessionUp::Traffic { loads, used, failing }).await?;
+                        // Routes and orders wait for the first confirmation.
+                        renewals.reset_immediately();
                     }
                     SessionDown::Group { replicas, gateways } => {
                         search.replicas = replicas;
                         relay.set_gateways(gateways);
                     }
+                    SessionDown::Order(order) => {
+                        let give = give_order(relay.clone(), engines.clone(), order);
+                        let results = results.clone();
+                        tokio::spawn(async move {
+                            // Nobody waits for it once the session has ended.
+                            let _ = results.send(give.await);
+                        });
+                    }
                     down => take(relay, down, &mut staged),
                 }
             }
@@ -135,6 +155,9 @@
                 let needs = gather(need, needs);
                 send(&mut sender, &SessionUp::Needs(needs)).await?;
             }
+            Some(result) = ordered.recv() => {
+                send(&mut sender, &SessionUp::Ordered(result)).await?;
+            }
             _ = reports.tick(), if is_welcome => {
                 let Traffic { loads, used, failing } = relay.fleet().take_traffic();
                 if !loads.is_empty() || !used.is_empty() || !failing.is_empty() {
@@ -155,6 +178,16 @@
     }
 }
 
+async fn give_order(
+    relay: Arc<Relay>,
+    engines: Arc<dyn EngineClient>,
+    order: EngineOrder,
+) -> OrderResult {
+    let (number, endpoint, kind) = (order.number, order.endpoint.clone(), order.kind.clone());
+    let outcome = engines.carry_out(order, relay.order_lease.clone()).await;
+    OrderResult { number, endpoint, kind, outcome }
+}
+
 /// Everything that waits, with one entry for each of the weights.
 fn gather(
     first: AdapterNeed,
@@ -195,6 +228,7 @@
         SessionDown::Welcome { .. }
         | SessionDown::NotLeader { .. }
         | SessionDown::Expired
+        | SessionDown::Order(_)
         | SessionDown::Group { .. } => {}
     }
 }
