--- a/src/control/placement/endpoint.rs
+++ b/src/control/placement/endpoint.rs
@@ -8,8 +8,7 @@
 use tracing::info;
 
 use crate::message::{
-    EngineReport, Holding, Load, OrderKind, OrderOutcome, OrderResult, Placed, RegisteredEndpoint,
-    Weights, WeightsName,
+    Holding, Load, OrderKind, OrderOutcome, OrderResult, Placed, RegisteredEndpoint, WeightsName,
 };
 use crate::routing::EngineSpec;
 
@@ -17,7 +16,7 @@
 /// that were unused for longest.
 const COPIES_MAX: usize = 90;
 /// How soon a load is looked at first; a load from an engine's own copy takes about this long.
-const FIRST_CHECK_MS: u64 = 26;
+pub(super) const FIRST_CHECK_MS: u64 = 26;
 /// How often an unload that waits for its runs is looked at.
 const UNLOAD_CHECK_MS: u64 = 60;
 /// How soon a load is looked at again, at most.
@@ -42,11 +41,11 @@
 /// this time.
 const FAILING_MS: u64 = 1_500;
 /// A report shows an endpoint as it was some time ago; after this pause it shows the last order.
-const REPORT_LAG_MS: u64 = 260;
+pub(super) const REPORT_LAG_MS: u64 = 260;
 /// How soon an endpoint that gave no report is asked again.
 const REPORT_PAUSE_MS: u64 = 700;
 /// A heartbeat may have been sent this long before it arrives; younger knowledge goes before it.
-const HEARTBEAT_LATE_MS: u64 = 3_000;
+pub(super) const HEARTBEAT_LATE_MS: u64 = 3_000;
 /// A load that is not done after this long is looked for in a report.
 const LOAD_MAX_MS: u64 = 8_000;
 
@@ -76,8 +75,8 @@
     /// True while it comes from the weight store, not from the endpoint's own copies.
     pub from_store: bool,
     /// True once the endpoint said that it takes the order to load them.
-    accepted: bool,
-    changed_at_ms: u64,
+    pub(super) accepted: bool,
+    pub(super) changed_at_ms: u64,
     used_at_ms: u64,
 }
 
@@ -118,10 +117,10 @@
     pub(super) holder: Option<OrderHolder>,
     hash: u64,
     pending: Option<Pending>,
-    report_from_ms: u64,
+    pub(super) report_from_ms: u64,
     again_from_ms: u64,
     failing_until_ms: u64,
-    dropped_at_ms: BTreeMap<WeightsName, u64>,
+    pub(super) dropped_at_ms: BTreeMap<WeightsName, u64>,
 }
 
 impl EndpointPlaces {
@@ -174,6 +173,11 @@
         self.load.running >= self.endpoint.slots
     }
 
+    /// True while the outcome of an order is awaited.
+    pub(super) fn has_order_under_way(&self) -> bool {
+        self.pending.is_some()
+    }
+
     /// True when an order may be given now.
     pub fn is_free_for_orders(&self, now_ms: u64) -> bool {
         self.pending.is_none()
@@ -374,7 +378,7 @@
         }
     }
 
-    fn put(&mut self, now_ms: u64, name: &WeightsName, version: u64, state: PlaceState) {
+    pub(super) fn put(&mut self, now_ms: u64, name: &WeightsName, version: u64, state: PlaceState) {
         let used_at_ms = now_ms;
         let place = Place {
             version,
@@ -387,7 +391,7 @@
         self.places.insert(name.clone(), place);
     }
 
-    fn note_copy(&mut self, now_ms: u64, name: &WeightsName) {
+    pub(super) fn note_copy(&mut self, now_ms: u64, name: &WeightsName) {
         self.copies.insert(name.clone(), now_ms);
         if self.copies.len() <= COPIES_MAX {
             return;
@@ -424,7 +428,7 @@
         self.places.get(name).is_some_and(|place| matches!(place.state, PlaceState::Loading { .. }))
     }
 
-    fn tell(&self, name: &WeightsName, holding: Holding) -> Placed {
+    pub(super) fn tell(&self, name: &WeightsName, holding: Holding) -> Placed {
         Placed { endpoint: self.endpoint.id.clone(), name: name.clone(), holding }
     }
 
@@ -567,120 +571,6 @@
             }
         }
     }
-
-    fn reported(&mut self, now_ms: u64, report: &EngineReport, placed: &mut Vec<Placed>) {
-        self.sequence = Some(report.sequence);
-        self.drop_loads_not_taken(now_ms, report, placed);
-        self.finish_unloads(now_ms, report);
-        self.reconcile(now_ms, &report.holds, 0, placed);
-        for coming in &report.coming {
-            if !self.places.contains_key(&coming.name) {
-                let state = PlaceState::Loading { check_at_ms: now_ms, pause_ms: FIRST_CHECK_MS };
-                self.put(now_ms, &coming.name, coming.version, state);
-            }
-            if let Some(place) = self.places.get_mut(&coming.name) {
-                place.accepted = true;
-            }
-        }
-        for place in self.places.values_mut() {
-            if let PlaceState::Loading { pause_ms, .. } = place.state {
-                place.state = PlaceState::Loading { check_at_ms: now_ms, pause_ms };
-            }
-        }
-    }
-
-    /// Sees which unloads that waited for their runs are done.
-    fn finish_unloads(&mut self, now_ms: u64, report: &EngineReport) {
-        let mut waits = false;
-        let mut gone = Vec::new();
-        for (name, place) in &self.places {
-            if place.state != PlaceState::Unloading {
-                continue;
-            }
-            if report.holds.iter().any(|weights| weights.name == *name) {
-                waits |= place.accepted;
-            } else {
-                gone.push(name.clone());
-            }
-        }
-        for name in gone {
-            self.places.remove(&name);
-            self.dropped_at_ms.insert(name, now_ms);
-        }
-        if waits {
-            self.sequence = None;
-            self.report_from_ms = now_ms + REPORT_LAG_MS;
-        }
-    }
-
-    /// Forgets loads that the endpoint neither holds nor expects.
-    fn drop_loads_not_taken(
-        &mut self,
-        now_ms: u64,
-        report: &EngineReport,
-        placed: &mut Vec<Placed>,
-    ) {
-        let mut dropped = Vec::new();
-        for (name, place) in &self.places {
-            let is_listed =
-                report.holds.iter().chain(&report.coming).any(|weights| weights.name == *name);
-            let is_loading = matches!(place.state, PlaceState::Loading { .. });
-            if is_loading && !is_listed && place.changed_at_ms + REPORT_LAG_MS <= now_ms {
-                dropped.push(name.clone());
-            }
-        }
-        for name in dropped {
-            self.places.remove(&name);
-            placed.push(self.tell(&name, Holding::Gone));
-        }
-    }
-
-    /// Takes over what a heartbeat told, as far as nothing younger is known.
-    pub fn observe(&mut self, now_ms: u64, holds: &[Weights], placed: &mut Vec<Placed>) {
-        if self.pending.is_some() {
-            return;
-        }
-        self.reconcile(now_ms, holds, HEARTBEAT_LATE_MS, placed);
-    }
-
-    fn reconcile(
-        &mut self,
-        now_ms: u64,
-        holds: &[Weights],
-        younger_ms: u64,
-        placed: &mut Vec<Placed>,
-    ) {
-        for weights in holds {
-            let known = self.places.get(&weights.name);
-            let is_settled = known.is_none_or(|place| {
-                place.changed_at_ms + younger_ms <= now_ms && place.state != PlaceState::Unloading
-            });
-            let is_known = known.is_some_and(|place| {
-                place.state == PlaceState::Ready && place.version == weights.version
-            });
-            let dropped_at_ms = self.dropped_at_ms.get(&weights.name);
-            let is_old_news = dropped_at_ms.is_some_and(|at_ms| at_ms + younger_ms > now_ms);
-            if !is_settled || is_known || is_old_news {
-                continue;
-            }
-            self.put(now_ms, &weights.name, weights.version, PlaceState::Ready);
-            self.note_copy(now_ms, &weights.name);
-            placed.push(self.tell(&weights.name, Holding::Ready(weights.version)));
-        }
-        let mut missing = Vec::new();
-        for (name, place) in &self.places {
-            let is_listed = holds.iter().any(|weights| weights.name == *name);
-            let is_settled = place.changed_at_ms + younger_ms.max(500) <= now_ms;
-            let is_loading = matches!(place.state, PlaceState::Loading { .. });
-            if !is_listed && is_settled && !is_loading {
-                missing.push(name.clone());
-            }
-        }
-        for name in missing {
-            self.places.remove(&name);
-            placed.push(self.tell(&name, Holding::Gone));
-        }
-    }
 }
 
 /// A hash that is the same in every process.
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -9,6 +9,7 @@
 mod endpoint;
 mod holders;
 mod homes;
+mod observed;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -16,6 +16,7 @@
 mod pool;
 mod process;
 mod session;
+mod shared;
 mod stream;
 mod waiting;
 
--- a/src/relay/process.rs
+++ b/src/relay/process.rs
@@ -12,9 +12,10 @@
 use tracing::{info, warn};
 
 use super::border::RelayBorder;
-use super::exchange::{Relay, RelayHandler, ready_status};
+use super::exchange::{RelayHandler, ready_status};
 use super::orders::EngineClient;
 use super::session;
+use super::shared::Relay;
 use crate::admin::{metrics_text, problem, set_log_level, tidy_metrics};
 use crate::error::{Error, Result};
 use crate::http::{Answer, HttpHandler, ServerLimits, answer, json_answer, serve};
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -9,9 +9,9 @@
 use tokio::time::{MissedTickBehavior, interval, timeout};
 use tracing::{info, warn};
 
-use super::exchange::Relay;
 use super::fleet::Traffic;
 use super::orders::EngineClient;
+use super::shared::Relay;
 use crate::error::{Error, Result};
 use crate::message::{
     AdapterNeed, Change, EngineOrder, OrderResult, SessionDown, SessionHello, SessionUp,
--- /dev/null
+++ b/src/relay/shared.rs
@@ -0,0 +1,195 @@
+//! What all requests of a relay share: routes, endpoints, connections, budgets, the order lease.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+
+use rand::RngExt;
+use tokio::sync::{Notify, mpsc};
+use tracing::info;
+
+use super::border::RelayBorder;
+use super::budget::RetryBudget;
+use super::fleet::Fleet;
+use super::orders::OrderLease;
+use super::pool::Pool;
+use crate::clock::Clock;
+use crate::message::{AdapterNeed, Change, Placed};
+use crate::metrics::Metrics;
+use crate::routing::RouteTable;
+use crate::settings::RelaySettings;
+
+/// A configuration that was confirmed this recently may say that there is no such route.
+const CONFIRMED_MS: u64 = 2_000;
+/// What all requests of a relay share.
+pub struct Relay {
+    /// The settings.
+    pub settings: RelaySettings,
+    /// Counters.
+    pub metrics: Metrics,
+    pub(super) border: Arc<dyn RelayBorder>,
+    pub(super) pool: Pool,
+    pub(super) changed: Notify,
+    pub(super) order_lease: OrderLease,
+    clock: Clock,
+    fleet: Mutex<Fleet>,
+    table: RwLock<Arc<RouteTable>>,
+    budgets: Mutex<HashMap<Arc<str>, RetryBudget>>,
+    needs: mpsc::UnboundedSender<AdapterNeed>,
+    gateways: AtomicU32,
+    confirmed_at_ms: AtomicU64,
+    stopping: AtomicBool,
+    pub(super) in_progress: AtomicU32,
+}
+
+impl Relay {
+    /// A relay that knows nothing yet.
+    pub fn new(
+        settings: RelaySettings,
+        border: Arc<dyn RelayBorder>,
+        metrics: Metrics,
+        needs: mpsc::UnboundedSender<AdapterNeed>,
+    ) -> Self {
+        let clock = Clock::new();
+        let fleet = Fleet::new(settings.zone.clone(), rand::rng().random());
+        Self {
+            settings,
+            metrics,
+            border,
+            pool: Pool::new(clock),
+            changed: Notify::new(),
+            order_lease: OrderLease::new(clock),
+            clock,
+            fleet: Mutex::new(fleet),
+            table: RwLock::default(),
+            budgets: Mutex::default(),
+            needs,
+            gateways: AtomicU32::new(1),
+            confirmed_at_ms: AtomicU64::new(0),
+            stopping: AtomicBool::new(false),
+            in_progress: AtomicU32::new(0),
+        }
+    }
+
+    pub(super) fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
+    pub(super) fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The routes in force.
+    pub fn table(&self) -> Arc<RouteTable> {
+        self.table.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    pub(super) fn set_gateways(&self, gateways: u32) {
+        self.gateways.store(gateways, Ordering::Relaxed);
+        self.fleet().set_gateways(gateways);
+    }
+
+    /// Notes that what is known is complete as of when the renewal was sent.
+    pub(super) fn confirmed(&self, sent_at_ms: u64) {
+        self.confirmed_at_ms.fetch_max(sent_at_ms.max(1), Ordering::Relaxed);
+        self.order_lease.confirm(sent_at_ms);
+    }
+
+    pub(super) fn is_confirmed(&self, now_ms: u64) -> bool {
+        let confirmed_at_ms = self.confirmed_at_ms.load(Ordering::Relaxed);
+        confirmed_at_ms > 0 && confirmed_at_ms + CONFIRMED_MS > now_ms
+    }
+
+    /// True once requests can be served and until the process is about to stop.
+    pub fn is_ready(&self) -> bool {
+        self.table().version() > 0 && !self.is_stopping()
+    }
+
+    /// Starts a planned stop.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// True once a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Requests whose answers are not whole yet.
+    pub fn in_progress(&self) -> u32 {
+        self.in_progress.load(Ordering::Relaxed)
+    }
+
+    /// Takes changes over that the leader told.
+    pub(super) fn follow(&self, reset: bool, changes: Vec<Change>) {
+        let now_ms = self.now_ms();
+        let mut ids = Vec::new();
+        let mut fleet = self.fleet();
+        for change in changes {
+            match change {
+                Change::Routing(configuration) => self.set_table(RouteTable::new(configuration)),
+                Change::Registered(endpoint) => {
+                    ids.push(endpoint.id.clone());
+                    info!(
+                        event = "endpoint_known",
+                        endpoint = %endpoint.id,
+                        address = %endpoint.address,
+                        leaving = endpoint.leaving
+                    );
+                    fleet.register(endpoint);
+                }
+                Change::Deregistered(id) => {
+                    info!(event = "endpoint_gone", endpoint = %id);
+                    if let Some(address) = fleet.deregister(&id) {
+                        self.pool.forget(address);
+                    }
+                }
+                Change::Version(newest) => fleet.set_newest(now_ms, newest.name, newest.version),
+                _ => {}
+            }
+        }
+        if reset {
+            fleet.keep_only(&ids);
+        }
+        drop(fleet);
+        self.changed.notify_waiters();
+    }
+
+    fn set_table(&self, table: RouteTable) {
+        let mut known = self.table.write().unwrap_or_else(PoisonError::into_inner);
+        if table.version() <= known.version() {
+            return;
+        }
+        info!(event = "routing_in_force", version = table.version(), before = known.version());
+        *known = Arc::new(table);
+    }
+
+    pub(super) fn placed(&self, reset: bool, placed: Vec<Placed>) {
+        self.fleet().place(reset, placed);
+        self.changed.notify_waiters();
+    }
+
+    /// Asks the leader for weights that no endpoint holds, or too few.
+    pub(super) fn ask_for(&self, need: AdapterNeed) {
+        // The receiver lives as long as the process.
+        let _ = self.needs.send(need);
+    }
+
+    pub(super) fn may_retry(&self, now_ms: u64, service: &Arc<str>) -> bool {
+        let gateways = self.gateways.load(Ordering::Relaxed);
+        self.budget(service, |budget| budget.take(now_ms, gateways))
+    }
+
+    pub(super) fn budget<T>(
+        &self,
+        service: &Arc<str>,
+        use_it: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        let retry = self.settings.retry;
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(retry.ratio, retry.slack, retry.window_ms));
+        use_it(budget)
+    }
+}
