--- a/src/control/placement/holders.rs
+++ b/src/control/placement/holders.rs
@@ -11,7 +11,7 @@
 use tracing::info;
 
 use super::{EndpointPlaces, Placement};
-use crate::relay::ORDER_HOLD_MS;
+use crate::relay::{ORDER_HOLD_MS, ORDER_WRITE_MS};
 
 /// How long a new leader waits for gateways before it chooses any, so that those who come first do
 /// not get everything; they find a leader within this time.
@@ -62,7 +62,7 @@
             return false;
         }
         let since_ms = *self.gone_since_ms.entry(gateway.clone()).or_insert(now_ms);
-        since_ms + ORDER_HOLD_MS + order_lease_ms <= now_ms
+        since_ms + ORDER_HOLD_MS + ORDER_WRITE_MS + order_lease_ms <= now_ms
     }
 }
 
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -25,7 +25,7 @@
 pub use events::EventSplitter;
 pub use fleet::{Fleet, Picked};
 pub use idle::IdleConnections;
-pub use orders::{EngineClient, ORDER_HOLD_MS, OrderLease};
+pub use orders::{EngineClient, ORDER_HOLD_MS, ORDER_WRITE_MS, OrderLease};
 pub use process::run;
 pub use session::reconnect_max_ms;
 pub use waiting::{ReadingPace, Waiting};
--- a/src/relay/orders.rs
+++ b/src/relay/orders.rs
@@ -16,6 +16,9 @@
 /// How long after its last confirmed renewal was sent a gateway may give orders: three renewals.
 pub const ORDER_HOLD_MS: u64 = 1_000;
 
+/// How long after the look at the lease an order may still be written: connecting takes up to 250 ms.
+pub const ORDER_WRITE_MS: u64 = 300;
+
 /// Until when orders may be given; looked at right before each one is written.
 #[derive(Debug, Clone)]
 pub struct OrderLease {
--- a/tests/holders.rs
+++ b/tests/holders.rs
@@ -10,7 +10,7 @@
     HolderChoice, OrderHolder, OrderHolders, Placement, PlacementSettings,
 };
 use winchvane::message::{EngineOrder, RegisteredEndpoint};
-use winchvane::relay::ORDER_HOLD_MS;
+use winchvane::relay::{ORDER_HOLD_MS, ORDER_WRITE_MS};
 use winchvane::routing::{EngineSpec, ModelSpec, RequestLimits, RoutingConfiguration, ServiceSpec};
 
 const LEASE_MS: u64 = 3_000;
@@ -123,7 +123,7 @@
     let mut placement = leader(0, &endpoints);
     placement.set_gateways(0, gateways(&[("g1", "a"), ("g2", "a")]));
     placement.set_gateways(10_000, gateways(&[("g2", "a")]));
-    let spent_ms = 10_000 + ORDER_HOLD_MS + LEASE_MS;
+    let spent_ms = 10_000 + ORDER_HOLD_MS + ORDER_WRITE_MS + LEASE_MS;
     placement.advance(spent_ms - 1, &holders);
     assert!(placement.take_choices().is_empty());
     placement.advance(spent_ms + 5, &holders);
@@ -156,7 +156,8 @@
     gateway.orders = later;
     let due: Vec<(u64, EngineOrder)> = due;
     for (_, order) in due {
-        if now_ms >= gateway.lease_until_ms {
+        // The lease held when it was looked at, before a connection was made.
+        if now_ms >= gateway.lease_until_ms + ORDER_WRITE_MS {
             continue;
         }
         if let Some((at_ms, holder, token)) = seen.get(&order.address) {
