--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,4 +2,5 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod engines;
 pub mod group;
--- a/tests/holders.rs
+++ b/tests/holders.rs
@@ -1,9 +1,12 @@
 //! Which gateway gives an endpoint its orders, and that two never do so within the engines' lease.
 
+mod common;
+
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use common::engines::configuration;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use winchvane::control::placement::{
@@ -11,32 +14,11 @@
 };
 use winchvane::message::{EngineOrder, RegisteredEndpoint};
 use winchvane::relay::{ORDER_HOLD_MS, ORDER_WRITE_MS};
-use winchvane::routing::{EngineSpec, ModelSpec, RequestLimits, RoutingConfiguration, ServiceSpec};
 
 const LEASE_MS: u64 = 3_000;
 /// A new leader lets gateways gather this long before it chooses.
 const GATHERED_MS: u64 = 500;
 
-fn configuration() -> RoutingConfiguration {
-    let model =
-        ModelSpec { name: "base".into(), weights_mb: 60_000.0, adapter_mb: 10.0, load_ms: 600 };
-    let engine = EngineSpec {
-        slots: 8,
-        memory_tokens: 100_000,
-        adapter_places: 4,
-        weights_mb: 66_000.0,
-        store_loads_per_s: 10.0,
-        models: vec![model],
-    };
-    let service = ServiceSpec { name: "quotes".into(), connections_max: 100, engine: Some(engine) };
-    RoutingConfiguration {
-        version: 1,
-        routes: Vec::new(),
-        services: vec![service],
-        limits: RequestLimits::default(),
-    }
-}
-
 fn endpoint(number: u16, zone: &str) -> RegisteredEndpoint {
     RegisteredEndpoint {
         id: format!("e{number}").into(),
@@ -51,7 +33,7 @@
 fn leader(now_ms: u64, endpoints: &[RegisteredEndpoint]) -> Placement {
     let settings = PlacementSettings { order_lease_ms: LEASE_MS, ..PlacementSettings::default() };
     let mut placement = Placement::new(now_ms, settings);
-    placement.configure(now_ms, &configuration());
+    placement.configure(now_ms, &configuration(4));
     for endpoint in endpoints {
         placement.register(now_ms, endpoint);
     }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -1,7 +1,10 @@
 //! Which orders the leader gives to engines, and when.
 
+mod common;
+
 use std::collections::BTreeMap;
 
+use common::engines::configuration;
 use winchvane::control::placement::{
     OrderHolder, OrderHolders, Placement, PlacementSettings, StoreAllowance,
 };
@@ -9,27 +12,6 @@
     AdapterNeed, EngineOrder, EngineReport, Holding, OrderKind, OrderOutcome, OrderResult,
     RegisteredEndpoint, Weights, WeightsName, WeightsUse,
 };
-use winchvane::routing::{EngineSpec, ModelSpec, RequestLimits, RoutingConfiguration, ServiceSpec};
-
-fn configuration(adapter_places: usize) -> RoutingConfiguration {
-    let model =
-        ModelSpec { name: "base".into(), weights_mb: 60_000.0, adapter_mb: 10.0, load_ms: 600 };
-    let engine = EngineSpec {
-        slots: 8,
-        memory_tokens: 100_000,
-        adapter_places,
-        weights_mb: 66_000.0,
-        store_loads_per_s: 10.0,
-        models: vec![model],
-    };
-    let service = ServiceSpec { name: "quotes".into(), connections_max: 100, engine: Some(engine) };
-    RoutingConfiguration {
-        version: 1,
-        routes: Vec::new(),
-        services: vec![service],
-        limits: RequestLimits::default(),
-    }
-}
 
 fn adapter(number: usize) -> WeightsName {
     WeightsName::new("base", Some(&format!("a{number}")))
