platform: headers that only the gateway may set do not pass from clients

Cause: clients sent Hold, Pin-Ms, Kv-* and Expect-Version, and the relay passed them on with everything else. Ruled out: removing them at each send; the client's headers are cleaned once, when the request is admitted. Change: RelayBorder::remove_reserved takes out the names of a table and all that begin with kv-. Measured: tests/programs.rs headers_that_only_the_gateway_may_set_do_not_pass_from_a_client failed before, passes after.

--- a/src/relay/border.rs
+++ b/src/relay/border.rs
@@ -57,7 +57,10 @@
     /// What the client has to correct.
     fn read_request(&self, headers: &HeaderMap) -> std::result::Result<RequestMeta, String>;
 
-    /// Writes what the relay adds, over what the client sent under the same names.
+    /// Removes what a client must not tell endpoints: what the gateway alone may say.
+    fn remove_reserved(&self, headers: &mut HeaderMap);
+
+    /// Writes what the relay adds.
     fn write_request(&self, headers: &mut HeaderMap, send: &SendMeta);
 
     /// Reads the head of an endpoint's answer.
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -187,6 +187,7 @@
     let mut headers = head.headers;
     remove_connection_headers(&mut headers);
     headers.remove(CONTENT_LENGTH);
+    relay.border.remove_reserved(&mut headers);
     Ok(Exchange {
         relay: relay.clone(),
         meta,
