placement: how many loads the store bears is learnt from how long they take

Hypothesis: on the new deployment 24 adapters at once take three times as long each as 8 do, and every place that waits for one is lost to others meanwhile. Ruled out: another constant, since the store of each site differs. Change: StoreLimit falls towards what slowed loads tell and rises while full and not slowed; the setting store_adapters_at_once is gone. Answered requests log when they were sent and their prompt's tokens.

--- a/src/control/placement/endpoint.rs
+++ b/src/control/placement/endpoint.rs
@@ -74,6 +74,8 @@
     pub state: PlaceState,
     /// True while it comes from the weight store, not from the endpoint's own copies.
     pub from_store: bool,
+    /// How many loads from the store were on their way when this one was ordered, itself included.
+    beside_at_start: usize,
     /// True once the endpoint said that it takes the order to load them.
     pub(super) accepted: bool,
     pub(super) changed_at_ms: u64,
@@ -88,6 +90,26 @@
     }
 }
 
+/// What is expected of a load from the weight store.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct StoreLoad {
+    /// How long it takes when nothing slows it.
+    pub expected_ms: u64,
+    /// How many loads are on their way with it, itself included.
+    pub beside: usize,
+}
+
+/// A load from the weight store that is done.
+#[derive(Debug, Clone)]
+pub struct StoreLoadDone {
+    /// What was loaded.
+    pub name: WeightsName,
+    /// How long it took.
+    pub took_ms: u64,
+    /// How many loads were on their way when it was ordered, itself included.
+    pub beside_at_start: usize,
+}
+
 #[derive(Debug, Clone)]
 struct Pending {
     number: u64,
@@ -332,7 +354,7 @@
         now_ms: u64,
         number: u64,
         kind: &OrderKind,
-        store_load_ms: u64,
+        store: StoreLoad,
         placed: &mut Vec<Placed>,
     ) {
         let (is_known, repeats) = match kind {
@@ -357,12 +379,13 @@
                 placed.push(self.tell(name, Holding::Coming));
                 let from_store = !self.has_copy(name);
                 self.note_copy(now_ms, name);
-                let expected_ms = if from_store { store_load_ms } else { 0 };
+                let expected_ms = if from_store { store.expected_ms } else { 0 };
                 let pause_ms = FIRST_CHECK_MS.max(expected_ms);
                 let state = PlaceState::Loading { check_at_ms: u64::MAX, pause_ms };
                 self.put(now_ms, name, version, state);
                 if let Some(place) = self.places.get_mut(name) {
                     place.from_store = from_store;
+                    place.beside_at_start = store.beside;
                 }
             }
             OrderKind::Unload { name } => {
@@ -384,6 +407,7 @@
             version,
             state,
             from_store: false,
+            beside_at_start: 0,
             accepted: false,
             changed_at_ms: now_ms,
             used_at_ms,
@@ -448,15 +472,15 @@
 
     /// Takes the outcome of an order in.
     ///
-    /// Returns how long a load from the weight store took, when this showed one to be done.
+    /// Returns the load from the weight store that this showed to be done, if any.
     pub fn ordered(
         &mut self,
         now_ms: u64,
         result: &OrderResult,
         placed: &mut Vec<Placed>,
-    ) -> Option<u64> {
+    ) -> Option<StoreLoadDone> {
         let pending = self.pending.take_if(|pending| pending.number == result.number)?;
-        let took_ms = self.store_load_took_ms(now_ms, result);
+        let load_done = self.store_load_done(now_ms, result);
         match &result.outcome {
             OrderOutcome::Report(report) => self.reported(now_ms, report, placed),
             OrderOutcome::UnderWay => self.under_way(now_ms, &result.kind, pending.repeats),
@@ -481,14 +505,18 @@
                 self.recheck(now_ms, &result.kind);
             }
         }
-        took_ms
+        load_done
     }
 
-    fn store_load_took_ms(&self, now_ms: u64, result: &OrderResult) -> Option<u64> {
+    fn store_load_done(&self, now_ms: u64, result: &OrderResult) -> Option<StoreLoadDone> {
         let OrderKind::Load { name, .. } = &result.kind else { return None };
         let place = self.places.get(name)?;
         let is_done = matches!(result.outcome, OrderOutcome::Done);
-        (is_done && place.from_store && place.accepted).then(|| now_ms - place.changed_at_ms)
+        (is_done && place.from_store && place.accepted).then(|| StoreLoadDone {
+            name: name.clone(),
+            took_ms: now_ms - place.changed_at_ms,
+            beside_at_start: place.beside_at_start,
+        })
     }
 
     fn under_way(&mut self, now_ms: u64, kind: &OrderKind, repeats: bool) {
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -10,6 +10,7 @@
 mod holders;
 mod homes;
 mod observed;
+mod store_limit;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
@@ -19,22 +20,19 @@
 pub use demand::{Demand, StoreAllowance};
 pub use endpoint::{EndpointPlaces, Place, PlaceState};
 pub use holders::{HolderChoice, OrderHolder, OrderHolders};
+pub use store_limit::StoreLimit;
 
 use crate::message::{
     AdapterNeed, EngineOrder, Heartbeat, Holding, Load, OrderKind, OrderResult, Placed,
     RegisteredEndpoint, WeightsName, WeightsUse,
 };
 use crate::routing::{EngineSpec, RoutingConfiguration};
+use endpoint::StoreLoad;
 use holders::HolderWatch;
 
 /// An endpoint that said nothing for this long gets no new adapters: twice the usual period of
 /// heartbeats and a second for one that is late.
 const SILENT_MS: u64 = 4_000;
-/// What a load from the weight store is taken to last until one was seen.
-const STORE_LOAD_FIRST_MS: u64 = 100;
-/// Adapters on their way at once for every three endpoints: 24 for 18, which slowed none on the
-/// users' first deployment, and as many for each endpoint of a larger one.
-const STORE_LOADS_PER_THREE_ENDPOINTS: usize = 4;
 /// The shortest time between two passes.
 const PASS_MS: u64 = 5;
 /// A place that was used this recently is not given to another adapter: gateways tell of use several
@@ -50,9 +48,6 @@
     pub store_share: f64,
     /// Requests within a short time that justify a load from the weight store.
     pub store_load_min_requests: f64,
-    /// Adapters that may be on their way from the weight store at once, at least; a store that
-    /// serves many endpoints bears more.
-    pub store_adapters_at_once: usize,
 }
 
 impl Default for PlacementSettings {
@@ -61,7 +56,6 @@
             order_lease_ms: 3_000,
             store_share: 0.85,
             store_load_min_requests: 0.0,
-            store_adapters_at_once: 24,
         }
     }
 }
@@ -109,8 +103,8 @@
     orders: Vec<EngineOrder>,
     placed: Vec<Placed>,
     next_order: u64,
-    /// How long a load from the weight store takes when nothing slows it, as seen so far.
-    store_load_ms: u64,
+    /// How many adapters may be on their way from the weight store.
+    store_limit: StoreLimit,
     /// Weights of which some endpoint has a copy.
     copied: HashSet<WeightsName>,
 }
@@ -133,7 +127,7 @@
             orders: Vec::new(),
             placed: Vec::new(),
             next_order: 0,
-            store_load_ms: STORE_LOAD_FIRST_MS,
+            store_limit: StoreLimit::new(),
             copied: HashSet::new(),
         }
     }
@@ -159,6 +153,8 @@
             .entry(endpoint.id.clone())
             .or_insert_with(|| EndpointPlaces::new(now_ms, endpoint.clone()));
         known.endpoint = endpoint.clone();
+        // One load for each endpoint, until loads tell what the store bears.
+        self.store_limit.start_from(self.endpoints.len());
     }
 
     /// Forgets an endpoint that is gone.
@@ -254,10 +250,11 @@
 
     /// Takes the outcome of an order in.
     pub fn ordered(&mut self, now_ms: u64, result: OrderResult) {
+        let beside_at_end = self.endpoints.values().map(|known| known.coming_from_store(now_ms)).sum();
         let Some(endpoint) = self.endpoints.get_mut(&result.endpoint) else { return };
-        let Some(took_ms) = endpoint.ordered(now_ms, &result, &mut self.placed) else { return };
-        // Follows the fastest loads, since slower ones only tell that the store was busy.
-        self.store_load_ms = took_ms.min((self.store_load_ms * 15 + took_ms) / 16);
+        let Some(load) = endpoint.ordered(now_ms, &result, &mut self.placed) else { return };
+        let beside = load.beside_at_start.max(beside_at_end);
+        self.store_limit.note(&load.name, load.took_ms, beside);
     }
 
     /// Decides what is to be ordered now, through the gateways that are recorded in `holders`.
@@ -350,8 +347,7 @@
 
     /// True while the store has as many adapters on their way as it bears.
     fn is_store_full(&self, now_ms: u64) -> bool {
-        let by_endpoints = self.endpoints.len() * STORE_LOADS_PER_THREE_ENDPOINTS / 3;
-        self.coming_from_store(now_ms) >= by_endpoints.max(self.settings.store_adapters_at_once)
+        self.coming_from_store(now_ms) >= self.store_limit.at_once()
     }
 
     fn coming_from_store(&self, now_ms: u64) -> usize {
@@ -363,11 +359,18 @@
     }
 
     fn order(&mut self, now_ms: u64, id: &Arc<str>, kind: OrderKind) {
+        let beside = self.coming_from_store(now_ms) + 1;
         let Some(endpoint) = self.endpoints.get_mut(id) else { return };
         let Some(OrderHolder { gateway, token }) = endpoint.holder().cloned() else { return };
         self.next_order += 1;
-        let store_load_ms = self.store_load_ms;
-        endpoint.start_order(now_ms, self.next_order, &kind, store_load_ms, &mut self.placed);
+        let store = match &kind {
+            OrderKind::Load { name, .. } => StoreLoad {
+                expected_ms: self.store_limit.alone_ms(name),
+                beside,
+            },
+            _ => StoreLoad::default(),
+        };
+        endpoint.start_order(now_ms, self.next_order, &kind, store, &mut self.placed);
         self.orders.push(EngineOrder {
             number: self.next_order,
             endpoint: id.clone(),
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -86,6 +86,8 @@
     headers: HeaderMap,
     body: Bytes,
     tried: Vec<Arc<str>>,
+    /// When it was sent last; 0 before that.
+    sent_at_ms: u64,
     /// Sends that an endpoint may have started.
     given: u32,
     /// Sends that endpoints refused.
@@ -199,6 +201,7 @@
         headers,
         body,
         tried: Vec::new(),
+        sent_at_ms: 0,
         given: 0,
         refused: 0,
     })
@@ -232,6 +235,8 @@
             status = status.as_u16(),
             version = self.relay.table().version(),
             tried = self.tried.len(),
+            prompt_tokens = self.meta.prompt_tokens,
+            sent_after_ms = self.sent_at_ms.saturating_sub(self.started_ms),
             after_ms = self.relay.now_ms() - self.started_ms
         );
         self.relay.metrics.count(Counter::RequestsAnswered);
@@ -256,6 +261,7 @@
             let (id, address, weights_version) = picked;
             let is_first = self.given + self.refused == 0;
             let now_ms = self.relay.now_ms();
+            self.sent_at_ms = now_ms;
             if !is_first && !self.relay.may_retry(now_ms, &self.chosen.service.name) {
                 self.relay.metrics.count(Counter::RetriesDenied);
                 return Err(Failure::NotSent(NotSent::NoBudget));
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -88,11 +88,6 @@
             default.store_load_min_requests,
             0.0..=1_000.0,
         ),
-        store_adapters_at_once: fields.int_or(
-            "store_adapters_at_once",
-            default.store_adapters_at_once as u64,
-            1..=100_000,
-        ) as usize,
     }
 }
 
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -6,7 +6,7 @@
 
 use common::engines::configuration;
 use winchvane::control::placement::{
-    OrderHolder, OrderHolders, Placement, PlacementSettings, StoreAllowance,
+    OrderHolder, OrderHolders, Placement, PlacementSettings, StoreAllowance, StoreLimit,
 };
 use winchvane::message::{
     AdapterNeed, EngineOrder, EngineReport, Holding, OrderKind, OrderOutcome, OrderResult,
@@ -290,3 +290,34 @@
     assert_eq!(other.kind, lost.kind);
     assert_ne!(other.endpoint, lost.endpoint);
 }
+
+#[test]
+fn the_store_gets_as_many_loads_at_once_as_do_not_slow_one_another() {
+    for (borne, start) in [(8, 12), (32, 18), (2, 6), (88, 90)] {
+        let mut limit = StoreLimit::new();
+        limit.start_from(start);
+        let name = adapter(1);
+        limit.note(&name, 250, 1);
+        for _ in 0..60 {
+            let at_once = limit.at_once();
+            let took_ms = 250 * at_once.max(borne) as u64 / borne as u64;
+            // Looking comes late, by up to a sixth.
+            for late_ms in [0, 21, 41] {
+                limit.note(&name, took_ms + late_ms, at_once);
+            }
+        }
+        let settled = limit.at_once();
+        assert!((borne..=borne * 13 / 10 + 1).contains(&settled), "{borne}: {settled}");
+    }
+}
+
+#[test]
+fn a_store_that_serves_few_is_not_taken_for_one_that_gives_more_to_many() {
+    let mut limit = StoreLimit::new();
+    limit.start_from(24);
+    let name = adapter(1);
+    for _ in 0..40 {
+        limit.note(&name, 260, 3);
+    }
+    assert_eq!(limit.at_once(), 24, "three loads say nothing about more of them");
+}
