relay and control: counts of what is under way are told sooner where there are few gateways

Hypothesis: a gateway picks an endpoint by counts of the others that are up to 350 ms old, longer than a prompt is read; and places in use are known as late. Ruled out as the larger part: the rank of requests at endpoints.

--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -14,12 +14,9 @@
     Change, ControlReply, EndpointLoad, EngineOrder, Heartbeat, Load, NewestVersion, OrderOutcome,
     OrderResult, Placed, SessionDown, SessionUp,
 };
+use crate::policy::counts;
 use crate::routing::RoutingConfiguration;
 
-/// How often followers are told the counts of requests under way; each gateway knows its own at
-/// once, so only the others' lag by this much.
-const LOADS_EVERY_MS: u64 = 200;
-
 /// What the leader knows of registered endpoints beside what is replicated.
 pub(super) struct Registered {
     pub(super) placement: Placement,
@@ -250,7 +247,7 @@
         if now_ms < self.registered.loads_due_ms {
             return;
         }
-        self.registered.loads_due_ms = now_ms + LOADS_EVERY_MS;
+        self.registered.loads_due_ms = now_ms + counts::period_ms(self.sessions.len());
         self.note_gateways(now_ms);
         self.tell_group();
         self.tell_loads();
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -3,6 +3,7 @@
 //! Everything here is a state machine whose calls take the present time; the same code runs in the
 //! gateways and in the measurement.
 
+pub mod counts;
 pub mod owner;
 pub mod popularity;
 pub mod queue;
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use tokio::sync::mpsc;
-use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio::time::{Interval, MissedTickBehavior, interval, timeout};
 use tracing::{info, warn};
 
 use super::fleet::Traffic;
@@ -16,12 +16,11 @@
 use crate::message::{
     AdapterNeed, Change, EngineOrder, OrderResult, SessionDown, SessionHello, SessionUp,
 };
+use crate::policy::counts;
 use crate::wire::{Channel, Peer, Receiver, Sender};
 
 /// How often a relay asks whether it holds everything.
 const RENEW_MS: u64 = 300;
-/// How often a relay tells what it has under way, when that changed.
-const REPORT: Duration = Duration::from_millis(150);
 /// A leader that was silent this long is given up: three renewals unanswered. With the search for
 /// another one it stays below the two seconds in which a change has to be in force.
 const SILENCE_MS: u64 = 900;
@@ -111,8 +110,7 @@
     send(&mut sender, &SessionUp::Hello(hello)).await?;
     let mut renewals = interval(Duration::from_millis(RENEW_MS));
     renewals.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut reports = interval(REPORT);
-    reports.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut reports = reports_for(1);
     let mut heard_at_ms = relay.now_ms();
     let mut is_welcome = false;
     let mut staged = Vec::new();
@@ -139,6 +137,7 @@
                     SessionDown::Group { replicas, gateways } => {
                         search.replicas = replicas;
                         relay.set_gateways(gateways);
+                        reports = reports_for(gateways as usize);
                     }
                     SessionDown::Order(order) => {
                         let give = give_order(relay.clone(), engines.clone(), order);
@@ -178,6 +177,13 @@
     }
 }
 
+/// The times at which a relay tells what it has under way, when that changed.
+fn reports_for(gateways: usize) -> Interval {
+    let mut reports = interval(Duration::from_millis(counts::period_ms(gateways)));
+    reports.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    reports
+}
+
 async fn give_order(
     relay: Arc<Relay>,
     engines: Arc<dyn EngineClient>,
