--- a/src/control/placement/endpoint.rs
+++ b/src/control/placement/endpoint.rs
@@ -1,14 +1,16 @@
 //! What one endpoint holds and which order it is carrying out.
 
 use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 
 use super::demand::Demand;
 use super::holders::OrderHolder;
-use super::{KEEP_USED_MS, SILENT_MS};
+use super::{KEEP_USED_MS, SILENT_MS, USE_FORGOTTEN_MS};
 use tracing::info;
 
 use crate::message::{
     Holding, Load, OrderKind, OrderOutcome, OrderResult, Placed, RegisteredEndpoint, WeightsName,
+    WeightsUse,
 };
 use crate::routing::EngineSpec;
 
@@ -80,9 +82,17 @@
     pub(super) accepted: bool,
     pub(super) changed_at_ms: u64,
     used_at_ms: u64,
+    /// The gateways that have requests under way with it, and when they said so last.
+    users: BTreeMap<Arc<str>, u64>,
 }
 
 impl Place {
+    /// True while requests use it, or may be on their way to it.
+    fn is_in_use(&self, now_ms: u64) -> bool {
+        self.used_at_ms + KEEP_USED_MS > now_ms
+            || self.users.values().any(|told_at_ms| told_at_ms + USE_FORGOTTEN_MS > now_ms)
+    }
+
     /// True for a load that was ordered a while ago and not accepted: the answer is lost, and the
     /// order may be carried out late or never.
     pub fn is_overdue(&self, now_ms: u64) -> bool {
@@ -258,10 +268,17 @@
         coming
     }
 
-    /// Notes that requests used `name`; an old version is on its way out and no longer counts.
-    pub fn note_use(&mut self, now_ms: u64, name: &WeightsName, newest: u64) {
-        if let Some(place) = self.places.get_mut(name).filter(|place| place.version >= newest) {
-            place.used_at_ms = now_ms;
+    /// Notes what a gateway uses here; an old version is on its way out and no longer counts.
+    pub fn note_use(&mut self, now_ms: u64, gateway: &Arc<str>, weights: &WeightsUse, newest: u64) {
+        let Some(place) = self.places.get_mut(&weights.name) else { return };
+        if place.version < newest {
+            return;
+        }
+        place.used_at_ms = now_ms;
+        if weights.under_way > 0 {
+            place.users.insert(gateway.clone(), now_ms);
+        } else {
+            place.users.remove(gateway);
         }
     }
 
@@ -291,9 +308,7 @@
     }
 
     fn is_model_used(&self, now_ms: u64, model: &WeightsName) -> bool {
-        self.places.iter().any(|(name, place)| {
-            name.model == model.model && place.used_at_ms + KEEP_USED_MS > now_ms
-        })
+        self.places.iter().any(|(name, place)| name.model == model.model && place.is_in_use(now_ms))
     }
 
     /// The adapter that is asked for least among those that nobody used just now.
@@ -304,7 +319,7 @@
         let mut coldest: Option<(f64, &WeightsName)> = None;
         for (name, place) in &self.places {
             let is_idle = place.state == PlaceState::Ready
-                && place.used_at_ms + KEEP_USED_MS <= now_ms
+                && !place.is_in_use(now_ms)
                 && name.adapter.is_some();
             if !is_idle {
                 continue;
@@ -411,6 +426,7 @@
             accepted: false,
             changed_at_ms: now_ms,
             used_at_ms,
+            users: BTreeMap::new(),
         };
         self.places.insert(name.clone(), place);
     }
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -35,9 +35,21 @@
 const SILENT_MS: u64 = 4_000;
 /// The shortest time between two passes.
 const PASS_MS: u64 = 5;
-/// A place that was used this recently is not given to another adapter: gateways tell of use several
-/// times in this time, as long as a request runs.
-const KEEP_USED_MS: u64 = 500;
+/// A place that was used this recently is not given to another adapter: a request that is being sent
+/// there is told of within this time.
+const KEEP_USED_MS: u64 = 250;
+/// A use that its gateway did not mention again in this time has ended with the gateway; it mentions
+/// everything once a second.
+const USE_FORGOTTEN_MS: u64 = 2_500;
+
+/// The gateway that tells of a use.
+#[derive(Debug, Clone)]
+pub struct UseFrom {
+    /// Its name.
+    pub gateway: Arc<str>,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+}
 
 /// Bounds of orders.
 #[derive(Debug, Clone, Copy)]
@@ -52,11 +64,7 @@
 
 impl Default for PlacementSettings {
     fn default() -> Self {
-        Self {
-            order_lease_ms: 3_000,
-            store_share: 0.85,
-            store_load_min_requests: 0.0,
-        }
+        Self { order_lease_ms: 3_000, store_share: 0.85, store_load_min_requests: 0.0 }
     }
 }
 
@@ -191,18 +199,19 @@
         }
     }
 
-    /// Takes what a gateway in `zone` used.
-    pub fn used(&mut self, now_ms: u64, zone: &Arc<str>, used: Vec<WeightsUse>) {
+    /// Takes what a gateway used.
+    pub fn used(&mut self, now_ms: u64, from: &UseFrom, used: Vec<WeightsUse>) {
         for weights in used {
-            self.demand.add(now_ms, &weights.name, weights.requests);
-            self.want_further_home(now_ms, zone, &weights);
-            if weights.name.adapter.is_some() {
-                self.demand.add(now_ms, &weights.name.base(), weights.requests);
+            if weights.requests > 0 {
+                self.demand.add(now_ms, &weights.name, weights.requests);
+                self.want_further_home(now_ms, &from.zone, &weights);
+                if weights.name.adapter.is_some() {
+                    self.demand.add(now_ms, &weights.name.base(), weights.requests);
+                }
             }
             let newest = self.versions.get(&weights.name).copied().unwrap_or(0);
-            for endpoint in self.endpoints.values_mut() {
-                endpoint.note_use(now_ms, &weights.name, newest);
-            }
+            let Some(endpoint) = self.endpoints.get_mut(&weights.endpoint) else { continue };
+            endpoint.note_use(now_ms, &from.gateway, &weights, newest);
         }
     }
 
@@ -250,7 +259,8 @@
 
     /// Takes the outcome of an order in.
     pub fn ordered(&mut self, now_ms: u64, result: OrderResult) {
-        let beside_at_end = self.endpoints.values().map(|known| known.coming_from_store(now_ms)).sum();
+        let beside_at_end =
+            self.endpoints.values().map(|known| known.coming_from_store(now_ms)).sum();
         let Some(endpoint) = self.endpoints.get_mut(&result.endpoint) else { return };
         let Some(load) = endpoint.ordered(now_ms, &result, &mut self.placed) else { return };
         let beside = load.beside_at_start.max(beside_at_end);
@@ -364,10 +374,9 @@
         let Some(OrderHolder { gateway, token }) = endpoint.holder().cloned() else { return };
         self.next_order += 1;
         let store = match &kind {
-            OrderKind::Load { name, .. } => StoreLoad {
-                expected_ms: self.store_limit.alone_ms(name),
-                beside,
-            },
+            OrderKind::Load { name, .. } => {
+                StoreLoad { expected_ms: self.store_limit.alone_ms(name), beside }
+            }
             _ => StoreLoad::default(),
         };
         endpoint.start_order(now_ms, self.next_order, &kind, store, &mut self.placed);
--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -8,7 +8,7 @@
 use tracing::{info, warn};
 
 use super::{Read, Replica, Waiter};
-use crate::control::placement::Placement;
+use crate::control::placement::{Placement, UseFrom};
 use crate::control::state::Operation;
 use crate::message::{
     Change, ControlReply, EndpointLoad, EngineOrder, Heartbeat, Load, NewestVersion, OrderOutcome,
@@ -229,8 +229,11 @@
             }
             SessionUp::Traffic { loads, used, failing } => {
                 let Some(session) = self.sessions.get(&id) else { return };
-                let zone = session.hello.zone.clone();
-                self.registered.placement.used(now_ms, &zone, used);
+                let from = UseFrom {
+                    gateway: session.hello.name.clone(),
+                    zone: session.hello.zone.clone(),
+                };
+                self.registered.placement.used(now_ms, &from, used);
                 self.registered.placement.failing(now_ms, &failing);
                 let Some(session) = self.sessions.get_mut(&id) else { return };
                 for load in loads {
--- a/src/message/registration.rs
+++ b/src/message/registration.rs
@@ -147,13 +147,17 @@
     pub load: Load,
 }
 
-/// How often weights were used through one gateway since its last report.
+/// The use of weights at one endpoint through one gateway.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WeightsUse {
+    /// The endpoint's id.
+    pub endpoint: Arc<str>,
     /// The weights.
     pub name: WeightsName,
-    /// Requests that used them.
+    /// Requests that were sent since the gateway's last report.
     pub requests: u32,
+    /// Requests that are under way now.
+    pub under_way: u32,
 }
 
 /// A version of weights that was named as the newest.
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -24,6 +24,8 @@
 const ALL_COMPARED_BY: usize = 8;
 /// An endpoint that said it is full gets nothing for this long.
 const FULL_MS: u64 = 60;
+/// How often the leader is reminded of everything that is in use.
+const USES_TOLD_EVERY_MS: u64 = 1_000;
 /// Weights whose newest version is older than this must have it; the users allow five seconds.
 const OLD_VERSION_MS: u64 = 2_500;
 /// Requests that a plain service queues for each one that it runs, at least; the users' queue four
@@ -46,8 +48,8 @@
     homes: HashMap<WeightsName, BTreeMap<Arc<str>, Holding>>,
     newest: HashMap<WeightsName, (u64, u64)>,
     loads_changed: HashSet<Arc<str>>,
-    used: HashMap<WeightsName, u32>,
-    running_weights: HashMap<WeightsName, u32>,
+    uses: HashMap<UseKey, Use>,
+    uses_told_at_ms: u64,
     failing: HashSet<Arc<str>>,
     random: SmallRng,
     gateways: usize,
@@ -55,6 +57,18 @@
     sends: u64,
 }
 
+/// An endpoint and the weights that requests use there.
+type UseKey = (Arc<str>, WeightsName);
+
+/// The requests that use some weights at an endpoint.
+#[derive(Debug, Clone, Copy, Default)]
+struct Use {
+    under_way: u32,
+    /// Sent since the last report.
+    sent: u32,
+    changed: bool,
+}
+
 #[derive(Debug)]
 struct Known {
     endpoint: RegisteredEndpoint,
@@ -161,8 +175,8 @@
             homes: HashMap::new(),
             newest: HashMap::new(),
             loads_changed: HashSet::new(),
-            used: HashMap::new(),
-            running_weights: HashMap::new(),
+            uses: HashMap::new(),
+            uses_told_at_ms: 0,
             failing: HashSet::new(),
             random: SmallRng::seed_from_u64(seed),
             gateways: 1,
@@ -368,8 +382,10 @@
             self.loads_changed.insert(id.clone());
         }
         if let Some(name) = weights {
-            *self.used.entry(name.clone()).or_default() += 1;
-            *self.running_weights.entry(name.clone()).or_default() += 1;
+            let use_here = self.uses.entry((id.clone(), name.clone())).or_default();
+            use_here.under_way += 1;
+            use_here.sent += 1;
+            use_here.changed = true;
         }
         self.sends
     }
@@ -383,12 +399,10 @@
         number: u64,
     ) {
         if let Some(name) = weights
-            && let Some(running) = self.running_weights.get_mut(name)
+            && let Some(use_here) = self.uses.get_mut(&(id.clone(), name.clone()))
         {
-            *running -= 1;
-            if *running == 0 {
-                self.running_weights.remove(name);
-            }
+            use_here.under_way = use_here.under_way.saturating_sub(1);
+            use_here.changed |= use_here.under_way == 0;
         }
         if let Some(known) = self.endpoints.get_mut(id) {
             known.own_running = known.own_running.saturating_sub(1);
@@ -437,22 +451,45 @@
     }
 
     /// What changed since the last call.
-    pub fn take_traffic(&mut self) -> Traffic {
+    pub fn take_traffic(&mut self, now_ms: u64) -> Traffic {
         let mut loads = Vec::new();
         for endpoint in self.loads_changed.drain() {
             let load = self.endpoints.get(&endpoint).map(Known::load).unwrap_or_default();
             loads.push(EndpointLoad { endpoint, load });
         }
-        // Weights that are still in use are told again and again, so that they are not unloaded.
-        for name in self.running_weights.keys() {
-            self.used.entry(name.clone()).or_default();
+        let used = self.take_uses(now_ms);
+        let failing = self.failing.drain().collect();
+        Traffic { loads, used, failing }
+    }
+
+    /// The uses that changed; now and then all of them, since the leader forgets those that it is not
+    /// reminded of.
+    fn take_uses(&mut self, now_ms: u64) -> Vec<WeightsUse> {
+        let tells_all = self.uses_told_at_ms + USES_TOLD_EVERY_MS <= now_ms;
+        if tells_all {
+            self.uses_told_at_ms = now_ms;
         }
         let mut used = Vec::new();
-        for (name, requests) in self.used.drain() {
-            used.push(WeightsUse { name, requests });
+        for ((endpoint, name), use_here) in &mut self.uses {
+            if !use_here.changed && !tells_all {
+                continue;
+            }
+            used.push(WeightsUse {
+                endpoint: endpoint.clone(),
+                name: name.clone(),
+                requests: use_here.sent,
+                under_way: use_here.under_way,
+            });
+            use_here.sent = 0;
+            use_here.changed = false;
         }
-        let failing = self.failing.drain().collect();
-        Traffic { loads, used, failing }
+        self.uses.retain(|_, use_here| use_here.under_way > 0);
+        used
+    }
+
+    /// Forgets what the leader was told, for one that knows nothing.
+    pub fn forget_uses_told(&mut self) {
+        self.uses_told_at_ms = 0;
     }
 
     /// What this gateway has under way everywhere, for a leader that does not know it.
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -128,6 +128,7 @@
                     SessionDown::Welcome { .. } => {
                         info!(event = "control_regained", leader = %address);
                         is_welcome = true;
+                        relay.fleet().forget_uses_told();
                         let loads = relay.fleet().all_loads();
                         let (used, failing) = (Vec::new(), Vec::new());
                         send(&mut sender, &SessionUp::Traffic { loads, used, failing }).await?;
@@ -158,7 +159,7 @@
                 send(&mut sender, &SessionUp::Ordered(result)).await?;
             }
             _ = reports.tick(), if is_welcome => {
-                let Traffic { loads, used, failing } = relay.fleet().take_traffic();
+                let Traffic { loads, used, failing } = relay.fleet().take_traffic(relay.now_ms());
                 if !loads.is_empty() || !used.is_empty() || !failing.is_empty() {
                     send(&mut sender, &SessionUp::Traffic { loads, used, failing }).await?;
                 }
