--- a/src/control/placement/demand.rs
+++ b/src/control/placement/demand.rs
@@ -38,13 +38,13 @@
         Self::default()
     }
 
-    /// Adds `requests` for `name`.
-    pub fn add(&mut self, now_ms: u64, name: &WeightsName, requests: u32) {
+    /// Adds an amount for `name`: requests, or the time that they take.
+    pub fn add(&mut self, now_ms: u64, name: &WeightsName, amount: f64) {
         if self.counts.len() >= REMEMBERED_MAX {
             self.counts.retain(|_, count| count.at(now_ms) > FORGOTTEN_BELOW);
         }
         let count = self.counts.entry(name.clone()).or_insert(Count { sum: 0.0, at_ms: now_ms });
-        count.sum = count.at(now_ms) + f64::from(requests);
+        count.sum = count.at(now_ms) + amount;
         count.at_ms = now_ms;
     }
 
@@ -53,7 +53,7 @@
         self.counts.get(name).map_or(0.0, |count| count.at(now_ms))
     }
 
-    /// Requests a second.
+    /// The amount in a second.
     pub fn rate(&self, now_ms: u64, name: &WeightsName) -> f64 {
         self.recent(now_ms, name) / MEAN_LIFE_S
     }
--- a/src/control/placement/endpoint.rs
+++ b/src/control/placement/endpoint.rs
@@ -36,9 +36,8 @@
 const OUTCOME_MAX_MS: u64 = 1_000;
 /// The share of an endpoint's slots beyond which further adapters go elsewhere first.
 const CROWDED: f64 = 0.65;
-/// Waiting tokens beyond which further adapters go elsewhere first: a tenth of a second of reading at
-/// the pace of the users' engines.
-const CROWDED_TOKENS: u32 = 4_000;
+/// Reading beyond which an endpoint counts as crowded: a good share of the shortest objectives.
+const CROWDED_MS: u32 = 150;
 /// How long an endpoint that a gateway cannot reach counts as no home; gateways try it again within
 /// this time.
 const FAILING_MS: u64 = 1_500;
@@ -197,7 +196,7 @@
     /// True when too much runs or waits for another adapter's requests.
     pub fn is_crowded(&self) -> bool {
         f64::from(self.load.running) >= f64::from(self.endpoint.slots) * CROWDED
-            || self.load.waiting_tokens >= CROWDED_TOKENS
+            || self.load.waiting_ms >= CROWDED_MS
     }
 
     /// True when every slot is taken.
--- a/src/control/placement/homes.rs
+++ b/src/control/placement/homes.rs
@@ -12,9 +12,10 @@
 /// The share of an engine's slots that the requests of one adapter may fill before it gets a further
 /// home; measured on the users' deployments, see docs/PLATFORM.md.
 const HOME_FILL: f64 = 0.4;
-/// Requests a second for each home: with more of them, a long prompt at one home should not hold up
-/// all. A further home costs one load, which each of many later requests pays back.
-const HOME_RATE_PER_S: f64 = 3.0;
+/// Reading for each home, in milliseconds a second: with this share of an engine's time, requests of
+/// one adapter should have a choice, so that a long prompt at one home does not hold up all. A
+/// further home costs a place and a load, which each of many later requests pays back.
+const HOME_READING_MS_PER_S: f64 = 300.0;
 /// How long a generated answer takes, about; only used to turn rates into requests under way.
 const ANSWER_S: f64 = 0.7;
 /// Weights that nobody asked for again in this time are no longer wanted: clients come back sooner.
@@ -28,6 +29,14 @@
 /// How long weights wait for an endpoint that has a copy of them while it takes no order: about what a
 /// load from the weight store would take.
 const COPY_WAIT_MS: u64 = 300;
+/// What an adapter on its way adds to the reading at its endpoint: requests wait for it.
+const COMING_READING_MS: u64 = 150;
+/// By how much sooner an answer must come to be worth a load from the store where there is a copy.
+const STORE_COST_MS: u64 = 300;
+/// By how much sooner an answer must come to be worth a way between availability zones.
+const FAR_COST_MS: u64 = 20;
+/// Endpoints that answer as soon as this from one another count as alike, so that the hash decides.
+const FIT_STEP_MS: u64 = 60;
 /// A model goes before one that is loaded only when it is asked for this much more often; loads of
 /// models take seconds and much of the store.
 const MODEL_GAIN: f64 = 2.0;
@@ -37,12 +46,10 @@
 /// How well an endpoint fits as a further home; the fields are compared in their order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Fit {
-    /// It has a copy, which loads ten times as fast as the weight store and costs it nothing.
-    has_copy: bool,
     /// Its slots leave room for another adapter's requests.
     has_room: bool,
-    /// It is in the availability zone that asked, so that answers need not cross zones.
-    is_near: bool,
+    /// How soon a request could be answered there: the load, and what is read before.
+    answers_in_ms: std::cmp::Reverse<u64>,
     /// The hash of both, so that an adapter finds the endpoint again that has its copy.
     affinity: u64,
 }
@@ -91,7 +98,9 @@
     pub(super) fn want_further_home(&mut self, now_ms: u64, zone: &Arc<str>, weights: &WeightsUse) {
         let name = &weights.name;
         let rate = self.demand.rate(now_ms, name);
-        if name.adapter.is_none() || rate < HOME_RATE_PER_S {
+        let Some(slots) = self.engines.values().map(|engine| engine.slots).min() else { return };
+        if name.adapter.is_none() || wanted_homes(rate, self.reading.rate(now_ms, name), slots) < 2
+        {
             return;
         }
         let mut service = None;
@@ -185,7 +194,8 @@
     ) -> bool {
         let Some(engine) = self.engines.get(service).cloned() else { return true };
         let mut survey = self.survey(now_ms, service, name, want);
-        let mut homes_wanted = wanted_homes(rate, engine.slots);
+        let reading_ms_per_s = self.reading.rate(now_ms, name);
+        let mut homes_wanted = wanted_homes(rate, reading_ms_per_s, engine.slots);
         if want.more && survey.homes == survey.crowded_homes {
             homes_wanted = homes_wanted.max(survey.homes + 1);
         }
@@ -215,10 +225,18 @@
             }
             let Some(place) = endpoint.places.get(name) else {
                 if name.adapter.is_none() || endpoint.holds_base(name) {
+                    let is_near = endpoint.endpoint.zone == want.zone;
+                    let mut answers_in_ms = u64::from(endpoint.load.waiting_ms)
+                        + endpoint.coming() as u64 * COMING_READING_MS;
+                    if !endpoint.has_copy(name) {
+                        answers_in_ms += self.store_limit.alone_ms(name) + STORE_COST_MS;
+                    }
+                    if !is_near {
+                        answers_in_ms += FAR_COST_MS;
+                    }
                     let fit = Fit {
-                        has_copy: endpoint.has_copy(name) && !endpoint.is_full(),
-                        has_room: !endpoint.is_crowded(),
-                        is_near: endpoint.endpoint.zone == want.zone,
+                        has_room: !endpoint.is_full(),
+                        answers_in_ms: std::cmp::Reverse(answers_in_ms / FIT_STEP_MS),
                         affinity: endpoint.affinity(want.hash),
                     };
                     survey.candidates.push((fit, id.clone()));
@@ -253,7 +271,8 @@
             let Some(endpoint) = self.endpoints.get(id) else { continue };
             if !endpoint.is_free_for_orders(now_ms) || endpoint.coming() >= COMING_MAX {
                 // Its copy is worth a short wait; without one, any other endpoint will do.
-                if fit.has_copy && want.since_ms + COPY_WAIT_MS > now_ms {
+                if fit.has_room && endpoint.has_copy(name) && want.since_ms + COPY_WAIT_MS > now_ms
+                {
                     self.open.endpoint_busy += 1;
                     return false;
                 }
@@ -347,9 +366,10 @@
     }
 }
 
-/// How many endpoints weights asked for at `rate` requests a second should be at.
-fn wanted_homes(rate: f64, slots: u32) -> usize {
+/// How many endpoints weights should be at that are asked for at `rate` requests a second and whose
+/// prompts are read for so long.
+fn wanted_homes(rate: f64, reading_ms_per_s: f64, slots: u32) -> usize {
     let under_way = rate * ANSWER_S;
     let by_fill = under_way / (f64::from(slots.max(1)) * HOME_FILL);
-    1 + by_fill.max(rate / HOME_RATE_PER_S) as usize
+    1 + by_fill.max(reading_ms_per_s / HOME_READING_MS_PER_S) as usize
 }
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -102,7 +102,10 @@
     endpoints: BTreeMap<Arc<str>, EndpointPlaces>,
     engines: HashMap<Arc<str>, EngineSpec>,
     versions: HashMap<WeightsName, u64>,
+    /// Requests.
     demand: Demand,
+    /// Milliseconds that endpoints spend on reading prompts.
+    reading: Demand,
     wanted: HashMap<(Arc<str>, WeightsName), Want>,
     advanced_at_ms: u64,
     open: OpenWants,
@@ -127,6 +130,7 @@
             engines: HashMap::new(),
             versions: HashMap::new(),
             demand: Demand::new(),
+            reading: Demand::new(),
             wanted: HashMap::new(),
             advanced_at_ms: 0,
             open: OpenWants::default(),
@@ -187,7 +191,7 @@
     /// Takes what a gateway in `zone` lacks.
     pub fn need(&mut self, now_ms: u64, zone: &Arc<str>, needs: Vec<AdapterNeed>) {
         for need in needs {
-            self.demand.add(now_ms, &need.weights, need.requests);
+            self.demand.add(now_ms, &need.weights, f64::from(need.requests));
             let hash = endpoint::hash_of(&need.weights.to_string());
             let zone = zone.clone();
             let more = need.more;
@@ -203,10 +207,12 @@
     pub fn used(&mut self, now_ms: u64, from: &UseFrom, used: Vec<WeightsUse>) {
         for weights in used {
             if weights.requests > 0 {
-                self.demand.add(now_ms, &weights.name, weights.requests);
+                self.demand.add(now_ms, &weights.name, f64::from(weights.requests));
+                self.reading.add(now_ms, &weights.name, f64::from(weights.reading_ms));
                 self.want_further_home(now_ms, &from.zone, &weights);
                 if weights.name.adapter.is_some() {
-                    self.demand.add(now_ms, &weights.name.base(), weights.requests);
+                    let requests = f64::from(weights.requests);
+                    self.demand.add(now_ms, &weights.name.base(), requests);
                 }
             }
             let newest = self.versions.get(&weights.name).copied().unwrap_or(0);
--- a/src/message/registration.rs
+++ b/src/message/registration.rs
@@ -114,8 +114,10 @@
 pub struct Load {
     /// Requests.
     pub running: u32,
-    /// The prompts' tokens of those that are not answered yet.
-    pub waiting_tokens: u32,
+    /// How long the endpoint reads the prompts of those that are not answered yet.
+    pub waiting_ms: u32,
+    /// The same of those that are late already; engines read them last.
+    pub late_ms: u32,
 }
 
 impl Load {
@@ -124,7 +126,8 @@
     pub fn plus(self, other: Self) -> Self {
         Self {
             running: self.running.saturating_add(other.running),
-            waiting_tokens: self.waiting_tokens.saturating_add(other.waiting_tokens),
+            waiting_ms: self.waiting_ms.saturating_add(other.waiting_ms),
+            late_ms: self.late_ms.saturating_add(other.late_ms),
         }
     }
 
@@ -133,7 +136,8 @@
     pub fn minus(self, other: Self) -> Self {
         Self {
             running: self.running.saturating_sub(other.running),
-            waiting_tokens: self.waiting_tokens.saturating_sub(other.waiting_tokens),
+            waiting_ms: self.waiting_ms.saturating_sub(other.waiting_ms),
+            late_ms: self.late_ms.saturating_sub(other.late_ms),
         }
     }
 }
@@ -156,6 +160,8 @@
     pub name: WeightsName,
     /// Requests that were sent since the gateway's last report.
     pub requests: u32,
+    /// How long the endpoint reads their prompts.
+    pub reading_ms: u32,
     /// Requests that are under way now.
     pub under_way: u32,
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -7,5 +7,6 @@
 pub mod owner;
 pub mod popularity;
 pub mod queue;
+pub mod rank;
 pub mod retry;
 pub mod route;
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -13,13 +13,14 @@
 use tracing::{info, warn};
 
 use super::border::{AnswerMeta, RequestMeta, SendMeta};
-use super::fleet::Picked;
+use super::fleet::{Picked, Wanted};
 use super::pool::{self, Connection, SendFailure};
 use super::shared::Relay;
 use super::stream;
 use crate::http::{Answer, BodyFault, HttpHandler, answer, full, header, read_body};
 use crate::message::{AdapterNeed, WeightsName};
 use crate::metrics::{Counter, Timer};
+use crate::policy::rank::LATE_RANK;
 use crate::routing::{Chosen, Repeat, Route, RouteTable};
 use crate::wire::BoxFuture;
 
@@ -88,6 +89,9 @@
     tried: Vec<Arc<str>>,
     /// When it was sent last; 0 before that.
     sent_at_ms: u64,
+    /// What it was expected to wait there, and its rank in the queue.
+    expected_ms: u64,
+    rank: u8,
     /// Sends that an endpoint may have started.
     given: u32,
     /// Sends that endpoints refused.
@@ -119,6 +123,15 @@
     pub(super) response: Response<Incoming>,
 }
 
+/// The endpoint that a request goes to.
+struct Target {
+    id: Arc<str>,
+    address: std::net::SocketAddr,
+    weights_version: Option<u64>,
+    rank: Option<u8>,
+    expected_ms: u64,
+}
+
 /// Why nothing could be sent.
 #[derive(Debug, Clone, Copy)]
 pub(super) enum NotSent {
@@ -202,6 +215,8 @@
         body,
         tried: Vec::new(),
         sent_at_ms: 0,
+        expected_ms: 0,
+        rank: 0,
         given: 0,
         refused: 0,
     })
@@ -236,6 +251,8 @@
             version = self.relay.table().version(),
             tried = self.tried.len(),
             prompt_tokens = self.meta.prompt_tokens,
+            rank = self.rank,
+            expected_ms = self.expected_ms,
             sent_after_ms = self.sent_at_ms.saturating_sub(self.started_ms),
             after_ms = self.relay.now_ms() - self.started_ms
         );
@@ -258,7 +275,9 @@
     pub(super) async fn start(&mut self, last_event: Option<u64>) -> Result<Started, Failure> {
         loop {
             let picked = self.pick().await.map_err(Failure::NotSent)?;
-            let (id, address, weights_version) = picked;
+            let Target { id, address, weights_version, rank, expected_ms } = picked;
+            self.expected_ms = expected_ms;
+            self.rank = rank.unwrap_or(self.chosen.route.priority);
             let is_first = self.given + self.refused == 0;
             let now_ms = self.relay.now_ms();
             self.sent_at_ms = now_ms;
@@ -271,7 +290,7 @@
                 deadline_ms: self.left_ms(now_ms),
                 last_event: last_event.or(self.meta.last_event),
                 weights_version,
-                priority: self.chosen.route.priority,
+                priority: self.rank,
             };
             match self.attempt(&send, address).await {
                 Attempt::Started(started) => {
@@ -334,7 +353,7 @@
     }
 
     /// Waits until an endpoint can take the request, as long as that is worth it.
-    async fn pick(&self) -> Result<(Arc<str>, std::net::SocketAddr, Option<u64>), NotSent> {
+    async fn pick(&self) -> Result<Target, NotSent> {
         let quarter_ms = self.chosen.route.latency_objective_ms / 4;
         let patience_ms = quarter_ms.saturating_sub(PATIENCE_MARGIN_MS);
         let until_ms = (self.started_ms + patience_ms).min(self.ends_at_ms);
@@ -348,10 +367,11 @@
             let weights =
                 self.meta.weights.as_ref().filter(|_| self.chosen.service.engine.is_some());
             let service = &self.chosen.service.name;
-            let picked = self.relay.fleet().pick(now_ms, service, weights, &self.tried);
+            let wanted = weights.map(|weights| self.wanted(now_ms, weights));
+            let picked = self.relay.fleet().pick(now_ms, service, wanted.as_ref(), &self.tried);
             let reason = match picked {
-                Picked::Endpoint { id, address, weights_version } => {
-                    return Ok((id, address, weights_version));
+                Picked::Endpoint { id, address, weights_version, rank, expected_ms } => {
+                    return Ok(Target { id, address, weights_version, rank, expected_ms });
                 }
                 Picked::NoEndpoint => "no endpoint",
                 Picked::Full => "endpoints are full",
@@ -380,6 +400,17 @@
         }
     }
 
+    fn wanted(&self, now_ms: u64, weights: &WeightsName) -> Wanted {
+        let route = &self.chosen.route;
+        let objective_at_ms = self.started_ms + route.latency_objective_ms;
+        Wanted {
+            weights: weights.clone(),
+            priority: route.priority,
+            left_ms: objective_at_ms.saturating_sub(now_ms) as f64,
+            prompt_tokens: self.meta.prompt_tokens,
+        }
+    }
+
     async fn attempt(&self, send: &SendMeta, address: std::net::SocketAddr) -> Attempt {
         let relay = &self.relay;
         let mut connection = match relay.pool.connection(address).await {
@@ -392,7 +423,8 @@
         };
         let weights = self.meta.weights.as_ref();
         let tokens = self.meta.prompt_tokens;
-        let number = relay.fleet().start(relay.now_ms(), &send.endpoint, weights, tokens);
+        let is_late = send.priority >= LATE_RANK;
+        let number = relay.fleet().start(relay.now_ms(), &send.endpoint, weights, tokens, is_late);
         let flight = Flight {
             relay: relay.clone(),
             weights: weights.cloned(),
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -7,10 +7,11 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use super::waiting::{ReadingPace, Waiting};
+use super::waiting::{Prompt, ReadingPace, UnreadMs, Waiting};
 use crate::message::{
     EndpointLoad, Holding, Load, Placed, RegisteredEndpoint, WeightsName, WeightsUse,
 };
+use crate::policy::rank::{LATE_RANK, Urgency};
 
 /// The first pause after an endpoint failed; doubled with each further failure in a row.
 const DOWN_MS: u64 = 400;
@@ -35,6 +36,8 @@
 const SPREAD_MS: f64 = 50.0;
 /// What a full batch costs a request: each one more slows every other one.
 const FULL_BATCH_MS: f64 = 100.0;
+/// Answers of an endpoint after which its own pace goes before that of all.
+const OWN_PACE_MIN_ANSWERS: u32 = 12;
 /// How much longer a request may wait in the own zone and still go there: a link between zones takes
 /// a few milliseconds, and its bytes cost.
 const ZONE_PREFERENCE_MS: f64 = 15.0;
@@ -66,6 +69,8 @@
     under_way: u32,
     /// Sent since the last report.
     sent: u32,
+    /// How long their prompts take to be read.
+    reading_ms: f64,
     changed: bool,
 }
 
@@ -75,6 +80,7 @@
     own_running: u32,
     others_running: u32,
     waiting: Waiting,
+    pace: ReadingPace,
     failures: u32,
     closed_until_ms: u64,
 }
@@ -102,23 +108,60 @@
     }
 
     fn load(&self) -> Load {
-        Load { running: self.own_running, waiting_tokens: self.waiting.own_tokens() }
+        let UnreadMs { in_time, late } = self.waiting.own_unread();
+        Load { running: self.own_running, waiting_ms: in_time as u32, late_ms: late as u32 }
+    }
+
+    /// How fast this endpoint reads, as far as enough answers showed it.
+    fn pace(&self, usual: ReadingPace) -> ReadingPace {
+        if self.pace.noted() < OWN_PACE_MIN_ANSWERS { usual } else { self.pace }
     }
 
-    /// What a request sent now waits here, and what it suffers from those that run beside it.
-    fn cost_ms(&self, now_ms: u64, is_engine: bool, pace: ReadingPace) -> f64 {
+    /// What a request that is sent now can expect here.
+    fn expect(&self, now_ms: u64, wanted: Option<&Wanted>, usual: ReadingPace) -> Expected {
         let running = f64::from(self.own_running + self.others_running);
         let batch_ms = running / f64::from(self.endpoint.slots.max(1)) * FULL_BATCH_MS;
         // A plain service works on several requests at once: one that takes long holds up no other.
-        let wait_ms = if is_engine { self.waiting.wait_ms(now_ms, pace) } else { 0.0 };
-        batch_ms + wait_ms
+        let Some(wanted) = wanted else { return Expected { cost_ms: batch_ms, rank: None } };
+        let pace = self.pace(usual);
+        let urgency = Urgency {
+            priority: wanted.priority,
+            left_ms: wanted.left_ms,
+            reading_ms: pace.reading_ms(wanted.prompt_tokens),
+        };
+        let wait_ms = self.waiting.wait_ms(now_ms);
+        let rank = urgency.rank_after(wait_ms);
+        let waits_ms = if rank == LATE_RANK { self.waiting.late_wait_ms(now_ms) } else { wait_ms };
+        // An endpoint that reads slowly is worth it only for a short prompt.
+        Expected { cost_ms: batch_ms + waits_ms + urgency.reading_ms, rank: Some(rank) }
     }
 }
 
+/// What matters of a request for a model.
+#[derive(Debug, Clone)]
+pub struct Wanted {
+    /// The weights that have to answer it.
+    pub weights: WeightsName,
+    /// The priority of its route.
+    pub priority: u8,
+    /// What is left of its latency objective.
+    pub left_ms: f64,
+    /// The tokens of its prompt.
+    pub prompt_tokens: u32,
+}
+
+/// What a request can expect at an endpoint.
+#[derive(Debug, Clone, Copy)]
+struct Expected {
+    cost_ms: f64,
+    rank: Option<u8>,
+}
+
 /// An endpoint that could take a request.
 #[derive(Debug, Clone, Copy)]
 struct Candidate<'a> {
     cost_ms: f64,
+    rank: Option<u8>,
     known: &'a Known,
 }
 
@@ -154,6 +197,10 @@
         address: SocketAddr,
         /// The version that its weights must have, where that matters.
         weights_version: Option<u64>,
+        /// The rank in its queue, where it has weights.
+        rank: Option<u8>,
+        /// What the request is expected to wait there.
+        expected_ms: u64,
     },
     /// The endpoints that could take it are full.
     Full,
@@ -203,6 +250,7 @@
             own_running: 0,
             others_running: 0,
             waiting: Waiting::new(),
+            pace: ReadingPace::new(),
             failures: 0,
             closed_until_ms: 0,
         };
@@ -268,7 +316,9 @@
         for load in loads {
             if let Some(known) = self.endpoints.get_mut(&load.endpoint) {
                 known.others_running = load.load.running;
-                known.waiting.set_others(load.load.waiting_tokens);
+                let Load { waiting_ms, late_ms, .. } = load.load;
+                let others = UnreadMs { in_time: waiting_ms.into(), late: late_ms.into() };
+                known.waiting.set_others(others);
             }
         }
     }
@@ -277,11 +327,11 @@
     pub fn forget_loads(&mut self) {
         for known in self.endpoints.values_mut() {
             known.others_running = 0;
-            known.waiting.set_others(0);
+            known.waiting.set_others(UnreadMs::default());
         }
     }
 
-    /// Picks an endpoint of `service` that holds `weights`, if any are named.
+    /// Picks an endpoint of `service`, one that holds the weights if a model is `wanted`.
     ///
     /// Those in `tried` come last: an endpoint that failed once may well serve the next request, and
     /// where no other one holds the weights, it is the only one that can.
@@ -289,9 +339,10 @@
         &mut self,
         now_ms: u64,
         service: &str,
-        weights: Option<&WeightsName>,
+        wanted: Option<&Wanted>,
         tried: &[Arc<str>],
     ) -> Picked {
+        let weights = wanted.map(|wanted| &wanted.weights);
         let Some(ids) = self.by_service.get(service) else { return Picked::NoEndpoint };
         let homes = weights.map(|name| self.homes.get(name));
         let (required, expected) = weights.map_or((0, None), |name| self.version(now_ms, name));
@@ -322,11 +373,11 @@
             if known.closed_until_ms > now_ms || known.is_full(weights.is_some()) {
                 continue;
             }
-            let mut cost_ms = known.cost_ms(now_ms, weights.is_some(), self.pace);
+            let Expected { mut cost_ms, rank } = known.expect(now_ms, wanted, self.pace);
             if known.endpoint.zone == self.zone {
                 cost_ms -= ZONE_PREFERENCE_MS;
             }
-            let candidate = Candidate { cost_ms, known };
+            let candidate = Candidate { cost_ms, rank, known };
             if tried.contains(id) {
                 if best_tried.is_none_or(|best| cost_ms < best.cost_ms) {
                     best_tried = Some(candidate);
@@ -345,10 +396,12 @@
             cheapest(&candidates)
         };
         match best.or(best_tried) {
-            Some(Candidate { known, .. }) => Picked::Endpoint {
+            Some(Candidate { known, rank, cost_ms }) => Picked::Endpoint {
                 id: known.endpoint.id.clone(),
                 address: known.endpoint.address,
                 weights_version: expected,
+                rank,
+                expected_ms: cost_ms.max(0.0) as u64,
             },
             None if up == 0 => Picked::NoEndpoint,
             None if holding == 0 && coming > 0 => Picked::Coming,
@@ -367,24 +420,29 @@
         }
     }
 
-    /// Counts a request with a prompt of `tokens` that is sent to `id`; returns its number.
+    /// Counts a request with a prompt of `tokens` that is sent to `id`, late or not; returns its
+    /// number.
     pub fn start(
         &mut self,
         now_ms: u64,
         id: &Arc<str>,
         weights: Option<&WeightsName>,
         tokens: u32,
+        is_late: bool,
     ) -> u64 {
         self.sends += 1;
+        let mut reading_ms = 0.0;
         if let Some(known) = self.endpoints.get_mut(id) {
             known.own_running += 1;
-            known.waiting.send(now_ms, self.sends, tokens);
+            reading_ms = known.pace(self.pace).reading_ms(tokens);
+            known.waiting.send(now_ms, self.sends, Prompt { tokens, reading_ms, is_late });
             self.loads_changed.insert(id.clone());
         }
         if let Some(name) = weights {
             let use_here = self.uses.entry((id.clone(), name.clone())).or_default();
             use_here.under_way += 1;
             use_here.sent += 1;
+            use_here.reading_ms += reading_ms;
             use_here.changed = true;
         }
         self.sends
@@ -418,6 +476,10 @@
         known.waiting.answered(now_ms);
         if let Some((tokens, took_ms)) = known.waiting.end(now_ms, number) {
             self.pace.note(tokens, took_ms);
+            if known.pace.noted() == 0 {
+                known.pace = ReadingPace::with_start(self.pace);
+            }
+            known.pace.note(tokens, took_ms);
             self.loads_changed.insert(id.clone());
         }
     }
@@ -478,9 +540,11 @@
                 endpoint: endpoint.clone(),
                 name: name.clone(),
                 requests: use_here.sent,
+                reading_ms: use_here.reading_ms as u32,
                 under_way: use_here.under_way,
             });
             use_here.sent = 0;
+            use_here.reading_ms = 0.0;
             use_here.changed = false;
         }
         self.uses.retain(|_, use_here| use_here.under_way > 0);
