--- a/src/control/placement/endpoint.rs
+++ b/src/control/placement/endpoint.rs
@@ -157,7 +157,7 @@
 impl EndpointPlaces {
     /// An endpoint of which nothing is known but its registration.
     pub fn new(now_ms: u64, endpoint: RegisteredEndpoint) -> Self {
-        let hash = hash_of(&endpoint.address.to_string());
+        let hash = crate::hash::stable(&endpoint.address.to_string());
         Self {
             endpoint,
             hash,
@@ -178,9 +178,7 @@
     /// How well it fits weights with this hash; by address, so that an endpoint that restarted
     /// finds its own copies.
     pub fn affinity(&self, hash: u64) -> u64 {
-        // A multiplicative mix: the constant is 2^64 divided by the golden ratio.
-        let mixed = (self.hash ^ hash).wrapping_mul(0x9E37_79B9_7F4A_7C15);
-        mixed ^ (mixed >> 29)
+        crate::hash::affinity(self.hash, hash)
     }
 
     /// True when its heartbeats come.
@@ -615,8 +613,3 @@
         }
     }
 }
-
-/// A hash that is the same in every process.
-pub(super) fn hash_of(text: &str) -> u64 {
-    xxhash_rust::xxh3::xxh3_64(text.as_bytes())
-}
--- a/src/control/placement/homes.rs
+++ b/src/control/placement/homes.rs
@@ -85,7 +85,7 @@
             }
         }
         for (service, name) in wanted {
-            let hash = super::endpoint::hash_of(&name.to_string());
+            let hash = crate::hash::stable(&name.to_string());
             // No gateway asked, so that no availability zone goes before another one.
             let (more, is_further, zone) = (false, true, Arc::from(""));
             let (asked_at_ms, since_ms) = (now_ms, now_ms);
@@ -111,7 +111,7 @@
             }
         }
         let Some(service) = service else { return };
-        let hash = super::endpoint::hash_of(&name.to_string());
+        let hash = crate::hash::stable(&name.to_string());
         let (more, is_further, zone) = (false, true, zone.clone());
         let (asked_at_ms, since_ms) = (now_ms, now_ms);
         let want = Want { asked_at_ms, since_ms, hash, more, is_further, zone };
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -192,7 +192,7 @@
     pub fn need(&mut self, now_ms: u64, zone: &Arc<str>, needs: Vec<AdapterNeed>) {
         for need in needs {
             self.demand.add(now_ms, &need.weights, f64::from(need.requests));
-            let hash = endpoint::hash_of(&need.weights.to_string());
+            let hash = crate::hash::stable(&need.weights.to_string());
             let zone = zone.clone();
             let more = need.more;
             let key = (need.service, need.weights);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod endpoint;
 pub mod error;
 pub mod gateway;
+pub mod hash;
 pub mod http;
 pub mod logging;
 pub mod message;
--- a/src/relay/border.rs
+++ b/src/relay/border.rs
@@ -4,6 +4,7 @@
 
 use http::{HeaderMap, StatusCode};
 
+use super::prompt::PromptPart;
 use crate::message::WeightsName;
 
 /// What a request's headers say.
@@ -17,6 +18,8 @@
     pub weights: Option<WeightsName>,
     /// The tokens of its prompt.
     pub prompt_tokens: u32,
+    /// The parts of its prompt, in order, where they are told.
+    pub prompt_parts: Vec<PromptPart>,
     /// The most tokens that its answer may have.
     pub output_tokens: u32,
     /// The number of the last event that the client has, where it takes a stream up.
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -15,6 +15,7 @@
 use super::border::{AnswerMeta, RequestMeta, SendMeta};
 use super::fleet::{Picked, Wanted};
 use super::pool::{self, Connection, SendFailure};
+use super::prompt::PromptChain;
 use super::shared::Relay;
 use super::stream;
 use crate::http::{Answer, BodyFault, HttpHandler, answer, full, header, read_body};
@@ -86,6 +87,7 @@
     target: Uri,
     headers: HeaderMap,
     body: Bytes,
+    prompt: PromptChain,
     tried: Vec<Arc<str>>,
     /// When it was sent last; 0 before that.
     sent_at_ms: u64,
@@ -203,9 +205,14 @@
     remove_connection_headers(&mut headers);
     headers.remove(CONTENT_LENGTH);
     relay.border.remove_reserved(&mut headers);
+    let prompt = match &meta.weights {
+        Some(weights) => PromptChain::new(weights, &meta.prompt_parts),
+        None => PromptChain::default(),
+    };
     Ok(Exchange {
         relay: relay.clone(),
         meta,
+        prompt,
         chosen,
         started_ms,
         ends_at_ms: started_ms + allowed_ms,
@@ -364,8 +371,7 @@
         loop {
             let changed = self.relay.changed.notified();
             let now_ms = self.relay.now_ms();
-            let weights =
-                self.meta.weights.as_ref().filter(|_| self.chosen.service.engine.is_some());
+            let weights = self.engine_weights();
             let service = &self.chosen.service.name;
             let wanted = weights.map(|weights| self.wanted(now_ms, weights));
             let picked = self.relay.fleet().pick(now_ms, service, wanted.as_ref(), &self.tried);
@@ -400,6 +406,11 @@
         }
     }
 
+    /// The weights that an engine must hold; a plain service holds none, whatever the client says.
+    fn engine_weights(&self) -> Option<&WeightsName> {
+        self.meta.weights.as_ref().filter(|_| self.chosen.service.engine.is_some())
+    }
+
     fn wanted(&self, now_ms: u64, weights: &WeightsName) -> Wanted {
         let route = &self.chosen.route;
         let objective_at_ms = self.started_ms + route.latency_objective_ms;
@@ -408,6 +419,8 @@
             priority: route.priority,
             left_ms: objective_at_ms.saturating_sub(now_ms) as f64,
             prompt_tokens: self.meta.prompt_tokens,
+            prompt: self.prompt.clone(),
+            memory_tokens: self.chosen.service.engine.as_ref().map_or(0, |spec| spec.memory_tokens),
         }
     }
 
@@ -421,10 +434,11 @@
                 return Attempt::NotRun("the endpoint cannot be reached");
             }
         };
-        let weights = self.meta.weights.as_ref();
-        let tokens = self.meta.prompt_tokens;
+        let weights = self.engine_weights();
+        let now_ms = relay.now_ms();
+        let wanted = weights.map(|weights| self.wanted(now_ms, weights));
         let is_late = send.priority >= LATE_RANK;
-        let number = relay.fleet().start(relay.now_ms(), &send.endpoint, weights, tokens, is_late);
+        let number = relay.fleet().start(now_ms, &send.endpoint, wanted.as_ref(), is_late);
         let flight = Flight {
             relay: relay.clone(),
             weights: weights.cloned(),
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -7,7 +7,9 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
+use super::prompt::{KeptPrompts, PromptChain};
 use super::waiting::{Prompt, ReadingPace, UnreadMs, Waiting};
+use crate::hash;
 use crate::message::{
     EndpointLoad, Holding, Load, Placed, RegisteredEndpoint, WeightsName, WeightsUse,
 };
@@ -36,6 +38,9 @@
 const SPREAD_MS: f64 = 50.0;
 /// What a full batch costs a request: each one more slows every other one.
 const FULL_BATCH_MS: f64 = 100.0;
+/// The share of a prompt's common parts that the endpoint which all gateways prefer for them is
+/// expected to keep, beyond what this gateway knows.
+const COMMON_SHARE: f64 = 0.3;
 /// Answers of an endpoint after which its own pace goes before that of all.
 const OWN_PACE_MIN_ANSWERS: u32 = 12;
 /// How much longer a request may wait in the own zone and still go there: a link between zones takes
@@ -81,6 +86,9 @@
     others_running: u32,
     waiting: Waiting,
     pace: ReadingPace,
+    kept: KeptPrompts,
+    /// The hash of its address.
+    hash: u64,
     failures: u32,
     closed_until_ms: u64,
 }
@@ -112,6 +120,11 @@
         Load { running: self.own_running, waiting_ms: in_time as u32, late_ms: late as u32 }
     }
 
+    /// The tokens of a prompt that the endpoint does not keep.
+    fn unread_tokens(&self, wanted: &Wanted) -> u32 {
+        wanted.prompt_tokens.saturating_sub(self.kept.kept_tokens(&wanted.prompt))
+    }
+
     /// How fast this endpoint reads, as far as enough answers showed it.
     fn pace(&self, usual: ReadingPace) -> ReadingPace {
         if self.pace.noted() < OWN_PACE_MIN_ANSWERS { usual } else { self.pace }
@@ -127,7 +140,7 @@
         let urgency = Urgency {
             priority: wanted.priority,
             left_ms: wanted.left_ms,
-            reading_ms: pace.reading_ms(wanted.prompt_tokens),
+            reading_ms: pace.reading_ms(self.unread_tokens(wanted)),
         };
         let wait_ms = self.waiting.wait_ms(now_ms);
         let rank = urgency.rank_after(wait_ms);
@@ -148,6 +161,10 @@
     pub left_ms: f64,
     /// The tokens of its prompt.
     pub prompt_tokens: u32,
+    /// The parts of its prompt.
+    pub prompt: PromptChain,
+    /// The tokens that fit an engine's memory.
+    pub memory_tokens: u64,
 }
 
 /// What a request can expect at an endpoint.
@@ -169,6 +186,18 @@
     candidates.iter().copied().min_by(|one, other| one.cost_ms.total_cmp(&other.cost_ms))
 }
 
+/// Makes the endpoint cheaper that all gateways agree on for the prompt's shared parts: another one of
+/// them may have had these read there, which this gateway does not know.
+fn prefer_common(candidates: &mut [Candidate<'_>], wanted: Option<&Wanted>, pace: ReadingPace) {
+    let Some((shared_hash, tokens)) = wanted.and_then(|wanted| wanted.prompt.shared()) else {
+        return;
+    };
+    let fit = |candidate: &&mut Candidate<'_>| hash::affinity(candidate.known.hash, shared_hash);
+    if let Some(best) = candidates.iter_mut().max_by_key(fit) {
+        best.cost_ms -= pace.reading_ms(tokens) * COMMON_SHARE;
+    }
+}
+
 /// One of `candidates`, cheap ones more often than dear ones; `draw` is random, from 0 to 1.
 ///
 /// Many gateways see the same counts late. If each took the cheapest, all would go to the same
@@ -251,6 +280,8 @@
             others_running: 0,
             waiting: Waiting::new(),
             pace: ReadingPace::new(),
+            kept: KeptPrompts::new(),
+            hash: hash::stable(&endpoint.address.to_string()),
             failures: 0,
             closed_until_ms: 0,
         };
@@ -389,6 +420,7 @@
                 break;
             }
         }
+        prefer_common(&mut candidates, wanted, self.pace);
         let draw: f64 = self.random.random();
         let best = if self.gateways > ALL_COMPARED_BY {
             draw_cheap(&candidates, draw)
@@ -420,25 +452,27 @@
         }
     }
 
-    /// Counts a request with a prompt of `tokens` that is sent to `id`, late or not; returns its
-    /// number.
+    /// Counts a request that is sent to `id`, late or not; returns its number.
     pub fn start(
         &mut self,
         now_ms: u64,
         id: &Arc<str>,
-        weights: Option<&WeightsName>,
-        tokens: u32,
+        wanted: Option<&Wanted>,
         is_late: bool,
     ) -> u64 {
         self.sends += 1;
         let mut reading_ms = 0.0;
         if let Some(known) = self.endpoints.get_mut(id) {
             known.own_running += 1;
+            let tokens = wanted.map_or(0, |wanted| known.unread_tokens(wanted));
             reading_ms = known.pace(self.pace).reading_ms(tokens);
+            if let Some(wanted) = wanted {
+                known.kept.note(&wanted.prompt, wanted.memory_tokens / self.gateways.max(1) as u64);
+            }
             known.waiting.send(now_ms, self.sends, Prompt { tokens, reading_ms, is_late });
             self.loads_changed.insert(id.clone());
         }
-        if let Some(name) = weights {
+        if let Some(Wanted { weights: name, .. }) = wanted {
             let use_here = self.uses.entry((id.clone(), name.clone())).or_default();
             use_here.under_way += 1;
             use_here.sent += 1;
