placement: a load is looked at before it should be done

Cause: the first look at a load came after the time that loads were believed to take, so no load ever seemed faster than that. Change: the first look comes at 85% of the time, further ones after a tenth of that.

--- a/src/control/placement/endpoint.rs
+++ b/src/control/placement/endpoint.rs
@@ -23,6 +23,11 @@
 const UNLOAD_CHECK_MS: u64 = 60;
 /// How soon a load is looked at again, at most.
 const CHECK_MAX_MS: u64 = 120;
+/// A load from the store is looked at this much sooner than one takes: if none were, a store that has
+/// become faster would never be noticed.
+const EARLY_LOOK: f64 = 0.85;
+/// A load is looked at again after its first wait divided by this: a late look costs clients as much.
+const CHECKS_PER_LOAD: u64 = 10;
 /// How soon a load is looked at again, at least.
 const CHECK_MIN_MS: u64 = 14;
 /// How soon an order without an answer is given again. Both expect the same sequence, so the endpoint
@@ -391,7 +396,8 @@
                 placed.push(self.tell(name, Holding::Coming));
                 let from_store = !self.has_copy(name);
                 self.note_copy(now_ms, name);
-                let expected_ms = if from_store { store.expected_ms } else { 0 };
+                let early_ms = (store.expected_ms as f64 * EARLY_LOOK) as u64;
+                let expected_ms = if from_store { early_ms } else { 0 };
                 let pause_ms = FIRST_CHECK_MS.max(expected_ms);
                 let state = PlaceState::Loading { check_at_ms: u64::MAX, pause_ms };
                 self.put(now_ms, name, version, state);
@@ -561,7 +567,7 @@
             }
             place.state = PlaceState::Loading {
                 check_at_ms: now_ms + pause_ms,
-                pause_ms: (pause_ms / 6).clamp(CHECK_MIN_MS, CHECK_MAX_MS),
+                pause_ms: (pause_ms / CHECKS_PER_LOAD).clamp(CHECK_MIN_MS, CHECK_MAX_MS),
             };
         }
     }
--- a/src/control/placement/homes.rs
+++ b/src/control/placement/homes.rs
@@ -163,7 +163,12 @@
         });
         if self.told_at_ms + 1_000 <= now_ms && !wanted.is_empty() {
             self.told_at_ms = now_ms;
-            info!(event = "weights_wanted", wanted = wanted.len(), open = ?self.open);
+            info!(
+                event = "weights_wanted",
+                wanted = wanted.len(),
+                open = ?self.open,
+                store_bears = self.store_limit.at_once()
+            );
         }
         self.open = OpenWants::default();
         let is_store_full = self.is_store_full(now_ms);
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -9,14 +9,25 @@
     OrderHolder, OrderHolders, Placement, PlacementSettings, StoreAllowance, StoreLimit, UseFrom,
 };
 use winchvane::message::{
-    AdapterNeed, EngineOrder, EngineReport, Holding, OrderKind, OrderOutcome, OrderResult,
-    RegisteredEndpoint, Weights, WeightsName, WeightsUse,
+    AdapterNeed, EngineOrder, EngineReport, Heartbeat, Holding, OrderKind, OrderOutcome,
+    OrderResult, RegisteredEndpoint, Weights, WeightsName, WeightsUse,
 };
 
 fn adapter(number: usize) -> WeightsName {
     WeightsName::new("base", Some(&format!("a{number}")))
 }
 
+fn registered(id: &str, port: u16) -> RegisteredEndpoint {
+    RegisteredEndpoint {
+        id: id.into(),
+        service: "quotes".into(),
+        address: ([127, 0, 0, 1], port).into(),
+        zone: "a".into(),
+        slots: 8,
+        leaving: false,
+    }
+}
+
 fn load_of(number: usize) -> OrderKind {
     OrderKind::Load { name: adapter(number), version: None }
 }
@@ -44,17 +55,7 @@
         let port = 7_000 + u16::from(id.as_bytes()[1]);
         let holder = OrderHolder { gateway: "g1".into(), token: 7 };
         self.holders.insert(([127, 0, 0, 1], port).into(), holder);
-        self.placement.register(
-            self.now_ms,
-            &RegisteredEndpoint {
-                id: id.into(),
-                service: "quotes".into(),
-                address: ([127, 0, 0, 1], port).into(),
-                zone: "a".into(),
-                slots: 8,
-                leaving: false,
-            },
-        );
+        self.placement.register(self.now_ms, &registered(id, port));
         let report = self.next_order();
         assert_eq!(report.kind, OrderKind::Report, "nothing is ordered before a report");
         let base = Weights { name: adapter(0).base(), version: 1 };
@@ -62,6 +63,12 @@
         self.answer(&report, OrderOutcome::Report(outcome));
     }
 
+    fn heartbeat(&mut self, id: &str) {
+        let endpoint = registered(id, 7_000 + u16::from(id.as_bytes()[1]));
+        let heartbeat = Heartbeat { endpoint, sequence: 1, holds: None };
+        self.placement.observe(self.now_ms, &heartbeat);
+    }
+
     fn need(&mut self, number: usize) {
         let need = AdapterNeed {
             service: "quotes".into(),
@@ -76,7 +83,8 @@
     fn uses(&mut self, endpoint: &str, number: usize, requests: u32, under_way: u32) {
         let from = UseFrom { gateway: "g1".into(), zone: "a".into() };
         let name = adapter(number);
-        let used = WeightsUse { endpoint: endpoint.into(), name, requests, under_way };
+        let reading_ms = requests * 100;
+        let used = WeightsUse { endpoint: endpoint.into(), name, requests, reading_ms, under_way };
         self.placement.used(self.now_ms, &from, vec![used]);
     }
 
@@ -381,3 +389,29 @@
     assert!(limit.at_once() >= 24, "{}", limit.at_once());
     assert!(limit.alone_ms(&name) > 200);
 }
+
+#[test]
+fn a_store_that_loads_faster_than_it_seemed_is_noticed() {
+    let mut leader = Leader::new(64);
+    let mut done_after_ms = Vec::new();
+    for number in 0..40 {
+        // The first loads are slow, all later ones take 250 ms.
+        let takes_ms = if number < 6 { 400 } else { 250 };
+        leader.heartbeat("e1");
+        leader.need(number);
+        let mut order = leader.next_order();
+        let started_ms = leader.now_ms;
+        leader.answer(&order, OrderOutcome::UnderWay);
+        loop {
+            order = leader.next_order();
+            if leader.now_ms >= started_ms + takes_ms {
+                break;
+            }
+            leader.answer(&order, OrderOutcome::UnderWay);
+        }
+        done_after_ms.push(leader.now_ms - started_ms);
+        leader.answer(&order, OrderOutcome::Done);
+    }
+    let last_ms = done_after_ms[39];
+    assert!(last_ms <= 290, "seen late: {done_after_ms:?}");
+}
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -1,9 +1,10 @@
 //! The parts of a relay that decide: which endpoint, which retries, which events.
 
 use winchvane::message::{EndpointLoad, Holding, Load, Placed, RegisteredEndpoint, WeightsName};
+use winchvane::policy::rank::{LATE_RANK, Urgency};
 use winchvane::relay::{
-    EventSplitter, Fleet, IdleConnections, Picked, ReadingPace, RetryBudget, Waiting,
-    reconnect_max_ms,
+    EventSplitter, Fleet, IdleConnections, KeptPrompts, Picked, Prompt, PromptChain, PromptPart,
+    ReadingPace, RetryBudget, Waiting, Wanted, reconnect_max_ms,
 };
 
 fn endpoint(id: &str, zone: &str, slots: u32) -> RegisteredEndpoint {
@@ -25,12 +26,40 @@
     fleet.place(false, vec![Placed { endpoint: id.into(), name: adapter(), holding }]);
 }
 
-fn loaded(id: &str, running: u32, waiting_tokens: u32) -> EndpointLoad {
-    EndpointLoad { endpoint: id.into(), load: Load { running, waiting_tokens } }
+fn loaded(id: &str, running: u32, waiting_ms: u32) -> EndpointLoad {
+    EndpointLoad { endpoint: id.into(), load: Load { running, waiting_ms, late_ms: 0 } }
 }
 
-fn picked(fleet: &mut Fleet, now_ms: u64, weights: Option<&WeightsName>) -> Option<String> {
-    match fleet.pick(now_ms, "quotes", weights, &[]) {
+/// A request with a prompt of `tokens` and a second left until its objective.
+fn wanted(tokens: u32) -> Wanted {
+    Wanted {
+        weights: adapter(),
+        priority: 0,
+        left_ms: 1_000.0,
+        prompt_tokens: tokens,
+        prompt: PromptChain::default(),
+        memory_tokens: 100_000,
+    }
+}
+
+/// The same whose prompt has these parts of 4,000 tokens each, and 1,000 of its own.
+fn wanted_with(parts: &[u64]) -> Wanted {
+    let mut told = Vec::new();
+    for id in parts {
+        told.push(PromptPart { id: *id, tokens: 4_000 });
+    }
+    let own: u64 = rand::random();
+    told.push(PromptPart { id: own, tokens: 1_000 });
+    let tokens = told.iter().map(|part| part.tokens).sum();
+    Wanted { prompt: PromptChain::new(&adapter(), &told), ..wanted(tokens) }
+}
+
+fn waits(reading_ms: f64) -> Prompt {
+    Prompt { tokens: 0, reading_ms, is_late: false }
+}
+
+fn picked(fleet: &mut Fleet, now_ms: u64, wanted: Option<&Wanted>) -> Option<String> {
+    match fleet.pick(now_ms, "quotes", wanted, &[]) {
         Picked::Endpoint { id, .. } => Some(id.to_string()),
         _ => None,
     }
@@ -51,14 +80,14 @@
     let mut fleet = Fleet::new("near".into(), 1);
     fleet.register(endpoint("n", "near", 10));
     fleet.register(endpoint("f", "far", 10));
-    let name = adapter();
+    let name = wanted(600);
     place(&mut fleet, "n", Holding::Ready(1));
     place(&mut fleet, "f", Holding::Ready(1));
-    let number = fleet.start(0, &"n".into(), Some(&name), 9_000);
+    let number = fleet.start(0, &"n".into(), Some(&wanted(9_000)), false);
     assert_eq!(picked(&mut fleet, 1, Some(&name)).as_deref(), Some("f"), "a long prompt is read");
     fleet.answered(240, &"n".into(), number);
     assert_eq!(picked(&mut fleet, 240, Some(&name)).as_deref(), Some("n"));
-    fleet.note_loads(vec![loaded("n", 1, 9_000)]);
+    fleet.note_loads(vec![loaded("n", 1, 240)]);
     assert_eq!(picked(&mut fleet, 240, Some(&name)).as_deref(), Some("f"), "another gateway's");
 }
 
@@ -92,13 +121,88 @@
 #[test]
 fn requests_go_around_an_endpoint_that_answers_nothing() {
     let mut waiting = Waiting::new();
-    let pace = ReadingPace::new();
-    waiting.send(1_000, 1, 0);
-    waiting.send(1_100, 2, 0);
-    assert!(waiting.wait_ms(1_500, pace) >= 500.0, "nothing was answered for half a second");
+    waiting.send(1_000, 1, waits(0.0));
+    waiting.send(1_100, 2, waits(0.0));
+    assert!(waiting.wait_ms(1_500) >= 500.0, "nothing was answered for half a second");
     waiting.answered(1_501);
     waiting.end(1_501, 2);
-    assert!(waiting.wait_ms(1_600, pace) < 1.0, "it answers; the first request may just be rare");
+    assert!(waiting.wait_ms(1_600) < 1.0, "it answers; the first request may just be rare");
+}
+
+#[test]
+fn late_requests_hold_up_no_others() {
+    let mut waiting = Waiting::new();
+    waiting.send(1_000, 1, waits(300.0));
+    waiting.send(1_000, 2, Prompt { is_late: true, ..waits(400.0) });
+    assert_eq!(waiting.wait_ms(1_000).round(), 300.0, "the late one is read last");
+    assert_eq!(waiting.late_wait_ms(1_000).round(), 700.0);
+}
+
+#[test]
+fn a_request_that_will_be_late_is_ranked_last_and_a_short_one_never() {
+    let urgency = |reading_ms, left_ms| Urgency { priority: 1, left_ms, reading_ms };
+    assert_eq!(urgency(300.0, 800.0).rank_after(600.0), LATE_RANK);
+    assert_eq!(urgency(300.0, 0.0).rank_after(0.0), LATE_RANK);
+    assert_eq!(urgency(20.0, 0.0).rank_after(900.0), 1, "a short one holds up nobody");
+    let ranks: Vec<u8> = [20.0, 100.0, 300.0, 700.0]
+        .map(|reading_ms| urgency(reading_ms, 800.0).rank_after(0.0))
+        .into();
+    assert_eq!(ranks, [1, 2, 3, 4], "shorter prompts first");
+    assert!(LATE_RANK > 6, "behind every request in time");
+}
+
+#[test]
+fn a_prompt_goes_where_its_shared_parts_are_kept() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::new("near".into(), seed);
+        for id in ["a", "b", "c"] {
+            fleet.register(endpoint(id, "near", 10));
+            place(&mut fleet, id, Holding::Ready(1));
+        }
+        let number = fleet.start(0, &"b".into(), Some(&wanted_with(&[1, 2])), false);
+        fleet.answered(300, &"b".into(), number);
+        fleet.finish(400, &"b".into(), Some(&adapter()), number);
+        let same = wanted_with(&[1, 2]);
+        assert_eq!(picked(&mut fleet, 500, Some(&same)).as_deref(), Some("b"));
+    }
+}
+
+#[test]
+fn gateways_agree_where_a_prompt_is_read_that_none_of_them_sent() {
+    let mut chosen = std::collections::BTreeSet::new();
+    for seed in 0..20 {
+        let mut fleet = Fleet::new("near".into(), seed);
+        for id in ["a", "b", "c"] {
+            fleet.register(endpoint(id, "near", 10));
+            place(&mut fleet, id, Holding::Ready(1));
+        }
+        chosen.insert(picked(&mut fleet, 0, Some(&wanted_with(&[1, 2]))));
+    }
+    assert_eq!(chosen.len(), 1, "{chosen:?}");
+}
+
+#[test]
+fn parts_are_kept_in_order_for_one_adapter_and_the_oldest_give_way() {
+    let chain = |weights: &WeightsName, ids: &[u64]| {
+        let mut parts = Vec::new();
+        for id in ids {
+            parts.push(PromptPart { id: *id, tokens: 100 });
+        }
+        PromptChain::new(weights, &parts)
+    };
+    let (one, other) = (adapter(), WeightsName::new("base", Some("other")));
+    let mut kept = KeptPrompts::new();
+    kept.note(&chain(&one, &[1, 2, 3]), 1_000);
+    assert_eq!(kept.kept_tokens(&chain(&one, &[1, 2, 9])), 200);
+    assert_eq!(kept.kept_tokens(&chain(&one, &[2, 3])), 0, "only after the parts before");
+    assert_eq!(kept.kept_tokens(&chain(&other, &[1, 2, 3])), 0, "another adapter reads it anew");
+    kept.note(&chain(&one, &[1, 7]), 1_000);
+    kept.note(&chain(&one, &[11, 12, 13]), 500);
+    assert_eq!(kept.kept_tokens(&chain(&one, &[1, 2])), 100, "the unused ones gave way");
+    for id in 0..10_000 {
+        kept.note(&chain(&one, &[1, id]), 400);
+    }
+    assert_eq!(kept.kept_tokens(&chain(&one, &[1])), 100, "what is used again and again stays");
 }
 
 #[test]
@@ -125,15 +229,15 @@
     let mut fleet = Fleet::new("near".into(), 1);
     fleet.register(endpoint("n", "near", 1));
     fleet.register(endpoint("f", "far", 1));
-    let name = adapter();
+    let name = wanted(0);
     assert_eq!(fleet.pick(0, "quotes", Some(&name), &[]), Picked::NoHome);
     place(&mut fleet, "f", Holding::Coming);
     assert_eq!(fleet.pick(0, "quotes", Some(&name), &[]), Picked::Coming);
     place(&mut fleet, "f", Holding::Ready(1));
     assert_eq!(picked(&mut fleet, 0, Some(&name)).as_deref(), Some("f"));
-    let number = fleet.start(0, &"f".into(), Some(&name), 0);
+    let number = fleet.start(0, &"f".into(), Some(&name), false);
     assert_eq!(fleet.pick(0, "quotes", Some(&name), &[]), Picked::Full);
-    fleet.finish(0, &"f".into(), Some(&name), number);
+    fleet.finish(0, &"f".into(), Some(&adapter()), number);
     assert_eq!(picked(&mut fleet, 0, Some(&name)).as_deref(), Some("f"));
     place(&mut fleet, "f", Holding::Gone);
     assert_eq!(fleet.pick(0, "quotes", Some(&name), &[]), Picked::NoHome);
@@ -146,10 +250,11 @@
     let name = adapter();
     place(&mut fleet, "n", Holding::Ready(1));
     fleet.set_newest(1_000, name.clone(), 2);
-    assert_eq!(picked(&mut fleet, 1_100, Some(&name)).as_deref(), Some("n"));
-    assert_eq!(fleet.pick(4_000, "quotes", Some(&name), &[]), Picked::NoHome);
+    assert_eq!(picked(&mut fleet, 1_100, Some(&wanted(0))).as_deref(), Some("n"));
+    assert_eq!(fleet.pick(4_000, "quotes", Some(&wanted(0)), &[]), Picked::NoHome);
     place(&mut fleet, "n", Holding::Ready(2));
-    let Picked::Endpoint { weights_version, .. } = fleet.pick(4_000, "quotes", Some(&name), &[])
+    let Picked::Endpoint { weights_version, .. } =
+        fleet.pick(4_000, "quotes", Some(&wanted(0)), &[])
     else {
         panic!("the new version is there");
     };
@@ -161,7 +266,7 @@
     let mut fleet = Fleet::new("near".into(), 1);
     fleet.register(endpoint("n", "near", 4));
     let name = adapter();
-    let number = fleet.start(0, &"n".into(), Some(&name), 0);
+    let number = fleet.start(0, &"n".into(), Some(&wanted(0)), false);
     let told = |fleet: &mut Fleet, now_ms| {
         let used = fleet.take_traffic(now_ms).used;
         used.first().map(|used| (used.requests, used.under_way))
