--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -30,6 +30,9 @@
 const PATIENCE_MARGIN_MS: u64 = 12;
 /// How long a request waits for weights that are on their way, as a share of the latency objective.
 const LOAD_HOLD_PERCENT: u64 = 180;
+/// How long a request waits at a gateway that knows no routes yet: what a gateway needs to find a
+/// leader that has just been elected. Less than clients give a gateway to read a request.
+const FIRST_ROUTES_WAIT_MS: u64 = 400;
 /// How long a client's body may take.
 const BODY_TIMEOUT_MS: u64 = 3_000;
 /// The largest answer that is read whole before it is passed on.
@@ -183,7 +186,7 @@
         info!(event = "request_invalid", detail = %detail);
         own_answer(StatusCode::BAD_REQUEST, &detail)
     })?;
-    let table = relay.table();
+    let table = known_table(relay, started_ms).await;
     let host = header(&head.headers, HOST.as_str()).unwrap_or_default();
     let Some(chosen) = table.find(host, head.uri.path(), &meta.id) else {
         return Err(no_route(relay, &table, &meta));
@@ -229,6 +232,20 @@
     })
 }
 
+/// The routes; a gateway that has just started waits a little until the leader tells them.
+async fn known_table(relay: &Relay, started_ms: u64) -> Arc<RouteTable> {
+    let until_ms = started_ms + FIRST_ROUTES_WAIT_MS;
+    loop {
+        let changed = relay.changed.notified();
+        let table = relay.table();
+        let now_ms = relay.now_ms();
+        if table.version() > 0 || now_ms >= until_ms {
+            return table;
+        }
+        let _ = timeout(Duration::from_millis(until_ms - now_ms), changed).await;
+    }
+}
+
 fn no_route(relay: &Relay, table: &RouteTable, meta: &RequestMeta) -> Answer {
     let is_certain = table.version() > 0 && relay.is_confirmed(relay.now_ms());
     info!(event = "no_route", request = %meta.id, version = table.version(), certain = is_certain);
