control: copies of weights at endpoints are recorded, so that a new leader knows them

Change: the leader records new copies in the log once a second; the state grows by 90 names an endpoint at most.

--- a/src/control/placement/endpoint.rs
+++ b/src/control/placement/endpoint.rs
@@ -1,6 +1,6 @@
 //! What one endpoint holds and which order it is carrying out.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 
 use super::demand::Demand;
@@ -16,7 +16,7 @@
 
 /// Adapters that an endpoint is taken to have copies of, the latest ones; engines drop the copies
 /// that were unused for longest.
-const COPIES_MAX: usize = 90;
+pub const COPIES_MAX: usize = 90;
 /// How soon a load is looked at first; a load from an engine's own copy takes about this long.
 pub(super) const FIRST_CHECK_MS: u64 = 26;
 /// How often an unload that waits for its runs is looked at.
@@ -234,6 +234,13 @@
         self.places.get(&name.base()).is_some_and(|place| place.state == PlaceState::Ready)
     }
 
+    /// Takes over that the endpoint has copies of `weights`, the latest last.
+    pub(super) fn remember_copies(&mut self, now_ms: u64, weights: &VecDeque<WeightsName>) {
+        for name in weights {
+            self.note_copy(now_ms, name);
+        }
+    }
+
     /// True when the endpoint has a copy of `name` at hand.
     pub fn has_copy(&self, name: &WeightsName) -> bool {
         self.copies.contains_key(name)
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -12,13 +12,14 @@
 mod observed;
 mod store_limit;
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
 use tracing::info;
 
 pub use demand::{Demand, StoreAllowance};
-pub use endpoint::{EndpointPlaces, Place, PlaceState};
+pub use endpoint::{COPIES_MAX, EndpointPlaces, Place, PlaceState};
 pub use holders::{HolderChoice, OrderHolder, OrderHolders};
 pub use store_limit::StoreLimit;
 
@@ -42,6 +43,15 @@
 /// everything once a second.
 const USE_FORGOTTEN_MS: u64 = 2_500;
 
+/// An endpoint that got a copy of weights.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NewCopy {
+    /// The endpoint's id.
+    pub endpoint: Arc<str>,
+    /// The weights.
+    pub weights: WeightsName,
+}
+
 /// The gateway that tells of a use.
 #[derive(Debug, Clone)]
 pub struct UseFrom {
@@ -118,6 +128,8 @@
     store_limit: StoreLimit,
     /// Weights of which some endpoint has a copy.
     copied: HashSet<WeightsName>,
+    /// Copies that were made since they were last taken.
+    new_copies: Vec<NewCopy>,
 }
 
 impl Placement {
@@ -141,6 +153,7 @@
             next_order: 0,
             store_limit: StoreLimit::new(),
             copied: HashSet::new(),
+            new_copies: Vec::new(),
         }
     }
 
@@ -263,12 +276,25 @@
         std::mem::take(&mut self.orders)
     }
 
+    /// Takes over that an endpoint has copies of `weights`, the latest last.
+    pub fn remember_copies(&mut self, now_ms: u64, id: &str, weights: &VecDeque<WeightsName>) {
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return };
+        endpoint.remember_copies(now_ms, weights);
+        self.copied.extend(weights.iter().cloned());
+    }
+
+    /// The copies that endpoints got since the last call, for those who lead later.
+    pub fn take_new_copies(&mut self) -> Vec<NewCopy> {
+        std::mem::take(&mut self.new_copies)
+    }
+
     /// Takes the outcome of an order in.
     pub fn ordered(&mut self, now_ms: u64, result: OrderResult) {
         let beside_at_end =
             self.endpoints.values().map(|known| known.coming_from_store(now_ms)).sum();
         let Some(endpoint) = self.endpoints.get_mut(&result.endpoint) else { return };
         let Some(load) = endpoint.ordered(now_ms, &result, &mut self.placed) else { return };
+        self.new_copies.push(NewCopy { endpoint: result.endpoint, weights: load.name.clone() });
         let beside = load.beside_at_start.max(beside_at_end);
         self.store_limit.note(&load.name, load.took_ms, beside);
     }
--- a/src/control/registry.rs
+++ b/src/control/registry.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::control::placement::{HolderChoice, OrderHolder, OrderHolders};
+use crate::control::placement::{COPIES_MAX, HolderChoice, NewCopy, OrderHolder, OrderHolders};
 use crate::message::{Change, NewestVersion, RegisteredEndpoint, WeightsName};
 use crate::routing::RoutingConfiguration;
 
@@ -25,6 +25,7 @@
     departed: VecDeque<Arc<str>>,
     versions: BTreeMap<WeightsName, u64>,
     order_holders: OrderHolders,
+    copies: BTreeMap<Arc<str>, VecDeque<WeightsName>>,
 }
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -86,6 +87,26 @@
         self.order_holders.retain(|address, _| used.contains(address));
     }
 
+    /// Weights that endpoints have copies of, the latest last; endpoints do not tell it themselves.
+    pub fn copies(&self) -> &BTreeMap<Arc<str>, VecDeque<WeightsName>> {
+        &self.copies
+    }
+
+    /// Records which endpoints got copies of weights.
+    pub fn note_copies(&mut self, copies: Vec<NewCopy>) {
+        for NewCopy { endpoint, weights } in copies {
+            if !self.endpoints.contains_key(&endpoint) {
+                continue;
+            }
+            let known = self.copies.entry(endpoint).or_default();
+            known.retain(|other| *other != weights);
+            known.push_back(weights);
+            if known.len() > COPIES_MAX {
+                known.pop_front();
+            }
+        }
+    }
+
     /// Takes a configuration in when its version is above the one in force.
     pub fn put_routing(
         &mut self,
@@ -130,6 +151,7 @@
                 self.departed.pop_front();
             }
         }
+        self.copies.remove(id);
         if self.endpoints.remove(id).is_none() {
             return Vec::new();
         }
--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -17,6 +17,9 @@
 use crate::policy::counts;
 use crate::routing::RoutingConfiguration;
 
+/// How often new copies are recorded: a synced entry each time, and what is lost costs a load.
+const COPIES_NOTED_EVERY_MS: u64 = 1_000;
+
 /// What the leader knows of registered endpoints beside what is replicated.
 pub(super) struct Registered {
     pub(super) placement: Placement,
@@ -25,6 +28,7 @@
     ticked_at_ms: u64,
     loads_due_ms: u64,
     group_told: (Vec<SocketAddr>, u32),
+    copies_due_ms: u64,
 }
 
 impl Registered {
@@ -36,6 +40,7 @@
             ticked_at_ms: 0,
             loads_due_ms: 0,
             group_told: (Vec::new(), 0),
+            copies_due_ms: 0,
         }
     }
 }
@@ -62,6 +67,9 @@
         for endpoint in self.state.registry.endpoints().values() {
             registered.placement.register(now_ms, endpoint);
         }
+        for (id, weights) in self.state.registry.copies() {
+            registered.placement.remember_copies(now_ms, id, weights);
+        }
         for (name, version) in self.state.registry.versions() {
             registered.placement.set_version(name.clone(), *version);
         }
@@ -169,6 +177,19 @@
         for order in self.registered.placement.take_orders() {
             self.pass_order(now_ms, order);
         }
+        self.note_copies(now_ms, wall_ms);
+    }
+
+    /// Records new copies, so that whoever leads next knows them.
+    fn note_copies(&mut self, now_ms: u64, wall_ms: u64) {
+        if now_ms < self.registered.copies_due_ms {
+            return;
+        }
+        self.registered.copies_due_ms = now_ms + COPIES_NOTED_EVERY_MS;
+        let copies = self.registered.placement.take_new_copies();
+        if !copies.is_empty() {
+            self.propose(wall_ms, Operation::NoteCopies(copies), Waiter::Nobody);
+        }
     }
 
     fn pass_order(&mut self, now_ms: u64, order: EngineOrder) {
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -8,7 +8,7 @@
 use crate::control::config::Config;
 use crate::control::fleet::{Fleet, ListedEndpoint, Registration};
 use crate::control::ledger::{Claim, ClaimOutcome, KeyDigest, Ledger, LedgerLimits, Settlement};
-use crate::control::placement::HolderChoice;
+use crate::control::placement::{HolderChoice, NewCopy};
 use crate::control::registry::Registry;
 use crate::document::Document;
 use crate::error::{Error, Result};
@@ -90,6 +90,8 @@
     PutVersion(NewestVersion),
     /// Records which gateways give endpoints their orders from now on.
     ChooseHolders(Vec<HolderChoice>),
+    /// Records which endpoints got copies of weights.
+    NoteCopies(Vec<NewCopy>),
 }
 
 /// What an operation came to.
@@ -182,6 +184,10 @@
                 self.registry.choose_holders(index, choices);
                 (Outcome::Done, Vec::new())
             }
+            Operation::NoteCopies(copies) => {
+                self.registry.note_copies(copies);
+                (Outcome::Done, Vec::new())
+            }
         }
     }
 
