placement: the store's limit follows the median of slowdowns

Ruled out: taking the time from acceptance only, since a late order is accepted when it is repeated. Change: the limit falls only when the median of the latest nine loads is slowed, and by that median.

--- a/src/control/placement/store_limit.rs
+++ b/src/control/placement/store_limit.rs
@@ -20,6 +20,8 @@
 const FALL: f64 = 0.25;
 /// By how much a load that was not slowed raises the limit, if the limit was reached.
 const RISE: f64 = 0.5;
+/// The latest loads whose median tells whether the store is slowed.
+const SLOWDOWNS: usize = 9;
 /// The latest loads that tell how long one alone takes.
 const RECENT_MAX: usize = 16;
 /// So many of them are taken even if others were on their way.
@@ -38,6 +40,8 @@
     at_once: f64,
     /// For each base model, how long loads took lately.
     recent: HashMap<Arc<str>, RecentLoads>,
+    /// How much longer than one alone the latest loads took.
+    slowdowns: VecDeque<f64>,
 }
 
 /// How long loads took lately.
@@ -81,7 +85,7 @@
 impl StoreLimit {
     /// The limit before any load told anything.
     pub fn new() -> Self {
-        Self { at_once: AT_ONCE_MIN, recent: HashMap::new() }
+        Self { at_once: AT_ONCE_MIN, recent: HashMap::new(), slowdowns: VecDeque::new() }
     }
 
     /// Raises the limit to `at_once` as long as no load has told anything.
@@ -109,16 +113,27 @@
             return;
         }
         let slowed = took_ms as f64 / self.alone_ms(name) as f64;
-        if slowed > SLOWED {
-            // Slowed loads share what the store gives, so this many would not have been slowed. A
-            // load that began before others and ended after them tells less than it seems.
-            let borne = (beside / slowed).max(AT_ONCE_MIN);
-            if borne < self.at_once {
-                self.at_once += (borne - self.at_once) * FALL;
-            }
-        } else if beside + 1.0 >= self.at_once {
+        if slowed <= SLOWED && beside + 1.0 >= self.at_once {
             self.at_once += RISE;
         }
+        self.slowdowns.push_back(slowed);
+        if self.slowdowns.len() > SLOWDOWNS {
+            self.slowdowns.pop_front();
+        }
+        let usual = self.usual_slowdown();
+        if self.slowdowns.len() == SLOWDOWNS && slowed > SLOWED && usual > SLOWED {
+            // Slowed loads share what the store gives, so this many would not have been slowed.
+            let borne = (beside / usual).max(AT_ONCE_MIN);
+            self.at_once += (borne - self.at_once).min(0.0) * FALL;
+        }
+    }
+
+    /// The median of the latest loads: single ones are slow for other reasons, as when an engine
+    /// carries an order out late.
+    fn usual_slowdown(&self) -> f64 {
+        let mut sorted: Vec<f64> = self.slowdowns.iter().copied().collect();
+        sorted.sort_unstable_by(f64::total_cmp);
+        sorted.get(sorted.len() / 2).copied().unwrap_or(1.0)
     }
 }
 
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -415,3 +415,16 @@
     let last_ms = done_after_ms[39];
     assert!(last_ms <= 290, "seen late: {done_after_ms:?}");
 }
+
+#[test]
+fn orders_that_are_carried_out_late_do_not_close_the_store() {
+    let mut limit = StoreLimit::new();
+    limit.start_from(90);
+    let name = adapter(1);
+    for turn in 0..300 {
+        // Engines carry a third of the orders out seconds later.
+        let took_ms = if turn % 3 == 2 { 4_000 } else { 260 };
+        limit.note(&name, took_ms, 40);
+    }
+    assert_eq!(limit.at_once(), 90, "the store slowed none of them");
+}
