code: relay and placement in smaller files

Change: what a gateway knows of an endpoint (known), choosing (choice), uses (uses), admission (admission), refusals (refusal), outcomes of orders (outcome) have files of their own; only moved, but for Known::new, Exchange::new and Uses.

--- a/src/control/placement/endpoint.rs
+++ b/src/control/placement/endpoint.rs
@@ -6,11 +6,8 @@
 use super::demand::Demand;
 use super::holders::OrderHolder;
 use super::{KEEP_USED_MS, SILENT_MS, USE_FORGOTTEN_MS};
-use tracing::info;
-
 use crate::message::{
-    Holding, Load, OrderKind, OrderOutcome, OrderResult, Placed, RegisteredEndpoint, WeightsName,
-    WeightsUse,
+    Holding, Load, OrderKind, Placed, RegisteredEndpoint, WeightsName, WeightsUse,
 };
 use crate::routing::EngineSpec;
 
@@ -21,24 +18,12 @@
 pub(super) const FIRST_CHECK_MS: u64 = 26;
 /// How often an unload that waits for its runs is looked at.
 const UNLOAD_CHECK_MS: u64 = 60;
-/// How soon a load is looked at again, at most.
-const CHECK_MAX_MS: u64 = 120;
 /// A load from the store is looked at this much sooner than one takes: if none were, a store that has
 /// become faster would never be noticed.
 const EARLY_LOOK: f64 = 0.85;
-/// A load is looked at again after its first wait divided by this: a late look costs clients as much.
-const CHECKS_PER_LOAD: u64 = 10;
-/// How soon a load is looked at again, at least.
-const CHECK_MIN_MS: u64 = 14;
-/// How soon an order without an answer is given again. Both expect the same sequence, so the endpoint
-/// carries out one of them at most, however late the first one arrives.
-const AGAIN_MS: u64 = 30;
 /// An order that has no answer for this long is taken for lost; answers take a few milliseconds, or
 /// as many as a link across the region delays them.
 const OVERDUE_MS: u64 = 60;
-/// An order without an outcome for this long is lost with its gateway: connecting and the answer take
-/// half a second at most, and the rest is the way there and back.
-const OUTCOME_MAX_MS: u64 = 1_000;
 /// The share of an endpoint's slots beyond which further adapters go elsewhere first.
 const CROWDED: f64 = 0.65;
 /// Reading beyond which an endpoint counts as crowded: a good share of the shortest objectives.
@@ -48,12 +33,8 @@
 const FAILING_MS: u64 = 1_500;
 /// A report shows an endpoint as it was some time ago; after this pause it shows the last order.
 pub(super) const REPORT_LAG_MS: u64 = 260;
-/// How soon an endpoint that gave no report is asked again.
-const REPORT_PAUSE_MS: u64 = 700;
 /// A heartbeat may have been sent this long before it arrives; younger knowledge goes before it.
 pub(super) const HEARTBEAT_LATE_MS: u64 = 3_000;
-/// A load that is not done after this long is looked for in a report.
-const LOAD_MAX_MS: u64 = 8_000;
 
 /// The state of a place.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -81,7 +62,7 @@
     /// True while it comes from the weight store, not from the endpoint's own copies.
     pub from_store: bool,
     /// How many loads from the store were on their way when this one was ordered, itself included.
-    beside_at_start: usize,
+    pub(super) beside_at_start: usize,
     /// True once the endpoint said that it takes the order to load them.
     pub(super) accepted: bool,
     pub(super) changed_at_ms: u64,
@@ -113,25 +94,14 @@
     pub beside: usize,
 }
 
-/// A load from the weight store that is done.
-#[derive(Debug, Clone)]
-pub struct StoreLoadDone {
-    /// What was loaded.
-    pub name: WeightsName,
-    /// How long it took.
-    pub took_ms: u64,
-    /// How many loads were on their way when it was ordered, itself included.
-    pub beside_at_start: usize,
-}
-
 #[derive(Debug, Clone)]
-struct Pending {
-    number: u64,
-    kind: OrderKind,
-    given_at_ms: u64,
+pub(super) struct Pending {
+    pub(super) number: u64,
+    pub(super) kind: OrderKind,
+    pub(super) given_at_ms: u64,
     /// True for a load that is ordered once more to see whether it is done; engines take it for
     /// the same order.
-    repeats: bool,
+    pub(super) repeats: bool,
 }
 
 /// One endpoint.
@@ -152,9 +122,9 @@
     /// Through whom it can be ordered now.
     pub(super) holder: Option<OrderHolder>,
     hash: u64,
-    pending: Option<Pending>,
+    pub(super) pending: Option<Pending>,
     pub(super) report_from_ms: u64,
-    again_from_ms: u64,
+    pub(super) again_from_ms: u64,
     failing_until_ms: u64,
     pub(super) dropped_at_ms: BTreeMap<WeightsName, u64>,
 }
@@ -453,7 +423,7 @@
     }
 
     /// The weights that go with `name`: a base model's adapters go with it.
-    fn with_adapters(&self, name: &WeightsName) -> Vec<WeightsName> {
+    pub(super) fn with_adapters(&self, name: &WeightsName) -> Vec<WeightsName> {
         let mut names = vec![name.clone()];
         if name.adapter.is_some() {
             return names;
@@ -481,148 +451,4 @@
     pub(super) fn tell(&self, name: &WeightsName, holding: Holding) -> Placed {
         Placed { endpoint: self.endpoint.id.clone(), name: name.clone(), holding }
     }
-
-    /// The outcome of an order whose gateway went before it told one.
-    pub fn lost_order(&self, now_ms: u64) -> Option<OrderResult> {
-        let pending = self.pending.as_ref()?;
-        if pending.given_at_ms + OUTCOME_MAX_MS > now_ms {
-            return None;
-        }
-        Some(OrderResult {
-            number: pending.number,
-            endpoint: self.endpoint.id.clone(),
-            kind: pending.kind.clone(),
-            outcome: OrderOutcome::Unknown,
-        })
-    }
-
-    /// Takes the outcome of an order in.
-    ///
-    /// Returns the load from the weight store that this showed to be done, if any.
-    pub fn ordered(
-        &mut self,
-        now_ms: u64,
-        result: &OrderResult,
-        placed: &mut Vec<Placed>,
-    ) -> Option<StoreLoadDone> {
-        let pending = self.pending.take_if(|pending| pending.number == result.number)?;
-        let load_done = self.store_load_done(now_ms, result);
-        match &result.outcome {
-            OrderOutcome::Report(report) => self.reported(now_ms, report, placed),
-            OrderOutcome::UnderWay => self.under_way(now_ms, &result.kind, pending.repeats),
-            OrderOutcome::Done => self.done(now_ms, &result.kind, pending.repeats, placed),
-            OrderOutcome::Conflict => {
-                // Something else was carried out here; only a report tells what.
-                self.sequence = None;
-                self.report_from_ms = now_ms + REPORT_LAG_MS;
-                self.recheck(now_ms, &result.kind);
-            }
-            OrderOutcome::Refused | OrderOutcome::NotSent => {
-                let is_unreachable = matches!(result.outcome, OrderOutcome::NotSent);
-                if is_unreachable && result.kind != OrderKind::Report {
-                    self.note_failing(now_ms);
-                }
-                self.take_back(now_ms, &result.kind, placed);
-                self.report_from_ms = now_ms + REPORT_PAUSE_MS;
-            }
-            OrderOutcome::Unknown => {
-                self.again_from_ms = now_ms + AGAIN_MS;
-                self.report_from_ms = now_ms + REPORT_PAUSE_MS;
-                self.recheck(now_ms, &result.kind);
-            }
-        }
-        load_done
-    }
-
-    fn store_load_done(&self, now_ms: u64, result: &OrderResult) -> Option<StoreLoadDone> {
-        let OrderKind::Load { name, .. } = &result.kind else { return None };
-        let place = self.places.get(name)?;
-        let is_done = matches!(result.outcome, OrderOutcome::Done);
-        (is_done && place.from_store && place.accepted).then(|| StoreLoadDone {
-            name: name.clone(),
-            took_ms: now_ms - place.changed_at_ms,
-            beside_at_start: place.beside_at_start,
-        })
-    }
-
-    fn under_way(&mut self, now_ms: u64, kind: &OrderKind, repeats: bool) {
-        if !repeats {
-            self.sequence = self.sequence.map(|sequence| sequence + 1);
-        }
-        if let OrderKind::Load { name, .. } | OrderKind::Unload { name } = kind
-            && let Some(place) = self.places.get_mut(name)
-        {
-            place.accepted = true;
-        }
-        if let OrderKind::Unload { .. } = kind {
-            // The endpoint takes no other order until its runs have ended; a report tells when.
-            self.sequence = None;
-            self.report_from_ms = now_ms + REPORT_LAG_MS;
-        }
-        self.recheck(now_ms, kind);
-    }
-
-    fn recheck(&mut self, now_ms: u64, kind: &OrderKind) {
-        let (OrderKind::Load { name, .. } | OrderKind::Unload { name }) = kind else { return };
-        let Some(place) = self.places.get_mut(name) else { return };
-        if place.state == PlaceState::Unloading {
-            place.changed_at_ms = now_ms;
-        }
-        if let PlaceState::Loading { pause_ms, .. } = place.state {
-            if place.changed_at_ms + LOAD_MAX_MS < now_ms {
-                self.sequence = None;
-            }
-            place.state = PlaceState::Loading {
-                check_at_ms: now_ms + pause_ms,
-                pause_ms: (pause_ms / CHECKS_PER_LOAD).clamp(CHECK_MIN_MS, CHECK_MAX_MS),
-            };
-        }
-    }
-
-    fn done(&mut self, now_ms: u64, kind: &OrderKind, repeats: bool, placed: &mut Vec<Placed>) {
-        match kind {
-            OrderKind::Report => {}
-            OrderKind::Load { name, .. } => {
-                let Some(place) = self.places.get(name) else { return };
-                let version = place.version;
-                info!(
-                    event = "weights_ready",
-                    endpoint = %self.endpoint.id,
-                    weights = %name,
-                    version,
-                    from_store = place.from_store,
-                    after_ms = now_ms - place.changed_at_ms
-                );
-                self.put(now_ms, name, version, PlaceState::Ready);
-                placed.push(self.tell(name, Holding::Ready(version)));
-            }
-            OrderKind::Unload { name } => {
-                // One that waited for its runs was counted when it was taken.
-                if !repeats {
-                    self.sequence = self.sequence.map(|sequence| sequence + 1);
-                }
-                for gone in self.with_adapters(name) {
-                    self.places.remove(&gone);
-                }
-                self.dropped_at_ms.retain(|_, at_ms| *at_ms + HEARTBEAT_LATE_MS > now_ms);
-                self.dropped_at_ms.insert(name.clone(), now_ms);
-            }
-        }
-    }
-
-    fn take_back(&mut self, now_ms: u64, kind: &OrderKind, placed: &mut Vec<Placed>) {
-        match kind {
-            OrderKind::Report => {}
-            OrderKind::Load { name, .. } => {
-                self.places.remove(name);
-                placed.push(self.tell(name, Holding::Gone));
-                self.sequence = None;
-            }
-            OrderKind::Unload { name } => {
-                let version = self.places.get(name).map_or(1, |place| place.version);
-                self.put(now_ms, name, version, PlaceState::Ready);
-                self.sequence = None;
-            }
-        }
-    }
 }
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -10,6 +10,7 @@
 mod holders;
 mod homes;
 mod observed;
+mod outcome;
 mod store_limit;
 
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -5,24 +5,27 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use tokio::time::timeout;
 use tracing::{info, warn};
 
+use super::admission::{Admitted, admit};
 use super::border::{AnswerMeta, RequestMeta, SendMeta};
-use super::fleet::{Picked, Wanted};
+use super::fleet::Picked;
+use super::known::Wanted;
 use super::pool::{self, Connection, SendFailure};
 use super::prompt::PromptChain;
+use super::refusal::{Failure, NotSent, come_back, come_back_ms, own_answer};
 use super::shared::Relay;
 use super::stream;
-use crate::http::{Answer, BodyFault, HttpHandler, answer, full, header, read_body};
+use crate::http::{Answer, HttpHandler, answer, full};
 use crate::message::{AdapterNeed, WeightsName};
 use crate::metrics::{Counter, Timer};
 use crate::policy::rank::LATE_RANK;
-use crate::routing::{Chosen, Repeat, Route, RouteTable};
+use crate::routing::{Chosen, Repeat};
 use crate::wire::BoxFuture;
 
 /// How much before a quarter of the latency objective a request that found no place is refused; a
@@ -30,11 +33,6 @@
 const PATIENCE_MARGIN_MS: u64 = 12;
 /// How long a request waits for weights that are on their way, as a share of the latency objective.
 const LOAD_HOLD_PERCENT: u64 = 180;
-/// How long a request waits at a gateway that knows no routes yet: what a gateway needs to find a
-/// leader that has just been elected. Less than clients give a gateway to read a request.
-const FIRST_ROUTES_WAIT_MS: u64 = 400;
-/// How long a client's body may take.
-const BODY_TIMEOUT_MS: u64 = 3_000;
 /// The largest answer that is read whole before it is passed on.
 const WHOLE_ANSWER_MAX_BYTES: usize = 256 << 10;
 /// What is left of the deadline for the answer's way back.
@@ -137,17 +135,6 @@
     expected_ms: u64,
 }
 
-/// Why nothing could be sent.
-#[derive(Debug, Clone, Copy)]
-pub(super) enum NotSent {
-    /// No endpoint could take it in time.
-    NoPlace(&'static str),
-    /// The deadline passed.
-    Late,
-    /// The retry budget is used up.
-    NoBudget,
-}
-
 /// What came of one send.
 enum Attempt {
     Started(Box<Started>),
@@ -163,7 +150,7 @@
     }
     relay.metrics.count(Counter::RequestsReceived);
     match admit(relay, started_ms, request).await {
-        Ok(exchange) => exchange.run().await,
+        Ok(admitted) => Exchange::new(relay, started_ms, admitted).run().await,
         Err(refusal) => {
             relay.metrics.count(Counter::RequestsRefused);
             refusal
@@ -176,86 +163,37 @@
     if relay.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
 }
 
-async fn admit(
-    relay: &Arc<Relay>,
-    started_ms: u64,
-    request: Request<Incoming>,
-) -> Result<Exchange, Answer> {
-    let (head, body) = request.into_parts();
-    let meta = relay.border.read_request(&head.headers).map_err(|detail| {
-        info!(event = "request_invalid", detail = %detail);
-        own_answer(StatusCode::BAD_REQUEST, &detail)
-    })?;
-    let table = known_table(relay, started_ms).await;
-    let host = header(&head.headers, HOST.as_str()).unwrap_or_default();
-    let Some(chosen) = table.find(host, head.uri.path(), &meta.id) else {
-        return Err(no_route(relay, &table, &meta));
-    };
-    let limits = table.configuration().limits;
-    let body = read_body(body, limits.body_max_bytes, BODY_TIMEOUT_MS).await.map_err(|fault| {
-        info!(event = "request_refused", request = %meta.id, reason = ?fault);
-        match fault {
-            BodyFault::TooLarge => own_answer(StatusCode::PAYLOAD_TOO_LARGE, "too large"),
-            BodyFault::TooSlow | BodyFault::Broken => {
-                own_answer(StatusCode::REQUEST_TIMEOUT, "the body did not arrive")
-            }
-        }
-    })?;
-    let Route { timeout_ms, .. } = *chosen.route;
-    let allowed_ms = meta.deadline_ms.map_or(timeout_ms, |deadline_ms| deadline_ms.min(timeout_ms));
-    relay.budget(&chosen.service.name, |budget| budget.note_request(started_ms));
-    let mut headers = head.headers;
-    remove_connection_headers(&mut headers);
-    headers.remove(CONTENT_LENGTH);
-    relay.border.remove_reserved(&mut headers);
-    let prompt = match &meta.weights {
-        Some(weights) => PromptChain::new(weights, &meta.prompt_parts),
-        None => PromptChain::default(),
-    };
-    Ok(Exchange {
-        relay: relay.clone(),
-        meta,
-        prompt,
-        chosen,
-        started_ms,
-        ends_at_ms: started_ms + allowed_ms,
-        method: head.method,
-        target: head.uri,
-        headers,
-        body,
-        tried: Vec::new(),
-        sent_at_ms: 0,
-        expected_ms: 0,
-        rank: 0,
-        given: 0,
-        refused: 0,
-    })
-}
-
-/// The routes; a gateway that has just started waits a little until the leader tells them.
-async fn known_table(relay: &Relay, started_ms: u64) -> Arc<RouteTable> {
-    let until_ms = started_ms + FIRST_ROUTES_WAIT_MS;
-    loop {
-        let changed = relay.changed.notified();
-        let table = relay.table();
-        let now_ms = relay.now_ms();
-        if table.version() > 0 || now_ms >= until_ms {
-            return table;
+impl Exchange {
+    /// A request that was read whole.
+    pub(super) fn new(relay: &Arc<Relay>, started_ms: u64, admitted: Admitted) -> Self {
+        let Admitted { meta, chosen, method, target, headers, body } = admitted;
+        let timeout_ms = chosen.route.timeout_ms;
+        let allowed_ms =
+            meta.deadline_ms.map_or(timeout_ms, |deadline_ms| deadline_ms.min(timeout_ms));
+        let prompt = match &meta.weights {
+            Some(weights) => PromptChain::new(weights, &meta.prompt_parts),
+            None => PromptChain::default(),
+        };
+        Self {
+            relay: relay.clone(),
+            meta,
+            chosen,
+            started_ms,
+            ends_at_ms: started_ms + allowed_ms,
+            method,
+            target,
+            headers,
+            body,
+            prompt,
+            tried: Vec::new(),
+            sent_at_ms: 0,
+            expected_ms: 0,
+            rank: 0,
+            given: 0,
+            refused: 0,
         }
-        let _ = timeout(Duration::from_millis(until_ms - now_ms), changed).await;
-    }
-}
-
-fn no_route(relay: &Relay, table: &RouteTable, meta: &RequestMeta) -> Answer {
-    let is_certain = table.version() > 0 && relay.is_confirmed(relay.now_ms());
-    info!(event = "no_route", request = %meta.id, version = table.version(), certain = is_certain);
-    if is_certain {
-        return own_answer(StatusCode::NOT_FOUND, "no route");
     }
-    come_back("the routes are not known for certain", 300)
-}
 
-impl Exchange {
     async fn run(mut self) -> Answer {
         let id = self.meta.id.clone();
         let started = match self.start(None).await {
@@ -568,35 +506,6 @@
     }
 }
 
-/// Why a request has no answer.
-pub(super) enum Failure {
-    NotSent(NotSent),
-    Unknown(String),
-}
-
-/// When a client that was refused should come again; about what a load takes, or a few answers.
-fn come_back_ms(reason: NotSent) -> u64 {
-    match reason {
-        NotSent::NoPlace("weights are not loaded") => 350,
-        NotSent::NoPlace(_) | NotSent::Late => 200,
-        NotSent::NoBudget => 500,
-    }
-}
-
-/// A refusal: the request did not run and will not; the client may come again after a while.
-fn come_back(detail: &str, after_ms: u64) -> Answer {
-    let mut refusal = own_answer(StatusCode::SERVICE_UNAVAILABLE, detail);
-    let seconds = format!("{}.{:03}", after_ms / 1_000, after_ms % 1_000);
-    if let Ok(value) = seconds.parse() {
-        refusal.headers_mut().insert(http::header::RETRY_AFTER, value);
-    }
-    refusal
-}
-
-fn own_answer(status: StatusCode, detail: &str) -> Answer {
-    answer(status, "text/plain", detail.to_owned())
-}
-
 /// Takes out what concerns one connection only.
 pub(super) fn remove_connection_headers(headers: &mut HeaderMap) {
     let mut named = Vec::new();
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -7,13 +7,13 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use super::prompt::{KeptPrompts, PromptChain};
-use super::waiting::{Prompt, ReadingPace, UnreadMs, Waiting};
-use crate::hash;
+use super::choice::{self, Candidate};
+use super::known::{Expected, Known, Wanted};
+use super::uses::Uses;
+use super::waiting::{Prompt, ReadingPace, UnreadMs};
 use crate::message::{
     EndpointLoad, Holding, Load, Placed, RegisteredEndpoint, WeightsName, WeightsUse,
 };
-use crate::policy::rank::{LATE_RANK, Urgency};
 
 /// The first pause after an endpoint failed; doubled with each further failure in a row.
 const DOWN_MS: u64 = 400;
@@ -27,22 +27,8 @@
 const ALL_COMPARED_BY: usize = 8;
 /// An endpoint that said it is full gets nothing for this long.
 const FULL_MS: u64 = 60;
-/// How often the leader is reminded of everything that is in use.
-const USES_TOLD_EVERY_MS: u64 = 1_000;
 /// Weights whose newest version is older than this must have it; the users allow five seconds.
 const OLD_VERSION_MS: u64 = 2_500;
-/// Requests that a plain service queues for each one that it runs, at least; the users' queue four
-/// for each, and two of them wait no longer than the latency objectives allow.
-const QUEUED_PER_SLOT: u32 = 2;
-/// By how much an endpoint must be cheaper than another one to be taken 2.7 times as often.
-const SPREAD_MS: f64 = 50.0;
-/// What a full batch costs a request: each one more slows every other one.
-const FULL_BATCH_MS: f64 = 100.0;
-/// The share of a prompt's common parts that the endpoint which all gateways prefer for them is
-/// expected to keep, beyond what this gateway knows.
-const COMMON_SHARE: f64 = 0.3;
-/// Answers of an endpoint after which its own pace goes before that of all.
-const OWN_PACE_MIN_ANSWERS: u32 = 12;
 /// How much longer a request may wait in the own zone and still go there: a link between zones takes
 /// a few milliseconds, and its bytes cost.
 const ZONE_PREFERENCE_MS: f64 = 15.0;
@@ -56,8 +42,7 @@
     homes: HashMap<WeightsName, BTreeMap<Arc<str>, Holding>>,
     newest: HashMap<WeightsName, (u64, u64)>,
     loads_changed: HashSet<Arc<str>>,
-    uses: HashMap<UseKey, Use>,
-    uses_told_at_ms: u64,
+    uses: Uses,
     failing: HashSet<Arc<str>>,
     random: SmallRng,
     gateways: usize,
@@ -65,34 +50,6 @@
     sends: u64,
 }
 
-/// An endpoint and the weights that requests use there.
-type UseKey = (Arc<str>, WeightsName);
-
-/// The requests that use some weights at an endpoint.
-#[derive(Debug, Clone, Copy, Default)]
-struct Use {
-    under_way: u32,
-    /// Sent since the last report.
-    sent: u32,
-    /// How long their prompts take to be read.
-    reading_ms: f64,
-    changed: bool,
-}
-
-#[derive(Debug)]
-struct Known {
-    endpoint: RegisteredEndpoint,
-    own_running: u32,
-    others_running: u32,
-    waiting: Waiting,
-    pace: ReadingPace,
-    kept: KeptPrompts,
-    /// The hash of its address.
-    hash: u64,
-    failures: u32,
-    closed_until_ms: u64,
-}
-
 /// What goes through a gateway, as it tells the leader.
 #[derive(Debug, Clone, Default)]
 pub struct Traffic {
@@ -104,117 +61,6 @@
     pub failing: Vec<Arc<str>>,
 }
 
-impl Known {
-    /// True when as many requests are under way here as it takes. An endpoint queues a few more
-    /// than it runs, and what the other gateways have under way is known late, so that full by
-    /// that may be half empty.
-    fn is_full(&self, is_engine: bool) -> bool {
-        let slots = self.endpoint.slots;
-        // An engine gives no room: each request more slows every other one there.
-        let queued = if is_engine { 0 } else { slots * QUEUED_PER_SLOT };
-        self.own_running + self.others_running >= slots + queued
-    }
-
-    fn load(&self) -> Load {
-        let UnreadMs { in_time, late } = self.waiting.own_unread();
-        Load { running: self.own_running, waiting_ms: in_time as u32, late_ms: late as u32 }
-    }
-
-    /// The tokens of a prompt that the endpoint does not keep.
-    fn unread_tokens(&self, wanted: &Wanted) -> u32 {
-        wanted.prompt_tokens.saturating_sub(self.kept.kept_tokens(&wanted.prompt))
-    }
-
-    /// How fast this endpoint reads, as far as enough answers showed it.
-    fn pace(&self, usual: ReadingPace) -> ReadingPace {
-        if self.pace.noted() < OWN_PACE_MIN_ANSWERS { usual } else { self.pace }
-    }
-
-    /// What a request that is sent now can expect here.
-    fn expect(&self, now_ms: u64, wanted: Option<&Wanted>, usual: ReadingPace) -> Expected {
-        let running = f64::from(self.own_running + self.others_running);
-        let batch_ms = running / f64::from(self.endpoint.slots.max(1)) * FULL_BATCH_MS;
-        // A plain service works on several requests at once: one that takes long holds up no other.
-        let Some(wanted) = wanted else { return Expected { cost_ms: batch_ms, rank: None } };
-        let pace = self.pace(usual);
-        let urgency = Urgency {
-            priority: wanted.priority,
-            left_ms: wanted.left_ms,
-            reading_ms: pace.reading_ms(self.unread_tokens(wanted)),
-        };
-        let wait_ms = self.waiting.wait_ms(now_ms);
-        let rank = urgency.rank_after(wait_ms);
-        let waits_ms = if rank == LATE_RANK { self.waiting.late_wait_ms(now_ms) } else { wait_ms };
-        // An endpoint that reads slowly is worth it only for a short prompt.
-        Expected { cost_ms: batch_ms + waits_ms + urgency.reading_ms, rank: Some(rank) }
-    }
-}
-
-/// What matters of a request for a model.
-#[derive(Debug, Clone)]
-pub struct Wanted {
-    /// The weights that have to answer it.
-    pub weights: WeightsName,
-    /// The priority of its route.
-    pub priority: u8,
-    /// What is left of its latency objective.
-    pub left_ms: f64,
-    /// The tokens of its prompt.
-    pub prompt_tokens: u32,
-    /// The parts of its prompt.
-    pub prompt: PromptChain,
-    /// The tokens that fit an engine's memory.
-    pub memory_tokens: u64,
-}
-
-/// What a request can expect at an endpoint.
-#[derive(Debug, Clone, Copy)]
-struct Expected {
-    cost_ms: f64,
-    rank: Option<u8>,
-}
-
-/// An endpoint that could take a request.
-#[derive(Debug, Clone, Copy)]
-struct Candidate<'a> {
-    cost_ms: f64,
-    rank: Option<u8>,
-    known: &'a Known,
-}
-
-fn cheapest<'a>(candidates: &[Candidate<'a>]) -> Option<Candidate<'a>> {
-    candidates.iter().copied().min_by(|one, other| one.cost_ms.total_cmp(&other.cost_ms))
-}
-
-/// Makes the endpoint cheaper that all gateways agree on for the prompt's shared parts: another one of
-/// them may have had these read there, which this gateway does not know.
-fn prefer_common(candidates: &mut [Candidate<'_>], wanted: Option<&Wanted>, pace: ReadingPace) {
-    let Some((shared_hash, tokens)) = wanted.and_then(|wanted| wanted.prompt.shared()) else {
-        return;
-    };
-    let fit = |candidate: &&mut Candidate<'_>| hash::affinity(candidate.known.hash, shared_hash);
-    if let Some(best) = candidates.iter_mut().max_by_key(fit) {
-        best.cost_ms -= pace.reading_ms(tokens) * COMMON_SHARE;
-    }
-}
-
-/// One of `candidates`, cheap ones more often than dear ones; `draw` is random, from 0 to 1.
-///
-/// Many gateways see the same counts late. If each took the cheapest, all would go to the same
-/// endpoint until the next counts arrive, and to the next one after that.
-fn draw_cheap<'a>(candidates: &[Candidate<'a>], draw: f64) -> Option<Candidate<'a>> {
-    let least_ms = cheapest(candidates)?.cost_ms;
-    let share = |candidate: &Candidate<'_>| ((least_ms - candidate.cost_ms) / SPREAD_MS).exp();
-    let mut left = draw * candidates.iter().map(share).sum::<f64>();
-    for candidate in candidates {
-        left -= share(candidate);
-        if left <= 0.0 {
-            return Some(*candidate);
-        }
-    }
-    candidates.last().copied()
-}
-
 /// Where a request may go.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Picked {
@@ -251,8 +97,7 @@
             homes: HashMap::new(),
             newest: HashMap::new(),
             loads_changed: HashSet::new(),
-            uses: HashMap::new(),
-            uses_told_at_ms: 0,
+            uses: Uses::default(),
             failing: HashSet::new(),
             random: SmallRng::seed_from_u64(seed),
             gateways: 1,
@@ -274,18 +119,7 @@
         }
         let ids = self.by_service.entry(endpoint.service.clone()).or_default();
         ids.push(endpoint.id.clone());
-        let known = Known {
-            endpoint: endpoint.clone(),
-            own_running: 0,
-            others_running: 0,
-            waiting: Waiting::new(),
-            pace: ReadingPace::new(),
-            kept: KeptPrompts::new(),
-            hash: hash::stable(&endpoint.address.to_string()),
-            failures: 0,
-            closed_until_ms: 0,
-        };
-        self.endpoints.insert(endpoint.id, known);
+        self.endpoints.insert(endpoint.id.clone(), Known::new(endpoint));
     }
 
     /// Forgets an endpoint that is gone; its address is returned.
@@ -420,12 +254,12 @@
                 break;
             }
         }
-        prefer_common(&mut candidates, wanted, self.pace);
+        choice::prefer_common(&mut candidates, wanted, self.pace);
         let draw: f64 = self.random.random();
         let best = if self.gateways > ALL_COMPARED_BY {
-            draw_cheap(&candidates, draw)
+            choice::draw_cheap(&candidates, draw)
         } else {
-            cheapest(&candidates)
+            choice::cheapest(&candidates)
         };
         match best.or(best_tried) {
             Some(Candidate { known, rank, cost_ms }) => Picked::Endpoint {
@@ -472,12 +306,8 @@
             known.waiting.send(now_ms, self.sends, Prompt { tokens, reading_ms, is_late });
             self.loads_changed.insert(id.clone());
         }
-        if let Some(Wanted { weights: name, .. }) = wanted {
-            let use_here = self.uses.entry((id.clone(), name.clone())).or_default();
-            use_here.under_way += 1;
-            use_here.sent += 1;
-            use_here.reading_ms += reading_ms;
-            use_here.changed = true;
+        if let Some(wanted) = wanted {
+            self.uses.start(id, &wanted.weights, reading_ms);
         }
         self.sends
     }
@@ -490,11 +320,8 @@
         weights: Option<&WeightsName>,
         number: u64,
     ) {
-        if let Some(name) = weights
-            && let Some(use_here) = self.uses.get_mut(&(id.clone(), name.clone()))
-        {
-            use_here.under_way = use_here.under_way.saturating_sub(1);
-            use_here.changed |= use_here.under_way == 0;
+        if let Some(name) = weights {
+            self.uses.finish(id, name);
         }
         if let Some(known) = self.endpoints.get_mut(id) {
             known.own_running = known.own_running.saturating_sub(1);
@@ -553,41 +380,14 @@
             let load = self.endpoints.get(&endpoint).map(Known::load).unwrap_or_default();
             loads.push(EndpointLoad { endpoint, load });
         }
-        let used = self.take_uses(now_ms);
+        let used = self.uses.take(now_ms);
         let failing = self.failing.drain().collect();
         Traffic { loads, used, failing }
     }
 
-    /// The uses that changed; now and then all of them, since the leader forgets those that it is not
-    /// reminded of.
-    fn take_uses(&mut self, now_ms: u64) -> Vec<WeightsUse> {
-        let tells_all = self.uses_told_at_ms + USES_TOLD_EVERY_MS <= now_ms;
-        if tells_all {
-            self.uses_told_at_ms = now_ms;
-        }
-        let mut used = Vec::new();
-        for ((endpoint, name), use_here) in &mut self.uses {
-            if !use_here.changed && !tells_all {
-                continue;
-            }
-            used.push(WeightsUse {
-                endpoint: endpoint.clone(),
-                name: name.clone(),
-                requests: use_here.sent,
-                reading_ms: use_here.reading_ms as u32,
-                under_way: use_here.under_way,
-            });
-            use_here.sent = 0;
-            use_here.reading_ms = 0.0;
-            use_here.changed = false;
-        }
-        self.uses.retain(|_, use_here| use_here.under_way > 0);
-        used
-    }
-
-    /// Forgets what the leader was told, for one that knows nothing.
+    /// Tells all uses the next time, to a leader that knows nothing.
     pub fn forget_uses_told(&mut self) {
-        self.uses_told_at_ms = 0;
+        self.uses.forget_told();
     }
 
     /// What this gateway has under way everywhere, for a leader that does not know it.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -6,26 +6,32 @@
 //! run only once needs no claim: once its bytes may have left for an endpoint, it is never sent
 //! again. How the platform spells requests is behind [`RelayBorder`].
 
+mod admission;
 mod border;
 mod budget;
+mod choice;
 mod events;
 mod exchange;
 mod fleet;
 mod idle;
+mod known;
 mod orders;
 mod pool;
 mod process;
 mod prompt;
+mod refusal;
 mod session;
 mod shared;
 mod stream;
+mod uses;
 mod waiting;
 
 pub use border::{AnswerMeta, RelayBorder, RequestMeta, SendMeta};
 pub use budget::RetryBudget;
 pub use events::EventSplitter;
-pub use fleet::{Fleet, Picked, Wanted};
+pub use fleet::{Fleet, Picked};
 pub use idle::IdleConnections;
+pub use known::Wanted;
 pub use orders::{EngineClient, ORDER_HOLD_MS, ORDER_WRITE_MS, OrderLease};
 pub use process::run;
 pub use prompt::{KeptPrompts, PromptChain, PromptPart};
