placement: wants are made in one place

Cause: a want was put together in three places from the same seven fields. Change: Want::further; the caller that is asked by a gateway changes the two fields that differ.

--- a/src/control/placement/homes.rs
+++ b/src/control/placement/homes.rs
@@ -85,11 +85,8 @@
             }
         }
         for (service, name) in wanted {
-            let hash = crate::hash::stable(&name.to_string());
             // No gateway asked, so that no availability zone goes before another one.
-            let (more, is_further, zone) = (false, true, Arc::from(""));
-            let (asked_at_ms, since_ms) = (now_ms, now_ms);
-            let want = Want { asked_at_ms, since_ms, hash, more, is_further, zone };
+            let want = Want::further(now_ms, &name, Arc::from(""));
             self.wanted.entry((service, name)).or_insert(want);
         }
     }
@@ -111,10 +108,7 @@
             }
         }
         let Some(service) = service else { return };
-        let hash = crate::hash::stable(&name.to_string());
-        let (more, is_further, zone) = (false, true, zone.clone());
-        let (asked_at_ms, since_ms) = (now_ms, now_ms);
-        let want = Want { asked_at_ms, since_ms, hash, more, is_further, zone };
+        let want = Want::further(now_ms, name, zone.clone());
         self.wanted.entry((service, name.clone())).or_insert(want);
     }
 
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -96,6 +96,20 @@
     zone: Arc<str>,
 }
 
+impl Want {
+    /// A further home for `name`, asked for in `zone`.
+    fn further(now_ms: u64, name: &WeightsName, zone: Arc<str>) -> Self {
+        Self {
+            asked_at_ms: now_ms,
+            since_ms: now_ms,
+            hash: crate::hash::stable(&name.to_string()),
+            more: false,
+            is_further: true,
+            zone,
+        }
+    }
+}
+
 /// Why wants of a pass are still open.
 #[derive(Debug, Clone, Copy, Default)]
 struct OpenWants {
@@ -206,13 +220,13 @@
     pub fn need(&mut self, now_ms: u64, zone: &Arc<str>, needs: Vec<AdapterNeed>) {
         for need in needs {
             self.demand.add(now_ms, &need.weights, f64::from(need.requests));
-            let hash = crate::hash::stable(&need.weights.to_string());
-            let zone = zone.clone();
-            let more = need.more;
+            let mut want = Want::further(now_ms, &need.weights, zone.clone());
+            want.more = need.more;
+            want.is_further = need.more;
             let key = (need.service, need.weights);
-            let since_ms = self.wanted.get(&key).map_or(now_ms, |want| want.since_ms);
-            let asked_at_ms = now_ms;
-            let want = Want { asked_at_ms, since_ms, hash, more, is_further: more, zone };
+            if let Some(known) = self.wanted.get(&key) {
+                want.since_ms = known.since_ms;
+            }
             self.wanted.insert(key, want);
         }
     }
