relay: control that is away is logged once

Change: the first failed attempt since a leader was followed is logged, the others are counted and told with control_regained.

--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -7,7 +7,7 @@
 
 use tokio::sync::mpsc;
 use tokio::time::{Interval, MissedTickBehavior, interval, timeout};
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 use super::fleet::Traffic;
 use super::orders::EngineClient;
@@ -46,7 +46,10 @@
         let address = search.next();
         match follow(&relay, boot_id, address, &mut search, &mut needs, &engines).await {
             Ok(hint) => search.hint(hint),
-            Err(error) => warn!(event = "control_lost", peer = %address, error = %error),
+            Err(error) if search.lost() => {
+                warn!(event = "control_lost", peer = %address, error = %error);
+            }
+            Err(error) => debug!(event = "control_not_found", peer = %address, error = %error),
         }
         relay.fleet().forget_loads();
         tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
@@ -59,17 +62,30 @@
     replicas: Vec<SocketAddr>,
     hint: Option<SocketAddr>,
     turn: usize,
+    /// Attempts that failed since a leader was last followed.
+    failed: u32,
 }
 
 impl LeaderSearch {
     fn new(seeds: Vec<SocketAddr>) -> Self {
-        Self { seeds, replicas: Vec::new(), hint: None, turn: 0 }
+        Self { seeds, replicas: Vec::new(), hint: None, turn: 0, failed: 0 }
     }
 
     fn hint(&mut self, hint: Option<SocketAddr>) {
         self.hint = hint;
     }
 
+    /// Counts a failed attempt; true for the first one since a leader was followed, which is logged.
+    fn lost(&mut self) -> bool {
+        self.failed += 1;
+        self.failed == 1
+    }
+
+    /// Notes that a leader is followed; returns how many attempts failed before.
+    fn found(&mut self) -> u32 {
+        std::mem::take(&mut self.failed)
+    }
+
     fn next(&mut self) -> SocketAddr {
         if let Some(hint) = self.hint.take() {
             return hint;
@@ -126,7 +142,8 @@
                     SessionDown::NotLeader { leader } => return Ok(leader),
                     SessionDown::Expired => return Ok(Some(address)),
                     SessionDown::Welcome { .. } => {
-                        info!(event = "control_regained", leader = %address);
+                        let attempts = search.found();
+                        info!(event = "control_regained", leader = %address, attempts);
                         is_welcome = true;
                         relay.fleet().forget_uses_told();
                         let loads = relay.fleet().all_loads();
