--- a/src/control/placement/endpoint.rs
+++ b/src/control/placement/endpoint.rs
@@ -63,6 +63,8 @@
     pub from_store: bool,
     /// How many loads from the store were on their way when this one was ordered, itself included.
     pub(super) beside_at_start: usize,
+    /// True once an order for it got no answer: it may have begun at any time since.
+    pub(super) unanswered: bool,
     /// True once the endpoint said that it takes the order to load them.
     pub(super) accepted: bool,
     pub(super) changed_at_ms: u64,
@@ -403,6 +405,7 @@
             state,
             from_store: false,
             beside_at_start: 0,
+            unanswered: false,
             accepted: false,
             changed_at_ms: now_ms,
             used_at_ms,
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -20,8 +20,9 @@
 use tracing::info;
 
 pub use demand::{Demand, StoreAllowance};
-pub use endpoint::{COPIES_MAX, EndpointPlaces, Place, PlaceState};
+pub use endpoint::{COPIES_MAX, EndpointPlaces, Place, PlaceState, StoreLoad};
 pub use holders::{HolderChoice, OrderHolder, OrderHolders};
+pub use outcome::StoreLoadDone;
 pub use store_limit::StoreLimit;
 
 use crate::message::{
@@ -29,7 +30,6 @@
     RegisteredEndpoint, WeightsName, WeightsUse,
 };
 use crate::routing::{EngineSpec, RoutingConfiguration};
-use endpoint::StoreLoad;
 use holders::HolderWatch;
 
 /// An endpoint that said nothing for this long gets no new adapters: twice the usual period of
@@ -310,8 +310,9 @@
         let Some(endpoint) = self.endpoints.get_mut(&result.endpoint) else { return };
         let Some(load) = endpoint.ordered(now_ms, &result, &mut self.placed) else { return };
         self.new_copies.push(NewCopy { endpoint: result.endpoint, weights: load.name.clone() });
+        let Some(took_ms) = load.took_ms else { return };
         let beside = load.beside_at_start.max(beside_at_end);
-        self.store_limit.note(&load.name, load.took_ms, beside);
+        self.store_limit.note(&load.name, took_ms, beside);
     }
 
     /// Decides what is to be ordered now, through the gateways that are recorded in `holders`.
--- a/src/control/placement/outcome.rs
+++ b/src/control/placement/outcome.rs
@@ -27,8 +27,8 @@
 pub struct StoreLoadDone {
     /// What was loaded.
     pub name: WeightsName,
-    /// How long it took.
-    pub took_ms: u64,
+    /// How long it took; not known when an order for it got no answer.
+    pub took_ms: Option<u64>,
     /// How many loads were on their way when it was ordered, itself included.
     pub beside_at_start: usize,
 }
@@ -79,6 +79,11 @@
             }
             OrderOutcome::Unknown => {
                 self.again_from_ms = now_ms + AGAIN_MS;
+                if let OrderKind::Load { name, .. } = &result.kind
+                    && let Some(place) = self.places.get_mut(name)
+                {
+                    place.unanswered = true;
+                }
                 self.report_from_ms = now_ms + REPORT_PAUSE_MS;
                 self.recheck(now_ms, &result.kind);
             }
@@ -92,7 +97,7 @@
         let is_done = matches!(result.outcome, OrderOutcome::Done);
         (is_done && place.from_store && place.accepted).then(|| StoreLoadDone {
             name: name.clone(),
-            took_ms: now_ms - place.changed_at_ms,
+            took_ms: (!place.unanswered).then(|| now_ms - place.changed_at_ms),
             beside_at_start: place.beside_at_start,
         })
     }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -6,7 +6,8 @@
 
 use common::engines::configuration;
 use winchvane::control::placement::{
-    OrderHolder, OrderHolders, Placement, PlacementSettings, StoreAllowance, StoreLimit, UseFrom,
+    EndpointPlaces, OrderHolder, OrderHolders, Placement, PlacementSettings, StoreAllowance,
+    StoreLimit, StoreLoad, UseFrom,
 };
 use winchvane::message::{
     AdapterNeed, EngineOrder, EngineReport, Heartbeat, Holding, OrderKind, OrderOutcome,
@@ -428,3 +429,23 @@
     }
     assert_eq!(limit.at_once(), 90, "the store slowed none of them");
 }
+
+#[test]
+fn a_load_whose_order_got_no_answer_tells_nothing_of_the_store() {
+    for (first, tells) in [(OrderOutcome::UnderWay, true), (OrderOutcome::Unknown, false)] {
+        let mut endpoint = EndpointPlaces::new(0, registered("e1", 7_000));
+        let mut placed = Vec::new();
+        let mut done = None;
+        for (number, outcome) in
+            [first, OrderOutcome::UnderWay, OrderOutcome::Done].into_iter().enumerate()
+        {
+            let (number, now_ms) = (number as u64, number as u64 * 100);
+            let store = StoreLoad { expected_ms: 250, beside: 1 };
+            endpoint.start_order(now_ms, number, &load_of(1), store, &mut placed);
+            let result = OrderResult { number, endpoint: "e1".into(), kind: load_of(1), outcome };
+            done = endpoint.ordered(now_ms + 50, &result, &mut placed);
+        }
+        let done = done.expect("it is loaded");
+        assert_eq!(done.took_ms.is_some(), tells, "it may have begun long after the order");
+    }
+}
