relay: absurd counts and parts of prompts cost nobody else

Cause: seen on reading the diff: a prompt told to have 2^32 tokens would have counted as hours of reading (all others go around that endpoint, and its adapter gets homes everywhere), sums of parts overflowed, and parts of no tokens were remembered without bound. Change: a prompt counts as what an engine has room for at most, sums saturate, a part counts as 16 tokens at least, 64 parts are looked at.

--- a/src/policy/rank.rs
+++ b/src/policy/rank.rs
@@ -6,7 +6,7 @@
 /// Bounds between the sizes of prompts, by how long each takes to be read: a short one holds up
 /// others little, and a long one does not feel a short one before it.
 const SIZE_BOUNDS_MS: [f64; 3] = [60.0, 200.0, 400.0];
-/// The most that a route's priority counts; below it stands a size class.
+/// The lowest priority that is told from others, so that every request in time goes before late ones.
 const PRIORITY_MAX: u8 = 3;
 /// The rank of a request that is late whatever comes first.
 pub const LATE_RANK: u8 = 8;
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -368,14 +368,25 @@
 
     fn wanted(&self, now_ms: u64, weights: &WeightsName) -> Wanted {
         let route = &self.chosen.route;
+        let memory_tokens =
+            self.chosen.service.engine.as_ref().map_or(0, |spec| spec.memory_tokens);
         let objective_at_ms = self.started_ms + route.latency_objective_ms;
+        // No engine reads more than it has room for, whatever the client says.
+        let prompt_max_tokens = match memory_tokens {
+            0 => u32::MAX,
+            room => u32::try_from(room).unwrap_or(u32::MAX),
+        };
         Wanted {
             weights: weights.clone(),
             priority: route.priority,
             left_ms: objective_at_ms.saturating_sub(now_ms) as f64,
-            prompt_tokens: self.meta.prompt_tokens,
+            // No engine reads more than it has room for, whatever the client says.
+            prompt_tokens: self
+                .meta
+                .prompt_tokens
+                .min(memory_tokens.try_into().unwrap_or(u32::MAX)),
             prompt: self.prompt.clone(),
-            memory_tokens: self.chosen.service.engine.as_ref().map_or(0, |spec| spec.memory_tokens),
+            memory_tokens,
         }
     }
 
--- a/src/relay/prompt.rs
+++ b/src/relay/prompt.rs
@@ -9,6 +9,11 @@
 use crate::hash;
 use crate::message::WeightsName;
 
+/// Parts of a prompt that are looked at; clients may tell any number.
+const PARTS_MAX: usize = 64;
+/// A part counts as at least this much, so that clients cannot fill a gateway's memory with empty
+/// parts; engines keep prompts in blocks of about this size.
+const PART_TOKENS_MIN: u32 = 16;
 /// Uses that are remembered for each part before the outdated ones are dropped.
 const USES_PER_PART_MAX: usize = 4;
 /// Uses that are remembered in any case.
@@ -41,9 +46,10 @@
     pub fn new(weights: &WeightsName, parts: &[PromptPart]) -> Self {
         let mut link_hash = hash::stable(&weights.to_string());
         let mut links = Vec::with_capacity(parts.len());
-        for part in parts {
+        for part in parts.iter().take(PARTS_MAX) {
             link_hash = hash::chained(link_hash, &part.id.to_le_bytes());
-            links.push(Link { hash: link_hash, tokens: part.tokens });
+            let tokens = part.tokens.max(PART_TOKENS_MIN);
+            links.push(Link { hash: link_hash, tokens });
         }
         Self { links: links.into() }
     }
@@ -52,7 +58,8 @@
     pub fn shared(&self) -> Option<(u64, u32)> {
         let (_, shared) = self.links.split_last()?;
         let last = shared.last()?;
-        Some((last.hash, shared.iter().fold(0, |sum, link| sum + link.tokens)))
+        let tokens = shared.iter().fold(0, |sum: u32, link| sum.saturating_add(link.tokens));
+        Some((last.hash, tokens))
     }
 }
 
@@ -78,14 +85,24 @@
         Self::default()
     }
 
+    /// How many parts are remembered.
+    pub fn len(&self) -> usize {
+        self.parts.len()
+    }
+
+    /// True when nothing is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.parts.is_empty()
+    }
+
     /// The tokens of `chain` that need not be read.
     pub fn kept_tokens(&self, chain: &PromptChain) -> u32 {
-        let mut tokens = 0;
+        let mut tokens: u32 = 0;
         for link in &*chain.links {
             if !self.parts.contains_key(&link.hash) {
                 break;
             }
-            tokens += link.tokens;
+            tokens = tokens.saturating_add(link.tokens);
         }
         tokens
     }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -206,6 +206,25 @@
     assert_eq!(kept.kept_tokens(&chain(&one, &[1])), 100, "what is used again and again stays");
 }
 
+#[test]
+fn absurd_parts_of_a_prompt_take_no_memory_and_break_nothing() {
+    let mut kept = KeptPrompts::new();
+    let largest = [PromptPart { id: 1, tokens: u32::MAX }, PromptPart { id: 2, tokens: u32::MAX }];
+    let chain = PromptChain::new(&adapter(), &[largest[0], largest[1], largest[0]]);
+    kept.note(&chain, u64::MAX);
+    assert_eq!(kept.kept_tokens(&chain), u32::MAX);
+    assert_eq!(chain.shared().map(|(_, tokens)| tokens), Some(u32::MAX));
+    let mut kept = KeptPrompts::new();
+    for round in 0..200 {
+        let mut empty = Vec::new();
+        for id in 0..1_000 {
+            empty.push(PromptPart { id: round * 1_000 + id, tokens: 0 });
+        }
+        kept.note(&PromptChain::new(&adapter(), &empty), 16_000);
+    }
+    assert!(kept.len() <= 1_000, "{} parts are remembered", kept.len());
+}
+
 #[test]
 fn the_pace_of_reading_is_learnt_from_the_faster_answers() {
     let mut pace = ReadingPace::new();
