--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -380,11 +380,7 @@
             weights: weights.clone(),
             priority: route.priority,
             left_ms: objective_at_ms.saturating_sub(now_ms) as f64,
-            // No engine reads more than it has room for, whatever the client says.
-            prompt_tokens: self
-                .meta
-                .prompt_tokens
-                .min(memory_tokens.try_into().unwrap_or(u32::MAX)),
+            prompt_tokens: self.meta.prompt_tokens.min(prompt_max_tokens),
             prompt: self.prompt.clone(),
             memory_tokens,
         }
