--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -57,6 +57,8 @@
     CallersGone => "requests.callers_gone",
     /// Answers from another adapter or version than named, which were not passed on.
     WrongAdapter => "endpoints.wrong_adapter",
+    /// Answers that began on weights known to be older than the version that was due by then.
+    OutdatedWeights => "endpoints.outdated_weights",
     /// Adapters loaded.
     LoadsDone => "endpoints.loads_done",
     /// Loads that failed.
--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -45,6 +45,20 @@
         self.retries.push_back(now_ms);
         true
     }
+
+    /// What was counted in the window, as of the last call.
+    pub fn in_window(&self) -> WindowUse {
+        WindowUse { requests: self.requests.len(), retries: self.retries.len() }
+    }
+}
+
+/// What one gateway did in the window that ends now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WindowUse {
+    /// Requests that it read.
+    pub requests: usize,
+    /// Sends beyond the first of each.
+    pub retries: usize,
 }
 
 fn forget_before(times_ms: &mut VecDeque<u64>, from_ms: u64) {
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -23,7 +23,7 @@
 use super::stream;
 use crate::http::{Answer, HttpHandler, answer, full};
 use crate::message::{AdapterNeed, WeightsName};
-use crate::metrics::{Counter, Timer};
+use crate::metrics::Counter;
 use crate::policy::rank::LATE_RANK;
 use crate::routing::{Chosen, Repeat};
 use crate::wire::BoxFuture;
@@ -89,12 +89,14 @@
     headers: HeaderMap,
     body: Bytes,
     prompt: PromptChain,
-    tried: Vec<Arc<str>>,
+    pub(super) tried: Vec<Arc<str>>,
     /// When it was sent last; 0 before that.
-    sent_at_ms: u64,
+    pub(super) sent_at_ms: u64,
     /// What it was expected to wait there, and its rank in the queue.
-    expected_ms: u64,
-    rank: u8,
+    pub(super) expected_ms: u64,
+    pub(super) rank: u8,
+    /// The version that the endpoint's weights are known to have.
+    pub(super) held_version: Option<u64>,
     /// Sends that an endpoint may have started.
     given: u32,
     /// Sends that endpoints refused.
@@ -131,6 +133,7 @@
     id: Arc<str>,
     address: std::net::SocketAddr,
     weights_version: Option<u64>,
+    held_version: Option<u64>,
     rank: Option<u8>,
     expected_ms: u64,
 }
@@ -189,38 +192,20 @@
             sent_at_ms: 0,
             expected_ms: 0,
             rank: 0,
+            held_version: None,
             given: 0,
             refused: 0,
         }
     }
 
     async fn run(mut self) -> Answer {
-        let id = self.meta.id.clone();
         let started = match self.start(None).await {
             Ok(started) => started,
             Err(failure) => return self.give_up(failure),
         };
         let head = self.read_head(&started);
-        let endpoint = started.flight.endpoint.clone();
         let status = started.response.status();
-        info!(
-            event = "answered",
-            request = %id,
-            route = %self.chosen.route.name,
-            weights = %self.meta.weights.as_ref().map_or_else(String::new, ToString::to_string),
-            endpoint = %endpoint,
-            status = status.as_u16(),
-            version = self.relay.table().version(),
-            tried = self.tried.len(),
-            prompt_tokens = self.meta.prompt_tokens,
-            rank = self.rank,
-            expected_ms = self.expected_ms,
-            sent_after_ms = self.sent_at_ms.saturating_sub(self.started_ms),
-            after_ms = self.relay.now_ms() - self.started_ms
-        );
-        self.relay.metrics.count(Counter::RequestsAnswered);
-        let first_byte_ms = self.relay.now_ms() - self.started_ms;
-        self.relay.metrics.time(Timer::FirstByte, first_byte_ms);
+        self.note_answered(&started);
         debug_assert!(!head.not_run, "a refused send is not started");
         if self.chosen.route.streams && status.is_success() {
             return stream::answer(self, started);
@@ -237,14 +222,15 @@
     pub(super) async fn start(&mut self, last_event: Option<u64>) -> Result<Started, Failure> {
         loop {
             let picked = self.pick().await.map_err(Failure::NotSent)?;
-            let Target { id, address, weights_version, rank, expected_ms } = picked;
+            let Target { id, address, weights_version, held_version, rank, expected_ms } = picked;
+            self.held_version = held_version;
             self.expected_ms = expected_ms;
             self.rank = rank.unwrap_or(self.chosen.route.priority);
             let is_first = self.given + self.refused == 0;
             let now_ms = self.relay.now_ms();
             self.sent_at_ms = now_ms;
-            if !is_first && !self.relay.may_retry(now_ms, &self.chosen.service.name) {
-                self.relay.metrics.count(Counter::RetriesDenied);
+            if !is_first && !self.relay.may_retry(now_ms, &self.meta.id, &self.chosen.service.name)
+            {
                 return Err(Failure::NotSent(NotSent::NoBudget));
             }
             let send = SendMeta {
@@ -331,8 +317,22 @@
             let wanted = weights.map(|weights| self.wanted(now_ms, weights));
             let picked = self.relay.fleet().pick(now_ms, service, wanted.as_ref(), &self.tried);
             let reason = match picked {
-                Picked::Endpoint { id, address, weights_version, rank, expected_ms } => {
-                    return Ok(Target { id, address, weights_version, rank, expected_ms });
+                Picked::Endpoint {
+                    id,
+                    address,
+                    weights_version,
+                    held_version,
+                    rank,
+                    expected_ms,
+                } => {
+                    return Ok(Target {
+                        id,
+                        address,
+                        weights_version,
+                        held_version,
+                        rank,
+                        expected_ms,
+                    });
                 }
                 Picked::NoEndpoint => "no endpoint",
                 Picked::Full => "endpoints are full",
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -61,6 +61,17 @@
     pub failing: Vec<Arc<str>>,
 }
 
+/// What a gateway knows of the versions of some weights.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KnownVersion {
+    /// The newest that was named.
+    pub newest: u64,
+    /// For how long this gateway has known the newest.
+    pub known_for_ms: u64,
+    /// The oldest that a request may still begin on; 0 while any will do.
+    pub due: u64,
+}
+
 /// Where a request may go.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Picked {
@@ -72,6 +83,8 @@
         address: SocketAddr,
         /// The version that its weights must have, where that matters.
         weights_version: Option<u64>,
+        /// The version that its weights are known to have.
+        held_version: Option<u64>,
         /// The rank in its queue, where it has weights.
         rank: Option<u8>,
         /// What the request is expected to wait there.
@@ -272,6 +285,7 @@
                 id: known.endpoint.id.clone(),
                 address: known.endpoint.address,
                 weights_version: expected,
+                held_version: held_version(homes.flatten(), &known.endpoint.id),
                 rank,
                 expected_ms: cost_ms.max(0.0) as u64,
             },
@@ -282,6 +296,13 @@
         }
     }
 
+    /// What is known of the versions of weights; nothing when they were never renewed.
+    pub fn known_version(&self, now_ms: u64, name: &WeightsName) -> Option<KnownVersion> {
+        let (newest, since_ms) = *self.newest.get(name)?;
+        let (due, _) = self.version(now_ms, name);
+        Some(KnownVersion { newest, known_for_ms: now_ms.saturating_sub(since_ms), due })
+    }
+
     /// True when an endpoint of the service is up and stays.
     fn has_endpoint(&self, service: &str) -> bool {
         let Some(ids) = self.by_service.get(service) else { return false };
@@ -424,3 +445,10 @@
         self.endpoints.is_empty()
     }
 }
+
+fn held_version(homes: Option<&BTreeMap<Arc<str>, Holding>>, id: &str) -> Option<u64> {
+    match homes?.get(id) {
+        Some(Holding::Ready(version)) => Some(*version),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/relay/report.rs
@@ -0,0 +1,60 @@
+//! What is logged and counted of one request.
+
+use tracing::{info, warn};
+
+use super::exchange::{Exchange, Started};
+use super::fleet::KnownVersion;
+use crate::message::WeightsName;
+use crate::metrics::{Counter, Timer};
+
+impl Exchange {
+    /// Notes that an endpoint has begun to answer.
+    pub(super) fn note_answered(&self, started: &Started) {
+        let now_ms = self.relay.now_ms();
+        let after_ms = now_ms - self.started_ms;
+        info!(
+            event = "answered",
+            request = %self.meta.id,
+            route = %self.chosen.route.name,
+            weights = %self.meta.weights.as_ref().map_or_else(String::new, ToString::to_string),
+            endpoint = %started.flight.endpoint,
+            status = started.response.status().as_u16(),
+            version = self.relay.table().version(),
+            tried = self.tried.len(),
+            prompt_tokens = self.meta.prompt_tokens,
+            rank = self.rank,
+            expected_ms = self.expected_ms,
+            sent_after_ms = self.sent_at_ms.saturating_sub(self.started_ms),
+            held_version = self.held_version.unwrap_or(0),
+            after_ms
+        );
+        self.relay.metrics.count(Counter::RequestsAnswered);
+        self.relay.metrics.time(Timer::FirstByte, after_ms);
+        if let (Some(weights), Some(version)) = (&self.meta.weights, self.held_version) {
+            self.note_version(now_ms, weights, version);
+        }
+    }
+
+    /// Endpoints tell the version of the base model only, so this goes by what they are known to hold.
+    fn note_version(&self, now_ms: u64, weights: &WeightsName, version: u64) {
+        let Some(known) = self.relay.fleet().known_version(now_ms, weights) else { return };
+        let KnownVersion { newest, known_for_ms, due } = known;
+        if version >= newest {
+            return;
+        }
+        info!(
+            event = "older_version_used",
+            request = %self.meta.id,
+            weights = %weights,
+            version,
+            newest,
+            known_for_ms,
+            due,
+            waited_ms = now_ms.saturating_sub(self.sent_at_ms)
+        );
+        if version < due {
+            warn!(event = "outdated_weights", request = %self.meta.id, weights = %weights, version, due);
+            self.relay.metrics.count(Counter::OutdatedWeights);
+        }
+    }
+}
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -15,7 +15,7 @@
 use super::pool::Pool;
 use crate::clock::Clock;
 use crate::message::{AdapterNeed, Change, Placed};
-use crate::metrics::Metrics;
+use crate::metrics::{Counter, Metrics};
 use crate::routing::RouteTable;
 use crate::settings::RelaySettings;
 
@@ -153,7 +153,17 @@
                         self.pool.forget(address);
                     }
                 }
-                Change::Version(newest) => fleet.set_newest(now_ms, newest.name, newest.version),
+                Change::Version(newest) => {
+                    if !is_long {
+                        info!(
+                            event = "weights_version_known",
+                            weights = %newest.name,
+                            version = newest.version,
+                            reset
+                        );
+                    }
+                    fleet.set_newest(now_ms, newest.name, newest.version);
+                }
                 _ => {}
             }
         }
@@ -184,9 +194,24 @@
         let _ = self.needs.send(need);
     }
 
-    pub(super) fn may_retry(&self, now_ms: u64, service: &Arc<str>) -> bool {
+    /// Takes one send beyond the first for `request` out of the budget of `service`.
+    pub(super) fn may_retry(&self, now_ms: u64, request: &str, service: &Arc<str>) -> bool {
         let gateways = self.gateways.load(Ordering::Relaxed);
-        self.budget(service, |budget| budget.take(now_ms, gateways))
+        let (allowed, used) =
+            self.budget(service, |budget| (budget.take(now_ms, gateways), budget.in_window()));
+        info!(
+            event = "retry",
+            request,
+            service = %service,
+            allowed,
+            window_requests = used.requests,
+            window_retries = used.retries,
+            gateways,
+            process_age_ms = now_ms
+        );
+        let counter = if allowed { Counter::RequestsRetried } else { Counter::RetriesDenied };
+        self.metrics.count(counter);
+        allowed
     }
 
     pub(super) fn budget<T>(
