--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,10 +1,38 @@
 #!/usr/bin/env bash
 # Runs every test: scripted scenarios, regressions, documentation examples and process tests.
+#
+# Tests that KNOWN-RED.txt lists (one line each: test, cause, issue) are run by themselves, and their
+# verdict is printed and does not count. Three at most may stand there.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
+known_red=()
+if [ -s KNOWN-RED.txt ]; then
+  mapfile -t known_red < <(cut -d'|' -f1 KNOWN-RED.txt | tr -d ' ')
+fi
+if [ "${#known_red[@]}" -gt 3 ]; then
+  echo "KNOWN-RED.txt has ${#known_red[@]} lines, three at most are allowed" >&2
+  exit 1
+fi
+skipped=()
+for test in "${known_red[@]}"; do
+  skipped+=(--skip "$test")
+done
+
 # The process tests start the programs, so these are built first.
 cargo build --locked --workspace --quiet
-cargo test --locked --workspace "$@"
+if [ "${#skipped[@]}" -eq 0 ]; then
+  cargo test --locked --workspace "$@"
+else
+  cargo test --locked --workspace "$@" -- --exact "${skipped[@]}"
+fi
 # A short run of the soak; its seed and its verdict are the same each time.
 target/debug/winchvane-soak --seed 1 --seconds 8 --clients 6
+
+for test in "${known_red[@]}"; do
+  if cargo test --locked --workspace --quiet --tests -- --exact "$test" >target/known-red.log 2>&1; then
+    echo "known red, but passes now: $test"
+  else
+    echo "known red, fails: $(grep -F "$test" KNOWN-RED.txt)"
+  fi
+done
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -10,6 +10,7 @@
 use super::choice::{self, Candidate};
 use super::known::{Expected, Known, Wanted};
 use super::uses::Uses;
+use super::versions::{KnownVersion, Versions};
 use super::waiting::{Prompt, ReadingPace, UnreadMs};
 use crate::message::{
     EndpointLoad, Holding, Load, Placed, RegisteredEndpoint, WeightsName, WeightsUse,
@@ -27,8 +28,6 @@
 const ALL_COMPARED_BY: usize = 8;
 /// An endpoint that said it is full gets nothing for this long.
 const FULL_MS: u64 = 60;
-/// Weights whose newest version is older than this must have it; the users allow five seconds.
-const OLD_VERSION_MS: u64 = 2_500;
 /// How much longer a request may wait in the own zone and still go there: a link between zones takes
 /// a few milliseconds, and its bytes cost.
 const ZONE_PREFERENCE_MS: f64 = 15.0;
@@ -40,7 +39,7 @@
     endpoints: HashMap<Arc<str>, Known>,
     by_service: HashMap<Arc<str>, Vec<Arc<str>>>,
     homes: HashMap<WeightsName, BTreeMap<Arc<str>, Holding>>,
-    newest: HashMap<WeightsName, (u64, u64)>,
+    versions: Versions,
     loads_changed: HashSet<Arc<str>>,
     uses: Uses,
     failing: HashSet<Arc<str>>,
@@ -61,17 +60,6 @@
     pub failing: Vec<Arc<str>>,
 }
 
-/// What a gateway knows of the versions of some weights.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct KnownVersion {
-    /// The newest that was named.
-    pub newest: u64,
-    /// For how long this gateway has known the newest.
-    pub known_for_ms: u64,
-    /// The oldest that a request may still begin on; 0 while any will do.
-    pub due: u64,
-}
-
 /// Where a request may go.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Picked {
@@ -108,7 +96,7 @@
             endpoints: HashMap::new(),
             by_service: HashMap::new(),
             homes: HashMap::new(),
-            newest: HashMap::new(),
+            versions: Versions::new(),
             loads_changed: HashSet::new(),
             uses: Uses::default(),
             failing: HashSet::new(),
@@ -182,12 +170,14 @@
         }
     }
 
-    /// Notes the newest version of weights.
+    /// Notes a version of weights that has just been named as the newest.
     pub fn set_newest(&mut self, now_ms: u64, name: WeightsName, version: u64) {
-        let known = self.newest.get(&name).map_or(0, |(known, _)| *known);
-        if version > known {
-            self.newest.insert(name, (version, now_ms));
-        }
+        self.versions.named(now_ms, name, version);
+    }
+
+    /// Notes a version of weights that was named as the newest at some time before.
+    pub fn learn_newest(&mut self, now_ms: u64, name: WeightsName, version: u64) {
+        self.versions.learnt(now_ms, name, version);
     }
 
     /// Takes over what the other gateways have under way.
@@ -224,7 +214,8 @@
         let weights = wanted.map(|wanted| &wanted.weights);
         let Some(ids) = self.by_service.get(service) else { return Picked::NoEndpoint };
         let homes = weights.map(|name| self.homes.get(name));
-        let (required, expected) = weights.map_or((0, None), |name| self.version(now_ms, name));
+        let known = weights.and_then(|name| self.versions.of(now_ms, name));
+        let due = known.map_or(0, |known| known.due);
         // Few endpoints hold an adapter, so that the others need not be looked at.
         let ids: Vec<&Arc<str>> = match homes {
             Some(homes) => homes.into_iter().flatten().map(|(id, _)| id).collect(),
@@ -245,7 +236,7 @@
             up += 1;
             if let Some(Some(homes)) = homes {
                 match homes.get(id) {
-                    Some(Holding::Ready(version)) if *version >= required => {}
+                    Some(Holding::Ready(version)) if *version >= due => {}
                     Some(Holding::Coming) => {
                         coming += 1;
                         continue;
@@ -284,7 +275,7 @@
             Some(Candidate { known, rank, cost_ms }) => Picked::Endpoint {
                 id: known.endpoint.id.clone(),
                 address: known.endpoint.address,
-                weights_version: expected,
+                weights_version: (due > 0).then_some(due),
                 held_version: held_version(homes.flatten(), &known.endpoint.id),
                 rank,
                 expected_ms: cost_ms.max(0.0) as u64,
@@ -298,9 +289,7 @@
 
     /// What is known of the versions of weights; nothing when they were never renewed.
     pub fn known_version(&self, now_ms: u64, name: &WeightsName) -> Option<KnownVersion> {
-        let (newest, since_ms) = *self.newest.get(name)?;
-        let (due, _) = self.version(now_ms, name);
-        Some(KnownVersion { newest, known_for_ms: now_ms.saturating_sub(since_ms), due })
+        self.versions.of(now_ms, name)
     }
 
     /// True when an endpoint of the service is up and stays.
@@ -309,16 +298,6 @@
         ids.iter().any(|id| self.endpoints.get(id).is_some_and(|known| !known.endpoint.leaving))
     }
 
-    /// The lowest version that will do, and the one to ask for where weights were renewed.
-    fn version(&self, now_ms: u64, name: &WeightsName) -> (u64, Option<u64>) {
-        match self.newest.get(name) {
-            Some((version, since_ms)) if since_ms + OLD_VERSION_MS <= now_ms => {
-                (*version, Some(*version))
-            }
-            _ => (0, None),
-        }
-    }
-
     /// Counts a request that is sent to `id`, late or not; returns its number.
     pub fn start(
         &mut self,
--- a/src/relay/report.rs
+++ b/src/relay/report.rs
@@ -3,7 +3,7 @@
 use tracing::{info, warn};
 
 use super::exchange::{Exchange, Started};
-use super::fleet::KnownVersion;
+use super::versions::KnownVersion;
 use crate::message::WeightsName;
 use crate::metrics::{Counter, Timer};
 
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -162,7 +162,11 @@
                             reset
                         );
                     }
-                    fleet.set_newest(now_ms, newest.name, newest.version);
+                    if reset {
+                        fleet.learn_newest(now_ms, newest.name, newest.version);
+                    } else {
+                        fleet.set_newest(now_ms, newest.name, newest.version);
+                    }
                 }
                 _ => {}
             }
--- /dev/null
+++ b/tests/renewed_versions.rs
@@ -0,0 +1,94 @@
+//! Which versions requests begin on while an adapter is renewed.
+//!
+//! Users saw requests begin on version 1 of an adapter 13.7 s after version 2 had been accepted, where
+//! five seconds are allowed, on days on which adapters were renewed every two seconds; and 7.3 s after
+//! it where an adapter was renewed twice and gateways were killed in between.
+//!
+//! Order of events: an endpoint holds version 1. Version 2 is named, and version 3 before gateways
+//! have known version 2 for the 2.5 s after which they would ask for it. A gateway kept one version and
+//! one time for an adapter, so that the age of all began again with each newer version; and one that
+//! had just started counted from when it was told. Evidence: the gateway's own lines on such a request,
+//! `version=1 newest=8 known_for_ms=1864 due=0` (`docs/incidents/versions-and-retries.md`).
+
+use winchvane::message::{EndpointLoad, Holding, Load, Placed, RegisteredEndpoint, WeightsName};
+use winchvane::relay::{Fleet, Picked, PromptChain, Wanted};
+
+/// A request may begin on a replaced version for this long after the newer one was accepted.
+const ALLOWED_MS: u64 = 5_000;
+
+fn adapter() -> WeightsName {
+    WeightsName::new("base", Some("shop"))
+}
+
+fn endpoint(id: &str) -> RegisteredEndpoint {
+    RegisteredEndpoint {
+        id: id.into(),
+        service: "quotes".into(),
+        address: ([127, 0, 0, 1], 7_000 + u16::from(id.as_bytes()[0])).into(),
+        zone: "near".into(),
+        slots: 32,
+        leaving: false,
+    }
+}
+
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::new("near".into(), 1);
+    fleet.register(endpoint("a"));
+    fleet.register(endpoint("b"));
+    fleet
+}
+
+fn place(fleet: &mut Fleet, id: &str, version: u64) {
+    let holding = Holding::Ready(version);
+    fleet.place(false, vec![Placed { endpoint: id.into(), name: adapter(), holding }]);
+}
+
+/// Where a request goes, if anywhere.
+fn pick(fleet: &mut Fleet, now_ms: u64) -> Option<String> {
+    let wanted = Wanted {
+        weights: adapter(),
+        priority: 0,
+        left_ms: 600.0,
+        prompt_tokens: 200,
+        prompt: PromptChain::default(),
+        memory_tokens: 100_000,
+    };
+    match fleet.pick(now_ms, "quotes", Some(&wanted), &[]) {
+        Picked::Endpoint { id, .. } => Some(id.to_string()),
+        _ => None,
+    }
+}
+
+#[test]
+fn a_version_becomes_due_though_newer_ones_follow() {
+    let mut fleet = fleet();
+    place(&mut fleet, "a", 1);
+    // The endpoint with the newer versions is the busier one, so that the other one is preferred.
+    let load = Load { running: 8, waiting_ms: 120, late_ms: 0 };
+    fleet.note_loads(vec![EndpointLoad { endpoint: "b".into(), load }]);
+    for step in 0..240 {
+        let now_ms = 4_000 + step * 100;
+        if now_ms % 2_000 == 0 {
+            fleet.set_newest(now_ms, adapter(), now_ms / 2_000);
+        }
+        if now_ms % 2_000 == 300 {
+            place(&mut fleet, "b", now_ms / 2_000);
+        }
+        let picked = pick(&mut fleet, now_ms);
+        let is_too_old = picked.as_deref() == Some("a") && now_ms > 4_000 + ALLOWED_MS;
+        assert!(!is_too_old, "version 1 is used {} ms after version 2 was named", now_ms - 4_000);
+    }
+}
+
+#[test]
+fn a_gateway_that_has_just_started_uses_no_version_that_was_replaced() {
+    let mut fleet = fleet();
+    // It is told when it starts: the version may have been accepted long ago.
+    fleet.learn_newest(50, adapter(), 2);
+    place(&mut fleet, "a", 1);
+    for now_ms in (50..4_000).step_by(50) {
+        assert_eq!(pick(&mut fleet, now_ms), None, "version 1 is used {now_ms} ms after the start");
+    }
+    place(&mut fleet, "b", 2);
+    assert_eq!(pick(&mut fleet, 4_000).as_deref(), Some("b"));
+}
