policy: each version of renewed weights has its own age; replaced ones are taken from endpoints in time

Cause: a gateway kept one version and one time for an adapter, so that each newer version began the age of all again (a request on version 1, 13.7 s after version 2); one that started counted from when it was told; a request that waits at an endpoint could begin after the bound. One class: a bound kept as one process's own memory of when it last heard, in place of the event's age. Ruled out: sending the accepted time, since clocks jump and a new leader does not know it; Expect on older versions alone, since an endpoint with the older version then runs what waits there. Change: policy/versions: an age for each version, and one that is not known counts as old enough (Change::VersionOfUnknownAge, told with everything else at a session's start and after a lost link). Gateways send to a replaced version for 25% of the allowed time (was 2.5 s), which is a setting now; the leader unloads it after 70%, whoever still uses it: what waits there is refused as not run. Found beside it: a load looked at after a renewal was taken for the older version; it asked for the newer one. The two tests failed before; those on unloading and on the look failed before their lines.

--- a/src/control/distribution/view.rs
+++ b/src/control/distribution/view.rs
@@ -41,7 +41,7 @@
                     self.others.remove(id);
                     self.placed.retain(|(endpoint, _), _| endpoint != id);
                 }
-                Change::Version(newest) => {
+                Change::Version(newest) | Change::VersionOfUnknownAge(newest) => {
                     self.versions.insert(newest.name.clone(), newest.version);
                 }
                 // Owners, which these are for, follow the leader itself.
@@ -89,7 +89,7 @@
         for (name, version) in &next.versions {
             if self.versions.get(name) != Some(version) {
                 let newest = NewestVersion { name: name.clone(), version: *version };
-                changes.push(Change::Version(newest));
+                changes.push(Change::VersionOfUnknownAge(newest));
             }
         }
         for (id, endpoint) in &next.endpoints {
--- a/src/control/placement/endpoint.rs
+++ b/src/control/placement/endpoint.rs
@@ -370,6 +370,10 @@
             OrderKind::Load { name, version } => {
                 let version = version.unwrap_or(1);
                 if is_known {
+                    // A look after a renewal asks for the newer version, which is then what is held.
+                    if let Some(place) = self.places.get_mut(name) {
+                        place.version = place.version.max(version);
+                    }
                     return;
                 }
                 placed.push(self.tell(name, Holding::Coming));
--- a/src/control/placement/homes.rs
+++ b/src/control/placement/homes.rs
@@ -42,8 +42,6 @@
 /// A model goes before one that is loaded only when it is asked for this much more often; loads of
 /// models take seconds and much of the store.
 const MODEL_GAIN: f64 = 2.0;
-/// Requests within a short time above which a new version of weights is fetched ahead of a request.
-const VERSION_MIN_REQUESTS: f64 = 0.2;
 
 /// How well an endpoint fits as a further home; the fields are compared in their order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -69,30 +67,6 @@
 }
 
 impl Placement {
-    /// Wants the newest version of what is used in an older one.
-    ///
-    /// Another endpoint gets it, so that the older version serves until then.
-    pub(super) fn want_newest_versions(&mut self, now_ms: u64) {
-        let mut wanted = Vec::new();
-        for (name, newest) in &self.versions {
-            if self.demand.recent(now_ms, name) < VERSION_MIN_REQUESTS {
-                continue;
-            }
-            for endpoint in self.endpoints.values() {
-                let Some(place) = endpoint.places.get(name) else { continue };
-                if place.version < *newest {
-                    wanted.push((endpoint.endpoint.service.clone(), name.clone()));
-                    break;
-                }
-            }
-        }
-        for (service, name) in wanted {
-            // No gateway asked, so that no availability zone goes before another one.
-            let want = Want::further(now_ms, &name, Arc::from(""));
-            self.wanted.entry((service, name)).or_insert(want);
-        }
-    }
-
     /// Wants a further home for what is used more often than its homes should bear.
     pub(super) fn want_further_home(&mut self, now_ms: u64, zone: &Arc<str>, weights: &WeightsUse) {
         let name = &weights.name;
@@ -219,7 +193,7 @@
     }
 
     fn survey(&self, now_ms: u64, service: &str, name: &WeightsName, want: &Want) -> Survey {
-        let newest = self.versions.get(name).copied().unwrap_or(0);
+        let newest = self.versions.newest(name).unwrap_or(0);
         let mut survey = Survey::default();
         for (id, endpoint) in &self.endpoints {
             if &*endpoint.endpoint.service != service || !endpoint.takes_weights(now_ms) {
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -11,6 +11,7 @@
 mod homes;
 mod observed;
 mod outcome;
+mod renewal;
 mod store_limit;
 
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
@@ -29,6 +30,7 @@
     AdapterNeed, EngineOrder, Heartbeat, Holding, Load, OrderKind, OrderResult, Placed,
     RegisteredEndpoint, WeightsName, WeightsUse,
 };
+use crate::policy::versions::{HELD_PERCENT, Versions};
 use crate::routing::{EngineSpec, RoutingConfiguration};
 use holders::HolderWatch;
 
@@ -69,6 +71,8 @@
 pub struct PlacementSettings {
     /// How long the orders of a gateway may still count after it gave them.
     pub order_lease_ms: u64,
+    /// How long after a version of weights was replaced requests may begin on it.
+    pub version_within_ms: u64,
     /// The share of the weight store's rate that is used.
     pub store_share: f64,
     /// Requests within a short time that justify a load from the weight store.
@@ -77,7 +81,12 @@
 
 impl Default for PlacementSettings {
     fn default() -> Self {
-        Self { order_lease_ms: 3_000, store_share: 0.85, store_load_min_requests: 0.0 }
+        Self {
+            order_lease_ms: 3_000,
+            version_within_ms: 5_000,
+            store_share: 0.85,
+            store_load_min_requests: 0.0,
+        }
     }
 }
 
@@ -128,7 +137,9 @@
     holder_watch: HolderWatch,
     endpoints: BTreeMap<Arc<str>, EndpointPlaces>,
     engines: HashMap<Arc<str>, EngineSpec>,
-    versions: HashMap<WeightsName, u64>,
+    versions: Versions,
+    /// Where the next look for older versions begins.
+    looked_until: Option<Arc<str>>,
     /// Requests.
     demand: Demand,
     /// Milliseconds that endpoints spend on reading prompts.
@@ -157,7 +168,8 @@
             holder_watch: HolderWatch::new(now_ms),
             endpoints: BTreeMap::new(),
             engines: HashMap::new(),
-            versions: HashMap::new(),
+            versions: Versions::new(settings.version_within_ms * HELD_PERCENT / 100),
+            looked_until: None,
             demand: Demand::new(),
             reading: Demand::new(),
             wanted: HashMap::new(),
@@ -212,9 +224,14 @@
         self.endpoints.remove(id);
     }
 
-    /// Notes the newest version of weights.
-    pub fn set_version(&mut self, name: WeightsName, version: u64) {
-        self.versions.insert(name, version);
+    /// Notes a version of weights that has just been named as the newest.
+    pub fn set_version(&mut self, now_ms: u64, name: WeightsName, version: u64) {
+        self.versions.named(now_ms, name, version);
+    }
+
+    /// Notes a version of weights that was named as the newest under an earlier leader.
+    pub fn learn_version(&mut self, now_ms: u64, name: WeightsName, version: u64) {
+        self.versions.learnt(now_ms, name, version);
     }
 
     /// Takes a heartbeat in.
@@ -253,7 +270,7 @@
                     self.demand.add(now_ms, &weights.name.base(), requests);
                 }
             }
-            let newest = self.versions.get(&weights.name).copied().unwrap_or(0);
+            let newest = self.versions.newest(&weights.name).unwrap_or(0);
             let Some(endpoint) = self.endpoints.get_mut(&weights.endpoint) else { continue };
             endpoint.note_use(now_ms, &from.gateway, &weights, newest);
         }
@@ -336,6 +353,7 @@
         self.ask_for_reports(now_ms);
         self.check_loads(now_ms);
         self.repeat_unloads(now_ms);
+        self.unload_replaced_versions(now_ms);
         self.want_newest_versions(now_ms);
         self.fill_empty_endpoints(now_ms);
         self.load_wanted(now_ms);
@@ -423,7 +441,7 @@
     }
 
     fn version_of(&self, name: &WeightsName) -> Option<u64> {
-        self.versions.get(name).copied()
+        self.versions.newest(name)
     }
 
     fn order(&mut self, now_ms: u64, id: &Arc<str>, kind: OrderKind) {
--- a/src/control/registry.rs
+++ b/src/control/registry.rs
@@ -178,7 +178,7 @@
         }
         for (name, version) in &self.versions {
             let newest = NewestVersion { name: name.clone(), version: *version };
-            changes.push(Change::Version(newest));
+            changes.push(Change::VersionOfUnknownAge(newest));
         }
         changes
     }
--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -81,7 +81,7 @@
             registered.placement.remember_copies(now_ms, id, weights);
         }
         for (name, version) in self.state.registry.versions() {
-            registered.placement.set_version(name.clone(), *version);
+            registered.placement.learn_version(now_ms, name.clone(), *version);
         }
     }
 
@@ -184,7 +184,7 @@
                     placement.deregister(id);
                 }
                 Change::Version(newest) => {
-                    placement.set_version(newest.name.clone(), newest.version);
+                    placement.set_version(now_ms, newest.name.clone(), newest.version);
                 }
                 _ => {}
             }
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -168,7 +168,8 @@
             Change::Routing(_)
             | Change::Registered(_)
             | Change::Deregistered(_)
-            | Change::Version(_) => {}
+            | Change::Version(_)
+            | Change::VersionOfUnknownAge(_) => {}
         }
     }
 
--- a/src/message/control.rs
+++ b/src/message/control.rs
@@ -33,8 +33,10 @@
     Registered(RegisteredEndpoint),
     /// A registered endpoint is gone.
     Deregistered(Arc<str>),
-    /// Weights have a newer version.
+    /// Weights have just got a newer version.
     Version(NewestVersion),
+    /// Weights have had this version for a time that is not known: told with everything else, or late.
+    VersionOfUnknownAge(NewestVersion),
 }
 
 /// A single call to control.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -10,3 +10,4 @@
 pub mod rank;
 pub mod retry;
 pub mod route;
+pub mod versions;
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -10,11 +10,11 @@
 use super::choice::{self, Candidate};
 use super::known::{Expected, Known, Wanted};
 use super::uses::Uses;
-use super::versions::{KnownVersion, Versions};
 use super::waiting::{Prompt, ReadingPace, UnreadMs};
 use crate::message::{
     EndpointLoad, Holding, Load, Placed, RegisteredEndpoint, WeightsName, WeightsUse,
 };
+use crate::policy::versions::{KnownVersion, SENT_PERCENT, Versions};
 
 /// The first pause after an endpoint failed; doubled with each further failure in a row.
 const DOWN_MS: u64 = 400;
@@ -28,6 +28,8 @@
 const ALL_COMPARED_BY: usize = 8;
 /// An endpoint that said it is full gets nothing for this long.
 const FULL_MS: u64 = 60;
+/// How long after a version was replaced requests may begin on it, unless settings say otherwise.
+const VERSION_WITHIN_MS: u64 = 5_000;
 /// How much longer a request may wait in the own zone and still go there: a link between zones takes
 /// a few milliseconds, and its bytes cost.
 const ZONE_PREFERENCE_MS: f64 = 15.0;
@@ -96,7 +98,7 @@
             endpoints: HashMap::new(),
             by_service: HashMap::new(),
             homes: HashMap::new(),
-            versions: Versions::new(),
+            versions: Versions::new(VERSION_WITHIN_MS * SENT_PERCENT / 100),
             loads_changed: HashSet::new(),
             uses: Uses::default(),
             failing: HashSet::new(),
@@ -107,6 +109,13 @@
         }
     }
 
+    /// Lets requests begin on a version for `within_ms` after it was replaced.
+    #[must_use]
+    pub fn with_version_within(mut self, within_ms: u64) -> Self {
+        self.versions = Versions::new(within_ms * SENT_PERCENT / 100);
+        self
+    }
+
     /// Notes how many gateways there are.
     pub fn set_gateways(&mut self, gateways: u32) {
         self.gateways = gateways as usize;
@@ -271,12 +280,16 @@
         } else {
             choice::cheapest(&candidates)
         };
-        match best.or(best_tried) {
+        let chosen = best.or(best_tried);
+        let held =
+            chosen.and_then(|chosen| held_version(homes.flatten(), &chosen.known.endpoint.id));
+        match chosen {
             Some(Candidate { known, rank, cost_ms }) => Picked::Endpoint {
                 id: known.endpoint.id.clone(),
                 address: known.endpoint.address,
-                weights_version: (due > 0).then_some(due),
-                held_version: held_version(homes.flatten(), &known.endpoint.id),
+                // The endpoint refuses if it has another one than is known here.
+                weights_version: held.filter(|_| due > 0),
+                held_version: held,
                 rank,
                 expected_ms: cost_ms.max(0.0) as u64,
             },
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -25,7 +25,6 @@
 mod shared;
 mod stream;
 mod uses;
-mod versions;
 mod waiting;
 
 pub use border::{AnswerMeta, RelayBorder, RequestMeta, SendMeta};
@@ -38,5 +37,4 @@
 pub use process::run;
 pub use prompt::{KeptPrompts, PromptChain, PromptPart};
 pub use session::reconnect_max_ms;
-pub use versions::{KnownVersion, Versions};
 pub use waiting::{Prompt, ReadingPace, UnreadMs, Waiting};
--- a/src/relay/report.rs
+++ b/src/relay/report.rs
@@ -3,9 +3,9 @@
 use tracing::{info, warn};
 
 use super::exchange::{Exchange, Started};
-use super::versions::KnownVersion;
 use crate::message::WeightsName;
 use crate::metrics::{Counter, Timer};
+use crate::policy::versions::KnownVersion;
 
 impl Exchange {
     /// Notes that an endpoint has begun to answer.
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -14,7 +14,7 @@
 use super::orders::OrderLease;
 use super::pool::Pool;
 use crate::clock::Clock;
-use crate::message::{AdapterNeed, Change, Placed};
+use crate::message::{AdapterNeed, Change, NewestVersion, Placed};
 use crate::metrics::{Counter, Metrics};
 use crate::routing::RouteTable;
 use crate::settings::RelaySettings;
@@ -54,7 +54,8 @@
         needs: mpsc::UnboundedSender<AdapterNeed>,
     ) -> Self {
         let clock = Clock::new();
-        let fleet = Fleet::new(settings.zone.clone(), rand::rng().random());
+        let fleet = Fleet::new(settings.zone.clone(), rand::rng().random())
+            .with_version_within(settings.version_within_ms);
         Self {
             settings,
             metrics,
@@ -154,19 +155,17 @@
                     }
                 }
                 Change::Version(newest) => {
+                    let NewestVersion { name, version } = newest;
+                    info!(event = "weights_version_known", weights = %name, version, age = "now");
+                    fleet.set_newest(now_ms, name, version);
+                }
+                Change::VersionOfUnknownAge(newest) => {
+                    let NewestVersion { name, version } = newest;
                     if !is_long {
-                        info!(
-                            event = "weights_version_known",
-                            weights = %newest.name,
-                            version = newest.version,
-                            reset
-                        );
-                    }
-                    if reset {
-                        fleet.learn_newest(now_ms, newest.name, newest.version);
-                    } else {
-                        fleet.set_newest(now_ms, newest.name, newest.version);
+                        let age = "unknown";
+                        info!(event = "weights_version_known", weights = %name, version, age);
                     }
+                    fleet.learn_newest(now_ms, name, version);
                 }
                 _ => {}
             }
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -82,6 +82,11 @@
     let default = PlacementSettings::default();
     PlacementSettings {
         order_lease_ms: fields.int_or("order_lease_ms", default.order_lease_ms, 0..=600_000),
+        version_within_ms: fields.int_or(
+            "version_within_ms",
+            default.version_within_ms,
+            100..=600_000,
+        ),
         store_share: fields.number_or("store_share", default.store_share, 0.01..=1.0),
         store_load_min_requests: fields.number_or(
             "store_load_min_requests",
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -23,6 +23,8 @@
     pub seeds: Vec<SocketAddr>,
     /// The bounds of sends beyond the first.
     pub retry: RelayRetrySettings,
+    /// How long after a version of weights was replaced requests may begin on it.
+    pub version_within_ms: u64,
     /// The largest set of headers.
     pub header_max_bytes: usize,
     /// How long after a planned stop began the process may still run.
@@ -69,6 +71,7 @@
         slack: fields.number_or("slack", 20.0, 0.0..=1_000_000.0),
         window_ms: fields.int_or("window_ms", 10_000, 100..=3_600_000),
     });
+    let version_within_ms = fields.int_or("version_within_ms", 5_000, 100..=600_000);
     let header_max_bytes = fields.int_or("header_max_bytes", 64 << 10, 1_024..=16 << 20) as usize;
     let stop_grace_ms = fields.int_or("stop_grace_ms", 8_000, 0..=3_600_000);
     let log_level = fields.text_or("log_level", "info");
@@ -94,6 +97,7 @@
         listen_admin,
         seeds,
         retry,
+        version_within_ms,
         header_max_bytes,
         stop_grace_ms,
         log_level,
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -251,11 +251,77 @@
 fn a_newer_version_is_loaded_in_place_of_the_older_one() {
     let mut leader = Leader::new(4);
     leader.load(1);
-    leader.placement.set_version(adapter(1), 2);
+    leader.placement.set_version(leader.now_ms, adapter(1), 2);
     let order = leader.next_order();
     assert_eq!(order.kind, OrderKind::Load { name: adapter(1), version: Some(2) });
 }
 
+/// A leader with adapter 1 at version 1 on one endpoint and at version 2 on another.
+fn renewed() -> Leader {
+    let mut leader = Leader::new(4);
+    leader.add_endpoint("e2");
+    leader.load(1);
+    leader.need(1);
+    leader.placement.set_version(leader.now_ms, adapter(1), 2);
+    let order = leader.next_order();
+    assert_eq!(order.kind, OrderKind::Load { name: adapter(1), version: Some(2) });
+    leader.answer(&order, OrderOutcome::UnderWay);
+    let again = leader.next_order();
+    leader.answer(&again, OrderOutcome::Done);
+    leader
+}
+
+#[test]
+fn a_load_that_is_looked_at_after_a_renewal_counts_as_the_version_that_was_asked_for() {
+    let mut leader = Leader::new(4);
+    leader.need(1);
+    let order = leader.next_order();
+    leader.answer(&order, OrderOutcome::UnderWay);
+    leader.placement.set_version(leader.now_ms, adapter(1), 2);
+    let again = leader.next_order();
+    assert_eq!(again.kind, OrderKind::Load { name: adapter(1), version: Some(2) });
+    leader.answer(&again, OrderOutcome::Done);
+    let told = leader.placement.take_placed();
+    let ready = told.iter().rev().find(|placed| placed.name == adapter(1));
+    assert_eq!(ready.map(|placed| placed.holding), Some(Holding::Ready(2)), "{told:?}");
+}
+
+/// The first unload of adapter 1 while requests with it are under way everywhere, and when it comes.
+fn first_unload(leader: &mut Leader, within_ms: u64) -> Option<(u64, EngineOrder)> {
+    let from_ms = leader.now_ms;
+    while leader.now_ms < from_ms + within_ms {
+        for id in ["e1", "e2"] {
+            leader.heartbeat(id);
+            leader.uses(id, 1, 1, 3);
+        }
+        for order in leader.pass(20) {
+            if order.kind == (OrderKind::Unload { name: adapter(1) }) {
+                return Some((leader.now_ms - from_ms, order));
+            }
+            leader.answer(&order, OrderOutcome::UnderWay);
+        }
+    }
+    None
+}
+
+#[test]
+fn a_replaced_version_is_taken_away_in_time_though_requests_still_wait_for_it() {
+    let mut leader = renewed();
+    let (after_ms, order) = first_unload(&mut leader, 10_000).expect("it is unloaded");
+    assert!((3_000..4_000).contains(&after_ms), "after {after_ms} ms of 5,000");
+    leader.answer(&order, OrderOutcome::Done);
+    assert!(first_unload(&mut leader, 10_000).is_none(), "the newest one stays");
+}
+
+#[test]
+fn a_new_leader_takes_replaced_versions_away_at_once() {
+    let mut leader = Leader::new(4);
+    leader.load(1);
+    leader.placement.learn_version(leader.now_ms, adapter(1), 2);
+    let (after_ms, _) = first_unload(&mut leader, 1_000).expect("how old it is, nobody knows");
+    assert!(after_ms < 300, "after {after_ms} ms");
+}
+
 #[test]
 fn the_stores_rate_holds_over_any_window_and_across_leaders() {
     let window_ms = 5_000;
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -66,3 +66,13 @@
     assert!(registry.put_version(newest(2)).is_empty());
     assert_eq!(registry.version(&name), 3);
 }
+
+#[test]
+fn a_gateway_that_comes_later_is_told_that_a_versions_age_is_not_known() {
+    let mut registry = Registry::default();
+    let newest = NewestVersion { name: WeightsName::new("base", Some("shop")), version: 3 };
+    let named = registry.put_version(newest);
+    assert!(matches!(named[..], [Change::Version(_)]), "{named:?}");
+    let all = registry.all_changes();
+    assert!(matches!(all[..], [Change::VersionOfUnknownAge(_)]), "{all:?}");
+}
