--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -75,5 +75,9 @@
 mutate "an unknown outcome is not run again" src/gateway/exchange.rs 's/run == RunState::Unknown \&\& !exchange\.repeatable/false/' $processes an_order_runs
 mutate "a lost disk is a new replica" src/control/boot.rs 's/if stages\.contains\(&Some\(ProbeReply::Established\)\)/if false/' $processes a_replica_with
 mutate "a planned stop hands over" src/gateway/process.rs 's/let _ = shared\.session\.send\(SessionUp::Leave\);//' $processes a_planned_stop
+versions=src/policy/versions.rs
+mutate "each version keeps its own age" $versions 's/renewed\.settle\(now_ms\);/renewed.coming.clear();/' --test renewed_versions
+mutate "a version of unknown age is old enough" $versions 's/renewed\.due = version;\n\s*renewed\.coming\.clear\(\);/let _ = renewed;/' --test renewed_versions
+mutate "replaced versions are unloaded in time" src/control/placement/mod.rs 's/self\.unload_replaced_versions\(now_ms\);//' --test placement
 echo "$missed rules without a test that fails"
 [ "$missed" = 0 ]
