relay: a renewed base model is served as it is held, not refused

Cause: found while looking for other ways to the wrong version. Change: versions are due for adapters only. The test failed before (NoHome at 20 s).

--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -223,8 +223,7 @@
         let weights = wanted.map(|wanted| &wanted.weights);
         let Some(ids) = self.by_service.get(service) else { return Picked::NoEndpoint };
         let homes = weights.map(|name| self.homes.get(name));
-        let known = weights.and_then(|name| self.versions.of(now_ms, name));
-        let due = known.map_or(0, |known| known.due);
+        let due = weights.map_or(0, |name| self.version_due(now_ms, name));
         // Few endpoints hold an adapter, so that the others need not be looked at.
         let ids: Vec<&Arc<str>> = match homes {
             Some(homes) => homes.into_iter().flatten().map(|(id, _)| id).collect(),
@@ -302,7 +301,16 @@
 
     /// What is known of the versions of weights; nothing when they were never renewed.
     pub fn known_version(&self, now_ms: u64, name: &WeightsName) -> Option<KnownVersion> {
-        self.versions.of(now_ms, name)
+        let known = self.versions.of(now_ms, name)?;
+        Some(KnownVersion { due: self.version_due(now_ms, name), ..known })
+    }
+
+    /// The oldest version that a request may still begin on; 0 while any will do.
+    ///
+    /// Base models are served as they are held: replacing one at an endpoint ends every adapter there,
+    /// and refusing the older one refuses every request for it.
+    fn version_due(&self, now_ms: u64, name: &WeightsName) -> u64 {
+        if name.adapter.is_none() { 0 } else { self.versions.due(now_ms, name) }
     }
 
     /// True when an endpoint of the service is up and stays.
--- a/tests/renewed_versions.rs
+++ b/tests/renewed_versions.rs
@@ -92,3 +92,26 @@
     place(&mut fleet, "b", 2);
     assert_eq!(pick(&mut fleet, 4_000).as_deref(), Some("b"));
 }
+
+/// Users saw all requests for a base model refused once a newer version of it had been named: nothing
+/// replaces a base model at endpoints that serve adapters of it, and what is held was taken for too old.
+#[test]
+fn a_renewed_base_model_is_served_as_it_is_held() {
+    let mut fleet = fleet();
+    let base = adapter().base();
+    let holding = Holding::Ready(1);
+    fleet.place(false, vec![Placed { endpoint: "a".into(), name: base.clone(), holding }]);
+    fleet.set_newest(1_000, base.clone(), 2);
+    let wanted = Wanted {
+        weights: base,
+        priority: 0,
+        left_ms: 600.0,
+        prompt_tokens: 200,
+        prompt: PromptChain::default(),
+        memory_tokens: 100_000,
+    };
+    for now_ms in [1_100, 20_000] {
+        let picked = fleet.pick(now_ms, "quotes", Some(&wanted), &[]);
+        assert!(matches!(picked, Picked::Endpoint { .. }), "at {now_ms} ms: {picked:?}");
+    }
+}
