placement: copies of a replaced version are forgotten

Ruled out: a version kept with each copy; a newer version makes all older ones useless at once, which one removal says. Change: naming a version forgets the copies of it, at the leader and in the replicated record. The placement test failed before (always the endpoint with the old copy).

--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -226,9 +226,21 @@
 
     /// Notes a version of weights that has just been named as the newest.
     pub fn set_version(&mut self, now_ms: u64, name: WeightsName, version: u64) {
+        if version > self.versions.newest(&name).unwrap_or(1) {
+            self.forget_copies(&name);
+        }
         self.versions.named(now_ms, name, version);
     }
 
+    /// Forgets copies of a version that was replaced: a load of the newer one comes from the store.
+    fn forget_copies(&mut self, name: &WeightsName) {
+        self.copied.remove(name);
+        self.new_copies.retain(|copy| copy.weights != *name);
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.copies.remove(name);
+        }
+    }
+
     /// Notes a version of weights that was named as the newest under an earlier leader.
     pub fn learn_version(&mut self, now_ms: u64, name: WeightsName, version: u64) {
         self.versions.learnt(now_ms, name, version);
--- a/src/control/registry.rs
+++ b/src/control/registry.rs
@@ -163,6 +163,10 @@
         if newest.version <= self.version(&newest.name) {
             return Vec::new();
         }
+        // Copies of the version before save no load of this one.
+        for copies in self.copies.values_mut() {
+            copies.retain(|name| *name != newest.name);
+        }
         self.versions.insert(newest.name.clone(), newest.version);
         vec![Change::Version(newest)]
     }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -378,6 +378,26 @@
     }
 }
 
+#[test]
+fn a_copy_of_a_replaced_version_draws_no_load() {
+    let mut chosen = std::collections::BTreeSet::new();
+    for number in 1..=8 {
+        let mut leader = Leader::new(1);
+        leader.load(number);
+        leader.now_ms += 1_000;
+        leader.need(9);
+        let unload = leader.next_order();
+        leader.answer(&unload, OrderOutcome::Done);
+        leader.load(9);
+        leader.add_endpoint("e2");
+        leader.now_ms += 1_000;
+        leader.placement.set_version(leader.now_ms, adapter(number), 2);
+        leader.need(number);
+        chosen.insert(leader.next_order().endpoint);
+    }
+    assert_eq!(chosen.len(), 2, "the empty endpoint is as near to the store: {chosen:?}");
+}
+
 #[test]
 fn a_copy_is_waited_for_while_its_endpoint_is_busy() {
     let mut leader = Leader::new(1);
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use winchvane::control::placement::NewCopy;
 use winchvane::control::registry::Registry;
 use winchvane::message::{Change, NewestVersion, RegisteredEndpoint, WeightsName};
 use winchvane::routing::RoutingConfiguration;
@@ -76,3 +77,17 @@
     let all = registry.all_changes();
     assert!(matches!(all[..], [Change::VersionOfUnknownAge(_)]), "{all:?}");
 }
+
+#[test]
+fn copies_of_a_replaced_version_are_forgotten() {
+    let mut registry = Registry::default();
+    registry.register(endpoint("one", 7_001));
+    let name = |adapter| WeightsName::new("base", Some(adapter));
+    let copy = |adapter| NewCopy { endpoint: "one".into(), weights: name(adapter) };
+    registry.note_copies(vec![copy("shop"), copy("mill")]);
+    registry.put_version(NewestVersion { name: name("shop"), version: 2 });
+    assert_eq!(registry.copies()["one"], [name("mill")]);
+    registry.note_copies(vec![copy("shop")]);
+    registry.put_version(NewestVersion { name: name("shop"), version: 2 });
+    assert_eq!(registry.copies()["one"].len(), 2, "named again, nothing is replaced");
+}
