relay: retries are earned by requests and nothing of them is granted anew; the most gateways of a window share the slack

Cause: a bound over all gateways stood in the memory of each process. A process that started had an empty count and a share of the slack at once, all of it until it was told how many gateways there are; those that stayed divided the slack by fewer while others were away. Found by the logs of the incident (614 retries by 23 processes of 7 gateways in one window) and tests/retry_budget.rs. Ruled out: retries held up on the way (as many sent as arrived); counting used retries at the leader, which is not reached when it matters. A share right after the start, with the largest number told since: gateways that start while others are cut off add up to more than the slack (tests/retry_shares.rs fails then). Change: RetryBudget is a bucket that starts empty; a request earns 0.75 of the ratio, 0.2 of it for the requests of a window and the share of the slack may be saved up. GatewayCount gives the largest number of the last window, and no share unless the gateway was in touch through all of it; without any number no retry is sent. `retry` logs tokens, cap and shares_slack. Without single rules, in a scratch copy: no cap, the window counter as before, shares of 0.95 and 0.2, starting full with a share at once: retry_budget, retry_shares and retry_random fail each time. Starting full alone: only retry_budget fails. The number told last: only gateway_count. A share at once: gateway_count and retry_shares. A service whose requests are few for each gateway (cap below 1) gets no retry, as before.

--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -68,6 +68,10 @@
 mutate "a cut stream is not whole" src/gateway/stream.rs 's/self\.done \&\& self\.buffer\.is_empty\(\)/true/' --test streams
 mutate "the version must be the one named" src/gateway/stream.rs 's/ \&\& version\.parse\(\) == Ok\(adapter\.version\)//' --test streams
 mutate "a new leader waits for old permits" src/control/permit.rs 's/now_ms \+ self\.budget\.load_timeout_ms \};/now_ms };/' --test permits
+mutate "retries are earned, not granted anew" src/relay/budget.rs 's/self\.tokens\.min\(self\.cap\)/slack + self.requests.len() as f64 * self.ratio * 0.8 - self.retries.len() as f64/' --test retry_budget
+mutate "saved retries have a cap" src/relay/budget.rs 's/self\.tokens\.min\(self\.cap\)/self.tokens/' --test retry_random
+mutate "the most gateways of a window share the slack" src/relay/gateway_count.rs 's/Some\(self\.earlier\.front\(\)\.map_or\(told, \|\(_, before\)\| \*before\)\)/Some(told)/' --test gateway_count
+mutate "a share of the slack needs a window in touch" src/relay/gateway_count.rs 's/first_ms \+ self\.window_ms > now_ms \|\| //' --test retry_shares
 mutate "a round schedules no other" src/control/server.rs 's/\/\/ Nothing came after this.*?return Ok\(\(\)\);//s' $processes an_idle_replica
 mutate "a silent owner whose lease ended is given up" src/gateway/exchange.rs 's/if self\.owner_is_gone\(\) \{/if false {/' $processes a_frozen_owner
 mutate "a silent engine that is down is given up" src/gateway/run.rs 's/if request\.adapter\.is_none\(\) \|\|/if true ||/' $processes a_request_at_an_engine
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -11,6 +11,7 @@
 use super::border::RelayBorder;
 use super::budget::RetryBudget;
 use super::fleet::Fleet;
+use super::gateway_count::{GatewayCount, NO_SHARE};
 use super::orders::OrderLease;
 use super::pool::Pool;
 use crate::clock::Clock;
@@ -39,7 +40,7 @@
     table: RwLock<Arc<RouteTable>>,
     budgets: Mutex<HashMap<Arc<str>, RetryBudget>>,
     needs: mpsc::UnboundedSender<AdapterNeed>,
-    gateways: AtomicU32,
+    gateways: Mutex<GatewayCount>,
     confirmed_at_ms: AtomicU64,
     stopping: AtomicBool,
     pub(super) in_progress: AtomicU32,
@@ -55,6 +56,7 @@
     ) -> Self {
         let clock = Clock::new();
         let fleet = Fleet::new(settings.zone.clone(), rand::rng().random());
+        let gateways = GatewayCount::new(settings.retry.window_ms);
         Self {
             settings,
             metrics,
@@ -67,7 +69,7 @@
             table: RwLock::default(),
             budgets: Mutex::default(),
             needs,
-            gateways: AtomicU32::new(1),
+            gateways: Mutex::new(gateways),
             confirmed_at_ms: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
             in_progress: AtomicU32::new(0),
@@ -82,13 +84,17 @@
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn gateways(&self) -> MutexGuard<'_, GatewayCount> {
+        self.gateways.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The routes in force.
     pub fn table(&self) -> Arc<RouteTable> {
         self.table.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     pub(super) fn set_gateways(&self, gateways: u32) {
-        self.gateways.store(gateways, Ordering::Relaxed);
+        self.gateways().told(self.now_ms(), gateways);
         self.fleet().set_gateways(gateways);
     }
 
@@ -96,6 +102,7 @@
     pub(super) fn confirmed(&self, sent_at_ms: u64) {
         self.confirmed_at_ms.fetch_max(sent_at_ms.max(1), Ordering::Relaxed);
         self.order_lease.confirm(sent_at_ms);
+        self.gateways().confirmed(sent_at_ms);
     }
 
     pub(super) fn is_confirmed(&self, now_ms: u64) -> bool {
@@ -200,9 +207,11 @@
 
     /// Takes one send beyond the first for `request` out of the budget of `service`.
     pub(super) fn may_retry(&self, now_ms: u64, request: &str, service: &Arc<str>) -> bool {
-        let gateways = self.gateways.load(Ordering::Relaxed);
-        let (allowed, used) =
-            self.budget(service, |budget| (budget.take(now_ms, gateways), budget.in_window()));
+        let gateways = self.gateways().most(now_ms);
+        let (allowed, used) = self.budget(service, |budget| {
+            let allowed = gateways.is_some_and(|gateways| budget.take(now_ms, gateways));
+            (allowed, budget.in_window())
+        });
         info!(
             event = "retry",
             request,
@@ -210,7 +219,10 @@
             allowed,
             window_requests = used.requests,
             window_retries = used.retries,
-            gateways,
+            tokens = format_args!("{:.1}", used.tokens),
+            cap = format_args!("{:.1}", used.cap),
+            gateways = gateways.unwrap_or(0),
+            shares_slack = gateways.is_some_and(|gateways| gateways != NO_SHARE),
             process_age_ms = now_ms
         );
         let counter = if allowed { Counter::RequestsRetried } else { Counter::RetriesDenied };
