--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -11,8 +11,9 @@
 };
 use winchvane::message::{
     AdapterNeed, EngineOrder, EngineReport, Heartbeat, Holding, OrderKind, OrderOutcome,
-    OrderResult, RegisteredEndpoint, Weights, WeightsName, WeightsUse,
+    OrderResult, Placed, RegisteredEndpoint, Weights, WeightsName, WeightsUse,
 };
+use winchvane::routing::ModelSpec;
 
 fn adapter(number: usize) -> WeightsName {
     WeightsName::new("base", Some(&format!("a{number}")))
@@ -53,14 +54,19 @@
 
     /// Registers an endpoint that holds the base model only.
     fn add_endpoint(&mut self, id: &str) {
+        self.add_endpoint_with(id, &adapter(0).base());
+    }
+
+    /// Registers an endpoint that holds one base model only.
+    fn add_endpoint_with(&mut self, id: &str, model: &WeightsName) {
         let port = 7_000 + u16::from(id.as_bytes()[1]);
         let holder = OrderHolder { gateway: "g1".into(), token: 7 };
         self.holders.insert(([127, 0, 0, 1], port).into(), holder);
         self.placement.register(self.now_ms, &registered(id, port));
         let report = self.next_order();
         assert_eq!(report.kind, OrderKind::Report, "nothing is ordered before a report");
-        let base = Weights { name: adapter(0).base(), version: 1 };
-        let outcome = EngineReport { sequence: 5, holds: vec![base], coming: Vec::new() };
+        let held = Weights { name: model.clone(), version: 1 };
+        let outcome = EngineReport { sequence: 5, holds: vec![held], coming: Vec::new() };
         self.answer(&report, OrderOutcome::Report(outcome));
     }
 
@@ -515,3 +521,167 @@
         assert_eq!(done.took_ms.is_some(), tells, "it may have begun long after the order");
     }
 }
+
+/// What gateways were told last of an adapter at an endpoint.
+fn told_last(
+    leader: &mut Leader,
+    told: &mut Vec<Placed>,
+    id: &str,
+    number: usize,
+) -> Option<Holding> {
+    told.extend(leader.placement.take_placed());
+    let of_it = |placed: &&Placed| &*placed.endpoint == id && placed.name == adapter(number);
+    told.iter().rev().find(of_it).map(|placed| placed.holding)
+}
+
+#[test]
+fn gateways_are_told_that_an_adapter_stays_whose_unload_was_not_sent() {
+    for outcome in [OrderOutcome::NotSent, OrderOutcome::Refused] {
+        let mut leader = Leader::new(1);
+        leader.load(1);
+        leader.now_ms += 3_000;
+        leader.heartbeat("e1");
+        leader.need(2);
+        let unload = leader.next_order();
+        assert_eq!(unload.kind, OrderKind::Unload { name: adapter(1) });
+        leader.answer(&unload, outcome.clone());
+        let mut told = Vec::new();
+        let last = told_last(&mut leader, &mut told, "e1", 1);
+        assert_eq!(last, Some(Holding::Ready(1)), "{outcome:?}: the leader counts it as a home");
+    }
+}
+
+#[test]
+fn no_model_gives_way_to_a_renewed_base_model() {
+    let mut leader = Leader::new(4);
+    let mut configured = configuration(4);
+    let engine = configured.services[0].engine.as_mut().expect("a service of engines");
+    let other = ModelSpec { name: "other".into(), ..engine.models[0].clone() };
+    engine.models.push(other);
+    leader.placement.configure(leader.now_ms, &configured);
+    leader.add_endpoint_with("e2", &WeightsName::new("other", None));
+    let base = adapter(0).base();
+    leader.placement.set_version(leader.now_ms, base.clone(), 2);
+    for turn in 0..500 {
+        if turn % 50 == 0 {
+            leader.heartbeat("e1");
+            leader.heartbeat("e2");
+        }
+        let from = UseFrom { gateway: "g1".into(), zone: "a".into() };
+        let used = WeightsUse {
+            endpoint: "e1".into(),
+            name: base.clone(),
+            requests: 1,
+            reading_ms: 10,
+            under_way: 2,
+        };
+        leader.placement.used(leader.now_ms, &from, vec![used]);
+        for order in leader.pass(20) {
+            assert_eq!(order.kind, OrderKind::Report, "what is held is served");
+        }
+    }
+}
+
+/// When the last of `adapters` replaced adapters at each of `endpoints` endpoints is unloaded.
+fn all_unloaded_after_ms(endpoints: usize, adapters: usize) -> u64 {
+    let mut placement = Placement::new(0, PlacementSettings::default());
+    placement.configure(0, &configuration(64));
+    placement.set_gateways(0, BTreeMap::from([("g1".into(), "a".into())]));
+    let mut holders = OrderHolders::new();
+    let mut now_ms = 1_000;
+    for index in 0..endpoints {
+        let mut endpoint = registered(&format!("e{index:05}"), 7_000);
+        endpoint.address = ([127, 1, (index / 250) as u8, (index % 250) as u8 + 1], 7_000).into();
+        holders.insert(endpoint.address, OrderHolder { gateway: "g1".into(), token: 7 });
+        placement.register(now_ms, &endpoint);
+    }
+    let mut holds = vec![Weights { name: adapter(0).base(), version: 1 }];
+    for number in 1..=adapters {
+        holds.push(Weights { name: adapter(number), version: 1 });
+    }
+    let named_at_ms = now_ms + 1_000;
+    let mut is_named = false;
+    let mut left = endpoints * adapters;
+    while left > 0 && now_ms < named_at_ms + 20_000 {
+        now_ms += 20;
+        if now_ms >= named_at_ms && !is_named {
+            is_named = true;
+            for number in 1..=adapters {
+                placement.set_version(now_ms, adapter(number), 2);
+            }
+        }
+        placement.advance(now_ms, &holders);
+        for order in placement.take_orders() {
+            let outcome = match &order.kind {
+                OrderKind::Report => OrderOutcome::Report(EngineReport {
+                    sequence: 5,
+                    holds: holds.clone(),
+                    coming: Vec::new(),
+                }),
+                OrderKind::Unload { .. } => {
+                    left -= 1;
+                    OrderOutcome::Done
+                }
+                OrderKind::Load { .. } => OrderOutcome::UnderWay,
+            };
+            let (number, endpoint, kind) = (order.number, order.endpoint, order.kind);
+            placement.ordered(now_ms, OrderResult { number, endpoint, kind, outcome });
+        }
+        for index in 0..endpoints {
+            if now_ms % 2_000 == 0 {
+                let mut endpoint = registered(&format!("e{index:05}"), 7_000);
+                endpoint.address =
+                    ([127, 1, (index / 250) as u8, (index % 250) as u8 + 1], 7_000).into();
+                placement.observe(now_ms, &Heartbeat { endpoint, sequence: 1, holds: None });
+            }
+        }
+    }
+    assert_eq!(left, 0, "all are unloaded");
+    now_ms - named_at_ms
+}
+
+#[test]
+fn replaced_versions_are_taken_away_in_time_wherever_and_however_many_they_are() {
+    for (endpoints, adapters) in [(12, 2), (12, 18), (12_000, 2)] {
+        let after_ms = all_unloaded_after_ms(endpoints, adapters);
+        assert!(
+            after_ms < 4_800,
+            "{adapters} at {endpoints} endpoints: after {after_ms} ms of 5,000"
+        );
+    }
+}
+
+#[test]
+fn a_renewed_adapter_that_fits_nowhere_else_takes_the_place_of_its_replaced_version() {
+    let mut leader = Leader::new(1);
+    leader.load(1);
+    leader.add_endpoint("e2");
+    leader.need(2);
+    let order = leader.next_order();
+    assert_eq!((&*order.endpoint, order.kind.clone()), ("e2", load_of(2)));
+    leader.answer(&order, OrderOutcome::Done);
+    leader.now_ms += 400;
+    let named_at_ms = leader.now_ms;
+    leader.placement.set_version(named_at_ms, adapter(1), 2);
+    let load = OrderKind::Load { name: adapter(1), version: Some(2) };
+    while leader.now_ms < named_at_ms + 10_000 {
+        leader.heartbeat("e1");
+        leader.heartbeat("e2");
+        leader.uses("e2", 2, 0, 1);
+        // Gateways no longer use the replaced version, and lack the newer one.
+        if leader.now_ms >= named_at_ms + 1_250 {
+            leader.need(1);
+        }
+        for order in leader.pass(20) {
+            assert_eq!(&*order.endpoint, "e1", "the other endpoint's adapter is in use");
+            let is_load = order.kind == load;
+            leader.answer(&order, OrderOutcome::Done);
+            if is_load {
+                let after_ms = leader.now_ms - named_at_ms;
+                assert!(after_ms < 1_500, "no home until {after_ms} ms after it was named");
+                return;
+            }
+        }
+    }
+    panic!("it is never loaded");
+}
--- a/tests/renewed_versions.rs
+++ b/tests/renewed_versions.rs
@@ -115,3 +115,17 @@
         assert!(matches!(picked, Picked::Endpoint { .. }), "at {now_ms} ms: {picked:?}");
     }
 }
+
+/// A refusal tells of the version that the request was sent for, not of the one that came since.
+#[test]
+fn a_refusal_for_a_replaced_version_does_not_hide_the_newer_one() {
+    let mut fleet = fleet();
+    place(&mut fleet, "a", 1);
+    fleet.set_newest(0, adapter(), 2);
+    assert_eq!(pick(&mut fleet, 10).as_deref(), Some("a"));
+    place(&mut fleet, "a", 2);
+    fleet.not_held("a", &adapter());
+    assert_eq!(pick(&mut fleet, 5_000).as_deref(), Some("a"), "it holds version 2");
+    fleet.not_held("a", &adapter());
+    assert_eq!(pick(&mut fleet, 5_000), None, "it does not hold what it was asked for");
+}
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -45,3 +45,21 @@
         assert!(versions.due(now_ms, &name()) >= old_enough, "at {now_ms} ms");
     }
 }
+
+#[test]
+fn versions_that_follow_fast_are_due_little_before_their_time() {
+    for (usable_ms, every_ms) in [(1_000, 1), (1_250, 100), (3_500, 100), (3_500, 400)] {
+        let mut versions = Versions::new(usable_ms);
+        for now_ms in 0..20_000 {
+            if now_ms % every_ms == 0 {
+                versions.named(now_ms, name(), now_ms + 2);
+            }
+            let due = versions.due(now_ms, &name());
+            let age_ms = now_ms + 2 - due;
+            assert!(
+                due == 0 || age_ms >= usable_ms * 7 / 8,
+                "every {every_ms} ms: due {age_ms} ms after it was named, {usable_ms} are allowed"
+            );
+        }
+    }
+}
