policy: versions that follow one another fast are not due before their time

Cause: beyond eight versions whose time had not come, newer ones took over the time of the last, so that a version that had just been named became due: gateways then refused all that was held, and the leader unloaded all of it, for as long as a load takes. Ruled out: dropping the versions between: what is oldest would stay in use too long. Change: a version that follows another within an eighth of the allowed time is due with it; at most nine are kept.

--- a/src/policy/versions.rs
+++ b/src/policy/versions.rs
@@ -17,9 +17,9 @@
 /// The part of the allowed time, in percent, after which an older version is taken from endpoints: what
 /// still waits there has not begun then and is refused as not run.
 pub const HELD_PERCENT: u64 = 70;
-/// Versions of one name whose time has not come that are kept apart; beyond them, newer ones take over
-/// the time of the last.
-const COMING_MAX: usize = 8;
+/// Into how many steps the allowed time is divided: a version that follows another within a step is due
+/// with it, so that no more than one for each step, and one, are kept.
+const STEPS: u64 = 8;
 
 /// What is known of the versions of some weights.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -83,11 +83,11 @@
     /// Notes a version that has just been named.
     pub fn named(&mut self, now_ms: u64, name: WeightsName, version: u64) {
         let due_at_ms = now_ms + self.usable_ms;
+        let step_ms = self.usable_ms / STEPS;
         let Some(renewed) = self.note(now_ms, name, version) else { return };
-        if renewed.coming.len() < COMING_MAX {
-            renewed.coming.push(Coming { version, due_at_ms });
-        } else if let Some(last) = renewed.coming.last_mut() {
-            last.version = version;
+        match renewed.coming.last_mut() {
+            Some(last) if due_at_ms < last.due_at_ms + step_ms => last.version = version,
+            _ => renewed.coming.push(Coming { version, due_at_ms }),
         }
     }
 
