placement: what stays because its unload was not sent is told to gateways again

Cause: gateways are told that weights are gone before the unload is sent. When the order was not sent or was refused, the leader counted the place as a home again and told nobody: gateways refused every request for it, and the leader gave it no further home, since it had one. Ruled out: that a report mends it: a place that is known as ready in that version is not told again. Change: taking an unload back tells what is ready there. Measured: the test failed before (gateways were told Gone last).

--- a/src/control/placement/outcome.rs
+++ b/src/control/placement/outcome.rs
@@ -178,6 +178,13 @@
             OrderKind::Unload { name } => {
                 let version = self.places.get(name).map_or(1, |place| place.version);
                 self.put(now_ms, name, version, PlaceState::Ready);
+                // Gateways were told that all of these are gone.
+                for kept in self.with_adapters(name) {
+                    let Some(place) = self.places.get(&kept) else { continue };
+                    if place.state == PlaceState::Ready {
+                        placed.push(self.tell(&kept, Holding::Ready(place.version)));
+                    }
+                }
                 self.sequence = None;
             }
         }
