placement: no model gives way to a renewed base model

Cause: gateways serve base models as they are held, but the leader still took an endpoint with an older version for no home: it wanted the newest one elsewhere and unloaded another model for it, and it did not count uses of the older one, so that a base model in use could be chosen to give way. Change: one rule in placement says which version counts as a home; any does for base models. Measured: two endpoints with one model each, one of them renewed: the other model was unloaded, now nothing is ordered in 10 s; the test failed before.

--- a/src/control/placement/homes.rs
+++ b/src/control/placement/homes.rs
@@ -193,7 +193,7 @@
     }
 
     fn survey(&self, now_ms: u64, service: &str, name: &WeightsName, want: &Want) -> Survey {
-        let newest = self.versions.newest(name).unwrap_or(0);
+        let newest = self.version_wanted(name);
         let mut survey = Survey::default();
         for (id, endpoint) in &self.endpoints {
             if &*endpoint.endpoint.service != service || !endpoint.takes_weights(now_ms) {
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -270,7 +270,7 @@
                     self.demand.add(now_ms, &weights.name.base(), requests);
                 }
             }
-            let newest = self.versions.newest(&weights.name).unwrap_or(0);
+            let newest = self.version_wanted(&weights.name);
             let Some(endpoint) = self.endpoints.get_mut(&weights.endpoint) else { continue };
             endpoint.note_use(now_ms, &from.gateway, &weights, newest);
         }
@@ -440,6 +440,12 @@
         self.endpoints.values().map(|endpoint| endpoint.coming_from_store(now_ms)).sum()
     }
 
+    /// The version that counts as a home of `name`; 0 while any does, as for base models, which are
+    /// served as they are held.
+    fn version_wanted(&self, name: &WeightsName) -> u64 {
+        if name.adapter.is_none() { 0 } else { self.versions.newest(name).unwrap_or(0) }
+    }
+
     fn version_of(&self, name: &WeightsName) -> Option<u64> {
         self.versions.newest(name)
     }
--- a/src/control/placement/renewal.rs
+++ b/src/control/placement/renewal.rs
@@ -23,7 +23,7 @@
             if self.demand.recent(now_ms, name) < VERSION_MIN_REQUESTS {
                 continue;
             }
-            let newest = self.versions.newest(name).unwrap_or(0);
+            let newest = self.version_wanted(name);
             for endpoint in self.endpoints.values() {
                 let Some(place) = endpoint.places.get(name) else { continue };
                 if place.version < newest {
