placement: replaced versions are unloaded in time wherever they are, and however many

Cause: a tenth of the endpoints was looked at for each pass and one unload given for each look. A pass comes every 20 ms at 12 endpoints but every 160 ms at 12,000, and an endpoint with 18 replaced adapters needs 18 looks: the last unloads came after the allowed time. Ruled out: looking at all endpoints in each pass, which costs several milliseconds of each pass at 12,000 endpoints. Change: looks are spread over 500 ms instead of ten passes, and an endpoint at which something was found is looked at in each pass until it has no replaced version.

--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -14,7 +14,7 @@
 mod renewal;
 mod store_limit;
 
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -140,6 +140,9 @@
     versions: Versions,
     /// Where the next look for older versions begins.
     looked_until: Option<Arc<str>>,
+    looked_at_ms: u64,
+    /// Endpoints at which the last look found replaced versions.
+    outdated: BTreeSet<Arc<str>>,
     /// Requests.
     demand: Demand,
     /// Milliseconds that endpoints spend on reading prompts.
@@ -170,6 +173,8 @@
             engines: HashMap::new(),
             versions: Versions::new(settings.version_within_ms * HELD_PERCENT / 100),
             looked_until: None,
+            looked_at_ms: now_ms,
+            outdated: BTreeSet::new(),
             demand: Demand::new(),
             reading: Demand::new(),
             wanted: HashMap::new(),
--- a/src/control/placement/renewal.rs
+++ b/src/control/placement/renewal.rs
@@ -9,9 +9,9 @@
 
 /// Requests within a short time above which a new version of weights is fetched ahead of a request.
 const VERSION_MIN_REQUESTS: f64 = 0.2;
-/// Passes in which every endpoint is looked at once for replaced versions; a pass comes every 20 ms or
-/// later, and more than a second of the allowed time is left.
-const PASSES_PER_LOOK: usize = 10;
+/// In this time every endpoint is looked at once for replaced versions; three times as much is left of
+/// the allowed time when they are to be unloaded.
+const LOOK_MS: u64 = 500;
 
 impl Placement {
     /// Wants the newest version of what is used in an older one.
@@ -47,29 +47,45 @@
         if self.versions.is_empty() {
             return;
         }
-        let looks = self.endpoints.len() / PASSES_PER_LOOK + 1;
+        self.look_for_replaced(now_ms);
+        let mut due = Vec::new();
+        // An endpoint takes one order at a time, so that those with several are looked at each time.
+        for id in std::mem::take(&mut self.outdated) {
+            let Some(endpoint) = self.endpoints.get(&id) else { continue };
+            let Some(name) = self.replaced_at(now_ms, endpoint) else { continue };
+            if endpoint.is_free_for_orders(now_ms) {
+                due.push((id.clone(), name));
+            }
+            self.outdated.insert(id);
+        }
+        for (id, name) in due {
+            self.order(now_ms, &id, OrderKind::Unload { name });
+        }
+    }
+
+    /// Looks at as many endpoints as the time since the last look asks for.
+    fn look_for_replaced(&mut self, now_ms: u64) {
+        let passed_ms = now_ms.saturating_sub(self.looked_at_ms).min(LOOK_MS);
+        self.looked_at_ms = now_ms;
+        let looks = self.endpoints.len() * passed_ms as usize / LOOK_MS as usize + 1;
         let from = match &self.looked_until {
             Some(id) => Bound::Excluded(id.clone()),
             None => Bound::Unbounded,
         };
-        let mut due = Vec::new();
+        let mut found = Vec::new();
         let mut looked_until = None;
         for (id, endpoint) in self.endpoints.range((from, Bound::Unbounded)).take(looks) {
             looked_until = Some(id.clone());
-            let Some(name) = self.replaced_at(now_ms, endpoint) else { continue };
-            due.push((id.clone(), name));
+            if self.replaced_at(now_ms, endpoint).is_some() {
+                found.push(id.clone());
+            }
         }
         // After the last endpoint it begins again with the first one.
         self.looked_until = looked_until;
-        for (id, name) in due {
-            self.order(now_ms, &id, OrderKind::Unload { name });
-        }
+        self.outdated.extend(found);
     }
 
     fn replaced_at(&self, now_ms: u64, endpoint: &EndpointPlaces) -> Option<WeightsName> {
-        if !endpoint.is_free_for_orders(now_ms) {
-            return None;
-        }
         for (name, place) in &endpoint.places {
             let is_adapter = name.adapter.is_some();
             if is_adapter
