relay: a refusal for a replaced version does not hide the newer one

Cause: since a renewed adapter is asked for in the version that is known to be held, an endpoint that has just replaced it answers that it does not hold it. The gateway then forgot the endpoint as a home, also when it had been told of the newer version there meanwhile, and the leader, who counts that home, told it again to nobody. Ruled out: that a need mends it: the leader has a home and drops the want. Change: a refusal takes away the version that was asked for, nothing else. Measured: the test failed before (no home).

--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -423,7 +423,7 @@
         let head = relay.border.read_answer(response.status(), response.headers());
         if head.misdirected {
             if let Some(weights) = weights {
-                relay.fleet().not_held(&send.endpoint, weights);
+                relay.fleet().not_held(&send.endpoint, weights, self.held_version);
             }
             return Attempt::NotRun("the endpoint does not hold the weights");
         }
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -172,9 +172,12 @@
         }
     }
 
-    /// Notes that an endpoint turned out not to hold `name`.
-    pub fn not_held(&mut self, endpoint: &str, name: &WeightsName) {
-        if let Some(homes) = self.homes.get_mut(name) {
+    /// Notes that an endpoint turned out not to hold `name` in the `version` that was known.
+    ///
+    /// What was told of another version since, or of one on its way, stays: nobody tells it again.
+    pub fn not_held(&mut self, endpoint: &str, name: &WeightsName, version: Option<u64>) {
+        let Some(homes) = self.homes.get_mut(name) else { return };
+        if homes.get(endpoint).copied() == version.map(Holding::Ready) {
             homes.remove(endpoint);
         }
     }
--- a/tests/renewed_versions.rs
+++ b/tests/renewed_versions.rs
@@ -124,8 +124,8 @@
     fleet.set_newest(0, adapter(), 2);
     assert_eq!(pick(&mut fleet, 10).as_deref(), Some("a"));
     place(&mut fleet, "a", 2);
-    fleet.not_held("a", &adapter());
+    fleet.not_held("a", &adapter(), Some(1));
     assert_eq!(pick(&mut fleet, 5_000).as_deref(), Some("a"), "it holds version 2");
-    fleet.not_held("a", &adapter());
+    fleet.not_held("a", &adapter(), Some(2));
     assert_eq!(pick(&mut fleet, 5_000), None, "it does not hold what it was asked for");
 }
