placement: an adapter that fits nowhere else takes the place of its replaced version

Cause: gateways stop using a replaced version after a quarter of the allowed time, but it kept its place for seven tenths of it; where no other endpoint had a place, or one that may give way, nothing served the adapter between. Ruled out: replacing it in place: whether that needs a further place at a full endpoint is not known, and an order beyond the places is not allowed. Change: when a gateway asks for a first home, no endpoint is merely busy and nothing may give way, an older version of the same adapter does.

--- a/src/control/placement/homes.rs
+++ b/src/control/placement/homes.rs
@@ -243,9 +243,11 @@
         want: &Want,
         survey: &Survey,
     ) -> bool {
+        let mut is_any_busy = false;
         for (fit, id) in &survey.candidates {
             let Some(endpoint) = self.endpoints.get(id) else { continue };
             if !endpoint.is_free_for_orders(now_ms) || endpoint.coming() >= COMING_MAX {
+                is_any_busy = true;
                 // Its copy is worth a short wait; without one, any other endpoint will do.
                 if fit.has_room && endpoint.has_copy(name) && want.since_ms + COPY_WAIT_MS > now_ms
                 {
@@ -271,9 +273,24 @@
             }
         }
         self.open.no_victim += 1;
+        let has_home = survey.homes + survey.on_their_way > 0;
+        if !want.is_further && !has_home && !is_any_busy {
+            self.unload_outdated(now_ms, name, survey);
+        }
         false
     }
 
+    /// Makes a place where an older version is: a gateway that asks for a first home no longer uses it.
+    fn unload_outdated(&mut self, now_ms: u64, name: &WeightsName, survey: &Survey) {
+        for id in &survey.outdated {
+            let Some(endpoint) = self.endpoints.get(id) else { continue };
+            if endpoint.is_free_for_orders(now_ms) {
+                self.order(now_ms, id, OrderKind::Unload { name: name.clone() });
+                return;
+            }
+        }
+    }
+
     /// No endpoint can take the adapter as it is: its base model needs a home first, or every
     /// endpoint has an older version, which one of them then replaces.
     fn load_without_candidates(
