--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -685,3 +685,32 @@
     }
     panic!("it is never loaded");
 }
+
+#[test]
+fn a_copy_of_a_replaced_version_is_no_copy_of_the_newer_one() {
+    let takes_ms = 250;
+    let mut leader = Leader::new(64);
+    for number in 0..12 {
+        leader.heartbeat("e1");
+        leader.need(number);
+        load_in(&mut leader, takes_ms);
+    }
+    leader.placement.set_version(leader.now_ms, adapter(1), 2);
+    leader.need(1);
+    let orders = load_in(&mut leader, takes_ms);
+    assert!(orders <= 5, "{orders} orders for a load that comes from the store");
+}
+
+/// Carries out the load that is ordered next; returns how many orders that took.
+fn load_in(leader: &mut Leader, takes_ms: u64) -> usize {
+    let mut order = leader.next_order();
+    let started_ms = leader.now_ms;
+    let mut orders = 1;
+    while leader.now_ms < started_ms + takes_ms {
+        leader.answer(&order, OrderOutcome::UnderWay);
+        order = leader.next_order();
+        orders += 1;
+    }
+    leader.answer(&order, OrderOutcome::Done);
+    orders
+}
