placement: copies of a replaced version are forgotten when a newer one is named

Cause: copies were known by name only. A load of the newer version at an endpoint that had the older one was taken for one from a copy: it was looked at every 14 ms for as long as the store took, did not count as on its way from the store, went ahead when the store was full, and its endpoint was preferred to nearer ones. Ruled out: recording versions with the copies: a new leader would gain little, at the price of another format of the log. Change: naming a version drops the copies that the leader knows of that name. A new leader still takes recorded copies over by name.

--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -230,7 +230,13 @@
     }
 
     /// Notes a version of weights that has just been named as the newest.
+    ///
+    /// Copies are of the version before, so that the newer one comes from the weight store.
     pub fn set_version(&mut self, now_ms: u64, name: WeightsName, version: u64) {
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.copies.remove(&name);
+        }
+        self.copied.remove(&name);
         self.versions.named(now_ms, name, version);
     }
 
