--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -14,7 +14,7 @@
 mod renewal;
 mod store_limit;
 
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -140,6 +140,9 @@
     versions: Versions,
     /// Where the next look for older versions begins.
     looked_until: Option<Arc<str>>,
+    looked_at_ms: u64,
+    /// Endpoints at which the last look found replaced versions.
+    outdated: BTreeSet<Arc<str>>,
     /// Requests.
     demand: Demand,
     /// Milliseconds that endpoints spend on reading prompts.
@@ -170,6 +173,8 @@
             engines: HashMap::new(),
             versions: Versions::new(settings.version_within_ms * HELD_PERCENT / 100),
             looked_until: None,
+            looked_at_ms: now_ms,
+            outdated: BTreeSet::new(),
             demand: Demand::new(),
             reading: Demand::new(),
             wanted: HashMap::new(),
@@ -282,7 +287,7 @@
                     self.demand.add(now_ms, &weights.name.base(), requests);
                 }
             }
-            let newest = self.versions.newest(&weights.name).unwrap_or(0);
+            let newest = self.version_wanted(&weights.name);
             let Some(endpoint) = self.endpoints.get_mut(&weights.endpoint) else { continue };
             endpoint.note_use(now_ms, &from.gateway, &weights, newest);
         }
@@ -452,6 +457,12 @@
         self.endpoints.values().map(|endpoint| endpoint.coming_from_store(now_ms)).sum()
     }
 
+    /// The version that counts as a home of `name`; 0 while any does, as for base models, which are
+    /// served as they are held.
+    fn version_wanted(&self, name: &WeightsName) -> u64 {
+        if name.adapter.is_none() { 0 } else { self.versions.newest(name).unwrap_or(0) }
+    }
+
     fn version_of(&self, name: &WeightsName) -> Option<u64> {
         self.versions.newest(name)
     }
