control: a replica whose disk stalls tells at once who leads

Each call that reached a follower with a stalled disk was answered 503 after 901 ms, though the follower knew who leads: the replica takes no call while it waits for its disk, and every call was put to it. Ruled out: the leader and its disk; it answered changes in below 50 ms throughout. Change: the platform's interface answers 307 with the leader's address as the replica last told it, without asking the replica; only the leader and a replica that knows of none are asked. Heartbeats that the distributor does not take go the same way. A leader whose disk stalls is not changed: its own calls still wait up to 900 ms, until it steps down. The calls of our own processes on the channel for control are still put to the replica.

--- a/src/control/api.rs
+++ b/src/control/api.rs
@@ -48,6 +48,11 @@
                 return CallOutcome::Answered(ControlReply::Heard { server });
             }
         }
+        // A replica whose disk stalls takes calls for as long as they wait, so it is not asked for what
+        // is known without it: callers went elsewhere after 900 ms, they are told at once.
+        if let Some(leader) = running.leads_elsewhere() {
+            return CallOutcome::Elsewhere(leader);
+        }
         let reply = ractor::call_t!(
             running.replica,
             |reply| crate::control::server::ReplicaMessage::Call(request, reply),
--- a/src/control/process.rs
+++ b/src/control/process.rs
@@ -128,8 +128,8 @@
     let common = &settings.common;
     let (name, zone) = (common.name.clone(), common.zone.clone());
     let hello = distribution::hello(name, rand::rng().random(), zone, common.peers_address());
-    let distributor = distribution::spawn(hello, clock, leader_known);
-    Ok(Running { replica: actor, distributor, leads })
+    let distributor = distribution::spawn(hello, clock, leader_known.clone());
+    Ok(Running { replica: actor, distributor, leads, leader: leader_known })
 }
 
 /// True for a replica that is no member, or that hears of no leader and may have been replaced.
--- a/src/control/serving.rs
+++ b/src/control/serving.rs
@@ -1,10 +1,11 @@
 //! Serving the streams that peers and gateways open at a replica.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
 
 use ractor::ActorRef;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use crate::control::distribution::DistributorHandle;
 use crate::control::server::ReplicaMessage;
@@ -38,9 +39,20 @@
     pub distributor: DistributorHandle,
     /// Set while this replica leads.
     pub leads: Arc<AtomicBool>,
+    /// Who leads, as far as this replica knows.
+    pub leader: watch::Receiver<Option<SocketAddr>>,
 }
 
 impl Running {
+    /// Another replica that leads, as far as is known here without asking the replica, which does not
+    /// answer while its disk stalls.
+    pub fn leads_elsewhere(&self) -> Option<SocketAddr> {
+        if self.leads.load(Ordering::Relaxed) {
+            return None;
+        }
+        *self.leader.borrow()
+    }
+
     /// What serves sessions of `role` now.
     fn host(&self, role: SessionRole) -> SessionHost {
         let is_for_leader = role != SessionRole::Follower || self.leads.load(Ordering::Relaxed);
