--- /dev/null
+++ b/src/relay/attempt.rs
@@ -0,0 +1,215 @@
+//! Choosing an endpoint for a request, and one send to it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::time::timeout;
+use tracing::info;
+
+use super::border::SendMeta;
+use super::exchange::Exchange;
+use super::fleet::Picked;
+use super::known::Wanted;
+use super::pool::{self, Connection, SendFailure};
+use super::refusal::NotSent;
+use super::shared::Relay;
+use crate::message::{AdapterNeed, WeightsName};
+use crate::policy::rank::LATE_RANK;
+
+/// How much before a quarter of the latency objective a request that found no place is refused; a
+/// refusal costs nothing until then.
+const PATIENCE_MARGIN_MS: u64 = 12;
+/// How long a request waits for weights that are on their way, as a share of the latency objective.
+const LOAD_HOLD_PERCENT: u64 = 180;
+
+/// A request that runs at an endpoint; dropped when its answer has ended either way.
+pub(super) struct Flight {
+    relay: Arc<Relay>,
+    weights: Option<WeightsName>,
+    number: u64,
+    pub(super) endpoint: Arc<str>,
+    pub(super) address: std::net::SocketAddr,
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        let now_ms = self.relay.now_ms();
+        let weights = self.weights.as_ref();
+        self.relay.fleet().finish(now_ms, &self.endpoint, weights, self.number);
+        self.relay.changed.notify_waiters();
+    }
+}
+
+/// The head of an endpoint's answer, its body still on the way.
+pub(super) struct Started {
+    pub(super) flight: Flight,
+    pub(super) connection: Connection,
+    pub(super) response: Response<Incoming>,
+}
+
+/// The endpoint that a request goes to.
+pub(super) struct Target {
+    pub(super) id: Arc<str>,
+    pub(super) address: std::net::SocketAddr,
+    pub(super) weights_version: Option<u64>,
+    pub(super) held_version: Option<u64>,
+    pub(super) rank: Option<u8>,
+    pub(super) expected_ms: u64,
+}
+
+/// What came of one send.
+pub(super) enum Attempt {
+    Started(Box<Started>),
+    NotRun(&'static str),
+    Unknown(String),
+}
+
+impl Exchange {
+    /// Waits until an endpoint can take the request, as long as that is worth it.
+    pub(super) async fn pick(&self) -> Result<Target, NotSent> {
+        let quarter_ms = self.chosen.route.latency_objective_ms / 4;
+        let patience_ms = quarter_ms.saturating_sub(PATIENCE_MARGIN_MS);
+        let until_ms = (self.started_ms + patience_ms).min(self.ends_at_ms);
+        // Weights that are on their way are worth more than a refusal, also when the answer is late.
+        let hold_ms = self.chosen.route.latency_objective_ms * LOAD_HOLD_PERCENT / 100;
+        let hold_until_ms = (self.started_ms + hold_ms).min(self.ends_at_ms);
+        let mut asked = false;
+        loop {
+            let changed = self.relay.changed.notified();
+            let now_ms = self.relay.now_ms();
+            let weights = self.engine_weights();
+            let service = &self.chosen.service.name;
+            let wanted = weights.map(|weights| self.wanted(now_ms, weights));
+            let picked = self.relay.fleet().pick(now_ms, service, wanted.as_ref(), &self.tried);
+            let reason = match picked {
+                Picked::Endpoint {
+                    id,
+                    address,
+                    weights_version,
+                    held_version,
+                    rank,
+                    expected_ms,
+                } => {
+                    return Ok(Target {
+                        id,
+                        address,
+                        weights_version,
+                        held_version,
+                        rank,
+                        expected_ms,
+                    });
+                }
+                Picked::NoEndpoint => "no endpoint",
+                Picked::Full => "endpoints are full",
+                Picked::Coming => "weights are on their way",
+                Picked::NoHome => "weights are not loaded",
+            };
+            let until_ms = if picked == Picked::Coming { hold_until_ms } else { until_ms };
+            if let (Some(weights), false) = (weights, asked) {
+                asked = true;
+                let need = AdapterNeed {
+                    service: service.clone(),
+                    weights: weights.clone(),
+                    requests: 1,
+                    more: picked == Picked::Full,
+                };
+                self.relay.ask_for(need);
+            }
+            if now_ms >= self.ends_at_ms {
+                return Err(NotSent::Late);
+            }
+            if now_ms >= until_ms {
+                return Err(NotSent::NoPlace(reason));
+            }
+            let wait = Duration::from_millis(until_ms - now_ms);
+            let _ = timeout(wait, changed).await;
+        }
+    }
+
+    /// The weights that an engine must hold; a plain service holds none, whatever the client says.
+    fn engine_weights(&self) -> Option<&WeightsName> {
+        self.meta.weights.as_ref().filter(|_| self.chosen.service.engine.is_some())
+    }
+
+    fn wanted(&self, now_ms: u64, weights: &WeightsName) -> Wanted {
+        let route = &self.chosen.route;
+        let memory_tokens =
+            self.chosen.service.engine.as_ref().map_or(0, |spec| spec.memory_tokens);
+        let objective_at_ms = self.started_ms + route.latency_objective_ms;
+        // No engine reads more than it has room for, whatever the client says.
+        let prompt_max_tokens = match memory_tokens {
+            0 => u32::MAX,
+            room => u32::try_from(room).unwrap_or(u32::MAX),
+        };
+        Wanted {
+            weights: weights.clone(),
+            priority: route.priority,
+            left_ms: objective_at_ms.saturating_sub(now_ms) as f64,
+            prompt_tokens: self.meta.prompt_tokens.min(prompt_max_tokens),
+            prompt: self.prompt.clone(),
+            memory_tokens,
+        }
+    }
+
+    pub(super) async fn attempt(&self, send: &SendMeta, address: std::net::SocketAddr) -> Attempt {
+        let relay = &self.relay;
+        let mut connection = match relay.pool.connection(address).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                relay.fleet().unreachable(relay.now_ms(), &send.endpoint);
+                info!(event = "endpoint_unreachable", endpoint = %send.endpoint, error = %error);
+                return Attempt::NotRun("the endpoint cannot be reached");
+            }
+        };
+        let weights = self.engine_weights();
+        let now_ms = relay.now_ms();
+        let wanted = weights.map(|weights| self.wanted(now_ms, weights));
+        let is_late = send.priority >= LATE_RANK;
+        let number = relay.fleet().start(now_ms, &send.endpoint, wanted.as_ref(), is_late);
+        let flight = Flight {
+            relay: relay.clone(),
+            weights: weights.cloned(),
+            number,
+            endpoint: send.endpoint.clone(),
+            address,
+        };
+        let left = Duration::from_millis(self.left_ms(relay.now_ms()));
+        let peer = &*send.endpoint;
+        let sent = timeout(left, pool::send(&mut connection, peer, self.request(send))).await;
+        let response = match sent {
+            Err(_) => return Attempt::Unknown("no answer before the deadline".to_owned()),
+            Ok(Err(SendFailure::NotSent(error))) => {
+                info!(event = "send_lost", endpoint = %send.endpoint, error = %error);
+                return Attempt::NotRun("the connection was closed");
+            }
+            Ok(Err(SendFailure::Unknown(error))) => return Attempt::Unknown(error.to_string()),
+            Ok(Ok(response)) => response,
+        };
+        let head = relay.border.read_answer(response.status(), response.headers());
+        if head.misdirected {
+            if let Some(weights) = weights {
+                relay.fleet().not_held(&send.endpoint, weights, self.held_version);
+            }
+            return Attempt::NotRun("the endpoint does not hold the weights");
+        }
+        if head.not_run {
+            relay.fleet().refused(relay.now_ms(), &send.endpoint);
+            return Attempt::NotRun("the endpoint refused");
+        }
+        relay.fleet().answered(relay.now_ms(), &send.endpoint, number);
+        Attempt::Started(Box::new(Started { flight, connection, response }))
+    }
+
+    fn request(&self, send: &SendMeta) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.target.clone();
+        *request.headers_mut() = self.headers.clone();
+        self.relay.border.write_request(request.headers_mut(), send);
+        request
+    }
+}
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -7,6 +7,7 @@
 //! again. How the platform spells requests is behind [`RelayBorder`].
 
 mod admission;
+mod attempt;
 mod border;
 mod budget;
 mod choice;
--- a/src/relay/report.rs
+++ b/src/relay/report.rs
@@ -2,7 +2,8 @@
 
 use tracing::{info, warn};
 
-use super::exchange::{Exchange, Started};
+use super::attempt::Started;
+use super::exchange::Exchange;
 use crate::message::WeightsName;
 use crate::metrics::{Counter, Timer};
 use crate::policy::versions::KnownVersion;
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -11,8 +11,9 @@
 use tokio::time::timeout;
 use tracing::{info, warn};
 
+use super::attempt::{Flight, Started};
 use super::events::EventSplitter;
-use super::exchange::{Exchange, Flight, InProgress, Started, remove_connection_headers};
+use super::exchange::{Exchange, InProgress, remove_connection_headers};
 use super::pool::Connection;
 use crate::error::{Error, Result};
 use crate::http::{Answer, AnswerBody};
