--- /dev/null
+++ b/tests/fuzz_streams.rs
@@ -0,0 +1,124 @@
+//! Streams of events that arrive in any pieces: the events given out are those of the stream, whole
+//! and in order, and no more is held back than one event may have.
+
+#[path = "common/fuzz.rs"]
+mod fuzz;
+
+use fuzz::check;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use winchvane::relay::EventSplitter;
+
+/// The largest event that is held back until it is whole.
+const HELD_MAX_BYTES: usize = 1 << 20;
+
+fn event() -> impl Strategy<Value = Vec<u8>> {
+    let line = prop_oneof![
+        "id: ?[0-9]{1,6}",
+        "id:(x|-1|99999999999999999999999)?",
+        "data: ?[a-z \\{\\}\":]{0,40}",
+        "(event|retry)?:[a-z0-9]{0,4}",
+        "\\PC{1,8}",
+    ];
+    let line = prop_oneof![
+        9 => line.prop_map(String::into_bytes),
+        1 => vec(any::<u8>(), 1..9),
+    ];
+    (vec(line, 1..5), any::<bool>()).prop_map(|(lines, with_return)| {
+        let end: &[u8] = if with_return { b"\r\n" } else { b"\n" };
+        let mut event = Vec::new();
+        for mut line in lines {
+            line.retain(|byte| !b"\r\n".contains(byte));
+            if line.is_empty() {
+                continue;
+            }
+            event.extend_from_slice(&line);
+            event.extend_from_slice(end);
+        }
+        if event.is_empty() {
+            event.extend_from_slice(b":\n");
+        }
+        event.extend_from_slice(end);
+        event
+    })
+}
+
+/// Gives `stream` to a splitter in pieces of these sizes, and the rest in one; returns what came out
+/// as whole events, the last number, and what was left.
+fn split(stream: &[u8], sizes: &[usize]) -> (Vec<u8>, Option<u64>, Vec<u8>) {
+    let mut splitter = EventSplitter::new(None);
+    let mut whole = Vec::new();
+    let mut left = stream;
+    for size in sizes {
+        let (piece, rest) = left.split_at((*size).min(left.len()));
+        whole.extend(splitter.push(piece).unwrap_or_default());
+        left = rest;
+    }
+    whole.extend(splitter.push(left).unwrap_or_default());
+    let number = splitter.last_event();
+    (whole, number, splitter.take_rest().unwrap_or_default().to_vec())
+}
+
+#[test]
+fn pieces_of_any_size_give_the_events_of_the_stream() {
+    let sizes = vec(0..20_usize, 0..60);
+    check((vec(event(), 0..8), event(), sizes), |(events, last, sizes)| {
+        let whole = events.concat();
+        let broken = &last[..last.len() / 2];
+        let stream = [whole.as_slice(), broken].concat();
+        let (given, _, rest) = split(&stream, &sizes);
+        prop_assert_eq!(&given, &whole);
+        prop_assert_eq!(rest, broken);
+        Ok(())
+    });
+}
+
+#[test]
+fn any_bytes_come_out_as_they_came_in() {
+    let bytes = vec(prop_oneof![any::<u8>(), Just(b'\n'), Just(b'\r')], 0..300);
+    check((bytes, vec(0..20_usize, 0..60)), |(bytes, sizes)| {
+        let (given, _, rest) = split(&bytes, &sizes);
+        prop_assert_eq!([given, rest].concat(), bytes);
+        Ok(())
+    });
+}
+
+#[test]
+fn what_is_held_back_is_bounded() {
+    check(vec(1..200_000_usize, 1..24), |sizes| {
+        let mut splitter = EventSplitter::new(None);
+        let mut held_bytes = 0;
+        for size in sizes {
+            held_bytes += size;
+            held_bytes -= splitter.push(&vec![b'x'; size]).map_or(0, |given| given.len());
+            prop_assert!(held_bytes <= HELD_MAX_BYTES, "{} bytes are held", held_bytes);
+        }
+        Ok(())
+    });
+}
+
+/// A stream breaks, and events that the client has come to it again: an event with a number that
+/// cannot be read, or with bytes that are no text, hides the numbers of the events that arrived in
+/// the same piece before it.
+#[test]
+fn the_last_number_does_not_depend_on_the_pieces() {
+    let sizes = vec(0..20_usize, 0..60);
+    check((vec(event(), 0..8), sizes), |(events, sizes)| {
+        let stream = events.concat();
+        let (_, one_by_one, _) = split(&stream, &vec![1; stream.len()]);
+        prop_assert_eq!(split(&stream, &sizes).1, one_by_one);
+        prop_assert_eq!(split(&stream, &[]).1, one_by_one);
+        Ok(())
+    });
+}
+
+/// An endpoint sends a large event a few bytes at a time, and the gateway is busy for minutes: each
+/// piece has all that is held back searched again.
+#[test]
+fn a_large_event_in_tiny_pieces_is_searched_once() {
+    let mut splitter = EventSplitter::new(None);
+    for _ in 0..HELD_MAX_BYTES / 4 {
+        assert!(splitter.push(b"xxxx").is_none());
+    }
+    assert!(splitter.push(b"\n\n").is_some());
+}
