relay: the last event's number does not depend on the pieces, and pieces are searched once

Cause: the number was looked for in one text made of all events of a piece, so bytes that are no text or one number that cannot be read hid the numbers before it; after a break the client got events again that it had. Each piece had all that was held back searched again, quadratic up to 1 MiB. Change: lines are read as bytes, and the search begins at what has just arrived.

--- a/src/relay/events.rs
+++ b/src/relay/events.rs
@@ -25,8 +25,9 @@
 
     /// Takes bytes in and gives out the events that are now whole.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        let searched = self.partial.len();
         self.partial.extend_from_slice(bytes);
-        let end = end_of_events(&self.partial)
+        let end = end_of_events(&self.partial, searched)
             .or_else(|| (self.partial.len() > EVENT_MAX_BYTES).then_some(self.partial.len()))?;
         let whole = self.partial.split_to(end).freeze();
         if let Some(number) = last_number(&whole) {
@@ -49,10 +50,10 @@
     }
 }
 
-/// Where the last whole event ends: after an empty line.
-fn end_of_events(bytes: &[u8]) -> Option<usize> {
+/// Where the last whole event ends: after an empty line. None ends within the first `searched` bytes.
+fn end_of_events(bytes: &[u8], searched: usize) -> Option<usize> {
     let mut position = bytes.len();
-    while position > 0 {
+    while position > searched {
         position -= 1;
         if bytes[position] != b'\n' {
             continue;
@@ -65,11 +66,14 @@
     None
 }
 
+/// The last number in `events`; lines that hold none, and bytes that are no text, hide no other.
 fn last_number(events: &[u8]) -> Option<u64> {
-    let text = std::str::from_utf8(events).ok()?;
-    for line in text.lines().rev() {
-        let Some(number) = line.strip_prefix("id:") else { continue };
-        return number.trim().parse().ok();
+    for line in events.rsplit(|byte| *byte == b'\n') {
+        let Some(number) = line.strip_prefix(b"id:") else { continue };
+        let Ok(number) = std::str::from_utf8(number) else { continue };
+        if let Ok(number) = number.trim().parse() {
+            return Some(number);
+        }
     }
     None
 }
