--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -15,6 +15,10 @@
 
 use crate::message::WeightsName;
 
+/// The longest time that a route may name, 34 years: sums with the present time and products with
+/// percentages stay far within a `u64`.
+const TIME_MAX_MS: u64 = 1 << 40;
+
 /// Everything that is routed, under one version.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct RoutingConfiguration {
@@ -177,6 +181,10 @@
             if route.timeout_ms == 0 {
                 faults.push(format!("route {name}: the timeout is 0"));
             }
+            let times_ms = [route.timeout_ms, route.latency_objective_ms, route.gap_objective_ms];
+            if times_ms.iter().any(|time_ms| *time_ms > TIME_MAX_MS) {
+                faults.push(format!("route {name}: a time is above {TIME_MAX_MS} ms"));
+            }
             if route.targets.iter().map(|target| u64::from(target.weight)).sum::<u64>() == 0 {
                 faults.push(format!("route {name}: the weights add up to 0"));
             }
