wire, storage: values take no more memory or stack than their bytes allow

Cause: a length inside a value was allocated before its bytes were counted: nine bytes of a peer ended the process ("memory allocation of bytes failed"). Messages forwarded within forwarded ones were read to any depth: 3 MB of them ended it by a stack overflow. Bytes behind a value were not counted. Ruled out: one bound for all values, which would be 4 GiB; the type of what is forwarded as one without forwarding, a larger change for the same effect.

--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -5,6 +5,7 @@
 use bincode::config::standard;
 use serde::{Deserialize, Serialize};
 
+use crate::binary;
 use crate::control::config::Config;
 use crate::control::fleet::{Fleet, ListedEndpoint, Registration};
 use crate::control::ledger::{Claim, ClaimOutcome, KeyDigest, Ledger, LedgerLimits, Settlement};
@@ -232,9 +233,7 @@
     /// # Errors
     /// Bytes that are not an encoded state.
     pub fn decode(bytes: &[u8]) -> Result<Self> {
-        let (state, _) = bincode::serde::decode_from_slice(bytes, standard())
-            .map_err(|error| Error::damaged("decode", "snapshot", error.to_string()))?;
-        Ok(state)
+        binary::decode(bytes).map_err(|error| Error::damaged("decode", "snapshot", error))
     }
 }
 
@@ -251,8 +250,6 @@
     /// # Errors
     /// Bytes that are not an encoded command.
     pub fn decode(bytes: &[u8]) -> Result<Self> {
-        let (command, _) = bincode::serde::decode_from_slice(bytes, standard())
-            .map_err(|error| Error::damaged("decode", "command", error.to_string()))?;
-        Ok(command)
+        binary::decode(bytes).map_err(|error| Error::damaged("decode", "command", error))
     }
 }
--- a/src/control/storage.rs
+++ b/src/control/storage.rs
@@ -13,6 +13,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use crate::binary;
 use crate::control::raft::{Entry, HardState, Members, NodeId, Recovered, Snapshot};
 use crate::error::{Error, Result};
 
@@ -333,8 +334,8 @@
 
 fn decode_record(bytes: &[u8]) -> Option<(Record, usize)> {
     let body = checked_body(bytes)?;
-    let (record, read) = bincode::serde::decode_from_slice(body, standard()).ok()?;
-    (read == body.len()).then_some((record, HEADER_BYTES + body.len()))
+    let record = binary::decode(body).ok()?;
+    Some((record, HEADER_BYTES + body.len()))
 }
 
 fn checked_body(bytes: &[u8]) -> Option<&[u8]> {
@@ -368,9 +369,7 @@
     let Some(body) = checked_body(&bytes) else {
         return Err(Error::damaged("read", path_text(path), "the checksum does not match"));
     };
-    let (value, _) = bincode::serde::decode_from_slice(body, standard())
-        .map_err(|error| Error::damaged("read", path_text(path), error.to_string()))?;
-    Ok(Some(value))
+    binary::decode(body).map(Some).map_err(|error| Error::damaged("read", path_text(path), error))
 }
 
 fn write_whole<T: Serialize>(folder: &Path, name: &str, value: &T) -> Result<()> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -49,6 +49,7 @@
 //! - [`wire`] and [`message`]: what the system's processes tell each other.
 
 pub mod admin;
+mod binary;
 pub mod clock;
 pub mod control;
 pub mod document;
--- a/src/message/session.rs
+++ b/src/message/session.rs
@@ -1,9 +1,11 @@
 //! What gateways, distributors and the leader of control say on sessions.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use serde::{Deserialize, Serialize};
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer, Serialize};
 
 use super::control::Change;
 use crate::message::{
@@ -120,9 +122,26 @@
     /// The gateway.
     pub gateway: Arc<str>,
     /// What it told.
+    #[serde(deserialize_with = "read_told")]
     pub up: SessionUp,
 }
 
+thread_local! {
+    /// True while something forwarded is read.
+    static IN_FORWARDED: Cell<bool> = const { Cell::new(false) };
+}
+
+/// Reads what a gateway told, in which nothing is forwarded again: the depth of a message would
+/// otherwise be the sender's to choose, and with it the reader's stack.
+fn read_told<'de, D: Deserializer<'de>>(deserializer: D) -> Result<SessionUp, D::Error> {
+    if IN_FORWARDED.replace(true) {
+        return Err(D::Error::custom("gateways forward nothing"));
+    }
+    let told = SessionUp::deserialize(deserializer);
+    IN_FORWARDED.set(false);
+    told
+}
+
 /// The replicas of control and the gateways that follow it.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Group {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -21,6 +21,7 @@
 use tokio::time::timeout;
 use tracing::{debug, warn};
 
+use crate::binary;
 use crate::error::{Error, Result};
 use crate::metrics::{Counter, Metrics};
 
@@ -212,9 +213,7 @@
         let body = self.buffer.split_to(length);
         RECEIVED_MESSAGES.fetch_add(1, Ordering::Relaxed);
         RECEIVED_BYTES.fetch_add((LENGTH_BYTES + length) as u64, Ordering::Relaxed);
-        let (message, _) = bincode::serde::decode_from_slice(&body, standard())
-            .map_err(|error| self.fail(error))?;
-        Ok(Some(message))
+        binary::decode(&body).map(Some).map_err(|error| self.fail(error))
     }
 
     fn fail(&self, error: impl ToString) -> Error {
