yaml: a file whose lines are indented beyond use is refused before it is read

Cause: the library reads and drops levels by recursion, so some hundred kilobytes of lists within lists ended the process by a stack overflow. Ruled out: flow lists, of which the library refuses more than 255. Change: a line may have 256 columns of indentation and marks in front of its text; each level of a block needs one.

--- a/src/yaml.rs
+++ b/src/yaml.rs
@@ -5,6 +5,13 @@
 
 use saphyr::{LoadableYamlNode, MarkedYaml, Scalar, YamlData};
 
+/// How far a line may be indented, marks of lists and keys included. Each level of a block stands
+/// further in, and the library reads levels by recursion: a thread's stack holds some thousand. Files
+/// of operators need some ten columns.
+const INDENT_MAX_COLUMNS: usize = 256;
+/// What can stand before the text of a line and open levels.
+const INDENT_MARKS: [char; 5] = [' ', '\t', '-', '?', ':'];
+
 /// One fault of an input file.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Fault {
@@ -72,8 +79,13 @@
 }
 
 impl<'a> Source<'a> {
-    /// Parses `text`; a syntax error becomes a fault and yields no document.
+    /// Parses `text`; a syntax error or too many levels become a fault and yield no document.
     pub fn parse(file: &Arc<str>, text: &'a str, faults: &mut Faults) -> Self {
+        if let Some(line) = too_deep(text) {
+            let detail = format!("nested too deeply: more than {INDENT_MAX_COLUMNS} columns");
+            faults.add_file(file, line, detail);
+            return Self { file: file.clone(), documents: Vec::new() };
+        }
         let documents = match MarkedYaml::load_from_str(text) {
             Ok(documents) => documents,
             Err(error) => {
@@ -97,6 +109,17 @@
     }
 }
 
+/// The first line, counted from 1, that is indented too far.
+fn too_deep(text: &str) -> Option<usize> {
+    let is_too_deep = |line: &str| {
+        let indent = line.chars().take_while(|mark| INDENT_MARKS.contains(mark));
+        indent.take(INDENT_MAX_COLUMNS + 1).count() > INDENT_MAX_COLUMNS
+    };
+    // YAML ends lines at a carriage return too.
+    let position = text.split('\n').position(|line| line.split('\r').any(is_too_deep))?;
+    Some(position + 1)
+}
+
 /// One node of a document together with its place.
 #[derive(Clone)]
 pub struct Node<'a> {
--- a/tests/fuzz_documents.rs
+++ b/tests/fuzz_documents.rs
@@ -199,7 +199,8 @@
     let mut text = "a0: &a0 [x, x, x, x, x, x, x, x, x]\n".to_owned();
     for level in 1..12 {
         let inner = vec![format!("*a{}", level - 1); 9].join(", ");
-        text.push_str(&format!("a{level}: &a{level} [{inner}]\n"));
+        let line = format!("a{level}: &a{level} [{inner}]\n");
+        text.push_str(&line);
     }
     let (documents, faults) = read(&text);
     assert!(documents.is_empty());
@@ -303,13 +304,28 @@
     }
 }
 
+#[test]
+fn nesting_that_is_allowed_is_survived() {
+    let mut lines = String::new();
+    for column in 0..256 {
+        let indent = " ".repeat(column);
+        let level = format!("{indent}a:\n{indent}-\n");
+        lines.push_str(&level);
+    }
+    for text in ["- ".repeat(128), "? ".repeat(128), "[".repeat(255), lines] {
+        let (documents, faults) = read(&text);
+        assert!(documents.is_empty() && !faults.is_empty());
+    }
+}
+
 /// The same by anchors, each of which stands for some hundred lists around the one before it.
 #[test]
 fn deep_nesting_by_anchors_is_survived() {
     let mut text = format!("a0: &a0 {}{}\n", "[".repeat(200), "]".repeat(200));
     for level in 1..28 {
         let (open, close) = ("[".repeat(200), "]".repeat(200));
-        text.push_str(&format!("a{level}: &a{level} {open}*a{}{close}\n", level - 1));
+        let line = format!("a{level}: &a{level} {open}*a{}{close}\n", level - 1);
+        text.push_str(&line);
     }
     let (documents, faults) = read(&text);
     assert!(documents.is_empty() && !faults.is_empty());
