--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -19,6 +19,15 @@
     assert_eq!(versions.of(900, &name()).map(|known| known.known_for_ms), Some(300));
 }
 
+#[test]
+fn a_version_that_is_due_stays_due_when_a_newer_one_is_named() {
+    let mut versions = Versions::new(1_000);
+    versions.named(0, name(), 2);
+    assert_eq!(versions.due(1_500, &name()), 2);
+    versions.named(4_500, name(), 3);
+    assert_eq!(versions.due(4_500, &name()), 2, "version 1 does not come back");
+}
+
 #[test]
 fn a_version_of_unknown_age_is_due_at_once_and_a_known_one_keeps_its_age() {
     let mut versions = Versions::new(1_000);
