placement: what a pass costs does not grow with the adapters that were ever renewed

Cause: each pass looked through all endpoints for every name that was ever renewed and is asked for, for an older version; the names stay for as long as the log does. Ruled out: finding all of it in the spread look only: the newest version would be fetched up to 500 ms later. Change: names are kept in a set from their naming until no endpoint holds an older version; the spread look puts them back when it sees one.

--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -143,6 +143,8 @@
     looked_at_ms: u64,
     /// Endpoints at which the last look found replaced versions.
     outdated: BTreeSet<Arc<str>>,
+    /// Weights of which some endpoint may hold a version older than the newest.
+    renewed: HashSet<WeightsName>,
     /// Requests.
     demand: Demand,
     /// Milliseconds that endpoints spend on reading prompts.
@@ -175,6 +177,7 @@
             looked_until: None,
             looked_at_ms: now_ms,
             outdated: BTreeSet::new(),
+            renewed: HashSet::new(),
             demand: Demand::new(),
             reading: Demand::new(),
             wanted: HashMap::new(),
@@ -237,6 +240,7 @@
             endpoint.copies.remove(&name);
         }
         self.copied.remove(&name);
+        self.renewed.insert(name.clone());
         self.versions.named(now_ms, name, version);
     }
 
--- a/src/control/placement/renewal.rs
+++ b/src/control/placement/renewal.rs
@@ -19,19 +19,23 @@
     /// Another endpoint gets it, so that the older version serves until then.
     pub(super) fn want_newest_versions(&mut self, now_ms: u64) {
         let mut wanted = Vec::new();
-        for name in self.versions.names() {
+        let mut renewed = Vec::new();
+        for name in &self.renewed {
             if self.demand.recent(now_ms, name) < VERSION_MIN_REQUESTS {
                 continue;
             }
             let newest = self.version_wanted(name);
-            for endpoint in self.endpoints.values() {
-                let Some(place) = endpoint.places.get(name) else { continue };
-                if place.version < newest {
-                    wanted.push((endpoint.endpoint.service.clone(), name.clone()));
-                    break;
-                }
+            let holds_older = |endpoint: &&EndpointPlaces| {
+                endpoint.places.get(name).is_some_and(|place| place.version < newest)
+            };
+            match self.endpoints.values().find(holds_older) {
+                Some(endpoint) => wanted.push((endpoint.endpoint.service.clone(), name.clone())),
+                None => renewed.push(name.clone()),
             }
         }
+        for name in renewed {
+            self.renewed.remove(&name);
+        }
         for (service, name) in wanted {
             // No gateway asked, so that no availability zone goes before another one.
             let want = Want::further(now_ms, &name, Arc::from(""));
@@ -73,16 +77,23 @@
             None => Bound::Unbounded,
         };
         let mut found = Vec::new();
+        let mut older = Vec::new();
         let mut looked_until = None;
         for (id, endpoint) in self.endpoints.range((from, Bound::Unbounded)).take(looks) {
             looked_until = Some(id.clone());
             if self.replaced_at(now_ms, endpoint).is_some() {
                 found.push(id.clone());
             }
+            for (name, place) in &endpoint.places {
+                if place.version < self.version_wanted(name) {
+                    older.push(name.clone());
+                }
+            }
         }
         // After the last endpoint it begins again with the first one.
         self.looked_until = looked_until;
         self.outdated.extend(found);
+        self.renewed.extend(older);
     }
 
     fn replaced_at(&self, now_ms: u64, endpoint: &EndpointPlaces) -> Option<WeightsName> {
--- a/src/policy/versions.rs
+++ b/src/policy/versions.rs
@@ -130,11 +130,6 @@
         self.renewed.get(name).map_or(0, |renewed| renewed.due(now_ms))
     }
 
-    /// The names that were renewed.
-    pub fn names(&self) -> impl Iterator<Item = &WeightsName> {
-        self.renewed.keys()
-    }
-
     /// True when no weights were renewed.
     pub fn is_empty(&self) -> bool {
         self.renewed.is_empty()
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -770,3 +770,27 @@
         }
     }
 }
+
+#[test]
+fn an_older_version_that_is_seen_after_the_newer_one_was_named_is_replaced() {
+    let mut leader = Leader::new(4);
+    leader.add_endpoint("e2");
+    leader.placement.learn_version(leader.now_ms, adapter(1), 2);
+    leader.pass(1_000);
+    let held = |name, version| Weights { name, version };
+    let holds = Some(vec![held(adapter(0).base(), 1), held(adapter(1), 1)]);
+    let endpoint = registered("e1", 7_000 + u16::from(b'1'));
+    leader.placement.observe(leader.now_ms, &Heartbeat { endpoint, sequence: 2, holds });
+    leader.uses("e1", 1, 3, 1);
+    let load = OrderKind::Load { name: adapter(1), version: Some(2) };
+    for _ in 0..50 {
+        let orders = leader.pass(20);
+        if orders.iter().any(|order| order.kind == load) {
+            return;
+        }
+        for order in &orders {
+            leader.answer(order, OrderOutcome::Done);
+        }
+    }
+    panic!("nobody gets the newest version in a second");
+}
