--- a/tests/common/fuzz.rs
+++ b/tests/common/fuzz.rs
@@ -11,6 +11,8 @@
 /// Inputs for each property where nothing else is asked for: all properties together take a few
 /// seconds then, also in a debug build.
 const CASES: u32 = 256;
+/// Inputs that may be put aside as unfit for each one that is used.
+const REJECTS_PER_CASE: u32 = 64;
 const SEED_BYTES: usize = 32;
 
 fn number_from(variable: &str) -> Option<u64> {
@@ -28,7 +30,13 @@
     let mut seed = [0; SEED_BYTES];
     let drawn = number_from("WINCHVANE_FUZZ_SEED").unwrap_or(1);
     seed[..8].copy_from_slice(&drawn.to_le_bytes());
-    let config = Config { cases, failure_persistence: None, ..Config::default() };
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        max_local_rejects: cases.saturating_mul(REJECTS_PER_CASE),
+        max_global_rejects: cases.saturating_mul(REJECTS_PER_CASE),
+        ..Config::default()
+    };
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &seed);
     if let Err(error) = TestRunner::new_with_rng(config, rng).run(&strategy, property) {
         panic!("{error}");
