--- a/tests/fuzz_documents.rs
+++ b/tests/fuzz_documents.rs
@@ -330,3 +330,16 @@
     let (documents, faults) = read(&text);
     assert!(documents.is_empty() && !faults.is_empty());
 }
+
+/// A client tells a part of a prompt again with another length, and the gateway's count of what an
+/// engine keeps falls below 0: the new length is noted and the count stays at the old one.
+#[test]
+fn a_part_told_with_another_length_is_counted_anew() {
+    let mut kept = KeptPrompts::new();
+    let weights = WeightsName::new("base", None);
+    for (id, tokens, capacity_tokens) in [(49, 0, 1_000), (49, 65, 1_000), (7, 0, 16), (8, 0, 16)] {
+        let chain = PromptChain::new(&weights, &[PromptPart { id, tokens }]);
+        kept.note(&chain, capacity_tokens);
+    }
+    assert_eq!(kept.len(), 1, "there is room for the last part alone");
+}
