relay: a part of a prompt that comes with another length is counted anew

Cause: a known part took its new length over while the count kept the old one, so clients could bring the count below 0. Ruled out: keeping the first length, which a client could set to anything as well. Change: the old length leaves the count where the new one enters it.

--- a/src/relay/prompt.rs
+++ b/src/relay/prompt.rs
@@ -113,9 +113,9 @@
             self.count += 1;
             let used = self.count;
             let known = self.parts.insert(link.hash, Kept { tokens: link.tokens, used });
-            if known.is_none() {
-                self.tokens += u64::from(link.tokens);
-            }
+            // Clients may tell a part again with another length.
+            self.tokens += u64::from(link.tokens);
+            self.tokens -= known.map_or(0, |kept| u64::from(kept.tokens));
             self.uses.push_back((link.hash, used));
         }
         self.drop_unused_longest(capacity_tokens);
