--- a/src/control/placement/renewal.rs
+++ b/src/control/placement/renewal.rs
@@ -19,7 +19,7 @@
     /// Another endpoint gets it, so that the older version serves until then.
     pub(super) fn want_newest_versions(&mut self, now_ms: u64) {
         let mut wanted = Vec::new();
-        let mut renewed = Vec::new();
+        let mut settled = Vec::new();
         for name in &self.renewed {
             if self.demand.recent(now_ms, name) < VERSION_MIN_REQUESTS {
                 continue;
@@ -30,10 +30,10 @@
             };
             match self.endpoints.values().find(holds_older) {
                 Some(endpoint) => wanted.push((endpoint.endpoint.service.clone(), name.clone())),
-                None => renewed.push(name.clone()),
+                None => settled.push(name.clone()),
             }
         }
-        for name in renewed {
+        for name in settled {
             self.renewed.remove(&name);
         }
         for (service, name) in wanted {
