--- a/standin/src/forwarder.rs
+++ b/standin/src/forwarder.rs
@@ -30,7 +30,18 @@
     /// # Errors
     /// No port can be bound.
     pub async fn start(target: SocketAddr) -> std::io::Result<(Arc<Self>, SocketAddr)> {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        Self::start_at(([127, 0, 0, 1], 0).into(), target).await
+    }
+
+    /// The same, listening at `address`.
+    ///
+    /// # Errors
+    /// The address can't be bound.
+    pub async fn start_at(
+        address: SocketAddr,
+        target: SocketAddr,
+    ) -> std::io::Result<(Arc<Self>, SocketAddr)> {
+        let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let forwarder = Arc::new(Self { mode: watch::Sender::new(Mode::Pass) });
         let mode = forwarder.mode.subscribe();
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -15,6 +15,7 @@
 use winchvane::control::listing::PlatformState;
 use winchvane_standin::engine::{EngineFault, EngineOptions};
 use winchvane_standin::forwarder::{Forwarder, Mode};
+use winchvane_standin::ports::free_ports;
 use winchvane_standin::region::{Region, RegionOptions, instance, wait_for};
 
 #[tokio::test(flavor = "multi_thread")]
@@ -455,6 +456,57 @@
     }
 }
 
+/// What users saw: 502 `outcome_unknown` for a completion, which may run again, while the other endpoint of
+/// the pool was back a moment later.
+/// Order of events: one endpoint can't be reached, another one takes the request and breaks it off.
+/// Cause: whether endpoints that change are worth waiting for was told by the last try alone; the first
+/// one was forgotten, and the failure of the second was final.
+/// Evidence: `an_endpoint_that_died_is_avoided_while_the_list_calls_it_live` beside 24 loops that use
+/// processor time, 1 of 15; in this test the log has `answer_failed`, 250 ms later `answer_failed` again at the
+/// same endpoint, and 502 at once, before `endpoint_down` of the other one was 60 ms old.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_broke_off_waits_for_an_endpoint_that_cannot_be_reached() {
+    let mut region = Region::start(options()).await;
+    let mut other = region.instances.remove(1);
+    let engine = other.address;
+    other.address.set_port(free_ports(1)[0]);
+    let (breaking, address) =
+        Forwarder::start(region.instances[0].address).await.expect("the forwarder starts");
+    region.instances[0] = instance("engine-9", address, "quotes");
+    region.platform.set(region.instances.clone());
+    wait_for("only engine-9 is listed", async || {
+        let endpoints = region.status().await.expect("a gateway answers")["endpoints"].to_string();
+        endpoints.contains("engine-9")
+            && !endpoints.contains("engine-0")
+            && !endpoints.contains("engine-1")
+    })
+    .await;
+    wait_for("its adapter is loaded there", async || {
+        region.quote(0, "taichung").await.status == StatusCode::OK
+    })
+    .await;
+    let unreachable = other.address;
+    region.instances.push(other);
+    region.platform.set(region.instances.clone());
+    wait_for("engine-1 is listed again", async || {
+        region.status().await.expect("a gateway answers")["endpoints"]
+            .to_string()
+            .contains("engine-1")
+    })
+    .await;
+    region.wait_owned().await;
+    breaking.set(Mode::Break);
+    let later = async {
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        Forwarder::start_at(unreachable, engine).await.expect("the forwarder starts")
+    };
+    let quote = |gateway| region.quote(gateway, "taichung");
+    let (first, second, third, _forwarder) = tokio::join!(quote(0), quote(1), quote(2), later);
+    for got in [first, second, third] {
+        assert_eq!(got.status, StatusCode::OK, "{}", got.body);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_at_an_engine_that_goes_silent_is_run_elsewhere() {
     let mut region = Region::start(options()).await;
