exchange: a request that broke off waits for the pool's other endpoints

Symptom: 502 outcome_unknown for a completion although the other endpoint takes work again a moment later. Cause: whether to wait was told by the last try alone; after a failure at one endpoint the other one, not reached just before, was forgotten, and the failed one was tried again in its place. Change: endpoints that broke the request off are left out while the pool has others, which are waited for within the deadline and 6 s, as they are before a first try. Budget and number of attempts bound it as before. Also a second failing test: a final answer after such a failure said not-run (503), which is false.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -200,7 +200,11 @@
     shared: &'a Arc<Shared>,
     exchange: &'a Exchange,
     started_ms: u64,
+    /// Endpoints that are left out until the next wait.
     tried: Vec<Arc<str>>,
+    /// Endpoints, still owned, that broke the request off; they are left out as long as the pool has
+    /// others.
+    failed: Vec<Arc<str>>,
     /// Attempts that an endpoint or its queue turned down, as against owners that changed.
     attempts: u32,
     /// True while the last try failed since endpoints change hands.
@@ -215,6 +219,7 @@
             exchange,
             started_ms: shared.now_ms(),
             tried: Vec::new(),
+            failed: Vec::new(),
             attempts: 0,
             in_transition: false,
             given_up: GivenUp {
@@ -241,16 +246,28 @@
     async fn wait_for_change(&mut self) -> bool {
         let now_ms = self.shared.now_ms();
         let until_ms = self.exchange.deadline_ms.min(self.started_ms + OWNER_WAIT_MS);
-        let may_change = self.in_transition || (self.attempts == 0 && self.may_have_endpoints());
+        let may_change = self.in_transition
+            || self.may_run_elsewhere()
+            || (self.attempts == 0 && self.may_have_endpoints());
         if !may_change || now_ms >= until_ms {
             return false;
         }
         let mut changes = self.shared.changes();
         let _ = tokio::time::timeout(OWNER_POLL, changes.changed()).await;
-        self.tried.clear();
+        self.tried.clone_from(&self.failed);
         true
     }
 
+    /// True when a request that broke off could run at an endpoint that does not take work right now:
+    /// one that can't be reached is back sooner than most clients give up, and 502 is final for them.
+    fn may_run_elsewhere(&self) -> bool {
+        !self.failed.is_empty() && self.has_other_than_failed()
+    }
+
+    fn has_other_than_failed(&self) -> bool {
+        self.shared.router().has_other(&self.exchange.service.pool, &self.failed)
+    }
+
     /// False when the platform lists other endpoints, but none of the service's pool. While no
     /// endpoint at all is known, control may not have read the list yet: a region's first requests
     /// would be refused a second before they could be answered.
@@ -387,6 +404,12 @@
         // With its owner gone the endpoint itself may be as good as before, under another owner.
         self.in_transition =
             self.shared.directory().gateway_epoch(&choice.owner) != choice.owner_epoch;
+        if !self.in_transition {
+            self.failed.push(choice.endpoint.clone());
+            if !self.has_other_than_failed() {
+                self.failed.clear();
+            }
+        }
         self.tried.push(choice.endpoint);
         self.given_up =
             GivenUp { run, refusal: None, retry_after_ms: RETRY_AFTER_DEFAULT_MS, detail };
--- a/src/policy/route.rs
+++ b/src/policy/route.rs
@@ -208,6 +208,15 @@
         self.pools.get(pool).is_some_and(|members| !members.is_empty())
     }
 
+    /// True when the pool has an endpoint beside `endpoints` that is not about to leave, usable now or not.
+    pub fn has_other(&self, pool: &str, endpoints: &[Arc<str>]) -> bool {
+        let Some(members) = self.pools.get(pool) else { return false };
+        members.iter().any(|member| {
+            let place = self.places[member.position].as_ref();
+            place.is_some_and(|place| !place.leaving && !endpoints.contains(&place.name))
+        })
+    }
+
     /// Notes that a request was sent to an endpoint; [`note_ended`](Self::note_ended) follows.
     pub fn note_sent(&mut self, name: &str, adapter: Option<&AdapterKey>) {
         let Some(position) = self.by_name.get(name).copied() else { return };
