exchange: a request that broke off is never called not run

Symptom: 503 and winchvane-run: not-run for a completion that one endpoint had taken and broken off. Cause: the answer told of the last try alone, which another endpoint had refused. Ruled out elsewhere: the relay counts sends that may have run and answers 502; claimed calls end at the first such failure. Change: a try that was not run says nothing of an earlier one that may have.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -382,12 +382,12 @@
         if !self.in_transition {
             self.attempts += 1;
         }
-        self.given_up = GivenUp {
+        self.note_outcome(GivenUp {
             run: RunState::NotRun,
             refusal: Some(refusal),
             retry_after_ms,
             detail: format!("endpoint {} refused: {}", choice.endpoint, refusal.as_str()),
-        };
+        });
         self.tried.push(choice.endpoint);
     }
 
@@ -411,7 +411,14 @@
             }
         }
         self.tried.push(choice.endpoint);
-        self.given_up =
-            GivenUp { run, refusal: None, retry_after_ms: RETRY_AFTER_DEFAULT_MS, detail };
+        let retry_after_ms = RETRY_AFTER_DEFAULT_MS;
+        self.note_outcome(GivenUp { run, refusal: None, retry_after_ms, detail });
+    }
+
+    /// Takes over what a try came to. One that was not run says nothing of an earlier one that may have.
+    fn note_outcome(&mut self, outcome: GivenUp) {
+        if outcome.run == RunState::Unknown || self.given_up.run == RunState::NotRun {
+            self.given_up = outcome;
+        }
     }
 }
