placement: the next gateway orders an endpoint when its last order is spent

Symptom: none orders an endpoint for 4.3 s after its gateway was killed; first requests of adapters wait or are refused. Cause: the engines' lease (3 s) was counted from when the gateway could write no order any more (1.3 s), also where its last order had been answered long before. Ruled out: a shorter lease or hold (the engines' own bound). Change: the leader keeps until when the orders given so far may arrive at each endpoint: the last answer; for one taken for lost 5 s longer; for what an earlier leader gave 1.3 s from its lead. Never later than before.

--- a/src/control/placement/endpoint.rs
+++ b/src/control/placement/endpoint.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use super::demand::Demand;
-use super::holders::OrderHolder;
+use super::holders::{OrderHolder, OrdersArrive};
 use super::{KEEP_USED_MS, SILENT_MS, USE_FORGOTTEN_MS};
 use crate::message::{
     Holding, Load, OrderKind, Placed, RegisteredEndpoint, WeightsName, WeightsUse,
@@ -123,6 +123,7 @@
     pub copies: HashMap<WeightsName, u64>,
     /// Through whom it can be ordered now.
     pub(super) holder: Option<OrderHolder>,
+    pub(super) orders_arrive: OrdersArrive,
     hash: u64,
     pub(super) pending: Option<Pending>,
     pub(super) report_from_ms: u64,
@@ -144,6 +145,7 @@
             sequence: None,
             copies: HashMap::new(),
             holder: None,
+            orders_arrive: OrdersArrive::new(now_ms),
             pending: None,
             report_from_ms: 0,
             again_from_ms: 0,
--- a/src/control/placement/holders.rs
+++ b/src/control/placement/holders.rs
@@ -1,7 +1,9 @@
 //! Which gateway gives an endpoint its orders.
 //!
 //! The choice is recorded in the log and stays when control changes its leader. An endpoint whose
-//! gateway is gone gets another one only when no order of the former one can count any more.
+//! gateway is gone gets another one only when no order of the former one can count any more: the engines'
+//! lease, from the last order that can have arrived, has to pass. Where none is open that is the last one
+//! that was answered, and the next gateway orders after 1.3 s where it would after 4.3 s.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -11,12 +13,17 @@
 use tracing::info;
 
 use super::{EndpointPlaces, Placement};
+use crate::message::OrderOutcome;
 use crate::relay::{ORDER_HOLD_MS, ORDER_WRITE_MS};
 
 /// How long a new leader waits for gateways before it chooses any, so that those who come first do
 /// not get everything; they find a leader within this time.
 const GATHER_MS: u64 = 500;
 
+/// How long an order that was taken for lost may still be on its way to its gateway: a session that says
+/// nothing is given up after 1.9 s, and orders reach a gateway before its next confirmation.
+const LOST_ORDER_MS: u64 = 5_000;
+
 /// The gateway that gives an endpoint its orders.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OrderHolder {
@@ -56,13 +63,10 @@
         Self { leading_since_ms: now_ms, ..Self::default() }
     }
 
-    /// True once no order of `gateway` can count any more.
-    fn is_spent(&mut self, now_ms: u64, gateway: &Arc<str>, order_lease_ms: u64) -> bool {
-        if self.connected.contains_key(gateway) {
-            return false;
-        }
+    /// Until when `gateway`, which has no session, may still write an order.
+    fn writes_until_ms(&mut self, now_ms: u64, gateway: &Arc<str>) -> u64 {
         let since_ms = *self.gone_since_ms.entry(gateway.clone()).or_insert(now_ms);
-        since_ms + ORDER_HOLD_MS + ORDER_WRITE_MS + order_lease_ms <= now_ms
+        since_ms + ORDER_HOLD_MS + ORDER_WRITE_MS
     }
 }
 
@@ -105,7 +109,11 @@
             // A choice under way may be recorded at any moment; the former holder rests until then.
             let may_order = is_connected && !watch.proposed.contains_key(&address);
             endpoint.holder = may_order.then(|| holder.clone());
-            if !is_connected && watch.is_spent(now_ms, &holder.gateway, order_lease_ms) {
+            if is_connected {
+                continue;
+            }
+            let writes_until_ms = watch.writes_until_ms(now_ms, &holder.gateway);
+            if endpoint.is_free_of_orders(now_ms, writes_until_ms, order_lease_ms) {
                 lacking.push((address, endpoint.endpoint.zone.clone()));
             }
         }
@@ -144,7 +152,39 @@
     }
 }
 
+/// Until when the orders that an endpoint has been given so far may arrive there.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct OrdersArrive {
+    until_ms: u64,
+}
+
+impl OrdersArrive {
+    /// An endpoint that a leader learns of: an earlier one may just have ordered it.
+    pub(super) fn new(now_ms: u64) -> Self {
+        Self { until_ms: now_ms + ORDER_HOLD_MS + ORDER_WRITE_MS }
+    }
+
+    /// Notes an outcome. An order without one may still be on its way.
+    pub(super) fn note(&mut self, now_ms: u64, outcome: &OrderOutcome) {
+        let until_ms = match outcome {
+            OrderOutcome::Unknown => now_ms + LOST_ORDER_MS,
+            _ => now_ms,
+        };
+        self.until_ms = self.until_ms.max(until_ms);
+    }
+}
+
 impl EndpointPlaces {
+    /// True once no order of a gateway that has gone can count any more, if it may write some until
+    /// `writes_until_ms`.
+    fn is_free_of_orders(&self, now_ms: u64, writes_until_ms: u64, order_lease_ms: u64) -> bool {
+        let arrive_until_ms = match self.has_order_under_way() {
+            true => writes_until_ms,
+            false => self.orders_arrive.until_ms.min(writes_until_ms),
+        };
+        now_ms >= writes_until_ms && now_ms >= arrive_until_ms + order_lease_ms
+    }
+
     /// The gateway through which it can be ordered now.
     pub fn holder(&self) -> Option<&OrderHolder> {
         self.holder.as_ref()
--- a/src/control/placement/outcome.rs
+++ b/src/control/placement/outcome.rs
@@ -58,6 +58,7 @@
         placed: &mut Vec<Placed>,
     ) -> Option<StoreLoadDone> {
         let pending = self.pending.take_if(|pending| pending.number == result.number)?;
+        self.orders_arrive.note(now_ms, &result.outcome);
         let load_done = self.store_load_done(now_ms, result);
         match &result.outcome {
             OrderOutcome::Report(report) => self.reported(now_ms, report, placed),
