--- a/tests/common/replica.rs
+++ b/tests/common/replica.rs
@@ -1,6 +1,8 @@
 //! One replica of control, alone in its group, as actor tests start it.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 
 use ractor::{Actor, ActorRef};
 use tokio::sync::watch;
@@ -38,14 +40,21 @@
     Replica::new(raft, state, settings, Metrics::local())
 }
 
-/// Starts a replica in zone `a` on `storage`; also tells who leads.
-pub async fn start(
-    storage: Box<dyn Storage>,
-    timing: Timing,
-) -> (ActorRef<ReplicaMessage>, watch::Receiver<Option<SocketAddr>>) {
+/// A replica that was started, and what it tells others in its process.
+pub struct Started {
+    pub replica: ActorRef<ReplicaMessage>,
+    /// Set while it leads.
+    pub leads: Arc<AtomicBool>,
+    /// Who leads, as far as it knows.
+    pub leader: watch::Receiver<Option<SocketAddr>>,
+}
+
+/// Starts a replica in zone `a` on `storage`.
+pub async fn start(storage: Box<dyn Storage>, timing: Timing) -> Started {
     let address: SocketAddr = ([127, 0, 0, 1], 9).into();
     let clock = Clock::new();
     let metrics = Metrics::local();
+    let leads = Arc::new(AtomicBool::new(false));
     let (leader, leader_known) = watch::channel(None);
     let arguments = ReplicaArguments {
         replica: alone(address, timing, clock.now_ms()),
@@ -53,9 +62,10 @@
         address,
         clock,
         metrics,
-        leads: std::sync::Arc::default(),
+        leads: leads.clone(),
         leader,
     };
     let started = ReplicaActor::spawn(None, ReplicaActor, arguments).await;
-    (started.expect("the replica starts").0, leader_known)
+    let replica = started.expect("the replica starts").0;
+    Started { replica, leads, leader: leader_known }
 }
--- a/tests/disk_full.rs
+++ b/tests/disk_full.rs
@@ -45,7 +45,7 @@
 }
 
 async fn start(disk: FullDisk) -> ActorRef<ReplicaMessage> {
-    common::replica::start(Box::new(disk), Timing::default()).await.0
+    common::replica::start(Box::new(disk), Timing::default()).await.replica
 }
 
 fn put(version: u64) -> ControlRequest {
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -109,7 +109,8 @@
 async fn leader_in(folder: &Path) -> ActorRef<ReplicaMessage> {
     let storage = FileStorage::open(folder).expect("the folder is empty").storage;
     let timing = Timing { heartbeat_ms: 10, election_ms: 50 };
-    let (actor, mut leader_known) = common::replica::start(Box::new(storage), timing).await;
+    let common::replica::Started { replica: actor, leader: mut leader_known, .. } =
+        common::replica::start(Box::new(storage), timing).await;
     leader_known.wait_for(Option::is_some).await.expect("the only replica leads");
     actor
 }
--- a/tests/stalled_disk.rs
+++ b/tests/stalled_disk.rs
@@ -58,11 +58,21 @@
     ControlRequest::PutVersion(NewestVersion { name, version })
 }
 
+/// The interface of a replica that was started.
+fn api_of(started: common::replica::Started) -> ControlApi {
+    let own: SocketAddr = ([127, 0, 0, 1], 9).into();
+    let hello = distribution::hello("n1".into(), 1, "a".into(), own);
+    let common::replica::Started { replica, leads, leader } = started;
+    let distributor = distribution::spawn(hello, Clock::new(), leader.clone());
+    let running = Running { replica, distributor, leads, leader };
+    ControlApi::new(Arc::new(RwLock::new(Stage::Running(running))))
+}
+
 #[tokio::test]
 async fn a_follower_whose_disk_stalls_still_tells_who_leads() {
     let (stalls, writes) = (Arc::new(AtomicBool::new(true)), Arc::new(AtomicBool::new(false)));
     let disk = StalledDisk { stalls: stalls.clone(), writes: writes.clone() };
-    let replica = common::replica::start(Box::new(disk), Timing::default()).await.0;
+    let replica = common::replica::start(Box::new(disk), Timing::default()).await.replica;
     while !writes.load(Ordering::SeqCst) {
         tokio::time::sleep(POLL).await;
     }
@@ -81,3 +91,37 @@
         "{outcome:?}"
     );
 }
+
+/// What users saw: operators' calls and heartbeats at the replica that led were answered 503 after 0.9 s
+/// each, for as long as its disk stalled, though others had long elected another leader.
+/// Order of events: a replica leads, its disk takes a write and does not come back, calls arrive.
+/// Cause: the replica does nothing while it writes, so what it knew of the leader stayed as it was: itself.
+/// Evidence: a hunt's log, `call_answered status=503 after_ms=900` again and again during a stall.
+#[tokio::test]
+async fn a_leader_whose_disk_stalls_answers_at_once_that_it_knows_nothing() {
+    let (stalls, writes) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+    let disk = StalledDisk { stalls: stalls.clone(), writes: writes.clone() };
+    let started = common::replica::start(Box::new(disk), Timing::default()).await;
+    let api = api_of(started);
+    while !matches!(api.call(named(1)).await, CallOutcome::Answered(_)) {
+        tokio::time::sleep(POLL).await;
+    }
+    stalls.store(true, Ordering::SeqCst);
+    let waiting = tokio::spawn({
+        let api = api.clone();
+        async move { api.call(named(2)).await }
+    });
+    // Others may elect a leader from here on.
+    tokio::time::sleep(Duration::from_millis(Timing::default().election_ms) + ANSWER_MAX).await;
+    let was_answered = waiting.is_finished();
+    let outcome = tokio::time::timeout(ANSWER_MAX, api.call(named(3))).await;
+    stalls.store(false, Ordering::SeqCst);
+    assert!(was_answered, "the call that found the disk stalled waits on");
+    assert!(matches!(outcome, Ok(CallOutcome::Unknown)), "{outcome:?}");
+    let again = async {
+        while !matches!(api.call(named(4)).await, CallOutcome::Answered(_)) {
+            tokio::time::sleep(POLL).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(5), again).await.expect("it leads on, being alone");
+}
