replica: one whose disk stalls does not take itself for the leader

Symptom: operators' calls, heartbeats and gateways' calls at a replica that led got 503 after 0.9 s each (gateways: 10 s) while its disk stalled. Cause: the actor does nothing while it writes, and what its process tells others of the leader is what it wrote before. Ruled out: the other replicas (they redirect at once) and followers that stall (they tell the leader they knew). Change: a write that takes longer than others wait before an election clears what is told of the lead; calls that wait are answered then, later ones at once; one function asks the replica for both interfaces.

--- a/src/control/api.rs
+++ b/src/control/api.rs
@@ -3,13 +3,14 @@
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Duration;
 
 use crate::control::distribution::HeartbeatTaken;
 use crate::control::serving::Stage;
 use crate::message::{ControlReply, ControlRequest};
 
 /// A caller that waits longer than a second goes elsewhere, so an answer later than this is lost.
-const CALL_TIMEOUT_MS: u64 = 900;
+const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// The replica of this process, as its platform's interface calls it.
 #[derive(Clone)]
@@ -48,22 +49,10 @@
                 return CallOutcome::Answered(ControlReply::Heard { server });
             }
         }
-        // A replica whose disk stalls takes calls for as long as they wait, so it is not asked for what
-        // is known without it: callers went elsewhere after 900 ms, they are told at once.
-        if let Some(leader) = running.leads_elsewhere() {
-            return CallOutcome::Elsewhere(leader);
-        }
-        let reply = ractor::call_t!(
-            running.replica,
-            |reply| crate::control::server::ReplicaMessage::Call(request, reply),
-            CALL_TIMEOUT_MS
-        );
-        match reply {
-            Ok(ControlReply::NotLeader { leader: Some(leader) }) => CallOutcome::Elsewhere(leader),
-            Ok(ControlReply::NotLeader { leader: None } | ControlReply::Lost) | Err(_) => {
-                CallOutcome::Unknown
-            }
-            Ok(reply) => CallOutcome::Answered(reply),
+        match running.call(request, CALL_TIMEOUT).await {
+            ControlReply::NotLeader { leader: Some(leader) } => CallOutcome::Elsewhere(leader),
+            ControlReply::NotLeader { leader: None } | ControlReply::Lost => CallOutcome::Unknown,
+            reply => CallOutcome::Answered(reply),
         }
     }
 }
--- a/src/control/raft/mod.rs
+++ b/src/control/raft/mod.rs
@@ -115,6 +115,11 @@
         self.id
     }
 
+    /// How long others wait for a leader that says nothing before they elect another one.
+    pub fn election_ms(&self) -> u64 {
+        self.timing.election_ms
+    }
+
     /// The current term.
     pub fn term(&self) -> u64 {
         self.hard.term
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -8,7 +8,8 @@
 
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use tokio::sync::{mpsc, watch};
-use tracing::{debug, error, info};
+use tokio::time::{Instant, timeout_at};
+use tracing::{debug, error, info, warn};
 
 use crate::clock::{Clock, wall_ms};
 use crate::control::fleet::ListedEndpoint;
@@ -254,8 +255,9 @@
         work: impl Fn(&mut dyn Storage) -> Result<()> + Clone + Send + 'static,
     ) -> Result<()> {
         let mut was_full = false;
+        let stalls_at = Instant::now() + Duration::from_millis(self.replica.raft.election_ms());
         loop {
-            match self.with_storage(work.clone()).await {
+            match self.with_storage(stalls_at, work.clone()).await {
                 Err(error) if error.is_disk_full() => {
                     if !was_full {
                         error!(event = "disk_full", error = %error);
@@ -284,19 +286,36 @@
 
     async fn with_storage(
         &mut self,
+        stalls_at: Instant,
         work: impl FnOnce(&mut dyn Storage) -> Result<()> + Send + 'static,
     ) -> Result<()> {
         let mut storage = self.storage.take().expect("the storage is only away during a call");
-        let (storage, result) = tokio::task::spawn_blocking(move || {
+        let mut done = tokio::task::spawn_blocking(move || {
             let result = work(&mut *storage);
             (storage, result)
-        })
-        .await
-        .map_err(|error| Error::failed("store", "log", error))?;
+        });
+        let in_time = timeout_at(stalls_at, &mut done).await;
+        let done = match in_time {
+            Ok(done) => done,
+            Err(_) => {
+                self.note_stalled();
+                done.await
+            }
+        };
+        let (storage, result) = done.map_err(|error| Error::failed("store", "log", error))?;
         self.storage = Some(storage);
         result
     }
 
+    /// Tells nobody any more that this replica leads. It does nothing while its disk stalls, and others
+    /// elect a leader meanwhile: callers waited 0.9 s each for nothing, they are told at once.
+    fn note_stalled(&mut self) {
+        if self.leads.swap(false, Ordering::Relaxed) {
+            warn!(event = "lead_doubted", reason = "the disk stalls");
+            self.leader.send_replace(None);
+        }
+    }
+
     fn send_snapshots(&mut self, output: &Output) -> Result<()> {
         for to in &output.need_snapshot {
             let storage = self.storage.as_ref().expect("the storage is only away during a call");
--- a/src/control/serving.rs
+++ b/src/control/serving.rs
@@ -3,9 +3,12 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Duration;
 
-use ractor::ActorRef;
+use ractor::concurrency::oneshot;
+use ractor::{ActorRef, RpcReplyPort};
 use tokio::sync::{mpsc, watch};
+use tokio::time::timeout;
 
 use crate::control::distribution::DistributorHandle;
 use crate::control::server::ReplicaMessage;
@@ -18,7 +21,7 @@
 use crate::wire::{BoxFuture, Channel, Handler, Incoming, Receiver};
 
 const SESSION_QUEUE: usize = 512;
-const CALL_TIMEOUT_MS: u64 = 10_000;
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// How far the process has started.
 pub enum Stage {
@@ -44,13 +47,33 @@
 }
 
 impl Running {
-    /// Another replica that leads, as far as is known here without asking the replica, which does not
-    /// answer while its disk stalls.
-    pub fn leads_elsewhere(&self) -> Option<SocketAddr> {
-        if self.leads.load(Ordering::Relaxed) {
-            return None;
+    /// Asks the replica, or answers for it while it does not lead: one whose disk stalls does nothing
+    /// until the write is done, and callers waited for it as long as they could.
+    pub async fn call(&self, request: ControlRequest, within: Duration) -> ControlReply {
+        // Whether a replica is there at all is for itself to say.
+        let is_for_leader = !matches!(request, ControlRequest::Probe);
+        if is_for_leader && !self.leads.load(Ordering::Relaxed) {
+            return ControlReply::NotLeader { leader: *self.leader.borrow() };
+        }
+        let (reply, answered) = oneshot::<ControlReply>();
+        let call = ReplicaMessage::Call(request, RpcReplyPort::from(reply));
+        if self.replica.cast(call).is_err() {
+            return ControlReply::Lost;
+        }
+        tokio::select! {
+            biased;
+            reply = timeout(within, answered) => match reply {
+                Ok(Ok(reply)) => reply,
+                Ok(Err(_)) | Err(_) => ControlReply::Lost,
+            },
+            () = self.lead_lost(), if is_for_leader => ControlReply::Lost,
         }
-        *self.leader.borrow()
+    }
+
+    /// Returns once this replica does not count as the leader any more.
+    async fn lead_lost(&self) {
+        let mut leader = self.leader.clone();
+        while self.leads.load(Ordering::Relaxed) && leader.changed().await.is_ok() {}
     }
 
     /// What serves sessions of `role` now.
@@ -153,14 +176,7 @@
     let reply = match running {
         Err(stage) if matches!(request, ControlRequest::Probe) => ControlReply::Probe(stage),
         Err(_) => ControlReply::NotLeader { leader: None },
-        Ok(running) => {
-            let call = ractor::call_t!(
-                running.replica,
-                |reply| ReplicaMessage::Call(request, reply),
-                CALL_TIMEOUT_MS
-            );
-            call.unwrap_or(ControlReply::Lost)
-        }
+        Ok(running) => running.call(request, CALL_TIMEOUT).await,
     };
     sender.send(&reply).await?;
     sender.finish();
