replica: welcoming a gateway does not make the leader forget its distributors

Symptom: gateways that come right after another one was welcomed stay with the leader, in a storm of sessions all of them. Change: who is welcomed is told the group by itself.

--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -281,12 +281,15 @@
         let index = self.applied;
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let placed = self.registered.placement.all_placed();
+        // What the others were told: in a storm of sessions a leader that told all anew would not know
+        // meanwhile which gateways belong to a distributor.
+        let group = self.registered.group_told.clone();
         let keeps_up = session.welcome(0, index, &self.recent, &self.state)
-            && session.send(SessionDown::Placed { reset: true, placed });
+            && session.send(SessionDown::Placed { reset: true, placed })
+            && (group == Group::default() || session.send(SessionDown::Group(group)));
         if !keeps_up {
             self.sessions.remove(&id);
         }
-        self.registered.group_told = Group::default();
         self.registered.counts.tell_all();
     }
 
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -217,3 +217,49 @@
         assert!(matches!(other, Some(SessionDown::Welcome { .. })), "no distributor: {other:?}");
     });
 }
+
+/// What users would see: in a storm of sessions, such as after a change of leader, gateways stayed with the
+/// leader, whose messages then cross a border for each of them.
+/// Order of events: a gateway is welcomed; before the next period of counts another one comes whose zone has
+/// a distributor.
+/// Cause: with each welcome the leader forgot whom it had told of the group, and took that for who is in it.
+/// Evidence: this test; seen first in reading.
+#[test]
+fn a_leader_sends_gateways_to_their_distributor_right_after_it_welcomed_another() {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    let folder = tempfile::tempdir().expect("a folder");
+    runtime.block_on(async {
+        let actor = leader_in(folder.path()).await;
+        let distributor: SocketAddr = ([127, 0, 0, 2], 9).into();
+        let _told = link_to(&actor, 7, distributor).await;
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        for round in 0..10 {
+            let open = |session, zone: &str| {
+                let (down, told) = mpsc::channel(100);
+                let role = SessionRole::Follower;
+                let hello = SessionHello { role, ..hello("g1".into(), 1, zone.into(), distributor) };
+                actor.cast(ReplicaMessage::Open(session, hello, down)).expect("the replica runs");
+                told
+            };
+            renew(&actor, 7, round);
+            let mut welcomed = open(100 + round, "c");
+            let answer = welcomed.recv().await;
+            assert!(matches!(answer, Some(SessionDown::Welcome { .. })), "{answer:?}");
+            let answer = open(200 + round, "b").recv().await;
+            assert!(
+                matches!(answer, Some(SessionDown::NotLeader { leader }) if leader == Some(distributor)),
+                "round {round}: {answer:?}"
+            );
+            let is_told = async {
+                while let Some(message) = welcomed.recv().await {
+                    if let SessionDown::Group(group) = message {
+                        return group.server_of("b") == Some(distributor);
+                    }
+                }
+                false
+            };
+            let is_told = tokio::time::timeout(Duration::from_secs(1), is_told).await;
+            assert_eq!(is_told, Ok(true), "who is welcomed is told of the group");
+        }
+    });
+}
