gateway, tests: the owner's actor in three files; broken-off requests in a test file of their own

Change: loads and permits, and what the actor tells, in files of their own; list_behind_forwarder is shared. No behaviour.

--- a/src/control/placement/holders.rs
+++ b/src/control/placement/holders.rs
@@ -178,9 +178,10 @@
     /// True once no order of a gateway that has gone can count any more, if it may write some until
     /// `writes_until_ms`.
     fn is_free_of_orders(&self, now_ms: u64, writes_until_ms: u64, order_lease_ms: u64) -> bool {
-        let arrive_until_ms = match self.has_order_under_way() {
-            true => writes_until_ms,
-            false => self.orders_arrive.until_ms.min(writes_until_ms),
+        let arrive_until_ms = if self.has_order_under_way() {
+            writes_until_ms
+        } else {
+            self.orders_arrive.until_ms.min(writes_until_ms)
         };
         now_ms >= writes_until_ms && now_ms >= arrive_until_ms + order_lease_ms
     }
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -295,12 +295,11 @@
             (storage, result)
         });
         let in_time = timeout_at(stalls_at, &mut done).await;
-        let done = match in_time {
-            Ok(done) => done,
-            Err(_) => {
-                self.note_stalled();
-                done.await
-            }
+        let done = if let Ok(done) = in_time {
+            done
+        } else {
+            self.note_stalled();
+            done.await
         };
         let (storage, result) = done.map_err(|error| Error::failed("store", "log", error))?;
         self.storage = Some(storage);
--- a/src/gateway/owner.rs
+++ b/src/gateway/owner/mod.rs
@@ -1,31 +1,30 @@
 //! The actor that serves one owned endpoint: it carries out what the policy decides.
 
+mod loads;
+mod summary;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
-use serde_json::json;
 use tokio::sync::{mpsc, watch};
-use tracing::{debug, info, warn};
+use tracing::{info, warn};
 
+use self::loads::return_permit;
+use self::summary::Published;
 use crate::control::fleet::{EndpointKind, EndpointRecord};
 use crate::endpoint::{Endpoint, EngineRefusal, HttpEndpoint};
-use crate::error::{Error, Result};
+use crate::error::Result;
 use crate::gateway::run::Run;
 use crate::gateway::shared::{Owned, Shared};
-use crate::message::{
-    AdapterKey, ControlReply, ControlRequest, ForwardEvent, ForwardRequest, LoadReport,
-    PermitRequest, Refusal, SessionUp,
-};
+use crate::message::{AdapterKey, ForwardEvent, ForwardRequest, LoadReport, Refusal, SessionUp};
 use crate::metrics::{Counter, Timer};
 use crate::policy::owner::{Effect, EngineStatus, Owner, Usability};
 use crate::policy::queue::Job;
 
 const TICK: Duration = Duration::from_millis(100);
-const PERMIT_WAIT_MS: u32 = 2_000;
-const PERMIT_RETRY_MS: u64 = 200;
 const RESUBMITS: u32 = 2;
 const EVENT_QUEUE: usize = 64;
 const RETRY_AFTER_MS: u32 = 100;
@@ -98,23 +97,6 @@
     published: Option<Published>,
 }
 
-/// What was last published; a summary goes out when it changes.
-#[derive(Clone, Copy, PartialEq, Eq)]
-struct Published {
-    changes: u64,
-    usability: Usability,
-    pressure: Pressure,
-    places: usize,
-}
-
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Pressure {
-    Idle,
-    Light,
-    Heavy,
-    Full,
-}
-
 /// The actor.
 pub struct OwnerActor;
 
@@ -299,23 +281,6 @@
         let _ = held.events.try_send(refused);
     }
 
-    fn load_ended(&mut self, now_ms: u64, adapter: &AdapterKey, took_ms: u64, result: &Result<()>) {
-        let endpoint = self.record.name();
-        match result {
-            Ok(()) => {
-                self.shared.metrics.count(Counter::LoadsDone);
-                self.shared.metrics.time(Timer::Load, took_ms);
-                debug!(event = "loaded", endpoint = %endpoint, adapter = %adapter, took_ms = took_ms);
-            }
-            Err(error) => {
-                self.shared.metrics.count(Counter::LoadsFailed);
-                warn!(event = "load_failed", endpoint = %endpoint, adapter = %adapter, error = %error);
-                self.status_due_ms = now_ms;
-            }
-        }
-        self.owner.load_ended(now_ms, adapter, took_ms, result.is_ok());
-    }
-
     fn observe(&mut self, now_ms: u64, result: Result<EngineStatus>, changes: u64) {
         self.status_pending = false;
         match result {
@@ -459,130 +424,6 @@
             let _ = myself.cast(message);
         });
     }
-
-    fn ask_permit(&self, urgency: f32, myself: &ActorRef<OwnerMessage>) {
-        let shared = self.shared.clone();
-        let myself = myself.clone();
-        let request = PermitRequest {
-            gateway: shared.settings.common.name.clone(),
-            gateway_epoch: shared.lease.epoch(),
-            urgency,
-            wait_ms: PERMIT_WAIT_MS,
-        };
-        tokio::spawn(async move {
-            let request = ControlRequest::Permit(request);
-            let message = match shared.control.call(&request, u64::from(PERMIT_WAIT_MS) * 2).await {
-                Ok(ControlReply::Permit { permit_id, .. }) => {
-                    OwnerMessage::Permit(Some(permit_id), 0)
-                }
-                Ok(ControlReply::NoPermit { retry_after_ms }) => {
-                    OwnerMessage::Permit(None, u64::from(retry_after_ms))
-                }
-                _ => OwnerMessage::Permit(None, PERMIT_RETRY_MS),
-            };
-            if let Err(error) = myself.cast(message) {
-                debug!(event = "permit_unused", error = %error);
-            }
-        });
-    }
-
-    fn load(
-        &self,
-        adapter: AdapterKey,
-        evict: Option<AdapterKey>,
-        permit: u64,
-        myself: &ActorRef<OwnerMessage>,
-    ) {
-        let shared = self.shared.clone();
-        let endpoint = self.endpoint.clone();
-        let epoch = self.record.epoch;
-        let myself = myself.clone();
-        tokio::spawn(async move {
-            let started_ms = shared.now_ms();
-            let result = load(&shared, &*endpoint, epoch, &adapter, evict).await;
-            return_permit(shared.clone(), permit).await;
-            let took_ms = shared.now_ms() - started_ms;
-            let _ = myself.cast(OwnerMessage::LoadEnded { adapter, took_ms, result });
-        });
-    }
-
-    fn publish(&mut self, now_ms: u64) {
-        let running = self.owner.running();
-        let queued = self.owner.queued();
-        let summary = self.owner.summary(now_ms, false);
-        let places = summary.places as usize;
-        let pressure = match running + queued {
-            0 => Pressure::Idle,
-            load if load * 2 <= places => Pressure::Light,
-            load if load < places => Pressure::Heavy,
-            _ => Pressure::Full,
-        };
-        let published = Published {
-            changes: self.owner.changes(),
-            usability: self.owner.usability(),
-            pressure,
-            places,
-        };
-        if self.handed_over {
-            return;
-        }
-        if self.published == Some(published) {
-            self.shared.router().observe(summary);
-            return;
-        }
-        let with_adapters = self.published.is_none_or(|last| last.changes != published.changes);
-        self.published = Some(published);
-        let summary = self.owner.summary(now_ms, with_adapters);
-        self.shared.publish(summary);
-    }
-
-    fn dump(&self) -> serde_json::Value {
-        let mut adapters = Vec::new();
-        for (adapter, loaded, running) in self.owner.adapters() {
-            let adapter = adapter.to_string();
-            adapters.push(json!({"adapter": adapter, "loaded": loaded, "running": running}));
-        }
-        json!({
-            "endpoint": self.record.name(),
-            "address": self.record.listed.address.to_string(),
-            "epoch": self.record.epoch,
-            "usability": format!("{:?}", self.owner.usability()),
-            "running": self.owner.running(),
-            "queued": self.owner.queued(),
-            "others_running": self.owner.others_running(),
-            "adapters": adapters,
-        })
-    }
-}
-
-async fn load(
-    shared: &Shared,
-    endpoint: &dyn Endpoint,
-    epoch: u64,
-    adapter: &AdapterKey,
-    evict: Option<AdapterKey>,
-) -> Result<()> {
-    let lease_lost = || Error::refused("order", "endpoint", "the lease has run out");
-    if let Some(victim) = evict {
-        if !shared.lease.is_valid(shared.now_ms()) {
-            return Err(lease_lost());
-        }
-        endpoint.unload(epoch, victim).await?;
-        shared.metrics.count(Counter::Unloads);
-    }
-    if !shared.lease.is_valid(shared.now_ms()) {
-        return Err(lease_lost());
-    }
-    endpoint.load(epoch, adapter.clone()).await
-}
-
-async fn return_permit(shared: Arc<Shared>, permit_id: u64) {
-    let gateway = shared.settings.common.name.clone();
-    let request = ControlRequest::PermitDone { gateway, permit_id };
-    if let Err(error) = shared.control.call(&request, 1_000).await {
-        // It runs out by itself.
-        debug!(event = "permit_not_returned", error = %error);
-    }
 }
 
 /// The channel on which a request's events come back.
--- a/tests/common/region.rs
+++ b/tests/common/region.rs
@@ -1,12 +1,14 @@
 //! A region of real processes, as most tests of processes want it.
 
 use std::path::Path;
+use std::sync::Arc;
 
 use http::Method;
 use serde_json::json;
 use winchvane_standin::engine::EngineOptions;
+use winchvane_standin::forwarder::Forwarder;
 use winchvane_standin::plain::PlainFault;
-use winchvane_standin::region::{Region, RegionOptions};
+use winchvane_standin::region::{Region, RegionOptions, instance, wait_for};
 
 pub fn engine() -> EngineOptions {
     EngineOptions { load_ms: 20, step_ms: 2, tokens: 4, ..EngineOptions::default() }
@@ -24,3 +26,20 @@
     let body = json!(fault).to_string();
     region.send(address, Method::PUT, "/fault", &[], &body).await.expect("the fault is set");
 }
+
+/// Lists the first engine as `engine-9` behind a forwarder, and waits until only that one is followed of
+/// the engines.
+pub async fn list_behind_forwarder(region: &mut Region) -> Arc<Forwarder> {
+    let (forwarder, address) =
+        Forwarder::start(region.instances[0].address).await.expect("the forwarder starts");
+    region.instances[0] = instance("engine-9", address, "quotes");
+    region.platform.set(region.instances.clone());
+    wait_for("only engine-9 is listed", async || {
+        let endpoints = region.status().await.expect("a gateway answers")["endpoints"].to_string();
+        endpoints.contains("engine-9")
+            && !endpoints.contains("engine-0")
+            && !endpoints.contains("engine-1")
+    })
+    .await;
+    forwarder
+}
