--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -97,7 +97,19 @@
 mutate "an incarnation has an id of its own" src/message/registration.rs 's/if born_ms == 0 \{ name\.into\(\) \}/if true { name.into() }/' --test restarts
 mutate "a heartbeat of an earlier incarnation is late" src/control/replica/registration.rs 's/ \|\| self\.is_of_earlier_life\(now_ms, &heartbeat\.endpoint\)//' --test restarts
 mutate "a clock that jumped back keeps nobody away" $incarnations 's/endpoint\.born_ms == 0 \|\| !is_silent/true/' --test restarts
-mutate "an end right after a restart is late" $incarnations 's/is_recent && known/false \&\& known/' --test restarts
+mutate "an end right after a restart may be late" $incarnations 's/is_recent && !known\.leaving/false/' --test restarts
+mutate "such an end stops new requests" $incarnations 's/RegisteredEndpoint \{ leaving: true, \.\.endpoint \}/endpoint/' --test restarts
+mutate "only a heartbeat from after the end takes it back" $incarnations 's/SENT_AFTER_END: u64 = 2/SENT_AFTER_END: u64 = 1/' --test restarts
+mutate "the next leader looks for a former incarnation" $incarnations 's/self\.state\.registry\.has_former_life\(known\)/false/' --test restarts
+mutate "an open order keeps the next holder waiting" src/control/placement/holders.rs 's/if self\.has_order_under_way\(\)/if false/' --test holders
+mutate "an order taken for lost may still come" src/control/placement/holders.rs 's/now_ms \+ LOST_ORDER_MS/now_ms/' --test holders
+mutate "a stalled disk leaves no lead" src/control/server.rs 's/self\.note_stalled\(\);//' --test stalled_disk
+mutate "what was not written has not run" src/http.rs 's/if is_unsent\(&error\)/if false/' --test http_client
+mutate "what was not written goes out again" src/http.rs 's/retry_canceled_requests\(true\)/retry_canceled_requests(false)/' --test http_client
+mutate "a missed confirmation is waited for" src/gateway/lease.rs 's/CONFIRMATION_WAIT_MS: u64 = 500/CONFIRMATION_WAIT_MS: u64 = 0/' --test lease
+mutate "what broke off waits for the others" src/gateway/exchange.rs 's/\|\| self\.may_run_elsewhere\(\)//' --test broken_off
+mutate "what broke off may have run" src/gateway/exchange.rs 's/outcome\.run == RunState::Unknown \|\| self\.given_up\.run == RunState::NotRun/true/' --test broken_off
+mutate "no stream is taken up within an event" src/relay/events.rs 's/self\.is_within_event = end_of_whole\.is_none\(\);//' --test relay
 mutate "a restarted endpoint keeps its order holder" src/control/registry.rs 's/self\.keep_holder\(other\.address, endpoint\.address\);//' --test registry
 mutate "an unknown service ends none that serves" src/control/registry.rs 's/if self\.is_configured\(&endpoint\.service\) \{/if true {/' --test registry
 mutate "anchors count as what they stand for" src/nesting.rs 's/self\.anchors\.get\(anchor\)\.copied\(\)\.unwrap_or\(0\)/0/' --test fuzz_documents deep_nesting
