tests: an end that is told again, failing

Cause: found in reading the repair of ends without a birth: its second call finds the endpoint leaving. Change: a test, listed.

--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -260,3 +260,24 @@
     next.hears_end();
     assert!(next.registered().is_empty());
 }
+
+/// An end whose answer is lost is told again: the second one found the endpoint leaving, and ended it for
+/// good though it goes on.
+#[test]
+fn an_end_that_is_told_again_ends_no_incarnation_that_goes_on() {
+    let mut leader = Leader::new();
+    leader.hears(&life(100, 7_001), 20);
+    leader.hears(&life(200, 7_002), 1);
+    leader.hears_end();
+    leader.pass(1_000);
+    leader.hears_end();
+    let mut next = leader.next();
+    next.hears_end();
+    for leader in [&mut leader, &mut next] {
+        assert_eq!(leader.registered(), ["e-1@200".into()]);
+        for sequence in 2..5 {
+            leader.hears(&life(200, 7_002), sequence);
+        }
+        assert!(leader.takes_requests(200));
+    }
+}
