registry: an end that may be the former incarnation's stays unclear when it is told again

Symptom: an end whose answer is lost is told again, and the second one ends an incarnation that goes on, for good. Cause: an endpoint registered as leaving was taken for one that says so itself. Change: only an endpoint that says that it leaves counts as such; the first end decides which heartbeats came after it.

--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -97,7 +97,7 @@
 mutate "an incarnation has an id of its own" src/message/registration.rs 's/if born_ms == 0 \{ name\.into\(\) \}/if true { name.into() }/' --test restarts
 mutate "a heartbeat of an earlier incarnation is late" src/control/replica/registration.rs 's/ \|\| self\.is_of_earlier_life\(now_ms, &heartbeat\.endpoint\)//' --test restarts
 mutate "a clock that jumped back keeps nobody away" $incarnations 's/endpoint\.born_ms == 0 \|\| !is_silent/true/' --test restarts
-mutate "an end right after a restart may be late" $incarnations 's/is_recent && !known\.leaving/false/' --test restarts
+mutate "an end right after a restart may be late" $incarnations 's/is_recent && !has_left/false/' --test restarts
 mutate "such an end stops new requests" $incarnations 's/RegisteredEndpoint \{ leaving: true, \.\.endpoint \}/endpoint/' --test restarts
 mutate "only a heartbeat from after the end takes it back" $incarnations 's/SENT_AFTER_END: u64 = 2/SENT_AFTER_END: u64 = 1/' --test restarts
 mutate "the next leader looks for a former incarnation" $incarnations 's/self\.state\.registry\.has_former_life\(known\)/false/' --test restarts
--- a/src/control/replica/incarnations.rs
+++ b/src/control/replica/incarnations.rs
@@ -21,6 +21,9 @@
 /// call one replica after the other, so that one call may have been on its way when the end was told.
 const SENT_AFTER_END: u64 = 2;
 
+/// In place of a sequence: beyond any that a heartbeat counts.
+const LEAVES: u64 = u64::MAX;
+
 /// Endpoints that are registered as leaving and might go on all the same: the sequence of the last
 /// heartbeat known to be from before their end, by id.
 #[derive(Debug, Default)]
@@ -29,21 +32,27 @@
 impl MaybeEnded {
     /// Notes an end, after the heartbeat that counted `sequence` if one was heard.
     fn ended(&mut self, id: &Arc<str>, sequence: Option<u64>) {
-        if let Some(sequence) = sequence {
+        // One that is told again belongs to no later moment than the first.
+        if let (Some(sequence), false) = (sequence, self.0.contains_key(id)) {
             self.0.insert(id.clone(), sequence);
         }
     }
 
+    /// Notes an endpoint that says itself that it leaves; whatever comes later was sent earlier.
+    pub(super) fn leaves(&mut self, id: &Arc<str>) {
+        self.0.insert(id.clone(), LEAVES);
+    }
+
+    /// True for an endpoint that said itself that it leaves.
+    fn has_left(&self, id: &str) -> bool {
+        self.0.get(id) == Some(&LEAVES)
+    }
+
     /// True when this heartbeat of an endpoint registered as leaving shows that it goes on.
     ///
     /// A leader that did not hear the end itself counts from the first heartbeat that it hears.
     fn goes_on(&mut self, heartbeat: &Heartbeat) -> bool {
         let id = &heartbeat.endpoint.id;
-        if heartbeat.endpoint.leaving {
-            // It says so itself; whatever comes later was sent earlier.
-            self.0.insert(id.clone(), u64::MAX);
-            return false;
-        }
         let before_end = *self.0.entry(id.clone()).or_insert(heartbeat.sequence);
         heartbeat.sequence >= before_end.saturating_add(SENT_AFTER_END)
     }
@@ -79,11 +88,11 @@
         end: EndpointEnd,
         reply: RpcReplyPort<ControlReply>,
     ) {
-        let may_be_late = self.may_be_ended(now_ms, &end);
+        let unclear = self.may_be_ended(now_ms, &end);
         let born_ms = end.born_ms.unwrap_or(0);
-        let is_unclear = may_be_late.is_some();
+        let is_unclear = unclear.is_some();
         info!(event = "endpoint_ends", endpoint = %end.name, born_ms, is_unclear);
-        let operation = match may_be_late {
+        let operation = match unclear {
             Some(endpoint) => {
                 let sequence = self.registered.sequence_heard(&endpoint.id);
                 self.registered.maybe_ended.ended(&endpoint.id, sequence);
@@ -107,7 +116,8 @@
             None => return None,
         };
         let is_recent = restarted_at_ms + LATE_END_MS > now_ms;
-        (is_recent && !known.leaving).then(|| known.clone())
+        let has_left = self.registered.maybe_ended.has_left(&known.id);
+        (is_recent && !has_left).then(|| known.clone())
     }
 
     /// True when a heartbeat of an endpoint registered as leaving shows that it goes on.
--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -178,8 +178,11 @@
         }
         let known = self.state.registry.endpoints().get(id);
         let differs = known != Some(&heartbeat.endpoint);
-        // One that said it leaves does not come back.
         let was_leaving = known.is_some_and(|known| known.leaving);
+        if heartbeat.endpoint.leaving {
+            // One that said it leaves does not come back.
+            self.registered.maybe_ended.leaves(id);
+        }
         let is_new = if was_leaving { self.goes_on(&heartbeat) } else { differs };
         self.registered.sequences.insert(id.clone(), heartbeat.sequence);
         self.registered.placement.observe(now_ms, &heartbeat);
