--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -174,7 +174,7 @@
         if shared.lease.is_fresh(now_ms) {
             return Ok(());
         }
-        if now_ms >= shared.lease.wait_until_ms(now_ms).min(deadline_ms) {
+        if now_ms >= shared.lease.note_missing(now_ms).min(deadline_ms) {
             break;
         }
         tokio::time::sleep(CONFIRMATION_POLL).await;
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -75,15 +75,16 @@
         now_ms < self.fresh_until_ms.load(Ordering::Acquire)
     }
 
-    /// Until when a request that arrives at `now_ms` may wait for a confirmation: one that has been
-    /// missing for longer will hardly come in time.
-    pub fn wait_until_ms(&self, now_ms: u64) -> u64 {
+    /// Notes that a confirmation is missing at `now_ms`; tells until when it is worth waiting for, from when
+    /// it was first missed: one that is missing for longer will hardly come in time.
+    pub fn note_missing(&self, now_ms: u64) -> u64 {
         let now_ms = now_ms.max(1);
-        let missed_at_ms = self
-            .missed_at_ms
-            .compare_exchange(0, now_ms, Ordering::AcqRel, Ordering::Acquire)
-            .unwrap_or_else(|earlier_ms| earlier_ms);
-        let missed_at_ms = if missed_at_ms == 0 { now_ms } else { missed_at_ms };
+        let first =
+            self.missed_at_ms.compare_exchange(0, now_ms, Ordering::AcqRel, Ordering::Acquire);
+        let missed_at_ms = match first {
+            Ok(_) => now_ms,
+            Err(earlier_ms) => earlier_ms,
+        };
         missed_at_ms + CONFIRMATION_WAIT_MS
     }
 
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -60,9 +60,9 @@
     let lease = Lease::new(SETTINGS);
     renewed(&lease, 1_000);
     // A gateway that stood still notices it late, and waits from then.
-    assert_eq!(lease.wait_until_ms(60_000), 60_500);
-    assert_eq!(lease.wait_until_ms(60_400), 60_500, "the same one is still missing");
-    assert!(lease.wait_until_ms(70_000) < 70_000, "it does not come: refused at once");
+    assert_eq!(lease.note_missing(60_000), 60_500);
+    assert_eq!(lease.note_missing(60_400), 60_500, "the same one is still missing");
+    assert!(lease.note_missing(70_000) < 70_000, "it does not come: refused at once");
     renewed(&lease, 70_000);
-    assert_eq!(lease.wait_until_ms(80_000), 80_500, "another one");
+    assert_eq!(lease.note_missing(80_000), 80_500, "another one");
 }
