tests: a connection is broken off with the first bytes that come on it

Change: the forwarder breaks a connection off once bytes have come, so the request has been written each time; the assertion is as strict.

--- a/standin/src/forwarder.rs
+++ b/standin/src/forwarder.rs
@@ -17,6 +17,8 @@
     Hold,
     /// It breaks every connection off and takes no new one.
     Break,
+    /// It breaks a connection off with the first bytes that come on it, which so were written.
+    BreakOff,
 }
 
 /// Forwards connections to one address.
@@ -82,7 +84,7 @@
         if mode.wait_for(|mode| *mode != Mode::Hold).await.is_err() {
             return;
         }
-        if *mode.borrow() == Mode::Break {
+        if matches!(*mode.borrow(), Mode::Break | Mode::BreakOff) {
             return;
         }
         let Ok(size @ 1..) = read else { return };
--- a/tests/broken_off.rs
+++ b/tests/broken_off.rs
@@ -82,7 +82,7 @@
         })
         .await;
         region.wait_owned().await;
-        breaking.set(Mode::Break);
+        breaking.set(Mode::BreakOff);
         Self { region, unreachable, engine, _breaking: breaking }
     }
 }
