--- a/tests/holders.rs
+++ b/tests/holders.rs
@@ -44,6 +44,15 @@
     placement
 }
 
+/// A leader of two gateways, of which `g1` orders the first endpoint.
+fn ordered_by_g1(endpoints: &[RegisteredEndpoint]) -> (Placement, OrderHolders) {
+    let mut holders = OrderHolders::new();
+    holders.insert(endpoints[0].address, OrderHolder { gateway: "g1".into(), token: 9 });
+    let mut placement = leader(0, endpoints);
+    placement.set_gateways(0, gateways(&[("g1", "a"), ("g2", "a")]));
+    (placement, holders)
+}
+
 fn gateways(named: &[(&str, &str)]) -> BTreeMap<Arc<str>, Arc<str>> {
     named.iter().map(|(name, zone)| ((*name).into(), (*zone).into())).collect()
 }
@@ -104,10 +113,7 @@
 #[test]
 fn another_gateway_orders_only_when_no_order_of_the_former_one_counts() {
     let endpoints = [endpoint(1, "a")];
-    let mut holders = OrderHolders::new();
-    holders.insert(endpoints[0].address, OrderHolder { gateway: "g1".into(), token: 9 });
-    let mut placement = leader(0, &endpoints);
-    placement.set_gateways(0, gateways(&[("g1", "a"), ("g2", "a")]));
+    let (mut placement, mut holders) = ordered_by_g1(&endpoints);
     heard(&mut placement, 9_900, &endpoints);
     placement.advance(9_990, &holders);
     assert_eq!(placement.take_orders().len(), 1, "one is under way when the gateway goes");
@@ -135,10 +141,7 @@
 #[test]
 fn an_order_that_is_still_open_keeps_the_next_gateway_waiting() {
     let endpoints = [endpoint(1, "a")];
-    let mut holders = OrderHolders::new();
-    holders.insert(endpoints[0].address, OrderHolder { gateway: "g1".into(), token: 9 });
-    let mut placement = leader(0, &endpoints);
-    placement.set_gateways(0, gateways(&[("g1", "a"), ("g2", "a")]));
+    let (mut placement, holders) = ordered_by_g1(&endpoints);
     heard(&mut placement, 9_900, &endpoints);
     placement.advance(9_990, &holders);
     assert_eq!(placement.take_orders().len(), 1);
@@ -162,10 +165,7 @@
         (10_000, gone_ms + ORDER_HOLD_MS + ORDER_WRITE_MS),
         (gone_ms - 500, gone_ms - 500 + LEASE_MS),
     ] {
-        let mut holders = OrderHolders::new();
-        holders.insert(endpoints[0].address, OrderHolder { gateway: "g1".into(), token: 9 });
-        let mut placement = leader(0, &endpoints);
-        placement.set_gateways(0, gateways(&[("g1", "a"), ("g2", "a")]));
+        let (mut placement, holders) = ordered_by_g1(&endpoints);
         heard(&mut placement, answered_ms, &endpoints);
         placement.advance(answered_ms, &holders);
         let orders = placement.take_orders();
