relay: a request that an endpoint breaks off is logged with a key that its tries share

Cause: no line tells that two tries are the same request, so that the hypotheses on engines that end one after the other cannot be told apart. Change: RequestKey, a digest of method, host, path, weights and body; event run_broken_off with it, whether the answer had begun and for how long it ran.

--- a/src/message/mod.rs
+++ b/src/message/mod.rs
@@ -7,6 +7,7 @@
 mod forward;
 mod order;
 mod registration;
+mod request_key;
 mod session;
 
 use std::fmt;
@@ -24,6 +25,7 @@
     AdapterNeed, EndpointEnd, EndpointLoad, Heartbeat, Holding, Load, NewestVersion, Placed,
     RegisteredEndpoint, Weights, WeightsName, WeightsUse,
 };
+pub use request_key::{RequestContent, RequestKey};
 pub use session::{
     Forwarded, Group, LoadReport, SessionDown, SessionHello, SessionRole, SessionServer, SessionUp,
 };
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -19,7 +19,8 @@
 use super::refusal::{Failure, NotSent, come_back, come_back_ms, own_answer};
 use super::shared::Relay;
 use super::stream;
-use crate::http::{Answer, HttpHandler, answer, full};
+use crate::http::{Answer, HttpHandler, answer, full, header};
+use crate::message::{RequestContent, RequestKey};
 use crate::metrics::Counter;
 use crate::routing::{Chosen, Repeat};
 use crate::wire::BoxFuture;
@@ -83,6 +84,8 @@
     pub(super) tried: Vec<Arc<str>>,
     /// When it was sent last; 0 before that.
     pub(super) sent_at_ms: u64,
+    /// When the endpoint that has it began to answer; none before that.
+    pub(super) begun_at_ms: Option<u64>,
     /// What it was expected to wait there, and its rank in the queue.
     pub(super) expected_ms: u64,
     pub(super) rank: u8,
@@ -143,6 +146,7 @@
             prompt,
             tried: Vec::new(),
             sent_at_ms: 0,
+            begun_at_ms: None,
             expected_ms: 0,
             rank: 0,
             waited_for: "",
@@ -169,6 +173,17 @@
         self.pass_whole(started).await
     }
 
+    /// What it is, whichever try this is.
+    pub(super) fn key(&self) -> RequestKey {
+        RequestKey::new(RequestContent {
+            method: self.method.as_str(),
+            host: header(&self.headers, HOST.as_str()).unwrap_or_default(),
+            target: self.target.path_and_query().map_or("/", |target| target.as_str()),
+            weights: self.meta.weights.as_ref(),
+            body: &self.body,
+        })
+    }
+
     pub(super) fn read_head(&self, started: &Started) -> AnswerMeta {
         let response = &started.response;
         self.relay.border.read_answer(response.status(), response.headers())
@@ -186,6 +201,7 @@
             let is_first = self.given + self.refused == 0;
             let now_ms = self.relay.now_ms();
             self.sent_at_ms = now_ms;
+            self.begun_at_ms = None;
             if !is_first && !self.relay.may_retry(now_ms, &self.meta.id, &self.chosen.service.name)
             {
                 return Err(Failure::NotSent(NotSent::NoBudget));
@@ -201,6 +217,7 @@
             match self.attempt(&send, address).await {
                 Attempt::Started(started) => {
                     self.given += 1;
+                    self.begun_at_ms = Some(self.relay.now_ms());
                     let head = self.read_head(&started);
                     let retries_failure = started.response.status().is_server_error()
                         && self.chosen.route.repeat == Repeat::Any
@@ -238,6 +255,7 @@
                 }
                 Attempt::Unknown(detail) => {
                     self.given += 1;
+                    self.note_broken_off(&id);
                     self.relay.fleet().failed(self.relay.now_ms(), &id);
                     self.relay.pool.forget(address);
                     self.tried.push(id);
@@ -283,6 +301,7 @@
                 Ok(Err(error)) => error.to_string(),
                 Err(_) => "the answer did not end before the deadline".to_owned(),
             };
+            self.note_broken_off(&flight.endpoint);
             drop(flight);
             if let Err(failure) = self.after_unknown(detail) {
                 return self.give_up(failure);
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -115,6 +115,7 @@
     let Running { mut exchange, endpoint, events } = running;
     let id = exchange.meta.id.clone();
     let peer = endpoint.flight.endpoint.clone();
+    exchange.note_broken_off(&peer);
     exchange.relay.fleet().failed(exchange.relay.now_ms(), &peer);
     drop(endpoint);
     let route = exchange.chosen.route.name.clone();
