--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -68,6 +68,54 @@
     started
 }
 
+/// Starts clients that send one request each, again and again, to one gateway after the other; `note` is told when each
+/// try was sent and how it ended.
+pub fn start_repeating(
+    gateways: &[SocketAddr],
+    clients: u32,
+    period: Duration,
+    record: &Arc<Record>,
+    note: &Arc<dyn Fn(Instant, &End) + Send + Sync>,
+) -> Vec<JoinHandle<()>> {
+    let mut started = Vec::new();
+    for client in 0..clients {
+        let (gateways, record, note) = (gateways.to_vec(), record.clone(), note.clone());
+        started.push(tokio::spawn(async move {
+            let body = format!("request of client {client}");
+            for turn in client as usize.. {
+                let sent_at = Instant::now();
+                let address = gateways[turn % gateways.len()];
+                let (_, end) = ask_for_adapter(address, ADAPTERS[0], body.clone(), &record).await;
+                note(sent_at, &end);
+                tokio::time::sleep(period).await;
+            }
+        }));
+    }
+    started
+}
+
+/// Sends one request for `adapter` on a connection of its own; its id, and how it ended.
+pub async fn ask_for_adapter(
+    address: SocketAddr,
+    adapter: &str,
+    body: impl Into<Bytes>,
+    record: &Record,
+) -> (String, End) {
+    let id = format!("r{}", NEXT.fetch_add(1, Ordering::SeqCst));
+    record.sent(&id, Kind::Adapter);
+    let Some(mut open) = connect(address).await else {
+        return (id, End::Unknown("no connection".to_owned()));
+    };
+    let limit = Duration::from_millis(ENGINE_DEADLINE_MS + 500);
+    let asked = ask_with(&mut open, &id, Kind::Adapter, Some(adapter), body.into(), record);
+    let end = match timeout(limit, asked).await {
+        Ok(end) => end,
+        Err(_) => End::Unknown("no answer within the deadline".to_owned()),
+    };
+    record.ended(&id, end.clone());
+    (id, end)
+}
+
 async fn work(gateways: Vec<SocketAddr>, client: u32, record: Arc<Record>) {
     work_on(vec![Kind::Once, Kind::Any, Kind::Stream], gateways, client, record).await;
 }
@@ -118,6 +166,19 @@
 }
 
 async fn ask(open: &mut SendRequest<Full<Bytes>>, id: &str, kind: Kind, record: &Record) -> End {
+    let adapter = (kind == Kind::Adapter).then(|| adapter(NEXT.fetch_add(1, Ordering::SeqCst)));
+    let body = if kind == Kind::Any { Bytes::new() } else { Bytes::from_static(b"work") };
+    ask_with(open, id, kind, adapter.as_deref(), body, record).await
+}
+
+async fn ask_with(
+    open: &mut SendRequest<Full<Bytes>>,
+    id: &str,
+    kind: Kind,
+    adapter: Option<&str>,
+    body: Bytes,
+    record: &Record,
+) -> End {
     let (method, path) = match kind {
         Kind::Once => (Method::POST, "/once/x"),
         Kind::Any => (Method::GET, "/any/x"),
@@ -130,8 +191,7 @@
         .header("host", HOST)
         .header("request-id", id)
         .header("deadline-ms", deadline_ms(kind));
-    if kind == Kind::Adapter {
-        let adapter = adapter(NEXT.fetch_add(1, Ordering::SeqCst));
+    if let Some(adapter) = adapter {
         request = request
             .header("model", format!("{BASE}/{adapter}"))
             .header("token-counts", "300,40")
@@ -145,7 +205,6 @@
     if kind == Kind::Stream {
         request = request.header("x-stream", "1");
     }
-    let body = if kind == Kind::Any { Bytes::new() } else { Bytes::from_static(b"work") };
     let request = request.body(Full::new(body)).expect("the parts are valid");
     let response = match open.send_request(request).await {
         Ok(response) => response,
--- a/soak/src/engine/mod.rs
+++ b/soak/src/engine/mod.rs
@@ -33,6 +33,12 @@
 const HEARTBEAT: Duration = Duration::from_millis(500);
 const FIRST_TOKEN: Duration = Duration::from_millis(30);
 const EVENT_PAUSE: Duration = Duration::from_millis(20);
+/// The body of a request that ends each engine which begins it.
+pub const CRASHING: &[u8] = b"crashes its engine";
+/// How long after its first event an engine ends that runs such a request.
+const CRASHES_AFTER: Duration = Duration::from_millis(30);
+/// How long an engine that ended so stays away.
+const RESTARTS_AFTER: Duration = Duration::from_secs(3);
 /// How late an order is carried out whose answer is lost.
 const LATE_ORDER: Duration = Duration::from_millis(2_500);
 
@@ -46,6 +52,7 @@
     lives: AtomicU64,
     paused: watch::Sender<bool>,
     delays_orders: AtomicBool,
+    event_pause_ms: AtomicU64,
     waiting: AtomicUsize,
 }
 
@@ -102,6 +109,7 @@
             lives: AtomicU64::new(0),
             paused: watch::channel(false).0,
             delays_orders: AtomicBool::new(false),
+            event_pause_ms: AtomicU64::new(EVENT_PAUSE.as_millis() as u64),
             waiting: AtomicUsize::new(0),
         })
     }
@@ -138,6 +146,25 @@
         }
     }
 
+    /// Ends the incarnation at once and starts the next one a while later.
+    pub fn crash_for_a_while(self: &Arc<Self>) {
+        self.crash();
+        let engine = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(RESTARTS_AFTER).await;
+            if !engine.is_running()
+                && let Err(error) = engine.start().await
+            {
+                engine.record.breach(format!("{} does not start any more: {error}", engine.id));
+            }
+        });
+    }
+
+    /// Makes the pauses between events of its streams longer or shorter.
+    pub fn set_event_pause(&self, pause: Duration) {
+        self.event_pause_ms.store(pause.as_millis() as u64, Ordering::SeqCst);
+    }
+
     /// Stands still, or goes on: what comes meanwhile is read, and nothing begins or is answered.
     pub fn pause(&self, paused: bool) {
         self.paused.send_replace(paused);
@@ -228,7 +255,7 @@
                 let report = lock(&life.weights).report(unix_ms(), life.born_ms);
                 whole(StatusCode::OK, &id, report.to_string())
             }
-            _ => self.run(life, &id, &head.headers).await,
+            _ => self.run(life, &id, &head.headers, &body.to_bytes()).await,
         }
     }
 
@@ -260,7 +287,13 @@
         outcome
     }
 
-    async fn run(&self, life: &Arc<Life>, id: &str, headers: &http::HeaderMap) -> Answer {
+    async fn run(
+        self: Arc<Self>,
+        life: &Arc<Life>,
+        id: &str,
+        headers: &http::HeaderMap,
+        body: &[u8],
+    ) -> Answer {
         let waits = Waits::new(&self.waiting);
         life.take_turn().await;
         let model = text(headers, "model");
@@ -281,20 +314,34 @@
             Err(NotBegun::Closed) => return refused(StatusCode::SERVICE_UNAVAILABLE, id),
         };
         drop(waits);
-        let running = Running { life: life.clone(), adapter, _slot: slot };
+        let event_pause = Duration::from_millis(self.event_pause_ms.load(Ordering::SeqCst));
+        let running = Running { life: life.clone(), adapter, event_pause, _slot: slot };
         look_for_headers(&self.record, id, headers);
         self.record.run(id);
         self.record.begun(id, &running.adapter, version, &self.id);
         tokio::time::sleep(FIRST_TOKEN).await;
+        if body == CRASHING {
+            self.record.crashes(id);
+            tokio::spawn(self.clone().crash_under_it(life.clone()));
+        }
         let first = text(headers, "last-event-id").parse::<u64>().map_or(1, |last| last + 1);
         running.streamed(id, first)
     }
+
+    async fn crash_under_it(self: Arc<Self>, life: Arc<Life>) {
+        tokio::time::sleep(CRASHES_AFTER).await;
+        let runs_still = lock(&self.life).as_ref().is_some_and(|now| Arc::ptr_eq(now, &life));
+        if runs_still {
+            self.crash_for_a_while();
+        }
+    }
 }
 
 /// A request that runs; its place is free once it is dropped.
 struct Running {
     life: Arc<Life>,
     adapter: String,
+    event_pause: Duration,
     _slot: OwnedSemaphorePermit,
 }
 
@@ -313,7 +360,7 @@
                 if number > EVENTS {
                     return None;
                 }
-                tokio::time::sleep(EVENT_PAUSE).await;
+                tokio::time::sleep(running.event_pause).await;
                 running.life.wait_until_running().await;
                 let event = format!("id: {number}\ndata: {id}\n\n");
                 Some((Ok(Frame::data(Bytes::from(event))), (running, number + 1)))
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -69,6 +69,7 @@
     breaches: Vec<String>,
     calm: bool,
     read_back: Option<u64>,
+    crashing: Vec<Instant>,
 }
 
 /// Everything seen in one run.
@@ -110,6 +111,22 @@
         runs
     }
 
+    /// An engine begins a request that ends it.
+    pub fn crashes(&self, request: &str) {
+        println!("  {request} ends its engine");
+        self.inner().crashing.push(Instant::now());
+    }
+
+    /// When engines began requests that ended them, in order.
+    pub fn crashing(&self) -> Vec<Instant> {
+        self.inner().crashing.clone()
+    }
+
+    /// True when an endpoint began the request.
+    pub fn has_run(&self, id: &str) -> bool {
+        self.inner().requests.get(id).is_some_and(|seen| seen.runs > 0)
+    }
+
     /// The newest version of `adapter` that the store has.
     pub fn newest(&self, adapter: &str) -> u64 {
         self.inner().named.get(adapter).copied().unwrap_or(1)
--- a/soak/tests/common/mod.rs
+++ b/soak/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! What the tests with real processes share.
 
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -26,23 +28,29 @@
 impl System {
     /// Starts a region in its own `block` of addresses and waits until adapters are served.
     pub async fn start(block: u8, clients: u32) -> Self {
-        let record = Arc::new(Record::new());
         let size = Size { gateways: 2, endpoints: 1, engines: 3, block };
+        let system = Self::start_with(size, clients).await;
+        let engines = &system.region.engines;
+        system
+            .wait_for("adapters are everywhere", || {
+                engines.iter().all(|it| it.holds().contains('@'))
+            })
+            .await;
+        system
+    }
+
+    /// Starts a region of this `size`.
+    pub async fn start_with(size: Size, clients: u32) -> Self {
+        let record = Arc::new(Record::new());
         let region =
             Region::start(&programs(), size, record.clone()).await.expect("the region starts");
         let gateways = region.gateway_addresses();
         let clients = client::start_for_adapters(gateways, clients, record.clone());
         let system = Self { region, record, clients };
-        system.wait_for("adapters are served", || system.is_serving()).await;
+        system.wait_for("adapters are served", || system.record.begun_at_engines() > 100).await;
         system
     }
 
-    /// True when every engine holds an adapter and requests are served.
-    fn is_serving(&self) -> bool {
-        let engines = &self.region.engines;
-        self.record.begun_at_engines() > 100 && engines.iter().all(|it| it.holds().contains('@'))
-    }
-
     /// Waits until something is so.
     pub async fn wait_for(&self, what: &str, is_so: impl Fn() -> bool) {
         let until = Instant::now() + Duration::from_secs(15);
