tests: answers that endpoints break off and go on hold nothing

Cause: a request must not be held for answers that break off while their endpoint goes on; nothing tested it. Change: a soak test with endpoints that break off every first run of a request for 4 s.

--- a/soak/tests/common/mod.rs
+++ b/soak/tests/common/mod.rs
@@ -60,12 +60,19 @@
         }
     }
 
-    /// Ends everything; the logs are kept beside the programs, below `name`.
-    pub fn stop(mut self, name: &str) {
-        self.region.keep_logs(&programs().join("soak").join(name), &self.record);
+    /// Ends everything; the logs are kept beside the programs, below `name`, and given back as one text.
+    pub fn stop(mut self, name: &str) -> String {
+        let folder = programs().join("soak").join(name);
+        self.region.keep_logs(&folder, &self.record);
         for client in &self.clients {
             client.abort();
         }
         self.region.stop();
+        let mut logs = String::new();
+        for file in std::fs::read_dir(folder).expect("the logs were kept") {
+            let path = file.expect("an entry").path();
+            logs.push_str(&std::fs::read_to_string(path).expect("a log is text"));
+        }
+        logs
     }
 }
--- a/soak/tests/requests_that_crash_engines.rs
+++ b/soak/tests/requests_that_crash_engines.rs
@@ -17,7 +17,7 @@
 use common::System;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use winchvane_soak::client::{ADAPTERS, Try, ask_for_adapter, start_repeating};
+use winchvane_soak::client::{self, ADAPTERS, Try, ask_for_adapter, start_repeating};
 use winchvane_soak::engine::CRASHING;
 use winchvane_soak::record::End;
 use winchvane_soak::region::Size;
@@ -175,3 +175,28 @@
     assert_eq!(served, ORDINARY_CLIENTS as usize, "clients were served");
     assert_eq!(failed, 0, "of {sent} ordinary requests");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_that_endpoints_break_off_and_go_on_hold_nothing() {
+    let size = Size { gateways: 2, endpoints: 2, engines: 2, block: 86 };
+    let system = System::start_with(size, 2).await;
+    let gateways = system.region.gateway_addresses();
+    // Each of them sends the same few requests all the time, to endpoints that break them off.
+    let clients = client::start(gateways, 6, system.record.clone());
+    for breaks in [true, false] {
+        for endpoint in &system.region.endpoints {
+            endpoint.set_breaks(breaks);
+        }
+        tokio::time::sleep(Duration::from_secs(4)).await;
+    }
+    println!("{}", system.record.summary());
+    for client in clients {
+        client.abort();
+    }
+    let breaches = system.record.seen_breaches();
+    let logs = system.stop("breaks");
+    assert!(breaches.is_empty(), "{breaches:?}");
+    assert!(logs.contains("event=run_broken_off"), "nothing was broken off");
+    assert!(!logs.contains("event=endpoint_crashed"), "no endpoint has ended");
+    assert!(!logs.contains("event=request_held"), "a request is held");
+}
