--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -113,5 +113,14 @@
 mutate "a restarted endpoint keeps its order holder" src/control/registry.rs 's/self\.keep_holder\(other\.address, endpoint\.address\);//' --test registry
 mutate "an unknown service ends none that serves" src/control/registry.rs 's/if self\.is_configured\(&endpoint\.service\) \{/if true {/' --test registry
 mutate "anchors count as what they stand for" src/nesting.rs 's/self\.anchors\.get\(anchor\)\.copied\(\)\.unwrap_or\(0\)/0/' --test fuzz_documents deep_nesting
+crashes=src/policy/crashes.rs
+mutate "a request that was served begins anew" $crashes 's/        self\.by_request\.remove\(&key\);\n        let Some\(known\)/        let Some(known)/' --test crashes
+mutate "a crash is explained by the request that is held" $crashes 's/crash\.is_explained \|= is_held;//' --test crashes
+mutate "the longest run of a content counts" $crashes 's/ran_ms\.max\(\*known_ms\)/ran_ms.min(*known_ms)/' --test crashes
+mutate "an end that is told again counts once" $crashes 's/            return false;\n        \}\n        crash\.runs/            return true;\n        }\n        crash.runs/' --test crashes
+mutate "the rate of ends is weighed" $crashes 's/highest \/ crash\.up as f64/0.000_01/' --test crashes
+mutate "one gateway at a time tries" $crashes 's/known\.since_ms \+ held_ms > now_ms \|\| self\.undecided\.contains_key\(&key\)/known.since_ms + held_ms > now_ms/' --test crashes
+mutate "a trial is used once" src/relay/standings.rs 's/ && self\.tried\.insert\(\*key\)//' --test standings
+mutate "time goes on while suspended" src/clock.rs 's/left_ms\.min\(LOOK_MS\)/left_ms/' --test clock
 echo "$missed rules without a test that fails"
 [ "$missed" = 0 ]
