relay: what waits at an endpoint ends when its next incarnation is known

What callers saw: an engine that ends without closing its connections keeps its requests until their deadlines, and one that ends under a certain request without closing anything counts against nobody, so that this request goes on to the next engine. Cause: a gateway took a registration that replaces another incarnation for news about the next one only. Change: such a registration ends what waits at the former incarnation; the request is resumed or sent again where it may be. Its end is told to the leader like any other, by what was heard last. Answers that broke off within 5 s before count too: an endpoint that is back at once answers when it is asked.

--- a/soak/src/engine/mod.rs
+++ b/soak/src/engine/mod.rs
@@ -52,6 +52,7 @@
     lives: AtomicU64,
     paused: watch::Sender<bool>,
     delays_orders: AtomicBool,
+    ends_silently: AtomicBool,
     event_pause_ms: AtomicU64,
     waiting: AtomicUsize,
 }
@@ -81,7 +82,16 @@
     turn: Semaphore,
     slots: Arc<Semaphore>,
     paused: watch::Receiver<bool>,
-    ended: watch::Sender<bool>,
+    ended: watch::Sender<Option<Ends>>,
+}
+
+/// How an incarnation ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ends {
+    /// Its connections are closed.
+    Closed,
+    /// Nothing is closed and nothing answers any more.
+    Silent,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -109,6 +119,7 @@
             lives: AtomicU64::new(0),
             paused: watch::channel(false).0,
             delays_orders: AtomicBool::new(false),
+            ends_silently: AtomicBool::new(false),
             event_pause_ms: AtomicU64::new(EVENT_PAUSE.as_millis() as u64),
             waiting: AtomicUsize::new(0),
         })
@@ -123,7 +134,7 @@
         let address = self.addresses[number as usize % self.addresses.len()];
         let listener = TcpListener::bind(address).await?;
         let weights = if number == 0 { Weights::with_base() } else { Weights::default() };
-        let (ended, _) = watch::channel(false);
+        let (ended, _) = watch::channel(None);
         let life = Arc::new(Life {
             born_ms: unix_ms(),
             address,
@@ -141,11 +152,18 @@
 
     /// Ends the incarnation at once; it says nothing.
     pub fn crash(&self) {
+        let ends =
+            if self.ends_silently.load(Ordering::SeqCst) { Ends::Silent } else { Ends::Closed };
         if let Some(life) = lock(&self.life).take() {
-            life.ended.send_replace(true);
+            life.ended.send_replace(Some(ends));
         }
     }
 
+    /// Lets its incarnations end without closing a connection, or with it again.
+    pub fn set_ends_silently(&self, silently: bool) {
+        self.ends_silently.store(silently, Ordering::SeqCst);
+    }
+
     /// Ends the incarnation at once and starts the next one a while later.
     pub fn crash_for_a_while(self: &Arc<Self>) {
         self.crash();
@@ -377,9 +395,15 @@
     /// Runs `task` until it ends or this incarnation does.
     async fn until_ended(self: Arc<Self>, task: impl Future<Output = ()>) {
         let mut ended = self.ended.subscribe();
-        tokio::select! {
-            () = task => {}
-            _ = ended.wait_for(|ended| *ended) => {}
+        tokio::pin!(task);
+        let ends = tokio::select! {
+            () = &mut task => return,
+            // The sender lives as long as the incarnation.
+            ends = ended.wait_for(Option::is_some) => ends.map_or(None, |ends| *ends),
+        };
+        if ends == Some(Ends::Silent) {
+            // What it holds stays open until the next incarnation has been up for a while.
+            tokio::time::sleep(RESTARTS_AFTER + Duration::from_secs(1)).await;
         }
     }
 
--- a/soak/tests/requests_that_crash_engines.rs
+++ b/soak/tests/requests_that_crash_engines.rs
@@ -118,6 +118,32 @@
     assert!(failed * 20 <= sent, "{failed} of {sent} ordinary requests failed");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_silences_its_engines_is_kept_from_the_others() {
+    let size = Size { gateways: 3, endpoints: 1, engines: ENGINES, block: 87 };
+    let system = System::start_with(size, 12).await;
+    for engine in &system.region.engines {
+        engine.set_ends_silently(true);
+    }
+    let (tries, clients) = ordinary_clients(&system);
+    let mut rng = SmallRng::seed_from_u64(87);
+    let ends = send_crashing(&system, Duration::from_secs(20), &mut rng).await;
+    let calm = Instant::now();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let (sent, failed) = since(&tries, calm);
+    let (runs, later) = (system.record.crashing().len(), later_runs(&system));
+    println!("{runs} engines ended, {later} later; {failed} of {sent} others failed; {ends:?}");
+    for client in clients {
+        client.abort();
+    }
+    let breaches = system.record.seen_breaches();
+    system.stop("silenced");
+    assert!(breaches.is_empty(), "{breaches:?}");
+    assert!(runs >= 3, "only {runs} engines ended");
+    assert!(later <= LATER_RUNS_MAX, "{later} engines were ended later, {runs} in all");
+    assert!(failed * 20 <= sent, "{failed} of {sent} ordinary requests failed");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_ends_its_engines_is_known_while_gateways_and_control_restart() {
     let size = Size { gateways: 3, endpoints: 1, engines: ENGINES, block: 84 };
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -7,6 +7,7 @@
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use tokio::sync::watch;
 use tokio::time::timeout;
 use tracing::info;
 
@@ -33,6 +34,25 @@
     number: u64,
     pub(super) endpoint: Arc<str>,
     pub(super) address: std::net::SocketAddr,
+    ended: Option<watch::Receiver<bool>>,
+}
+
+impl Flight {
+    /// Returns once another incarnation has taken the endpoint's place, which may be never: its own
+    /// connections need not have been closed by then.
+    pub(super) async fn ended(&self) {
+        if let Some(mut ended) = self.ended.clone()
+            && ended.wait_for(|ended| *ended).await.is_ok()
+        {
+            return;
+        }
+        std::future::pending::<()>().await;
+    }
+
+    /// True once another incarnation has taken the endpoint's place.
+    pub(super) fn has_ended(&self) -> bool {
+        self.ended.as_ref().is_some_and(|ended| *ended.borrow())
+    }
 }
 
 impl Drop for Flight {
@@ -71,6 +91,8 @@
     Unknown(String),
     /// No answer came before the deadline.
     Overdue,
+    /// Another incarnation has taken the endpoint's place.
+    Ended,
     /// Its connection was closed, since it may not begin any more on what the endpoint holds.
     TakenBack,
 }
@@ -79,6 +101,8 @@
 enum Overdue {
     /// The deadline passed.
     Deadline,
+    /// Another incarnation has taken the endpoint's place.
+    Ended,
     /// The version that the endpoint holds was replaced too long ago.
     Replaced,
 }
@@ -198,13 +222,15 @@
             number,
             endpoint: send.endpoint.clone(),
             address,
+            ended: relay.fleet().watch_end(&send.endpoint),
         };
         let peer = &*send.endpoint;
         let sending = pool::send(&mut connection, peer, self.request(send));
-        let response = match self.answered_in_time(sending, peer).await {
+        let response = match self.answered_in_time(sending, &flight).await {
             Err(Overdue::Deadline) => {
                 return Attempt::Overdue;
             }
+            Err(Overdue::Ended) => return Attempt::Ended,
             Err(Overdue::Replaced) => return Attempt::TakenBack,
             Ok(Err(SendFailure::NotSent(error))) => {
                 info!(event = "send_lost", endpoint = %send.endpoint, error = %error);
@@ -236,8 +262,10 @@
     async fn answered_in_time<T>(
         &self,
         answer: impl Future<Output = T>,
-        endpoint: &str,
+        flight: &Flight,
     ) -> Result<T, Overdue> {
+        let ended = flight.ended();
+        tokio::pin!(ended);
         tokio::pin!(answer);
         let mut begin_by_ms = None;
         loop {
@@ -252,12 +280,13 @@
                 biased;
                 answered = &mut answer => return Ok(answered),
                 () = &mut version_known => continue,
+                () = &mut ended => return Err(Overdue::Ended),
                 () = self.relay.clock.sleep_until(until_ms) => {}
             }
             if self.relay.now_ms() >= self.ends_at_ms {
                 return Err(Overdue::Deadline);
             }
-            if !self.may_have_begun(endpoint) {
+            if !self.may_have_begun(&flight.endpoint) {
                 return Err(Overdue::Replaced);
             }
             begin_by_ms = Some(u64::MAX);
--- a/src/relay/crashes.rs
+++ b/src/relay/crashes.rs
@@ -29,6 +29,9 @@
 /// A request that had not begun counts as if it had been there this long: one that is sent while its
 /// endpoint ends would look as if it had ended it at once.
 const NOT_BEGUN_MIN_MS: u64 = 200;
+/// How long answers that broke off are remembered for the case that their endpoint had ended after all:
+/// one that is back at once answers when it is asked, and registers within this time.
+const DOUBTFUL_MS: u64 = 5_000;
 /// A connection that comes up at all does so within a round trip.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// How long ends are told again to new leaders.
@@ -45,7 +48,7 @@
 pub(super) struct CrashWatch {
     standings: Mutex<Standings>,
     seen: Mutex<Seen>,
-    suspects: mpsc::UnboundedSender<RegisteredEndpoint>,
+    suspects: mpsc::UnboundedSender<Suspect>,
     up: mpsc::UnboundedSender<SessionUp>,
 }
 
@@ -53,10 +56,21 @@
 struct Seen {
     /// Answers that broke off and whose endpoints have not been asked yet.
     broken: HashMap<Arc<str>, Broken>,
+    /// Answers that broke off at endpoints which answered when they were asked, or could not be reached.
+    doubtful: HashMap<Arc<str>, Broken>,
     /// Ends that were seen, by when.
     crashes: VecDeque<(u64, EndpointCrash)>,
 }
 
+/// An endpoint that may have ended.
+#[derive(Debug)]
+pub(super) struct Suspect {
+    id: Arc<str>,
+    service: Arc<str>,
+    /// Whom to ask; none when it has ended for certain.
+    endpoint: Option<RegisteredEndpoint>,
+}
+
 /// Answers that an endpoint broke off.
 #[derive(Debug, Default)]
 struct Broken {
@@ -68,7 +82,7 @@
     /// Nothing seen yet; endpoints to ask go to `suspects`, what the leader should know to `up`.
     pub(super) fn new(
         gateway: Arc<str>,
-        suspects: mpsc::UnboundedSender<RegisteredEndpoint>,
+        suspects: mpsc::UnboundedSender<Suspect>,
         up: mpsc::UnboundedSender<SessionUp>,
     ) -> Self {
         let standings = Mutex::new(Standings::new(gateway));
@@ -98,26 +112,38 @@
         self.standings().keep_only(keys);
     }
 
-    /// Notes an answer that `endpoint` broke off to a request that was sent there at `sent_at_ms`.
-    fn broken_off(
-        &self,
-        now_ms: u64,
-        endpoint: RegisteredEndpoint,
-        sent_at_ms: u64,
-        run: BrokenRun,
-    ) {
+    /// Notes an answer that an endpoint broke off to a request that was sent there at `sent_at_ms`.
+    fn broken_off(&self, now_ms: u64, suspect: Suspect, sent_at_ms: u64, run: BrokenRun) {
         let mut seen = self.seen();
         // What was sent to an endpoint that had ended tells nothing of the request.
-        if seen.first_broken_ms(&endpoint.id).is_some_and(|at_ms| at_ms <= sent_at_ms) {
+        if seen.first_broken_ms(&suspect.id).is_some_and(|at_ms| at_ms <= sent_at_ms) {
             return;
         }
-        if let Some(broken) = seen.broken.get_mut(&endpoint.id) {
+        if let Some(broken) = seen.broken.get_mut(&suspect.id) {
             broken.runs.push(run);
             return;
         }
-        seen.broken.insert(endpoint.id.clone(), Broken { since_ms: now_ms, runs: vec![run] });
+        seen.broken.insert(suspect.id.clone(), Broken { since_ms: now_ms, runs: vec![run] });
         // The receiver lives as long as the process.
-        let _ = self.suspects.send(endpoint);
+        let _ = self.suspects.send(suspect);
+    }
+
+    /// Another incarnation has taken the endpoint's place: what it broke off just before, it broke off
+    /// when it ended, although something answered at its address.
+    pub(super) fn replaced(&self, now_ms: u64, endpoint: &RegisteredEndpoint) {
+        let mut seen = self.seen();
+        let Some(Broken { since_ms, runs }) = seen.doubtful.remove(&endpoint.id) else { return };
+        if endpoint.leaving || since_ms + DOUBTFUL_MS <= now_ms {
+            return;
+        }
+        let crash = seen.ended(now_ms, since_ms, &endpoint.id, &endpoint.service, runs);
+        drop(seen);
+        self.tell(crash);
+    }
+
+    fn tell(&self, crash: EndpointCrash) {
+        // Without a session it waits, and is told twice to the next leader, who counts it once.
+        let _ = self.up.send(SessionUp::Crashes(vec![crash]));
     }
 
     /// The ends seen lately, for a leader that may not know them.
@@ -143,7 +169,25 @@
         ended.map(|(at_ms, _)| *at_ms)
     }
 
+    /// Notes an end, to be told now and again to new leaders.
+    fn ended(
+        &mut self,
+        now_ms: u64,
+        since_ms: u64,
+        endpoint: &Arc<str>,
+        service: &Arc<str>,
+        runs: Vec<BrokenRun>,
+    ) -> EndpointCrash {
+        let ago_ms = u32::try_from(now_ms - since_ms).unwrap_or(u32::MAX);
+        let (endpoint, service) = (endpoint.clone(), service.clone());
+        let crash = EndpointCrash { endpoint, service, ago_ms, runs };
+        self.crashes.push_back((since_ms, crash.clone()));
+        self.forget_old(now_ms);
+        crash
+    }
+
     fn forget_old(&mut self, now_ms: u64) {
+        self.doubtful.retain(|_, broken| broken.since_ms + DOUBTFUL_MS > now_ms);
         let is_old = |(at_ms, _): &(u64, EndpointCrash)| at_ms + TOLD_AGAIN_MS <= now_ms;
         while self.crashes.len() > TOLD_AGAIN_MAX || self.crashes.front().is_some_and(is_old) {
             self.crashes.pop_front();
@@ -155,42 +199,40 @@
 pub(super) async fn watch(
     relay: Arc<Relay>,
     engines: Arc<dyn EngineClient>,
-    mut suspects: mpsc::UnboundedReceiver<RegisteredEndpoint>,
+    mut suspects: mpsc::UnboundedReceiver<Suspect>,
 ) {
     while let Some(endpoint) = suspects.recv().await {
         tokio::spawn(ask_endpoint(relay.clone(), engines.clone(), endpoint));
     }
 }
 
-async fn ask_endpoint(
-    relay: Arc<Relay>,
-    engines: Arc<dyn EngineClient>,
-    endpoint: RegisteredEndpoint,
-) {
+async fn ask_endpoint(relay: Arc<Relay>, engines: Arc<dyn EngineClient>, suspect: Suspect) {
     tokio::time::sleep(Duration::from_millis(GATHER_MS)).await;
-    let is_engine = relay.table().is_engine(&endpoint.service);
-    let liveness = ask_liveness(engines.as_ref(), &endpoint, is_engine).await;
+    let Suspect { id, service, endpoint } = suspect;
+    let liveness = match &endpoint {
+        Some(endpoint) => {
+            let is_engine = relay.table().is_engine(&service);
+            ask_liveness(engines.as_ref(), endpoint, is_engine).await
+        }
+        None => Liveness::Ended,
+    };
     let now_ms = relay.now_ms();
     let mut seen = relay.crashes.seen();
-    let Broken { since_ms, runs } = seen.broken.remove(&endpoint.id).unwrap_or_default();
-    info!(event = "endpoint_asked", endpoint = %endpoint.id, liveness = ?liveness, broken = runs.len());
+    let broken = seen.broken.remove(&id).unwrap_or_default();
+    info!(event = "endpoint_asked", endpoint = %id, liveness = ?liveness, broken = broken.runs.len());
     if liveness != Liveness::Ended {
+        seen.forget_old(now_ms);
+        seen.doubtful.insert(id, broken);
         return;
     }
-    let crash = EndpointCrash {
-        endpoint: endpoint.id.clone(),
-        service: endpoint.service.clone(),
-        ago_ms: u32::try_from(now_ms - since_ms).unwrap_or(u32::MAX),
-        runs,
-    };
-    seen.crashes.push_back((since_ms, crash.clone()));
-    seen.forget_old(now_ms);
+    let crash = seen.ended(now_ms, broken.since_ms, &id, &service, broken.runs);
     drop(seen);
     relay.metrics.count(Counter::EndpointsEnded);
-    relay.fleet().ended(now_ms, &endpoint.id);
-    relay.pool.forget(endpoint.address);
-    // Without a session it waits, and is told twice to the next leader, who counts it once.
-    let _ = relay.crashes.up.send(SessionUp::Crashes(vec![crash]));
+    relay.fleet().ended(now_ms, &id);
+    if let Some(endpoint) = endpoint {
+        relay.pool.forget(endpoint.address);
+    }
+    relay.crashes.tell(crash);
 }
 
 /// Whether an endpoint that broke answers off is still there.
@@ -244,10 +286,27 @@
             return;
         }
         let least_ms = if self.begun_at_ms.is_some() { 0 } else { NOT_BEGUN_MIN_MS };
-        let ran_ms = u32::try_from(ran_ms.max(least_ms)).unwrap_or(u32::MAX);
-        let weights = self.meta.weights.clone();
-        let run = BrokenRun { key, weights, ran_ms };
-        self.relay.crashes.broken_off(now_ms, known, self.sent_at_ms, run);
+        let suspect =
+            Suspect { id: known.id.clone(), service: known.service.clone(), endpoint: Some(known) };
+        self.suspect(now_ms, suspect, ran_ms.max(least_ms));
+    }
+
+    /// Notes that another incarnation has taken the place of `endpoint`, which closed no connection.
+    ///
+    /// When it ended is not known; what it answered last, it answered before.
+    pub(super) fn note_ended(&self, endpoint: &Arc<str>) {
+        let now_ms = self.relay.now_ms();
+        info!(event = "run_ended", request = %self.meta.id, endpoint = %endpoint, key = %self.key());
+        let Some(begun_at_ms) = self.begun_at_ms else { return };
+        let service = self.chosen.service.name.clone();
+        let suspect = Suspect { id: endpoint.clone(), service, endpoint: None };
+        self.suspect(now_ms, suspect, self.heard_at_ms.saturating_sub(begun_at_ms));
+    }
+
+    fn suspect(&self, now_ms: u64, suspect: Suspect, ran_ms: u64) {
+        let ran_ms = u32::try_from(ran_ms).unwrap_or(u32::MAX);
+        let run = BrokenRun { key: self.key(), weights: self.meta.weights.clone(), ran_ms };
+        self.relay.crashes.broken_off(now_ms, suspect, self.sent_at_ms, run);
     }
 
     /// Tells the leader that the request was served, if it wants to know.
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -29,6 +29,8 @@
 const WHOLE_ANSWER_MAX_BYTES: usize = 256 << 10;
 /// What is left of the deadline for the answer's way back.
 const RETURN_MS: u64 = 5;
+/// Why an answer ends whose endpoint has another incarnation by now.
+pub(super) const ENDED: &str = "the endpoint has started anew";
 /// Sends that endpoints refused, beyond the attempts that the route allows.
 const REFUSED_SENDS_MAX: u32 = 3;
 
@@ -86,6 +88,8 @@
     pub(super) sent_at_ms: u64,
     /// When the endpoint that has it began to answer; none before that.
     pub(super) begun_at_ms: Option<u64>,
+    /// When something of that answer came last.
+    pub(super) heard_at_ms: u64,
     /// What it was expected to wait there, and its rank in the queue.
     pub(super) expected_ms: u64,
     pub(super) rank: u8,
@@ -152,6 +156,7 @@
             tried: Vec::new(),
             sent_at_ms: 0,
             begun_at_ms: None,
+            heard_at_ms: 0,
             expected_ms: 0,
             rank: 0,
             waited_for: "",
@@ -231,7 +236,8 @@
             match self.attempt(&send, address).await {
                 Attempt::Started(started) => {
                     self.given += 1;
-                    self.begun_at_ms = Some(self.relay.now_ms());
+                    self.heard_at_ms = self.relay.now_ms();
+                    self.begun_at_ms = Some(self.heard_at_ms);
                     let head = self.read_head(&started);
                     let retries_failure = started.response.status().is_server_error()
                         && self.chosen.route.repeat == Repeat::Any
@@ -271,6 +277,11 @@
                     self.note_failed(id, address);
                     self.after_unknown("no answer before the deadline".to_owned())?;
                 }
+                Attempt::Ended => {
+                    self.note_ended(&id);
+                    self.note_failed(id, address);
+                    self.after_unknown(ENDED.to_owned())?;
+                }
                 Attempt::Unknown(detail) => {
                     self.note_broken_off(&id);
                     self.note_failed(id, address);
@@ -314,7 +325,12 @@
             let Started { flight, connection, response } = started;
             let (head, body) = response.into_parts();
             let collected = Limited::new(body, WHOLE_ANSWER_MAX_BYTES).collect();
-            let detail = match self.relay.clock.timeout_at(self.ends_at_ms, collected).await {
+            let collected = self.relay.clock.timeout_at(self.ends_at_ms, collected);
+            let collected = tokio::select! {
+                collected = collected => collected.map(|body| body.map_err(|error| error.to_string())),
+                () = flight.ended() => Some(Err(ENDED.to_owned())),
+            };
+            let detail = match collected {
                 Some(Ok(body)) => {
                     self.relay.pool.keep(flight.address, connection, &head.headers);
                     if head.status.is_success() {
@@ -325,9 +341,13 @@
                     answer.headers_mut().remove(CONTENT_LENGTH);
                     return answer;
                 }
+                Some(Err(error)) if flight.has_ended() => {
+                    self.note_ended(&flight.endpoint);
+                    error
+                }
                 Some(Err(error)) => {
                     self.note_broken_off(&flight.endpoint);
-                    error.to_string()
+                    error
                 }
                 None => "the answer did not end before the deadline".to_owned(),
             };
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -6,6 +6,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
+use tokio::sync::watch;
 
 use super::choice::{self, Candidate};
 use super::known::{Expected, Known, Wanted};
@@ -398,6 +399,35 @@
         self.failing.insert(id.clone());
     }
 
+    /// Tells when another incarnation has taken the place of `id`.
+    pub fn watch_end(&mut self, id: &str) -> Option<watch::Receiver<bool>> {
+        let known = self.endpoints.get_mut(id)?;
+        Some(known.ended.get_or_insert_with(|| watch::Sender::new(false)).subscribe())
+    }
+
+    /// The known endpoints that have ended, since `registered` have their names or addresses; whoever waits
+    /// for their answers is told.
+    pub fn replaced_by(&mut self, registered: &[&RegisteredEndpoint]) -> Vec<RegisteredEndpoint> {
+        let is_new = |endpoint: &&&RegisteredEndpoint| !self.endpoints.contains_key(&endpoint.id);
+        let new: Vec<_> = registered.iter().filter(is_new).collect();
+        if new.is_empty() {
+            return Vec::new();
+        }
+        let names: HashSet<&str> = new.iter().map(|endpoint| &*endpoint.name).collect();
+        let addresses: HashSet<SocketAddr> = new.iter().map(|endpoint| endpoint.address).collect();
+        let mut replaced = Vec::new();
+        for Known { endpoint, ended, .. } in self.endpoints.values() {
+            if !names.contains(&*endpoint.name) && !addresses.contains(&endpoint.address) {
+                continue;
+            }
+            if let Some(ended) = ended {
+                ended.send_replace(true);
+            }
+            replaced.push(endpoint.clone());
+        }
+        replaced
+    }
+
     /// An endpoint as it registered.
     pub fn endpoint(&self, id: &str) -> Option<RegisteredEndpoint> {
         self.endpoints.get(id).map(|known| known.endpoint.clone())
--- a/src/relay/known.rs
+++ b/src/relay/known.rs
@@ -1,5 +1,7 @@
 //! What a gateway knows of one endpoint, and what a request can expect there.
 
+use tokio::sync::watch;
+
 use super::prompt::{KeptPrompts, PromptChain};
 use super::waiting::{ReadingPace, UnreadMs, Waiting};
 use crate::hash;
@@ -27,6 +29,9 @@
     pub(super) hash: u64,
     pub(super) failures: u32,
     pub(super) closed_until_ms: u64,
+    /// Tells those that wait for its answers when another incarnation has taken its place; made when a
+    /// request is sent there.
+    pub(super) ended: Option<watch::Sender<bool>>,
 }
 
 /// What a request can expect at an endpoint.
@@ -66,6 +71,7 @@
             kept: KeptPrompts::new(),
             failures: 0,
             closed_until_ms: 0,
+            ended: None,
         }
     }
 
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -152,6 +152,16 @@
             info!(event = "changes_known", reset, changes = changes.len());
         }
         let mut fleet = self.fleet();
+        let mut registered = Vec::new();
+        for change in &changes {
+            if let Change::Registered(endpoint) = change {
+                registered.push(endpoint);
+            }
+        }
+        for replaced in fleet.replaced_by(&registered) {
+            info!(event = "endpoint_replaced", endpoint = %replaced.id);
+            self.crashes.replaced(now_ms, &replaced);
+        }
         for change in changes {
             match change {
                 Change::Routing(configuration) => self.set_table(RouteTable::new(configuration)),
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -10,7 +10,7 @@
 
 use super::attempt::{Flight, Started};
 use super::events::EventSplitter;
-use super::exchange::{Exchange, InProgress, remove_connection_headers};
+use super::exchange::{ENDED, Exchange, InProgress, remove_connection_headers};
 use super::pool::Connection;
 use crate::clock::Clock;
 use crate::error::{Error, Result};
@@ -42,7 +42,13 @@
         let peer = self.flight.endpoint.clone();
         let left_ms = until_ms.saturating_sub(clock.now_ms());
         loop {
-            let frame = clock.timeout_at(until_ms, self.body.frame()).await;
+            let frame = tokio::select! {
+                biased;
+                frame = clock.timeout_at(until_ms, self.body.frame()) => frame,
+                () = self.flight.ended() => {
+                    return Err(Error::failed("read stream", peer.clone(), ENDED));
+                }
+            };
             let frame =
                 frame.ok_or_else(|| Error::timeout("read stream", peer.clone(), left_ms))?;
             let Some(frame) = frame else { return Ok(None) };
@@ -77,6 +83,7 @@
         let (clock, ends_at_ms) = (running.exchange.relay.clock, running.exchange.ends_at_ms);
         match running.endpoint.next(clock, ends_at_ms).await {
             Ok(Some(data)) => {
+                running.exchange.heard_at_ms = clock.now_ms();
                 let Some(events) = &mut running.events else {
                     return Some((Ok(Frame::data(data)), Some(running)));
                 };
@@ -117,7 +124,9 @@
     let Running { mut exchange, endpoint, events } = running;
     let id = exchange.meta.id.clone();
     let peer = endpoint.flight.endpoint.clone();
-    if !error.is_timeout() {
+    if endpoint.flight.has_ended() {
+        exchange.note_ended(&peer);
+    } else if !error.is_timeout() {
         exchange.note_broken_off(&peer);
     }
     exchange.relay.fleet().failed(exchange.relay.now_ms(), &peer);
