tests, mutations: the longest run of a content counts; an end that is told again counts once

Cause: two of the eight new mutations were missed: no test had a content twice at an endpoint, and the other one took out a line that changed nothing.

--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -281,6 +281,18 @@
     assert_eq!(commit(&mut crashes, 1_000), None);
 }
 
+#[test]
+fn a_content_that_had_run_for_long_beside_ended_nothing() {
+    let mut crashes = Crashes::default();
+    for number in 0..9 {
+        let (now_ms, endpoint) = (1_000 + number * 500, format!("e{number}"));
+        // Two clients sent the same: one a while ago, the other just now.
+        end(&mut crashes, now_ms, &endpoint, 9, 2_500);
+        end(&mut crashes, now_ms, &endpoint, 9, 3);
+    }
+    assert_eq!(commit(&mut crashes, 6_000), Some(Standing::Watched));
+}
+
 #[test]
 fn what_ended_under_a_held_request_tells_nothing_of_the_others() {
     let mut crashes = held();
