soak: a client whose request ends its engines, beside all other faults

Cause: the new rule was played with restarts only, not beside cuts, freezes, lost disks and other clients that keep no rule. Engines that were started again are not started twice.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -30,7 +30,7 @@
 soaks=($!)
 soak 78 --seed 2 --seconds 12 --clients 3 --mix endpoints &
 soaks+=($!)
-soak 79 --seed 3 --seconds 6 --clients 6 --mix wide --abusive-clients 2 &
+soak 79 --seed 3 --seconds 6 --clients 6 --mix wide --abusive-clients 2 --crashing-clients 1 &
 soaks+=($!)
 verdict=0
 for soak in "${soaks[@]}"; do
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -16,7 +16,7 @@
 use tokio::time::timeout;
 
 use crate::endpoint::{EVENTS, FORGED};
-use crate::engine::{ADAPTERS_MAX, BASE, SERVICE, SLOTS};
+use crate::engine::{ADAPTERS_MAX, BASE, CRASHING, SERVICE, SLOTS};
 use crate::record::{End, Kind, Record};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -25,6 +25,8 @@
 /// A request for an adapter may wait this long at an engine that stands still.
 const ENGINE_DEADLINE_MS: u64 = 10_000;
 const PAUSE: Duration = Duration::from_millis(20);
+/// The pause after a request that ends its engine.
+const CRASHING_PAUSE: Duration = Duration::from_millis(900);
 const CHANGE_EVERY: Duration = Duration::from_millis(900);
 /// The operator names a newer version of an adapter at each such change.
 const RENEWED_EVERY: usize = 2;
@@ -105,6 +107,26 @@
     started
 }
 
+/// Starts clients that send the same request, which ends its engine, to one gateway after the other.
+pub fn start_crashing(
+    gateways: &[SocketAddr],
+    clients: u32,
+    record: &Arc<Record>,
+) -> Vec<JoinHandle<()>> {
+    let mut started = Vec::new();
+    for client in 0..clients {
+        let (gateways, record) = (gateways.to_vec(), record.clone());
+        started.push(tokio::spawn(async move {
+            for turn in client as usize.. {
+                let address = gateways[turn % gateways.len()];
+                ask_for_adapter(address, ADAPTERS[0], CRASHING, &record).await;
+                tokio::time::sleep(CRASHING_PAUSE).await;
+            }
+        }));
+    }
+    started
+}
+
 /// Sends one request for `adapter` on a connection of its own; its id, and how it ended.
 pub async fn ask_for_adapter(
     address: SocketAddr,
--- a/soak/src/engine/mod.rs
+++ b/soak/src/engine/mod.rs
@@ -125,11 +125,14 @@
         })
     }
 
-    /// Starts an incarnation: the first one with its base model, later ones empty.
+    /// Starts an incarnation unless one runs: the first one with its base model, later ones empty.
     ///
     /// # Errors
     /// The address is taken.
     pub async fn start(self: &Arc<Self>) -> std::io::Result<()> {
+        if self.is_running() {
+            return Ok(());
+        }
         let number = self.lives.fetch_add(1, Ordering::SeqCst);
         let address = self.addresses[number as usize % self.addresses.len()];
         let listener = TcpListener::bind(address).await?;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -58,6 +58,9 @@
     /// Clients that keep no rule.
     #[arg(long, default_value_t = 0)]
     abusive_clients: u32,
+    /// Clients that send a request which ends each engine that begins it, as long as faults come.
+    #[arg(long, default_value_t = 0)]
+    crashing_clients: u32,
     /// The second number of the loopback addresses; runs in different blocks go on side by side.
     #[arg(long, default_value_t = 77)]
     block: u8,
@@ -115,9 +118,13 @@
     let for_adapters = arguments.adapter_clients;
     clients.extend(client::start_for_adapters(gateways.clone(), for_adapters, record.clone()));
     clients.extend(abusive::start(&gateways, arguments.abusive_clients, seed, &record));
+    let crashing = client::start_crashing(&gateways, arguments.crashing_clients, &record);
     let operator = client::start_operator(region.control_addresses(), record.clone());
     let until = Instant::now() + Duration::from_secs_f64(arguments.seconds);
     faults::inject(&mut region, &mut rng, arguments.mix, until, &record).await;
+    for client in crashing {
+        client.abort();
+    }
     region.heal().await;
     record.calm_down_all();
     tokio::time::sleep(RECOVERY).await;
