policy, control: the rate of ends is that of endpoints which run something; a chance end in a trial does not lengthen it

Cause: the leader divided the ends that gateways see by all endpoints that were up. Engines that run nothing end unseen, so that the rate was too low and eleven breaks in a row by chance looked like a cause. Change: only endpoints with requests under way count; the rate is taken over 2 s at least (3 s before), the factor for a hold is 1,000 (3,000). An end during a trial that chance explains repeats the time, and does not lengthen it. 1,000 ends are kept (5,000), the first report of an end alone counts endpoints and is logged: some dozens of gateways tell of each, and a lost zone ends hundreds.

--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -118,7 +118,7 @@
 mutate "a crash is explained by the request that is held" $crashes 's/crash\.is_explained \|= is_held;//' --test crashes
 mutate "the longest run of a content counts" $crashes 's/ran_ms\.max\(\*known_ms\)/ran_ms.min(*known_ms)/' --test crashes
 mutate "an end that is told again counts once" $crashes 's/            return false;\n        \}\n        crash\.runs/        }\n        crash.runs/' --test crashes
-mutate "the rate of ends is weighed" $crashes 's/highest \/ crash\.up as f64/0.000_01/' --test crashes
+mutate "the rate of ends is weighed" $crashes 's/highest \/ crash\.used as f64/0.000_01/' --test crashes
 mutate "one gateway at a time tries" $crashes 's/known\.since_ms \+ held_ms > now_ms \|\| self\.undecided\.contains_key\(&key\)/known.since_ms + held_ms > now_ms/' --test crashes
 mutate "a trial is used once" src/relay/standings.rs 's/ && self\.tried\.insert\(\*key\)//' --test standings
 mutate "time goes on while suspended" src/clock.rs 's/left_ms\.min\(LOOK_MS\)/left_ms/' --test clock
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -304,6 +304,11 @@
         }
     }
 
+    /// True when gateways have something under way at the endpoint.
+    pub fn is_used(&self, id: &str) -> bool {
+        self.endpoints.get(id).is_some_and(|endpoint| endpoint.load.running > 0)
+    }
+
     /// Notes endpoints that a gateway cannot reach.
     pub fn failing(&mut self, now_ms: u64, endpoints: &[Arc<str>]) {
         for id in endpoints {
--- a/src/control/replica/standings.rs
+++ b/src/control/replica/standings.rs
@@ -10,31 +10,36 @@
     /// Takes in which endpoints ended, as a gateway saw it.
     pub(super) fn take_crashes(&mut self, now_ms: u64, wall_ms: u64, crashes: Vec<EndpointCrash>) {
         for crash in crashes {
-            let up = self.endpoints_up(&crash);
-            info!(
-                event = "endpoint_crashed",
-                endpoint = %crash.endpoint,
-                service = %crash.service,
-                runs = crash.runs.len(),
-                ago_ms = crash.ago_ms,
-                up
-            );
-            self.registered.crashes.crashed(now_ms, crash, up);
+            // Some dozens of gateways tell of the same end, and when an availability zone is lost some
+            // hundreds of endpoints end: only the first counts all of them.
+            let is_new = !self.registered.crashes.has_ended(&crash.endpoint);
+            let used = if is_new { self.endpoints_used(&crash) } else { 0 };
+            if is_new {
+                info!(
+                    event = "endpoint_crashed",
+                    endpoint = %crash.endpoint,
+                    service = %crash.service,
+                    runs = crash.runs.len(),
+                    ago_ms = crash.ago_ms,
+                    used
+                );
+            }
+            self.registered.crashes.crashed(now_ms, crash, used);
         }
         self.propose_standings(wall_ms);
     }
 
-    /// How many endpoints of the service were up until this one ended, itself among them.
-    fn endpoints_up(&self, crash: &EndpointCrash) -> usize {
-        let mut up = 1;
+    /// How many endpoints of the service ran something until this one ended, itself among them.
+    fn endpoints_used(&self, crash: &EndpointCrash) -> usize {
+        let mut used = 1;
         for endpoint in self.state.registry.endpoints().values() {
-            let serves = endpoint.service == crash.service && !endpoint.leaving;
+            let serves = endpoint.service == crash.service && endpoint.id != crash.endpoint;
             let has_ended = self.registered.crashes.has_ended(&endpoint.id);
-            if serves && !has_ended && endpoint.id != crash.endpoint {
-                up += 1;
+            if serves && !has_ended && self.registered.placement.is_used(&endpoint.id) {
+                used += 1;
             }
         }
-        up
+        used
     }
 
     /// Lets time pass for standings, and has those committed that were decided since.
--- a/src/policy/crashes.rs
+++ b/src/policy/crashes.rs
@@ -24,13 +24,13 @@
 /// Endpoints that must have ended under a request before it is held.
 const HELD_CRASHES: usize = 3;
 /// The product of factors from which a request is held.
-const HELD_FACTOR: f64 = 3_000.0;
+const HELD_FACTOR: f64 = 1_000.0;
 /// The product of factors from which a try goes to one endpoint only.
 const SUSPECTED_FACTOR: f64 = 30.0;
 /// Endpoints that must have ended under a request before gateways tell that it was served.
 const WATCHED_CRASHES: usize = 2;
 /// The shortest time over which the rate of ends is taken: the first of a series is not yet a rate.
-const RATE_MIN_MS: u64 = 3_000;
+const RATE_MIN_MS: u64 = 2_000;
 /// The longest time over which the rate of ends is taken.
 const RATE_MAX_MS: u64 = 60_000;
 /// Ends this long after another one count for its rate too: many that end at once are told one by one.
@@ -47,7 +47,7 @@
 /// How long ends are remembered for requests that come seldom.
 const KEPT_MS: u64 = 3_600_000;
 /// Ends that are remembered.
-const CRASHES_MAX: usize = 5_000;
+const CRASHES_MAX: usize = 1_000;
 /// Requests whose standing is remembered.
 const STANDINGS_MAX: usize = 1_024;
 
@@ -56,8 +56,8 @@
 struct Crash {
     at_ms: u64,
     service: Arc<str>,
-    /// Endpoints of the service that were up, this one among them.
-    up: usize,
+    /// Endpoints of the service that ran something, this one among them: nobody sees the end of another.
+    used: usize,
     /// The longest time for which each request had run: one that ends its endpoint soon after it begins
     /// does not run there a second time.
     runs: BTreeMap<RequestKey, u32>,
@@ -106,20 +106,25 @@
         self.by_endpoint.contains_key(endpoint)
     }
 
-    /// Takes an end in; `up` endpoints of its service were up, itself among them.
-    pub fn crashed(&mut self, now_ms: u64, crash: EndpointCrash, up: usize) {
+    /// Takes an end in; `used` endpoints of its service ran something, itself among them.
+    pub fn crashed(&mut self, now_ms: u64, crash: EndpointCrash, used: usize) {
         let EndpointCrash { endpoint, service, ago_ms, runs } = crash;
         let at_ms = now_ms.saturating_sub(u64::from(ago_ms));
         if !self.by_endpoint.contains_key(&endpoint) {
             self.forget_old(now_ms);
             self.order.push_back(endpoint.clone());
-            let crash =
-                Crash { at_ms, service, up: up.max(1), runs: BTreeMap::new(), is_explained: false };
+            let crash = Crash {
+                at_ms,
+                service,
+                used: used.max(1),
+                runs: BTreeMap::new(),
+                is_explained: false,
+            };
             self.by_endpoint.insert(endpoint.clone(), crash);
         }
         for BrokenRun { key, weights, ran_ms } in runs {
             if self.broken_off(&endpoint, key, ran_ms) {
-                self.judge(at_ms, key, weights);
+                self.judge(at_ms, &endpoint, key, weights);
             }
         }
     }
@@ -138,14 +143,18 @@
         true
     }
 
-    /// Decides what becomes of a request under which an endpoint ended at `at_ms`.
-    fn judge(&mut self, at_ms: u64, key: RequestKey, weights: Option<WeightsName>) {
+    /// Decides what becomes of a request under which `endpoint` ended at `at_ms`.
+    fn judge(&mut self, at_ms: u64, endpoint: &str, key: RequestKey, weights: Option<WeightsName>) {
         let known = self.known.get(&key);
         let standing = match known.map(|known| (&known.standing, known.since_ms)) {
             // A try that was under way when it was held.
             Some((Standing::Held { .. }, _)) => return,
             Some((Standing::OnTrial { .. }, since_ms)) if at_ms < since_ms => return,
-            Some((Standing::OnTrial { times, .. }, _)) => held(times + 1),
+            Some((Standing::OnTrial { times, .. }, _)) => {
+                // Endpoints end by chance during trials too: one that ran for long is held no longer.
+                let is_soon = self.factor_of(key, endpoint) >= 1.0;
+                held(if is_soon { times + 1 } else { *times })
+            }
             Some((Standing::Watched | Standing::Suspected | Standing::Cleared, _)) | None => {
                 let Some(standing) = self.weigh(key) else { return };
                 standing
@@ -179,14 +188,22 @@
             if crash.is_explained {
                 continue;
             }
-            let ran_ms = crash.runs.get(&key).copied().unwrap_or(u32::MAX);
-            let ends_by_chance = self.rate_per_ms(crash) * f64::from(ran_ms.max(1));
-            let chance = 1.0 - (-ends_by_chance).exp();
-            factor *= FACTOR_POWER * chance.powf(FACTOR_POWER - 1.0);
+            factor *= self.factor_in(key, crash);
         }
         factor
     }
 
+    fn factor_of(&self, key: RequestKey, endpoint: &str) -> f64 {
+        self.by_endpoint.get(endpoint).map_or(1.0, |crash| self.factor_in(key, crash))
+    }
+
+    fn factor_in(&self, key: RequestKey, crash: &Crash) -> f64 {
+        let ran_ms = crash.runs.get(&key).copied().unwrap_or(u32::MAX);
+        let ends_by_chance = self.rate_per_ms(crash) * f64::from(ran_ms.max(1));
+        let chance = 1.0 - (-ends_by_chance).exp();
+        FACTOR_POWER * chance.powf(FACTOR_POWER - 1.0)
+    }
+
     fn crashes_of(&self, key: RequestKey) -> impl Iterator<Item = &Crash> {
         let endpoints = self.by_request.get(&key).into_iter().flatten();
         endpoints.filter_map(|endpoint| self.by_endpoint.get(endpoint))
@@ -209,7 +226,7 @@
             let rate = (position + 1) as f64 / (age_ms + RATE_MIN_MS) as f64;
             highest = highest.max(rate);
         }
-        highest / crash.up as f64
+        highest / crash.used as f64
     }
 
     /// Notes that a request was served: it ends nothing.
--- a/src/relay/crashes.rs
+++ b/src/relay/crashes.rs
@@ -4,44 +4,22 @@
 //! the endpoint is asked whether it is still there, once for all answers that broke off together.
 
 use std::collections::{HashMap, HashSet, VecDeque};
-use std::io;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::timeout;
-use tracing::info;
 
-use super::exchange::Exchange;
-use super::orders::EngineClient;
-use super::refusal::NotSent;
-use super::shared::Relay;
-use super::standings::{Permission, Standings};
+use super::standings::Standings;
 use crate::message::{
     BrokenRun, EndpointCrash, RegisteredEndpoint, RequestKey, RequestStanding, SessionUp, Standing,
 };
-use crate::metrics::Counter;
 
-/// How long answers that break off with an endpoint are gathered before it is asked: they come within
-/// some milliseconds, and a process that ends closes its listener with them.
-const GATHER_MS: u64 = 30;
-/// A request that had not begun counts as if it had been there this long: one that is sent while its
-/// endpoint ends would look as if it had ended it at once.
-const NOT_BEGUN_MIN_MS: u64 = 200;
 /// How long answers that broke off are remembered for the case that their endpoint had ended after all:
 /// one that is back at once answers when it is asked, and registers within this time.
 const DOUBTFUL_MS: u64 = 5_000;
-/// A connection that comes up at all does so within a round trip.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// How long ends are told again to new leaders.
 const TOLD_AGAIN_MS: u64 = 60_000;
 /// Ends that are told again.
 const TOLD_AGAIN_MAX: usize = 256;
-/// How long a request waits for the leader to allow a trial.
-const TRIAL_ANSWER_MS: u64 = 300;
-/// When a client comes again that got no answer on a trial.
-const TRIAL_AGAIN_MS: u64 = 1_000;
 
 /// What a gateway sees of ends and knows of standings.
 #[derive(Debug)]
@@ -65,10 +43,11 @@
 /// An endpoint that may have ended.
 #[derive(Debug)]
 pub(super) struct Suspect {
-    id: Arc<str>,
-    service: Arc<str>,
+    /// Its incarnation.
+    pub(super) id: Arc<str>,
+    pub(super) service: Arc<str>,
     /// Whom to ask; none when it has ended for certain.
-    endpoint: Option<RegisteredEndpoint>,
+    pub(super) endpoint: Option<RegisteredEndpoint>,
 }
 
 /// Answers that an endpoint broke off.
@@ -89,7 +68,7 @@
         Self { standings, seen: Mutex::default(), suspects, up }
     }
 
-    fn standings(&self) -> MutexGuard<'_, Standings> {
+    pub(super) fn standings(&self) -> MutexGuard<'_, Standings> {
         self.standings.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -113,7 +92,13 @@
     }
 
     /// Notes an answer that an endpoint broke off to a request that was sent there at `sent_at_ms`.
-    fn broken_off(&self, now_ms: u64, suspect: Suspect, sent_at_ms: u64, run: BrokenRun) {
+    pub(super) fn broken_off(
+        &self,
+        now_ms: u64,
+        suspect: Suspect,
+        sent_at_ms: u64,
+        run: BrokenRun,
+    ) {
         let mut seen = self.seen();
         // What was sent to an endpoint that had ended tells nothing of the request.
         if seen.first_broken_ms(&suspect.id).is_some_and(|at_ms| at_ms <= sent_at_ms) {
@@ -138,12 +123,35 @@
         }
         let crash = seen.ended(now_ms, since_ms, &endpoint.id, &endpoint.service, runs);
         drop(seen);
-        self.tell(crash);
+        self.tell(SessionUp::Crashes(vec![crash]));
+    }
+
+    /// Notes that a suspect answered when it was asked, or could not be reached.
+    pub(super) fn goes_on(&self, now_ms: u64, endpoint: &Arc<str>) {
+        let mut seen = self.seen();
+        let Some(broken) = seen.broken.remove(endpoint) else { return };
+        seen.forget_old(now_ms);
+        seen.doubtful.insert(endpoint.clone(), broken);
     }
 
-    fn tell(&self, crash: EndpointCrash) {
-        // Without a session it waits, and is told twice to the next leader, who counts it once.
-        let _ = self.up.send(SessionUp::Crashes(vec![crash]));
+    /// Notes that a suspect has ended, and tells the leader.
+    pub(super) fn ended(&self, now_ms: u64, endpoint: &Arc<str>, service: &Arc<str>) {
+        let mut seen = self.seen();
+        let Some(Broken { since_ms, runs }) = seen.broken.remove(endpoint) else { return };
+        let crash = seen.ended(now_ms, since_ms, endpoint, service, runs);
+        drop(seen);
+        self.tell(SessionUp::Crashes(vec![crash]));
+    }
+
+    /// How many answers an endpoint has broken off that was not asked yet.
+    pub(super) fn broken_by(&self, endpoint: &str) -> usize {
+        self.seen().broken.get(endpoint).map_or(0, |broken| broken.runs.len())
+    }
+
+    /// Tells the leader; without a session it waits for the next one.
+    pub(super) fn tell(&self, up: SessionUp) {
+        // The receiver lives as long as the process.
+        let _ = self.up.send(up);
     }
 
     /// The ends seen lately, for a leader that may not know them.
@@ -194,194 +202,3 @@
         }
     }
 }
-
-/// Asks endpoints that broke answers off whether they are still there, as long as the process runs.
-pub(super) async fn watch(
-    relay: Arc<Relay>,
-    engines: Arc<dyn EngineClient>,
-    mut suspects: mpsc::UnboundedReceiver<Suspect>,
-) {
-    while let Some(endpoint) = suspects.recv().await {
-        tokio::spawn(ask_endpoint(relay.clone(), engines.clone(), endpoint));
-    }
-}
-
-async fn ask_endpoint(relay: Arc<Relay>, engines: Arc<dyn EngineClient>, suspect: Suspect) {
-    tokio::time::sleep(Duration::from_millis(GATHER_MS)).await;
-    let Suspect { id, service, endpoint } = suspect;
-    let liveness = match &endpoint {
-        Some(endpoint) => {
-            let is_engine = relay.table().is_engine(&service);
-            ask_liveness(engines.as_ref(), endpoint, is_engine).await
-        }
-        None => Liveness::Ended,
-    };
-    let now_ms = relay.now_ms();
-    let mut seen = relay.crashes.seen();
-    let broken = seen.broken.remove(&id).unwrap_or_default();
-    info!(event = "endpoint_asked", endpoint = %id, liveness = ?liveness, broken = broken.runs.len());
-    if liveness != Liveness::Ended {
-        seen.forget_old(now_ms);
-        seen.doubtful.insert(id, broken);
-        return;
-    }
-    let crash = seen.ended(now_ms, broken.since_ms, &id, &service, broken.runs);
-    drop(seen);
-    relay.metrics.count(Counter::EndpointsEnded);
-    relay.fleet().ended(now_ms, &id);
-    if let Some(endpoint) = endpoint {
-        relay.pool.forget(endpoint.address);
-    }
-    relay.crashes.tell(crash);
-}
-
-/// Whether an endpoint that broke answers off is still there.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Liveness {
-    /// It answers, or at least takes connections.
-    Up,
-    /// Nothing answers at its address.
-    Ended,
-    /// It cannot be reached, which may be the network's fault.
-    Unknown,
-}
-
-async fn ask_liveness(
-    engines: &dyn EngineClient,
-    endpoint: &RegisteredEndpoint,
-    is_engine: bool,
-) -> Liveness {
-    match timeout(CONNECT_TIMEOUT, TcpStream::connect(endpoint.address)).await {
-        // Nobody listens there; any other fault may be the network's, or this process's own.
-        Ok(Err(error)) if is_refusal(&error) => return Liveness::Ended,
-        Err(_) | Ok(Err(_)) => return Liveness::Unknown,
-        Ok(Ok(_)) => {}
-    }
-    // A plain service has nothing to ask that takes no place from requests. An engine that takes
-    // connections and answers nothing runs nothing either.
-    if !is_engine || engines.answers(endpoint).await { Liveness::Up } else { Liveness::Ended }
-}
-
-fn is_refusal(error: &io::Error) -> bool {
-    matches!(error.kind(), io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset)
-}
-
-impl Exchange {
-    /// Notes that `endpoint` broke the answer off.
-    pub(super) fn note_broken_off(&self, endpoint: &str) {
-        let now_ms = self.relay.now_ms();
-        let key = self.key();
-        let ran_ms = now_ms.saturating_sub(self.begun_at_ms.unwrap_or(self.sent_at_ms));
-        info!(
-            event = "run_broken_off",
-            request = %self.meta.id,
-            endpoint,
-            key = %key,
-            begun = self.begun_at_ms.is_some(),
-            ran_ms
-        );
-        let Some(known) = self.relay.fleet().endpoint(endpoint) else { return };
-        // One that leaves ends when it has said so.
-        if known.leaving {
-            return;
-        }
-        let least_ms = if self.begun_at_ms.is_some() { 0 } else { NOT_BEGUN_MIN_MS };
-        let suspect =
-            Suspect { id: known.id.clone(), service: known.service.clone(), endpoint: Some(known) };
-        self.suspect(now_ms, suspect, ran_ms.max(least_ms));
-    }
-
-    /// Notes that another incarnation has taken the place of `endpoint`, which closed no connection.
-    ///
-    /// When it ended is not known; what it answered last, it answered before.
-    pub(super) fn note_ended(&self, endpoint: &Arc<str>) {
-        let now_ms = self.relay.now_ms();
-        info!(event = "run_ended", request = %self.meta.id, endpoint = %endpoint, key = %self.key());
-        let Some(begun_at_ms) = self.begun_at_ms else { return };
-        let service = self.chosen.service.name.clone();
-        let suspect = Suspect { id: endpoint.clone(), service, endpoint: None };
-        self.suspect(now_ms, suspect, self.heard_at_ms.saturating_sub(begun_at_ms));
-    }
-
-    fn suspect(&self, now_ms: u64, suspect: Suspect, ran_ms: u64) {
-        let ran_ms = u32::try_from(ran_ms).unwrap_or(u32::MAX);
-        let run = BrokenRun { key: self.key(), weights: self.meta.weights.clone(), ran_ms };
-        self.relay.crashes.broken_off(now_ms, suspect, self.sent_at_ms, run);
-    }
-
-    /// Tells the leader that the request was served, if it wants to know.
-    pub(super) fn note_served(&self) {
-        let crashes = &self.relay.crashes;
-        if crashes.standings().is_empty() {
-            return;
-        }
-        let key = self.key();
-        if crashes.standings().is_watched(&key) {
-            info!(event = "watched_request_served", request = %self.meta.id, key = %key);
-            // The receiver lives as long as the process.
-            let _ = crashes.up.send(SessionUp::Served(key));
-        }
-    }
-
-    /// Waits until the request may be sent, if it was held and the leader has to be asked.
-    ///
-    /// # Errors
-    /// It is held: endpoints ended under requests like it.
-    pub(super) async fn may_be_sent(&mut self) -> Result<Permission, NotSent> {
-        if self.relay.crashes.standings().is_empty() {
-            return Ok(Permission::Free);
-        }
-        if self.is_trial && self.may_give_again() {
-            return Ok(Permission::Once);
-        }
-        let key = self.key();
-        let permission = self.relay.crashes.standings().permission(self.relay.now_ms(), key);
-        match permission {
-            Permission::Free | Permission::Once => Ok(permission),
-            Permission::Refused { after_ms } => Err(NotSent::Held { after_ms }),
-            Permission::Ask => {
-                self.ask_for_trial(key).await?;
-                self.is_trial = true;
-                Ok(Permission::Once)
-            }
-        }
-    }
-
-    /// Looks again after a wait: what other tries did meanwhile may have had it held.
-    ///
-    /// # Errors
-    /// It is held by now.
-    pub(super) fn is_sent_still(&self) -> Result<(), NotSent> {
-        if self.relay.crashes.standings().is_empty() {
-            return Ok(());
-        }
-        let held_for_ms =
-            self.relay.crashes.standings().held_for_ms(self.relay.now_ms(), &self.key());
-        held_for_ms.map_or(Ok(()), |after_ms| Err(NotSent::Held { after_ms }))
-    }
-
-    async fn ask_for_trial(&self, key: RequestKey) -> Result<(), NotSent> {
-        let relay = &self.relay;
-        let refused = NotSent::Held { after_ms: TRIAL_AGAIN_MS };
-        if !relay.is_confirmed(relay.now_ms()) {
-            return Err(refused);
-        }
-        // The receiver lives as long as the process.
-        let _ = relay.crashes.up.send(SessionUp::AskForTrial(key));
-        let until_ms = (relay.now_ms() + TRIAL_ANSWER_MS).min(self.ends_at_ms);
-        loop {
-            let changed = relay.changed.notified();
-            tokio::pin!(changed);
-            changed.as_mut().enable();
-            let now_ms = relay.now_ms();
-            if relay.crashes.standings().take_trial(&key) {
-                return Ok(());
-            }
-            if now_ms >= until_ms {
-                return Err(refused);
-            }
-            // Woken by a change, or to give up.
-            let _ = timeout(Duration::from_millis(until_ms - now_ms), changed).await;
-        }
-    }
-}
--- a/src/relay/process.rs
+++ b/src/relay/process.rs
@@ -12,8 +12,9 @@
 use tracing::{info, warn};
 
 use super::border::RelayBorder;
-use super::crashes::{self, CrashWatch};
+use super::crashes::CrashWatch;
 use super::exchange::{RelayHandler, ready_status};
+use super::liveness;
 use super::orders::EngineClient;
 use super::session;
 use super::shared::Relay;
@@ -55,7 +56,7 @@
     let (suspects, suspected) = mpsc::unbounded_channel();
     let crashes = CrashWatch::new(settings.name.clone(), suspects, up);
     let relay = Arc::new(Relay::new(settings.clone(), border, metrics.clone(), needs, crashes));
-    tokio::spawn(crashes::watch(relay.clone(), engines.clone(), suspected));
+    tokio::spawn(liveness::watch(relay.clone(), engines.clone(), suspected));
     let queues = session::Queues { needs: wanted, told };
     tokio::spawn(session::run(relay.clone(), rand::rng().random(), queues, engines));
     tokio::spawn(prune(relay.clone()));
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -43,6 +43,8 @@
 
 struct Play {
     engines: usize,
+    /// The engines that requests go to; the others hold nothing that is asked for.
+    used: usize,
     ordinary: usize,
     answer_ms: u64,
     ends: Ends,
@@ -149,7 +151,11 @@
                 }
                 let crash =
                     EndpointCrash { endpoint: ended, service: "s".into(), ago_ms: 0, runs: broken };
-                crashes.crashed(now_ms, crash, up.len());
+                // Nobody sees the end of an endpoint that runs nothing.
+                if !crash.runs.is_empty() {
+                    let used = engines.iter().filter(|it| !it.runs.is_empty()).count();
+                    crashes.crashed(now_ms, crash, used + 1);
+                }
             }
             for decided in crashes.take_decided() {
                 crashes.committed(now_ms, &decided);
@@ -166,7 +172,7 @@
             for (request, next_ms) in next_ms.iter_mut().enumerate() {
                 let runs = *next_ms <= now_ms;
                 let up: Vec<usize> =
-                    (0..engines.len()).filter(|it| engines[*it].up_from_ms <= now_ms).collect();
+                    (0..self.used).filter(|it| engines[*it].up_from_ms <= now_ms).collect();
                 if !runs || up.is_empty() {
                     continue;
                 }
@@ -200,7 +206,8 @@
     until_ms: u64,
 ) {
     let ends = Ends::UnderIt { period_ms, from_ms, until_ms };
-    let play = Play { engines: 10, ordinary: 16, answer_ms: 300, ends, length_ms: 30_000 };
+    let play =
+        Play { engines: 10, used: 10, ordinary: 16, answer_ms: 300, ends, length_ms: 30_000 };
     let allowed = HELD_CRASHES + KNOWN_WITHIN_MS / period_ms + LATER_MAX;
     let mut sum = 0;
     for seed in 0..seeds() {
@@ -220,12 +227,21 @@
     seldom_in_turn = { Ends::InTurn { period_ms: 1_000 } },
 )]
 fn requests_that_are_there_by_chance_are_not_held(ends: Ends) {
-    for (engines, answer_ms) in [(10, 800), (10, 200), (3, 800), (3, 200), (30, 800), (30, 3_000)] {
-        let play = Play { engines, ordinary: 16, answer_ms, ends, length_ms: 13_000 };
+    for (engines, used, answer_ms) in [
+        (10, 10, 800),
+        (10, 10, 200),
+        (10, 4, 800),
+        (3, 3, 800),
+        (3, 3, 200),
+        (30, 30, 800),
+        (30, 30, 3_000),
+        (30, 8, 800),
+    ] {
+        let play = Play { engines, used, ordinary: 16, answer_ms, ends, length_ms: 13_000 };
         let mut broken_off = 0;
         for seed in 0..seeds() {
             let seen = play.play(seed);
-            assert_eq!(seen.held_by_chance, 0, "{engines} of {answer_ms} ms; seed {seed}");
+            assert_eq!(seen.held_by_chance, 0, "{used} of {engines}, {answer_ms} ms; seed {seed}");
             broken_off += seen.broken_off;
         }
         assert!(broken_off as u64 > seeds(), "{broken_off} broken off");
@@ -333,6 +349,16 @@
     assert_eq!(commit(&mut crashes, 16_000), Some(again), "it ended one more");
 }
 
+#[test]
+fn an_end_by_chance_during_a_trial_does_not_lengthen_the_time() {
+    let mut crashes = held();
+    crashes.ask_for_trial(14_000, key(9), &"g1".into());
+    assert!(commit(&mut crashes, 14_000).is_some());
+    end(&mut crashes, 24_000, "e9", 9, 10_000);
+    let again = Standing::Held { for_ms: 10_000, times: 0 };
+    assert_eq!(commit(&mut crashes, 24_000), Some(again));
+}
+
 #[test]
 fn a_trial_without_an_outcome_gives_way_to_the_next() {
     let mut crashes = held();
