--- a/src/policy/crashes.rs
+++ b/src/policy/crashes.rs
@@ -8,7 +8,7 @@
 //! there, at the rate at which endpoints of the service end now. Chances are turned into factors whose
 //! mean is one for requests that are there by chance (`FACTOR_POWER`), and the factors of a request are
 //! multiplied until one of its tries is served, which shows that it ends nothing. By Ville's inequality the
-//! product passes [`HELD_FACTOR`] by chance in one of as many series at most.
+//! product passes `HELD_FACTOR` by chance in one of as many series at most.
 //!
 //! This is the leader's; it knows of ends what gateways tell, each of which sees its own requests only.
 
