relay: what an endpoint answered before it was replaced may still come

Cause: such a registration ended what waits at the former incarnation at once. Change: 300 ms later.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -27,6 +27,9 @@
 /// How long a request waits for weights that are on their way, as a share of the latency objective.
 const LOAD_HOLD_PERCENT: u64 = 180;
 
+/// How long after an endpoint was replaced its last answers may take to come.
+const LAST_ANSWERS_MS: u64 = 300;
+
 /// A request that runs at an endpoint; dropped when its answer has ended either way.
 pub(super) struct Flight {
     relay: Arc<Relay>,
@@ -44,6 +47,8 @@
         if let Some(mut ended) = self.ended.clone()
             && ended.wait_for(|ended| *ended).await.is_ok()
         {
+            // What it answered before may still be on its way.
+            tokio::time::sleep(Duration::from_millis(LAST_ANSWERS_MS)).await;
             return;
         }
         std::future::pending::<()>().await;
