comments: no word on how a figure was found

Cause: two comments told that a value was measured, and one figure's help line read so. Ruled out: nothing, no logic is touched. Measured: no figure: comments and one help line.

--- a/src/control/placement/homes.rs
+++ b/src/control/placement/homes.rs
@@ -10,7 +10,7 @@
 use crate::routing::EngineSpec;
 
 /// The share of an engine's slots that the requests of one adapter may fill before it gets a further
-/// home; measured on the users' deployments, see docs/PLATFORM.md.
+/// home.
 const HOME_FILL: f64 = 0.4;
 /// Reading for each home, in milliseconds a second: with this share of an engine's time, requests of
 /// one adapter should have a choice, so that a long prompt at one home does not hold up all. A
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -125,7 +125,7 @@
     [1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 70.0, 150.0, 300.0, 600.0, 920.0, 2_000.0, 5_000.0, 20_000.0];
 
 figures! {
-    /// What is measured as a level.
+    /// What is shown as a level.
     Gauge:
     /// Requests in progress at this gateway.
     RequestsInProgress => "requests.in_progress",
--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -15,7 +15,7 @@
 
 use std::collections::VecDeque;
 
-/// The share of the ratio that each request earns: measured, less costs requests while endpoints refuse
+/// The share of the ratio that each request earns: less costs requests while endpoints refuse
 /// for long, and more leaves too little to save up.
 const EARNED_SHARE: f64 = 0.75;
 /// The share of the ratio that may be saved up, for the requests of a window. Not above
