policy: ends are judged once all gateways have told, and of several requests that were there the latest is held

Cause: an end was judged with the first gateway's report, before one where the same content had run for long; a hold explained its ends to all others, also to the one that had caused them, and kept them when it was lifted. Change: reports are gathered for 150 ms; a request is not held while another one was there each time but once at most and had run for less; one that is served gives its ends back, and the others are judged anew.

--- a/src/policy/crashes.rs
+++ b/src/policy/crashes.rs
@@ -5,10 +5,11 @@
 //! and again: a request is broken off by chance within a time in which endpoints end anyhow.
 //!
 //! For each end, the chance is reckoned that an endpoint ends within the time for which the request had run
-//! there, at the rate at which endpoints of the service end now. Chances are turned into factors whose
-//! mean is one for requests that are there by chance (`FACTOR_POWER`), and the factors of a request are
-//! multiplied until one of its tries is served, which shows that it ends nothing. By Ville's inequality the
-//! product passes `HELD_FACTOR` by chance in one of as many series at most.
+//! there, at the rate at which endpoints of the service end without it. Chances are turned into factors
+//! whose mean is one for requests that are there by chance (`FACTOR_POWER`), and the factors of a request
+//! are multiplied until one of its tries is served, which shows that it ends nothing. By Ville's inequality
+//! such a product passes `HELD_FACTOR` by chance in about one of as many series. Where several requests were
+//! there each time, only the one that had run for the shortest time is held.
 //!
 //! This is the leader's; it knows of ends what gateways tell, each of which sees its own requests only.
 
@@ -24,7 +25,7 @@
 /// Endpoints that must have ended under a request before it is held.
 const HELD_CRASHES: usize = 3;
 /// The product of factors from which a request is held.
-const HELD_FACTOR: f64 = 1_000.0;
+const HELD_FACTOR: f64 = 3_000.0;
 /// The product of factors from which a try goes to one endpoint only.
 const SUSPECTED_FACTOR: f64 = 30.0;
 /// Endpoints that must have ended under a request before gateways tell that it was served.
@@ -35,6 +36,9 @@
 const RATE_MAX_MS: u64 = 60_000;
 /// Ends this long after another one count for its rate too: many that end at once are told one by one.
 const TOGETHER_MS: u64 = 250;
+/// How long the gateways' reports of an end are gathered before it is judged: each sees its own requests, and
+/// one that began long ago may be another gateway's.
+const GATHERED_MS: u64 = 150;
 /// How long a request is held at first; six times as long after each trial that ends its endpoint.
 const HELD_MS: u64 = 10_000;
 const HELD_AGAIN_TIMES: u64 = 6;
@@ -51,6 +55,16 @@
 /// Requests whose standing is remembered.
 const STANDINGS_MAX: usize = 1_024;
 
+/// A request that was broken off with an endpoint.
+#[derive(Debug)]
+struct Run {
+    /// The longest time for which its content had run there: one that ends its endpoint soon after it
+    /// begins does not run there a second time.
+    ran_ms: u32,
+    weights: Option<WeightsName>,
+    is_judged: bool,
+}
+
 /// An endpoint's end.
 #[derive(Debug)]
 struct Crash {
@@ -58,11 +72,9 @@
     service: Arc<str>,
     /// Endpoints of the service that ran something, this one among them: nobody sees the end of another.
     used: usize,
-    /// The longest time for which each request had run: one that ends its endpoint soon after it begins
-    /// does not run there a second time.
-    runs: BTreeMap<RequestKey, u32>,
-    /// True when a request that is held was among them.
-    is_explained: bool,
+    runs: BTreeMap<RequestKey, Run>,
+    /// The request that is held and was among them.
+    explained_by: Option<RequestKey>,
 }
 
 /// The standing of a request, as it was committed.
@@ -84,6 +96,8 @@
     order: VecDeque<Arc<str>>,
     /// The ends under each request since it was last served.
     by_request: HashMap<RequestKey, Vec<Arc<str>>>,
+    /// Ends with something that is not judged yet, and when it will be.
+    fresh: VecDeque<(u64, Arc<str>)>,
     known: BTreeMap<RequestKey, Known>,
     /// Standings that were decided and nobody has proposed yet.
     decided: Vec<RequestStanding>,
@@ -118,31 +132,58 @@
                 service,
                 used: used.max(1),
                 runs: BTreeMap::new(),
-                is_explained: false,
+                explained_by: None,
             };
             self.by_endpoint.insert(endpoint.clone(), crash);
         }
-        for BrokenRun { key, weights, ran_ms } in runs {
-            if self.broken_off(&endpoint, key, ran_ms) {
-                self.judge(at_ms, &endpoint, key, weights);
-            }
+        let mut is_news = false;
+        for run in runs {
+            is_news |= self.broken_off(&endpoint, run);
+        }
+        if is_news {
+            self.fresh.push_back((now_ms + GATHERED_MS, endpoint));
         }
     }
 
     /// Notes a request that was broken off with `endpoint`; false when that was known.
-    fn broken_off(&mut self, endpoint: &Arc<str>, key: RequestKey, ran_ms: u32) -> bool {
+    fn broken_off(&mut self, endpoint: &Arc<str>, run: BrokenRun) -> bool {
+        let BrokenRun { key, weights, ran_ms } = run;
         let is_held = self.known.get(&key).is_some_and(|known| known.standing.is_refused());
         let Some(crash) = self.by_endpoint.get_mut(endpoint) else { return false };
-        crash.is_explained |= is_held;
-        if let Some(known_ms) = crash.runs.get_mut(&key) {
-            *known_ms = ran_ms.max(*known_ms);
+        if is_held {
+            crash.explained_by.get_or_insert(key);
+        }
+        if let Some(known) = crash.runs.get_mut(&key) {
+            known.ran_ms = ran_ms.max(known.ran_ms);
             return false;
         }
-        crash.runs.insert(key, ran_ms);
+        crash.runs.insert(key, Run { ran_ms, weights, is_judged: false });
         self.by_request.entry(key).or_default().push(endpoint.clone());
         true
     }
 
+    /// Judges the ends whose reports were gathered.
+    fn judge_gathered(&mut self, now_ms: u64) {
+        while let Some((due_ms, endpoint)) = self.fresh.front().cloned() {
+            if due_ms > now_ms {
+                return;
+            }
+            self.fresh.pop_front();
+            let Some(crash) = self.by_endpoint.get_mut(&endpoint) else { continue };
+            let at_ms = crash.at_ms;
+            let mut runs = Vec::new();
+            for (key, run) in &mut crash.runs {
+                if !run.is_judged {
+                    run.is_judged = true;
+                    runs.push((*key, run.weights.clone()));
+                }
+            }
+            for (key, weights) in runs {
+                self.judge(at_ms, &endpoint, key, weights);
+            }
+        }
+    }
+
     /// Decides what becomes of a request under which `endpoint` ended at `at_ms`.
     fn judge(&mut self, at_ms: u64, endpoint: &str, key: RequestKey, weights: Option<WeightsName>) {
         let known = self.known.get(&key);
@@ -170,7 +211,7 @@
             return None;
         }
         let factor = self.factor(key);
-        if crashes >= HELD_CRASHES && factor >= HELD_FACTOR {
+        if crashes >= HELD_CRASHES && factor >= HELD_FACTOR && !self.has_rival(key) {
             return Some(held(0));
         }
         Some(if factor >= SUSPECTED_FACTOR { Standing::Suspected } else { Standing::Watched })
@@ -178,16 +219,13 @@
 
     /// How many ends under a request no other request explains.
     fn unexplained(&self, key: RequestKey) -> usize {
-        self.crashes_of(key).filter(|crash| !crash.is_explained).count()
+        self.unexplained_of(key).count()
     }
 
     /// How much more likely it is that the request ends its endpoints than that it was there by chance.
     pub fn factor(&self, key: RequestKey) -> f64 {
         let mut factor = 1.0;
-        for crash in self.crashes_of(key) {
-            if crash.is_explained {
-                continue;
-            }
+        for crash in self.unexplained_of(key) {
             factor *= self.factor_in(key, crash);
         }
         factor
@@ -198,8 +236,8 @@
     }
 
     fn factor_in(&self, key: RequestKey, crash: &Crash) -> f64 {
-        let ran_ms = crash.runs.get(&key).copied().unwrap_or(u32::MAX);
-        let ends_by_chance = self.rate_per_ms(crash) * f64::from(ran_ms.max(1));
+        let ran_ms = crash.runs.get(&key).map_or(u32::MAX, |run| run.ran_ms);
+        let ends_by_chance = self.rate_without_per_ms(key, crash) * f64::from(ran_ms.max(1));
         let chance = 1.0 - (-ends_by_chance).exp();
         FACTOR_POWER * chance.powf(FACTOR_POWER - 1.0)
     }
@@ -209,13 +247,41 @@
         endpoints.filter_map(|endpoint| self.by_endpoint.get(endpoint))
     }
 
-    /// How often an endpoint of the service ended around that time: the highest rate of all times up to
-    /// then, since ends come in series.
-    fn rate_per_ms(&self, crash: &Crash) -> f64 {
+    fn unexplained_of(&self, key: RequestKey) -> impl Iterator<Item = &Crash> {
+        self.crashes_of(key).filter(move |crash| crash.explained_by.is_none_or(|by| by == key))
+    }
+
+    /// True when another request was there at all ends under this one, or all but one, and had run for
+    /// less: the other one ended them, and this one was there each time.
+    fn has_rival(&self, key: RequestKey) -> bool {
+        let mut rivals: BTreeMap<RequestKey, (usize, f64)> = BTreeMap::new();
+        let mut crashes = 0;
+        for crash in self.unexplained_of(key) {
+            crashes += 1;
+            let own = self.factor_in(key, crash);
+            for other in crash.runs.keys() {
+                if *other == key {
+                    continue;
+                }
+                let (shared, likelier) = rivals.entry(*other).or_insert((0, 1.0));
+                *shared += 1;
+                *likelier *= self.factor_in(*other, crash) / own;
+            }
+        }
+        rivals.values().any(|(shared, likelier)| shared + 1 >= crashes && *likelier > 1.0)
+    }
+
+    /// How often an endpoint of the service ended around that time without the request, but for this end:
+    /// the highest rate of all times up to then, since ends come in series.
+    fn rate_without_per_ms(&self, key: RequestKey, crash: &Crash) -> f64 {
         let from_ms = crash.at_ms.saturating_sub(RATE_MAX_MS);
         let until_ms = crash.at_ms + TOGETHER_MS;
         let mut ages_ms = Vec::new();
         for other in self.by_endpoint.values() {
+            let is_this = std::ptr::eq(other, crash);
+            if !is_this && other.runs.contains_key(&key) {
+                continue;
+            }
             if other.service == crash.service && (from_ms..=until_ms).contains(&other.at_ms) {
                 ages_ms.push(crash.at_ms.saturating_sub(other.at_ms));
             }
@@ -231,7 +297,9 @@
 
     /// Notes that a request was served: it ends nothing.
     pub fn served(&mut self, key: RequestKey) {
-        self.by_request.remove(&key);
+        for endpoint in self.by_request.remove(&key).unwrap_or_default() {
+            self.acquit(key, &endpoint);
+        }
         let Some(known) = self.known.get(&key) else { return };
         if known.standing != Standing::Cleared {
             let weights = known.weights.clone();
@@ -239,6 +307,20 @@
         }
     }
 
+    /// Takes a request out of an end; where it was held for it, the others are judged anew.
+    fn acquit(&mut self, key: RequestKey, endpoint: &Arc<str>) {
+        let Some(crash) = self.by_endpoint.get_mut(endpoint) else { return };
+        crash.runs.remove(&key);
+        if crash.explained_by != Some(key) {
+            return;
+        }
+        crash.explained_by = None;
+        for run in crash.runs.values_mut() {
+            run.is_judged = false;
+        }
+        self.fresh.push_front((0, endpoint.clone()));
+    }
+
     /// Lets `gateway` send a request that was held long enough, unless another one does.
     pub fn ask_for_trial(&mut self, now_ms: u64, key: RequestKey, gateway: &Arc<str>) {
         let Some(known) = self.known.get(&key) else { return };
@@ -304,15 +386,16 @@
 
     /// What ended under a request that is held was ended by it, and tells nothing of the others there.
     fn explain(&mut self, key: RequestKey) {
-        for endpoint in self.by_request.remove(&key).unwrap_or_default() {
-            if let Some(crash) = self.by_endpoint.get_mut(&endpoint) {
-                crash.is_explained = true;
+        for endpoint in self.by_request.get(&key).into_iter().flatten() {
+            if let Some(crash) = self.by_endpoint.get_mut(endpoint) {
+                crash.explained_by.get_or_insert(key);
             }
         }
     }
 
-    /// Ends what nothing was heard of for long.
+    /// Lets time pass: judges what was gathered, and forgets standings of which nothing was heard for long.
     pub fn advance(&mut self, now_ms: u64) {
+        self.judge_gathered(now_ms);
         let mut ended = Vec::new();
         for (key, known) in &self.known {
             if known.since_ms + KEPT_MS + HELD_MAX_MS <= now_ms {
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -157,6 +157,7 @@
                     crashes.crashed(now_ms, crash, used + 1);
                 }
             }
+            crashes.advance(now_ms);
             for decided in crashes.take_decided() {
                 crashes.committed(now_ms, &decided);
                 watched.retain(|key| *key != decided.key);
@@ -264,8 +265,9 @@
     WeightsName::new("base", Some("shop"))
 }
 
-/// What was decided last, committed.
+/// What was decided last once all reports are gathered, committed.
 fn commit(crashes: &mut Crashes, now_ms: u64) -> Option<Standing> {
+    crashes.advance(now_ms + GATHERED_MS);
     let mut last = None;
     for decided in crashes.take_decided() {
         crashes.committed(now_ms, &decided);
@@ -287,6 +289,8 @@
 }
 
 const HELD_AT_MS: u64 = 4_000;
+/// Gateways' reports of an end are gathered at most this long.
+const GATHERED_MS: u64 = 1_000;
 
 #[test]
 fn an_end_that_is_told_twice_counts_once() {
@@ -309,6 +313,67 @@
     assert_eq!(commit(&mut crashes, 6_000), Some(Standing::Watched));
 }
 
+/// An end of `endpoint`, told by a gateway with one request each.
+fn ends_told(crashes: &mut Crashes, now_ms: u64, endpoint: &str, ran_ms: &[(usize, u32)]) {
+    for (number, ran_ms) in ran_ms {
+        end(crashes, now_ms, endpoint, *number, *ran_ms);
+    }
+}
+
+#[test]
+fn nothing_is_judged_before_all_gateways_can_have_told() {
+    let mut crashes = Crashes::default();
+    for number in 0..9 {
+        let (now_ms, endpoint) = (1_000 + number * 500, format!("e{number}"));
+        end(&mut crashes, now_ms, &endpoint, 9, 3);
+        crashes.advance(now_ms + 20);
+        // Another gateway's try of the same content had run there for long.
+        end(&mut crashes, now_ms + 60, &endpoint, 9, 2_500);
+        crashes.advance(now_ms + 400);
+        for decided in crashes.take_decided() {
+            assert_eq!(decided.standing, Standing::Watched);
+            crashes.committed(now_ms, &decided);
+        }
+    }
+}
+
+#[test]
+fn of_two_requests_that_were_there_each_time_the_later_one_is_held() {
+    let mut crashes = Crashes::default();
+    let mut held = Vec::new();
+    for number in 0..9 {
+        let (now_ms, endpoint) = (1_000 + number * 500, format!("e{number}"));
+        ends_told(&mut crashes, now_ms, &endpoint, &[(8, 45), (9, 30)]);
+        crashes.advance(now_ms + 400);
+        for decided in crashes.take_decided() {
+            if decided.standing.is_refused() {
+                held.push(decided.key);
+            }
+            crashes.committed(now_ms, &decided);
+        }
+    }
+    assert_eq!(held, [key(9)]);
+}
+
+#[test]
+fn what_a_request_was_held_for_counts_against_the_others_once_it_is_served() {
+    let mut crashes = Crashes::default();
+    for number in 0..5 {
+        let (now_ms, endpoint) = (1_000 + number * 500, format!("e{number}"));
+        ends_told(&mut crashes, now_ms, &endpoint, &[(8, 30), (9, 45)]);
+        commit(&mut crashes, now_ms);
+    }
+    crashes.served(key(8));
+    crashes.advance(9_000);
+    let mut held = Vec::new();
+    for decided in crashes.take_decided() {
+        if decided.standing.is_refused() {
+            held.push(decided.key);
+        }
+    }
+    assert_eq!(held, [key(9)]);
+}
+
 #[test]
 fn what_ended_under_a_held_request_tells_nothing_of_the_others() {
     let mut crashes = held();
@@ -400,6 +465,7 @@
     let mut standings = Vec::new();
     for number in 0..6 {
         end(&mut crashes, 1_000 + number * 500, &format!("e{number}"), 9, 40);
+        crashes.advance(2_000 + number * 500);
         for decided in crashes.take_decided() {
             crashes.committed(4_000, &decided);
             standings = vec![decided];
