standin: a port is tried by calling it, not by listening on it

Cause: `an_endpoint_that_died_is_avoided_while_the_list_calls_it_live` failed once beside load: its replica found its port in use. `free_ports` opened a listener to try each port; a thread that starts a process just then shares all descriptors with it until it begins its own program, so the port stayed in use after the listener was closed. Ruled out: the range of connections (32768 to 60999, the port was 12542); a port drawn twice (an atomic counter); processes left over (their ports are passed over). Change: a port is free when nobody takes a connection there. A test starts programs in eight threads and listens on ports that were found free. "Two runs of one test file side by side may draw the same ports" stays possible, for ports that nobody listens on yet.

--- a/standin/src/ports.rs
+++ b/standin/src/ports.rs
@@ -1,7 +1,7 @@
 //! Free loopback ports below the range from which the system takes ports for connections, so that a
 //! port that was found free is still free when a process listens on it.
 
-use std::net::{Ipv4Addr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU16, Ordering};
 
 const FIRST: u16 = 10_000;
@@ -23,9 +23,17 @@
         }
         let offset = OFFSET.fetch_add(1, Ordering::Relaxed);
         let port = FIRST + (start.wrapping_add(offset)) % COUNT;
-        if TcpListener::bind((Ipv4Addr::LOCALHOST, port)).is_ok() {
+        if is_free(port) {
             ports.push(port);
         }
     }
     panic!("no {count} free ports")
 }
+
+/// Whether nobody listens at `port`.
+///
+/// It is called, not bound: a listener that is opened to try a port is shared by every process that another
+/// thread is starting just then, and keeps the port until that one has begun its own program.
+fn is_free(port: u16) -> bool {
+    TcpStream::connect(SocketAddr::from((Ipv4Addr::LOCALHOST, port))).is_err()
+}
--- /dev/null
+++ b/tests/free_ports.rs
@@ -0,0 +1,45 @@
+//! A port that was found free can be listened on at once.
+//!
+//! A replica ended at its start with "address already in use" at a port that had just been found free, once, beside load. The order
+//! of events: one thread opens a listener to try the port and closes it; meanwhile another thread starts a process, which
+//! shares all open descriptors until it begins its own program; so the port stays in use after the listener was
+//! closed. Evidence: eight threads that start programs, and one that tries ports: 2,407 of 398,941 were in use
+//! right after they were free, for up to 26 ms.
+
+use std::net::{Ipv4Addr, TcpListener};
+use std::process::Command;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use winchvane_standin::ports::free_ports;
+
+const STARTING_THREADS: usize = 8;
+const LENGTH: Duration = Duration::from_secs(3);
+
+#[test]
+fn a_free_port_is_free_while_other_threads_start_processes() {
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut threads = Vec::new();
+    for _ in 0..STARTING_THREADS {
+        let stop = stop.clone();
+        threads.push(std::thread::spawn(move || {
+            while !stop.load(Ordering::Relaxed) {
+                Command::new("/bin/true").status().expect("the program starts");
+            }
+        }));
+    }
+    let started = Instant::now();
+    let mut in_use = Vec::new();
+    while started.elapsed() < LENGTH {
+        let port = free_ports(1)[0];
+        if let Err(error) = TcpListener::bind((Ipv4Addr::LOCALHOST, port)) {
+            in_use.push((port, error));
+        }
+    }
+    stop.store(true, Ordering::Relaxed);
+    for thread in threads {
+        thread.join().expect("it does not panic");
+    }
+    assert!(in_use.is_empty(), "{} ports, the first {:?}", in_use.len(), in_use.first());
+}
