routing, relay, policy, control: API keys of workspaces, revocation by lease, quotas over all gateways

Change: a configuration has workspaces (name, digests of keys, priority, quota) and public routes; a key that two of them share is a fault. A gateway finds the workspace by the key's digest; missing, unreadable and unknown keys get 401. Keys are taken for valid for 95% of the time within which a revoked one must be out of use, counted from the last renewal that the leader confirmed after a majority round; without that 503, and not ready where every route needs a key. What waits is checked again when it is sent. The key and any name of a workspace that a client sent are removed; the name is set by the gateway. Quotas: gateways admit against credit that they hold; the leader's pool fills at the quota's rate; distributors hold and ask for all gateways of their zone; what is out is bounded by what is allowed above the quota.

--- a/src/control/boot.rs
+++ b/src/control/boot.rs
@@ -100,6 +100,7 @@
         ledger: settings.ledger,
         store: settings.store,
         placement: settings.placement,
+        quota: settings.quota,
         founding_wait_ms: settings.founding_wait_ms,
     };
     let replica = Replica::new(raft, state, replica_settings, metrics.clone());
--- a/src/control/distribution/link.rs
+++ b/src/control/distribution/link.rs
@@ -129,7 +129,7 @@
 fn take(distributor: &mut Distributor, now_ms: u64, message: Message, leader: Option<SocketAddr>) {
     match message {
         Message::Open(id, hello, down) => distributor.open(now_ms, id, hello, down, leader),
-        Message::Up(id, up) => distributor.up(id, up),
+        Message::Up(id, up) => distributor.up(now_ms, id, up),
         Message::Close(id) => distributor.close(id),
         Message::Linked(up) => distributor.linked(now_ms, up),
         Message::Unlinked => distributor.unlinked(now_ms),
--- a/src/control/distribution/mod.rs
+++ b/src/control/distribution/mod.rs
@@ -21,10 +21,11 @@
 use crate::control::counts::Counts;
 use crate::control::session::Session;
 use crate::message::{
-    Change, EndpointLoad, EngineOrder, Forwarded, Group, Heartbeat, Load, Placed, SessionDown,
-    SessionHello, SessionRole, SessionUp,
+    Change, CreditAsk, CreditGrant, EndpointLoad, EngineOrder, Forwarded, Group, Heartbeat, Load,
+    Placed, SessionDown, SessionHello, SessionRole, SessionUp,
 };
 use crate::policy::counts;
+use crate::policy::quota::{DistributorPools, HolderGrant};
 use view::View;
 
 /// Renewals of gateways are gathered this long; a gateway renews every 300 ms and may order for a
@@ -72,6 +73,8 @@
     forwarded: Vec<Forwarded>,
     /// Heartbeats that the leader was not told of yet, the latest of each endpoint.
     heartbeats: BTreeMap<Arc<str>, Heartbeat>,
+    /// Credit of workspaces, for the gateways here.
+    credit: DistributorPools,
 }
 
 impl Distributor {
@@ -93,6 +96,7 @@
             counts: Counts::new(),
             forwarded: Vec::new(),
             heartbeats: BTreeMap::new(),
+            credit: DistributorPools::new(),
         }
     }
 
@@ -124,11 +128,12 @@
         if let Some(session) = self.sessions.remove(&id) {
             info!(event = "session_closed", gateway = %session.hello.name);
             self.counts.forget(&session);
+            self.credit.closed(&session.hello.name);
         }
     }
 
     /// Takes a gateway's message in.
-    pub fn up(&mut self, id: u64, up: SessionUp) {
+    pub fn up(&mut self, now_ms: u64, id: u64, up: SessionUp) {
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let gateway = session.hello.name.clone();
         match up {
@@ -150,6 +155,7 @@
                 self.forwarded.push(Forwarded { gateway, up });
                 self.forward();
             }
+            SessionUp::CreditAsks(asks) => self.pass_credit(now_ms, id, &gateway, asks),
             SessionUp::Hello(_)
             | SessionUp::Leave
             | SessionUp::Release { .. }
@@ -185,6 +191,8 @@
         self.loads_told.clear();
         self.counts.tell_all();
         self.renewed_at_ms = now_ms;
+        self.credit.linked();
+        self.ask_for_credit(now_ms);
         // Another leader knows nothing of what these use.
         self.tell(|| SessionDown::Welcome { epoch: 0 });
     }
@@ -194,6 +202,7 @@
         if self.link.take().is_some() {
             warn!(event = "link_lost", sessions = self.sessions.len());
             self.unlinked_at_ms = Some(now_ms);
+            self.credit.unlinked();
             // Endpoints tell again; by the time of the next link these may be wrong.
             self.heartbeats.clear();
             // Whoever leads next confirms what was not confirmed.
@@ -223,6 +232,11 @@
             }
             SessionDown::RenewedFor { number } => self.renewed(number),
             SessionDown::Order(order) => self.pass_order(order),
+            SessionDown::Credit(grants) => {
+                let answers = self.credit.granted(now_ms, grants);
+                self.tell_credit(answers);
+                self.ask_for_credit(now_ms);
+            }
             SessionDown::Welcome { .. }
             | SessionDown::Renewed { .. }
             | SessionDown::NotLeader { .. }
@@ -247,6 +261,7 @@
         self.tell_loads(now_ms);
         self.forward();
         self.forward_heartbeats();
+        self.ask_for_credit(now_ms);
     }
 
     /// Sends all gateways elsewhere: to `leader`, or to look for one.
@@ -362,6 +377,42 @@
         self.forward();
     }
 
+    /// Answers a gateway's asks for credit, as far as the leader need not be asked first.
+    fn pass_credit(&mut self, now_ms: u64, id: u64, gateway: &Arc<str>, asks: Vec<CreditAsk>) {
+        let mut grants = Vec::new();
+        for ask in asks {
+            grants.extend(self.credit.ask(now_ms, gateway, ask));
+        }
+        if let Some(session) = self.sessions.get(&id)
+            && !grants.is_empty()
+        {
+            session.send(SessionDown::Credit(grants));
+        }
+        self.ask_for_credit(now_ms);
+    }
+
+    /// Tells gateways what they waited for.
+    fn tell_credit(&mut self, answers: Vec<HolderGrant>) {
+        let mut by_holder: BTreeMap<Arc<str>, Vec<CreditGrant>> = BTreeMap::new();
+        for HolderGrant { holder, grant } in answers {
+            by_holder.entry(holder).or_default().push(grant);
+        }
+        if by_holder.is_empty() {
+            return;
+        }
+        for session in self.sessions.values() {
+            let Some(grants) = by_holder.remove(&session.hello.name) else { continue };
+            session.send(SessionDown::Credit(grants));
+        }
+    }
+
+    fn ask_for_credit(&mut self, now_ms: u64) {
+        let asks = self.credit.take_asks(now_ms);
+        if !asks.is_empty() {
+            self.send_up(SessionUp::CreditAsks(asks));
+        }
+    }
+
     fn tell_loads(&mut self, now_ms: u64) {
         let own = self.counts.totals(now_ms, self.sessions.values(), self.view.counted());
         let mut totals = own.clone();
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -29,6 +29,7 @@
     Change, ControlReply, ControlRequest, GroupStatus, LoadReport, ProbeReply, SessionDown,
 };
 use crate::metrics::{Counter, Metrics};
+use crate::policy::quota::QuotaBounds;
 
 const PERMIT_WAIT_MAX_MS: u64 = 5_000;
 /// Polls in a row that must agree before most of the endpoints are taken for gone.
@@ -51,6 +52,8 @@
     pub store: StoreBudget,
     /// Bounds of orders to engines.
     pub placement: PlacementSettings,
+    /// What is allowed above the quotas of workspaces.
+    pub quota: QuotaBounds,
     /// How long a new group waits for all its voters before it accepts anything.
     pub founding_wait_ms: u64,
 }
@@ -104,6 +107,7 @@
     pub fn new(raft: Raft, state: State, settings: ReplicaSettings, metrics: Metrics) -> Self {
         let placement = Placement::new(0, settings.placement);
         let permits = Permits::new(settings.store, 0);
+        let registered = Registered::new(placement, settings.quota);
         let applied = raft.snapshot_index();
         Self {
             raft,
@@ -127,7 +131,7 @@
             renewed_at_ms: HashMap::new(),
             load_reports: HashMap::new(),
             removal_polls: 0,
-            registered: Registered::new(placement),
+            registered,
         }
     }
 
--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -20,6 +20,7 @@
 };
 use crate::policy::counts;
 use crate::policy::crashes::Crashes;
+use crate::policy::quota::{Pools, QuotaBounds};
 use crate::routing::RoutingConfiguration;
 
 /// How often new copies are recorded: a synced entry each time, and what is lost costs a load.
@@ -42,10 +43,12 @@
     copies_due_ms: u64,
     pub(super) counts: Counts,
     pub(super) crashes: Crashes,
+    /// Credit of workspaces.
+    credit: Pools,
 }
 
 impl Registered {
-    pub(super) fn new(placement: Placement) -> Self {
+    pub(super) fn new(placement: Placement, quota: QuotaBounds) -> Self {
         Self {
             placement,
             sequences: HashMap::new(),
@@ -58,6 +61,7 @@
             copies_due_ms: 0,
             counts: Counts::new(),
             crashes: Crashes::default(),
+            credit: Pools::new(quota),
         }
     }
 }
@@ -85,6 +89,11 @@
         registered.ticked_at_ms = now_ms;
         registered.group_told = Group::default();
         registered.counts = Counts::new();
+        registered.credit = Pools::new(self.settings.quota);
+        if let Some(configuration) = self.state.registry.routing() {
+            registered.credit =
+                Pools::new(self.settings.quota).with_earlier_leader(now_ms, configuration);
+        }
         let standings = self.state.registry.standings().cloned();
         registered.crashes = Crashes::new(now_ms, standings);
         let first_order = self.raft.term() << ORDERS_PER_TERM_BITS;
@@ -215,7 +224,10 @@
         let placement = &mut self.registered.placement;
         for change in changes {
             match change {
-                Change::Routing(configuration) => placement.configure(now_ms, configuration),
+                Change::Routing(configuration) => {
+                    placement.configure(now_ms, configuration);
+                    self.registered.credit.configure(now_ms, configuration);
+                }
                 Change::Registered(endpoint) => placement.register(now_ms, endpoint),
                 Change::Deregistered(id) => {
                     self.registered.sequences.remove(id);
@@ -344,6 +356,13 @@
                 let up = SessionUp::Traffic { loads: Vec::new(), used, failing };
                 self.gateway_message(now_ms, wall_ms, &from, up);
             }
+            SessionUp::CreditAsks(asks) => {
+                let mut grants = Vec::with_capacity(asks.len());
+                for ask in &asks {
+                    grants.push(self.registered.credit.ask(now_ms, &from.gateway, ask));
+                }
+                session.send(SessionDown::Credit(grants));
+            }
             SessionUp::Heartbeats(heartbeats) => {
                 for heartbeat in heartbeats {
                     self.take_heartbeat(now_ms, wall_ms, heartbeat, Waiter::Nobody);
--- a/src/control/replica/sessions.rs
+++ b/src/control/replica/sessions.rs
@@ -117,7 +117,8 @@
             | SessionUp::Heartbeats(_)
             | SessionUp::Crashes(_)
             | SessionUp::Served(_)
-            | SessionUp::AskForTrial(_) => {
+            | SessionUp::AskForTrial(_)
+            | SessionUp::CreditAsks(_) => {
                 let message = up.kind();
                 debug!(event = "message_ignored", gateway = %gateway, message);
             }
--- a/src/gateway/session.rs
+++ b/src/gateway/session.rs
@@ -152,6 +152,7 @@
         | SessionDown::Order(_)
         | SessionDown::Loads(_)
         | SessionDown::RenewedFor { .. }
+        | SessionDown::Credit(_)
         | SessionDown::Group(_) => {}
     }
 }
--- a/src/message/mod.rs
+++ b/src/message/mod.rs
@@ -5,6 +5,7 @@
 
 mod control;
 mod crash;
+mod credit;
 mod forward;
 mod order;
 mod registration;
@@ -21,6 +22,7 @@
     PermitRequest, ProbeReply, Verdict,
 };
 pub use crash::{BrokenRun, EndpointCrash, RequestStanding, Standing};
+pub use credit::{CreditAsk, CreditGrant};
 pub use forward::{Call, ForwardEvent, ForwardRequest, Refusal};
 pub use order::{EngineOrder, EngineReport, OrderKind, OrderOutcome, OrderResult};
 pub use registration::{
--- a/src/message/session.rs
+++ b/src/message/session.rs
@@ -9,8 +9,8 @@
 
 use super::control::Change;
 use crate::message::{
-    AdapterNeed, EndpointCrash, EndpointLoad, EngineOrder, Heartbeat, OrderResult, Placed,
-    RequestKey, Summary, WeightsUse,
+    AdapterNeed, CreditAsk, CreditGrant, EndpointCrash, EndpointLoad, EngineOrder, Heartbeat,
+    OrderResult, Placed, RequestKey, Summary, WeightsUse,
 };
 
 /// How many requests the platform saw running at an endpoint, some time ago.
@@ -73,6 +73,8 @@
     Served(RequestKey),
     /// Asks whether a request that was held may be sent once.
     AskForTrial(RequestKey),
+    /// Asks for credit of workspaces; answered by as many grants, in one message or more.
+    CreditAsks(Vec<CreditAsk>),
 }
 
 impl SessionUp {
@@ -92,6 +94,7 @@
             Self::Crashes(_) => "session_crashes",
             Self::Served(_) => "session_served",
             Self::AskForTrial(_) => "session_ask_for_trial",
+            Self::CreditAsks(_) => "session_credit_asks",
         }
     }
 }
@@ -249,6 +252,8 @@
         /// The number of the renewal.
         number: u64,
     },
+    /// Credit of workspaces, as it was asked for.
+    Credit(Vec<CreditGrant>),
 }
 
 impl SessionDown {
@@ -265,6 +270,7 @@
             Self::Order(_) => "session_order",
             Self::Group(_) => "session_group",
             Self::RenewedFor { .. } => "session_renewed_for",
+            Self::Credit(_) => "session_credit",
         }
     }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -58,6 +58,12 @@
     RequestsTakenBack => "requests.taken_back",
     /// Requests refused since endpoints ended under others like them.
     RequestsHeld => "requests.held",
+    /// Requests refused since their keys let nobody in.
+    RequestsUnauthorized => "requests.unauthorized",
+    /// Requests refused since their workspaces asked for more than their quotas.
+    RequestsOverQuota => "requests.over_quota",
+    /// Requests refused since keys or quotas were not known for certain.
+    RequestsNotAdmitted => "requests.not_admitted",
     /// Requests answered from the run ledger.
     RequestsReplayed => "requests.replayed",
     /// Requests tried again on another endpoint.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -8,6 +8,7 @@
 pub mod owner;
 pub mod popularity;
 pub mod queue;
+pub mod quota;
 pub mod rank;
 pub mod retry;
 pub mod route;
--- a/src/relay/admission.rs
+++ b/src/relay/admission.rs
@@ -10,11 +10,14 @@
 use tokio::time::timeout;
 use tracing::info;
 
+use super::access::Access;
 use super::border::RequestMeta;
 use super::exchange::remove_connection_headers;
-use super::refusal::{come_back, own_answer};
+use super::quota::UsedCredit;
+use super::refusal::{NotSent, come_back, own_answer, refuse};
 use super::shared::Relay;
 use crate::http::{Answer, BodyFault, header, read_body};
+use crate::metrics::Counter;
 use crate::routing::{Chosen, RouteTable};
 
 /// How long a client's body may take.
@@ -27,6 +30,8 @@
 pub(super) struct Admitted {
     pub(super) meta: RequestMeta,
     pub(super) chosen: Chosen,
+    pub(super) access: Access,
+    pub(super) used_credit: Option<UsedCredit>,
     pub(super) method: Method,
     pub(super) target: Uri,
     /// What passes on to an endpoint.
@@ -56,6 +61,10 @@
     let Some(chosen) = table.find(host, head.uri.path(), &meta.id) else {
         return Err(no_route(relay, &table, &meta));
     };
+    let refused = |reason: NotSent| refuse_early(relay, started_ms, &meta, &chosen, reason);
+    // As of when the request was read: what the leader confirms later does not change when it was sent.
+    let access = Access::find(relay, started_ms, &table, &chosen.route, meta.credential)
+        .map_err(&refused)?;
     let limits = table.configuration().limits;
     let body = read_body(body, limits.body_max_bytes, BODY_TIMEOUT_MS).await.map_err(|fault| {
         info!(event = "request_refused", request = %meta.id, reason = ?fault);
@@ -66,12 +75,28 @@
             }
         }
     })?;
+    let used_credit = match access.quota() {
+        Some((workspace, quota)) => {
+            let used = UsedCredit::take(relay, workspace, quota, meta.tokens()).await;
+            Some(used.map_err(&refused)?)
+        }
+        None => None,
+    };
     relay.budget(&chosen.service.name, |budget| budget.note_request(started_ms));
     let mut headers = head.headers;
     remove_connection_headers(&mut headers);
     headers.remove(CONTENT_LENGTH);
     relay.border.remove_reserved(&mut headers);
-    Ok(Admitted { meta, chosen, method: head.method, target: head.uri, headers, body })
+    Ok(Admitted {
+        meta,
+        chosen,
+        access,
+        used_credit,
+        method: head.method,
+        target: head.uri,
+        headers,
+        body,
+    })
 }
 
 /// The routes; a gateway that has just started waits a little until the leader tells them.
@@ -88,6 +113,32 @@
     }
 }
 
+/// Refuses a request whose route is known before anything is looked for.
+fn refuse_early(
+    relay: &Relay,
+    started_ms: u64,
+    meta: &RequestMeta,
+    chosen: &Chosen,
+    reason: NotSent,
+) -> Answer {
+    let counter = match reason {
+        NotSent::OverQuota { .. } => Counter::RequestsOverQuota,
+        NotSent::Unauthorized(_) => Counter::RequestsUnauthorized,
+        _ => Counter::RequestsNotAdmitted,
+    };
+    relay.metrics.count(counter);
+    info!(
+        event = "refused",
+        request = %meta.id,
+        route = %chosen.route.name,
+        weights = %meta.weights.as_ref().map_or_else(String::new, ToString::to_string),
+        version = relay.table().version(),
+        reason = ?reason,
+        after_ms = relay.now_ms() - started_ms
+    );
+    refuse(reason)
+}
+
 fn no_route(relay: &Relay, table: &RouteTable, meta: &RequestMeta) -> Answer {
     let is_certain = table.version() > 0 && relay.is_confirmed(relay.now_ms());
     info!(event = "no_route", request = %meta.id, version = table.version(), certain = is_certain);
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -198,7 +198,7 @@
         };
         Wanted {
             weights: weights.clone(),
-            priority: route.priority,
+            priority: self.priority(),
             left_ms: objective_at_ms.saturating_sub(now_ms) as f64,
             prompt_tokens: self.meta.prompt_tokens.min(prompt_max_tokens),
             prompt: self.prompt.clone(),
--- a/src/relay/border.rs
+++ b/src/relay/border.rs
@@ -6,6 +6,7 @@
 
 use super::prompt::PromptPart;
 use crate::message::WeightsName;
+use crate::routing::Credential;
 
 /// What a request's headers say.
 #[derive(Debug, Clone, Default)]
@@ -26,6 +27,16 @@
     pub unread: Vec<&'static str>,
     /// The number of the last event that the client has, where it takes a stream up.
     pub last_event: Option<u64>,
+    /// Whose request it is.
+    pub credential: Credential,
+}
+
+impl RequestMeta {
+    /// The tokens of its prompt and the most of its answer; none where they are not told.
+    pub fn tokens(&self) -> Option<u64> {
+        let tokens = u64::from(self.prompt_tokens) + u64::from(self.output_tokens);
+        (tokens > 0).then_some(tokens)
+    }
 }
 
 /// What the relay adds to a request for one endpoint.
@@ -43,6 +54,8 @@
     pub weights_version: Option<u64>,
     /// The rank of the request's route; 0 goes first.
     pub priority: u8,
+    /// The workspace that the request belongs to.
+    pub workspace: Option<Arc<str>>,
 }
 
 /// What an answer's head says.
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -11,11 +11,13 @@
 use hyper::body::Incoming;
 use tracing::{info, warn};
 
+use super::access::Access;
 use super::admission::{Admitted, admit};
 use super::attempt::{Attempt, Started, Target};
 use super::border::{AnswerMeta, RequestMeta, SendMeta};
 use super::prompt::PromptChain;
-use super::refusal::{Failure, NotSent, come_back, come_back_ms, own_answer};
+use super::quota::UsedCredit;
+use super::refusal::{Failure, NotSent, own_answer, refuse};
 use super::shared::Relay;
 use super::standings::Permission;
 use super::stream;
@@ -76,6 +78,8 @@
     pub(super) relay: Arc<Relay>,
     pub(super) meta: RequestMeta,
     pub(super) chosen: Chosen,
+    pub(super) access: Access,
+    used_credit: Option<UsedCredit>,
     pub(super) started_ms: u64,
     pub(super) ends_at_ms: u64,
     pub(super) method: Method,
@@ -134,7 +138,8 @@
 impl Exchange {
     /// A request that was read whole.
     pub(super) fn new(relay: &Arc<Relay>, started_ms: u64, admitted: Admitted) -> Self {
-        let Admitted { meta, chosen, method, target, headers, body } = admitted;
+        let Admitted { meta, chosen, access, used_credit, method, target, headers, body } =
+            admitted;
         let timeout_ms = chosen.route.timeout_ms;
         let allowed_ms =
             meta.deadline_ms.map_or(timeout_ms, |deadline_ms| deadline_ms.min(timeout_ms));
@@ -146,6 +151,8 @@
             relay: relay.clone(),
             meta,
             chosen,
+            access,
+            used_credit,
             started_ms,
             ends_at_ms: started_ms + allowed_ms,
             method,
@@ -212,10 +219,11 @@
             self.permission = self.may_be_sent().await.map_err(Failure::NotSent)?;
             let picked = self.pick().await.map_err(Failure::NotSent)?;
             self.is_sent_still().map_err(Failure::NotSent)?;
+            self.access.is_held_still(&self.relay, &self.chosen.route).map_err(Failure::NotSent)?;
             self.waited_for = picked.waited_for;
             self.held_version = picked.held_version;
             self.expected_ms = picked.expected_ms;
-            self.rank = picked.rank.unwrap_or(self.chosen.route.priority);
+            self.rank = picked.rank.unwrap_or(self.priority());
             let Target { id, name, address, weights_version, .. } = picked;
             let is_first = self.given + self.refused == 0;
             let now_ms = self.relay.now_ms();
@@ -232,6 +240,7 @@
                 last_event: last_event.or(self.meta.last_event),
                 weights_version,
                 priority: self.rank,
+                workspace: self.access.workspace_name(),
             };
             match self.attempt(&send, address).await {
                 Attempt::Started(started) => {
@@ -306,6 +315,11 @@
         Ok(())
     }
 
+    /// The rank of its workspace, or else of its route.
+    pub(super) fn priority(&self) -> u8 {
+        self.access.priority().unwrap_or(self.chosen.route.priority)
+    }
+
     pub(super) fn may_give_again(&self) -> bool {
         let attempts = match self.permission {
             Permission::Once => 1,
@@ -372,6 +386,9 @@
                 if let NotSent::Held { .. } = reason {
                     self.relay.metrics.count(Counter::RequestsHeld);
                 }
+                if let Some(used) = &self.used_credit {
+                    used.give_back();
+                }
                 info!(
                     event = "refused",
                     request = %request,
@@ -380,13 +397,7 @@
                     reason = ?reason,
                     after_ms
                 );
-                let detail = match reason {
-                    NotSent::NoPlace(detail) => detail,
-                    NotSent::Late => "the deadline passed",
-                    NotSent::NoBudget => "too many requests were sent again",
-                    NotSent::Held { .. } => "endpoints ended under requests like this one",
-                };
-                come_back(detail, come_back_ms(reason))
+                refuse(reason)
             }
             Failure::NotSent(reason) => {
                 self.relay.metrics.count(Counter::RequestsUnknown);
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -6,6 +6,7 @@
 //! run only once needs no claim: once its bytes may have left for an endpoint, it is never sent
 //! again. How the platform spells requests is behind [`RelayBorder`].
 
+mod access;
 mod admission;
 mod attempt;
 mod border;
@@ -24,6 +25,7 @@
 mod pool;
 mod process;
 mod prompt;
+mod quota;
 mod refusal;
 mod replaced;
 mod report;
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -1,8 +1,10 @@
 //! Why a request gets no answer of an endpoint, and what its client is told.
 
 use http::StatusCode;
+use http::header::{HeaderValue, WWW_AUTHENTICATE};
 
 use crate::http::{Answer, answer};
+use crate::routing::KeyRefusal;
 
 /// Why nothing could be sent.
 #[derive(Debug, Clone, Copy)]
@@ -18,6 +20,23 @@
         /// When the client may come again.
         after_ms: u64,
     },
+    /// Its workspace asks for more than its quota.
+    OverQuota {
+        /// When the client may come again.
+        after_ms: u64,
+    },
+    /// What its workspace has left cannot be known.
+    QuotaUnknown {
+        /// When the client may come again.
+        after_ms: u64,
+    },
+    /// Which keys are valid is not known for certain.
+    KeysUnknown {
+        /// When the client may come again.
+        after_ms: u64,
+    },
+    /// Its key does not let it in.
+    Unauthorized(KeyRefusal),
 }
 
 /// Why a request has no answer.
@@ -32,13 +51,55 @@
         NotSent::NoPlace("weights are not loaded") => 350,
         NotSent::NoPlace(_) | NotSent::Late => 200,
         NotSent::NoBudget => 500,
-        NotSent::Held { after_ms } => after_ms,
+        NotSent::Held { after_ms }
+        | NotSent::OverQuota { after_ms }
+        | NotSent::QuotaUnknown { after_ms }
+        | NotSent::KeysUnknown { after_ms } => after_ms,
+        NotSent::Unauthorized(_) => 0,
     }
 }
 
+/// What the client of a request that was not sent is told.
+pub(super) fn refuse(reason: NotSent) -> Answer {
+    let after_ms = come_back_ms(reason);
+    match reason {
+        NotSent::NoPlace(detail) => come_back(detail, after_ms),
+        NotSent::Late => come_back("the deadline passed", after_ms),
+        NotSent::NoBudget => come_back("too many requests were sent again", after_ms),
+        NotSent::Held { .. } => come_back("endpoints ended under requests like this one", after_ms),
+        NotSent::OverQuota { .. } => {
+            let detail = "the workspace asks for more than its quota";
+            later(StatusCode::TOO_MANY_REQUESTS, detail, after_ms)
+        }
+        NotSent::QuotaUnknown { .. } => {
+            come_back("what is left of the workspace's quota is not known", after_ms)
+        }
+        NotSent::KeysUnknown { .. } => {
+            come_back("which keys are valid is not known for certain", after_ms)
+        }
+        NotSent::Unauthorized(refusal) => unauthorized(refusal),
+    }
+}
+
+/// Tells what is wrong, and nothing of the key.
+fn unauthorized(refusal: KeyRefusal) -> Answer {
+    let detail = match refusal {
+        KeyRefusal::Missing => "a key is needed",
+        KeyRefusal::Unreadable => "the key cannot be read",
+        KeyRefusal::Unknown => "the key is not known",
+    };
+    let mut refusal = own_answer(StatusCode::UNAUTHORIZED, detail);
+    refusal.headers_mut().insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+    refusal
+}
+
 /// A refusal: the request did not run and will not; the client may come again after a while.
 pub(super) fn come_back(detail: &str, after_ms: u64) -> Answer {
-    let mut refusal = own_answer(StatusCode::SERVICE_UNAVAILABLE, detail);
+    later(StatusCode::SERVICE_UNAVAILABLE, detail, after_ms)
+}
+
+fn later(status: StatusCode, detail: &str, after_ms: u64) -> Answer {
+    let mut refusal = own_answer(status, detail);
     let seconds = format!("{}.{:03}", after_ms / 1_000, after_ms % 1_000);
     if let Ok(value) = seconds.parse() {
         refusal.headers_mut().insert(http::header::RETRY_AFTER, value);
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -63,6 +63,7 @@
             Err(error) => debug!(event = "control_not_found", peer = %address, error = %error),
         }
         relay.fleet().forget_loads();
+        relay.quota.unlinked();
         tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
     }
 }
@@ -118,6 +119,7 @@
                         info!(event = "control_regained", leader = %address, attempts);
                         is_welcome = true;
                         relay.fleet().forget_uses_told();
+                        relay.quota.linked();
                         let loads = relay.fleet().all_loads();
                         let (used, failing) = (Vec::new(), Vec::new());
                         send(&mut sender, &SessionUp::Traffic { loads, used, failing }).await?;
@@ -152,6 +154,9 @@
                 let needs = gather(need, &mut queues.needs);
                 send(&mut sender, &SessionUp::Needs(needs)).await?;
             }
+            () = relay.quota.wanted.notified(), if is_welcome => {
+                ask_for_credit(relay, &mut sender).await?;
+            }
             Some(result) = ordered.recv() => {
                 send(&mut sender, &SessionUp::Ordered(result)).await?;
             }
@@ -160,6 +165,7 @@
                 if !loads.is_empty() || !used.is_empty() || !failing.is_empty() {
                     send(&mut sender, &SessionUp::Traffic { loads, used, failing }).await?;
                 }
+                ask_for_credit(relay, &mut sender).await?;
             }
             _ = renewals.tick() => {
                 let now_ms = relay.now_ms();
@@ -182,6 +188,15 @@
     }
 }
 
+/// Asks for credit that requests wait for, or will.
+async fn ask_for_credit(relay: &Relay, sender: &mut Sender<SessionUp>) -> Result<()> {
+    let asks = relay.quota.take_asks();
+    if asks.is_empty() {
+        return Ok(());
+    }
+    send(sender, &SessionUp::CreditAsks(asks)).await
+}
+
 /// The times at which a relay tells what it has under way, when that changed.
 fn reports_every(period_ms: u32) -> Interval {
     let mut reports = interval(Duration::from_millis(u64::from(period_ms.max(1))));
@@ -230,6 +245,7 @@
         SessionDown::Renewed { sent_at_ms, .. } => relay.confirmed(sent_at_ms),
         SessionDown::Placed { reset, placed } => relay.placed(reset, placed),
         SessionDown::Loads(loads) => relay.fleet().note_loads(loads),
+        SessionDown::Credit(grants) => relay.quota.granted(grants),
         SessionDown::Welcome { .. }
         | SessionDown::NotLeader { .. }
         | SessionDown::Expired
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -15,6 +15,7 @@
 use super::gateway_count::{GatewayCount, NO_SHARE};
 use super::orders::OrderLease;
 use super::pool::Pool;
+use super::quota::QuotaGate;
 use crate::clock::Clock;
 use crate::message::{AdapterNeed, Change, NewestVersion, Placed, WeightsName};
 use crate::metrics::{Counter, Metrics};
@@ -23,6 +24,9 @@
 
 /// A configuration that was confirmed this recently may say that there is no such route.
 const CONFIRMED_MS: u64 = 2_000;
+/// The part of the time within which a revoked key must be out of use that keys are taken for valid without a
+/// confirmation: clocks run at different rates.
+const KEY_LEASE_PERCENT: u64 = 95;
 /// Changes that come together and are logged one by one; a gateway that starts is told thousands.
 const LOGGED_MAX: usize = 200;
 
@@ -38,6 +42,7 @@
     /// A newer version of some weights became known.
     pub(super) version_known: Notify,
     pub(super) order_lease: OrderLease,
+    pub(super) quota: QuotaGate,
     pub(super) clock: Clock,
     fleet: Mutex<Fleet>,
     table: RwLock<Arc<RouteTable>>,
@@ -71,6 +76,7 @@
             changed: Notify::new(),
             version_known: Notify::new(),
             order_lease: OrderLease::new(clock),
+            quota: QuotaGate::new(clock),
             clock,
             fleet: Mutex::new(fleet),
             table: RwLock::default(),
@@ -118,9 +124,26 @@
         confirmed_at_ms > 0 && confirmed_at_ms + CONFIRMED_MS > now_ms
     }
 
+    /// How much longer keys may be taken for valid as they are known; nothing when none may.
+    ///
+    /// A key that was taken away is known to be gone by the first renewal sent after that which the leader
+    /// confirms. So without confirmations no key is taken for valid longer than a revoked one may be, by a clock
+    /// that goes on while the process is suspended.
+    pub(super) fn keys_valid_ms(&self, now_ms: u64) -> u64 {
+        let Some(within_ms) = self.settings.revoked_within_ms else { return u64::MAX };
+        let confirmed_at_ms = self.confirmed_at_ms.load(Ordering::Relaxed);
+        if confirmed_at_ms == 0 {
+            return 0;
+        }
+        let lease_ms = within_ms * KEY_LEASE_PERCENT / 100;
+        (confirmed_at_ms + lease_ms).saturating_sub(now_ms)
+    }
+
     /// True once requests can be served and until the process is about to stop.
     pub fn is_ready(&self) -> bool {
-        self.table().version() > 0 && !self.is_stopping()
+        let table = self.table();
+        let serves = !table.serves_keyed_only() || self.keys_valid_ms(self.now_ms()) > 0;
+        table.version() > 0 && serves && !self.is_stopping()
     }
 
     /// Starts a planned stop.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -5,13 +5,15 @@
 //! register themselves; an engine service says what its endpoints can hold.
 
 mod table;
+mod workspace;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
-pub use table::{Chosen, RouteTable};
+pub use table::{Chosen, KeyRefusal, RouteTable};
+pub use workspace::{ApiKey, Credential, Quota, QuotaUnit, Workspace};
 
 use crate::message::WeightsName;
 
@@ -19,6 +21,9 @@
 /// percentages stay far within a `u64`.
 const TIME_MAX_MS: u64 = 1 << 40;
 
+/// The largest rate or burst of a quota: whole numbers up to it are exact, and so are their sums.
+const UNITS_MAX: f64 = 1e15;
+
 /// Everything that is routed, under one version.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct RoutingConfiguration {
@@ -30,6 +35,8 @@
     pub services: Vec<ServiceSpec>,
     /// What clients may send.
     pub limits: RequestLimits,
+    /// Whose requests are served; where there are none, anybody's are.
+    pub workspaces: Vec<Workspace>,
 }
 
 /// What may be done again when a request fails.
@@ -71,6 +78,8 @@
     pub attempts: u32,
     /// The services that share the route's requests.
     pub targets: Vec<Target>,
+    /// True when requests need no key.
+    pub is_public: bool,
 }
 
 /// A service's share of a route.
@@ -194,9 +203,36 @@
                 }
             }
         }
+        self.note_workspace_faults(&mut faults);
         faults
     }
 
+    fn note_workspace_faults(&self, faults: &mut Vec<String>) {
+        let mut names = BTreeSet::new();
+        let mut holders = BTreeMap::new();
+        for workspace in &self.workspaces {
+            let name = &workspace.name;
+            if !names.insert(name) {
+                faults.push(format!("workspace {name} stands twice"));
+            }
+            if name.is_empty() || !name.bytes().all(|byte| byte.is_ascii_graphic()) {
+                faults.push(format!("workspace {name:?}: a name is of visible ASCII characters"));
+            }
+            for key in &workspace.keys {
+                let holder = holders.insert(*key, name);
+                if let Some(holder) = holder.filter(|holder| *holder != name) {
+                    faults.push(format!("workspaces {holder} and {name} share a key"));
+                }
+            }
+            let Some(quota) = workspace.quota else { continue };
+            for amount in [quota.rate_per_s, quota.burst] {
+                if !(0.0..=UNITS_MAX).contains(&amount) {
+                    faults.push(format!("workspace {name}: {amount} is no rate and no burst"));
+                }
+            }
+        }
+    }
+
     /// The service called `name`.
     pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
         self.services.iter().find(|service| &*service.name == name)
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -5,7 +5,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Route, RoutingConfiguration, ServiceSpec};
+use super::{ApiKey, Credential, Route, RoutingConfiguration, ServiceSpec, Workspace};
 
 /// A configuration arranged for lookups.
 #[derive(Debug, Default)]
@@ -13,9 +13,21 @@
     version: u64,
     by_host: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>>,
     services: HashMap<Arc<str>, Arc<ServiceSpec>>,
+    workspaces: HashMap<ApiKey, Arc<Workspace>>,
     configuration: Arc<RoutingConfiguration>,
 }
 
+/// Why a request's key does not let it in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum KeyRefusal {
+    /// It carries none.
+    Missing,
+    /// What it carries cannot be read as one key.
+    Unreadable,
+    /// No workspace has it.
+    Unknown,
+}
+
 /// Where a request goes.
 #[derive(Debug, Clone)]
 pub struct Chosen {
@@ -38,7 +50,14 @@
         for service in &configuration.services {
             services.insert(service.name.clone(), Arc::new(service.clone()));
         }
-        Self { version: configuration.version, by_host, services, configuration }
+        let mut workspaces = HashMap::new();
+        for workspace in &configuration.workspaces {
+            let shared = Arc::new(workspace.clone());
+            for key in &workspace.keys {
+                workspaces.insert(*key, shared.clone());
+            }
+        }
+        Self { version: configuration.version, by_host, services, workspaces, configuration }
     }
 
     /// The version in force; 0 while there is none.
@@ -57,6 +76,39 @@
         services.iter().any(|spec| &*spec.name == service && spec.engine.is_some())
     }
 
+    /// True when requests on `route` need a key.
+    pub fn needs_key(&self, route: &Route) -> bool {
+        !route.is_public && !self.configuration.workspaces.is_empty()
+    }
+
+    /// True when there are routes and every one of them needs a key.
+    pub fn serves_keyed_only(&self) -> bool {
+        let routes = &self.configuration.routes;
+        !routes.is_empty() && routes.iter().all(|route| self.needs_key(route))
+    }
+
+    /// The workspace whose key a request on `route` carries; none where it needs no key.
+    ///
+    /// # Errors
+    /// The key does not let it in.
+    pub fn workspace_of(
+        &self,
+        route: &Route,
+        credential: Credential,
+    ) -> Result<Option<Arc<Workspace>>, KeyRefusal> {
+        if !self.needs_key(route) {
+            return Ok(None);
+        }
+        match credential {
+            Credential::Missing => Err(KeyRefusal::Missing),
+            Credential::Unreadable => Err(KeyRefusal::Unreadable),
+            Credential::Key(key) => {
+                let workspace = self.workspaces.get(&key).ok_or(KeyRefusal::Unknown)?;
+                Ok(Some(workspace.clone()))
+            }
+        }
+    }
+
     /// The route whose prefix is the longest one that begins `path`, and the service that serves
     /// the request with `request_id`.
     ///
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -7,6 +7,7 @@
 use crate::control::permit::StoreBudget;
 use crate::control::placement::PlacementSettings;
 use crate::control::raft::Timing;
+use crate::policy::quota::QuotaBounds;
 use crate::settings::reader::{Fields, check_ports, read_address, read_common};
 use crate::settings::{ControlSettings, PoolSettings, ReplicaAddress, SeedSettings};
 use crate::yaml::{Faults, Node};
@@ -36,6 +37,7 @@
     let platform_address = fields.optional_address("platform_address");
     let listen_api = fields.optional_address("listen_api");
     let placement = fields.section("placement", PlacementSettings::default(), read_placement);
+    let quota = fields.section("quota", QuotaBounds::default(), read_quota);
     let founding_wait_ms = fields.int_or("founding_wait_ms", 6_000, 0..=600_000);
     let platform_poll_ms = fields.int_or("platform_poll_ms", 1_000, 50..=60_000);
     let pools = if platform_address.is_some() { read_pools(&mut fields) } else { Vec::new() };
@@ -64,6 +66,7 @@
         seeds,
         listen_api,
         placement,
+        quota,
         founding_wait_ms,
     })
 }
@@ -78,6 +81,15 @@
     Timing { heartbeat_ms, election_ms }
 }
 
+fn read_quota(fields: &mut Fields<'_, '_>) -> QuotaBounds {
+    let default = QuotaBounds::default();
+    QuotaBounds {
+        window_ms: fields.int_or("window_ms", default.window_ms, 100..=3_600_000),
+        overrun: fields.number_or("overrun", default.overrun, 0.0..=10.0),
+        slack: fields.number_or("slack", default.slack, 0.0..=1e15),
+    }
+}
+
 fn read_placement(fields: &mut Fields<'_, '_>) -> PlacementSettings {
     let default = PlacementSettings::default();
     PlacementSettings {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -14,6 +14,7 @@
 use crate::control::permit::StoreBudget;
 use crate::control::placement::PlacementSettings;
 use crate::control::raft::Timing;
+use crate::policy::quota::QuotaBounds;
 use crate::settings::control::read_control;
 use crate::settings::gateway::read_gateway;
 use crate::settings::reader::parse_with;
@@ -96,6 +97,8 @@
     pub listen_api: Option<SocketAddr>,
     /// Bounds of orders to engines.
     pub placement: PlacementSettings,
+    /// What is allowed above the quotas of workspaces.
+    pub quota: QuotaBounds,
     /// How long a new group waits for all its voters before it takes a configuration.
     pub founding_wait_ms: u64,
 }
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -109,6 +109,14 @@
         read_address(&node, self.faults)
     }
 
+    pub(super) fn optional_int(
+        &mut self,
+        name: &'static str,
+        range: std::ops::RangeInclusive<u64>,
+    ) -> Option<u64> {
+        self.optional(name).and_then(|node| node.int(range, self.faults))
+    }
+
     pub(super) fn optional_address(&mut self, name: &'static str) -> Option<SocketAddr> {
         let node = self.optional(name)?;
         read_address(&node, self.faults)
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -25,6 +25,9 @@
     pub retry: RelayRetrySettings,
     /// How long after a version of weights was replaced requests may begin on it.
     pub version_within_ms: u64,
+    /// How long after a key was taken away requests with it may still be taken in, by gateways that are cut off
+    /// too; none is no bound.
+    pub revoked_within_ms: Option<u64>,
     /// The largest set of headers.
     pub header_max_bytes: usize,
     /// How long after a planned stop began the process may still run.
@@ -72,6 +75,7 @@
         window_ms: fields.int_or("window_ms", 10_000, 100..=3_600_000),
     });
     let version_within_ms = fields.int_or("version_within_ms", 5_000, 100..=600_000);
+    let revoked_within_ms = fields.optional_int("revoked_within_ms", 100..=3_600_000);
     let header_max_bytes = fields.int_or("header_max_bytes", 64 << 10, 1_024..=16 << 20) as usize;
     let stop_grace_ms = fields.int_or("stop_grace_ms", 8_000, 0..=3_600_000);
     let log_level = fields.text_or("log_level", "info");
@@ -98,6 +102,7 @@
         seeds,
         retry,
         version_within_ms,
+        revoked_within_ms,
         header_max_bytes,
         stop_grace_ms,
         log_level,
--- a/tests/common/engines.rs
+++ b/tests/common/engines.rs
@@ -20,5 +20,6 @@
         routes: Vec::new(),
         services: vec![service],
         limits: RequestLimits::default(),
+        workspaces: Vec::new(),
     }
 }
--- a/tests/common/replica.rs
+++ b/tests/common/replica.rs
@@ -16,6 +16,7 @@
 use winchvane::control::state::State;
 use winchvane::control::storage::Storage;
 use winchvane::metrics::Metrics;
+use winchvane::policy::quota::QuotaBounds;
 
 /// A replica in zone `a` that is alone in its group, at the time `now_ms`.
 pub fn alone(address: SocketAddr, timing: Timing, now_ms: u64) -> Replica {
@@ -35,6 +36,7 @@
         ledger: LedgerLimits::default(),
         store: StoreBudget { loads_per_s: 1.0, concurrent_loads: 1, load_timeout_ms: 1_000 },
         placement: PlacementSettings::default(),
+        quota: QuotaBounds::default(),
         founding_wait_ms: 0,
     };
     Replica::new(raft, state, settings, Metrics::local())
--- a/tests/distribution.rs
+++ b/tests/distribution.rs
@@ -180,7 +180,7 @@
     zone.welcome(1, "g1");
     zone.advance(200);
     let sent_before = zone.told_leader();
-    zone.distributor.up(1, SessionUp::Renew { sent_at_ms: 77, summaries: Vec::new() });
+    zone.distributor.up(0, 1, SessionUp::Renew { sent_at_ms: 77, summaries: Vec::new() });
     for up in sent_before {
         let SessionUp::RenewFor { number, .. } = up else { continue };
         zone.down(SessionDown::RenewedFor { number });
@@ -195,7 +195,7 @@
 fn a_former_leader_confirms_nothing_after_the_next_one_is_linked() {
     let mut zone = Zone::linked();
     zone.welcome(1, "g1");
-    zone.distributor.up(1, SessionUp::Renew { sent_at_ms: 78, summaries: Vec::new() });
+    zone.distributor.up(0, 1, SessionUp::Renew { sent_at_ms: 78, summaries: Vec::new() });
     zone.advance(GATHERED_MS);
     let before = zone.told_leader();
     zone.distributor.unlinked(zone.now_ms);
@@ -213,7 +213,7 @@
     zone.welcome(1, "g1");
     zone.distributor.unlinked(zone.now_ms);
     zone.advance(UNLINKED_MAX_MS - 100);
-    zone.distributor.up(1, SessionUp::Renew { sent_at_ms: 79, summaries: Vec::new() });
+    zone.distributor.up(0, 1, SessionUp::Renew { sent_at_ms: 79, summaries: Vec::new() });
     assert!(zone.told(1).is_empty(), "nobody leads");
     zone.link();
     zone.advance(GATHERED_MS);
@@ -345,14 +345,14 @@
     zone.told_leader();
     let need =
         AdapterNeed { service: "quotes".into(), weights: weights("a9"), requests: 1, more: false };
-    zone.distributor.up(1, SessionUp::Needs(vec![need]));
+    zone.distributor.up(0, 1, SessionUp::Needs(vec![need]));
     let result = OrderResult {
         number: 3,
         endpoint: "e1".into(),
         kind: OrderKind::Report,
         outcome: OrderOutcome::Refused,
     };
-    zone.distributor.up(1, SessionUp::Ordered(result));
+    zone.distributor.up(0, 1, SessionUp::Ordered(result));
     let mut kinds = Vec::new();
     for up in zone.told_leader() {
         let SessionUp::Forwarded(forwarded) = up else { panic!("{up:?}") };
@@ -371,7 +371,7 @@
     zone.distributor.unlinked(zone.now_ms);
     let need =
         AdapterNeed { service: "quotes".into(), weights: weights("a9"), requests: 1, more: false };
-    zone.distributor.up(1, SessionUp::Needs(vec![need]));
+    zone.distributor.up(0, 1, SessionUp::Needs(vec![need]));
     zone.advance(200);
     zone.link();
     zone.advance(200);
@@ -393,8 +393,8 @@
     zone.advance(200);
     zone.told_leader();
     let traffic = |loads| SessionUp::Traffic { loads, used: Vec::new(), failing: Vec::new() };
-    zone.distributor.up(1, traffic(vec![running("e1", 3)]));
-    zone.distributor.up(2, traffic(vec![running("e1", 4)]));
+    zone.distributor.up(0, 1, traffic(vec![running("e1", 3)]));
+    zone.distributor.up(0, 2, traffic(vec![running("e1", 4)]));
     zone.down(SessionDown::Loads(vec![running("e1", 10), running("e2", 2)]));
     zone.advance(200);
     let mut summed = Vec::new();
@@ -434,7 +434,7 @@
             under_way: 1,
         }];
         let up = SessionUp::Traffic { loads: Vec::new(), used, failing: Vec::new() };
-        zone.distributor.up(id, up);
+        zone.distributor.up(0, id, up);
     }
     assert!(zone.told_leader().is_empty());
     zone.advance(200);
@@ -576,7 +576,7 @@
         SessionUp::AskForTrial(held().key),
     ] {
         let kind = up.kind();
-        zone.distributor.up(1, up);
+        zone.distributor.up(0, 1, up);
         let told = zone.told_leader();
         let [SessionUp::Forwarded(forwarded)] = &told[..] else { panic!("{told:?}") };
         assert_eq!((&*forwarded[0].gateway, forwarded[0].up.kind()), ("g1", kind));
--- a/tests/distribution_random.rs
+++ b/tests/distribution_random.rs
@@ -262,7 +262,7 @@
         self.now_ms += 1;
         let Some(id) = self.any_gateway() else { return };
         let up = SessionUp::Renew { sent_at_ms: self.now_ms, summaries: Vec::new() };
-        self.distributor.up(id, up);
+        self.distributor.up(0, id, up);
         let gateway = self.gateways.get_mut(&id).expect("it is there");
         gateway.renewed_at_ms.insert(self.now_ms);
     }
--- a/tests/fuzz_documents.rs
+++ b/tests/fuzz_documents.rs
@@ -262,11 +262,18 @@
                 Target { service: "s".into(), weight: u32::MAX },
                 Target { service: "s".into(), weight: u32::MAX },
             ],
+            is_public: false,
         });
     }
     let service = ServiceSpec { name: "s".into(), connections_max: 1, engine: None };
     let limits = RequestLimits::default();
-    RoutingConfiguration { version: 1, routes: written, services: vec![service], limits }
+    RoutingConfiguration {
+        version: 1,
+        routes: written,
+        services: vec![service],
+        limits,
+        workspaces: Vec::new(),
+    }
 }
 
 #[test]
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -24,6 +24,7 @@
         priority: 0,
         attempts: 1,
         targets: shares,
+        is_public: false,
     }
 }
 
@@ -32,7 +33,13 @@
     for name in ["parts", "stock"] {
         services.push(ServiceSpec { name: name.into(), connections_max: 10, engine: None });
     }
-    RoutingConfiguration { version: 3, routes, services, limits: RequestLimits::default() }
+    RoutingConfiguration {
+        version: 3,
+        routes,
+        services,
+        limits: RequestLimits::default(),
+        workspaces: Vec::new(),
+    }
 }
 
 fn name_found(table: &RouteTable, host: &str, path: &str) -> Option<Arc<str>> {
