soak: clients with keys: one that holds, one that changes with each configuration, a greedy workspace

Cause: keys, revocation and quotas were not among what the soak checks beside its faults. Change: three workspaces on a route of their own; endpoints check that no key and no other name of a workspace comes, that nothing runs that was sent more than 3 s after its key was taken away, and the greedy workspace's runs in each window; a client whose key always stands may never get 401.

--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -17,6 +17,7 @@
 
 use crate::endpoint::{EVENTS, FORGED};
 use crate::engine::{ADAPTERS_MAX, BASE, CRASHING, SERVICE, SLOTS};
+use crate::keyed;
 use crate::record::{End, Kind, Record};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -149,6 +150,39 @@
     (id, end)
 }
 
+/// Sends one request with `key` on a connection of its own; its id, which `note` is told before, and how it ended.
+pub async fn ask_keyed(
+    address: SocketAddr,
+    path: &str,
+    key: &str,
+    record: &Record,
+    note: impl FnOnce(&str),
+) -> (String, End) {
+    let id = format!("r{}", NEXT.fetch_add(1, Ordering::SeqCst));
+    record.sent(&id, Kind::Keyed);
+    note(&id);
+    let Some(mut open) = connect(address).await else {
+        return (id, End::Unknown("no connection".to_owned()));
+    };
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(path)
+        .header("host", HOST)
+        .header("request-id", &id)
+        .header("deadline-ms", DEADLINE_MS)
+        .header("authorization", format!("Bearer {key}"))
+        .header("tenant", FORGED)
+        .body(Full::new(Bytes::new()))
+        .expect("the parts are valid");
+    let limit = Duration::from_millis(DEADLINE_MS + 500);
+    let end = match timeout(limit, answer_to(&mut open, request, &id, Kind::Keyed, record)).await {
+        Ok(end) => end,
+        Err(_) => End::Unknown("no answer within the deadline".to_owned()),
+    };
+    record.ended(&id, end.clone());
+    (id, end)
+}
+
 async fn work(gateways: Vec<SocketAddr>, client: u32, record: Arc<Record>) {
     work_on(vec![Kind::Once, Kind::Any, Kind::Stream], gateways, client, record).await;
 }
@@ -217,6 +251,7 @@
         Kind::Any => (Method::GET, "/any/x"),
         Kind::Stream => (Method::POST, "/stream/x"),
         Kind::Adapter => (Method::POST, "/engine/x"),
+        Kind::Keyed => (Method::POST, "/keyed/x"),
     };
     let mut request = Request::builder()
         .method(method)
@@ -239,6 +274,17 @@
         request = request.header("x-stream", "1");
     }
     let request = request.body(Full::new(body)).expect("the parts are valid");
+    answer_to(open, request, id, kind, record).await
+}
+
+/// How a request ends.
+async fn answer_to(
+    open: &mut SendRequest<Full<Bytes>>,
+    request: Request<Full<Bytes>>,
+    id: &str,
+    kind: Kind,
+    record: &Record,
+) -> End {
     let response = match open.send_request(request).await {
         Ok(response) => response,
         Err(error) => return End::Unknown(error.to_string()),
@@ -260,7 +306,7 @@
         };
     }
     let expected = match kind {
-        Kind::Once | Kind::Any => format!("done {id}"),
+        Kind::Once | Kind::Any | Kind::Keyed => format!("done {id}"),
         Kind::Stream | Kind::Adapter => events(id),
     };
     if !stamped || body != expected.as_bytes() {
@@ -288,9 +334,11 @@
         json!({
             "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind,
             "timeout_ms": 3_000, "target_latency_ms": 500, "priority": 0, "service": "plain",
-            "retry_attempts": 3, "resumable": resumable, "gap_aim_ms": 400,
+            "retry_attempts": 3, "resumable": resumable, "gap_aim_ms": 400, "public": true,
         })
     };
+    let mut for_keys = route(keyed::ROUTE, "unsafe", false);
+    for_keys["public"] = json!(false);
     let mut for_adapters = route("engine", "streaming", true);
     for_adapters["service"] = json!(SERVICE);
     for_adapters["timeout_ms"] = json!(12_000);
@@ -304,8 +352,9 @@
         "version": version,
         "routes": [
             route("once", "unsafe", false), route("any", "safe", false),
-            route("stream", "streaming", true), for_adapters,
+            route("stream", "streaming", true), for_adapters, for_keys,
         ],
+        "tenants": keyed::workspaces(version),
         "services": [
             {"name": "plain", "health_path": "/health", "max_connections": 200},
             {"name": SERVICE, "health_path": "/health", "max_connections": 200, "engine": engine},
@@ -342,6 +391,7 @@
     let taken = matches!(answered, Some((StatusCode::OK, _)));
     if taken {
         record.acknowledged(version);
+        record.keys.acknowledged(version);
     }
     taken
 }
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -146,6 +146,9 @@
             return whole(StatusCode::BAD_REQUEST, &id, String::new());
         }
         look_for_headers(&self.record, &id, &headers);
+        if let Some(breach) = self.record.keys.run(&id, &headers) {
+            self.record.breach(breach);
+        }
         let run = self.record.run(&id);
         tokio::time::sleep(WORK).await;
         if text(&headers, "x-stream").is_empty() {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod endpoint;
 pub mod engine;
 pub mod faults;
+pub mod keyed;
 pub mod proxy;
 pub mod record;
 pub mod region;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -15,7 +15,7 @@
 use winchvane_soak::faults::Mix;
 use winchvane_soak::record::Record;
 use winchvane_soak::region::{Region, Size};
-use winchvane_soak::{abusive, client, faults};
+use winchvane_soak::{abusive, client, faults, keyed};
 
 /// How long after the last fault everything must be served again; the users allow 12 s.
 const RECOVERY: Duration = Duration::from_secs(12);
@@ -61,6 +61,9 @@
     /// Clients that send a request which ends each engine that begins it, as long as faults come.
     #[arg(long, default_value_t = 0)]
     crashing_clients: u32,
+    /// Clients with keys, of each of three workspaces.
+    #[arg(long, default_value_t = 1)]
+    keyed_clients: u32,
     /// The second number of the loopback addresses; runs in different blocks go on side by side.
     #[arg(long, default_value_t = 77)]
     block: u8,
@@ -118,6 +121,7 @@
     let for_adapters = arguments.adapter_clients;
     clients.extend(client::start_for_adapters(gateways.clone(), for_adapters, record.clone()));
     clients.extend(abusive::start(&gateways, arguments.abusive_clients, seed, &record));
+    clients.extend(keyed::start(&gateways, arguments.keyed_clients, &record));
     let crashing = client::start_crashing(&gateways, arguments.crashing_clients, &record);
     let operator = client::start_operator(region.control_addresses(), record.clone());
     let until = Instant::now() + Duration::from_secs_f64(arguments.seconds);
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -4,6 +4,8 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use crate::keyed::KeyRecord;
+
 /// How long after an acknowledgement a read may still wait for it to be in force.
 const READ_SLACK: Duration = Duration::from_secs(2);
 /// The share of requests that must be answered well once faults are over.
@@ -25,6 +27,8 @@
     Stream,
     /// The same from an adapter of an engine.
     Adapter,
+    /// One that carries a key, and may run once.
+    Keyed,
 }
 
 /// How a request ended at its client.
@@ -74,7 +78,11 @@
 
 /// Everything seen in one run.
 #[derive(Default)]
-pub struct Record(Mutex<Inner>);
+pub struct Record {
+    inner: Mutex<Inner>,
+    /// Requests with keys.
+    pub keys: KeyRecord,
+}
 
 impl Record {
     /// Nothing seen yet.
@@ -83,7 +91,7 @@
     }
 
     fn inner(&self) -> MutexGuard<'_, Inner> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// A client is about to send a request.
@@ -102,7 +110,7 @@
         };
         seen.runs += 1;
         let (runs, kind, end) = (seen.runs, seen.kind, seen.end.clone());
-        if kind == Kind::Once && runs > 1 {
+        if matches!(kind, Kind::Once | Kind::Keyed) && runs > 1 {
             inner.breaches.push(format!("request {id} may run once and ran {runs} times"));
         }
         if let Some(End::NotRun(status)) = end {
@@ -223,7 +231,7 @@
         seen.end = Some(end.clone());
         let (runs, kind) = (seen.runs, seen.kind);
         if let End::NotRun(status) = end
-            && kind == Kind::Once
+            && matches!(kind, Kind::Once | Kind::Keyed)
             && runs > 0
         {
             inner.breaches.push(format!("request {id} got {status} although it ran"));
@@ -310,7 +318,8 @@
         breaches.extend_from_slice(exits);
         let (mut calm, mut served) = (0_u32, 0_u32);
         for seen in inner.requests.values() {
-            if !seen.calm || seen.end.is_none() {
+            // Those with keys that were taken away, or beyond their quota, are refused in calm times too.
+            if !seen.calm || seen.end.is_none() || seen.kind == Kind::Keyed {
                 continue;
             }
             calm += 1;
--- a/soak/src/region.rs
+++ b/soak/src/region.rs
@@ -15,6 +15,7 @@
 use crate::client;
 use crate::endpoint::Endpoint;
 use crate::engine::Engine;
+use crate::keyed;
 use crate::proxy::{Mode, Proxy};
 use crate::record::Record;
 
@@ -140,6 +141,7 @@
             "name: {name}\nzone: zone-1\nregion: soak\nlisten_peers: {}\nadvertise_peers: {}\n\
              listen_admin: {}\nlisten_api: {}\ndata_folder: {}\nlog_level: info\n\
              seeds:\n  found: FOUND\n  failures: 2\n  peer_port: {PEER_PORT}\n  addresses: {}\n\
+             quota:\n  window_ms: {}\n  overrun: {}\n  slack: {}\n\
              store:\n  loads_per_s: 1\n  concurrent_loads: 1\n",
             self.size.at(1, number, PEER_PORT),
             self.size.at(2, number, PEER_PORT),
@@ -147,6 +149,9 @@
             self.size.at(2, number, API_PORT),
             data.display(),
             self.size.seeds(),
+            keyed::QUOTA_WINDOW_MS,
+            keyed::QUOTA_OVERRUN,
+            keyed::QUOTA_SLACK,
         );
         self.add(programs, "winchvane-platform-control", name, Some(data), &text)
     }
@@ -156,11 +161,12 @@
         let text = format!(
             "name: {name}\nzone: zone-1\nlisten_clients: {}\nlisten_ready: {}\nlisten_admin: {}\n\
              seeds:\n  peer_port: {PEER_PORT}\n  addresses: {}\n\
-             retry:\n  ratio: 0.2\n  slack: 50\n  window_ms: 10000\n",
+             retry:\n  ratio: 0.2\n  slack: 50\n  window_ms: 10000\nrevoked_within_ms: {}\n",
             self.size.at(3, number, CLIENT_PORT),
             self.size.at(3, number, READY_PORT),
             self.size.at(3, number, ADMIN_PORT),
             self.size.seeds(),
+            keyed::REVOKED_WITHIN_MS,
         );
         self.add(programs, "winchvane-platform-gateway", name, None, &text)
     }
