--- a/src/explain/losses.rs
+++ b/src/explain/losses.rs
@@ -16,7 +16,7 @@
 pub enum Loss {
     /// Its answer began after its objective.
     Late,
-    /// It did not run: 503.
+    /// It did not run: 503, 429, or 401 for its key.
     Refused,
     /// It may have run: 502 or 504.
     Failed,
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -320,7 +320,7 @@
     fn step(&mut self) {
         self.now_ms += STEP_MS;
         self.deliver();
-        if self.now_ms % LEADER_TICK_MS == 0 {
+        if self.now_ms.is_multiple_of(LEADER_TICK_MS) {
             self.answer_waiting();
         }
         for number in 0..self.gateways.len() {
