mutations: the bound on what is out is taken out whole

Cause: taking out one of its two places was not noticed (MISSED): what holders would like to hold is scaled to the same bound. Change: the mutation takes out both.

--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -125,7 +125,7 @@
 mutate "ends that others explain are no chance" $crashes 's/if !is_this && self\.is_explained_without\(key, other\) \{/if false {/' --test crashes by_turns
 mutate "what has just failed is tried last" src/following.rs 's/failed_at\.is_none_or\(/true || failed_at.is_none_or(/' --test server_search
 pool=src/policy/quota/pool.rs
-mutate "what is out is bounded" $pool 's/wanted\.min\(spare\)\.min\(in_advance_max - self\.holders\.held\(\) as f64\)/wanted.min(spare)/' --test quota
+mutate "what is out is bounded" $pool 's/let scale = [^;]*;/let scale = 1.0;/; s/\.min\(in_advance_max - self\.holders\.held\(\) as f64\)//' --test quota
 mutate "a new leader counts what another may have let out" $pool 's/pool\.level = pool\.shares\.first\.min\(pool\.shares\.burst\);/pool.level = pool.shares.burst;/' --test quota
 mutate "credit lapses" src/policy/quota/credits.rs 's/if now_ms >= self\.valid_until_ms \{/if false {/' --test quota
 mutate "keys are let in for a while only" src/relay/shared.rs 's/\(confirmed_at_ms \+ lease_ms\)\.saturating_sub\(now_ms\)/1/' -p winchvane-platform --test keys
