tests: leaders in a row, what is held in advance, credit that lapses; the first is known red without slack

Cause: three rules of the pools could be taken out unnoticed; a directed test of each was missing. That of leaders in a row shows a real fault: each new leader may grant half a burst at once and knows nothing of takeovers before it; six within 9 s and no slack above the quota give 522,900 units in a window of 495,000 allowed. With the platform's slack the same six elections hold. Measured: without its rule each of the three fails (caught).

--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -567,3 +567,76 @@
     let answered = (1_010..2_010).step_by(20).any(|now_ms| !pools.advance(now_ms).is_empty());
     assert!(answered, "it is answered within a second");
 }
+
+impl Region {
+    /// Lets so many milliseconds pass, with `demand` times the quota asked for at all gateways.
+    fn pass(&mut self, ms: u64, demand: f64, rng: &mut SmallRng) {
+        let mut due = 0.0;
+        for _ in 0..ms / STEP_MS {
+            self.step();
+            due += RATE_PER_S * demand * STEP_MS as f64 / 1_000.0;
+            while due > 0.0 {
+                let number = rng.random_range(0..self.gateways.len());
+                self.request(number, COST);
+                due -= COST as f64;
+            }
+        }
+    }
+
+    fn link_all(&mut self) {
+        for number in 0..self.distributors.len() {
+            self.link_distributor(number);
+        }
+        for number in 0..self.gateways.len() {
+            self.link_gateway(number);
+        }
+    }
+}
+
+/// What all gateways hold in advance, used up at once on top of a full pool.
+#[test]
+fn what_is_held_in_advance_fits_what_is_allowed() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut region = Region::with_bounds(60, TIGHT);
+    region.pass(8_000, 0.9, &mut rng);
+    region.pass(2_000, 0.0, &mut rng);
+    region.pass(10_000, 6.0, &mut rng);
+    let (most, allowed) = (region.most_in_window(), allowed(TIGHT));
+    assert!(most as f64 <= allowed, "{most} of {allowed} in a window");
+}
+
+/// One leader after the other, each of which knows nothing of what the former one granted.
+#[yare::parameterized(
+    as_on_the_platform = { BOUNDS },
+    tight = { TIGHT },
+)]
+fn leaders_in_a_row_grant_no_burst_each(bounds: QuotaBounds) {
+    let mut rng = SmallRng::seed_from_u64(2);
+    let mut region = Region::with_bounds(9, bounds);
+    for _ in 0..6 {
+        region.pass(1_500, 6.0, &mut rng);
+        region.depose();
+        region.pass(50, 6.0, &mut rng);
+        region.elect();
+        region.link_all();
+    }
+    let (most, allowed) = (region.most_in_window(), allowed(bounds));
+    assert!(most as f64 <= allowed, "{most} of {allowed} in a window");
+}
+
+#[test]
+fn credit_of_a_gateway_that_is_cut_off_lapses() {
+    let mut rng = SmallRng::seed_from_u64(3);
+    let mut region = Region::new(9);
+    region.pass(4_000, 0.5, &mut rng);
+    for number in 0..9 {
+        region.cut_gateway(number);
+    }
+    let held = |region: &mut Region| {
+        let now_ms = region.now_ms;
+        region.gateways[0].credits.take(now_ms, &workspace(), 1) == Admission::Granted
+    };
+    assert!(held(&mut region), "it can go on for a while");
+    region.pass(5_500, 0.0, &mut rng);
+    assert!(!held(&mut region), "it has lapsed");
+}
