replica: answers about credit stand in a file of their own

Change: the two functions moved to replica/credit.rs; no behaviour. Linter of the library; tests quota (but for the case that is known red), distribution, links, and the platform's keys and programs pass.

--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -4,6 +4,7 @@
 //! stored or sent to peers is handed to the actor in [`crate::control::server`].
 
 mod applying;
+mod credit;
 mod incarnations;
 mod registration;
 mod sessions;
--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -20,7 +20,7 @@
 };
 use crate::policy::counts;
 use crate::policy::crashes::Crashes;
-use crate::policy::quota::{HolderGrant, Pools, QuotaBounds};
+use crate::policy::quota::{Pools, QuotaBounds};
 use crate::routing::RoutingConfiguration;
 
 /// How often new copies are recorded: a synced entry each time, and what is lost costs a load.
@@ -44,7 +44,7 @@
     pub(super) counts: Counts,
     pub(super) crashes: Crashes,
     /// Credit of workspaces.
-    credit: Pools,
+    pub(super) credit: Pools,
 }
 
 impl Registered {
@@ -356,15 +356,7 @@
                 let up = SessionUp::Traffic { loads: Vec::new(), used, failing };
                 self.gateway_message(now_ms, wall_ms, &from, up);
             }
-            SessionUp::CreditAsks(asks) => {
-                let mut grants = Vec::with_capacity(asks.len());
-                for ask in &asks {
-                    grants.extend(self.registered.credit.ask(now_ms, &from.gateway, ask));
-                }
-                if !grants.is_empty() {
-                    session.send(SessionDown::Credit(grants));
-                }
-            }
+            SessionUp::CreditAsks(asks) => self.answer_credit(now_ms, id, &from.gateway, &asks),
             SessionUp::Heartbeats(heartbeats) => {
                 for heartbeat in heartbeats {
                     self.take_heartbeat(now_ms, wall_ms, heartbeat, Waiter::Nobody);
@@ -405,16 +397,6 @@
         }
     }
 
-    /// Answers asks for credit that waited for it to come in.
-    pub(super) fn tell_credit(&mut self, now_ms: u64) {
-        for HolderGrant { holder, grant } in self.registered.credit.advance(now_ms) {
-            let mut sessions = self.sessions.values();
-            if let Some(session) = sessions.find(|session| session.hello.name == holder) {
-                session.send(SessionDown::Credit(vec![grant]));
-            }
-        }
-    }
-
     /// Tells followers what changed of placements, loads and the group.
     pub(super) fn tell_followers(&mut self, now_ms: u64) {
         self.tell_placed();
