soak: endpoints that name a limit get more than it

Cause: no code reads the limit that an endpoint names in its answers. Ruled out: that each gateway keeps the limit for itself (nothing falls), and that the excess is second sends (each arrival is a first send).

--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -10,6 +10,8 @@
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 use serde_json::{Value, json};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
@@ -38,6 +40,8 @@
 const FORGED_HEADERS: [&str; 6] =
     ["expect-instance", "expect-version", "request-priority", "hold", "pin-ms", "kv-resume"];
 const HOST: &str = "soak.example";
+/// Names the gateway that a client sent its request to; gateways pass it on like any other header.
+pub const SENT_TO: &str = "x-sent-to";
 
 /// The adapters that clients ask for.
 pub const ADAPTERS: [&str; 4] = ["a1", "a2", "a3", "a4"];
@@ -108,6 +112,50 @@
     started
 }
 
+/// Clients that send requests of a kind, each to a gateway drawn by lot.
+#[derive(Debug, Clone)]
+pub struct DrawingClients {
+    /// The kind of their requests.
+    pub kind: Kind,
+    /// Gateways; one that is named several times is drawn as much more often.
+    pub gateways: Vec<SocketAddr>,
+    /// How many clients.
+    pub clients: u32,
+    /// The pause after each answer.
+    pub pause: Duration,
+    /// Decides which gateways are drawn.
+    pub seed: u64,
+}
+
+impl DrawingClients {
+    /// Starts them; `note` is told of each try.
+    pub fn start(
+        &self,
+        record: &Arc<Record>,
+        note: &Arc<dyn Fn(Try) + Send + Sync>,
+    ) -> Vec<JoinHandle<()>> {
+        let mut started = Vec::new();
+        for client in 0..self.clients {
+            let (of, record, note) = (self.clone(), record.clone(), note.clone());
+            started.push(tokio::spawn(async move {
+                let mut rng = SmallRng::seed_from_u64(of.seed + u64::from(client));
+                loop {
+                    let sent_at = Instant::now();
+                    let address = of.gateways[rng.random_range(0..of.gateways.len())];
+                    let drawn = ADAPTERS[rng.random_range(0..ADAPTERS.len())];
+                    let adapter = (of.kind == Kind::Adapter).then_some(drawn);
+                    let (_, end) =
+                        ask_once(address, of.kind, adapter, Bytes::from_static(b"work"), &record)
+                            .await;
+                    note(Try { client, sent_at, end });
+                    tokio::time::sleep(of.pause).await;
+                }
+            }));
+        }
+        started
+    }
+}
+
 /// Starts clients that send the same request, which ends its engine, to one gateway after the other.
 pub fn start_crashing(
     gateways: &[SocketAddr],
@@ -134,14 +182,25 @@
     adapter: &str,
     body: impl Into<Bytes>,
     record: &Record,
+) -> (String, End) {
+    ask_once(address, Kind::Adapter, Some(adapter), body.into(), record).await
+}
+
+/// Sends one request of a `kind` on a connection of its own; its id, and how it ended.
+async fn ask_once(
+    address: SocketAddr,
+    kind: Kind,
+    adapter: Option<&str>,
+    body: Bytes,
+    record: &Record,
 ) -> (String, End) {
     let id = format!("r{}", NEXT.fetch_add(1, Ordering::SeqCst));
-    record.sent(&id, Kind::Adapter);
+    record.sent(&id, kind);
     let Some(mut open) = connect(address).await else {
         return (id, End::Unknown("no connection".to_owned()));
     };
-    let limit = Duration::from_millis(ENGINE_DEADLINE_MS + 500);
-    let asked = ask_with(&mut open, &id, Kind::Adapter, Some(adapter), body.into(), record);
+    let limit = Duration::from_millis(deadline_ms(kind) + 500);
+    let asked = ask_with(&mut open, address, &id, kind, adapter, body, record);
     let end = match timeout(limit, asked).await {
         Ok(end) => end,
         Err(_) => End::Unknown("no answer within the deadline".to_owned()),
@@ -189,12 +248,14 @@
 
 async fn work_on(kinds: Vec<Kind>, gateways: Vec<SocketAddr>, client: u32, record: Arc<Record>) {
     let mut turn = client as usize;
+    let mut gateway = 0;
     let mut connection: Option<SendRequest<Full<Bytes>>> = None;
     loop {
         let kind = kinds[turn % kinds.len()];
         if connection.as_ref().is_none_or(SendRequest::is_closed) {
             turn += 1;
-            connection = connect(gateways[turn % gateways.len()]).await;
+            gateway = turn % gateways.len();
+            connection = connect(gateways[gateway]).await;
         }
         let Some(open) = &mut connection else {
             tokio::time::sleep(PAUSE).await;
@@ -207,7 +268,8 @@
         let id = format!("r{}", NEXT.fetch_add(1, Ordering::SeqCst));
         record.sent(&id, kind);
         let limit = Duration::from_millis(deadline_ms(kind) + 500);
-        let end = match timeout(limit, ask(open, &id, kind, &record)).await {
+        let asked = ask(open, gateways[gateway], &id, kind, &record);
+        let end = match timeout(limit, asked).await {
             Ok(end) => end,
             Err(_) => End::Unknown("no answer within the deadline".to_owned()),
         };
@@ -232,14 +294,21 @@
     Some(sender)
 }
 
-async fn ask(open: &mut SendRequest<Full<Bytes>>, id: &str, kind: Kind, record: &Record) -> End {
+async fn ask(
+    open: &mut SendRequest<Full<Bytes>>,
+    gateway: SocketAddr,
+    id: &str,
+    kind: Kind,
+    record: &Record,
+) -> End {
     let adapter = (kind == Kind::Adapter).then(|| adapter(NEXT.fetch_add(1, Ordering::SeqCst)));
     let body = if kind == Kind::Any { Bytes::new() } else { Bytes::from_static(b"work") };
-    ask_with(open, id, kind, adapter.as_deref(), body, record).await
+    ask_with(open, gateway, id, kind, adapter.as_deref(), body, record).await
 }
 
 async fn ask_with(
     open: &mut SendRequest<Full<Bytes>>,
+    gateway: SocketAddr,
     id: &str,
     kind: Kind,
     adapter: Option<&str>,
@@ -258,6 +327,7 @@
         .uri(path)
         .header("host", HOST)
         .header("request-id", id)
+        .header(SENT_TO, gateway.to_string())
         .header("deadline-ms", deadline_ms(kind));
     if let Some(adapter) = adapter {
         request = request
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -20,6 +20,7 @@
 
 use crate::client::call_control;
 use crate::engine::unix_ms;
+use crate::need::Need;
 use crate::record::Record;
 
 /// Events of a stream.
@@ -44,6 +45,8 @@
     breaks: AtomicBool,
     stalls: watch::Sender<bool>,
     record: Arc<Record>,
+    /// What it asks callers for.
+    pub need: Need,
 }
 
 impl Endpoint {
@@ -61,6 +64,7 @@
             breaks,
             stalls: watch::Sender::new(false),
             record,
+            need: Need::new(),
         })
     }
 
@@ -136,6 +140,13 @@
     }
 
     async fn serve(&self, request: Request<Incoming>) -> Answer {
+        self.need.arrived(request.headers());
+        let mut answer = self.answer(request).await;
+        self.need.write(answer.headers_mut());
+        answer
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Answer {
         let headers = request.headers().clone();
         let id = text(&headers, "request-id");
         if text(&headers, "expect-instance") != self.id() {
--- a/soak/src/engine/mod.rs
+++ b/soak/src/engine/mod.rs
@@ -24,6 +24,7 @@
 
 use crate::client::call_control;
 use crate::endpoint::{Answer, EVENTS, head, look_for_headers, text, whole};
+use crate::need::Need;
 use crate::record::Record;
 
 /// The service that engines serve.
@@ -55,6 +56,8 @@
     ends_silently: AtomicBool,
     event_pause_ms: AtomicU64,
     waiting: AtomicUsize,
+    /// What it asks callers for.
+    pub need: Need,
 }
 
 /// A request that was read and has not begun, until this is dropped.
@@ -122,6 +125,7 @@
             ends_silently: AtomicBool::new(false),
             event_pause_ms: AtomicU64::new(EVENT_PAUSE.as_millis() as u64),
             waiting: AtomicUsize::new(0),
+            need: Need::new(),
         })
     }
 
@@ -257,6 +261,13 @@
     }
 
     async fn serve(self: Arc<Self>, life: &Arc<Life>, request: Request<Incoming>) -> Answer {
+        let engine = self.clone();
+        let mut answer = self.answer(life, request).await;
+        engine.need.write(answer.headers_mut());
+        answer
+    }
+
+    async fn answer(self: Arc<Self>, life: &Arc<Life>, request: Request<Incoming>) -> Answer {
         let (head, body) = request.into_parts();
         let id = text(&head.headers, "request-id");
         let Ok(body) = body.collect().await else {
@@ -276,7 +287,10 @@
                 let report = lock(&life.weights).report(unix_ms(), life.born_ms);
                 whole(StatusCode::OK, &id, report.to_string())
             }
-            _ => self.run(life, &id, &head.headers, &body.to_bytes()).await,
+            _ => {
+                self.need.arrived(&head.headers);
+                self.run(life, &id, &head.headers, &body.to_bytes()).await
+            }
         }
     }
 
