relay: gateways jointly enforce the rate limits of endpoints

Cause: an overloaded endpoint states in its answers how many requests per second it accepts from all gateways together. No code read this, so each gateway continued as before and endpoints received more requests than they had asked for.

Ruled out: second sends (all 251 answers of the two engines that the gateways logged belonged to first sends), and gateways that each enforce the limit on their own (the request rate did not drop).

Change: - Each gateway stores the limit from an answer, error or refusal for that incarnation of the endpoint. - Gateways report their demand for the endpoint, in requests per minute, with the counts of requests under way. Each uses a share of the limit in proportion to its own demand as the others know it, or an equal share while it is out of touch with control. - First and further sends both skip an endpoint whose share is used up. A request is refused immediately, with the time until the next one may be accepted, only if no other endpoint can take it. An adapter whose only homes are limited is requested elsewhere. - A limit ends with the first answer without a limit to a later request. Values that are not numbers are ignored, and limits below 0.1 requests per second are raised to 0.1. - Endpoint selection moves to src/relay/pick.rs. RecentMax holds the maximum over a window for both of its uses.

--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -40,7 +40,7 @@
 const FORGED_HEADERS: [&str; 6] =
     ["expect-instance", "expect-version", "request-priority", "hold", "pin-ms", "kv-resume"];
 const HOST: &str = "soak.example";
-/// Names the gateway that a client sent its request to; gateways pass it on like any other header.
+/// The header with the gateway to which a client sent its request; gateways forward it unchanged.
 pub const SENT_TO: &str = "x-sent-to";
 
 /// The adapters that clients ask for.
@@ -112,23 +112,23 @@
     started
 }
 
-/// Clients that send requests of a kind, each to a gateway drawn by lot.
+/// Clients that send each request of a kind to a randomly selected gateway.
 #[derive(Debug, Clone)]
-pub struct DrawingClients {
+pub struct RandomGatewayClients {
     /// The kind of their requests.
     pub kind: Kind,
-    /// Gateways; one that is named several times is drawn as much more often.
+    /// Gateways; duplicates increase the probability of selection.
     pub gateways: Vec<SocketAddr>,
-    /// How many clients.
+    /// The number of clients.
     pub clients: u32,
     /// The pause after each answer.
     pub pause: Duration,
-    /// Decides which gateways are drawn.
+    /// The seed of the random selection.
     pub seed: u64,
 }
 
-impl DrawingClients {
-    /// Starts them; `note` is told of each try.
+impl RandomGatewayClients {
+    /// Starts the clients; `note` is called with each try.
     pub fn start(
         &self,
         record: &Arc<Record>,
@@ -136,19 +136,24 @@
     ) -> Vec<JoinHandle<()>> {
         let mut started = Vec::new();
         for client in 0..self.clients {
-            let (of, record, note) = (self.clone(), record.clone(), note.clone());
+            let (config, record, note) = (self.clone(), record.clone(), note.clone());
             started.push(tokio::spawn(async move {
-                let mut rng = SmallRng::seed_from_u64(of.seed + u64::from(client));
+                let mut rng = SmallRng::seed_from_u64(config.seed + u64::from(client));
                 loop {
                     let sent_at = Instant::now();
-                    let address = of.gateways[rng.random_range(0..of.gateways.len())];
-                    let drawn = ADAPTERS[rng.random_range(0..ADAPTERS.len())];
-                    let adapter = (of.kind == Kind::Adapter).then_some(drawn);
-                    let (_, end) =
-                        ask_once(address, of.kind, adapter, Bytes::from_static(b"work"), &record)
-                            .await;
+                    let address = config.gateways[rng.random_range(0..config.gateways.len())];
+                    let random_adapter = ADAPTERS[rng.random_range(0..ADAPTERS.len())];
+                    let adapter = (config.kind == Kind::Adapter).then_some(random_adapter);
+                    let (_, end) = ask_once(
+                        address,
+                        config.kind,
+                        adapter,
+                        Bytes::from_static(b"work"),
+                        &record,
+                    )
+                    .await;
                     note(Try { client, sent_at, end });
-                    tokio::time::sleep(of.pause).await;
+                    tokio::time::sleep(config.pause).await;
                 }
             }));
         }
@@ -186,7 +191,7 @@
     ask_once(address, Kind::Adapter, Some(adapter), body.into(), record).await
 }
 
-/// Sends one request of a `kind` on a connection of its own; its id, and how it ended.
+/// Sends one request of a `kind` on a new connection; returns its id and how it ended.
 async fn ask_once(
     address: SocketAddr,
     kind: Kind,
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -20,7 +20,7 @@
 
 use crate::client::call_control;
 use crate::engine::unix_ms;
-use crate::need::Need;
+use crate::overload::Overload;
 use crate::record::Record;
 
 /// Events of a stream.
@@ -45,8 +45,8 @@
     breaks: AtomicBool,
     stalls: watch::Sender<bool>,
     record: Arc<Record>,
-    /// What it asks callers for.
-    pub need: Need,
+    /// Its overload signal and received requests.
+    pub overload: Overload,
 }
 
 impl Endpoint {
@@ -64,7 +64,7 @@
             breaks,
             stalls: watch::Sender::new(false),
             record,
-            need: Need::new(),
+            overload: Overload::new(),
         })
     }
 
@@ -140,9 +140,9 @@
     }
 
     async fn serve(&self, request: Request<Incoming>) -> Answer {
-        self.need.arrived(request.headers());
+        self.overload.record_arrival(request.headers());
         let mut answer = self.answer(request).await;
-        self.need.write(answer.headers_mut());
+        self.overload.write_headers(answer.headers_mut());
         answer
     }
 
--- a/soak/src/engine/mod.rs
+++ b/soak/src/engine/mod.rs
@@ -24,7 +24,7 @@
 
 use crate::client::call_control;
 use crate::endpoint::{Answer, EVENTS, head, look_for_headers, text, whole};
-use crate::need::Need;
+use crate::overload::Overload;
 use crate::record::Record;
 
 /// The service that engines serve.
@@ -56,8 +56,8 @@
     ends_silently: AtomicBool,
     event_pause_ms: AtomicU64,
     waiting: AtomicUsize,
-    /// What it asks callers for.
-    pub need: Need,
+    /// Its overload signal and received requests.
+    pub overload: Overload,
 }
 
 /// A request that was read and has not begun, until this is dropped.
@@ -125,7 +125,7 @@
             ends_silently: AtomicBool::new(false),
             event_pause_ms: AtomicU64::new(EVENT_PAUSE.as_millis() as u64),
             waiting: AtomicUsize::new(0),
-            need: Need::new(),
+            overload: Overload::new(),
         })
     }
 
@@ -263,7 +263,7 @@
     async fn serve(self: Arc<Self>, life: &Arc<Life>, request: Request<Incoming>) -> Answer {
         let engine = self.clone();
         let mut answer = self.answer(life, request).await;
-        engine.need.write(answer.headers_mut());
+        engine.overload.write_headers(answer.headers_mut());
         answer
     }
 
@@ -288,7 +288,7 @@
                 whole(StatusCode::OK, &id, report.to_string())
             }
             _ => {
-                self.need.arrived(&head.headers);
+                self.overload.record_arrival(&head.headers);
                 self.run(life, &id, &head.headers, &body.to_bytes()).await
             }
         }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -7,7 +7,7 @@
 pub mod engine;
 pub mod faults;
 pub mod keyed;
-pub mod need;
+pub mod overload;
 pub mod proxy;
 pub mod record;
 pub mod region;
--- a/soak/src/need.rs
+++ b/soak/src/overload.rs
@@ -1,4 +1,5 @@
-//! Endpoints that ask callers for fewer requests: what their answers say, and what reaches them meanwhile.
+//! Simulated overload: the signals that an endpoint adds to its answers, and the requests that it
+//! receives.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -8,37 +9,36 @@
 use crate::client::SENT_TO;
 use crate::endpoint::text;
 
-/// What all answers of an endpoint say.
+/// A signal that an overloaded endpoint adds to all answers.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Statement {
-    /// It takes so many requests a second from all gateways together.
+pub enum Signal {
+    /// A rate limit for all gateways together, in requests per second.
     Limit(f64),
 }
 
-/// A request that reached an endpoint.
+/// A request received by an endpoint.
 #[derive(Debug, Clone)]
 pub struct Arrival {
-    /// When it came.
+    /// When it arrived.
     pub at: Instant,
-    /// The gateway that its client sent it to.
+    /// The gateway to which the client sent it.
     pub gateway: Arc<str>,
 }
 
 #[derive(Debug, Default)]
 struct State {
-    statement: Option<Statement>,
-    stated_at: Option<Instant>,
+    signal: Option<Signal>,
     arrivals: Vec<Arrival>,
 }
 
-/// What one endpoint asks for, and the requests that reached it.
+/// The overload signal of one endpoint and the requests that it received.
 #[derive(Debug, Default)]
-pub struct Need {
+pub struct Overload {
     state: Mutex<State>,
 }
 
-impl Need {
-    /// An endpoint that asks for nothing.
+impl Overload {
+    /// An endpoint without a signal.
     pub fn new() -> Self {
         Self::default()
     }
@@ -47,44 +47,42 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Makes all answers say `statement` from now on, or nothing.
-    pub fn state(&self, statement: Option<Statement>) {
-        let mut state = self.lock();
-        state.statement = statement;
-        state.stated_at = Some(Instant::now());
+    /// Adds `signal` to all answers from now on; `None` stops signaling.
+    pub fn set_signal(&self, signal: Option<Signal>) {
+        self.lock().signal = signal;
     }
 
-    /// Notes a request that has come.
-    pub fn arrived(&self, headers: &HeaderMap) {
+    /// Records a received request.
+    pub fn record_arrival(&self, headers: &HeaderMap) {
         let gateway = text(headers, SENT_TO).into();
         self.lock().arrivals.push(Arrival { at: Instant::now(), gateway });
     }
 
-    /// Adds what the endpoint says to the headers of an answer.
-    pub fn write(&self, headers: &mut HeaderMap) {
-        if let Some(Statement::Limit(per_s)) = self.lock().statement
+    /// Adds the signal to the headers of an answer.
+    pub fn write_headers(&self, headers: &mut HeaderMap) {
+        if let Some(Signal::Limit(per_s)) = self.lock().signal
             && let Ok(value) = HeaderValue::from_str(&per_s.to_string())
         {
             headers.insert("server-limit", value);
         }
     }
 
-    /// The requests that came from `from` on, in order.
+    /// The requests received since `from`, in order.
     pub fn arrivals_since(&self, from: Instant) -> Vec<Arrival> {
         let state = self.lock();
         state.arrivals.iter().filter(|arrival| arrival.at >= from).cloned().collect()
     }
 }
 
-/// The most arrivals within any `window`.
-pub fn most_within(arrivals: &[Arrival], window: Duration) -> usize {
-    let mut most = 0;
+/// The maximum number of arrivals within any `window`.
+pub fn max_arrivals_within(arrivals: &[Arrival], window: Duration) -> usize {
+    let mut max_arrivals = 0;
     let mut first = 0;
     for (last, arrival) in arrivals.iter().enumerate() {
         while arrival.at.duration_since(arrivals[first].at) >= window {
             first += 1;
         }
-        most = most.max(last + 1 - first);
+        max_arrivals = max_arrivals.max(last + 1 - first);
     }
-    most
+    max_arrivals
 }
--- a/src/message/registration.rs
+++ b/src/message/registration.rs
@@ -147,6 +147,8 @@
     pub waiting_ms: u32,
     /// The same of those that are late already; engines read them last.
     pub late_ms: u32,
+    /// The demand in requests per minute; reported while the endpoint advertises a rate limit.
+    pub demand_per_min: u32,
 }
 
 impl Load {
@@ -157,6 +159,7 @@
             running: self.running.saturating_add(other.running),
             waiting_ms: self.waiting_ms.saturating_add(other.waiting_ms),
             late_ms: self.late_ms.saturating_add(other.late_ms),
+            demand_per_min: self.demand_per_min.saturating_add(other.demand_per_min),
         }
     }
 
@@ -167,6 +170,7 @@
             running: self.running.saturating_sub(other.running),
             waiting_ms: self.waiting_ms.saturating_sub(other.waiting_ms),
             late_ms: self.late_ms.saturating_sub(other.late_ms),
+            demand_per_min: self.demand_per_min.saturating_sub(other.demand_per_min),
         }
     }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -58,6 +58,8 @@
     RequestsTakenBack => "requests.taken_back",
     /// Requests refused since endpoints ended under others like them.
     RequestsHeld => "requests.held",
+    /// Requests refused since the endpoints that could take them limit what they take.
+    RequestsLimited => "requests.limited",
     /// Requests refused since their keys let nobody in.
     RequestsUnauthorized => "requests.unauthorized",
     /// Requests refused since their workspaces asked for more than their quotas.
--- a/src/policy/counts.rs
+++ b/src/policy/counts.rs
@@ -15,11 +15,21 @@
 /// The same in requests; one in a batch of twelve slows the others by a few milliseconds.
 const RUNNING_STEP: u32 = 2;
 
+/// Changes in demand are reported when they exceed the larger value divided by this: a relative step
+/// keeps shares of an endpoint's limit equally precise at low and high rates.
+const DEMAND_STEP_DIVISOR: u32 = 16;
+
 /// True when a gateway that was `told` one count would choose otherwise if it knew it to be `now`.
 pub fn is_worth_telling(told: Load, now: Load) -> bool {
     told.running.abs_diff(now.running) >= RUNNING_STEP
         || told.waiting_ms.abs_diff(now.waiting_ms) >= READING_STEP_MS
         || told.late_ms.abs_diff(now.late_ms) >= READING_STEP_MS
+        || differs_in_demand(told, now)
+}
+
+fn differs_in_demand(told: Load, now: Load) -> bool {
+    let larger = told.demand_per_min.max(now.demand_per_min);
+    told.demand_per_min.abs_diff(now.demand_per_min) > larger / DEMAND_STEP_DIVISOR
 }
 
 /// The period in which counts are told while there are `gateways`.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,11 +5,13 @@
 
 pub mod counts;
 pub mod crashes;
+pub mod endpoint_limit;
 pub mod owner;
 pub mod popularity;
 pub mod queue;
 pub mod quota;
 pub mod rank;
+pub mod recent_max;
 pub mod retry;
 pub mod route;
 pub mod versions;
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -13,8 +13,8 @@
 
 use super::border::SendMeta;
 use super::exchange::Exchange;
-use super::fleet::Picked;
 use super::known::Wanted;
+use super::pick::Picked;
 use super::pool::{self, Connection, SendFailure};
 use super::refusal::NotSent;
 use super::shared::Relay;
@@ -129,7 +129,12 @@
             let weights = self.engine_weights();
             let service = &self.chosen.service.name;
             let wanted = weights.map(|weights| self.wanted(now_ms, weights));
-            let picked = self.relay.fleet().pick(now_ms, service, wanted.as_ref(), &self.tried);
+            let (wanted, tried) = (wanted.as_ref(), &self.tried);
+            let picked = if waited_for.is_empty() {
+                self.relay.fleet().pick(now_ms, service, wanted, tried)
+            } else {
+                self.relay.fleet().pick_again(now_ms, service, wanted, tried)
+            };
             let reason = match picked {
                 Picked::Endpoint {
                     id,
@@ -153,6 +158,7 @@
                 }
                 Picked::NoEndpoint => "no endpoint",
                 Picked::Full => "endpoints are full",
+                Picked::Limited { .. } => "endpoints limit what they take",
                 Picked::Coming => "weights are on their way",
                 Picked::NoHome => "weights are not loaded",
             };
@@ -173,10 +179,15 @@
             if now_ms >= self.ends_at_ms {
                 return Err(NotSent::Late);
             }
-            if now_ms >= until_ms {
-                return Err(NotSent::NoPlace(reason));
-            }
-            let wait = Duration::from_millis(until_ms - now_ms);
+            let wake_at_ms = match picked {
+                Picked::Limited { after_ms } if now_ms + after_ms >= until_ms => {
+                    return Err(NotSent::Limited { after_ms });
+                }
+                Picked::Limited { after_ms } => now_ms + after_ms,
+                _ if now_ms >= until_ms => return Err(NotSent::NoPlace(reason)),
+                _ => until_ms,
+            };
+            let wait = Duration::from_millis(wake_at_ms - now_ms);
             let _ = timeout(wait, changed).await;
         }
     }
@@ -245,6 +256,7 @@
             Ok(Ok(response)) => response,
         };
         let head = relay.border.read_answer(response.status(), response.headers());
+        relay.note_rate_limit(&send.endpoint, self.sent_at_ms, &head);
         if head.misdirected {
             if let Some(weights) = weights {
                 relay.fleet().not_held(&send.endpoint, weights, self.held_version);
--- a/src/relay/border.rs
+++ b/src/relay/border.rs
@@ -58,6 +58,18 @@
     pub workspace: Option<Arc<str>>,
 }
 
+/// The rate limit for all gateways together that an endpoint advertises in an answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum RateLimit {
+    /// No limit.
+    #[default]
+    None,
+    /// A limit in requests per second.
+    PerSecond(f64),
+    /// A value that is not a valid number.
+    Unreadable,
+}
+
 /// What an answer's head says.
 #[derive(Debug, Clone, Default)]
 pub struct AnswerMeta {
@@ -67,6 +79,8 @@
     pub misdirected: bool,
     /// The id of the request that is answered.
     pub request_id: Option<Arc<str>>,
+    /// The endpoint's rate limit.
+    pub rate_limit: RateLimit,
 }
 
 /// Reads and writes what a platform puts into headers.
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -383,8 +383,10 @@
         match failure {
             Failure::NotSent(reason) if !may_have_run => {
                 self.relay.metrics.count(Counter::RequestsRefused);
-                if let NotSent::Held { .. } = reason {
-                    self.relay.metrics.count(Counter::RequestsHeld);
+                match reason {
+                    NotSent::Held { .. } => self.relay.metrics.count(Counter::RequestsHeld),
+                    NotSent::Limited { .. } => self.relay.metrics.count(Counter::RequestsLimited),
+                    _ => {}
                 }
                 if let Some(used) = &self.used_credit {
                     used.give_back();
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -4,12 +4,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::{RngExt, SeedableRng};
 use tokio::sync::watch;
 
-use super::choice::{self, Candidate};
-use super::known::{Expected, Known, Wanted};
+use super::border::RateLimit;
+use super::known::{Known, Wanted};
+use super::limits::{EndpointLimits, LimitChange};
 use super::replaced::begin_within_ms;
 use super::uses::Uses;
 use super::waiting::{Prompt, ReadingPace, UnreadMs};
@@ -24,35 +25,31 @@
 const DOWN_MAX_MS: u64 = 5_000;
 /// Failures in a row after which an endpoint that can be reached is left alone for a while.
 const FAILURES_TO_DOWN: u32 = 3;
-/// Endpoints that are compared for a request, at least.
-const COMPARED_MIN: usize = 8;
-/// So few gateways compare all endpoints and take the cheapest; more of them compare a share.
-const ALL_COMPARED_BY: usize = 8;
 /// An endpoint that said it is full gets nothing for this long.
 const FULL_MS: u64 = 60;
 /// How long after a version was replaced requests may begin on it, unless settings say otherwise.
 const VERSION_WITHIN_MS: u64 = 5_000;
-/// How much longer a request may wait in the own zone and still go there: a link between zones takes
-/// a few milliseconds, and its bytes cost.
-const ZONE_PREFERENCE_MS: f64 = 15.0;
 
 /// Registered endpoints with what this gateway knows of their load and weights.
 #[derive(Debug)]
 pub struct Fleet {
-    zone: Arc<str>,
+    pub(super) zone: Arc<str>,
     pub(super) endpoints: HashMap<Arc<str>, Known>,
-    by_service: HashMap<Arc<str>, Vec<Arc<str>>>,
+    pub(super) by_service: HashMap<Arc<str>, Vec<Arc<str>>>,
     pub(super) homes: HashMap<WeightsName, BTreeMap<Arc<str>, Holding>>,
     pub(super) versions: Versions,
     /// For how long a request that was sent to a version may still begin on it once that is due.
     pub(super) begin_within_ms: u64,
     loads_changed: HashSet<Arc<str>>,
     uses: Uses,
-    failing: HashSet<Arc<str>>,
-    random: SmallRng,
-    gateways: usize,
-    pace: ReadingPace,
+    pub(super) failing: HashSet<Arc<str>>,
+    pub(super) random: SmallRng,
+    pub(super) gateways: usize,
+    pub(super) pace: ReadingPace,
     sends: u64,
+    pub(super) limits: EndpointLimits,
+    /// When each endpoint whose limit is used up was last reported as failing.
+    pub(super) limited_told_at_ms: HashMap<Arc<str>, u64>,
 }
 
 /// What goes through a gateway, as it tells the leader.
@@ -66,36 +63,6 @@
     pub failing: Vec<Arc<str>>,
 }
 
-/// Where a request may go.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Picked {
-    /// To this endpoint.
-    Endpoint {
-        /// Its incarnation.
-        id: Arc<str>,
-        /// Its name.
-        name: Arc<str>,
-        /// Its address.
-        address: SocketAddr,
-        /// The version that its weights must have, where that matters.
-        weights_version: Option<u64>,
-        /// The version that its weights are known to have.
-        held_version: Option<u64>,
-        /// The rank in its queue, where it has weights.
-        rank: Option<u8>,
-        /// What the request is expected to wait there.
-        expected_ms: u64,
-    },
-    /// The endpoints that could take it are full.
-    Full,
-    /// No endpoint holds its weights, but they are on their way to one.
-    Coming,
-    /// No endpoint holds its weights.
-    NoHome,
-    /// No endpoint of the service is known to be up.
-    NoEndpoint,
-}
-
 impl Fleet {
     /// No endpoints yet, for a gateway in `zone`; `seed` decides which endpoints are compared.
     pub fn new(zone: Arc<str>, seed: u64) -> Self {
@@ -113,12 +80,20 @@
             gateways: 1,
             pace: ReadingPace::new(),
             sends: 0,
+            limits: EndpointLimits::new(),
+            limited_told_at_ms: HashMap::new(),
         }
     }
 
     /// Notes how many gateways there are.
-    pub fn set_gateways(&mut self, gateways: u32) {
+    pub fn set_gateways(&mut self, now_ms: u64, gateways: u32) {
         self.gateways = gateways as usize;
+        self.limits.set_gateways(now_ms, gateways);
+    }
+
+    /// Notes that the leader confirmed what this gateway sent at `sent_at_ms`.
+    pub fn confirmed(&mut self, sent_at_ms: u64) {
+        self.limits.confirmed(sent_at_ms);
     }
 
     /// Takes a registration over.
@@ -135,6 +110,8 @@
     /// Forgets an endpoint that is gone; its address is returned.
     pub fn deregister(&mut self, id: &str) -> Option<SocketAddr> {
         let known = self.endpoints.remove(id)?;
+        self.limits.remove(id);
+        self.limited_told_at_ms.remove(id);
         if let Some(ids) = self.by_service.get_mut(&known.endpoint.service) {
             ids.retain(|known| &**known != id);
         }
@@ -183,8 +160,9 @@
     }
 
     /// Takes over what the other gateways have under way.
-    pub fn note_loads(&mut self, loads: Vec<EndpointLoad>) {
+    pub fn note_loads(&mut self, now_ms: u64, loads: Vec<EndpointLoad>) {
         for load in loads {
+            self.limits.set_others(now_ms, &load.endpoint, load.load.demand_per_min);
             if let Some(known) = self.endpoints.get_mut(&load.endpoint) {
                 known.others_running = load.load.running;
                 let Load { waiting_ms, late_ms, .. } = load.load;
@@ -195,102 +173,32 @@
     }
 
     /// Forgets what the other gateways have under way; without a leader nobody tells when it ends.
-    pub fn forget_loads(&mut self) {
+    pub fn forget_loads(&mut self, now_ms: u64) {
+        self.limits.forget_others(now_ms);
         for known in self.endpoints.values_mut() {
             known.others_running = 0;
             known.waiting.set_others(UnreadMs::default());
         }
     }
 
-    /// Picks an endpoint of `service`, one that holds the weights if a model is `wanted`.
-    ///
-    /// Those in `tried` come last: an endpoint that failed once may well serve the next request, and
-    /// where no other one holds the weights, it is the only one that can.
-    pub fn pick(
+    /// Applies the rate limit in the answer of endpoint `id` to a request sent at `sent_at_ms`.
+    pub fn note_limit(
         &mut self,
         now_ms: u64,
-        service: &str,
-        wanted: Option<&Wanted>,
-        tried: &[Arc<str>],
-    ) -> Picked {
-        let weights = wanted.map(|wanted| &wanted.weights);
-        let Some(ids) = self.by_service.get(service) else { return Picked::NoEndpoint };
-        let homes = weights.map(|name| self.homes.get(name));
-        let due = weights.map_or(0, |name| self.version_due(now_ms, name));
-        // Few endpoints hold an adapter, so that the others need not be looked at.
-        let ids: Vec<&Arc<str>> = match homes {
-            Some(homes) => homes.into_iter().flatten().map(|(id, _)| id).collect(),
-            None => ids.iter().collect(),
-        };
-        let mut candidates: Vec<Candidate<'_>> = Vec::new();
-        let mut best_tried: Option<Candidate<'_>> = None;
-        let compared_max = (ids.len() * ALL_COMPARED_BY / self.gateways.max(1)).max(COMPARED_MIN);
-        let start = self.random.random_range(0..ids.len().max(1));
-        let (mut up, mut holding, mut coming) = (0, 0, 0);
-        for step in 0..ids.len() {
-            // Starting elsewhere each time spreads requests among endpoints that are alike.
-            let id = ids[(step + start) % ids.len()];
-            let Some(known) = self.endpoints.get(id) else { continue };
-            if known.endpoint.leaving || &*known.endpoint.service != service {
-                continue;
-            }
-            up += 1;
-            if let Some(Some(homes)) = homes {
-                match homes.get(id) {
-                    Some(Holding::Ready(version)) if *version >= due => {}
-                    Some(Holding::Coming) => {
-                        coming += 1;
-                        continue;
-                    }
-                    _ => continue,
-                }
-            }
-            holding += 1;
-            if known.closed_until_ms > now_ms || known.is_full(weights.is_some()) {
-                continue;
-            }
-            let Expected { mut cost_ms, rank } = known.expect(now_ms, wanted, self.pace);
-            if known.endpoint.zone == self.zone {
-                cost_ms -= ZONE_PREFERENCE_MS;
-            }
-            let candidate = Candidate { cost_ms, rank, known };
-            if tried.contains(id) {
-                if best_tried.is_none_or(|best| cost_ms < best.cost_ms) {
-                    best_tried = Some(candidate);
-                }
-                continue;
-            }
-            candidates.push(candidate);
-            if candidates.len() == compared_max {
-                break;
-            }
+        id: &Arc<str>,
+        sent_at_ms: u64,
+        rate_limit: RateLimit,
+    ) -> Option<LimitChange> {
+        if rate_limit == RateLimit::None && self.limits.is_empty()
+            || !self.endpoints.contains_key(id)
+        {
+            return None;
         }
-        choice::prefer_common(&mut candidates, wanted, self.pace);
-        let draw: f64 = self.random.random();
-        let best = if self.gateways > ALL_COMPARED_BY {
-            choice::draw_cheap(&candidates, draw)
-        } else {
-            choice::cheapest(&candidates)
-        };
-        let chosen = best.or(best_tried);
-        let held =
-            chosen.and_then(|chosen| held_version(homes.flatten(), &chosen.known.endpoint.id));
-        match chosen {
-            Some(Candidate { known, rank, cost_ms }) => Picked::Endpoint {
-                id: known.endpoint.id.clone(),
-                name: known.endpoint.name.clone(),
-                address: known.endpoint.address,
-                // The endpoint refuses if it has another one than is known here.
-                weights_version: held.filter(|_| due > 0),
-                held_version: held,
-                rank,
-                expected_ms: cost_ms.max(0.0) as u64,
-            },
-            None if up == 0 && !self.has_endpoint(service) => Picked::NoEndpoint,
-            None if holding == 0 && coming > 0 => Picked::Coming,
-            None if holding == 0 => Picked::NoHome,
-            None => Picked::Full,
+        let change = self.limits.note(now_ms, id, sent_at_ms, rate_limit);
+        if change.is_some() {
+            self.loads_changed.insert(id.clone());
         }
+        change
     }
 
     /// True when `id` began no answer since `at_ms`.
@@ -298,12 +206,6 @@
         self.endpoints.get(id).is_none_or(|known| known.waiting.is_silent_since(at_ms))
     }
 
-    /// True when an endpoint of the service is up and stays.
-    fn has_endpoint(&self, service: &str) -> bool {
-        let Some(ids) = self.by_service.get(service) else { return false };
-        ids.iter().any(|id| self.endpoints.get(id).is_some_and(|known| !known.endpoint.leaving))
-    }
-
     /// Counts a request that is sent to `id`, late or not; returns its number.
     pub fn start(
         &mut self,
@@ -436,8 +338,11 @@
     /// What changed since the last call.
     pub fn take_traffic(&mut self, now_ms: u64) -> Traffic {
         let mut loads = Vec::new();
+        self.loads_changed.extend(self.limits.changed_demands(now_ms));
         for endpoint in self.loads_changed.drain() {
-            let load = self.endpoints.get(&endpoint).map(Known::load).unwrap_or_default();
+            let demand_per_min = self.limits.demand_per_min(&endpoint);
+            let known = self.endpoints.get(&endpoint);
+            let load = known.map(|known| known.load(demand_per_min)).unwrap_or_default();
             loads.push(EndpointLoad { endpoint, load });
         }
         let used = self.uses.take(now_ms);
@@ -454,7 +359,7 @@
     pub fn all_loads(&self) -> Vec<EndpointLoad> {
         let mut loads = Vec::new();
         for (id, known) in &self.endpoints {
-            let load = known.load();
+            let load = known.load(self.limits.demand_per_min(id));
             if load != Load::default() {
                 loads.push(EndpointLoad { endpoint: id.clone(), load });
             }
@@ -472,10 +377,3 @@
         self.endpoints.is_empty()
     }
 }
-
-fn held_version(homes: Option<&BTreeMap<Arc<str>, Holding>>, id: &str) -> Option<u64> {
-    match homes?.get(id) {
-        Some(Holding::Ready(version)) => Some(*version),
-        _ => None,
-    }
-}
--- a/src/relay/gateway_count.rs
+++ b/src/relay/gateway_count.rs
@@ -12,7 +12,7 @@
 //! outlasts that. A gateway that moves between servers may be counted twice for a moment, which
 //! only makes shares smaller.
 
-use std::collections::VecDeque;
+use crate::policy::recent_max::RecentMax;
 
 /// Stands for so many gateways that a share is nothing.
 pub const NO_SHARE: u32 = u32::MAX;
@@ -21,9 +21,7 @@
 #[derive(Debug)]
 pub struct GatewayCount {
     window_ms: u64,
-    told: Option<u32>,
-    /// Larger numbers that were told before, the largest first, and when each was replaced.
-    earlier: VecDeque<(u64, u32)>,
+    told: RecentMax,
     /// When the first and the latest renewal were sent that the leader confirmed, without a window
     /// between two of them in which it confirmed none.
     in_touch_ms: Option<(u64, u64)>,
@@ -32,17 +30,12 @@
 impl GatewayCount {
     /// No number was told; those of the last `window_ms` will count.
     pub fn new(window_ms: u64) -> Self {
-        Self { window_ms, told: None, earlier: VecDeque::new(), in_touch_ms: None }
+        Self { window_ms, told: RecentMax::new(window_ms), in_touch_ms: None }
     }
 
     /// Takes in the number of gateways that are connected now.
     pub fn told(&mut self, now_ms: u64, gateways: u32) {
-        if let Some(before) = self.told.replace(gateways) {
-            self.earlier.push_back((now_ms, before));
-        }
-        while self.earlier.back().is_some_and(|(_, before)| *before <= gateways) {
-            self.earlier.pop_back();
-        }
+        self.told.set(now_ms, gateways);
     }
 
     /// Takes in that the leader counted this gateway at `sent_at_ms` or later.
@@ -56,15 +49,20 @@
     /// The largest number of the last window; [`NO_SHARE`] unless this gateway was in touch through
     /// all of it; nothing until a number is told.
     pub fn most(&mut self, now_ms: u64) -> Option<u32> {
+        let most = self.largest(now_ms)?;
+        Some(if self.is_in_touch(now_ms) { most } else { NO_SHARE })
+    }
+
+    /// The largest number of the last window, even if this gateway was out of touch; `None` until a
+    /// number is told.
+    pub fn largest(&mut self, now_ms: u64) -> Option<u32> {
+        self.told.get(now_ms)
+    }
+
+    /// True when this gateway was in touch through all of the last window.
+    pub fn is_in_touch(&self, now_ms: u64) -> bool {
         let from_ms = now_ms.saturating_sub(self.window_ms);
-        while self.earlier.front().is_some_and(|(until_ms, _)| *until_ms < from_ms) {
-            self.earlier.pop_front();
-        }
-        let told = self.told?;
         let (first_ms, latest_ms) = self.in_touch_ms.unwrap_or((now_ms, now_ms));
-        if first_ms + self.window_ms > now_ms || latest_ms < from_ms {
-            return Some(NO_SHARE);
-        }
-        Some(self.earlier.front().map_or(told, |(_, before)| *before))
+        first_ms + self.window_ms <= now_ms && latest_ms >= from_ms
     }
 }
--- a/src/relay/known.rs
+++ b/src/relay/known.rs
@@ -85,9 +85,11 @@
         self.own_running + self.others_running >= slots + queued
     }
 
-    pub(super) fn load(&self) -> Load {
+    /// This gateway's load at the endpoint, with the given `demand_per_min`.
+    pub(super) fn load(&self, demand_per_min: u32) -> Load {
         let UnreadMs { in_time, late } = self.waiting.own_unread();
-        Load { running: self.own_running, waiting_ms: in_time as u32, late_ms: late as u32 }
+        let (waiting_ms, late_ms) = (in_time as u32, late as u32);
+        Load { running: self.own_running, waiting_ms, late_ms, demand_per_min }
     }
 
     /// The tokens of a prompt that the endpoint does not keep.
--- /dev/null
+++ b/src/relay/pick.rs
@@ -0,0 +1,330 @@
+//! Selects the endpoint for a request.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rand::RngExt;
+
+use super::choice::{self, Candidate};
+use super::fleet::Fleet;
+use super::known::{Expected, Known, Wanted};
+use super::limits::EndpointLimits;
+use super::waiting::ReadingPace;
+use crate::message::Holding;
+
+/// Endpoints that are compared for a request, at least.
+const COMPARED_MIN: usize = 8;
+/// So few gateways compare all endpoints and take the cheapest; more of them compare a share.
+const ALL_COMPARED_BY: usize = 8;
+/// How much longer a request may wait in the own zone and still go there: a link between zones takes
+/// a few milliseconds, and its bytes cost.
+const ZONE_PREFERENCE_MS: f64 = 15.0;
+/// How often an endpoint whose limit is used up is reported as failing; the leader places no weights
+/// there for longer than this after a report.
+const LIMITED_TOLD_EVERY_MS: u64 = 1_000;
+
+/// Where a request may go.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Picked {
+    /// To this endpoint.
+    Endpoint {
+        /// Its incarnation.
+        id: Arc<str>,
+        /// Its name.
+        name: Arc<str>,
+        /// Its address.
+        address: SocketAddr,
+        /// The version that its weights must have, where that matters.
+        weights_version: Option<u64>,
+        /// The version that its weights are known to have.
+        held_version: Option<u64>,
+        /// The rank in its queue, where it has weights.
+        rank: Option<u8>,
+        /// What the request is expected to wait there.
+        expected_ms: u64,
+    },
+    /// The endpoints that could take it are full.
+    Full,
+    /// This gateway's share of the rate limits of the endpoints that could take it is used up.
+    Limited {
+        /// The time until one of them may take the next request.
+        after_ms: u64,
+    },
+    /// No endpoint holds its weights, but they are on their way to one.
+    Coming,
+    /// No endpoint holds its weights.
+    NoHome,
+    /// No endpoint of the service is known to be up.
+    NoEndpoint,
+}
+
+/// The result of a search for an endpoint.
+#[derive(Debug, Default)]
+struct Found<'a> {
+    candidates: Vec<Candidate<'a>>,
+    /// The cheapest of the endpoints that were already tried.
+    best_tried: Option<Candidate<'a>>,
+    /// The number of endpoints that are up.
+    up: usize,
+    /// The number of these that hold the weights.
+    holding: usize,
+    /// The number of these to which the weights are on their way.
+    coming: usize,
+    /// Endpoints whose limit is used up, with the time until the next request.
+    limited: Vec<(u64, &'a Arc<str>)>,
+}
+
+/// The parameters of a search for an endpoint.
+struct Search<'a> {
+    now_ms: u64,
+    service: &'a str,
+    wanted: Option<&'a Wanted>,
+    tried: &'a [Arc<str>],
+    zone: &'a str,
+    pace: ReadingPace,
+    endpoints: &'a HashMap<Arc<str>, Known>,
+    /// The endpoints that hold or load the weights; `None` if the request needs no weights or no
+    /// endpoint is known to have them.
+    homes: Option<&'a BTreeMap<Arc<str>, Holding>>,
+    /// The oldest acceptable version.
+    due: u64,
+    /// False for a request that already counts towards the demand.
+    counts_demand: bool,
+}
+
+impl<'a> Search<'a> {
+    /// Evaluates the endpoint `id` and adds it to `found`; `draw` is random, from 0 to 1.
+    fn consider(
+        &self,
+        id: &'a Arc<str>,
+        limits: &mut EndpointLimits,
+        draw: f64,
+        found: &mut Found<'a>,
+    ) {
+        let Some(known) = self.endpoints.get(id) else { return };
+        if known.endpoint.leaving || &*known.endpoint.service != self.service {
+            return;
+        }
+        found.up += 1;
+        if let Some(homes) = self.homes {
+            match homes.get(id) {
+                Some(Holding::Ready(version)) if *version >= self.due => {}
+                Some(Holding::Coming) => {
+                    found.coming += 1;
+                    return;
+                }
+                _ => return,
+            }
+        }
+        found.holding += 1;
+        if self.counts_demand {
+            limits.note_request(self.now_ms, id);
+        }
+        if known.closed_until_ms > self.now_ms || known.is_full(self.wanted.is_some()) {
+            return;
+        }
+        let wait_ms = limits.wait_ms(self.now_ms, id, draw);
+        if wait_ms > 0 {
+            found.limited.push((wait_ms, id));
+            return;
+        }
+        self.add_candidate(id, known, found);
+    }
+
+    fn add_candidate(&self, id: &Arc<str>, known: &'a Known, found: &mut Found<'a>) {
+        let Expected { mut cost_ms, rank } = known.expect(self.now_ms, self.wanted, self.pace);
+        if *known.endpoint.zone == *self.zone {
+            cost_ms -= ZONE_PREFERENCE_MS;
+        }
+        let candidate = Candidate { cost_ms, rank, known };
+        if !self.tried.contains(id) {
+            found.candidates.push(candidate);
+            return;
+        }
+        if found.best_tried.is_none_or(|best| cost_ms < best.cost_ms) {
+            found.best_tried = Some(candidate);
+        }
+    }
+}
+
+impl Fleet {
+    /// Picks an endpoint of `service`, one that holds the weights if a model is `wanted`.
+    ///
+    /// Those in `tried` come last: an endpoint that failed once may well serve the next request, and
+    /// where no other one holds the weights, it is the only one that can.
+    pub fn pick(
+        &mut self,
+        now_ms: u64,
+        service: &str,
+        wanted: Option<&Wanted>,
+        tried: &[Arc<str>],
+    ) -> Picked {
+        self.pick_with(now_ms, service, wanted, tried, true)
+    }
+
+    /// Like [`Fleet::pick`], for a waiting request that already counts towards the demand.
+    pub fn pick_again(
+        &mut self,
+        now_ms: u64,
+        service: &str,
+        wanted: Option<&Wanted>,
+        tried: &[Arc<str>],
+    ) -> Picked {
+        self.pick_with(now_ms, service, wanted, tried, false)
+    }
+
+    fn pick_with(
+        &mut self,
+        now_ms: u64,
+        service: &str,
+        wanted: Option<&Wanted>,
+        tried: &[Arc<str>],
+        counts_demand: bool,
+    ) -> Picked {
+        let weights = wanted.map(|wanted| &wanted.weights);
+        let Some(ids) = self.by_service.get(service) else { return Picked::NoEndpoint };
+        let due = weights.map_or(0, |name| self.version_due(now_ms, name));
+        let search = Search {
+            now_ms,
+            service,
+            wanted,
+            tried,
+            zone: &self.zone,
+            pace: self.pace,
+            endpoints: &self.endpoints,
+            homes: weights.and_then(|name| self.homes.get(name)),
+            due,
+            counts_demand,
+        };
+        // Few endpoints hold an adapter, so that the others need not be looked at.
+        let ids: Vec<&Arc<str>> = match weights {
+            Some(_) => search.homes.into_iter().flatten().map(|(id, _)| id).collect(),
+            None => ids.iter().collect(),
+        };
+        let mut found = Found::default();
+        let compared_max = (ids.len() * ALL_COMPARED_BY / self.gateways.max(1)).max(COMPARED_MIN);
+        let start = self.random.random_range(0..ids.len().max(1));
+        for step in 0..ids.len() {
+            // Starting elsewhere each time spreads requests among endpoints that are alike.
+            let id = ids[(step + start) % ids.len()];
+            search.consider(id, &mut self.limits, self.random.random(), &mut found);
+            if found.candidates.len() == compared_max {
+                break;
+            }
+        }
+        choice::prefer_common(&mut found.candidates, wanted, self.pace);
+        let draw: f64 = self.random.random();
+        let best = if self.gateways > ALL_COMPARED_BY {
+            choice::draw_cheap(&found.candidates, draw)
+        } else {
+            choice::cheapest(&found.candidates)
+        };
+        if let Some(chosen) = best.or(found.best_tried) {
+            self.limits.take(&chosen.known.endpoint.id);
+            return picked_endpoint(chosen, search.homes, due);
+        }
+        let totals = SearchTotals::new(found);
+        self.unavailable(now_ms, service, wanted, totals)
+    }
+
+    /// Returns why a search found no candidate; limited endpoints may be reported as failing.
+    fn unavailable(
+        &mut self,
+        now_ms: u64,
+        service: &str,
+        wanted: Option<&Wanted>,
+        totals: SearchTotals,
+    ) -> Picked {
+        let SearchTotals { up, holding, coming, limited } = totals;
+        if limited.len() < holding {
+            return Picked::Full;
+        }
+        if up == 0 && !self.has_endpoint(service) {
+            return Picked::NoEndpoint;
+        }
+        let is_adapter = wanted.is_some_and(|wanted| wanted.weights.adapter.is_some());
+        let can_load_elsewhere = is_adapter && self.has_endpoint_except(service, &limited);
+        let after_ms = limited.iter().map(|(after_ms, _)| *after_ms).min();
+        if let Some(after_ms) = after_ms
+            && !can_load_elsewhere
+        {
+            return Picked::Limited { after_ms };
+        }
+        self.tell_limited(now_ms, limited);
+        if coming > 0 { Picked::Coming } else { Picked::NoHome }
+    }
+
+    /// True when an endpoint of the service is up and stays.
+    fn has_endpoint(&self, service: &str) -> bool {
+        self.has_endpoint_except(service, &[])
+    }
+
+    /// True when an endpoint of the service that is not in `limited` is up and stays.
+    fn has_endpoint_except(&self, service: &str, limited: &[(u64, Arc<str>)]) -> bool {
+        let Some(ids) = self.by_service.get(service) else { return false };
+        for id in ids {
+            let is_limited = limited.iter().any(|(_, limited)| limited == id);
+            let is_leaving = self.endpoints.get(id).is_none_or(|known| known.endpoint.leaving);
+            if !is_limited && !is_leaving {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Reports endpoints whose limits are used up as failing; the leader then places their weights
+    /// elsewhere.
+    fn tell_limited(&mut self, now_ms: u64, limited: Vec<(u64, Arc<str>)>) {
+        for (_, id) in limited {
+            let told_at_ms = self.limited_told_at_ms.get(&id);
+            if told_at_ms.is_some_and(|told_at_ms| now_ms < told_at_ms + LIMITED_TOLD_EVERY_MS) {
+                continue;
+            }
+            self.limited_told_at_ms.insert(id.clone(), now_ms);
+            self.failing.insert(id);
+        }
+    }
+}
+
+/// The totals of a search that found no candidate.
+struct SearchTotals {
+    up: usize,
+    holding: usize,
+    coming: usize,
+    limited: Vec<(u64, Arc<str>)>,
+}
+
+impl SearchTotals {
+    fn new(found: Found<'_>) -> Self {
+        let Found { up, holding, coming, limited, .. } = found;
+        let limited = limited.into_iter().map(|(after_ms, id)| (after_ms, id.clone())).collect();
+        Self { up, holding, coming, limited }
+    }
+}
+
+fn picked_endpoint(
+    chosen: Candidate<'_>,
+    homes: Option<&BTreeMap<Arc<str>, Holding>>,
+    due: u64,
+) -> Picked {
+    let Candidate { known, rank, cost_ms } = chosen;
+    let held = held_version(homes, &known.endpoint.id);
+    Picked::Endpoint {
+        id: known.endpoint.id.clone(),
+        name: known.endpoint.name.clone(),
+        address: known.endpoint.address,
+        // The endpoint refuses if it has another one than is known here.
+        weights_version: held.filter(|_| due > 0),
+        held_version: held,
+        rank,
+        expected_ms: cost_ms.max(0.0) as u64,
+    }
+}
+
+fn held_version(homes: Option<&BTreeMap<Arc<str>, Holding>>, id: &str) -> Option<u64> {
+    match homes?.get(id) {
+        Some(Holding::Ready(version)) => Some(*version),
+        _ => None,
+    }
+}
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -11,6 +11,11 @@
 pub(super) enum NotSent {
     /// No endpoint could take it in time.
     NoPlace(&'static str),
+    /// The rate limits of the endpoints that could take it are used up.
+    Limited {
+        /// The time after which the client may retry.
+        after_ms: u64,
+    },
     /// The deadline passed.
     Late,
     /// The retry budget is used up.
@@ -51,7 +56,8 @@
         NotSent::NoPlace("weights are not loaded") => 350,
         NotSent::NoPlace(_) | NotSent::Late => 200,
         NotSent::NoBudget => 500,
-        NotSent::Held { after_ms }
+        NotSent::Limited { after_ms }
+        | NotSent::Held { after_ms }
         | NotSent::OverQuota { after_ms }
         | NotSent::QuotaUnknown { after_ms }
         | NotSent::KeysUnknown { after_ms } => after_ms,
@@ -64,6 +70,7 @@
     let after_ms = come_back_ms(reason);
     match reason {
         NotSent::NoPlace(detail) => come_back(detail, after_ms),
+        NotSent::Limited { .. } => come_back("endpoints limit what they take", after_ms),
         NotSent::Late => come_back("the deadline passed", after_ms),
         NotSent::NoBudget => come_back("too many requests were sent again", after_ms),
         NotSent::Held { .. } => come_back("endpoints ended under requests like this one", after_ms),
--- a/src/relay/report.rs
+++ b/src/relay/report.rs
@@ -1,13 +1,40 @@
 //! What is logged and counted of one request.
 
+use std::sync::Arc;
+
 use tracing::{info, warn};
 
 use super::attempt::Started;
+use super::border::{AnswerMeta, RateLimit};
 use super::exchange::Exchange;
+use super::limits::LimitChange;
+use super::shared::Relay;
 use crate::message::WeightsName;
 use crate::metrics::{Counter, Timer};
 use crate::policy::versions::KnownVersion;
 
+impl Relay {
+    /// Applies and logs the rate limit in the answer to a request that was sent at `sent_at_ms`.
+    pub(super) fn note_rate_limit(&self, endpoint: &Arc<str>, sent_at_ms: u64, head: &AnswerMeta) {
+        // The answer came from another incarnation or another service at the same address.
+        if head.misdirected {
+            return;
+        }
+        if head.rate_limit == RateLimit::Unreadable {
+            info!(event = "endpoint_limit_unreadable", endpoint = %endpoint);
+        }
+        let now_ms = self.now_ms();
+        let change = self.fleet().note_limit(now_ms, endpoint, sent_at_ms, head.rate_limit);
+        match change {
+            Some(LimitChange::Set { per_s }) => {
+                info!(event = "endpoint_limit_named", endpoint = %endpoint, per_s);
+            }
+            Some(LimitChange::Ended) => info!(event = "endpoint_limit_ended", endpoint = %endpoint),
+            None => {}
+        }
+    }
+}
+
 impl Exchange {
     /// Notes that an endpoint has begun to answer.
     pub(super) fn note_answered(&self, started: &Started) {
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -65,7 +65,7 @@
             }
             Err(error) => debug!(event = "control_not_found", peer = %address, error = %error),
         }
-        relay.fleet().forget_loads();
+        relay.fleet().forget_loads(relay.now_ms());
         relay.quota.unlinked();
         tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
     }
@@ -251,7 +251,7 @@
         }
         SessionDown::Renewed { sent_at_ms, .. } => relay.confirmed(sent_at_ms),
         SessionDown::Placed { reset, placed } => relay.placed(reset, placed),
-        SessionDown::Loads(loads) => relay.fleet().note_loads(loads),
+        SessionDown::Loads(loads) => relay.fleet().note_loads(relay.now_ms(), loads),
         SessionDown::Credit(grants) => relay.quota.granted(grants),
         SessionDown::Welcome { .. }
         | SessionDown::NotLeader { .. }
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -109,7 +109,7 @@
 
     pub(super) fn set_gateways(&self, gateways: u32) {
         self.gateways().told(self.now_ms(), gateways);
-        self.fleet().set_gateways(gateways);
+        self.fleet().set_gateways(self.now_ms(), gateways);
     }
 
     /// Notes that what is known is complete as of when the renewal was sent.
@@ -120,6 +120,7 @@
         }
         self.order_lease.confirm(sent_at_ms);
         self.gateways().confirmed(sent_at_ms);
+        self.fleet().confirmed(sent_at_ms);
     }
 
     /// True once what is known was confirmed to be the newest, however long ago.
--- a/tests/counts.rs
+++ b/tests/counts.rs
@@ -74,7 +74,8 @@
 
 #[test]
 fn differences_that_change_no_choice_are_not_told() {
-    let load = |running, waiting_ms, late_ms| Load { running, waiting_ms, late_ms };
+    let load =
+        |running, waiting_ms, late_ms| Load { running, waiting_ms, late_ms, demand_per_min: 0 };
     assert!(!is_worth_telling(load(3, 100, 0), load(3, 100, 0)));
     assert!(!is_worth_telling(load(3, 100, 0), load(4, 112, 5)));
     assert!(is_worth_telling(load(3, 100, 0), load(5, 100, 0)));
--- a/tests/fuzz_wire.rs
+++ b/tests/fuzz_wire.rs
@@ -80,9 +80,12 @@
 }
 
 fn load() -> impl Strategy<Value = EndpointLoad> {
-    (name(), drawn(), drawn(), drawn()).prop_map(|(endpoint, running, waiting_ms, late_ms)| {
-        EndpointLoad { endpoint, load: Load { running, waiting_ms, late_ms } }
-    })
+    (name(), drawn(), drawn(), drawn(), drawn()).prop_map(
+        |(endpoint, running, waiting_ms, late_ms, demand_per_min)| EndpointLoad {
+            endpoint,
+            load: Load { running, waiting_ms, late_ms, demand_per_min },
+        },
+    )
 }
 
 fn kind() -> impl Strategy<Value = OrderKind> {
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -29,7 +29,7 @@
 }
 
 fn loaded(id: &str, running: u32, waiting_ms: u32) -> EndpointLoad {
-    EndpointLoad { endpoint: id.into(), load: Load { running, waiting_ms, late_ms: 0 } }
+    EndpointLoad { endpoint: id.into(), load: Load { running, waiting_ms, ..Load::default() } }
 }
 
 /// A request with a prompt of `tokens` and a second left until its objective.
@@ -73,7 +73,7 @@
     fleet.register(endpoint("n", "near", 10));
     fleet.register(endpoint("f", "far", 10));
     assert_eq!(picked(&mut fleet, 0, None).as_deref(), Some("n"));
-    fleet.note_loads(vec![loaded("n", 3, 0)]);
+    fleet.note_loads(0, vec![loaded("n", 3, 0)]);
     assert_eq!(picked(&mut fleet, 0, None).as_deref(), Some("f"), "too much fuller to be worth it");
 }
 
@@ -89,19 +89,19 @@
     assert_eq!(picked(&mut fleet, 1, Some(&name)).as_deref(), Some("f"), "a long prompt is read");
     fleet.answered(240, &"n".into(), number);
     assert_eq!(picked(&mut fleet, 240, Some(&name)).as_deref(), Some("n"));
-    fleet.note_loads(vec![loaded("n", 1, 240)]);
+    fleet.note_loads(0, vec![loaded("n", 1, 240)]);
     assert_eq!(picked(&mut fleet, 240, Some(&name)).as_deref(), Some("f"), "another gateway's");
 }
 
 #[test]
 fn many_gateways_do_not_all_take_the_endpoint_that_looks_emptiest() {
     let mut fleet = Fleet::new("far".into(), 1);
-    fleet.set_gateways(71);
+    fleet.set_gateways(0, 71);
     for id in ["a", "b", "c", "d"] {
         fleet.register(endpoint(id, "near", 6));
     }
-    fleet.note_loads(vec![loaded("a", 0, 0), loaded("b", 3, 0), loaded("c", 3, 0)]);
-    fleet.note_loads(vec![loaded("d", 6, 0)]);
+    fleet.note_loads(0, vec![loaded("a", 0, 0), loaded("b", 3, 0), loaded("c", 3, 0)]);
+    fleet.note_loads(0, vec![loaded("d", 6, 0)]);
     let mut taken = std::collections::BTreeMap::new();
     for _ in 0..4_000 {
         *taken.entry(picked(&mut fleet, 0, None).unwrap()).or_insert(0) += 1;
@@ -114,9 +114,9 @@
 fn loads_of_others_are_forgotten_with_the_leader_that_told_them() {
     let mut fleet = Fleet::new("near".into(), 1);
     fleet.register(endpoint("n", "near", 2));
-    fleet.note_loads(vec![loaded("n", 6, 0)]);
+    fleet.note_loads(0, vec![loaded("n", 6, 0)]);
     assert_eq!(fleet.pick(0, "quotes", None, &[]), Picked::Full, "two run and four are queued");
-    fleet.forget_loads();
+    fleet.forget_loads(0);
     assert_eq!(picked(&mut fleet, 0, None).as_deref(), Some("n"));
 }
 
--- a/tests/renewed_versions.rs
+++ b/tests/renewed_versions.rs
@@ -66,8 +66,8 @@
     let mut fleet = fleet();
     place(&mut fleet, "a", 1);
     // The endpoint with the newer versions is the busier one, so that the other one is preferred.
-    let load = Load { running: 8, waiting_ms: 120, late_ms: 0 };
-    fleet.note_loads(vec![EndpointLoad { endpoint: "b".into(), load }]);
+    let load = Load { running: 8, waiting_ms: 120, ..Load::default() };
+    fleet.note_loads(0, vec![EndpointLoad { endpoint: "b".into(), load }]);
     for step in 0..240 {
         let now_ms = 4_000 + step * 100;
         if now_ms % 2_000 == 0 {
