soak: endpoints that ask for backoff get requests all the same

Cause: no code reads the time for which an endpoint that refuses a request wants no other from the same gateway. Of 524 sends that were refused, second sends drew on the retry budget: 214 were allowed and 190 not, and 148 requests were refused with "endpoints are full". Ruled out: sends by other gateways (the cases name one), and requests that were on their way (they come for all 3 s). Change: the test endpoints can refuse requests and ask for backoff; the set-up is shared with the tests of rate limits.

--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -28,6 +28,8 @@
 /// A request for an adapter may wait this long at an engine that stands still.
 const ENGINE_DEADLINE_MS: u64 = 10_000;
 const PAUSE: Duration = Duration::from_millis(20);
+/// The pause before a refused request is retried; gateways ask for less while weights are loading.
+const RETRY_PAUSE: Duration = Duration::from_millis(400);
 /// The pause after a request that ends its engine.
 const CRASHING_PAUSE: Duration = Duration::from_millis(900);
 const CHANGE_EVERY: Duration = Duration::from_millis(900);
@@ -123,6 +125,8 @@
     pub clients: u32,
     /// The pause after each answer.
     pub pause: Duration,
+    /// True to retry a refused request once, as the users' clients do.
+    pub retries: bool,
     /// The seed of the random selection.
     pub seed: u64,
 }
@@ -144,14 +148,13 @@
                     let address = config.gateways[rng.random_range(0..config.gateways.len())];
                     let random_adapter = ADAPTERS[rng.random_range(0..ADAPTERS.len())];
                     let adapter = (config.kind == Kind::Adapter).then_some(random_adapter);
-                    let (_, end) = ask_once(
-                        address,
-                        config.kind,
-                        adapter,
-                        Bytes::from_static(b"work"),
-                        &record,
-                    )
-                    .await;
+                    let body = Bytes::from_static(b"work");
+                    let ask = || ask_once(address, config.kind, adapter, body.clone(), &record);
+                    let (_, mut end) = ask().await;
+                    if config.retries && matches!(end, End::NotRun(_)) {
+                        tokio::time::sleep(RETRY_PAUSE).await;
+                        (_, end) = ask().await;
+                    }
                     note(Try { client, sent_at, end });
                     tokio::time::sleep(config.pause).await;
                 }
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -156,6 +156,9 @@
         if request.into_body().collect().await.is_err() {
             return whole(StatusCode::BAD_REQUEST, &id, String::new());
         }
+        if let Some(answer) = self.overload.refusal(&id) {
+            return answer;
+        }
         look_for_headers(&self.record, &id, &headers);
         if let Some(breach) = self.record.keys.run(&id, &headers) {
             self.record.breach(breach);
--- a/soak/src/engine/mod.rs
+++ b/soak/src/engine/mod.rs
@@ -289,6 +289,9 @@
             }
             _ => {
                 self.overload.record_arrival(&head.headers);
+                if let Some(answer) = self.overload.refusal(&id) {
+                    return answer;
+                }
                 self.run(life, &id, &head.headers, &body.to_bytes()).await
             }
         }
--- a/soak/src/overload.rs
+++ b/soak/src/overload.rs
@@ -4,16 +4,18 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use http::{HeaderMap, HeaderValue};
+use http::{HeaderMap, HeaderValue, StatusCode};
 
 use crate::client::SENT_TO;
-use crate::endpoint::text;
+use crate::endpoint::{Answer, text, whole};
 
 /// A signal that an overloaded endpoint adds to all answers.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Signal {
     /// A rate limit for all gateways together, in requests per second.
     Limit(f64),
+    /// Requests are refused, and the gateway is asked to send none for this long.
+    Backoff(Duration),
 }
 
 /// A request received by an endpoint.
@@ -23,6 +25,8 @@
     pub at: Instant,
     /// The gateway to which the client sent it.
     pub gateway: Arc<str>,
+    /// For how long the gateway was asked to send nothing; `None` if the request was accepted.
+    pub backoff: Option<Duration>,
 }
 
 #[derive(Debug, Default)]
@@ -55,7 +59,22 @@
     /// Records a received request.
     pub fn record_arrival(&self, headers: &HeaderMap) {
         let gateway = text(headers, SENT_TO).into();
-        self.lock().arrivals.push(Arrival { at: Instant::now(), gateway });
+        let mut state = self.lock();
+        let backoff = match state.signal {
+            Some(Signal::Backoff(backoff)) => Some(backoff),
+            _ => None,
+        };
+        state.arrivals.push(Arrival { at: Instant::now(), gateway, backoff });
+    }
+
+    /// The refusal of a request; `None` while requests are accepted.
+    pub fn refusal(&self, id: &str) -> Option<Answer> {
+        let Some(Signal::Backoff(backoff)) = self.lock().signal else { return None };
+        let mut answer = whole(StatusCode::SERVICE_UNAVAILABLE, id, String::new());
+        answer.headers_mut().insert("not-executed", HeaderValue::from_static("1"));
+        let seconds = HeaderValue::from_str(&backoff.as_secs_f64().to_string());
+        answer.headers_mut().insert("retry-after", seconds.expect("a number is a valid value"));
+        Some(answer)
     }
 
     /// Adds the signal to the headers of an answer.
@@ -86,3 +105,19 @@
     }
     max_arrivals
 }
+
+/// The maximum number of arrivals from one gateway between `grace` after it was refused and the end of the backoff
+/// that the refusal asked for.
+pub fn max_arrivals_in_backoff(arrivals: &[Arrival], grace: Duration) -> usize {
+    let mut max_arrivals = 0;
+    for refused in arrivals {
+        let Some(backoff) = refused.backoff else { continue };
+        let within = arrivals.iter().filter(|arrival| {
+            arrival.gateway == refused.gateway
+                && arrival.at > refused.at + grace
+                && arrival.at < refused.at + backoff
+        });
+        max_arrivals = max_arrivals.max(within.count());
+    }
+    max_arrivals
+}
--- a/soak/tests/common/mod.rs
+++ b/soak/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod scenario;
+
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
--- /dev/null
+++ b/soak/tests/common/scenario.rs
@@ -0,0 +1,92 @@
+//! Endpoints of which half are overloaded, and clients that continue to send.
+
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use tokio::task::JoinHandle;
+use winchvane_soak::client::{RandomGatewayClients, Try};
+use winchvane_soak::overload::{Overload, Signal};
+use winchvane_soak::record::{End, Kind};
+use winchvane_soak::region::Size;
+
+use super::System;
+
+const ENDPOINTS: u8 = 10;
+const OVERLOADED: usize = 5;
+const CLIENTS: u32 = 32;
+
+type Tries = Arc<Mutex<Vec<Try>>>;
+
+/// Endpoints and clients of one kind.
+pub struct Scenario {
+    /// The processes and endpoints.
+    pub system: System,
+    kind: Kind,
+    tries: Tries,
+    clients: Vec<JoinHandle<()>>,
+}
+
+impl Scenario {
+    /// Starts endpoints and clients; the first gateway is selected `first_weight` times as often as
+    /// each of the others.
+    pub async fn start(kind: Kind, block: u8, first_weight: usize) -> Self {
+        let (endpoints, engines) =
+            if kind == Kind::Adapter { (1, ENDPOINTS) } else { (ENDPOINTS, 1) };
+        let size = Size { gateways: 3, endpoints, engines, block };
+        let system = System::start_with(size, 4).await;
+        let tries = Tries::default();
+        let noted = tries.clone();
+        let note: Arc<dyn Fn(Try) + Send + Sync> = Arc::new(move |tried| {
+            noted.lock().expect("the lock is not poisoned").push(tried);
+        });
+        let mut gateways = system.region.gateway_addresses();
+        gateways.extend(vec![gateways[0]; first_weight - 1]);
+        let random_clients = RandomGatewayClients {
+            kind,
+            gateways,
+            clients: CLIENTS,
+            pause: Duration::from_millis(20),
+            // An adapter whose homes are all overloaded has to be loaded elsewhere first.
+            retries: kind == Kind::Adapter,
+            seed: block.into(),
+        };
+        let clients = random_clients.start(&system.record, &note);
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        Self { system, kind, tries, clients }
+    }
+
+    /// The overloaded half of the endpoints.
+    pub fn overloaded(&self) -> Vec<&Overload> {
+        let region = &self.system.region;
+        if self.kind == Kind::Adapter {
+            return region.engines.iter().take(OVERLOADED).map(|engine| &engine.overload).collect();
+        }
+        region.endpoints.iter().take(OVERLOADED).map(|endpoint| &endpoint.overload).collect()
+    }
+
+    /// Sets the signal of the overloaded endpoints; returns the current time.
+    pub fn set_signal(&self, signal: Option<Signal>) -> Instant {
+        for overload in self.overloaded() {
+            overload.set_signal(signal);
+        }
+        Instant::now()
+    }
+
+    /// The number of tries sent since `from`, and how many of them were not served.
+    pub fn tries_since(&self, from: Instant) -> (usize, usize) {
+        let tries = self.tries.lock().expect("the lock is not poisoned");
+        let later: Vec<_> = tries.iter().filter(|tried| tried.sent_at >= from).collect();
+        let failed = later.iter().filter(|tried| tried.end != End::Served).count();
+        (later.len(), failed)
+    }
+
+    /// Stops the clients and the system; returns the promises that were broken.
+    pub fn stop(self, name: &str) -> Vec<String> {
+        for client in &self.clients {
+            client.abort();
+        }
+        let breaches = self.system.record.seen_breaches();
+        self.system.stop(name);
+        breaches
+    }
+}
--- /dev/null
+++ b/soak/tests/endpoints_that_ask_for_backoff.rs
@@ -0,0 +1,66 @@
+//! Endpoints that refuse requests and ask the gateway to back off.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::scenario::Scenario;
+use winchvane_soak::overload::{Signal, max_arrivals_in_backoff};
+use winchvane_soak::record::Kind;
+
+const BACKOFF: Duration = Duration::from_secs(3);
+/// The time after a refusal from which the backoff is enforced.
+const GRACE: Duration = Duration::from_millis(500);
+const ARRIVALS_MAX: usize = 2;
+const OVERLOAD_DURATION: Duration = Duration::from_secs(13);
+
+/// Stops the system and checks the arrivals and failures since endpoints refuse requests.
+fn check(scenario: Scenario, name: &str, refusing_since: Instant) {
+    let mut max_arrivals = Vec::new();
+    for overload in scenario.overloaded() {
+        max_arrivals.push(max_arrivals_in_backoff(&overload.arrivals_since(refusing_since), GRACE));
+    }
+    let (sent, failed) = scenario.tries_since(refusing_since);
+    println!(
+        "{name}: {max_arrivals:?} requests from one gateway in a backoff; {failed} of {sent} failed"
+    );
+    let breaches = scenario.stop(name);
+    assert!(breaches.is_empty(), "{breaches:?}");
+    assert!(
+        max_arrivals.iter().all(|arrivals| *arrivals <= ARRIVALS_MAX),
+        "{max_arrivals:?} requests in a backoff"
+    );
+    assert_eq!(failed, 0, "of {sent} requests failed while other endpoints were idle");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn plain_endpoints_get_the_backoff_that_they_ask_for() {
+    let scenario = Scenario::start(Kind::Stream, 94, 1).await;
+    let refusing_since = scenario.set_signal(Some(Signal::Backoff(BACKOFF)));
+    tokio::time::sleep(OVERLOAD_DURATION).await;
+    check(scenario, "backoff-plain", refusing_since);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_get_the_backoff_that_they_ask_for() {
+    let scenario = Scenario::start(Kind::Adapter, 95, 1).await;
+    let refusing_since = scenario.set_signal(Some(Signal::Backoff(BACKOFF)));
+    tokio::time::sleep(OVERLOAD_DURATION).await;
+    check(scenario, "backoff-engines", refusing_since);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_whose_backoff_is_over_is_used_like_the_others() {
+    let scenario = Scenario::start(Kind::Stream, 96, 1).await;
+    scenario.set_signal(Some(Signal::Backoff(BACKOFF)));
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let ended_at = scenario.set_signal(None);
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    let mut arrivals = Vec::new();
+    for overload in scenario.overloaded() {
+        arrivals.push(overload.arrivals_since(ended_at + Duration::from_secs(4)).len());
+    }
+    println!("{arrivals:?} requests in the last 4 s");
+    scenario.stop("backoff-over");
+    assert!(arrivals.iter().all(|arrivals| *arrivals > 17), "{arrivals:?} requests in 4 s");
+}
