relay: gateways respect the backoff that refusing endpoints ask for

Cause: an endpoint that refuses a request with 503 may state for how long it accepts no further requests from the same gateway. No code read this. The endpoint was skipped for 60 ms, like one that is full, and then received requests again, all of which it refused. Each was sent a second time and was sometimes refused again, until the retry budget of all gateways was used up. Callers got 503 although other endpoints were idle.

Change: - Each gateway stores the backoff for that incarnation of the endpoint. It sends nothing there until the backoff ends, and then single requests, half a second apart, until one is accepted. - A refusal that asks for backoff does not count towards the number of refused sends that a request may have, since each endpoint refuses in this way once per backoff. The second send still draws on the retry budget. - If only endpoints that asked for backoff or are limited could take a request, it is refused with the shortest remaining time, at once unless that ends within the time for which a request may wait for a place. An adapter whose only homes are such endpoints is requested elsewhere. - A backoff is at most ten minutes. Dates and values that are not numbers are ignored.

--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -28,7 +28,8 @@
 /// A request for an adapter may wait this long at an engine that stands still.
 const ENGINE_DEADLINE_MS: u64 = 10_000;
 const PAUSE: Duration = Duration::from_millis(20);
-/// The pause before a refused request is retried; gateways ask for less while weights are loading.
+/// The pause before a refused request is retried: longer than the delay that gateways request while
+/// weights are loading.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 /// The pause after a request that ends its engine.
 const CRASHING_PAUSE: Duration = Duration::from_millis(900);
@@ -125,7 +126,7 @@
     pub clients: u32,
     /// The pause after each answer.
     pub pause: Duration,
-    /// True to retry a refused request once, as the users' clients do.
+    /// True to retry a refused request once, as production clients do.
     pub retries: bool,
     /// The seed of the random selection.
     pub seed: u64,
--- a/soak/src/overload.rs
+++ b/soak/src/overload.rs
@@ -14,7 +14,7 @@
 pub enum Signal {
     /// A rate limit for all gateways together, in requests per second.
     Limit(f64),
-    /// Requests are refused, and the gateway is asked to send none for this long.
+    /// Requests are refused, and the gateway is asked to back off for this long.
     Backoff(Duration),
 }
 
@@ -25,7 +25,7 @@
     pub at: Instant,
     /// The gateway to which the client sent it.
     pub gateway: Arc<str>,
-    /// For how long the gateway was asked to send nothing; `None` if the request was accepted.
+    /// The backoff that the refusal asked for; `None` if the request was accepted.
     pub backoff: Option<Duration>,
 }
 
@@ -67,13 +67,15 @@
         state.arrivals.push(Arrival { at: Instant::now(), gateway, backoff });
     }
 
-    /// The refusal of a request; `None` while requests are accepted.
+    /// Returns the refusal for request `id`, or `None` while requests are accepted.
     pub fn refusal(&self, id: &str) -> Option<Answer> {
         let Some(Signal::Backoff(backoff)) = self.lock().signal else { return None };
         let mut answer = whole(StatusCode::SERVICE_UNAVAILABLE, id, String::new());
         answer.headers_mut().insert("not-executed", HeaderValue::from_static("1"));
         let seconds = HeaderValue::from_str(&backoff.as_secs_f64().to_string());
-        answer.headers_mut().insert("retry-after", seconds.expect("a number is a valid value"));
+        answer
+            .headers_mut()
+            .insert("retry-after", seconds.expect("a number is a valid header value"));
         Some(answer)
     }
 
@@ -106,8 +108,8 @@
     max_arrivals
 }
 
-/// The maximum number of arrivals from one gateway between `grace` after it was refused and the end of the backoff
-/// that the refusal asked for.
+/// The maximum number of arrivals from one gateway within any backoff, not counting those within
+/// `grace` after the refusal that asked for it.
 pub fn max_arrivals_in_backoff(arrivals: &[Arrival], grace: Duration) -> usize {
     let mut max_arrivals = 0;
     for refused in arrivals {
--- a/soak/tests/common/scenario.rs
+++ b/soak/tests/common/scenario.rs
@@ -1,4 +1,4 @@
-//! Endpoints of which half are overloaded, and clients that continue to send.
+//! A test setup with constant client load in which half of the endpoints are overloaded.
 
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -19,7 +19,6 @@
 
 /// Endpoints and clients of one kind.
 pub struct Scenario {
-    /// The processes and endpoints.
     pub system: System,
     kind: Kind,
     tries: Tries,
@@ -46,7 +45,8 @@
             gateways,
             clients: CLIENTS,
             pause: Duration::from_millis(20),
-            // An adapter whose homes are all overloaded has to be loaded elsewhere first.
+            // Requests for an adapter whose homes are all overloaded are refused until it is loaded
+            // elsewhere.
             retries: kind == Kind::Adapter,
             seed: block.into(),
         };
@@ -80,7 +80,7 @@
         (later.len(), failed)
     }
 
-    /// Stops the clients and the system; returns the promises that were broken.
+    /// Stops the clients and the system; returns the recorded breaches.
     pub fn stop(self, name: &str) -> Vec<String> {
         for client in &self.clients {
             client.abort();
--- a/soak/tests/endpoints_that_ask_for_backoff.rs
+++ b/soak/tests/endpoints_that_ask_for_backoff.rs
@@ -1,4 +1,4 @@
-//! Endpoints that refuse requests and ask the gateway to back off.
+//! Gateways back off from endpoints that refuse requests and ask for backoff.
 
 mod common;
 
@@ -14,7 +14,8 @@
 const ARRIVALS_MAX: usize = 2;
 const OVERLOAD_DURATION: Duration = Duration::from_secs(13);
 
-/// Stops the system and checks the arrivals and failures since endpoints refuse requests.
+/// Stops the system and checks the arrivals and failures since the endpoints started to refuse
+/// requests.
 fn check(scenario: Scenario, name: &str, refusing_since: Instant) {
     let mut max_arrivals = Vec::new();
     for overload in scenario.overloaded() {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -60,6 +60,8 @@
     RequestsHeld => "requests.held",
     /// Requests refused since the endpoints that could take them limit what they take.
     RequestsLimited => "requests.limited",
+    /// Requests refused since the endpoints that could take them asked for backoff.
+    RequestsBackingOff => "requests.backing_off",
     /// Requests refused since their keys let nobody in.
     RequestsUnauthorized => "requests.unauthorized",
     /// Requests refused since their workspaces asked for more than their quotas.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod counts;
 pub mod crashes;
+pub mod endpoint_backoff;
 pub mod endpoint_limit;
 pub mod owner;
 pub mod popularity;
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -11,7 +11,7 @@
 use tokio::time::timeout;
 use tracing::info;
 
-use super::border::SendMeta;
+use super::border::{Backoff, SendMeta};
 use super::exchange::Exchange;
 use super::known::Wanted;
 use super::pick::Picked;
@@ -93,6 +93,8 @@
 pub(super) enum Attempt {
     Started(Box<Started>),
     NotRun(&'static str),
+    /// The endpoint refused it and asked for backoff.
+    RefusedWithBackoff,
     Unknown(String),
     /// No answer came before the deadline.
     Overdue,
@@ -159,6 +161,7 @@
                 Picked::NoEndpoint => "no endpoint",
                 Picked::Full => "endpoints are full",
                 Picked::Limited { .. } => "endpoints limit what they take",
+                Picked::BackingOff { .. } => "endpoints asked for backoff",
                 Picked::Coming => "weights are on their way",
                 Picked::NoHome => "weights are not loaded",
             };
@@ -183,7 +186,10 @@
                 Picked::Limited { after_ms } if now_ms + after_ms >= until_ms => {
                     return Err(NotSent::Limited { after_ms });
                 }
-                Picked::Limited { after_ms } => now_ms + after_ms,
+                Picked::BackingOff { after_ms } if now_ms + after_ms >= until_ms => {
+                    return Err(NotSent::BackingOff { after_ms });
+                }
+                Picked::Limited { after_ms } | Picked::BackingOff { after_ms } => now_ms + after_ms,
                 _ if now_ms >= until_ms => return Err(NotSent::NoPlace(reason)),
                 _ => until_ms,
             };
@@ -256,7 +262,7 @@
             Ok(Ok(response)) => response,
         };
         let head = relay.border.read_answer(response.status(), response.headers());
-        relay.note_rate_limit(&send.endpoint, self.sent_at_ms, &head);
+        relay.note_throttling(&send.endpoint, self.sent_at_ms, &head);
         if head.misdirected {
             if let Some(weights) = weights {
                 relay.fleet().not_held(&send.endpoint, weights, self.held_version);
@@ -265,9 +271,15 @@
         }
         if head.not_run {
             relay.fleet().refused(relay.now_ms(), &send.endpoint);
+            if let Backoff::Millis(_) = head.backoff {
+                return Attempt::RefusedWithBackoff;
+            }
             return Attempt::NotRun("the endpoint refused");
         }
-        relay.fleet().answered(relay.now_ms(), &send.endpoint, number);
+        // An overloaded endpoint can also ask for backoff in the answer to a request that it started.
+        if head.backoff == Backoff::None {
+            relay.fleet().answered(relay.now_ms(), &send.endpoint, number);
+        }
         Attempt::Started(Box::new(Started { flight, connection, response }))
     }
 
--- a/src/relay/border.rs
+++ b/src/relay/border.rs
@@ -70,6 +70,18 @@
     Unreadable,
 }
 
+/// The backoff that an endpoint asks this gateway, but not the others, for in a refusal.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Backoff {
+    /// No backoff.
+    #[default]
+    None,
+    /// A duration in milliseconds.
+    Millis(u64),
+    /// A value that is not a valid duration.
+    Unreadable,
+}
+
 /// What an answer's head says.
 #[derive(Debug, Clone, Default)]
 pub struct AnswerMeta {
@@ -81,6 +93,8 @@
     pub request_id: Option<Arc<str>>,
     /// The endpoint's rate limit.
     pub rate_limit: RateLimit,
+    /// The backoff that the endpoint asks for.
+    pub backoff: Backoff,
 }
 
 /// Reads and writes what a platform puts into headers.
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -110,8 +110,10 @@
     pub(super) is_trial: bool,
     /// Sends that an endpoint may have started.
     given: u32,
-    /// Sends that endpoints refused.
+    /// Sends that endpoints refused without asking for backoff.
     refused: u32,
+    /// Sends that endpoints refused with a request for backoff.
+    refused_with_backoff: u32,
 }
 
 async fn serve(relay: &Arc<Relay>, request: Request<Incoming>) -> Answer {
@@ -174,6 +176,7 @@
             is_trial: false,
             given: 0,
             refused: 0,
+            refused_with_backoff: 0,
         }
     }
 
@@ -225,7 +228,7 @@
             self.expected_ms = picked.expected_ms;
             self.rank = picked.rank.unwrap_or(self.priority());
             let Target { id, name, address, weights_version, .. } = picked;
-            let is_first = self.given + self.refused == 0;
+            let is_first = self.given + self.refused + self.refused_with_backoff == 0;
             let now_ms = self.relay.now_ms();
             self.sent_at_ms = now_ms;
             self.begun_at_ms = None;
@@ -276,6 +279,14 @@
                         return Err(Failure::NotSent(NotSent::NoPlace(reason)));
                     }
                 }
+                // Not counted towards `REFUSED_SENDS_MAX`: during its backoff the endpoint is not
+                // picked again, so each endpoint causes one such refusal per backoff.
+                Attempt::RefusedWithBackoff => {
+                    self.refused_with_backoff += 1;
+                    let reason = "the endpoint asked for backoff";
+                    info!(event = "send_refused", request = %self.meta.id, endpoint = %id, reason);
+                    self.tried.push(id);
+                }
                 Attempt::TakenBack => {
                     self.given += 1;
                     self.note_taken_back(&id);
@@ -386,6 +397,9 @@
                 match reason {
                     NotSent::Held { .. } => self.relay.metrics.count(Counter::RequestsHeld),
                     NotSent::Limited { .. } => self.relay.metrics.count(Counter::RequestsLimited),
+                    NotSent::BackingOff { .. } => {
+                        self.relay.metrics.count(Counter::RequestsBackingOff);
+                    }
                     _ => {}
                 }
                 if let Some(used) = &self.used_credit {
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -7,6 +7,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::sync::watch;
+use tracing::info;
 
 use super::border::RateLimit;
 use super::known::{Known, Wanted};
@@ -48,8 +49,8 @@
     pub(super) pace: ReadingPace,
     sends: u64,
     pub(super) limits: EndpointLimits,
-    /// When each endpoint whose limit is used up was last reported as failing.
-    pub(super) limited_told_at_ms: HashMap<Arc<str>, u64>,
+    /// When each throttled endpoint was last reported as failing.
+    pub(super) throttled_reported_at_ms: HashMap<Arc<str>, u64>,
 }
 
 /// What goes through a gateway, as it tells the leader.
@@ -81,7 +82,7 @@
             pace: ReadingPace::new(),
             sends: 0,
             limits: EndpointLimits::new(),
-            limited_told_at_ms: HashMap::new(),
+            throttled_reported_at_ms: HashMap::new(),
         }
     }
 
@@ -111,7 +112,7 @@
     pub fn deregister(&mut self, id: &str) -> Option<SocketAddr> {
         let known = self.endpoints.remove(id)?;
         self.limits.remove(id);
-        self.limited_told_at_ms.remove(id);
+        self.throttled_reported_at_ms.remove(id);
         if let Some(ids) = self.by_service.get_mut(&known.endpoint.service) {
             ids.retain(|known| &**known != id);
         }
@@ -254,6 +255,9 @@
     pub fn answered(&mut self, now_ms: u64, id: &Arc<str>, number: u64) {
         let Some(known) = self.endpoints.get_mut(id) else { return };
         known.failures = 0;
+        if known.backoff.note_accepted(now_ms) {
+            info!(event = "endpoint_backoff_ended", endpoint = %id);
+        }
         known.waiting.answered(now_ms);
         if let Some((tokens, took_ms)) = known.waiting.end(now_ms, number) {
             self.pace.note(tokens, took_ms);
@@ -272,6 +276,11 @@
         }
     }
 
+    /// Starts or extends the backoff that `id` asked for; returns true if it was started.
+    pub fn start_backoff(&mut self, now_ms: u64, id: &str, backoff_ms: u64) -> bool {
+        self.endpoints.get_mut(id).is_some_and(|known| known.backoff.start(now_ms, backoff_ms))
+    }
+
     /// Notes that `id` could not be reached.
     pub fn unreachable(&mut self, now_ms: u64, id: &Arc<str>) {
         if let Some(known) = self.endpoints.get_mut(id) {
--- a/src/relay/known.rs
+++ b/src/relay/known.rs
@@ -6,6 +6,7 @@
 use super::waiting::{ReadingPace, UnreadMs, Waiting};
 use crate::hash;
 use crate::message::{Load, RegisteredEndpoint, WeightsName};
+use crate::policy::endpoint_backoff::EndpointBackoff;
 use crate::policy::rank::{LATE_RANK, Urgency};
 
 /// Answers of an endpoint after which its own pace goes before that of all.
@@ -29,6 +30,7 @@
     pub(super) hash: u64,
     pub(super) failures: u32,
     pub(super) closed_until_ms: u64,
+    pub(super) backoff: EndpointBackoff,
     /// Tells those that wait for its answers when another incarnation has taken its place; made when a
     /// request is sent there.
     pub(super) ended: Option<watch::Sender<bool>>,
@@ -71,6 +73,7 @@
             kept: KeptPrompts::new(),
             failures: 0,
             closed_until_ms: 0,
+            backoff: EndpointBackoff::default(),
             ended: None,
         }
     }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -38,7 +38,7 @@
 mod uses;
 mod waiting;
 
-pub use border::{AnswerMeta, RateLimit, RelayBorder, RequestMeta, SendMeta};
+pub use border::{AnswerMeta, Backoff, RateLimit, RelayBorder, RequestMeta, SendMeta};
 pub use budget::{RetryBudget, WindowUse};
 pub use events::EventSplitter;
 pub use fleet::Fleet;
--- a/src/relay/pick.rs
+++ b/src/relay/pick.rs
@@ -20,9 +20,9 @@
 /// How much longer a request may wait in the own zone and still go there: a link between zones takes
 /// a few milliseconds, and its bytes cost.
 const ZONE_PREFERENCE_MS: f64 = 15.0;
-/// How often an endpoint whose limit is used up is reported as failing; the leader places no weights
-/// there for longer than this after a report.
-const LIMITED_TOLD_EVERY_MS: u64 = 1_000;
+/// The interval at which a throttled endpoint is reported as failing; after a report, the leader
+/// places no weights there for longer than this.
+const THROTTLED_REPORT_INTERVAL_MS: u64 = 1_000;
 
 /// Where a request may go.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -51,6 +51,12 @@
         /// The time until one of them may take the next request.
         after_ms: u64,
     },
+    /// The endpoints that could take it are in backoff or limited; the next available one is in
+    /// backoff.
+    BackingOff {
+        /// The time until one of them may take the next request.
+        after_ms: u64,
+    },
     /// No endpoint holds its weights, but they are on their way to one.
     Coming,
     /// No endpoint holds its weights.
@@ -71,8 +77,18 @@
     holding: usize,
     /// The number of these to which the weights are on their way.
     coming: usize,
-    /// Endpoints whose limit is used up, with the time until the next request.
-    limited: Vec<(u64, &'a Arc<str>)>,
+    /// The endpoints that are in backoff or whose limit is used up.
+    throttled: Vec<ThrottledEndpoint>,
+}
+
+/// An endpoint that is in backoff or whose limit is used up.
+#[derive(Debug)]
+struct ThrottledEndpoint {
+    id: Arc<str>,
+    /// The time until the next request may be sent.
+    wait_ms: u64,
+    /// True for an endpoint in backoff, whether or not its limit is used up.
+    in_backoff: bool,
 }
 
 /// The parameters of a search for an endpoint.
@@ -124,9 +140,11 @@
         if known.closed_until_ms > self.now_ms || known.is_full(self.wanted.is_some()) {
             return;
         }
-        let wait_ms = limits.wait_ms(self.now_ms, id, draw);
+        let backoff_ms = known.backoff.wait_ms(self.now_ms);
+        let wait_ms = backoff_ms.max(limits.wait_ms(self.now_ms, id, draw));
         if wait_ms > 0 {
-            found.limited.push((wait_ms, id));
+            let (id, in_backoff) = (id.clone(), backoff_ms > 0);
+            found.throttled.push(ThrottledEndpoint { id, wait_ms, in_backoff });
             return;
         }
         self.add_candidate(id, known, found);
@@ -221,14 +239,23 @@
             choice::cheapest(&found.candidates)
         };
         if let Some(chosen) = best.or(found.best_tried) {
-            self.limits.take(&chosen.known.endpoint.id);
-            return picked_endpoint(chosen, search.homes, due);
+            let id = chosen.known.endpoint.id.clone();
+            let picked = picked_endpoint(chosen, search.homes, due);
+            self.note_picked(now_ms, &id);
+            return picked;
         }
         let totals = SearchTotals::new(found);
         self.unavailable(now_ms, service, wanted, totals)
     }
 
-    /// Returns why a search found no candidate; limited endpoints may be reported as failing.
+    fn note_picked(&mut self, now_ms: u64, id: &str) {
+        self.limits.take(id);
+        if let Some(known) = self.endpoints.get_mut(id) {
+            known.backoff.note_sent(now_ms);
+        }
+    }
+
+    /// Returns why a search found no candidate; throttled endpoints may be reported as failing.
     fn unavailable(
         &mut self,
         now_ms: u64,
@@ -236,22 +263,22 @@
         wanted: Option<&Wanted>,
         totals: SearchTotals,
     ) -> Picked {
-        let SearchTotals { up, holding, coming, limited } = totals;
-        if limited.len() < holding {
+        let SearchTotals { up, holding, coming, throttled } = totals;
+        if throttled.len() < holding {
             return Picked::Full;
         }
         if up == 0 && !self.has_endpoint(service) {
             return Picked::NoEndpoint;
         }
         let is_adapter = wanted.is_some_and(|wanted| wanted.weights.adapter.is_some());
-        let can_load_elsewhere = is_adapter && self.has_endpoint_except(service, &limited);
-        let after_ms = limited.iter().map(|(after_ms, _)| *after_ms).min();
-        if let Some(after_ms) = after_ms
+        let can_load_elsewhere = is_adapter && self.has_endpoint_except(service, &throttled);
+        let next = throttled.iter().min_by_key(|throttled| throttled.wait_ms);
+        if let Some(next) = next
             && !can_load_elsewhere
         {
-            return Picked::Limited { after_ms };
+            return next.to_picked();
         }
-        self.tell_limited(now_ms, limited);
+        self.report_throttled(now_ms, throttled);
         if coming > 0 { Picked::Coming } else { Picked::NoHome }
     }
 
@@ -260,28 +287,29 @@
         self.has_endpoint_except(service, &[])
     }
 
-    /// True when an endpoint of the service that is not in `limited` is up and stays.
-    fn has_endpoint_except(&self, service: &str, limited: &[(u64, Arc<str>)]) -> bool {
+    /// True when an endpoint of the service that is not in `throttled` is up and stays.
+    fn has_endpoint_except(&self, service: &str, throttled: &[ThrottledEndpoint]) -> bool {
         let Some(ids) = self.by_service.get(service) else { return false };
         for id in ids {
-            let is_limited = limited.iter().any(|(_, limited)| limited == id);
+            let is_throttled = throttled.iter().any(|throttled| throttled.id == *id);
             let is_leaving = self.endpoints.get(id).is_none_or(|known| known.endpoint.leaving);
-            if !is_limited && !is_leaving {
+            if !is_throttled && !is_leaving {
                 return true;
             }
         }
         false
     }
 
-    /// Reports endpoints whose limits are used up as failing; the leader then places their weights
-    /// elsewhere.
-    fn tell_limited(&mut self, now_ms: u64, limited: Vec<(u64, Arc<str>)>) {
-        for (_, id) in limited {
-            let told_at_ms = self.limited_told_at_ms.get(&id);
-            if told_at_ms.is_some_and(|told_at_ms| now_ms < told_at_ms + LIMITED_TOLD_EVERY_MS) {
+    /// Reports throttled endpoints as failing; the leader then places their weights elsewhere.
+    fn report_throttled(&mut self, now_ms: u64, throttled: Vec<ThrottledEndpoint>) {
+        for ThrottledEndpoint { id, .. } in throttled {
+            let reported_at_ms = self.throttled_reported_at_ms.get(&id);
+            if reported_at_ms.is_some_and(|reported_at_ms| {
+                now_ms < reported_at_ms + THROTTLED_REPORT_INTERVAL_MS
+            }) {
                 continue;
             }
-            self.limited_told_at_ms.insert(id.clone(), now_ms);
+            self.throttled_reported_at_ms.insert(id.clone(), now_ms);
             self.failing.insert(id);
         }
     }
@@ -292,14 +320,23 @@
     up: usize,
     holding: usize,
     coming: usize,
-    limited: Vec<(u64, Arc<str>)>,
+    throttled: Vec<ThrottledEndpoint>,
 }
 
 impl SearchTotals {
     fn new(found: Found<'_>) -> Self {
-        let Found { up, holding, coming, limited, .. } = found;
-        let limited = limited.into_iter().map(|(after_ms, id)| (after_ms, id.clone())).collect();
-        Self { up, holding, coming, limited }
+        let Found { up, holding, coming, throttled, .. } = found;
+        Self { up, holding, coming, throttled }
+    }
+}
+
+impl ThrottledEndpoint {
+    fn to_picked(&self) -> Picked {
+        let after_ms = self.wait_ms;
+        if self.in_backoff {
+            return Picked::BackingOff { after_ms };
+        }
+        Picked::Limited { after_ms }
     }
 }
 
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -16,6 +16,11 @@
         /// The time after which the client may retry.
         after_ms: u64,
     },
+    /// The endpoints that could take it asked for backoff.
+    BackingOff {
+        /// The time after which the client may retry.
+        after_ms: u64,
+    },
     /// The deadline passed.
     Late,
     /// The retry budget is used up.
@@ -57,6 +62,7 @@
         NotSent::NoPlace(_) | NotSent::Late => 200,
         NotSent::NoBudget => 500,
         NotSent::Limited { after_ms }
+        | NotSent::BackingOff { after_ms }
         | NotSent::Held { after_ms }
         | NotSent::OverQuota { after_ms }
         | NotSent::QuotaUnknown { after_ms }
@@ -71,6 +77,7 @@
     match reason {
         NotSent::NoPlace(detail) => come_back(detail, after_ms),
         NotSent::Limited { .. } => come_back("endpoints limit what they take", after_ms),
+        NotSent::BackingOff { .. } => come_back("endpoints asked for backoff", after_ms),
         NotSent::Late => come_back("the deadline passed", after_ms),
         NotSent::NoBudget => come_back("too many requests were sent again", after_ms),
         NotSent::Held { .. } => come_back("endpoints ended under requests like this one", after_ms),
--- a/src/relay/report.rs
+++ b/src/relay/report.rs
@@ -5,7 +5,7 @@
 use tracing::{info, warn};
 
 use super::attempt::Started;
-use super::border::{AnswerMeta, RateLimit};
+use super::border::{AnswerMeta, Backoff, RateLimit};
 use super::exchange::Exchange;
 use super::limits::LimitChange;
 use super::shared::Relay;
@@ -14,8 +14,9 @@
 use crate::policy::versions::KnownVersion;
 
 impl Relay {
-    /// Applies and logs the rate limit in the answer to a request that was sent at `sent_at_ms`.
-    pub(super) fn note_rate_limit(&self, endpoint: &Arc<str>, sent_at_ms: u64, head: &AnswerMeta) {
+    /// Applies and logs the rate limit and the backoff in the answer to a request that was sent at
+    /// `sent_at_ms`.
+    pub(super) fn note_throttling(&self, endpoint: &Arc<str>, sent_at_ms: u64, head: &AnswerMeta) {
         // The answer came from another incarnation or another service at the same address.
         if head.misdirected {
             return;
@@ -24,6 +25,7 @@
             info!(event = "endpoint_limit_unreadable", endpoint = %endpoint);
         }
         let now_ms = self.now_ms();
+        self.note_backoff(now_ms, endpoint, head.backoff);
         let change = self.fleet().note_limit(now_ms, endpoint, sent_at_ms, head.rate_limit);
         match change {
             Some(LimitChange::Set { per_s }) => {
@@ -33,6 +35,20 @@
             None => {}
         }
     }
+
+    fn note_backoff(&self, now_ms: u64, endpoint: &Arc<str>, backoff: Backoff) {
+        match backoff {
+            Backoff::Millis(backoff_ms) => {
+                if self.fleet().start_backoff(now_ms, endpoint, backoff_ms) {
+                    info!(event = "endpoint_backoff_started", endpoint = %endpoint, backoff_ms);
+                }
+            }
+            Backoff::Unreadable => {
+                info!(event = "endpoint_backoff_unreadable", endpoint = %endpoint);
+            }
+            Backoff::None => {}
+        }
+    }
 }
 
 impl Exchange {
