relay: gateways stop sending to endpoints that announce their shutdown

Cause: an endpoint that is about to shut down announces this in all its answers. No code read the header; gateways relied on the endpoint's registration alone. If the heartbeat that announces the shutdown was lost, late or never sent, or if control was unavailable, gateways continued to send requests until the endpoint had shut down.

Evidence: three tests with real programs, in which heartbeats do not announce the shutdown.

Ruled out: requests in flight (late requests arrive during all of the ten seconds of a run).

Change: - A gateway accepts the announcement from any answer, including errors and refusals, for that incarnation of the endpoint.

--- a/soak/src/overload.rs
+++ b/soak/src/overload.rs
@@ -1,6 +1,7 @@
 //! Simulated overload: the signals that an endpoint adds to its answers, and the requests that it
 //! receives.
 
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -16,6 +17,8 @@
     Limit(f64),
     /// Requests are refused, and the gateway is asked to back off for this long.
     Backoff(Duration),
+    /// Requests are served, but the endpoint is about to shut down.
+    Leaving,
 }
 
 /// A request received by an endpoint.
@@ -81,10 +84,15 @@
 
     /// Adds the signal to the headers of an answer.
     pub fn write_headers(&self, headers: &mut HeaderMap) {
-        if let Some(Signal::Limit(per_s)) = self.lock().signal
-            && let Ok(value) = HeaderValue::from_str(&per_s.to_string())
-        {
-            headers.insert("server-limit", value);
+        match self.lock().signal {
+            Some(Signal::Limit(per_s)) => {
+                let limit = HeaderValue::from_str(&per_s.to_string());
+                headers.insert("server-limit", limit.expect("a number is a valid header value"));
+            }
+            Some(Signal::Leaving) => {
+                headers.insert("server-leaving", HeaderValue::from_static("1"));
+            }
+            Some(Signal::Backoff(_)) | None => {}
         }
     }
 
@@ -123,3 +131,14 @@
     }
     max_arrivals
 }
+
+/// The number of arrivals later than `grace` after the first one from the same gateway.
+pub fn count_arrivals_after_grace(arrivals: &[Arrival], grace: Duration) -> usize {
+    let mut first_at = BTreeMap::new();
+    let mut late_arrivals = 0;
+    for arrival in arrivals {
+        let first_at = *first_at.entry(&arrival.gateway).or_insert(arrival.at);
+        late_arrivals += usize::from(arrival.at > first_at + grace);
+    }
+    late_arrivals
+}
--- /dev/null
+++ b/soak/tests/endpoints_that_announce_their_end.rs
@@ -0,0 +1,65 @@
+//! Gateways stop sending to endpoints that announce only in their answers that they are about to
+//! shut down.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::scenario::Scenario;
+use winchvane_soak::overload::{Signal, count_arrivals_after_grace};
+use winchvane_soak::record::Kind;
+
+/// The time after a gateway's first request in which it may send more: `drain_ms`, plus half a
+/// second for the first answer to arrive.
+const GRACE: Duration = Duration::from_millis(2_500);
+const LEAVING_DURATION: Duration = Duration::from_secs(10);
+
+/// Stops the system and checks the arrivals and failures since the endpoints began to announce
+/// their shutdown.
+fn check(scenario: Scenario, name: &str, announced_at: Instant) {
+    let mut late_arrivals = Vec::new();
+    for overload in scenario.overloaded() {
+        late_arrivals
+            .push(count_arrivals_after_grace(&overload.arrivals_since(announced_at), GRACE));
+    }
+    let (sent, failed) = scenario.tries_since(announced_at);
+    println!(
+        "{name}: {late_arrivals:?} requests after the grace period; {failed} of {sent} failed"
+    );
+    let breaches = scenario.stop(name);
+    assert!(breaches.is_empty(), "{breaches:?}");
+    assert!(
+        late_arrivals.iter().all(|late| *late == 0),
+        "{late_arrivals:?} requests after the grace period"
+    );
+    assert_eq!(failed, 0, "of {sent} requests failed while other endpoints were idle");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn plain_endpoints_that_announce_their_end_get_nothing_more() {
+    let scenario = Scenario::start(Kind::Stream, 97, 1).await;
+    let announced_at = scenario.set_signal(Some(Signal::Leaving));
+    tokio::time::sleep(LEAVING_DURATION).await;
+    check(scenario, "leaving-plain", announced_at);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_that_announce_their_end_get_nothing_more() {
+    let scenario = Scenario::start(Kind::Adapter, 98, 1).await;
+    let announced_at = scenario.set_signal(Some(Signal::Leaving));
+    tokio::time::sleep(LEAVING_DURATION).await;
+    check(scenario, "leaving-engines", announced_at);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn endpoints_that_announce_their_end_while_control_is_gone_get_nothing_more() {
+    let mut scenario = Scenario::start(Kind::Stream, 99, 1).await;
+    for program in &mut scenario.system.region.programs {
+        if program.is_control {
+            program.kill();
+        }
+    }
+    let announced_at = scenario.set_signal(Some(Signal::Leaving));
+    tokio::time::sleep(LEAVING_DURATION).await;
+    check(scenario, "leaving-without-control", announced_at);
+}
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -262,7 +262,7 @@
             Ok(Ok(response)) => response,
         };
         let head = relay.border.read_answer(response.status(), response.headers());
-        relay.note_throttling(&send.endpoint, self.sent_at_ms, &head);
+        relay.note_endpoint_state(&send.endpoint, self.sent_at_ms, &head);
         if head.misdirected {
             if let Some(weights) = weights {
                 relay.fleet().not_held(&send.endpoint, weights, self.held_version);
--- a/src/relay/border.rs
+++ b/src/relay/border.rs
@@ -95,6 +95,8 @@
     pub rate_limit: RateLimit,
     /// The backoff that the endpoint asks for.
     pub backoff: Backoff,
+    /// True when the endpoint announces that it is about to shut down.
+    pub leaving: bool,
 }
 
 /// Reads and writes what a platform puts into headers.
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -28,6 +28,9 @@
 const FAILURES_TO_DOWN: u32 = 3;
 /// An endpoint that said it is full gets nothing for this long.
 const FULL_MS: u64 = 60;
+/// How long an endpoint counts as leaving after an answer announced it, so that one that announced
+/// it by mistake is used again.
+const LEAVING_EXPIRY_MS: u64 = 600_000;
 /// How long after a version was replaced requests may begin on it, unless settings say otherwise.
 const VERSION_WITHIN_MS: u64 = 5_000;
 
@@ -49,8 +52,10 @@
     pub(super) pace: ReadingPace,
     sends: u64,
     pub(super) limits: EndpointLimits,
-    /// When each throttled endpoint was last reported as failing.
-    pub(super) throttled_reported_at_ms: HashMap<Arc<str>, u64>,
+    /// When each throttled or leaving endpoint was last reported as failing.
+    pub(super) failing_reported_at_ms: HashMap<Arc<str>, u64>,
+    /// Endpoints that announced in an answer that they are leaving.
+    leaving: HashSet<Arc<str>>,
 }
 
 /// What goes through a gateway, as it tells the leader.
@@ -82,7 +87,8 @@
             pace: ReadingPace::new(),
             sends: 0,
             limits: EndpointLimits::new(),
-            throttled_reported_at_ms: HashMap::new(),
+            failing_reported_at_ms: HashMap::new(),
+            leaving: HashSet::new(),
         }
     }
 
@@ -112,7 +118,8 @@
     pub fn deregister(&mut self, id: &str) -> Option<SocketAddr> {
         let known = self.endpoints.remove(id)?;
         self.limits.remove(id);
-        self.throttled_reported_at_ms.remove(id);
+        self.failing_reported_at_ms.remove(id);
+        self.leaving.remove(id);
         if let Some(ids) = self.by_service.get_mut(&known.endpoint.service) {
             ids.retain(|known| &**known != id);
         }
@@ -281,6 +288,16 @@
         self.endpoints.get_mut(id).is_some_and(|known| known.backoff.start(now_ms, backoff_ms))
     }
 
+    /// Marks `id` as leaving because it announced this in an answer; returns true if it was not
+    /// already leaving.
+    pub fn mark_leaving(&mut self, now_ms: u64, id: &Arc<str>) -> bool {
+        let Some(known) = self.endpoints.get_mut(id) else { return false };
+        let is_new = !known.is_leaving(now_ms);
+        known.leaving_until_ms = now_ms + LEAVING_EXPIRY_MS;
+        self.leaving.insert(id.clone());
+        is_new
+    }
+
     /// Notes that `id` could not be reached.
     pub fn unreachable(&mut self, now_ms: u64, id: &Arc<str>) {
         if let Some(known) = self.endpoints.get_mut(id) {
@@ -354,11 +371,21 @@
             let load = known.map(|known| known.load(demand_per_min)).unwrap_or_default();
             loads.push(EndpointLoad { endpoint, load });
         }
+        self.report_leaving(now_ms);
         let used = self.uses.take(now_ms);
         let failing = self.failing.drain().collect();
         Traffic { loads, used, failing }
     }
 
+    /// Reports endpoints that announced in an answer that they are leaving as failing, so that the
+    /// leader places weights elsewhere even if no heartbeat announces it.
+    fn report_leaving(&mut self, now_ms: u64) {
+        let endpoints = &self.endpoints;
+        self.leaving.retain(|id| endpoints.get(id).is_some_and(|known| known.is_leaving(now_ms)));
+        let leaving: Vec<Arc<str>> = self.leaving.iter().cloned().collect();
+        self.report_failing(now_ms, leaving);
+    }
+
     /// Tells all uses the next time, to a leader that knows nothing.
     pub fn forget_uses_told(&mut self) {
         self.uses.forget_told();
--- a/src/relay/known.rs
+++ b/src/relay/known.rs
@@ -31,6 +31,8 @@
     pub(super) failures: u32,
     pub(super) closed_until_ms: u64,
     pub(super) backoff: EndpointBackoff,
+    /// The time until which the endpoint counts as leaving because an answer announced it.
+    pub(super) leaving_until_ms: u64,
     /// Tells those that wait for its answers when another incarnation has taken its place; made when a
     /// request is sent there.
     pub(super) ended: Option<watch::Sender<bool>>,
@@ -74,10 +76,16 @@
             failures: 0,
             closed_until_ms: 0,
             backoff: EndpointBackoff::default(),
+            leaving_until_ms: 0,
             ended: None,
         }
     }
 
+    /// True when the endpoint is leaving according to its registration or to a recent answer.
+    pub(super) fn is_leaving(&self, now_ms: u64) -> bool {
+        self.endpoint.leaving || now_ms < self.leaving_until_ms
+    }
+
     /// True when as many requests are under way here as it takes. An endpoint queues a few more
     /// than it runs, and what the other gateways have under way is known late, so that full by
     /// that may be half empty.
--- a/src/relay/pick.rs
+++ b/src/relay/pick.rs
@@ -20,9 +20,9 @@
 /// How much longer a request may wait in the own zone and still go there: a link between zones takes
 /// a few milliseconds, and its bytes cost.
 const ZONE_PREFERENCE_MS: f64 = 15.0;
-/// The interval at which a throttled endpoint is reported as failing; after a report, the leader
-/// places no weights there for longer than this.
-const THROTTLED_REPORT_INTERVAL_MS: u64 = 1_000;
+/// The interval at which a throttled or leaving endpoint is reported as failing; after a report,
+/// the leader places no weights there for longer than this.
+const FAILING_REPORT_INTERVAL_MS: u64 = 1_000;
 
 /// Where a request may go.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -119,7 +119,7 @@
         found: &mut Found<'a>,
     ) {
         let Some(known) = self.endpoints.get(id) else { return };
-        if known.endpoint.leaving || &*known.endpoint.service != self.service {
+        if known.is_leaving(self.now_ms) || &*known.endpoint.service != self.service {
             return;
         }
         found.up += 1;
@@ -267,32 +267,38 @@
         if throttled.len() < holding {
             return Picked::Full;
         }
-        if up == 0 && !self.has_endpoint(service) {
+        if up == 0 && !self.has_endpoint(now_ms, service) {
             return Picked::NoEndpoint;
         }
         let is_adapter = wanted.is_some_and(|wanted| wanted.weights.adapter.is_some());
-        let can_load_elsewhere = is_adapter && self.has_endpoint_except(service, &throttled);
+        let can_load_elsewhere =
+            is_adapter && self.has_endpoint_except(now_ms, service, &throttled);
         let next = throttled.iter().min_by_key(|throttled| throttled.wait_ms);
         if let Some(next) = next
             && !can_load_elsewhere
         {
             return next.to_picked();
         }
-        self.report_throttled(now_ms, throttled);
+        self.report_failing(now_ms, throttled.into_iter().map(|throttled| throttled.id));
         if coming > 0 { Picked::Coming } else { Picked::NoHome }
     }
 
     /// True when an endpoint of the service is up and stays.
-    fn has_endpoint(&self, service: &str) -> bool {
-        self.has_endpoint_except(service, &[])
+    fn has_endpoint(&self, now_ms: u64, service: &str) -> bool {
+        self.has_endpoint_except(now_ms, service, &[])
     }
 
     /// True when an endpoint of the service that is not in `throttled` is up and stays.
-    fn has_endpoint_except(&self, service: &str, throttled: &[ThrottledEndpoint]) -> bool {
+    fn has_endpoint_except(
+        &self,
+        now_ms: u64,
+        service: &str,
+        throttled: &[ThrottledEndpoint],
+    ) -> bool {
         let Some(ids) = self.by_service.get(service) else { return false };
         for id in ids {
             let is_throttled = throttled.iter().any(|throttled| throttled.id == *id);
-            let is_leaving = self.endpoints.get(id).is_none_or(|known| known.endpoint.leaving);
+            let is_leaving = self.endpoints.get(id).is_none_or(|known| known.is_leaving(now_ms));
             if !is_throttled && !is_leaving {
                 return true;
             }
@@ -300,16 +306,17 @@
         false
     }
 
-    /// Reports throttled endpoints as failing; the leader then places their weights elsewhere.
-    fn report_throttled(&mut self, now_ms: u64, throttled: Vec<ThrottledEndpoint>) {
-        for ThrottledEndpoint { id, .. } in throttled {
-            let reported_at_ms = self.throttled_reported_at_ms.get(&id);
-            if reported_at_ms.is_some_and(|reported_at_ms| {
-                now_ms < reported_at_ms + THROTTLED_REPORT_INTERVAL_MS
-            }) {
+    /// Reports endpoints as failing, each at most once per `FAILING_REPORT_INTERVAL_MS`;
+    /// the leader then places their weights elsewhere.
+    pub(super) fn report_failing(&mut self, now_ms: u64, ids: impl IntoIterator<Item = Arc<str>>) {
+        for id in ids {
+            let reported_at_ms = self.failing_reported_at_ms.get(&id);
+            if reported_at_ms
+                .is_some_and(|reported_at_ms| now_ms < reported_at_ms + FAILING_REPORT_INTERVAL_MS)
+            {
                 continue;
             }
-            self.throttled_reported_at_ms.insert(id.clone(), now_ms);
+            self.failing_reported_at_ms.insert(id.clone(), now_ms);
             self.failing.insert(id);
         }
     }
--- a/src/relay/report.rs
+++ b/src/relay/report.rs
@@ -14,9 +14,14 @@
 use crate::policy::versions::KnownVersion;
 
 impl Relay {
-    /// Applies and logs the rate limit and the backoff in the answer to a request that was sent at
-    /// `sent_at_ms`.
-    pub(super) fn note_throttling(&self, endpoint: &Arc<str>, sent_at_ms: u64, head: &AnswerMeta) {
+    /// Applies and logs the rate limit, the backoff and the announced shutdown in the answer to a
+    /// request that was sent at `sent_at_ms`.
+    pub(super) fn note_endpoint_state(
+        &self,
+        endpoint: &Arc<str>,
+        sent_at_ms: u64,
+        head: &AnswerMeta,
+    ) {
         // The answer came from another incarnation or another service at the same address.
         if head.misdirected {
             return;
@@ -25,6 +30,9 @@
             info!(event = "endpoint_limit_unreadable", endpoint = %endpoint);
         }
         let now_ms = self.now_ms();
+        if head.leaving && self.fleet().mark_leaving(now_ms, endpoint) {
+            info!(event = "endpoint_end_announced", endpoint = %endpoint);
+        }
         self.note_backoff(now_ms, endpoint, head.backoff);
         let change = self.fleet().note_limit(now_ms, endpoint, sent_at_ms, head.rate_limit);
         match change {
