soak: add a mix of overloaded endpoints and faults of the system's own processes

Cause: the soak had no overloaded endpoints, so no run checked how gateways respond to their signals.

Change: with the mix `overload`, at most half of the plain endpoints and at most half of the engines advertise a rate limit, refuse requests and ask for backoff, or announce their shutdown, beside the faults of the mix `all`. The three rules are checked against the requests that endpoints receive: rate limits over all gateways, backoff and shutdown by gateway, each by incarnation, excluding the times in which a process or connection of the system is disturbed or has just been. Clients with keys name the gateway that they call, too. The scenario tests take their time bounds from the same place; no bound has changed.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -32,11 +32,13 @@
 soaks+=($!)
 soak 79 --seed 3 --seconds 6 --clients 6 --mix wide --abusive-clients 2 --crashing-clients 1 &
 soaks+=($!)
+soak 80 --seed 4 --seconds 10 --clients 6 --endpoints 6 --mix overload &
+soaks+=($!)
 verdict=0
 for soak in "${soaks[@]}"; do
   wait "$soak" || verdict=1
 done
-cat target/soak-7[789].log
+cat target/soak-7[789].log target/soak-80.log
 [ "$verdict" -eq 0 ]
 
 for test in "${known_red[@]}"; do
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -239,6 +239,7 @@
         .header("request-id", &id)
         .header("deadline-ms", DEADLINE_MS)
         .header("authorization", format!("Bearer {key}"))
+        .header(SENT_TO, address.to_string())
         .header("tenant", FORGED)
         .body(Full::new(Bytes::new()))
         .expect("the parts are valid");
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -75,12 +75,13 @@
     /// Starts another incarnation: what is sent to the one before is refused from now on.
     pub fn restart(&self) {
         self.incarnation.fetch_add(1, Ordering::SeqCst);
-        self.born_ms.store(unix_ms(), Ordering::SeqCst);
+        self.restart_under_id();
     }
 
     /// Starts another incarnation under the same id, which counts its heartbeats anew.
     pub fn restart_under_id(&self) {
         self.born_ms.store(unix_ms(), Ordering::SeqCst);
+        self.overload.record_restart();
     }
 
     /// Breaks answers off in the middle from now on, or no longer.
@@ -140,7 +141,7 @@
     }
 
     async fn serve(&self, request: Request<Incoming>) -> Answer {
-        self.overload.record_arrival(request.headers());
+        self.overload.record_arrival(request.headers(), self.record.disturbance_state());
         let mut answer = self.answer(request).await;
         self.overload.write_headers(answer.headers_mut());
         answer
--- a/soak/src/engine/mod.rs
+++ b/soak/src/engine/mod.rs
@@ -151,6 +151,7 @@
             paused: self.paused.subscribe(),
             ended,
         });
+        self.overload.record_restart();
         *lock(&self.life) = Some(life.clone());
         tokio::spawn(life.clone().until_ended(self.clone().beat(life.clone())));
         tokio::spawn(life.clone().until_ended(self.clone().accept(life, listener)));
@@ -288,7 +289,7 @@
                 whole(StatusCode::OK, &id, report.to_string())
             }
             _ => {
-                self.overload.record_arrival(&head.headers);
+                self.overload.record_arrival(&head.headers, self.record.disturbance_state());
                 if let Some(answer) = self.overload.refusal(&id) {
                     return answer;
                 }
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -7,6 +7,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, RngExt};
 
+use crate::overload::{self, Overload};
 use crate::proxy::Mode;
 use crate::record::Record;
 use crate::region::Region;
@@ -30,6 +31,8 @@
     OrdersInTime(usize),
     StartControl,
     GoOn(usize),
+    EndpointSignal(usize),
+    EngineSignal(usize),
 }
 
 /// Which faults come in a run.
@@ -44,6 +47,9 @@
     Wide,
     /// Those of endpoints only, so that bounds in time hold throughout.
     Endpoints,
+    /// The faults of `All`, and more often endpoints that advertise rate limits, ask for backoff or
+    /// announce their shutdown.
+    Overload,
 }
 
 impl Mix {
@@ -86,6 +92,13 @@
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
         region.look_for_exits();
         repair(region, &mut repairs, record).await;
+        if mix == Mix::Overload && rng.random_range(0..3) > 0 {
+            let lasts = Duration::from_millis(rng.random_range(1_000..10_000));
+            if let Some(what) = inject_overload_signal(region, rng, record) {
+                repairs.push(Repair { at: Instant::now() + lasts, what });
+            }
+            continue;
+        }
         let is_engine = mix == Mix::Endpoints || rng.random_range(0..4) == 0;
         if is_engine {
             let lasts = Duration::from_millis(rng.random_range(200..8_000));
@@ -130,6 +143,12 @@
             End::ResumeEngine(engine) => region.engines[engine].pause(false),
             End::OrdersInTime(engine) => region.engines[engine].delay_orders(false),
             End::GoOn(endpoint) => region.endpoints[endpoint].set_stalls(false),
+            End::EndpointSignal(endpoint) => region.end_endpoint_signal(endpoint),
+            End::EngineSignal(engine) => {
+                if let Err(error) = region.end_engine_signal(engine).await {
+                    println!("  {} cannot be started: {error}", region.engines[engine].id());
+                }
+            }
             End::StartControl => {
                 for program in region.programs.iter_mut().filter(|program| program.is_control) {
                     if let Err(error) = program.start() {
@@ -155,6 +174,8 @@
             End::StartControl => return region.programs.len(),
             End::Mend(_)
             | End::GoOn(_)
+            | End::EndpointSignal(_)
+            | End::EngineSignal(_)
             | End::StartEngine(_)
             | End::ResumeEngine(_)
             | End::OrdersInTime(_) => false,
@@ -296,6 +317,31 @@
     }
 }
 
+/// Makes an endpoint or engine signal overload, unless it already does or more than half of its
+/// kind would then do so.
+fn inject_overload_signal(region: &Region, rng: &mut SmallRng, record: &Record) -> Option<End> {
+    let signal = match rng.random_range(0..3) {
+        0 => overload::Signal::Limit(rng.random_range(1.0..12.0)),
+        1 => overload::Signal::Backoff(Duration::from_millis(rng.random_range(700..3_000))),
+        _ => overload::Signal::Leaving,
+    };
+    let is_engine: bool = rng.random();
+    let overloads: Vec<&Overload> = if is_engine {
+        region.engines.iter().map(|engine| &engine.overload).collect()
+    } else {
+        region.endpoints.iter().map(|endpoint| &endpoint.overload).collect()
+    };
+    let number = rng.random_range(0..overloads.len());
+    let signaling_count = overloads.iter().filter(|overload| overload.signal().is_some()).count();
+    if overloads[number].signal().is_some() || (signaling_count + 1) * 2 > overloads.len() {
+        return None;
+    }
+    let kind = if is_engine { "engine" } else { "endpoint" };
+    record.fault(format!("{kind} {number} signals {signal:?}"));
+    overloads[number].set_signal(Some(signal));
+    Some(if is_engine { End::EngineSignal(number) } else { End::EndpointSignal(number) })
+}
+
 /// Hinders what passes a proxy.
 fn hinder(region: &Region, rng: &mut impl Rng, repairs: &[Repair], record: &Record) -> Option<End> {
     let proxy = rng.random_range(0..region.proxies.len());
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -141,6 +141,7 @@
     client::read_back(&region.control_addresses(), &record).await;
     let mut breaches = record.breaches(&region.exits());
     breaches.extend(region.empty_engines());
+    breaches.extend(region.overload_breaches());
     println!("seed {seed}: {}", record.summary());
     if !breaches.is_empty() {
         region.keep_logs(&arguments.keep.join(seed.to_string()), &record);
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -42,6 +42,15 @@
     Unknown(String),
 }
 
+/// Whether the system's own processes and connections are undisturbed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DisturbanceState {
+    /// True if no disturbance is in progress or ended within the last `UNDISTURBED`.
+    pub is_undisturbed: bool,
+    /// The number of disturbances that have begun during the run.
+    pub disturbances_begun: u32,
+}
+
 struct Seen {
     kind: Kind,
     runs: u32,
@@ -65,6 +74,7 @@
     begun_late: u32,
     latest: Duration,
     disturbances: u32,
+    disturbances_begun: u32,
     disturbed_until: Option<Instant>,
     requests: HashMap<String, Seen>,
     acknowledged: Vec<(u64, Instant)>,
@@ -165,7 +175,19 @@
 
     /// Something that excuses late versions begins: a process of ours or a connection is hurt.
     pub fn disturb(&self) {
-        self.inner().disturbances += 1;
+        let mut inner = self.inner();
+        inner.disturbances += 1;
+        inner.disturbances_begun += 1;
+    }
+
+    /// Whether the system's own processes and connections are undisturbed now.
+    pub fn disturbance_state(&self) -> DisturbanceState {
+        let inner = self.inner();
+        let has_recovered = inner.disturbed_until.is_none_or(|until| until < Instant::now());
+        DisturbanceState {
+            is_undisturbed: inner.disturbances == 0 && has_recovered,
+            disturbances_begun: inner.disturbances_begun,
+        }
     }
 
     /// It is over.
--- a/soak/src/region.rs
+++ b/soak/src/region.rs
@@ -16,6 +16,7 @@
 use crate::endpoint::Endpoint;
 use crate::engine::Engine;
 use crate::keyed;
+use crate::overload;
 use crate::proxy::{Mode, Proxy};
 use crate::record::Record;
 
@@ -224,8 +225,49 @@
         (1..=REPLICAS).map(|number| self.size.at(2, number, API_PORT)).collect()
     }
 
+    /// Describes the overload signals that gateways violated.
+    pub fn overload_breaches(&self) -> Vec<String> {
+        let mut breaches = Vec::new();
+        for (number, endpoint) in self.endpoints.iter().enumerate() {
+            breaches.extend(endpoint.overload.breaches(&format!("endpoint {number}")));
+        }
+        for engine in &self.engines {
+            breaches.extend(engine.overload.breaches(engine.id()));
+        }
+        breaches
+    }
+
+    /// Ends the overload signal of an endpoint, and restarts it if it was about to shut down.
+    pub fn end_endpoint_signal(&self, number: usize) {
+        let endpoint = &self.endpoints[number];
+        if endpoint.overload.set_signal(None) == Some(overload::Signal::Leaving) {
+            endpoint.restart();
+        }
+    }
+
+    /// Ends the overload signal of an engine, and restarts it if it was about to shut down.
+    ///
+    /// # Errors
+    /// The address of the engine is already in use.
+    pub async fn end_engine_signal(&self, number: usize) -> io::Result<()> {
+        let engine = &self.engines[number];
+        if engine.overload.set_signal(None) != Some(overload::Signal::Leaving) {
+            return Ok(());
+        }
+        engine.crash();
+        engine.start().await
+    }
+
     /// Ends all faults that last.
     pub async fn heal(&mut self) {
+        for number in 0..self.endpoints.len() {
+            self.end_endpoint_signal(number);
+        }
+        for number in 0..self.engines.len() {
+            if let Err(error) = self.end_engine_signal(number).await {
+                self.exits.push(format!("engine {number} failed to restart: {error}"));
+            }
+        }
         for engine in &self.engines {
             engine.pause(false);
             engine.delay_orders(false);
--- a/soak/tests/endpoints_that_announce_their_end.rs
+++ b/soak/tests/endpoints_that_announce_their_end.rs
@@ -6,12 +6,9 @@
 use std::time::{Duration, Instant};
 
 use common::scenario::Scenario;
-use winchvane_soak::overload::{Signal, count_arrivals_after_grace};
+use winchvane_soak::overload::{LEAVING_GRACE, Signal, count_arrivals_after_grace};
 use winchvane_soak::record::Kind;
 
-/// The time after a gateway's first request in which it may send more: `drain_ms`, plus half a
-/// second for the first answer to arrive.
-const GRACE: Duration = Duration::from_millis(2_500);
 const LEAVING_DURATION: Duration = Duration::from_secs(10);
 
 /// Stops the system and checks the arrivals and failures since the endpoints began to announce
@@ -19,8 +16,10 @@
 fn check(scenario: Scenario, name: &str, announced_at: Instant) {
     let mut late_arrivals = Vec::new();
     for overload in scenario.overloaded() {
-        late_arrivals
-            .push(count_arrivals_after_grace(&overload.arrivals_since(announced_at), GRACE));
+        late_arrivals.push(count_arrivals_after_grace(
+            &overload.arrivals_since(announced_at),
+            LEAVING_GRACE,
+        ));
     }
     let (sent, failed) = scenario.tries_since(announced_at);
     println!(
--- a/soak/tests/endpoints_that_ask_for_backoff.rs
+++ b/soak/tests/endpoints_that_ask_for_backoff.rs
@@ -5,13 +5,12 @@
 use std::time::{Duration, Instant};
 
 use common::scenario::Scenario;
-use winchvane_soak::overload::{Signal, max_arrivals_in_backoff};
+use winchvane_soak::overload::{
+    BACKOFF_ARRIVALS_MAX, BACKOFF_GRACE, Signal, max_arrivals_in_backoff,
+};
 use winchvane_soak::record::Kind;
 
 const BACKOFF: Duration = Duration::from_secs(3);
-/// The time after a refusal from which the backoff is enforced.
-const GRACE: Duration = Duration::from_millis(500);
-const ARRIVALS_MAX: usize = 2;
 const OVERLOAD_DURATION: Duration = Duration::from_secs(13);
 
 /// Stops the system and checks the arrivals and failures since the endpoints started to refuse
@@ -19,7 +18,8 @@
 fn check(scenario: Scenario, name: &str, refusing_since: Instant) {
     let mut max_arrivals = Vec::new();
     for overload in scenario.overloaded() {
-        max_arrivals.push(max_arrivals_in_backoff(&overload.arrivals_since(refusing_since), GRACE));
+        max_arrivals
+            .push(max_arrivals_in_backoff(&overload.arrivals_since(refusing_since), BACKOFF_GRACE));
     }
     let (sent, failed) = scenario.tries_since(refusing_since);
     println!(
@@ -28,7 +28,7 @@
     let breaches = scenario.stop(name);
     assert!(breaches.is_empty(), "{breaches:?}");
     assert!(
-        max_arrivals.iter().all(|arrivals| *arrivals <= ARRIVALS_MAX),
+        max_arrivals.iter().all(|arrivals| *arrivals <= BACKOFF_ARRIVALS_MAX),
         "{max_arrivals:?} requests in a backoff"
     );
     assert_eq!(failed, 0, "of {sent} requests failed while other endpoints were idle");
--- a/soak/tests/endpoints_that_name_a_limit.rs
+++ b/soak/tests/endpoints_that_name_a_limit.rs
@@ -5,14 +5,10 @@
 use std::time::{Duration, Instant};
 
 use common::scenario::Scenario;
-use winchvane_soak::overload::{Signal, max_arrivals_within};
+use winchvane_soak::overload::{LIMIT_ENFORCED_AFTER, LIMIT_WINDOW, Signal, max_arrivals_within};
 use winchvane_soak::record::Kind;
 
 const LIMIT_PER_S: f64 = 2.0;
-/// The time after the first advertisement from which the limit is enforced: `contact_ms` plus half a
-/// second for answers in flight.
-const ENFORCED_AFTER: Duration = Duration::from_millis(3_500);
-const WINDOW: Duration = Duration::from_secs(4);
 /// One and a half times the limit over the window, plus five requests.
 const ARRIVALS_MAX: usize = 17;
 const OVERLOAD_DURATION: Duration = Duration::from_secs(13);
@@ -21,14 +17,14 @@
 fn max_per_window_since(scenario: &Scenario, from: Instant) -> Vec<usize> {
     let mut max_arrivals = Vec::new();
     for overload in scenario.overloaded() {
-        max_arrivals.push(max_arrivals_within(&overload.arrivals_since(from), WINDOW));
+        max_arrivals.push(max_arrivals_within(&overload.arrivals_since(from), LIMIT_WINDOW));
     }
     max_arrivals
 }
 
 /// Stops the system and checks the arrivals and failures since the limit was advertised.
 fn check(scenario: Scenario, name: &str, advertised_at: Instant) {
-    let max_arrivals = max_per_window_since(&scenario, advertised_at + ENFORCED_AFTER);
+    let max_arrivals = max_per_window_since(&scenario, advertised_at + LIMIT_ENFORCED_AFTER);
     let (sent, failed) = scenario.tries_since(advertised_at);
     println!("{name}: {max_arrivals:?} requests in the worst window; {failed} of {sent} failed");
     let breaches = scenario.stop(name);
