tests, soak: share the fixtures and checks of the overloaded-endpoint tests

Change: the fixtures are in tests/common/fleet.rs, the checks in Scenario::stop_and_check, and RandomGatewayClients in soak/src/random_gateway_clients.rs. The three scenario tests now print the same summary line and the same assertion message.

--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod keyed;
 pub mod overload;
 pub mod proxy;
+pub mod random_gateway_clients;
 pub mod record;
 pub mod region;
--- a/soak/tests/common/scenario.rs
+++ b/soak/tests/common/scenario.rs
@@ -4,8 +4,9 @@
 use std::time::{Duration, Instant};
 
 use tokio::task::JoinHandle;
-use winchvane_soak::client::{RandomGatewayClients, Try};
+use winchvane_soak::client::Try;
 use winchvane_soak::overload::{Overload, Signal};
+use winchvane_soak::random_gateway_clients::RandomGatewayClients;
 use winchvane_soak::record::{End, Kind};
 use winchvane_soak::region::Size;
 
@@ -80,6 +81,28 @@
         (later.len(), failed)
     }
 
+    /// Stops the clients and the system. Panics if a breach was recorded, if an entry of `arrivals`
+    /// (one per overloaded endpoint) exceeds `arrivals_max`, or if a request sent since `from` failed.
+    pub fn stop_and_check(
+        self,
+        name: &str,
+        from: Instant,
+        arrivals: &[usize],
+        arrivals_max: usize,
+    ) {
+        let (sent, failed) = self.tries_since(from);
+        println!(
+            "{name}: {arrivals:?} requests per overloaded endpoint, at most {arrivals_max} allowed; {failed} of {sent} failed"
+        );
+        let breaches = self.stop(name);
+        assert!(breaches.is_empty(), "{breaches:?}");
+        assert!(
+            arrivals.iter().all(|count| *count <= arrivals_max),
+            "{arrivals:?} requests per overloaded endpoint, at most {arrivals_max} allowed"
+        );
+        assert_eq!(failed, 0, "of {sent} requests failed while other endpoints were idle");
+    }
+
     /// Stops the clients and the system; returns the recorded breaches.
     pub fn stop(self, name: &str) -> Vec<String> {
         for client in &self.clients {
--- a/soak/tests/endpoints_that_announce_their_end.rs
+++ b/soak/tests/endpoints_that_announce_their_end.rs
@@ -11,8 +11,8 @@
 
 const LEAVING_DURATION: Duration = Duration::from_secs(10);
 
-/// Stops the system and checks the arrivals and failures since the endpoints began to announce
-/// their shutdown.
+/// Stops the system and checks the arrivals after the grace period and the failures since the
+/// endpoints began to announce their shutdown.
 fn check(scenario: Scenario, name: &str, announced_at: Instant) {
     let mut late_arrivals = Vec::new();
     for overload in scenario.overloaded() {
@@ -21,17 +21,7 @@
             LEAVING_GRACE,
         ));
     }
-    let (sent, failed) = scenario.tries_since(announced_at);
-    println!(
-        "{name}: {late_arrivals:?} requests after the grace period; {failed} of {sent} failed"
-    );
-    let breaches = scenario.stop(name);
-    assert!(breaches.is_empty(), "{breaches:?}");
-    assert!(
-        late_arrivals.iter().all(|late| *late == 0),
-        "{late_arrivals:?} requests after the grace period"
-    );
-    assert_eq!(failed, 0, "of {sent} requests failed while other endpoints were idle");
+    scenario.stop_and_check(name, announced_at, &late_arrivals, 0);
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/soak/tests/endpoints_that_ask_for_backoff.rs
+++ b/soak/tests/endpoints_that_ask_for_backoff.rs
@@ -13,25 +13,15 @@
 const BACKOFF: Duration = Duration::from_secs(3);
 const OVERLOAD_DURATION: Duration = Duration::from_secs(13);
 
-/// Stops the system and checks the arrivals and failures since the endpoints started to refuse
-/// requests.
+/// Stops the system and checks the arrivals from one gateway during a backoff and the failures since
+/// the endpoints started to refuse requests.
 fn check(scenario: Scenario, name: &str, refusing_since: Instant) {
     let mut max_arrivals = Vec::new();
     for overload in scenario.overloaded() {
         max_arrivals
             .push(max_arrivals_in_backoff(&overload.arrivals_since(refusing_since), BACKOFF_GRACE));
     }
-    let (sent, failed) = scenario.tries_since(refusing_since);
-    println!(
-        "{name}: {max_arrivals:?} requests from one gateway in a backoff; {failed} of {sent} failed"
-    );
-    let breaches = scenario.stop(name);
-    assert!(breaches.is_empty(), "{breaches:?}");
-    assert!(
-        max_arrivals.iter().all(|arrivals| *arrivals <= BACKOFF_ARRIVALS_MAX),
-        "{max_arrivals:?} requests in a backoff"
-    );
-    assert_eq!(failed, 0, "of {sent} requests failed while other endpoints were idle");
+    scenario.stop_and_check(name, refusing_since, &max_arrivals, BACKOFF_ARRIVALS_MAX);
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/soak/tests/endpoints_that_name_a_limit.rs
+++ b/soak/tests/endpoints_that_name_a_limit.rs
@@ -22,18 +22,11 @@
     max_arrivals
 }
 
-/// Stops the system and checks the arrivals and failures since the limit was advertised.
+/// Stops the system and checks the arrivals per window and the failures since the limit was
+/// advertised.
 fn check(scenario: Scenario, name: &str, advertised_at: Instant) {
     let max_arrivals = max_per_window_since(&scenario, advertised_at + LIMIT_ENFORCED_AFTER);
-    let (sent, failed) = scenario.tries_since(advertised_at);
-    println!("{name}: {max_arrivals:?} requests in the worst window; {failed} of {sent} failed");
-    let breaches = scenario.stop(name);
-    assert!(breaches.is_empty(), "{breaches:?}");
-    assert!(
-        max_arrivals.iter().all(|arrivals| *arrivals <= ARRIVALS_MAX),
-        "{max_arrivals:?} requests in a window"
-    );
-    assert_eq!(failed, 0, "of {sent} requests failed while other endpoints were idle");
+    scenario.stop_and_check(name, advertised_at, &max_arrivals, ARRIVALS_MAX);
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 pub mod engines;
+pub mod fleet;
 pub mod group;
 pub mod region;
 pub mod replica;
--- a/tests/endpoint_backoff.rs
+++ b/tests/endpoint_backoff.rs
@@ -1,36 +1,16 @@
 //! Endpoint selection with endpoints that refuse requests and ask for backoff.
 
+mod common;
+
 use std::sync::Arc;
 
-use winchvane::message::{Holding, Placed, RegisteredEndpoint, WeightsName};
+use common::fleet::{SERVICE, endpoint, fleet, place_adapter, wanted};
 use winchvane::policy::endpoint_backoff::EndpointBackoff;
-use winchvane::relay::{Fleet, Picked, PromptChain, RateLimit, Wanted};
+use winchvane::relay::{Fleet, Picked, RateLimit};
 use yare::parameterized;
 
-const SERVICE: &str = "quotes";
 const TEN_DAYS_MS: u64 = 10 * 24 * 3_600 * 1_000;
 
-fn fleet(ids: &[&str]) -> Fleet {
-    let mut fleet = Fleet::new("near".into(), 1);
-    for id in ids {
-        fleet.register(endpoint(id, 0));
-    }
-    fleet
-}
-
-fn endpoint(id: &str, born_ms: u64) -> RegisteredEndpoint {
-    RegisteredEndpoint {
-        id: RegisteredEndpoint::incarnation_id(id, born_ms),
-        name: id.into(),
-        born_ms,
-        service: SERVICE.into(),
-        address: ([127, 0, 0, 1], 7_000 + u16::from(id.as_bytes()[0])).into(),
-        zone: "near".into(),
-        slots: 64,
-        leaving: false,
-    }
-}
-
 fn picked(fleet: &mut Fleet, now_ms: u64) -> Option<String> {
     match fleet.pick(now_ms, SERVICE, None, &[]) {
         Picked::Endpoint { id, .. } => Some(id.to_string()),
@@ -89,19 +69,9 @@
 #[test]
 fn an_adapter_whose_only_home_asked_for_backoff_is_requested_elsewhere() {
     let mut fleet = fleet(&["a", "b"]);
-    let name = WeightsName::new("base", Some("shop"));
-    let placed = Placed { endpoint: "a".into(), name: name.clone(), holding: Holding::Ready(1) };
-    fleet.place(false, vec![placed]);
+    place_adapter(&mut fleet, "a");
     fleet.start_backoff(0, "a", 3_000);
-    let wanted = Wanted {
-        weights: name,
-        priority: 0,
-        left_ms: 1_000.0,
-        prompt_tokens: 0,
-        prompt: PromptChain::default(),
-        memory_tokens: 100_000,
-    };
-    assert_eq!(fleet.pick(0, SERVICE, Some(&wanted), &[]), Picked::NoHome);
+    assert_eq!(fleet.pick(0, SERVICE, Some(&wanted()), &[]), Picked::NoHome);
     let failing: Vec<Arc<str>> = vec!["a".into()];
     assert_eq!(fleet.take_traffic(0).failing, failing);
 }
--- a/tests/leaving_endpoints.rs
+++ b/tests/leaving_endpoints.rs
@@ -1,32 +1,11 @@
 //! Endpoint selection with endpoints that announce in answers that they are leaving.
 
-use std::sync::Arc;
-
-use winchvane::message::{Holding, Placed, RegisteredEndpoint, WeightsName};
-use winchvane::relay::{Fleet, Picked, PromptChain, Wanted};
-
-const SERVICE: &str = "quotes";
+mod common;
 
-fn endpoint(id: &str, born_ms: u64) -> RegisteredEndpoint {
-    RegisteredEndpoint {
-        id: RegisteredEndpoint::incarnation_id(id, born_ms),
-        name: id.into(),
-        born_ms,
-        service: SERVICE.into(),
-        address: ([127, 0, 0, 1], 7_000 + u16::from(id.as_bytes()[0])).into(),
-        zone: "near".into(),
-        slots: 64,
-        leaving: false,
-    }
-}
+use std::sync::Arc;
 
-fn fleet(ids: &[&str]) -> Fleet {
-    let mut fleet = Fleet::new("near".into(), 1);
-    for id in ids {
-        fleet.register(endpoint(id, 0));
-    }
-    fleet
-}
+use common::fleet::{SERVICE, endpoint, fleet, place_adapter, wanted};
+use winchvane::relay::{Fleet, Picked};
 
 fn is_picked(fleet: &mut Fleet, now_ms: u64, id: &str) -> bool {
     matches!(fleet.pick(now_ms, SERVICE, None, &[]), Picked::Endpoint { id: to, .. } if *to == *id)
@@ -50,19 +29,9 @@
 #[test]
 fn a_leaving_endpoint_is_reported_as_failing_until_deregistered() {
     let mut fleet = fleet(&["a", "b"]);
-    let name = WeightsName::new("base", Some("shop"));
-    let placed = Placed { endpoint: "a".into(), name: name.clone(), holding: Holding::Ready(1) };
-    fleet.place(false, vec![placed]);
+    place_adapter(&mut fleet, "a");
     fleet.mark_leaving(0, &"a".into());
-    let wanted = Wanted {
-        weights: name,
-        priority: 0,
-        left_ms: 1_000.0,
-        prompt_tokens: 0,
-        prompt: PromptChain::default(),
-        memory_tokens: 100_000,
-    };
-    assert_eq!(fleet.pick(0, SERVICE, Some(&wanted), &[]), Picked::NoHome);
+    assert_eq!(fleet.pick(0, SERVICE, Some(&wanted()), &[]), Picked::NoHome);
     let failing: Vec<Arc<str>> = vec!["a".into()];
     assert_eq!(fleet.take_traffic(0).failing, failing);
     assert_eq!(fleet.take_traffic(500).failing, []);
--- a/tests/limited_endpoints.rs
+++ b/tests/limited_endpoints.rs
@@ -1,49 +1,13 @@
 //! Endpoint selection with endpoints that advertise rate limits.
 
+mod common;
+
 use std::sync::Arc;
 
-use winchvane::message::{Holding, Placed, RegisteredEndpoint, WeightsName};
-use winchvane::relay::{Fleet, LimitChange, Picked, PromptChain, RateLimit, Wanted};
+use common::fleet::{SERVICE, endpoint, fleet, place_adapter, wanted};
+use winchvane::relay::{Fleet, LimitChange, Picked, RateLimit};
 use yare::parameterized;
 
-const SERVICE: &str = "quotes";
-
-fn endpoint(id: &str, born_ms: u64) -> RegisteredEndpoint {
-    RegisteredEndpoint {
-        id: RegisteredEndpoint::incarnation_id(id, born_ms),
-        name: id.into(),
-        born_ms,
-        service: SERVICE.into(),
-        address: ([127, 0, 0, 1], 7_000 + u16::from(id.as_bytes()[0])).into(),
-        zone: "near".into(),
-        slots: 64,
-        leaving: false,
-    }
-}
-
-fn fleet(ids: &[&str]) -> Fleet {
-    let mut fleet = Fleet::new("near".into(), 1);
-    for id in ids {
-        fleet.register(endpoint(id, 0));
-    }
-    fleet
-}
-
-fn adapter() -> WeightsName {
-    WeightsName::new("base", Some("shop"))
-}
-
-fn wanted() -> Wanted {
-    Wanted {
-        weights: adapter(),
-        priority: 0,
-        left_ms: 1_000.0,
-        prompt_tokens: 0,
-        prompt: PromptChain::default(),
-        memory_tokens: 100_000,
-    }
-}
-
 fn note_limit(
     fleet: &mut Fleet,
     now_ms: u64,
@@ -88,8 +52,7 @@
 #[test]
 fn an_adapter_whose_only_home_is_limited_is_requested_elsewhere() {
     let mut fleet = fleet(&["a", "b"]);
-    let placed = Placed { endpoint: "a".into(), name: adapter(), holding: Holding::Ready(1) };
-    fleet.place(false, vec![placed]);
+    place_adapter(&mut fleet, "a");
     note_limit(&mut fleet, 0, "a", RateLimit::PerSecond(2.0));
     assert_eq!(fleet.pick(0, SERVICE, Some(&wanted()), &[]), Picked::NoHome);
     let failing: Vec<Arc<str>> = vec!["a".into()];
