relay, policy: a trial without an outcome is returned to the leader

Callers saw: an ordinary content that was held was refused for 15 s more, each try after a wait of 300 ms; 17 of 95 ordinary requests failed once it was calm. Cause: a gateway took its trial, could not send the request (NoPlace: the endpoints were full), and told nobody; the leader gives no other trial for 15 s. Ruled out: a trial that comes after its request has given up (it was taken); this is returned too now. Change: a trial that is dropped without an outcome, that no request waits for, or whose endpoint goes on is returned, and the request is held for a second in place of 15 s. While another gateway has a trial, tries are refused at once. A trial that is broken off with an endpoint which another request is suspected to have ended does not lengthen the time (an ordinary content was held for 60 s so). Measured: tests/standings.rs and tests/crashes.rs, four new cases.

--- a/src/control/distribution/mod.rs
+++ b/src/control/distribution/mod.rs
@@ -151,7 +151,8 @@
             | SessionUp::Ordered(_)
             | SessionUp::Crashes(_)
             | SessionUp::Served(_)
-            | SessionUp::AskForTrial(_) => {
+            | SessionUp::AskForTrial(_)
+            | SessionUp::TrialReturned(_) => {
                 self.forwarded.push(Forwarded { gateway, up });
                 self.forward();
             }
--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -391,6 +391,11 @@
                 self.registered.crashes.ask_for_trial(now_ms, key, &from.gateway);
                 self.propose_standings(wall_ms);
             }
+            SessionUp::TrialReturned(key) => {
+                info!(event = "trial_returned", key = %key, gateway = %from.gateway);
+                self.registered.crashes.return_trial(key, &from.gateway);
+                self.propose_standings(wall_ms);
+            }
             up => {
                 let message = up.kind();
                 warn!(event = "message_ignored", gateway = %from.gateway, message);
--- a/src/control/replica/sessions.rs
+++ b/src/control/replica/sessions.rs
@@ -118,6 +118,7 @@
             | SessionUp::Crashes(_)
             | SessionUp::Served(_)
             | SessionUp::AskForTrial(_)
+            | SessionUp::TrialReturned(_)
             | SessionUp::CreditAsks(_) => {
                 let message = up.kind();
                 debug!(event = "message_ignored", gateway = %gateway, message);
--- a/src/message/session.rs
+++ b/src/message/session.rs
@@ -75,6 +75,8 @@
     AskForTrial(RequestKey),
     /// Asks for credit of workspaces; answered by as many grants, in one message or more.
     CreditAsks(Vec<CreditAsk>),
+    /// Returns a trial that had no outcome.
+    TrialReturned(RequestKey),
 }
 
 impl SessionUp {
@@ -95,6 +97,7 @@
             Self::Served(_) => "session_served",
             Self::AskForTrial(_) => "session_ask_for_trial",
             Self::CreditAsks(_) => "session_credit_asks",
+            Self::TrialReturned(_) => "session_trial_returned",
         }
     }
 }
--- a/src/policy/crashes.rs
+++ b/src/policy/crashes.rs
@@ -60,6 +60,8 @@
 const RENEWED_PERCENT: u64 = 50;
 /// How long a trial may take; after that another gateway may try.
 const TRIAL_MS: u64 = 15_000;
+/// How long a request is held again whose trial had no outcome.
+const TRIAL_AGAIN_MS: u64 = 1_000;
 /// How long ends are remembered for requests that come seldom.
 const KEPT_MS: u64 = 3_600_000;
 /// Ends that are remembered.
@@ -266,9 +268,11 @@
             Some((Standing::Held { .. }, _)) => return,
             Some((Standing::OnTrial { .. }, since_ms)) if at_ms < since_ms => return,
             Some((Standing::OnTrial { times, .. }, _)) => {
-                // Endpoints end by chance during trials too: one that ran for long is held no longer.
-                let is_soon = self.factor_of(key, endpoint) >= 1.0;
-                held(if is_soon { times + 1 } else { *times })
+                // Endpoints end by chance or under others during trials too.
+                let is_cause = self.by_endpoint.get(endpoint).is_some_and(|crash| {
+                    self.factor_in(key, crash) >= 1.0 && !self.is_explained_without(key, crash)
+                });
+                held(if is_cause { times + 1 } else { *times })
             }
             Some((Standing::Watched | Standing::Suspected | Standing::Cleared, _)) | None => {
                 let Some(standing) = self.weigh(key) else { return };
@@ -310,10 +314,6 @@
         factor
     }
 
-    fn factor_of(&self, key: RequestKey, endpoint: &str) -> f64 {
-        self.by_endpoint.get(endpoint).map_or(1.0, |crash| self.factor_in(key, crash))
-    }
-
     fn factor_in(&self, key: RequestKey, crash: &Crash) -> f64 {
         let ran_ms = crash.runs.get(&key).map_or(u32::MAX, |run| run.ran_ms);
         let ends_by_chance = self.rate_without_per_ms(key, crash) * f64::from(ran_ms.max(1));
@@ -437,6 +437,17 @@
         self.decide(key, weights, Standing::OnTrial { gateway: gateway.clone(), times });
     }
 
+    /// Takes a trial back that `gateway` could not use, or that showed nothing: another one may follow soon.
+    pub fn return_trial(&mut self, key: RequestKey, gateway: &Arc<str>) {
+        let Some(known) = self.known.get(&key) else { return };
+        let Standing::OnTrial { gateway: trying, times } = &known.standing else { return };
+        if trying != gateway || self.undecided.contains_key(&key) {
+            return;
+        }
+        let standing = Standing::Held { for_ms: TRIAL_AGAIN_MS, times: *times };
+        self.decide(key, known.weights.clone(), standing);
+    }
+
     /// Shortens the time for which requests to `name`, which has just got a newer version, are held.
     pub fn renewed(&mut self, now_ms: u64, name: &WeightsName) {
         let mut shortened = Vec::new();
--- a/src/relay/crashes.rs
+++ b/src/relay/crashes.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use tokio::sync::mpsc;
+use tracing::info;
 
 use super::served::ServedLately;
 use super::standings::Standings;
@@ -99,7 +100,16 @@
                 crash.runs.retain(|run| run.key != standing.key);
             }
         }
-        self.standings().told(now_ms, standing);
+        let key = standing.key;
+        if self.standings().told(now_ms, standing) {
+            self.return_trial(key);
+        }
+    }
+
+    /// Returns a trial without an outcome to the leader, so that it need not wait for one.
+    pub(super) fn return_trial(&self, key: RequestKey) {
+        info!(event = "trial_without_outcome", key = %key);
+        self.tell(SessionUp::TrialReturned(key));
     }
 
     /// Forgets all standings but those of `keys`.
@@ -107,26 +117,28 @@
         self.standings().keep_only(keys);
     }
 
-    /// Notes an answer that an endpoint broke off to a request that was sent there at `sent_at_ms`.
+    /// Notes an answer that an endpoint broke off to a request that was sent there at `sent_at_ms`; false
+    /// when it tells nothing of the request.
     pub(super) fn broken_off(
         &self,
         now_ms: u64,
         suspect: Suspect,
         sent_at_ms: u64,
         run: BrokenRun,
-    ) {
+    ) -> bool {
         let mut seen = self.seen();
         // What was sent to an endpoint that had ended tells nothing of the request.
         if seen.first_broken_ms(&suspect.id).is_some_and(|at_ms| at_ms <= sent_at_ms) {
-            return;
+            return false;
         }
         if let Some(broken) = seen.broken.get_mut(&suspect.id) {
             broken.runs.push(run);
-            return;
+            return true;
         }
         seen.broken.insert(suspect.id.clone(), Broken { since_ms: now_ms, runs: vec![run] });
         // The receiver lives as long as the process.
         let _ = self.suspects.send(suspect);
+        true
     }
 
     /// Another incarnation has taken the endpoint's place: what it broke off just before, it broke off
@@ -147,7 +159,14 @@
         let mut seen = self.seen();
         let Some(broken) = seen.broken.remove(endpoint) else { return };
         seen.forget_old(now_ms);
+        let keys: Vec<RequestKey> = broken.runs.iter().map(|run| run.key).collect();
         seen.doubtful.insert(endpoint.clone(), broken);
+        drop(seen);
+        for key in keys {
+            if self.standings().has_used_trial(&key) {
+                self.return_trial(key);
+            }
+        }
     }
 
     /// Notes that a suspect has ended, and tells the leader.
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -21,6 +21,7 @@
 use super::shared::Relay;
 use super::standings::Permission;
 use super::stream;
+use super::trial::Trial;
 use crate::http::{Answer, HttpHandler, answer, full, header};
 use crate::message::{RequestContent, RequestKey};
 use crate::metrics::Counter;
@@ -106,8 +107,8 @@
     key: OnceLock<RequestKey>,
     /// Whether it may be sent again within the same try.
     permission: Permission,
-    /// True once the leader has let this try be sent although it was held.
-    pub(super) is_trial: bool,
+    /// The leader's permission to send this try although it was held.
+    pub(super) trial: Option<Trial>,
     /// Sends that an endpoint may have started.
     given: u32,
     /// Sends that endpoints refused without asking for backoff.
@@ -173,7 +174,7 @@
             held_version: None,
             key: OnceLock::new(),
             permission: Permission::Free,
-            is_trial: false,
+            trial: None,
             given: 0,
             refused: 0,
             refused_with_backoff: 0,
--- a/src/relay/held.rs
+++ b/src/relay/held.rs
@@ -10,6 +10,7 @@
 use super::exchange::Exchange;
 use super::refusal::NotSent;
 use super::standings::Permission;
+use super::trial::{Trial, TrialWait};
 use crate::message::{BrokenRun, RequestKey, SessionUp};
 
 /// A request that had not begun counts as if it had been there this long: one that is sent while its
@@ -64,7 +65,10 @@
         let key = self.key();
         let served_ago_ms = self.relay.crashes.served_ago_ms(now_ms, &key);
         let run = BrokenRun { key, weights: self.meta.weights.clone(), ran_ms, served_ago_ms };
-        self.relay.crashes.broken_off(now_ms, suspect, self.sent_at_ms, run);
+        let tells = self.relay.crashes.broken_off(now_ms, suspect, self.sent_at_ms, run);
+        if let (true, Some(trial)) = (tells, &self.trial) {
+            trial.had_outcome();
+        }
     }
 
     /// Notes that the request was served, and tells the leader if it wants to know.
@@ -79,6 +83,9 @@
             info!(event = "watched_request_served", request = %self.meta.id, key = %key);
             crashes.tell(SessionUp::Served(key));
         }
+        if let Some(trial) = &self.trial {
+            trial.had_outcome();
+        }
     }
 
     /// Waits until the request may be sent, if it was held and the leader has to be asked.
@@ -89,7 +96,7 @@
         if self.relay.crashes.standings().is_empty() {
             return Ok(Permission::Free);
         }
-        if self.is_trial && self.may_give_again() {
+        if self.trial.is_some() && self.may_give_again() {
             return Ok(Permission::Once);
         }
         let key = self.key();
@@ -98,8 +105,7 @@
             Permission::Free | Permission::Once => Ok(permission),
             Permission::Refused { after_ms } => Err(NotSent::Held { after_ms }),
             Permission::Ask => {
-                self.ask_for_trial(key).await?;
-                self.is_trial = true;
+                self.trial = Some(self.ask_for_trial(key).await?);
                 Ok(Permission::Once)
             }
         }
@@ -118,12 +124,13 @@
         held_for_ms.map_or(Ok(()), |after_ms| Err(NotSent::Held { after_ms }))
     }
 
-    async fn ask_for_trial(&self, key: RequestKey) -> Result<(), NotSent> {
+    async fn ask_for_trial(&self, key: RequestKey) -> Result<Trial, NotSent> {
         let relay = &self.relay;
         let refused = NotSent::Held { after_ms: TRIAL_AGAIN_MS };
         if !relay.is_confirmed(relay.now_ms()) {
             return Err(refused);
         }
+        let _wait = TrialWait::new(relay, key);
         relay.crashes.tell(SessionUp::AskForTrial(key));
         let until_ms = (relay.now_ms() + TRIAL_ANSWER_MS).min(self.ends_at_ms);
         loop {
@@ -132,7 +139,8 @@
             changed.as_mut().enable();
             let now_ms = relay.now_ms();
             if relay.crashes.standings().take_trial(&key) {
-                return Ok(());
+                info!(event = "trial_taken", request = %self.meta.id, key = %key);
+                return Ok(Trial::new(relay.clone(), key));
             }
             if now_ms >= until_ms {
                 return Err(refused);
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -36,6 +36,7 @@
 mod shared;
 mod standings;
 mod stream;
+mod trial;
 mod uses;
 mod waiting;
 
--- a/src/relay/standings.rs
+++ b/src/relay/standings.rs
@@ -7,6 +7,8 @@
 
 /// How long a client waits that comes while another try decides.
 const DECIDED_MS: u64 = 2_000;
+/// How long another gateway's trial may take; after that the leader may give it to this one.
+const TRIAL_MS: u64 = 15_000;
 /// The shortest time after which a client that was refused should come again.
 const COME_BACK_MIN_MS: u64 = 1_000;
 
@@ -39,12 +41,14 @@
     known: HashMap<RequestKey, Known>,
     /// Trials of this gateway that were used.
     tried: HashSet<RequestKey>,
+    /// How many requests wait for a trial.
+    waiting: HashMap<RequestKey, usize>,
 }
 
 impl Standings {
     /// None yet, for this `gateway`.
     pub fn new(gateway: Arc<str>) -> Self {
-        Self { gateway, known: HashMap::new(), tried: HashSet::new() }
+        Self { gateway, known: HashMap::new(), tried: HashSet::new(), waiting: HashMap::new() }
     }
 
     /// True when all requests are alike; none needs to be looked at.
@@ -57,15 +61,32 @@
         self.known.contains_key(key)
     }
 
-    /// Takes over what the leader told.
-    pub fn told(&mut self, now_ms: u64, told: RequestStanding) {
+    /// Takes over what the leader told; true for a trial of this gateway that no request waits for.
+    pub fn told(&mut self, now_ms: u64, told: RequestStanding) -> bool {
         let RequestStanding { key, standing, .. } = told;
         self.tried.remove(&key);
         if standing == Standing::Cleared {
             self.known.remove(&key);
-            return;
+            return false;
         }
+        let is_own_trial =
+            matches!(&standing, Standing::OnTrial { gateway, .. } if *gateway == self.gateway);
         self.known.insert(key, Known { standing, since_ms: now_ms });
+        is_own_trial && !self.waiting.contains_key(&key)
+    }
+
+    /// Notes that a request waits for a trial.
+    pub fn begin_wait(&mut self, key: RequestKey) {
+        *self.waiting.entry(key).or_insert(0) += 1;
+    }
+
+    /// Notes that a request waits no longer.
+    pub fn end_wait(&mut self, key: &RequestKey) {
+        let Some(waiting) = self.waiting.get_mut(key) else { return };
+        *waiting -= 1;
+        if *waiting == 0 {
+            self.waiting.remove(key);
+        }
     }
 
     /// Forgets everything that `keys` does not name, which is all that the leader knows.
@@ -85,10 +106,14 @@
             Standing::Held { for_ms, .. } if age_ms < *for_ms => {
                 Permission::Refused { after_ms: (for_ms - age_ms).max(COME_BACK_MIN_MS) }
             }
-            Standing::OnTrial { .. } if age_ms < DECIDED_MS => {
+            Standing::OnTrial { gateway, .. } => {
+                let decided_ms = if *gateway == self.gateway { DECIDED_MS } else { TRIAL_MS };
+                if age_ms >= decided_ms {
+                    return Permission::Ask;
+                }
                 Permission::Refused { after_ms: DECIDED_MS }
             }
-            Standing::Held { .. } | Standing::OnTrial { .. } => Permission::Ask,
+            Standing::Held { .. } => Permission::Ask,
         }
     }
 
@@ -109,4 +134,9 @@
         };
         *gateway == self.gateway && self.tried.insert(*key)
     }
+
+    /// True when this gateway has used its trial of the request.
+    pub fn has_used_trial(&self, key: &RequestKey) -> bool {
+        self.tried.contains(key)
+    }
 }
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -549,6 +549,39 @@
     assert_eq!(commit(&mut crashes, 29_100), Some(Standing::Cleared));
 }
 
+/// Guards against a request that is refused for as long as its lost trial could have taken.
+#[test]
+fn a_returned_trial_is_given_again_after_a_second() {
+    let mut crashes = held();
+    let (one, other): (Arc<str>, Arc<str>) = ("g1".into(), "g2".into());
+    crashes.ask_for_trial(14_000, key(9), &one);
+    assert!(commit(&mut crashes, 14_000).is_some());
+    crashes.return_trial(key(9), &other);
+    assert_eq!(commit(&mut crashes, 14_100), None, "another gateway has it");
+    crashes.return_trial(key(9), &one);
+    let again = Standing::Held { for_ms: 1_000, times: 0 };
+    assert_eq!(commit(&mut crashes, 14_100), Some(again));
+    crashes.ask_for_trial(15_100, key(9), &other);
+    assert!(matches!(commit(&mut crashes, 15_100), Some(Standing::OnTrial { .. })));
+}
+
+/// Guards against holding a bystander for a minute: its trial was broken off by a request that is held.
+#[test]
+fn an_end_that_another_request_explains_is_no_outcome_of_a_trial() {
+    let mut crashes = held();
+    let mut last = None;
+    for number in 0..6 {
+        end(&mut crashes, 5_000 + number * 500, &format!("f{number}"), 8, 40);
+        last = commit(&mut crashes, 8_000).or(last);
+    }
+    assert_eq!(last, Some(Standing::Held { for_ms: 10_000, times: 0 }), "it is held too");
+    crashes.ask_for_trial(18_100, key(9), &"g1".into());
+    assert!(commit(&mut crashes, 18_100).is_some());
+    ends_told(&mut crashes, 18_200, "g", &[(8, 40), (9, 30)]);
+    let again = Standing::Held { for_ms: 10_000, times: 0 };
+    assert_eq!(commit(&mut crashes, 18_200), Some(again));
+}
+
 #[test]
 fn an_end_from_before_a_trial_is_not_its_outcome() {
     let mut crashes = held();
--- a/tests/standings.rs
+++ b/tests/standings.rs
@@ -83,6 +83,36 @@
     assert_eq!(standings.permission(2_000, key()), Permission::Ask, "it had no outcome");
 }
 
+/// Guards against a trial that nobody uses: until it had an outcome all other tries were refused.
+#[test]
+fn a_trial_that_no_request_waits_for_is_returned() {
+    let mut standings = Standings::new("g1".into());
+    assert!(standings.told(0, told(on_trial("g1"))), "nobody waits");
+    assert!(!standings.told(0, told(on_trial("g2"))), "it is another gateway's");
+    assert!(!standings.told(0, told(held(1_000))), "it is no trial");
+    standings.begin_wait(key());
+    standings.begin_wait(key());
+    standings.end_wait(&key());
+    assert!(!standings.told(0, told(on_trial("g1"))), "one request still waits");
+    assert!(!standings.has_used_trial(&key()));
+    assert!(standings.take_trial(&key()));
+    assert!(standings.has_used_trial(&key()));
+    standings.end_wait(&key());
+    assert!(standings.told(0, told(on_trial("g1"))), "nobody waits any more");
+}
+
+/// Guards against requests that wait for a trial while another gateway has it.
+#[test]
+fn during_another_gateways_trial_requests_are_refused_at_once() {
+    let mut standings = Standings::new("g1".into());
+    standings.told(0, told(on_trial("g2")));
+    for now_ms in [0, 2_000, 14_999] {
+        let permission = standings.permission(now_ms, key());
+        assert!(matches!(permission, Permission::Refused { .. }), "{permission:?} at {now_ms}");
+    }
+    assert_eq!(standings.permission(15_000, key()), Permission::Ask);
+}
+
 #[test]
 fn what_the_leader_no_longer_tells_is_forgotten() {
     let mut standings = Standings::new("g1".into());
