quota: a leader grants a burst at once only after a long term

Operators saw (in the model): six elections in 9 s let a workspace use 522,900 units in a window, 495,000 allowed. Cause: each new leader's pools began at half a burst, since it knows nothing of what the earlier one granted; six of them add up. Ruled out: credit held from before (the same play stays within 495,000 with pools that begin empty). Change: pools of a leader that follows another one begin empty, unless the earlier leader's term began a whole window ago by the log: each replica notes when it applied the first entry of each term, on its own clock, so that a lagging or restarted replica takes terms for shorter and grants less.

--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -128,6 +128,8 @@
 mutate "what has just failed is tried last" src/following.rs 's/failed_at\.is_none_or\(/true || failed_at.is_none_or(/' --test server_search
 pool=src/policy/quota/pool.rs
 mutate "what is out is bounded" $pool 's/let scale = [^;]*;/let scale = 1.0;/; s/\.min\(in_advance_max - self\.holders\.held\(\) as f64\)//' --test quota
+mutate "leaders in a row grant no burst each" $pool 's/pool\.level = 0\.0;/pool.level = pool.shares.first.min(pool.shares.burst);/' --test quota leaders_in_a_row
+mutate "only a leader after a long term grants a burst" $pool 's/if ago_ms < self\.bounds\.window_ms \{/if false {/' --test quota
 mutate "a new leader counts what another may have let out" $pool 's/pool\.level = pool\.shares\.first\.min\(pool\.shares\.burst\);/pool.level = pool.shares.burst;/' --test quota
 mutate "credit lapses" src/policy/quota/credits.rs 's/if now_ms >= self\.valid_until_ms \{/if false {/' --test quota
 mutate "keys are let in for a while only" src/relay/shared.rs 's/\(confirmed_at_ms \+ lease_ms\)\.saturating_sub\(now_ms\)/1/' -p winchvane-platform --test keys
--- a/src/control/replica/applying.rs
+++ b/src/control/replica/applying.rs
@@ -44,6 +44,7 @@
             (outcome, changes) = self.state.apply(index, Command::decode(&bytes)?);
         }
         self.applied = index;
+        self.terms.applied(term);
         self.metrics.count(Counter::EntriesApplied);
         self.note_changes(index, changes);
         let Some((proposed_term, waiter)) = self.waiters.remove(&index) else { return Ok(()) };
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -9,6 +9,7 @@
 mod registration;
 mod sessions;
 mod standings;
+mod terms;
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -23,6 +24,7 @@
 use crate::control::raft::{Member, Payload, Raft};
 use crate::control::replica::registration::Registered;
 use crate::control::replica::sessions::Renewal;
+use crate::control::replica::terms::Terms;
 use crate::control::session::{RecentChanges, Session, Summaries};
 use crate::control::state::{Command, Operation, State};
 use crate::document::DocumentKind;
@@ -101,6 +103,7 @@
     load_reports: HashMap<Arc<str>, u32>,
     removal_polls: u32,
     registered: Registered,
+    terms: Terms,
 }
 
 impl Replica {
@@ -133,6 +136,7 @@
             load_reports: HashMap::new(),
             removal_polls: 0,
             registered,
+            terms: Terms::default(),
         }
     }
 
@@ -189,6 +193,7 @@
 
     /// Notices a change of leadership; called after each round of output.
     pub fn check_leadership(&mut self, now_ms: u64, wall_ms: u64) {
+        self.terms.note(now_ms);
         let leads = self.raft.is_settled_leader();
         if leads == self.leading {
             return;
--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -81,6 +81,7 @@
 impl Replica {
     /// Starts knowing endpoints anew, from what is replicated.
     pub(super) fn lead_registered(&mut self, now_ms: u64) {
+        let earlier_began_ago_ms = self.terms.earlier_began_ago_ms(now_ms);
         let registered = &mut self.registered;
         registered.sequences.clear();
         registered.restarted_at_ms.clear();
@@ -91,8 +92,9 @@
         registered.counts = Counts::new();
         registered.credit = Pools::new(self.settings.quota);
         if let Some(configuration) = self.state.registry.routing() {
-            registered.credit =
-                Pools::new(self.settings.quota).with_earlier_leader(now_ms, configuration);
+            registered.credit = Pools::new(self.settings.quota)
+                .with_earlier_leader(now_ms, configuration)
+                .with_earlier_term_began(earlier_began_ago_ms.unwrap_or(0));
         }
         let standings = self.state.registry.standings().cloned();
         registered.crashes = Crashes::new(now_ms, standings);
--- a/src/policy/quota/pool.rs
+++ b/src/policy/quota/pool.rs
@@ -170,6 +170,8 @@
     }
 
     /// The pools of a leader that follows another one: what that one granted may be out.
+    ///
+    /// They begin empty, so that leaders in a row grant no more than the quota's rate between them.
     #[must_use]
     pub fn with_earlier_leader(
         mut self,
@@ -178,7 +180,7 @@
     ) -> Self {
         self.configure(now_ms, configuration);
         for pool in self.by_workspace.values_mut() {
-            pool.level = pool.shares.first.min(pool.shares.burst);
+            pool.level = 0.0;
         }
         if !self.by_workspace.is_empty() {
             self.earlier_until_ms = now_ms + CREDIT_VALID_MS + LAPSE_MARGIN_MS;
@@ -186,6 +188,19 @@
         self
     }
 
+    /// Lets the pools of a leader that follows another one begin with a part of their burst, if the earlier
+    /// leader's term began a whole window ago: at most one leader in a window does so.
+    #[must_use]
+    pub fn with_earlier_term_began(mut self, ago_ms: u64) -> Self {
+        if ago_ms < self.bounds.window_ms {
+            return self;
+        }
+        for pool in self.by_workspace.values_mut() {
+            pool.level = pool.shares.first.min(pool.shares.burst);
+        }
+        self
+    }
+
     /// Takes a configuration over. A pool whose quota is new begins full, one whose quota changed goes on
     /// with what it has.
     pub fn configure(&mut self, now_ms: u64, configuration: &RoutingConfiguration) {
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -624,6 +624,68 @@
     assert!(most as f64 <= allowed, "{most} of {allowed} in a window");
 }
 
+impl Region {
+    /// Elects a leader that knows from the log that the earlier one's term began at `earlier_at_ms`.
+    fn elect_after(&mut self, earlier_at_ms: u64) {
+        self.elect();
+        let began_ago_ms = self.now_ms - earlier_at_ms;
+        self.leader = self.leader.take().map(|pools| pools.with_earlier_term_began(began_ago_ms));
+        self.link_all();
+    }
+
+    /// The units admitted since `from_ms`.
+    fn admitted_since(&self, from_ms: u64) -> u64 {
+        let since = self.admitted.iter().filter(|(at_ms, _)| *at_ms >= from_ms);
+        since.map(|(_, cost)| cost).sum()
+    }
+}
+
+/// Guards against a burst from each of several leaders that know how long the term before them was.
+#[yare::parameterized(
+    as_on_the_platform = { BOUNDS },
+    tight = { TIGHT },
+)]
+fn leaders_after_terms_of_any_length_stay_within_what_is_allowed(bounds: QuotaBounds) {
+    for seed in 0..seeds() / 3 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut region = Region::with_bounds(9, bounds);
+        let mut elected_at_ms = 0;
+        let term_max_ms = if seed % 2 == 0 { 2 * bounds.window_ms } else { bounds.window_ms / 4 };
+        for _ in 0..6 {
+            let term_ms = rng.random_range(200..term_max_ms);
+            region.pass(term_ms, 6.0, &mut rng);
+            region.depose();
+            region.pass(50, 6.0, &mut rng);
+            let now_ms = region.now_ms;
+            region.elect_after(elected_at_ms);
+            elected_at_ms = now_ms;
+        }
+        region.pass(bounds.window_ms, 6.0, &mut rng);
+        let (most, allowed) = (region.most_in_window(), allowed(bounds));
+        assert!(most as f64 <= allowed, "{most} of {allowed} in a window; seed {seed}");
+    }
+}
+
+/// Guards against a quota that is not used after an election, since its new pool begins empty.
+#[yare::parameterized(
+    after_a_long_term = { 10_000 },
+    after_a_short_term = { 1_000 },
+)]
+fn the_quota_is_used_after_an_election(earlier_term_ms: u64) {
+    for seed in 0..seeds() / 3 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut region = Region::with_bounds(9, TIGHT);
+        region.pass(10_000, 1.5, &mut rng);
+        region.depose();
+        region.pass(50, 1.5, &mut rng);
+        let now_ms = region.now_ms;
+        region.elect_after(now_ms - earlier_term_ms);
+        region.pass(8_000, 1.5, &mut rng);
+        let used = region.admitted_since(now_ms) as f64 / (RATE_PER_S * 8.0);
+        assert!(used >= 0.98, "{used:.3} of the quota is used; seed {seed}");
+    }
+}
+
 #[test]
 fn credit_of_a_gateway_that_is_cut_off_lapses() {
     let mut rng = SmallRng::seed_from_u64(3);
