relay: what waited at an endpoint that closed nothing waits for the leader's judgement

Cause: an end that closes nothing is known when the next incarnation registers. Everything that waited there is then sent on in the same millisecond, the tries of the request that caused it among them, 150 ms before the leader judges the end; and a request that had become suspected meanwhile was sent on all the same, since its permission was looked up before the standing changed. Ruled out: later tries of the client (they were refused). Change: after such an end a request waits 350 ms before it is sent on; its permission is looked up again before each send.

--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -221,6 +221,10 @@
     pub(super) async fn start(&mut self, last_event: Option<u64>) -> Result<Started, Failure> {
         loop {
             self.permission = self.may_be_sent().await.map_err(Failure::NotSent)?;
+            // The standing may have changed since the last send.
+            if self.given > 0 && self.permission == Permission::Once && !self.may_give_again() {
+                return Err(Failure::Unknown("it is sent to one endpoint only".to_owned()));
+            }
             let picked = self.pick().await.map_err(Failure::NotSent)?;
             self.is_sent_still().map_err(Failure::NotSent)?;
             self.access.is_held_still(&self.relay, &self.chosen.route).map_err(Failure::NotSent)?;
@@ -302,6 +306,7 @@
                     self.note_ended(&id);
                     self.note_failed(id, address);
                     self.after_unknown(ENDED.to_owned())?;
+                    self.wait_for_verdict().await;
                 }
                 Attempt::Unknown(detail) => {
                     self.note_broken_off(&id);
@@ -377,10 +382,14 @@
                 }
                 None => "the answer did not end before the deadline".to_owned(),
             };
+            let closed_nothing = flight.has_ended();
             drop(flight);
             if let Err(failure) = self.after_unknown(detail) {
                 return self.give_up(failure);
             }
+            if closed_nothing {
+                self.wait_for_verdict().await;
+            }
             started = match self.start(None).await {
                 Ok(started) => started,
                 Err(failure) => return self.give_up(failure),
--- a/src/relay/held.rs
+++ b/src/relay/held.rs
@@ -18,6 +18,9 @@
 const NOT_BEGUN_MIN_MS: u64 = 200;
 /// The largest body whose digest is worth its processor time while no endpoint has ended.
 const SERVED_BODY_MAX_BYTES: usize = 64 << 10;
+/// How long the leader's judgement of an end takes: the gateways' reports are gathered, and it is committed
+/// and told.
+const VERDICT_MS: u64 = 350;
 /// How long a request waits for the leader to allow a trial.
 const TRIAL_ANSWER_MS: u64 = 300;
 /// When a client comes again that got no answer on a trial.
@@ -71,6 +74,16 @@
         }
     }
 
+    /// Waits until the leader has judged the end of an endpoint that closed no connection.
+    ///
+    /// Guards against sending a request that ends its endpoints on to the next one: everything that waited
+    /// there is sent on at the same moment, before the leader can know which request was the cause.
+    pub(super) async fn wait_for_verdict(&self) {
+        let relay = &self.relay;
+        let until_ms = (relay.now_ms() + VERDICT_MS).min(self.ends_at_ms);
+        relay.clock.sleep_until(until_ms).await;
+    }
+
     /// Notes that the request was served, and tells the leader if it wants to know.
     pub(super) fn note_served(&self) {
         let crashes = &self.relay.crashes;
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -124,7 +124,8 @@
     let Running { mut exchange, endpoint, events } = running;
     let id = exchange.meta.id.clone();
     let peer = endpoint.flight.endpoint.clone();
-    if endpoint.flight.has_ended() {
+    let closed_nothing = endpoint.flight.has_ended();
+    if closed_nothing {
         exchange.note_ended(&peer);
     } else if !error.is_timeout() {
         exchange.note_broken_off(&peer);
@@ -142,6 +143,9 @@
     if !events.can_be_taken_up() || !exchange.may_give_again() {
         return Err(broken());
     }
+    if closed_nothing {
+        exchange.wait_for_verdict().await;
+    }
     let Ok(started) = exchange.start(last_event).await else { return Err(broken()) };
     info!(
         event = "stream_resumed",
