policy: the prime suspect of an end is the content with the most ends of those not served lately

Cause: where no engine answers for some seconds, ordinary contents have not been served lately either, so that the request which silences its engines was the only such content at two of its first four ends: it was held after the sixth. Ruled out: too little evidence from the time (a product above 200 at the fourth end). Change: of the contents that were not served lately the one with the most ends is the prime suspect; none if two have as many.

--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -123,7 +123,7 @@
 mutate "a trial is used once" src/relay/standings.rs 's/ && self\.tried\.insert\(\*key\)//' --test standings
 mutate "time goes on while suspended" src/clock.rs 's/left_ms\.min\(LOOK_MS\)/left_ms/' --test clock
 mutate "ends that others explain are no chance" $crashes 's/if !is_this && self\.is_explained_without\(key, other\) \{/if false {/' --test crashes by_turns
-mutate "the only content that was not served lately stands out" $crashes 's/prime\.filter\(\|_\| others\.next\(\)\.is_none\(\)\)/prime.filter(|_| false)/' --test crashes by_turns
+mutate "what was not served lately stands out" $crashes 's/prime = \(crashes > most\)\.then_some\(\*key\);/prime = None;/' --test crashes by_turns
 mutate "what another one is suspected of holds no bystander" $crashes 's/None => !\(self\.is_trusted\(key, crash\) && self\.is_explained_without\(key, crash\)\),/None => true,/' --test crashes by_turns
 mutate "what has just failed is tried last" src/following.rs 's/failed_at\.is_none_or\(/true || failed_at.is_none_or(/' --test server_search
 pool=src/policy/quota/pool.rs
--- a/src/policy/crashes.rs
+++ b/src/policy/crashes.rs
@@ -11,8 +11,8 @@
 //! such a product passes `HELD_FACTOR` by chance in about one of as many series. Where several requests were
 //! there each time, only the one that had run for the shortest time is held.
 //!
-//! Each end has one cause, and a content that was served lately is an unlikely one. The only content at an end
-//! that was not served lately is its *prime suspect*. The prime suspect of several ends is held on weaker
+//! Each end has one cause, and a content that was served lately is an unlikely one. Of the other contents at an
+//! end, the one with the most ends is its *prime suspect*. The prime suspect of several ends is held on weaker
 //! evidence (`HELD_PRIME_FACTOR`), and its ends count as explained for all others that were there.
 //!
 //! This is the leader's; it knows of ends what gateways tell, each of which sees its own requests only.
@@ -238,15 +238,23 @@
         self.served_at_ms.get(&key).is_some_and(|at_ms| crash.at_ms < at_ms + TRUSTED_MS)
     }
 
-    /// The likeliest cause of an end: the only content there that was not served lately; none if no gateway
-    /// reports what it serves.
+    /// The likeliest cause of an end: of the contents that were not served lately the one with the most
+    /// ends; none if two have as many, or if no gateway reports what it serves.
     fn prime_suspect(&self, crash: &Crash) -> Option<RequestKey> {
         if self.served_at_ms.is_empty() {
             return None;
         }
-        let mut others = crash.runs.keys().filter(|key| !self.is_trusted(**key, crash));
-        let prime = others.next().copied();
-        prime.filter(|_| others.next().is_none())
+        let mut prime = None;
+        let mut most = 0;
+        for key in crash.runs.keys() {
+            let crashes = self.by_request.get(key).map_or(0, Vec::len);
+            if crashes < most || self.is_trusted(*key, crash) {
+                continue;
+            }
+            prime = (crashes > most).then_some(*key);
+            most = crashes;
+        }
+        prime
     }
 
     /// How many ends soon after the request had begun have it as their prime suspect.
