relay: endpoints that are silent for long are asked whether they are still there

Callers saw: requests at a lost engine waited 3.3 s, until its next incarnation registered, or until their deadline of 10 s where none came. Cause: an end that closes no connection was known by the next registration alone; nothing asked the endpoint before. Ruled out: that the stand-in's silent engines refuse connections (endpoint_unreachable: 0; they take connections and answer nothing, like an engine that stands still). Change: an answer that pauses for 0.4 s, or has not begun after 0.8 s while nothing else begins there, has its endpoint asked. One that cannot be reached counts as ended for the leader only once it is replaced. An engine that stands still for two seconds is not given up, and gets requests again when it goes on.

--- a/soak/src/engine/mod.rs
+++ b/soak/src/engine/mod.rs
@@ -93,8 +93,13 @@
 enum Ends {
     /// Its connections are closed.
     Closed,
-    /// Nothing is closed and nothing answers any more.
+    /// Nothing is closed and nothing answers any more, until the next incarnation has been up for a while.
     Silent,
+    /// The same for good, as when its machine is lost.
+    Vanished {
+        /// Whether new connections are refused; otherwise they are never answered.
+        refuses: bool,
+    },
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -154,7 +159,7 @@
         self.overload.record_restart();
         *lock(&self.life) = Some(life.clone());
         tokio::spawn(life.clone().until_ended(self.clone().beat(life.clone())));
-        tokio::spawn(life.clone().until_ended(self.clone().accept(life, listener)));
+        tokio::spawn(life.clone().until_refusing(self.clone().accept(life, listener)));
         Ok(())
     }
 
@@ -167,6 +172,14 @@
         }
     }
 
+    /// Ends the incarnation for good without closing a connection; new connections are refused, or never
+    /// answered.
+    pub fn vanish(&self, refuses: bool) {
+        if let Some(life) = lock(&self.life).take() {
+            life.ended.send_replace(Some(Ends::Vanished { refuses }));
+        }
+    }
+
     /// Lets its incarnations end without closing a connection, or with it again.
     pub fn set_ends_silently(&self, silently: bool) {
         self.ends_silently.store(silently, Ordering::SeqCst);
@@ -422,9 +435,29 @@
             // The sender lives as long as the incarnation.
             ends = ended.wait_for(Option::is_some) => ends.map_or(None, |ends| *ends),
         };
-        if ends == Some(Ends::Silent) {
+        match ends {
             // What it holds stays open until the next incarnation has been up for a while.
-            tokio::time::sleep(RESTARTS_AFTER + Duration::from_secs(1)).await;
+            Some(Ends::Silent) => {
+                tokio::time::sleep(RESTARTS_AFTER + Duration::from_secs(1)).await;
+            }
+            Some(Ends::Vanished { .. }) => std::future::pending().await,
+            Some(Ends::Closed) | None => {}
+        }
+    }
+
+    /// Accepts connections until this incarnation ends, or for as long as they are left unanswered after that.
+    async fn until_refusing(self: Arc<Self>, accept: impl Future<Output = ()>) {
+        let mut ended = self.ended.subscribe();
+        let refuses = async move {
+            // The sender lives as long as the incarnation.
+            let refuses = |ends: &Option<Ends>| *ends == Some(Ends::Vanished { refuses: true });
+            if ended.wait_for(refuses).await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        };
+        tokio::select! {
+            () = self.until_ended(accept) => {}
+            () = refuses => {}
         }
     }
 
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -1,5 +1,6 @@
 //! Choosing an endpoint for a request, and one send to it.
 
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,13 +14,14 @@
 
 use super::border::{Backoff, SendMeta};
 use super::exchange::Exchange;
-use super::known::Wanted;
+use super::known::{IncarnationEnd, Wanted};
 use super::pick::Picked;
 use super::pool::{self, Connection, SendFailure};
 use super::refusal::NotSent;
 use super::shared::Relay;
 use crate::message::{AdapterNeed, WeightsName};
 use crate::policy::rank::LATE_RANK;
+use crate::routing::Repeat;
 
 /// How much before a quarter of the latency objective a request that found no place is refused; a
 /// refusal costs nothing until then.
@@ -27,6 +29,10 @@
 /// How long a request waits for weights that are on their way, as a share of the latency objective.
 const LOAD_HOLD_PERCENT: u64 = 180;
 
+/// How long nothing comes of an answer that has begun before its endpoint is asked whether it is still there.
+const SILENT_MS: u64 = 400;
+/// The same for an answer that has not begun, while the endpoint begins no other one either.
+const NOT_BEGUN_SILENT_MS: u64 = 800;
 /// How long after an endpoint was replaced its last answers may take to come.
 const LAST_ANSWERS_MS: u64 = 300;
 
@@ -37,15 +43,17 @@
     number: u64,
     pub(super) endpoint: Arc<str>,
     pub(super) address: std::net::SocketAddr,
-    ended: Option<watch::Receiver<bool>>,
+    ended: Option<watch::Receiver<IncarnationEnd>>,
+    /// The end from which an answer is not waited for any longer.
+    enough: IncarnationEnd,
 }
 
 impl Flight {
-    /// Returns once another incarnation has taken the endpoint's place, which may be never: its own
-    /// connections need not have been closed by then.
+    /// Returns once the endpoint is found to have ended, which may be never: its own connections need
+    /// not have been closed by then.
     pub(super) async fn ended(&self) {
         if let Some(mut ended) = self.ended.clone()
-            && ended.wait_for(|ended| *ended).await.is_ok()
+            && ended.wait_for(|ended| *ended >= self.enough).await.is_ok()
         {
             // What it answered before may still be on its way.
             tokio::time::sleep(Duration::from_millis(LAST_ANSWERS_MS)).await;
@@ -54,9 +62,26 @@
         std::future::pending::<()>().await;
     }
 
-    /// True once another incarnation has taken the endpoint's place.
-    pub(super) fn has_ended(&self) -> bool {
-        self.ended.as_ref().is_some_and(|ended| *ended.borrow())
+    /// How the endpoint was found to have ended; none while its answer is still waited for.
+    pub(super) fn end(&self) -> Option<IncarnationEnd> {
+        let end = *self.ended.as_ref()?.borrow();
+        (end >= self.enough).then_some(end)
+    }
+
+    /// Asks whether the endpoint is still there, unless the answer would be waited for anyhow.
+    fn ask_silent(&self) {
+        if self.enough == IncarnationEnd::Unreachable {
+            self.relay.ask_silent(&self.endpoint);
+        }
+    }
+
+    /// Asks the endpoint again and again whether it is still there; awaited beside the next part of its
+    /// answer and dropped when that comes.
+    pub(super) async fn ask_while_silent(&self) -> Infallible {
+        loop {
+            self.relay.clock.sleep_until(self.relay.now_ms() + SILENT_MS).await;
+            self.ask_silent();
+        }
     }
 }
 
@@ -98,8 +123,8 @@
     Unknown(String),
     /// No answer came before the deadline.
     Overdue,
-    /// Another incarnation has taken the endpoint's place.
-    Ended,
+    /// The endpoint closed no connection and was found to have ended.
+    Ended(IncarnationEnd),
     /// Its connection was closed, since it may not begin any more on what the endpoint holds.
     TakenBack,
 }
@@ -108,7 +133,7 @@
 enum Overdue {
     /// The deadline passed.
     Deadline,
-    /// Another incarnation has taken the endpoint's place.
+    /// The endpoint was found to have ended.
     Ended,
     /// The version that the endpoint holds was replaced too long ago.
     Replaced,
@@ -245,6 +270,11 @@
             endpoint: send.endpoint.clone(),
             address,
             ended: relay.fleet().watch_end(&send.endpoint),
+            enough: match self.chosen.route.repeat {
+                // An endpoint that is ending may still answer what cannot be sent again.
+                Repeat::Once => IncarnationEnd::Replaced,
+                Repeat::Any | Repeat::Resume => IncarnationEnd::Unreachable,
+            },
         };
         let peer = &*send.endpoint;
         let sending = pool::send(&mut connection, peer, self.request(send));
@@ -252,7 +282,9 @@
             Err(Overdue::Deadline) => {
                 return Attempt::Overdue;
             }
-            Err(Overdue::Ended) => return Attempt::Ended,
+            Err(Overdue::Ended) => {
+                return Attempt::Ended(flight.end().unwrap_or(IncarnationEnd::Replaced));
+            }
             Err(Overdue::Replaced) => return Attempt::TakenBack,
             Ok(Err(SendFailure::NotSent(error))) => {
                 info!(event = "send_lost", endpoint = %send.endpoint, error = %error);
@@ -297,6 +329,7 @@
         tokio::pin!(ended);
         tokio::pin!(answer);
         let mut begin_by_ms = None;
+        let mut ask_at_ms = self.sent_at_ms + NOT_BEGUN_SILENT_MS;
         loop {
             let version_known = self.relay.version_known.notified();
             tokio::pin!(version_known);
@@ -310,7 +343,14 @@
                 answered = &mut answer => return Ok(answered),
                 () = &mut version_known => continue,
                 () = &mut ended => return Err(Overdue::Ended),
-                () = self.relay.clock.sleep_until(until_ms) => {}
+                () = self.relay.clock.sleep_until(ask_at_ms.min(until_ms)) => {}
+            }
+            if self.relay.now_ms() < until_ms {
+                ask_at_ms = self.relay.now_ms() + NOT_BEGUN_SILENT_MS;
+                if self.relay.fleet().is_silent_since(self.sent_at_ms, &flight.endpoint) {
+                    flight.ask_silent();
+                }
+                continue;
             }
             if self.relay.now_ms() >= self.ends_at_ms {
                 return Err(Overdue::Deadline);
--- a/src/relay/crashes.rs
+++ b/src/relay/crashes.rs
@@ -18,6 +18,8 @@
 /// How long answers that broke off are remembered for the case that their endpoint had ended after all:
 /// one that is back at once answers when it is asked, and registers within this time.
 const DOUBTFUL_MS: u64 = 5_000;
+/// How often a silent endpoint is asked, at most.
+const ASK_SILENT_EVERY_MS: u64 = 3_000;
 /// How long ends are told again to new leaders.
 const TOLD_AGAIN_MS: u64 = 60_000;
 /// Ends that are told again.
@@ -41,6 +43,8 @@
     doubtful: HashMap<Arc<str>, Broken>,
     /// Ends that were seen, by when.
     crashes: VecDeque<(u64, EndpointCrash)>,
+    /// When silent endpoints were asked last.
+    asked_silent_at_ms: HashMap<Arc<str>, u64>,
 }
 
 /// An endpoint that may have ended.
@@ -51,6 +55,8 @@
     pub(super) service: Arc<str>,
     /// Whom to ask; none when it has ended for certain.
     pub(super) endpoint: Option<RegisteredEndpoint>,
+    /// True when it broke nothing off, but has been silent for long.
+    pub(super) is_silent: bool,
 }
 
 /// Answers that an endpoint broke off.
@@ -141,6 +147,20 @@
         true
     }
 
+    /// Has an endpoint asked that has been silent for long, unless it was asked a short time ago.
+    pub(super) fn ask_silent(&self, now_ms: u64, endpoint: RegisteredEndpoint) {
+        let mut seen = self.seen();
+        seen.asked_silent_at_ms.retain(|_, at_ms| now_ms < *at_ms + ASK_SILENT_EVERY_MS);
+        if seen.asked_silent_at_ms.contains_key(&endpoint.id) {
+            return;
+        }
+        seen.asked_silent_at_ms.insert(endpoint.id.clone(), now_ms);
+        let (id, service) = (endpoint.id.clone(), endpoint.service.clone());
+        let suspect = Suspect { id, service, endpoint: Some(endpoint), is_silent: true };
+        // The receiver lives as long as the process.
+        let _ = self.suspects.send(suspect);
+    }
+
     /// Another incarnation has taken the endpoint's place: what it broke off just before, it broke off
     /// when it ended, although something answered at its address.
     pub(super) fn replaced(&self, now_ms: u64, endpoint: &RegisteredEndpoint) {
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -32,8 +32,8 @@
 const WHOLE_ANSWER_MAX_BYTES: usize = 256 << 10;
 /// What is left of the deadline for the answer's way back.
 const RETURN_MS: u64 = 5;
-/// Why an answer ends whose endpoint has another incarnation by now.
-pub(super) const ENDED: &str = "the endpoint has started anew";
+/// Why an answer ends whose endpoint closed no connection and was found to have ended.
+pub(super) const ENDED: &str = "the endpoint has ended";
 /// Sends that endpoints refused, beyond the attempts that the route allows.
 const REFUSED_SENDS_MAX: u32 = 3;
 
@@ -302,8 +302,8 @@
                     self.note_failed(id, address);
                     self.after_unknown("no answer before the deadline".to_owned())?;
                 }
-                Attempt::Ended => {
-                    self.note_ended(&id);
+                Attempt::Ended(end) => {
+                    self.note_ended(&id, end);
                     self.note_failed(id, address);
                     self.after_unknown(ENDED.to_owned())?;
                     self.wait_for_verdict().await;
@@ -360,6 +360,7 @@
             let collected = tokio::select! {
                 collected = collected => collected.map(|body| body.map_err(|error| error.to_string())),
                 () = flight.ended() => Some(Err(ENDED.to_owned())),
+                never = flight.ask_while_silent() => match never {},
             };
             let detail = match collected {
                 Some(Ok(body)) => {
@@ -372,17 +373,16 @@
                     answer.headers_mut().remove(CONTENT_LENGTH);
                     return answer;
                 }
-                Some(Err(error)) if flight.has_ended() => {
-                    self.note_ended(&flight.endpoint);
-                    error
-                }
                 Some(Err(error)) => {
-                    self.note_broken_off(&flight.endpoint);
+                    match flight.end() {
+                        Some(end) => self.note_ended(&flight.endpoint, end),
+                        None => self.note_broken_off(&flight.endpoint),
+                    }
                     error
                 }
                 None => "the answer did not end before the deadline".to_owned(),
             };
-            let closed_nothing = flight.has_ended();
+            let closed_nothing = flight.end().is_some();
             drop(flight);
             if let Err(failure) = self.after_unknown(detail) {
                 return self.give_up(failure);
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -10,7 +10,7 @@
 use tracing::info;
 
 use super::border::RateLimit;
-use super::known::{Known, Wanted};
+use super::known::{IncarnationEnd, Known, Wanted};
 use super::limits::{EndpointLimits, LimitChange};
 use super::replaced::begin_within_ms;
 use super::uses::Uses;
@@ -327,10 +327,30 @@
         self.failing.insert(id.clone());
     }
 
-    /// Tells when another incarnation has taken the place of `id`.
-    pub fn watch_end(&mut self, id: &str) -> Option<watch::Receiver<bool>> {
+    /// Tells when `id` is found to have ended.
+    pub(super) fn watch_end(&mut self, id: &str) -> Option<watch::Receiver<IncarnationEnd>> {
         let known = self.endpoints.get_mut(id)?;
-        Some(known.ended.get_or_insert_with(|| watch::Sender::new(false)).subscribe())
+        let ended = known.ended.get_or_insert_with(|| watch::Sender::new(IncarnationEnd::None));
+        // Requests are sent to it again: it may have stood still only.
+        ended.send_if_modified(|ended| {
+            if *ended != IncarnationEnd::Replaced {
+                *ended = IncarnationEnd::None;
+            }
+            false
+        });
+        Some(ended.subscribe())
+    }
+
+    /// Tells those that wait for answers of `id` that it may have ended.
+    pub(super) fn may_have_ended(&self, id: &str, end: IncarnationEnd) {
+        let Some(ended) = self.endpoints.get(id).and_then(|known| known.ended.as_ref()) else {
+            return;
+        };
+        ended.send_if_modified(|ended| {
+            let is_new = *ended < end;
+            *ended = end.max(*ended);
+            is_new
+        });
     }
 
     /// The known endpoints that have ended, since `registered` have their names or addresses; whoever waits
@@ -349,7 +369,7 @@
                 continue;
             }
             if let Some(ended) = ended {
-                ended.send_replace(true);
+                ended.send_replace(IncarnationEnd::Replaced);
             }
             replaced.push(endpoint.clone());
         }
--- a/src/relay/held.rs
+++ b/src/relay/held.rs
@@ -8,6 +8,7 @@
 
 use super::crashes::Suspect;
 use super::exchange::Exchange;
+use super::known::IncarnationEnd;
 use super::refusal::NotSent;
 use super::standings::Permission;
 use super::trial::{Trial, TrialWait};
@@ -46,20 +47,27 @@
             return;
         }
         let least_ms = if self.begun_at_ms.is_some() { 0 } else { NOT_BEGUN_MIN_MS };
-        let suspect =
-            Suspect { id: known.id.clone(), service: known.service.clone(), endpoint: Some(known) };
+        let suspect = Suspect {
+            id: known.id.clone(),
+            service: known.service.clone(),
+            endpoint: Some(known),
+            is_silent: false,
+        };
         self.suspect(now_ms, suspect, ran_ms.max(least_ms));
     }
 
-    /// Notes that another incarnation has taken the place of `endpoint`, which closed no connection.
+    /// Notes that `endpoint` was found to have ended, which closed no connection.
     ///
     /// When it ended is not known; what it answered last, it answered before.
-    pub(super) fn note_ended(&self, endpoint: &Arc<str>) {
+    pub(super) fn note_ended(&self, endpoint: &Arc<str>, end: IncarnationEnd) {
         let now_ms = self.relay.now_ms();
-        info!(event = "run_ended", request = %self.meta.id, endpoint = %endpoint, key = %self.key());
+        info!(event = "run_ended", request = %self.meta.id, endpoint = %endpoint, key = %self.key(), end = ?end);
         let Some(begun_at_ms) = self.begun_at_ms else { return };
         let service = self.chosen.service.name.clone();
-        let suspect = Suspect { id: endpoint.clone(), service, endpoint: None };
+        // One that cannot be reached is asked again: it counts as ended once it is replaced.
+        let is_unreachable = end == IncarnationEnd::Unreachable;
+        let known = self.relay.fleet().endpoint(endpoint).filter(|_| is_unreachable);
+        let suspect = Suspect { id: endpoint.clone(), service, endpoint: known, is_silent: false };
         self.suspect(now_ms, suspect, self.heard_at_ms.saturating_sub(begun_at_ms));
     }
 
--- a/src/relay/known.rs
+++ b/src/relay/known.rs
@@ -33,9 +33,22 @@
     pub(super) backoff: EndpointBackoff,
     /// The time until which the endpoint counts as leaving because an answer announced it.
     pub(super) leaving_until_ms: u64,
-    /// Tells those that wait for its answers when another incarnation has taken its place; made when a
-    /// request is sent there.
-    pub(super) ended: Option<watch::Sender<bool>>,
+    /// Tells those that wait for its answers when it has ended; made when a request is sent there.
+    pub(super) ended: Option<watch::Sender<IncarnationEnd>>,
+}
+
+/// What is known of an incarnation's end that closed no connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum IncarnationEnd {
+    /// Nothing.
+    None,
+    /// It has been silent for long and cannot be reached, which may be the network's fault.
+    Unreachable,
+    /// It has been silent for long and refuses connections, or answers nothing that it is asked. It may still
+    /// go on, or finish answers before its process ends.
+    Unresponsive,
+    /// Another incarnation has taken its place.
+    Replaced,
 }
 
 /// What a request can expect at an endpoint.
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -94,6 +94,12 @@
         self.clock.now_ms()
     }
 
+    /// Asks whether an endpoint that has been silent for long is still there.
+    pub(super) fn ask_silent(&self, endpoint: &str) {
+        let Some(known) = self.fleet().endpoint(endpoint) else { return };
+        self.crashes.ask_silent(self.now_ms(), known);
+    }
+
     pub(super) fn fleet(&self) -> MutexGuard<'_, Fleet> {
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -48,6 +48,7 @@
                 () = self.flight.ended() => {
                     return Err(Error::failed("read stream", peer.clone(), ENDED));
                 }
+                never = self.flight.ask_while_silent() => match never {},
             };
             let frame =
                 frame.ok_or_else(|| Error::timeout("read stream", peer.clone(), left_ms))?;
@@ -124,9 +125,9 @@
     let Running { mut exchange, endpoint, events } = running;
     let id = exchange.meta.id.clone();
     let peer = endpoint.flight.endpoint.clone();
-    let closed_nothing = endpoint.flight.has_ended();
-    if closed_nothing {
-        exchange.note_ended(&peer);
+    let end = endpoint.flight.end();
+    if let Some(end) = end {
+        exchange.note_ended(&peer, end);
     } else if !error.is_timeout() {
         exchange.note_broken_off(&peer);
     }
@@ -143,7 +144,7 @@
     if !events.can_be_taken_up() || !exchange.may_give_again() {
         return Err(broken());
     }
-    if closed_nothing {
+    if end.is_some() {
         exchange.wait_for_verdict().await;
     }
     let Ok(started) = exchange.start(last_event).await else { return Err(broken()) };
