relay: crash reports and standings in the usual terms

Cause: names such as told, tell, goes_on, ended and doubtful needed explaining. Change: apply_standing, report, note_alive, note_ended, unconfirmed and others; no behaviour changes.

--- a/src/relay/crashes.rs
+++ b/src/relay/crashes.rs
@@ -17,13 +17,13 @@
 
 /// How long answers that broke off are remembered for the case that their endpoint had ended after all:
 /// one that is back at once answers when it is asked, and registers within this time.
-const DOUBTFUL_MS: u64 = 5_000;
+const UNCONFIRMED_MS: u64 = 5_000;
 /// How often a silent endpoint is asked, at most.
 const ASK_SILENT_EVERY_MS: u64 = 3_000;
 /// How long ends are told again to new leaders.
-const TOLD_AGAIN_MS: u64 = 60_000;
+const RESENT_MS: u64 = 60_000;
 /// Ends that are told again.
-const TOLD_AGAIN_MAX: usize = 256;
+const RESENT_MAX: usize = 256;
 
 /// What a gateway sees of ends and knows of standings.
 #[derive(Debug)]
@@ -40,7 +40,7 @@
     /// Answers that broke off and whose endpoints have not been asked yet.
     broken: HashMap<Arc<str>, Broken>,
     /// Answers that broke off at endpoints which answered when they were asked, or could not be reached.
-    doubtful: HashMap<Arc<str>, Broken>,
+    unconfirmed: HashMap<Arc<str>, Broken>,
     /// Ends that were seen, by when.
     crashes: VecDeque<(u64, EndpointCrash)>,
     /// When silent endpoints were asked last.
@@ -100,14 +100,14 @@
     }
 
     /// Takes over how requests are treated.
-    pub(super) fn told(&self, now_ms: u64, standing: RequestStanding) {
+    pub(super) fn apply_standing(&self, now_ms: u64, standing: RequestStanding) {
         if standing.standing == Standing::Cleared {
             for (_, crash) in &mut self.seen().crashes {
                 crash.runs.retain(|run| run.key != standing.key);
             }
         }
         let key = standing.key;
-        if self.standings().told(now_ms, standing) {
+        if self.standings().apply(now_ms, standing) {
             self.return_trial(key);
         }
     }
@@ -115,17 +115,17 @@
     /// Returns a trial without an outcome to the leader, so that it need not wait for one.
     pub(super) fn return_trial(&self, key: RequestKey) {
         info!(event = "trial_without_outcome", key = %key);
-        self.tell(SessionUp::TrialReturned(key));
+        self.report(SessionUp::TrialReturned(key));
     }
 
     /// Forgets all standings but those of `keys`.
-    pub(super) fn keep_only(&self, keys: &HashSet<RequestKey>) {
+    pub(super) fn retain_standings(&self, keys: &HashSet<RequestKey>) {
         self.standings().keep_only(keys);
     }
 
     /// Notes an answer that an endpoint broke off to a request that was sent there at `sent_at_ms`; false
     /// when it tells nothing of the request.
-    pub(super) fn broken_off(
+    pub(super) fn note_broken_run(
         &self,
         now_ms: u64,
         suspect: Suspect,
@@ -163,24 +163,24 @@
 
     /// Another incarnation has taken the endpoint's place: what it broke off just before, it broke off
     /// when it ended, although something answered at its address.
-    pub(super) fn replaced(&self, now_ms: u64, endpoint: &RegisteredEndpoint) {
+    pub(super) fn note_replaced(&self, now_ms: u64, endpoint: &RegisteredEndpoint) {
         let mut seen = self.seen();
-        let Some(Broken { since_ms, runs }) = seen.doubtful.remove(&endpoint.id) else { return };
-        if endpoint.leaving || since_ms + DOUBTFUL_MS <= now_ms {
+        let Some(Broken { since_ms, runs }) = seen.unconfirmed.remove(&endpoint.id) else { return };
+        if endpoint.leaving || since_ms + UNCONFIRMED_MS <= now_ms {
             return;
         }
-        let crash = seen.ended(now_ms, since_ms, &endpoint.id, &endpoint.service, runs);
+        let crash = seen.add_crash(now_ms, since_ms, &endpoint.id, &endpoint.service, runs);
         drop(seen);
-        self.tell(SessionUp::Crashes(vec![crash]));
+        self.report(SessionUp::Crashes(vec![crash]));
     }
 
     /// Notes that a suspect answered when it was asked, or could not be reached.
-    pub(super) fn goes_on(&self, now_ms: u64, endpoint: &Arc<str>) {
+    pub(super) fn note_alive(&self, now_ms: u64, endpoint: &Arc<str>) {
         let mut seen = self.seen();
         let Some(broken) = seen.broken.remove(endpoint) else { return };
         seen.forget_old(now_ms);
         let keys: Vec<RequestKey> = broken.runs.iter().map(|run| run.key).collect();
-        seen.doubtful.insert(endpoint.clone(), broken);
+        seen.unconfirmed.insert(endpoint.clone(), broken);
         drop(seen);
         for key in keys {
             if self.standings().has_used_trial(&key) {
@@ -190,12 +190,12 @@
     }
 
     /// Notes that a suspect has ended, and tells the leader.
-    pub(super) fn ended(&self, now_ms: u64, endpoint: &Arc<str>, service: &Arc<str>) {
+    pub(super) fn note_ended(&self, now_ms: u64, endpoint: &Arc<str>, service: &Arc<str>) {
         let mut seen = self.seen();
         let Some(Broken { since_ms, runs }) = seen.broken.remove(endpoint) else { return };
-        let crash = seen.ended(now_ms, since_ms, endpoint, service, runs);
+        let crash = seen.add_crash(now_ms, since_ms, endpoint, service, runs);
         drop(seen);
-        self.tell(SessionUp::Crashes(vec![crash]));
+        self.report(SessionUp::Crashes(vec![crash]));
     }
 
     /// How many answers an endpoint has broken off that was not asked yet.
@@ -204,13 +204,13 @@
     }
 
     /// Tells the leader; without a session it waits for the next one.
-    pub(super) fn tell(&self, up: SessionUp) {
+    pub(super) fn report(&self, up: SessionUp) {
         // The receiver lives as long as the process.
         let _ = self.up.send(up);
     }
 
     /// The ends seen lately, for a leader that may not know them.
-    pub(super) fn recent(&self, now_ms: u64) -> Vec<EndpointCrash> {
+    pub(super) fn recent_crashes(&self, now_ms: u64) -> Vec<EndpointCrash> {
         let mut recent = Vec::new();
         let mut seen = self.seen();
         seen.forget_old(now_ms);
@@ -233,7 +233,7 @@
     }
 
     /// Notes an end, to be told now and again to new leaders.
-    fn ended(
+    fn add_crash(
         &mut self,
         now_ms: u64,
         since_ms: u64,
@@ -250,9 +250,9 @@
     }
 
     fn forget_old(&mut self, now_ms: u64) {
-        self.doubtful.retain(|_, broken| broken.since_ms + DOUBTFUL_MS > now_ms);
-        let is_old = |(at_ms, _): &(u64, EndpointCrash)| at_ms + TOLD_AGAIN_MS <= now_ms;
-        while self.crashes.len() > TOLD_AGAIN_MAX || self.crashes.front().is_some_and(is_old) {
+        self.unconfirmed.retain(|_, broken| broken.since_ms + UNCONFIRMED_MS > now_ms);
+        let is_old = |(at_ms, _): &(u64, EndpointCrash)| at_ms + RESENT_MS <= now_ms;
+        while self.crashes.len() > RESENT_MAX || self.crashes.front().is_some_and(is_old) {
             self.crashes.pop_front();
         }
     }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -226,7 +226,7 @@
                 return Err(Failure::Unknown("it is sent to one endpoint only".to_owned()));
             }
             let picked = self.pick().await.map_err(Failure::NotSent)?;
-            self.is_sent_still().map_err(Failure::NotSent)?;
+            self.check_not_held().map_err(Failure::NotSent)?;
             self.access.is_held_still(&self.relay, &self.chosen.route).map_err(Failure::NotSent)?;
             self.waited_for = picked.waited_for;
             self.held_version = picked.held_version;
--- a/src/relay/held.rs
+++ b/src/relay/held.rs
@@ -53,7 +53,7 @@
             endpoint: Some(known),
             is_silent: false,
         };
-        self.suspect(now_ms, suspect, ran_ms.max(least_ms));
+        self.report_run(now_ms, suspect, ran_ms.max(least_ms));
     }
 
     /// Notes that `endpoint` was found to have ended, which closed no connection.
@@ -68,16 +68,16 @@
         let is_unreachable = end == IncarnationEnd::Unreachable;
         let known = self.relay.fleet().endpoint(endpoint).filter(|_| is_unreachable);
         let suspect = Suspect { id: endpoint.clone(), service, endpoint: known, is_silent: false };
-        self.suspect(now_ms, suspect, self.heard_at_ms.saturating_sub(begun_at_ms));
+        self.report_run(now_ms, suspect, self.heard_at_ms.saturating_sub(begun_at_ms));
     }
 
-    fn suspect(&self, now_ms: u64, suspect: Suspect, ran_ms: u64) {
+    fn report_run(&self, now_ms: u64, suspect: Suspect, ran_ms: u64) {
         let ran_ms = u32::try_from(ran_ms).unwrap_or(u32::MAX);
         let key = self.key();
         let served_ago_ms = self.relay.crashes.served_ago_ms(now_ms, &key);
         let run = BrokenRun { key, weights: self.meta.weights.clone(), ran_ms, served_ago_ms };
-        let tells = self.relay.crashes.broken_off(now_ms, suspect, self.sent_at_ms, run);
-        if let (true, Some(trial)) = (tells, &self.trial) {
+        let is_evidence = self.relay.crashes.note_broken_run(now_ms, suspect, self.sent_at_ms, run);
+        if let (true, Some(trial)) = (is_evidence, &self.trial) {
             trial.had_outcome();
         }
     }
@@ -102,7 +102,7 @@
         crashes.note_served(self.relay.now_ms(), key);
         if crashes.standings().is_watched(&key) {
             info!(event = "watched_request_served", request = %self.meta.id, key = %key);
-            crashes.tell(SessionUp::Served(key));
+            crashes.report(SessionUp::Served(key));
         }
         if let Some(trial) = &self.trial {
             trial.had_outcome();
@@ -136,7 +136,7 @@
     ///
     /// # Errors
     /// It is held by now.
-    pub(super) fn is_sent_still(&self) -> Result<(), NotSent> {
+    pub(super) fn check_not_held(&self) -> Result<(), NotSent> {
         if self.relay.crashes.standings().is_empty() {
             return Ok(());
         }
@@ -152,7 +152,7 @@
             return Err(refused);
         }
         let _wait = TrialWait::new(relay, key);
-        relay.crashes.tell(SessionUp::AskForTrial(key));
+        relay.crashes.report(SessionUp::AskForTrial(key));
         let until_ms = (relay.now_ms() + TRIAL_ANSWER_MS).min(self.ends_at_ms);
         loop {
             let changed = relay.changed.notified();
--- a/src/relay/liveness.rs
+++ b/src/relay/liveness.rs
@@ -57,7 +57,7 @@
     let (now_ms, broken) = (relay.now_ms(), relay.crashes.broken_by(&id));
     info!(event = "endpoint_asked", endpoint = %id, liveness = ?liveness, broken);
     if !matches!(liveness, Liveness::Refusing | Liveness::Ignoring) {
-        relay.crashes.goes_on(now_ms, &id);
+        relay.crashes.note_alive(now_ms, &id);
         return;
     }
     relay.metrics.count(Counter::EndpointsEnded);
@@ -65,7 +65,7 @@
     if let Some(endpoint) = endpoint {
         relay.pool.forget(endpoint.address);
     }
-    relay.crashes.ended(now_ms, &id, &service);
+    relay.crashes.note_ended(now_ms, &id, &service);
 }
 
 /// Asks a silent endpoint until it answers, or has refused or ignored enough to count as ended.
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -127,7 +127,7 @@
                         let loads = relay.fleet().all_loads();
                         let (used, failing) = (Vec::new(), Vec::new());
                         send(&mut sender, &SessionUp::Traffic { loads, used, failing }).await?;
-                        let crashes = relay.crashes.recent(relay.now_ms());
+                        let crashes = relay.crashes.recent_crashes(relay.now_ms());
                         if !crashes.is_empty() {
                             send(&mut sender, &SessionUp::Crashes(crashes)).await?;
                         }
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -198,7 +198,7 @@
         }
         for replaced in fleet.replaced_by(&registered) {
             info!(event = "endpoint_replaced", endpoint = %replaced.id);
-            self.crashes.replaced(now_ms, &replaced);
+            self.crashes.note_replaced(now_ms, &replaced);
         }
         for change in changes {
             match change {
@@ -240,14 +240,14 @@
                 }
                 Change::Request(standing) => {
                     requests.insert(standing.key);
-                    self.crashes.told(now_ms, standing);
+                    self.crashes.apply_standing(now_ms, standing);
                 }
                 _ => {}
             }
         }
         if reset {
             fleet.keep_only(&ids);
-            self.crashes.keep_only(&requests);
+            self.crashes.retain_standings(&requests);
         }
         drop(fleet);
         self.changed.notify_waiters();
--- a/src/relay/standings.rs
+++ b/src/relay/standings.rs
@@ -61,9 +61,9 @@
         self.known.contains_key(key)
     }
 
-    /// Takes over what the leader told; true for a trial of this gateway that no request waits for.
-    pub fn told(&mut self, now_ms: u64, told: RequestStanding) -> bool {
-        let RequestStanding { key, standing, .. } = told;
+    /// Applies what the leader decided; true for a trial of this gateway that no request waits for.
+    pub fn apply(&mut self, now_ms: u64, standing: RequestStanding) -> bool {
+        let RequestStanding { key, standing, .. } = standing;
         self.tried.remove(&key);
         if standing == Standing::Cleared {
             self.known.remove(&key);
--- a/tests/standings.rs
+++ b/tests/standings.rs
@@ -50,12 +50,12 @@
 fn a_held_request_is_refused_until_its_time_has_passed() {
     let mut standings = Standings::new("g1".into());
     assert_eq!(standings.permission(0, key()), Permission::Free);
-    standings.told(1_000, told(held(10_000)));
+    standings.apply(1_000, told(held(10_000)));
     assert_eq!(standings.permission(1_000, key()), Permission::Refused { after_ms: 10_000 });
     assert_eq!(standings.permission(7_000, key()), Permission::Refused { after_ms: 4_000 });
     assert_eq!(standings.permission(10_999, key()), Permission::Refused { after_ms: 1_000 });
     assert_eq!(standings.permission(11_000, key()), Permission::Ask);
-    standings.told(12_000, told(Standing::Cleared));
+    standings.apply(12_000, told(Standing::Cleared));
     assert_eq!(standings.permission(12_000, key()), Permission::Free);
     assert!(standings.is_empty());
 }
@@ -63,20 +63,20 @@
 #[test]
 fn watched_requests_are_sent_and_suspected_ones_once() {
     let mut standings = Standings::new("g1".into());
-    standings.told(0, told(Standing::Watched));
+    standings.apply(0, told(Standing::Watched));
     assert_eq!(standings.permission(0, key()), Permission::Free);
     assert!(standings.is_watched(&key()));
-    standings.told(0, told(Standing::Suspected));
+    standings.apply(0, told(Standing::Suspected));
     assert_eq!(standings.permission(0, key()), Permission::Once);
 }
 
 #[test]
 fn a_trial_is_for_one_try_of_one_gateway() {
     let mut standings = Standings::new("g1".into());
-    standings.told(0, told(on_trial("g2")));
+    standings.apply(0, told(on_trial("g2")));
     assert!(!standings.take_trial(&key()));
     assert!(matches!(standings.permission(0, key()), Permission::Refused { .. }));
-    standings.told(0, told(on_trial("g1")));
+    standings.apply(0, told(on_trial("g1")));
     assert!(standings.take_trial(&key()));
     assert!(!standings.take_trial(&key()), "it was used");
     assert!(matches!(standings.permission(0, key()), Permission::Refused { .. }));
@@ -87,25 +87,25 @@
 #[test]
 fn a_trial_that_no_request_waits_for_is_returned() {
     let mut standings = Standings::new("g1".into());
-    assert!(standings.told(0, told(on_trial("g1"))), "nobody waits");
-    assert!(!standings.told(0, told(on_trial("g2"))), "it is another gateway's");
-    assert!(!standings.told(0, told(held(1_000))), "it is no trial");
+    assert!(standings.apply(0, told(on_trial("g1"))), "nobody waits");
+    assert!(!standings.apply(0, told(on_trial("g2"))), "it is another gateway's");
+    assert!(!standings.apply(0, told(held(1_000))), "it is no trial");
     standings.begin_wait(key());
     standings.begin_wait(key());
     standings.end_wait(&key());
-    assert!(!standings.told(0, told(on_trial("g1"))), "one request still waits");
+    assert!(!standings.apply(0, told(on_trial("g1"))), "one request still waits");
     assert!(!standings.has_used_trial(&key()));
     assert!(standings.take_trial(&key()));
     assert!(standings.has_used_trial(&key()));
     standings.end_wait(&key());
-    assert!(standings.told(0, told(on_trial("g1"))), "nobody waits any more");
+    assert!(standings.apply(0, told(on_trial("g1"))), "nobody waits any more");
 }
 
 /// Guards against requests that wait for a trial while another gateway has it.
 #[test]
 fn during_another_gateways_trial_requests_are_refused_at_once() {
     let mut standings = Standings::new("g1".into());
-    standings.told(0, told(on_trial("g2")));
+    standings.apply(0, told(on_trial("g2")));
     for now_ms in [0, 2_000, 14_999] {
         let permission = standings.permission(now_ms, key());
         assert!(matches!(permission, Permission::Refused { .. }), "{permission:?} at {now_ms}");
@@ -116,7 +116,7 @@
 #[test]
 fn what_the_leader_no_longer_tells_is_forgotten() {
     let mut standings = Standings::new("g1".into());
-    standings.told(0, told(held(10_000)));
+    standings.apply(0, told(held(10_000)));
     standings.keep_only(&HashSet::from([key()]));
     assert!(!standings.is_empty());
     standings.keep_only(&HashSet::new());
