policy, relay: gateways report what they served before a prime suspect is held

Cause: it was at four ends within 1.7 s, broken off at gateways that had not served it yet; the others, which had, were not asked. Evidence: request_held 1.5 s after the first end, three ends, no standing before it that gateways could have answered. Ruled out: a lost trial (it was returned, and given again). Change: a gateway that is told of a watched or suspected content reports when it last served it; ends before that count no longer; a prime suspect is held once that report could have come, 100 ms after gateways were first told.

--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -124,6 +124,7 @@
 mutate "time goes on while suspended" src/clock.rs 's/left_ms\.min\(LOOK_MS\)/left_ms/' --test clock
 mutate "ends that others explain are no chance" $crashes 's/if !is_this && self\.is_explained_without\(key, other\) \{/if false {/' --test crashes by_turns
 mutate "what was not served lately stands out" $crashes 's/prime = \(crashes > most\)\.then_some\(\*key\);/prime = None;/' --test crashes by_turns
+mutate "gateways report what they served before a hold" $crashes 's/if standing\.is_refused\(\) && !self\.is_served_reported\(now_ms, key\) \{/if false {/' --test crashes gateways_can_report
 mutate "what another one is suspected of holds no bystander" $crashes 's/None => !\(self\.is_trusted\(key, crash\) && self\.is_explained_without\(key, crash\)\),/None => true,/' --test crashes by_turns
 mutate "what has just failed is tried last" src/following.rs 's/failed_at\.is_none_or\(/true || failed_at.is_none_or(/' --test server_search
 pool=src/policy/quota/pool.rs
--- a/src/control/distribution/mod.rs
+++ b/src/control/distribution/mod.rs
@@ -152,7 +152,8 @@
             | SessionUp::Crashes(_)
             | SessionUp::Served(_)
             | SessionUp::AskForTrial(_)
-            | SessionUp::TrialReturned(_) => {
+            | SessionUp::TrialReturned(_)
+            | SessionUp::ServedBefore { .. } => {
                 self.forwarded.push(Forwarded { gateway, up });
                 self.forward();
             }
--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -393,6 +393,10 @@
                 self.registered.crashes.ask_for_trial(now_ms, key, &from.gateway);
                 self.propose_standings(wall_ms);
             }
+            SessionUp::ServedBefore { key, ago_ms } => {
+                let at_ms = now_ms.saturating_sub(ago_ms.into());
+                self.registered.crashes.note_served(key, at_ms);
+            }
             SessionUp::TrialReturned(key) => {
                 info!(event = "trial_returned", key = %key, gateway = %from.gateway);
                 self.registered.crashes.return_trial(key, &from.gateway);
--- a/src/control/replica/sessions.rs
+++ b/src/control/replica/sessions.rs
@@ -119,6 +119,7 @@
             | SessionUp::Served(_)
             | SessionUp::AskForTrial(_)
             | SessionUp::TrialReturned(_)
+            | SessionUp::ServedBefore { .. }
             | SessionUp::CreditAsks(_) => {
                 let message = up.kind();
                 debug!(event = "message_ignored", gateway = %gateway, message);
--- a/src/message/session.rs
+++ b/src/message/session.rs
@@ -77,6 +77,13 @@
     CreditAsks(Vec<CreditAsk>),
     /// Returns a trial that had no outcome.
     TrialReturned(RequestKey),
+    /// A request that is watched was served some time before that.
+    ServedBefore {
+        /// The request.
+        key: RequestKey,
+        /// How long ago.
+        ago_ms: u32,
+    },
 }
 
 impl SessionUp {
@@ -98,6 +105,7 @@
             Self::AskForTrial(_) => "session_ask_for_trial",
             Self::CreditAsks(_) => "session_credit_asks",
             Self::TrialReturned(_) => "session_trial_returned",
+            Self::ServedBefore { .. } => "session_served_before",
         }
     }
 }
--- a/src/policy/crashes.rs
+++ b/src/policy/crashes.rs
@@ -34,6 +34,8 @@
 const HELD_PRIME_FACTOR: f64 = 200.0;
 /// Ends of which a request must be the prime suspect to explain them for the others that were there.
 const EXPLAINING_CRASHES: usize = 2;
+/// How long gateways are given to report that they served a content, from when they are told of its standing.
+const SERVED_REPORTED_MS: u64 = 100;
 /// How long a content that was served is an unlikely cause of an endpoint's end.
 const TRUSTED_MS: u64 = 60_000;
 /// Contents whose last time of being served is remembered.
@@ -97,6 +99,8 @@
     weights: Option<WeightsName>,
     standing: Standing,
     since_ms: u64,
+    /// When gateways were first told of the request.
+    told_since_ms: u64,
     /// True when it is held for less time already, since its weights were renewed.
     is_shortened: bool,
 }
@@ -204,7 +208,7 @@
                 }
             }
             for (key, weights) in runs {
-                self.judge(at_ms, &endpoint, key, weights);
+                self.judge(now_ms, at_ms, &endpoint, key, weights);
             }
         }
     }
@@ -269,7 +273,14 @@
     }
 
     /// Decides what becomes of a request under which `endpoint` ended at `at_ms`.
-    fn judge(&mut self, at_ms: u64, endpoint: &str, key: RequestKey, weights: Option<WeightsName>) {
+    fn judge(
+        &mut self,
+        now_ms: u64,
+        at_ms: u64,
+        endpoint: &Arc<str>,
+        key: RequestKey,
+        weights: Option<WeightsName>,
+    ) {
         let known = self.known.get(&key);
         let standing = match known.map(|known| (&known.standing, known.since_ms)) {
             // A try that was under way when it was held.
@@ -284,12 +295,32 @@
             }
             Some((Standing::Watched | Standing::Suspected | Standing::Cleared, _)) | None => {
                 let Some(standing) = self.weigh(key) else { return };
-                standing
+                if standing.is_refused() && !self.is_served_reported(now_ms, key) {
+                    self.judge_again(now_ms, endpoint, key);
+                    Standing::Suspected
+                } else {
+                    standing
+                }
             }
         };
         self.decide(key, weights, standing);
     }
 
+    /// True once gateways had the time to report whether they served the content.
+    fn is_served_reported(&self, now_ms: u64, key: RequestKey) -> bool {
+        let Some(known) = self.known.get(&key) else { return self.served_at_ms.is_empty() };
+        self.served_at_ms.is_empty() || known.told_since_ms + SERVED_REPORTED_MS <= now_ms
+    }
+
+    /// Has a request judged again once gateways had that time.
+    fn judge_again(&mut self, now_ms: u64, endpoint: &Arc<str>, key: RequestKey) {
+        let Some(crash) = self.by_endpoint.get_mut(endpoint) else { return };
+        if let Some(run) = crash.runs.get_mut(&key) {
+            run.is_judged = false;
+        }
+        self.fresh.push_back((now_ms + SERVED_REPORTED_MS, endpoint.clone()));
+    }
+
     /// The standing that the ends under a request call for.
     fn weigh(&self, key: RequestKey) -> Option<Standing> {
         let crashes = self.unexplained(key);
@@ -401,6 +432,20 @@
         }
         let known_ms = self.served_at_ms.entry(key).or_insert(at_ms);
         *known_ms = at_ms.max(*known_ms);
+        self.drop_ends_before(key, at_ms);
+    }
+
+    /// Takes a request out of the ends before it was served.
+    fn drop_ends_before(&mut self, key: RequestKey, served_at_ms: u64) {
+        let Some(endpoints) = self.by_request.get_mut(&key) else { return };
+        let by_endpoint = &self.by_endpoint;
+        let is_before = |endpoint: &mut Arc<str>| {
+            by_endpoint.get(endpoint).is_none_or(|crash| crash.at_ms < served_at_ms)
+        };
+        let before: Vec<Arc<str>> = endpoints.extract_if(.., is_before).collect();
+        for endpoint in before {
+            self.acquit(key, &endpoint);
+        }
     }
 
     /// Notes that a request was served: it ends nothing.
@@ -499,6 +544,7 @@
             weights: weights.clone(),
             standing: standing.clone(),
             since_ms: now_ms,
+            told_since_ms: before.as_ref().map_or(now_ms, |before| before.told_since_ms),
             is_shortened: before.as_ref().is_some_and(is_held_on),
         };
         self.known.insert(*key, known);
--- a/src/relay/crashes.rs
+++ b/src/relay/crashes.rs
@@ -107,6 +107,11 @@
             }
         }
         let key = standing.key;
+        if matches!(standing.standing, Standing::Watched | Standing::Suspected)
+            && let Some(ago_ms) = self.served_ago_ms(now_ms, &key)
+        {
+            self.report(SessionUp::ServedBefore { key, ago_ms });
+        }
         if self.standings().apply(now_ms, standing) {
             self.return_trial(key);
         }
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -224,7 +224,14 @@
                             .extend((bad..bad + MOST_DIFFERENT).find(|it| decided.key == key(*it)));
                     }
                     Standing::Held { .. } => seen.held_by_chance += 1,
-                    _ => watched.push(decided.key),
+                    _ => {
+                        watched.push(decided.key);
+                        if let (true, Some(at_ms)) =
+                            (self.reports_served, served_at_ms.get(&decided.key))
+                        {
+                            crashes.note_served(decided.key, *at_ms);
+                        }
+                    }
                 }
             }
             for (request, next_ms) in next_ms.iter_mut().enumerate() {
@@ -467,6 +474,37 @@
     assert_eq!(held, [key(9)]);
 }
 
+/// Guards against holding an ordinary content that was broken off three times at one gateway within a second, and
+/// was served at others meanwhile.
+#[yare::parameterized(
+    served_at_another_gateway = { Some(1_150), false },
+    served_by_nobody = { None, true },
+)]
+fn gateways_can_report_what_they_served_before_a_prime_suspect_is_held(
+    served_at_ms: Option<u64>,
+    is_held: bool,
+) {
+    let mut crashes = Crashes::default();
+    crashes.note_served(key(1), 900);
+    for number in 0..3 {
+        end(&mut crashes, 1_000 + number * 100, &format!("e{number}"), 9, 40);
+    }
+    let mut standings = Vec::new();
+    for now_ms in [1_400, 1_450, 1_550] {
+        crashes.advance(now_ms);
+        for decided in crashes.take_decided() {
+            crashes.committed(now_ms, &decided);
+            standings.push(decided.standing);
+        }
+        if let (1_400, Some(at_ms)) = (now_ms, served_at_ms) {
+            crashes.note_served(key(9), at_ms);
+        }
+    }
+    assert_eq!(standings[0], Standing::Suspected);
+    let was_held = standings.iter().any(Standing::is_refused);
+    assert_eq!(was_held, is_held, "{standings:?}");
+}
+
 #[test]
 fn what_a_request_was_held_for_counts_against_the_others_once_it_is_served() {
     let mut crashes = Crashes::default();
