--- a/src/policy/crashes.rs
+++ b/src/policy/crashes.rs
@@ -170,7 +170,9 @@
     /// Notes a request that was broken off with `endpoint`; false when that was known.
     fn broken_off(&mut self, endpoint: &Arc<str>, run: BrokenRun) -> bool {
         let BrokenRun { key, weights, ran_ms, served_ago_ms } = run;
-        let is_held = self.known.get(&key).is_some_and(|known| known.standing.is_refused());
+        // What ends during a trial may have been ended by another request.
+        let standing = self.known.get(&key).map(|known| &known.standing);
+        let is_held = matches!(standing, Some(Standing::Held { .. }));
         let Some(at_ms) = self.by_endpoint.get(endpoint).map(|crash| crash.at_ms) else {
             return false;
         };
@@ -261,15 +263,22 @@
         prime
     }
 
-    /// How many ends soon after the request had begun have it as their prime suspect.
+    /// How many ends soon after the request had begun have it as their prime suspect; none unless it was at
+    /// one of them the only content that was not served lately.
+    ///
+    /// Guards against holding what was broken off beside several others: one of these is always there too.
     fn prime_crashes(&self, key: RequestKey) -> usize {
         let mut crashes = 0;
+        let mut was_only_one = false;
         for crash in self.unexplained_of(key) {
-            if self.factor_in(key, crash) >= 1.0 && self.prime_suspect(crash) == Some(key) {
-                crashes += 1;
+            if self.factor_in(key, crash) < 1.0 || self.prime_suspect(crash) != Some(key) {
+                continue;
             }
+            crashes += 1;
+            let mut others = crash.runs.keys().filter(|other| **other != key);
+            was_only_one |= others.all(|other| self.is_trusted(*other, crash));
         }
-        crashes
+        if was_only_one { crashes } else { 0 }
     }
 
     /// Decides what becomes of a request under which `endpoint` ended at `at_ms`.
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -615,7 +615,8 @@
     assert_eq!(last, Some(Standing::Held { for_ms: 10_000, times: 0 }), "it is held too");
     crashes.ask_for_trial(18_100, key(9), &"g1".into());
     assert!(commit(&mut crashes, 18_100).is_some());
-    ends_told(&mut crashes, 18_200, "g", &[(8, 40), (9, 30)]);
+    // The one on trial is told first.
+    ends_told(&mut crashes, 18_200, "g", &[(9, 30), (8, 40)]);
     let again = Standing::Held { for_ms: 10_000, times: 0 };
     assert_eq!(commit(&mut crashes, 18_200), Some(again));
 }
