--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -15,7 +15,7 @@
 use super::border::{Backoff, SendMeta};
 use super::exchange::Exchange;
 use super::known::{IncarnationEnd, Wanted};
-use super::pick::Picked;
+use super::pick::{PickRequest, Picked};
 use super::pool::{self, Connection, SendFailure};
 use super::refusal::NotSent;
 use super::shared::Relay;
@@ -159,12 +159,12 @@
             let weights = self.engine_weights();
             let service = &self.chosen.service.name;
             let wanted = weights.map(|weights| self.wanted(now_ms, weights));
-            let (wanted, tried) = (wanted.as_ref(), &self.tried);
-            let picked = if waited_for.is_empty() {
-                self.relay.fleet().pick(now_ms, service, wanted, tried)
-            } else {
-                self.relay.fleet().pick_again(now_ms, service, wanted, tried)
+            let request = PickRequest {
+                objective_left_ms: self.objective_at_ms().saturating_sub(now_ms),
+                is_repeated: !waited_for.is_empty(),
+                ..PickRequest::new(service, wanted.as_ref(), &self.tried)
             };
+            let picked = self.relay.fleet().pick_for(now_ms, &request);
             let reason = match picked {
                 Picked::Endpoint {
                     id,
@@ -232,11 +232,14 @@
         self.meta.weights.as_ref().filter(|_| self.chosen.service.engine.is_some())
     }
 
+    /// When the latency objective passes.
+    fn objective_at_ms(&self) -> u64 {
+        self.started_ms + self.chosen.route.latency_objective_ms
+    }
+
     fn wanted(&self, now_ms: u64, weights: &WeightsName) -> Wanted {
-        let route = &self.chosen.route;
         let memory_tokens =
             self.chosen.service.engine.as_ref().map_or(0, |spec| spec.memory_tokens);
-        let objective_at_ms = self.started_ms + route.latency_objective_ms;
         // A prompt cannot exceed the engine's memory, whatever length the client states.
         let prompt_max_tokens = match memory_tokens {
             0 => u32::MAX,
@@ -245,7 +248,7 @@
         Wanted {
             weights: weights.clone(),
             priority: self.priority(),
-            left_ms: objective_at_ms.saturating_sub(now_ms) as f64,
+            left_ms: self.objective_at_ms().saturating_sub(now_ms) as f64,
             prompt_tokens: self.meta.prompt_tokens.min(prompt_max_tokens),
             prompt: self.prompt.clone(),
             memory_tokens,
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -49,7 +49,7 @@
 pub use known::Wanted;
 pub use limits::LimitChange;
 pub use orders::{EngineClient, ORDER_WRITE_MS, SEND_LEASE_MS, SendLease};
-pub use pick::Picked;
+pub use pick::{PickRequest, Picked};
 pub use process::run;
 pub use prompt::{PrefixCache, PromptChain, PromptPart};
 pub use session::reconnect_max_ms;
--- a/src/relay/pick.rs
+++ b/src/relay/pick.rs
@@ -25,6 +25,38 @@
 /// the leader places no weights there for longer than this.
 const FAILING_REPORT_INTERVAL_MS: u64 = 1_000;
 
+/// A request that needs an endpoint.
+#[derive(Debug, Clone, Copy)]
+pub struct PickRequest<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// What the request needs of an engine; `None` for a plain service.
+    pub wanted: Option<&'a Wanted>,
+    /// The endpoints that were tried before. They come last: one that failed once may well serve
+    /// the next request, and if no other one holds the weights, it is the only choice.
+    pub tried: &'a [Arc<str>],
+    /// The time left until the latency objective; 0 once it has passed.
+    pub objective_left_ms: u64,
+    /// True if the request may take only free slots, not a place in the queue of a plain endpoint.
+    pub free_slots_only: bool,
+    /// True for a request that already counts towards the demand because it was waiting.
+    pub is_repeated: bool,
+}
+
+impl<'a> PickRequest<'a> {
+    /// A new request for `service` without a latency objective.
+    pub fn new(service: &'a str, wanted: Option<&'a Wanted>, tried: &'a [Arc<str>]) -> Self {
+        Self {
+            service,
+            wanted,
+            tried,
+            objective_left_ms: u64::MAX,
+            free_slots_only: false,
+            is_repeated: false,
+        }
+    }
+}
+
 /// The result of selecting an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Picked {
@@ -171,9 +203,6 @@
 
 impl Fleet {
     /// Picks an endpoint of `service`, one that holds the weights if a model is `wanted`.
-    ///
-    /// Endpoints in `tried` come last: one that failed once may well serve the next request, and if
-    /// no other one holds the weights, it is the only choice.
     pub fn pick(
         &mut self,
         now_ms: u64,
@@ -181,7 +210,7 @@
         wanted: Option<&Wanted>,
         tried: &[Arc<str>],
     ) -> Picked {
-        self.pick_with(now_ms, service, wanted, tried, true)
+        self.pick_for(now_ms, &PickRequest::new(service, wanted, tried))
     }
 
     /// Like [`Fleet::pick`], for a waiting request that already counts towards the demand.
@@ -192,17 +221,13 @@
         wanted: Option<&Wanted>,
         tried: &[Arc<str>],
     ) -> Picked {
-        self.pick_with(now_ms, service, wanted, tried, false)
+        let request = PickRequest { is_repeated: true, ..PickRequest::new(service, wanted, tried) };
+        self.pick_for(now_ms, &request)
     }
 
-    fn pick_with(
-        &mut self,
-        now_ms: u64,
-        service: &str,
-        wanted: Option<&Wanted>,
-        tried: &[Arc<str>],
-        counts_demand: bool,
-    ) -> Picked {
+    /// Picks an endpoint for `request`.
+    pub fn pick_for(&mut self, now_ms: u64, request: &PickRequest<'_>) -> Picked {
+        let PickRequest { service, wanted, tried, is_repeated, .. } = *request;
         let weights = wanted.map(|wanted| &wanted.weights);
         let Some(ids) = self.by_service.get(service) else { return Picked::NoEndpoint };
         let due = weights.map_or(0, |name| self.version_due(now_ms, name));
@@ -216,7 +241,7 @@
             endpoints: &self.endpoints,
             homes: weights.and_then(|name| self.homes.get(name)),
             due,
-            counts_demand,
+            counts_demand: !is_repeated,
         };
         // Few endpoints hold a given adapter, so only these are considered.
         let ids: Vec<&Arc<str>> = match weights {
