policy: the order of waiting requests, their refusal, and shares of free places

Cause: a request that finds no free endpoint waits for a quarter of its latency objective and is then refused, although capacity becomes free later; nothing orders the waiting requests. Change: policy/waiting_queue.rs decides the order, which requests are refused at once, which are replaced in full queues, Retry-After, and which part of the free places a gateway uses while requests wait. Nothing uses it yet.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -18,3 +18,4 @@
 pub mod retry;
 pub mod route;
 pub mod versions;
+pub mod waiting_queue;
--- /dev/null
+++ b/src/policy/waiting_queue.rs
@@ -0,0 +1,515 @@
+//! Decides the order of requests that wait for capacity, and which of them are refused.
+//!
+//! Requests of one service, or of one service and its weights, compete for the same capacity and
+//! form one queue. Requests that can meet their latency objective go first, then by priority.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+
+use super::fair_share::ShareClass;
+use crate::message::WeightsName;
+
+/// The time over which the rates of a queue are measured.
+const RATE_WINDOW_MS: u64 = 2_000;
+/// The shortest time over which a rate is used; over less, single requests decide it.
+const RATE_MIN_MS: u64 = 300;
+/// The part of the drain rate that late requests are assumed to get even while requests in time
+/// need all of it: once half of their deadline has passed, late requests are ordered like others.
+const LATE_RATE_SHARE: f64 = 0.1;
+/// The limits of `Retry-After`.
+const RETRY_AFTER_MIN_MS: u64 = 100;
+const RETRY_AFTER_MAX_MS: u64 = 2_000;
+/// `Retry-After` of a queue whose rate is unknown; about the time of a load, or of a few responses.
+const RETRY_AFTER_UNKNOWN_MS: u64 = 300;
+/// The jitter of `Retry-After`, as a share of it. Without jitter, the clients that were refused
+/// together would return together.
+const RETRY_AFTER_JITTER: f64 = 0.5;
+
+/// The bounds of all queues of a gateway together.
+#[derive(Debug, Clone, Copy)]
+pub struct QueueLimits {
+    /// The maximum number of waiting requests.
+    pub requests: usize,
+    /// The maximum total size of their bodies.
+    pub size_bytes: usize,
+}
+
+impl Default for QueueLimits {
+    fn default() -> Self {
+        Self { requests: 1_000, size_bytes: 16 << 20 }
+    }
+}
+
+/// A request that waits for capacity.
+#[derive(Debug, Clone, Copy)]
+pub struct WaitingRequest {
+    /// The priority of the request; 0 is the most urgent.
+    pub priority: u8,
+    /// When the request arrived.
+    pub started_ms: u64,
+    /// The last time at which it can be sent and usually meet its latency objective.
+    pub objective_at_ms: u64,
+    /// The last time at which it can be sent and usually be answered before its deadline.
+    pub give_up_at_ms: u64,
+    /// Whether the request is within the share of its workspace.
+    pub share: ShareClass,
+    /// The size of its body.
+    pub size_bytes: usize,
+}
+
+impl WaitingRequest {
+    /// True if requests in time go before it: it is late, and less than half of the time until its
+    /// deadline has passed.
+    pub fn yields(&self, now_ms: u64) -> bool {
+        self.is_late(now_ms) && !self.is_aged(now_ms)
+    }
+
+    fn is_late(&self, now_ms: u64) -> bool {
+        now_ms > self.objective_at_ms
+    }
+
+    /// True once half of the time until the deadline has passed.
+    fn is_aged(&self, now_ms: u64) -> bool {
+        now_ms >= self.started_ms.midpoint(self.give_up_at_ms)
+    }
+
+    /// The time until which a request that waits in vain has lost little by waiting.
+    pub fn recheck_at_ms(&self) -> u64 {
+        self.started_ms + self.give_up_at_ms.saturating_sub(self.started_ms) / 10
+    }
+
+    /// The position in the order; smaller goes first.
+    fn rank(&self, now_ms: u64) -> (bool, u8, ShareClass, u64) {
+        let is_late = self.is_late(now_ms);
+        let due_ms = if is_late { self.give_up_at_ms } else { self.objective_at_ms };
+        (self.yields(now_ms), self.priority, self.share, due_ms)
+    }
+}
+
+/// The capacity that the requests of one queue compete for.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct QueueKey {
+    /// The service.
+    pub service: Arc<str>,
+    /// The weights that an engine must hold; `None` for a plain service.
+    pub weights: Option<WeightsName>,
+}
+
+/// A request that joined a queue.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Joined {
+    /// Identifies the request.
+    pub ticket: u64,
+    /// Less urgent requests that had to leave because the queues were full; they are to be refused.
+    pub replaced: Vec<u64>,
+}
+
+/// Why a request is refused instead of waiting.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QueueRefusal {
+    /// The queues are full of requests that are at least as urgent.
+    Full,
+    /// The request is expected to wait for too long.
+    Hopeless,
+}
+
+/// A queue for the state dump.
+#[derive(Debug, Clone, PartialEq)]
+pub struct QueueStatus {
+    /// The capacity that the requests compete for.
+    pub key: QueueKey,
+    /// The number of waiting requests.
+    pub length: usize,
+    /// How long the oldest of them has waited.
+    pub oldest_ms: u64,
+    /// The rate at which requests left the queue; `None` if it is unknown.
+    pub rate_per_s: Option<f64>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    ticket: u64,
+    request: WaitingRequest,
+}
+
+/// The requests that compete for one capacity.
+#[derive(Debug)]
+struct Queue {
+    waiting: Vec<Entry>,
+    /// Since when the queue has not been empty.
+    busy_since_ms: u64,
+    sent_at_ms: VecDeque<u64>,
+    /// The time and priority of each request that joined.
+    joined: VecDeque<(u64, u8)>,
+}
+
+impl Queue {
+    fn new(now_ms: u64) -> Self {
+        let (sent_at_ms, joined) = (VecDeque::new(), VecDeque::new());
+        Self { waiting: Vec::new(), busy_since_ms: now_ms, sent_at_ms, joined }
+    }
+
+    fn forget_old(&mut self, now_ms: u64) {
+        let from_ms = now_ms.saturating_sub(RATE_WINDOW_MS);
+        while self.sent_at_ms.front().is_some_and(|at_ms| *at_ms < from_ms) {
+            self.sent_at_ms.pop_front();
+        }
+        while self.joined.front().is_some_and(|(at_ms, _)| *at_ms < from_ms) {
+            self.joined.pop_front();
+        }
+    }
+
+    /// The time over which the rates are measured; `None` if it is too short.
+    fn measured_ms(&self, now_ms: u64) -> Option<u64> {
+        let measured_ms = now_ms.saturating_sub(self.busy_since_ms).min(RATE_WINDOW_MS);
+        (measured_ms >= RATE_MIN_MS).then_some(measured_ms)
+    }
+
+    /// The rate at which requests are sent from the queue. `None` if it is unknown, also if nothing
+    /// was sent, for example while weights are being loaded: this says nothing about the time after
+    /// the load.
+    fn rate_per_ms(&self, now_ms: u64) -> Option<f64> {
+        let measured_ms = self.measured_ms(now_ms)?;
+        let from_ms = now_ms - measured_ms;
+        let sent = self.sent_at_ms.iter().filter(|at_ms| **at_ms >= from_ms).count();
+        (sent > 0).then(|| sent as f64 / measured_ms as f64)
+    }
+
+    /// The rate at which requests of up to `priority` join.
+    fn joining_per_ms(&self, now_ms: u64, priority: Option<u8>) -> f64 {
+        let (Some(measured_ms), Some(priority)) = (self.measured_ms(now_ms), priority) else {
+            return 0.0;
+        };
+        let from_ms = now_ms - measured_ms;
+        let is_counted = |(at_ms, joined): &&(u64, u8)| *at_ms >= from_ms && *joined <= priority;
+        self.joined.iter().filter(is_counted).count() as f64 / measured_ms as f64
+    }
+
+    /// The number of waiting requests that go before one of `rank`; `except` is not counted.
+    fn ahead(&self, now_ms: u64, rank: (bool, u8, ShareClass, u64), except: u64) -> usize {
+        let is_ahead = |entry: &&Entry| {
+            entry.ticket != except
+                && entry.request.give_up_at_ms > now_ms
+                && entry.request.rank(now_ms) <= rank
+        };
+        self.waiting.iter().filter(is_ahead).count()
+    }
+
+    /// True if the request is expected to be sent too late: neither in time for its latency
+    /// objective nor, after the requests in time, before its deadline. Requests that will overtake
+    /// it are expected to join at the present rate.
+    fn is_hopeless(&self, now_ms: u64, request: &WaitingRequest, ticket: u64) -> bool {
+        if now_ms >= request.give_up_at_ms {
+            return true;
+        }
+        let Some(rate) = self.rate_per_ms(now_ms) else { return false };
+        let fits = |ahead: usize, net: f64, until_ms: u64| {
+            net > 0.0 && (ahead + 1) as f64 / net <= until_ms.saturating_sub(now_ms) as f64
+        };
+        let rank = request.rank(now_ms);
+        let more_urgent = self.joining_per_ms(now_ms, request.priority.checked_sub(1));
+        let ahead = self.ahead(now_ms, rank, ticket);
+        if !request.is_late(now_ms) && fits(ahead, rate - more_urgent, request.objective_at_ms) {
+            return false;
+        }
+        let late = (true, request.priority, request.share, request.give_up_at_ms);
+        let ahead = self.ahead(now_ms, late, ticket);
+        let left = rate - self.joining_per_ms(now_ms, Some(u8::MAX));
+        !fits(ahead, left.max(rate * LATE_RATE_SHARE), request.give_up_at_ms)
+    }
+}
+
+/// The waiting requests of a gateway.
+#[derive(Debug)]
+pub struct WaitingQueues {
+    limits: QueueLimits,
+    queues: HashMap<QueueKey, Queue>,
+    keys: HashMap<u64, QueueKey>,
+    size_bytes: usize,
+    tickets: u64,
+}
+
+impl WaitingQueues {
+    /// Creates empty queues.
+    pub fn new(limits: QueueLimits) -> Self {
+        Self { limits, queues: HashMap::new(), keys: HashMap::new(), size_bytes: 0, tickets: 0 }
+    }
+
+    /// Adds a request to a queue. If the queues are full, it replaces less urgent requests.
+    ///
+    /// # Errors
+    /// The request cannot be served in time, or the queues are full of requests that are at least
+    /// as urgent.
+    pub fn push(
+        &mut self,
+        now_ms: u64,
+        key: &QueueKey,
+        request: WaitingRequest,
+    ) -> Result<Joined, QueueRefusal> {
+        self.forget_idle(now_ms);
+        let queue = self.queues.entry(key.clone()).or_insert_with(|| Queue::new(now_ms));
+        if queue.waiting.is_empty() {
+            queue.busy_since_ms = now_ms;
+        }
+        queue.forget_old(now_ms);
+        if queue.is_hopeless(now_ms, &request, 0) {
+            return Err(QueueRefusal::Hopeless);
+        }
+        let replaced = self.make_room(now_ms, &request).ok_or(QueueRefusal::Full)?;
+        for ticket in &replaced {
+            self.remove(*ticket);
+        }
+        self.tickets += 1;
+        let ticket = self.tickets;
+        self.size_bytes += request.size_bytes;
+        self.keys.insert(ticket, key.clone());
+        let queue = self.queues.entry(key.clone()).or_insert_with(|| Queue::new(now_ms));
+        queue.waiting.push(Entry { ticket, request });
+        queue.joined.push_back((now_ms, request.priority));
+        Ok(Joined { ticket, replaced })
+    }
+
+    /// The requests that have to leave so that `request` fits; `None` if one of them is at least as
+    /// urgent.
+    fn make_room(&self, now_ms: u64, request: &WaitingRequest) -> Option<Vec<u64>> {
+        let (mut waiting, mut size_bytes) =
+            (self.keys.len() + 1, self.size_bytes + request.size_bytes);
+        let fits = |waiting: usize, size_bytes: usize| {
+            waiting <= self.limits.requests && size_bytes <= self.limits.size_bytes
+        };
+        if fits(waiting, size_bytes) {
+            return Some(Vec::new());
+        }
+        let mut others: Vec<&Entry> =
+            self.queues.values().flat_map(|queue| queue.waiting.iter()).collect();
+        others.sort_by_key(|entry| (entry.request.rank(now_ms), entry.ticket));
+        let mut replaced = Vec::new();
+        while !fits(waiting, size_bytes) {
+            let least = others.pop()?;
+            if least.request.rank(now_ms) <= request.rank(now_ms) {
+                return None;
+            }
+            waiting -= 1;
+            size_bytes -= least.request.size_bytes;
+            replaced.push(least.ticket);
+        }
+        Some(replaced)
+    }
+
+    /// Drops the queues that are empty and whose rates are out of date.
+    fn forget_idle(&mut self, now_ms: u64) {
+        self.queues.retain(|_, queue| {
+            let last_ms = queue.sent_at_ms.back().copied().unwrap_or(queue.busy_since_ms);
+            !queue.waiting.is_empty() || last_ms + RATE_WINDOW_MS > now_ms
+        });
+    }
+
+    /// Removes a request that no longer waits.
+    pub fn remove(&mut self, ticket: u64) {
+        let Some(key) = self.keys.remove(&ticket) else { return };
+        let Some(queue) = self.queues.get_mut(&key) else { return };
+        let Some(position) = queue.waiting.iter().position(|entry| entry.ticket == ticket) else {
+            return;
+        };
+        self.size_bytes -= queue.waiting.swap_remove(position).request.size_bytes;
+    }
+
+    /// The request that may be sent next; `None` if none waits that can still be answered.
+    pub fn first(&mut self, now_ms: u64, key: &QueueKey) -> Option<u64> {
+        let waiting = self.queues.get(key)?.waiting.iter();
+        let in_time = waiting.filter(|entry| now_ms < entry.request.give_up_at_ms);
+        let first = in_time.min_by_key(|entry| (entry.request.rank(now_ms), entry.ticket))?;
+        Some(first.ticket)
+    }
+
+    /// The first request of each queue, the most urgent one first.
+    pub fn firsts(&mut self, now_ms: u64) -> Vec<u64> {
+        let mut firsts = Vec::new();
+        for queue in self.queues.values() {
+            let in_time = queue.waiting.iter().filter(|entry| now_ms < entry.request.give_up_at_ms);
+            let ranked = in_time.map(|entry| (entry.request.rank(now_ms), entry.ticket));
+            firsts.extend(ranked.min());
+        }
+        firsts.sort_unstable();
+        firsts.into_iter().map(|(_, ticket)| ticket).collect()
+    }
+
+    /// Records that a waiting request was sent and removes it.
+    pub fn note_sent(&mut self, now_ms: u64, key: &QueueKey, ticket: u64) {
+        if let Some(queue) = self.queues.get_mut(key) {
+            queue.sent_at_ms.push_back(now_ms);
+            queue.forget_old(now_ms);
+        }
+        self.remove(ticket);
+    }
+
+    /// Checks again whether a request can be served in time, while it has waited for less than a
+    /// tenth of its deadline. More urgent requests may have joined, or the queue may have slowed
+    /// down.
+    ///
+    /// # Errors
+    /// The request is expected to wait for too long.
+    pub fn recheck(&self, now_ms: u64, ticket: u64) -> Result<(), QueueRefusal> {
+        let queue = self.keys.get(&ticket).and_then(|key| self.queues.get(key));
+        let Some(queue) = queue else { return Ok(()) };
+        let is_hopeless = queue
+            .waiting
+            .iter()
+            .find(|entry| entry.ticket == ticket)
+            .is_some_and(|entry| queue.is_hopeless(now_ms, &entry.request, ticket));
+        if is_hopeless { Err(QueueRefusal::Hopeless) } else { Ok(()) }
+    }
+
+    /// The time after which a refused client may retry: when the requests that wait now are
+    /// expected to have been sent. `draw` is random, from 0 to 1.
+    pub fn retry_after_ms(&self, now_ms: u64, key: &QueueKey, draw: f64) -> u64 {
+        let expected_ms = self.queues.get(key).and_then(|queue| {
+            let rate = queue.rate_per_ms(now_ms)?;
+            Some(queue.waiting.len() as f64 / rate)
+        });
+        let expected_ms = expected_ms.unwrap_or(RETRY_AFTER_UNKNOWN_MS as f64);
+        let after_ms = expected_ms * (1.0 + (draw * 2.0 - 1.0) * RETRY_AFTER_JITTER);
+        (after_ms as u64).clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS)
+    }
+
+    /// True if requests wait for this capacity.
+    pub fn has_waiting(&self, key: &QueueKey) -> bool {
+        self.queues.get(key).is_some_and(|queue| !queue.waiting.is_empty())
+    }
+
+    /// The number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// True if no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+
+    /// The queues in which requests wait.
+    pub fn status(&self, now_ms: u64) -> Vec<QueueStatus> {
+        let mut status = Vec::new();
+        for (key, queue) in &self.queues {
+            let started = queue.waiting.iter().map(|entry| entry.request.started_ms);
+            let Some(oldest_ms) = started.min() else { continue };
+            status.push(QueueStatus {
+                key: key.clone(),
+                length: queue.waiting.len(),
+                oldest_ms: now_ms.saturating_sub(oldest_ms),
+                rate_per_s: queue.rate_per_ms(now_ms).map(|rate| rate * 1_000.0),
+            });
+        }
+        status
+    }
+}
+
+/// How long without load counts a gateway continues with what it knows itself; counts take up to
+/// 200 ms.
+const COUNT_TIMEOUT_MS: u64 = 200;
+/// The part of the free places that a gateway begins with. Larger parts let many gateways flood a
+/// single place; with smaller ones a single gateway that waits finds out too slowly that no other
+/// does. If most places are free, for example where weights have just been loaded, it is up to half
+/// of them.
+const FIRST_PART: f64 = 0.125;
+/// The growth of the part after the endpoints were overfull, and the factor by which the growth
+/// increases from there while places stay free. A part that doubled at once would be too large
+/// again before the counts show it.
+const GROWTH_MIN: f64 = 0.02;
+const GROWTH_STEP: f64 = 1.3;
+
+/// This gateway's share of the free places of one service.
+///
+/// All gateways see the same free places, with a delay, and cannot know how many of them have
+/// waiting requests. So each one sends into a part of the free places. The part is halved when the
+/// endpoints turn out overfull and doubled when places stay free, so the parts of the gateways that
+/// have waiting requests add up to about one. A place that a request of this gateway leaves may be
+/// used at once, because the other gateways do not know of it yet.
+#[derive(Debug, Clone)]
+pub struct PlaceShare {
+    part: f64,
+    /// By how much the part grows while places stay free, as a share of it.
+    growth: f64,
+    /// The number of requests that may be sent until the next count.
+    allowed: f64,
+    counted_at_ms: u64,
+    was_rejected: bool,
+}
+
+/// The places of the endpoints of one service according to the last counts.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ServicePlaces {
+    /// All places.
+    pub total: u32,
+    /// Free places.
+    pub free: u32,
+    /// Requests beyond those that keep the endpoints busy.
+    pub excess: u32,
+}
+
+impl PlaceShare {
+    /// A share when requests begin to wait, among `gateways` gateways.
+    pub fn new(now_ms: u64, gateways: usize, places: ServicePlaces, draw: f64) -> Self {
+        let idle = f64::from(places.free) / f64::from(places.total.max(1));
+        let part = FIRST_PART.max(idle / 2.0).max(1.0 / gateways.max(1) as f64);
+        let mut share =
+            Self { part, growth: 1.0, allowed: 0.0, counted_at_ms: now_ms, was_rejected: false };
+        share.allow(places, draw);
+        share
+    }
+
+    /// Applies new counts; `draw` is random, from 0 to 1.
+    pub fn note_counts(&mut self, now_ms: u64, gateways: usize, places: ServicePlaces, draw: f64) {
+        let least = 1.0 / gateways.max(1) as f64;
+        if self.was_rejected || places.excess > 0 {
+            self.part = (self.part / 2.0).max(least);
+            self.growth = GROWTH_MIN;
+        } else if places.free > 0 {
+            self.part = (self.part * (1.0 + self.growth)).min(1.0);
+            self.growth = (self.growth * GROWTH_STEP).min(1.0);
+        }
+        self.counted_at_ms = now_ms;
+        self.was_rejected = false;
+        self.allow(places, draw);
+    }
+
+    /// Applies places that became known between two counts, by a registration or a load of weights.
+    pub fn note_places(&mut self, places: ServicePlaces, draw: f64) {
+        self.allow(places, draw);
+    }
+
+    /// True if no other gateway competes for the places.
+    pub fn is_whole(&self) -> bool {
+        self.part >= 1.0
+    }
+
+    /// A part below one place is used with that probability.
+    fn allow(&mut self, places: ServicePlaces, draw: f64) {
+        self.allowed = (f64::from(places.free) * self.part + draw).floor();
+    }
+
+    /// True if the gateway may send a waiting request.
+    pub fn may_send(&self) -> bool {
+        self.allowed >= 1.0
+    }
+
+    /// True if no counts came for so long that the gateway continues with what it knows itself.
+    pub fn is_overdue(&self, now_ms: u64) -> bool {
+        now_ms >= self.counted_at_ms + COUNT_TIMEOUT_MS
+    }
+
+    /// Records that a waiting request was sent.
+    pub fn note_sent(&mut self) {
+        self.allowed -= 1.0;
+    }
+
+    /// Records that a request of this gateway ended and left a place.
+    pub fn note_ended(&mut self) {
+        self.allowed += 1.0;
+    }
+
+    /// Records that an endpoint rejected a request because it is full.
+    pub fn note_rejected(&mut self) {
+        self.was_rejected = true;
+    }
+}
