relay: requests wait in a queue for as long as they can be answered before the deadline

Cause: all waiting requests woke together on each change, without an order; a quarter of the latency objective after their arrival they were refused, and after a rejection by a full endpoint they went to the next one at once. Change: relay/queue.rs keeps the waiting requests and wakes the first one; a place that is dropped wakes the next. New causes of refusal, metrics and the queues in the state dump. Weights are asked for again each second. Load counts now wake waiting requests. A request that finds no one waiting is sent as before, without a queue; new is only that response times are noted.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -64,6 +64,12 @@
     RequestsLimited => "requests.limited",
     /// Requests refused because the endpoints that could run them asked for backoff.
     RequestsBackingOff => "requests.backing_off",
+    /// Requests refused because the queues of waiting requests were full.
+    RequestsRefusedQueueFull => "requests.refused_queue_full",
+    /// Requests refused because they were expected to wait for too long.
+    RequestsRefusedHopeless => "requests.refused_hopeless",
+    /// Waiting requests refused because more urgent ones took their places.
+    RequestsReplacedInQueue => "requests.replaced_in_queue",
     /// Requests refused because they carried no valid API key.
     RequestsUnauthorized => "requests.unauthorized",
     /// Requests refused because their workspaces exceeded their quotas.
@@ -125,6 +131,8 @@
     FirstByte => "requests.first_byte",
     /// Time that a request waited for its adapter to be loaded.
     LoadWait => "requests.load_wait",
+    /// Time that a request waited for capacity before it was sent.
+    QueueWait => "requests.queue_wait",
     /// Duration of an adapter load.
     Load => "endpoints.load",
     /// Duration of a sync of the log to disk.
@@ -141,6 +149,8 @@
     Gauge:
     /// Requests in progress at this gateway.
     RequestsInProgress => "requests.in_progress",
+    /// Requests that wait for capacity at this gateway.
+    RequestsWaiting => "requests.waiting",
     /// Endpoints owned by this gateway.
     EndpointsOwned => "endpoints.owned",
     /// Services in the known configuration.
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -9,7 +9,6 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::sync::watch;
-use tokio::time::timeout;
 use tracing::info;
 
 use super::border::{Backoff, SendMeta};
@@ -17,17 +16,26 @@
 use super::known::{IncarnationEnd, Wanted};
 use super::pick::{PickRequest, Picked};
 use super::pool::{self, Connection, SendFailure};
+use super::queue::{QueuePlace, Turn};
 use super::refusal::NotSent;
 use super::shared::Relay;
 use crate::message::{AdapterNeed, WeightsName};
+use crate::policy::fair_share::ShareClass;
 use crate::policy::rank::LATE_RANK;
+use crate::policy::waiting_queue::{QueueKey, QueueRefusal, WaitingRequest};
 use crate::routing::Repeat;
 
-/// How long before a quarter of the latency objective a request that found no free endpoint is
-/// refused; until then a refusal costs the client nothing.
+/// How long before a quarter of the latency objective a request to a service without any known
+/// endpoint is refused; until then a refusal costs the client nothing.
 const REFUSAL_MARGIN_MS: u64 = 12;
-/// How long a request waits for weights that are being loaded, in percent of the latency objective.
-const LOAD_WAIT_PERCENT: u64 = 180;
+/// How often the first waiting request tries again without a notification. Pauses end without one.
+const RETRY_INTERVAL_MS: u64 = 25;
+/// How often the leader is asked again for weights; it drops asks that are not repeated within
+/// 1.5 s.
+const ASK_AGAIN_MS: u64 = 1_000;
+/// What a request waits for if the endpoints or the requests before it leave no place.
+const ENDPOINT_FULL: &str = "endpoints are full";
+const NO_ENDPOINT: &str = "no endpoint";
 
 /// How long a started response may bring no data before its endpoint is probed.
 const SILENT_PROBE_MS: u64 = 400;
@@ -40,8 +48,12 @@
 /// A request in flight at an endpoint; dropped when its response has ended or failed.
 pub(super) struct InFlightRequest {
     relay: Arc<Relay>,
+    service: Arc<str>,
     weights: Option<WeightsName>,
     number: u64,
+    sent_at_ms: u64,
+    /// True once the endpoint has started a response.
+    has_started: bool,
     pub(super) endpoint: Arc<str>,
     pub(super) address: std::net::SocketAddr,
     ended: Option<watch::Receiver<IncarnationEnd>>,
@@ -91,7 +103,11 @@
         let now_ms = self.relay.now_ms();
         let weights = self.weights.as_ref();
         self.relay.fleet().finish(now_ms, &self.endpoint, weights, self.number);
-        self.relay.changed.notify_waiters();
+        if self.has_started {
+            let took_ms = now_ms.saturating_sub(self.sent_at_ms);
+            self.relay.queue.note_end(now_ms, &self.service, took_ms);
+        }
+        self.relay.queue.note_place_left(now_ms, &self.service);
     }
 }
 
@@ -113,12 +129,44 @@
     pub(super) expected_ms: u64,
     /// What the request waited for before the endpoint was selected; empty if it did not wait.
     pub(super) waited_for: &'static str,
+    /// The place of a request that waited; the next one tries when it is dropped.
+    pub(super) place: Option<QueuePlace>,
+}
+
+/// The wait of a request for an endpoint.
+struct Wait {
+    /// What the request waited for first; empty if it has not waited.
+    for_reason: &'static str,
+    /// When the leader was last asked for the weights.
+    asked_at_ms: Option<u64>,
+}
+
+/// What a request waits for.
+struct Blocked {
+    reason: &'static str,
+    /// When the endpoints that could take it may take the next request; `None` if that is unknown.
+    until_ms: Option<u64>,
+}
+
+/// Why no endpoint takes a request.
+fn describe(picked: &Picked) -> &'static str {
+    match picked {
+        Picked::Endpoint { .. } => "",
+        Picked::NoEndpoint => NO_ENDPOINT,
+        Picked::Full => ENDPOINT_FULL,
+        Picked::Limited { .. } => "endpoints limit what they take",
+        Picked::BackingOff { .. } => "endpoints asked for backoff",
+        Picked::Coming => "weights are on their way",
+        Picked::NoHome => "weights are not loaded",
+    }
 }
 
 /// The result of one send.
 pub(super) enum Attempt {
     Started(Box<StartedResponse>),
     NotRun(&'static str),
+    /// The endpoint rejected the request because it is full.
+    Full,
     /// The endpoint refused the request and asked for backoff.
     RefusedWithBackoff,
     Unknown(String),
@@ -142,90 +190,239 @@
 }
 
 impl Exchange {
-    /// Waits until an endpoint can take the request, within the limits that the route's latency
-    /// objective sets.
+    /// Waits until an endpoint can take the request, in the order of the queue and for as long as a
+    /// response can still be expected before the deadline.
     pub(super) async fn pick(&self) -> Result<Target, NotSent> {
-        let quarter_ms = self.chosen.route.latency_objective_ms / 4;
-        let max_wait_ms = quarter_ms.saturating_sub(REFUSAL_MARGIN_MS);
-        let until_ms = (self.started_ms + max_wait_ms).min(self.ends_at_ms);
-        // A late response from weights that are being loaded is worth more than a refusal.
-        let load_wait_ms = self.chosen.route.latency_objective_ms * LOAD_WAIT_PERCENT / 100;
-        let load_wait_until_ms = (self.started_ms + load_wait_ms).min(self.ends_at_ms);
-        let mut asked = false;
-        let mut waited_for = "";
-        loop {
-            let changed = self.relay.changed.notified();
-            let now_ms = self.relay.now_ms();
-            let weights = self.engine_weights();
-            let service = &self.chosen.service.name;
-            let wanted = weights.map(|weights| self.wanted(now_ms, weights));
-            let request = PickRequest {
-                objective_left_ms: self.objective_at_ms().saturating_sub(now_ms),
-                is_repeated: !waited_for.is_empty(),
-                ..PickRequest::new(service, wanted.as_ref(), &self.tried)
-            };
-            let picked = self.relay.fleet().pick_for(now_ms, &request);
-            let reason = match picked {
-                Picked::Endpoint {
-                    id,
-                    name,
-                    address,
-                    weights_version,
-                    held_version,
-                    rank,
-                    expected_ms,
-                } => {
-                    return Ok(Target {
-                        id,
-                        name,
-                        address,
-                        weights_version,
-                        held_version,
-                        rank,
-                        expected_ms,
-                        waited_for,
-                    });
-                }
-                Picked::NoEndpoint => "no endpoint",
-                Picked::Full => "endpoints are full",
-                Picked::Limited { .. } => "endpoints limit what they take",
-                Picked::BackingOff { .. } => "endpoints asked for backoff",
-                Picked::Coming => "weights are on their way",
-                Picked::NoHome => "weights are not loaded",
-            };
-            if waited_for.is_empty() {
-                waited_for = reason;
-            }
-            let until_ms = if picked == Picked::Coming { load_wait_until_ms } else { until_ms };
-            if let (Some(weights), false) = (weights, asked) {
-                asked = true;
-                let need = AdapterNeed {
-                    service: service.clone(),
-                    weights: weights.clone(),
-                    requests: 1,
-                    more: picked == Picked::Full,
-                };
-                self.relay.request_weights(need);
+        let relay = &self.relay;
+        let key = self.queue_key();
+        let mut wait = Wait { for_reason: "", asked_at_ms: None };
+        let mut reason = ENDPOINT_FULL;
+        let mut has_tried = self.was_rejected;
+        if !self.was_rejected && !relay.queue.is_contended(&key) {
+            has_tried = true;
+            let now_ms = relay.now_ms();
+            match self.pick_endpoint(now_ms, &wait, None) {
+                Ok(target) => return Ok(target),
+                Err(picked) => reason = self.note_no_endpoint(now_ms, &mut wait, &picked)?.reason,
             }
+        } else if let Some(weights) = &key.weights {
+            let is_held = relay.fleet().is_held(weights);
+            self.ask_for_weights(relay.now_ms(), &mut wait, is_held);
+        }
+        wait.for_reason = reason;
+        let place = self.join_queue(relay.now_ms(), &key, reason)?;
+        let mut is_rechecked = false;
+        // A request that was rejected or has just searched does not try again at once.
+        let mut turn =
+            if has_tried { Turn::OtherGateways } else { relay.turn(relay.now_ms(), &place) };
+        loop {
+            let now_ms = relay.now_ms();
             if now_ms >= self.ends_at_ms {
                 return Err(NotSent::Late);
             }
-            let wake_at_ms = match picked {
-                Picked::Limited { after_ms } if now_ms + after_ms >= until_ms => {
-                    return Err(NotSent::Limited { after_ms });
-                }
-                Picked::BackingOff { after_ms } if now_ms + after_ms >= until_ms => {
-                    return Err(NotSent::BackingOff { after_ms });
-                }
-                Picked::Limited { after_ms } | Picked::BackingOff { after_ms } => now_ms + after_ms,
-                _ if now_ms >= until_ms => return Err(NotSent::NoPlace(reason)),
-                _ => until_ms,
-            };
-            let wait = Duration::from_millis(wake_at_ms - now_ms);
-            let _ = timeout(wait, changed).await;
+            let mut again_at_ms = now_ms + RETRY_INTERVAL_MS;
+            match turn {
+                Turn::Now => match self.pick_endpoint(now_ms, &wait, Some(&place)) {
+                    Ok(target) => {
+                        place.note_sent(now_ms);
+                        return Ok(Target { place: Some(place), ..target });
+                    }
+                    Err(picked) => {
+                        let blocked = self.note_no_endpoint(now_ms, &mut wait, &picked)?;
+                        reason = blocked.reason;
+                        again_at_ms = blocked.until_ms.unwrap_or(again_at_ms);
+                    }
+                },
+                Turn::OtherGateways => {}
+                Turn::Later => again_at_ms = u64::MAX,
+            }
+            let ask_at_ms = wait.asked_at_ms.map_or(u64::MAX, |at_ms| at_ms + ASK_AGAIN_MS);
+            let recheck_at_ms = if is_rechecked { u64::MAX } else { place.request.recheck_at_ms() };
+            let wake_at_ms =
+                place.request.give_up_at_ms.min(again_at_ms).min(ask_at_ms).min(recheck_at_ms);
+            let _ = relay.clock.timeout_at(wake_at_ms, place.woken()).await;
+            let now_ms = relay.now_ms();
+            if place.is_replaced() {
+                let after_ms = relay.queue.retry_after_ms(now_ms, &key);
+                return Err(NotSent::Replaced { after_ms });
+            }
+            if now_ms >= place.request.give_up_at_ms {
+                let after_ms = relay.queue.retry_after_ms(now_ms, &key);
+                return Err(NotSent::WaitEnded { reason, after_ms });
+            }
+            if now_ms >= recheck_at_ms {
+                is_rechecked = true;
+                place.recheck(now_ms).map_err(|refusal| self.refuse_queue(refusal, reason))?;
+            }
+            turn = relay.turn(now_ms, &place);
+            if let (Turn::Later | Turn::OtherGateways, Some(weights)) = (turn, &key.weights) {
+                let is_held = relay.fleet().is_held(weights);
+                self.ask_for_weights(now_ms, &mut wait, is_held);
+            }
         }
     }
 
+    /// Records that no endpoint could take the request; returns what it waits for.
+    ///
+    /// # Errors
+    /// The request cannot wait for that long.
+    fn note_no_endpoint(
+        &self,
+        now_ms: u64,
+        wait: &mut Wait,
+        picked: &Picked,
+    ) -> Result<Blocked, NotSent> {
+        let reason = describe(picked);
+        self.ask_for_weights(now_ms, wait, *picked == Picked::Full);
+        if now_ms >= self.ends_at_ms {
+            return Err(NotSent::Late);
+        }
+        if *picked == Picked::NoEndpoint && now_ms >= self.first_endpoint_until_ms() {
+            return Err(NotSent::NoPlace(reason));
+        }
+        Ok(Blocked { reason, until_ms: self.throttled_until_ms(now_ms, picked)? })
+    }
+
+    /// Selects an endpoint.
+    ///
+    /// # Errors
+    /// Why none can take the request.
+    fn pick_endpoint(
+        &self,
+        now_ms: u64,
+        wait: &Wait,
+        place: Option<&QueuePlace>,
+    ) -> Result<Target, Picked> {
+        let wanted = self.engine_weights().map(|weights| self.wanted(now_ms, weights));
+        let objective_left_ms = self.objective_at_ms().saturating_sub(now_ms);
+        // A late request must not delay requests that can still be answered in time. Once it is
+        // ordered like these, it must not hold up those behind it in the queue either.
+        let yields = match place {
+            Some(place) => place.request.yields(now_ms),
+            None => objective_left_ms == 0,
+        };
+        let request = PickRequest {
+            objective_left_ms,
+            free_slots_only: yields || self.share() == ShareClass::Over,
+            is_repeated: !wait.for_reason.is_empty(),
+            ..PickRequest::new(&self.chosen.service.name, wanted.as_ref(), &self.tried)
+        };
+        match self.relay.fleet().pick_for(now_ms, &request) {
+            Picked::Endpoint {
+                id,
+                name,
+                address,
+                weights_version,
+                held_version,
+                rank,
+                expected_ms,
+            } => Ok(Target {
+                id,
+                name,
+                address,
+                weights_version,
+                held_version,
+                rank,
+                expected_ms,
+                waited_for: wait.for_reason,
+                place: None,
+            }),
+            picked => Err(picked),
+        }
+    }
+
+    /// When the endpoints that could take the request may take the next one; `None` if they are not
+    /// throttled.
+    ///
+    /// # Errors
+    /// The request cannot wait for that long.
+    fn throttled_until_ms(&self, now_ms: u64, picked: &Picked) -> Result<Option<u64>, NotSent> {
+        let give_up_at_ms = self.give_up_at_ms(now_ms);
+        match *picked {
+            Picked::Limited { after_ms } if now_ms + after_ms >= give_up_at_ms => {
+                Err(NotSent::Limited { after_ms })
+            }
+            Picked::BackingOff { after_ms } if now_ms + after_ms >= give_up_at_ms => {
+                Err(NotSent::BackingOff { after_ms })
+            }
+            Picked::Limited { after_ms } | Picked::BackingOff { after_ms } => {
+                Ok(Some(now_ms + after_ms))
+            }
+            _ => Ok(None),
+        }
+    }
+
+    /// Asks the leader to load the weights, and repeats it while the request waits.
+    fn ask_for_weights(&self, now_ms: u64, wait: &mut Wait, more: bool) {
+        let Some(weights) = self.engine_weights() else { return };
+        if wait.asked_at_ms.is_some_and(|asked_at_ms| now_ms < asked_at_ms + ASK_AGAIN_MS) {
+            return;
+        }
+        wait.asked_at_ms = Some(now_ms);
+        let service = self.chosen.service.name.clone();
+        let need = AdapterNeed { service, weights: weights.clone(), requests: 1, more };
+        self.relay.request_weights(need);
+    }
+
+    fn join_queue(
+        &self,
+        now_ms: u64,
+        key: &QueueKey,
+        reason: &'static str,
+    ) -> Result<QueuePlace, NotSent> {
+        let request = self.waiting_request(now_ms);
+        let joined = self.relay.queue.join(now_ms, key, &self.meta.id, request);
+        joined.map_err(|refusal| self.refuse_queue(refusal, reason))
+    }
+
+    fn waiting_request(&self, now_ms: u64) -> WaitingRequest {
+        let usual = self.relay.queue.usual_times(now_ms, &self.chosen.service.name);
+        WaitingRequest {
+            priority: self.priority(),
+            started_ms: self.started_ms,
+            objective_at_ms: self.objective_at_ms().saturating_sub(usual.to_head_ms),
+            give_up_at_ms: self.give_up_at_ms(now_ms),
+            share: self.share(),
+            size_bytes: self.body.len(),
+        }
+    }
+
+    fn refuse_queue(&self, refusal: QueueRefusal, reason: &'static str) -> NotSent {
+        let relay = &self.relay;
+        let after_ms = relay.queue.retry_after_ms(relay.now_ms(), &self.queue_key());
+        match refusal {
+            QueueRefusal::Full => NotSent::QueueFull { after_ms },
+            QueueRefusal::Hopeless => NotSent::Hopeless { reason, after_ms },
+        }
+    }
+
+    /// The last time at which the request can be sent and usually be answered before the deadline.
+    fn give_up_at_ms(&self, now_ms: u64) -> u64 {
+        let usual = self.relay.queue.usual_times(now_ms, &self.chosen.service.name);
+        // Responses slower than the deadline allows must not have every request refused.
+        let most_ms = self.ends_at_ms.saturating_sub(self.started_ms) / 2;
+        self.ends_at_ms - usual.to_end_ms.min(most_ms)
+    }
+
+    /// How long a request waits for a service without any known endpoint: a gateway that has just
+    /// started learns of the endpoints within that time.
+    fn first_endpoint_until_ms(&self) -> u64 {
+        let quarter_ms = self.chosen.route.latency_objective_ms / 4;
+        self.started_ms + quarter_ms.saturating_sub(REFUSAL_MARGIN_MS)
+    }
+
+    /// The capacity that the request competes for.
+    pub(super) fn queue_key(&self) -> QueueKey {
+        let service = self.chosen.service.name.clone();
+        QueueKey { service, weights: self.engine_weights().cloned() }
+    }
+
+    /// Whether the request is within the share of its workspace; all are, until shares are known.
+    #[expect(clippy::unused_self, reason = "the shares of workspaces are not connected yet")]
+    fn share(&self) -> ShareClass {
+        ShareClass::Within
+    }
+
     /// The weights that an engine must hold; `None` for a plain service, whatever weights the
     /// client names.
     fn engine_weights(&self) -> Option<&WeightsName> {
@@ -255,7 +452,14 @@
         }
     }
 
-    pub(super) async fn attempt(&self, send: &SendMeta, address: std::net::SocketAddr) -> Attempt {
+    /// Sends the request once. The next request of the queue tries when `place` is dropped: not
+    /// before the endpoint's load counts this one.
+    pub(super) async fn attempt(
+        &self,
+        send: &SendMeta,
+        address: std::net::SocketAddr,
+        place: Option<QueuePlace>,
+    ) -> Attempt {
         let relay = &self.relay;
         let mut connection = match relay.pool.connection(address).await {
             Ok(connection) => connection,
@@ -270,10 +474,13 @@
         let wanted = weights.map(|weights| self.wanted(now_ms, weights));
         let is_late = send.priority >= LATE_RANK;
         let number = relay.fleet().start(now_ms, &send.endpoint, wanted.as_ref(), is_late);
-        let flight = InFlightRequest {
+        let mut flight = InFlightRequest {
             relay: relay.clone(),
+            service: self.chosen.service.name.clone(),
             weights: weights.cloned(),
             number,
+            sent_at_ms: now_ms,
+            has_started: false,
             endpoint: send.endpoint.clone(),
             address,
             ended: relay.fleet().watch_end(&send.endpoint),
@@ -284,6 +491,7 @@
                 Repeat::Any | Repeat::Resume => IncarnationEnd::Unreachable,
             },
         };
+        drop(place);
         let peer = &*send.endpoint;
         let sending = pool::send(&mut connection, peer, self.request(send));
         let response = match self.wait_for_head(sending, &flight).await {
@@ -314,12 +522,16 @@
             if let Backoff::Millis(_) = head.backoff {
                 return Attempt::RefusedWithBackoff;
             }
-            return Attempt::NotRun("the endpoint refused");
+            relay.queue.note_rejected(&self.queue_key());
+            return Attempt::Full;
         }
         // An overloaded endpoint may ask for backoff even in a response to a request that it ran.
         if head.backoff == Backoff::None {
             relay.fleet().answered(relay.now_ms(), &send.endpoint, number);
         }
+        flight.has_started = true;
+        let now_ms = relay.now_ms();
+        relay.queue.note_head(now_ms, &flight.service, now_ms.saturating_sub(flight.sent_at_ms));
         Attempt::Started(Box::new(StartedResponse { flight, connection, response }))
     }
 
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -116,6 +116,9 @@
     refused: u32,
     /// The number of sends that endpoints refused with a request for backoff.
     refused_with_backoff: u32,
+    /// True if the last send was rejected because the endpoint is full; the request then waits for
+    /// its turn like others.
+    pub(super) was_rejected: bool,
 }
 
 async fn serve(relay: &Arc<Relay>, request: Request<Incoming>) -> Answer {
@@ -179,6 +182,7 @@
             possible_runs: 0,
             refused: 0,
             refused_with_backoff: 0,
+            was_rejected: false,
         }
     }
 
@@ -234,6 +238,7 @@
                 return Err(Failure::Unknown("it is sent to one endpoint only".to_owned()));
             }
             let picked = self.pick().await.map_err(Failure::NotSent)?;
+            self.was_rejected = false;
             self.check_not_held().map_err(Failure::NotSent)?;
             self.access
                 .check_still_valid(&self.relay, &self.chosen.route)
@@ -242,7 +247,7 @@
             self.held_version = picked.held_version;
             self.expected_ms = picked.expected_ms;
             self.rank = picked.rank.unwrap_or(self.priority());
-            let Target { id, name, address, weights_version, .. } = picked;
+            let Target { id, name, address, weights_version, place, .. } = picked;
             let is_first = self.possible_runs + self.refused + self.refused_with_backoff == 0;
             let now_ms = self.relay.now_ms();
             self.sent_at_ms = now_ms;
@@ -260,7 +265,7 @@
                 priority: self.rank,
                 workspace: self.access.workspace_name(),
             };
-            match self.attempt(&send, address).await {
+            match self.attempt(&send, address, place).await {
                 Attempt::Started(started) => {
                     self.possible_runs += 1;
                     self.last_data_at_ms = self.relay.now_ms();
@@ -288,7 +293,12 @@
                     }
                     return Ok(*started);
                 }
-                Attempt::NotRun(reason) => {
+                outcome @ (Attempt::NotRun(_) | Attempt::Full) => {
+                    let reason = match outcome {
+                        Attempt::NotRun(reason) => reason,
+                        _ => "the endpoint refused",
+                    };
+                    self.was_rejected = matches!(outcome, Attempt::Full);
                     self.refused += 1;
                     info!(event = "send_refused", request = %self.meta.id, endpoint = %id, reason);
                     self.tried.push(id);
@@ -425,6 +435,12 @@
                     NotSent::BackingOff { .. } => {
                         self.relay.metrics.count(Counter::RequestsBackingOff);
                     }
+                    NotSent::QueueFull { .. } => {
+                        self.relay.metrics.count(Counter::RequestsRefusedQueueFull);
+                    }
+                    NotSent::Hopeless { .. } => {
+                        self.relay.metrics.count(Counter::RequestsRefusedHopeless);
+                    }
                     _ => {}
                 }
                 if let Some(used) = &self.used_credit {
--- a/src/relay/known.rs
+++ b/src/relay/known.rs
@@ -17,7 +17,7 @@
 const FULL_BATCH_MS: f64 = 100.0;
 /// Requests that a plain service queues for each one that it runs, as a lower bound: the users'
 /// services queue four, and two wait no longer than the latency objectives allow.
-const QUEUED_PER_SLOT: u32 = 2;
+pub(super) const QUEUED_PER_SLOT: u32 = 2;
 
 /// The state of an endpoint as one gateway knows it.
 #[derive(Debug)]
--- a/src/relay/process.rs
+++ b/src/relay/process.rs
@@ -158,12 +158,23 @@
 }
 
 fn dump(relay: &Relay) -> serde_json::Value {
+    let mut queues = Vec::new();
+    for queue in relay.queue.status(relay.now_ms()) {
+        queues.push(json!({
+            "service": &*queue.key.service,
+            "weights": queue.key.weights.as_ref().map(ToString::to_string),
+            "length": queue.length,
+            "oldest_ms": queue.oldest_ms,
+            "rate_per_s": queue.rate_per_s,
+        }));
+    }
     json!({
         "role": "relay",
         "ready": relay.is_ready(),
         "routing_version": relay.table().version(),
         "endpoints": relay.fleet().len(),
         "in_progress": relay.in_progress(),
+        "queues": queues,
         "counters": relay.metrics.totals(),
     })
 }
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -9,8 +9,32 @@
 /// Why a request was not sent.
 #[derive(Debug, Clone, Copy)]
 pub(super) enum NotSent {
-    /// No endpoint could take the request in time.
+    /// No endpoint could take the request.
     NoPlace(&'static str),
+    /// No endpoint could take the request while it waited.
+    WaitEnded {
+        /// What the request waited for.
+        reason: &'static str,
+        /// The time after which the client may retry.
+        after_ms: u64,
+    },
+    /// The request was expected to wait for longer than its deadline allows.
+    Hopeless {
+        /// What the request would have waited for.
+        reason: &'static str,
+        /// The time after which the client may retry.
+        after_ms: u64,
+    },
+    /// The queues of waiting requests are full.
+    QueueFull {
+        /// The time after which the client may retry.
+        after_ms: u64,
+    },
+    /// A more urgent request took the place in the full queues.
+    Replaced {
+        /// The time after which the client may retry.
+        after_ms: u64,
+    },
     /// The rate limits of the endpoints that could take the request are used up.
     Limited {
         /// The time after which the client may retry.
@@ -62,7 +86,11 @@
         NotSent::NoPlace("weights are not loaded") => 350,
         NotSent::NoPlace(_) | NotSent::Late => 200,
         NotSent::NoBudget => 500,
-        NotSent::Limited { after_ms }
+        NotSent::WaitEnded { after_ms, .. }
+        | NotSent::Hopeless { after_ms, .. }
+        | NotSent::QueueFull { after_ms }
+        | NotSent::Replaced { after_ms }
+        | NotSent::Limited { after_ms }
         | NotSent::BackingOff { after_ms }
         | NotSent::Held { after_ms }
         | NotSent::OverQuota { after_ms }
@@ -76,7 +104,12 @@
 pub(super) fn refuse(reason: NotSent) -> Answer {
     let after_ms = retry_after_ms(reason);
     match reason {
-        NotSent::NoPlace(detail) => refuse_unavailable(detail, after_ms),
+        NotSent::NoPlace(detail)
+        | NotSent::WaitEnded { reason: detail, .. }
+        | NotSent::Hopeless { reason: detail, .. } => refuse_unavailable(detail, after_ms),
+        NotSent::QueueFull { .. } | NotSent::Replaced { .. } => {
+            refuse_unavailable("too many requests wait", after_ms)
+        }
         NotSent::Limited { .. } => refuse_unavailable("endpoints limit what they take", after_ms),
         NotSent::BackingOff { .. } => refuse_unavailable("endpoints asked for backoff", after_ms),
         NotSent::Late => refuse_unavailable("the deadline passed", after_ms),
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -253,7 +253,7 @@
         }
         SessionDown::Renewed { sent_at_ms, .. } => relay.note_confirmed(sent_at_ms),
         SessionDown::Placed { reset, placed } => relay.apply_placements(reset, placed),
-        SessionDown::Loads(loads) => relay.fleet().note_loads(relay.now_ms(), loads),
+        SessionDown::Loads(loads) => relay.apply_loads(loads),
         SessionDown::Credit(grants) => relay.quota.granted(grants),
         SessionDown::Welcome { .. }
         | SessionDown::NotLeader { .. }
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -16,10 +16,12 @@
 use super::gateway_count::{GatewayCount, NO_SHARE};
 use super::orders::SendLease;
 use super::pool::ConnectionPool;
+use super::queue::RequestQueue;
 use super::quota::QuotaGate;
 use crate::clock::Clock;
-use crate::message::{AdapterNeed, Change, NewestVersion, Placed, WeightsName};
+use crate::message::{AdapterNeed, Change, EndpointLoad, NewestVersion, Placed, WeightsName};
 use crate::metrics::{Counter, Metrics};
+use crate::policy::waiting_queue::QueueLimits;
 use crate::routing::RouteTable;
 use crate::settings::RelaySettings;
 
@@ -39,7 +41,9 @@
     pub metrics: Metrics,
     pub(super) platform_headers: Arc<dyn PlatformHeaders>,
     pub(super) pool: ConnectionPool,
+    /// Notified when routes, standings or the first confirmation arrive.
     pub(super) changed: Notify,
+    pub(super) queue: Arc<RequestQueue>,
     /// Notified when a newer version of weights becomes known.
     pub(super) version_known: Notify,
     pub(super) send_lease: SendLease,
@@ -68,6 +72,7 @@
         let clock = Clock::new();
         let fleet = Fleet::new(settings.zone.clone(), rand::rng().random())
             .with_version_within(settings.version_within_ms);
+        let queue = RequestQueue::new(clock, metrics.clone(), QueueLimits::default());
         let gateways = GatewayCount::new(settings.retry.window_ms);
         Self {
             settings,
@@ -75,6 +80,7 @@
             platform_headers,
             pool: ConnectionPool::new(clock),
             changed: Notify::new(),
+            queue: Arc::new(queue),
             version_known: Notify::new(),
             send_lease: SendLease::new(clock),
             quota: QuotaGate::new(clock),
@@ -256,6 +262,7 @@
         }
         drop(fleet);
         self.changed.notify_waiters();
+        self.note_places();
         if has_new_version {
             self.version_known.notify_waiters();
         }
@@ -272,7 +279,13 @@
 
     pub(super) fn apply_placements(&self, reset: bool, placed: Vec<Placed>) {
         self.fleet().place(reset, placed);
-        self.changed.notify_waiters();
+        self.note_places();
+    }
+
+    /// Applies the load of the other gateways.
+    pub(super) fn apply_loads(&self, loads: Vec<EndpointLoad>) {
+        self.fleet().note_loads(self.now_ms(), loads);
+        self.note_counts();
     }
 
     /// Asks the leader to load weights that no endpoint holds, or too few.
--- /dev/null
+++ b/tests/waiting_queue.rs
@@ -0,0 +1,568 @@
+//! The order of waiting requests and the refusals, under overload and failures, without a network.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use winchvane::clock::Clock;
+use winchvane::metrics::Metrics;
+use winchvane::policy::fair_share::ShareClass;
+use winchvane::policy::waiting_queue::{
+    PlaceShare, QueueKey, QueueLimits, QueueRefusal, ServicePlaces, WaitingQueues, WaitingRequest,
+};
+use winchvane::relay::{QueuePlace, RequestQueue};
+
+const SLOTS: usize = 12;
+const WORK_MS: u64 = 30;
+/// The peak of the wave, at 130% of what the slots serve.
+const PEAK_MS: std::ops::Range<u64> = 3_000..9_000;
+const ENDS_MS: u64 = 22_000;
+/// Latency objectives and deadlines.
+const KINDS: [(u64, u64); 3] = [(150, 1_500), (500, 4_000), (800, 10_000)];
+
+fn key() -> QueueKey {
+    QueueKey { service: Arc::from("quotes"), weights: None }
+}
+
+fn request(priority: u8, started_ms: u64, objective_ms: u64, deadline_ms: u64) -> WaitingRequest {
+    WaitingRequest {
+        priority,
+        started_ms,
+        objective_at_ms: started_ms + objective_ms - WORK_MS,
+        give_up_at_ms: started_ms + deadline_ms - WORK_MS,
+        share: ShareClass::Within,
+        size_bytes: 1_000,
+    }
+}
+
+/// How waiting requests are ordered.
+#[derive(Clone, Copy, PartialEq)]
+enum Order {
+    Urgency,
+    /// All requests look alike but for their deadlines.
+    EarliestDeadline,
+    /// The earliest objective first, without requests that missed it: it serves the largest number
+    /// in time, whatever their priorities.
+    MostInTime,
+}
+
+/// What the clients of one kind got.
+#[derive(Debug, Default, Clone, Copy)]
+struct Outcome {
+    sent: u64,
+    in_time: u64,
+    late: u64,
+    refused: u64,
+    /// Refused after more than a tenth of the deadline.
+    refused_late: u64,
+}
+
+impl Outcome {
+    fn add(&mut self, other: &Self) {
+        self.sent += other.sent;
+        self.in_time += other.in_time;
+        self.late += other.late;
+        self.refused += other.refused;
+        self.refused_late += other.refused_late;
+    }
+
+    fn served(&self) -> f64 {
+        (self.in_time + self.late) as f64 / self.sent as f64
+    }
+}
+
+/// The outcomes of the requests that came during the peak, by priority and kind.
+type Outcomes = BTreeMap<(u8, usize), Outcome>;
+
+struct Wave {
+    queues: WaitingQueues,
+    waiting: BTreeMap<u64, (u8, usize, WaitingRequest)>,
+    outcomes: Outcomes,
+}
+
+impl Wave {
+    fn outcome(&mut self, priority: u8, kind: usize, started_ms: u64) -> &mut Outcome {
+        let kind = if PEAK_MS.contains(&started_ms) { kind } else { usize::MAX };
+        self.outcomes.entry((priority, kind)).or_default()
+    }
+
+    fn refuse(&mut self, now_ms: u64, priority: u8, kind: usize, started_ms: u64) {
+        let outcome = self.outcome(priority, kind, started_ms);
+        outcome.refused += 1;
+        let is_long = kind < KINDS.len() && (now_ms - started_ms) * 10 > KINDS[kind].1;
+        outcome.refused_late += u64::from(is_long);
+    }
+
+    fn leave(&mut self, now_ms: u64, ticket: u64) {
+        self.queues.remove(ticket);
+        let (priority, kind, request) = self.waiting.remove(&ticket).expect("it waits");
+        self.refuse(now_ms, priority, kind, request.started_ms);
+    }
+
+    fn arrive(&mut self, now_ms: u64, priority: u8, kind: usize, order: Order) {
+        let (objective_ms, deadline_ms) = KINDS[kind];
+        let request = request(priority, now_ms, objective_ms, deadline_ms);
+        let queued = match order {
+            Order::Urgency => request,
+            Order::EarliestDeadline => {
+                WaitingRequest { priority: 0, objective_at_ms: request.give_up_at_ms, ..request }
+            }
+            Order::MostInTime => {
+                WaitingRequest { priority: 0, give_up_at_ms: request.objective_at_ms, ..request }
+            }
+        };
+        self.outcome(priority, kind, now_ms).sent += 1;
+        match self.queues.push(now_ms, &key(), queued) {
+            Ok(joined) => {
+                self.waiting.insert(joined.ticket, (priority, kind, request));
+                for ticket in joined.replaced {
+                    self.leave(now_ms, ticket);
+                }
+            }
+            Err(_) => self.refuse(now_ms, priority, kind, now_ms),
+        }
+    }
+
+    /// Refuses the requests whose wait is over or has become hopeless.
+    fn refuse_waiting(&mut self, now_ms: u64, order: Order) {
+        let mut over = Vec::new();
+        for (ticket, (_, _, request)) in &self.waiting {
+            let give_up_at_ms = match order {
+                Order::MostInTime => request.objective_at_ms,
+                _ => request.give_up_at_ms,
+            };
+            let is_rechecked = now_ms == request.recheck_at_ms();
+            if now_ms >= give_up_at_ms
+                || is_rechecked && self.queues.recheck(now_ms, *ticket).is_err()
+            {
+                over.push(*ticket);
+            }
+        }
+        for ticket in over {
+            self.leave(now_ms, ticket);
+        }
+    }
+}
+
+/// Plays a wave of requests against one queue.
+fn play(seed: u64, order: Order) -> Outcomes {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut wave = Wave {
+        queues: WaitingQueues::new(QueueLimits::default()),
+        waiting: BTreeMap::new(),
+        outcomes: BTreeMap::new(),
+    };
+    let mut busy_until_ms = [0; SLOTS];
+    let per_ms = SLOTS as f64 / WORK_MS as f64;
+    for now_ms in 0..ENDS_MS {
+        let load = if PEAK_MS.contains(&now_ms) { 1.3 } else { 0.7 };
+        // At most three requests in a millisecond, with the mean of the load.
+        for _ in 0..3 {
+            if random.random::<f64>() < per_ms * load / 3.0 {
+                let (priority, kind) = (random.random_range(0..2), random.random_range(0..3));
+                wave.arrive(now_ms, priority, kind, order);
+            }
+        }
+        wave.refuse_waiting(now_ms, order);
+        for busy_until_ms in &mut busy_until_ms {
+            if *busy_until_ms > now_ms {
+                continue;
+            }
+            let Some(ticket) = wave.queues.first(now_ms, &key()) else { break };
+            wave.queues.note_sent(now_ms, &key(), ticket);
+            let (priority, kind, request) = wave.waiting.remove(&ticket).expect("it waits");
+            *busy_until_ms = now_ms + WORK_MS;
+            let outcome = wave.outcome(priority, kind, request.started_ms);
+            if now_ms <= request.objective_at_ms {
+                outcome.in_time += 1;
+            } else {
+                outcome.late += 1;
+            }
+        }
+    }
+    wave.outcomes.retain(|(_, kind), _| *kind < KINDS.len());
+    wave.outcomes
+}
+
+fn total(outcomes: &Outcomes, is_counted: impl Fn(u8) -> bool) -> Outcome {
+    let mut total = Outcome::default();
+    for ((priority, _), outcome) in outcomes {
+        if is_counted(*priority) {
+            total.add(outcome);
+        }
+    }
+    total
+}
+
+fn play_all(order: Order) -> Outcomes {
+    let mut all = Outcomes::new();
+    for seed in 0..6 {
+        for (kind, outcome) in play(seed, order) {
+            all.entry(kind).or_default().add(&outcome);
+        }
+    }
+    all
+}
+
+/// Guards against an overload in which requests wait for nothing, or in which the service answers
+/// few requests in time although its endpoints are busy.
+#[test]
+fn clients_get_what_the_endpoints_can_serve_at_the_peak_of_a_wave() {
+    let outcomes = play_all(Order::Urgency);
+    let most = total(&play_all(Order::MostInTime), |_| true).in_time;
+    let all = total(&outcomes, |_| true);
+    let deadline = play_all(Order::EarliestDeadline);
+    for (name, outcomes) in [("urgency", &outcomes), ("earliest deadline", &deadline)] {
+        println!("{name}, at most {most} in time");
+        for (kind, outcome) in outcomes {
+            println!("{kind:?}: {outcome:?}");
+        }
+    }
+    assert!(all.in_time * 10 >= most * 9, "{} of {most} in time", all.in_time);
+    assert!(all.refused_late * 100 <= all.sent, "waited in vain: {all:?}");
+    let (zero, one) = (total(&outcomes, |p| p == 0), total(&outcomes, |p| p == 1));
+    assert!(zero.served() >= one.served(), "{zero:?} {one:?}");
+    for (kind, outcome) in &outcomes {
+        assert!(outcome.served() > 0.05, "{kind:?}: {outcome:?}");
+    }
+    let other = total(&deadline, |_| true);
+    assert!(all.in_time > other.in_time, "earliest deadline first: {other:?}");
+}
+
+/// An endpoint that many gateways send to.
+#[derive(Debug, Clone)]
+struct Shape {
+    slots: u32,
+    /// The load at which gateways count it as full.
+    full: u32,
+    /// The load above which gateways count requests as too many.
+    busy: u32,
+    /// The load at which it rejects requests.
+    most: u32,
+    work_ms: std::ops::Range<u64>,
+}
+
+const ENGINE: Shape = Shape { slots: 12, full: 12, busy: 12, most: 48, work_ms: 300..900 };
+const PLAIN: Shape = Shape { slots: 6, full: 18, busy: 12, most: 30, work_ms: 20..40 };
+const GATEWAYS: usize = 85;
+/// The age of the loads that gateways see, and the time between two of them.
+const DELAY_MS: usize = 100;
+/// How long a gateway sends nothing to an endpoint that rejected a request.
+const PAUSE_MS: u64 = 60;
+
+/// One endpoint and many gateways that see its load late.
+struct Crowd {
+    shape: Shape,
+    /// Without shares, each gateway sends into all free places that it sees.
+    has_shares: bool,
+    random: SmallRng,
+    /// The end of each request in a slot, and its gateway.
+    running: Vec<(u64, usize)>,
+    /// Gateways of the requests that the endpoint queues.
+    queued: VecDeque<usize>,
+    own: Vec<u32>,
+    waiting: Vec<u32>,
+    shares: Vec<PlaceShare>,
+    seen: Vec<u32>,
+    paused_until_ms: Vec<u64>,
+    /// The number of requests at the endpoint in the last milliseconds.
+    past: VecDeque<u32>,
+    sent: u64,
+    rejected: u64,
+    idle_ms: u64,
+}
+
+impl Crowd {
+    /// Begins with an endpoint that is full of requests; each one ends at a time of `ends_ms`.
+    fn new(seed: u64, shape: &Shape, has_shares: bool, waiting: Vec<u32>, ends_ms: &[u64]) -> Self {
+        let random = SmallRng::seed_from_u64(seed);
+        let (mut running, mut queued) = (Vec::new(), VecDeque::new());
+        let mut own = vec![0; GATEWAYS];
+        for ends_ms in ends_ms {
+            let gateway = GATEWAYS - 1;
+            own[gateway] += 1;
+            if running.len() < shape.slots as usize {
+                running.push((*ends_ms, gateway));
+            } else {
+                queued.push_back(gateway);
+            }
+        }
+        let load = ends_ms.len() as u32;
+        let share = PlaceShare::new(0, GATEWAYS, ServicePlaces::default(), 0.0);
+        Self {
+            shape: shape.clone(),
+            has_shares,
+            random,
+            running,
+            queued,
+            seen: own.iter().map(|own| load - own).collect(),
+            own,
+            waiting,
+            shares: vec![share; GATEWAYS],
+            paused_until_ms: vec![0; GATEWAYS],
+            past: VecDeque::from(vec![load; DELAY_MS]),
+            sent: 0,
+            rejected: 0,
+            idle_ms: 0,
+        }
+    }
+
+    fn places(&self, gateway: usize) -> ServicePlaces {
+        let load = self.own[gateway] + self.seen[gateway];
+        let Shape { full, busy, .. } = self.shape;
+        ServicePlaces {
+            total: full,
+            free: full.saturating_sub(load),
+            excess: load.saturating_sub(busy),
+        }
+    }
+
+    fn may_send(&self, now_ms: u64, gateway: usize) -> bool {
+        self.waiting[gateway] > 0
+            && self.paused_until_ms[gateway] <= now_ms
+            && self.places(gateway).free > 0
+            && (self.shares[gateway].may_send() || !self.has_shares)
+    }
+
+    fn send(&mut self, now_ms: u64, gateway: usize) {
+        self.sent += 1;
+        self.shares[gateway].note_sent();
+        if self.running.len() + self.queued.len() >= self.shape.most as usize {
+            self.rejected += 1;
+            self.shares[gateway].note_rejected();
+            self.paused_until_ms[gateway] = now_ms + PAUSE_MS;
+            return;
+        }
+        self.waiting[gateway] -= 1;
+        self.own[gateway] += 1;
+        self.queued.push_back(gateway);
+    }
+
+    /// Advances by a millisecond.
+    fn step(&mut self, now_ms: u64) {
+        let mut left = Vec::new();
+        self.running.retain(|(ends_ms, gateway)| {
+            if *ends_ms <= now_ms {
+                left.push(*gateway);
+            }
+            *ends_ms > now_ms
+        });
+        for gateway in left {
+            self.own[gateway] -= 1;
+            self.shares[gateway].note_ended();
+        }
+        self.past.push_back(self.own.iter().sum());
+        let past = self.past.pop_front().expect("a load");
+        for gateway in 0..GATEWAYS {
+            if now_ms % DELAY_MS as u64 == gateway as u64 {
+                self.seen[gateway] = past.saturating_sub(self.own[gateway]);
+                let (places, draw) = (self.places(gateway), self.random.random());
+                self.shares[gateway].note_counts(now_ms, GATEWAYS, places, draw);
+            }
+            while self.may_send(now_ms, gateway) {
+                self.send(now_ms, gateway);
+            }
+        }
+        while self.running.len() < self.shape.slots as usize {
+            let Some(gateway) = self.queued.pop_front() else { break };
+            let ends_ms = now_ms + self.random.random_range(self.shape.work_ms.clone());
+            self.running.push((ends_ms, gateway));
+        }
+        if self.waiting.iter().any(|waiting| *waiting > 0) {
+            self.idle_ms += u64::from(self.shape.slots) - self.running.len() as u64;
+        }
+    }
+
+    fn play(mut self, until_ms: u64) -> Self {
+        for now_ms in 0..until_ms {
+            self.step(now_ms);
+        }
+        self
+    }
+}
+
+/// The sends, the rejected ones and the share of idle slots, over ten seeds.
+fn play_crowd(shape: &Shape, has_shares: bool, waiting: &[u32]) -> (u64, u64, f64) {
+    let full: Vec<u64> = (0..u64::from(shape.full)).map(|place| place * 25).collect();
+    let (mut sent, mut rejected, mut idle_ms) = (0, 0, 0);
+    for seed in 0..10 {
+        let crowd = Crowd::new(seed, shape, has_shares, waiting.to_vec(), &full).play(10_000);
+        sent += crowd.sent;
+        rejected += crowd.rejected;
+        idle_ms += crowd.idle_ms;
+    }
+    (sent, rejected, idle_ms as f64 / (100_000.0 * f64::from(shape.slots)))
+}
+
+/// Guards against gateways that flood an endpoint because all of them see its free places, and
+/// against places that stay idle because each gateway leaves them to the others.
+#[test]
+fn many_gateways_neither_flood_an_endpoint_nor_leave_it_idle() {
+    let mut two = vec![0; GATEWAYS];
+    two[3] = 10_000;
+    two[40] = 10_000;
+    for (name, shape) in [("engine", ENGINE), ("plain", PLAIN)] {
+        for (who, waiting) in [("all", &vec![10_000; GATEWAYS]), ("two", &two)] {
+            let (sent, rejected, idle) = play_crowd(&shape, true, waiting);
+            println!("{name}, {who} wait: sent {sent}, rejected {rejected}, idle {idle:.3}");
+            let alone = play_crowd(&shape, false, waiting);
+            println!("without shares: sent {}, rejected {}, idle {:.3}", alone.0, alone.1, alone.2);
+            assert!(rejected * 100 <= sent, "{name}, {who}: {rejected} of {sent} rejected");
+            assert!(idle <= 0.15, "{name}, {who}: {idle:.3} of the slots idle");
+        }
+    }
+}
+
+/// Guards against a flood of the one place that becomes free while all gateways wait.
+#[test]
+fn one_free_place_that_all_gateways_see_is_not_flooded() {
+    let mut ends_ms = vec![100_000; ENGINE.slots as usize];
+    ends_ms[0] = 50;
+    // The request that leaves the place belongs to a gateway that has no other one.
+    let mut waiting = vec![1; GATEWAYS];
+    waiting[GATEWAYS - 1] = 0;
+    let (mut most, mut idle_ms) = (0, 0);
+    for seed in 0..100 {
+        let crowd = Crowd::new(seed, &ENGINE, true, waiting.clone(), &ends_ms).play(1_000);
+        assert_eq!(crowd.rejected, 0, "seed {seed}");
+        most = most.max(crowd.sent);
+        idle_ms += crowd.idle_ms;
+    }
+    println!("one free place: at most {most} sends, idle for {} ms", idle_ms / 100);
+    assert!(most <= 36, "{most} sends to one place; the engine queues 36");
+    assert!(idle_ms / 100 <= 200, "idle for {} ms, the age of the counts is 100", idle_ms / 100);
+}
+
+/// Guards against gateways that stop sending when no counts arrive.
+#[test]
+fn without_counts_a_gateway_continues_with_what_it_knows() {
+    let places = ServicePlaces { total: 12, free: 1, excess: 0 };
+    let mut share = PlaceShare::new(0, GATEWAYS, places, 0.0);
+    assert!(!share.may_send(), "the place is left to others");
+    share.note_ended();
+    assert!(share.may_send(), "its own place can be used at once");
+    share.note_sent();
+    let mut waited_ms = 0;
+    while !share.may_send() {
+        waited_ms += 25;
+        if share.is_overdue(waited_ms) {
+            share.note_counts(waited_ms, GATEWAYS, places, 0.0);
+        }
+    }
+    assert!(waited_ms <= 800, "{waited_ms} ms");
+}
+
+fn queues(requests: usize, size_bytes: usize) -> WaitingQueues {
+    WaitingQueues::new(QueueLimits { requests, size_bytes })
+}
+
+/// Guards against waiting requests without bounds, and against urgent requests that are refused
+/// while less urgent ones wait.
+#[test]
+fn full_queues_replace_the_least_urgent_request() {
+    let mut full = queues(3, 10_000);
+    for priority in [1, 2, 1] {
+        full.push(0, &key(), request(priority, 0, 800, 5_000)).expect("there is room");
+    }
+    let refused = full.push(0, &key(), request(2, 0, 800, 5_000));
+    assert_eq!(refused, Err(QueueRefusal::Full), "it is not more urgent");
+    let other = QueueKey { service: Arc::from("other"), weights: None };
+    let joined = full.push(1, &other, request(0, 1, 800, 5_000)).expect("it is more urgent");
+    assert_eq!((joined.replaced, full.len()), (vec![2], 3), "the bound holds for all queues");
+    let late = WaitingRequest { size_bytes: 9_000, ..request(0, 2, 800, 5_000) };
+    let joined = full.push(2, &key(), late).expect("it is more urgent");
+    assert_eq!((joined.replaced, full.len()), (vec![3, 1], 2), "the bodies fit in 10,000 bytes");
+    let large = WaitingRequest { size_bytes: 10_001, ..request(0, 3, 100, 5_000) };
+    assert_eq!(full.push(3, &key(), large), Err(QueueRefusal::Full));
+    assert_eq!(full.len(), 2, "nothing is replaced in vain");
+}
+
+/// Guards against requests that are sent after their deadline because the process was suspended.
+#[test]
+fn after_a_freeze_only_requests_before_their_deadline_are_sent() {
+    let mut queues = queues(10, 100_000);
+    let short = queues.push(0, &key(), request(0, 0, 150, 1_500)).expect("it may wait").ticket;
+    let long = queues.push(0, &key(), request(1, 0, 800, 10_000)).expect("it may wait").ticket;
+    assert_eq!(queues.first(10, &key()), Some(short));
+    assert_eq!(queues.first(6_000, &key()), Some(long), "the first one's deadline has passed");
+    assert_eq!(queues.firsts(6_000), [long]);
+    assert_eq!(queues.recheck(6_000, short), Err(QueueRefusal::Hopeless));
+}
+
+/// Guards against late requests that delay others, and against their starvation.
+#[test]
+fn late_requests_yield_until_half_of_their_deadline() {
+    let mut queues = queues(10, 100_000);
+    let late = queues.push(0, &key(), request(0, 0, 500, 4_000)).expect("it may wait").ticket;
+    let over = WaitingRequest { share: ShareClass::Over, ..request(1, 1_000, 800, 10_000) };
+    let over = queues.push(1_000, &key(), over).expect("it may wait").ticket;
+    assert_eq!(queues.first(1_000, &key()), Some(over), "it can be answered in time");
+    let within = request(1, 1_000, 800, 10_000);
+    let within = queues.push(1_000, &key(), within).expect("it may wait").ticket;
+    assert_eq!(queues.first(1_000, &key()), Some(within), "its workspace is within its share");
+    assert_eq!(queues.first(1_990, &key()), Some(late), "half of its deadline has passed");
+}
+
+/// Guards against waits that can only end in a refusal.
+#[test]
+fn a_request_is_refused_at_once_if_the_queue_takes_too_long() {
+    let mut queues = queues(1_000, 1 << 20);
+    let mut sent = 0;
+    for now_ms in 0..1_000 {
+        // 50 requests join and 20 are sent in a second.
+        if now_ms % 20 == 0 {
+            queues.push(now_ms, &key(), request(1, now_ms, 3_000, 20_000)).expect("it may wait");
+        }
+        if now_ms % 50 == 0 {
+            let first = queues.first(now_ms, &key()).expect("one waits");
+            queues.note_sent(now_ms, &key(), first);
+            sent += 1;
+        }
+    }
+    assert_eq!((sent, queues.len()), (20, 30));
+    let urgent = queues.push(1_000, &key(), request(0, 1_000, 500, 1_500));
+    assert!(urgent.is_ok(), "more urgent than all others");
+    let hopeless = queues.push(1_000, &key(), request(2, 1_000, 150, 1_500));
+    assert_eq!(hopeless, Err(QueueRefusal::Hopeless), "31 requests take 1.5 s");
+    for draw in [0.0, 0.5, 1.0] {
+        let after_ms = queues.retry_after_ms(1_000, &key(), draw);
+        assert!((100..=2_000).contains(&after_ms), "{after_ms}");
+    }
+    assert_ne!(
+        queues.retry_after_ms(1_000, &key(), 0.0),
+        queues.retry_after_ms(1_000, &key(), 0.2)
+    );
+}
+
+/// Guards against places of clients that left, which would hold up the queue, and against several
+/// requests that try at the same time.
+#[tokio::test]
+async fn requests_are_woken_one_by_one_and_a_client_that_leaves_frees_its_place() {
+    let clock = Clock::new();
+    let limits = QueueLimits::default();
+    let queue = Arc::new(RequestQueue::new(clock, Metrics::local(), limits));
+    let now_ms = clock.now_ms();
+    let join = |priority| {
+        let request = request(priority, now_ms, 60_000, 60_000);
+        queue.join(now_ms, &key(), "r", request).expect("it may wait")
+    };
+    let (third, first, second) = (join(2), join(0), join(1));
+    let is_woken = async |place: &QueuePlace| {
+        tokio::time::timeout(Duration::from_millis(20), place.woken()).await.is_ok()
+    };
+    queue.wake_firsts(now_ms);
+    assert!(!is_woken(&second).await && !is_woken(&third).await, "only the first one tries");
+    assert!(is_woken(&first).await && first.is_first(now_ms));
+    // The client leaves before its request was sent.
+    drop(first);
+    assert!(!is_woken(&third).await && is_woken(&second).await, "the next one tries");
+    second.note_sent(now_ms);
+    assert!(!is_woken(&third).await, "the sent request is not counted at its endpoint yet");
+    drop(second);
+    assert!(is_woken(&third).await);
+    assert_eq!(queue.status(now_ms)[0].length, 1);
+    drop(third);
+    assert!(queue.is_idle());
+}
