relay: repeated asks for weights do not count as demand

Cause: each second of a request's wait counted as a further request for its weights, so that one request could reach the number from which weights are loaded from the store; found by reading note_needs. Change: asks after the first one carry no requests.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -358,9 +358,11 @@
         if wait.asked_at_ms.is_some_and(|asked_at_ms| now_ms < asked_at_ms + ASK_AGAIN_MS) {
             return;
         }
+        // A repeated ask does not count towards the demand for the weights again.
+        let requests = u32::from(wait.asked_at_ms.is_none());
         wait.asked_at_ms = Some(now_ms);
         let service = self.chosen.service.name.clone();
-        let need = AdapterNeed { service, weights: weights.clone(), requests: 1, more };
+        let need = AdapterNeed { service, weights: weights.clone(), requests, more };
         self.relay.request_weights(need);
     }
 
