relay: balance by the speed that endpoints show to all gateways

Cause: plain endpoints were chosen by request counts, whatever their speed, and counts of 85 gateways are older than a plain request runs: with a firm limit, all stopped sending to a full endpoint and then all sent at once. Change: policy/endpoint_speed learns a slowdown per endpoint from response heads (plain) and the pauses between events (engines); Load carries the samples (work_units, work_ms, at the end). Costs are multiplied by the slowdown, draws are in proportion to speed, and objective_left_ms and free_slots_only limit a plain endpoint's queue. With more than 8 gateways and plain endpoints that differ in speed, counts weigh less (scale 400 ms) and an endpoint counts as full by a chance that rises slowly. Changes of speed alone are sent only where the slowdown changes. Log line endpoint_speed; slowdowns in the dump. tests/counts.rs and tests/fuzz_wire.rs name the new fields of Load; what they check is the same.

--- a/src/control/distribution/mod.rs
+++ b/src/control/distribution/mod.rs
@@ -27,6 +27,7 @@
     Placed, SessionDown, SessionHello, SessionRole, SessionUp,
 };
 use crate::policy::counts;
+use crate::policy::endpoint_speed;
 use crate::policy::quota::{DistributorPools, HolderGrant};
 use view::View;
 
@@ -437,10 +438,11 @@
         let mut totals = own.clone();
         for (endpoint, total) in &mut totals {
             *total = total.saturating_add(self.view.remote_load(endpoint));
+            self.view.note_total(endpoint, total);
         }
         for session in self.sessions.values_mut() {
             if session.epoch.is_some() {
-                session.send_loads(&totals);
+                session.send_loads(&totals, self.view.work());
             }
         }
         self.report_own_loads(own);
@@ -450,7 +452,12 @@
     fn report_own_loads(&mut self, own: BTreeMap<Arc<str>, Load>) {
         let mut loads = Vec::new();
         for (endpoint, load) in own {
-            if self.reported_loads.get(&endpoint).copied().unwrap_or_default() == load {
+            let reported = self.reported_loads.get(&endpoint).copied().unwrap_or_default();
+            // New samples alone are reported only where they show a different speed.
+            let service = self.view.work().of_service_with(&endpoint);
+            if load.without_work() == reported.without_work()
+                && !endpoint_speed::is_worth_reporting(&reported, &load, service)
+            {
                 continue;
             }
             self.reported_loads.insert(endpoint.clone(), load);
--- a/src/control/distribution/view.rs
+++ b/src/control/distribution/view.rs
@@ -7,6 +7,7 @@
     Change, EndpointLoad, Group, Holding, Load, NewestVersion, Placed, RegisteredEndpoint,
     RequestKey, RequestStanding, Standing, WeightsName,
 };
+use crate::policy::endpoint_speed::ServiceWork;
 use crate::routing::RoutingConfiguration;
 
 /// Routes, endpoints, versions, placements and loads, as received from the leader.
@@ -19,6 +20,8 @@
     placed: BTreeMap<(Arc<str>, WeightsName), Holding>,
     /// The loads of gateways in other availability zones, by endpoint.
     remote_loads: HashMap<Arc<str>, Load>,
+    /// The work that endpoints did for the gateways of all availability zones.
+    work: ServiceWork,
     /// The replicas and gateways of the deployment.
     pub(super) group: Group,
 }
@@ -40,6 +43,7 @@
                 Change::Deregistered(id) => {
                     self.endpoints.remove(id);
                     self.remote_loads.remove(id);
+                    self.work.remove(id);
                     self.placed.retain(|(endpoint, _), _| endpoint != id);
                 }
                 Change::Version(newest) | Change::VersionOfUnknownAge(newest) => {
@@ -86,6 +90,18 @@
         self.remote_loads.get(endpoint).copied().unwrap_or_default()
     }
 
+    /// Records the load of the gateways of all availability zones at an endpoint.
+    pub(super) fn note_total(&mut self, endpoint: &Arc<str>, load: &Load) {
+        if let Some(registered) = self.endpoints.get(endpoint) {
+            self.work.set(endpoint, &registered.service, load);
+        }
+    }
+
+    /// The work that endpoints did, by service.
+    pub(super) fn work(&self) -> &ServiceWork {
+        &self.work
+    }
+
     /// The endpoints for which gateways of other availability zones have reported a load.
     pub(super) fn remote_endpoints(&self) -> impl Iterator<Item = &Arc<str>> {
         self.remote_loads.keys()
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -33,6 +33,7 @@
     AdapterNeed, EngineOrder, Heartbeat, Holding, Load, OrderKind, OrderResult, Placed,
     RegisteredEndpoint, WeightsName, WeightsUse,
 };
+use crate::policy::endpoint_speed::ServiceWork;
 use crate::policy::versions::{HELD_PERCENT, Versions};
 use crate::routing::{EngineSpec, RoutingConfiguration};
 use holders::GatewayTracker;
@@ -166,6 +167,8 @@
     copied: HashSet<WeightsName>,
     /// Copies made since the last `take_new_copies`.
     new_copies: Vec<NewCopy>,
+    /// The work that endpoints did for all gateways.
+    work: ServiceWork,
 }
 
 impl Placement {
@@ -194,6 +197,7 @@
             store_limit: StoreConcurrencyLimit::new(),
             copied: HashSet::new(),
             new_copies: Vec::new(),
+            work: ServiceWork::default(),
         }
     }
 
@@ -233,6 +237,7 @@
     /// Removes an endpoint.
     pub fn deregister(&mut self, id: &str) {
         self.endpoints.remove(id);
+        self.work.remove(id);
     }
 
     /// Records a version of weights that was published just now.
@@ -304,9 +309,15 @@
     pub fn note_load(&mut self, id: &str, load: Load) {
         if let Some(endpoint) = self.endpoints.get_mut(id) {
             endpoint.load = load;
+            self.work.set(&endpoint.endpoint.id, &endpoint.endpoint.service, &load);
         }
     }
 
+    /// The work that endpoints did, by service.
+    pub fn work(&self) -> &ServiceWork {
+        &self.work
+    }
+
     /// True when any gateway has requests running at the endpoint.
     pub fn has_running_requests(&self, id: &str) -> bool {
         self.endpoints.get(id).is_some_and(|endpoint| endpoint.load.running > 0)
--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -500,7 +500,7 @@
             self.registered.placement.note_load(endpoint, *load);
         }
         for session in self.sessions.values_mut() {
-            session.send_loads(&totals);
+            session.send_loads(&totals, self.registered.placement.work());
         }
     }
 
--- a/src/control/session.rs
+++ b/src/control/session.rs
@@ -11,6 +11,7 @@
     Change, EndpointLoad, Load, LoadReport, SessionDown, SessionHello, SessionRole, Summary,
 };
 use crate::policy::counts;
+use crate::policy::endpoint_speed::ServiceWork;
 
 const MAX_KEPT_CHANGES: usize = 20_000;
 const CHANGES_PER_MESSAGE: usize = 1_000;
@@ -240,14 +241,15 @@
     }
 
     /// Sends the load of all other gateways at each endpoint where it changed enough to affect
-    /// routing.
-    pub fn send_loads(&mut self, totals: &BTreeMap<Arc<str>, Load>) {
+    /// routing; `work` has the work of the endpoints' services.
+    pub fn send_loads(&mut self, totals: &BTreeMap<Arc<str>, Load>, work: &ServiceWork) {
         let mut changed = Vec::new();
         for (endpoint, total) in totals {
             let own = self.loads.get(endpoint).copied().unwrap_or_default();
             let load = total.saturating_sub(own);
             let sent = self.loads_sent.get(endpoint).copied().unwrap_or_default();
-            if !counts::is_worth_reporting(sent, load) {
+            let service = work.of_service_with(endpoint);
+            if !counts::is_worth_reporting_at(sent, load, service) {
                 continue;
             }
             self.loads_sent.insert(endpoint.clone(), load);
--- a/src/message/registration.rs
+++ b/src/message/registration.rs
@@ -152,6 +152,10 @@
     pub late_ms: u32,
     /// The demand in requests per minute; reported while the endpoint advertises a rate limit.
     pub demand_per_min: u32,
+    /// The units of work that the endpoint did in the last seconds; older ones count for less.
+    pub work_units: u32,
+    /// The time that these units took.
+    pub work_ms: u32,
 }
 
 impl Load {
@@ -163,9 +167,17 @@
             waiting_ms: self.waiting_ms.saturating_add(other.waiting_ms),
             late_ms: self.late_ms.saturating_add(other.late_ms),
             demand_per_min: self.demand_per_min.saturating_add(other.demand_per_min),
+            work_units: self.work_units.saturating_add(other.work_units),
+            work_ms: self.work_ms.saturating_add(other.work_ms),
         }
     }
 
+    /// This load without the work that the endpoint did.
+    #[must_use]
+    pub fn without_work(self) -> Self {
+        Self { work_units: 0, work_ms: 0, ..self }
+    }
+
     /// Subtracts each figure of `other`; the result is at least 0.
     #[must_use]
     pub fn saturating_sub(self, other: Self) -> Self {
@@ -174,6 +186,8 @@
             waiting_ms: self.waiting_ms.saturating_sub(other.waiting_ms),
             late_ms: self.late_ms.saturating_sub(other.late_ms),
             demand_per_min: self.demand_per_min.saturating_sub(other.demand_per_min),
+            work_units: self.work_units.saturating_sub(other.work_units),
+            work_ms: self.work_ms.saturating_sub(other.work_ms),
         }
     }
 }
--- a/src/policy/counts.rs
+++ b/src/policy/counts.rs
@@ -1,6 +1,7 @@
 //! How often gateways and the leader exchange the load of endpoints, and which changes of load are
 //! reported.
 
+use super::endpoint_speed::{self, Work};
 use crate::message::Load;
 
 /// The shortest interval: each message wakes both sides, and reading a prompt takes longer.
@@ -30,6 +31,13 @@
         || differs_in_demand(reported, current)
 }
 
+/// Like [`is_worth_reporting`], for an endpoint of a service whose endpoints together did the work
+/// of `service`. A change of speed alone is reported only where it affects the choice.
+pub fn is_worth_reporting_at(reported: Load, current: Load, service: Work) -> bool {
+    is_worth_reporting(reported, current)
+        || endpoint_speed::is_worth_reporting(&reported, &current, service)
+}
+
 fn differs_in_demand(reported: Load, current: Load) -> bool {
     let larger = reported.demand_per_min.max(current.demand_per_min);
     reported.demand_per_min.abs_diff(current.demand_per_min) > larger / DEMAND_STEP_DIVISOR
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -8,6 +8,7 @@
 pub mod crashes;
 pub mod endpoint_backoff;
 pub mod endpoint_limit;
+pub mod endpoint_speed;
 pub mod fair_share;
 pub mod owner;
 pub mod popularity;
--- a/src/relay/choice.rs
+++ b/src/relay/choice.rs
@@ -9,7 +9,12 @@
 const CACHED_SHARE: f64 = 0.3;
 /// The cost difference at which an endpoint is selected e (about 2.7) times as often as another
 /// one.
-const COST_SCALE_MS: f64 = 50.0;
+pub(super) const COST_SCALE_MS: f64 = 50.0;
+/// The same for plain endpoints that differ in speed, which are drawn mainly by speed. A plain
+/// request runs for less time than load counts take to arrive: with 50 ms, 85 gateways sent alternately
+/// too much and too little to each endpoint and made 8 of 100 requests late at 85% of the load that
+/// the endpoints bear.
+pub(super) const SPEED_SCALE_MS: f64 = 400.0;
 
 /// An endpoint that could take a request.
 #[derive(Debug, Clone, Copy)]
@@ -40,13 +45,21 @@
     }
 }
 
-/// Selects one of `candidates` at random, weighted towards low cost; `draw` is random, from 0 to 1.
+/// Selects one of `candidates` at random, weighted towards low cost and in proportion to speed;
+/// `draw` is random, from 0 to 1. An endpoint that costs `scale_ms` more is selected 2.7 times less
+/// often.
 ///
 /// Many gateways see the same stale load counts. If each selected the cheapest endpoint, all of
 /// them would send to that one until the next counts arrive, and then to the next cheapest.
-pub(super) fn draw_weighted<'a>(candidates: &[Candidate<'a>], draw: f64) -> Option<Candidate<'a>> {
+pub(super) fn draw_weighted<'a>(
+    candidates: &[Candidate<'a>],
+    scale_ms: f64,
+    draw: f64,
+) -> Option<Candidate<'a>> {
     let least_ms = cheapest(candidates)?.cost_ms;
-    let share = |candidate: &Candidate<'_>| ((least_ms - candidate.cost_ms) / COST_SCALE_MS).exp();
+    let share = |candidate: &Candidate<'_>| {
+        ((least_ms - candidate.cost_ms) / scale_ms).exp() / candidate.state.slowdown
+    };
     let mut left = draw * candidates.iter().map(share).sum::<f64>();
     for candidate in candidates {
         left -= share(candidate);
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -19,6 +19,7 @@
 use crate::message::{
     EndpointLoad, Holding, Load, Placed, RegisteredEndpoint, WeightsName, WeightsUse,
 };
+use crate::policy::endpoint_speed::{Work, is_normal};
 use crate::policy::versions::{SENT_PERCENT, Versions};
 
 /// The first pause after an endpoint failed; doubled with each further consecutive failure.
@@ -60,6 +61,12 @@
     pub(super) failing_reported_at_ms: HashMap<Arc<str>, u64>,
     /// Endpoints that announced in a response that they are leaving.
     leaving: HashSet<Arc<str>>,
+    /// The mean time of a unit of work, by service, where it is known.
+    pub(super) unit_ms: HashMap<Arc<str>, f64>,
+    /// The services with endpoints that differ in speed.
+    pub(super) uneven_services: HashSet<Arc<str>>,
+    /// When the slowdowns of endpoints are computed again.
+    pub(super) slowdowns_due_ms: u64,
 }
 
 /// A gateway's periodic traffic report to the leader.
@@ -94,6 +101,9 @@
             limits: EndpointLimits::new(),
             failing_reported_at_ms: HashMap::new(),
             leaving: HashSet::new(),
+            unit_ms: HashMap::new(),
+            uneven_services: HashSet::new(),
+            slowdowns_due_ms: 0,
         }
     }
 
@@ -179,6 +189,7 @@
             self.limits.set_others(now_ms, &load.endpoint, load.load.demand_per_min);
             if let Some(state) = self.endpoints.get_mut(&load.endpoint) {
                 state.others_running = load.load.running;
+                state.others_work = Work::from_load(&load.load);
                 let Load { waiting_ms, late_ms, .. } = load.load;
                 let others = UnreadMs { in_time: waiting_ms.into(), late: late_ms.into() };
                 state.waiting.set_others(others);
@@ -191,6 +202,7 @@
         self.limits.forget_others(now_ms);
         for state in self.endpoints.values_mut() {
             state.others_running = 0;
+            state.others_work = Work::default();
             state.waiting.set_others(UnreadMs::default());
         }
     }
@@ -231,6 +243,10 @@
         self.sends += 1;
         let mut reading_ms = 0.0;
         if let Some(state) = self.endpoints.get_mut(id) {
+            if wanted.is_none() {
+                let running = state.own_running + state.others_running;
+                state.plain_samples.start(now_ms, self.sends, running);
+            }
             state.own_running += 1;
             let tokens = wanted.map_or(0, |wanted| state.unread_tokens(wanted));
             reading_ms = state.pace(self.pace).reading_ms(tokens);
@@ -262,6 +278,7 @@
         if let Some(state) = self.endpoints.get_mut(id) {
             state.own_running = state.own_running.saturating_sub(1);
             state.waiting.end(now_ms, number);
+            state.plain_samples.end(number);
             self.loads_changed.insert(id.clone());
         }
     }
@@ -274,6 +291,7 @@
             info!(event = "endpoint_backoff_ended", endpoint = %id);
         }
         state.waiting.answered(now_ms);
+        state.plain_samples.answered(now_ms, number);
         if let Some((tokens, took_ms)) = state.waiting.end(now_ms, number) {
             self.pace.note(tokens, took_ms);
             if state.pace.samples() == 0 {
@@ -395,10 +413,15 @@
     pub fn take_traffic(&mut self, now_ms: u64) -> Traffic {
         let mut loads = Vec::new();
         self.loads_changed.extend(self.limits.changed_demands(now_ms));
+        self.refresh_slowdowns(now_ms);
+        self.note_decayed_work(now_ms);
         for endpoint in self.loads_changed.drain() {
             let demand_per_min = self.limits.demand_per_min(&endpoint);
-            let state = self.endpoints.get(&endpoint);
-            let load = state.map(|state| state.load(demand_per_min)).unwrap_or_default();
+            let mut load = Load::default();
+            if let Some(state) = self.endpoints.get_mut(&endpoint) {
+                load = state.load(now_ms, demand_per_min);
+                state.reported_units = load.work_units;
+            }
             loads.push(EndpointLoad { endpoint, load });
         }
         self.report_leaving(now_ms);
@@ -407,6 +430,18 @@
         Traffic { loads, used, failing }
     }
 
+    /// Marks endpoints that differ in speed and whose evidence has decayed since the last report, so
+    /// that an endpoint without requests counts as normal again at all gateways.
+    fn note_decayed_work(&mut self, now_ms: u64) {
+        for (id, state) in &self.endpoints {
+            let is_reported = !is_normal(state.slowdown) && state.reported_units > 0;
+            let (units, _) = state.own_work.get(now_ms).to_reported();
+            if is_reported && units <= state.reported_units / 2 {
+                self.loads_changed.insert(id.clone());
+            }
+        }
+    }
+
     /// Reports endpoints that announced in a response that they are leaving as failing, so that the
     /// leader places weights elsewhere even if no heartbeat announces it.
     fn report_leaving(&mut self, now_ms: u64) {
@@ -422,10 +457,10 @@
     }
 
     /// This gateway's load on all endpoints, for a leader that does not know it.
-    pub fn all_loads(&self) -> Vec<EndpointLoad> {
+    pub fn all_loads(&self, now_ms: u64) -> Vec<EndpointLoad> {
         let mut loads = Vec::new();
         for (id, state) in &self.endpoints {
-            let load = state.load(self.limits.demand_per_min(id));
+            let load = state.load(now_ms, self.limits.demand_per_min(id));
             if load != Load::default() {
                 loads.push(EndpointLoad { endpoint: id.clone(), load });
             }
--- a/src/relay/known.rs
+++ b/src/relay/known.rs
@@ -4,10 +4,12 @@
 use tokio::sync::watch;
 
 use super::prompt::{PrefixCache, PromptChain};
+use super::speed::PlainSamples;
 use super::waiting::{ReadingPace, UnansweredRequests, UnreadMs};
 use crate::hash;
 use crate::message::{Load, RegisteredEndpoint, WeightsName};
 use crate::policy::endpoint_backoff::EndpointBackoff;
+use crate::policy::endpoint_speed::{self, RecentWork, Work};
 use crate::policy::rank::{LATE_RANK, Urgency};
 
 /// The number of measured responses from which an endpoint's own reading pace is used instead of
@@ -33,6 +35,18 @@
     pub(super) failures: u32,
     pub(super) paused_until_ms: u64,
     pub(super) backoff: EndpointBackoff,
+    /// The work that the endpoint did for this gateway.
+    pub(super) own_work: RecentWork,
+    /// The work that it did for the other gateways.
+    pub(super) others_work: Work,
+    pub(super) plain_samples: PlainSamples,
+    /// Random, from 0 to 1; drawn again with each refresh while endpoints differ in speed.
+    pub(super) full_draw: f64,
+    /// The units of work in the last report.
+    pub(super) reported_units: u32,
+    /// How much slower than its service the endpoint is; 1 if it is as fast.
+    pub(super) slowdown: f64,
+    pub(super) logged_slowdown: f64,
     /// The time until which the endpoint counts as leaving because a response announced it.
     pub(super) leaving_until_ms: u64,
     /// Notifies the requests that await its responses when it has ended; created when a request is
@@ -54,6 +68,22 @@
     Replaced,
 }
 
+/// The room that a request needs at an endpoint.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum RoomWanted {
+    /// A free slot.
+    Slot,
+    /// A place in the queue of a plain endpoint, from which it completes in time.
+    Queue {
+        /// The time left until the latency objective.
+        left_ms: u64,
+        /// The mean time of a request over the service; 0 if it is not known.
+        unit_ms: f64,
+        /// True if the load counts are older than a request runs.
+        has_late_counts: bool,
+    },
+}
+
 /// The expected cost and queue rank of a request at an endpoint.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct CostEstimate {
@@ -92,6 +122,13 @@
             failures: 0,
             paused_until_ms: 0,
             backoff: EndpointBackoff::default(),
+            own_work: RecentWork::default(),
+            others_work: Work::default(),
+            plain_samples: PlainSamples::default(),
+            full_draw: 1.0,
+            reported_units: 0,
+            slowdown: 1.0,
+            logged_slowdown: 1.0,
             leaving_until_ms: 0,
             ended: None,
         }
@@ -102,21 +139,39 @@
         self.endpoint.leaving || now_ms < self.leaving_until_ms
     }
 
+    /// The work that the endpoint did for all gateways.
+    pub(super) fn work(&self, now_ms: u64) -> Work {
+        self.own_work.get(now_ms) + self.others_work
+    }
+
     /// True if the endpoint has as many requests as it takes. A plain service may queue requests
     /// beyond its slots: the counts of the other gateways arrive late, so an endpoint that looks
-    /// full may be half empty.
-    pub(super) fn is_full(&self, is_engine: bool) -> bool {
+    /// full may be half empty. Its queue is limited to what completes in time, if it is known how
+    /// long a request takes.
+    pub(super) fn is_full(&self, room: RoomWanted) -> bool {
         let slots = self.endpoint.slots;
-        // Engines get no queue allowance: each additional request slows down all others.
-        let queued = if is_engine { 0 } else { slots * QUEUED_PER_SLOT };
-        self.own_running + self.others_running >= slots + queued
+        let limit = match room {
+            // Engines get no queue allowance: each additional request slows down all others.
+            RoomWanted::Slot => slots,
+            RoomWanted::Queue { left_ms, unit_ms, .. } => {
+                let max = slots.saturating_mul(1 + QUEUED_PER_SLOT);
+                endpoint_speed::plain_limit(slots, max, left_ms, unit_ms * self.slowdown)
+            }
+        };
+        let running = self.own_running + self.others_running;
+        if let RoomWanted::Queue { has_late_counts: true, .. } = room {
+            return self.full_draw < endpoint_speed::full_chance(slots, limit, running);
+        }
+        running >= limit
     }
 
     /// This gateway's load at the endpoint, with the given `demand_per_min`.
-    pub(super) fn load(&self, demand_per_min: u32) -> Load {
+    pub(super) fn load(&self, now_ms: u64, demand_per_min: u32) -> Load {
         let UnreadMs { in_time, late } = self.waiting.own_unread();
         let (waiting_ms, late_ms) = (in_time as u32, late as u32);
-        Load { running: self.own_running, waiting_ms, late_ms, demand_per_min }
+        let (work_units, work_ms) = self.own_work.get(now_ms).to_reported();
+        let running = self.own_running;
+        Load { running, waiting_ms, late_ms, demand_per_min, work_units, work_ms }
     }
 
     /// The tokens of a prompt that the endpoint has to read because it has not cached them.
@@ -137,9 +192,16 @@
         usual: ReadingPace,
     ) -> CostEstimate {
         let running = f64::from(self.own_running + self.others_running);
-        let batch_ms = running / f64::from(self.endpoint.slots.max(1)) * FULL_BATCH_MS;
+        let slot_ms = FULL_BATCH_MS / f64::from(self.endpoint.slots.max(1));
         // A plain service runs several requests at once, so a slow one delays no other.
-        let Some(wanted) = wanted else { return CostEstimate { cost_ms: batch_ms, rank: None } };
+        let Some(wanted) = wanted else {
+            // The last of `running` + 1 requests completes at a time in proportion to their number
+            // and the slowdown. Less one request at the usual speed, so that endpoints with
+            // different slots compare by their load alone if they are equally fast.
+            let cost_ms = ((running + 1.0) * self.slowdown - 1.0) * slot_ms;
+            return CostEstimate { cost_ms, rank: None };
+        };
+        let batch_ms = running * slot_ms * self.slowdown;
         let pace = self.pace(usual);
         let urgency = Urgency {
             priority: wanted.priority,
--- a/src/relay/pick.rs
+++ b/src/relay/pick.rs
@@ -6,9 +6,9 @@
 
 use rand::RngExt;
 
-use super::choice::{self, Candidate};
+use super::choice::{self, COST_SCALE_MS, Candidate, SPEED_SCALE_MS};
 use super::fleet::Fleet;
-use super::known::{CostEstimate, EndpointState, Wanted};
+use super::known::{CostEstimate, EndpointState, RoomWanted, Wanted};
 use super::limits::EndpointLimits;
 use super::waiting::ReadingPace;
 use crate::message::Holding;
@@ -139,6 +139,8 @@
     homes: Option<&'a BTreeMap<Arc<str>, Holding>>,
     /// The oldest acceptable version.
     due: u64,
+    /// The room that the request needs at an endpoint.
+    room: RoomWanted,
     /// False for a request that already counts towards the demand.
     counts_demand: bool,
 }
@@ -171,7 +173,7 @@
         if self.counts_demand {
             limits.note_request(self.now_ms, id);
         }
-        if state.paused_until_ms > self.now_ms || state.is_full(self.wanted.is_some()) {
+        if state.paused_until_ms > self.now_ms || state.is_full(self.room) {
             return;
         }
         let backoff_ms = state.backoff.wait_ms(self.now_ms);
@@ -228,6 +230,8 @@
     /// Picks an endpoint for `request`.
     pub fn pick_for(&mut self, now_ms: u64, request: &PickRequest<'_>) -> Picked {
         let PickRequest { service, wanted, tried, is_repeated, .. } = *request;
+        self.refresh_slowdowns(now_ms);
+        let room = self.room_wanted(request);
         let weights = wanted.map(|wanted| &wanted.weights);
         let Some(ids) = self.by_service.get(service) else { return Picked::NoEndpoint };
         let due = weights.map_or(0, |name| self.version_due(now_ms, name));
@@ -241,6 +245,7 @@
             endpoints: &self.endpoints,
             homes: weights.and_then(|name| self.homes.get(name)),
             due,
+            room,
             counts_demand: !is_repeated,
         };
         // Few endpoints hold a given adapter, so only these are considered.
@@ -262,8 +267,9 @@
         }
         choice::discount_preferred(&mut found.candidates, wanted, self.pace);
         let draw: f64 = self.random.random();
+        let scale_ms = if self.is_drawn_by_speed(request) { SPEED_SCALE_MS } else { COST_SCALE_MS };
         let best = if self.gateways > ALL_COMPARED_MAX_GATEWAYS {
-            choice::draw_weighted(&found.candidates, draw)
+            choice::draw_weighted(&found.candidates, scale_ms, draw)
         } else {
             choice::cheapest(&found.candidates)
         };
@@ -277,6 +283,22 @@
         self.unavailable(now_ms, service, wanted, totals)
     }
 
+    /// True if many gateways draw plain endpoints that differ in speed.
+    fn is_drawn_by_speed(&self, request: &PickRequest<'_>) -> bool {
+        request.wanted.is_none()
+            && self.gateways > ALL_COMPARED_MAX_GATEWAYS
+            && self.uneven_services.contains(request.service)
+    }
+
+    fn room_wanted(&self, request: &PickRequest<'_>) -> RoomWanted {
+        if request.wanted.is_some() || request.free_slots_only {
+            return RoomWanted::Slot;
+        }
+        let unit_ms = self.unit_ms.get(request.service).copied().unwrap_or(0.0);
+        let has_late_counts = self.is_drawn_by_speed(request);
+        RoomWanted::Queue { left_ms: request.objective_left_ms, unit_ms, has_late_counts }
+    }
+
     fn note_picked(&mut self, now_ms: u64, id: &str) {
         self.limits.take(id);
         if let Some(state) = self.endpoints.get_mut(id) {
--- a/src/relay/process.rs
+++ b/src/relay/process.rs
@@ -158,12 +158,14 @@
 }
 
 fn dump(relay: &Relay) -> serde_json::Value {
+    let slowdowns = relay.fleet().slowdowns();
     json!({
         "role": "relay",
         "ready": relay.is_ready(),
         "routing_version": relay.table().version(),
         "endpoints": relay.fleet().len(),
         "in_progress": relay.in_progress(),
+        "slowdowns": slowdowns,
         "counters": relay.metrics.totals(),
     })
 }
--- a/src/relay/report.rs
+++ b/src/relay/report.rs
@@ -82,6 +82,11 @@
             held_version = self.held_version.unwrap_or(0),
             after_ms
         );
+        if self.chosen.service.engine.is_none() {
+            let is_success = started.response.status().is_success();
+            let endpoint = &started.flight.endpoint;
+            self.relay.fleet().note_plain_response(now_ms, endpoint, self.sent_at_ms, is_success);
+        }
         self.relay.metrics.count(Counter::RequestsAnswered);
         self.relay.metrics.time(Timer::FirstByte, after_ms);
         if let (Some(weights), Some(version)) = (&self.meta.weights, self.held_version) {
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -126,7 +126,7 @@
                         is_welcome = true;
                         relay.fleet().request_full_uses();
                         relay.quota.linked();
-                        let loads = relay.fleet().all_loads();
+                        let loads = relay.fleet().all_loads(last_message_at_ms);
                         let (used, failing) = (Vec::new(), Vec::new());
                         send(&mut sender, &SessionUp::Traffic { loads, used, failing }).await?;
                         let crashes = relay.crashes.recent_crashes(relay.now_ms());
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -12,6 +12,7 @@
 use super::events::EventSplitter;
 use super::exchange::{ENDPOINT_ENDED, Exchange, InProgress, remove_connection_headers};
 use super::pool::Connection;
+use super::speed::EventTimes;
 use crate::clock::Clock;
 use crate::error::{Error, Result};
 use crate::http::{Answer, AnswerBody};
@@ -30,17 +31,25 @@
     body: Incoming,
     connection: Connection,
     flight: InFlightRequest,
+    times: EventTimes,
 }
 
 impl Upstream {
     fn new(started: StartedResponse) -> Self {
         let (head, body) = started.response.into_parts();
-        Self { head, body, connection: started.connection, flight: started.flight }
+        Self {
+            head,
+            body,
+            connection: started.connection,
+            flight: started.flight,
+            times: EventTimes::default(),
+        }
     }
 
     async fn next(&mut self, clock: Clock, until_ms: u64) -> Result<Option<Bytes>> {
         let peer = self.flight.endpoint.clone();
         let left_ms = until_ms.saturating_sub(clock.now_ms());
+        self.times.note_read(clock.now_ms());
         loop {
             let frame = tokio::select! {
                 biased;
@@ -55,6 +64,7 @@
             let Some(frame) = frame else { return Ok(None) };
             let frame = frame.map_err(|error| Error::failed("read stream", peer.clone(), error))?;
             if let Ok(data) = frame.into_data() {
+                self.times.note_data(clock.now_ms(), &data);
                 return Ok(Some(data));
             }
         }
@@ -106,8 +116,9 @@
 
 fn finish(running: ForwardedStream) -> Option<(FrameResult, Option<ForwardedStream>)> {
     let ForwardedStream { exchange, endpoint, events } = running;
-    let Upstream { head, connection, flight, .. } = endpoint;
-    let after_ms = exchange.relay.now_ms() - exchange.started_ms;
+    let Upstream { head, connection, flight, times, .. } = endpoint;
+    let now_ms = exchange.relay.now_ms();
+    let after_ms = now_ms - exchange.started_ms;
     info!(
         event = "stream_ended",
         request = %exchange.meta.id,
@@ -117,6 +128,11 @@
     exchange.relay.pool.keep(flight.address, connection, &head.headers);
     if head.status.is_success() {
         exchange.note_served();
+        // The unit of a plain service is a response, not an event.
+        let work = times.work().filter(|_| exchange.chosen.service.engine.is_some());
+        if let Some(work) = work {
+            exchange.relay.fleet().note_work(now_ms, &flight.endpoint, work);
+        }
     }
     let rest = events.and_then(|mut events| events.take_remainder())?;
     Some((Ok(Frame::data(rest)), None))
--- a/tests/counts.rs
+++ b/tests/counts.rs
@@ -79,7 +79,7 @@
 #[test]
 fn insignificant_load_differences_are_not_reported() {
     let load =
-        |running, waiting_ms, late_ms| Load { running, waiting_ms, late_ms, demand_per_min: 0 };
+        |running, waiting_ms, late_ms| Load { running, waiting_ms, late_ms, ..Load::default() };
     assert!(!is_worth_reporting(load(3, 100, 0), load(3, 100, 0)));
     assert!(!is_worth_reporting(load(3, 100, 0), load(4, 112, 5)));
     assert!(is_worth_reporting(load(3, 100, 0), load(5, 100, 0)));
--- a/tests/fuzz_wire.rs
+++ b/tests/fuzz_wire.rs
@@ -89,10 +89,11 @@
 }
 
 fn endpoint_load() -> impl Strategy<Value = EndpointLoad> {
-    (name(), arbitrary(), arbitrary(), arbitrary(), arbitrary()).prop_map(
-        |(endpoint, running, waiting_ms, late_ms, demand_per_min)| EndpointLoad {
-            endpoint,
-            load: Load { running, waiting_ms, late_ms, demand_per_min },
+    let work = (arbitrary(), arbitrary());
+    (name(), arbitrary(), arbitrary(), arbitrary(), arbitrary(), work).prop_map(
+        |(endpoint, running, waiting_ms, late_ms, demand_per_min, (work_units, work_ms))| {
+            let load = Load { running, waiting_ms, late_ms, demand_per_min, work_units, work_ms };
+            EndpointLoad { endpoint, load }
         },
     )
 }
