control: slow endpoints are later choices for adapters and count as part of a home

Cause: placement ignored speed, so that adapters in demand had as many homes at slow engines as at fast ones. Change: (slowdown - 1) times the duration of a response is added to the expected delay of a candidate, and a home counts as 1/slowdown, rounded in total. One home suffices for an adapter in little demand, however slow: a second load would cost the weight store more than it gains.

--- a/src/control/placement/endpoint.rs
+++ b/src/control/placement/endpoint.rs
@@ -9,6 +9,7 @@
 use crate::message::{
     Holding, Load, OrderKind, Placed, RegisteredEndpoint, WeightsName, WeightsUse,
 };
+use crate::policy::endpoint_speed::Work;
 use crate::routing::EngineSpec;
 
 /// How many local copies an endpoint is assumed to keep. Engines drop the least recently used
@@ -174,6 +175,12 @@
         self.is_live(now_ms) && !self.endpoint.leaving && self.failing_until_ms <= now_ms
     }
 
+    /// The slowdown relative to the other endpoints of the service, which together did the work of
+    /// `service`.
+    pub fn slowdown(&self, service: Work) -> f64 {
+        Work::from_load(&self.load).slowdown(service)
+    }
+
     /// True when running or waiting requests leave too little capacity for another adapter.
     pub fn is_crowded(&self) -> bool {
         f64::from(self.load.running) >= f64::from(self.endpoint.slots) * CROWDED_SHARE
--- a/src/control/placement/homes.rs
+++ b/src/control/placement/homes.rs
@@ -16,8 +16,8 @@
 /// adapter gets an additional home, so that a long prompt at one home does not block all requests.
 /// An additional home costs memory and a load, which many later requests amortize.
 const HOME_READING_MS_PER_S: f64 = 300.0;
-/// The approximate duration of a response; used only to convert request rates to concurrent
-/// requests.
+/// The approximate duration of a response; converts request rates to concurrent requests, and the
+/// slowdown of an endpoint to the delay of a response there.
 const ANSWER_DURATION_S: f64 = 0.7;
 /// A placement request expires when it is not repeated within this time; clients retry sooner.
 const REQUEST_TIMEOUT_MS: u64 = 1_500;
@@ -65,12 +65,40 @@
     homes: usize,
     crowded_homes: usize,
     on_their_way: usize,
+    /// The homes as a number of homes at endpoints of usual speed.
+    home_capacity: f64,
+    /// The same, with those on their way.
+    future_capacity: f64,
     /// Endpoints that could become a home, with their suitability.
     candidates: Vec<(Fit, Arc<str>)>,
     /// Endpoints that hold an older version.
     older: Vec<Arc<str>>,
 }
 
+impl Survey {
+    fn note_home(&mut self, slowdown: f64) {
+        self.homes += 1;
+        self.home_capacity += 1.0 / slowdown;
+        self.future_capacity += 1.0 / slowdown;
+    }
+
+    fn note_on_its_way(&mut self, slowdown: f64) {
+        self.on_their_way += 1;
+        self.future_capacity += 1.0 / slowdown;
+    }
+
+    /// The homes in whole homes of usual speed. The first home always counts as one: an adapter in
+    /// little demand needs no second load because its home is slow.
+    fn effective_homes(&self) -> usize {
+        whole_homes(self.home_capacity, self.homes)
+    }
+
+    /// The same, with the homes on their way.
+    fn effective_future_homes(&self) -> usize {
+        whole_homes(self.future_capacity, self.homes + self.on_their_way)
+    }
+}
+
 impl Placement {
     /// Requests an additional home for weights in higher demand than their homes should serve.
     pub(super) fn request_additional_home(
@@ -185,12 +213,12 @@
         let reading_ms_per_s = self.prompt_reading.rate(now_ms, name);
         let mut homes_wanted = wanted_homes(rate, reading_ms_per_s, engine.slots);
         if request.homes_are_full && survey.homes == survey.crowded_homes {
-            homes_wanted = homes_wanted.max(survey.homes + 1);
+            homes_wanted = homes_wanted.max(survey.effective_homes() + 1);
         }
-        if survey.homes >= homes_wanted {
+        if survey.effective_homes() >= homes_wanted {
             return true;
         }
-        if survey.homes + survey.on_their_way >= homes_wanted {
+        if survey.effective_future_homes() >= homes_wanted {
             self.open.on_their_way += 1;
             return false;
         }
@@ -212,11 +240,13 @@
         request: &PlacementRequest,
     ) -> Survey {
         let newest = self.required_version(name);
+        let service_work = self.work.of_service(service);
         let mut survey = Survey::default();
         for (id, endpoint) in &self.endpoints {
             if &*endpoint.endpoint.service != service || !endpoint.accepts_weights(now_ms) {
                 continue;
             }
+            let slowdown = endpoint.slowdown(service_work);
             let Some(place) = endpoint.places.get(name) else {
                 if name.adapter.is_none() || endpoint.holds_base(name) {
                     let is_same_zone = endpoint.endpoint.zone == request.zone;
@@ -228,6 +258,8 @@
                     if !is_same_zone {
                         expected_delay_ms += CROSS_ZONE_COST_MS;
                     }
+                    let slower_ms = (slowdown - 1.0) * ANSWER_DURATION_S * 1_000.0;
+                    expected_delay_ms = expected_delay_ms.saturating_add_signed(slower_ms as i64);
                     let fit = Fit {
                         has_room: !endpoint.is_full(),
                         delay_steps: std::cmp::Reverse(expected_delay_ms / COST_STEP_MS),
@@ -240,13 +272,13 @@
             match place.state {
                 WeightsState::Ready if place.version < newest => survey.older.push(id.clone()),
                 WeightsState::Ready => {
-                    survey.homes += 1;
+                    survey.note_home(slowdown);
                     survey.crowded_homes += usize::from(endpoint.is_crowded());
                 }
-                WeightsState::Loading { .. } => {
-                    survey.on_their_way += usize::from(!place.is_overdue(now_ms));
+                WeightsState::Loading { .. } if !place.is_overdue(now_ms) => {
+                    survey.note_on_its_way(slowdown);
                 }
-                WeightsState::Unloading => {}
+                WeightsState::Loading { .. } | WeightsState::Unloading => {}
             }
         }
         survey
@@ -388,3 +420,8 @@
     let by_slots = requests_in_progress / (f64::from(slots.max(1)) * HOME_SLOT_SHARE);
     1 + by_slots.max(reading_ms_per_s / HOME_READING_MS_PER_S) as usize
 }
+
+/// `capacity` in whole homes, and at least one if there are `homes`.
+fn whole_homes(capacity: f64, homes: usize) -> usize {
+    (capacity.round() as usize).max(homes.min(1))
+}
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -10,7 +10,7 @@
     StoreLoad, StoreRateLimit, UsageSource,
 };
 use winchvane::message::{
-    AdapterNeed, EngineOrder, EngineReport, Heartbeat, Holding, OrderKind, OrderOutcome,
+    AdapterNeed, EngineOrder, EngineReport, Heartbeat, Holding, Load, OrderKind, OrderOutcome,
     OrderResult, Placed, RegisteredEndpoint, Weights, WeightsName, WeightsUse,
 };
 use winchvane::routing::ModelSpec;
@@ -373,6 +373,29 @@
     assert_eq!(&*orders[1].endpoint, "e2");
 }
 
+/// Guards against adapters that are placed by affinity at an endpoint that takes twice as long, and
+/// against slow homes that count as much as fast ones.
+#[test]
+fn slow_endpoint_is_the_last_choice_and_counts_as_part_of_a_home() {
+    let mut leader = Leader::new(8);
+    leader.add_endpoint("e2");
+    let work = |work_ms| Load { work_units: 100, work_ms, ..Load::default() };
+    leader.placement.note_load("e1", work(3_000));
+    leader.placement.note_load("e2", work(1_000));
+    for number in 1..7 {
+        leader.need(number);
+        let order = leader.next_order();
+        assert_eq!((&*order.endpoint, order.kind.clone()), ("e2", load_of(number)));
+        leader.answer(&order, OrderOutcome::Done);
+    }
+    leader.add_endpoint("e3");
+    // Three homes are due for 40 requests a second: e2 counts as 1.6 of them.
+    leader.report_use("e2", 1, 40, 4);
+    let order = leader.next_order();
+    assert_eq!((&*order.endpoint, order.kind.clone()), ("e3", load_of(1)));
+    leader.answer(&order, OrderOutcome::Done);
+}
+
 #[test]
 fn adapter_is_loaded_where_it_has_a_copy() {
     let mut leader = Leader::new(1);
