--- a/src/relay/process.rs
+++ b/src/relay/process.rs
@@ -168,6 +168,7 @@
             "rate_per_s": queue.rate_per_s,
         }));
     }
+    let slowdowns = relay.fleet().slowdowns();
     json!({
         "role": "relay",
         "ready": relay.is_ready(),
@@ -175,6 +176,7 @@
         "endpoints": relay.fleet().len(),
         "in_progress": relay.in_progress(),
         "queues": queues,
+        "slowdowns": slowdowns,
         "counters": relay.metrics.totals(),
     })
 }
