relay, control: fair shares of workspaces over all gateways

Cause: a workspace that sends six times its usual requests, all within its quota, takes capacity from the others: gateways served waiting requests without regard to workspaces, and none knows what the others serve. Change: gateways count the units that workspaces ask for and that are sent, of the last 2 s, and report them while requests wait for capacity or did in the last 5 s. Distributors and the leader sum them and send each session the sum of all others (WorkspaceUse, appended to SessionUp and SessionDown). From these, policy/fair_share.rs computes weighted max-min shares and classes each request once; one over its share may take only free slots. Sums outlast control by 5 s, and those of a new server count beside the former ones for a second. Log line share_changed, counter requests.over_share, shares in the dump. Without workspaces or without waits nothing is counted or sent.

--- a/src/control/distribution/mod.rs
+++ b/src/control/distribution/mod.rs
@@ -22,6 +22,7 @@
 
 use crate::control::counts::Counts;
 use crate::control::session::Session;
+use crate::control::workspace_use::WorkspaceUses;
 use crate::message::{
     Change, CreditAsk, CreditGrant, EndpointLoad, EngineOrder, Forwarded, Group, Heartbeat, Load,
     Placed, SessionDown, SessionHello, SessionRole, SessionUp,
@@ -78,6 +79,7 @@
     heartbeats: BTreeMap<Arc<str>, Heartbeat>,
     /// Quota credit of workspaces for the gateways of the zone.
     credit: DistributorPools,
+    workspace_uses: WorkspaceUses,
 }
 
 impl Distributor {
@@ -100,6 +102,7 @@
             forwarded: Vec::new(),
             heartbeats: BTreeMap::new(),
             credit: DistributorPools::new(),
+            workspace_uses: WorkspaceUses::new(),
         }
     }
 
@@ -162,6 +165,7 @@
                 self.forward();
             }
             SessionUp::CreditAsks(asks) => self.answer_credit_asks(now_ms, id, &gateway, asks),
+            SessionUp::WorkspaceUse(uses) => self.workspace_uses.update(id, uses),
             SessionUp::Hello(_)
             | SessionUp::Leave
             | SessionUp::Release { .. }
@@ -199,6 +203,7 @@
         self.counts.mark_all_changed();
         self.renewed_at_ms = now_ms;
         self.credit.linked();
+        self.workspace_uses.linked(now_ms);
         self.ask_for_credit(now_ms);
         // The new leader has no record of the weights in use, so gateways report them again.
         self.broadcast(|| SessionDown::Welcome { epoch: 0 });
@@ -210,6 +215,7 @@
             warn!(event = "link_lost", sessions = self.sessions.len());
             self.unlinked_at_ms = Some(now_ms);
             self.credit.unlinked();
+            self.workspace_uses.unlinked(now_ms);
             // Endpoints send heartbeats again; these may be stale by the time of the next link.
             self.heartbeats.clear();
             // The next leader confirms renewals that were not confirmed yet.
@@ -244,6 +250,7 @@
                 self.deliver_credit(answers);
                 self.ask_for_credit(now_ms);
             }
+            SessionDown::WorkspaceUse(uses) => self.workspace_uses.update_remote(uses),
             SessionDown::Welcome { .. }
             | SessionDown::Renewed { .. }
             | SessionDown::NotLeader { .. }
@@ -261,6 +268,10 @@
             self.end_sessions(None);
         }
         self.renew(now_ms);
+        let uses = self.workspace_uses.advance(now_ms, &self.sessions);
+        if !uses.is_empty() {
+            self.send_up(SessionUp::WorkspaceUse(uses));
+        }
         if now_ms < self.counts_due_ms {
             return;
         }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -21,3 +21,4 @@
 pub mod session;
 pub mod state;
 pub mod storage;
+pub mod workspace_use;
--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -15,6 +15,7 @@
 use crate::control::placement::{Placement, UsageSource};
 use crate::control::session::Session;
 use crate::control::state::Operation;
+use crate::control::workspace_use::WorkspaceUses;
 use crate::message::{
     Change, ControlReply, EngineOrder, Forwarded, Group, Heartbeat, NewestVersion, Placed,
     SessionDown, SessionHello, SessionRole, SessionServer, SessionUp,
@@ -49,6 +50,7 @@
     pub(super) crashes: Crashes,
     /// Quota credit of workspaces.
     pub(super) credit: CreditPools,
+    workspace_uses: WorkspaceUses,
 }
 
 impl Registered {
@@ -66,6 +68,7 @@
             counts: Counts::new(),
             crashes: Crashes::default(),
             credit: CreditPools::new(quota),
+            workspace_uses: WorkspaceUses::new(),
         }
     }
 }
@@ -95,6 +98,7 @@
         registered.ticked_at_ms = now_ms;
         registered.group_sent = Group::default();
         registered.counts = Counts::new();
+        registered.workspace_uses = WorkspaceUses::new();
         registered.credit = CreditPools::new(self.settings.quota);
         if let Some(configuration) = self.state.registry.routing() {
             registered.credit = CreditPools::new(self.settings.quota)
@@ -379,6 +383,7 @@
             SessionUp::CreditAsks(asks) => {
                 self.answer_credit_asks(now_ms, id, &from.gateway, &asks);
             }
+            SessionUp::WorkspaceUse(uses) => self.registered.workspace_uses.update(id, uses),
             SessionUp::Heartbeats(heartbeats) => {
                 for heartbeat in heartbeats {
                     self.process_heartbeat(now_ms, wall_ms, heartbeat, Waiter::NoReply);
@@ -438,6 +443,7 @@
     /// Sends followers the changed placements and, periodically, the group and the loads.
     pub(super) fn update_followers(&mut self, now_ms: u64) {
         self.send_placed();
+        self.registered.workspace_uses.advance(now_ms, &self.sessions);
         if now_ms < self.registered.loads_due_ms {
             return;
         }
--- a/src/control/replica/sessions.rs
+++ b/src/control/replica/sessions.rs
@@ -126,7 +126,8 @@
             | SessionUp::AskForTrial(_)
             | SessionUp::TrialReturned(_)
             | SessionUp::ServedBefore { .. }
-            | SessionUp::CreditAsks(_) => {
+            | SessionUp::CreditAsks(_)
+            | SessionUp::WorkspaceUse(_) => {
                 let message = up.kind();
                 debug!(event = "message_ignored", gateway = %gateway, message);
             }
--- a/src/gateway/session.rs
+++ b/src/gateway/session.rs
@@ -156,6 +156,7 @@
         | SessionDown::Loads(_)
         | SessionDown::RenewedFor { .. }
         | SessionDown::Credit(_)
+        | SessionDown::WorkspaceUse(_)
         | SessionDown::Group(_) => {}
     }
 }
--- a/src/message/mod.rs
+++ b/src/message/mod.rs
@@ -11,6 +11,7 @@
 mod registration;
 mod request_key;
 mod session;
+mod workspace_use;
 
 use std::fmt;
 use std::sync::Arc;
@@ -33,6 +34,7 @@
 pub use session::{
     Forwarded, Group, LoadReport, SessionDown, SessionHello, SessionRole, SessionServer, SessionUp,
 };
+pub use workspace_use::{UseCounts, WorkspaceUse};
 
 /// Whether a request that got no answer was run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/message/session.rs
+++ b/src/message/session.rs
@@ -10,7 +10,7 @@
 use super::control::Change;
 use crate::message::{
     AdapterNeed, CreditAsk, CreditGrant, EndpointCrash, EndpointLoad, EngineOrder, Heartbeat,
-    OrderResult, Placed, RequestKey, Summary, WeightsUse,
+    OrderResult, Placed, RequestKey, Summary, WeightsUse, WorkspaceUse,
 };
 
 /// The number of running requests at an endpoint that the platform measured some time ago.
@@ -84,6 +84,8 @@
         /// The time since the request was served.
         ago_ms: u32,
     },
+    /// The use of services by workspaces where it changed, while requests wait for capacity.
+    WorkspaceUse(Vec<WorkspaceUse>),
 }
 
 impl SessionUp {
@@ -106,6 +108,7 @@
             Self::CreditAsks(_) => "session_credit_asks",
             Self::TrialReturned(_) => "session_trial_returned",
             Self::ServedBefore { .. } => "session_served_before",
+            Self::WorkspaceUse(_) => "session_workspace_use",
         }
     }
 }
@@ -269,6 +272,8 @@
     },
     /// Grants of credit in answer to asks.
     Credit(Vec<CreditGrant>),
+    /// The use of services by workspaces at all other gateways together where it changed.
+    WorkspaceUse(Vec<WorkspaceUse>),
 }
 
 impl SessionDown {
@@ -286,6 +291,7 @@
             Self::Group(_) => "session_group",
             Self::RenewedFor { .. } => "session_renewed_for",
             Self::Credit(_) => "session_credit",
+            Self::WorkspaceUse(_) => "session_workspace_use",
         }
     }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -68,6 +68,8 @@
     RequestsUnauthorized => "requests.unauthorized",
     /// Requests refused because their workspaces exceeded their quotas.
     RequestsOverQuota => "requests.over_quota",
+    /// Requests beyond the shares of their workspaces, which other requests go before.
+    RequestsOverShare => "requests.over_share",
     /// Requests refused because the current API keys or quotas were not known.
     RequestsNotAdmitted => "requests.not_admitted",
     /// Requests answered from the run ledger.
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -20,6 +20,7 @@
 use super::refusal::NotSent;
 use super::shared::Relay;
 use crate::message::{AdapterNeed, WeightsName};
+use crate::policy::fair_share::ShareClass;
 use crate::policy::rank::LATE_RANK;
 use crate::routing::Repeat;
 
@@ -153,6 +154,7 @@
         let load_wait_until_ms = (self.started_ms + load_wait_ms).min(self.ends_at_ms);
         let mut asked = false;
         let mut waited_for = "";
+        let mut capacity_wait = None;
         loop {
             let changed = self.relay.changed.notified();
             let now_ms = self.relay.now_ms();
@@ -161,6 +163,7 @@
             let wanted = weights.map(|weights| self.wanted(now_ms, weights));
             let request = PickRequest {
                 objective_left_ms: self.objective_at_ms().saturating_sub(now_ms),
+                free_slots_only: self.share() == ShareClass::Over,
                 is_repeated: !waited_for.is_empty(),
                 ..PickRequest::new(service, wanted.as_ref(), &self.tried)
             };
@@ -175,6 +178,7 @@
                     rank,
                     expected_ms,
                 } => {
+                    self.note_share_sent();
                     return Ok(Target {
                         id,
                         name,
@@ -196,6 +200,13 @@
             if waited_for.is_empty() {
                 waited_for = reason;
             }
+            // A wait for weights does not show that capacity is short.
+            capacity_wait = match picked {
+                Picked::Full | Picked::Limited { .. } | Picked::BackingOff { .. } => {
+                    capacity_wait.or_else(|| self.wait_for_capacity())
+                }
+                _ => None,
+            };
             let until_ms = if picked == Picked::Coming { load_wait_until_ms } else { until_ms };
             if let (Some(weights), false) = (weights, asked) {
                 asked = true;
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -19,6 +19,7 @@
 use super::quota::UsedCredit;
 use super::refusal::{Failure, NotSent, own_answer, refuse};
 use super::shared::Relay;
+use super::shares::RequestShare;
 use super::standings::Permission;
 use super::stream;
 use super::trial::Trial;
@@ -110,6 +111,7 @@
     permission: Permission,
     /// The leader's permission to send this attempt although the request was held.
     pub(super) trial: Option<Trial>,
+    pub(super) share: RequestShare,
     /// The number of sends that an endpoint may have run.
     possible_runs: u32,
     /// The number of sends that endpoints refused without asking for backoff.
@@ -176,6 +178,7 @@
             key: OnceLock::new(),
             permission: Permission::Unrestricted,
             trial: None,
+            share: RequestShare::default(),
             possible_runs: 0,
             refused: 0,
             refused_with_backoff: 0,
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -34,6 +34,7 @@
 mod served;
 mod session;
 mod shared;
+mod shares;
 mod standings;
 mod stream;
 mod trial;
--- a/src/relay/process.rs
+++ b/src/relay/process.rs
@@ -164,6 +164,7 @@
         "routing_version": relay.table().version(),
         "endpoints": relay.fleet().len(),
         "in_progress": relay.in_progress(),
+        "shares": relay.shares.dump(),
         "counters": relay.metrics.totals(),
     })
 }
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -69,6 +69,7 @@
         }
         relay.fleet().forget_loads(relay.now_ms());
         relay.quota.unlinked();
+        relay.shares.unlinked();
         tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
     }
 }
@@ -126,6 +127,7 @@
                         is_welcome = true;
                         relay.fleet().request_full_uses();
                         relay.quota.linked();
+                        relay.shares.linked();
                         let loads = relay.fleet().all_loads();
                         let (used, failing) = (Vec::new(), Vec::new());
                         send(&mut sender, &SessionUp::Traffic { loads, used, failing }).await?;
@@ -172,6 +174,10 @@
                     send(&mut sender, &SessionUp::Traffic { loads, used, failing }).await?;
                 }
                 ask_for_credit(relay, &mut sender).await?;
+                let uses = relay.shares.take_report();
+                if !uses.is_empty() {
+                    send(&mut sender, &SessionUp::WorkspaceUse(uses)).await?;
+                }
             }
             () = relay.clock.sleep_until(opened_at_ms + FIRST_MESSAGE_TIMEOUT_MS), if last_message_at_ms == opened_at_ms => {
                 return Err(Error::timeout("open session", address.to_string(), FIRST_MESSAGE_TIMEOUT_MS));
@@ -255,6 +261,7 @@
         SessionDown::Placed { reset, placed } => relay.apply_placements(reset, placed),
         SessionDown::Loads(loads) => relay.fleet().note_loads(relay.now_ms(), loads),
         SessionDown::Credit(grants) => relay.quota.granted(grants),
+        SessionDown::WorkspaceUse(uses) => relay.shares.note_others(uses),
         SessionDown::Welcome { .. }
         | SessionDown::NotLeader { .. }
         | SessionDown::Expired
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -17,6 +17,7 @@
 use super::orders::SendLease;
 use super::pool::ConnectionPool;
 use super::quota::QuotaGate;
+use super::shares::Shares;
 use crate::clock::Clock;
 use crate::message::{AdapterNeed, Change, NewestVersion, Placed, WeightsName};
 use crate::metrics::{Counter, Metrics};
@@ -44,6 +45,7 @@
     pub(super) version_known: Notify,
     pub(super) send_lease: SendLease,
     pub(super) quota: QuotaGate,
+    pub(super) shares: Shares,
     pub(super) clock: Clock,
     fleet: Mutex<Fleet>,
     table: RwLock<Arc<RouteTable>>,
@@ -78,6 +80,7 @@
             version_known: Notify::new(),
             send_lease: SendLease::new(clock),
             quota: QuotaGate::new(clock),
+            shares: Shares::new(clock, rand::rng().random()),
             clock,
             fleet: Mutex::new(fleet),
             table: RwLock::default(),
@@ -267,6 +270,7 @@
             return;
         }
         info!(event = "routing_in_force", version = table.version(), before = known.version());
+        self.shares.set_workspaces(&table.configuration().workspaces);
         *known = Arc::new(table);
     }
 
--- a/tests/fuzz_wire.rs
+++ b/tests/fuzz_wire.rs
@@ -20,7 +20,7 @@
     AdapterKey, AdapterNeed, Change, EndpointLoad, EngineOrder, EngineReport, Forwarded, Group,
     Heartbeat, Holding, Load, LoadReport, NewestVersion, OrderKind, OrderOutcome, OrderResult,
     PeerMessage, Placed, RegisteredEndpoint, SessionDown, SessionHello, SessionRole, SessionServer,
-    SessionUp, Summary, Weights, WeightsName, WeightsUse,
+    SessionUp, Summary, UseCounts, Weights, WeightsName, WeightsUse, WorkspaceUse,
 };
 
 /// Arbitrary values of an inferred type.
@@ -127,6 +127,16 @@
     )
 }
 
+fn workspace_use() -> impl Strategy<Value = WorkspaceUse> {
+    (name(), name(), arbitrary(), arbitrary(), arbitrary()).prop_map(
+        |(service, workspace, asked, sent, waiting)| WorkspaceUse {
+            service,
+            workspace,
+            counts: UseCounts { asked, sent, waiting },
+        },
+    )
+}
+
 fn gateway_message() -> impl Strategy<Value = SessionUp> {
     let hello = (name(), arbitrary(), name(), arbitrary(), arbitrary(), arbitrary()).prop_map(
         |(name, boot_id, zone, address, applied_index, zone_server_failed)| {
@@ -155,6 +165,7 @@
         order_result().prop_map(SessionUp::Ordered),
         (vec(endpoint_load(), 0..3), vec(weights_use(), 0..3), vec(name(), 0..3))
             .prop_map(|(loads, used, failing)| SessionUp::Traffic { loads, used, failing }),
+        vec(workspace_use(), 0..3).prop_map(SessionUp::WorkspaceUse),
     ]
 }
 
@@ -230,6 +241,7 @@
         (arbitrary(), vec(placed, 0..3))
             .prop_map(|(reset, placed)| SessionDown::Placed { reset, placed }),
         vec(endpoint_load(), 0..4).prop_map(SessionDown::Loads),
+        vec(workspace_use(), 0..4).prop_map(SessionDown::WorkspaceUse),
         order.prop_map(SessionDown::Order),
         group.prop_map(SessionDown::Group),
         arbitrary().prop_map(|number| SessionDown::RenewedFor { number }),
