relay: a request counts as sent for shares once an endpoint starts its response

Cause: a send that a saturated endpoint rejects counted as sent, so that as much seemed sent as asked for and no share applied; found in review, the model's endpoints reject nothing. Change: the count is taken where the response has started, and in the model where an endpoint starts a request.

--- a/src/message/workspace_use.rs
+++ b/src/message/workspace_use.rs
@@ -11,7 +11,7 @@
 pub struct UseCounts {
     /// The units asked for in the last 2 s.
     pub asked: u32,
-    /// The units sent to endpoints in the last 2 s.
+    /// The units of requests that endpoints started to answer in the last 2 s.
     pub sent: u32,
     /// The largest number of requests that waited for capacity at a time since the last report.
     pub waiting: u32,
--- a/src/policy/fair_share.rs
+++ b/src/policy/fair_share.rs
@@ -364,7 +364,7 @@
         ShareClass::Within
     }
 
-    /// Records that a request was sent to an endpoint for the first time.
+    /// Records that a request was sent to an endpoint that runs it.
     pub fn note_sent(&mut self, now_ms: u64, service: &Arc<str>, workspace: &Arc<str>, units: u64) {
         self.own(service, workspace).sent.add(now_ms, units);
     }
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -178,7 +178,6 @@
                     rank,
                     expected_ms,
                 } => {
-                    self.note_share_sent();
                     return Ok(Target {
                         id,
                         name,
@@ -331,6 +330,7 @@
         if head.backoff == Backoff::None {
             relay.fleet().answered(relay.now_ms(), &send.endpoint, number);
         }
+        self.note_share_sent();
         Attempt::Started(Box::new(StartedResponse { flight, connection, response }))
     }
 
--- a/src/relay/shares.rs
+++ b/src/relay/shares.rs
@@ -62,7 +62,7 @@
         class
     }
 
-    /// Records that a request was sent for the first time.
+    /// Records that an endpoint started the response to a request.
     pub(super) fn note_sent(
         &self,
         now_ms: u64,
@@ -151,7 +151,8 @@
         })
     }
 
-    /// Counts the request as sent, unless an earlier send was counted.
+    /// Counts the request as sent once an endpoint has started its response, unless an earlier send
+    /// was counted. Sends that endpoints reject show no capacity.
     pub(super) fn note_share_sent(&self) {
         let Some(workspace) = self.access.workspace.as_deref() else { return };
         if !self.share.is_sent.swap(true, Ordering::Relaxed) {
--- a/tests/fair_share.rs
+++ b/tests/fair_share.rs
@@ -135,6 +135,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Waiting {
     workspace: usize,
+    gateway: usize,
     arrived_ms: u64,
     class: ShareClass,
     /// True once it was counted as waiting.
@@ -284,7 +285,13 @@
                 };
                 outcomes[workspace].asked += u32::from(is_counted);
                 over += usize::from(class == ShareClass::Over);
-                gateway.queue.push(Waiting { workspace, arrived_ms: now_ms, class, waits: false });
+                gateway.queue.push(Waiting {
+                    gateway: to,
+                    workspace,
+                    arrived_ms: now_ms,
+                    class,
+                    waits: false,
+                });
             }
         }
         // Endpoints finish requests and start queued ones.
@@ -292,6 +299,8 @@
         while running.len() < service.slots
             && let Some(next) = queued.pop_front()
         {
+            let shares = &mut gateways[next.gateway].shares;
+            shares.note_sent(now_ms, &of, &names[next.workspace], service.units);
             start(&mut outcomes, &mut running, &scenario, now_ms, &mut rng, next);
         }
         // Gateways send, in random order, until no request finds a place.
@@ -326,9 +335,9 @@
                 if first.waits {
                     gateway.shares.end_wait(now_ms, &of, &names[first.workspace]);
                 }
-                gateway.shares.note_sent(now_ms, &of, &names[first.workspace], service.units);
                 has_sent = true;
                 if has_slot {
+                    gateway.shares.note_sent(now_ms, &of, &names[first.workspace], service.units);
                     start(&mut outcomes, &mut running, &scenario, now_ms, &mut rng, first);
                 } else {
                     queued.push_back(first);
