--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -19,6 +19,7 @@
 use super::queue::{QueuePlace, Turn};
 use super::refusal::NotSent;
 use super::shared::Relay;
+use super::shares::CapacityWait;
 use crate::message::{AdapterNeed, WeightsName};
 use crate::policy::fair_share::ShareClass;
 use crate::policy::rank::LATE_RANK;
@@ -211,6 +212,7 @@
         }
         wait.for_reason = reason;
         let place = self.join_queue(relay.now_ms(), &key, reason)?;
+        let mut capacity_wait = self.note_capacity_wait(reason, None);
         let mut is_rechecked = false;
         // A request that was rejected or has just searched does not try again at once.
         let mut turn =
@@ -230,6 +232,7 @@
                     Err(picked) => {
                         let blocked = self.note_no_endpoint(now_ms, &mut wait, &picked)?;
                         reason = blocked.reason;
+                        capacity_wait = self.note_capacity_wait(reason, capacity_wait);
                         again_at_ms = blocked.until_ms.unwrap_or(again_at_ms);
                     }
                 },
@@ -262,6 +265,19 @@
         }
     }
 
+    /// Counts the request as waiting for capacity while `reason` says so: a wait for weights does
+    /// not show that capacity is short.
+    fn note_capacity_wait<'a>(
+        &'a self,
+        reason: &str,
+        known: Option<CapacityWait<'a>>,
+    ) -> Option<CapacityWait<'a>> {
+        if reason != ENDPOINT_FULL {
+            return None;
+        }
+        known.or_else(|| self.wait_for_capacity())
+    }
+
     /// Records that no endpoint could take the request; returns what it waits for.
     ///
     /// # Errors
@@ -301,9 +317,11 @@
             Some(place) => place.request.yields(now_ms),
             None => objective_left_ms == 0,
         };
+        let is_over_share = self.share() == ShareClass::Over;
         let request = PickRequest {
             objective_left_ms,
-            free_slots_only: yields || self.share() == ShareClass::Over,
+            free_slots_only: yields || is_over_share,
+            leaves_reserve: is_over_share,
             is_repeated: !wait.for_reason.is_empty(),
             ..PickRequest::new(&self.chosen.service.name, wanted.as_ref(), &self.tried)
         };
@@ -419,12 +437,6 @@
         QueueKey { service, weights: self.engine_weights().cloned() }
     }
 
-    /// Whether the request is within the share of its workspace; all are, until shares are known.
-    #[expect(clippy::unused_self, reason = "the shares of workspaces are not connected yet")]
-    fn share(&self) -> ShareClass {
-        ShareClass::Within
-    }
-
     /// The weights that an engine must hold; `None` for a plain service, whatever weights the
     /// client names.
     fn engine_weights(&self) -> Option<&WeightsName> {
@@ -534,6 +546,7 @@
         flight.has_started = true;
         let now_ms = relay.now_ms();
         relay.queue.note_head(now_ms, &flight.service, now_ms.saturating_sub(flight.sent_at_ms));
+        self.note_share_sent();
         Attempt::Started(Box::new(StartedResponse { flight, connection, response }))
     }
 
--- a/src/relay/known.rs
+++ b/src/relay/known.rs
@@ -21,6 +21,11 @@
 /// services queue four, and two wait no longer than the latency objectives allow.
 pub(super) const QUEUED_PER_SLOT: u32 = 2;
 
+/// The part of an engine's slots, as a divisor, that requests of workspaces over their share leave
+/// free. Requests for different adapters wait in different queues, so their order does not decide
+/// which one gets a slot.
+const RESERVE_DIVISOR: u32 = 10;
+
 /// The state of an endpoint as one gateway knows it.
 #[derive(Debug)]
 pub(super) struct EndpointState {
@@ -73,6 +78,9 @@
 pub(super) enum RoomWanted {
     /// A free slot.
     Slot,
+    /// A free slot of an engine, beyond those that are kept free for requests of workspaces within
+    /// their share.
+    SlotBesideReserve,
     /// A place in the queue of a plain endpoint, from which it completes in time.
     Queue {
         /// The time left until the latency objective.
@@ -153,6 +161,7 @@
         let limit = match room {
             // Engines get no queue allowance: each additional request slows down all others.
             RoomWanted::Slot => slots,
+            RoomWanted::SlotBesideReserve => slots - slots.div_ceil(RESERVE_DIVISOR).min(slots / 2),
             RoomWanted::Queue { left_ms, unit_ms, .. } => {
                 let max = slots.saturating_mul(1 + QUEUED_PER_SLOT);
                 endpoint_speed::plain_limit(slots, max, left_ms, unit_ms * self.slowdown)
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -35,6 +35,7 @@
 mod served;
 mod session;
 mod shared;
+mod shares;
 mod speed;
 mod standings;
 mod stream;
--- a/src/relay/pick.rs
+++ b/src/relay/pick.rs
@@ -39,6 +39,9 @@
     pub objective_left_ms: u64,
     /// True if the request may take only free slots, not a place in the queue of a plain endpoint.
     pub free_slots_only: bool,
+    /// True if the request leaves some slots of an engine to requests of workspaces within their
+    /// share.
+    pub leaves_reserve: bool,
     /// True for a request that already counts towards the demand because it was waiting.
     pub is_repeated: bool,
 }
@@ -52,6 +55,7 @@
             tried,
             objective_left_ms: u64::MAX,
             free_slots_only: false,
+            leaves_reserve: false,
             is_repeated: false,
         }
     }
@@ -291,6 +295,9 @@
     }
 
     fn room_wanted(&self, request: &PickRequest<'_>) -> RoomWanted {
+        if request.wanted.is_some() && request.leaves_reserve {
+            return RoomWanted::SlotBesideReserve;
+        }
         if request.wanted.is_some() || request.free_slots_only {
             return RoomWanted::Slot;
         }
--- a/src/relay/process.rs
+++ b/src/relay/process.rs
@@ -177,6 +177,7 @@
         "in_progress": relay.in_progress(),
         "queues": queues,
         "slowdowns": slowdowns,
+        "shares": relay.shares.dump(),
         "counters": relay.metrics.totals(),
     })
 }
