--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -15,6 +15,7 @@
 pub mod quota;
 pub mod rank;
 pub mod recent_max;
+pub mod resend;
 pub mod retry;
 pub mod route;
 pub mod versions;
--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -24,6 +24,8 @@
 const SAVED_SHARE: f64 = 0.2;
 /// The share of the common slack that all gateways together may use.
 const SLACK_SHARE: f64 = 0.8;
+/// The number of tokens that only requests that may still be answered in time can take.
+const LAST_TOKENS: f64 = 2.0;
 
 /// One gateway's retry budget for one service: a token bucket that requests fill.
 ///
@@ -63,11 +65,23 @@
 
     /// Takes one retry token; returns false if none is left while `gateways` share the slack.
     pub fn take(&mut self, now_ms: u64, gateways: u32) -> bool {
+        self.take_above(now_ms, gateways, 0.0)
+    }
+
+    /// Takes one retry token for a request that can only be answered late.
+    ///
+    /// Returns false if only the last tokens are left, unless the bucket is full: with many
+    /// gateways the cap is hardly above [`LAST_TOKENS`], and a full bucket gains nothing by waiting.
+    pub fn take_late(&mut self, now_ms: u64, gateways: u32) -> bool {
+        self.take_above(now_ms, gateways, LAST_TOKENS)
+    }
+
+    fn take_above(&mut self, now_ms: u64, gateways: u32, reserved: f64) -> bool {
         self.forget_old(now_ms);
         let slack = self.slack * SLACK_SHARE / f64::from(gateways.max(1));
         self.cap = slack + self.requests.len() as f64 * self.ratio * SAVED_SHARE;
         self.tokens = self.tokens.min(self.cap);
-        if self.tokens < 1.0 {
+        if self.tokens < (1.0 + reserved).min(self.cap).max(1.0) {
             return false;
         }
         self.tokens -= 1.0;
