relay: use the outcomes of second sends

Change: exchange.rs notes outcomes of first and second sends and asks before it resends after an error status, a broken connection or an ended endpoint. Requests that run once and resumable streams are treated as before. Counter retries.not_worthwhile, log line not_resent, outcomes in the state dump.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -76,6 +76,8 @@
     RequestsRetried => "requests.retried",
     /// Retries that the retry budget did not permit.
     RetriesDenied => "requests.retries_denied",
+    /// Failed requests that were not resent because second sends seldom succeed.
+    RetriesNotWorthwhile => "retries.not_worthwhile",
     /// Requests refused because the configuration could not be confirmed as current.
     NotFresh => "requests.not_fresh",
     /// Callers that disconnected before their answer was complete.
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -25,6 +25,7 @@
 use crate::http::{Answer, HttpHandler, answer, full, header};
 use crate::message::{RequestContent, RequestKey};
 use crate::metrics::Counter;
+use crate::policy::resend::{FailureCause, FailureKind};
 use crate::routing::{Repeat, RouteMatch};
 use crate::wire::BoxFuture;
 
@@ -110,6 +111,10 @@
     permission: Permission,
     /// The leader's permission to send this attempt although the request was held.
     pub(super) trial: Option<Trial>,
+    /// The cause of the last failure, until the outcome of the send that follows it is known.
+    failure_cause: Option<FailureCause>,
+    /// True if the request failed and was not resent because second sends seldom succeed.
+    pub(super) not_resent: bool,
     /// The number of sends that an endpoint may have run.
     possible_runs: u32,
     /// The number of sends that endpoints refused without asking for backoff.
@@ -176,6 +181,8 @@
             key: OnceLock::new(),
             permission: Permission::Unrestricted,
             trial: None,
+            failure_cause: None,
+            not_resent: false,
             possible_runs: 0,
             refused: 0,
             refused_with_backoff: 0,
@@ -247,8 +254,7 @@
             let now_ms = self.relay.now_ms();
             self.sent_at_ms = now_ms;
             self.response_started_at_ms = None;
-            if !is_first && !self.relay.take_retry(now_ms, &self.meta.id, &self.chosen.service.name)
-            {
+            if !is_first && !self.take_retry(now_ms) {
                 return Err(Failure::NotSent(NotSent::NoBudget));
             }
             let send = SendMeta {
@@ -266,10 +272,8 @@
                     self.last_data_at_ms = self.relay.now_ms();
                     self.response_started_at_ms = Some(self.last_data_at_ms);
                     let head = self.read_head(&started);
-                    let is_retriable_failure = started.response.status().is_server_error()
-                        && self.chosen.route.repeat == Repeat::Any
-                        && self.can_send_again();
-                    self.tried.push(id);
+                    let status = started.response.status();
+                    self.tried.push(id.clone());
                     if head.request_id.as_ref().is_some_and(|answered| *answered != self.meta.id) {
                         warn!(event = "foreign_answer", request = %self.meta.id, endpoint = %send.endpoint);
                         self.handle_unknown_outcome(
@@ -277,12 +281,21 @@
                         )?;
                         continue;
                     }
-                    if is_retriable_failure {
+                    if status.is_server_error() {
+                        self.note_outcome(&id, Some(FailureKind::Answered));
+                    } else if self.chosen.route.streams && status.is_success() {
+                        self.note_outcome(&id, None);
+                    }
+                    if status.is_server_error()
+                        && self.chosen.route.repeat == Repeat::Any
+                        && self.can_send_again()
+                        && self.is_resend_worthwhile(&id, FailureKind::Answered)
+                    {
                         info!(
                             event = "sent_again",
                             request = %self.meta.id,
                             endpoint = %send.endpoint,
-                            reason = started.response.status().as_u16()
+                            reason = status.as_u16()
                         );
                         continue;
                     }
@@ -313,29 +326,91 @@
                     )?;
                 }
                 Attempt::Overdue => {
-                    self.note_failed(id, address);
+                    self.note_overdue();
+                    self.note_failed(&id, address);
                     self.handle_unknown_outcome("no answer before the deadline".to_owned())?;
                 }
                 Attempt::Ended(end) => {
                     self.note_ended(&id, end);
-                    self.note_failed(id, address);
-                    self.handle_unknown_outcome(ENDPOINT_ENDED.to_owned())?;
+                    self.note_failed(&id, address);
+                    self.note_outcome(&id, Some(FailureKind::Broken));
+                    self.handle_broken(&id, ENDPOINT_ENDED.to_owned())?;
                     self.wait_for_evaluation().await;
                 }
                 Attempt::Unknown(detail) => {
                     self.note_broken_off(&id);
-                    self.note_failed(id, address);
-                    self.handle_unknown_outcome(detail)?;
+                    self.note_failed(&id, address);
+                    self.note_outcome(&id, Some(FailureKind::Broken));
+                    self.handle_broken(&id, detail)?;
                 }
             }
         }
     }
 
-    fn note_failed(&mut self, endpoint: Arc<str>, address: SocketAddr) {
+    fn note_failed(&mut self, endpoint: &Arc<str>, address: SocketAddr) {
         self.possible_runs += 1;
-        self.relay.fleet().failed(self.relay.now_ms(), &endpoint);
+        self.relay.fleet().failed(self.relay.now_ms(), endpoint);
         self.relay.pool.forget(address);
-        self.tried.push(endpoint);
+        self.tried.push(endpoint.clone());
+    }
+
+    /// Records whether a send failed, as evidence for whether to resend other requests. Only
+    /// requests that may be repeated count, since only these are resent after a failure.
+    fn note_outcome(&mut self, endpoint: &Arc<str>, failure: Option<FailureKind>) {
+        if self.chosen.route.repeat != Repeat::Any {
+            return;
+        }
+        let (now_ms, cause) = (self.relay.now_ms(), self.failure_cause.take());
+        let (service, route) = (&self.chosen.service.name, &self.chosen.route.name);
+        let mut resends = self.relay.resends();
+        match cause {
+            None => resends.note_first(now_ms, service, route, endpoint, failure),
+            Some(cause) => resends.note_second(now_ms, service, route, cause, failure.is_none()),
+        }
+    }
+
+    /// Records that a second send brought no response before the deadline. A first send without
+    /// one is no evidence, since it cannot be resent.
+    fn note_overdue(&mut self) {
+        let Some(cause) = self.failure_cause.take() else { return };
+        let (service, route) = (&self.chosen.service.name, &self.chosen.route.name);
+        self.relay.resends().note_second(self.relay.now_ms(), service, route, cause, false);
+    }
+
+    /// Decides whether a request that failed at `endpoint`, and may be repeated, is resent.
+    fn is_resend_worthwhile(&mut self, endpoint: &Arc<str>, kind: FailureKind) -> bool {
+        let (service, route) = (&self.chosen.service.name, &self.chosen.route.name);
+        let now_ms = self.relay.now_ms();
+        let decision = self.relay.resends().decide(now_ms, service, route, endpoint, kind);
+        if decision.resend {
+            self.failure_cause = Some(decision.cause);
+        } else {
+            self.not_resent = true;
+            self.note_not_resent(endpoint, &decision);
+        }
+        decision.resend
+    }
+
+    /// Takes a token from the retry budget; returns false if none is left for this request.
+    fn take_retry(&self, now_ms: u64) -> bool {
+        let route = &self.chosen.route;
+        let expected_at_ms = now_ms.saturating_add(self.expected_ms);
+        // The objective is for the start of a stream, so a resumed one is late only if it already
+        // was.
+        let in_time = (route.streams && self.has_answered)
+            || expected_at_ms < self.started_ms + route.latency_objective_ms;
+        self.relay.take_retry(now_ms, &self.meta.id, &self.chosen.service.name, in_time)
+    }
+
+    /// Handles a connection that broke, or an endpoint that ended, before the response was whole.
+    fn handle_broken(&mut self, endpoint: &Arc<str>, detail: String) -> Result<(), Failure> {
+        if self.chosen.route.repeat == Repeat::Any
+            && self.can_send_again()
+            && !self.is_resend_worthwhile(endpoint, FailureKind::Broken)
+        {
+            return Err(Failure::Unknown(detail));
+        }
+        self.handle_unknown_outcome(detail)
     }
 
     fn handle_unknown_outcome(&self, detail: String) -> Result<(), Failure> {
@@ -377,12 +452,15 @@
                 () = flight.wait_for_end() => Some(Err(ENDPOINT_ENDED.to_owned())),
                 never = flight.probe_while_silent() => match never {},
             };
-            let detail = match collected {
+            let broken = match collected {
                 Some(Ok(body)) => {
                     self.relay.pool.keep(flight.address, connection, &head.headers);
                     if head.status.is_success() {
                         self.note_served();
                     }
+                    if !head.status.is_server_error() {
+                        self.note_outcome(&flight.endpoint, None);
+                    }
                     let mut answer = Response::from_parts(head, full(body.to_bytes()));
                     remove_connection_headers(answer.headers_mut());
                     answer.headers_mut().remove(CONTENT_LENGTH);
@@ -393,13 +471,25 @@
                         Some(end) => self.note_ended(&flight.endpoint, end),
                         None => self.note_broken_off(&flight.endpoint),
                     }
-                    error
+                    // An error status was recorded when the response started.
+                    if !head.status.is_server_error() {
+                        self.note_outcome(&flight.endpoint, Some(FailureKind::Broken));
+                    }
+                    Some(error)
                 }
-                None => "the answer did not end before the deadline".to_owned(),
+                None => None,
             };
             let ended_silently = flight.end().is_some();
+            let endpoint = flight.endpoint.clone();
             drop(flight);
-            if let Err(failure) = self.handle_unknown_outcome(detail) {
+            let handled = if let Some(detail) = broken {
+                self.handle_broken(&endpoint, detail)
+            } else {
+                self.note_overdue();
+                let detail = "the answer did not end before the deadline";
+                self.handle_unknown_outcome(detail.to_owned())
+            };
+            if let Err(failure) = handled {
                 return self.give_up(failure);
             }
             if ended_silently {
@@ -449,7 +539,7 @@
             Failure::Unknown(detail) => {
                 self.relay.metrics.count(Counter::RequestsUnknown);
                 let route = &self.chosen.route.name;
-                info!(event = "failed", request = %request, route = %route, reason = %detail, answered = self.has_answered, after_ms);
+                info!(event = "failed", request = %request, route = %route, reason = %detail, answered = self.has_answered, not_resent = self.not_resent, after_ms);
                 if self.relay.now_ms() + RESPONSE_MARGIN_MS >= self.ends_at_ms {
                     return own_answer(StatusCode::GATEWAY_TIMEOUT, "no answer in time");
                 }
--- a/src/relay/process.rs
+++ b/src/relay/process.rs
@@ -164,6 +164,23 @@
         "routing_version": relay.table().version(),
         "endpoints": relay.fleet().len(),
         "in_progress": relay.in_progress(),
+        "second_sends": second_sends(relay),
         "counters": relay.metrics.totals(),
     })
 }
+
+fn second_sends(relay: &Relay) -> Vec<serde_json::Value> {
+    let mut summaries = Vec::new();
+    for known in relay.resends().summaries(relay.now_ms()) {
+        summaries.push(json!({
+            "service": &*known.service,
+            "route": &*known.route,
+            "failure": known.cause.kind.as_str(),
+            "at_outlier": known.cause.at_outlier,
+            "outcomes": known.outcomes,
+            "succeeded": known.succeeded,
+            "worthwhile": known.worthwhile,
+        }));
+    }
+    summaries
+}
--- a/src/relay/report.rs
+++ b/src/relay/report.rs
@@ -11,6 +11,7 @@
 use super::shared::Relay;
 use crate::message::WeightsName;
 use crate::metrics::{Counter, Timer};
+use crate::policy::resend::ResendDecision;
 use crate::policy::versions::KnownVersion;
 
 impl Relay {
@@ -80,6 +81,7 @@
             waited_for = self.waited_for,
             objective_ms = self.chosen.route.latency_objective_ms,
             held_version = self.held_version.unwrap_or(0),
+            not_resent = self.not_resent,
             after_ms
         );
         self.relay.metrics.count(Counter::RequestsAnswered);
@@ -89,6 +91,22 @@
         }
     }
 
+    /// Logs and counts that the request is not resent although it could be.
+    pub(super) fn note_not_resent(&self, endpoint: &str, decision: &ResendDecision) {
+        info!(
+            event = "not_resent",
+            request = %self.meta.id,
+            service = %self.chosen.service.name,
+            route = %self.chosen.route.name,
+            endpoint,
+            failure = decision.cause.kind.as_str(),
+            at_outlier = decision.cause.at_outlier,
+            outcomes = format_args!("{:.1}", decision.outcomes),
+            expected_share = format_args!("{:.2}", decision.expected_share)
+        );
+        self.relay.metrics.count(Counter::RetriesNotWorthwhile);
+    }
+
     /// Logs a response from an older version. Endpoints state only the version of the base model,
     /// so the check uses the version that they are known to hold.
     fn note_version(&self, now_ms: u64, endpoint: &str, weights: &WeightsName, version: u64) {
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -20,6 +20,7 @@
 use crate::clock::Clock;
 use crate::message::{AdapterNeed, Change, NewestVersion, Placed, WeightsName};
 use crate::metrics::{Counter, Metrics};
+use crate::policy::resend::ResendOutcomes;
 use crate::routing::RouteTable;
 use crate::settings::RelaySettings;
 
@@ -48,6 +49,7 @@
     fleet: Mutex<Fleet>,
     table: RwLock<Arc<RouteTable>>,
     budgets: Mutex<HashMap<Arc<str>, RetryBudget>>,
+    resends: Mutex<ResendOutcomes>,
     needs: mpsc::UnboundedSender<AdapterNeed>,
     pub(super) crashes: CrashWatch,
     gateways: Mutex<GatewayCount>,
@@ -82,6 +84,7 @@
             fleet: Mutex::new(fleet),
             table: RwLock::default(),
             budgets: Mutex::default(),
+            resends: Mutex::default(),
             needs,
             crashes,
             gateways: Mutex::new(gateways),
@@ -281,11 +284,28 @@
         let _ = self.needs.send(need);
     }
 
-    /// Takes a retry for `request` out of the budget of `service`; returns false if none is left.
-    pub(super) fn take_retry(&self, now_ms: u64, request: &str, service: &Arc<str>) -> bool {
+    pub(super) fn resends(&self) -> MutexGuard<'_, ResendOutcomes> {
+        self.resends.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a retry for `request` out of the budget of `service`; returns false if none is left
+    /// for it. The last ones are left to requests that may still be answered in time.
+    pub(super) fn take_retry(
+        &self,
+        now_ms: u64,
+        request: &str,
+        service: &Arc<str>,
+        in_time: bool,
+    ) -> bool {
         let gateways = self.gateways().divisor(now_ms);
         let (allowed, used) = self.budget(service, |budget| {
-            let allowed = gateways.is_some_and(|gateways| budget.take(now_ms, gateways));
+            let allowed = gateways.is_some_and(|gateways| {
+                if in_time {
+                    budget.take(now_ms, gateways)
+                } else {
+                    budget.take_late(now_ms, gateways)
+                }
+            });
             (allowed, budget.in_window())
         });
         let share_of = gateways.filter(|gateways| *gateways != NO_SHARE);
@@ -294,6 +314,7 @@
             request,
             service = %service,
             allowed,
+            in_time,
             window_requests = used.requests,
             window_retries = used.retries,
             tokens = format_args!("{:.1}", used.tokens),
