explain: causes of the waiting queue, and errors that were not resent

Cause: refusals by the queue were counted under the Debug form of their reason, and errors that were withheld from a second send together with others. Change: QueueFull, Hopeless and Replaced have the operator's names; a loss with not_resent=true says so. Unknown reasons are as before.

--- a/src/explain/losses.rs
+++ b/src/explain/losses.rs
@@ -89,14 +89,18 @@
             "answered" => self.answered(line),
             "refused" => {
                 self.totals.refused += 1;
-                self.add_loss(line, Loss::Refused, &strip_identifiers(line.text("reason")));
+                let reason = line.text("reason");
+                let cause =
+                    queue_cause(reason).map_or_else(|| strip_identifiers(reason), str::to_owned);
+                self.add_loss(line, Loss::Refused, &cause);
             }
             "failed" => {
                 self.totals.failed += 1;
                 // The response had begun and was counted as answered, but did not reach the client.
                 self.totals.answered -=
                     u64::from(line.text("answered") == "true").min(self.totals.answered);
-                self.add_loss(line, Loss::Failed, &strip_identifiers(line.text("reason")));
+                let reason = strip_identifiers(line.text("reason"));
+                self.add_loss(line, Loss::Failed, &with_resend(line, reason));
             }
             "stream_broken" => {
                 self.totals.broken += 1;
@@ -114,7 +118,8 @@
         self.totals.answered += 1;
         if line.millis("status").is_some_and(|status| status >= 400) {
             self.totals.endpoint_errors += 1;
-            self.add_loss(line, Loss::EndpointError, line.text("status"));
+            let status = line.text("status").to_owned();
+            self.add_loss(line, Loss::EndpointError, &with_resend(line, status));
             return;
         }
         let (Some(after_ms), Some(objective_ms)) =
@@ -200,6 +205,21 @@
     if expected_ms * 2 >= at_endpoint_ms { "prompts before it" } else { "slower than expected" }
 }
 
+/// The cause of a refusal by the waiting queue, from the reason's variant; `None` for other reasons.
+fn queue_cause(reason: &str) -> Option<&'static str> {
+    match reason.split(' ').next()? {
+        "QueueFull" => Some("queue full"),
+        "Hopeless" => Some("hopeless at arrival"),
+        "Replaced" => Some("replaced in the queue"),
+        _ => None,
+    }
+}
+
+/// Adds to a cause that the request was not resent because second sends seldom succeed.
+fn with_resend(line: &LogLine<'_>, cause: String) -> String {
+    if line.text("not_resent") == "true" { format!("{cause}, not resent") } else { cause }
+}
+
 /// Removes endpoints, addresses and durations from a reason, so that equal causes are counted together.
 fn strip_identifiers(reason: &str) -> String {
     let mut words = Vec::new();
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -94,6 +94,37 @@
     assert_eq!(rows[1], ["56", "a", "failed", "step=send request connection error", "2"]);
 }
 
+/// Guards against counting refusals by their queue delay, and errors that were withheld from a
+/// second send together with others.
+#[parameterized(
+    queue_full = { r#"refused reason="QueueFull { after_ms: 350 }""#, "queue full" },
+    hopeless = { r#"refused reason="Hopeless { after_ms: 90 }""#, "hopeless at arrival" },
+    replaced = { r#"refused reason="Replaced { after_ms: 90 }""#, "replaced in the queue" },
+    other = { r#"refused reason="Limited { after_ms: 90 }""#, "Limited { after_ms: }" },
+    unknown = { "refused reason=Newer", "Newer" },
+    error = { "answered status=500 not_resent=false", "500" },
+    error_not_resent = { "answered status=500 not_resent=true", "500, not resent" },
+    broken_not_resent = { r#"failed reason="it ended" not_resent=true"#, "it ended, not resent" },
+)]
+fn losses_have_the_cause_that_the_operator_knows(fields: &str, cause: &str) {
+    let text = format!("ts=2026-10-20T17:10:58Z event={fields} route=a after_ms=3");
+    let mut losses = Losses::new();
+    losses.add(&LogLine::parse(&text).expect("a line"));
+    assert_eq!(losses.rows()[0][3], cause);
+}
+
+/// The log line of the decision must reach the operator with its inputs.
+#[test]
+fn a_timeline_says_why_a_request_was_not_resent() {
+    let mut timeline = Timeline::new("r1");
+    let text = "ts=2026-10-20T17:10:58Z level=info event=not_resent request=r1 endpoint=i-1 \
+        failure=answered at_outlier=false outcomes=14.2 expected_share=0.07";
+    timeline.add("g1", &LogLine::parse(text).expect("a line"));
+    let expected = "   +0.000 g1 not_resent endpoint=i-1 failure=answered at_outlier=false \
+        outcomes=14.2 expected_share=0.07\n";
+    assert_eq!(timeline.text(), expected);
+}
+
 #[test]
 fn lines_without_end_and_bytes_that_are_no_text_are_skipped() {
     let mut bytes = vec![b'x'; 3 << 20];
