relay: a late rank and the objective decide who takes the last retry tokens

Cause: a request counted as late when the cost of the selected endpoint exceeded the rest of its objective; for a plain endpoint that cost compares endpoints and is no time. Change: a request is late after its objective, or with a late rank at an engine.

--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -25,6 +25,7 @@
 use crate::http::{Answer, HttpHandler, answer, full, header};
 use crate::message::{RequestContent, RequestKey};
 use crate::metrics::Counter;
+use crate::policy::rank::LATE_RANK;
 use crate::policy::resend::{FailureCause, FailureKind};
 use crate::routing::{Repeat, RouteMatch};
 use crate::wire::BoxFuture;
@@ -394,11 +395,12 @@
     /// Takes a token from the retry budget; returns false if none is left for this request.
     fn take_retry(&self, now_ms: u64) -> bool {
         let route = &self.chosen.route;
-        let expected_at_ms = now_ms.saturating_add(self.expected_ms);
-        // The objective is for the start of a stream, so a resumed one is late only if it already
-        // was.
-        let in_time = (route.streams && self.has_answered)
-            || expected_at_ms < self.started_ms + route.latency_objective_ms;
+        // The objective is for the start of a stream, so a resumed one may be in time at any age.
+        // Only requests for an engine's weights are ranked; the rank of others is their priority.
+        let is_ranked = self.chosen.service.engine.is_some() && self.meta.weights.is_some();
+        let is_late = now_ms >= self.started_ms + route.latency_objective_ms
+            || (is_ranked && self.rank >= LATE_RANK);
+        let in_time = !is_late || (route.streams && self.has_answered);
         self.relay.take_retry(now_ms, &self.meta.id, &self.chosen.service.name, in_time)
     }
 
