--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -22,6 +22,7 @@
 use crate::clock::Clock;
 use crate::message::{AdapterNeed, Change, EndpointLoad, NewestVersion, Placed, WeightsName};
 use crate::metrics::{Counter, Metrics};
+use crate::policy::resend::ResendOutcomes;
 use crate::policy::waiting_queue::QueueLimits;
 use crate::routing::RouteTable;
 use crate::settings::RelaySettings;
@@ -54,6 +55,7 @@
     fleet: Mutex<Fleet>,
     table: RwLock<Arc<RouteTable>>,
     budgets: Mutex<HashMap<Arc<str>, RetryBudget>>,
+    resends: Mutex<ResendOutcomes>,
     needs: mpsc::UnboundedSender<AdapterNeed>,
     pub(super) crashes: CrashWatch,
     gateways: Mutex<GatewayCount>,
@@ -91,6 +93,7 @@
             fleet: Mutex::new(fleet),
             table: RwLock::default(),
             budgets: Mutex::default(),
+            resends: Mutex::default(),
             needs,
             crashes,
             gateways: Mutex::new(gateways),
@@ -298,11 +301,28 @@
         let _ = self.needs.send(need);
     }
 
-    /// Takes a retry for `request` out of the budget of `service`; returns false if none is left.
-    pub(super) fn take_retry(&self, now_ms: u64, request: &str, service: &Arc<str>) -> bool {
+    pub(super) fn resends(&self) -> MutexGuard<'_, ResendOutcomes> {
+        self.resends.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a retry for `request` out of the budget of `service`; returns false if none is left
+    /// for it. The last ones are left to requests that may still be answered in time.
+    pub(super) fn take_retry(
+        &self,
+        now_ms: u64,
+        request: &str,
+        service: &Arc<str>,
+        in_time: bool,
+    ) -> bool {
         let gateways = self.gateways().divisor(now_ms);
         let (allowed, used) = self.budget(service, |budget| {
-            let allowed = gateways.is_some_and(|gateways| budget.take(now_ms, gateways));
+            let allowed = gateways.is_some_and(|gateways| {
+                if in_time {
+                    budget.take(now_ms, gateways)
+                } else {
+                    budget.take_late(now_ms, gateways)
+                }
+            });
             (allowed, budget.in_window())
         });
         let share_of = gateways.filter(|gateways| *gateways != NO_SHARE);
@@ -311,6 +331,7 @@
             request,
             service = %service,
             allowed,
+            in_time,
             window_requests = used.requests,
             window_retries = used.retries,
             tokens = format_args!("{:.1}", used.tokens),
