relay, control: late requests yield throughout, and additional homes are not crowded out

(2) The adapter asked for most (160 to 200 requests a second from 13 s on) had 7 homes for four seconds: first homes go first and up to 64 requests are handled in a pass, so those being loaded (58 of them) kept every additional home out; and the demand over 4 s lags. Change: late requests go after all in time, leave free places to others by shares, and take free slots only; one in ten sends is of a lower priority if one in time waits. Requests for homes that are being loaded are left out of passes for 40 ms; additional homes follow the demand of the last second where it is higher.

--- a/src/control/placement/demand.rs
+++ b/src/control/placement/demand.rs
@@ -4,11 +4,9 @@
 
 use crate::message::WeightsName;
 
-/// The half-life of a request's contribution to demand; a popular adapter is requested many times
-/// in this period.
+/// The usual half-life of a request's contribution to demand; a popular adapter is requested many
+/// times in this period.
 const HALF_LIFE_MS: f64 = 4_000.0;
-/// The mean lifetime of a request's contribution, which converts the decayed sum to a rate.
-const MEAN_LIFE_S: f64 = HALF_LIFE_MS / 1_000.0 / std::f64::consts::LN_2;
 /// The number of weights from which entries with low demand are dropped; the largest required
 /// deployment has 63,000 adapters.
 const TRACKED_MAX: usize = 100_000;
@@ -16,8 +14,9 @@
 const FORGET_BELOW: f64 = 0.05;
 
 /// Exponentially decaying sums, by weights.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Demand {
+    half_life_ms: f64,
     counts: HashMap<WeightsName, DecayedSum>,
 }
 
@@ -28,9 +27,15 @@
 }
 
 impl DecayedSum {
-    fn at(self, now_ms: u64) -> f64 {
+    fn at(self, now_ms: u64, half_life_ms: f64) -> f64 {
         let passed_ms = now_ms.saturating_sub(self.at_ms) as f64;
-        self.sum * (-passed_ms / HALF_LIFE_MS).exp2()
+        self.sum * (-passed_ms / half_life_ms).exp2()
+    }
+}
+
+impl Default for Demand {
+    fn default() -> Self {
+        Self { half_life_ms: HALF_LIFE_MS, counts: HashMap::new() }
     }
 }
 
@@ -40,25 +45,35 @@
         Self::default()
     }
 
+    /// Sets the half-life of contributions.
+    #[must_use]
+    pub fn with_half_life_ms(mut self, half_life_ms: f64) -> Self {
+        self.half_life_ms = half_life_ms;
+        self
+    }
+
     /// Adds an amount for `name`, such as requests or their duration.
     pub fn add(&mut self, now_ms: u64, name: &WeightsName, amount: f64) {
+        let half_life_ms = self.half_life_ms;
         if self.counts.len() >= TRACKED_MAX {
-            self.counts.retain(|_, count| count.at(now_ms) > FORGET_BELOW);
+            self.counts.retain(|_, count| count.at(now_ms, half_life_ms) > FORGET_BELOW);
         }
         let count =
             self.counts.entry(name.clone()).or_insert(DecayedSum { sum: 0.0, at_ms: now_ms });
-        count.sum = count.at(now_ms) + amount;
+        count.sum = count.at(now_ms, half_life_ms) + amount;
         count.at_ms = now_ms;
     }
 
     /// Returns the decayed sum of recent amounts.
     pub fn recent(&self, now_ms: u64, name: &WeightsName) -> f64 {
-        self.counts.get(name).map_or(0.0, |count| count.at(now_ms))
+        self.counts.get(name).map_or(0.0, |count| count.at(now_ms, self.half_life_ms))
     }
 
     /// Returns the recent amount per second.
     pub fn rate(&self, now_ms: u64, name: &WeightsName) -> f64 {
-        self.recent(now_ms, name) / MEAN_LIFE_S
+        // The mean lifetime of a contribution converts the decayed sum to a rate.
+        let mean_life_s = self.half_life_ms / 1_000.0 / std::f64::consts::LN_2;
+        self.recent(now_ms, name) / mean_life_s
     }
 }
 
--- a/src/control/placement/homes.rs
+++ b/src/control/placement/homes.rs
@@ -24,6 +24,9 @@
 /// The maximum number of placement requests handled in one pass, those in highest demand first; the
 /// weight store starts fewer loads between two passes.
 const REQUESTS_PER_PASS: usize = 64;
+/// How often a request whose homes are being loaded is checked again; loads take several times as
+/// long.
+const LOADING_CHECK_INTERVAL_MS: u64 = 40;
 /// The maximum number of endpoints scanned for placement requests in one pass, which bounds the
 /// pass to a few milliseconds.
 const ENDPOINT_SCANS_PER_PASS: usize = 20_000;
@@ -108,7 +111,7 @@
         weights: &WeightsUse,
     ) {
         let name = &weights.name;
-        let rate = self.demand.rate(now_ms, name);
+        let rate = self.rate(now_ms, name);
         let Some(slots) = self.engines.values().map(|engine| engine.slots).min() else { return };
         if name.adapter.is_none()
             || wanted_homes(rate, self.prompt_reading.rate(now_ms, name), slots) < 2
@@ -163,8 +166,13 @@
     pub(super) fn load_wanted(&mut self, now_ms: u64) {
         self.wanted.retain(|_, request| request.asked_at_ms + REQUEST_TIMEOUT_MS > now_ms);
         let mut wanted = Vec::with_capacity(self.wanted.len());
+        let mut being_loaded = 0;
         for (key, request) in &self.wanted {
-            wanted.push((self.demand.rate(now_ms, &key.1), key.clone(), request.clone()));
+            if now_ms < request.check_again_at_ms {
+                being_loaded += 1;
+                continue;
+            }
+            wanted.push((self.rate(now_ms, &key.1), key.clone(), request.clone()));
         }
         // First homes go before additional ones: without any home, every client request is refused.
         wanted.sort_unstable_by(|one, other| {
@@ -174,12 +182,12 @@
             self.logged_at_ms = now_ms;
             info!(
                 event = "weights_wanted",
-                wanted = wanted.len(),
+                wanted = self.wanted.len(),
                 open = ?self.open,
                 store_bears = self.store_limit.concurrent_max()
             );
         }
-        self.open = OpenWants::default();
+        self.open = OpenWants { on_their_way: being_loaded, ..OpenWants::default() };
         let is_store_full = self.is_store_full(now_ms);
         let requests_max =
             (ENDPOINT_SCANS_PER_PASS / self.endpoints.len().max(1)).clamp(1, REQUESTS_PER_PASS);
@@ -220,6 +228,7 @@
         }
         if survey.effective_future_homes() >= homes_wanted {
             self.open.on_their_way += 1;
+            self.check_again_later(now_ms, service, name);
             return false;
         }
         survey.candidates.sort_unstable_by_key(|candidate| std::cmp::Reverse(candidate.0));
@@ -232,6 +241,20 @@
         self.load_adapter(now_ms, service, &engine, name, request, &survey)
     }
 
+    /// Leaves a request whose homes are being loaded out of the next passes, so that it takes none of
+    /// the pass's limited number of requests from those that still need a load.
+    fn check_again_later(&mut self, now_ms: u64, service: &Arc<str>, name: &WeightsName) {
+        if let Some(request) = self.wanted.get_mut(&(service.clone(), name.clone())) {
+            request.check_again_at_ms = now_ms + LOADING_CHECK_INTERVAL_MS;
+        }
+    }
+
+    /// The requests per second for `name`, of the last seconds or of the last second if that is
+    /// more.
+    fn rate(&self, now_ms: u64, name: &WeightsName) -> f64 {
+        self.demand.rate(now_ms, name).max(self.surge.rate(now_ms, name))
+    }
+
     fn survey(
         &self,
         now_ms: u64,
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -48,6 +48,9 @@
 /// Weights used this recently are not evicted: a request that is on its way to the endpoint is
 /// reported within this time.
 const USE_GRACE_MS: u64 = 250;
+/// The half-life of a request's contribution to the demand that decides on additional homes, if the
+/// demand over a longer time is lower: demand can move to another adapter within a second.
+const SURGE_HALF_LIFE_MS: f64 = 700.0;
 /// A use that its gateway did not repeat within this time ended with the gateway; gateways repeat
 /// every use once a second.
 const USE_TIMEOUT_MS: u64 = 2_500;
@@ -101,6 +104,8 @@
     asked_at_ms: u64,
     /// The time of the first request.
     first_asked_at_ms: u64,
+    /// When to check again whether more homes are needed than those being loaded.
+    check_again_at_ms: u64,
     /// The hash of the weights, which ranks endpoints by affinity.
     hash: u64,
     /// True when all homes of the weights are at capacity.
@@ -117,6 +122,7 @@
         Self {
             asked_at_ms: now_ms,
             first_asked_at_ms: now_ms,
+            check_again_at_ms: now_ms,
             hash: crate::hash::stable(&name.to_string()),
             homes_are_full: false,
             is_additional: true,
@@ -151,6 +157,8 @@
     updated_weights: HashSet<WeightsName>,
     /// The demand in requests, by weights.
     demand: Demand,
+    /// The same over a shorter time, for weights whose demand rises suddenly.
+    surge: Demand,
     /// The demand in milliseconds that endpoints spend on reading prompts, by weights.
     prompt_reading: Demand,
     wanted: HashMap<(Arc<str>, WeightsName), PlacementRequest>,
@@ -185,6 +193,7 @@
             holding_replaced: BTreeSet::new(),
             updated_weights: HashSet::new(),
             demand: Demand::new(),
+            surge: Demand::new().with_half_life_ms(SURGE_HALF_LIFE_MS),
             prompt_reading: Demand::new(),
             wanted: HashMap::new(),
             last_pass_at_ms: 0,
@@ -276,12 +285,14 @@
     pub fn note_needs(&mut self, now_ms: u64, zone: &Arc<str>, needs: Vec<AdapterNeed>) {
         for need in needs {
             self.demand.add(now_ms, &need.weights, f64::from(need.requests));
+            self.surge.add(now_ms, &need.weights, f64::from(need.requests));
             let mut request = PlacementRequest::additional(now_ms, &need.weights, zone.clone());
             request.homes_are_full = need.more;
             request.is_additional = need.more;
             let key = (need.service, need.weights);
             if let Some(known) = self.wanted.get(&key) {
                 request.first_asked_at_ms = known.first_asked_at_ms;
+                request.check_again_at_ms = known.check_again_at_ms;
             }
             self.wanted.insert(key, request);
         }
@@ -292,6 +303,7 @@
         for weights in used {
             if weights.requests > 0 {
                 self.demand.add(now_ms, &weights.name, f64::from(weights.requests));
+                self.surge.add(now_ms, &weights.name, f64::from(weights.requests));
                 self.prompt_reading.add(now_ms, &weights.name, f64::from(weights.reading_ms));
                 self.request_additional_home(now_ms, &from.zone, &weights);
                 if weights.name.adapter.is_some() {
@@ -373,6 +385,12 @@
     /// Applies the outcome of an order.
     pub fn ordered(&mut self, now_ms: u64, result: OrderResult) {
         let Some(endpoint) = self.endpoints.get_mut(&result.endpoint) else { return };
+        if let OrderKind::Load { name, .. } = &result.kind {
+            let key = (endpoint.endpoint.service.clone(), name.clone());
+            if let Some(request) = self.wanted.get_mut(&key) {
+                request.check_again_at_ms = now_ms;
+            }
+        }
         let Some(load) = endpoint.ordered(now_ms, &result, &mut self.placed) else { return };
         self.new_copies.push(NewCopy { endpoint: result.endpoint, weights: load.name.clone() });
         let Some(took_ms) = load.took_ms else { return };
--- a/src/policy/waiting_queue.rs
+++ b/src/policy/waiting_queue.rs
@@ -13,9 +13,9 @@
 const RATE_WINDOW_MS: u64 = 2_000;
 /// The shortest time over which a rate is used; over less, single requests decide it.
 const RATE_MIN_MS: u64 = 300;
-/// The part of the drain rate that late requests are assumed to get even while requests in time
-/// need all of it: once half of their deadline has passed, late requests are ordered like others.
-const LATE_RATE_SHARE: f64 = 0.1;
+/// One in this many requests sent from a queue is of a lower priority than the first one, if such a
+/// request waits that is still in time: a less urgent kind of request is delayed, but not starved.
+const LOWER_PRIORITY_INTERVAL: u32 = 10;
 /// The limits of `Retry-After`.
 const RETRY_AFTER_MIN_MS: u64 = 100;
 const RETRY_AFTER_MAX_MS: u64 = 2_000;
@@ -58,21 +58,11 @@
 }
 
 impl WaitingRequest {
-    /// True if requests in time go before it: it is late, and less than half of the time until its
-    /// deadline has passed.
-    pub fn yields(&self, now_ms: u64) -> bool {
-        self.is_late(now_ms) && !self.is_aged(now_ms)
-    }
-
-    fn is_late(&self, now_ms: u64) -> bool {
+    /// True if it will miss its latency objective; all requests in time go before it.
+    pub fn is_late(&self, now_ms: u64) -> bool {
         now_ms > self.objective_at_ms
     }
 
-    /// True once half of the time until the deadline has passed.
-    fn is_aged(&self, now_ms: u64) -> bool {
-        now_ms >= self.started_ms.midpoint(self.give_up_at_ms)
-    }
-
     /// The time until which a request that waits in vain has lost little by waiting.
     pub fn recheck_at_ms(&self) -> u64 {
         self.started_ms + self.give_up_at_ms.saturating_sub(self.started_ms) / 10
@@ -82,7 +72,7 @@
     fn rank(&self, now_ms: u64) -> (bool, u8, ShareClass, u64) {
         let is_late = self.is_late(now_ms);
         let due_ms = if is_late { self.give_up_at_ms } else { self.objective_at_ms };
-        (self.yields(now_ms), self.priority, self.share, due_ms)
+        (is_late, self.priority, self.share, due_ms)
     }
 }
 
@@ -138,21 +128,29 @@
     waiting: Vec<Entry>,
     /// Since when the queue has not been empty.
     busy_since_ms: u64,
-    sent_at_ms: VecDeque<u64>,
+    /// The time of each send, and whether the request was late.
+    sent: VecDeque<(u64, bool)>,
+    /// The number of requests sent in a row while less urgent ones waited.
+    sent_in_a_row: u32,
     /// The time and priority of each request that joined.
     joined: VecDeque<(u64, u8)>,
 }
 
 impl Queue {
     fn new(now_ms: u64) -> Self {
-        let (sent_at_ms, joined) = (VecDeque::new(), VecDeque::new());
-        Self { waiting: Vec::new(), busy_since_ms: now_ms, sent_at_ms, joined }
+        Self {
+            waiting: Vec::new(),
+            busy_since_ms: now_ms,
+            sent: VecDeque::new(),
+            sent_in_a_row: 0,
+            joined: VecDeque::new(),
+        }
     }
 
     fn forget_old(&mut self, now_ms: u64) {
         let from_ms = now_ms.saturating_sub(RATE_WINDOW_MS);
-        while self.sent_at_ms.front().is_some_and(|at_ms| *at_ms < from_ms) {
-            self.sent_at_ms.pop_front();
+        while self.sent.front().is_some_and(|(at_ms, _)| *at_ms < from_ms) {
+            self.sent.pop_front();
         }
         while self.joined.front().is_some_and(|(at_ms, _)| *at_ms < from_ms) {
             self.joined.pop_front();
@@ -171,10 +169,44 @@
     fn rate_per_ms(&self, now_ms: u64) -> Option<f64> {
         let measured_ms = self.measured_ms(now_ms)?;
         let from_ms = now_ms - measured_ms;
-        let sent = self.sent_at_ms.iter().filter(|at_ms| **at_ms >= from_ms).count();
+        let sent = self.sent.iter().filter(|(at_ms, _)| *at_ms >= from_ms).count();
         (sent > 0).then(|| sent as f64 / measured_ms as f64)
     }
 
+    /// The rate at which late requests are sent from the queue.
+    fn late_rate_per_ms(&self, now_ms: u64) -> f64 {
+        let Some(measured_ms) = self.measured_ms(now_ms) else { return 0.0 };
+        let from_ms = now_ms - measured_ms;
+        let sent = self.sent.iter().filter(|(at_ms, is_late)| *at_ms >= from_ms && *is_late);
+        sent.count() as f64 / measured_ms as f64
+    }
+
+    /// The request that may be sent next.
+    fn first(&self, now_ms: u64) -> Option<&Entry> {
+        let waiting = || self.waiting.iter().filter(|entry| now_ms < entry.request.give_up_at_ms);
+        let rank = |entry: &&Entry| (entry.request.rank(now_ms), entry.ticket);
+        let first = waiting().min_by_key(rank)?;
+        if self.sent_in_a_row + 1 < LOWER_PRIORITY_INTERVAL {
+            return Some(first);
+        }
+        let is_lower = |entry: &&Entry| {
+            entry.request.priority > first.request.priority && !entry.request.is_late(now_ms)
+        };
+        waiting().filter(is_lower).min_by_key(rank).or(Some(first))
+    }
+
+    fn note_sent(&mut self, now_ms: u64, ticket: u64) {
+        let Some(sent) = self.waiting.iter().find(|entry| entry.ticket == ticket) else { return };
+        let WaitingRequest { priority, .. } = sent.request;
+        self.sent.push_back((now_ms, sent.request.is_late(now_ms)));
+        let mut others = self.waiting.iter().filter(|entry| entry.ticket != ticket);
+        let has_more_urgent = others.clone().any(|entry| entry.request.priority < priority);
+        let has_less_urgent = others.any(|entry| entry.request.priority > priority);
+        let in_a_row = if has_less_urgent { self.sent_in_a_row + 1 } else { 0 };
+        self.sent_in_a_row = if has_more_urgent { 0 } else { in_a_row };
+        self.forget_old(now_ms);
+    }
+
     /// The rate at which requests of up to `priority` join.
     fn joining_per_ms(&self, now_ms: u64, priority: Option<u8>) -> f64 {
         let (Some(measured_ms), Some(priority)) = (self.measured_ms(now_ms), priority) else {
@@ -215,7 +247,7 @@
         let late = (true, request.priority, request.share, request.give_up_at_ms);
         let ahead = self.ahead(now_ms, late, ticket);
         let left = rate - self.joining_per_ms(now_ms, Some(u8::MAX));
-        !fits(ahead, left.max(rate * LATE_RATE_SHARE), request.give_up_at_ms)
+        !fits(ahead, left.max(self.late_rate_per_ms(now_ms)), request.give_up_at_ms)
     }
 }
 
@@ -299,7 +331,7 @@
     /// Drops the queues that are empty and whose rates are out of date.
     fn forget_idle(&mut self, now_ms: u64) {
         self.queues.retain(|_, queue| {
-            let last_ms = queue.sent_at_ms.back().copied().unwrap_or(queue.busy_since_ms);
+            let last_ms = queue.sent.back().map_or(queue.busy_since_ms, |(at_ms, _)| *at_ms);
             !queue.waiting.is_empty() || last_ms + RATE_WINDOW_MS > now_ms
         });
     }
@@ -316,19 +348,15 @@
 
     /// The request that may be sent next; `None` if none waits that can still be answered.
     pub fn first(&mut self, now_ms: u64, key: &QueueKey) -> Option<u64> {
-        let waiting = self.queues.get(key)?.waiting.iter();
-        let in_time = waiting.filter(|entry| now_ms < entry.request.give_up_at_ms);
-        let first = in_time.min_by_key(|entry| (entry.request.rank(now_ms), entry.ticket))?;
-        Some(first.ticket)
+        self.queues.get(key)?.first(now_ms).map(|entry| entry.ticket)
     }
 
     /// The first request of each queue, the most urgent one first.
     pub fn firsts(&mut self, now_ms: u64) -> Vec<u64> {
         let mut firsts = Vec::new();
         for queue in self.queues.values() {
-            let in_time = queue.waiting.iter().filter(|entry| now_ms < entry.request.give_up_at_ms);
-            let ranked = in_time.map(|entry| (entry.request.rank(now_ms), entry.ticket));
-            firsts.extend(ranked.min());
+            let first = queue.first(now_ms);
+            firsts.extend(first.map(|entry| (entry.request.rank(now_ms), entry.ticket)));
         }
         firsts.sort_unstable();
         firsts.into_iter().map(|(_, ticket)| ticket).collect()
@@ -337,8 +365,7 @@
     /// Records that a waiting request was sent and removes it.
     pub fn note_sent(&mut self, now_ms: u64, key: &QueueKey, ticket: u64) {
         if let Some(queue) = self.queues.get_mut(key) {
-            queue.sent_at_ms.push_back(now_ms);
-            queue.forget_old(now_ms);
+            queue.note_sent(now_ms, ticket);
         }
         self.remove(ticket);
     }
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -311,16 +311,15 @@
     ) -> Result<Target, Picked> {
         let wanted = self.engine_weights().map(|weights| self.wanted(now_ms, weights));
         let objective_left_ms = self.objective_at_ms().saturating_sub(now_ms);
-        // A late request must not delay requests that can still be answered in time. Once it is
-        // ordered like these, it must not hold up those behind it in the queue either.
-        let yields = match place {
-            Some(place) => place.request.yields(now_ms),
+        // A late request must not delay requests that can still be answered in time.
+        let is_late = match place {
+            Some(place) => place.request.is_late(now_ms),
             None => objective_left_ms == 0,
         };
         let is_over_share = self.share() == ShareClass::Over;
         let request = PickRequest {
             objective_left_ms,
-            free_slots_only: yields || is_over_share,
+            free_slots_only: is_late || is_over_share,
             leaves_reserve: is_over_share,
             is_repeated: !wait.for_reason.is_empty(),
             ..PickRequest::new(&self.chosen.service.name, wanted.as_ref(), &self.tried)
--- a/src/relay/known.rs
+++ b/src/relay/known.rs
@@ -19,7 +19,7 @@
 const FULL_BATCH_MS: f64 = 100.0;
 /// Requests that a plain service queues for each one that it runs, as a lower bound: the users'
 /// services queue four, and two wait no longer than the latency objectives allow.
-pub(super) const QUEUED_PER_SLOT: u32 = 2;
+const QUEUED_PER_SLOT: u32 = 2;
 
 /// The part of an engine's slots, as a divisor, that requests of workspaces over their share leave
 /// free. Requests for different adapters wait in different queues, so their order does not decide
--- a/src/relay/queue.rs
+++ b/src/relay/queue.rs
@@ -10,7 +10,6 @@
 use tracing::info;
 
 use super::fleet::Fleet;
-use super::known::QUEUED_PER_SLOT;
 use super::shared::Relay;
 use crate::clock::Clock;
 use crate::message::{Holding, WeightsName};
@@ -316,6 +315,11 @@
         if !place.is_first(now_ms) {
             return Turn::Later;
         }
+        // A request in time waits for a few requests at most, so an endpoint that all gateways
+        // select at once is soon free again. Late requests would take the places of those in time.
+        if !place.request.is_late(now_ms) {
+            return Turn::Now;
+        }
         let (gateways, places) = self.places(now_ms, key);
         // Without a free place there is nothing to leave to others; the search tells what to wait
         // for.
@@ -419,22 +423,16 @@
                 continue;
             }
             let slots = state.endpoint.slots;
-            let (total, busy) = match &key.weights {
-                // At a plain endpoint, requests replace each other faster than counts arrive. So
-                // the parts shrink before all gateways see it as full and all stop sending.
-                None => (slots + slots * QUEUED_PER_SLOT, slots * 2),
-                Some(name) => {
-                    let holding = self.homes.get(name).and_then(|homes| homes.get(id));
-                    if !matches!(holding, Some(Holding::Ready(_))) {
-                        continue;
-                    }
-                    (slots, slots)
+            if let Some(name) = &key.weights {
+                let holding = self.homes.get(name).and_then(|homes| homes.get(id));
+                if !matches!(holding, Some(Holding::Ready(_))) {
+                    continue;
                 }
-            };
+            }
             let running = state.own_running + state.others_running;
-            places.total += total;
-            places.free += total.saturating_sub(running);
-            places.excess += running.saturating_sub(busy);
+            places.total += slots;
+            places.free += slots.saturating_sub(running);
+            places.excess += running.saturating_sub(slots);
         }
         places
     }
