relay, policy: faults and wording found by reading the diff

Cause: a reader who had not seen the work read the diff. Faults found by reading: a request that joins others waiting for weights counted as a wait for capacity; shares did not end without control; Retry-After had no jitter beyond 2 s; an ended request gave a place to the queues of all weights of its service; a request held its place in the queue while it connected, so one endpoint that does not answer held up all others for 250 ms; changed sums of workspaces were lost when a session's channel was full. Change: each of these; names (DeadlineUnreachable, RetryLater, NotFirst), reasons of constants, and comments. Ruled out: nothing; the faults were not reproduced, but each is visible in the code. Left: a request over its share at the head of a plain queue holds up less urgent ones within theirs.

--- a/src/control/workspace_use.rs
+++ b/src/control/workspace_use.rs
@@ -8,8 +8,9 @@
 use crate::message::{SessionDown, SessionRole, UseCounts, WorkspaceUse};
 use crate::policy::fair_share::{self, OtherUses, REPORT_INTERVAL_MS, UseMap};
 
-/// How often sums are sent even if no report arrived, for sessions opened since.
-const FULL_SUM_INTERVAL_MS: u64 = 1_000;
+/// How often sums are computed even if no report arrived: sessions opened since need them, and sums
+/// of a former server expire.
+const RECOMPUTE_INTERVAL_MS: u64 = 1_000;
 
 #[derive(Debug, Default)]
 struct SessionUses {
@@ -69,7 +70,7 @@
         self.by_session.retain(|id, _| sessions.contains_key(id));
         self.is_changed |= self.by_session.len() < known;
         if now_ms >= self.full_sum_due_ms {
-            self.full_sum_due_ms = now_ms + FULL_SUM_INTERVAL_MS;
+            self.full_sum_due_ms = now_ms + RECOMPUTE_INTERVAL_MS;
             self.is_changed = true;
         }
         if !self.is_changed || now_ms < self.due_ms {
@@ -110,8 +111,13 @@
             let own = self.reported.get(key).copied().unwrap_or_default();
             fair_share::set_use(&mut others, key.clone(), total.saturating_sub(own));
         }
-        let changes = fair_share::take_changes(&mut self.sent, &others);
-        !changes.is_empty() && session.send(SessionDown::WorkspaceUse(changes))
+        let mut sent = self.sent.clone();
+        let changes = fair_share::take_changes(&mut sent, &others);
+        if changes.is_empty() || !session.send(SessionDown::WorkspaceUse(changes)) {
+            return false;
+        }
+        self.sent = sent;
+        true
     }
 }
 
--- a/src/explain/losses.rs
+++ b/src/explain/losses.rs
@@ -209,8 +209,9 @@
 fn queue_cause(reason: &str) -> Option<&'static str> {
     match reason.split(' ').next()? {
         "QueueFull" => Some("queue full"),
-        "Hopeless" => Some("hopeless at arrival"),
+        "DeadlineUnreachable" => Some("deadline out of reach"),
         "Replaced" => Some("replaced in the queue"),
+        "WaitEnded" => Some("no capacity until the deadline"),
         _ => None,
     }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -67,7 +67,7 @@
     /// Requests refused because the queues of waiting requests were full.
     RequestsRefusedQueueFull => "requests.refused_queue_full",
     /// Requests refused because they were expected to wait for too long.
-    RequestsRefusedHopeless => "requests.refused_hopeless",
+    RequestsRefusedDeadline => "requests.refused_deadline",
     /// Waiting requests refused because more urgent ones took their places.
     RequestsReplacedInQueue => "requests.replaced_in_queue",
     /// Requests refused because they carried no valid API key.
--- a/src/policy/endpoint_speed.rs
+++ b/src/policy/endpoint_speed.rs
@@ -24,10 +24,12 @@
 /// The smallest slowdown. It limits what an endpoint attracts that answers without doing the work.
 const SLOWDOWN_MIN: f64 = 1.0 / SLOWDOWN_MAX;
 /// The chance to take an endpoint as full begins this far below the limit, in multiples of the
-/// slots, and rises by `FULL_CHANCE_STEP` for each further multiple. With 0.48, beginning at 10
-/// requests, 85 gateways made 27 to 35 of 100 requests late at 85% of what the endpoints bear.
+/// slots, and rises by `FULL_CHANCE_STEP` for each further multiple. The rise is slow because all
+/// gateways react to the same counts, which are older than a request runs: with a steep rise, an
+/// endpoint runs empty and then overflows.
 const FULL_CHANCE_MARGIN: f64 = 0.67;
 const FULL_CHANCE_STEP: f64 = 0.18;
+/// Below 1, so that an endpoint whose counts are wrong is still tried.
 const FULL_CHANCE_MAX: f64 = 0.9;
 /// The change of a slowdown that is reported.
 const REPORTED_STEP: f64 = 1.0 / 8.0;
@@ -152,7 +154,7 @@
 }
 
 /// The chance with which a gateway that has late load counts takes an endpoint as full, if `limit`
-/// requests may be there and `running` are known. It rises from 0 a little below the limit.
+/// requests may be there and `running` are known. It rises from 0 at two thirds of the slots below the limit.
 ///
 /// If all gateways stopped sending to an endpoint that was full some time ago, it would run empty
 /// before they knew, and then all would send at once. A steeper rise has the same effect.
--- a/src/policy/fair_share.rs
+++ b/src/policy/fair_share.rs
@@ -502,7 +502,9 @@
         for ((of, workspace), own) in &mut self.own {
             if of == service {
                 let sum = uses.entry(workspace.clone()).or_default();
-                *sum = sum.saturating_add(own.counts(now_ms));
+                // The largest number since the last report would not fall without reports.
+                let counts = UseCounts { waiting: own.waiting, ..own.counts(now_ms) };
+                *sum = sum.saturating_add(counts);
             }
         }
         let sent: f64 = uses.values().map(|counts| f64::from(counts.sent)).sum();
--- a/src/policy/resend.rs
+++ b/src/policy/resend.rs
@@ -22,7 +22,7 @@
 const PRESUMED_SUCCESSES: f64 = 1.0;
 /// Each outcome reduces the weight of the earlier ones by one part in this many. With 20, five
 /// successes in a row outweigh any number of failures before them.
-const OUTCOMES_MAX: f64 = 20.0;
+const OUTCOME_MEMORY: f64 = 20.0;
 /// The time in which outcomes lose half of their weight. At 2 requests a second of which 14% fail,
 /// probes supply 1 outcome in 114 s. With a half-life below about 240 s they could not maintain the 3
 /// outcomes that keep second sends stopped.
@@ -32,9 +32,10 @@
 const PROBE_INTERVAL: u32 = 32;
 /// The time in which the first sends to an endpoint lose half of their weight.
 const SENDS_HALF_LIFE_MS: f64 = 30_000.0;
-/// The failures from which an endpoint may fail more often than the others.
+/// The failures from which an endpoint may fail more often than the others; fewer can be chance.
 const OUTLIER_FAILURES_MIN: f64 = 2.5;
-/// The first sends to all other endpoints that are needed for a comparison with them.
+/// The first sends to all other endpoints that are needed for a comparison with them;
+/// fewer can be chance.
 const OTHER_SENDS_MIN: f64 = 8.0;
 /// The number of standard deviations by which failures must exceed the number that a usual share
 /// predicts, to have another cause. With 4, one endpoint that fails 45 in 100 requests beside errors
@@ -42,7 +43,7 @@
 const EXCESS_DEVIATIONS: f64 = 3.0;
 /// The smallest share of failures that is assumed to be usual.
 const USUAL_SHARE_MIN: f64 = 0.02;
-/// Weights below this are dropped.
+/// Endpoints whose first sends weigh less than this are dropped first.
 const NEGLIGIBLE_SENDS: f64 = 0.05;
 /// Bounds on the memory; the entry that was used least recently is evicted.
 const ROUTES_MAX: usize = 256;
@@ -130,7 +131,7 @@
     /// The share of first sends that failed while these outcomes were observed.
     first_failed_share: f64,
     /// The failures since the last one that was resent.
-    not_resent: u32,
+    skipped: u32,
 }
 
 impl Outcomes {
@@ -143,7 +144,7 @@
 
     fn note(&mut self, now_ms: u64, succeeded: bool, first_sends: Share) {
         self.decay(now_ms);
-        let kept = 1.0 - 1.0 / OUTCOMES_MAX;
+        let kept = 1.0 - 1.0 / OUTCOME_MEMORY;
         let before = self.total * kept;
         let share = first_sends.failed / first_sends.total.max(1.0);
         self.first_failed_share = (self.first_failed_share * before + share) / (before + 1.0);
@@ -302,9 +303,9 @@
             *outcomes = Outcomes { at_ms: now_ms, ..Outcomes::default() };
         }
         let is_worthwhile = outcomes.is_worthwhile();
-        let is_probe = !is_worthwhile && outcomes.not_resent + 1 >= PROBE_INTERVAL;
+        let is_probe = !is_worthwhile && outcomes.skipped + 1 >= PROBE_INTERVAL;
         let resend = is_worthwhile || is_probe;
-        outcomes.not_resent = if resend { 0 } else { outcomes.not_resent + 1 };
+        outcomes.skipped = if resend { 0 } else { outcomes.skipped + 1 };
         ResendDecision {
             resend,
             is_probe,
--- a/src/policy/waiting_queue.rs
+++ b/src/policy/waiting_queue.rs
@@ -63,7 +63,8 @@
         now_ms > self.objective_at_ms
     }
 
-    /// The time until which a request that waits in vain has lost little by waiting.
+    /// When to check once more whether the request can be served: after a tenth of its deadline, when
+    /// a refused client can still retry in time.
     pub fn recheck_at_ms(&self) -> u64 {
         self.started_ms + self.give_up_at_ms.saturating_sub(self.started_ms) / 10
     }
@@ -100,7 +101,7 @@
     /// The queues are full of requests that are at least as urgent.
     Full,
     /// The request is expected to wait for too long.
-    Hopeless,
+    DeadlineUnreachable,
 }
 
 /// A queue for the state dump.
@@ -130,8 +131,8 @@
     busy_since_ms: u64,
     /// The time of each send, and whether the request was late.
     sent: VecDeque<(u64, bool)>,
-    /// The number of requests sent in a row while less urgent ones waited.
-    sent_in_a_row: u32,
+    /// The number of requests sent, while less urgent ones waited, since one of these was sent.
+    sent_since_lower: u32,
     /// The time and priority of each request that joined.
     joined: VecDeque<(u64, u8)>,
 }
@@ -142,7 +143,7 @@
             waiting: Vec::new(),
             busy_since_ms: now_ms,
             sent: VecDeque::new(),
-            sent_in_a_row: 0,
+            sent_since_lower: 0,
             joined: VecDeque::new(),
         }
     }
@@ -186,7 +187,7 @@
         let waiting = || self.waiting.iter().filter(|entry| now_ms < entry.request.give_up_at_ms);
         let rank = |entry: &&Entry| (entry.request.rank(now_ms), entry.ticket);
         let first = waiting().min_by_key(rank)?;
-        if self.sent_in_a_row + 1 < LOWER_PRIORITY_INTERVAL {
+        if self.sent_since_lower + 1 < LOWER_PRIORITY_INTERVAL {
             return Some(first);
         }
         let is_lower = |entry: &&Entry| {
@@ -202,8 +203,8 @@
         let mut others = self.waiting.iter().filter(|entry| entry.ticket != ticket);
         let has_more_urgent = others.clone().any(|entry| entry.request.priority < priority);
         let has_less_urgent = others.any(|entry| entry.request.priority > priority);
-        let in_a_row = if has_less_urgent { self.sent_in_a_row + 1 } else { 0 };
-        self.sent_in_a_row = if has_more_urgent { 0 } else { in_a_row };
+        let count = if has_less_urgent { self.sent_since_lower + 1 } else { 0 };
+        self.sent_since_lower = if has_more_urgent { 0 } else { count };
         self.forget_old(now_ms);
     }
 
@@ -230,7 +231,7 @@
     /// True if the request is expected to be sent too late: neither in time for its latency
     /// objective nor, after the requests in time, before its deadline. Requests that will overtake
     /// it are expected to join at the present rate.
-    fn is_hopeless(&self, now_ms: u64, request: &WaitingRequest, ticket: u64) -> bool {
+    fn misses_deadline(&self, now_ms: u64, request: &WaitingRequest, ticket: u64) -> bool {
         if now_ms >= request.give_up_at_ms {
             return true;
         }
@@ -284,8 +285,8 @@
             queue.busy_since_ms = now_ms;
         }
         queue.forget_old(now_ms);
-        if queue.is_hopeless(now_ms, &request, 0) {
-            return Err(QueueRefusal::Hopeless);
+        if queue.misses_deadline(now_ms, &request, 0) {
+            return Err(QueueRefusal::DeadlineUnreachable);
         }
         let replaced = self.make_room(now_ms, &request).ok_or(QueueRefusal::Full)?;
         for ticket in &replaced {
@@ -347,12 +348,12 @@
     }
 
     /// The request that may be sent next; `None` if none waits that can still be answered.
-    pub fn first(&mut self, now_ms: u64, key: &QueueKey) -> Option<u64> {
+    pub fn first(&self, now_ms: u64, key: &QueueKey) -> Option<u64> {
         self.queues.get(key)?.first(now_ms).map(|entry| entry.ticket)
     }
 
     /// The first request of each queue, the most urgent one first.
-    pub fn firsts(&mut self, now_ms: u64) -> Vec<u64> {
+    pub fn firsts(&self, now_ms: u64) -> Vec<u64> {
         let mut firsts = Vec::new();
         for queue in self.queues.values() {
             let first = queue.first(now_ms);
@@ -370,8 +371,7 @@
         self.remove(ticket);
     }
 
-    /// Checks again whether a request can be served in time, while it has waited for less than a
-    /// tenth of its deadline. More urgent requests may have joined, or the queue may have slowed
+    /// Checks again whether a request can be served before its deadline. More urgent requests may have joined, or the queue may have slowed
     /// down.
     ///
     /// # Errors
@@ -379,12 +379,12 @@
     pub fn recheck(&self, now_ms: u64, ticket: u64) -> Result<(), QueueRefusal> {
         let queue = self.keys.get(&ticket).and_then(|key| self.queues.get(key));
         let Some(queue) = queue else { return Ok(()) };
-        let is_hopeless = queue
+        let misses_deadline = queue
             .waiting
             .iter()
             .find(|entry| entry.ticket == ticket)
-            .is_some_and(|entry| queue.is_hopeless(now_ms, &entry.request, ticket));
-        if is_hopeless { Err(QueueRefusal::Hopeless) } else { Ok(()) }
+            .is_some_and(|entry| queue.misses_deadline(now_ms, &entry.request, ticket));
+        if misses_deadline { Err(QueueRefusal::DeadlineUnreachable) } else { Ok(()) }
     }
 
     /// The time after which a refused client may retry: when the requests that wait now are
@@ -394,7 +394,9 @@
             let rate = queue.rate_per_ms(now_ms)?;
             Some(queue.waiting.len() as f64 / rate)
         });
-        let expected_ms = expected_ms.unwrap_or(RETRY_AFTER_UNKNOWN_MS as f64);
+        // Limited before the jitter, so that clients of a long queue do not return together.
+        let longest_ms = RETRY_AFTER_MAX_MS as f64 / (1.0 + RETRY_AFTER_JITTER);
+        let expected_ms = expected_ms.unwrap_or(RETRY_AFTER_UNKNOWN_MS as f64).min(longest_ms);
         let after_ms = expected_ms * (1.0 + (draw * 2.0 - 1.0) * RETRY_AFTER_JITTER);
         (after_ms as u64).clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS)
     }
@@ -447,10 +449,11 @@
 
 /// This gateway's share of the free places of one service.
 ///
-/// All gateways see the same free places, with a delay, and cannot know how many of them have
-/// waiting requests. So each one sends into a part of the free places. The part is halved when the
-/// endpoints turn out overfull and doubled when places stay free, so the parts of the gateways that
-/// have waiting requests add up to about one. A place that a request of this gateway leaves may be
+/// All gateways see the same free places, with a delay, and cannot know how many of them have late
+/// requests. So each one sends late requests into a part of the free places. The part is halved when
+/// endpoints turn out overfull. While places stay free it grows with each count: by the factor 2 at
+/// first, and after it was halved by 2%, rising again by `GROWTH_STEP`. So the parts of the gateways
+/// that have late requests add up to about one. A place that a request of this gateway leaves may be
 /// used at once, because the other gateways do not know of it yet.
 #[derive(Debug, Clone)]
 pub struct PlaceShare {
@@ -470,7 +473,7 @@
     pub total: u32,
     /// Free places.
     pub free: u32,
-    /// Requests beyond those that keep the endpoints busy.
+    /// Requests beyond the slots of their endpoints.
     pub excess: u32,
 }
 
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -36,6 +36,7 @@
 const ASK_AGAIN_MS: u64 = 1_000;
 /// What a request waits for if the endpoints or the requests before it leave no place.
 const ENDPOINT_FULL: &str = "endpoints are full";
+const WEIGHTS_NOT_LOADED: &str = "weights are not loaded";
 const NO_ENDPOINT: &str = "no endpoint";
 
 /// How long a started response may bring no data before its endpoint is probed.
@@ -108,7 +109,8 @@
             let took_ms = now_ms.saturating_sub(self.sent_at_ms);
             self.relay.queue.note_end(now_ms, &self.service, took_ms);
         }
-        self.relay.queue.note_place_left(now_ms, &self.service);
+        let key = QueueKey { service: self.service.clone(), weights: self.weights.take() };
+        self.relay.queue.note_place_left(now_ms, &key);
     }
 }
 
@@ -158,7 +160,7 @@
         Picked::Limited { .. } => "endpoints limit what they take",
         Picked::BackingOff { .. } => "endpoints asked for backoff",
         Picked::Coming => "weights are on their way",
-        Picked::NoHome => "weights are not loaded",
+        Picked::NoHome => WEIGHTS_NOT_LOADED,
     }
 }
 
@@ -208,6 +210,9 @@
             }
         } else if let Some(weights) = &key.weights {
             let is_held = relay.fleet().is_held(weights);
+            if !is_held {
+                reason = WEIGHTS_NOT_LOADED;
+            }
             self.ask_for_weights(relay.now_ms(), &mut wait, is_held);
         }
         wait.for_reason = reason;
@@ -216,7 +221,7 @@
         let mut is_rechecked = false;
         // A request that was rejected or has just searched does not try again at once.
         let mut turn =
-            if has_tried { Turn::OtherGateways } else { relay.turn(relay.now_ms(), &place) };
+            if has_tried { Turn::RetryLater } else { relay.turn(relay.now_ms(), &place) };
         loop {
             let now_ms = relay.now_ms();
             if now_ms >= self.ends_at_ms {
@@ -236,8 +241,8 @@
                         again_at_ms = blocked.until_ms.unwrap_or(again_at_ms);
                     }
                 },
-                Turn::OtherGateways => {}
-                Turn::Later => again_at_ms = u64::MAX,
+                Turn::RetryLater => {}
+                Turn::NotFirst => again_at_ms = u64::MAX,
             }
             let ask_at_ms = wait.asked_at_ms.map_or(u64::MAX, |at_ms| at_ms + ASK_AGAIN_MS);
             let recheck_at_ms = if is_rechecked { u64::MAX } else { place.request.recheck_at_ms() };
@@ -258,7 +263,7 @@
                 place.recheck(now_ms).map_err(|refusal| self.refuse_queue(refusal, reason))?;
             }
             turn = relay.turn(now_ms, &place);
-            if let (Turn::Later | Turn::OtherGateways, Some(weights)) = (turn, &key.weights) {
+            if let (Turn::NotFirst | Turn::RetryLater, Some(weights)) = (turn, &key.weights) {
                 let is_held = relay.fleet().is_held(weights);
                 self.ask_for_weights(now_ms, &mut wait, is_held);
             }
@@ -411,7 +416,7 @@
         let after_ms = relay.queue.retry_after_ms(relay.now_ms(), &self.queue_key());
         match refusal {
             QueueRefusal::Full => NotSent::QueueFull { after_ms },
-            QueueRefusal::Hopeless => NotSent::Hopeless { reason, after_ms },
+            QueueRefusal::DeadlineUnreachable => NotSent::DeadlineUnreachable { reason, after_ms },
         }
     }
 
@@ -474,14 +479,6 @@
         place: Option<QueuePlace>,
     ) -> Attempt {
         let relay = &self.relay;
-        let mut connection = match relay.pool.connection(address).await {
-            Ok(connection) => connection,
-            Err(error) => {
-                relay.fleet().mark_unreachable(relay.now_ms(), &send.endpoint);
-                info!(event = "endpoint_unreachable", endpoint = %send.endpoint, error = %error);
-                return Attempt::NotRun("the endpoint cannot be reached");
-            }
-        };
         let weights = self.engine_weights();
         let now_ms = relay.now_ms();
         let wanted = weights.map(|weights| self.wanted(now_ms, weights));
@@ -496,7 +493,7 @@
             has_started: false,
             endpoint: send.endpoint.clone(),
             address,
-            ended: relay.fleet().watch_end(&send.endpoint),
+            ended: None,
             give_up_on: match self.chosen.route.repeat {
                 // An endpoint that is shutting down may still answer a request that must not be
                 // resent.
@@ -505,6 +502,16 @@
             },
         };
         drop(place);
+        let mut connection = match relay.pool.connection(address).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                relay.fleet().mark_unreachable(relay.now_ms(), &send.endpoint);
+                info!(event = "endpoint_unreachable", endpoint = %send.endpoint, error = %error);
+                return Attempt::NotRun("the endpoint cannot be reached");
+            }
+        };
+        // The endpoint accepted a connection, so an end that was found before may be over.
+        flight.ended = relay.fleet().watch_end(&send.endpoint);
         let peer = &*send.endpoint;
         let sending = pool::send(&mut connection, peer, self.request(send));
         let response = match self.wait_for_head(sending, &flight).await {
--- a/src/relay/choice.rs
+++ b/src/relay/choice.rs
@@ -11,9 +11,8 @@
 /// one.
 pub(super) const COST_SCALE_MS: f64 = 50.0;
 /// The same for plain endpoints that differ in speed, which are drawn mainly by speed. A plain
-/// request runs for less time than load counts take to arrive: with 50 ms, 85 gateways sent alternately
-/// too much and too little to each endpoint and made 8 of 100 requests late at 85% of the load that
-/// the endpoints bear.
+/// request runs for less time than load counts take to arrive, so with a smaller scale many gateways
+/// send alternately too much and too little to each endpoint.
 pub(super) const SPEED_SCALE_MS: f64 = 400.0;
 
 /// An endpoint that could take a request.
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -533,8 +533,8 @@
                     NotSent::QueueFull { .. } => {
                         self.relay.metrics.count(Counter::RequestsRefusedQueueFull);
                     }
-                    NotSent::Hopeless { .. } => {
-                        self.relay.metrics.count(Counter::RequestsRefusedHopeless);
+                    NotSent::DeadlineUnreachable { .. } => {
+                        self.relay.metrics.count(Counter::RequestsRefusedDeadline);
                     }
                     _ => {}
                 }
--- a/src/relay/known.rs
+++ b/src/relay/known.rs
@@ -23,7 +23,7 @@
 
 /// The part of an engine's slots, as a divisor, that requests of workspaces over their share leave
 /// free. Requests for different adapters wait in different queues, so their order does not decide
-/// which one gets a slot.
+/// which one gets a slot; a slot or two in each engine lets the others in while one ends.
 const RESERVE_DIVISOR: u32 = 10;
 
 /// The state of an endpoint as one gateway knows it.
--- a/src/relay/queue.rs
+++ b/src/relay/queue.rs
@@ -101,10 +101,11 @@
 pub(super) enum Turn {
     /// It is the first one.
     Now,
-    /// It is the first one, but the free places are left to other gateways.
-    OtherGateways,
+    /// It is the first one, but tries again later, for example because the free places are left to
+    /// other gateways.
+    RetryLater,
     /// Others go before it.
-    Later,
+    NotFirst,
 }
 
 impl RequestQueue {
@@ -175,7 +176,7 @@
         if self.is_idle() {
             return;
         }
-        let mut state = self.state();
+        let state = self.state();
         for ticket in state.queues.firsts(now_ms) {
             if let Some(waiter) = state.waiters.get(&ticket) {
                 waiter.wake.notify_one();
@@ -183,15 +184,13 @@
         }
     }
 
-    /// Records that a request of this gateway to `service` ended, and wakes the first requests.
-    pub(super) fn note_place_left(&self, now_ms: u64, service: &str) {
+    /// Records that a request of this gateway for `key` ended, and wakes the first requests.
+    pub(super) fn note_place_left(&self, now_ms: u64, key: &QueueKey) {
         if self.is_idle() {
             return;
         }
-        for (key, kept) in &mut self.state().shares {
-            if *key.service == *service {
-                kept.share.note_ended();
-            }
+        if let Some(kept) = self.state().shares.get_mut(key) {
+            kept.share.note_ended();
         }
         self.wake_firsts(now_ms);
     }
@@ -313,7 +312,7 @@
     pub(super) fn turn(&self, now_ms: u64, place: &QueuePlace) -> Turn {
         let key = &place.key;
         if !place.is_first(now_ms) {
-            return Turn::Later;
+            return Turn::NotFirst;
         }
         // A request in time waits for a few requests at most, so an endpoint that all gateways
         // select at once is soon free again. Late requests would take the places of those in time.
@@ -338,7 +337,7 @@
         kept.used_at_ms = now_ms;
         let may_send = kept.share.may_send();
         self.queue.publish(&state);
-        if may_send { Turn::Now } else { Turn::OtherGateways }
+        if may_send { Turn::Now } else { Turn::RetryLater }
     }
 }
 
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -19,7 +19,7 @@
         after_ms: u64,
     },
     /// The request was expected to wait for longer than its deadline allows.
-    Hopeless {
+    DeadlineUnreachable {
         /// What the request would have waited for.
         reason: &'static str,
         /// The time after which the client may retry.
@@ -83,11 +83,10 @@
 /// responses.
 pub(super) fn retry_after_ms(reason: NotSent) -> u64 {
     match reason {
-        NotSent::NoPlace("weights are not loaded") => 350,
         NotSent::NoPlace(_) | NotSent::Late => 200,
         NotSent::NoBudget => 500,
         NotSent::WaitEnded { after_ms, .. }
-        | NotSent::Hopeless { after_ms, .. }
+        | NotSent::DeadlineUnreachable { after_ms, .. }
         | NotSent::QueueFull { after_ms }
         | NotSent::Replaced { after_ms }
         | NotSent::Limited { after_ms }
@@ -106,7 +105,9 @@
     match reason {
         NotSent::NoPlace(detail)
         | NotSent::WaitEnded { reason: detail, .. }
-        | NotSent::Hopeless { reason: detail, .. } => refuse_unavailable(detail, after_ms),
+        | NotSent::DeadlineUnreachable { reason: detail, .. } => {
+            refuse_unavailable(detail, after_ms)
+        }
         NotSent::QueueFull { .. } | NotSent::Replaced { .. } => {
             refuse_unavailable("too many requests wait", after_ms)
         }
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -98,7 +98,7 @@
 /// second send together with others.
 #[parameterized(
     queue_full = { r#"refused reason="QueueFull { after_ms: 350 }""#, "queue full" },
-    hopeless = { r#"refused reason="Hopeless { after_ms: 90 }""#, "hopeless at arrival" },
+    deadline = { r#"refused reason="DeadlineUnreachable { after_ms: 90 }""#, "deadline out of reach" },
     replaced = { r#"refused reason="Replaced { after_ms: 90 }""#, "replaced in the queue" },
     other = { r#"refused reason="Limited { after_ms: 90 }""#, "Limited { after_ms: }" },
     unknown = { "refused reason=Newer", "Newer" },
--- a/tests/waiting_queue.rs
+++ b/tests/waiting_queue.rs
@@ -125,7 +125,7 @@
         }
     }
 
-    /// Refuses the requests whose wait is over or has become hopeless.
+    /// Refuses the requests whose wait is over or cannot end before the deadline.
     fn refuse_waiting(&mut self, now_ms: u64, order: Order) {
         let mut over = Vec::new();
         for (ticket, (_, _, request)) in &self.waiting {
@@ -488,7 +488,7 @@
     assert_eq!(queues.first(10, &key()), Some(short));
     assert_eq!(queues.first(6_000, &key()), Some(long), "the first one's deadline has passed");
     assert_eq!(queues.firsts(6_000), [long]);
-    assert_eq!(queues.recheck(6_000, short), Err(QueueRefusal::Hopeless));
+    assert_eq!(queues.recheck(6_000, short), Err(QueueRefusal::DeadlineUnreachable));
 }
 
 /// Guards against late requests that delay others, at any age: at a service that stays overloaded,
@@ -550,8 +550,8 @@
     assert_eq!((sent, queues.len()), (20, 30));
     let urgent = queues.push(1_000, &key(), request(0, 1_000, 500, 1_500));
     assert!(urgent.is_ok(), "more urgent than all others");
-    let hopeless = queues.push(1_000, &key(), request(2, 1_000, 150, 1_500));
-    assert_eq!(hopeless, Err(QueueRefusal::Hopeless), "31 requests take 1.5 s");
+    let refused = queues.push(1_000, &key(), request(2, 1_000, 150, 1_500));
+    assert_eq!(refused, Err(QueueRefusal::DeadlineUnreachable), "31 requests take 1.5 s");
     for draw in [0.0, 0.5, 1.0] {
         let after_ms = queues.retry_after_ms(1_000, &key(), draw);
         assert!((100..=2_000).contains(&after_ms), "{after_ms}");
