--- a/src/control/distribution/mod.rs
+++ b/src/control/distribution/mod.rs
@@ -41,10 +41,9 @@
 /// a half election timeouts. After that gateways look for a leader themselves, since this replica
 /// may be disconnected from the leader.
 const UNLINKED_MAX_MS: u64 = 1_000;
-/// How much longer gateways are kept while this replica knows of no leader; the standing rates of
-/// quotas serve them in the meantime. A replica in the smaller part of a divided group knows of none
-/// either, and its gateways would miss changes of the configuration that the larger part accepts.
-const NO_LEADER_MAX_MS: u64 = 1_000;
+/// How much longer gateways are kept while this replica knows of no leader: they could not find one
+/// either, and the standing rates of quotas serve them in the meantime.
+const NO_LEADER_MAX_MS: u64 = 5_000;
 /// The interval of messages to gateways while there is no leader; a gateway leaves a server that is
 /// silent for 900 ms.
 const NO_LEADER_MESSAGE_INTERVAL_MS: u64 = 300;
