--- a/src/control/distribution/link.rs
+++ b/src/control/distribution/link.rs
@@ -114,18 +114,12 @@
             message = messages.recv() => {
                 let Some(message) = message else { return };
                 let leader = *leader.borrow();
-                if leader == Some(own_address) {
-                    distributor.record_leading(own_address);
-                }
                 handle_message(&mut distributor, clock.now_ms(), message, leader);
             }
             _ = ticks.tick() => {
-                let leader = *leader.borrow();
-                if leader == Some(own_address) {
-                    distributor.record_leading(own_address);
-                }
-                if leader.is_none() {
-                    distributor.record_no_leader(clock.now_ms());
+                if *leader.borrow() == Some(own_address) {
+                    // The leader serves gateways in sessions of its own.
+                    distributor.end_sessions(Some(own_address));
                 }
                 distributor.tick(clock.now_ms());
             }
@@ -153,7 +147,7 @@
             let _ = reply.send(HeartbeatResult { accepted, server });
         }
         Message::Dump(reply) => {
-            let _ = reply.send(distributor.dump(now_ms));
+            let _ = reply.send(distributor.dump());
         }
     }
 }
--- a/src/control/distribution/mod.rs
+++ b/src/control/distribution/mod.rs
@@ -41,12 +41,6 @@
 /// a half election timeouts. After that gateways look for a leader themselves, since this replica
 /// may be disconnected from the leader.
 const UNLINKED_MAX_MS: u64 = 1_000;
-/// How much longer gateways are kept while this replica knows of no leader: they could not find one
-/// either, and the standing rates of quotas serve them in the meantime.
-const NO_LEADER_MAX_MS: u64 = 5_000;
-/// The interval of messages to gateways while there is no leader; a gateway leaves a server that is
-/// silent for 900 ms.
-const NO_LEADER_MESSAGE_INTERVAL_MS: u64 = 300;
 
 /// A reply that a gateway gets once the leader has confirmed a renewal of the link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -69,9 +63,6 @@
     sessions: BTreeMap<u64, Session>,
     link: Option<mpsc::Sender<SessionUp>>,
     unlinked_at_ms: Option<u64>,
-    /// When this replica last knew of no leader.
-    no_leader_at_ms: u64,
-    no_leader_message_due_ms: u64,
     /// Replies that wait for the next renewal of the link.
     waiting: Vec<AwaitedReply>,
     /// Replies that wait for renewals already sent, by renewal number.
@@ -102,8 +93,6 @@
             sessions: BTreeMap::new(),
             link: None,
             unlinked_at_ms: None,
-            no_leader_at_ms: 0,
-            no_leader_message_due_ms: 0,
             waiting: Vec::new(),
             sent: BTreeMap::new(),
             renewals: 0,
@@ -228,9 +217,6 @@
             self.unlinked_at_ms = Some(now_ms);
             self.credit.unlinked();
             self.workspace_uses.unlinked(now_ms);
-            for (workspace, rate_per_s, units) in self.credit.standing(now_ms) {
-                info!(event = "standing_rate_used", workspace = %workspace, rate_per_s, units);
-            }
             // Endpoints send heartbeats again; these may be stale by the time of the next link.
             self.heartbeats.clear();
             // The next leader confirms renewals that were not confirmed yet.
@@ -276,27 +262,9 @@
         }
     }
 
-    /// Records that this replica knows of no leader.
-    pub fn record_no_leader(&mut self, now_ms: u64) {
-        self.no_leader_at_ms = now_ms;
-        if self.unlinked_at_ms.is_some() && now_ms >= self.no_leader_message_due_ms {
-            self.no_leader_message_due_ms = now_ms + NO_LEADER_MESSAGE_INTERVAL_MS;
-            self.broadcast(|| SessionDown::Loads(Vec::new()));
-        }
-    }
-
-    /// Records that this replica leads and serves gateways in sessions of its own.
-    pub fn record_leading(&mut self, own_address: SocketAddr) {
-        self.credit.release_standing();
-        self.end_sessions(Some(own_address));
-    }
-
     /// Runs the periodic work that is due.
     pub fn tick(&mut self, now_ms: u64) {
-        if self.unlinked_at_ms.is_some_and(|at_ms| {
-            let no_leader_at_ms = self.no_leader_at_ms.min(at_ms + NO_LEADER_MAX_MS);
-            at_ms.max(no_leader_at_ms) + UNLINKED_MAX_MS <= now_ms
-        }) {
+        if self.unlinked_at_ms.is_some_and(|at_ms| at_ms + UNLINKED_MAX_MS <= now_ms) {
             self.unlinked_at_ms = None;
             self.end_sessions(None);
         }
@@ -305,8 +273,6 @@
         if !uses.is_empty() {
             self.send_up(SessionUp::WorkspaceUse(uses));
         }
-        let answers = self.credit.advance(now_ms);
-        self.deliver_credit(answers);
         if now_ms < self.counts_due_ms {
             return;
         }
@@ -556,13 +522,7 @@
     }
 
     /// Returns the state dump.
-    pub fn dump(&self, now_ms: u64) -> serde_json::Value {
-        let mut standing = Vec::new();
-        for (workspace, rate_per_s, units) in self.credit.standing(now_ms) {
-            standing.push(serde_json::json!({
-                "workspace": workspace, "rate_per_s": rate_per_s, "units": units,
-            }));
-        }
+    pub fn dump(&self) -> serde_json::Value {
         let mut gateways = Vec::new();
         for session in self.sessions.values() {
             gateways.push(session.hello.name.clone());
@@ -572,7 +532,6 @@
             "linked": self.link.is_some(),
             "gateways": gateways,
             "waiting": self.waiting.len(),
-            "standing_credit": standing,
         })
     }
 }
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -483,7 +483,6 @@
             "snapshot_index": self.raft.snapshot_index(),
             "sessions": sessions,
             "placement": self.registered.placement.dump(),
-            "credit": self.registered.credit.dump(),
             "permits_in_use": self.permits.in_use(),
             "permits_waiting": self.permits.waiting(),
             "peer_traffic": crate::wire::traffic(),
--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -1,7 +1,7 @@
 //! Routing configurations, endpoints that register themselves, and the sessions of follower
 //! gateways and distributors.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -17,8 +17,8 @@
 use crate::control::state::Operation;
 use crate::control::workspace_use::WorkspaceUses;
 use crate::message::{
-    Change, ControlReply, CreditAsk, EngineOrder, Forwarded, Group, Heartbeat, NewestVersion,
-    Placed, SessionDown, SessionHello, SessionRole, SessionServer, SessionUp,
+    Change, ControlReply, EngineOrder, Forwarded, Group, Heartbeat, NewestVersion, Placed,
+    SessionDown, SessionHello, SessionRole, SessionServer, SessionUp,
 };
 use crate::policy::counts;
 use crate::policy::crashes::Crashes;
@@ -51,8 +51,6 @@
     /// Quota credit of workspaces.
     pub(super) credit: CreditPools,
     workspace_uses: WorkspaceUses,
-    /// Asks for credit that arrived while this leader had no lease, with their sessions.
-    pub(super) held_credit_asks: Vec<(u64, Vec<CreditAsk>)>,
 }
 
 impl Registered {
@@ -71,7 +69,6 @@
             crashes: Crashes::default(),
             credit: CreditPools::new(quota),
             workspace_uses: WorkspaceUses::new(),
-            held_credit_asks: Vec::new(),
         }
     }
 }
@@ -93,14 +90,6 @@
     /// becomes leader.
     pub(super) fn rebuild_registered(&mut self, now_ms: u64) {
         let previous_term_age_ms = self.terms.previous_term_age_ms(now_ms);
-        let own = self.own_address();
-        let mut other_replicas = HashSet::new();
-        for member in self.raft.members().0.values() {
-            // The distributor of this process gives up its standing rates.
-            if Some(member.address) != own {
-                other_replicas.insert(member.address);
-            }
-        }
         let registered = &mut self.registered;
         registered.sequences.clear();
         registered.restarted_at_ms.clear();
@@ -110,12 +99,10 @@
         registered.group_sent = Group::default();
         registered.counts = Counts::new();
         registered.workspace_uses = WorkspaceUses::new();
-        registered.held_credit_asks.clear();
         registered.credit = CreditPools::new(self.settings.quota);
         if let Some(configuration) = self.state.registry.routing() {
             registered.credit = CreditPools::new(self.settings.quota)
                 .with_previous_leader(now_ms, configuration)
-                .with_previous_holders(other_replicas)
                 .with_previous_term_age(previous_term_age_ms.unwrap_or(0));
         }
         let standings = self.state.registry.standings().cloned();
@@ -380,8 +367,6 @@
                 self.queue_renewal(Renewal::Direct { session: id, sent_at_ms });
             }
             SessionUp::RenewFor { number, gateways } => {
-                let address = session.hello.address;
-                self.record_stated_credit(address);
                 self.queue_renewal(Renewal::ViaDistributor { session: id, number, gateways });
             }
             SessionUp::Forwarded(forwarded) => {
@@ -396,7 +381,7 @@
                 self.handle_gateway_message(now_ms, wall_ms, &from, up);
             }
             SessionUp::CreditAsks(asks) => {
-                self.answer_credit_asks(now_ms, id, asks);
+                self.answer_credit_asks(now_ms, id, &from.gateway, &asks);
             }
             SessionUp::WorkspaceUse(uses) => self.registered.workspace_uses.update(id, uses),
             SessionUp::Heartbeats(heartbeats) => {
--- a/src/message/credit.rs
+++ b/src/message/credit.rs
@@ -16,19 +16,6 @@
     pub target: u64,
     /// The units that requests wait for beyond those that the holder has; used as soon as granted.
     pub urgent: u64,
-    /// The standing rate that the holder has, in units per second.
-    pub rate_per_s: u32,
-    /// The standing rate that the holder would use, in units per second.
-    pub wanted_per_s: u32,
-    /// The number of units up to which the standing rate refills those that the holder has.
-    pub refill_max: u64,
-}
-
-impl CreditAsk {
-    /// The units that the holder may have before the answer arrives.
-    pub(crate) fn held_max(&self) -> u64 {
-        if self.rate_per_s == 0 { self.held } else { self.held.max(self.refill_max) }
-    }
 }
 
 /// The answer to a [`CreditAsk`].
@@ -42,10 +29,4 @@
     pub dry_ms: u32,
     /// The time, counted from the ask, for which the holder may use all of its units.
     pub valid_ms: u32,
-    /// The standing rate for the same time, in units per second, instead of the earlier one.
-    pub rate_per_s: u32,
-    /// The number of units up to which the standing rate refills those that the holder has.
-    pub refill_max: u64,
-    /// The number of units above which the holder gets none in advance, if that is below its target.
-    pub advance_max: Option<u64>,
 }
--- a/src/policy/quota/credits.rs
+++ b/src/policy/quota/credits.rs
@@ -5,7 +5,6 @@
 
 use super::{
     ASK_BELOW_FRACTION, ASK_INTERVAL_MS, AUTONOMY_MS, CreditAsk, CreditGrant, RENEWAL_INTERVAL_MS,
-    STANDING_PER_DEMAND,
 };
 
 /// The time constant of the moving average of demand.
@@ -15,11 +14,6 @@
 /// An ask without an answer for this long, a few round trips to the leader, will not be answered
 /// soon.
 const ANSWER_TIMEOUT_MS: u64 = 400;
-/// The least weight of the samples that the demand is extrapolated from for a standing rate: the
-/// first requests of a workspace say little about its demand.
-const WANTED_WEIGHT_MIN: f64 = 0.5;
-/// The same for units in advance.
-const TARGET_WEIGHT_MIN: f64 = 0.1;
 /// The time after which a client may retry at a gateway without a leader.
 const CUT_OFF_RETRY_MS: u64 = 300;
 
@@ -48,8 +42,6 @@
     units: u64,
     /// The time until which the units may be used.
     valid_until_ms: u64,
-    /// The units that the distributor grants in advance at most.
-    advance_max: Option<u64>,
     /// Units that requests wait for.
     waiting: u64,
     /// Units that requests needed since the last update of the average.
@@ -84,15 +76,10 @@
     }
 
     fn target(&self) -> u64 {
-        let rate_per_s = self.rate_per_s / self.average_weight.max(TARGET_WEIGHT_MIN);
-        (rate_per_s * AUTONOMY_MS as f64 / 1_000.0) as u64
-    }
-
-    fn wanted_per_s(&self) -> u32 {
-        let latest_per_s = self.requested as f64 * 1_000.0 / DEMAND_TIME_CONSTANT_MS;
-        let rate_per_s =
-            (self.rate_per_s + latest_per_s) / self.average_weight.max(WANTED_WEIGHT_MIN);
-        (rate_per_s * STANDING_PER_DEMAND) as u32
+        if self.average_weight == 0.0 {
+            return 0;
+        }
+        (self.rate_per_s / self.average_weight * AUTONOMY_MS as f64 / 1_000.0) as u64
     }
 
     fn is_ask_due(&self, now_ms: u64) -> bool {
@@ -103,8 +90,7 @@
             return now_ms >= self.exhausted_until_ms;
         }
         let since_ms = now_ms.saturating_sub(self.last_asked_at_ms);
-        let target = self.target().min(self.advance_max.unwrap_or(u64::MAX));
-        let is_low = (self.units as f64) < target as f64 * ASK_BELOW_FRACTION;
+        let is_low = (self.units as f64) < self.target() as f64 * ASK_BELOW_FRACTION;
         is_low && since_ms >= ASK_INTERVAL_MS || self.units > 0 && since_ms >= RENEWAL_INTERVAL_MS
     }
 }
@@ -217,9 +203,6 @@
                 held: credit.units.saturating_sub(credit.waiting),
                 target: credit.target(),
                 urgent: credit.waiting.saturating_sub(credit.units),
-                rate_per_s: 0,
-                wanted_per_s: credit.wanted_per_s(),
-                refill_max: 0,
             });
         }
         asks
@@ -227,13 +210,11 @@
 
     /// Adds granted credit.
     pub fn granted(&mut self, now_ms: u64, grants: Vec<CreditGrant>) {
-        for grant in grants {
-            let CreditGrant { workspace, units, dry_ms, valid_ms, advance_max, .. } = grant;
+        for CreditGrant { workspace, units, dry_ms, valid_ms } in grants {
             let Some(credit) = self.by_workspace.get_mut(&workspace) else { continue };
             let Some(asked_at_ms) = credit.asked_at_ms.take() else { continue };
             credit.advance(now_ms);
             credit.units += units;
-            credit.advance_max = advance_max;
             credit.valid_until_ms = asked_at_ms + u64::from(valid_ms);
             if dry_ms > 0 {
                 credit.exhausted_until_ms = now_ms + u64::from(dry_ms);
--- a/src/policy/quota/mod.rs
+++ b/src/policy/quota/mod.rs
@@ -6,46 +6,22 @@
 //! request waits. Distributors hold credit for the gateways of their availability zone and ask on
 //! behalf of all of them.
 //!
-//! A distributor also has a *standing rate*: a lease on a part of the quota's rate, which refills
-//! its units while there is no leader, and which it divides by the asks of its gateways. Gateways
-//! have none: their requests are too few and too large for a part of the rate each.
-//!
-//! The units used in any window do not exceed the units granted and refilled in it plus the units
-//! that were outstanding, that is granted or refilled and unused, when it began.
-//!
-//! - The pool limits the granted units to what it is filled with in the window, plus the burst. It
-//!   is filled at the quota's rate less all standing rates that may be in force, so that the units
-//!   granted and refilled do not exceed the quota's rate times the window, plus the burst.
-//! - A standing rate counts at the leader from its grant until it has expired, or until the
-//!   holder's next ask states a lower one: a grant of a lower rate may have been lost. The sum of the
-//!   rates that may be in force is limited when a rate is granted.
-//! - A new leader counts the largest sum that previous leaders can have granted, less the rates
-//!   that holders state in their first asks, until these must have expired, or until all other
-//!   replicas' distributors have stated theirs. A replica gives up its own distributor's rates when
-//!   it leads. A restarted distributor has none.
-//! - The outstanding units are limited by what the operator allows above the quota
-//!   ([`QuotaBounds`]): the leader knows what its holders have, and counts what a previous leader
-//!   may have granted as outstanding until it has expired. A standing rate refills a holder's units
-//!   only up to a number that the leader set and counts as outstanding. Units refilled while an ask
-//!   was answered are dropped beyond what the leader counts.
-//! - Credit and standing rates expire [`CREDIT_VALID_MS`] after their holder last asked the leader,
-//!   by the holder's clock, so that those of a holder that is disconnected, frozen or gone do not
-//!   stay outstanding.
-//! - A leader grants credit only while it has its lease, before whose end no other leader is
-//!   elected.
-//!
-//! When a quota is lowered, standing rates of the earlier one are in force until their holders ask
-//! again, at most until they expire; meanwhile the pool is filled more slowly, or not at all.
+//! The units used in any window do not exceed the units granted in it plus the units that were
+//! outstanding, that is granted and unused, when it began. The pool limits the granted units to the
+//! rate times the window, plus the burst. The outstanding units are limited by what the operator
+//! allows above that ([`QuotaBounds`]): the leader knows what its holders have, and counts what a
+//! previous leader may have granted as outstanding until it has expired. Credit expires
+//! [`CREDIT_VALID_MS`] after its holder last asked the leader, so that the credit of a gateway that
+//! is disconnected or gone does not stay outstanding.
 
 mod credits;
 mod distributor_pool;
 mod holders;
 mod pool;
-mod standing;
 
 pub use credits::{Admission, Credits};
 pub use distributor_pool::DistributorPools;
-pub use holders::{HolderGrant, HolderKind};
+pub use holders::HolderGrant;
 pub use pool::CreditPools;
 
 pub(crate) use crate::message::{CreditAsk, CreditGrant};
@@ -61,9 +37,9 @@
 /// The minimum interval between asks in advance.
 const ASK_INTERVAL_MS: u64 = 100;
 
-/// How long credit is valid after its holder last asked the leader: 5 s without a leader, plus the
-/// interval between two asks and the delay of an answer.
-pub const CREDIT_VALID_MS: u64 = 7_000;
+/// How long credit is valid after its holder last asked the leader; as long as a gateway on the
+/// users' platform may be without confirmations.
+pub const CREDIT_VALID_MS: u64 = 5_000;
 /// How much longer the leader counts credit as outstanding: covers the delay of an answer and
 /// differences in clock rates.
 pub(crate) const EXPIRY_MARGIN_MS: u64 = 500;
@@ -91,13 +67,6 @@
 /// The fraction of the burst that may be outstanding where the allowance is small.
 const OUTSTANDING_BURST_FRACTION: f64 = 0.5;
 
-/// A holder's standing rate as a multiple of its recent demand: lumps of requests exceed the
-/// average.
-const STANDING_PER_DEMAND: f64 = 1.25;
-/// The fraction of a quota's rate that standing rates may add up to; the rest refills the leader's
-/// pool for urgent asks.
-const STANDING_FRACTION: f64 = 0.8;
-
 /// The fraction of the burst that a new leader may grant at once, limited to this fraction of the
 /// allowance: after an election, many asks arrive at the same time.
 const INITIAL_BURST_FRACTION: f64 = 0.5;
--- a/tests/distribution.rs
+++ b/tests/distribution.rs
@@ -283,29 +283,6 @@
     assert!(matches!(received[..], [SessionDown::NotLeader { leader: Some(_) }]), "{received:?}");
 }
 
-/// Guards against gateways that lose the standing rates of quotas because their distributor ends
-/// their sessions although there is no leader anywhere.
-#[test]
-fn gateways_stay_for_some_seconds_while_no_leader_is_known() {
-    let mut zone = Zone::linked();
-    zone.welcome(1, "g1");
-    zone.distributor.unlinked(zone.now_ms);
-    for _ in 0..25 {
-        zone.distributor.record_no_leader(zone.now_ms);
-        zone.advance(200);
-    }
-    let received = zone.received(1);
-    let is_message = |down: &SessionDown| matches!(down, SessionDown::Loads(_));
-    assert!(received.len() > 5 && received.iter().all(is_message), "{received:?}");
-    for _ in 0..10 {
-        zone.distributor.record_no_leader(zone.now_ms);
-        zone.advance(200);
-    }
-    let received = zone.received(1);
-    let last = received.last();
-    assert!(matches!(last, Some(SessionDown::NotLeader { leader: None })), "{received:?}");
-}
-
 #[test]
 fn gateways_of_other_zones_are_redirected_to_their_own_server() {
     let mut zone = Zone::linked();
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -2,15 +2,13 @@
 //! disconnections, restarts and changes of the leader.
 
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use winchvane::message::{CreditAsk, CreditGrant};
 use winchvane::policy::quota::{
-    Admission, CREDIT_VALID_MS, CreditPools, Credits, DistributorPools, HolderGrant, HolderKind,
-    QuotaBounds,
+    Admission, CreditPools, Credits, DistributorPools, HolderGrant, QuotaBounds,
 };
 use winchvane::routing::{Quota, QuotaUnit, RequestLimits, RoutingConfiguration, Workspace};
 
@@ -46,18 +44,11 @@
     }
 }
 
-/// The address of a distributor.
-fn address(number: usize) -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], number as u16))
-}
-
 enum Message {
     /// Asks of a gateway to its server.
     GatewayAsks(usize, Vec<CreditAsk>),
     /// Asks of a distributor to the leader.
     DistributorAsks(usize, Vec<CreditAsk>),
-    /// The first renewal of a distributor after its asks.
-    DistributorRenewal(usize),
     /// Grants of the leader to a distributor.
     DistributorGrants(usize, Vec<CreditGrant>),
     /// Grants to a gateway.
@@ -97,14 +88,6 @@
     admitted: Vec<(u64, u64)>,
     requested: u64,
     refused: u64,
-    /// The messages with asks of gateways and of distributors.
-    asks: (u64, u64),
-    /// Whether distributors have standing rates.
-    standing: bool,
-    /// The units of requests that are due.
-    due: f64,
-    /// The share of the requests in lumps that arrive at the gateways of the first distributor.
-    first_zone_share: f64,
 }
 
 impl Region {
@@ -127,10 +110,6 @@
             admitted: Vec::new(),
             requested: 0,
             refused: 0,
-            asks: (0, 0),
-            standing: true,
-            due: 0.0,
-            first_zone_share: 0.5,
         };
         for number in 0..2 {
             region.distributors.push(Distributor {
@@ -164,9 +143,6 @@
         distributor.session = self.sessions;
         distributor.linked = true;
         distributor.pools.linked();
-        let session = distributor.session;
-        self.ask_leader(number);
-        self.send(session, Message::DistributorRenewal(number));
     }
 
     fn cut_distributor(&mut self, number: usize) {
@@ -215,18 +191,11 @@
 
     fn elect(&mut self) {
         let configuration = configuration(self.rate_per_s);
-        let pools = CreditPools::new(self.bounds)
-            .with_previous_leader(self.now_ms, &configuration)
-            .with_previous_holders((0..self.distributors.len()).map(address).collect());
-        self.leader = Some(pools);
+        self.leader =
+            Some(CreditPools::new(self.bounds).with_previous_leader(self.now_ms, &configuration));
     }
 
     fn send(&mut self, session: u64, message: Message) {
-        match message {
-            Message::GatewayAsks(..) => self.asks.0 += 1,
-            Message::DistributorAsks(..) => self.asks.1 += 1,
-            _ => {}
-        }
         self.in_transit.push_back((self.now_ms + HOP_MS, session, message));
     }
 
@@ -241,22 +210,21 @@
                         continue;
                     }
                     let name = distributor.name.clone();
-                    let grants = self.ask_pools(&name, HolderKind::Distributor, &asks);
+                    let grants = self.ask_pools(&name, &asks);
                     self.send(session, Message::DistributorGrants(number, grants));
                 }
-                Message::DistributorRenewal(number) => {
-                    if self.distributors[number].session == session
-                        && let Some(pools) = &mut self.leader
-                    {
-                        pools.record_stated(address(number));
-                    }
-                }
                 Message::DistributorGrants(number, grants) => {
                     if self.distributors[number].session != session {
                         continue;
                     }
                     let answers = self.distributors[number].pools.granted(self.now_ms, grants);
-                    self.answer_gateways(answers);
+                    for answer in answers {
+                        let found =
+                            self.gateways.iter().position(|gateway| gateway.name == answer.holder);
+                        let Some(gateway) = found else { continue };
+                        let session = self.gateways[gateway].session;
+                        self.send(session, Message::GatewayGrants(gateway, vec![answer.grant]));
+                    }
                     self.ask_leader(number);
                 }
                 Message::GatewayGrants(number, grants) => {
@@ -269,24 +237,9 @@
         }
     }
 
-    fn answer_gateways(&mut self, answers: Vec<HolderGrant>) {
-        for HolderGrant { holder, grant } in answers {
-            let found = self.gateways.iter().position(|gateway| gateway.name == holder);
-            let Some(gateway) = found else { continue };
-            let session = self.gateways[gateway].session;
-            self.send(session, Message::GatewayGrants(gateway, vec![grant]));
-        }
-    }
-
-    fn ask_pools(
-        &mut self,
-        holder: &Arc<str>,
-        kind: HolderKind,
-        asks: &[CreditAsk],
-    ) -> Vec<CreditGrant> {
+    fn ask_pools(&mut self, holder: &Arc<str>, asks: &[CreditAsk]) -> Vec<CreditGrant> {
         let Some(pools) = &mut self.leader else { return Vec::new() };
-        let kind = if self.standing { kind } else { HolderKind::Gateway };
-        asks.iter().filter_map(|ask| pools.ask(self.now_ms, holder, kind, ask)).collect()
+        asks.iter().filter_map(|ask| pools.ask(self.now_ms, holder, ask)).collect()
     }
 
     fn answer_waiting(&mut self) {
@@ -312,7 +265,7 @@
         }
         let name = self.gateways[number].name.clone();
         let Some(server) = self.gateways[number].server else {
-            let grants = self.ask_pools(&name, HolderKind::Gateway, &asks);
+            let grants = self.ask_pools(&name, &asks);
             self.send(session, Message::GatewayGrants(number, grants));
             return;
         };
@@ -341,21 +294,6 @@
         }
     }
 
-    /// Ends a gateway's session without its knowledge, as while its process is frozen.
-    fn freeze_gateway(&mut self, number: usize) {
-        self.sessions += 1;
-        self.gateways[number].session = self.sessions;
-    }
-
-    /// Lets a frozen gateway use all that it has at once, before it learns of the end of its
-    /// session.
-    fn wake_gateway(&mut self, number: usize) {
-        for _ in 0..100 {
-            self.request(number, COST);
-        }
-        self.cut_gateway(number);
-    }
-
     /// Handles a request at a gateway.
     fn request(&mut self, number: usize, cost: u64) {
         self.requested += cost;
@@ -404,10 +342,6 @@
             self.retry_waiting(number);
         }
         for number in 0..self.distributors.len() {
-            if self.now_ms.is_multiple_of(LEADER_TICK_MS) {
-                let answers = self.distributors[number].pools.advance(self.now_ms);
-                self.answer_gateways(answers);
-            }
             self.ask_leader(number);
         }
     }
@@ -442,18 +376,14 @@
 
 /// With random demand and failures at any time, the allowed units are never exceeded.
 #[yare::parameterized(
-    as_on_the_platform = { BOUNDS, false },
-    no_slack = { NO_SLACK, false },
-    with_freezes = { BOUNDS, true },
-    with_freezes_and_no_slack = { NO_SLACK, true },
+    as_on_the_platform = { BOUNDS },
+    no_slack = { NO_SLACK },
 )]
-fn no_window_exceeds_the_allowed_units_whatever_fails(bounds: QuotaBounds, with_freezes: bool) {
+fn no_window_exceeds_the_allowed_units_whatever_fails(bounds: QuotaBounds) {
     for seed in 0..seeds() {
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut region = Region::with_bounds(9, bounds);
-        // The demand and the other failures are drawn as without freezes.
-        let mut more_rng = SmallRng::seed_from_u64(seed + 1_000_000);
-        let (mut elected_at_ms, mut demand, mut frozen) = (0, 1.0, None);
+        let (mut elected_at_ms, mut demand) = (0, 1.0);
         while region.now_ms < 30_000 {
             region.step();
             if rng.random_range(0..200) == 0 {
@@ -499,23 +429,6 @@
                 }
                 _ => {}
             }
-            match more_rng.random_range(0..600) {
-                _ if !with_freezes => {}
-                0 | 1 if frozen.is_none() => {
-                    let number = more_rng.random_range(0..region.gateways.len());
-                    region.freeze_gateway(number);
-                    frozen = Some((region.now_ms + more_rng.random_range(500..8_000), number));
-                }
-                // The replica leads from now on.
-                2 => region.distributors[more_rng.random_range(0..2)].pools.release_standing(),
-                _ => {}
-            }
-            if let Some((until_ms, number)) = frozen
-                && until_ms <= region.now_ms
-            {
-                region.wake_gateway(number);
-                frozen = None;
-            }
             if region.leader.is_none() && region.now_ms >= elected_at_ms {
                 region.elect();
             }
@@ -533,9 +446,7 @@
         let highest = region.max_in_window();
         let allowed = allowed(bounds);
         assert!(highest as f64 <= allowed, "{highest} of {allowed} in a window; seed {seed}");
-        // Frozen gateways with most of the demand may leave little to serve.
-        let is_used = highest as f64 >= RATE_PER_S * 4.0 || with_freezes;
-        assert!(is_used, "only {highest} in a window; seed {seed}");
+        assert!(highest as f64 >= RATE_PER_S * 4.0, "only {highest} in a window; seed {seed}");
     }
 }
 
@@ -625,15 +536,7 @@
 }
 
 fn ask(units: u64) -> CreditAsk {
-    CreditAsk {
-        workspace: workspace(),
-        held: 0,
-        target: 0,
-        urgent: units,
-        rate_per_s: 0,
-        wanted_per_s: 0,
-        refill_max: 0,
-    }
+    CreditAsk { workspace: workspace(), held: 0, target: 0, urgent: units }
 }
 
 /// Guards against an ask for slightly more than a pool can hold, which was never answered: the pool
@@ -649,7 +552,7 @@
     let mut pools = CreditPools::new(BOUNDS);
     pools.configure(0, &configuration(RATE_PER_S));
     let holder: Arc<str> = "g".into();
-    let mut answer = pools.ask(1_000, &holder, HolderKind::Gateway, &ask((BURST * bursts) as u64));
+    let mut answer = pools.ask(1_000, &holder, &ask((BURST * bursts) as u64));
     for now_ms in (1_000..61_000).step_by(20) {
         answer = answer.or_else(|| pools.advance(now_ms).pop().map(|answer| answer.grant));
     }
@@ -663,8 +566,8 @@
     let mut pools = CreditPools::new(BOUNDS);
     pools.configure(0, &configuration(RATE_PER_S));
     let (one, other): (Arc<str>, Arc<str>) = ("g1".into(), "g2".into());
-    assert!(pools.ask(1_000, &one, HolderKind::Gateway, &ask(BURST as u64)).is_some());
-    assert_eq!(pools.ask(1_000, &other, HolderKind::Gateway, &ask(5_000)), None, "the ask waits");
+    assert!(pools.ask(1_000, &one, &ask(BURST as u64)).is_some());
+    assert_eq!(pools.ask(1_000, &other, &ask(5_000)), None, "the ask waits");
     let mut lower = configuration(RATE_PER_S / 1_000.0);
     lower.workspaces[0].quota.as_mut().expect("a quota").burst = 100.0;
     pools.configure(1_010, &lower);
@@ -806,201 +709,6 @@
         region.gateways[0].credits.take(now_ms, &workspace(), 1) == Admission::Granted
     };
     assert!(held(&mut region), "the credit is still valid");
-    region.run_for(CREDIT_VALID_MS + 500, 0.0, &mut rng);
+    region.run_for(5_500, 0.0, &mut rng);
     assert!(!held(&mut region), "the credit has expired");
 }
-
-impl Region {
-    /// Creates a region in which distributors serve all gateways; without `standing`, the leader
-    /// grants no standing rates.
-    fn with_zones(standing: bool, bounds: QuotaBounds) -> Self {
-        let gateways = 60;
-        let mut region = Self::with_bounds(gateways, bounds);
-        region.standing = standing;
-        for number in 0..gateways {
-            region.gateways[number].server = Some(number % 2);
-            region.link_gateway(number);
-        }
-        region
-    }
-
-    /// Advances the simulation by `ms` with requests of 700 to 9,000 tokens for `demand` times the
-    /// quota across the gateways.
-    fn run_lumps(&mut self, ms: u64, demand: f64, rng: &mut SmallRng) {
-        for _ in 0..ms / STEP_MS {
-            self.step();
-            self.due += RATE_PER_S * demand * STEP_MS as f64 / 1_000.0;
-            while self.due > 0.0 {
-                let cost = COST + (rng.random::<f64>().powi(4) * (LARGE_COST - COST) as f64) as u64;
-                let number = rng.random_range(0..self.gateways.len() / 2) * 2;
-                let number = number + usize::from(rng.random::<f64>() >= self.first_zone_share);
-                self.request(number, cost);
-                self.due -= cost as f64;
-            }
-        }
-    }
-
-    fn elect_and_link(&mut self) {
-        self.elect();
-        self.link_all();
-    }
-}
-
-/// The share of the requested units that is refused from 5 s after the start until the end, over all
-/// seeds, while `fail` causes failures.
-fn share_refused(demand: f64, standing: bool, fail: impl Fn(&mut Region, &mut SmallRng)) -> f64 {
-    let (mut refused, mut requested, mut asks) = (0, 0, (0, 0));
-    for seed in 0..seeds() / 3 {
-        let mut rng = SmallRng::seed_from_u64(seed);
-        let mut region = Region::with_zones(standing, BOUNDS);
-        region.run_lumps(10_000, demand, &mut rng);
-        let before = (region.refused, region.requested);
-        fail(&mut region, &mut rng);
-        refused += region.refused - before.0;
-        requested += region.requested - before.1;
-        asks = (asks.0 + region.asks.0, asks.1 + region.asks.1);
-        assert!(region.max_in_window() as f64 <= allowed(BOUNDS), "seed {seed}");
-    }
-    println!("standing {standing}: asks {asks:?}");
-    refused as f64 / requested as f64
-}
-
-/// No request below the quota is refused while there is no leader for 5 s, nor during three
-/// elections in a row; without standing rates, credit lasted for one to two seconds.
-#[yare::parameterized(
-    // At three requests per second in a zone, several large ones may follow each other.
-    half_of_the_usual = { 0.25, 0.005 },
-    usual = { 0.55, 0.0 },
-    // With 37 requests in 5 s in a zone, demand exceeds that of the seconds before by up to a
-    // half, and the standing rates are at their limit of 0.8 of the quota.
-    seven_tenths = { 0.7, 0.03 },
-)]
-fn nothing_below_the_quota_is_refused_without_a_leader(demand: f64, refused_max: f64) {
-    let away = |region: &mut Region, rng: &mut SmallRng| {
-        region.end_term();
-        region.run_lumps(5_000, demand, rng);
-        region.elect_and_link();
-        region.run_lumps(5_000, demand, rng);
-    };
-    let three_elections = |region: &mut Region, rng: &mut SmallRng| {
-        for _ in 0..3 {
-            region.end_term();
-            region.run_lumps(1_500, demand, rng);
-            region.elect_and_link();
-            region.run_lumps(500, demand, rng);
-        }
-        region.run_lumps(4_000, demand, rng);
-    };
-    let (with, without) = (share_refused(demand, true, away), share_refused(demand, false, away));
-    println!("refused at {demand} of the quota, 5 s: {with:.4}, without standing {without:.4}");
-    let in_row = share_refused(demand, true, three_elections);
-    let in_row_without = share_refused(demand, false, three_elections);
-    println!("three elections: {in_row:.4}, without standing {in_row_without:.4}");
-    assert!(with <= refused_max && in_row <= refused_max, "{with:.4}, {in_row:.4}");
-}
-
-/// Guards against a loss of the distributors' standing rates by which the leader is not lost: half
-/// of control is cut off for 6 s, and gateways on both sides go on.
-#[test]
-fn nothing_is_refused_where_half_of_control_is_cut_off() {
-    let cut_off = |region: &mut Region, rng: &mut SmallRng| {
-        region.cut_distributor(0);
-        region.run_lumps(6_000, 0.55, rng);
-        region.link_distributor(0);
-        region.run_lumps(4_000, 0.55, rng);
-    };
-    let (with, without) = (share_refused(0.55, true, cut_off), share_refused(0.55, false, cut_off));
-    println!("half cut off: {with:.4}, without standing {without:.4}");
-    assert!(with <= 0.001, "{with:.4}");
-}
-
-/// Guards against refusals because the rate of the quota is bound in the zone where the demand was.
-#[test]
-fn demand_that_moves_to_another_zone_is_served() {
-    let moves = |region: &mut Region, rng: &mut SmallRng| {
-        region.first_zone_share = 1.0;
-        region.run_lumps(5_000, 0.55, rng);
-        region.first_zone_share = 0.0;
-        region.run_lumps(5_000, 0.9, rng);
-    };
-    let (with, without) = (share_refused(0.55, true, moves), share_refused(0.55, false, moves));
-    println!("demand moves: {with:.4}, without standing {without:.4}");
-    assert!(with <= without + 0.005, "{with:.4}, without {without:.4}");
-}
-
-/// Guards against more units than allowed from standing rates of several leaders, of distributors
-/// that are cut off or lost, and of a holder that was frozen.
-#[yare::parameterized(
-    as_on_the_platform = { BOUNDS },
-    no_slack = { NO_SLACK },
-)]
-fn standing_rates_stay_within_the_allowed_units(bounds: QuotaBounds) {
-    for seed in 0..seeds() {
-        let mut rng = SmallRng::seed_from_u64(seed);
-        let mut region = Region::with_zones(true, bounds);
-        region.run_lumps(rng.random_range(4_000..12_000), rng.random_range(0.2..1.0), &mut rng);
-        for _ in 0..4 {
-            let demand = rng.random_range(0.0..8.0);
-            let frozen = rng.random_range(0..region.gateways.len());
-            region.freeze_gateway(frozen);
-            region.end_term();
-            if rng.random_range(0..3) == 0 {
-                // The distributor restarts, or its replica leads from now on.
-                let pools = &mut region.distributors[0].pools;
-                if rng.random() {
-                    *pools = DistributorPools::new();
-                } else {
-                    pools.release_standing();
-                }
-            }
-            region.run_lumps(rng.random_range(500..6_000), demand, &mut rng);
-            region.wake_gateway(frozen);
-            region.elect();
-            if rng.random() {
-                region.link_all();
-            }
-            region.run_lumps(rng.random_range(100..4_000), demand, &mut rng);
-            region.link_all();
-        }
-        let (highest, allowed) = (region.max_in_window(), allowed(bounds));
-        assert!(highest as f64 <= allowed, "{highest} of {allowed} in a window; seed {seed}");
-    }
-}
-
-/// Guards against a new leader that grants the rate which a distributor has from the previous one
-/// and uses while it is cut off.
-#[test]
-fn a_new_leader_does_not_grant_rates_of_a_distributor_that_is_cut_off() {
-    let mut rng = SmallRng::seed_from_u64(4);
-    let mut region = Region::with_zones(true, NO_SLACK);
-    region.first_zone_share = 0.8;
-    region.run_lumps(10_000, 0.9, &mut rng);
-    region.end_term();
-    region.run_lumps(100, 0.9, &mut rng);
-    region.elect();
-    region.link_distributor(1);
-    region.first_zone_share = 0.5;
-    region.run_lumps(10_000, 6.0, &mut rng);
-    let (highest, allowed) = (region.max_in_window(), allowed(NO_SLACK));
-    assert!(highest as f64 <= allowed, "{highest} of {allowed} in a window");
-}
-
-/// Guards against standing rates that outlive a quota: once they have expired, the lowered quota
-/// applies, also to a distributor that is cut off when it is lowered.
-#[test]
-fn a_lowered_quota_applies_once_standing_rates_have_expired() {
-    let mut rng = SmallRng::seed_from_u64(5);
-    let mut region = Region::with_zones(true, NO_SLACK);
-    region.run_lumps(10_000, 0.8, &mut rng);
-    region.rate_per_s = RATE_PER_S / 10.0;
-    let lowered = configuration(region.rate_per_s);
-    region.leader.as_mut().expect("a leader").configure(region.now_ms, &lowered);
-    region.cut_distributor(0);
-    region.run_lumps(CREDIT_VALID_MS + 1_000, 0.8, &mut rng);
-    region.link_distributor(0);
-    let from_ms = region.now_ms;
-    region.run_lumps(NO_SLACK.window_ms, 0.8, &mut rng);
-    let allowed = (region.rate_per_s * 8.0 + BURST) * (1.0 + NO_SLACK.overrun);
-    let admitted = region.admitted_since(from_ms);
-    assert!(admitted as f64 <= allowed, "{admitted} of {allowed}");
-}
