--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -868,3 +868,34 @@
     }
     panic!("no endpoint was ordered to load the newest version within a second");
 }
+
+/// A leader with 90 endpoints.
+fn leader_of_many() -> Leader {
+    let mut leader = Leader::new(4);
+    for letter in '!'..='z' {
+        if letter != '1' {
+            leader.add_endpoint(&format!("e{letter}"));
+        }
+    }
+    leader
+}
+
+/// Guards against homes that follow the demand of the last seconds when requests move to another
+/// adapter at once.
+#[test]
+fn sudden_demand_gets_its_homes_within_a_second() {
+    let mut leader = leader_of_many();
+    leader.load(1);
+    let mut homes = 1;
+    for _ in 0..80 {
+        // 160 requests a second; each runs for 0.7 s, and a home takes 3 of its 8 slots.
+        leader.report_use("e1", 1, 2, 8);
+        for order in leader.pass(12) {
+            if order.kind == load_of(1) {
+                homes += 1;
+                leader.answer(&order, OrderOutcome::Done);
+            }
+        }
+    }
+    assert!(homes >= 20, "{homes} homes after a second");
+}
