--- a/tests/waiting_queue.rs
+++ b/tests/waiting_queue.rs
@@ -504,7 +504,7 @@
     let within = queues.push(1_000, &key(), within).expect("it may wait").ticket;
     assert_eq!(queues.first(1_000, &key()), Some(within), "its workspace is within its share");
     assert_eq!(
-        queues.first(1_790, &key()),
+        queues.first(1_500, &key()),
         Some(within),
         "the late one is past half of its deadline"
     );
