--- a/src/control/workspace_use.rs
+++ b/src/control/workspace_use.rs
@@ -6,7 +6,7 @@
 
 use super::session::Session;
 use crate::message::{SessionDown, SessionRole, UseCounts, WorkspaceUse};
-use crate::policy::fair_share::{self, OtherUses, REPORT_INTERVAL_MS, UseMap};
+use crate::policy::workspace_use::{self, OtherUses, REPORT_INTERVAL_MS, UseMap};
 
 /// How often sums are computed even if no report arrived: sessions opened since need them, and sums
 /// of a former server expire.
@@ -41,7 +41,7 @@
     /// Records the report of a session.
     pub fn update(&mut self, session: u64, uses: Vec<WorkspaceUse>) {
         let known = self.by_session.entry(session).or_default();
-        fair_share::update_uses(&mut known.reported, uses);
+        workspace_use::update_uses(&mut known.reported, uses);
         self.is_changed = true;
     }
 
@@ -94,7 +94,7 @@
             }
             is_sent |= self.by_session.entry(*id).or_default().send_others(&all, session);
         }
-        let report = fair_share::take_changes(&mut self.reported, &own);
+        let report = workspace_use::take_changes(&mut self.reported, &own);
         if is_sent || !report.is_empty() {
             self.due_ms = now_ms + REPORT_INTERVAL_MS;
         }
@@ -109,10 +109,10 @@
         let mut others = UseMap::new();
         for (key, total) in all {
             let own = self.reported.get(key).copied().unwrap_or_default();
-            fair_share::set_use(&mut others, key.clone(), total.saturating_sub(own));
+            workspace_use::set_use(&mut others, key.clone(), total.saturating_sub(own));
         }
         let mut sent = self.sent.clone();
-        let changes = fair_share::take_changes(&mut sent, &others);
+        let changes = workspace_use::take_changes(&mut sent, &others);
         if changes.is_empty() || !session.send(SessionDown::WorkspaceUse(changes)) {
             return false;
         }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -13,11 +13,12 @@
 
 use super::access::Access;
 use super::admission::{Admitted, admit};
-use super::attempt::{Attempt, StartedResponse, Target};
+use super::attempt::{Attempt, StartedResponse};
 use super::border::{AnswerMeta, RequestMeta, SendMeta};
 use super::prompt::PromptChain;
 use super::quota::UsedCredit;
-use super::refusal::{Failure, NotSent, own_answer, refuse};
+use super::refusal::{Failure, NotSent};
+use super::selection::Target;
 use super::shared::Relay;
 use super::shares::RequestShare;
 use super::standings::Permission;
@@ -26,7 +27,6 @@
 use crate::http::{Answer, HttpHandler, answer, full, header};
 use crate::message::{RequestContent, RequestKey};
 use crate::metrics::Counter;
-use crate::policy::rank::LATE_RANK;
 use crate::policy::resend::{FailureCause, FailureKind};
 use crate::routing::{Repeat, RouteMatch};
 use crate::wire::BoxFuture;
@@ -34,7 +34,7 @@
 /// The largest response that is buffered before it is forwarded.
 const BUFFERED_RESPONSE_MAX_BYTES: usize = 256 << 10;
 /// The part of the deadline that is reserved for returning the response.
-const RESPONSE_MARGIN_MS: u64 = 5;
+pub(super) const RESPONSE_MARGIN_MS: u64 = 5;
 /// The error of a response whose endpoint was found to have ended without closing the connection.
 pub(super) const ENDPOINT_ENDED: &str = "the endpoint has ended";
 /// The maximum number of refused sends per request, in addition to the attempts that the route
@@ -84,7 +84,7 @@
     pub(super) meta: RequestMeta,
     pub(super) chosen: RouteMatch,
     pub(super) access: Access,
-    used_credit: Option<UsedCredit>,
+    pub(super) used_credit: Option<UsedCredit>,
     pub(super) started_ms: u64,
     pub(super) ends_at_ms: u64,
     pub(super) method: Method,
@@ -115,11 +115,11 @@
     pub(super) trial: Option<Trial>,
     pub(super) share: RequestShare,
     /// The cause of the last failure, until the outcome of the send that follows it is known.
-    failure_cause: Option<FailureCause>,
+    pub(super) failure_cause: Option<FailureCause>,
     /// True if the request failed and was not resent because second sends seldom succeed.
     pub(super) not_resent: bool,
     /// The number of sends that an endpoint may have run.
-    possible_runs: u32,
+    pub(super) possible_runs: u32,
     /// The number of sends that endpoints refused without asking for backoff.
     refused: u32,
     /// The number of sends that endpoints refused with a request for backoff.
@@ -368,55 +368,6 @@
         self.tried.push(endpoint.clone());
     }
 
-    /// Records whether a send failed, as evidence for whether to resend other requests. Only
-    /// requests that may be repeated count, since only these are resent after a failure.
-    fn note_outcome(&mut self, endpoint: &Arc<str>, failure: Option<FailureKind>) {
-        if self.chosen.route.repeat != Repeat::Any {
-            return;
-        }
-        let (now_ms, cause) = (self.relay.now_ms(), self.failure_cause.take());
-        let (service, route) = (&self.chosen.service.name, &self.chosen.route.name);
-        let mut resends = self.relay.resends();
-        match cause {
-            None => resends.note_first(now_ms, service, route, endpoint, failure),
-            Some(cause) => resends.note_second(now_ms, service, route, cause, failure.is_none()),
-        }
-    }
-
-    /// Records that a second send brought no response before the deadline. A first send without
-    /// one is no evidence, since it cannot be resent.
-    fn note_overdue(&mut self) {
-        let Some(cause) = self.failure_cause.take() else { return };
-        let (service, route) = (&self.chosen.service.name, &self.chosen.route.name);
-        self.relay.resends().note_second(self.relay.now_ms(), service, route, cause, false);
-    }
-
-    /// Decides whether a request that failed at `endpoint`, and may be repeated, is resent.
-    fn is_resend_worthwhile(&mut self, endpoint: &Arc<str>, kind: FailureKind) -> bool {
-        let (service, route) = (&self.chosen.service.name, &self.chosen.route.name);
-        let now_ms = self.relay.now_ms();
-        let decision = self.relay.resends().decide(now_ms, service, route, endpoint, kind);
-        if decision.resend {
-            self.failure_cause = Some(decision.cause);
-        } else {
-            self.not_resent = true;
-            self.note_not_resent(endpoint, &decision);
-        }
-        decision.resend
-    }
-
-    /// Takes a token from the retry budget; returns false if none is left for this request.
-    fn take_retry(&self, now_ms: u64) -> bool {
-        let route = &self.chosen.route;
-        // The objective is for the start of a stream, so a resumed one may be in time at any age.
-        // Only requests for an engine's weights are ranked; the rank of others is their priority.
-        let is_ranked = self.chosen.service.engine.is_some() && self.meta.weights.is_some();
-        let is_late = now_ms >= self.started_ms + route.latency_objective_ms
-            || (is_ranked && self.rank >= LATE_RANK);
-        let in_time = !is_late || (route.streams && self.has_answered);
-        self.relay.take_retry(now_ms, &self.meta.id, &self.chosen.service.name, in_time)
-    }
-
     /// Handles a connection that broke, or an endpoint that ended, before the response was whole.
     fn handle_broken(&mut self, endpoint: &Arc<str>, detail: String) -> Result<(), Failure> {
         if self.chosen.route.repeat == Repeat::Any
@@ -516,58 +467,6 @@
             };
         }
     }
-
-    fn give_up(&self, failure: Failure) -> Answer {
-        let after_ms = self.relay.now_ms() - self.started_ms;
-        let request = &self.meta.id;
-        let may_have_run = self.possible_runs > 0;
-        match failure {
-            Failure::NotSent(reason) if !may_have_run => {
-                self.relay.metrics.count(Counter::RequestsRefused);
-                match reason {
-                    NotSent::Held { .. } => self.relay.metrics.count(Counter::RequestsHeld),
-                    NotSent::Limited { .. } => self.relay.metrics.count(Counter::RequestsLimited),
-                    NotSent::BackingOff { .. } => {
-                        self.relay.metrics.count(Counter::RequestsBackingOff);
-                    }
-                    NotSent::QueueFull { .. } => {
-                        self.relay.metrics.count(Counter::RequestsRefusedQueueFull);
-                    }
-                    NotSent::DeadlineUnreachable { .. } => {
-                        self.relay.metrics.count(Counter::RequestsRefusedDeadline);
-                    }
-                    _ => {}
-                }
-                if let Some(used) = &self.used_credit {
-                    used.give_back();
-                }
-                info!(
-                    event = "refused",
-                    request = %request,
-                    route = %self.chosen.route.name,
-                    weights = %self.meta.weights.as_ref().map_or_else(String::new, ToString::to_string),
-                    reason = ?reason,
-                    after_ms
-                );
-                refuse(reason)
-            }
-            Failure::NotSent(reason) => {
-                self.relay.metrics.count(Counter::RequestsUnknown);
-                let route = &self.chosen.route.name;
-                info!(event = "failed", request = %request, route = %route, reason = ?reason, answered = self.has_answered, after_ms);
-                own_answer(StatusCode::BAD_GATEWAY, "the endpoint failed")
-            }
-            Failure::Unknown(detail) => {
-                self.relay.metrics.count(Counter::RequestsUnknown);
-                let route = &self.chosen.route.name;
-                info!(event = "failed", request = %request, route = %route, reason = %detail, answered = self.has_answered, not_resent = self.not_resent, after_ms);
-                if self.relay.now_ms() + RESPONSE_MARGIN_MS >= self.ends_at_ms {
-                    return own_answer(StatusCode::GATEWAY_TIMEOUT, "no answer in time");
-                }
-                own_answer(StatusCode::BAD_GATEWAY, "the endpoint failed")
-            }
-        }
-    }
 }
 
 /// Removes the headers that apply to a single connection.
--- a/src/relay/process.rs
+++ b/src/relay/process.rs
@@ -165,7 +165,7 @@
             "weights": queue.key.weights.as_ref().map(ToString::to_string),
             "length": queue.length,
             "oldest_ms": queue.oldest_ms,
-            "rate_per_s": queue.rate_per_s,
+            "sent_per_s": queue.sent_per_s,
         }));
     }
     let slowdowns = relay.fleet().slowdowns();
--- a/src/relay/queue.rs
+++ b/src/relay/queue.rs
@@ -14,9 +14,9 @@
 use crate::clock::Clock;
 use crate::message::{Holding, WeightsName};
 use crate::metrics::{Counter, Gauge, Metrics, Timer};
+use crate::policy::place_share::{PlaceShare, ServicePlaces};
 use crate::policy::waiting_queue::{
-    PlaceShare, QueueKey, QueueLimits, QueueRefusal, QueueStatus, ServicePlaces, WaitingQueues,
-    WaitingRequest,
+    QueueKey, QueueLimits, QueueRefusal, QueueStatus, WaitingQueues, WaitingRequest,
 };
 
 /// How long and over how many responses the usual response times of a service are measured.
@@ -176,7 +176,8 @@
         if self.is_idle() {
             return;
         }
-        let state = self.state();
+        let mut state = self.state();
+        state.queues.note_capacity();
         for ticket in state.queues.firsts(now_ms) {
             if let Some(waiter) = state.waiters.get(&ticket) {
                 waiter.wake.notify_one();
@@ -374,6 +375,14 @@
         state.waiters.get(&self.ticket).is_some_and(|waiter| waiter.is_replaced)
     }
 
+    /// Lets the requests behind it try, although it could not be sent itself.
+    pub(super) fn let_others_pass(&self) {
+        let mut state = self.queue.state();
+        if state.queues.let_others_pass(self.ticket) {
+            state.wake_first(self.queue.clock.now_ms(), &self.key);
+        }
+    }
+
     /// Checks again whether the request can be served in time.
     ///
     /// # Errors
--- a/tests/fair_share.rs
+++ b/tests/fair_share.rs
@@ -8,9 +8,8 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use winchvane::message::{UseCounts, WorkspaceUse};
-use winchvane::policy::fair_share::{
-    FairShares, ShareClass, UseMap, WorkspaceDemand, max_min_shares, take_changes, update_uses,
-};
+use winchvane::policy::fair_share::{FairShares, ShareClass, WorkspaceDemand, max_min_shares};
+use winchvane::policy::workspace_use::{UseMap, take_changes, update_uses};
 use yare::parameterized;
 
 const GATEWAYS: usize = 59;
@@ -579,3 +578,17 @@
     assert_eq!(rest.last(), Some(&uses("w1", 0, 0, 0)), "{rest:?}");
     assert!(rest.len() <= 2, "{rest:?}");
 }
+
+/// Guards against shares that never end without control: a short wait is reported as the largest
+/// number since the last report, and without control there are no reports.
+#[test]
+fn shares_end_without_control() {
+    let mut shares = FairShares::new(0.5);
+    let (service, workspace) = ("quotes".into(), "big".into());
+    shares.begin_wait(3_000, &service, &workspace);
+    shares.end_wait(3_010, &service, &workspace);
+    for now_ms in (3_100..8_200).step_by(100) {
+        shares.classify(now_ms, &service, &workspace, 1);
+    }
+    assert!(shares.shares(8_200).is_empty(), "{:?}", shares.shares(8_200));
+}
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use common::engines::configuration;
 use winchvane::control::placement::{
@@ -899,3 +899,35 @@
     }
     assert!(homes >= 20, "{homes} homes after a second");
 }
+
+/// A leader with 90 endpoints that loads the first homes of 68 adapters, more than a pass handles.
+fn leader_that_loads_many() -> Leader {
+    let mut leader = leader_of_many();
+    leader.load(1);
+    leader.pass(10);
+    for number in 2..70 {
+        leader.need(number);
+    }
+    let mut loading = BTreeSet::new();
+    for _ in 0..40 {
+        for order in leader.pass(5) {
+            if let OrderKind::Load { name, .. } = &order.kind {
+                loading.insert(name.clone());
+                leader.answer(&order, OrderOutcome::UnderWay);
+            }
+        }
+    }
+    assert!(loading.len() > 64, "{} loads are on their way", loading.len());
+    leader
+}
+
+/// Guards against passes that handle only requests whose homes are being loaded: no further load was
+/// started, neither of a first nor of an additional home.
+#[test]
+fn additional_homes_are_loaded_beside_many_first_homes() {
+    let mut leader = leader_that_loads_many();
+    leader.report_use("e1", 1, 40, 8);
+    let orders = leader.pass(10);
+    let kinds: Vec<_> = orders.iter().map(|order| &order.kind).collect();
+    assert!(kinds.contains(&&load_of(1)), "{kinds:?}");
+}
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -4,8 +4,8 @@
 use winchvane::message::{EndpointLoad, Holding, Load, Placed, RegisteredEndpoint, WeightsName};
 use winchvane::policy::rank::{LATE_RANK, Urgency};
 use winchvane::relay::{
-    EventSplitter, Fleet, IdleConnections, Picked, PrefixCache, Prompt, PromptChain, PromptPart,
-    ReadingPace, RetryBudget, UnansweredRequests, Wanted, reconnect_max_ms,
+    EventSplitter, Fleet, IdleConnections, PickRequest, Picked, PrefixCache, Prompt, PromptChain,
+    PromptPart, ReadingPace, RetryBudget, UnansweredRequests, Wanted, reconnect_max_ms,
 };
 
 fn endpoint(id: &str, zone: &str, slots: u32) -> RegisteredEndpoint {
@@ -130,6 +130,23 @@
     assert_eq!(picked(&mut fleet, 0, None).as_deref(), Some("n"));
 }
 
+/// Guards against requests of a workspace over its share that take every slot of an engine, so that
+/// those of others, which wait in the queues of other adapters, never get one.
+#[test]
+fn requests_over_their_share_leave_slots_of_an_engine_free() {
+    let mut fleet = Fleet::new("near".into(), 1);
+    fleet.register(endpoint("n", "near", 12));
+    let wanted = wanted(0);
+    place(&mut fleet, "n", Holding::Ready(1));
+    let within = PickRequest::new("quotes", Some(&wanted), &[]);
+    let over = PickRequest { leaves_reserve: true, free_slots_only: true, ..within };
+    fleet.note_loads(0, vec![loaded("n", 9, 0)]);
+    assert!(matches!(fleet.pick_for(0, &over), Picked::Endpoint { .. }));
+    fleet.note_loads(0, vec![loaded("n", 10, 0)]);
+    assert_eq!(fleet.pick_for(0, &over), Picked::Full, "two slots are left to others");
+    assert!(matches!(fleet.pick_for(0, &within), Picked::Endpoint { .. }));
+}
+
 #[test]
 fn requests_go_around_an_endpoint_that_answers_nothing() {
     let mut waiting = UnansweredRequests::new();
