--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -78,6 +78,8 @@
 pub struct Try {
     /// The client's number.
     pub client: u32,
+    /// The gateway.
+    pub gateway: SocketAddr,
     /// When it was sent.
     pub sent_at: Instant,
     /// How it ended.
@@ -102,7 +104,7 @@
                 let sent_at = Instant::now();
                 let address = gateways[turn % gateways.len()];
                 let (_, end) = ask_for_adapter(address, ADAPTERS[0], body.clone(), &record).await;
-                note(Try { client, sent_at, end });
+                note(Try { client, gateway: address, sent_at, end });
                 tokio::time::sleep(period).await;
             }
         }));
--- a/soak/src/engine/mod.rs
+++ b/soak/src/engine/mod.rs
@@ -23,6 +23,7 @@
 pub use weights::{ADAPTERS_MAX, BASE, NotBegun, Order, Outcome, Weights};
 
 use crate::client::call_control;
+use crate::cut::Cuts;
 use crate::endpoint::{Answer, EVENTS, head, look_for_headers, text, whole};
 use crate::overload::Overload;
 use crate::record::Record;
@@ -48,6 +49,7 @@
     id: String,
     addresses: [SocketAddr; 2],
     control: Vec<SocketAddr>,
+    cuts: Arc<Cuts>,
     record: Arc<Record>,
     life: Mutex<Option<Arc<Life>>>,
     lives: AtomicU64,
@@ -116,12 +118,14 @@
         id: String,
         addresses: [SocketAddr; 2],
         control: Vec<SocketAddr>,
+        cuts: Arc<Cuts>,
         record: Arc<Record>,
     ) -> Arc<Self> {
         Arc::new(Self {
             id,
             addresses,
             control,
+            cuts,
             record,
             life: Mutex::new(None),
             lives: AtomicU64::new(0),
@@ -243,15 +247,22 @@
 
     async fn accept(self: Arc<Self>, life: Arc<Life>, listener: TcpListener) {
         while let Ok((stream, _)) = listener.accept().await {
+            let Some(stream) = self.cuts.admit(stream) else { continue };
             let (engine, of_life) = (self.clone(), life.clone());
             let service = service_fn(move |request| {
                 let (engine, life) = (engine.clone(), of_life.clone());
                 async move { Ok::<_, Infallible>(engine.serve(&life, request).await) }
             });
+            let reset = stream.until_reset();
             let connection = hyper::server::conn::http1::Builder::new()
                 .serve_connection(TokioIo::new(stream), service);
-            // A connection that breaks is what this program is about.
-            tokio::spawn(life.clone().until_ended(async move { drop(connection.await) }));
+            tokio::spawn(life.clone().until_ended(async move {
+                tokio::select! {
+                    // A connection that breaks is what this program is about.
+                    ended = connection => drop(ended),
+                    () = reset => {}
+                }
+            }));
         }
     }
 
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod abusive;
 pub mod client;
+pub mod cut;
 pub mod endpoint;
 pub mod engine;
 pub mod faults;
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -5,11 +5,12 @@
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 use std::time::Duration;
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, split};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
+use crate::cut::{CutStream, Cuts};
+
 /// What a proxy does to what passes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[repr(u8)]
@@ -40,11 +41,11 @@
 pub struct Proxy(Arc<State>);
 
 impl Proxy {
-    /// Passes connections to `from` on to `to`.
+    /// Passes connections to `from` on to `to`; those of gateways are subject to `cuts`.
     ///
     /// # Errors
     /// The address is taken.
-    pub async fn start(from: SocketAddr, to: SocketAddr) -> std::io::Result<Self> {
+    pub async fn start(from: SocketAddr, to: SocketAddr, cuts: Arc<Cuts>) -> std::io::Result<Self> {
         let listener = TcpListener::bind(from).await?;
         let state = Arc::new(State {
             mode: AtomicU8::new(0),
@@ -55,7 +56,15 @@
         let accepting = proxy.clone();
         tokio::spawn(async move {
             while let Ok((client, _)) = listener.accept().await {
-                tokio::spawn(accepting.clone().pass(client, to));
+                let _ = client.set_nodelay(true);
+                let Some(client) = cuts.admit(client) else { continue };
+                let (proxy, reset) = (accepting.clone(), client.until_reset());
+                tokio::spawn(async move {
+                    tokio::select! {
+                        () = proxy.pass(client, to) => {}
+                        () = reset => {}
+                    }
+                });
             }
         });
         Ok(proxy)
@@ -76,19 +85,19 @@
         self.0.mode.load(Ordering::SeqCst) == mode as u8
     }
 
-    async fn pass(self, client: TcpStream, to: SocketAddr) {
+    async fn pass(self, client: CutStream, to: SocketAddr) {
         let resets = self.0.resets.load(Ordering::SeqCst);
         while self.is(Mode::Silent) {
             tokio::time::sleep(POLL).await;
         }
         let Ok(server) = TcpStream::connect(to).await else {
-            reset_stream(&client);
+            client.reset();
             return;
         };
-        let _ = (client.set_nodelay(true), server.set_nodelay(true));
+        let _ = server.set_nodelay(true);
         let reset = self.0.reset.notified();
-        let (client_read, client_write) = client.into_split();
-        let (server_read, server_write) = server.into_split();
+        let (client_read, client_write) = split(client);
+        let (server_read, server_write) = split(server);
         let forward = self.copy(client_read, server_write, Mode::CutForward);
         let back = self.copy(server_read, client_write, Mode::CutBack);
         tokio::pin!(forward, back);
@@ -106,7 +115,12 @@
         }
     }
 
-    async fn copy(&self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf, cut: Mode) {
+    async fn copy(
+        &self,
+        mut from: impl AsyncRead + Unpin,
+        mut to: impl AsyncWrite + Unpin,
+        cut: Mode,
+    ) {
         let mut buffer = vec![0; 16 << 10];
         loop {
             let Ok(read) = from.read(&mut buffer).await else { return };
@@ -126,9 +140,3 @@
         }
     }
 }
-
-/// Closes a connection with a reset instead of an end.
-fn reset_stream(stream: &TcpStream) {
-    // A failure leaves an ordinary close, which is a fault as well.
-    let _ = stream.set_zero_linger();
-}
--- a/soak/src/random_gateway_clients.rs
+++ b/soak/src/random_gateway_clients.rs
@@ -57,7 +57,7 @@
                         tokio::time::sleep(RETRY_PAUSE).await;
                         (_, end) = ask().await;
                     }
-                    note(Try { client, sent_at, end });
+                    note(Try { client, gateway: address, sent_at, end });
                     tokio::time::sleep(config.pause).await;
                 }
             }));
--- a/soak/src/region.rs
+++ b/soak/src/region.rs
@@ -6,6 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use nix::sys::signal::{Signal, kill};
@@ -13,6 +14,7 @@
 use tempfile::TempDir;
 
 use crate::client;
+use crate::cut::{Cut, Cuts};
 use crate::endpoint::Endpoint;
 use crate::engine::Engine;
 use crate::keyed;
@@ -55,6 +57,8 @@
     data: Option<PathBuf>,
     log: PathBuf,
     child: Option<Child>,
+    /// The id of its process; 0 while it does not run.
+    process: Arc<AtomicU32>,
     expected_exit: bool,
 }
 
@@ -68,6 +72,7 @@
     pub endpoints: Vec<Arc<Endpoint>>,
     /// The engines.
     pub engines: Vec<Arc<Engine>>,
+    cuts: Arc<Cuts>,
     size: Size,
     folder: TempDir,
     exits: Vec<String>,
@@ -100,13 +105,14 @@
             proxies: Vec::new(),
             endpoints: Vec::new(),
             engines: Vec::new(),
+            cuts: Arc::default(),
             size,
             folder,
             exits: Vec::new(),
         };
         for number in 1..=REPLICAS {
             let (public, own) = (size.at(2, number, PEER_PORT), size.at(1, number, PEER_PORT));
-            let proxy = Proxy::start(public, own).await?;
+            let proxy = Proxy::start(public, own, Arc::default()).await?;
             region.proxies.push((format!("control-{number}"), proxy));
             region.add_control(programs, number)?;
         }
@@ -115,7 +121,7 @@
         }
         for number in 1..=size.endpoints {
             let (public, own) = (size.at(5, number, SERVE_PORT), size.at(4, number, SERVE_PORT));
-            let proxy = Proxy::start(public, own).await?;
+            let proxy = Proxy::start(public, own, region.cuts.clone()).await?;
             region.proxies.push((format!("endpoint-{number}"), proxy));
             let endpoint = Endpoint::new(own, public, record.clone());
             endpoint.clone().start(region.control_addresses()).await?;
@@ -124,7 +130,8 @@
         for number in 1..=size.engines {
             let addresses = [size.at(6, number, SERVE_PORT), size.at(7, number, SERVE_PORT)];
             let control = region.control_addresses();
-            let engine = Engine::new(format!("e-{number}"), addresses, control, record.clone());
+            let (name, cuts) = (format!("e-{number}"), region.cuts.clone());
+            let engine = Engine::new(name, addresses, control, cuts, record.clone());
             engine.start().await?;
             region.engines.push(engine);
         }
@@ -169,7 +176,11 @@
             self.size.seeds(),
             keyed::REVOKED_WITHIN_MS,
         );
-        self.add(programs, "winchvane-platform-gateway", name, None, &text)
+        self.add(programs, "winchvane-platform-gateway", name.clone(), None, &text)?;
+        if let Some(program) = self.programs.last() {
+            self.cuts.add_gateway(&name, program.process.clone());
+        }
+        Ok(())
     }
 
     fn add(
@@ -189,6 +200,7 @@
             data,
             log: self.folder.path().join(format!("{name}.log")),
             child: None,
+            process: Arc::default(),
             expected_exit: false,
             name,
         });
@@ -220,6 +232,11 @@
         (1..=self.size.gateways).map(|number| self.size.at(3, number, CLIENT_PORT)).collect()
     }
 
+    /// Cuts the gateway with this number off from all endpoints, or ends its cut.
+    pub fn cut(&self, gateway: u8, cut: Option<Cut>) {
+        self.cuts.set(&format!("gateway-{gateway}"), cut);
+    }
+
     /// Where endpoints and the operator call.
     pub fn control_addresses(&self) -> Vec<SocketAddr> {
         (1..=REPLICAS).map(|number| self.size.at(2, number, API_PORT)).collect()
@@ -277,6 +294,7 @@
                 self.exits.push(format!("{} does not start any more: {error}", engine.id()));
             }
         }
+        self.cuts.clear();
         for (_, proxy) in &self.proxies {
             proxy.set(Mode::Pass);
         }
@@ -368,6 +386,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
+        self.process.store(child.id(), Ordering::SeqCst);
         self.child = Some(child);
         self.expected_exit = false;
         Ok(())
