control: name the gateway that reports an endpoint as failing or crashed

The leader logged endpoint_failing 309 times during the cut without its source, so that the logs could not tell a fault of endpoints from the word of gateways that are cut off. Change: endpoint_failing and endpoint_crashed have the key gateway.

--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -335,11 +335,16 @@
         self.endpoints.get(id).is_some_and(|endpoint| endpoint.load.running > 0)
     }
 
-    /// Marks endpoints that a gateway reported as failing.
-    pub fn mark_endpoints_failing(&mut self, now_ms: u64, endpoints: &[Arc<str>]) {
+    /// Marks endpoints that `gateway` reported as failing.
+    pub fn mark_endpoints_failing(
+        &mut self,
+        now_ms: u64,
+        gateway: &str,
+        endpoints: &[Arc<str>],
+    ) {
         for id in endpoints {
             let Some(endpoint) = self.endpoints.get_mut(id) else { continue };
-            info!(event = "endpoint_failing", endpoint = %id);
+            info!(event = "endpoint_failing", endpoint = %id, gateway);
             endpoint.mark_failing(now_ms);
         }
     }
--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -412,9 +412,13 @@
             }
             SessionUp::Traffic { used, failing, .. } => {
                 self.registered.placement.used(now_ms, from, used);
-                self.registered.placement.mark_endpoints_failing(now_ms, &failing);
+                self.registered
+                    .placement
+                    .mark_endpoints_failing(now_ms, &from.gateway, &failing);
+            }
+            SessionUp::Crashes(crashes) => {
+                self.record_crashes(now_ms, wall_ms, &from.gateway, crashes);
             }
-            SessionUp::Crashes(crashes) => self.record_crashes(now_ms, wall_ms, crashes),
             SessionUp::Served(key) => {
                 self.registered.crashes.note_served(key, now_ms);
                 self.registered.crashes.served(key);
--- a/src/control/replica/standings.rs
+++ b/src/control/replica/standings.rs
@@ -7,11 +7,12 @@
 use crate::message::{EndpointCrash, RequestStanding, Standing};
 
 impl Replica {
-    /// Records endpoint crashes that a gateway observed.
+    /// Records endpoint crashes that `gateway` observed.
     pub(super) fn record_crashes(
         &mut self,
         now_ms: u64,
         wall_ms: u64,
+        gateway: &str,
         crashes: Vec<EndpointCrash>,
     ) {
         for crash in crashes {
@@ -24,6 +25,7 @@
                     event = "endpoint_crashed",
                     endpoint = %crash.endpoint,
                     service = %crash.service,
+                    gateway,
                     runs = crash.runs.len(),
                     ago_ms = crash.ago_ms,
                     used
