--- a/soak/src/cut.rs
+++ b/soak/src/cut.rs
@@ -3,7 +3,7 @@
 //! All gateways connect from the same loopback address, so the gateway of a connection is found by
 //! the socket that its process holds.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::fs;
 use std::future::pending;
 use std::io;
@@ -16,10 +16,14 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 use tokio::time::{Sleep, sleep};
 
+/// The state of an open connection in the kernel's table of sockets.
+const ESTABLISHED: &str = " 01 ";
 const POLL: Duration = Duration::from_millis(15);
+/// How long connections are collected whose gateways are then found together.
+const COLLECT: Duration = Duration::from_millis(3);
 
 /// What happens to the connections of a gateway that is cut off.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,12 +41,17 @@
 pub struct Cuts {
     /// The ids of the gateways' processes; 0 for one that does not run.
     processes: Mutex<BTreeMap<String, Arc<AtomicU32>>>,
-    cuts: watch::Sender<BTreeMap<String, Cut>>,
+    current: watch::Sender<BTreeMap<String, Cut>>,
+    asked: Mutex<Vec<Asked>>,
 }
 
+/// A connection whose gateway is asked for: its ends, the gateway's first.
+type Asked = ((SocketAddr, SocketAddr), oneshot::Sender<Option<String>>);
+
 impl Default for Cuts {
     fn default() -> Self {
-        Self { processes: Mutex::default(), cuts: watch::Sender::new(BTreeMap::new()) }
+        let current = watch::Sender::new(BTreeMap::new());
+        Self { processes: Mutex::default(), current, asked: Mutex::default() }
     }
 }
 
@@ -54,7 +63,7 @@
 
     /// Cuts `gateway` off from all endpoints, or ends its cut.
     pub fn set(&self, gateway: &str, cut: Option<Cut>) {
-        self.cuts.send_modify(|cuts| {
+        self.current.send_modify(|cuts| {
             match cut {
                 Some(cut) => cuts.insert(gateway.to_owned(), cut),
                 None => cuts.remove(gateway),
@@ -64,12 +73,12 @@
 
     /// Ends all cuts.
     pub fn clear(&self) {
-        self.cuts.send_modify(BTreeMap::clear);
+        self.current.send_modify(BTreeMap::clear);
     }
 
     /// Takes an accepted connection; `None` if it is reset because its gateway is cut off.
-    pub fn admit(self: &Arc<Self>, stream: TcpStream) -> Option<CutStream> {
-        let gateway = self.gateway_of(&stream).unwrap_or_default();
+    pub async fn admit(self: &Arc<Self>, stream: TcpStream) -> Option<CutStream> {
+        let gateway = self.gateway_of(&stream).await.unwrap_or_default();
         let stream = CutStream { inner: stream, gateway, cuts: self.clone(), timer: None };
         if matches!(stream.cut(), Some(Cut::Reset | Cut::NewReset)) {
             stream.reset();
@@ -83,45 +92,74 @@
     }
 
     /// The gateway that holds the other end of a connection.
-    fn gateway_of(&self, stream: &TcpStream) -> Option<String> {
+    async fn gateway_of(self: &Arc<Self>, stream: &TcpStream) -> Option<String> {
         if self.processes().is_empty() {
             return None;
         }
-        let socket = socket_of(stream.peer_addr().ok()?, stream.local_addr().ok()?)?;
+        let ends = (stream.peer_addr().ok()?, stream.local_addr().ok()?);
+        let (found, gateway) = oneshot::channel();
+        let is_first = {
+            let mut asked = self.asked.lock().unwrap_or_else(PoisonError::into_inner);
+            asked.push((ends, found));
+            asked.len() == 1
+        };
+        if is_first {
+            tokio::task::spawn_blocking({
+                let cuts = self.clone();
+                move || cuts.find_gateways()
+            });
+        }
+        gateway.await.ok()?
+    }
+
+    /// Finds the gateways of all connections that wait for it: reading the tables takes
+    /// milliseconds, and many connections are opened at once.
+    fn find_gateways(&self) {
+        std::thread::sleep(COLLECT);
+        let asked = std::mem::take(&mut *self.asked.lock().unwrap_or_else(PoisonError::into_inner));
+        let sockets = sockets();
+        let mut holders = HashMap::new();
         for (name, process) in self.processes().iter() {
-            let id = process.load(Ordering::SeqCst);
-            if id != 0 && holds(id, &socket) {
-                return Some(name.clone());
+            for socket in held_by(process.load(Ordering::SeqCst)) {
+                holders.insert(socket, name.clone());
             }
         }
-        None
+        for (ends, found) in asked {
+            let gateway = sockets.get(&ends).and_then(|socket| holders.get(socket));
+            // The receiver is gone if the run has ended.
+            let _ = found.send(gateway.cloned());
+        }
     }
 }
 
-/// The name, as a file descriptor shows it, of the socket from `local` to `remote`.
-fn socket_of(local: SocketAddr, remote: SocketAddr) -> Option<String> {
-    let (local, remote) = (hexadecimal(local)?, hexadecimal(remote)?);
-    for line in fs::read_to_string("/proc/net/tcp").ok()?.lines() {
-        let fields: Vec<&str> = line.split_whitespace().collect();
-        if fields.get(1) == Some(&local.as_str()) && fields.get(2) == Some(&remote.as_str()) {
-            return fields.get(9).map(|inode| format!("socket:[{inode}]"));
+/// All sockets by their ends, the local one first, named as file descriptors show them.
+fn sockets() -> HashMap<(SocketAddr, SocketAddr), String> {
+    let mut sockets = HashMap::new();
+    for line in fs::read_to_string("/proc/net/tcp").unwrap_or_default().lines() {
+        // Thousands of closed sockets wait for late packets.
+        if !line.contains(ESTABLISHED) {
+            continue;
         }
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let [_, local, remote, _, _, _, _, _, _, inode, ..] = fields[..] else { continue };
+        let (Some(local), Some(remote)) = (address(local), address(remote)) else { continue };
+        sockets.insert((local, remote), format!("socket:[{inode}]"));
     }
-    None
+    sockets
 }
 
-/// The form that the kernel's table of sockets uses.
-fn hexadecimal(address: SocketAddr) -> Option<String> {
-    let SocketAddr::V4(address) = address else { return None };
-    let ip = u32::from_le_bytes(address.ip().octets());
-    Some(format!("{ip:08X}:{:04X}", address.port()))
+/// Reads an address as the kernel's table of sockets has it.
+fn address(text: &str) -> Option<SocketAddr> {
+    let (ip, port) = text.split_once(':')?;
+    let ip = u32::from_str_radix(ip, 16).ok()?.to_le_bytes();
+    Some(SocketAddr::from((ip, u16::from_str_radix(port, 16).ok()?)))
 }
 
-fn holds(process: u32, socket: &str) -> bool {
-    let Ok(descriptors) = fs::read_dir(format!("/proc/{process}/fd")) else { return false };
-    descriptors
-        .flatten()
-        .any(|entry| fs::read_link(entry.path()).is_ok_and(|target| target.as_os_str() == socket))
+/// The files and sockets that a process holds; none if it does not run.
+fn held_by(process: u32) -> Vec<String> {
+    let Ok(descriptors) = fs::read_dir(format!("/proc/{process}/fd")) else { return Vec::new() };
+    let targets = descriptors.flatten().filter_map(|entry| fs::read_link(entry.path()).ok());
+    targets.map(|target| target.to_string_lossy().into_owned()).collect()
 }
 
 /// A connection that is cut when its gateway is.
@@ -135,7 +173,7 @@
 
 impl CutStream {
     fn cut(&self) -> Option<Cut> {
-        self.cuts.cuts.borrow().get(&self.gateway).copied()
+        self.cuts.current.borrow().get(&self.gateway).copied()
     }
 
     /// Makes the connection close with a reset instead of an end.
@@ -146,7 +184,7 @@
 
     /// Returns once a cut resets the connection, which is then closed when it is dropped.
     pub fn until_reset(&self) -> impl Future<Output = ()> + use<> {
-        let (gateway, mut cuts) = (self.gateway.clone(), self.cuts.cuts.subscribe());
+        let (gateway, mut cuts) = (self.gateway.clone(), self.cuts.current.subscribe());
         async move {
             let is_reset = |cuts: &BTreeMap<String, Cut>| cuts.get(&gateway) == Some(&Cut::Reset);
             if cuts.wait_for(is_reset).await.is_err() {
--- a/soak/src/engine/mod.rs
+++ b/soak/src/engine/mod.rs
@@ -247,16 +247,17 @@
 
     async fn accept(self: Arc<Self>, life: Arc<Life>, listener: TcpListener) {
         while let Ok((stream, _)) = listener.accept().await {
-            let Some(stream) = self.cuts.admit(stream) else { continue };
             let (engine, of_life) = (self.clone(), life.clone());
             let service = service_fn(move |request| {
                 let (engine, life) = (engine.clone(), of_life.clone());
                 async move { Ok::<_, Infallible>(engine.serve(&life, request).await) }
             });
-            let reset = stream.until_reset();
-            let connection = hyper::server::conn::http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service);
+            let cuts = self.cuts.clone();
             tokio::spawn(life.clone().until_ended(async move {
+                let Some(stream) = cuts.admit(stream).await else { return };
+                let reset = stream.until_reset();
+                let connection = hyper::server::conn::http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service);
                 tokio::select! {
                     // A connection that breaks is what this program is about.
                     ended = connection => drop(ended),
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -57,9 +57,10 @@
         tokio::spawn(async move {
             while let Ok((client, _)) = listener.accept().await {
                 let _ = client.set_nodelay(true);
-                let Some(client) = cuts.admit(client) else { continue };
-                let (proxy, reset) = (accepting.clone(), client.until_reset());
+                let (proxy, cuts) = (accepting.clone(), cuts.clone());
                 tokio::spawn(async move {
+                    let Some(client) = cuts.admit(client).await else { return };
+                    let reset = client.until_reset();
                     tokio::select! {
                         () = proxy.pass(client, to) => {}
                         () = reset => {}
--- a/soak/src/region.rs
+++ b/soak/src/region.rs
@@ -168,11 +168,12 @@
         let name = format!("gateway-{number}");
         let text = format!(
             "name: {name}\nzone: zone-1\nlisten_clients: {}\nlisten_ready: {}\nlisten_admin: {}\n\
-             seeds:\n  peer_port: {PEER_PORT}\n  addresses: {}\n\
+             listen_peers: {}\nseeds:\n  peer_port: {PEER_PORT}\n  addresses: {}\n\
              retry:\n  ratio: 0.2\n  slack: 50\n  window_ms: 10000\nrevoked_within_ms: {}\n",
             self.size.at(3, number, CLIENT_PORT),
             self.size.at(3, number, READY_PORT),
             self.size.at(3, number, ADMIN_PORT),
+            self.size.at(3, number, PEER_PORT),
             self.size.seeds(),
             keyed::REVOKED_WITHIN_MS,
         );
--- a/src/control/distribution/mod.rs
+++ b/src/control/distribution/mod.rs
@@ -25,7 +25,7 @@
 use crate::control::workspace_use::WorkspaceUses;
 use crate::message::{
     Change, CreditAsk, CreditGrant, EndpointLoad, EngineOrder, Forwarded, Group, Heartbeat, Load,
-    Placed, SessionDown, SessionHello, SessionRole, SessionUp,
+    PeerGateway, Placed, SessionDown, SessionHello, SessionRole, SessionUp,
 };
 use crate::policy::counts;
 use crate::policy::endpoint_speed;
@@ -161,7 +161,8 @@
             | SessionUp::Served(_)
             | SessionUp::AskForTrial(_)
             | SessionUp::TrialReturned(_)
-            | SessionUp::ServedBefore { .. } => {
+            | SessionUp::ServedBefore { .. }
+            | SessionUp::OfferDetours { .. } => {
                 self.forwarded.push(Forwarded { gateway, up });
                 self.forward();
             }
@@ -246,6 +247,7 @@
             }
             SessionDown::RenewedFor { number } => self.confirm_renewal(number),
             SessionDown::Order(order) => self.forward_order(order),
+            SessionDown::Peers { gateway, peers } => self.forward_peers(gateway, peers),
             SessionDown::Credit(grants) => {
                 let answers = self.credit.granted(now_ms, grants);
                 self.deliver_credit(answers);
@@ -402,6 +404,15 @@
         self.forward();
     }
 
+    fn forward_peers(&mut self, gateway: Arc<str>, peers: Vec<PeerGateway>) {
+        for session in self.sessions.values() {
+            if session.epoch.is_some() && session.hello.name == gateway {
+                session.send(SessionDown::Peers { gateway, peers });
+                return;
+            }
+        }
+    }
+
     /// Answers a gateway's asks for credit where the leader need not be asked first.
     fn answer_credit_asks(
         &mut self,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod ledger;
 pub mod listing;
+pub mod peers;
 pub mod permit;
 pub mod placement;
 pub mod process;
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -336,12 +336,7 @@
     }
 
     /// Marks endpoints that `gateway` reported as failing.
-    pub fn mark_endpoints_failing(
-        &mut self,
-        now_ms: u64,
-        gateway: &str,
-        endpoints: &[Arc<str>],
-    ) {
+    pub fn mark_endpoints_failing(&mut self, now_ms: u64, gateway: &str, endpoints: &[Arc<str>]) {
         for id in endpoints {
             let Some(endpoint) = self.endpoints.get_mut(id) else { continue };
             info!(event = "endpoint_failing", endpoint = %id, gateway);
--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -12,6 +12,7 @@
 use super::standings::log_standing;
 use super::{Renewal, Replica, Waiter};
 use crate::control::counts::Counts;
+use crate::control::peers::Peers;
 use crate::control::placement::{Placement, UsageSource};
 use crate::control::session::Session;
 use crate::control::state::Operation;
@@ -51,6 +52,8 @@
     /// Quota credit of workspaces.
     pub(super) credit: CreditPools,
     workspace_uses: WorkspaceUses,
+    /// The gateways that send requests for others.
+    peers: Peers,
 }
 
 impl Registered {
@@ -69,6 +72,7 @@
             crashes: Crashes::default(),
             credit: CreditPools::new(quota),
             workspace_uses: WorkspaceUses::new(),
+            peers: Peers::new(),
         }
     }
 }
@@ -307,6 +311,26 @@
         self.registered.placement.ordered(now_ms, order.not_sent());
     }
 
+    /// Tells a gateway through which others it may send requests.
+    fn send_peers(&self, now_ms: u64, to: &UsageSource) {
+        let peers = self.registered.peers.offered_to(now_ms, &to.gateway, &to.zone);
+        let message = SessionDown::Peers { gateway: to.gateway.clone(), peers };
+        let is_own = |session: &&Session| {
+            session.hello.role == SessionRole::Follower && session.hello.name == to.gateway
+        };
+        if let Some(session) = self.sessions.values().find(is_own) {
+            session.send(message);
+            return;
+        }
+        // A distributor passes the message on if the gateway is connected to it.
+        for session in self.sessions.values() {
+            let SessionHello { role, zone, .. } = &session.hello;
+            if *role == SessionRole::Distributor && *zone == to.zone {
+                session.send(message.clone());
+            }
+        }
+    }
+
     /// Updates the placement's set of gateways that can send orders.
     fn update_gateways(&mut self, now_ms: u64) {
         let mut connected = BTreeMap::new();
@@ -412,9 +436,12 @@
             }
             SessionUp::Traffic { used, failing, .. } => {
                 self.registered.placement.used(now_ms, from, used);
-                self.registered
-                    .placement
-                    .mark_endpoints_failing(now_ms, &from.gateway, &failing);
+                self.registered.placement.mark_endpoints_failing(now_ms, &from.gateway, &failing);
+            }
+            SessionUp::OfferDetours { address, is_cut_off } => {
+                let peers = &mut self.registered.peers;
+                peers.announce(now_ms, &from.gateway, &from.zone, address, is_cut_off);
+                self.send_peers(now_ms, from);
             }
             SessionUp::Crashes(crashes) => {
                 self.record_crashes(now_ms, wall_ms, &from.gateway, crashes);
--- a/src/control/replica/sessions.rs
+++ b/src/control/replica/sessions.rs
@@ -127,6 +127,7 @@
             | SessionUp::TrialReturned(_)
             | SessionUp::ServedBefore { .. }
             | SessionUp::CreditAsks(_)
+            | SessionUp::OfferDetours { .. }
             | SessionUp::WorkspaceUse(_) => {
                 let message = up.kind();
                 debug!(event = "message_ignored", gateway = %gateway, message);
--- a/src/control/serving.rs
+++ b/src/control/serving.rs
@@ -150,7 +150,8 @@
                 (Channel::Raft, Ok(running)) => serve_peer(incoming, running.replica).await,
                 (Channel::Control, running) => serve_call(incoming, running).await,
                 (Channel::Session, Ok(running)) => serve_session(incoming, running, session).await,
-                (Channel::Raft | Channel::Session, Err(_)) | (Channel::Forward, _) => {
+                (Channel::Raft | Channel::Session, Err(_))
+                | (Channel::Forward | Channel::Peer, _) => {
                     Err(Error::refused("serve", "control", "this stream is not served here now"))
                 }
             }
--- a/src/gateway/session.rs
+++ b/src/gateway/session.rs
@@ -157,6 +157,7 @@
         | SessionDown::RenewedFor { .. }
         | SessionDown::Credit(_)
         | SessionDown::WorkspaceUse(_)
+        | SessionDown::Peers { .. }
         | SessionDown::Group(_) => {}
     }
 }
--- a/src/message/mod.rs
+++ b/src/message/mod.rs
@@ -6,6 +6,7 @@
 mod control;
 mod crash;
 mod credit;
+mod detour;
 mod forward;
 mod order;
 mod registration;
@@ -24,6 +25,7 @@
 };
 pub use crash::{BrokenRun, EndpointCrash, RequestStanding, Standing};
 pub use credit::{CreditAsk, CreditGrant};
+pub use detour::{DetourRefusal, DetourRequest, PeerEvent, PeerGateway, PeerRequest};
 pub use forward::{Call, ForwardEvent, ForwardRequest, Refusal};
 pub use order::{EngineOrder, EngineReport, OrderKind, OrderOutcome, OrderResult};
 pub use registration::{
--- a/src/message/session.rs
+++ b/src/message/session.rs
@@ -10,7 +10,7 @@
 use super::control::Change;
 use crate::message::{
     AdapterNeed, CreditAsk, CreditGrant, EndpointCrash, EndpointLoad, EngineOrder, Heartbeat,
-    OrderResult, Placed, RequestKey, Summary, WeightsUse, WorkspaceUse,
+    OrderResult, PeerGateway, Placed, RequestKey, Summary, WeightsUse, WorkspaceUse,
 };
 
 /// The number of running requests at an endpoint that the platform measured some time ago.
@@ -86,6 +86,14 @@
     },
     /// The use of services by workspaces where it changed, while requests wait for capacity.
     WorkspaceUse(Vec<WorkspaceUse>),
+    /// Offers to send requests of other gateways to endpoints, and asks which gateways offer the
+    /// same.
+    OfferDetours {
+        /// The address at which other gateways reach this one.
+        address: SocketAddr,
+        /// True while this gateway cannot reach the endpoints of some service.
+        is_cut_off: bool,
+    },
 }
 
 impl SessionUp {
@@ -109,6 +117,7 @@
             Self::TrialReturned(_) => "session_trial_returned",
             Self::ServedBefore { .. } => "session_served_before",
             Self::WorkspaceUse(_) => "session_workspace_use",
+            Self::OfferDetours { .. } => "session_offer_detours",
         }
     }
 }
@@ -274,6 +283,13 @@
     Credit(Vec<CreditGrant>),
     /// The use of services by workspaces at all other gateways together where it changed.
     WorkspaceUse(Vec<WorkspaceUse>),
+    /// The gateways through which a gateway may send requests.
+    Peers {
+        /// The gateway that asked.
+        gateway: Arc<str>,
+        /// The gateways that it may use.
+        peers: Vec<PeerGateway>,
+    },
 }
 
 impl SessionDown {
@@ -292,6 +308,7 @@
             Self::RenewedFor { .. } => "session_renewed_for",
             Self::Credit(_) => "session_credit",
             Self::WorkspaceUse(_) => "session_workspace_use",
+            Self::Peers { .. } => "session_peers",
         }
     }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -104,6 +104,14 @@
     Takeovers => "endpoints.takeovers",
     /// Engine restarts, detected by a changed boot id.
     EngineRestarts => "endpoints.engine_restarts",
+    /// Requests sent through another gateway.
+    DetoursSent => "detours.sent",
+    /// Requests that another gateway refused to send.
+    DetoursRefused => "detours.refused",
+    /// Requests of other gateways served.
+    DetoursServed => "detours.served",
+    /// Times at which no endpoint of a service could be reached any more from here.
+    ServicesOutOfReach => "endpoints.services_out_of_reach",
     /// Endpoints that ended while they ran requests.
     EndpointsEnded => "endpoints.ended",
     /// Connections of callers that failed or were refused at the connection limit.
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -5,18 +5,20 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
-use http_body_util::Full;
-use hyper::body::Incoming;
+use http::Request;
+use http_body_util::{BodyExt, Full};
 use tokio::sync::watch;
 use tracing::info;
 
 use super::border::{Backoff, SendMeta};
 use super::exchange::Exchange;
 use super::known::IncarnationEnd;
-use super::pool::{self, Connection, SendFailure};
+use super::pool::{self, SendFailure};
 use super::queue::QueuePlace;
+use super::reach::Suspicion;
 use super::shared::Relay;
+use super::source::{Source, StartedResponse};
+use crate::error::Error;
 use crate::message::WeightsName;
 use crate::policy::rank::LATE_RANK;
 use crate::policy::waiting_queue::QueueKey;
@@ -97,16 +99,12 @@
     }
 }
 
-/// A response whose head has arrived and whose body is still being received.
-pub(super) struct StartedResponse {
-    pub(super) flight: InFlightRequest,
-    pub(super) connection: Connection,
-    pub(super) response: Response<Incoming>,
-}
-
 /// The result of one send.
 pub(super) enum Attempt {
     Started(Box<StartedResponse>),
+    /// Nothing of the request was written.
+    NotSent(&'static str),
+    /// The endpoint rejected the request.
     NotRun(&'static str),
     /// The endpoint rejected the request because it is full.
     Full,
@@ -169,8 +167,9 @@
             Ok(connection) => connection,
             Err(error) => {
                 relay.fleet().mark_unreachable(relay.now_ms(), &send.endpoint);
+                relay.suspect(&send.endpoint, Suspicion::Unreachable);
                 info!(event = "endpoint_unreachable", endpoint = %send.endpoint, error = %error);
-                return Attempt::NotRun("the endpoint cannot be reached");
+                return Attempt::NotSent("the endpoint cannot be reached");
             }
         };
         // The endpoint accepted a connection, so an end that was found before may be over.
@@ -187,7 +186,7 @@
             Err(WaitAborted::Replaced) => return Attempt::TakenBack,
             Ok(Err(SendFailure::NotSent(error))) => {
                 info!(event = "send_lost", endpoint = %send.endpoint, error = %error);
-                return Attempt::NotRun("the connection was closed");
+                return Attempt::NotSent("the connection was closed");
             }
             Ok(Err(SendFailure::Unknown(error))) => return Attempt::Unknown(error.to_string()),
             Ok(Ok(response)) => response,
@@ -216,7 +215,12 @@
         let now_ms = relay.now_ms();
         relay.queue.note_head(now_ms, &flight.service, now_ms.saturating_sub(flight.sent_at_ms));
         self.note_share_sent();
-        Attempt::Started(Box::new(StartedResponse { flight, connection, response }))
+        let peer = send.endpoint.clone();
+        let response = response.map(|body| {
+            body.map_err(move |error| Error::failed("read answer", peer.clone(), error)).boxed()
+        });
+        let source = Source::Endpoint(flight, connection);
+        Attempt::Started(Box::new(StartedResponse { source, response }))
     }
 
     /// Waits for the head of a response until the deadline, or until the request may no longer
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -13,7 +13,7 @@
 
 use super::access::Access;
 use super::admission::{Admitted, admit};
-use super::attempt::{Attempt, StartedResponse};
+use super::attempt::Attempt;
 use super::border::{AnswerMeta, RequestMeta, SendMeta};
 use super::prompt::PromptChain;
 use super::quota::UsedCredit;
@@ -21,6 +21,7 @@
 use super::selection::Target;
 use super::shared::Relay;
 use super::shares::RequestShare;
+use super::source::{Source, StartedResponse};
 use super::standings::Permission;
 use super::stream;
 use super::trial::Trial;
@@ -120,6 +121,8 @@
     pub(super) not_resent: bool,
     /// The number of sends that an endpoint may have run.
     pub(super) possible_runs: u32,
+    /// The number of sends of which nothing was written.
+    unsent: u32,
     /// The number of sends that endpoints refused without asking for backoff.
     refused: u32,
     /// The number of sends that endpoints refused with a request for backoff.
@@ -127,6 +130,10 @@
     /// True if the last send was rejected because the endpoint is full; the request then waits for
     /// its turn like others.
     pub(super) was_rejected: bool,
+    /// True if another gateway read the request and sent it here.
+    pub(super) is_detour: bool,
+    /// The number of endpoints that the request may be sent to.
+    attempts: u32,
 }
 
 async fn serve(relay: &Arc<Relay>, request: Request<Incoming>) -> Answer {
@@ -156,6 +163,7 @@
         let Admitted { meta, chosen, access, used_credit, method, target, headers, body } =
             admitted;
         let timeout_ms = chosen.route.timeout_ms;
+        let attempts = chosen.route.attempts.max(1);
         let allowed_ms =
             meta.deadline_ms.map_or(timeout_ms, |deadline_ms| deadline_ms.min(timeout_ms));
         let prompt = match &meta.weights {
@@ -191,12 +199,31 @@
             failure_cause: None,
             not_resent: false,
             possible_runs: 0,
+            unsent: 0,
             refused: 0,
             refused_with_backoff: 0,
             was_rejected: false,
+            is_detour: false,
+            attempts,
         }
     }
 
+    /// Makes it a request that another gateway read, which may be sent to `attempts` more endpoints
+    /// and has been sent to those of `tried`.
+    #[must_use]
+    pub(super) fn with_detour(
+        mut self,
+        ends_at_ms: u64,
+        attempts: u32,
+        tried: Vec<Arc<str>>,
+    ) -> Self {
+        self.is_detour = true;
+        self.ends_at_ms = self.ends_at_ms.min(ends_at_ms);
+        self.attempts = self.attempts.min(attempts.max(1));
+        self.tried = tried;
+        self
+    }
+
     async fn run(mut self) -> Answer {
         let started = match self.start(None).await {
             Ok(started) => started,
@@ -248,7 +275,16 @@
             {
                 return Err(Failure::Unknown("it is sent to one endpoint only".to_owned()));
             }
-            let picked = self.pick().await.map_err(Failure::NotSent)?;
+            let picked = match self.pick().await {
+                Ok(picked) => picked,
+                Err(NotSent::OutOfReach) => {
+                    if let Some(started) = self.start_detour(last_event).await? {
+                        return Ok(started);
+                    }
+                    continue;
+                }
+                Err(reason) => return Err(Failure::NotSent(reason)),
+            };
             self.was_rejected = false;
             self.check_not_held().map_err(Failure::NotSent)?;
             self.access
@@ -259,11 +295,10 @@
             self.expected_ms = picked.expected_ms;
             self.rank = picked.rank.unwrap_or(self.priority());
             let Target { id, name, address, weights_version, place, .. } = picked;
-            let is_first = self.possible_runs + self.refused + self.refused_with_backoff == 0;
             let now_ms = self.relay.now_ms();
             self.sent_at_ms = now_ms;
             self.response_started_at_ms = None;
-            if !is_first && !self.take_retry(now_ms) {
+            if !self.is_first_send() && !self.take_retry(now_ms) {
                 return Err(Failure::NotSent(NotSent::NoBudget));
             }
             let send = SendMeta {
@@ -310,6 +345,15 @@
                     }
                     return Ok(*started);
                 }
+                // No endpoint has seen the request, so this is no retry.
+                Attempt::NotSent(reason) => {
+                    self.unsent += 1;
+                    info!(event = "send_refused", request = %self.meta.id, endpoint = %id, reason);
+                    self.tried.push(id);
+                    if self.unsent > REFUSED_SENDS_MAX {
+                        return Err(Failure::NotSent(NotSent::NoPlace(reason)));
+                    }
+                }
                 outcome @ (Attempt::NotRun(_) | Attempt::Full) => {
                     let reason = match outcome {
                         Attempt::NotRun(reason) => reason,
@@ -349,9 +393,10 @@
                     self.note_failed(&id, address);
                     self.note_outcome(&id, Some(FailureKind::Broken));
                     self.handle_broken(&id, ENDPOINT_ENDED.to_owned())?;
-                    self.wait_for_evaluation().await;
+                    self.wait_for_evaluation(&id).await;
                 }
                 Attempt::Unknown(detail) => {
+                    self.relay.note_broken_send(&id);
                     self.note_broken_off(&id);
                     self.note_failed(&id, address);
                     self.note_outcome(&id, Some(FailureKind::Broken));
@@ -363,11 +408,26 @@
 
     fn note_failed(&mut self, endpoint: &Arc<str>, address: SocketAddr) {
         self.possible_runs += 1;
-        self.relay.fleet().failed(self.relay.now_ms(), endpoint);
+        self.relay.note_failure(endpoint);
         self.relay.pool.forget(address);
         self.tried.push(endpoint.clone());
     }
 
+    /// Records a response that broke off. One that came through another gateway is recorded there.
+    fn note_broken_response(&mut self, source: &Source, status: StatusCode) {
+        if !source.is_direct() {
+            return;
+        }
+        match source.end() {
+            Some(end) => self.note_ended(source.endpoint(), end),
+            None => self.note_broken_off(source.endpoint()),
+        }
+        // An error status was recorded when the response started.
+        if !status.is_server_error() {
+            self.note_outcome(source.endpoint(), Some(FailureKind::Broken));
+        }
+    }
+
     /// Handles a connection that broke, or an endpoint that ended, before the response was whole.
     fn handle_broken(&mut self, endpoint: &Arc<str>, detail: String) -> Result<(), Failure> {
         if self.chosen.route.repeat == Repeat::Any
@@ -379,7 +439,7 @@
         self.handle_unknown_outcome(detail)
     }
 
-    fn handle_unknown_outcome(&self, detail: String) -> Result<(), Failure> {
+    pub(super) fn handle_unknown_outcome(&self, detail: String) -> Result<(), Failure> {
         info!(event = "send_failed", request = %self.meta.id, tried = self.tried.len(), detail = %detail);
         if self.chosen.route.repeat == Repeat::Once || !self.can_send_again() {
             return Err(Failure::Unknown(detail));
@@ -392,12 +452,38 @@
         self.access.priority().unwrap_or(self.chosen.route.priority)
     }
 
+    /// True unless an endpoint has seen the request before.
+    fn is_first_send(&self) -> bool {
+        self.possible_runs + self.refused + self.refused_with_backoff == 0
+    }
+
+    /// Sends the request through another gateway; `None` if it may be sent again after an unknown
+    /// outcome.
+    async fn start_detour(
+        &mut self,
+        last_event: Option<u64>,
+    ) -> Result<Option<StartedResponse>, Failure> {
+        self.was_rejected = false;
+        self.access.check_still_valid(&self.relay, &self.chosen.route).map_err(Failure::NotSent)?;
+        if !self.is_first_send() && !self.take_retry(self.relay.now_ms()) {
+            return Err(Failure::NotSent(NotSent::NoBudget));
+        }
+        let started = self.detour(last_event).await?;
+        if started.is_some() {
+            self.last_data_at_ms = self.relay.now_ms();
+            self.response_started_at_ms = Some(self.last_data_at_ms);
+        }
+        Ok(started)
+    }
+
+    /// The number of endpoints that the request may be sent to.
+    pub(super) fn attempts(&self) -> u32 {
+        if self.permission == Permission::Once { 1 } else { self.attempts }
+    }
+
     pub(super) fn can_send_again(&self) -> bool {
-        let attempts = match self.permission {
-            Permission::Once => 1,
-            _ => self.chosen.route.attempts.max(1),
-        };
-        self.possible_runs < attempts && self.relay.now_ms() + RESPONSE_MARGIN_MS < self.ends_at_ms
+        self.possible_runs < self.attempts()
+            && self.relay.now_ms() + RESPONSE_MARGIN_MS < self.ends_at_ms
     }
 
     pub(super) fn left_ms(&self, now_ms: u64) -> u64 {
@@ -409,23 +495,24 @@
     async fn forward_buffered(mut self, started: StartedResponse) -> Answer {
         let mut started = started;
         loop {
-            let StartedResponse { flight, connection, response } = started;
+            let StartedResponse { source, response } = started;
             let (head, body) = response.into_parts();
             let collected = Limited::new(body, BUFFERED_RESPONSE_MAX_BYTES).collect();
             let collected = self.relay.clock.timeout_at(self.ends_at_ms, collected);
             let collected = tokio::select! {
                 collected = collected => collected.map(|body| body.map_err(|error| error.to_string())),
-                () = flight.wait_for_end() => Some(Err(ENDPOINT_ENDED.to_owned())),
-                never = flight.probe_while_silent() => match never {},
+                () = source.wait_for_end() => Some(Err(ENDPOINT_ENDED.to_owned())),
+                never = source.probe_while_silent() => match never {},
             };
             let broken = match collected {
                 Some(Ok(body)) => {
-                    self.relay.pool.keep(flight.address, connection, &head.headers);
+                    let (endpoint, is_direct) = (source.endpoint().clone(), source.is_direct());
+                    source.keep(&self.relay, &head.headers);
                     if head.status.is_success() {
                         self.note_served();
                     }
-                    if !head.status.is_server_error() {
-                        self.note_outcome(&flight.endpoint, None);
+                    if is_direct && !head.status.is_server_error() {
+                        self.note_outcome(&endpoint, None);
                     }
                     let mut answer = Response::from_parts(head, full(body.to_bytes()));
                     remove_connection_headers(answer.headers_mut());
@@ -433,23 +520,20 @@
                     return answer;
                 }
                 Some(Err(error)) => {
-                    match flight.end() {
-                        Some(end) => self.note_ended(&flight.endpoint, end),
-                        None => self.note_broken_off(&flight.endpoint),
-                    }
-                    // An error status was recorded when the response started.
-                    if !head.status.is_server_error() {
-                        self.note_outcome(&flight.endpoint, Some(FailureKind::Broken));
-                    }
+                    self.note_broken_response(&source, head.status);
                     Some(error)
                 }
                 None => None,
             };
-            let ended_silently = flight.end().is_some();
-            let endpoint = flight.endpoint.clone();
-            drop(flight);
+            let ended_silently = source.end().is_some();
+            let (endpoint, is_direct) = (source.endpoint().clone(), source.is_direct());
+            drop(source);
             let handled = if let Some(detail) = broken {
-                self.handle_broken(&endpoint, detail)
+                if is_direct {
+                    self.handle_broken(&endpoint, detail)
+                } else {
+                    self.handle_unknown_outcome(detail)
+                }
             } else {
                 self.note_overdue();
                 let detail = "the answer did not end before the deadline";
@@ -459,7 +543,7 @@
                 return self.give_up(failure);
             }
             if ended_silently {
-                self.wait_for_evaluation().await;
+                self.wait_for_evaluation(&endpoint).await;
             }
             started = match self.start(None).await {
                 Ok(started) => started,
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -52,6 +52,8 @@
     loads_changed: HashSet<Arc<str>>,
     uses: WeightsUses,
     pub(super) failing: HashSet<Arc<str>>,
+    /// Endpoints that run but cannot be reached from this gateway.
+    pub(super) out_of_reach: HashSet<Arc<str>>,
     pub(super) random: SmallRng,
     pub(super) gateways: usize,
     pub(super) pace: ReadingPace,
@@ -94,6 +96,7 @@
             loads_changed: HashSet::new(),
             uses: WeightsUses::default(),
             failing: HashSet::new(),
+            out_of_reach: HashSet::new(),
             random: SmallRng::seed_from_u64(seed),
             gateways: 1,
             pace: ReadingPace::new(),
@@ -135,6 +138,7 @@
         self.limits.remove(id);
         self.failing_reported_at_ms.remove(id);
         self.leaving.remove(id);
+        self.out_of_reach.remove(id);
         if let Some(ids) = self.by_service.get_mut(&state.endpoint.service) {
             ids.retain(|other| &**other != id);
         }
@@ -330,21 +334,20 @@
             let pause_ms = (FIRST_PAUSE_MS << state.failures.min(8)).min(PAUSE_MAX_MS);
             state.failures += 1;
             state.paused_until_ms = now_ms + pause_ms;
-            self.failing.insert(id.clone());
         }
     }
 
     /// Records that `id` broke off a response or answered wrongly. A single failure does not pause
-    /// it.
-    pub fn failed(&mut self, now_ms: u64, id: &Arc<str>) {
-        let Some(state) = self.endpoints.get_mut(id) else { return };
+    /// it; returns true if several did.
+    pub fn failed(&mut self, now_ms: u64, id: &Arc<str>) -> bool {
+        let Some(state) = self.endpoints.get_mut(id) else { return false };
         state.failures += 1;
         if state.failures < FAILURES_TO_PAUSE {
-            return;
+            return false;
         }
         state.paused_until_ms =
             now_ms + (FIRST_PAUSE_MS << state.failures.min(8)).min(PAUSE_MAX_MS);
-        self.failing.insert(id.clone());
+        true
     }
 
     /// Records that `id` has ended; it can only come back as another incarnation.
@@ -352,7 +355,6 @@
         let Some(state) = self.endpoints.get_mut(id) else { return };
         state.failures += FAILURES_TO_PAUSE;
         state.paused_until_ms = now_ms + PAUSE_MAX_MS;
-        self.failing.insert(id.clone());
     }
 
     /// Returns a receiver that is notified when `id` is found to have ended.
--- a/src/relay/held.rs
+++ b/src/relay/held.rs
@@ -91,8 +91,12 @@
     /// Without this wait a request that crashes its endpoints would reach the next one: all
     /// requests that waited at the ended endpoint are resent at the same moment, before the leader
     /// can know which of them caused the end.
-    pub(super) async fn wait_for_evaluation(&self) {
+    pub(super) async fn wait_for_evaluation(&self, endpoint: &str) {
         let relay = &self.relay;
+        // An endpoint that is out of reach has not ended, and the leader is told nothing.
+        if relay.fleet().is_out_of_reach(endpoint) {
+            return;
+        }
         let until_ms = (relay.now_ms() + EVALUATION_MS).min(self.ends_at_ms);
         relay.clock.sleep_until(until_ms).await;
     }
--- a/src/relay/liveness.rs
+++ b/src/relay/liveness.rs
@@ -13,9 +13,11 @@
 use super::crashes::LivenessCheck;
 use super::known::IncarnationEnd;
 use super::orders::EngineClient;
+use super::reach::judge;
 use super::shared::Relay;
 use crate::message::RegisteredEndpoint;
 use crate::metrics::Counter;
+use crate::policy::reach::Reach;
 
 /// How long responses that break off are collected before their endpoint is probed. All of them
 /// arrive within milliseconds of a crash, and a process that ends closes its listener at the same
@@ -56,20 +58,37 @@
         }
         None => Liveness::Refusing,
     };
-    let (now_ms, broken) = (relay.now_ms(), relay.crashes.count_broken(&id));
+    let broken = relay.crashes.count_broken(&id);
     info!(event = "endpoint_asked", endpoint = %id, liveness = ?liveness, broken);
-    if !matches!(liveness, Liveness::Refusing | Liveness::Ignoring) {
+    let has_ended = matches!(liveness, Liveness::Refusing | Liveness::Ignoring)
+        && is_down(&relay, engines.as_ref(), &service, endpoint.as_ref()).await;
+    let now_ms = relay.now_ms();
+    if !has_ended {
         relay.crashes.note_alive(now_ms, &id);
         return;
     }
     relay.metrics.count(Counter::EndpointsEnded);
     relay.fleet().mark_ended(now_ms, &id);
+    relay.fleet().mark_failing(&id);
     if let Some(endpoint) = endpoint {
         relay.pool.forget(endpoint.address);
     }
     relay.crashes.note_ended(now_ms, &id, &service);
 }
 
+/// True if an endpoint that seems to have ended does not answer other gateways either; one that is
+/// certain to have ended is not probed.
+async fn is_down(
+    relay: &Relay,
+    engines: &dyn EngineClient,
+    service: &Arc<str>,
+    endpoint: Option<&RegisteredEndpoint>,
+) -> bool {
+    let Some(endpoint) = endpoint else { return true };
+    let judged = judge(relay, engines, service, vec![endpoint.clone()]).await;
+    judged.iter().any(|(_, reach)| *reach == Reach::Down)
+}
+
 /// Probes a silent endpoint until it answers, or has refused or ignored enough probes to count as
 /// ended.
 async fn probe_silent(relay: &Relay, engines: &dyn EngineClient, check: LivenessCheck) {
@@ -78,13 +97,23 @@
     let asked_at_ms = relay.now_ms();
     let mut refusals = 0;
     let mut end = IncarnationEnd::Unreachable;
+    let mut reach = None;
     while refusals < REFUSALS_MIN && relay.now_ms() < asked_at_ms + UNRESPONSIVE_MS {
-        match probe_endpoint(engines, &endpoint, is_engine).await {
+        if relay.fleet().is_out_of_reach(&id) {
+            relay.fleet().notify_possible_end(&id, IncarnationEnd::Unreachable);
+            return;
+        }
+        match reach_endpoint(engines, &endpoint, is_engine).await {
             Liveness::Up => return,
             Liveness::Refusing => refusals += 1,
             Liveness::Ignoring => end = IncarnationEnd::Unresponsive,
             Liveness::Unknown => end = IncarnationEnd::Unreachable,
         }
+        if reach.is_none() {
+            let judged = judge(relay, engines, &service, vec![endpoint.clone()]).await;
+            reach = judged.first().map(|(_, reach)| *reach);
+            continue;
+        }
         tokio::time::sleep(PROBE_PAUSE).await;
     }
     if refusals >= REFUSALS_MIN {
@@ -95,12 +124,15 @@
     relay.pool.forget(endpoint.address);
     let mut fleet = relay.fleet();
     fleet.mark_ended(now_ms, &id);
+    if reach == Some(Reach::Down) {
+        fleet.mark_failing(&id);
+    }
     fleet.notify_possible_end(&id, end);
 }
 
 /// The result of a probe.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Liveness {
+pub(super) enum Liveness {
     /// The endpoint answers, or at least accepts connections.
     Up,
     /// Nothing listens at the endpoint's address.
@@ -111,6 +143,18 @@
     Unknown,
 }
 
+/// Probes an endpoint with a request that it answers at once, whatever it serves.
+pub(super) async fn reach_endpoint(
+    engines: &dyn EngineClient,
+    endpoint: &RegisteredEndpoint,
+    is_engine: bool,
+) -> Liveness {
+    match probe_endpoint(engines, endpoint, is_engine).await {
+        Liveness::Up if !is_engine && !engines.probe_plain(endpoint).await => Liveness::Ignoring,
+        liveness => liveness,
+    }
+}
+
 async fn probe_endpoint(
     engines: &dyn EngineClient,
     endpoint: &RegisteredEndpoint,
--- a/src/relay/orders.rs
+++ b/src/relay/orders.rs
@@ -52,4 +52,8 @@
 
     /// Probes an engine with a request that it answers at once; false if no answer comes.
     fn probe(&self, endpoint: &RegisteredEndpoint) -> BoxFuture<'static, bool>;
+
+    /// Probes an endpoint of a plain service with a request that it rejects at once, without taking
+    /// a place; false if no answer comes.
+    fn probe_plain(&self, endpoint: &RegisteredEndpoint) -> BoxFuture<'static, bool>;
 }
--- a/src/relay/pick.rs
+++ b/src/relay/pick.rs
@@ -1,6 +1,6 @@
 //! Selects the endpoint for a request.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -99,6 +99,8 @@
     Coming,
     /// No endpoint holds the weights.
     NoHome,
+    /// The endpoints that could take the request cannot be reached from this gateway.
+    OutOfReach,
     /// No endpoint of the service is known to be up.
     NoEndpoint,
 }
@@ -115,6 +117,8 @@
     holding: usize,
     /// The number of these that are loading the weights.
     coming: usize,
+    /// The number of endpoints that hold the weights and are out of reach.
+    out_of_reach: usize,
     /// The endpoints that are in backoff or whose limit is used up.
     throttled: Vec<ThrottledEndpoint>,
 }
@@ -138,6 +142,7 @@
     zone: &'a str,
     pace: ReadingPace,
     endpoints: &'a HashMap<Arc<str>, EndpointState>,
+    out_of_reach: &'a HashSet<Arc<str>>,
     /// The endpoints that hold or load the weights; `None` if the request needs no weights or no
     /// endpoint is known to have them.
     homes: Option<&'a BTreeMap<Arc<str>, Holding>>,
@@ -174,6 +179,10 @@
             }
         }
         found.holding += 1;
+        if self.out_of_reach.contains(id) {
+            found.out_of_reach += 1;
+            return;
+        }
         if self.counts_demand {
             limits.note_request(self.now_ms, id);
         }
@@ -237,6 +246,9 @@
         self.refresh_slowdowns(now_ms);
         let room = self.room_wanted(request);
         let weights = wanted.map(|wanted| &wanted.weights);
+        if self.is_service_out_of_reach(now_ms, service) {
+            return Picked::OutOfReach;
+        }
         let Some(ids) = self.by_service.get(service) else { return Picked::NoEndpoint };
         let due = weights.map_or(0, |name| self.version_due(now_ms, name));
         let search = Search {
@@ -247,6 +259,7 @@
             zone: &self.zone,
             pace: self.pace,
             endpoints: &self.endpoints,
+            out_of_reach: &self.out_of_reach,
             homes: weights.and_then(|name| self.homes.get(name)),
             due,
             room,
@@ -321,7 +334,11 @@
         wanted: Option<&Wanted>,
         totals: SearchTotals,
     ) -> Picked {
-        let SearchTotals { up, holding, coming, throttled } = totals;
+        let SearchTotals { up, holding, coming, out_of_reach, throttled } = totals;
+        if out_of_reach > 0 && out_of_reach == holding {
+            return Picked::OutOfReach;
+        }
+        let holding = holding - out_of_reach;
         if throttled.len() < holding {
             return Picked::Full;
         }
@@ -385,13 +402,14 @@
     up: usize,
     holding: usize,
     coming: usize,
+    out_of_reach: usize,
     throttled: Vec<ThrottledEndpoint>,
 }
 
 impl SearchTotals {
     fn new(found: Found<'_>) -> Self {
-        let Found { up, holding, coming, throttled, .. } = found;
-        Self { up, holding, coming, throttled }
+        let Found { up, holding, coming, out_of_reach, throttled, .. } = found;
+        Self { up, holding, coming, out_of_reach, throttled }
     }
 }
 
--- a/src/relay/process.rs
+++ b/src/relay/process.rs
@@ -1,6 +1,8 @@
 //! Runs the process of a relay gateway from its start to a graceful shutdown.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::{Method, Request, StatusCode};
@@ -13,9 +15,11 @@
 
 use super::border::PlatformHeaders;
 use super::crashes::CrashWatch;
+use super::detour::PeerHandler;
 use super::exchange::{RelayHandler, ready_status};
 use super::liveness;
 use super::orders::EngineClient;
+use super::reach;
 use super::session;
 use super::shared::Relay;
 use crate::admin::{metrics_text, problem, run_metrics_upkeep, set_log_level};
@@ -24,7 +28,7 @@
 use crate::metrics::Metrics;
 use crate::process::listen;
 use crate::settings::RelaySettings;
-use crate::wire::BoxFuture;
+use crate::wire::{self, BoxFuture};
 
 /// How often a graceful shutdown checks whether all requests have ended.
 const STOP_POLL: Duration = Duration::from_millis(50);
@@ -50,15 +54,26 @@
     let clients = listen("listen for clients", settings.listen_clients).await?;
     let ready = listen("listen for health checks", settings.listen_ready).await?;
     let admin = listen("listen for operators", settings.listen_admin).await?;
+    let peers = match settings.listen_peers {
+        Some(address) => Some(listen("listen for gateways", address).await?),
+        None => None,
+    };
     let mut terminate = signal(SignalKind::terminate())
         .map_err(|error| Error::io("watch signals", "process", error))?;
     let (needs, wanted) = mpsc::unbounded_channel();
     let (up, outgoing) = mpsc::unbounded_channel();
     let (liveness_checks, queued_checks) = mpsc::unbounded_channel();
     let crashes = CrashWatch::new(settings.name.clone(), liveness_checks, up);
+    let (suspects, queued_suspects) = mpsc::unbounded_channel();
     let relay =
-        Arc::new(Relay::new(settings.clone(), platform_headers, metrics.clone(), needs, crashes));
+        Relay::new(settings.clone(), platform_headers, metrics.clone(), needs, crashes, suspects);
+    let relay = Arc::new(relay);
     tokio::spawn(liveness::watch(relay.clone(), engines.clone(), queued_checks));
+    tokio::spawn(reach::watch(relay.clone(), engines.clone(), queued_suspects));
+    if let Some(peers) = peers {
+        let handler = Arc::new(PeerHandler::new(relay.clone(), engines.clone()));
+        tokio::spawn(wire::serve(peers, handler, metrics.clone()));
+    }
     let queues = session::Queues { needs: wanted, outgoing };
     tokio::spawn(session::run(relay.clone(), rand::rng().random(), queues, engines));
     tokio::spawn(prune(relay.clone()));
@@ -174,6 +189,9 @@
         "ready": relay.is_ready(),
         "routing_version": relay.table().version(),
         "endpoints": relay.fleet().len(),
+        "out_of_reach": out_of_reach(relay),
+        "peers": relay.peers().len(),
+        "detours": relay.detours.load(Ordering::Relaxed),
         "in_progress": relay.in_progress(),
         "queues": queues,
         "slowdowns": slowdowns,
@@ -183,6 +201,15 @@
     })
 }
 
+/// The number of endpoints out of reach, by service.
+fn out_of_reach(relay: &Relay) -> BTreeMap<Arc<str>, usize> {
+    let mut counts = BTreeMap::new();
+    for (service, endpoints) in relay.fleet().out_of_reach() {
+        counts.insert(service, endpoints.len());
+    }
+    counts
+}
+
 fn second_sends(relay: &Relay) -> Vec<serde_json::Value> {
     let mut summaries = Vec::new();
     for known in relay.resends().summaries(relay.now_ms()) {
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -45,6 +45,18 @@
         /// The time after which the client may retry.
         after_ms: u64,
     },
+    /// The endpoints that could take the request cannot be reached from this gateway.
+    OutOfReach,
+    /// The endpoints cannot be reached from this gateway, and no other gateway takes the request.
+    NoPeer {
+        /// The time after which the client may retry.
+        after_ms: u64,
+    },
+    /// Another gateway, which reaches the endpoints, found none that takes the request.
+    ByPeer {
+        /// The time after which the client may retry.
+        after_ms: u64,
+    },
     /// The deadline passed.
     Late,
     /// The retry budget is used up.
@@ -83,12 +95,14 @@
 /// responses.
 pub(super) fn retry_after_ms(reason: NotSent) -> u64 {
     match reason {
-        NotSent::NoPlace(_) | NotSent::Late => 200,
+        NotSent::NoPlace(_) | NotSent::OutOfReach | NotSent::Late => 200,
         NotSent::NoBudget => 500,
         NotSent::WaitEnded { after_ms, .. }
         | NotSent::DeadlineUnreachable { after_ms, .. }
         | NotSent::QueueFull { after_ms }
         | NotSent::Replaced { after_ms }
+        | NotSent::NoPeer { after_ms }
+        | NotSent::ByPeer { after_ms }
         | NotSent::Limited { after_ms }
         | NotSent::BackingOff { after_ms }
         | NotSent::Held { after_ms }
@@ -113,6 +127,12 @@
         }
         NotSent::Limited { .. } => refuse_unavailable("endpoints limit what they take", after_ms),
         NotSent::BackingOff { .. } => refuse_unavailable("endpoints asked for backoff", after_ms),
+        NotSent::OutOfReach | NotSent::NoPeer { .. } => {
+            refuse_unavailable("the endpoints cannot be reached", after_ms)
+        }
+        NotSent::ByPeer { .. } => {
+            refuse_unavailable("the endpoints cannot take the request", after_ms)
+        }
         NotSent::Late => refuse_unavailable("the deadline passed", after_ms),
         NotSent::NoBudget => refuse_unavailable("too many requests were sent again", after_ms),
         NotSent::Held { .. } => {
--- a/src/relay/report.rs
+++ b/src/relay/report.rs
@@ -4,11 +4,11 @@
 
 use tracing::{info, warn};
 
-use super::attempt::StartedResponse;
 use super::border::{AnswerMeta, Backoff, RateLimit};
 use super::exchange::Exchange;
 use super::limits::LimitChange;
 use super::shared::Relay;
+use super::source::StartedResponse;
 use crate::message::WeightsName;
 use crate::metrics::{Counter, Timer};
 use crate::policy::resend::ResendDecision;
@@ -70,7 +70,8 @@
             request = %self.meta.id,
             route = %self.chosen.route.name,
             weights = %self.meta.weights.as_ref().map_or_else(String::new, ToString::to_string),
-            endpoint = %started.flight.endpoint,
+            endpoint = %started.source.endpoint(),
+            peer = started.source.peer(),
             status = started.response.status().as_u16(),
             version = self.relay.table().version(),
             tried = self.tried.len(),
@@ -84,15 +85,15 @@
             not_resent = self.not_resent,
             after_ms
         );
-        if self.chosen.service.engine.is_none() {
+        if self.chosen.service.engine.is_none() && started.source.is_direct() {
             let is_success = started.response.status().is_success();
-            let endpoint = &started.flight.endpoint;
+            let endpoint = started.source.endpoint();
             self.relay.fleet().note_plain_response(now_ms, endpoint, self.sent_at_ms, is_success);
         }
         self.relay.metrics.count(Counter::RequestsAnswered);
         self.relay.metrics.time(Timer::FirstByte, after_ms);
         if let (Some(weights), Some(version)) = (&self.meta.weights, self.held_version) {
-            self.note_version(now_ms, &started.flight.endpoint, weights, version);
+            self.note_version(now_ms, started.source.endpoint(), weights, version);
         }
     }
 
--- a/src/relay/selection.rs
+++ b/src/relay/selection.rs
@@ -69,6 +69,7 @@
 fn describe(picked: &Picked) -> &'static str {
     match picked {
         Picked::Endpoint { .. } => "",
+        Picked::OutOfReach => "endpoints are out of reach",
         Picked::NoEndpoint => NO_ENDPOINT,
         Picked::Full => ENDPOINT_FULL,
         Picked::Limited { .. } => "endpoints limit what they take",
@@ -211,6 +212,9 @@
         picked: &Picked,
     ) -> Result<Option<u64>, NotSent> {
         wait.reason = describe(picked);
+        if *picked == Picked::OutOfReach {
+            return Err(NotSent::OutOfReach);
+        }
         self.ask_for_weights(now_ms, wait, *picked == Picked::Full);
         self.note_capacity_wait(wait);
         if now_ms >= self.ends_at_ms {
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -30,6 +30,11 @@
 const LEADER_TIMEOUT_MS: u64 = 900;
 /// A replica that has served for this long is no longer avoided for earlier failures.
 const STABLE_AFTER_MS: u64 = 5_000;
+/// The time after the first offer to send requests of others, at which the gateway offers it again
+/// and learns of those that started at the same time; doubled with each offer.
+const FIRST_OFFER_INTERVAL_MS: u64 = 500;
+/// How often the gateway repeats its offer at least; the leader drops it after 25 s.
+const OFFER_INTERVAL_MAX_MS: u64 = 10_000;
 const RETRY_PAUSE_MS: u64 = 20;
 const OPEN_TIMEOUT_MS: u64 = 300;
 /// A replica that hangs accepts connections but sends nothing. A working one sends its first
@@ -102,6 +107,7 @@
     send(&mut sender, &SessionUp::Hello(hello)).await?;
     let mut renewals = interval(Duration::from_millis(RENEW_MS));
     renewals.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let (mut offered, mut offer_at_ms) = (0, u64::MAX);
     let mut counts_every_ms = counts::period_ms(1) as u32;
     let mut reports = report_timer(counts_every_ms);
     let opened_at_ms = relay.now_ms();
@@ -135,6 +141,7 @@
                         if !crashes.is_empty() {
                             send(&mut sender, &SessionUp::Crashes(crashes)).await?;
                         }
+                        offer_at_ms = last_message_at_ms;
                         // Requests and orders wait for the first confirmed renewal.
                         renewals.reset_immediately();
                     }
@@ -146,6 +153,7 @@
                         }
                         search.set_group(group);
                     }
+                    SessionDown::Peers { peers, .. } => relay.peers().set(peers),
                     SessionDown::Order(order) => {
                         let give = execute_order(relay.clone(), engines.clone(), order);
                         let results = results.clone();
@@ -162,6 +170,14 @@
                 let needs = merge_needs(need, &mut queues.needs);
                 send(&mut sender, &SessionUp::Needs(needs)).await?;
             }
+            () = relay.peers_wanted.notified(), if is_welcome => {
+                offer_detours(relay, &mut sender).await?;
+            }
+            () = relay.clock.sleep_until(offer_at_ms), if is_welcome => {
+                offer_detours(relay, &mut sender).await?;
+                offered += 1;
+                offer_at_ms = relay.now_ms() + offer_interval_ms(offered);
+            }
             () = relay.quota.wanted.notified(), if is_welcome => {
                 ask_for_credit(relay, &mut sender).await?;
             }
@@ -203,6 +219,18 @@
     }
 }
 
+/// The time between an offer, the first one being 1, and the next one.
+fn offer_interval_ms(offered: u32) -> u64 {
+    (FIRST_OFFER_INTERVAL_MS << offered.min(8)).min(OFFER_INTERVAL_MAX_MS)
+}
+
+/// Offers to send requests of other gateways to endpoints, and asks for such gateways.
+async fn offer_detours(relay: &Relay, sender: &mut Sender<SessionUp>) -> Result<()> {
+    let Some(address) = relay.settings.listen_peers else { return Ok(()) };
+    let is_cut_off = relay.fleet().is_cut_off(relay.now_ms());
+    send(sender, &SessionUp::OfferDetours { address, is_cut_off }).await
+}
+
 /// Asks for the credit that requests wait for, or will soon need.
 async fn ask_for_credit(relay: &Relay, sender: &mut Sender<SessionUp>) -> Result<()> {
     let asks = relay.quota.take_asks();
@@ -267,6 +295,7 @@
         | SessionDown::Expired
         | SessionDown::Order(_)
         | SessionDown::RenewedFor { .. }
+        | SessionDown::Peers { .. }
         | SessionDown::Group(_) => {}
     }
 }
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -2,7 +2,7 @@
 //! the send lease.
 
 use std::collections::{HashMap, HashSet};
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
 use rand::RngExt;
@@ -18,14 +18,18 @@
 use super::pool::ConnectionPool;
 use super::queue::RequestQueue;
 use super::quota::QuotaGate;
+use super::reach::{Suspect, Suspicion};
 use super::shares::Shares;
 use crate::clock::Clock;
 use crate::message::{AdapterNeed, Change, EndpointLoad, NewestVersion, Placed, WeightsName};
 use crate::metrics::{Counter, Metrics};
+use crate::policy::peers::PeerGateways;
+use crate::policy::reach::BrokenSends;
 use crate::policy::resend::ResendOutcomes;
 use crate::policy::waiting_queue::QueueLimits;
 use crate::routing::RouteTable;
 use crate::settings::RelaySettings;
+use crate::wire::Peers;
 
 /// How long after a confirmed renewal the known state counts as current, for example to answer that
 /// no route matches.
@@ -62,6 +66,16 @@
     confirmed_at_ms: AtomicU64,
     stopping: AtomicBool,
     pub(super) in_progress: AtomicU32,
+    /// Endpoints to check.
+    pub(super) suspects: mpsc::UnboundedSender<Suspect>,
+    pub(super) broken_sends: Mutex<BrokenSends>,
+    pub(super) peers: Mutex<PeerGateways>,
+    pub(super) peer_connections: Peers,
+    /// Notified when the leader should be asked for other gateways.
+    pub(super) peers_wanted: Notify,
+    /// Requests of other gateways in progress, and the size of their bodies.
+    pub(super) detours: AtomicU32,
+    pub(super) detour_bytes: AtomicUsize,
 }
 
 impl Relay {
@@ -72,12 +86,14 @@
         metrics: Metrics,
         needs: mpsc::UnboundedSender<AdapterNeed>,
         crashes: CrashWatch,
+        suspects: mpsc::UnboundedSender<Suspect>,
     ) -> Self {
         let clock = Clock::new();
         let fleet = Fleet::new(settings.zone.clone(), rand::rng().random())
             .with_version_within(settings.version_within_ms);
         let queue = RequestQueue::new(clock, metrics.clone(), QueueLimits::default());
         let gateways = GatewayCount::new(settings.retry.window_ms);
+        let peers = PeerGateways::new(settings.name.clone(), settings.zone.clone());
         Self {
             settings,
             metrics,
@@ -100,6 +116,13 @@
             confirmed_at_ms: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
             in_progress: AtomicU32::new(0),
+            suspects,
+            broken_sends: Mutex::default(),
+            peers: Mutex::new(peers),
+            peer_connections: Peers::new(),
+            peers_wanted: Notify::new(),
+            detours: AtomicU32::new(0),
+            detour_bytes: AtomicUsize::new(0),
         }
     }
 
@@ -107,6 +130,13 @@
         self.clock.now_ms()
     }
 
+    /// Records that `endpoint` broke off a response or answered wrongly.
+    pub(super) fn note_failure(&self, endpoint: &Arc<str>) {
+        if self.fleet().failed(self.now_ms(), endpoint) {
+            self.suspect(endpoint, Suspicion::Failing);
+        }
+    }
+
     /// Probes an endpoint that has been silent for long.
     pub(super) fn probe_silent(&self, endpoint: &str) {
         let Some(known) = self.fleet().endpoint(endpoint) else { return };
--- /dev/null
+++ b/src/relay/source.rs
@@ -0,0 +1,83 @@
+//! Where the response to a request comes from: an endpoint, or an endpoint through another gateway.
+
+use std::convert::Infallible;
+use std::future::pending;
+use std::sync::Arc;
+
+use http::{HeaderMap, Response};
+
+use super::attempt::InFlightRequest;
+use super::detour::PeerFlight;
+use super::known::IncarnationEnd;
+use super::pool::Connection;
+use super::shared::Relay;
+use crate::http::AnswerBody;
+
+/// A response whose head has arrived and whose body is still being received.
+pub(super) struct StartedResponse {
+    pub(super) source: Source,
+    pub(super) response: Response<AnswerBody>,
+}
+
+/// The source of a response, until the response has ended or failed.
+pub(super) enum Source {
+    /// An endpoint that this gateway sent the request to.
+    Endpoint(InFlightRequest, Connection),
+    /// Another gateway.
+    Peer(PeerFlight),
+}
+
+impl Source {
+    /// The endpoint that answers.
+    pub(super) fn endpoint(&self) -> &Arc<str> {
+        match self {
+            Self::Endpoint(flight, _) => &flight.endpoint,
+            Self::Peer(flight) => &flight.endpoint,
+        }
+    }
+
+    /// The other gateway through which the response comes; empty if there is none.
+    pub(super) fn peer(&self) -> &str {
+        match self {
+            Self::Endpoint(..) => "",
+            Self::Peer(flight) => &flight.peer,
+        }
+    }
+
+    /// True if this gateway sent the request to the endpoint itself.
+    pub(super) fn is_direct(&self) -> bool {
+        matches!(self, Self::Endpoint(..))
+    }
+
+    /// Returns once the endpoint is found to have ended, or never.
+    pub(super) async fn wait_for_end(&self) {
+        match self {
+            Self::Endpoint(flight, _) => flight.wait_for_end().await,
+            // The other gateway watches the endpoint.
+            Self::Peer(_) => pending().await,
+        }
+    }
+
+    /// How the endpoint was found to have ended; `None` while the response is still awaited.
+    pub(super) fn end(&self) -> Option<IncarnationEnd> {
+        match self {
+            Self::Endpoint(flight, _) => flight.end(),
+            Self::Peer(_) => None,
+        }
+    }
+
+    /// Probes the endpoint repeatedly; awaited alongside the next part of the response.
+    pub(super) async fn probe_while_silent(&self) -> Infallible {
+        match self {
+            Self::Endpoint(flight, _) => flight.probe_while_silent().await,
+            Self::Peer(_) => pending().await,
+        }
+    }
+
+    /// Keeps the connection of a response that was received completely, for later requests.
+    pub(super) fn keep(self, relay: &Relay, headers: &HeaderMap) {
+        if let Self::Endpoint(flight, connection) = self {
+            relay.pool.keep(flight.address, connection, headers);
+        }
+    }
+}
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -5,13 +5,12 @@
 use http::header::CONTENT_LENGTH;
 use http::response::Parts;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Body, Frame, Incoming};
+use hyper::body::{Body, Frame};
 use tracing::{info, warn};
 
-use super::attempt::{InFlightRequest, StartedResponse};
 use super::events::EventSplitter;
 use super::exchange::{ENDPOINT_ENDED, Exchange, InProgress, remove_connection_headers};
-use super::pool::Connection;
+use super::source::{Source, StartedResponse};
 use super::speed::EventTimes;
 use crate::clock::Clock;
 use crate::error::{Error, Result};
@@ -28,36 +27,29 @@
 /// The endpoint's side of a stream.
 struct Upstream {
     head: Parts,
-    body: Incoming,
-    connection: Connection,
-    flight: InFlightRequest,
+    body: AnswerBody,
+    source: Source,
     times: EventTimes,
 }
 
 impl Upstream {
     fn new(started: StartedResponse) -> Self {
         let (head, body) = started.response.into_parts();
-        Self {
-            head,
-            body,
-            connection: started.connection,
-            flight: started.flight,
-            times: EventTimes::default(),
-        }
+        Self { head, body, source: started.source, times: EventTimes::default() }
     }
 
     async fn next(&mut self, clock: Clock, until_ms: u64) -> Result<Option<Bytes>> {
-        let peer = self.flight.endpoint.clone();
+        let peer = self.source.endpoint().clone();
         let left_ms = until_ms.saturating_sub(clock.now_ms());
         self.times.note_read(clock.now_ms());
         loop {
             let frame = tokio::select! {
                 biased;
                 frame = clock.timeout_at(until_ms, self.body.frame()) => frame,
-                () = self.flight.wait_for_end() => {
+                () = self.source.wait_for_end() => {
                     return Err(Error::failed("read stream", peer.clone(), ENDPOINT_ENDED));
                 }
-                never = self.flight.probe_while_silent() => match never {},
+                never = self.source.probe_while_silent() => match never {},
             };
             let frame =
                 frame.ok_or_else(|| Error::timeout("read stream", peer.clone(), left_ms))?;
@@ -74,7 +66,8 @@
 /// The response to a request whose endpoint has started to stream.
 pub(super) fn answer(exchange: Exchange, started: StartedResponse) -> Answer {
     let endpoint = Upstream::new(started);
-    let can_resume = exchange.chosen.route.repeat == Repeat::Resume;
+    // The gateway that read a request resumes its stream.
+    let can_resume = exchange.chosen.route.repeat == Repeat::Resume && !exchange.is_detour;
     let events = can_resume.then(|| EventSplitter::new(exchange.meta.last_event));
     let mut head = endpoint.head.clone();
     remove_connection_headers(&mut head.headers);
@@ -116,24 +109,26 @@
 
 fn finish(running: ForwardedStream) -> Option<(FrameResult, Option<ForwardedStream>)> {
     let ForwardedStream { exchange, endpoint, events } = running;
-    let Upstream { head, connection, flight, times, .. } = endpoint;
+    let Upstream { head, source, times, .. } = endpoint;
     let now_ms = exchange.relay.now_ms();
     let after_ms = now_ms - exchange.started_ms;
     info!(
         event = "stream_ended",
         request = %exchange.meta.id,
-        endpoint = %flight.endpoint,
+        endpoint = %source.endpoint(),
+        peer = source.peer(),
         after_ms
     );
-    exchange.relay.pool.keep(flight.address, connection, &head.headers);
     if head.status.is_success() {
         exchange.note_served();
         // The unit of a plain service is a response, not an event.
-        let work = times.work().filter(|_| exchange.chosen.service.engine.is_some());
+        let is_engine = exchange.chosen.service.engine.is_some();
+        let work = times.work().filter(|_| is_engine && source.is_direct());
         if let Some(work) = work {
-            exchange.relay.fleet().note_work(now_ms, &flight.endpoint, work);
+            exchange.relay.fleet().note_work(now_ms, source.endpoint(), work);
         }
     }
+    source.keep(&exchange.relay, &head.headers);
     let rest = events.and_then(|mut events| events.take_remainder())?;
     Some((Ok(Frame::data(rest)), None))
 }
@@ -142,14 +137,16 @@
 async fn resume(running: ForwardedStream, error: &Error) -> Result<ForwardedStream> {
     let ForwardedStream { mut exchange, endpoint, events } = running;
     let id = exchange.meta.id.clone();
-    let peer = endpoint.flight.endpoint.clone();
-    let end = endpoint.flight.end();
+    let peer = endpoint.source.endpoint().clone();
+    let end = endpoint.source.end();
     if let Some(end) = end {
         exchange.note_ended(&peer, end);
-    } else if !error.is_timeout() {
+    } else if !error.is_timeout() && endpoint.source.is_direct() {
         exchange.note_broken_off(&peer);
     }
-    exchange.relay.fleet().failed(exchange.relay.now_ms(), &peer);
+    if endpoint.source.is_direct() {
+        exchange.relay.note_failure(&peer);
+    }
     drop(endpoint);
     let route = exchange.chosen.route.name.clone();
     let broken = || {
@@ -163,14 +160,15 @@
         return Err(broken());
     }
     if end.is_some() {
-        exchange.wait_for_evaluation().await;
+        exchange.wait_for_evaluation(&peer).await;
     }
     let Ok(started) = exchange.start(last_event).await else { return Err(broken()) };
     info!(
         event = "stream_resumed",
         request = %id,
         from = %peer,
-        endpoint = %started.flight.endpoint,
+        endpoint = %started.source.endpoint(),
+        peer = started.source.peer(),
         last_event = last_event.unwrap_or(0)
     );
     if !started.response.status().is_success() {
--- a/src/routing/workspace.rs
+++ b/src/routing/workspace.rs
@@ -30,7 +30,7 @@
 }
 
 /// The credential of a request.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Credential {
     /// The request has no credential.
     #[default]
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -19,6 +19,8 @@
     pub listen_ready: SocketAddr,
     /// The listener for requests of operators, such as state dumps.
     pub listen_admin: SocketAddr,
+    /// The listener for other gateways, which send requests through this one; `None` to serve none.
+    pub listen_peers: Option<SocketAddr>,
     /// The addresses of some of control's replicas.
     pub seeds: Vec<SocketAddr>,
     /// Limits on retries.
@@ -68,6 +70,7 @@
     let listen_clients = fields.address("listen_clients");
     let listen_ready = fields.address("listen_ready");
     let listen_admin = fields.address("listen_admin");
+    let listen_peers = fields.optional_address("listen_peers");
     let seeds = read_seeds(&mut fields);
     let retry = fields.section("retry", default_retry(), |fields| RelayRetrySettings {
         ratio: fields.number_or("ratio", 0.2, 0.0..=10.0),
@@ -84,11 +87,14 @@
     fields.finish();
     let (listen_clients, listen_ready, listen_admin) =
         (listen_clients?, listen_ready?, listen_admin?);
-    let listeners = [
+    let mut listeners = vec![
         ("listen_clients", listen_clients),
         ("listen_ready", listen_ready),
         ("listen_admin", listen_admin),
     ];
+    if let Some(address) = listen_peers {
+        listeners.push(("listen_peers", address));
+    }
     check_ports(root, &listeners, faults);
     if seeds.is_empty() {
         return None;
@@ -99,6 +105,7 @@
         listen_clients,
         listen_ready,
         listen_admin,
+        listen_peers,
         seeds,
         retry,
         version_within_ms,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -67,10 +67,12 @@
     Control,
     /// A request to the owner of an endpoint.
     Forward,
+    /// A request of a relay to another one.
+    Peer,
 }
 
 impl Channel {
-    const ALL: [Self; 4] = [Self::Raft, Self::Session, Self::Control, Self::Forward];
+    const ALL: [Self; 5] = [Self::Raft, Self::Session, Self::Control, Self::Forward, Self::Peer];
 
     fn path(self) -> &'static str {
         match self {
@@ -78,6 +80,7 @@
             Self::Session => "/session",
             Self::Control => "/control",
             Self::Forward => "/forward",
+            Self::Peer => "/peer",
         }
     }
 
