control: gateways that reach no engine of a service hold none of its orders

Order holders that were cut off kept the orders of nine engines for as long as the cut lasted (order_unanswered 522 times in 12 s), so that no adapter could be loaded there. Change: gateways tell the services of which they reach no endpoint (OfferDetours); the leader sends them no orders for these and chooses other holders as it does for a lost gateway, 1.3 s and the order lease later. A gateway that cannot reach an endpoint answers its orders as not sent.

--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -19,7 +19,8 @@
 struct Announced {
     gateway: PeerGateway,
     at_ms: u64,
-    is_cut_off: bool,
+    /// The services of which it reaches no endpoint.
+    out_of_reach: Vec<Arc<str>>,
 }
 
 /// The gateways that announced that they send requests for others.
@@ -34,19 +35,18 @@
         Self::default()
     }
 
-    /// Records an announcement of `name`; `is_cut_off` while it cannot reach the endpoints of some
-    /// service.
+    /// Records an announcement of `name`, which reaches no endpoint of the services `out_of_reach`.
     pub fn announce(
         &mut self,
         now_ms: u64,
         name: &Arc<str>,
         zone: &Arc<str>,
         address: SocketAddr,
-        is_cut_off: bool,
+        out_of_reach: Vec<Arc<str>>,
     ) {
         self.by_name.retain(|_, known| now_ms < known.at_ms + ANNOUNCED_MS);
         let gateway = PeerGateway { name: name.clone(), zone: zone.clone(), address };
-        self.by_name.insert(name.clone(), Announced { gateway, at_ms: now_ms, is_cut_off });
+        self.by_name.insert(name.clone(), Announced { gateway, at_ms: now_ms, out_of_reach });
     }
 
     /// Returns the gateways to offer to `name` in `zone`.
@@ -58,7 +58,7 @@
         let (mut near, mut far) = (Vec::new(), Vec::new());
         for known in self.by_name.values() {
             let is_old = known.at_ms + ANNOUNCED_MS <= now_ms;
-            if is_old || known.is_cut_off || &*known.gateway.name == name {
+            if is_old || !known.out_of_reach.is_empty() || &*known.gateway.name == name {
                 continue;
             }
             let rank = hash::affinity(own_hash, hash::stable(&known.gateway.name));
@@ -73,12 +73,15 @@
         offered
     }
 
-    /// The gateways that cannot reach the endpoints of some service.
-    pub fn cut_off(&self, now_ms: u64) -> BTreeSet<Arc<str>> {
+    /// The gateways that reach no endpoint of some service, each with these services.
+    pub fn cut_off(&self, now_ms: u64) -> BTreeSet<(Arc<str>, Arc<str>)> {
         let mut cut_off = BTreeSet::new();
         for (name, known) in &self.by_name {
-            if known.is_cut_off && now_ms < known.at_ms + ANNOUNCED_MS {
-                cut_off.insert(name.clone());
+            if known.at_ms + ANNOUNCED_MS <= now_ms {
+                continue;
+            }
+            for service in &known.out_of_reach {
+                cut_off.insert((name.clone(), service.clone()));
             }
         }
         cut_off
--- a/src/control/placement/holders.rs
+++ b/src/control/placement/holders.rs
@@ -6,7 +6,7 @@
 //! arrived. Without a pending order that is the last answered order, so the next holder may send
 //! orders after 1.3 s instead of 4.3 s.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -14,7 +14,7 @@
 use tracing::info;
 
 use super::{EndpointState, Placement};
-use crate::message::OrderOutcome;
+use crate::message::{OrderOutcome, RegisteredEndpoint};
 use crate::relay::{ORDER_WRITE_MS, SEND_LEASE_MS};
 
 /// How long a new leader waits before it chooses holders, so that the first gateways to connect do
@@ -47,11 +47,20 @@
     pub gateway: Arc<str>,
 }
 
+/// An endpoint that needs a holder.
+struct Unheld {
+    address: SocketAddr,
+    service: Arc<str>,
+    zone: Arc<str>,
+}
+
 /// Tracks which gateways are connected and which choices of holders are pending.
 #[derive(Debug, Default)]
 pub(super) struct GatewayTracker {
     /// Connected gateways and their availability zones.
     connected: BTreeMap<Arc<str>, Arc<str>>,
+    /// Gateways that reach no endpoint of a service, each with the service, and since when.
+    cut_off_since_ms: BTreeMap<(Arc<str>, Arc<str>), u64>,
     /// When disconnected gateways were first seen as disconnected.
     disconnected_since_ms: HashMap<Arc<str>, u64>,
     /// Choices that are not recorded yet; each will be, unless the leader changes.
@@ -65,9 +74,20 @@
         Self { leading_since_ms: now_ms, ..Self::default() }
     }
 
-    /// Returns the time until which the disconnected `gateway` may still write an order.
-    fn write_deadline_ms(&mut self, now_ms: u64, gateway: &Arc<str>) -> u64 {
-        let since_ms = *self.disconnected_since_ms.entry(gateway.clone()).or_insert(now_ms);
+    /// True if `gateway` is connected and reaches endpoints of `service`.
+    fn may_hold(&self, gateway: &Arc<str>, service: &Arc<str>) -> bool {
+        let key = (gateway.clone(), service.clone());
+        self.connected.contains_key(gateway) && !self.cut_off_since_ms.contains_key(&key)
+    }
+
+    /// Returns the time until which `gateway`, which is disconnected or does not reach `service`,
+    /// may still write an order.
+    fn write_deadline_ms(&mut self, now_ms: u64, gateway: &Arc<str>, service: &Arc<str>) -> u64 {
+        let cut_off_since_ms = self.cut_off_since_ms.get(&(gateway.clone(), service.clone()));
+        let since_ms = match cut_off_since_ms {
+            Some(since_ms) if self.connected.contains_key(gateway) => *since_ms,
+            _ => *self.disconnected_since_ms.entry(gateway.clone()).or_insert(now_ms),
+        };
         since_ms + SEND_LEASE_MS + ORDER_WRITE_MS
     }
 }
@@ -87,6 +107,16 @@
         tracker.connected = connected;
     }
 
+    /// Sets the gateways that reach no endpoint of a service, each with the service: they send it no
+    /// orders.
+    pub fn set_cut_off(&mut self, now_ms: u64, cut_off: BTreeSet<(Arc<str>, Arc<str>)>) {
+        let tracker = &mut self.gateway_tracker;
+        tracker.cut_off_since_ms.retain(|key, _| cut_off.contains(key));
+        for key in cut_off {
+            tracker.cut_off_since_ms.entry(key).or_insert(now_ms);
+        }
+    }
+
     /// Returns the choices of holders to record.
     pub fn take_choices(&mut self) -> Vec<HolderChoice> {
         std::mem::take(&mut self.gateway_tracker.choices)
@@ -98,16 +128,17 @@
         let order_lease_ms = self.settings.order_lease_ms;
         let tracker = &mut self.gateway_tracker;
         for endpoint in self.endpoints.values_mut() {
-            let address = endpoint.endpoint.address;
+            let RegisteredEndpoint { address, service, zone, .. } = &endpoint.endpoint;
+            let (address, service, zone) = (*address, service.clone(), zone.clone());
             let Some(holder) = holders.get(&address) else {
                 endpoint.holder = None;
-                without_holder.push((address, endpoint.endpoint.zone.clone()));
+                without_holder.push(Unheld { address, service, zone });
                 continue;
             };
             if tracker.proposed.get(&address) == Some(&holder.gateway) {
                 tracker.proposed.remove(&address);
             }
-            let is_connected = tracker.connected.contains_key(&holder.gateway);
+            let is_connected = tracker.may_hold(&holder.gateway, &service);
             // A pending choice may be recorded at any moment; the previous holder gets no orders
             // until then.
             let may_order = is_connected && !tracker.proposed.contains_key(&address);
@@ -115,9 +146,9 @@
             if is_connected {
                 continue;
             }
-            let write_deadline_ms = tracker.write_deadline_ms(now_ms, &holder.gateway);
+            let write_deadline_ms = tracker.write_deadline_ms(now_ms, &holder.gateway, &service);
             if endpoint.can_change_holder(now_ms, write_deadline_ms, order_lease_ms) {
-                without_holder.push((address, endpoint.endpoint.zone.clone()));
+                without_holder.push(Unheld { address, service, zone });
             }
         }
         if now_ms < tracker.leading_since_ms + CONNECT_WAIT_MS || without_holder.is_empty() {
@@ -126,11 +157,7 @@
         self.choose_holders(holders, without_holder);
     }
 
-    fn choose_holders(
-        &mut self,
-        holders: &OrderHolders,
-        without_holder: Vec<(SocketAddr, Arc<str>)>,
-    ) {
+    fn choose_holders(&mut self, holders: &OrderHolders, without_holder: Vec<Unheld>) {
         let mut held: BTreeMap<Arc<str>, usize> = BTreeMap::new();
         for gateway in self.gateway_tracker.connected.keys() {
             held.insert(gateway.clone(), 0);
@@ -142,7 +169,7 @@
             }
         }
         let tracker = &mut self.gateway_tracker;
-        for (address, zone) in without_holder {
+        for Unheld { address, service, zone } in without_holder {
             if tracker.proposed.contains_key(&address) {
                 continue;
             }
@@ -151,7 +178,10 @@
             let preference = |(gateway, count): &(&Arc<str>, &mut usize)| {
                 (tracker.connected.get(*gateway) != Some(&zone), **count)
             };
-            let Some((gateway, count)) = held.iter_mut().min_by_key(preference) else { return };
+            let reaches =
+                |(gateway, _): &(&Arc<str>, &mut usize)| tracker.may_hold(gateway, &service);
+            let best = held.iter_mut().filter(reaches).min_by_key(preference);
+            let Some((gateway, count)) = best else { continue };
             *count += 1;
             info!(event = "order_holder_chosen", endpoint = %address, gateway = %gateway);
             tracker.proposed.insert(address, gateway.clone());
--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -438,9 +438,11 @@
                 self.registered.placement.used(now_ms, from, used);
                 self.registered.placement.mark_endpoints_failing(now_ms, &from.gateway, &failing);
             }
-            SessionUp::OfferDetours { address, is_cut_off } => {
+            SessionUp::OfferDetours { address, out_of_reach } => {
                 let peers = &mut self.registered.peers;
-                peers.announce(now_ms, &from.gateway, &from.zone, address, is_cut_off);
+                peers.announce(now_ms, &from.gateway, &from.zone, address, out_of_reach);
+                let cut_off = peers.cut_off(now_ms);
+                self.registered.placement.set_cut_off(now_ms, cut_off);
                 self.send_peers(now_ms, from);
             }
             SessionUp::Crashes(crashes) => {
--- a/src/message/session.rs
+++ b/src/message/session.rs
@@ -91,8 +91,8 @@
     OfferDetours {
         /// The address at which other gateways reach this one.
         address: SocketAddr,
-        /// True while this gateway cannot reach the endpoints of some service.
-        is_cut_off: bool,
+        /// The services of which this gateway reaches no endpoint.
+        out_of_reach: Vec<Arc<str>>,
     },
 }
 
--- a/src/relay/out_of_reach.rs
+++ b/src/relay/out_of_reach.rs
@@ -56,6 +56,12 @@
         has_any
     }
 
+    /// The services whose endpoints are all out of reach.
+    pub fn services_out_of_reach(&self, now_ms: u64) -> Vec<Arc<str>> {
+        let is_out = |service: &&Arc<str>| self.is_service_out_of_reach(now_ms, service);
+        self.by_service.keys().filter(is_out).cloned().collect()
+    }
+
     /// True if the endpoints of any service are all out of reach.
     pub fn is_cut_off(&self, now_ms: u64) -> bool {
         self.by_service.keys().any(|service| self.is_service_out_of_reach(now_ms, service))
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -16,8 +16,8 @@
 use crate::error::{Error, Result};
 use crate::following::{ServerSearch, send};
 use crate::message::{
-    AdapterNeed, Change, EngineOrder, OrderResult, SessionDown, SessionHello, SessionRole,
-    SessionUp,
+    AdapterNeed, Change, EngineOrder, OrderOutcome, OrderResult, SessionDown, SessionHello,
+    SessionRole, SessionUp,
 };
 use crate::policy::counts;
 use crate::wire::{Channel, Peer, Receiver, Sender};
@@ -227,8 +227,8 @@
 /// Offers to send requests of other gateways to endpoints, and asks for such gateways.
 async fn offer_detours(relay: &Relay, sender: &mut Sender<SessionUp>) -> Result<()> {
     let Some(address) = relay.settings.listen_peers else { return Ok(()) };
-    let is_cut_off = relay.fleet().is_cut_off(relay.now_ms());
-    send(sender, &SessionUp::OfferDetours { address, is_cut_off }).await
+    let out_of_reach = relay.fleet().services_out_of_reach(relay.now_ms());
+    send(sender, &SessionUp::OfferDetours { address, out_of_reach }).await
 }
 
 /// Asks for the credit that requests wait for, or will soon need.
@@ -253,7 +253,11 @@
     order: EngineOrder,
 ) -> OrderResult {
     let (number, endpoint, kind) = (order.number, order.endpoint.clone(), order.kind.clone());
-    let outcome = engines.carry_out(order, relay.send_lease.clone()).await;
+    let outcome = if relay.fleet().is_out_of_reach(&endpoint) {
+        OrderOutcome::NotSent
+    } else {
+        engines.carry_out(order, relay.send_lease.clone()).await
+    };
     OrderResult { number, endpoint, kind, outcome }
 }
 
--- a/tests/holders.rs
+++ b/tests/holders.rs
@@ -111,6 +111,34 @@
     assert_eq!((orders.len(), &*orders[0].holder, orders[0].token), (1, "g1", 9));
 }
 
+/// Guards against orders that wait for a holder which cannot send them.
+#[test]
+fn a_holder_that_reaches_no_engine_gives_its_endpoints_up() {
+    let endpoints = [endpoint(1, "a")];
+    let (mut placement, mut holders) = held_by_g1(&endpoints);
+    send_heartbeats(&mut placement, 9_900, &endpoints);
+    placement.advance(9_950, &holders);
+    for order in placement.take_orders() {
+        placement.ordered(9_960, answered(&order));
+    }
+    placement.set_cut_off(10_000, [("g1".into(), "quotes".into())].into());
+    let free_ms = 10_000 + SEND_LEASE_MS + ORDER_WRITE_MS + LEASE_MS;
+    for now_ms in [10_010, free_ms - LEASE_MS] {
+        send_heartbeats(&mut placement, now_ms, &endpoints);
+        placement.advance(now_ms, &holders);
+        assert!(placement.take_orders().is_empty(), "the holder could not send them");
+        assert!(placement.take_choices().is_empty(), "an earlier order may still arrive");
+    }
+    send_heartbeats(&mut placement, free_ms + 10, &endpoints);
+    placement.advance(free_ms + 10, &holders);
+    let choices = placement.take_choices();
+    assert_eq!(choices.iter().map(|choice| &*choice.gateway).collect::<Vec<_>>(), ["g2"]);
+    record(&mut holders, 10, choices);
+    placement.set_cut_off(free_ms + 20, [].into());
+    placement.advance(free_ms + 30, &holders);
+    assert!(placement.take_choices().is_empty(), "the endpoint has a holder");
+}
+
 #[test]
 fn holder_changes_only_once_no_order_of_the_former_one_can_take_effect() {
     let endpoints = [endpoint(1, "a")];
--- a/tests/reach.rs
+++ b/tests/reach.rs
@@ -191,17 +191,18 @@
 fn gateways_that_are_cut_off_or_gone_are_not_offered() {
     let mut peers = Peers::new();
     let address = SocketAddr::from(([127, 0, 0, 1], 9_000));
-    for (name, at_ms, is_cut_off) in
-        [("a", 0, false), ("b", 20_000, true), ("c", 20_000, false), ("d", 20_000, false)]
+    for (name, at_ms, out_of_reach) in
+        [("a", 0, vec![]), ("b", 20_000, vec!["quotes".into()]), ("c", 20_000, vec![])]
     {
-        peers.announce(at_ms, &name.into(), &"near".into(), address, is_cut_off);
+        peers.announce(at_ms, &name.into(), &"near".into(), address, out_of_reach);
     }
     let mut offered: Vec<_> =
         peers.offered_to(26_000, "d", "near").into_iter().map(|peer| peer.name).collect();
     offered.sort();
     assert_eq!(offered, ["c".into()]);
-    assert_eq!(peers.cut_off(26_000).into_iter().collect::<Vec<_>>(), ["b".into()]);
-    peers.announce(26_000, &"b".into(), &"near".into(), address, false);
+    let expected = (Arc::from("b"), Arc::from("quotes"));
+    assert_eq!(peers.cut_off(26_000).into_iter().collect::<Vec<_>>(), [expected]);
+    peers.announce(26_000, &"b".into(), &"near".into(), address, vec![]);
     assert!(peers.cut_off(26_000).is_empty());
 }
 
@@ -233,8 +234,8 @@
     let zones: [Arc<str>; 3] = ["a".into(), "b".into(), "c".into()];
     let name = |number: usize| -> Arc<str> { format!("gateway-{number}").into() };
     for number in 0..85 {
-        let is_cut_off = number < 40;
-        peers.announce(0, &name(number), &zones[number % 3], address, is_cut_off);
+        let out_of_reach = if number < 40 { vec!["quotes".into()] } else { vec![] };
+        peers.announce(0, &name(number), &zones[number % 3], address, out_of_reach);
     }
     let mut offers: BTreeMap<Arc<str>, u32> = BTreeMap::new();
     for number in 0..40 {
