--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -340,6 +340,8 @@
     assert_eq!(picked(&mut fleet, 0, None).as_deref(), Some("n"));
     fleet.mark_unreachable(0, &"n".into());
     assert_eq!(fleet.pick(0, "quotes", None, &[]), Picked::Full);
+    assert!(fleet.take_traffic(0).failing.is_empty(), "it may only be out of reach from here");
+    fleet.mark_failing(&"n".into());
     assert_eq!(fleet.take_traffic(0).failing.len(), 1);
     assert_eq!(picked(&mut fleet, 10_000, None).as_deref(), Some("n"), "the pause is over");
 }
