relay: an endpoint that ended is reported though no other gateway can tell

While gateways and control restart, no gateway knows another one to ask; if the other engines that were probed had ended too, nothing told the gateway's own connections from the engine, and the crash was not reported. Change: endpoints of other services are probed as well. A view of another gateway counts if it comes within 300 ms: one that reaches an endpoint answers in a round trip, and the leader evaluates a crash after 350 ms. The tests of cut gateways run one after the other: four regions of eight processes at once did not start in time.

--- a/soak/tests/gateways_cut_off_from_endpoints.rs
+++ b/soak/tests/gateways_cut_off_from_endpoints.rs
@@ -43,7 +43,11 @@
     check_cut(103, &[1, 2], Cut::Silent, "cut-two-silent").await;
 }
 
+/// The tests run one after the other, since each has eight processes.
+static TURN: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
+
 async fn check_cut(block: u8, cut_gateways: &[u8], cut: Cut, name: &str) {
+    let _turn = TURN.lock().await;
     let size = Size { gateways: GATEWAYS, endpoints: 4, engines: 6, block };
     let system = System::start_with(size, 2).await;
     let tries: Arc<Mutex<Vec<Try>>> = Arc::default();
--- a/src/relay/detour/mod.rs
+++ b/src/relay/detour/mod.rs
@@ -36,9 +36,9 @@
 
 /// A connection to another gateway is made within one round trip, if at all.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(250);
-/// How long another gateway may take to tell which endpoints it reaches, which it probes for up to
-/// 500 ms.
-const REACH_TIMEOUT: Duration = Duration::from_millis(600);
+/// How long another gateway may take to tell which endpoints it reaches. One that reaches an endpoint
+/// tells so within a few round trips.
+const REACH_TIMEOUT: Duration = Duration::from_millis(300);
 /// The number of gateways that are asked which endpoints they reach.
 const ASKED_MAX: usize = 3;
 /// The number of gateways that a request is sent through, one after the other, as long as they
--- a/src/relay/out_of_reach.rs
+++ b/src/relay/out_of_reach.rs
@@ -116,6 +116,17 @@
         others.sample(&mut self.random, max).cloned().collect()
     }
 
+    /// Returns up to `max` endpoints of other services than `service`, chosen at random.
+    pub fn sample_elsewhere(&mut self, service: &str, max: usize) -> Vec<RegisteredEndpoint> {
+        let mut others = Vec::new();
+        for state in self.endpoints.values() {
+            if &*state.endpoint.service != service {
+                others.push(state.endpoint.clone());
+            }
+        }
+        others.sample(&mut self.random, max).cloned().collect()
+    }
+
     /// Includes `id` in the next report of failing endpoints.
     pub fn mark_failing(&mut self, id: &Arc<str>) {
         self.failing.insert(id.clone());
--- a/src/relay/reach.rs
+++ b/src/relay/reach.rs
@@ -22,6 +22,8 @@
 const RECHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// The number of other endpoints of a service that are probed to compare with.
 const COMPARED_MAX: usize = 3;
+/// The number of endpoints of other services that are probed to compare with.
+const COMPARED_ELSEWHERE_MAX: usize = 2;
 /// The number of endpoints of a service that are probed again at a time.
 const RECHECKED_MAX: usize = 2;
 /// The number of endpoints that are probed at once when one of their service is in reach again.
@@ -112,12 +114,15 @@
     let mut probed = endpoints;
     let others = relay.fleet().others_in_reach(service, &probed);
     probed.extend(others.sample(&mut rand::rng(), COMPARED_MAX).cloned());
-    let is_engine = relay.table().is_engine(service);
-    let own = join_all(probed.iter().map(|endpoint| reach_endpoint(engines, endpoint, is_engine)));
     let ids: Vec<Arc<str>> = probed.iter().map(|endpoint| endpoint.id.clone()).collect();
+    let elsewhere = relay.fleet().sample_elsewhere(service, COMPARED_ELSEWHERE_MAX);
+    let probe = |endpoint: &RegisteredEndpoint| {
+        let (endpoint, is_engine) = (endpoint.clone(), relay.table().is_engine(&endpoint.service));
+        async move { reach_endpoint(engines, &endpoint, is_engine).await }
+    };
+    let own = join_all(probed.iter().chain(&elsewhere).map(probe));
     let (own, peer) = tokio::join!(own, relay.ask_peers_for_reach(&ids));
-    let is_any_reached =
-        (probed.len() > suspected).then(|| own[suspected..].contains(&Liveness::Up));
+    let is_any_reached = (own.len() > suspected).then(|| own[suspected..].contains(&Liveness::Up));
     let mut judged = Vec::new();
     let mut out_of_reach = Vec::new();
     for (position, endpoint) in probed.into_iter().enumerate() {
