relay: brittle endpoints are not driven to reject more than they bear

Change: policy/brittle.rs, a belief with its age for each incarnation. While an endpoint is brittle, a gateway counts on its slots alone, and leaves it alone after a rejection for so long that all gateways together stay below a third of the number. With more than 8 gateways, whose counts arrive later than a plain request runs, they share what it bears by rate, with the mechanism of Server-Limit. Ruled out: half of the slots as room among many gateways (21 rejections in a second of 10 allowed, as without it); longer pauses alone (13 to 19).

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -4,6 +4,7 @@
 //! The modules are state machines whose methods take the current time as an argument, so that
 //! gateways and the measurement run the same code.
 
+pub mod brittle;
 pub mod counts;
 pub mod crashes;
 pub mod endpoint_backoff;
--- a/src/relay/border.rs
+++ b/src/relay/border.rs
@@ -59,13 +59,13 @@
     pub workspace: Option<Arc<str>>,
 }
 
-/// The rate limit, for all gateways together, that an endpoint advertises in a response.
+/// A limit on a rate, for all gateways together, that an endpoint advertises in a response.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub enum RateLimit {
     /// No limit.
     #[default]
     None,
-    /// A limit in requests per second.
+    /// A limit per second.
     PerSecond(f64),
     /// A value that is not a valid number.
     Unreadable,
@@ -94,6 +94,8 @@
     pub request_id: Option<Arc<str>>,
     /// The endpoint's rate limit.
     pub rate_limit: RateLimit,
+    /// The rejections a second, of all gateways together, that the endpoint bears before it ends.
+    pub rejection_limit: RateLimit,
     /// The backoff that the endpoint asks for.
     pub backoff: Backoff,
     /// True if the endpoint announces that it is about to shut down.
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -5,14 +5,15 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 use tokio::sync::watch;
 use tracing::info;
 
 use super::border::RateLimit;
 use super::known::{EndpointState, IncarnationEnd, Wanted};
 use super::limits::{EndpointLimits, LimitChange};
+use super::pick::ALL_COMPARED_MAX_GATEWAYS;
 use super::replaced::begin_within_ms;
 use super::uses::WeightsUses;
 use super::waiting::{Prompt, ReadingPace, UnreadMs};
@@ -219,6 +220,7 @@
         sent_at_ms: u64,
         rate_limit: RateLimit,
     ) -> Option<LimitChange> {
+        let rate_limit = self.limit_when_brittle(now_ms, id, rate_limit);
         if rate_limit == RateLimit::None && self.limits.is_empty()
             || !self.endpoints.contains_key(id)
         {
@@ -231,6 +233,43 @@
         change
     }
 
+    /// The rate limit of endpoint `id`, which named `rate_limit`: many gateways, whose counts arrive
+    /// later than a plain request runs, share what a brittle endpoint bears by rate.
+    fn limit_when_brittle(&self, now_ms: u64, id: &str, rate_limit: RateLimit) -> RateLimit {
+        let Some(state) = self.endpoints.get(id) else { return rate_limit };
+        let unit_ms = self.unit_ms.get(&state.endpoint.service).copied();
+        let is_shared = state.is_plain && self.gateways > ALL_COMPARED_MAX_GATEWAYS;
+        let Some(unit_ms) = unit_ms.filter(|_| is_shared && state.brittleness.is_brittle(now_ms))
+        else {
+            return rate_limit;
+        };
+        // The measured times include waits, which leaves room for uneven arrivals.
+        let bears_per_s = f64::from(state.endpoint.slots) * 1_000.0 / unit_ms.max(1.0);
+        match rate_limit {
+            RateLimit::PerSecond(per_s) => RateLimit::PerSecond(per_s.min(bears_per_s)),
+            RateLimit::None | RateLimit::Unreadable => RateLimit::PerSecond(bears_per_s),
+        }
+    }
+
+    /// Applies the rejections a second that endpoint `id` bears, as its response to a request sent
+    /// at `sent_at_ms` names them; returns whether it is brittle if that has changed.
+    pub fn note_brittle(
+        &mut self,
+        now_ms: u64,
+        id: &str,
+        sent_at_ms: u64,
+        limit: RateLimit,
+    ) -> Option<bool> {
+        let rejections_per_s = match limit {
+            RateLimit::None => None,
+            RateLimit::PerSecond(per_s) => Some(per_s),
+            RateLimit::Unreadable => return None,
+        };
+        let state = self.endpoints.get_mut(id)?;
+        let has_changed = state.brittleness.note(now_ms, sent_at_ms, rejections_per_s);
+        has_changed.then(|| state.brittleness.is_brittle(now_ms))
+    }
+
     /// True if `id` has started no response since `at_ms`.
     pub fn is_silent_since(&self, at_ms: u64, id: &str) -> bool {
         self.endpoints.get(id).is_none_or(|state| state.waiting.is_silent_since(at_ms))
@@ -248,6 +287,7 @@
         let mut reading_ms = 0.0;
         if let Some(state) = self.endpoints.get_mut(id) {
             if wanted.is_none() {
+                state.is_plain = true;
                 let running = state.own_running + state.others_running;
                 state.plain_samples.start(now_ms, self.sends, running);
             }
@@ -308,9 +348,10 @@
 
     /// Records that `id` refused a request because it is full.
     pub fn refused(&mut self, now_ms: u64, id: &str) {
-        if let Some(state) = self.endpoints.get_mut(id) {
-            state.paused_until_ms = state.paused_until_ms.max(now_ms + FULL_PAUSE_MS);
-        }
+        let Some(state) = self.endpoints.get_mut(id) else { return };
+        let brittle_ms = state.brittleness.pause_ms(now_ms, self.gateways, self.random.random());
+        let pause_ms = brittle_ms.unwrap_or(FULL_PAUSE_MS).max(FULL_PAUSE_MS);
+        state.paused_until_ms = state.paused_until_ms.max(now_ms + pause_ms);
     }
 
     /// Starts or extends the backoff that `id` asked for; returns true if it was started.
--- a/src/relay/known.rs
+++ b/src/relay/known.rs
@@ -8,6 +8,7 @@
 use super::waiting::{ReadingPace, UnansweredRequests, UnreadMs};
 use crate::hash;
 use crate::message::{Load, RegisteredEndpoint, WeightsName};
+use crate::policy::brittle::Brittleness;
 use crate::policy::endpoint_backoff::EndpointBackoff;
 use crate::policy::endpoint_speed::{self, RecentWork, Work};
 use crate::policy::rank::{LATE_RANK, Urgency};
@@ -40,6 +41,9 @@
     pub(super) failures: u32,
     pub(super) paused_until_ms: u64,
     pub(super) backoff: EndpointBackoff,
+    pub(super) brittleness: Brittleness,
+    /// True once a request that needs no weights was sent there.
+    pub(super) is_plain: bool,
     /// The work that the endpoint did for this gateway.
     pub(super) own_work: RecentWork,
     /// The work that it did for the other gateways.
@@ -130,6 +134,8 @@
             failures: 0,
             paused_until_ms: 0,
             backoff: EndpointBackoff::default(),
+            brittleness: Brittleness::default(),
+            is_plain: false,
             own_work: RecentWork::default(),
             others_work: Work::default(),
             plain_samples: PlainSamples::default(),
@@ -156,9 +162,11 @@
     /// beyond its slots: the counts of the other gateways arrive late, so an endpoint that looks
     /// full may be half empty. Its queue is limited to what completes in time, if it is known how
     /// long a request takes.
-    pub(super) fn is_full(&self, room: RoomWanted) -> bool {
+    pub(super) fn is_full(&self, now_ms: u64, room: RoomWanted) -> bool {
         let slots = self.endpoint.slots;
         let limit = match room {
+            // A brittle endpoint lets few wait, and rejections end it.
+            RoomWanted::Queue { .. } if self.brittleness.is_brittle(now_ms) => slots,
             // Engines get no queue allowance: each additional request slows down all others.
             RoomWanted::Slot => slots,
             RoomWanted::SlotBesideReserve => slots - slots.div_ceil(RESERVE_DIVISOR).min(slots / 2),
--- a/src/relay/pick.rs
+++ b/src/relay/pick.rs
@@ -17,7 +17,7 @@
 const COMPARED_MIN: usize = 8;
 /// The largest number of gateways that compare all endpoints and select the cheapest one; with more
 /// gateways each one compares a share of the endpoints.
-const ALL_COMPARED_MAX_GATEWAYS: usize = 8;
+pub(super) const ALL_COMPARED_MAX_GATEWAYS: usize = 8;
 /// How much longer a request may wait for an endpoint in the gateway's own zone: a link between
 /// zones adds a few milliseconds, and its traffic is charged.
 const ZONE_PREFERENCE_MS: f64 = 15.0;
@@ -186,7 +186,7 @@
         if self.counts_demand {
             limits.note_request(self.now_ms, id);
         }
-        if state.paused_until_ms > self.now_ms || state.is_full(self.room) {
+        if state.paused_until_ms > self.now_ms || state.is_full(self.now_ms, self.room) {
             return;
         }
         let backoff_ms = state.backoff.wait_ms(self.now_ms);
--- a/src/relay/report.rs
+++ b/src/relay/report.rs
@@ -35,6 +35,10 @@
             info!(event = "endpoint_end_announced", endpoint = %endpoint);
         }
         self.note_backoff(now_ms, endpoint, head.backoff);
+        let brittle = self.fleet().note_brittle(now_ms, endpoint, sent_at_ms, head.rejection_limit);
+        if let Some(brittle) = brittle {
+            info!(event = "endpoint_brittle", endpoint = %endpoint, brittle, limit = ?head.rejection_limit);
+        }
         let change = self.fleet().note_limit(now_ms, endpoint, sent_at_ms, head.rate_limit);
         match change {
             Some(LimitChange::Set { per_s }) => {
