soak, orders: cuts of gateways among random faults; orders that were given up do not arrive later

Bytes of an order that a cut holds back arrive when it ends, by then perhaps from a gateway that no longer holds the engine's orders.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -34,11 +34,13 @@
 soaks+=($!)
 soak 80 --seed 4 --seconds 10 --clients 6 --endpoints 6 --mix overload &
 soaks+=($!)
+soak 81 --seed 5 --seconds 10 --clients 6 --mix cut &
+soaks+=($!)
 verdict=0
 for soak in "${soaks[@]}"; do
   wait "$soak" || verdict=1
 done
-cat target/soak-7[789].log target/soak-80.log
+cat target/soak-7[789].log target/soak-8[01].log
 [ "$verdict" -eq 0 ]
 
 # Each entry is run several times: one that passes now and then is not fixed. A name that matches no test is an
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -7,6 +7,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, RngExt};
 
+use crate::cut::Cut;
 use crate::overload::{self, Overload};
 use crate::proxy::Mode;
 use crate::record::Record;
@@ -33,6 +34,7 @@
     GoOn(usize),
     EndpointSignal(usize),
     EngineSignal(usize),
+    Cut(u8),
 }
 
 /// Which faults come in a run.
@@ -50,6 +52,8 @@
     /// The faults of `All`, and more often endpoints that advertise rate limits, ask for backoff or
     /// announce their shutdown.
     Overload,
+    /// The faults of `All`, and more often gateways that are cut off from all endpoints.
+    Cut,
 }
 
 impl Mix {
@@ -73,6 +77,7 @@
                 | Self::Mend(_)
                 | Self::GoOn(_)
                 | Self::StartControl
+                | Self::Cut(_)
         )
     }
 }
@@ -99,6 +104,16 @@
             }
             continue;
         }
+        if mix == Mix::Cut && rng.random_range(0..3) > 0 {
+            let lasts = Duration::from_millis(rng.random_range(500..12_000));
+            record.disturb();
+            if let Some(what) = cut_gateway(region, rng, &repairs, record) {
+                repairs.push(Repair { at: Instant::now() + lasts, what });
+            } else {
+                record.calm_down();
+            }
+            continue;
+        }
         let is_engine = mix == Mix::Endpoints || rng.random_range(0..4) == 0;
         if is_engine {
             let lasts = Duration::from_millis(rng.random_range(200..8_000));
@@ -143,6 +158,7 @@
             End::ResumeEngine(engine) => region.engines[engine].pause(false),
             End::OrdersInTime(engine) => region.engines[engine].delay_orders(false),
             End::GoOn(endpoint) => region.endpoints[endpoint].set_stalls(false),
+            End::Cut(gateway) => region.cut(gateway, None),
             End::EndpointSignal(endpoint) => region.end_endpoint_signal(endpoint),
             End::EngineSignal(engine) => {
                 if let Err(error) = region.end_engine_signal(engine).await {
@@ -174,6 +190,7 @@
             End::StartControl => return region.programs.len(),
             End::Mend(_)
             | End::GoOn(_)
+            | End::Cut(_)
             | End::EndpointSignal(_)
             | End::EngineSignal(_)
             | End::StartEngine(_)
@@ -317,6 +334,24 @@
     }
 }
 
+/// Cuts a gateway off from all endpoints, unless it is already.
+fn cut_gateway(
+    region: &Region,
+    rng: &mut SmallRng,
+    repairs: &[Repair],
+    record: &Record,
+) -> Option<End> {
+    let gateways = region.gateway_addresses().len();
+    let gateway = 1 + rng.random_range(0..gateways) as u8;
+    if repairs.iter().any(|repair| matches!(repair.what, End::Cut(it) if it == gateway)) {
+        return None;
+    }
+    let cut = *[Cut::Silent, Cut::Reset, Cut::NewReset].choose(rng)?;
+    record.fault(format!("gateway {gateway} is cut off from endpoints: {cut:?}"));
+    region.cut(gateway, Some(cut));
+    Some(End::Cut(gateway))
+}
+
 /// Makes an endpoint or engine signal overload, unless it already does or more than half of its
 /// kind would then do so.
 fn inject_overload_signal(region: &Region, rng: &mut SmallRng, record: &Record) -> Option<End> {
--- a/src/http.rs
+++ b/src/http.rs
@@ -59,7 +59,17 @@
 impl HttpClient {
     /// Creates a client whose attempts to connect fail after `connect_timeout_ms`.
     pub fn new(connect_timeout_ms: u64) -> Self {
+        Self::with_unacknowledged_max(connect_timeout_ms, None)
+    }
+
+    /// Creates a client that closes a connection when data stays unacknowledged for
+    /// `unacknowledged_max`, so that a request that was given up does not arrive later.
+    pub fn with_unacknowledged_max(
+        connect_timeout_ms: u64,
+        unacknowledged_max: Option<Duration>,
+    ) -> Self {
         let mut connector = HttpConnector::new();
+        connector.set_tcp_user_timeout(unacknowledged_max);
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_millis(connect_timeout_ms)));
         let client = Client::builder(TokioExecutor::new())
