relay: an endpoint that has just ended does not count as running at another gateway

Asked whether it reaches an engine, a gateway said yes if the engine had answered it within 300 ms. Change: a gateway connects to the endpoint in any case; a recent answer only saves the request that follows.

--- a/src/relay/detour/serve.rs
+++ b/src/relay/detour/serve.rs
@@ -20,7 +20,7 @@
 use crate::relay::access::Access;
 use crate::relay::admission::Admitted;
 use crate::relay::exchange::Exchange;
-use crate::relay::liveness::{Liveness, reach_endpoint};
+use crate::relay::liveness::{Liveness, connect, reach_endpoint};
 use crate::relay::orders::EngineClient;
 use crate::relay::refusal::{Failure, NotSent, retry_after_ms};
 use crate::relay::shared::Relay;
@@ -34,7 +34,7 @@
 const SERVED_MAX: u32 = 200;
 /// The maximum size of their bodies together.
 const SERVED_MAX_BYTES: usize = 8 << 20;
-/// How long ago an endpoint may have answered to count as reached without a probe.
+/// How long ago an endpoint may have answered to count as reached once it accepts a connection.
 const ANSWERED_RECENTLY_MS: u64 = 300;
 /// The number of endpoints that another gateway may ask for at once.
 const REACH_MAX: usize = 64;
@@ -103,11 +103,14 @@
         let has_answered = !relay.fleet().is_silent_since(since_ms, id);
         probes.push(async move {
             let endpoint = endpoint?;
-            if has_answered {
-                return Some(true);
-            }
-            let is_engine = relay.table().is_engine(&endpoint.service);
-            Some(reach_endpoint(engines, &endpoint, is_engine).await == Liveness::Up)
+            // An endpoint that has just ended may have answered just before.
+            let liveness = if has_answered {
+                connect(&endpoint).await
+            } else {
+                let is_engine = relay.table().is_engine(&endpoint.service);
+                reach_endpoint(engines, &endpoint, is_engine).await
+            };
+            Some(liveness == Liveness::Up)
         });
     }
     let reached = join_all(probes).await;
--- a/src/relay/liveness.rs
+++ b/src/relay/liveness.rs
@@ -155,16 +155,24 @@
     }
 }
 
+/// Opens a connection to an endpoint and closes it.
+pub(super) async fn connect(endpoint: &RegisteredEndpoint) -> Liveness {
+    match timeout(CONNECT_TIMEOUT, TcpStream::connect(endpoint.address)).await {
+        Ok(Ok(_)) => Liveness::Up,
+        Ok(Err(error)) if is_refusal(&error) => Liveness::Refusing,
+        // Any other error may be a fault of the network or of this process.
+        Err(_) | Ok(Err(_)) => Liveness::Unknown,
+    }
+}
+
 async fn probe_endpoint(
     engines: &dyn EngineClient,
     endpoint: &RegisteredEndpoint,
     is_engine: bool,
 ) -> Liveness {
-    match timeout(CONNECT_TIMEOUT, TcpStream::connect(endpoint.address)).await {
-        // Any other error may be a fault of the network or of this process.
-        Ok(Err(error)) if is_refusal(&error) => return Liveness::Refusing,
-        Err(_) | Ok(Err(_)) => return Liveness::Unknown,
-        Ok(Ok(_)) => {}
+    let connected = connect(endpoint).await;
+    if connected != Liveness::Up {
+        return connected;
     }
     // A probe request to a plain service would compete with client requests, so an accepted
     // connection is enough. An engine that accepts connections without answering does not run any
