--- a/src/relay/detour/serve.rs
+++ b/src/relay/detour/serve.rs
@@ -149,6 +149,8 @@
     /// Returns `None` if too many are in progress.
     fn begin(relay: &Arc<Relay>, size_bytes: usize) -> Option<Self> {
         let before = relay.detours.fetch_add(1, Ordering::Relaxed);
+        // A graceful shutdown waits for it.
+        relay.in_progress.fetch_add(1, Ordering::Relaxed);
         let before_bytes = relay.detour_bytes.fetch_add(size_bytes, Ordering::Relaxed);
         let served = Self { relay: relay.clone(), size_bytes };
         let has_room = before < SERVED_MAX && before_bytes + size_bytes <= SERVED_MAX_BYTES;
@@ -159,6 +161,7 @@
 impl Drop for Served {
     fn drop(&mut self) {
         self.relay.detours.fetch_sub(1, Ordering::Relaxed);
+        self.relay.in_progress.fetch_sub(1, Ordering::Relaxed);
         self.relay.detour_bytes.fetch_sub(self.size_bytes, Ordering::Relaxed);
     }
 }
--- a/tests/fuzz_wire.rs
+++ b/tests/fuzz_wire.rs
@@ -17,11 +17,13 @@
 use serde::de::DeserializeOwned;
 use winchvane::control::raft::{Entry, Envelope, Members, Message, Payload, Snapshot};
 use winchvane::message::{
-    AdapterKey, AdapterNeed, Change, EndpointLoad, EngineOrder, EngineReport, Forwarded, Group,
-    Heartbeat, Holding, Load, LoadReport, NewestVersion, OrderKind, OrderOutcome, OrderResult,
-    PeerMessage, Placed, RegisteredEndpoint, SessionDown, SessionHello, SessionRole, SessionServer,
-    SessionUp, Summary, UseCounts, Weights, WeightsName, WeightsUse, WorkspaceUse,
+    AdapterKey, AdapterNeed, Change, DetourRefusal, DetourRequest, EndpointLoad, EngineOrder,
+    EngineReport, Forwarded, Group, Heartbeat, Holding, Load, LoadReport, NewestVersion, OrderKind,
+    OrderOutcome, OrderResult, PeerEvent, PeerMessage, PeerRequest, Placed, RegisteredEndpoint,
+    SessionDown, SessionHello, SessionRole, SessionServer, SessionUp, Summary, UseCounts, Weights,
+    WeightsName, WeightsUse, WorkspaceUse,
 };
+use winchvane::routing::{ApiKey, Credential};
 
 /// Arbitrary values of an inferred type.
 fn arbitrary<T: Arbitrary>() -> impl Strategy<Value = T> {
@@ -167,6 +169,55 @@
         (vec(endpoint_load(), 0..3), vec(weights_use(), 0..3), vec(name(), 0..3))
             .prop_map(|(loads, used, failing)| SessionUp::Traffic { loads, used, failing }),
         vec(workspace_use(), 0..3).prop_map(SessionUp::WorkspaceUse),
+        (arbitrary(), vec(name(), 0..3)).prop_map(|(address, out_of_reach)| {
+            SessionUp::OfferDetours { address, out_of_reach }
+        }),
+    ]
+}
+
+fn header() -> impl Strategy<Value = (Box<str>, Vec<u8>)> {
+    (name(), arbitrary()).prop_map(|(name, value)| ((*name).into(), value))
+}
+
+/// A message that one gateway sends to another.
+fn peer_request() -> impl Strategy<Value = PeerRequest> {
+    let numbers = (arbitrary(), arbitrary(), arbitrary(), arbitrary(), arbitrary());
+    let detour = (name(), numbers, vec(header(), 0..4), vec(name(), 0..3), arbitrary()).prop_map(
+        |(gateway, numbers, headers, tried, body)| {
+            let (routing_version, age_ms, left_ms, attempts, last_event) = numbers;
+            PeerRequest::Detour(Box::new(DetourRequest {
+                gateway,
+                routing_version,
+                method: "POST".into(),
+                target: "/a".into(),
+                headers,
+                credential: Credential::Key(ApiKey::new(b"key")),
+                age_ms,
+                left_ms,
+                attempts,
+                tried,
+                last_event,
+                body,
+            }))
+        },
+    );
+    prop_oneof![detour, vec(name(), 0..4).prop_map(PeerRequest::Reach)]
+}
+
+/// The answer to it.
+fn peer_event() -> impl Strategy<Value = PeerEvent> {
+    let head = (name(), arbitrary(), arbitrary(), vec(header(), 0..4)).prop_map(
+        |(endpoint, runs, status, headers)| PeerEvent::Head { endpoint, runs, status, headers },
+    );
+    prop_oneof![
+        head,
+        Just(PeerEvent::Alive),
+        Just(PeerEvent::End),
+        arbitrary().prop_map(PeerEvent::Data),
+        arbitrary().prop_map(PeerEvent::Reached),
+        arbitrary()
+            .prop_map(|after_ms| { PeerEvent::Refused(DetourRefusal::NotServed { after_ms }) }),
+        (arbitrary(), arbitrary()).prop_map(|(runs, detail)| PeerEvent::Failed { runs, detail }),
     ]
 }
 
@@ -371,6 +422,18 @@
     assert_messages_arrive_unchanged(peer_message());
 }
 
+#[test]
+fn messages_between_gateways_arrive_unchanged() {
+    assert_messages_arrive_unchanged(peer_request());
+    assert_messages_arrive_unchanged(peer_event());
+}
+
+#[test]
+fn corrupted_messages_between_gateways_are_decoded_or_refused() {
+    assert_corrupted_messages_are_decoded_or_refused(peer_request());
+    assert_corrupted_messages_are_decoded_or_refused(peer_event());
+}
+
 #[test]
 fn arbitrary_bytes_are_decoded_or_refused() {
     let link = Link::new::<PeerMessage>();
