soak, relay: gateways of connections are found only while one is cut off; fewer checks of sound endpoints

Each new connection before endpoints and engines waited for the kernel's table of sockets to be read, in all tests; thousands of sockets wait there in a busy run. Change: the gateways of open connections are found when a cut begins, those of new ones while a gateway is cut off. An endpoint found in reach is not checked again for a second because of connections that broke off. A gateway offers detours in quick succession to each new server of its session, not only to the first one.

--- a/soak/src/cut.rs
+++ b/soak/src/cut.rs
@@ -10,13 +10,13 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::watch;
 use tokio::time::{Sleep, sleep};
 
 /// The state of an open connection in the kernel's table of sockets.
@@ -42,16 +42,17 @@
     /// The ids of the gateways' processes; 0 for one that does not run.
     processes: Mutex<BTreeMap<String, Arc<AtomicU32>>>,
     current: watch::Sender<BTreeMap<String, Cut>>,
-    asked: Mutex<Vec<Asked>>,
+    /// Connections whose gateways are not known yet; they are found while any gateway is cut off.
+    unknown: Mutex<Vec<Unknown>>,
 }
 
-/// A connection whose gateway is asked for: its ends, the gateway's first.
-type Asked = ((SocketAddr, SocketAddr), oneshot::Sender<Option<String>>);
+/// The ends of a connection, the gateway's first, and where its gateway is noted.
+type Unknown = ((SocketAddr, SocketAddr), Weak<OnceLock<String>>);
 
 impl Default for Cuts {
     fn default() -> Self {
         let current = watch::Sender::new(BTreeMap::new());
-        Self { processes: Mutex::default(), current, asked: Mutex::default() }
+        Self { processes: Mutex::default(), current, unknown: Mutex::default() }
     }
 }
 
@@ -63,6 +64,7 @@
 
     /// Cuts `gateway` off from all endpoints, or ends its cut.
     pub fn set(&self, gateway: &str, cut: Option<Cut>) {
+        self.find_gateways();
         self.current.send_modify(|cuts| {
             match cut {
                 Some(cut) => cuts.insert(gateway.to_owned(), cut),
@@ -78,7 +80,13 @@
 
     /// Takes an accepted connection; `None` if it is reset because its gateway is cut off.
     pub async fn admit(self: &Arc<Self>, stream: TcpStream) -> Option<CutStream> {
-        let gateway = self.gateway_of(&stream).await.unwrap_or_default();
+        let gateway = Arc::new(OnceLock::new());
+        if let (Ok(peer), Ok(own)) = (stream.peer_addr(), stream.local_addr()) {
+            self.unknown().push(((peer, own), Arc::downgrade(&gateway)));
+        }
+        if !self.current.borrow().is_empty() {
+            self.find_gateways_soon().await;
+        }
         let stream = CutStream { inner: stream, gateway, cuts: self.clone(), timer: None };
         if matches!(stream.cut(), Some(Cut::Reset | Cut::NewReset)) {
             stream.reset();
@@ -87,36 +95,29 @@
         Some(stream)
     }
 
+    fn unknown(&self) -> MutexGuard<'_, Vec<Unknown>> {
+        self.unknown.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn processes(&self) -> MutexGuard<'_, BTreeMap<String, Arc<AtomicU32>>> {
         self.processes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The gateway that holds the other end of a connection.
-    async fn gateway_of(self: &Arc<Self>, stream: &TcpStream) -> Option<String> {
-        if self.processes().is_empty() {
-            return None;
-        }
-        let ends = (stream.peer_addr().ok()?, stream.local_addr().ok()?);
-        let (found, gateway) = oneshot::channel();
-        let is_first = {
-            let mut asked = self.asked.lock().unwrap_or_else(PoisonError::into_inner);
-            asked.push((ends, found));
-            asked.len() == 1
-        };
-        if is_first {
-            tokio::task::spawn_blocking({
-                let cuts = self.clone();
-                move || cuts.find_gateways()
-            });
-        }
-        gateway.await.ok()?
+    /// Finds the gateways of all new connections, those that others wait for included: reading the
+    /// tables takes milliseconds, and many connections are opened at once.
+    async fn find_gateways_soon(self: &Arc<Self>) {
+        tokio::time::sleep(COLLECT).await;
+        let cuts = self.clone();
+        // It fails only when the run ends.
+        let _ = tokio::task::spawn_blocking(move || cuts.find_gateways()).await;
     }
 
-    /// Finds the gateways of all connections that wait for it: reading the tables takes
-    /// milliseconds, and many connections are opened at once.
     fn find_gateways(&self) {
-        std::thread::sleep(COLLECT);
-        let asked = std::mem::take(&mut *self.asked.lock().unwrap_or_else(PoisonError::into_inner));
+        let mut unknown = self.unknown();
+        unknown.retain(|(_, gateway)| gateway.strong_count() > 0);
+        if unknown.is_empty() {
+            return;
+        }
         let sockets = sockets();
         let mut holders = HashMap::new();
         for (name, process) in self.processes().iter() {
@@ -124,10 +125,12 @@
                 holders.insert(socket, name.clone());
             }
         }
-        for (ends, found) in asked {
-            let gateway = sockets.get(&ends).and_then(|socket| holders.get(socket));
-            // The receiver is gone if the run has ended.
-            let _ = found.send(gateway.cloned());
+        for (ends, gateway) in unknown.drain(..) {
+            let name = sockets.get(&ends).and_then(|socket| holders.get(socket));
+            if let (Some(name), Some(gateway)) = (name, gateway.upgrade()) {
+                // It is set only here, under the lock.
+                let _ = gateway.set(name.clone());
+            }
         }
     }
 }
@@ -166,14 +169,14 @@
 #[derive(Debug)]
 pub struct CutStream {
     inner: TcpStream,
-    gateway: String,
+    gateway: Arc<OnceLock<String>>,
     cuts: Arc<Cuts>,
     timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl CutStream {
     fn cut(&self) -> Option<Cut> {
-        self.cuts.current.borrow().get(&self.gateway).copied()
+        self.cuts.current.borrow().get(self.gateway.get()?).copied()
     }
 
     /// Makes the connection close with a reset instead of an end.
@@ -186,7 +189,9 @@
     pub fn until_reset(&self) -> impl Future<Output = ()> + use<> {
         let (gateway, mut cuts) = (self.gateway.clone(), self.cuts.current.subscribe());
         async move {
-            let is_reset = |cuts: &BTreeMap<String, Cut>| cuts.get(&gateway) == Some(&Cut::Reset);
+            let is_reset = |cuts: &BTreeMap<String, Cut>| {
+                gateway.get().and_then(|gateway| cuts.get(gateway)) == Some(&Cut::Reset)
+            };
             if cuts.wait_for(is_reset).await.is_err() {
                 pending::<()>().await;
             }
--- a/src/relay/reach.rs
+++ b/src/relay/reach.rs
@@ -1,7 +1,7 @@
 //! Finds out whether endpoints that do not answer have failed or cannot be reached from this
 //! gateway, and when they are in reach again.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
@@ -20,6 +20,8 @@
 
 /// How often endpoints that were out of reach are probed again.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// How long an endpoint that was reached is not checked again for connections that broke off.
+const REACHED_MS: u64 = 1_000;
 /// The number of other endpoints of a service that are probed to compare with.
 const COMPARED_MAX: usize = 3;
 /// The number of endpoints of other services that are probed to compare with.
@@ -53,6 +55,7 @@
     engines: Arc<dyn EngineClient>,
     mut suspects: mpsc::UnboundedReceiver<Suspect>,
 ) {
+    let mut reached_at_ms = HashMap::new();
     let mut rechecks = interval(RECHECK_INTERVAL);
     rechecks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -62,7 +65,15 @@
                 while let Ok(next) = suspects.try_recv() {
                     queued.insert(next);
                 }
-                check(&relay, engines.as_ref(), queued).await;
+                let now_ms = relay.now_ms();
+                reached_at_ms.retain(|_, at_ms| now_ms < *at_ms + REACHED_MS);
+                queued.retain(|suspect| {
+                    suspect.suspicion == Suspicion::Failing
+                        || !reached_at_ms.contains_key(&suspect.id)
+                });
+                for id in check(&relay, engines.as_ref(), queued).await {
+                    reached_at_ms.insert(id, now_ms);
+                }
             }
             _ = rechecks.tick() => recheck(&relay, engines.as_ref()).await,
         }
@@ -70,8 +81,13 @@
 }
 
 /// Checks suspected endpoints: reports those that have failed to the leader, and marks those that
-/// cannot be reached from here.
-async fn check(relay: &Relay, engines: &dyn EngineClient, suspects: BTreeSet<Suspect>) {
+/// cannot be reached from here. Returns those that are in reach.
+async fn check(
+    relay: &Relay,
+    engines: &dyn EngineClient,
+    suspects: BTreeSet<Suspect>,
+) -> Vec<Arc<str>> {
+    let mut reached = Vec::new();
     let mut by_service: BTreeMap<Arc<str>, Vec<RegisteredEndpoint>> = BTreeMap::new();
     let mut failing = BTreeSet::new();
     for Suspect { id, suspicion } in suspects {
@@ -98,8 +114,12 @@
             if is_failing {
                 relay.fleet().mark_failing(&endpoint.id);
             }
+            if reach == Reach::InReach {
+                reached.push(endpoint.id);
+            }
         }
     }
+    reached
 }
 
 /// Judges `endpoints` of one service by probes of this gateway and of others, and marks those
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -141,7 +141,7 @@
                         if !crashes.is_empty() {
                             send(&mut sender, &SessionUp::Crashes(crashes)).await?;
                         }
-                        offer_at_ms = last_message_at_ms;
+                        (offered, offer_at_ms) = (0, last_message_at_ms);
                         // Requests and orders wait for the first confirmed renewal.
                         renewals.reset_immediately();
                     }
