relay, control, soak: one job for each file; sending through a gateway in short steps

Cause: exchange.rs, fleet.rs, registration.rs and soak/client.rs had grown beyond one job each, and Exchange::detour was one function of eighty lines. Change: moved without a change of what they do: relay/handler.rs (clients' requests), buffered.rs (whole responses), advertised.rs (limits, backoff, leaving), failures.rs (pauses, ends), detour/views.rs (what other gateways reach), replica/followers.rs (messages of gateways and distributors), soak/operator.rs. Exchange::detour is split; an unused method is gone. One figure differs: a head that is not valid counts its runs, at least one, as unknown.

--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -18,8 +18,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use crate::client::call_control;
 use crate::engine::unix_ms;
+use crate::operator::call_control;
 use crate::overload::Overload;
 use crate::record::Record;
 
--- a/soak/src/engine/mod.rs
+++ b/soak/src/engine/mod.rs
@@ -22,9 +22,9 @@
 
 pub use weights::{ADAPTERS_MAX, BASE, NotBegun, Order, Outcome, Weights};
 
-use crate::client::call_control;
 use crate::cut::Cuts;
 use crate::endpoint::{Answer, EVENTS, head, look_for_headers, text, whole};
+use crate::operator::call_control;
 use crate::overload::Overload;
 use crate::record::Record;
 
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -15,7 +15,7 @@
 use winchvane_soak::faults::Mix;
 use winchvane_soak::record::Record;
 use winchvane_soak::region::{Region, Size};
-use winchvane_soak::{abusive, client, faults, keyed};
+use winchvane_soak::{abusive, client, faults, keyed, operator};
 
 /// How long after the last fault everything must be served again; the users allow 12 s.
 const RECOVERY: Duration = Duration::from_secs(12);
@@ -123,7 +123,7 @@
     clients.extend(abusive::start(&gateways, arguments.abusive_clients, seed, &record));
     clients.extend(keyed::start(&gateways, arguments.keyed_clients, &record));
     let crashing = client::start_crashing(&gateways, arguments.crashing_clients, &record);
-    let operator = client::start_operator(region.control_addresses(), record.clone());
+    let operator = operator::start_operator(region.control_addresses(), record.clone());
     let until = Instant::now() + Duration::from_secs_f64(arguments.seconds);
     faults::inject(&mut region, &mut rng, arguments.mix, until, &record).await;
     for client in crashing {
@@ -138,7 +138,7 @@
     for client in clients {
         client.abort();
     }
-    client::read_back(&region.control_addresses(), &record).await;
+    operator::read_back(&region.control_addresses(), &record).await;
     let mut breaches = record.breaches(&region.exits());
     breaches.extend(region.empty_engines());
     breaches.extend(region.overload_breaches());
--- a/soak/src/region.rs
+++ b/soak/src/region.rs
@@ -13,11 +13,11 @@
 use nix::unistd::Pid;
 use tempfile::TempDir;
 
-use crate::client;
 use crate::cut::{Cut, Cuts};
 use crate::endpoint::Endpoint;
 use crate::engine::Engine;
 use crate::keyed;
+use crate::operator;
 use crate::overload;
 use crate::proxy::{Mode, Proxy};
 use crate::record::Record;
@@ -212,7 +212,7 @@
         let until = tokio::time::Instant::now() + START_TIMEOUT;
         let control = self.control_addresses();
         let mut turn = 0;
-        while !client::put(&control, turn, 2, record).await {
+        while !operator::put(&control, turn, 2, record).await {
             if tokio::time::Instant::now() > until {
                 return Err(io::Error::other("no configuration was acknowledged in time"));
             }
--- a/soak/tests/renewed_while_engines_stand_still.rs
+++ b/soak/tests/renewed_while_engines_stand_still.rs
@@ -12,7 +12,8 @@
 use std::time::Duration;
 
 use common::System;
-use winchvane_soak::client::{ADAPTERS, renew};
+use winchvane_soak::client::ADAPTERS;
+use winchvane_soak::operator::renew;
 
 /// Longer than the 5 s for which a replaced version may be used.
 const STILL: Duration = Duration::from_millis(6_500);
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -6,6 +6,7 @@
 
 mod applying;
 mod credit;
+mod followers;
 mod incarnations;
 mod registration;
 mod sessions;
--- a/src/message/detour.rs
+++ b/src/message/detour.rs
@@ -109,10 +109,3 @@
         after_ms: u64,
     },
 }
-
-impl DetourRefusal {
-    /// True if another gateway may well take the request.
-    pub fn is_own(self) -> bool {
-        !matches!(self, Self::NotServed { .. })
-    }
-}
--- a/src/relay/detour/mod.rs
+++ b/src/relay/detour/mod.rs
@@ -6,17 +6,17 @@
 
 mod serve;
 mod upstream;
+mod views;
 
 use std::sync::Arc;
 use std::sync::MutexGuard;
 use std::time::Duration;
 
-use futures_util::future::join_all;
 use http::HeaderMap;
 use http::header::HeaderValue;
 use rand::RngExt;
 use tokio::time::timeout;
-use tracing::{debug, info};
+use tracing::info;
 
 pub(super) use serve::PeerHandler;
 pub(super) use upstream::PeerFlight;
@@ -29,18 +29,12 @@
 use crate::message::{DetourRefusal, DetourRequest, PeerEvent, PeerGateway, PeerRequest};
 use crate::metrics::Counter;
 use crate::policy::peers::PeerGateways;
-use crate::policy::reach::combine_views;
 use crate::routing::Repeat;
 use crate::wire::{Channel, Receiver, Sender};
 use upstream::PeerStream;
 
 /// A connection to another gateway is made within one round trip, if at all.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(250);
-/// How long another gateway may take to tell which endpoints it reaches. One that reaches an endpoint
-/// tells so within a few round trips.
-const REACH_TIMEOUT: Duration = Duration::from_millis(300);
-/// The number of gateways that are asked which endpoints they reach.
-const ASKED_MAX: usize = 3;
 /// The number of gateways that a request is sent through, one after the other, as long as they
 /// refuse it.
 const PEERS_MAX: usize = 4;
@@ -55,45 +49,6 @@
         self.peers.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
-    /// Asks other gateways which endpoints they reach; `None` for an endpoint of which none tells.
-    pub(super) async fn ask_peers_for_reach(&self, ids: &[Arc<str>]) -> Vec<Option<bool>> {
-        let peers = self.peers().to_ask(self.now_ms(), ASKED_MAX, || rand::rng().random());
-        let views = join_all(peers.iter().map(|peer| self.view_of(peer, ids))).await;
-        if views.iter().all(Vec::is_empty) {
-            self.peers_wanted.notify_one();
-        }
-        combine_views(ids.len(), &views)
-    }
-
-    /// What `peer` tells of the endpoints; empty if it cannot tell.
-    async fn view_of(&self, peer: &PeerGateway, ids: &[Arc<str>]) -> Vec<Option<bool>> {
-        // A gateway that is late with its view may well send requests, and others tell meanwhile.
-        let asked = timeout(REACH_TIMEOUT, self.ask_for_reach(peer, ids)).await;
-        let Ok(answer) = asked else {
-            debug!(event = "reach_not_told", peer = %peer.name, answer = "none in time");
-            return Vec::new();
-        };
-        match answer {
-            Ok(PeerEvent::Reached(reached)) => reached,
-            Ok(answer) => {
-                debug!(event = "reach_not_told", peer = %peer.name, answer = ?answer);
-                self.peers().note_refused(self.now_ms(), &peer.name);
-                Vec::new()
-            }
-            Err(error) => {
-                self.note_peer_lost(peer, &error).await;
-                Vec::new()
-            }
-        }
-    }
-
-    async fn ask_for_reach(&self, peer: &PeerGateway, ids: &[Arc<str>]) -> Result<PeerEvent> {
-        let (_sender, mut receiver) =
-            self.open_peer(peer, &PeerRequest::Reach(ids.to_vec())).await?;
-        let answer = receiver.next().await?;
-        answer.ok_or_else(|| Error::failed("ask for reach", peer.name.clone(), "no answer"))
-    }
-
     /// Chooses a gateway other than those of `tried`, and adds it to them.
     fn choose_peer(&self, tried: &mut Vec<Arc<str>>) -> Option<PeerGateway> {
         if tried.len() >= PEERS_MAX {
@@ -128,6 +83,15 @@
     }
 }
 
+/// The result of sending a request through one gateway.
+enum Sent {
+    Started(Box<StartedResponse>),
+    /// It was not sent to any endpoint; another gateway may take it.
+    Refused,
+    /// It may have run, and may be sent again.
+    Unknown,
+}
+
 impl Exchange {
     /// Sends the request through another gateway, until an endpoint starts a response; `None` if it
     /// may be sent again after an unknown outcome.
@@ -135,84 +99,89 @@
         &mut self,
         last_event: Option<u64>,
     ) -> std::result::Result<Option<StartedResponse>, Failure> {
-        let relay = self.relay.clone();
         if self.is_detour {
             return Err(Failure::NotSent(NotSent::OutOfReach));
         }
         let mut tried = Vec::new();
-        while let Some(peer) = relay.choose_peer(&mut tried) {
-            let now_ms = relay.now_ms();
-            if now_ms >= self.ends_at_ms {
-                return Err(Failure::NotSent(NotSent::Late));
+        while let Some(peer) = self.relay.choose_peer(&mut tried) {
+            match self.send_through(&peer, last_event).await? {
+                Sent::Started(started) => return Ok(Some(*started)),
+                Sent::Unknown => return Ok(None),
+                Sent::Refused => {}
             }
-            self.sent_at_ms = now_ms;
-            let request = PeerRequest::Detour(Box::new(self.to_detour(now_ms, last_event)));
-            let streams = match relay.open_peer(&peer, &request).await {
-                Ok(streams) => streams,
-                Err(error) if error.is_not_run() => {
-                    relay.note_peer_lost(&peer, &error).await;
-                    continue;
-                }
-                Err(error) => {
-                    relay.note_peer_lost(&peer, &error).await;
-                    self.possible_runs += 1;
-                    self.handle_unknown_outcome(error.to_string())?;
-                    return Ok(None);
-                }
-            };
-            relay.metrics.count(Counter::DetoursSent);
-            info!(event = "detour", request = %self.meta.id, peer = %peer.name, zone = %peer.zone);
-            let gives_up_when_silent = self.chosen.route.repeat != Repeat::Once;
-            let mut stream =
-                PeerStream::new(relay.clone(), peer.clone(), streams, gives_up_when_silent);
-            let left_ms = self.left_ms(relay.now_ms());
-            let event = relay.clock.timeout_at(self.ends_at_ms, stream.next()).await;
-            match event {
-                Some(Ok(PeerEvent::Refused(refusal))) => {
-                    info!(event = "detour_refused", request = %self.meta.id, peer = %peer.name, refusal = ?refusal);
-                    relay.metrics.count(Counter::DetoursRefused);
-                    if let DetourRefusal::NotServed { after_ms } = refusal {
-                        return Err(Failure::NotSent(NotSent::ByPeer { after_ms }));
-                    }
-                    relay.peers().note_refused(relay.now_ms(), &peer.name);
+        }
+        self.relay.peers_wanted.notify_one();
+        Err(Failure::NotSent(NotSent::NoPeer { after_ms: NO_PEER_RETRY_MS }))
+    }
+
+    async fn send_through(
+        &mut self,
+        peer: &PeerGateway,
+        last_event: Option<u64>,
+    ) -> std::result::Result<Sent, Failure> {
+        let relay = self.relay.clone();
+        let now_ms = relay.now_ms();
+        if now_ms >= self.ends_at_ms {
+            return Err(Failure::NotSent(NotSent::Late));
+        }
+        self.sent_at_ms = now_ms;
+        let request = PeerRequest::Detour(Box::new(self.to_detour(now_ms, last_event)));
+        let streams = match relay.open_peer(peer, &request).await {
+            Ok(streams) => streams,
+            Err(error) => {
+                relay.note_peer_lost(peer, &error).await;
+                if error.is_not_run() {
+                    return Ok(Sent::Refused);
                 }
-                Some(Ok(PeerEvent::Head { endpoint, runs, status, headers })) => {
-                    self.possible_runs += runs;
-                    self.tried.push(endpoint.clone());
-                    match stream.into_response(endpoint, status, &headers) {
-                        Ok(started) => return Ok(Some(started)),
-                        Err(error) => {
-                            self.handle_unknown_outcome(error.to_string())?;
-                            return Ok(None);
-                        }
+                return self.note_unknown(1, error.to_string());
+            }
+        };
+        relay.metrics.count(Counter::DetoursSent);
+        info!(event = "detour", request = %self.meta.id, peer = %peer.name, zone = %peer.zone);
+        let gives_up_when_silent = self.chosen.route.repeat != Repeat::Once;
+        let mut stream =
+            PeerStream::new(relay.clone(), peer.clone(), streams, gives_up_when_silent);
+        match relay.clock.timeout_at(self.ends_at_ms, stream.next()).await {
+            Some(Ok(PeerEvent::Refused(refusal))) => self.note_detour_refused(peer, refusal),
+            Some(Ok(PeerEvent::Head { endpoint, runs, status, headers })) => {
+                self.tried.push(endpoint.clone());
+                match stream.into_response(endpoint, status, &headers) {
+                    Ok(started) => {
+                        self.possible_runs += runs;
+                        Ok(Sent::Started(Box::new(started)))
                     }
-                }
-                Some(Ok(PeerEvent::Failed { runs, detail })) => {
-                    self.possible_runs += runs.max(1);
-                    self.handle_unknown_outcome(detail)?;
-                    return Ok(None);
-                }
-                Some(Ok(event)) => {
-                    self.possible_runs += 1;
-                    self.handle_unknown_outcome(format!("an unexpected event: {event:?}"))?;
-                    return Ok(None);
-                }
-                Some(Err(error)) => {
-                    relay.note_peer_lost(&peer, &error).await;
-                    self.possible_runs += 1;
-                    self.handle_unknown_outcome(error.to_string())?;
-                    return Ok(None);
-                }
-                None => {
-                    self.possible_runs += 1;
-                    let detail = format!("no answer through {} in {left_ms} ms", peer.name);
-                    self.handle_unknown_outcome(detail)?;
-                    return Ok(None);
+                    Err(error) => self.note_unknown(runs, error.to_string()),
                 }
             }
+            Some(Ok(PeerEvent::Failed { runs, detail })) => self.note_unknown(runs, detail),
+            Some(Ok(event)) => self.note_unknown(1, format!("an unexpected event: {event:?}")),
+            Some(Err(error)) => {
+                relay.note_peer_lost(peer, &error).await;
+                self.note_unknown(1, error.to_string())
+            }
+            None => self.note_unknown(1, format!("no answer through {} in time", peer.name)),
         }
-        relay.peers_wanted.notify_one();
-        Err(Failure::NotSent(NotSent::NoPeer { after_ms: NO_PEER_RETRY_MS }))
+    }
+
+    fn note_detour_refused(
+        &self,
+        peer: &PeerGateway,
+        refusal: DetourRefusal,
+    ) -> std::result::Result<Sent, Failure> {
+        info!(event = "detour_refused", request = %self.meta.id, peer = %peer.name, refusal = ?refusal);
+        self.relay.metrics.count(Counter::DetoursRefused);
+        if let DetourRefusal::NotServed { after_ms } = refusal {
+            return Err(Failure::NotSent(NotSent::ByPeer { after_ms }));
+        }
+        self.relay.peers().note_refused(self.relay.now_ms(), &peer.name);
+        Ok(Sent::Refused)
+    }
+
+    /// Records that up to `runs` endpoints, at least one, may have run the request.
+    fn note_unknown(&mut self, runs: u32, detail: String) -> std::result::Result<Sent, Failure> {
+        self.possible_runs += runs.max(1);
+        self.handle_unknown_outcome(detail)?;
+        Ok(Sent::Unknown)
     }
 
     fn to_detour(&self, now_ms: u64, last_event: Option<u64>) -> DetourRequest {
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -1,18 +1,15 @@
 //! Handles one client request from admission to the end of its response.
 
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
 use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use http::header::{CONNECTION, HOST, TRANSFER_ENCODING};
+use http::{HeaderMap, Method, Uri};
 use tracing::{info, warn};
 
 use super::access::Access;
-use super::admission::{Admitted, admit};
+use super::admission::Admitted;
 use super::attempt::Attempt;
 use super::border::{AnswerMeta, RequestMeta, SendMeta};
 use super::prompt::PromptChain;
@@ -21,19 +18,15 @@
 use super::selection::Target;
 use super::shared::Relay;
 use super::shares::RequestShare;
-use super::source::{Source, StartedResponse};
+use super::source::StartedResponse;
 use super::standings::Permission;
 use super::stream;
 use super::trial::Trial;
-use crate::http::{Answer, HttpHandler, answer, full, header};
+use crate::http::{Answer, header};
 use crate::message::{RequestContent, RequestKey};
-use crate::metrics::Counter;
 use crate::policy::resend::{FailureCause, FailureKind};
 use crate::routing::{Repeat, RouteMatch};
-use crate::wire::BoxFuture;
 
-/// The largest response that is buffered before it is forwarded.
-const BUFFERED_RESPONSE_MAX_BYTES: usize = 256 << 10;
 /// The part of the deadline that is reserved for returning the response.
 pub(super) const RESPONSE_MARGIN_MS: u64 = 5;
 /// The error of a response whose endpoint was found to have ended without closing the connection.
@@ -42,43 +35,6 @@
 /// allows.
 const REFUSED_SENDS_MAX: u32 = 3;
 
-/// Handles client requests.
-pub struct RelayHandler {
-    relay: Arc<Relay>,
-}
-
-impl RelayHandler {
-    /// Creates a handler for the clients of `relay`.
-    pub fn new(relay: Arc<Relay>) -> Self {
-        Self { relay }
-    }
-}
-
-impl HttpHandler for RelayHandler {
-    fn handle(&self, request: Request<Incoming>) -> BoxFuture<'static, Answer> {
-        let relay = self.relay.clone();
-        Box::pin(async move {
-            relay.in_progress.fetch_add(1, Ordering::Relaxed);
-            let counted = InProgress(relay.clone());
-            let mut answer = serve(&relay, request).await;
-            if relay.is_stopping() {
-                answer.headers_mut().insert(CONNECTION, http::HeaderValue::from_static("close"));
-            }
-            let (head, body) = answer.into_parts();
-            Response::from_parts(head, stream::hold(body, counted))
-        })
-    }
-}
-
-/// Counts a request as in progress until its response is complete.
-pub(super) struct InProgress(Arc<Relay>);
-
-impl Drop for InProgress {
-    fn drop(&mut self) {
-        self.0.in_progress.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// A client request that is being handled.
 pub(super) struct Exchange {
     pub(super) relay: Arc<Relay>,
@@ -136,27 +92,6 @@
     attempts: u32,
 }
 
-async fn serve(relay: &Arc<Relay>, request: Request<Incoming>) -> Answer {
-    let started_ms = relay.now_ms();
-    if relay.platform_headers.is_ready_path(request.uri().path()) {
-        let status = ready_status(relay);
-        return answer(status, "text/plain", Bytes::new());
-    }
-    relay.metrics.count(Counter::RequestsReceived);
-    match admit(relay, started_ms, request).await {
-        Ok(admitted) => Exchange::new(relay, started_ms, admitted).run().await,
-        Err(refusal) => {
-            relay.metrics.count(Counter::RequestsRefused);
-            refusal
-        }
-    }
-}
-
-/// The readiness status that load balancers see.
-pub(super) fn ready_status(relay: &Relay) -> StatusCode {
-    if relay.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
-}
-
 impl Exchange {
     /// Starts handling an admitted request.
     pub(super) fn new(relay: &Arc<Relay>, started_ms: u64, admitted: Admitted) -> Self {
@@ -224,7 +159,7 @@
         self
     }
 
-    async fn run(mut self) -> Answer {
+    pub(super) async fn run(mut self) -> Answer {
         let started = match self.start(None).await {
             Ok(started) => started,
             Err(failure) => return self.give_up(failure),
@@ -413,23 +348,12 @@
         self.tried.push(endpoint.clone());
     }
 
-    /// Records a response that broke off. One that came through another gateway is recorded there.
-    fn note_broken_response(&mut self, source: &Source, status: StatusCode) {
-        if !source.is_direct() {
-            return;
-        }
-        match source.end() {
-            Some(end) => self.note_ended(source.endpoint(), end),
-            None => self.note_broken_off(source.endpoint()),
-        }
-        // An error status was recorded when the response started.
-        if !status.is_server_error() {
-            self.note_outcome(source.endpoint(), Some(FailureKind::Broken));
-        }
-    }
-
     /// Handles a connection that broke, or an endpoint that ended, before the response was whole.
-    fn handle_broken(&mut self, endpoint: &Arc<str>, detail: String) -> Result<(), Failure> {
+    pub(super) fn handle_broken(
+        &mut self,
+        endpoint: &Arc<str>,
+        detail: String,
+    ) -> Result<(), Failure> {
         if self.chosen.route.repeat == Repeat::Any
             && self.can_send_again()
             && !self.is_resend_worthwhile(endpoint, FailureKind::Broken)
@@ -489,68 +413,6 @@
     pub(super) fn left_ms(&self, now_ms: u64) -> u64 {
         self.ends_at_ms.saturating_sub(now_ms).max(1)
     }
-
-    /// Buffers the whole response, so that the request can still be resent if the response breaks
-    /// off.
-    async fn forward_buffered(mut self, started: StartedResponse) -> Answer {
-        let mut started = started;
-        loop {
-            let StartedResponse { source, response } = started;
-            let (head, body) = response.into_parts();
-            let collected = Limited::new(body, BUFFERED_RESPONSE_MAX_BYTES).collect();
-            let collected = self.relay.clock.timeout_at(self.ends_at_ms, collected);
-            let collected = tokio::select! {
-                collected = collected => collected.map(|body| body.map_err(|error| error.to_string())),
-                () = source.wait_for_end() => Some(Err(ENDPOINT_ENDED.to_owned())),
-                never = source.probe_while_silent() => match never {},
-            };
-            let broken = match collected {
-                Some(Ok(body)) => {
-                    let (endpoint, is_direct) = (source.endpoint().clone(), source.is_direct());
-                    source.keep(&self.relay, &head.headers);
-                    if head.status.is_success() {
-                        self.note_served();
-                    }
-                    if is_direct && !head.status.is_server_error() {
-                        self.note_outcome(&endpoint, None);
-                    }
-                    let mut answer = Response::from_parts(head, full(body.to_bytes()));
-                    remove_connection_headers(answer.headers_mut());
-                    answer.headers_mut().remove(CONTENT_LENGTH);
-                    return answer;
-                }
-                Some(Err(error)) => {
-                    self.note_broken_response(&source, head.status);
-                    Some(error)
-                }
-                None => None,
-            };
-            let ended_silently = source.end().is_some();
-            let (endpoint, is_direct) = (source.endpoint().clone(), source.is_direct());
-            drop(source);
-            let handled = if let Some(detail) = broken {
-                if is_direct {
-                    self.handle_broken(&endpoint, detail)
-                } else {
-                    self.handle_unknown_outcome(detail)
-                }
-            } else {
-                self.note_overdue();
-                let detail = "the answer did not end before the deadline";
-                self.handle_unknown_outcome(detail.to_owned())
-            };
-            if let Err(failure) = handled {
-                return self.give_up(failure);
-            }
-            if ended_silently {
-                self.wait_for_evaluation(&endpoint).await;
-            }
-            started = match self.start(None).await {
-                Ok(started) => started,
-                Err(failure) => return self.give_up(failure),
-            };
-        }
-    }
 }
 
 /// Removes the headers that apply to a single connection.
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -5,15 +5,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::{RngExt, SeedableRng};
-use tokio::sync::watch;
 use tracing::info;
 
-use super::border::RateLimit;
-use super::known::{EndpointState, IncarnationEnd, Wanted};
-use super::limits::{EndpointLimits, LimitChange};
-use super::pick::ALL_COMPARED_MAX_GATEWAYS;
+use super::known::{EndpointState, Wanted};
+use super::limits::EndpointLimits;
 use super::replaced::begin_within_ms;
 use super::uses::WeightsUses;
 use super::waiting::{Prompt, ReadingPace, UnreadMs};
@@ -23,18 +20,6 @@
 use crate::policy::endpoint_speed::{Work, is_normal};
 use crate::policy::versions::{SENT_PERCENT, Versions};
 
-/// The first pause after an endpoint failed; doubled with each further consecutive failure.
-const FIRST_PAUSE_MS: u64 = 400;
-/// The longest pause. An endpoint that recovers under the same incarnation stays unused for up to
-/// this long.
-const PAUSE_MAX_MS: u64 = 5_000;
-/// Consecutive failures after which an endpoint that can be reached is paused.
-const FAILURES_TO_PAUSE: u32 = 3;
-/// How long an endpoint that reported itself full gets no requests.
-const FULL_PAUSE_MS: u64 = 60;
-/// How long an endpoint counts as leaving after a response announced it. The limit brings back an
-/// endpoint that announced it by mistake.
-const LEAVING_EXPIRY_MS: u64 = 600_000;
 /// How long after a weights version was replaced requests may start on it, unless the settings
 /// differ.
 const VERSION_WITHIN_MS: u64 = 5_000;
@@ -50,7 +35,7 @@
     /// How long a request that was sent to a version may take to start there once a newer version
     /// is due.
     pub(super) begin_within_ms: u64,
-    loads_changed: HashSet<Arc<str>>,
+    pub(super) loads_changed: HashSet<Arc<str>>,
     uses: WeightsUses,
     pub(super) failing: HashSet<Arc<str>>,
     /// Endpoints that run but cannot be reached from this gateway.
@@ -63,7 +48,7 @@
     /// When each throttled or leaving endpoint was last reported as failing.
     pub(super) failing_reported_at_ms: HashMap<Arc<str>, u64>,
     /// Endpoints that announced in a response that they are leaving.
-    leaving: HashSet<Arc<str>>,
+    pub(super) leaving: HashSet<Arc<str>>,
     /// The mean time of a unit of work, by service, where it is known.
     pub(super) unit_ms: HashMap<Arc<str>, f64>,
     /// The services with endpoints that differ in speed.
@@ -212,64 +197,6 @@
         }
     }
 
-    /// Applies the rate limit in the response of endpoint `id` to a request sent at `sent_at_ms`.
-    pub fn note_limit(
-        &mut self,
-        now_ms: u64,
-        id: &Arc<str>,
-        sent_at_ms: u64,
-        rate_limit: RateLimit,
-    ) -> Option<LimitChange> {
-        let rate_limit = self.limit_when_brittle(now_ms, id, rate_limit);
-        if rate_limit == RateLimit::None && self.limits.is_empty()
-            || !self.endpoints.contains_key(id)
-        {
-            return None;
-        }
-        let change = self.limits.note(now_ms, id, sent_at_ms, rate_limit);
-        if change.is_some() {
-            self.loads_changed.insert(id.clone());
-        }
-        change
-    }
-
-    /// The rate limit of endpoint `id`, which named `rate_limit`: many gateways, whose counts arrive
-    /// later than a plain request runs, share what a brittle endpoint bears by rate.
-    fn limit_when_brittle(&self, now_ms: u64, id: &str, rate_limit: RateLimit) -> RateLimit {
-        let Some(state) = self.endpoints.get(id) else { return rate_limit };
-        let unit_ms = self.unit_ms.get(&state.endpoint.service).copied();
-        let is_shared = state.is_plain && self.gateways > ALL_COMPARED_MAX_GATEWAYS;
-        let Some(unit_ms) = unit_ms.filter(|_| is_shared && state.brittleness.is_brittle(now_ms))
-        else {
-            return rate_limit;
-        };
-        // The measured times include waits, which leaves room for uneven arrivals.
-        let bears_per_s = f64::from(state.endpoint.slots) * 1_000.0 / unit_ms.max(1.0);
-        match rate_limit {
-            RateLimit::PerSecond(per_s) => RateLimit::PerSecond(per_s.min(bears_per_s)),
-            RateLimit::None | RateLimit::Unreadable => RateLimit::PerSecond(bears_per_s),
-        }
-    }
-
-    /// Applies the rejections a second that endpoint `id` bears, as its response to a request sent
-    /// at `sent_at_ms` names them; returns whether it is brittle if that has changed.
-    pub fn note_brittle(
-        &mut self,
-        now_ms: u64,
-        id: &str,
-        sent_at_ms: u64,
-        limit: RateLimit,
-    ) -> Option<bool> {
-        let rejections_per_s = match limit {
-            RateLimit::None => None,
-            RateLimit::PerSecond(per_s) => Some(per_s),
-            RateLimit::Unreadable => return None,
-        };
-        let state = self.endpoints.get_mut(id)?;
-        let has_changed = state.brittleness.note(now_ms, sent_at_ms, rejections_per_s);
-        has_changed.then(|| state.brittleness.is_brittle(now_ms))
-    }
-
     /// True if `id` has started no response since `at_ms`.
     pub fn is_silent_since(&self, at_ms: u64, id: &str) -> bool {
         self.endpoints.get(id).is_none_or(|state| state.waiting.is_silent_since(at_ms))
@@ -346,107 +273,6 @@
         }
     }
 
-    /// Records that `id` refused a request because it is full.
-    pub fn refused(&mut self, now_ms: u64, id: &str) {
-        let Some(state) = self.endpoints.get_mut(id) else { return };
-        let brittle_ms = state.brittleness.pause_ms(now_ms, self.gateways, self.random.random());
-        let pause_ms = brittle_ms.unwrap_or(FULL_PAUSE_MS).max(FULL_PAUSE_MS);
-        state.paused_until_ms = state.paused_until_ms.max(now_ms + pause_ms);
-    }
-
-    /// Starts or extends the backoff that `id` asked for; returns true if it was started.
-    pub fn start_backoff(&mut self, now_ms: u64, id: &str, backoff_ms: u64) -> bool {
-        self.endpoints.get_mut(id).is_some_and(|state| state.backoff.start(now_ms, backoff_ms))
-    }
-
-    /// Marks `id` as leaving because it announced this in a response; returns true if it was not
-    /// already leaving.
-    pub fn mark_leaving(&mut self, now_ms: u64, id: &Arc<str>) -> bool {
-        let Some(state) = self.endpoints.get_mut(id) else { return false };
-        let is_new = !state.is_leaving(now_ms);
-        state.leaving_until_ms = now_ms + LEAVING_EXPIRY_MS;
-        self.leaving.insert(id.clone());
-        is_new
-    }
-
-    /// Records that no connection to `id` could be made.
-    pub fn mark_unreachable(&mut self, now_ms: u64, id: &Arc<str>) {
-        if let Some(state) = self.endpoints.get_mut(id) {
-            let pause_ms = (FIRST_PAUSE_MS << state.failures.min(8)).min(PAUSE_MAX_MS);
-            state.failures += 1;
-            state.paused_until_ms = now_ms + pause_ms;
-        }
-    }
-
-    /// Records that `id` broke off a response or answered wrongly. A single failure does not pause
-    /// it; returns true if several did.
-    pub fn failed(&mut self, now_ms: u64, id: &Arc<str>) -> bool {
-        let Some(state) = self.endpoints.get_mut(id) else { return false };
-        state.failures += 1;
-        if state.failures < FAILURES_TO_PAUSE {
-            return false;
-        }
-        state.paused_until_ms =
-            now_ms + (FIRST_PAUSE_MS << state.failures.min(8)).min(PAUSE_MAX_MS);
-        true
-    }
-
-    /// Records that `id` has ended; it can only come back as another incarnation.
-    pub fn mark_ended(&mut self, now_ms: u64, id: &Arc<str>) {
-        let Some(state) = self.endpoints.get_mut(id) else { return };
-        state.failures += FAILURES_TO_PAUSE;
-        state.paused_until_ms = now_ms + PAUSE_MAX_MS;
-    }
-
-    /// Returns a receiver that is notified when `id` is found to have ended.
-    pub(super) fn watch_end(&mut self, id: &str) -> Option<watch::Receiver<IncarnationEnd>> {
-        let state = self.endpoints.get_mut(id)?;
-        let ended = state.ended.get_or_insert_with(|| watch::Sender::new(IncarnationEnd::None));
-        // A new request is being sent, so the endpoint may have recovered from a hang.
-        ended.send_if_modified(|ended| {
-            if *ended != IncarnationEnd::Replaced {
-                *ended = IncarnationEnd::None;
-            }
-            false
-        });
-        Some(ended.subscribe())
-    }
-
-    /// Notifies the requests that await responses of `id` that it may have ended.
-    pub(super) fn notify_possible_end(&self, id: &str, end: IncarnationEnd) {
-        let Some(ended) = self.endpoints.get(id).and_then(|state| state.ended.as_ref()) else {
-            return;
-        };
-        ended.send_if_modified(|ended| {
-            let is_new = *ended < end;
-            *ended = end.max(*ended);
-            is_new
-        });
-    }
-
-    /// Returns the known endpoints that `registered` replaces, by name or address, and notifies the
-    /// requests that await their responses.
-    pub fn replaced_by(&mut self, registered: &[&RegisteredEndpoint]) -> Vec<RegisteredEndpoint> {
-        let is_new = |endpoint: &&&RegisteredEndpoint| !self.endpoints.contains_key(&endpoint.id);
-        let new: Vec<_> = registered.iter().filter(is_new).collect();
-        if new.is_empty() {
-            return Vec::new();
-        }
-        let names: HashSet<&str> = new.iter().map(|endpoint| &*endpoint.name).collect();
-        let addresses: HashSet<SocketAddr> = new.iter().map(|endpoint| endpoint.address).collect();
-        let mut replaced = Vec::new();
-        for EndpointState { endpoint, ended, .. } in self.endpoints.values() {
-            if !names.contains(&*endpoint.name) && !addresses.contains(&endpoint.address) {
-                continue;
-            }
-            if let Some(ended) = ended {
-                ended.send_replace(IncarnationEnd::Replaced);
-            }
-            replaced.push(endpoint.clone());
-        }
-        replaced
-    }
-
     /// The registration of an endpoint.
     pub fn endpoint(&self, id: &str) -> Option<RegisteredEndpoint> {
         self.endpoints.get(id).map(|state| state.endpoint.clone())
--- /dev/null
+++ b/src/relay/handler.rs
@@ -0,0 +1,75 @@
+//! Receives client requests and health checks.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use http::header::CONNECTION;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+
+use super::admission::admit;
+use super::exchange::Exchange;
+use super::shared::Relay;
+use super::stream;
+use crate::http::{Answer, HttpHandler, answer};
+use crate::metrics::Counter;
+use crate::wire::BoxFuture;
+
+/// Handles client requests.
+pub struct RelayHandler {
+    relay: Arc<Relay>,
+}
+
+impl RelayHandler {
+    /// Creates a handler for the clients of `relay`.
+    pub fn new(relay: Arc<Relay>) -> Self {
+        Self { relay }
+    }
+}
+
+impl HttpHandler for RelayHandler {
+    fn handle(&self, request: Request<Incoming>) -> BoxFuture<'static, Answer> {
+        let relay = self.relay.clone();
+        Box::pin(async move {
+            relay.in_progress.fetch_add(1, Ordering::Relaxed);
+            let counted = InProgress(relay.clone());
+            let mut answer = serve(&relay, request).await;
+            if relay.is_stopping() {
+                answer.headers_mut().insert(CONNECTION, http::HeaderValue::from_static("close"));
+            }
+            let (head, body) = answer.into_parts();
+            Response::from_parts(head, stream::hold(body, counted))
+        })
+    }
+}
+
+/// Counts a request as in progress until its response is complete.
+pub(super) struct InProgress(Arc<Relay>);
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.in_progress.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn serve(relay: &Arc<Relay>, request: Request<Incoming>) -> Answer {
+    let started_ms = relay.now_ms();
+    if relay.platform_headers.is_ready_path(request.uri().path()) {
+        let status = ready_status(relay);
+        return answer(status, "text/plain", Bytes::new());
+    }
+    relay.metrics.count(Counter::RequestsReceived);
+    match admit(relay, started_ms, request).await {
+        Ok(admitted) => Exchange::new(relay, started_ms, admitted).run().await,
+        Err(refusal) => {
+            relay.metrics.count(Counter::RequestsRefused);
+            refusal
+        }
+    }
+}
+
+/// The readiness status that load balancers see.
+pub(super) fn ready_status(relay: &Relay) -> StatusCode {
+    if relay.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
+}
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -8,17 +8,21 @@
 
 mod access;
 mod admission;
+mod advertised;
 mod attempt;
 mod border;
 mod budget;
+mod buffered;
 mod choice;
 mod crashes;
 mod detour;
 mod events;
 mod exchange;
+mod failures;
 mod fleet;
 mod gateway_count;
 mod give_up;
+mod handler;
 mod held;
 mod idle;
 mod known;
--- a/src/relay/process.rs
+++ b/src/relay/process.rs
@@ -16,7 +16,7 @@
 use super::border::PlatformHeaders;
 use super::crashes::CrashWatch;
 use super::detour::PeerHandler;
-use super::exchange::{RelayHandler, ready_status};
+use super::handler::{RelayHandler, ready_status};
 use super::liveness;
 use super::orders::EngineClient;
 use super::reach;
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -9,7 +9,8 @@
 use tracing::{info, warn};
 
 use super::events::EventSplitter;
-use super::exchange::{ENDPOINT_ENDED, Exchange, InProgress, remove_connection_headers};
+use super::exchange::{ENDPOINT_ENDED, Exchange, remove_connection_headers};
+use super::handler::InProgress;
 use super::source::{Source, StartedResponse};
 use super::speed::EventTimes;
 use crate::clock::Clock;
