relay: endpoints of which nothing is known are judged again

Both cut gateways judged the plain endpoints while no view of the third one came in time: Unknown. The endpoints were paused for 5 s as silent, so that no request suspected them again, and requests waited for a place until their time was over. In the soak, finding the gateways of connections no longer holds the lock that each accepted connection needs: it delayed them by the time that the kernel's table takes.

--- a/soak/src/cut.rs
+++ b/soak/src/cut.rs
@@ -44,6 +44,7 @@
     current: watch::Sender<BTreeMap<String, Cut>>,
     /// Connections whose gateways are not known yet; they are found while any gateway is cut off.
     unknown: Mutex<Vec<Unknown>>,
+    finding: Mutex<()>,
 }
 
 /// The ends of a connection, the gateway's first, and where its gateway is noted.
@@ -52,7 +53,12 @@
 impl Default for Cuts {
     fn default() -> Self {
         let current = watch::Sender::new(BTreeMap::new());
-        Self { processes: Mutex::default(), current, unknown: Mutex::default() }
+        Self {
+            processes: Mutex::default(),
+            current,
+            unknown: Mutex::default(),
+            finding: Mutex::default(),
+        }
     }
 }
 
@@ -113,7 +119,9 @@
     }
 
     fn find_gateways(&self) {
-        let mut unknown = self.unknown();
+        // A connection that was taken by another call is known when that call is done.
+        let _finding = self.finding.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut unknown = std::mem::take(&mut *self.unknown());
         unknown.retain(|(_, gateway)| gateway.strong_count() > 0);
         if unknown.is_empty() {
             return;
@@ -125,7 +133,7 @@
                 holders.insert(socket, name.clone());
             }
         }
-        for (ends, gateway) in unknown.drain(..) {
+        for (ends, gateway) in unknown {
             let name = sockets.get(&ends).and_then(|socket| holders.get(socket));
             if let (Some(name), Some(gateway)) = (name, gateway.upgrade()) {
                 // It is set only here, under the lock.
--- a/src/relay/liveness.rs
+++ b/src/relay/liveness.rs
@@ -13,7 +13,7 @@
 use super::crashes::LivenessCheck;
 use super::known::IncarnationEnd;
 use super::orders::EngineClient;
-use super::reach::judge;
+use super::reach::{Suspicion, judge};
 use super::shared::Relay;
 use crate::message::RegisteredEndpoint;
 use crate::metrics::Counter;
@@ -109,7 +109,7 @@
             Liveness::Ignoring => end = IncarnationEnd::Unresponsive,
             Liveness::Unknown => end = IncarnationEnd::Unreachable,
         }
-        if reach.is_none() {
+        if matches!(reach, None | Some(Reach::Unknown)) {
             let judged = judge(relay, engines, &service, vec![endpoint.clone()]).await;
             reach = judged.first().map(|(_, reach)| *reach);
             continue;
@@ -128,6 +128,8 @@
         fleet.mark_failing(&id);
     }
     fleet.notify_possible_end(&id, end);
+    drop(fleet);
+    relay.suspect(&id, Suspicion::Unreachable);
 }
 
 /// The result of a probe.
--- a/src/relay/reach.rs
+++ b/src/relay/reach.rs
@@ -56,6 +56,7 @@
     mut suspects: mpsc::UnboundedReceiver<Suspect>,
 ) {
     let mut reached_at_ms = HashMap::new();
+    let mut unresolved = BTreeSet::new();
     let mut rechecks = interval(RECHECK_INTERVAL);
     rechecks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -71,23 +72,32 @@
                     suspect.suspicion == Suspicion::Failing
                         || !reached_at_ms.contains_key(&suspect.id)
                 });
-                for id in check(&relay, engines.as_ref(), queued).await {
-                    reached_at_ms.insert(id, now_ms);
-                }
+                let checked = check(&relay, engines.as_ref(), queued).await;
+                reached_at_ms.extend(checked.reached.into_iter().map(|id| (id, now_ms)));
+                unresolved.extend(checked.unresolved);
+            }
+            _ = rechecks.tick() => {
+                // Other gateways may be able to tell by now.
+                let again = std::mem::take(&mut unresolved);
+                unresolved = check(&relay, engines.as_ref(), again).await.unresolved;
+                recheck(&relay, engines.as_ref()).await;
             }
-            _ = rechecks.tick() => recheck(&relay, engines.as_ref()).await,
         }
     }
 }
 
+/// The endpoints of a check, other than those that are down or out of reach.
+#[derive(Debug, Default)]
+struct Checked {
+    reached: Vec<Arc<str>>,
+    /// Nothing tells what is at fault.
+    unresolved: BTreeSet<Suspect>,
+}
+
 /// Checks suspected endpoints: reports those that have failed to the leader, and marks those that
-/// cannot be reached from here. Returns those that are in reach.
-async fn check(
-    relay: &Relay,
-    engines: &dyn EngineClient,
-    suspects: BTreeSet<Suspect>,
-) -> Vec<Arc<str>> {
-    let mut reached = Vec::new();
+/// cannot be reached from here.
+async fn check(relay: &Relay, engines: &dyn EngineClient, suspects: BTreeSet<Suspect>) -> Checked {
+    let mut checked = Checked::default();
     let mut by_service: BTreeMap<Arc<str>, Vec<RegisteredEndpoint>> = BTreeMap::new();
     let mut failing = BTreeSet::new();
     for Suspect { id, suspicion } in suspects {
@@ -114,12 +124,18 @@
             if is_failing {
                 relay.fleet().mark_failing(&endpoint.id);
             }
-            if reach == Reach::InReach {
-                reached.push(endpoint.id);
+            let id = endpoint.id;
+            match reach {
+                Reach::InReach => checked.reached.push(id),
+                Reach::Unknown => {
+                    let suspicion = Suspicion::Unreachable;
+                    checked.unresolved.insert(Suspect { id, suspicion });
+                }
+                Reach::OutOfReach | Reach::Down => {}
             }
         }
     }
-    reached
+    checked
 }
 
 /// Judges `endpoints` of one service by probes of this gateway and of others, and marks those
