relay: stream_ended tells what marked the end of the endpoint's body

Cause: the line was the same for a stream whose endpoint was done and for one whose connection closed inside an event. Change: framing (length, chunked, close) and rest_bytes, what came after the last whole event. The new module reads the framing from the head of a response. Measured: no figure: a log line.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod error;
 pub mod explain;
 pub mod following;
+pub mod framing;
 pub mod gateway;
 pub mod hash;
 pub mod http;
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -15,6 +15,7 @@
 use super::speed::EventTimes;
 use crate::clock::Clock;
 use crate::error::{Error, Result};
+use crate::framing::Framing;
 use crate::http::{Answer, AnswerBody};
 use crate::routing::Repeat;
 
@@ -109,8 +110,9 @@
 }
 
 fn finish(running: ForwardedStream) -> Option<(FrameResult, Option<ForwardedStream>)> {
-    let ForwardedStream { exchange, endpoint, events } = running;
+    let ForwardedStream { exchange, endpoint, mut events } = running;
     let Upstream { head, source, times, .. } = endpoint;
+    let rest = events.as_mut().and_then(EventSplitter::take_remainder);
     let now_ms = exchange.relay.now_ms();
     let after_ms = now_ms - exchange.started_ms;
     info!(
@@ -118,6 +120,8 @@
         request = %exchange.meta.id,
         endpoint = %source.endpoint(),
         peer = source.peer(),
+        framing = %Framing::of(&head),
+        rest_bytes = rest.as_ref().map_or(0, Bytes::len),
         after_ms
     );
     if head.status.is_success() {
@@ -130,8 +134,7 @@
         }
     }
     source.keep(&exchange.relay, &head.headers);
-    let rest = events.and_then(|mut events| events.take_remainder())?;
-    Some((Ok(Frame::data(rest)), None))
+    Some((Ok(Frame::data(rest?)), None))
 }
 
 /// Resumes a broken stream at another endpoint, if that is allowed.
