http, events: the client, the server and the splitting of events are modules of their own

Cause: http.rs held a client, a server and bodies; events of streams are read by the relay and by gateway/. Change: moved without a change of what they do: http/client.rs, http/server.rs, http/framing.rs; relay/events.rs is events.rs.

--- /dev/null
+++ b/src/http/client.rs
@@ -0,0 +1,151 @@
+//! A client with a connection pool.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use tokio::time::timeout;
+
+use crate::error::{Error, Result};
+
+/// A client that keeps connections open for later requests.
+#[derive(Clone)]
+pub struct HttpClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl HttpClient {
+    /// Creates a client whose attempts to connect fail after `connect_timeout_ms`.
+    pub fn new(connect_timeout_ms: u64) -> Self {
+        Self::with_unacknowledged_max(connect_timeout_ms, None)
+    }
+
+    /// Creates a client that closes a connection when data stays unacknowledged for
+    /// `unacknowledged_max`, so that a request that was given up does not arrive later.
+    pub fn with_unacknowledged_max(
+        connect_timeout_ms: u64,
+        unacknowledged_max: Option<Duration>,
+    ) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_tcp_user_timeout(unacknowledged_max);
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_millis(connect_timeout_ms)));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(Duration::from_secs(20))
+            // An endpoint may close a pooled connection just before it is used. The request is sent
+            // again on another connection only if none of it was written.
+            .retry_canceled_requests(true)
+            .build(connector);
+        Self { client }
+    }
+
+    /// Sends a request and returns the answer once its head has arrived.
+    ///
+    /// # Errors
+    /// "Not run" if no connection could be made or no byte was written; otherwise it is unknown
+    /// whether the request ran.
+    pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
+        let peer = request.uri().authority().map_or_else(String::new, ToString::to_string);
+        self.client.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                return Error::refused("connect", peer, root_cause(&error));
+            }
+            if is_unsent(&error) {
+                return Error::refused("send request", peer, root_cause(&error));
+            }
+            Error::failed("send request", peer, root_cause(&error))
+        })
+    }
+
+    /// Sends a request and reads the complete answer.
+    ///
+    /// # Errors
+    /// As [`send`](Self::send); also an answer larger than `max_bytes` or not complete within
+    /// `timeout_ms`.
+    pub async fn exchange(
+        &self,
+        request: Request<Full<Bytes>>,
+        timeout_ms: u64,
+        max_bytes: usize,
+    ) -> Result<(StatusCode, Bytes)> {
+        let peer = request.uri().authority().map_or_else(String::new, ToString::to_string);
+        let exchange = async {
+            let response = self.send(request).await?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), max_bytes)
+                .collect()
+                .await
+                .map_err(|error| Error::failed("read answer", peer.clone(), error))?;
+            Ok((status, body.to_bytes()))
+        };
+        timeout(Duration::from_millis(timeout_ms), exchange)
+            .await
+            .map_err(|_| Error::timeout("exchange", peer.clone(), timeout_ms))?
+    }
+
+    /// Sends a GET request for `path` and returns the body of the answer.
+    ///
+    /// # Errors
+    /// As [`exchange`](Self::exchange); also a status other than success.
+    pub async fn get(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        timeout_ms: u64,
+        max_bytes: usize,
+    ) -> Result<Bytes> {
+        let request = request(Method::GET, address, path, None, Bytes::new())?;
+        let (status, body) = self.exchange(request, timeout_ms, max_bytes).await?;
+        if !status.is_success() {
+            return Err(Error::failed("get", address.to_string(), format!("status {status}")));
+        }
+        Ok(body)
+    }
+}
+
+/// Builds a request to `address`.
+///
+/// # Errors
+/// The path or the content type is not valid in HTTP.
+pub fn request(
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    content_type: Option<&str>,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>> {
+    let mut builder = Request::builder().method(method).uri(format!("http://{address}{path}"));
+    if let Some(content_type) = content_type {
+        builder = builder.header(http::header::CONTENT_TYPE, content_type);
+    }
+    builder.body(Full::new(body)).map_err(|error| {
+        Error::invalid(format!("the request to {address} cannot be built: {error}"))
+    })
+}
+
+/// True if the connection ended before any byte of the request was written to it.
+fn is_unsent(error: &(dyn std::error::Error + 'static)) -> bool {
+    let mut cause = Some(error);
+    while let Some(found) = cause {
+        if found.downcast_ref::<hyper::Error>().is_some_and(hyper::Error::is_canceled) {
+            return true;
+        }
+        cause = found.source();
+    }
+    false
+}
+
+fn root_cause(error: &(dyn std::error::Error + 'static)) -> String {
+    let mut cause = error;
+    while let Some(next) = cause.source() {
+        cause = next;
+    }
+    cause.to_string()
+}
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -16,7 +16,6 @@
 mod choice;
 mod crashes;
 mod detour;
-mod events;
 mod exchange;
 mod failures;
 mod fleet;
@@ -56,7 +55,6 @@
 
 pub use border::{AnswerMeta, Backoff, PlatformHeaders, RateLimit, RequestMeta, SendMeta};
 pub use budget::{RetryBudget, WindowUse};
-pub use events::EventSplitter;
 pub use fleet::Fleet;
 pub use gateway_count::{GatewayCount, NO_SHARE};
 pub use idle::IdleConnections;
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -8,15 +8,14 @@
 use hyper::body::{Body, Frame};
 use tracing::{info, warn};
 
-use super::events::EventSplitter;
 use super::exchange::{ENDPOINT_ENDED, Exchange, remove_connection_headers};
 use super::handler::InProgress;
 use super::source::{Source, StartedResponse};
 use super::speed::EventTimes;
 use crate::clock::Clock;
 use crate::error::{Error, Result};
-use crate::framing::Framing;
-use crate::http::{Answer, AnswerBody};
+use crate::events::EventSplitter;
+use crate::http::{Answer, AnswerBody, Framing};
 use crate::routing::Repeat;
 
 /// A stream that is being forwarded.
--- a/tests/fuzz_streams.rs
+++ b/tests/fuzz_streams.rs
@@ -7,7 +7,7 @@
 use fuzz::check;
 use proptest::collection::vec;
 use proptest::prelude::*;
-use winchvane::relay::EventSplitter;
+use winchvane::events::EventSplitter;
 
 /// The largest event that is buffered until it is complete.
 const HELD_MAX_BYTES: usize = 1 << 20;
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -1,11 +1,12 @@
 //! The selection of endpoints and the other decisions of a relay: retries, event splitting,
 //! connection reuse.
 
+use winchvane::events::EventSplitter;
 use winchvane::message::{EndpointLoad, Holding, Load, Placed, RegisteredEndpoint, WeightsName};
 use winchvane::policy::rank::{LATE_RANK, Urgency};
 use winchvane::relay::{
-    EventSplitter, Fleet, IdleConnections, PickRequest, Picked, PrefixCache, Prompt, PromptChain,
-    PromptPart, ReadingPace, RetryBudget, UnansweredRequests, Wanted, reconnect_max_ms,
+    Fleet, IdleConnections, PickRequest, Picked, PrefixCache, Prompt, PromptChain, PromptPart,
+    ReadingPace, RetryBudget, UnansweredRequests, Wanted, reconnect_max_ms,
 };
 
 fn endpoint(id: &str, zone: &str, slots: u32) -> RegisteredEndpoint {
