http: a stream that ends inside an event is broken, however its end is marked

Callers saw: a 200 framed as complete whose last event was cut, on routes that may be resumed and on those that may not. Cause: relay/stream.rs took the end of a body for the end of the stream. An answer with neither a length nor chunks ends with its connection, which looks the same when its engine crashes. What the splitter had held back of the last event was even passed on. Change: WholeBody wraps each response where it arrives, in the relay's pool and in the HTTP client (orders, reports, probes, gateway/), and is the one place that says whether an answer is whole: its readers get an error in place of the end. An event stream is whole only between two events; one that ends with its connection needs one event at least. EventScanner finds the ends of events with LF, CR and CR LF. Plain streams hold a partial event back too, so that a client gets whole events only, and these are written before the break. Such an end is handled like a reset: resumed, told as a failure, counted as evidence.

--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -180,11 +180,7 @@
         let status = response.status();
         let content_type: Arc<str> =
             header(response.headers(), "content-type").unwrap_or("application/octet-stream").into();
-        let peer = self.peer();
-        let body = response
-            .into_body()
-            .map_err(move |error| Error::failed("read answer", peer.clone(), error))
-            .boxed();
+        let body = response.into_body().boxed();
         if self.is_engine && !status.is_success() {
             return self.classify_error(status, content_type, body).await;
         }
--- a/src/events.rs
+++ b/src/events.rs
@@ -1,4 +1,4 @@
-//! Splits a stream of server-sent events into whole events.
+//! Finds the events of an event stream (`text/event-stream`) that arrives in pieces.
 
 use bytes::{Bytes, BytesMut};
 
@@ -6,9 +6,102 @@
 /// resumed inside it.
 const EVENT_MAX_BYTES: usize = 1 << 20;
 
+/// What the current line has held so far.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+enum Line {
+    #[default]
+    Empty,
+    /// It starts with a colon; it belongs to no event.
+    Comment,
+    Field,
+}
+
+/// How the last line ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LineEnd {
+    Newline,
+    /// A carriage return, which a newline may follow.
+    Return,
+    ReturnNewline,
+}
+
+/// Tells where events end. A line ends with CR LF, LF or CR, and an event with an empty line.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct EventScanner {
+    line: Line,
+    line_end: Option<LineEnd>,
+    /// True if the last line was empty.
+    was_empty: bool,
+    /// True once the current event has a line other than a comment.
+    has_fields: bool,
+    /// True after a carriage return in a stream whose last line ended with CR LF.
+    awaits_newline: bool,
+}
+
+impl EventScanner {
+    /// Reads the next bytes of the stream and returns the end of the last event in them.
+    pub fn scan(&mut self, bytes: &[u8]) -> Option<usize> {
+        let mut event_end = None;
+        for (position, byte) in bytes.iter().enumerate() {
+            if self.awaits_newline && *byte != b'\n' {
+                self.awaits_newline = false;
+                if self.was_empty {
+                    event_end = Some(position);
+                }
+            }
+            if self.push(*byte) {
+                event_end = Some(position + 1);
+            }
+        }
+        event_end
+    }
+
+    /// True if no event has been started and not ended, and no line is unfinished.
+    pub fn is_between_events(&self) -> bool {
+        !self.has_fields && self.line == Line::Empty && !self.awaits_newline
+    }
+
+    /// Returns true if an empty line ends with `byte`.
+    fn push(&mut self, byte: u8) -> bool {
+        let follows_return = self.line_end == Some(LineEnd::Return) && self.line == Line::Empty;
+        match byte {
+            b'\n' if follows_return => {
+                self.line_end = Some(LineEnd::ReturnNewline);
+                self.awaits_newline = false;
+                self.was_empty
+            }
+            b'\n' => self.end_line(LineEnd::Newline),
+            b'\r' => {
+                self.awaits_newline = self.line_end == Some(LineEnd::ReturnNewline);
+                self.end_line(LineEnd::Return) && !self.awaits_newline
+            }
+            b':' if self.line == Line::Empty => {
+                self.line = Line::Comment;
+                false
+            }
+            _ => {
+                if self.line == Line::Empty {
+                    self.line = Line::Field;
+                }
+                false
+            }
+        }
+    }
+
+    /// Returns true if the line is empty, which ends an event.
+    fn end_line(&mut self, line_end: LineEnd) -> bool {
+        self.was_empty = self.line == Line::Empty;
+        self.has_fields = !self.was_empty && (self.has_fields || self.line == Line::Field);
+        self.line = Line::Empty;
+        self.line_end = Some(line_end);
+        self.was_empty
+    }
+}
+
 /// Buffers an event until it is complete, and tracks the id of the last event returned.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
+    scanner: EventScanner,
     partial: BytesMut,
     last_event: Option<u64>,
     /// True while the client has received only part of an event.
@@ -18,7 +111,7 @@
 impl EventSplitter {
     /// Creates an empty splitter for a client that has received the events up to `last_event`.
     pub fn new(last_event: Option<u64>) -> Self {
-        Self { partial: BytesMut::new(), last_event, is_within_event: false }
+        Self { last_event, ..Self::default() }
     }
 
     /// True if the client has received whole events only, so that another endpoint can continue
@@ -35,9 +128,9 @@
 
     /// Adds received bytes and returns the events that are now complete.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
-        let searched = self.partial.len();
+        let buffered = self.partial.len();
+        let end_of_whole = self.scanner.scan(bytes).map(|end| buffered + end);
         self.partial.extend_from_slice(bytes);
-        let end_of_whole = find_event_end(&self.partial, searched);
         let end = end_of_whole
             .or_else(|| (self.partial.len() > EVENT_MAX_BYTES).then_some(self.partial.len()))?;
         self.is_within_event = end_of_whole.is_none();
@@ -48,8 +141,10 @@
         Some(whole)
     }
 
-    /// Drops the buffered part of an event that will not be completed.
+    /// Prepares for the stream of another endpoint: drops the buffered part of an event that will
+    /// not be completed.
     pub fn drop_partial(&mut self) {
+        self.scanner = EventScanner::default();
         self.partial.clear();
     }
 
@@ -62,26 +157,9 @@
     }
 }
 
-/// The end of the last whole event, which is after an empty line; no event ends within the first
-/// `searched` bytes.
-fn find_event_end(bytes: &[u8], searched: usize) -> Option<usize> {
-    let mut position = bytes.len();
-    while position > searched {
-        position -= 1;
-        if bytes[position] != b'\n' {
-            continue;
-        }
-        let before = &bytes[..position];
-        if before.ends_with(b"\n") || before.ends_with(b"\n\r") {
-            return Some(position + 1);
-        }
-    }
-    None
-}
-
 /// The last numeric event id in `events`. Ids that are not numbers or not UTF-8 are skipped.
 fn last_event_id(events: &[u8]) -> Option<u64> {
-    for line in events.rsplit(|byte| *byte == b'\n') {
+    for line in events.rsplit(|byte| matches!(byte, b'\n' | b'\r')) {
         let Some(number) = line.strip_prefix(b"id:") else { continue };
         let Ok(number) = std::str::from_utf8(number) else { continue };
         if let Ok(number) = number.trim().parse() {
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -12,6 +12,7 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tokio::time::timeout;
 
+use super::WholeBody;
 use crate::error::{Error, Result};
 
 /// A client that keeps connections open for later requests.
@@ -51,17 +52,23 @@
     /// # Errors
     /// "Not run" if no connection could be made or no byte was written; otherwise it is unknown
     /// whether the request ran.
-    pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
+    pub async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<WholeBody<Incoming>>> {
         let peer = request.uri().authority().map_or_else(String::new, ToString::to_string);
-        self.client.request(request).await.map_err(|error| {
+        let response = self.client.request(request).await.map_err(|error| {
             if error.is_connect() {
-                return Error::refused("connect", peer, root_cause(&error));
+                return Error::refused("connect", peer.clone(), root_cause(&error));
             }
             if is_unsent(&error) {
-                return Error::refused("send request", peer, root_cause(&error));
+                return Error::refused("send request", peer.clone(), root_cause(&error));
             }
-            Error::failed("send request", peer, root_cause(&error))
-        })
+            Error::failed("send request", peer.clone(), root_cause(&error))
+        })?;
+        let (head, body) = response.into_parts();
+        let body = WholeBody::new(peer.into(), &head, body, false);
+        Ok(Response::from_parts(head, body))
     }
 
     /// Sends a request and reads the complete answer.
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,8 +1,10 @@
-//! HTTP over `hyper`: a client with a connection pool, and a server with limits.
+//! HTTP over `hyper`: a client with a connection pool, a server with limits, and whether a response is
+//! whole.
 
 mod client;
 mod framing;
 mod server;
+mod whole_body;
 
 use std::convert::Infallible;
 use std::time::Duration;
@@ -17,6 +19,7 @@
 pub use client::{HttpClient, request};
 pub use framing::Framing;
 pub use server::{HttpHandler, ServerLimits, serve, stopped};
+pub use whole_body::{WholeBody, is_event_stream};
 
 use crate::error::Error;
 
--- /dev/null
+++ b/src/http/whole_body.rs
@@ -0,0 +1,123 @@
+//! Tells whole responses from ones that were broken off.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::header::CONTENT_TYPE;
+use http::response::Parts;
+use hyper::body::{Body, Frame, SizeHint};
+
+use super::framing::Framing;
+use super::header;
+use crate::error::{Error, Result};
+use crate::events::EventScanner;
+
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// A response body that ends with an error unless it is whole.
+///
+/// The connection reports a body that ends before its length or its last chunk. A body whose end is
+/// marked by the end of the connection looks alike if the sender was done and if it crashed. An
+/// event stream is whole only if it ends between two events, however its end is marked.
+#[derive(Debug)]
+pub struct WholeBody<B> {
+    body: B,
+    peer: Arc<str>,
+    framing: Framing,
+    /// `None` if the body is no event stream.
+    events: Option<EventScanner>,
+    is_empty: bool,
+    has_failed: bool,
+}
+
+impl<B: Body<Data = Bytes>> WholeBody<B> {
+    /// Checks the body of a response from `peer`.
+    ///
+    /// If `expects_events`, a response without a content type counts as an event stream.
+    pub fn new(peer: Arc<str>, head: &Parts, body: B, expects_events: bool) -> Self {
+        let is_events = is_event_stream(&head.headers, expects_events);
+        Self {
+            body,
+            peer,
+            framing: Framing::of(head),
+            events: is_events.then(EventScanner::default),
+            is_empty: true,
+            has_failed: false,
+        }
+    }
+
+    fn note(&mut self, data: &[u8]) {
+        self.is_empty &= data.is_empty();
+        if let Some(events) = &mut self.events {
+            events.scan(data);
+        }
+    }
+
+    /// Checks a body that ends now.
+    fn check_end(&self) -> Result<()> {
+        let Some(events) = &self.events else { return Ok(()) };
+        if !events.is_between_events() {
+            return Err(self.broken("the stream ended inside an event"));
+        }
+        // A sender that crashes between the head and the first event leaves just this.
+        if self.is_empty && self.framing == Framing::Close {
+            return Err(self.broken("the connection closed before the first event"));
+        }
+        Ok(())
+    }
+
+    fn broken(&self, detail: &str) -> Error {
+        Error::failed("read answer", self.peer.clone(), detail)
+    }
+}
+
+impl<B> Body for WholeBody<B>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: std::fmt::Display,
+{
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>>>> {
+        if self.has_failed {
+            return Poll::Ready(None);
+        }
+        let frame = match ready!(Pin::new(&mut self.body).poll_frame(context)) {
+            Some(Ok(frame)) => {
+                if let Some(data) = frame.data_ref() {
+                    self.note(data);
+                }
+                return Poll::Ready(Some(Ok(frame)));
+            }
+            Some(Err(error)) => Some(Err(self.broken(&error.to_string()))),
+            None => self.check_end().err().map(Err),
+        };
+        self.has_failed = frame.is_some();
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.has_failed || (self.body.is_end_stream() && self.check_end().is_ok())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// True if the headers say so, or say nothing and `is_expected`.
+pub fn is_event_stream(headers: &HeaderMap, is_expected: bool) -> bool {
+    if !headers.contains_key(CONTENT_TYPE) {
+        return is_expected;
+    }
+    let Some(value) = header(headers, CONTENT_TYPE.as_str()) else { return false };
+    let media_type = value.split(';').next().unwrap_or_default();
+    media_type.trim().eq_ignore_ascii_case(EVENT_STREAM)
+}
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Request;
+use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use tokio::sync::watch;
 use tracing::info;
@@ -18,7 +18,7 @@
 use super::reach::Suspicion;
 use super::shared::Relay;
 use super::source::{Source, StartedResponse};
-use crate::error::Error;
+use crate::http::WholeBody;
 use crate::message::WeightsName;
 use crate::policy::rank::LATE_RANK;
 use crate::policy::waiting_queue::QueueKey;
@@ -215,10 +215,10 @@
         let now_ms = relay.now_ms();
         relay.queue.note_head(now_ms, &flight.service, now_ms.saturating_sub(flight.sent_at_ms));
         self.note_share_sent();
-        let peer = send.endpoint.clone();
-        let response = response.map(|body| {
-            body.map_err(move |error| Error::failed("read answer", peer.clone(), error)).boxed()
-        });
+        let (head, body) = response.into_parts();
+        let streams = self.chosen.route.streams && head.status.is_success();
+        let body = WholeBody::new(send.endpoint.clone(), &head, body, streams).boxed();
+        let response = Response::from_parts(head, body);
         let source = Source::Endpoint(flight, connection);
         Attempt::Started(Box::new(StartedResponse { source, response }))
     }
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -1,4 +1,4 @@
-//! Forwards event streams, and resumes a broken stream at another endpoint.
+//! Forwards streams, and resumes a broken event stream at another endpoint.
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -6,6 +6,7 @@
 use http::response::Parts;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body, Frame};
+use tokio::task::yield_now;
 use tracing::{info, warn};
 
 use super::exchange::{ENDPOINT_ENDED, Exchange, remove_connection_headers};
@@ -15,14 +16,16 @@
 use crate::clock::Clock;
 use crate::error::{Error, Result};
 use crate::events::EventSplitter;
-use crate::http::{Answer, AnswerBody, Framing};
+use crate::http::{Answer, AnswerBody, Framing, is_event_stream};
 use crate::routing::Repeat;
 
 /// A stream that is being forwarded.
 struct ForwardedStream {
     exchange: Exchange,
     endpoint: Upstream,
+    /// `None` if the response is no event stream.
     events: Option<EventSplitter>,
+    can_resume: bool,
 }
 
 /// The endpoint's side of a stream.
@@ -69,13 +72,15 @@
     let endpoint = Upstream::new(started);
     // The gateway that read a request resumes its stream.
     let can_resume = exchange.chosen.route.repeat == Repeat::Resume && !exchange.is_detour;
-    let events = can_resume.then(|| EventSplitter::new(exchange.meta.last_event));
+    let streams = exchange.chosen.route.streams && endpoint.head.status.is_success();
+    let events = is_event_stream(&endpoint.head.headers, streams)
+        .then(|| EventSplitter::new(exchange.meta.last_event));
     let mut head = endpoint.head.clone();
     remove_connection_headers(&mut head.headers);
     if can_resume {
         head.headers.remove(CONTENT_LENGTH);
     }
-    let running = ForwardedStream { exchange, endpoint, events };
+    let running = ForwardedStream { exchange, endpoint, events, can_resume };
     let body = StreamBody::new(stream::unfold(Some(running), next_frame));
     Answer::from_parts(head, body.boxed())
 }
@@ -101,7 +106,11 @@
             Err(error) => {
                 running = match resume(running, &error).await {
                     Ok(running) => running,
-                    Err(error) => return Some((Err(error), None)),
+                    Err(error) => {
+                        // The server writes the events before only once this is not ready.
+                        yield_now().await;
+                        return Some((Err(error), None));
+                    }
                 };
             }
         }
@@ -109,9 +118,8 @@
 }
 
 fn finish(running: ForwardedStream) -> Option<(FrameResult, Option<ForwardedStream>)> {
-    let ForwardedStream { exchange, endpoint, mut events } = running;
+    let ForwardedStream { exchange, endpoint, events, .. } = running;
     let Upstream { head, source, times, .. } = endpoint;
-    let rest = events.as_mut().and_then(EventSplitter::take_remainder);
     let now_ms = exchange.relay.now_ms();
     let after_ms = now_ms - exchange.started_ms;
     info!(
@@ -120,7 +128,6 @@
         endpoint = %source.endpoint(),
         peer = source.peer(),
         framing = %Framing::of(&head),
-        rest_bytes = rest.as_ref().map_or(0, Bytes::len),
         after_ms
     );
     if head.status.is_success() {
@@ -133,12 +140,13 @@
         }
     }
     source.keep(&exchange.relay, &head.headers);
-    Some((Ok(Frame::data(rest?)), None))
+    let rest = events.and_then(|mut events| events.take_remainder())?;
+    Some((Ok(Frame::data(rest)), None))
 }
 
 /// Resumes a broken stream at another endpoint, if that is allowed.
 async fn resume(running: ForwardedStream, error: &Error) -> Result<ForwardedStream> {
-    let ForwardedStream { mut exchange, endpoint, events } = running;
+    let ForwardedStream { mut exchange, endpoint, events, can_resume } = running;
     let id = exchange.meta.id.clone();
     let peer = endpoint.source.endpoint().clone();
     let end = endpoint.source.end();
@@ -156,7 +164,7 @@
         warn!(event = "stream_broken", request = %id, route = %route, endpoint = %peer, error = %error);
         Error::failed("pass stream on", peer.clone(), error)
     };
-    let Some(mut events) = events else { return Err(broken()) };
+    let Some(mut events) = events.filter(|_| can_resume) else { return Err(broken()) };
     events.drop_partial();
     let last_event = events.last_event();
     if !events.is_at_event_boundary() || !exchange.can_send_again() {
@@ -177,7 +185,8 @@
     if !started.response.status().is_success() {
         return Err(broken());
     }
-    Ok(ForwardedStream { exchange, endpoint: Upstream::new(started), events: Some(events) })
+    let endpoint = Upstream::new(started);
+    Ok(ForwardedStream { exchange, endpoint, events: Some(events), can_resume })
 }
 
 /// A body that keeps `counted` until it has ended.
--- a/tests/fuzz_streams.rs
+++ b/tests/fuzz_streams.rs
@@ -7,7 +7,7 @@
 use fuzz::check;
 use proptest::collection::vec;
 use proptest::prelude::*;
-use winchvane::events::EventSplitter;
+use winchvane::events::{EventScanner, EventSplitter};
 
 /// The largest event that is buffered until it is complete.
 const HELD_MAX_BYTES: usize = 1 << 20;
@@ -122,3 +122,109 @@
     }
     assert!(splitter.push(b"\n\n").is_some());
 }
+
+fn is_whole(stream: &[u8], sizes: &[usize]) -> bool {
+    let mut scanner = EventScanner::default();
+    let mut left = stream;
+    for size in sizes {
+        let (piece, rest) = left.split_at((*size).min(left.len()));
+        scanner.scan(piece);
+        left = rest;
+    }
+    scanner.scan(left);
+    scanner.is_between_events()
+}
+
+/// An event with at least one field, and a comment in front of some.
+fn event_with_field(line_end: &'static str) -> impl Strategy<Value = Vec<u8>> {
+    let field = prop_oneof!["id: ?[0-9]{1,6}", "data: ?[a-z \\{\\}\":]{0,40}", "[a-z]{1,8}"];
+    (any::<bool>(), vec(field, 1..5)).prop_map(move |(has_comment, fields)| {
+        let mut lines = Vec::new();
+        if has_comment {
+            lines.push(": a comment".to_owned());
+        }
+        lines.extend(fields);
+        lines.push(String::new());
+        let mut event = Vec::new();
+        for line in lines {
+            event.extend_from_slice(line.as_bytes());
+            event.extend_from_slice(line_end.as_bytes());
+        }
+        event
+    })
+}
+
+fn assert_whole_only_between_events(line_end: &'static str) {
+    let sizes = vec(0..20_usize, 0..60);
+    check((vec(event_with_field(line_end), 1..5), sizes), |(events, sizes)| {
+        let stream = events.concat();
+        let mut ends = vec![0];
+        for event in &events {
+            ends.push(ends[ends.len() - 1] + event.len());
+        }
+        for cut in 0..=stream.len() {
+            // After the line of a comment no event has been started.
+            let comment_end = 11 + line_end.len();
+            let starts_event = ends.iter().rfind(|end| **end <= cut).copied().unwrap_or(0);
+            let is_after_comment =
+                stream[starts_event..].starts_with(b":") && cut == starts_event + comment_end;
+            let expected = ends.contains(&cut) || is_after_comment;
+            prop_assert_eq!(is_whole(&stream[..cut], &sizes), expected, "cut at {}", cut);
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn a_stream_cut_at_any_byte_is_whole_only_between_events() {
+    assert_whole_only_between_events("\n");
+    assert_whole_only_between_events("\r");
+}
+
+/// The first line end of a stream in CR LF may be cut as well: a lone CR ends a line too.
+#[test]
+fn a_stream_with_two_byte_line_ends_is_whole_only_between_events() {
+    let sizes = vec(0..20_usize, 0..60);
+    check((vec(event_with_field("\r\n"), 1..5), sizes), |(events, sizes)| {
+        let stream = events.concat();
+        let mut ends = vec![0];
+        for event in &events {
+            ends.push(ends[ends.len() - 1] + event.len());
+        }
+        for cut in 0..=stream.len() {
+            let starts_event = ends.iter().rfind(|end| **end <= cut).copied().unwrap_or(0);
+            let is_comment = stream[starts_event..].starts_with(b":");
+            let after_comment = [starts_event + 12, starts_event + 13];
+            if is_comment && after_comment.contains(&cut) {
+                continue;
+            }
+            let is_end = ends.contains(&cut);
+            prop_assert_eq!(is_whole(&stream[..cut], &sizes), is_end, "cut at {}", cut);
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn line_ends_of_each_kind_end_events() {
+    for (stream, expected) in [
+        ("data: a\n\n", true),
+        ("data: a\r\n\r\n", true),
+        ("data: a\r\r", true),
+        ("data: a\r\r\n", true),
+        ("data: a\n\r\n", true),
+        ("data: a\n\r", true),
+        ("data: a\r\n\r", false),
+        ("data: a\n", false),
+        ("data: a\r\n", false),
+        ("data: a\r", false),
+        ("data: a", false),
+        (":\n", true),
+        (":", false),
+        ("", true),
+        ("\n", true),
+    ] {
+        assert_eq!(is_whole(stream.as_bytes(), &[1; 16]), expected, "{stream:?}");
+        assert_eq!(is_whole(stream.as_bytes(), &[]), expected, "{stream:?}");
+    }
+}
