http: a broken answer to HTTP/1.0 is reset

Cause: an answer without a length to HTTP/1.0 ends with its connection. The server dropped the connection after the error of the body, and the kernel closes a dropped connection like one that was shut down; the same for a gateway that is killed. Change: from the first write of an answer to HTTP/1.0 the socket lingers for no time, so that every end but an orderly shut-down resets it.

--- /dev/null
+++ b/src/http/client_stream.rs
@@ -0,0 +1,104 @@
+//! Connections of clients, some of which mark the end of a response by their own end.
+
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// A client's connection that is reset unless it is shut down, once
+/// [`reset_unless_shut_down`](ResetSwitch::reset_unless_shut_down) was called.
+///
+/// A response to HTTP/1.0 without a length ends with its connection. Its client can tell a response
+/// that was broken off only by a reset; this holds also if this process is killed.
+#[derive(Debug)]
+pub struct ClientStream {
+    stream: TcpStream,
+    switch: ResetSwitch,
+    resets: bool,
+}
+
+/// Turns on the reset of a connection.
+#[derive(Debug, Clone, Default)]
+pub struct ResetSwitch(Arc<AtomicBool>);
+
+impl ResetSwitch {
+    /// From the next write on the connection is reset when it is dropped, unless it was shut down.
+    pub fn reset_unless_shut_down(&self) {
+        self.0.store(true, Ordering::Release);
+    }
+}
+
+impl ClientStream {
+    /// Wraps a connection, which `switch` belongs to.
+    pub fn new(stream: TcpStream, switch: ResetSwitch) -> Self {
+        Self { stream, switch, resets: false }
+    }
+
+    fn follow_switch(&mut self) -> io::Result<()> {
+        if self.resets || !self.switch.0.load(Ordering::Acquire) {
+            return Ok(());
+        }
+        // Closing a socket that lingers for no time resets its connection.
+        SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))?;
+        self.resets = true;
+        Ok(())
+    }
+
+    fn end_reset(&mut self) -> io::Result<()> {
+        if !self.resets {
+            return Ok(());
+        }
+        SockRef::from(&self.stream).set_linger(None)?;
+        self.resets = false;
+        Ok(())
+    }
+}
+
+impl AsyncRead for ClientStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for ClientStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.follow_switch()?;
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.follow_switch()?;
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.end_reset()?;
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -2,6 +2,7 @@
 //! whole.
 
 mod client;
+mod client_stream;
 mod framing;
 mod server;
 mod whole_body;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::Request;
+use http::{Request, Version};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -13,6 +13,7 @@
 use tracing::{debug, warn};
 
 use super::Answer;
+use super::client_stream::{ClientStream, ResetSwitch};
 use crate::metrics::{Counter, Metrics};
 use crate::wire::BoxFuture;
 
@@ -95,7 +96,13 @@
     mut stop: watch::Receiver<bool>,
 ) {
     let _ = stream.set_nodelay(true);
-    let service = service_fn(move |request| {
+    let reset_switch = ResetSwitch::default();
+    let stream = ClientStream::new(stream, reset_switch.clone());
+    let service = service_fn(move |request: Request<Incoming>| {
+        // Its responses without a length end with the connection.
+        if request.version() < Version::HTTP_11 {
+            reset_switch.reset_unless_shut_down();
+        }
         let answer = handler.handle(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
