http: answers whose head contradicts itself are refused

Callers saw: nothing reported; found while looking for the same cause elsewhere. An answer with both Content-Length and chunks reached its client cut at the length and framed as complete; an unknown transfer encoding was dropped and its bytes passed on. Cause: the HTTP library reads the chunks and leaves the length in the head, which was passed on with the body. Change: Framing::of refuses both. The answer counts as broken off. Lengths that differ were refused before, by the library.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -67,7 +67,7 @@
             Error::failed("send request", peer.clone(), root_cause(&error))
         })?;
         let (head, body) = response.into_parts();
-        let body = WholeBody::new(peer.into(), &head, body, false);
+        let body = WholeBody::new(peer.into(), &head, body, false)?;
         Ok(Response::from_parts(head, body))
     }
 
--- a/src/http/framing.rs
+++ b/src/http/framing.rs
@@ -1,10 +1,9 @@
 //! How the end of an HTTP/1 response body is marked.
 
-use std::fmt;
-
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::response::Parts;
 use http::{HeaderMap, StatusCode};
+use snafu::Snafu;
 
 /// What marks the end of a response body (RFC 9112, section 6.3).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -21,36 +20,56 @@
 
 impl Framing {
     /// Returns the framing of a response with this head, to a request other than `HEAD`.
-    pub fn of(head: &Parts) -> Self {
+    ///
+    /// # Errors
+    /// The head contradicts itself, or names a transfer encoding that is not decoded here. Parts of
+    /// such a body may belong to another response.
+    pub fn of(head: &Parts) -> Result<Self, FramingError> {
         if has_no_body(head.status) {
-            return Self::Empty;
+            return Ok(Self::Empty);
+        }
+        let has_length = head.headers.contains_key(CONTENT_LENGTH);
+        if !head.headers.contains_key(TRANSFER_ENCODING) {
+            return Ok(if has_length { Self::Length } else { Self::Close });
         }
-        if head.headers.contains_key(TRANSFER_ENCODING) {
-            return if is_chunked(&head.headers) { Self::Chunked } else { Self::Close };
+        if has_length {
+            return Err(FramingError::LengthAndEncoding);
         }
-        if head.headers.contains_key(CONTENT_LENGTH) { Self::Length } else { Self::Close }
+        if !is_chunked(&head.headers) {
+            return Err(FramingError::UnknownEncoding);
+        }
+        Ok(Self::Chunked)
     }
-}
 
-impl fmt::Display for Framing {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(match self {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
             Self::Empty => "empty",
             Self::Length => "length",
             Self::Chunked => "chunked",
             Self::Close => "close",
-        })
+        }
     }
 }
 
+/// Why the end of a body cannot be told from the head of its response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+pub enum FramingError {
+    /// Both `Content-Length` and `Transfer-Encoding` are given.
+    #[snafu(display("the response has both a length and a transfer encoding"))]
+    LengthAndEncoding,
+    /// `Transfer-Encoding` is not just `chunked`.
+    #[snafu(display("the transfer encoding of the response is not supported"))]
+    UnknownEncoding,
+}
+
 fn has_no_body(status: StatusCode) -> bool {
     status.is_informational() || matches!(status.as_u16(), 204 | 304)
 }
 
-/// True if `chunked` is the last encoding.
+/// True if `chunked` is the only encoding.
 fn is_chunked(headers: &HeaderMap) -> bool {
-    let Some(value) = headers.get_all(TRANSFER_ENCODING).iter().next_back() else { return false };
-    let Ok(value) = value.to_str() else { return false };
-    let last = value.rsplit(',').next().unwrap_or_default();
-    last.trim().eq_ignore_ascii_case("chunked")
+    let mut values = headers.get_all(TRANSFER_ENCODING).iter();
+    let (Some(value), None) = (values.next(), values.next()) else { return false };
+    value.as_bytes().trim_ascii().eq_ignore_ascii_case(b"chunked")
 }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -18,7 +18,7 @@
 use tokio::time::timeout;
 
 pub use client::{HttpClient, request};
-pub use framing::Framing;
+pub use framing::{Framing, FramingError};
 pub use server::{HttpHandler, ServerLimits, serve, stopped};
 pub use whole_body::{WholeBody, is_event_stream};
 
--- a/src/http/whole_body.rs
+++ b/src/http/whole_body.rs
@@ -37,16 +37,15 @@
     /// Checks the body of a response from `peer`.
     ///
     /// If `expects_events`, a response without a content type counts as an event stream.
-    pub fn new(peer: Arc<str>, head: &Parts, body: B, expects_events: bool) -> Self {
+    ///
+    /// # Errors
+    /// The head does not tell where the body ends.
+    pub fn new(peer: Arc<str>, head: &Parts, body: B, expects_events: bool) -> Result<Self> {
+        let framing =
+            Framing::of(head).map_err(|error| Error::failed("read answer", peer.clone(), error))?;
         let is_events = is_event_stream(&head.headers, expects_events);
-        Self {
-            body,
-            peer,
-            framing: Framing::of(head),
-            events: is_events.then(EventScanner::default),
-            is_empty: true,
-            has_failed: false,
-        }
+        let events = is_events.then(EventScanner::default);
+        Ok(Self { body, peer, framing, events, is_empty: true, has_failed: false })
     }
 
     fn note(&mut self, data: &[u8]) {
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -217,7 +217,10 @@
         self.note_share_sent();
         let (head, body) = response.into_parts();
         let streams = self.chosen.route.streams && head.status.is_success();
-        let body = WholeBody::new(send.endpoint.clone(), &head, body, streams).boxed();
+        let body = match WholeBody::new(send.endpoint.clone(), &head, body, streams) {
+            Ok(body) => body.boxed(),
+            Err(error) => return Attempt::Unknown(error.to_string()),
+        };
         let response = Response::from_parts(head, body);
         let source = Source::Endpoint(flight, connection);
         Attempt::Started(Box::new(StartedResponse { source, response }))
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -127,7 +127,7 @@
         request = %exchange.meta.id,
         endpoint = %source.endpoint(),
         peer = source.peer(),
-        framing = %Framing::of(&head),
+        framing = Framing::of(&head).map_or("unknown", Framing::name),
         after_ms
     );
     if head.status.is_success() {
