http, detours: who reads an answer says whether it is an event stream; answers through a gateway are checked too

Cause: an answer that comes through a gateway of an older program ends with its last event although it was cut inside an event. The first form of WholeBody read headers that such an answer does not have.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tokio::time::timeout;
 
-use super::WholeBody;
+use super::{Framing, WholeBody, is_event_stream};
 use crate::error::{Error, Result};
 
 /// A client that keeps connections open for later requests.
@@ -67,7 +67,10 @@
             Error::failed("send request", peer.clone(), root_cause(&error))
         })?;
         let (head, body) = response.into_parts();
-        let body = WholeBody::new(peer.into(), &head, body, false)?;
+        let framing = Framing::of(&head)
+            .map_err(|error| Error::failed("read answer", peer.clone(), error))?;
+        let is_events = is_event_stream(&head.headers, false);
+        let body = WholeBody::new(peer.into(), framing, body, is_events);
         Ok(Response::from_parts(head, body))
     }
 
--- a/src/http/whole_body.rs
+++ b/src/http/whole_body.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::header::CONTENT_TYPE;
-use http::response::Parts;
 use hyper::body::{Body, Frame, SizeHint};
 
 use super::framing::Framing;
@@ -34,18 +33,10 @@
 }
 
 impl<B: Body<Data = Bytes>> WholeBody<B> {
-    /// Checks the body of a response from `peer`.
-    ///
-    /// If `expects_events`, a response without a content type counts as an event stream.
-    ///
-    /// # Errors
-    /// The head does not tell where the body ends.
-    pub fn new(peer: Arc<str>, head: &Parts, body: B, expects_events: bool) -> Result<Self> {
-        let framing =
-            Framing::of(head).map_err(|error| Error::failed("read answer", peer.clone(), error))?;
-        let is_events = is_event_stream(&head.headers, expects_events);
-        let events = is_events.then(EventScanner::default);
-        Ok(Self { body, peer, framing, events, is_empty: true, has_failed: false })
+    /// Checks the body of a response from `peer` whose end is marked by `framing`.
+    pub fn new(peer: Arc<str>, framing: Framing, body: B, is_event_stream: bool) -> Self {
+        let events = is_event_stream.then(EventScanner::default);
+        Self { body, peer, framing, events, is_empty: true, has_failed: false }
     }
 
     fn note(&mut self, data: &[u8]) {
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -18,7 +18,7 @@
 use super::reach::Suspicion;
 use super::shared::Relay;
 use super::source::{Source, StartedResponse};
-use crate::http::WholeBody;
+use crate::http::{Framing, WholeBody};
 use crate::message::WeightsName;
 use crate::policy::rank::LATE_RANK;
 use crate::policy::waiting_queue::QueueKey;
@@ -216,11 +216,12 @@
         relay.queue.note_head(now_ms, &flight.service, now_ms.saturating_sub(flight.sent_at_ms));
         self.note_share_sent();
         let (head, body) = response.into_parts();
-        let streams = self.chosen.route.streams && head.status.is_success();
-        let body = match WholeBody::new(send.endpoint.clone(), &head, body, streams) {
-            Ok(body) => body.boxed(),
+        let framing = match Framing::of(&head) {
+            Ok(framing) => framing,
             Err(error) => return Attempt::Unknown(error.to_string()),
         };
+        let is_events = self.is_event_stream(&head);
+        let body = WholeBody::new(send.endpoint.clone(), framing, body, is_events).boxed();
         let response = Response::from_parts(head, body);
         let source = Source::Endpoint(flight, connection);
         Attempt::Started(Box::new(StartedResponse { source, response }))
--- a/src/relay/detour/mod.rs
+++ b/src/relay/detour/mod.rs
@@ -145,7 +145,7 @@
             Some(Ok(PeerEvent::Refused(refusal))) => self.note_detour_refused(peer, refusal),
             Some(Ok(PeerEvent::Head { endpoint, runs, status, headers })) => {
                 self.tried.push(endpoint.clone());
-                match stream.into_response(endpoint, status, &headers) {
+                match stream.into_response(self, endpoint, status, &headers) {
                     Ok(started) => {
                         self.possible_runs += runs;
                         Ok(Sent::Started(Box::new(started)))
--- a/src/relay/detour/upstream.rs
+++ b/src/relay/detour/upstream.rs
@@ -10,8 +10,9 @@
 
 use super::{PeerStreams, read_headers};
 use crate::error::{Error, Result};
-use crate::http::AnswerBody;
+use crate::http::{Framing, WholeBody};
 use crate::message::{PeerEvent, PeerGateway, PeerRequest};
+use crate::relay::exchange::Exchange;
 use crate::relay::shared::Relay;
 use crate::relay::source::{Source, StartedResponse};
 use crate::wire::{Receiver, Sender};
@@ -76,6 +77,7 @@
     /// The head is not valid.
     pub(super) fn into_response(
         self,
+        exchange: &Exchange,
         endpoint: Arc<str>,
         status: u16,
         headers: &[(Box<str>, Vec<u8>)],
@@ -83,13 +85,18 @@
         let Self { relay, peer, receiver, sender, gives_up_when_silent, mut flight } = self;
         let status = StatusCode::from_u16(status)
             .map_err(|error| Error::invalid(format!("status {status}: {error}")))?;
+        let (mut head, ()) = Response::new(()).into_parts();
+        head.status = status;
+        head.headers = read_headers(headers)?;
+        let is_events = exchange.is_event_stream(&head);
+        let name = peer.name.clone();
         let body =
             PeerBody { relay, peer: peer.name, receiver, gives_up_when_silent, _sender: sender };
-        let frames = stream::unfold(Some(body), next_frame);
-        let mut response: Response<AnswerBody> = Response::new(StreamBody::new(frames).boxed());
-        *response.status_mut() = status;
-        *response.headers_mut() = read_headers(headers)?;
+        let body = StreamBody::new(Box::pin(stream::unfold(Some(body), next_frame)));
+        // Like the last chunk, the last event marks the end of the body.
+        let body = WholeBody::new(name, Framing::Chunked, body, is_events).boxed();
         flight.endpoint = endpoint;
+        let response = Response::from_parts(head, body);
         Ok(StartedResponse { source: Source::Peer(flight), response })
     }
 }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http::header::{CONNECTION, HOST, TRANSFER_ENCODING};
+use http::response::Parts;
 use http::{HeaderMap, Method, Uri};
 use tracing::{info, warn};
 
@@ -22,7 +23,7 @@
 use super::standings::Permission;
 use super::stream;
 use super::trial::Trial;
-use crate::http::{Answer, header};
+use crate::http::{Answer, header, is_event_stream};
 use crate::message::{RequestContent, RequestKey};
 use crate::policy::resend::{FailureCause, FailureKind};
 use crate::routing::{Repeat, RouteMatch};
@@ -371,6 +372,12 @@
         Ok(())
     }
 
+    /// True if a response with this head is an event stream.
+    pub(super) fn is_event_stream(&self, head: &Parts) -> bool {
+        let is_expected = self.chosen.route.streams && head.status.is_success();
+        is_event_stream(&head.headers, is_expected)
+    }
+
     /// The priority of the workspace, or else of the route.
     pub(super) fn priority(&self) -> u8 {
         self.access.priority().unwrap_or(self.chosen.route.priority)
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -16,7 +16,7 @@
 use crate::clock::Clock;
 use crate::error::{Error, Result};
 use crate::events::EventSplitter;
-use crate::http::{Answer, AnswerBody, Framing, is_event_stream};
+use crate::http::{Answer, AnswerBody, Framing};
 use crate::routing::Repeat;
 
 /// A stream that is being forwarded.
@@ -72,8 +72,8 @@
     let endpoint = Upstream::new(started);
     // The gateway that read a request resumes its stream.
     let can_resume = exchange.chosen.route.repeat == Repeat::Resume && !exchange.is_detour;
-    let streams = exchange.chosen.route.streams && endpoint.head.status.is_success();
-    let events = is_event_stream(&endpoint.head.headers, streams)
+    let events = exchange
+        .is_event_stream(&endpoint.head)
         .then(|| EventSplitter::new(exchange.meta.last_event));
     let mut head = endpoint.head.clone();
     remove_connection_headers(&mut head.headers);
