registry, logs: the software version of endpoints, and the attempt that a client resumes

Logs did not tell which software version began a stream and which one went on, nor what a client resumes. RegisteredEndpoint has one more field, so messages and stored registrations of older programs cannot be read: the wire's version is 2, and a process refuses one of the other version; a replica's folder of an older program has to be emptied.

--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -222,6 +222,7 @@
             endpoint = %id,
             service = %heartbeat.endpoint.service,
             address = %heartbeat.endpoint.address,
+            software = %heartbeat.endpoint.software_version,
             leaving = heartbeat.endpoint.leaving,
             sequence = heartbeat.sequence
         );
--- a/src/message/registration.rs
+++ b/src/message/registration.rs
@@ -67,6 +67,9 @@
     pub slots: u32,
     /// True once the endpoint has announced its shutdown.
     pub leaving: bool,
+    /// The version of its software; empty if it reports none. A stream that one version began
+    /// cannot be continued by another one.
+    pub software_version: Arc<str>,
 }
 
 impl RegisteredEndpoint {
--- a/src/relay/border.rs
+++ b/src/relay/border.rs
@@ -28,6 +28,8 @@
     pub unread: Vec<&'static str>,
     /// The id of the last event that the client received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// The id of the attempt that received the stream's first event, if the client resumes it.
+    pub resumed_attempt: Option<Arc<str>>,
     /// The client's credential.
     pub credential: Credential,
 }
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -278,6 +278,12 @@
         self.endpoints.get(id).map(|state| state.endpoint.clone())
     }
 
+    /// The software version of an endpoint; empty if the endpoint is not known.
+    pub(super) fn software_version(&self, id: &str) -> Arc<str> {
+        let state = self.endpoints.get(id);
+        state.map_or_else(|| "".into(), |state| state.endpoint.software_version.clone())
+    }
+
     /// Returns the changes since the last call.
     pub fn take_traffic(&mut self, now_ms: u64) -> Traffic {
         let mut loads = Vec::new();
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -257,6 +257,7 @@
                             event = "endpoint_known",
                             endpoint = %endpoint.id,
                             address = %endpoint.address,
+                            software = %endpoint.software_version,
                             leaving = endpoint.leaving
                         );
                     }
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -178,7 +178,9 @@
         event = "stream_resumed",
         request = %id,
         from = %peer,
+        from_software = %exchange.relay.fleet().software_version(&peer),
         endpoint = %started.source.endpoint(),
+        software = %exchange.relay.fleet().software_version(started.source.endpoint()),
         peer = started.source.peer(),
         last_event = last_event.unwrap_or(0)
     );
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -26,7 +26,7 @@
 use crate::metrics::{Counter, Metrics};
 
 /// The version of the message format; a process refuses streams of any other version.
-pub const WIRE_VERSION: &str = "1";
+pub const WIRE_VERSION: &str = "2";
 
 const VERSION_HEADER: &str = "winchvane-wire";
 const LENGTH_BYTES: usize = 4;
--- a/tests/brittle_endpoints.rs
+++ b/tests/brittle_endpoints.rs
@@ -70,6 +70,7 @@
             zone: "near".into(),
             slots: SLOTS,
             leaving: false,
+            software_version: "v1".into(),
         });
     }
     fleet
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -17,6 +17,7 @@
         zone: "near".into(),
         slots: 64,
         leaving: false,
+        software_version: "v1".into(),
     }
 }
 
--- a/tests/common/link.rs
+++ b/tests/common/link.rs
@@ -92,7 +92,7 @@
             let request = Request::builder()
                 .method(Method::POST)
                 .uri("http://x/session")
-                .header("winchvane-wire", "1")
+                .header("winchvane-wire", winchvane::wire::WIRE_VERSION)
                 .body(())
                 .expect("a request");
             let (_response, mut stream) = sender.send_request(request, false).expect("it is sent");
--- a/tests/distribution.rs
+++ b/tests/distribution.rs
@@ -40,6 +40,7 @@
         zone: "a".into(),
         slots: 8,
         leaving: false,
+        software_version: "v1".into(),
     }
 }
 
--- a/tests/distribution_random.rs
+++ b/tests/distribution_random.rs
@@ -33,6 +33,7 @@
         zone: zone.into(),
         slots: 8,
         leaving: false,
+        software_version: "v1".into(),
     }
 }
 
--- a/tests/endpoint_speed.rs
+++ b/tests/endpoint_speed.rs
@@ -86,6 +86,7 @@
         zone: "a".into(),
         slots: SLOTS,
         leaving: false,
+        software_version: "v1".into(),
     }
 }
 
--- a/tests/fuzz_wire.rs
+++ b/tests/fuzz_wire.rs
@@ -44,13 +44,23 @@
 }
 
 fn registered_endpoint() -> impl Strategy<Value = RegisteredEndpoint> {
-    let names = (name(), name(), name());
+    let names = (name(), name(), name(), name());
     (names, arbitrary(), arbitrary(), arbitrary()).prop_map(
-        |((id, service, zone), address, slots, leaving)| {
+        |((id, service, zone, software_version), address, slots, leaving)| {
             let name: Arc<str> = id;
             let born_ms = u64::from(slots);
             let id = RegisteredEndpoint::incarnation_id(&name, born_ms);
-            RegisteredEndpoint { id, name, born_ms, service, address, zone, slots, leaving }
+            RegisteredEndpoint {
+                id,
+                name,
+                born_ms,
+                service,
+                address,
+                zone,
+                slots,
+                leaving,
+                software_version,
+            }
         },
     )
 }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -29,6 +29,7 @@
         zone: "a".into(),
         slots: 8,
         leaving: false,
+        software_version: "v1".into(),
     }
 }
 
--- a/tests/reach.rs
+++ b/tests/reach.rs
@@ -22,6 +22,7 @@
         zone: "near".into(),
         slots: 4,
         leaving: false,
+        software_version: "v1".into(),
     }
 }
 
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -21,6 +21,7 @@
         zone: "a".into(),
         slots: 4,
         leaving: false,
+        software_version: "v1".into(),
     }
 }
 
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -19,6 +19,7 @@
         zone: zone.into(),
         slots,
         leaving: false,
+        software_version: "v1".into(),
     }
 }
 
--- a/tests/renewed_versions.rs
+++ b/tests/renewed_versions.rs
@@ -31,6 +31,7 @@
         zone: "near".into(),
         slots: 32,
         leaving: false,
+        software_version: "v1".into(),
     }
 }
 
--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -99,6 +99,7 @@
         zone: "a".into(),
         slots: 4,
         leaving: false,
+        software_version: "v1".into(),
     }
 }
 
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -9,7 +9,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use winchvane::Result;
 use winchvane::metrics::{Counter, Metrics};
-use winchvane::wire::{BoxFuture, Channel, Handler, Incoming, Peer, serve};
+use winchvane::wire::{BoxFuture, Channel, Handler, Incoming, Peer, WIRE_VERSION, serve};
 use yare::parameterized;
 
 /// Sends each received message back.
@@ -44,7 +44,7 @@
 #[parameterized(
     older_version = { "/forward", Some("0") },
     no_version = { "/forward", None },
-    unknown_channel = { "/gossip", Some("1") },
+    unknown_channel = { "/gossip", Some(WIRE_VERSION) },
 )]
 fn other_versions_and_unknown_channels_are_refused(path: &str, version: Option<&str>) {
     run(async {
@@ -82,7 +82,7 @@
             let request = Request::builder()
                 .method(Method::POST)
                 .uri("http://x/control")
-                .header("winchvane-wire", "1")
+                .header("winchvane-wire", WIRE_VERSION)
                 .body(())
                 .expect("a request");
             let (response, mut stream) =
