--- a/src/relay/report.rs
+++ b/src/relay/report.rs
@@ -69,6 +69,7 @@
     pub(super) fn note_answered(&self, started: &StartedResponse) {
         let now_ms = self.relay.now_ms();
         let after_ms = now_ms - self.started_ms;
+        let software = self.relay.fleet().software_version(started.source.endpoint());
         info!(
             event = "answered",
             request = %self.meta.id,
@@ -79,7 +80,7 @@
             status = started.response.status().as_u16(),
             version = self.relay.table().version(),
             tried = self.tried.len(),
-            software = %self.relay.fleet().software_version(started.source.endpoint()),
+            software = %software,
             last_event = self.meta.last_event.unwrap_or(0),
             resumes = self.meta.resumed_attempt.as_deref().unwrap_or(""),
             prompt_tokens = self.meta.prompt_tokens,
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -149,6 +149,7 @@
     let ForwardedStream { mut exchange, endpoint, events, can_resume } = running;
     let id = exchange.meta.id.clone();
     let peer = endpoint.source.endpoint().clone();
+    let from_software = exchange.relay.fleet().software_version(&peer);
     let end = endpoint.source.end();
     if let Some(end) = end {
         exchange.note_ended(&peer, end);
@@ -174,13 +175,14 @@
         exchange.wait_for_evaluation(&peer).await;
     }
     let Ok(started) = exchange.start(last_event).await else { return Err(broken()) };
+    let software = exchange.relay.fleet().software_version(started.source.endpoint());
     info!(
         event = "stream_resumed",
         request = %id,
         from = %peer,
-        from_software = %exchange.relay.fleet().software_version(&peer),
+        from_software = %from_software,
         endpoint = %started.source.endpoint(),
-        software = %exchange.relay.fleet().software_version(started.source.endpoint()),
+        software = %software,
         peer = started.source.peer(),
         last_event = last_event.unwrap_or(0)
     );
