--- a/src/control/distribution/mod.rs
+++ b/src/control/distribution/mod.rs
@@ -24,12 +24,13 @@
 use crate::control::session::Session;
 use crate::control::workspace_use::WorkspaceUses;
 use crate::message::{
-    Change, CreditAsk, CreditGrant, EndpointLoad, EngineOrder, Forwarded, Group, Heartbeat, Load,
-    PeerGateway, Placed, SessionDown, SessionHello, SessionRole, SessionUp,
+    BegunStreams, Change, CreditAsk, CreditGrant, EndpointLoad, EngineOrder, Forwarded, Group,
+    Heartbeat, Load, Placed, SessionDown, SessionHello, SessionRole, SessionUp,
 };
 use crate::policy::counts;
 use crate::policy::endpoint_speed;
 use crate::policy::quota::{DistributorPools, HolderGrant};
+use crate::policy::stream_origins::merge_by_origin;
 use view::View;
 
 /// How long renewals of gateways are batched; a gateway renews every 300 ms and may send orders for
@@ -76,6 +77,8 @@
     counts: Counts,
     /// Messages of gateways that were not yet sent to the leader.
     forwarded: Vec<Forwarded>,
+    /// Streams that began at the gateways here and that the leader was not told of yet.
+    begun: Vec<BegunStreams>,
     /// The latest heartbeat of each endpoint that was not yet sent to the leader.
     heartbeats: BTreeMap<Arc<str>, Heartbeat>,
     /// Quota credit of workspaces for the gateways of the zone.
@@ -101,6 +104,7 @@
             reported_loads: BTreeMap::new(),
             counts: Counts::new(),
             forwarded: Vec::new(),
+            begun: Vec::new(),
             heartbeats: BTreeMap::new(),
             credit: DistributorPools::new(),
             workspace_uses: WorkspaceUses::new(),
@@ -162,10 +166,12 @@
             | SessionUp::AskForTrial(_)
             | SessionUp::TrialReturned(_)
             | SessionUp::ServedBefore { .. }
-            | SessionUp::OfferDetours { .. } => {
+            | SessionUp::OfferDetours { .. }
+            | SessionUp::AskOrigin(_) => {
                 self.forwarded.push(Forwarded { gateway, up });
                 self.forward();
             }
+            SessionUp::StreamsBegun(begun) => self.begun.extend(begun),
             SessionUp::CreditAsks(asks) => self.answer_credit_asks(now_ms, id, &gateway, asks),
             SessionUp::WorkspaceUse(uses) => self.workspace_uses.update(id, uses),
             SessionUp::Hello(_)
@@ -220,6 +226,8 @@
             self.workspace_uses.unlinked(now_ms);
             // Endpoints send heartbeats again; these may be stale by the time of the next link.
             self.heartbeats.clear();
+            // Gateways tell the next leader of all their streams.
+            self.begun.clear();
             // The next leader confirms renewals that were not confirmed yet.
             for waiting in std::mem::take(&mut self.sent).into_values() {
                 self.waiting.extend(waiting);
@@ -247,7 +255,10 @@
             }
             SessionDown::RenewedFor { number } => self.confirm_renewal(number),
             SessionDown::Order(order) => self.forward_order(order),
-            SessionDown::Peers { gateway, peers } => self.forward_peers(gateway, peers),
+            SessionDown::Peers { ref gateway, .. } | SessionDown::Origin { ref gateway, .. } => {
+                let gateway = gateway.clone();
+                self.forward_to(&gateway, down);
+            }
             SessionDown::Credit(grants) => {
                 let answers = self.credit.granted(now_ms, grants);
                 self.deliver_credit(answers);
@@ -271,6 +282,10 @@
             self.end_sessions(None);
         }
         self.renew(now_ms);
+        if self.link.is_some() && !self.begun.is_empty() {
+            let begun = merge_by_origin(std::mem::take(&mut self.begun));
+            self.send_up(SessionUp::StreamsBegun(begun));
+        }
         let uses = self.workspace_uses.advance(now_ms, &self.sessions);
         if !uses.is_empty() {
             self.send_up(SessionUp::WorkspaceUse(uses));
@@ -404,10 +419,11 @@
         self.forward();
     }
 
-    fn forward_peers(&mut self, gateway: Arc<str>, peers: Vec<PeerGateway>) {
+    /// Passes a message of the leader on, if its gateway is connected here.
+    fn forward_to(&mut self, gateway: &Arc<str>, down: SessionDown) {
         for session in self.sessions.values() {
-            if session.epoch.is_some() && session.hello.name == gateway {
-                session.send(SessionDown::Peers { gateway, peers });
+            if session.epoch.is_some() && session.hello.name == *gateway {
+                session.send(down);
                 return;
             }
         }
--- a/src/control/placement/homes.rs
+++ b/src/control/placement/homes.rs
@@ -5,7 +5,7 @@
 use tracing::info;
 
 use super::endpoint::{EndpointState, WeightsState};
-use super::{OpenWants, Placement, PlacementRequest};
+use super::{OpenWants, Placement, PlacementRequest, Wanted};
 use crate::message::{OrderKind, WeightsName, WeightsUse};
 use crate::routing::EngineSpec;
 
@@ -127,7 +127,7 @@
         }
         let Some(service) = service else { return };
         let request = PlacementRequest::additional(now_ms, name, zone.clone());
-        self.wanted.entry((service, name.clone())).or_insert(request);
+        self.wanted.entry(Wanted::new(service, name.clone())).or_insert(request);
     }
 
     /// Loads the base model with the fewest homes for its demand at each empty endpoint.
@@ -172,7 +172,7 @@
                 being_loaded += 1;
                 continue;
             }
-            wanted.push((self.rate(now_ms, &key.1), key.clone(), request.clone()));
+            wanted.push((self.rate(now_ms, &key.weights), key.clone(), request.clone()));
         }
         // First homes go before additional ones: without any home, every client request is refused.
         wanted.sort_unstable_by(|one, other| {
@@ -192,8 +192,9 @@
         let requests_max =
             (ENDPOINT_SCANS_PER_PASS / self.endpoints.len().max(1)).clamp(1, REQUESTS_PER_PASS);
         let mut handled = 0;
-        for (rate, (service, name), request) in wanted {
-            if is_store_full && name.adapter.is_some() && !self.copied.contains(&name) {
+        for (rate, key, request) in wanted {
+            let is_adapter = key.weights.adapter.is_some();
+            if is_store_full && is_adapter && !self.copied.contains(&key.weights) {
                 self.open.store_busy += 1;
                 continue;
             }
@@ -201,25 +202,29 @@
             if handled > requests_max {
                 break;
             }
-            if self.add_home(now_ms, &service, &name, &request, rate) {
-                self.wanted.remove(&(service, name));
+            if self.add_home(now_ms, &key, &request, rate) {
+                self.wanted.remove(&key);
             }
         }
     }
 
-    /// Tries to add a home for `name`; true when the placement request is settled.
+    /// Tries to add a home for `wanted`; true when the placement request is settled.
     fn add_home(
         &mut self,
         now_ms: u64,
-        service: &Arc<str>,
-        name: &WeightsName,
+        wanted: &Wanted,
         request: &PlacementRequest,
         rate: f64,
     ) -> bool {
+        let Wanted { service, weights: name, .. } = wanted;
         let Some(engine) = self.engines.get(service).cloned() else { return true };
-        let mut survey = self.survey(now_ms, service, name, request);
+        let mut survey = self.survey(now_ms, wanted, request);
         let reading_ms_per_s = self.prompt_reading.rate(now_ms, name);
         let mut homes_wanted = wanted_homes(rate, reading_ms_per_s, engine.slots);
+        // The rate is that of all versions together, and few streams are resumed.
+        if wanted.software_version.is_some() {
+            homes_wanted = 1;
+        }
         if request.homes_are_full && survey.homes == survey.crowded_homes {
             homes_wanted = homes_wanted.max(survey.effective_homes() + 1);
         }
@@ -228,7 +233,7 @@
         }
         if survey.effective_future_homes() >= homes_wanted {
             self.open.on_their_way += 1;
-            self.check_again_later(now_ms, service, name);
+            self.check_again_later(now_ms, wanted);
             return false;
         }
         survey.candidates.sort_unstable_by_key(|candidate| std::cmp::Reverse(candidate.0));
@@ -236,15 +241,15 @@
             return self.load_model(now_ms, service, &engine, name, rate, &survey);
         }
         if survey.candidates.is_empty() && survey.homes + survey.on_their_way == 0 {
-            return self.load_without_candidates(now_ms, service, name, rate, request, &survey);
+            return self.load_without_candidates(now_ms, wanted, rate, request, &survey);
         }
         self.load_adapter(now_ms, service, &engine, name, request, &survey)
     }
 
     /// Leaves a request whose homes are being loaded out of the next passes, so that it takes none of
     /// the pass's limited number of requests from those that still need a load.
-    fn check_again_later(&mut self, now_ms: u64, service: &Arc<str>, name: &WeightsName) {
-        if let Some(request) = self.wanted.get_mut(&(service.clone(), name.clone())) {
+    fn check_again_later(&mut self, now_ms: u64, wanted: &Wanted) {
+        if let Some(request) = self.wanted.get_mut(wanted) {
             request.check_again_at_ms = now_ms + LOADING_CHECK_INTERVAL_MS;
         }
     }
@@ -255,18 +260,13 @@
         self.demand.rate(now_ms, name).max(self.surge.rate(now_ms, name))
     }
 
-    fn survey(
-        &self,
-        now_ms: u64,
-        service: &str,
-        name: &WeightsName,
-        request: &PlacementRequest,
-    ) -> Survey {
+    fn survey(&self, now_ms: u64, wanted: &Wanted, request: &PlacementRequest) -> Survey {
+        let Wanted { service, weights: name, .. } = wanted;
         let newest = self.required_version(name);
         let service_work = self.work.of_service(service);
         let mut survey = Survey::default();
         for (id, endpoint) in &self.endpoints {
-            if &*endpoint.endpoint.service != service || !endpoint.accepts_weights(now_ms) {
+            if !wanted.allows(&endpoint.endpoint) || !endpoint.accepts_weights(now_ms) {
                 continue;
             }
             let slowdown = endpoint.slowdown(service_work);
@@ -373,15 +373,15 @@
     fn load_without_candidates(
         &mut self,
         now_ms: u64,
-        service: &Arc<str>,
-        name: &WeightsName,
+        wanted: &Wanted,
         rate: f64,
         request: &PlacementRequest,
         survey: &Survey,
     ) -> bool {
+        let name = &wanted.weights;
         let Some(id) = survey.older.first() else {
-            let base = name.base();
-            self.add_home(now_ms, service, &base, request, rate);
+            let base = Wanted { weights: name.base(), ..wanted.clone() };
+            self.add_home(now_ms, &base, request, rate);
             return false;
         };
         let is_free =
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -97,6 +97,35 @@
     }
 }
 
+/// What gateways want a home for.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Wanted {
+    service: Arc<str>,
+    weights: WeightsName,
+    /// The software version that the home must have; `None` if any will do.
+    software_version: Option<Arc<str>>,
+}
+
+impl Wanted {
+    /// `weights` at endpoints of any software version.
+    fn new(service: Arc<str>, weights: WeightsName) -> Self {
+        Self { service, weights, software_version: None }
+    }
+
+    /// The same at an endpoint of the version.
+    fn with_software(mut self, version: Option<Arc<str>>) -> Self {
+        self.software_version = version;
+        self
+    }
+
+    /// True if `endpoint` may be the home.
+    fn allows(&self, endpoint: &RegisteredEndpoint) -> bool {
+        let version = self.software_version.as_ref();
+        endpoint.service == self.service
+            && version.is_none_or(|version| *version == endpoint.software_version)
+    }
+}
+
 /// A request of gateways for one more home of some weights.
 #[derive(Debug, Clone)]
 struct PlacementRequest {
@@ -161,7 +190,7 @@
     surge: Demand,
     /// The demand in milliseconds that endpoints spend on reading prompts, by weights.
     prompt_reading: Demand,
-    wanted: HashMap<(Arc<str>, WeightsName), PlacementRequest>,
+    wanted: HashMap<Wanted, PlacementRequest>,
     last_pass_at_ms: u64,
     open: OpenWants,
     logged_at_ms: u64,
@@ -289,7 +318,7 @@
             let mut request = PlacementRequest::additional(now_ms, &need.weights, zone.clone());
             request.homes_are_full = need.more;
             request.is_additional = need.more;
-            let key = (need.service, need.weights);
+            let key = Wanted::new(need.service, need.weights).with_software(need.software_version);
             if let Some(known) = self.wanted.get(&key) {
                 request.first_asked_at_ms = known.first_asked_at_ms;
                 request.check_again_at_ms = known.check_again_at_ms;
@@ -386,8 +415,10 @@
     pub fn ordered(&mut self, now_ms: u64, result: OrderResult) {
         let Some(endpoint) = self.endpoints.get_mut(&result.endpoint) else { return };
         if let OrderKind::Load { name, .. } = &result.kind {
-            let key = (endpoint.endpoint.service.clone(), name.clone());
-            if let Some(request) = self.wanted.get_mut(&key) {
+            let any = Wanted::new(endpoint.endpoint.service.clone(), name.clone());
+            let version = endpoint.endpoint.software_version.clone();
+            for key in [any.clone(), any.with_software(Some(version))] {
+                let Some(request) = self.wanted.get_mut(&key) else { continue };
                 request.check_again_at_ms = now_ms;
             }
         }
--- a/src/control/placement/renewal.rs
+++ b/src/control/placement/renewal.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use super::endpoint::{EndpointState, WeightsState};
-use super::{Placement, PlacementRequest};
+use super::{Placement, PlacementRequest, Wanted};
 use crate::message::{OrderKind, WeightsName};
 
 /// The recent requests above which a new version is loaded before any gateway asks for it.
@@ -40,7 +40,7 @@
         for (service, name) in wanted {
             // No gateway asked, so no availability zone is preferred.
             let request = PlacementRequest::additional(now_ms, &name, Arc::from(""));
-            self.wanted.entry((service, name)).or_insert(request);
+            self.wanted.entry(Wanted::new(service, name)).or_insert(request);
         }
     }
 
--- a/src/control/registry.rs
+++ b/src/control/registry.rs
@@ -8,7 +8,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::control::legacy::LegacyRegistry;
 use crate::control::placement::{COPIES_MAX, HolderChoice, NewCopy, OrderHolder, OrderHolders};
+use crate::control::software::{ServiceSoftware, SoftwareVersions};
 use crate::message::{
     Change, EndpointEnd, NewestVersion, RegisteredEndpoint, RequestKey, RequestStanding, Standing,
     WeightsName,
@@ -33,15 +35,65 @@
     order_holders: OrderHolders,
     copies: BTreeMap<Arc<str>, VecDeque<WeightsName>>,
     standings: BTreeMap<RequestKey, RequestStanding>,
+    software: SoftwareVersions,
 }
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
-struct StoredRouting {
+pub(super) struct StoredRouting {
     configuration: Arc<RoutingConfiguration>,
     document: Arc<str>,
 }
 
 impl Registry {
+    /// The registry of an older snapshot.
+    pub(super) fn from_legacy(mut legacy: LegacyRegistry) -> Self {
+        let endpoints = legacy.take_endpoints();
+        let mut software = SoftwareVersions::new();
+        for endpoint in endpoints.values() {
+            let versions = software.entry(endpoint.service.clone()).or_default();
+            versions.insert(endpoint.software_version.clone());
+        }
+        Self {
+            routing: legacy.routing,
+            endpoints,
+            ended_ids: legacy.ended_ids,
+            versions: legacy.versions,
+            order_holders: legacy.order_holders,
+            copies: legacy.copies,
+            standings: legacy.standings,
+            software,
+        }
+    }
+
+    /// The software versions, by service, that may have begun a stream which a client still resumes.
+    pub fn software(&self) -> &SoftwareVersions {
+        &self.software
+    }
+
+    /// The software version of `service` if no other one can have begun a stream which a client
+    /// still resumes.
+    pub fn sole_software(&self, service: &str) -> Option<&Arc<str>> {
+        let versions = self.software.get(service)?;
+        versions.first().filter(|_| versions.len() == 1)
+    }
+
+    /// Forgets software versions without endpoints.
+    pub fn forget_software(&mut self, forgotten: Vec<ServiceSoftware>) {
+        for (service, version) in forgotten {
+            let is_used = self.endpoints.values().any(|endpoint| {
+                endpoint.service == service && endpoint.software_version == version
+            });
+            if is_used {
+                continue;
+            }
+            let Some(versions) = self.software.get_mut(&service) else { continue };
+            versions.remove(&version);
+            if versions.is_empty() {
+                self.software.remove(&service);
+            }
+        }
+    }
+
     /// The configuration in force.
     pub fn routing(&self) -> Option<&Arc<RoutingConfiguration>> {
         self.routing.as_ref().map(|stored| &stored.configuration)
@@ -175,6 +227,8 @@
             }
             changes.extend(self.deregister(&other.id));
         }
+        let versions = self.software.entry(endpoint.service.clone()).or_default();
+        versions.insert(endpoint.software_version.clone());
         self.endpoints.insert(endpoint.id.clone(), endpoint.clone());
         changes.push(Change::Registered(endpoint));
         changes
--- a/src/control/replica/applying.rs
+++ b/src/control/replica/applying.rs
@@ -108,6 +108,7 @@
                 }
             }
             Read::Welcome { session } => self.welcome_follower(session),
+            Read::Origin { from, ask } => self.answer_origin(&from, &ask),
             Read::Routing(reply) => {
                 let document = self.state.registry.routing_document().cloned();
                 let _ = reply.send(ControlReply::Routing(document));
--- a/src/control/replica/followers.rs
+++ b/src/control/replica/followers.rs
@@ -36,12 +36,16 @@
     /// Tells a gateway through which others it may send requests.
     fn send_peers(&self, now_ms: u64, to: &UsageSource) {
         let peers = self.registered.peers.offered_to(now_ms, &to.gateway, &to.zone);
-        let message = SessionDown::Peers { gateway: to.gateway.clone(), peers };
+        self.send_to_gateway(to, &SessionDown::Peers { gateway: to.gateway.clone(), peers });
+    }
+
+    /// Sends a message to a gateway, on its own session or through its distributor.
+    pub(super) fn send_to_gateway(&self, to: &UsageSource, message: &SessionDown) {
         let is_own = |session: &&Session| {
             session.hello.role == SessionRole::Follower && session.hello.name == to.gateway
         };
         if let Some(session) = self.sessions.values().find(is_own) {
-            session.send(message);
+            session.send(message.clone());
             return;
         }
         // A distributor passes the message on if the gateway is connected to it.
@@ -167,6 +171,12 @@
                 self.registered.placement.set_cut_off(now_ms, cut_off);
                 self.send_peers(now_ms, from);
             }
+            SessionUp::StreamsBegun(begun) => {
+                for begun in &begun {
+                    self.registered.origins.record(now_ms, begun);
+                }
+            }
+            SessionUp::AskOrigin(ask) => self.ask_origin(from, ask),
             SessionUp::Crashes(crashes) => {
                 self.record_crashes(now_ms, wall_ms, &from.gateway, crashes);
             }
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -8,6 +8,7 @@
 mod credit;
 mod followers;
 mod incarnations;
+mod origins;
 mod registration;
 mod sessions;
 mod standings;
@@ -22,7 +23,7 @@
 
 use crate::control::fleet::ListedEndpoint;
 use crate::control::permit::{PermitOutcome, Permits, StoreBudget};
-use crate::control::placement::{Placement, PlacementSettings};
+use crate::control::placement::{Placement, PlacementSettings, UsageSource};
 use crate::control::raft::{Member, Payload, Raft};
 use crate::control::replica::registration::Registered;
 use crate::control::replica::sessions::Renewal;
@@ -31,7 +32,8 @@
 use crate::control::state::{Command, Operation, State};
 use crate::document::DocumentKind;
 use crate::message::{
-    Change, ControlReply, ControlRequest, GroupStatus, LoadReport, ProbeReply, SessionDown,
+    Change, ControlReply, ControlRequest, GroupStatus, LoadReport, OriginAsk, ProbeReply,
+    SessionDown,
 };
 use crate::metrics::{Counter, Metrics};
 use crate::policy::quota::QuotaBounds;
@@ -76,11 +78,25 @@
 /// A read that waits for a quorum round.
 enum Read {
     Renewals(Vec<Renewal>),
-    Welcome { session: u64 },
+    Welcome {
+        session: u64,
+    },
     Routing(RpcReplyPort<ControlReply>),
-    Get { kind: Option<DocumentKind>, name: Option<Arc<str>>, reply: RpcReplyPort<ControlReply> },
+    Get {
+        kind: Option<DocumentKind>,
+        name: Option<Arc<str>>,
+        reply: RpcReplyPort<ControlReply>,
+    },
     Status(RpcReplyPort<ControlReply>),
-    DryRun { documents: Vec<crate::document::Document>, reply: RpcReplyPort<ControlReply> },
+    DryRun {
+        documents: Vec<crate::document::Document>,
+        reply: RpcReplyPort<ControlReply>,
+    },
+    /// A gateway's question where a stream began.
+    Origin {
+        from: UsageSource,
+        ask: OriginAsk,
+    },
 }
 
 /// The log, the state and the sessions of one replica.
@@ -299,6 +315,8 @@
                 }
             }
             Read::Welcome { session } => self.redirect_session(session),
+            // The gateway gives up after a while, or with its session.
+            Read::Origin { .. } => {}
             Read::Get { reply, .. }
             | Read::Status(reply)
             | Read::DryRun { reply, .. }
--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -13,11 +13,13 @@
 use crate::control::counts::Counts;
 use crate::control::peers::Peers;
 use crate::control::placement::Placement;
+use crate::control::software::UnusedSoftware;
 use crate::control::state::Operation;
 use crate::control::workspace_use::WorkspaceUses;
 use crate::message::{Change, ControlReply, Group, Heartbeat, NewestVersion, Placed};
 use crate::policy::crashes::Crashes;
 use crate::policy::quota::{CreditPools, QuotaBounds};
+use crate::policy::stream_origins::StreamOrigins;
 use crate::routing::RoutingConfiguration;
 
 /// Interval between records of new copies of weights: each record costs a synced log entry, each
@@ -48,6 +50,9 @@
     pub(super) workspace_uses: WorkspaceUses,
     /// The gateways that send requests for others.
     pub(super) peers: Peers,
+    /// Where streams began. It outlives the leadership of this replica.
+    pub(super) origins: StreamOrigins,
+    unused_software: UnusedSoftware,
 }
 
 impl Registered {
@@ -67,6 +72,8 @@
             credit: CreditPools::new(quota),
             workspace_uses: WorkspaceUses::new(),
             peers: Peers::new(),
+            origins: StreamOrigins::new(),
+            unused_software: UnusedSoftware::new(),
         }
     }
 }
@@ -95,6 +102,7 @@
         registered.leading_since_ms = now_ms;
         registered.ticked_at_ms = now_ms;
         registered.group_sent = Group::default();
+        registered.unused_software = UnusedSoftware::new();
         registered.counts = Counts::new();
         registered.workspace_uses = WorkspaceUses::new();
         registered.credit = CreditPools::new(self.settings.quota);
@@ -275,6 +283,21 @@
             self.send_order(now_ms, order);
         }
         self.propose_copies(now_ms, wall_ms);
+        self.forget_software(now_ms, wall_ms);
+    }
+
+    /// Proposes to forget software versions that have had no endpoint for long.
+    fn forget_software(&mut self, now_ms: u64, wall_ms: u64) {
+        let registry = &self.state.registry;
+        let forgotten = self.registered.unused_software.take(
+            now_ms,
+            registry.software(),
+            registry.endpoints().values(),
+            registry.routing().map(|routing| &**routing),
+        );
+        if !forgotten.is_empty() {
+            self.propose(wall_ms, Operation::ForgetSoftware(forgotten), Waiter::NoReply);
+        }
     }
 
     /// Proposes a record of new copies for the next leader.
--- a/src/control/replica/sessions.rs
+++ b/src/control/replica/sessions.rs
@@ -128,6 +128,8 @@
             | SessionUp::ServedBefore { .. }
             | SessionUp::CreditAsks(_)
             | SessionUp::OfferDetours { .. }
+            | SessionUp::StreamsBegun(_)
+            | SessionUp::AskOrigin(_)
             | SessionUp::WorkspaceUse(_) => {
                 let message = up.kind();
                 debug!(event = "message_ignored", gateway = %gateway, message);
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -9,8 +9,10 @@
 use crate::control::config::Config;
 use crate::control::fleet::{Fleet, ListedEndpoint, Registration};
 use crate::control::ledger::{Claim, ClaimOutcome, KeyDigest, Ledger, LedgerLimits, Settlement};
+use crate::control::legacy;
 use crate::control::placement::{HolderChoice, NewCopy};
 use crate::control::registry::Registry;
+use crate::control::software::ServiceSoftware;
 use crate::document::Document;
 use crate::error::{Error, Result};
 use crate::message::{
@@ -97,6 +99,8 @@
     NoteCopies(Vec<NewCopy>),
     /// Sets the standings of requests that may have caused endpoint crashes.
     SetStandings(Vec<RequestStanding>),
+    /// Forgets software versions that have had no endpoint for long.
+    ForgetSoftware(Vec<ServiceSoftware>),
 }
 
 /// The outcome of an operation.
@@ -196,6 +200,10 @@
             Operation::SetStandings(standings) => {
                 (Outcome::Done, self.registry.set_standings(standings))
             }
+            Operation::ForgetSoftware(forgotten) => {
+                self.registry.forget_software(forgotten);
+                (Outcome::Done, Vec::new())
+            }
         }
     }
 
@@ -243,11 +251,20 @@
         let damaged = |error| Error::damaged("decode", "snapshot", error);
         match binary::decode(bytes) {
             Ok(state) => Ok(state),
-            // Older snapshots end without standings, the last field; appending a zero byte decodes
-            // them as none.
-            Err(error) => binary::decode(&[bytes, &[0]].concat()).map_err(|_| damaged(error)),
+            Err(error) => legacy::decode(bytes).map_err(|_| damaged(error)),
         }
     }
+
+    /// Puts the state of an older snapshot together.
+    pub(super) fn from_parts(
+        clock_ms: u64,
+        config: Config,
+        ledger: Ledger,
+        fleet: Fleet,
+        registry: Registry,
+    ) -> Self {
+        Self { clock_ms, config, ledger, fleet, registry }
+    }
 }
 
 impl Command {
@@ -263,6 +280,12 @@
     /// # Errors
     /// Bytes that are not an encoded command.
     pub fn decode(bytes: &[u8]) -> Result<Self> {
-        binary::decode(bytes).map_err(|error| Error::damaged("decode", "command", error))
+        let damaged = |error| Error::damaged("decode", "command", error);
+        match binary::decode(bytes) {
+            Ok(command) => Ok(command),
+            // Older registrations of endpoints end without a software version, the last field;
+            // appending a zero byte decodes it as none.
+            Err(error) => binary::decode(&[bytes, &[0]].concat()).map_err(|_| damaged(error)),
+        }
     }
 }
--- a/src/gateway/session.rs
+++ b/src/gateway/session.rs
@@ -158,6 +158,7 @@
         | SessionDown::Credit(_)
         | SessionDown::WorkspaceUse(_)
         | SessionDown::Peers { .. }
+        | SessionDown::Origin { .. }
         | SessionDown::Group(_) => {}
     }
 }
--- a/src/message/detour.rs
+++ b/src/message/detour.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::message::StreamOrigin;
 use crate::routing::Credential;
 
 /// A gateway that may send requests of other gateways to endpoints.
@@ -53,6 +54,8 @@
     pub tried: Vec<Arc<str>>,
     /// The id of the last event that the client has received, if a stream is resumed.
     pub last_event: Option<u64>,
+    /// Where the stream began that is resumed.
+    pub origin: Option<StreamOrigin>,
     /// The body.
     pub body: Vec<u8>,
 }
@@ -68,6 +71,8 @@
     Head {
         /// The endpoint's incarnation.
         endpoint: Arc<str>,
+        /// The endpoint's software version.
+        software_version: Arc<str>,
         /// The number of endpoints that may have run the request.
         runs: u32,
         /// The HTTP status.
--- a/src/message/mod.rs
+++ b/src/message/mod.rs
@@ -12,6 +12,7 @@
 mod registration;
 mod request_key;
 mod session;
+mod stream_origin;
 mod workspace_use;
 
 use std::fmt;
@@ -36,6 +37,7 @@
 pub use session::{
     Forwarded, Group, LoadReport, SessionDown, SessionHello, SessionRole, SessionServer, SessionUp,
 };
+pub use stream_origin::{BegunStreams, OriginAsk, StreamKey, StreamOrigin};
 pub use workspace_use::{UseCounts, WorkspaceUse};
 
 /// Whether a request that got no answer was run.
--- a/src/message/registration.rs
+++ b/src/message/registration.rs
@@ -119,6 +119,8 @@
     pub requests: u32,
     /// True if the endpoints that hold the weights are full and one more is needed.
     pub more: bool,
+    /// The software version that the endpoint must have, if the requests resume streams.
+    pub software_version: Option<Arc<str>>,
 }
 
 /// The state of one model or adapter at an endpoint, as known to the leader of control.
--- a/src/message/session.rs
+++ b/src/message/session.rs
@@ -9,8 +9,9 @@
 
 use super::control::Change;
 use crate::message::{
-    AdapterNeed, CreditAsk, CreditGrant, EndpointCrash, EndpointLoad, EngineOrder, Heartbeat,
-    OrderResult, PeerGateway, Placed, RequestKey, Summary, WeightsUse, WorkspaceUse,
+    AdapterNeed, BegunStreams, CreditAsk, CreditGrant, EndpointCrash, EndpointLoad, EngineOrder,
+    Heartbeat, OrderResult, OriginAsk, PeerGateway, Placed, RequestKey, StreamKey, StreamOrigin,
+    Summary, WeightsUse, WorkspaceUse,
 };
 
 /// The number of running requests at an endpoint that the platform measured some time ago.
@@ -94,6 +95,10 @@
         /// The services of which this gateway reaches no endpoint.
         out_of_reach: Vec<Arc<str>>,
     },
+    /// Streams of which clients received the first event, or that were continued.
+    StreamsBegun(Vec<BegunStreams>),
+    /// Asks where a stream began; answered by [`SessionDown::Origin`].
+    AskOrigin(OriginAsk),
 }
 
 impl SessionUp {
@@ -118,6 +123,8 @@
             Self::ServedBefore { .. } => "session_served_before",
             Self::WorkspaceUse(_) => "session_workspace_use",
             Self::OfferDetours { .. } => "session_offer_detours",
+            Self::StreamsBegun(_) => "session_streams_begun",
+            Self::AskOrigin(_) => "session_ask_origin",
         }
     }
 }
@@ -290,6 +297,15 @@
         /// The gateways that it may use.
         peers: Vec<PeerGateway>,
     },
+    /// Where a stream began.
+    Origin {
+        /// The gateway that asked.
+        gateway: Arc<str>,
+        /// The stream.
+        stream: StreamKey,
+        /// Where it began; `None` if that is not known.
+        origin: Option<StreamOrigin>,
+    },
 }
 
 impl SessionDown {
@@ -309,6 +325,7 @@
             Self::Credit(_) => "session_credit",
             Self::WorkspaceUse(_) => "session_workspace_use",
             Self::Peers { .. } => "session_peers",
+            Self::Origin { .. } => "session_origin",
         }
     }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -104,6 +104,12 @@
     Takeovers => "endpoints.takeovers",
     /// Engine restarts, detected by a changed boot id.
     EngineRestarts => "endpoints.engine_restarts",
+    /// Streams that were resumed at another endpoint within an answer.
+    StreamsResumed => "streams.resumed",
+    /// Streams that broke off and were not resumed.
+    StreamsBroken => "streams.broken",
+    /// Streams that clients resumed and of which nobody knew where they began.
+    StreamsOfUnknownOrigin => "streams.of_unknown_origin",
     /// Requests sent through another gateway.
     DetoursSent => "detours.sent",
     /// Requests that another gateway refused to send.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -23,6 +23,7 @@
 pub mod resend;
 pub mod retry;
 pub mod route;
+pub mod stream_origins;
 pub mod versions;
 pub mod waiting_queue;
 pub mod workspace_use;
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -42,6 +42,8 @@
     /// True once the endpoint has started a response.
     has_started: bool,
     pub(super) endpoint: Arc<str>,
+    /// The endpoint's software version.
+    pub(super) software_version: Arc<str>,
     pub(super) address: std::net::SocketAddr,
     ended: Option<watch::Receiver<IncarnationEnd>>,
     /// The least certain evidence of the endpoint's end that stops the wait for the response.
@@ -137,6 +139,7 @@
         &self,
         send: &SendMeta,
         address: std::net::SocketAddr,
+        software_version: Arc<str>,
         place: Option<QueuePlace>,
     ) -> Attempt {
         let relay = &self.relay;
@@ -153,6 +156,7 @@
             sent_at_ms: now_ms,
             has_started: false,
             endpoint: send.endpoint.clone(),
+            software_version,
             address,
             ended: None,
             give_up_on: match self.chosen.route.repeat {
--- a/src/relay/detour/mod.rs
+++ b/src/relay/detour/mod.rs
@@ -31,7 +31,7 @@
 use crate::policy::peers::PeerGateways;
 use crate::routing::Repeat;
 use crate::wire::{Channel, Receiver, Sender};
-use upstream::PeerStream;
+use upstream::{PeerHead, PeerStream};
 
 /// A connection to another gateway is made within one round trip, if at all.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(250);
@@ -143,9 +143,10 @@
             PeerStream::new(relay.clone(), peer.clone(), streams, gives_up_when_silent);
         match relay.clock.timeout_at(self.ends_at_ms, stream.next()).await {
             Some(Ok(PeerEvent::Refused(refusal))) => self.note_detour_refused(peer, refusal),
-            Some(Ok(PeerEvent::Head { endpoint, runs, status, headers })) => {
+            Some(Ok(PeerEvent::Head { endpoint, software_version, runs, status, headers })) => {
                 self.tried.push(endpoint.clone());
-                match stream.into_response(self, endpoint, status, &headers) {
+                let head = PeerHead { endpoint, software_version, status, headers };
+                match stream.into_response(self, head) {
                     Ok(started) => {
                         self.possible_runs += runs;
                         Ok(Sent::Started(Box::new(started)))
@@ -201,6 +202,7 @@
             attempts: self.attempts().saturating_sub(self.possible_runs).max(1),
             tried: self.tried.clone(),
             last_event: last_event.or(self.meta.last_event),
+            origin: self.origin.clone(),
             body: self.body.to_vec(),
         }
     }
--- a/src/relay/detour/serve.rs
+++ b/src/relay/detour/serve.rs
@@ -205,9 +205,13 @@
             return sender.send(&event).await.map(drop);
         }
     };
-    let (endpoint, runs) = (started.source.endpoint().clone(), exchange.possible_runs);
+    let answering = Answering {
+        endpoint: started.source.endpoint().clone(),
+        software_version: started.source.software_version().clone(),
+        runs: exchange.possible_runs,
+    };
     let answer = stream::answer(exchange, started);
-    send_answer(sender, answer, endpoint, runs).await
+    send_answer(sender, answer, answering).await
 }
 
 /// Awaits `work`, sends signs of life meanwhile, and returns `None` if the other gateway closes the
@@ -230,19 +234,28 @@
     }
 }
 
+/// The endpoint whose answer is sent.
+struct Answering {
+    endpoint: Arc<str>,
+    software_version: Arc<str>,
+    /// The number of endpoints that may have run the request.
+    runs: u32,
+}
+
 async fn send_answer(
     sender: &mut Sender<PeerEvent>,
     answer: Answer,
-    endpoint: Arc<str>,
-    runs: u32,
+    answering: Answering,
 ) -> Result<()> {
+    let Answering { endpoint, software_version, runs } = answering;
     let (head, mut body) = answer.into_parts();
     let mut headers = Vec::with_capacity(head.headers.len());
     for (name, value) in &head.headers {
         headers.push((name.as_str().into(), value.as_bytes().to_vec()));
     }
     let status = head.status.as_u16();
-    sender.send(&PeerEvent::Head { endpoint, runs, status, headers }).await?;
+    let head = PeerEvent::Head { endpoint, software_version, runs, status, headers };
+    sender.send(&head).await?;
     loop {
         let Some(frame) = while_open(sender, body.frame()).await? else { return Ok(()) };
         let event = match frame {
@@ -291,7 +304,11 @@
     let target: Uri =
         request.target.parse().map_err(|_| refused("the target is not valid".to_owned()))?;
     let host = header(&headers, HOST.as_str()).unwrap_or_default();
-    let chosen = table.find(host, target.path(), &meta.id).ok_or(DetourRefusal::OtherRoutes)?;
+    let mut chosen = table.find(host, target.path(), &meta.id).ok_or(DetourRefusal::OtherRoutes)?;
+    if let Some(origin) = &request.origin {
+        let service = table.target(&chosen.route, &origin.service);
+        chosen.service = service.ok_or(DetourRefusal::OtherRoutes)?;
+    }
     let service = &chosen.service.name;
     if relay.fleet().is_service_out_of_reach(now_ms, service) {
         return Err(DetourRefusal::OutOfReach);
@@ -309,6 +326,7 @@
         body: request.body.into(),
     };
     let exchange = Exchange::new(relay, started_ms, admitted);
+    let exchange = exchange.with_origin(request.origin);
     Ok(exchange.with_detour(now_ms + request.left_ms, request.attempts, request.tried))
 }
 
--- a/src/relay/detour/upstream.rs
+++ b/src/relay/detour/upstream.rs
@@ -28,6 +28,16 @@
     pub(in crate::relay) peer: Arc<str>,
     /// The endpoint that answers.
     pub(in crate::relay) endpoint: Arc<str>,
+    /// The endpoint's software version.
+    pub(in crate::relay) software_version: Arc<str>,
+}
+
+/// The head of a response that comes through another gateway.
+pub(super) struct PeerHead {
+    pub(super) endpoint: Arc<str>,
+    pub(super) software_version: Arc<str>,
+    pub(super) status: u16,
+    pub(super) headers: Vec<(Box<str>, Vec<u8>)>,
 }
 
 impl Drop for PeerFlight {
@@ -57,8 +67,12 @@
         gives_up_when_silent: bool,
     ) -> Self {
         relay.peers().start(&peer.name);
-        let endpoint = "".into();
-        let flight = PeerFlight { relay: relay.clone(), peer: peer.name.clone(), endpoint };
+        let flight = PeerFlight {
+            relay: relay.clone(),
+            peer: peer.name.clone(),
+            endpoint: "".into(),
+            software_version: "".into(),
+        };
         Self { relay, peer, receiver, sender, gives_up_when_silent, flight }
     }
 
@@ -78,16 +92,15 @@
     pub(super) fn into_response(
         self,
         exchange: &Exchange,
-        endpoint: Arc<str>,
-        status: u16,
-        headers: &[(Box<str>, Vec<u8>)],
+        received: PeerHead,
     ) -> Result<StartedResponse> {
+        let PeerHead { endpoint, software_version, status, headers } = received;
         let Self { relay, peer, receiver, sender, gives_up_when_silent, mut flight } = self;
         let status = StatusCode::from_u16(status)
             .map_err(|error| Error::invalid(format!("status {status}: {error}")))?;
         let (mut head, ()) = Response::new(()).into_parts();
         head.status = status;
-        head.headers = read_headers(headers)?;
+        head.headers = read_headers(&headers)?;
         let is_events = exchange.is_event_stream(&head);
         let name = peer.name.clone();
         let body =
@@ -96,6 +109,7 @@
         // Like the last chunk, the last event marks the end of the body.
         let body = WholeBody::new(name, Framing::Chunked, body, is_events).boxed();
         flight.endpoint = endpoint;
+        flight.software_version = software_version;
         let response = Response::from_parts(head, body);
         Ok(StartedResponse { source: Source::Peer(flight), response })
     }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -24,7 +24,7 @@
 use super::stream;
 use super::trial::Trial;
 use crate::http::{Answer, header, is_event_stream};
-use crate::message::{RequestContent, RequestKey};
+use crate::message::{RequestContent, RequestKey, StreamOrigin};
 use crate::policy::resend::{FailureCause, FailureKind};
 use crate::routing::{Repeat, RouteMatch};
 
@@ -91,6 +91,9 @@
     pub(super) is_detour: bool,
     /// The number of endpoints that the request may be sent to.
     attempts: u32,
+    /// Where the stream began of which the client has received an event; only endpoints of this
+    /// service and software version can continue it.
+    pub(super) origin: Option<StreamOrigin>,
 }
 
 impl Exchange {
@@ -141,9 +144,17 @@
             was_rejected: false,
             is_detour: false,
             attempts,
+            origin: None,
         }
     }
 
+    /// Binds it to the place where the stream began that it resumes.
+    #[must_use]
+    pub(super) fn with_origin(mut self, origin: Option<StreamOrigin>) -> Self {
+        self.origin = origin;
+        self
+    }
+
     /// Makes it a request that another gateway read, which may be sent to `attempts` more endpoints
     /// and has been sent to those of `tried`.
     #[must_use]
@@ -161,6 +172,9 @@
     }
 
     pub(super) async fn run(mut self) -> Answer {
+        if let Err(reason) = self.find_origin().await {
+            return self.give_up(Failure::NotSent(reason));
+        }
         let started = match self.start(None).await {
             Ok(started) => started,
             Err(failure) => return self.give_up(failure),
@@ -230,7 +244,7 @@
             self.held_version = picked.held_version;
             self.expected_ms = picked.expected_ms;
             self.rank = picked.rank.unwrap_or(self.priority());
-            let Target { id, name, address, weights_version, place, .. } = picked;
+            let Target { id, name, address, software_version, weights_version, place, .. } = picked;
             let now_ms = self.relay.now_ms();
             self.sent_at_ms = now_ms;
             self.response_started_at_ms = None;
@@ -246,7 +260,7 @@
                 priority: self.rank,
                 workspace: self.access.workspace_name(),
             };
-            match self.attempt(&send, address, place).await {
+            match self.attempt(&send, address, software_version, place).await {
                 Attempt::Started(started) => {
                     self.possible_runs += 1;
                     self.last_data_at_ms = self.relay.now_ms();
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -1,7 +1,7 @@
 //! Tracks what a gateway knows of the endpoints: load, failures and the weights that each one
 //! holds.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -284,6 +284,18 @@
         state.map_or_else(|| "".into(), |state| state.endpoint.software_version.clone())
     }
 
+    /// The software versions of a service's endpoints that are not leaving, for logs.
+    pub(super) fn software_versions(&self, service: &str) -> String {
+        let mut versions = BTreeSet::new();
+        for id in self.by_service.get(service).into_iter().flatten() {
+            let Some(state) = self.endpoints.get(id) else { continue };
+            if !state.endpoint.leaving {
+                versions.insert(&*state.endpoint.software_version);
+            }
+        }
+        versions.into_iter().collect::<Vec<_>>().join(",")
+    }
+
     /// Returns the changes since the last call.
     pub fn take_traffic(&mut self, now_ms: u64) -> Traffic {
         let mut loads = Vec::new();
--- a/src/relay/known.rs
+++ b/src/relay/known.rs
@@ -153,6 +153,11 @@
         self.endpoint.leaving || now_ms < self.leaving_until_ms
     }
 
+    /// True if the endpoint has this software version, or if none is needed.
+    pub(super) fn has_software(&self, wanted: Option<&str>) -> bool {
+        wanted.is_none_or(|wanted| *self.endpoint.software_version == *wanted)
+    }
+
     /// The work that the endpoint did for all gateways.
     pub(super) fn work(&self, now_ms: u64) -> Work {
         self.own_work.get(now_ms) + self.others_work
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -28,6 +28,7 @@
 mod limits;
 mod liveness;
 mod orders;
+mod origins;
 mod out_of_reach;
 mod pick;
 mod pool;
--- a/src/relay/pick.rs
+++ b/src/relay/pick.rs
@@ -44,6 +44,8 @@
     pub leaves_reserve: bool,
     /// True for a request that already counts towards the demand because it was waiting.
     pub is_repeated: bool,
+    /// The software version that the endpoint must have; `None` if any will do.
+    pub software_version: Option<&'a str>,
 }
 
 impl<'a> PickRequest<'a> {
@@ -57,6 +59,7 @@
             free_slots_only: false,
             leaves_reserve: false,
             is_repeated: false,
+            software_version: None,
         }
     }
 }
@@ -72,6 +75,8 @@
         name: Arc<str>,
         /// The endpoint's address.
         address: SocketAddr,
+        /// The endpoint's software version.
+        software_version: Arc<str>,
         /// The version that its weights must have, if only one will do.
         weights_version: Option<u64>,
         /// The version that its weights are known to have.
@@ -103,6 +108,8 @@
     OutOfReach,
     /// No endpoint of the service is known to be up.
     NoEndpoint,
+    /// No endpoint of the service with the software version is known to be up.
+    NoVersion,
 }
 
 /// The result of a search for an endpoint.
@@ -152,6 +159,8 @@
     room: RoomWanted,
     /// False for a request that already counts towards the demand.
     counts_demand: bool,
+    /// The software version that the endpoint must have; `None` if any will do.
+    software_version: Option<&'a str>,
 }
 
 impl<'a> Search<'a> {
@@ -164,7 +173,10 @@
         found: &mut Found<'a>,
     ) {
         let Some(state) = self.endpoints.get(id) else { return };
-        if state.is_leaving(self.now_ms) || &*state.endpoint.service != self.service {
+        if state.is_leaving(self.now_ms)
+            || &*state.endpoint.service != self.service
+            || !state.has_software(self.software_version)
+        {
             return;
         }
         found.up += 1;
@@ -250,6 +262,11 @@
             return Picked::OutOfReach;
         }
         let Some(ids) = self.by_service.get(service) else { return Picked::NoEndpoint };
+        if request.software_version.is_some()
+            && !self.has_endpoint_except(now_ms, service, request.software_version, &[])
+        {
+            return Picked::NoVersion;
+        }
         let due = weights.map_or(0, |name| self.version_due(now_ms, name));
         let search = Search {
             now_ms,
@@ -264,6 +281,7 @@
             due,
             room,
             counts_demand: !is_repeated,
+            software_version: request.software_version,
         };
         // Few endpoints hold a given adapter, so only these are considered.
         let ids: Vec<&Arc<str>> = match weights {
@@ -297,7 +315,7 @@
             return picked;
         }
         let totals = SearchTotals::new(found);
-        self.unavailable(now_ms, service, wanted, totals)
+        self.unavailable(now_ms, request, totals)
     }
 
     /// True if many gateways draw plain endpoints that differ in speed.
@@ -330,10 +348,10 @@
     fn unavailable(
         &mut self,
         now_ms: u64,
-        service: &str,
-        wanted: Option<&Wanted>,
+        request: &PickRequest<'_>,
         totals: SearchTotals,
     ) -> Picked {
+        let PickRequest { service, wanted, software_version, .. } = *request;
         let SearchTotals { up, holding, coming, out_of_reach, throttled } = totals;
         if out_of_reach > 0 && out_of_reach == holding {
             return Picked::OutOfReach;
@@ -347,7 +365,7 @@
         }
         let is_adapter = wanted.is_some_and(|wanted| wanted.weights.adapter.is_some());
         let can_load_elsewhere =
-            is_adapter && self.has_endpoint_except(now_ms, service, &throttled);
+            is_adapter && self.has_endpoint_except(now_ms, service, software_version, &throttled);
         let next = throttled.iter().min_by_key(|throttled| throttled.wait_ms);
         if let Some(next) = next
             && !can_load_elsewhere
@@ -360,21 +378,24 @@
 
     /// True if an endpoint of the service is up and not leaving.
     fn has_endpoint(&self, now_ms: u64, service: &str) -> bool {
-        self.has_endpoint_except(now_ms, service, &[])
+        self.has_endpoint_except(now_ms, service, None, &[])
     }
 
-    /// True if an endpoint of the service that is not in `throttled` is up and not leaving.
+    /// True if an endpoint of the service that is not in `throttled` is up and not leaving, and has
+    /// the software version if one is needed.
     fn has_endpoint_except(
         &self,
         now_ms: u64,
         service: &str,
+        software_version: Option<&str>,
         throttled: &[ThrottledEndpoint],
     ) -> bool {
         let Some(ids) = self.by_service.get(service) else { return false };
         for id in ids {
             let is_throttled = throttled.iter().any(|throttled| throttled.id == *id);
-            let is_leaving = self.endpoints.get(id).is_none_or(|state| state.is_leaving(now_ms));
-            if !is_throttled && !is_leaving {
+            let Some(state) = self.endpoints.get(id) else { continue };
+            let has_software = state.has_software(software_version);
+            if !is_throttled && has_software && !state.is_leaving(now_ms) {
                 return true;
             }
         }
@@ -434,6 +455,7 @@
         id: state.endpoint.id.clone(),
         name: state.endpoint.name.clone(),
         address: state.endpoint.address,
+        software_version: state.endpoint.software_version.clone(),
         // The endpoint refuses the request if it holds another version than recorded here.
         weights_version: held.filter(|_| due > 0),
         held_version: held,
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -83,8 +83,18 @@
     },
     /// The key is missing or not valid.
     Unauthorized(KeyRefusal),
+    /// Nobody knows at which software version the stream began that the client resumes.
+    OriginUnknown,
+    /// No endpoint has the software version at which the stream began.
+    VersionGone,
 }
 
+/// `Retry-After` of a stream whose beginning is not known: a leader that was just elected learns of
+/// it within that time.
+const ORIGIN_UNKNOWN_RETRY_MS: u64 = 500;
+/// `Retry-After` of a stream whose software version is gone: an endpoint takes seconds to start.
+const VERSION_GONE_RETRY_MS: u64 = 2_000;
+
 /// Why a request got no response.
 pub(super) enum Failure {
     NotSent(NotSent),
@@ -110,6 +120,8 @@
         | NotSent::QuotaUnknown { after_ms }
         | NotSent::KeysUnknown { after_ms } => after_ms,
         NotSent::Unauthorized(_) => 0,
+        NotSent::OriginUnknown => ORIGIN_UNKNOWN_RETRY_MS,
+        NotSent::VersionGone => VERSION_GONE_RETRY_MS,
     }
 }
 
@@ -149,6 +161,13 @@
             refuse_unavailable("which keys are valid is not known for certain", after_ms)
         }
         NotSent::Unauthorized(refusal) => unauthorized(refusal),
+        NotSent::OriginUnknown => {
+            refuse_unavailable("it is not known which software version began the stream", after_ms)
+        }
+        NotSent::VersionGone => refuse_unavailable(
+            "no endpoint has the software version that began the stream",
+            after_ms,
+        ),
     }
 }
 
--- a/src/relay/selection.rs
+++ b/src/relay/selection.rs
@@ -30,6 +30,7 @@
     pub(super) id: Arc<str>,
     pub(super) name: Arc<str>,
     pub(super) address: std::net::SocketAddr,
+    pub(super) software_version: Arc<str>,
     pub(super) weights_version: Option<u64>,
     pub(super) held_version: Option<u64>,
     pub(super) rank: Option<u8>,
@@ -71,6 +72,7 @@
         Picked::Endpoint { .. } => "",
         Picked::OutOfReach => "endpoints are out of reach",
         Picked::NoEndpoint => NO_ENDPOINT,
+        Picked::NoVersion => "no endpoint has the stream's software version",
         Picked::Full => ENDPOINT_FULL,
         Picked::Limited { .. } => "endpoints limit what they take",
         Picked::BackingOff { .. } => "endpoints asked for backoff",
@@ -215,6 +217,9 @@
         if *picked == Picked::OutOfReach {
             return Err(NotSent::OutOfReach);
         }
+        if *picked == Picked::NoVersion {
+            return Err(NotSent::VersionGone);
+        }
         self.ask_for_weights(now_ms, wait, *picked == Picked::Full);
         self.note_capacity_wait(wait);
         if now_ms >= self.ends_at_ms {
@@ -249,6 +254,7 @@
             free_slots_only: is_late || is_over_share,
             leaves_reserve: is_over_share,
             is_repeated: !wait.for_reason.is_empty(),
+            software_version: self.software_version(),
             ..PickRequest::new(&self.chosen.service.name, wanted.as_ref(), &self.tried)
         };
         match self.relay.fleet().pick_for(now_ms, &request) {
@@ -256,6 +262,7 @@
                 id,
                 name,
                 address,
+                software_version,
                 weights_version,
                 held_version,
                 rank,
@@ -264,6 +271,7 @@
                 id,
                 name,
                 address,
+                software_version,
                 weights_version,
                 held_version,
                 rank,
@@ -306,7 +314,9 @@
         let requests = u32::from(wait.asked_at_ms.is_none());
         wait.asked_at_ms = Some(now_ms);
         let service = self.chosen.service.name.clone();
-        let need = AdapterNeed { service, weights: weights.clone(), requests, more };
+        let software_version = self.software_version().map(Into::into);
+        let need =
+            AdapterNeed { service, weights: weights.clone(), requests, more, software_version };
         self.relay.request_weights(need);
     }
 
@@ -362,6 +372,11 @@
         self.meta.weights.as_ref().filter(|_| self.chosen.service.engine.is_some())
     }
 
+    /// The software version that an endpoint must have; `None` if any will do.
+    fn software_version(&self) -> Option<&str> {
+        self.origin.as_ref().map(|origin| &*origin.software_version)
+    }
+
     /// When the latency objective passes.
     fn objective_at_ms(&self) -> u64 {
         self.started_ms + self.chosen.route.latency_objective_ms
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -75,6 +75,7 @@
         relay.fleet().forget_loads(relay.now_ms());
         relay.quota.unlinked();
         relay.shares.unlinked();
+        relay.origins.unlinked();
         tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
     }
 }
@@ -134,6 +135,7 @@
                         relay.fleet().request_full_uses();
                         relay.quota.linked();
                         relay.shares.linked();
+                        relay.origins.linked(last_message_at_ms);
                         let loads = relay.fleet().all_loads(last_message_at_ms);
                         let (used, failing) = (Vec::new(), Vec::new());
                         send(&mut sender, &SessionUp::Traffic { loads, used, failing }).await?;
@@ -178,6 +180,12 @@
                 offered += 1;
                 offer_at_ms = relay.now_ms() + offer_interval_ms(offered);
             }
+            () = relay.origins.wanted.notified(), if is_welcome => {
+                tell_origins(relay, &mut sender).await?;
+            }
+            () = relay.clock.sleep_until(relay.origins.tell_at_ms()), if is_welcome => {
+                tell_origins(relay, &mut sender).await?;
+            }
             () = relay.quota.wanted.notified(), if is_welcome => {
                 ask_for_credit(relay, &mut sender).await?;
             }
@@ -231,6 +239,18 @@
     send(sender, &SessionUp::OfferDetours { address, out_of_reach }).await
 }
 
+/// Tells the leader where streams began, if that is due, and asks where others did.
+async fn tell_origins(relay: &Relay, sender: &mut Sender<SessionUp>) -> Result<()> {
+    let begun = relay.origins.take_begun(relay.now_ms());
+    if !begun.is_empty() {
+        send(sender, &SessionUp::StreamsBegun(begun)).await?;
+    }
+    for ask in relay.origins.take_asks() {
+        send(sender, &SessionUp::AskOrigin(ask)).await?;
+    }
+    Ok(())
+}
+
 /// Asks for the credit that requests wait for, or will soon need.
 async fn ask_for_credit(relay: &Relay, sender: &mut Sender<SessionUp>) -> Result<()> {
     let asks = relay.quota.take_asks();
@@ -269,7 +289,7 @@
     let mut by_weights = HashMap::new();
     let mut next = Some(first);
     while let Some(need) = next {
-        let key = (need.service.clone(), need.weights.clone());
+        let key = (need.service.clone(), need.weights.clone(), need.software_version.clone());
         let known =
             by_weights.entry(key).or_insert_with(|| AdapterNeed { requests: 0, ..need.clone() });
         known.requests += need.requests;
@@ -294,6 +314,9 @@
         SessionDown::Loads(loads) => relay.apply_loads(loads),
         SessionDown::Credit(grants) => relay.quota.granted(grants),
         SessionDown::WorkspaceUse(uses) => relay.shares.note_others(uses),
+        SessionDown::Origin { stream, origin, .. } => {
+            relay.origins.answered(&stream, origin.as_ref());
+        }
         SessionDown::Welcome { .. }
         | SessionDown::NotLeader { .. }
         | SessionDown::Expired
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -15,6 +15,7 @@
 use super::fleet::Fleet;
 use super::gateway_count::{GatewayCount, NO_SHARE};
 use super::orders::SendLease;
+use super::origins::Origins;
 use super::pool::ConnectionPool;
 use super::queue::RequestQueue;
 use super::quota::QuotaGate;
@@ -55,6 +56,7 @@
     pub(super) send_lease: SendLease,
     pub(super) quota: QuotaGate,
     pub(super) shares: Shares,
+    pub(super) origins: Origins,
     pub(super) clock: Clock,
     fleet: Mutex<Fleet>,
     table: RwLock<Arc<RouteTable>>,
@@ -105,6 +107,7 @@
             send_lease: SendLease::new(clock),
             quota: QuotaGate::new(clock),
             shares: Shares::new(clock, rand::rng().random()),
+            origins: Origins::new(clock),
             clock,
             fleet: Mutex::new(fleet),
             table: RwLock::default(),
--- a/src/relay/source.rs
+++ b/src/relay/source.rs
@@ -36,6 +36,14 @@
         }
     }
 
+    /// The software version of the endpoint that answers.
+    pub(super) fn software_version(&self) -> &Arc<str> {
+        match self {
+            Self::Endpoint(flight, _) => &flight.software_version,
+            Self::Peer(flight) => &flight.software_version,
+        }
+    }
+
     /// The other gateway through which the response comes; empty if there is none.
     pub(super) fn peer(&self) -> &str {
         match self {
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -1,5 +1,7 @@
 //! Forwards streams, and resumes a broken event stream at another endpoint.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use futures_util::stream;
 use http::header::CONTENT_LENGTH;
@@ -11,12 +13,14 @@
 
 use super::exchange::{ENDPOINT_ENDED, Exchange, remove_connection_headers};
 use super::handler::InProgress;
+use super::refusal::Failure;
 use super::source::{Source, StartedResponse};
 use super::speed::EventTimes;
 use crate::clock::Clock;
 use crate::error::{Error, Result};
 use crate::events::EventSplitter;
 use crate::http::{Answer, AnswerBody, Framing};
+use crate::metrics::Counter;
 use crate::routing::Repeat;
 
 /// A stream that is being forwarded.
@@ -100,6 +104,9 @@
                     return Some((Ok(Frame::data(data)), Some(running)));
                 };
                 let Some(whole) = events.push(&data) else { continue };
+                if running.can_resume {
+                    running.exchange.note_stream_begun(running.endpoint.source.software_version());
+                }
                 return Some((Ok(Frame::data(whole)), Some(running)));
             }
             Ok(None) => return finish(running),
@@ -160,21 +167,29 @@
         exchange.relay.note_failure(&peer);
     }
     drop(endpoint);
-    let route = exchange.chosen.route.name.clone();
-    let broken = || {
-        warn!(event = "stream_broken", request = %id, route = %route, endpoint = %peer, error = %error);
-        Error::failed("pass stream on", peer.clone(), error)
+    let broken = |exchange: &Exchange, not_resumed: &str| {
+        exchange.note_broken(&peer, &from_software, error, not_resumed)
+    };
+    let Some(mut events) = events.filter(|_| can_resume) else {
+        return Err(broken(&exchange, "the route does not allow it"));
     };
-    let Some(mut events) = events.filter(|_| can_resume) else { return Err(broken()) };
     events.drop_partial();
     let last_event = events.last_event();
-    if !events.is_at_event_boundary() || !exchange.can_send_again() {
-        return Err(broken());
+    if !events.is_at_event_boundary() {
+        return Err(broken(&exchange, "the client has a part of an event"));
+    }
+    if !exchange.can_send_again() {
+        return Err(broken(&exchange, "no attempt or no time is left"));
     }
     if end.is_some() {
         exchange.wait_for_evaluation(&peer).await;
     }
-    let Ok(started) = exchange.start(last_event).await else { return Err(broken()) };
+    let started = match exchange.start(last_event).await {
+        Ok(started) => started,
+        Err(Failure::NotSent(reason)) => return Err(broken(&exchange, &format!("{reason:?}"))),
+        Err(Failure::Unknown(detail)) => return Err(broken(&exchange, &detail)),
+    };
+    exchange.relay.metrics.count(Counter::StreamsResumed);
     let software = exchange.relay.fleet().software_version(started.source.endpoint());
     info!(
         event = "stream_resumed",
@@ -187,12 +202,37 @@
         last_event = last_event.unwrap_or(0)
     );
     if !started.response.status().is_success() {
-        return Err(broken());
+        return Err(broken(&exchange, "the endpoint refused"));
     }
     let endpoint = Upstream::new(started);
     Ok(ForwardedStream { exchange, endpoint, events: Some(events), can_resume })
 }
 
+impl Exchange {
+    /// Logs and counts a stream that its client does not receive whole.
+    fn note_broken(
+        &self,
+        endpoint: &Arc<str>,
+        software: &str,
+        error: &Error,
+        not_resumed: &str,
+    ) -> Error {
+        let serving = self.relay.fleet().software_versions(&self.chosen.service.name);
+        warn!(
+            event = "stream_broken",
+            request = %self.meta.id,
+            route = %self.chosen.route.name,
+            endpoint = %endpoint,
+            software,
+            serving = %serving,
+            error = %error,
+            not_resumed
+        );
+        self.relay.metrics.count(Counter::StreamsBroken);
+        Error::failed("pass stream on", endpoint.clone(), error)
+    }
+}
+
 /// A body that keeps `counted` until it has ended.
 pub(super) fn hold(body: AnswerBody, counted: InProgress) -> AnswerBody {
     if body.is_end_stream() {
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -121,6 +121,12 @@
         Some(RouteMatch { route, service })
     }
 
+    /// The service `name` if it is a target of `route`.
+    pub fn target(&self, route: &Route, name: &str) -> Option<Arc<ServiceSpec>> {
+        let target = route.targets.iter().find(|target| &*target.service == name)?;
+        self.services.get(&target.service).cloned()
+    }
+
     fn find_route(&self, host: &str, path: &str) -> Option<Arc<Route>> {
         let host = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
         let prefixes = self.by_host.get(host.as_str())?;
--- a/tests/distribution.rs
+++ b/tests/distribution.rs
@@ -364,8 +364,13 @@
     let mut zone = Zone::linked();
     zone.welcome(1, "g1");
     zone.sent_to_leader();
-    let need =
-        AdapterNeed { service: "quotes".into(), weights: weights("a9"), requests: 1, more: false };
+    let need = AdapterNeed {
+        service: "quotes".into(),
+        weights: weights("a9"),
+        requests: 1,
+        more: false,
+        software_version: None,
+    };
     zone.distributor.handle_session_message(0, 1, SessionUp::Needs(vec![need]));
     let result = OrderResult {
         number: 3,
@@ -390,8 +395,13 @@
     let mut zone = Zone::linked();
     zone.welcome(1, "g1");
     zone.distributor.unlinked(zone.now_ms);
-    let need =
-        AdapterNeed { service: "quotes".into(), weights: weights("a9"), requests: 1, more: false };
+    let need = AdapterNeed {
+        service: "quotes".into(),
+        weights: weights("a9"),
+        requests: 1,
+        more: false,
+        software_version: None,
+    };
     zone.distributor.handle_session_message(0, 1, SessionUp::Needs(vec![need]));
     zone.advance(200);
     zone.link();
--- a/tests/fuzz_wire.rs
+++ b/tests/fuzz_wire.rs
@@ -17,11 +17,12 @@
 use serde::de::DeserializeOwned;
 use winchvane::control::raft::{Entry, Envelope, Members, Message, Payload, Snapshot};
 use winchvane::message::{
-    AdapterKey, AdapterNeed, Change, DetourRefusal, DetourRequest, EndpointLoad, EngineOrder,
-    EngineReport, Forwarded, Group, Heartbeat, Holding, Load, LoadReport, NewestVersion, OrderKind,
-    OrderOutcome, OrderResult, PeerEvent, PeerMessage, PeerRequest, Placed, RegisteredEndpoint,
-    SessionDown, SessionHello, SessionRole, SessionServer, SessionUp, Summary, UseCounts, Weights,
-    WeightsName, WeightsUse, WorkspaceUse,
+    AdapterKey, AdapterNeed, BegunStreams, Change, DetourRefusal, DetourRequest, EndpointLoad,
+    EngineOrder, EngineReport, Forwarded, Group, Heartbeat, Holding, Load, LoadReport,
+    NewestVersion, OrderKind, OrderOutcome, OrderResult, OriginAsk, PeerEvent, PeerMessage,
+    PeerRequest, Placed, RegisteredEndpoint, SessionDown, SessionHello, SessionRole, SessionServer,
+    SessionUp, StreamKey, StreamOrigin, Summary, UseCounts, Weights, WeightsName, WeightsUse,
+    WorkspaceUse,
 };
 use winchvane::routing::{ApiKey, Credential};
 
@@ -43,6 +44,16 @@
     vec((weights_name(), any::<u64>()).prop_map(|(name, version)| Weights { name, version }), 0..4)
 }
 
+fn stream_key() -> impl Strategy<Value = StreamKey> {
+    (proptest::option::of(name()), name())
+        .prop_map(|(workspace, attempt)| StreamKey::new(workspace.as_deref(), &attempt))
+}
+
+fn stream_origin() -> impl Strategy<Value = StreamOrigin> {
+    (name(), name())
+        .prop_map(|(service, software_version)| StreamOrigin { service, software_version })
+}
+
 fn registered_endpoint() -> impl Strategy<Value = RegisteredEndpoint> {
     let names = (name(), name(), name(), name());
     (names, arbitrary(), arbitrary(), arbitrary()).prop_map(
@@ -165,9 +176,18 @@
             })
         },
     );
-    let need = (name(), weights_name(), arbitrary(), arbitrary()).prop_map(
-        |(service, weights, requests, more)| AdapterNeed { service, weights, requests, more },
-    );
+    let need = (name(), weights_name(), arbitrary(), arbitrary(), proptest::option::of(name()))
+        .prop_map(|(service, weights, requests, more, software_version)| AdapterNeed {
+            service,
+            weights,
+            requests,
+            more,
+            software_version,
+        });
+    let begun = (stream_origin(), vec(stream_key(), 0..4))
+        .prop_map(|(origin, streams)| BegunStreams { origin, streams });
+    let ask = (stream_key(), proptest::option::of(name()))
+        .prop_map(|(stream, service)| OriginAsk { stream, service });
     prop_oneof![
         hello,
         (arbitrary(), vec(summary(), 0..3))
@@ -175,6 +195,8 @@
         Just(SessionUp::Leave),
         (name(), arbitrary()).prop_map(|(endpoint, epoch)| SessionUp::Release { endpoint, epoch }),
         vec(need, 0..3).prop_map(SessionUp::Needs),
+        vec(begun, 0..3).prop_map(SessionUp::StreamsBegun),
+        ask.prop_map(SessionUp::AskOrigin),
         order_result().prop_map(SessionUp::Ordered),
         (vec(endpoint_load(), 0..3), vec(weights_use(), 0..3), vec(name(), 0..3))
             .prop_map(|(loads, used, failing)| SessionUp::Traffic { loads, used, failing }),
@@ -192,8 +214,10 @@
 /// A message that one gateway sends to another.
 fn peer_request() -> impl Strategy<Value = PeerRequest> {
     let numbers = (arbitrary(), arbitrary(), arbitrary(), arbitrary(), arbitrary());
-    let detour = (name(), numbers, vec(header(), 0..4), vec(name(), 0..3), arbitrary()).prop_map(
-        |(gateway, numbers, headers, tried, body)| {
+    let origin = proptest::option::of(stream_origin());
+    let lists = (vec(header(), 0..4), vec(name(), 0..3));
+    let detour = (name(), numbers, lists, origin, arbitrary()).prop_map(
+        |(gateway, numbers, (headers, tried), origin, body)| {
             let (routing_version, age_ms, left_ms, attempts, last_event) = numbers;
             PeerRequest::Detour(Box::new(DetourRequest {
                 gateway,
@@ -207,6 +231,7 @@
                 attempts,
                 tried,
                 last_event,
+                origin,
                 body,
             }))
         },
@@ -216,8 +241,14 @@
 
 /// The answer to it.
 fn peer_event() -> impl Strategy<Value = PeerEvent> {
-    let head = (name(), arbitrary(), arbitrary(), vec(header(), 0..4)).prop_map(
-        |(endpoint, runs, status, headers)| PeerEvent::Head { endpoint, runs, status, headers },
+    let head = (name(), name(), arbitrary(), arbitrary(), vec(header(), 0..4)).prop_map(
+        |(endpoint, software_version, runs, status, headers)| PeerEvent::Head {
+            endpoint,
+            software_version,
+            runs,
+            status,
+            headers,
+        },
     );
     prop_oneof![
         head,
@@ -307,6 +338,8 @@
         order.prop_map(SessionDown::Order),
         group.prop_map(SessionDown::Group),
         arbitrary().prop_map(|number| SessionDown::RenewedFor { number }),
+        (name(), stream_key(), proptest::option::of(stream_origin()))
+            .prop_map(|(gateway, stream, origin)| SessionDown::Origin { gateway, stream, origin }),
     ]
 }
 
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -85,6 +85,7 @@
             weights: adapter(number),
             requests: 1,
             more: false,
+            software_version: None,
         };
         self.placement.note_needs(self.now_ms, &"a".into(), vec![need]);
     }
