soak: engines cut streams inside events, half of them without a length

Change: half of the streams end with their connection; the mix streams has engines that cut a share of their streams at any byte.

--- a/soak/src/engine/mod.rs
+++ b/soak/src/engine/mod.rs
@@ -57,6 +57,8 @@
     delays_orders: AtomicBool,
     ends_silently: AtomicBool,
     event_pause_ms: AtomicU64,
+    /// The share of streams that end inside an event.
+    cut_percent: AtomicU64,
     waiting: AtomicUsize,
     /// Its overload signal and received requests.
     pub overload: Overload,
@@ -133,6 +135,7 @@
             delays_orders: AtomicBool::new(false),
             ends_silently: AtomicBool::new(false),
             event_pause_ms: AtomicU64::new(EVENT_PAUSE.as_millis() as u64),
+            cut_percent: AtomicU64::new(0),
             waiting: AtomicUsize::new(0),
             overload: Overload::new(),
         })
@@ -208,6 +211,11 @@
         self.event_pause_ms.store(pause.as_millis() as u64, Ordering::SeqCst);
     }
 
+    /// Cuts this share of its streams inside an event from now on.
+    pub fn cut_streams(&self, percent: u64) {
+        self.cut_percent.store(percent, Ordering::SeqCst);
+    }
+
     /// Stands still, or goes on: what comes meanwhile is read, and nothing begins or is answered.
     pub fn pause(&self, paused: bool) {
         self.paused.send_replace(paused);
@@ -389,7 +397,8 @@
             tokio::spawn(self.clone().crash_under_it(life.clone()));
         }
         let first = text(headers, "last-event-id").parse::<u64>().map_or(1, |last| last + 1);
-        running.streamed(id, first)
+        let is_cut = rand::random_range(0..100) < self.cut_percent.load(Ordering::SeqCst);
+        running.streamed(id, first, is_cut)
     }
 
     async fn crash_under_it(self: Arc<Self>, life: Arc<Life>) {
@@ -416,8 +425,11 @@
 }
 
 impl Running {
-    fn streamed(self, id: &str, first: u64) -> Answer {
+    /// Half of the streams have neither a length nor chunks.
+    fn streamed(self, id: &str, first: u64, is_cut: bool) -> Answer {
         let id_owned = id.to_owned();
+        let cut_at = if is_cut { rand::random_range(first..=EVENTS.max(first)) } else { u64::MAX };
+        let has_chunks: bool = rand::random();
         let frames = stream::unfold((self, first), move |(running, number)| {
             let id = id_owned.clone();
             async move {
@@ -426,11 +438,21 @@
                 }
                 tokio::time::sleep(running.event_pause).await;
                 running.life.wait_until_running().await;
-                let event = format!("id: {number}\ndata: {id}\n\n");
+                let mut event = format!("id: {number}\ndata: {id}\n\n");
+                if number > cut_at {
+                    return Some((Err(std::io::Error::other("cut")), (running, number)));
+                }
+                if number == cut_at {
+                    event.truncate(rand::random_range(1..event.len()));
+                    let next = if has_chunks { number + 1 } else { EVENTS + 1 };
+                    return Some((Ok(Frame::data(Bytes::from(event))), (running, next)));
+                }
                 Some((Ok(Frame::data(Bytes::from(event))), (running, number + 1)))
             }
         });
+        let version = if has_chunks { http::Version::HTTP_11 } else { http::Version::HTTP_10 };
         head(StatusCode::OK, id)
+            .version(version)
             .header("content-type", "text/event-stream")
             .body(StreamBody::new(frames).boxed())
             .expect("the parts are valid")
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -30,6 +30,7 @@
     StartEngine(usize),
     ResumeEngine(usize),
     OrdersInTime(usize),
+    WholeStreams(usize),
     StartControl,
     GoOn(usize),
     EndpointSignal(usize),
@@ -54,6 +55,8 @@
     Overload,
     /// The faults of `All`, and more often gateways that are cut off from all endpoints.
     Cut,
+    /// The faults of `All`, and more often engines that cut streams inside events.
+    Streams,
 }
 
 impl Mix {
@@ -114,6 +117,15 @@
             }
             continue;
         }
+        if mix == Mix::Streams && rng.random_range(0..3) > 0 {
+            let engine = rng.random_range(0..region.engines.len());
+            let percent = rng.random_range(20..100);
+            record.fault(format!("{} cuts {percent} % of streams", region.engines[engine].id()));
+            region.engines[engine].cut_streams(percent);
+            let at = Instant::now() + Duration::from_millis(rng.random_range(1_000..6_000));
+            repairs.push(Repair { at, what: End::WholeStreams(engine) });
+            continue;
+        }
         let is_engine = mix == Mix::Endpoints || rng.random_range(0..4) == 0;
         if is_engine {
             let lasts = Duration::from_millis(rng.random_range(200..8_000));
@@ -157,6 +169,7 @@
             }
             End::ResumeEngine(engine) => region.engines[engine].pause(false),
             End::OrdersInTime(engine) => region.engines[engine].delay_orders(false),
+            End::WholeStreams(engine) => region.engines[engine].cut_streams(0),
             End::GoOn(endpoint) => region.endpoints[endpoint].set_stalls(false),
             End::Cut(gateway) => region.cut(gateway, None),
             End::EndpointSignal(endpoint) => region.end_endpoint_signal(endpoint),
@@ -195,7 +208,8 @@
             | End::EngineSignal(_)
             | End::StartEngine(_)
             | End::ResumeEngine(_)
-            | End::OrdersInTime(_) => false,
+            | End::OrdersInTime(_)
+            | End::WholeStreams(_) => false,
         };
         lost += usize::from(is_control);
     }
--- a/soak/src/region.rs
+++ b/soak/src/region.rs
@@ -289,6 +289,7 @@
         for engine in &self.engines {
             engine.pause(false);
             engine.delay_orders(false);
+            engine.cut_streams(0);
             if !engine.is_running()
                 && let Err(error) = engine.start().await
             {
