soak: engines of two software versions, and clients that resume streams at any gateway

Change: in the mix streams every other engine runs v1.2; engines tell their version in a comment of each event; resuming clients check that a stream holds each event once and of one version, that a whole one is whole, and, while the system is undisturbed, that half of what they resume goes on.

--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -143,7 +143,7 @@
     body: Bytes,
     record: &Record,
 ) -> (String, End) {
-    let id = format!("r{}", NEXT.fetch_add(1, Ordering::SeqCst));
+    let id = next_id();
     record.sent(&id, kind);
     let Some(mut open) = connect(address).await else {
         return (id, End::Unknown("no connection".to_owned()));
@@ -166,7 +166,7 @@
     record: &Record,
     note: impl FnOnce(&str),
 ) -> (String, End) {
-    let id = format!("r{}", NEXT.fetch_add(1, Ordering::SeqCst));
+    let id = next_id();
     record.sent(&id, Kind::Keyed);
     note(&id);
     let Some(mut open) = connect(address).await else {
@@ -215,7 +215,7 @@
             connection = None;
             continue;
         }
-        let id = format!("r{}", NEXT.fetch_add(1, Ordering::SeqCst));
+        let id = next_id();
         record.sent(&id, kind);
         let limit = Duration::from_millis(deadline_ms(kind) + 500);
         let asked = ask(open, gateways[gateway], &id, kind, &record);
@@ -265,36 +265,56 @@
     body: Bytes,
     record: &Record,
 ) -> End {
-    let (method, path) = match kind {
-        Kind::Once => (Method::POST, "/once/x"),
-        Kind::Any => (Method::GET, "/any/x"),
-        Kind::Stream => (Method::POST, "/stream/x"),
-        Kind::Adapter => (Method::POST, "/engine/x"),
-        Kind::Keyed => (Method::POST, "/keyed/x"),
-    };
-    let mut request = Request::builder()
-        .method(method)
-        .uri(path)
-        .header("host", HOST)
-        .header("request-id", id)
-        .header(SENT_TO, gateway.to_string())
-        .header("deadline-ms", deadline_ms(kind));
-    if let Some(adapter) = adapter {
-        request = request
-            .header("model", format!("{BASE}/{adapter}"))
-            .header("token-counts", "300,40")
-            .header("prompt-prefix", "1:200,2:100");
-    }
-    if NEXT.load(Ordering::SeqCst).is_multiple_of(FORGES_EVERY) {
-        for name in FORGED_HEADERS {
-            request = request.header(name, FORGED);
+    let request = Ask { gateway, id, kind, adapter }.request(body);
+    answer_to(open, request, id, kind, record).await
+}
+
+/// One request of a client.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Ask<'a> {
+    pub(crate) gateway: SocketAddr,
+    pub(crate) id: &'a str,
+    pub(crate) kind: Kind,
+    pub(crate) adapter: Option<&'a str>,
+}
+
+impl Ask<'_> {
+    pub(crate) fn request(&self, body: Bytes) -> Request<Full<Bytes>> {
+        let Self { gateway, id, kind, adapter } = *self;
+        let (method, path) = match kind {
+            Kind::Once => (Method::POST, "/once/x"),
+            Kind::Any => (Method::GET, "/any/x"),
+            Kind::Stream => (Method::POST, "/stream/x"),
+            Kind::Adapter => (Method::POST, "/engine/x"),
+            Kind::Keyed => (Method::POST, "/keyed/x"),
+        };
+        let mut request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", HOST)
+            .header("request-id", id)
+            .header(SENT_TO, gateway.to_string())
+            .header("deadline-ms", deadline_ms(kind));
+        if let Some(adapter) = adapter {
+            request = request
+                .header("model", format!("{BASE}/{adapter}"))
+                .header("token-counts", "300,40")
+                .header("prompt-prefix", "1:200,2:100");
         }
+        if NEXT.load(Ordering::SeqCst).is_multiple_of(FORGES_EVERY) {
+            for name in FORGED_HEADERS {
+                request = request.header(name, FORGED);
+            }
+        }
+        if kind == Kind::Stream {
+            request = request.header("x-stream", "1");
+        }
+        request.body(Full::new(body)).expect("the parts are valid")
     }
-    if kind == Kind::Stream {
-        request = request.header("x-stream", "1");
-    }
-    let request = request.body(Full::new(body)).expect("the parts are valid");
-    answer_to(open, request, id, kind, record).await
+}
+
+pub(crate) fn next_id() -> String {
+    format!("r{}", NEXT.fetch_add(1, Ordering::SeqCst))
 }
 
 /// How a request ends.
@@ -329,12 +349,20 @@
         Kind::Once | Kind::Any | Kind::Keyed => format!("done {id}"),
         Kind::Stream | Kind::Adapter => events(id),
     };
-    if !stamped || body != expected.as_bytes() {
+    if !stamped || without_comments(&body) != expected.as_bytes() {
         record.breach(format!("request {id} got a success with a wrong or partial body"));
     }
     End::Served
 }
 
+/// Engines tell their software version in comments.
+fn without_comments(body: &[u8]) -> Vec<u8> {
+    body.split_inclusive(|byte| *byte == b'\n')
+        .filter(|line| !line.starts_with(b":"))
+        .collect::<Vec<_>>()
+        .concat()
+}
+
 fn events(id: &str) -> String {
     let mut events = Vec::new();
     for number in 1..=EVENTS {
--- a/soak/src/engine/mod.rs
+++ b/soak/src/engine/mod.rs
@@ -59,6 +59,7 @@
     event_pause_ms: AtomicU64,
     /// The share of streams that end inside an event.
     cut_percent: AtomicU64,
+    has_newer_software: AtomicBool,
     waiting: AtomicUsize,
     /// Its overload signal and received requests.
     pub overload: Overload,
@@ -84,6 +85,7 @@
 struct Life {
     born_ms: u64,
     address: SocketAddr,
+    software: &'static str,
     weights: Mutex<Weights>,
     /// What was read goes on one by one, in the order of arrival.
     turn: Semaphore,
@@ -136,6 +138,7 @@
             ends_silently: AtomicBool::new(false),
             event_pause_ms: AtomicU64::new(EVENT_PAUSE.as_millis() as u64),
             cut_percent: AtomicU64::new(0),
+            has_newer_software: AtomicBool::new(false),
             waiting: AtomicUsize::new(0),
             overload: Overload::new(),
         })
@@ -157,6 +160,7 @@
         let life = Arc::new(Life {
             born_ms: unix_ms(),
             address,
+            software: if self.has_newer_software.load(Ordering::SeqCst) { "v1.2" } else { "v1" },
             weights: Mutex::new(weights),
             turn: Semaphore::new(1),
             slots: Arc::new(Semaphore::new(SLOTS as usize)),
@@ -216,6 +220,11 @@
         self.cut_percent.store(percent, Ordering::SeqCst);
     }
 
+    /// Starts later incarnations with the newer software version, or the older one again.
+    pub fn set_newer_software(&self, newer: bool) {
+        self.has_newer_software.store(newer, Ordering::SeqCst);
+    }
+
     /// Stands still, or goes on: what comes meanwhile is read, and nothing begins or is answered.
     pub fn pause(&self, paused: bool) {
         self.paused.send_replace(paused);
@@ -282,7 +291,7 @@
             sequence += 1;
             let models = lock(&life.weights).tell(unix_ms());
             let body = json!({
-                "service": SERVICE, "address": life.address, "zone": "zone-1", "version": "v1",
+                "service": SERVICE, "address": life.address, "zone": "zone-1", "version": life.software,
                 "slots": SLOTS, "state": "ready", "cold_remaining_ms": 0, "stage": "both",
                 "models": models, "sequence": sequence, "born": life.born_ms,
             });
@@ -438,7 +447,8 @@
                 }
                 tokio::time::sleep(running.event_pause).await;
                 running.life.wait_until_running().await;
-                let mut event = format!("id: {number}\ndata: {id}\n\n");
+                let software = running.life.software;
+                let mut event = format!(": {software}\nid: {number}\ndata: {id}\n\n");
                 if number > cut_at {
                     return Some((Err(std::io::Error::other("cut")), (running, number)));
                 }
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -55,7 +55,8 @@
     Overload,
     /// The faults of `All`, and more often gateways that are cut off from all endpoints.
     Cut,
-    /// The faults of `All`, and more often engines that cut streams inside events.
+    /// The faults of `All`, while engines of two software versions serve side by side, and more
+    /// often engines that cut streams inside events.
     Streams,
 }
 
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod random_gateway_clients;
 pub mod record;
 pub mod region;
+pub mod resuming;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -15,7 +15,7 @@
 use winchvane_soak::faults::Mix;
 use winchvane_soak::record::Record;
 use winchvane_soak::region::{Region, Size};
-use winchvane_soak::{abusive, client, faults, keyed, operator};
+use winchvane_soak::{abusive, client, faults, keyed, operator, resuming};
 
 /// How long after the last fault everything must be served again; the users allow 12 s.
 const RECOVERY: Duration = Duration::from_secs(12);
@@ -61,6 +61,9 @@
     /// Clients that send a request which ends each engine that begins it, as long as faults come.
     #[arg(long, default_value_t = 0)]
     crashing_clients: u32,
+    /// Clients that resume broken streams at any gateway.
+    #[arg(long, default_value_t = 0)]
+    resuming_clients: u32,
     /// Clients with keys, of each of three workspaces.
     #[arg(long, default_value_t = 1)]
     keyed_clients: u32,
@@ -116,11 +119,17 @@
         Ok(region) => region,
         Err(error) => return vec![format!("the region did not start: {error}")],
     };
+    if arguments.mix == Mix::Streams
+        && let Err(error) = region.start_newer_software().await
+    {
+        return vec![format!("an engine did not start: {error}")];
+    }
     let gateways = region.gateway_addresses();
     let mut clients = client::start(gateways.clone(), arguments.clients, record.clone());
     let for_adapters = arguments.adapter_clients;
     clients.extend(client::start_for_adapters(gateways.clone(), for_adapters, record.clone()));
     clients.extend(abusive::start(&gateways, arguments.abusive_clients, seed, &record));
+    clients.extend(resuming::start(&gateways, arguments.resuming_clients, seed, &record));
     clients.extend(keyed::start(&gateways, arguments.keyed_clients, &record));
     let crashing = client::start_crashing(&gateways, arguments.crashing_clients, &record);
     let operator = operator::start_operator(region.control_addresses(), record.clone());
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -11,6 +11,8 @@
 /// The share of requests that must be answered well once faults are over.
 const SERVED_AFTER_RECOVERY: f64 = 0.95;
 
+/// Resumed streams from which on at least half must go on.
+const RESUMED_MIN: u32 = 12;
 /// How long after a newer version was acknowledged requests may begin on an older one.
 const VERSION_WITHIN: Duration = Duration::from_secs(5);
 /// How long after a fault of our own processes, or of what connects them, that time begins anew.
@@ -84,6 +86,8 @@
     calm: bool,
     read_back: Option<u64>,
     crashing: Vec<(Instant, Vec<u8>)>,
+    /// Streams that clients resumed while the system was undisturbed, and those of them that went on.
+    resumed: (u32, u32),
 }
 
 /// Everything seen in one run.
@@ -111,6 +115,13 @@
         inner.requests.insert(id.to_owned(), Seen { kind, runs: 0, end: None, calm });
     }
 
+    /// A client has resumed a stream.
+    pub fn resumed(&self, went_on: bool) {
+        let mut inner = self.inner();
+        inner.resumed.0 += 1;
+        inner.resumed.1 += u32::from(went_on);
+    }
+
     /// An endpoint begins to work on a request; the number of this run.
     pub fn run(&self, id: &str) -> u32 {
         let mut inner = self.inner();
@@ -316,7 +327,8 @@
         let refused = inner.requests.values().filter(is_refused).count();
         format!(
             "{} requests, {served} served, {refused} refused, {} faults, {} changes and {} renewals \
-             acknowledged; {} begun at engines, {} on older versions, {} late, the latest after {} ms",
+             acknowledged; {} begun at engines, {} on older versions, {} late, the latest after {} ms; \
+             {} resumed by clients, {} went on",
             inner.requests.len(),
             inner.faults.len(),
             inner.acknowledged.len(),
@@ -325,6 +337,8 @@
             inner.begun_older,
             inner.begun_late,
             inner.latest.as_millis(),
+            inner.resumed.0,
+            inner.resumed.1,
         )
     }
 
@@ -350,6 +364,10 @@
         if f64::from(served) < f64::from(calm) * SERVED_AFTER_RECOVERY || calm == 0 {
             breaches.push(format!("after recovery only {served} of {calm} requests were served"));
         }
+        let (resumed, went_on) = inner.resumed;
+        if resumed >= RESUMED_MIN && went_on * 2 < resumed {
+            breaches.push(format!("only {went_on} of {resumed} resumed streams went on"));
+        }
         let newest = inner.acknowledged.iter().map(|(version, _)| *version).max().unwrap_or(0);
         if inner.read_back.is_none_or(|version| version < newest) {
             breaches.push(format!("{newest} was acknowledged, read back: {:?}", inner.read_back));
--- a/soak/src/region.rs
+++ b/soak/src/region.rs
@@ -233,6 +233,19 @@
         (1..=self.size.gateways).map(|number| self.size.at(3, number, CLIENT_PORT)).collect()
     }
 
+    /// Restarts every other engine with a newer software version.
+    ///
+    /// # Errors
+    /// The address of an engine is in use.
+    pub async fn start_newer_software(&self) -> io::Result<()> {
+        for engine in self.engines.iter().step_by(2) {
+            engine.set_newer_software(true);
+            engine.crash();
+            engine.start().await?;
+        }
+        Ok(())
+    }
+
     /// Cuts the gateway with this number off from all endpoints, or ends its cut.
     pub fn cut(&self, gateway: u8, cut: Option<Cut>) {
         self.cuts.set(&format!("gateway-{gateway}"), cut);
