http: the HTTP version of an endpoint's answer is not passed on

Callers saw: nothing reported; the soak's clients of HTTP/1.1 did: broken streams of endpoints that answer as HTTP/1.0 ended with a clean close and looked complete. Cause: the head of an answer carries its version, and the server wrote it as HTTP/1.0, which has no chunks; only requests of HTTP/1.0 had their connections reset. Change: the server writes every answer in its own version.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -104,7 +104,12 @@
             reset_switch.reset_unless_shut_down();
         }
         let answer = handler.handle(request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        async move {
+            let mut answer = answer.await;
+            // An answer that is passed on may have the version of its endpoint.
+            *answer.version_mut() = Version::HTTP_11;
+            Ok::<_, Infallible>(answer)
+        }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
