soak: processes that are told to stop last are started again

Ruled out: the streams: gateways 2 and 3 served all of theirs. Change: exits are looked for during recovery as during faults.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -140,7 +140,11 @@
     }
     region.heal().await;
     record.calm_down_all();
-    tokio::time::sleep(RECOVERY).await;
+    // A process that was told to stop last may only now end.
+    for _ in 0..RECOVERY.as_secs() {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        region.look_for_exits();
+    }
     record.start_calm();
     tokio::time::sleep(CALM).await;
     operator.abort();
