relay: requests wait behind no stream that waits for its software version

Cause: found by reading: requests for the same weights wait in one queue, and its first one tries. A resumed stream whose version has no free endpoint kept those behind it from endpoints of other versions. Change: a bound request lets the others go before it when it was not sent, as one over its share does. Measured: no figure: no test isolates it; software_versions and fair_share pass.

--- a/src/relay/selection.rs
+++ b/src/relay/selection.rs
@@ -118,7 +118,10 @@
                     Err(picked) => {
                         let until_ms = self.note_not_picked(now_ms, &mut wait, &picked)?;
                         again_at_ms = until_ms.unwrap_or(again_at_ms);
-                        if picked == Picked::Full && self.share() == ShareClass::Over {
+                        let is_over_share =
+                            picked == Picked::Full && self.share() == ShareClass::Over;
+                        // Endpoints of other software versions may take the requests behind it.
+                        if is_over_share || self.origin.is_some() {
                             place.let_others_pass();
                         }
                     }
