relay: a stream that its client does not name is not remembered

Cause: found by reading: a client that names no attempt was looked up, and recorded, under the empty name. While one version served, the stream's origin was inferred and recorded, and from then on every stream without a name was known to have begun there. Change: such a stream has a key that no record has, and is not recorded.

--- a/src/message/stream_origin.rs
+++ b/src/message/stream_origin.rs
@@ -26,6 +26,11 @@
         key.copy_from_slice(&hasher.finalize()[..16]);
         Self(key)
     }
+
+    /// The key of a stream whose first attempt the client does not name; no record has it.
+    pub fn unnamed() -> Self {
+        Self(rand::random())
+    }
 }
 
 impl fmt::Display for StreamKey {
--- a/src/relay/origins.rs
+++ b/src/relay/origins.rs
@@ -156,8 +156,8 @@
         if !self.resumes_stream() {
             return Ok(());
         }
-        let attempt = self.meta.resumed_attempt.as_deref().unwrap_or_default();
-        let stream = self.stream_key(attempt);
+        let named = self.meta.resumed_attempt.as_ref().map(|attempt| self.stream_key(attempt));
+        let stream = named.unwrap_or_else(StreamKey::unnamed);
         let service = match self.chosen.route.targets.as_slice() {
             [only] => Some(only.service.clone()),
             _ => None,
@@ -170,7 +170,9 @@
         let service = table.target(&self.chosen.route, &origin.service);
         self.chosen.service = service.ok_or(NotSent::VersionGone)?;
         // It is kept for as long as the client may resume it again.
-        self.relay.origins.record(self.relay.now_ms(), stream, &origin);
+        if let Some(stream) = named {
+            self.relay.origins.record(self.relay.now_ms(), stream, &origin);
+        }
         self.origin = Some(origin);
         Ok(())
     }
