--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -16,6 +16,7 @@
 mod outcome;
 mod renewal;
 mod store_limit;
+mod wanted;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
@@ -37,6 +38,7 @@
 use crate::policy::versions::{HELD_PERCENT, Versions};
 use crate::routing::{EngineSpec, RoutingConfiguration};
 use holders::GatewayTracker;
+use wanted::{PlacementRequest, Wanted};
 
 /// Endpoints without a heartbeat for this long get no new weights: two heartbeat periods plus one
 /// second for a late one.
@@ -97,69 +99,6 @@
     }
 }
 
-/// What gateways want a home for.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct Wanted {
-    service: Arc<str>,
-    weights: WeightsName,
-    /// The software version that the home must have; `None` if any will do.
-    software_version: Option<Arc<str>>,
-}
-
-impl Wanted {
-    /// `weights` at endpoints of any software version.
-    fn new(service: Arc<str>, weights: WeightsName) -> Self {
-        Self { service, weights, software_version: None }
-    }
-
-    /// The same at an endpoint of the version.
-    fn with_software(mut self, version: Option<Arc<str>>) -> Self {
-        self.software_version = version;
-        self
-    }
-
-    /// True if `endpoint` may be the home.
-    fn allows(&self, endpoint: &RegisteredEndpoint) -> bool {
-        let version = self.software_version.as_ref();
-        endpoint.service == self.service
-            && version.is_none_or(|version| *version == endpoint.software_version)
-    }
-}
-
-/// A request of gateways for one more home of some weights.
-#[derive(Debug, Clone)]
-struct PlacementRequest {
-    /// The time of the latest request.
-    asked_at_ms: u64,
-    /// The time of the first request.
-    first_asked_at_ms: u64,
-    /// When to check again whether more homes are needed than those being loaded.
-    check_again_at_ms: u64,
-    /// The hash of the weights, which ranks endpoints by affinity.
-    hash: u64,
-    /// True when all homes of the weights are at capacity.
-    homes_are_full: bool,
-    /// True when the weights already have a home.
-    is_additional: bool,
-    /// The availability zone of the gateway that asked last.
-    zone: Arc<str>,
-}
-
-impl PlacementRequest {
-    /// A request for an additional home of `name`, made in `zone`.
-    fn additional(now_ms: u64, name: &WeightsName, zone: Arc<str>) -> Self {
-        Self {
-            asked_at_ms: now_ms,
-            first_asked_at_ms: now_ms,
-            check_again_at_ms: now_ms,
-            hash: crate::hash::stable(&name.to_string()),
-            homes_are_full: false,
-            is_additional: true,
-            zone,
-        }
-    }
-}
-
 /// Counts, by reason, of placement requests that a pass left open.
 #[derive(Debug, Clone, Copy, Default)]
 struct OpenWants {
