control: renewals of the link, both directions of a distributor, calls and reads are modules

Change: LinkRenewals is a type of its own; what a distributor sends to gateways and to the leader stands in from_leader.rs and to_leader.rs; a replica's calls and reads in calls.rs and reads.rs. No change of what they do.

--- a/src/control/distribution/mod.rs
+++ b/src/control/distribution/mod.rs
@@ -8,7 +8,10 @@
 //! of replicas has confirmed a renewal that the distributor sent later. By then all earlier
 //! messages of the leader have been relayed. The distributor's disk is not involved.
 
+mod from_leader;
 mod link;
+mod renewals;
+mod to_leader;
 mod view;
 
 use std::collections::BTreeMap;
@@ -24,34 +27,20 @@
 use crate::control::session::Session;
 use crate::control::workspace_use::WorkspaceUses;
 use crate::message::{
-    BegunStreams, Change, CreditAsk, CreditGrant, EndpointLoad, EngineOrder, Forwarded, Group,
-    Heartbeat, Load, Placed, SessionDown, SessionHello, SessionRole, SessionUp,
+    BegunStreams, Forwarded, Group, Heartbeat, Load, SessionDown, SessionHello, SessionRole,
+    SessionUp,
 };
 use crate::policy::counts;
-use crate::policy::endpoint_speed;
-use crate::policy::quota::{DistributorPools, HolderGrant};
+use crate::policy::quota::DistributorPools;
 use crate::policy::stream_origins::merge_by_origin;
+use renewals::{AwaitedReply, LinkRenewals};
 use view::View;
 
-/// How long renewals of gateways are batched; a gateway renews every 300 ms and may send orders for
-/// one second after a confirmed renewal.
-const RENEW_BATCH_MS: u64 = 40;
-/// The maximum time between two renewals of the link, which detect a lost leader.
-const RENEW_INTERVAL_MAX_MS: u64 = 150;
 /// How long gateways are kept without a link: the next leader is elected and linked within one and
 /// a half election timeouts. After that gateways look for a leader themselves, since this replica
 /// may be disconnected from the leader.
 const UNLINKED_MAX_MS: u64 = 1_000;
 
-/// A reply that a gateway gets once the leader has confirmed a renewal of the link.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum AwaitedReply {
-    /// The welcome of a new session.
-    Welcome { session: u64 },
-    /// The answer to a renewal of a gateway.
-    Renewal { session: u64, sent_at_ms: u64 },
-}
-
 /// The gateway sessions of one availability zone and the link to the leader.
 ///
 /// Does no I/O except through channels that never block.
@@ -64,13 +53,7 @@
     sessions: BTreeMap<u64, Session>,
     link: Option<mpsc::Sender<SessionUp>>,
     unlinked_at_ms: Option<u64>,
-    /// Replies that wait for the next renewal of the link.
-    waiting: Vec<AwaitedReply>,
-    /// Replies that wait for renewals already sent, by renewal number.
-    sent: BTreeMap<u64, Vec<AwaitedReply>>,
-    /// The number of the last renewal sent.
-    renewals: u64,
-    renewed_at_ms: u64,
+    renewals: LinkRenewals,
     counts_due_ms: u64,
     /// The loads last reported to the leader, by endpoint.
     reported_loads: BTreeMap<Arc<str>, Load>,
@@ -96,10 +79,7 @@
             sessions: BTreeMap::new(),
             link: None,
             unlinked_at_ms: None,
-            waiting: Vec::new(),
-            sent: BTreeMap::new(),
-            renewals: 0,
-            renewed_at_ms: 0,
+            renewals: LinkRenewals::new(),
             counts_due_ms: 0,
             reported_loads: BTreeMap::new(),
             counts: Counts::new(),
@@ -132,7 +112,7 @@
         }
         info!(event = "session_opened", gateway = %session.hello.name, session = id);
         self.sessions.insert(id, session);
-        self.waiting.push(AwaitedReply::Welcome { session: id });
+        self.renewals.await_next(AwaitedReply::Welcome { session: id });
     }
 
     /// Removes a session whose stream has ended.
@@ -150,7 +130,7 @@
         let gateway = session.hello.name.clone();
         match up {
             SessionUp::Renew { sent_at_ms, .. } => {
-                self.waiting.push(AwaitedReply::Renewal { session: id, sent_at_ms });
+                self.renewals.await_next(AwaitedReply::Renewal { session: id, sent_at_ms });
             }
             SessionUp::Traffic { loads, used, failing } => {
                 self.counts.update(session, loads);
@@ -209,7 +189,7 @@
         self.incoming = Some(View::with_group(self.view.group.clone()));
         self.reported_loads.clear();
         self.counts.mark_all_changed();
-        self.renewed_at_ms = now_ms;
+        self.renewals.linked(now_ms);
         self.credit.linked();
         self.workspace_uses.linked(now_ms);
         self.ask_for_credit(now_ms);
@@ -228,50 +208,7 @@
             self.heartbeats.clear();
             // Gateways tell the next leader of all their streams.
             self.begun.clear();
-            // The next leader confirms renewals that were not confirmed yet.
-            for waiting in std::mem::take(&mut self.sent).into_values() {
-                self.waiting.extend(waiting);
-            }
-        }
-    }
-
-    /// Handles a message of the leader.
-    pub fn handle_leader_message(&mut self, now_ms: u64, down: SessionDown) {
-        match down {
-            SessionDown::Changes { index, complete, changes, .. } => {
-                self.apply_changes(index, complete, changes);
-            }
-            SessionDown::Placed { placed, .. } => self.place(placed),
-            SessionDown::Loads(loads) => {
-                for load in &loads {
-                    self.counts.mark_changed(&load.endpoint);
-                }
-                self.view.note_loads(loads);
-            }
-            SessionDown::Group(group) => {
-                self.view.group = group;
-                let group = self.local_group();
-                self.broadcast(|| SessionDown::Group(group.clone()));
-            }
-            SessionDown::RenewedFor { number } => self.confirm_renewal(number),
-            SessionDown::Order(order) => self.forward_order(order),
-            SessionDown::Peers { ref gateway, .. } | SessionDown::Origin { ref gateway, .. } => {
-                let gateway = gateway.clone();
-                self.forward_to(&gateway, down);
-            }
-            SessionDown::Credit(grants) => {
-                let answers = self.credit.granted(now_ms, grants);
-                self.deliver_credit(answers);
-                self.ask_for_credit(now_ms);
-            }
-            SessionDown::WorkspaceUse(uses) => self.workspace_uses.update_remote(uses),
-            SessionDown::Welcome { .. }
-            | SessionDown::Renewed { .. }
-            | SessionDown::NotLeader { .. }
-            | SessionDown::Expired => {
-                let message = down.kind();
-                warn!(event = "message_ignored", peer = "leader", message, now_ms);
-            }
+            self.renewals.unlinked();
         }
     }
 
@@ -302,8 +239,7 @@
 
     /// Closes all sessions and redirects their gateways to `leader`, if known.
     pub fn end_sessions(&mut self, leader: Option<SocketAddr>) {
-        self.waiting.clear();
-        self.sent.clear();
+        self.renewals.clear();
         self.forwarded.clear();
         if self.sessions.is_empty() {
             return;
@@ -314,224 +250,6 @@
         }
     }
 
-    fn renew(&mut self, now_ms: u64) {
-        let interval_ms =
-            if self.waiting.is_empty() { RENEW_INTERVAL_MAX_MS } else { RENEW_BATCH_MS };
-        if self.link.is_none() || now_ms < self.renewed_at_ms + interval_ms {
-            return;
-        }
-        self.renewed_at_ms = now_ms;
-        self.renewals += 1;
-        let waiting = std::mem::take(&mut self.waiting);
-        let mut gateways = Vec::new();
-        for wait in &waiting {
-            let AwaitedReply::Renewal { session, .. } = wait else { continue };
-            let Some(session) = self.sessions.get(session) else { continue };
-            gateways.push(session.hello.name.clone());
-        }
-        self.sent.insert(self.renewals, waiting);
-        self.send_up(SessionUp::RenewFor { number: self.renewals, gateways });
-    }
-
-    fn confirm_renewal(&mut self, number: u64) {
-        let Some(waiting) = self.sent.remove(&number) else { return };
-        for wait in waiting {
-            match wait {
-                AwaitedReply::Welcome { session } => self.welcome(session),
-                AwaitedReply::Renewal { session, sent_at_ms } => {
-                    let Some(session) = self.sessions.get(&session) else { continue };
-                    let (summaries, load_reports) = (Vec::new(), Vec::new());
-                    let index = 0;
-                    session.send(SessionDown::Renewed {
-                        sent_at_ms,
-                        index,
-                        summaries,
-                        load_reports,
-                    });
-                }
-            }
-        }
-    }
-
-    fn welcome(&mut self, id: u64) {
-        let changes = self.view.all_changes();
-        let placed = self.view.all_placed();
-        let group = self.local_group();
-        let Some(session) = self.sessions.get_mut(&id) else { return };
-        session.epoch = Some(0);
-        self.counts.mark_all_changed();
-        let keeps_up = session.send(SessionDown::Welcome { epoch: 0 })
-            && session.send_changes(0, true, &changes)
-            && session.send(SessionDown::Placed { reset: true, placed })
-            && session.send(SessionDown::Group(group));
-        if !keeps_up {
-            self.sessions.remove(&id);
-        }
-    }
-
-    fn apply_changes(&mut self, index: u64, complete: bool, changes: Vec<Change>) {
-        if let Some(incoming) = &mut self.incoming {
-            incoming.apply_changes(&changes);
-            return;
-        }
-        self.view.apply_changes(&changes);
-        let reset = false;
-        self.broadcast(|| SessionDown::Changes {
-            index,
-            reset,
-            complete,
-            changes: changes.clone(),
-        });
-    }
-
-    fn place(&mut self, placed: Vec<Placed>) {
-        let Some(mut incoming) = self.incoming.take() else {
-            self.view.place(&placed);
-            self.broadcast(|| SessionDown::Placed { reset: false, placed: placed.clone() });
-            return;
-        };
-        // Placements complete a new leader's initial state. Gateways that know the previous
-        // leader's state get only the differences.
-        incoming.place(&placed);
-        let changes = self.view.changes_to(&incoming);
-        let placed = self.view.placed_to(&incoming);
-        self.view = incoming;
-        self.sessions.retain(|_, session| {
-            session.epoch.is_none()
-                || session.send_changes(0, false, &changes)
-                    && session.send(SessionDown::Placed { reset: false, placed: placed.clone() })
-        });
-    }
-
-    fn forward_order(&mut self, order: EngineOrder) {
-        for session in self.sessions.values() {
-            if session.epoch.is_none() || session.hello.name != order.holder {
-                continue;
-            }
-            if session.send(SessionDown::Order(order.clone())) {
-                return;
-            }
-            break;
-        }
-        warn!(event = "order_not_passed", endpoint = %order.endpoint, number = order.number);
-        let gateway = order.holder.clone();
-        self.forwarded.push(Forwarded { gateway, up: SessionUp::Ordered(order.not_sent()) });
-        self.forward();
-    }
-
-    /// Passes a message of the leader on, if its gateway is connected here.
-    fn forward_to(&mut self, gateway: &Arc<str>, down: SessionDown) {
-        for session in self.sessions.values() {
-            if session.epoch.is_some() && session.hello.name == *gateway {
-                session.send(down);
-                return;
-            }
-        }
-    }
-
-    /// Answers a gateway's asks for credit where the leader need not be asked first.
-    fn answer_credit_asks(
-        &mut self,
-        now_ms: u64,
-        id: u64,
-        gateway: &Arc<str>,
-        asks: Vec<CreditAsk>,
-    ) {
-        let mut grants = Vec::new();
-        for ask in asks {
-            grants.extend(self.credit.ask(now_ms, gateway, ask));
-        }
-        if let Some(session) = self.sessions.get(&id)
-            && !grants.is_empty()
-        {
-            session.send(SessionDown::Credit(grants));
-        }
-        self.ask_for_credit(now_ms);
-    }
-
-    /// Sends granted credit to the gateways that wait for it.
-    fn deliver_credit(&mut self, answers: Vec<HolderGrant>) {
-        let mut by_holder: BTreeMap<Arc<str>, Vec<CreditGrant>> = BTreeMap::new();
-        for HolderGrant { holder, grant } in answers {
-            by_holder.entry(holder).or_default().push(grant);
-        }
-        if by_holder.is_empty() {
-            return;
-        }
-        for session in self.sessions.values() {
-            let Some(grants) = by_holder.remove(&session.hello.name) else { continue };
-            session.send(SessionDown::Credit(grants));
-        }
-    }
-
-    fn ask_for_credit(&mut self, now_ms: u64) {
-        let asks = self.credit.take_asks(now_ms);
-        if !asks.is_empty() {
-            self.send_up(SessionUp::CreditAsks(asks));
-        }
-    }
-
-    fn broadcast_loads(&mut self, now_ms: u64) {
-        let own = self.counts.totals(now_ms, self.sessions.values(), self.view.remote_endpoints());
-        let mut totals = own.clone();
-        for (endpoint, total) in &mut totals {
-            *total = total.saturating_add(self.view.remote_load(endpoint));
-            self.view.note_total(endpoint, total);
-        }
-        for session in self.sessions.values_mut() {
-            if session.epoch.is_some() {
-                session.send_loads(&totals, self.view.work());
-            }
-        }
-        self.report_own_loads(own);
-    }
-
-    /// Reports the summed loads of the gateways here to the leader, where they changed.
-    fn report_own_loads(&mut self, own: BTreeMap<Arc<str>, Load>) {
-        let mut loads = Vec::new();
-        for (endpoint, load) in own {
-            let reported = self.reported_loads.get(&endpoint).copied().unwrap_or_default();
-            // New samples alone are reported only where they show a different speed.
-            let service = self.view.work().of_service_with(&endpoint);
-            if load.without_work() == reported.without_work()
-                && !endpoint_speed::is_worth_reporting(&reported, &load, service)
-            {
-                continue;
-            }
-            self.reported_loads.insert(endpoint.clone(), load);
-            loads.push(EndpointLoad { endpoint, load });
-        }
-        if !loads.is_empty() {
-            let (used, failing) = (Vec::new(), Vec::new());
-            self.send_up(SessionUp::Traffic { loads, used, failing });
-        }
-    }
-
-    fn forward(&mut self) {
-        // Without a link, messages are kept for the next leader; gateways are redirected before
-        // many accumulate.
-        if self.link.is_some() && !self.forwarded.is_empty() {
-            let forwarded = std::mem::take(&mut self.forwarded);
-            self.send_up(SessionUp::Forwarded(forwarded));
-        }
-    }
-
-    fn forward_heartbeats(&mut self) {
-        if self.link.is_some() && !self.heartbeats.is_empty() {
-            let heartbeats = std::mem::take(&mut self.heartbeats).into_values().collect();
-            self.send_up(SessionUp::Heartbeats(heartbeats));
-        }
-    }
-
-    /// Sends a message to the leader. Messages are dropped while the queue is full; a leader that
-    /// stops answering loses the link.
-    fn send_up(&mut self, up: SessionUp) {
-        let Some(link) = &self.link else { return };
-        if let Err(error) = link.try_send(up) {
-            warn!(event = "link_full", error = %error);
-        }
-    }
-
     /// The group with the reporting period for the gateways here.
     fn local_group(&self) -> Group {
         let period_ms = counts::period_ms(self.sessions.len());
@@ -558,7 +276,7 @@
             "zone": self.zone,
             "linked": self.link.is_some(),
             "gateways": gateways,
-            "waiting": self.waiting.len(),
+            "waiting": self.renewals.waiting(),
         })
     }
 }
--- a/src/control/replica/applying.rs
+++ b/src/control/replica/applying.rs
@@ -1,6 +1,7 @@
 //! Applying committed entries: state changes, replies to waiting callers, reads and snapshots.
 
-use super::{Read, Replica, Waiter};
+use super::reads::Read;
+use super::{Replica, Waiter};
 use crate::control::raft::{Entry, Output, Payload, Snapshot};
 use crate::control::session::RecentChanges;
 use crate::control::state::{Command, Outcome, State};
--- a/src/control/replica/origins.rs
+++ b/src/control/replica/origins.rs
@@ -2,7 +2,8 @@
 
 use tracing::info;
 
-use super::{Read, Replica};
+use super::Replica;
+use super::reads::Read;
 use crate::control::placement::UsageSource;
 use crate::message::{OriginAsk, SessionDown, StreamOrigin};
 
--- a/src/control/replica/sessions.rs
+++ b/src/control/replica/sessions.rs
@@ -5,7 +5,8 @@
 use tokio::sync::mpsc;
 use tracing::{debug, info, warn};
 
-use super::{Read, Replica, Waiter};
+use super::reads::Read;
+use super::{Replica, Waiter};
 use crate::control::fleet::Registration;
 use crate::control::session::Session;
 use crate::control::state::Operation;
