relay: admission, exchange and stream no longer use each other in a circle

A stream that another endpoint refused was counted and logged as resumed. Change: http/connection_headers.rs, relay/in_progress.rs, relay/respond.rs (the response to a request) and relay/outcome.rs (what follows from a send); resume() in stream.rs is split into what broke, whether it may go on, and the resumption. A refused resumption is reported as broken only. Methods of Exchange still stand in several files of relay/, whose types it uses.

--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -3,6 +3,7 @@
 
 mod client;
 mod client_stream;
+mod connection_headers;
 mod framing;
 mod server;
 mod whole_body;
@@ -18,6 +19,7 @@
 use tokio::time::timeout;
 
 pub use client::{HttpClient, request};
+pub use connection_headers::remove_connection_headers;
 pub use framing::{Framing, FramingError};
 pub use server::{HttpHandler, ServerLimits, serve, stopped};
 pub use whole_body::{WholeBody, is_event_stream};
--- a/src/relay/admission.rs
+++ b/src/relay/admission.rs
@@ -12,11 +12,10 @@
 
 use super::access::Access;
 use super::border::RequestMeta;
-use super::exchange::remove_connection_headers;
 use super::quota::UsedCredit;
 use super::refusal::{NotSent, own_answer, refuse, refuse_unavailable};
 use super::shared::Relay;
-use crate::http::{Answer, BodyFault, header, read_body};
+use crate::http::{Answer, BodyFault, header, read_body, remove_connection_headers};
 use crate::metrics::Counter;
 use crate::routing::{RouteMatch, RouteTable};
 
--- a/src/relay/buffered.rs
+++ b/src/relay/buffered.rs
@@ -4,9 +4,9 @@
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 
-use super::exchange::{ENDPOINT_ENDED, Exchange, remove_connection_headers};
+use super::exchange::{ENDPOINT_ENDED, Exchange};
 use super::source::{Source, StartedResponse};
-use crate::http::{Answer, full};
+use crate::http::{Answer, full, remove_connection_headers};
 use crate::policy::resend::FailureKind;
 
 /// The largest response that is buffered before it is forwarded.
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -1,17 +1,14 @@
 //! Handles one client request from admission to the end of its response.
 
-use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
-use http::header::{CONNECTION, HOST, TRANSFER_ENCODING};
+use http::header::HOST;
 use http::response::Parts;
 use http::{HeaderMap, Method, Uri};
-use tracing::{info, warn};
 
 use super::access::Access;
 use super::admission::Admitted;
-use super::attempt::Attempt;
 use super::border::{AnswerMeta, RequestMeta, SendMeta};
 use super::prompt::PromptChain;
 use super::quota::UsedCredit;
@@ -21,12 +18,11 @@
 use super::shares::RequestShare;
 use super::source::StartedResponse;
 use super::standings::Permission;
-use super::stream;
 use super::trial::Trial;
-use crate::http::{Answer, header, is_event_stream};
+use crate::http::{header, is_event_stream};
 use crate::message::{RequestContent, RequestKey, StreamOrigin};
-use crate::policy::resend::{FailureCause, FailureKind};
-use crate::routing::{Repeat, RouteMatch};
+use crate::policy::resend::FailureCause;
+use crate::routing::RouteMatch;
 
 /// The part of the deadline that is reserved for returning the response.
 pub(super) const RESPONSE_MARGIN_MS: u64 = 5;
@@ -34,7 +30,7 @@
 pub(super) const ENDPOINT_ENDED: &str = "the endpoint has ended";
 /// The maximum number of refused sends per request, in addition to the attempts that the route
 /// allows.
-const REFUSED_SENDS_MAX: u32 = 3;
+pub(super) const REFUSED_SENDS_MAX: u32 = 3;
 
 /// A client request that is being handled.
 pub(super) struct Exchange {
@@ -79,11 +75,11 @@
     /// The number of sends that an endpoint may have run.
     pub(super) possible_runs: u32,
     /// The number of sends of which nothing was written.
-    unsent: u32,
+    pub(super) unsent: u32,
     /// The number of sends that endpoints refused without asking for backoff.
-    refused: u32,
+    pub(super) refused: u32,
     /// The number of sends that endpoints refused with a request for backoff.
-    refused_with_backoff: u32,
+    pub(super) refused_with_backoff: u32,
     /// True if the last send was rejected because the endpoint is full; the request then waits for
     /// its turn like others.
     pub(super) was_rejected: bool,
@@ -171,25 +167,6 @@
         self
     }
 
-    pub(super) async fn run(mut self) -> Answer {
-        if let Err(reason) = self.find_origin().await {
-            return self.give_up(Failure::NotSent(reason));
-        }
-        let started = match self.start(None).await {
-            Ok(started) => started,
-            Err(failure) => return self.give_up(failure),
-        };
-        let head = self.read_head(&started);
-        let status = started.response.status();
-        self.note_answered(&started);
-        self.has_answered = true;
-        debug_assert!(!head.not_run, "a refused send is not started");
-        if self.chosen.route.streams && status.is_success() {
-            return stream::answer(self, started);
-        }
-        self.forward_buffered(started).await
-    }
-
     /// The key of the request's content, equal for all attempts of a client. Computed on first use,
     /// since few requests need it.
     pub(super) fn key(&self) -> RequestKey {
@@ -260,132 +237,13 @@
                 priority: self.rank,
                 workspace: self.access.workspace_name(),
             };
-            match self.attempt(&send, address, software_version, place).await {
-                Attempt::Started(started) => {
-                    self.possible_runs += 1;
-                    self.last_data_at_ms = self.relay.now_ms();
-                    self.response_started_at_ms = Some(self.last_data_at_ms);
-                    let head = self.read_head(&started);
-                    let status = started.response.status();
-                    self.tried.push(id.clone());
-                    if head.request_id.as_ref().is_some_and(|answered| *answered != self.meta.id) {
-                        warn!(event = "foreign_answer", request = %self.meta.id, endpoint = %send.endpoint);
-                        self.handle_unknown_outcome(
-                            "the answer belongs to another request".to_owned(),
-                        )?;
-                        continue;
-                    }
-                    if status.is_server_error() {
-                        self.note_outcome(&id, Some(FailureKind::Answered));
-                    } else if self.chosen.route.streams && status.is_success() {
-                        self.note_outcome(&id, None);
-                    }
-                    if status.is_server_error()
-                        && self.chosen.route.repeat == Repeat::Any
-                        && self.can_send_again()
-                        && self.is_resend_worthwhile(&id, FailureKind::Answered)
-                    {
-                        info!(
-                            event = "sent_again",
-                            request = %self.meta.id,
-                            endpoint = %send.endpoint,
-                            reason = status.as_u16()
-                        );
-                        continue;
-                    }
-                    return Ok(*started);
-                }
-                // No endpoint has seen the request, so this is no retry.
-                Attempt::NotSent(reason) => {
-                    self.unsent += 1;
-                    info!(event = "send_refused", request = %self.meta.id, endpoint = %id, reason);
-                    self.tried.push(id);
-                    if self.unsent > REFUSED_SENDS_MAX {
-                        return Err(Failure::NotSent(NotSent::NoPlace(reason)));
-                    }
-                }
-                outcome @ (Attempt::NotRun(_) | Attempt::Full) => {
-                    let reason = match outcome {
-                        Attempt::NotRun(reason) => reason,
-                        _ => "the endpoint refused",
-                    };
-                    self.was_rejected = matches!(outcome, Attempt::Full);
-                    self.refused += 1;
-                    info!(event = "send_refused", request = %self.meta.id, endpoint = %id, reason);
-                    self.tried.push(id);
-                    if self.refused > REFUSED_SENDS_MAX {
-                        return Err(Failure::NotSent(NotSent::NoPlace(reason)));
-                    }
-                }
-                // Not counted towards `REFUSED_SENDS_MAX`: during its backoff the endpoint is not
-                // picked again, so each endpoint causes one such refusal per backoff.
-                Attempt::RefusedWithBackoff => {
-                    self.refused_with_backoff += 1;
-                    let reason = "the endpoint asked for backoff";
-                    info!(event = "send_refused", request = %self.meta.id, endpoint = %id, reason);
-                    self.tried.push(id);
-                }
-                Attempt::TakenBack => {
-                    self.possible_runs += 1;
-                    self.note_taken_back(&id);
-                    self.tried.push(id);
-                    self.handle_unknown_outcome(
-                        "its weights were replaced while it waited".to_owned(),
-                    )?;
-                }
-                Attempt::Overdue => {
-                    self.note_overdue();
-                    self.note_failed(&id, address);
-                    self.handle_unknown_outcome("no answer before the deadline".to_owned())?;
-                }
-                Attempt::Ended(end) => {
-                    self.note_ended(&id, end);
-                    self.note_failed(&id, address);
-                    self.note_outcome(&id, Some(FailureKind::Broken));
-                    self.handle_broken(&id, ENDPOINT_ENDED.to_owned())?;
-                    self.wait_for_evaluation(&id).await;
-                }
-                Attempt::Unknown(detail) => {
-                    self.relay.note_broken_send(&id);
-                    self.note_broken_off(&id);
-                    self.note_failed(&id, address);
-                    self.note_outcome(&id, Some(FailureKind::Broken));
-                    self.handle_broken(&id, detail)?;
-                }
+            let outcome = self.attempt(&send, address, software_version, place).await;
+            if let Some(started) = self.handle_outcome(outcome, &id, address).await? {
+                return Ok(started);
             }
         }
     }
 
-    fn note_failed(&mut self, endpoint: &Arc<str>, address: SocketAddr) {
-        self.possible_runs += 1;
-        self.relay.note_failure(endpoint);
-        self.relay.pool.forget(address);
-        self.tried.push(endpoint.clone());
-    }
-
-    /// Handles a connection that broke, or an endpoint that ended, before the response was whole.
-    pub(super) fn handle_broken(
-        &mut self,
-        endpoint: &Arc<str>,
-        detail: String,
-    ) -> Result<(), Failure> {
-        if self.chosen.route.repeat == Repeat::Any
-            && self.can_send_again()
-            && !self.is_resend_worthwhile(endpoint, FailureKind::Broken)
-        {
-            return Err(Failure::Unknown(detail));
-        }
-        self.handle_unknown_outcome(detail)
-    }
-
-    pub(super) fn handle_unknown_outcome(&self, detail: String) -> Result<(), Failure> {
-        info!(event = "send_failed", request = %self.meta.id, tried = self.tried.len(), detail = %detail);
-        if self.chosen.route.repeat == Repeat::Once || !self.can_send_again() {
-            return Err(Failure::Unknown(detail));
-        }
-        Ok(())
-    }
-
     /// True if a response with this head is an event stream.
     pub(super) fn is_event_stream(&self, head: &Parts) -> bool {
         let is_expected = self.chosen.route.streams && head.status.is_success();
@@ -435,22 +293,3 @@
         self.ends_at_ms.saturating_sub(now_ms).max(1)
     }
 }
-
-/// Removes the headers that apply to a single connection.
-pub(super) fn remove_connection_headers(headers: &mut HeaderMap) {
-    let mut named = Vec::new();
-    for value in headers.get_all(CONNECTION) {
-        let Ok(value) = value.to_str() else { continue };
-        for name in value.split(',') {
-            named.push(name.trim().to_ascii_lowercase());
-        }
-    }
-    for name in named {
-        headers.remove(name);
-    }
-    for name in ["keep-alive", "proxy-connection", "te", "trailer", "upgrade"] {
-        headers.remove(name);
-    }
-    headers.remove(CONNECTION);
-    headers.remove(TRANSFER_ENCODING);
-}
--- a/src/relay/handler.rs
+++ b/src/relay/handler.rs
@@ -1,7 +1,6 @@
 //! Receives client requests and health checks.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use http::header::CONNECTION;
@@ -10,8 +9,8 @@
 
 use super::admission::admit;
 use super::exchange::Exchange;
+use super::in_progress::InProgress;
 use super::shared::Relay;
-use super::stream;
 use crate::http::{Answer, HttpHandler, answer};
 use crate::metrics::Counter;
 use crate::wire::BoxFuture;
@@ -32,27 +31,17 @@
     fn handle(&self, request: Request<Incoming>) -> BoxFuture<'static, Answer> {
         let relay = self.relay.clone();
         Box::pin(async move {
-            relay.in_progress.fetch_add(1, Ordering::Relaxed);
-            let counted = InProgress(relay.clone());
+            let counted = InProgress::new(relay.clone());
             let mut answer = serve(&relay, request).await;
             if relay.is_stopping() {
                 answer.headers_mut().insert(CONNECTION, http::HeaderValue::from_static("close"));
             }
             let (head, body) = answer.into_parts();
-            Response::from_parts(head, stream::hold(body, counted))
+            Response::from_parts(head, counted.until_end_of(body))
         })
     }
 }
 
-/// Counts a request as in progress until its response is complete.
-pub(super) struct InProgress(Arc<Relay>);
-
-impl Drop for InProgress {
-    fn drop(&mut self) {
-        self.0.in_progress.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 async fn serve(relay: &Arc<Relay>, request: Request<Incoming>) -> Answer {
     let started_ms = relay.now_ms();
     if relay.platform_headers.is_ready_path(request.uri().path()) {
--- /dev/null
+++ b/src/relay/outcome.rs
@@ -0,0 +1,154 @@
+//! What follows from the outcome of a send: a response, another send, or a failure.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tracing::{info, warn};
+
+use super::attempt::Attempt;
+use super::exchange::{ENDPOINT_ENDED, Exchange, REFUSED_SENDS_MAX};
+use super::refusal::{Failure, NotSent};
+use super::source::StartedResponse;
+use crate::policy::resend::FailureKind;
+use crate::routing::Repeat;
+
+impl Exchange {
+    /// Returns the response to use; `None` if the request is to be sent again.
+    pub(super) async fn handle_outcome(
+        &mut self,
+        outcome: Attempt,
+        id: &Arc<str>,
+        address: SocketAddr,
+    ) -> Result<Option<StartedResponse>, Failure> {
+        match outcome {
+            Attempt::Started(started) => return self.check_started(*started, id),
+            // No endpoint has seen the request, so this is no retry.
+            Attempt::NotSent(reason) => {
+                self.unsent += 1;
+                info!(event = "send_refused", request = %self.meta.id, endpoint = %id, reason);
+                self.tried.push(id.clone());
+                if self.unsent > REFUSED_SENDS_MAX {
+                    return Err(Failure::NotSent(NotSent::NoPlace(reason)));
+                }
+            }
+            outcome @ (Attempt::NotRun(_) | Attempt::Full) => {
+                let reason = match outcome {
+                    Attempt::NotRun(reason) => reason,
+                    _ => "the endpoint refused",
+                };
+                self.was_rejected = matches!(outcome, Attempt::Full);
+                self.refused += 1;
+                info!(event = "send_refused", request = %self.meta.id, endpoint = %id, reason);
+                self.tried.push(id.clone());
+                if self.refused > REFUSED_SENDS_MAX {
+                    return Err(Failure::NotSent(NotSent::NoPlace(reason)));
+                }
+            }
+            // Not counted towards `REFUSED_SENDS_MAX`: during its backoff the endpoint is not
+            // picked again, so each endpoint causes one such refusal per backoff.
+            Attempt::RefusedWithBackoff => {
+                self.refused_with_backoff += 1;
+                let reason = "the endpoint asked for backoff";
+                info!(event = "send_refused", request = %self.meta.id, endpoint = %id, reason);
+                self.tried.push(id.clone());
+            }
+            Attempt::TakenBack => {
+                self.possible_runs += 1;
+                self.note_taken_back(id);
+                self.tried.push(id.clone());
+                self.handle_unknown_outcome(
+                    "its weights were replaced while it waited".to_owned(),
+                )?;
+            }
+            Attempt::Overdue => {
+                self.note_overdue();
+                self.note_failed(id, address);
+                self.handle_unknown_outcome("no answer before the deadline".to_owned())?;
+            }
+            Attempt::Ended(end) => {
+                self.note_ended(id, end);
+                self.note_failed(id, address);
+                self.note_outcome(id, Some(FailureKind::Broken));
+                self.handle_broken(id, ENDPOINT_ENDED.to_owned())?;
+                self.wait_for_evaluation(id).await;
+            }
+            Attempt::Unknown(detail) => {
+                self.relay.note_broken_send(id);
+                self.note_broken_off(id);
+                self.note_failed(id, address);
+                self.note_outcome(id, Some(FailureKind::Broken));
+                self.handle_broken(id, detail)?;
+            }
+        }
+        Ok(None)
+    }
+
+    /// Returns the response unless it belongs to another request or is an error after which the
+    /// request is sent again.
+    fn check_started(
+        &mut self,
+        started: StartedResponse,
+        id: &Arc<str>,
+    ) -> Result<Option<StartedResponse>, Failure> {
+        self.possible_runs += 1;
+        self.last_data_at_ms = self.relay.now_ms();
+        self.response_started_at_ms = Some(self.last_data_at_ms);
+        let head = self.read_head(&started);
+        let status = started.response.status();
+        self.tried.push(id.clone());
+        if head.request_id.as_ref().is_some_and(|answered| *answered != self.meta.id) {
+            warn!(event = "foreign_answer", request = %self.meta.id, endpoint = %id);
+            self.handle_unknown_outcome("the answer belongs to another request".to_owned())?;
+            return Ok(None);
+        }
+        if status.is_server_error() {
+            self.note_outcome(id, Some(FailureKind::Answered));
+        } else if self.chosen.route.streams && status.is_success() {
+            self.note_outcome(id, None);
+        }
+        if status.is_server_error()
+            && self.chosen.route.repeat == Repeat::Any
+            && self.can_send_again()
+            && self.is_resend_worthwhile(id, FailureKind::Answered)
+        {
+            info!(
+                event = "sent_again",
+                request = %self.meta.id,
+                endpoint = %id,
+                reason = status.as_u16()
+            );
+            return Ok(None);
+        }
+        Ok(Some(started))
+    }
+
+    fn note_failed(&mut self, endpoint: &Arc<str>, address: SocketAddr) {
+        self.possible_runs += 1;
+        self.relay.note_failure(endpoint);
+        self.relay.pool.forget(address);
+        self.tried.push(endpoint.clone());
+    }
+
+    /// Handles a connection that broke, or an endpoint that ended, before the response was whole.
+    pub(super) fn handle_broken(
+        &mut self,
+        endpoint: &Arc<str>,
+        detail: String,
+    ) -> Result<(), Failure> {
+        if self.chosen.route.repeat == Repeat::Any
+            && self.can_send_again()
+            && !self.is_resend_worthwhile(endpoint, FailureKind::Broken)
+        {
+            return Err(Failure::Unknown(detail));
+        }
+        self.handle_unknown_outcome(detail)
+    }
+
+    pub(super) fn handle_unknown_outcome(&self, detail: String) -> Result<(), Failure> {
+        info!(event = "send_failed", request = %self.meta.id, tried = self.tried.len(), detail = %detail);
+        if self.chosen.route.repeat == Repeat::Once || !self.can_send_again() {
+            return Err(Failure::Unknown(detail));
+        }
+        Ok(())
+    }
+}
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -7,19 +7,18 @@
 use http::header::CONTENT_LENGTH;
 use http::response::Parts;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Body, Frame};
+use hyper::body::Frame;
 use tokio::task::yield_now;
 use tracing::{info, warn};
 
-use super::exchange::{ENDPOINT_ENDED, Exchange, remove_connection_headers};
-use super::handler::InProgress;
+use super::exchange::{ENDPOINT_ENDED, Exchange};
 use super::refusal::Failure;
 use super::source::{Source, StartedResponse};
 use super::speed::EventTimes;
 use crate::clock::Clock;
 use crate::error::{Error, Result};
 use crate::events::EventSplitter;
-use crate::http::{Answer, AnswerBody, Framing};
+use crate::http::{Answer, AnswerBody, Framing, remove_connection_headers};
 use crate::metrics::Counter;
 use crate::routing::Repeat;
 
@@ -154,114 +153,101 @@
 /// Resumes a broken stream at another endpoint, if that is allowed.
 async fn resume(running: ForwardedStream, error: &Error) -> Result<ForwardedStream> {
     let ForwardedStream { mut exchange, endpoint, events, can_resume } = running;
-    let id = exchange.meta.id.clone();
-    let peer = endpoint.source.endpoint().clone();
-    let from_software = exchange.relay.fleet().software_version(&peer);
-    let end = endpoint.source.end();
-    if let Some(end) = end {
-        exchange.note_ended(&peer, end);
-    } else if !error.is_timeout() && endpoint.source.is_direct() {
-        exchange.note_broken_off(&peer);
-    }
-    if endpoint.source.is_direct() {
-        exchange.relay.note_failure(&peer);
-    }
+    let broken = Break::note(&mut exchange, &endpoint.source, error);
     drop(endpoint);
-    let broken = |exchange: &Exchange, not_resumed: &str| {
-        exchange.note_broken(&peer, &from_software, error, not_resumed)
-    };
-    let Some(mut events) = events.filter(|_| can_resume) else {
-        return Err(broken(&exchange, "the route does not allow it"));
-    };
-    events.drop_partial();
-    let last_event = events.last_event();
-    if !events.is_at_event_boundary() {
-        return Err(broken(&exchange, "the client has a part of an event"));
-    }
-    if !exchange.can_send_again() {
-        return Err(broken(&exchange, "no attempt or no time is left"));
+    let mut events =
+        resumable(&exchange, events, can_resume).map_err(|why| broken.report(&exchange, why))?;
+    if broken.endpoint_ended {
+        exchange.wait_for_evaluation(&broken.endpoint).await;
     }
-    if end.is_some() {
-        exchange.wait_for_evaluation(&peer).await;
-    }
-    let started = match exchange.start(last_event).await {
+    events.drop_partial();
+    let started = match exchange.start(events.last_event()).await {
         Ok(started) => started,
-        Err(Failure::NotSent(reason)) => return Err(broken(&exchange, &format!("{reason:?}"))),
-        Err(Failure::Unknown(detail)) => return Err(broken(&exchange, &detail)),
+        Err(Failure::NotSent(reason)) => {
+            return Err(broken.report(&exchange, &format!("{reason:?}")));
+        }
+        Err(Failure::Unknown(detail)) => return Err(broken.report(&exchange, &detail)),
     };
-    exchange.relay.metrics.count(Counter::StreamsResumed);
-    let software = exchange.relay.fleet().software_version(started.source.endpoint());
-    info!(
-        event = "stream_resumed",
-        request = %id,
-        from = %peer,
-        from_software = %from_software,
-        endpoint = %started.source.endpoint(),
-        software = %software,
-        peer = started.source.peer(),
-        last_event = last_event.unwrap_or(0)
-    );
     if !started.response.status().is_success() {
-        return Err(broken(&exchange, "the endpoint refused"));
+        return Err(broken.report(&exchange, "the endpoint refused"));
     }
+    broken.note_resumed(&exchange, &started.source, events.last_event());
     let endpoint = Upstream::new(started);
     Ok(ForwardedStream { exchange, endpoint, events: Some(events), can_resume })
 }
 
-impl Exchange {
-    /// Logs and counts a stream that its client does not receive whole.
-    fn note_broken(
-        &self,
-        endpoint: &Arc<str>,
-        software: &str,
-        error: &Error,
-        not_resumed: &str,
-    ) -> Error {
-        let serving = self.relay.fleet().software_versions(&self.chosen.service.name);
-        warn!(
-            event = "stream_broken",
-            request = %self.meta.id,
-            route = %self.chosen.route.name,
-            endpoint = %endpoint,
-            software,
-            serving = %serving,
-            error = %error,
-            not_resumed
-        );
-        self.relay.metrics.count(Counter::StreamsBroken);
-        Error::failed("pass stream on", endpoint.clone(), error)
+/// The events sent so far, or why the stream may not go on at another endpoint.
+fn resumable(
+    exchange: &Exchange,
+    events: Option<EventSplitter>,
+    can_resume: bool,
+) -> std::result::Result<EventSplitter, &'static str> {
+    let events = events.filter(|_| can_resume).ok_or("the route does not allow it")?;
+    if !events.is_at_event_boundary() {
+        return Err("the client has a part of an event");
     }
-}
-
-/// A body that keeps `counted` until it has ended.
-pub(super) fn hold(body: AnswerBody, counted: InProgress) -> AnswerBody {
-    if body.is_end_stream() {
-        return body;
+    if !exchange.can_send_again() {
+        return Err("no attempt or no time is left");
     }
-    Holding { body, _counted: counted }.boxed()
+    Ok(events)
 }
 
-struct Holding {
-    body: AnswerBody,
-    _counted: InProgress,
+/// How a stream broke.
+struct Break<'a> {
+    endpoint: Arc<str>,
+    software_version: Arc<str>,
+    error: &'a Error,
+    /// True if the endpoint itself ended, by what the gateway knows.
+    endpoint_ended: bool,
 }
 
-impl Body for Holding {
-    type Data = Bytes;
-    type Error = Error;
-
-    fn poll_frame(
-        mut self: std::pin::Pin<&mut Self>,
-        context: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<std::result::Result<Frame<Bytes>, Error>>> {
-        std::pin::Pin::new(&mut self.body).poll_frame(context)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+impl<'a> Break<'a> {
+    /// Lets later choices of endpoints know of the failure of `source`.
+    fn note(exchange: &mut Exchange, source: &Source, error: &'a Error) -> Self {
+        let endpoint = source.endpoint().clone();
+        let software_version = exchange.relay.fleet().software_version(&endpoint);
+        let end = source.end();
+        if let Some(end) = end {
+            exchange.note_ended(&endpoint, end);
+        } else if !error.is_timeout() && source.is_direct() {
+            exchange.note_broken_off(&endpoint);
+        }
+        if source.is_direct() {
+            exchange.relay.note_failure(&endpoint);
+        }
+        Self { endpoint, software_version, error, endpoint_ended: end.is_some() }
     }
 
-    fn size_hint(&self) -> hyper::body::SizeHint {
-        self.body.size_hint()
+    /// Logs and counts a stream that its client does not receive whole.
+    fn report(&self, exchange: &Exchange, not_resumed: &str) -> Error {
+        let serving = exchange.relay.fleet().software_versions(&exchange.chosen.service.name);
+        warn!(
+            event = "stream_broken",
+            request = %exchange.meta.id,
+            route = %exchange.chosen.route.name,
+            endpoint = %self.endpoint,
+            software = %self.software_version,
+            serving = %serving,
+            error = %self.error,
+            not_resumed
+        );
+        exchange.relay.metrics.count(Counter::StreamsBroken);
+        Error::failed("pass stream on", self.endpoint.clone(), self.error)
+    }
+
+    /// Logs and counts a stream that goes on at `source`.
+    fn note_resumed(&self, exchange: &Exchange, source: &Source, last_event: Option<u64>) {
+        exchange.relay.metrics.count(Counter::StreamsResumed);
+        let software = exchange.relay.fleet().software_version(source.endpoint());
+        info!(
+            event = "stream_resumed",
+            request = %exchange.meta.id,
+            from = %self.endpoint,
+            from_software = %self.software_version,
+            endpoint = %source.endpoint(),
+            software = %software,
+            peer = source.peer(),
+            last_event = last_event.unwrap_or(0)
+        );
     }
 }
