--- /dev/null
+++ b/soak/src/engine/life.rs
@@ -0,0 +1,88 @@
+//! An incarnation of an engine, and how it ends.
+
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::sync::{Semaphore, watch};
+
+use super::{RESTARTS_AFTER, Weights};
+
+/// One incarnation.
+pub(super) struct Life {
+    pub(super) born_ms: u64,
+    pub(super) address: SocketAddr,
+    pub(super) software: &'static str,
+    pub(super) weights: Mutex<Weights>,
+    /// What was read goes on one by one, in the order of arrival.
+    pub(super) turn: Semaphore,
+    pub(super) slots: Arc<Semaphore>,
+    pub(super) paused: watch::Receiver<bool>,
+    pub(super) ended: watch::Sender<Option<Ends>>,
+    /// True once it crashed and its connections are reset.
+    pub(super) crashed: Arc<AtomicBool>,
+}
+
+/// How an incarnation ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Ends {
+    /// Its connections are closed.
+    Closed,
+    /// Nothing is closed and nothing answers any more, until the next incarnation has been up for a while.
+    Silent,
+    /// The same for good, as when its machine is lost.
+    Vanished {
+        /// Whether new connections are refused; otherwise they are never answered.
+        refuses: bool,
+    },
+}
+
+impl Life {
+    /// Runs `task` until it ends or this incarnation does.
+    pub(super) async fn until_ended(self: Arc<Self>, task: impl Future<Output = ()>) {
+        let mut ended = self.ended.subscribe();
+        tokio::pin!(task);
+        let ends = tokio::select! {
+            () = &mut task => return,
+            // The sender lives as long as the incarnation.
+            ends = ended.wait_for(Option::is_some) => ends.map_or(None, |ends| *ends),
+        };
+        match ends {
+            // What it holds stays open until the next incarnation has been up for a while.
+            Some(Ends::Silent) => {
+                tokio::time::sleep(RESTARTS_AFTER + Duration::from_secs(1)).await;
+            }
+            Some(Ends::Vanished { .. }) => std::future::pending().await,
+            Some(Ends::Closed) | None => {}
+        }
+    }
+
+    /// Accepts connections until this incarnation ends, or for as long as they are left unanswered after that.
+    pub(super) async fn until_refusing(self: Arc<Self>, accept: impl Future<Output = ()>) {
+        let mut ended = self.ended.subscribe();
+        let refuses = async move {
+            // The sender lives as long as the incarnation.
+            let refuses = |ends: &Option<Ends>| *ends == Some(Ends::Vanished { refuses: true });
+            if ended.wait_for(refuses).await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        };
+        tokio::select! {
+            () = self.until_ended(accept) => {}
+            () = refuses => {}
+        }
+    }
+
+    pub(super) async fn wait_until_running(&self) {
+        // The sender lives as long as the engine.
+        let _ = self.paused.clone().wait_for(|paused| !paused).await;
+    }
+
+    /// Waits until everything that was read before has gone on.
+    pub(super) async fn take_turn(&self) {
+        let turn = self.turn.acquire().await;
+        self.wait_until_running().await;
+        drop(turn);
+    }
+}
--- a/soak/src/engine/mod.rs
+++ b/soak/src/engine/mod.rs
@@ -1,6 +1,8 @@
 //! Engines that speak the platform's protocol: batches that begin together, versions, orders with a
 //! sequence, pauses, and restarts under the same id.
 
+mod life;
+mod running;
 mod weights;
 
 use std::convert::Infallible;
@@ -9,21 +11,21 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use bytes::Bytes;
-use futures_util::stream;
 use http::{Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use serde_json::json;
 use tokio::net::TcpListener;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::sync::{Semaphore, watch};
 
+use life::{Ends, Life};
+use running::Running;
 pub use weights::{ADAPTERS_MAX, BASE, NotBegun, Order, Outcome, Weights};
 
 use crate::cut::Cuts;
-use crate::endpoint::{Answer, EVENTS, head, look_for_headers, text, whole};
+use crate::endpoint::{Answer, look_for_headers, text, whole};
 use crate::operator::call_control;
 use crate::overload::Overload;
 use crate::record::Record;
@@ -84,35 +86,6 @@
     }
 }
 
-/// One incarnation.
-struct Life {
-    born_ms: u64,
-    address: SocketAddr,
-    software: &'static str,
-    weights: Mutex<Weights>,
-    /// What was read goes on one by one, in the order of arrival.
-    turn: Semaphore,
-    slots: Arc<Semaphore>,
-    paused: watch::Receiver<bool>,
-    ended: watch::Sender<Option<Ends>>,
-    /// True once it crashed and its connections are reset.
-    crashed: Arc<AtomicBool>,
-}
-
-/// How an incarnation ends.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Ends {
-    /// Its connections are closed.
-    Closed,
-    /// Nothing is closed and nothing answers any more, until the next incarnation has been up for a while.
-    Silent,
-    /// The same for good, as when its machine is lost.
-    Vanished {
-        /// Whether new connections are refused; otherwise they are never answered.
-        refuses: bool,
-    },
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -434,104 +407,6 @@
     }
 }
 
-/// A request that runs; its place is free once it is dropped.
-struct Running {
-    life: Arc<Life>,
-    adapter: String,
-    event_pause: Duration,
-    _slot: OwnedSemaphorePermit,
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        lock(&self.life.weights).end(unix_ms(), &self.adapter);
-    }
-}
-
-impl Running {
-    /// Without chunks the stream ends with its connection.
-    fn streamed(self, id: &str, first: u64, is_cut: bool, has_chunks: bool) -> Answer {
-        let id_owned = id.to_owned();
-        let cut_at = if is_cut { rand::random_range(first..=EVENTS.max(first)) } else { u64::MAX };
-        let frames = stream::unfold((self, first), move |(running, number)| {
-            let id = id_owned.clone();
-            async move {
-                if number > EVENTS {
-                    return None;
-                }
-                tokio::time::sleep(running.event_pause).await;
-                running.life.wait_until_running().await;
-                let software = running.life.software;
-                let mut event = format!(": {software}\nid: {number}\ndata: {id}\n\n");
-                if number > cut_at {
-                    return Some((Err(std::io::Error::other("cut")), (running, number)));
-                }
-                if number == cut_at {
-                    event.truncate(rand::random_range(1..event.len()));
-                    let next = if has_chunks { number + 1 } else { EVENTS + 1 };
-                    return Some((Ok(Frame::data(Bytes::from(event))), (running, next)));
-                }
-                Some((Ok(Frame::data(Bytes::from(event))), (running, number + 1)))
-            }
-        });
-        let version = if has_chunks { http::Version::HTTP_11 } else { http::Version::HTTP_10 };
-        head(StatusCode::OK, id)
-            .version(version)
-            .header("content-type", "text/event-stream")
-            .body(StreamBody::new(frames).boxed())
-            .expect("the parts are valid")
-    }
-}
-
-impl Life {
-    /// Runs `task` until it ends or this incarnation does.
-    async fn until_ended(self: Arc<Self>, task: impl Future<Output = ()>) {
-        let mut ended = self.ended.subscribe();
-        tokio::pin!(task);
-        let ends = tokio::select! {
-            () = &mut task => return,
-            // The sender lives as long as the incarnation.
-            ends = ended.wait_for(Option::is_some) => ends.map_or(None, |ends| *ends),
-        };
-        match ends {
-            // What it holds stays open until the next incarnation has been up for a while.
-            Some(Ends::Silent) => {
-                tokio::time::sleep(RESTARTS_AFTER + Duration::from_secs(1)).await;
-            }
-            Some(Ends::Vanished { .. }) => std::future::pending().await,
-            Some(Ends::Closed) | None => {}
-        }
-    }
-
-    /// Accepts connections until this incarnation ends, or for as long as they are left unanswered after that.
-    async fn until_refusing(self: Arc<Self>, accept: impl Future<Output = ()>) {
-        let mut ended = self.ended.subscribe();
-        let refuses = async move {
-            // The sender lives as long as the incarnation.
-            let refuses = |ends: &Option<Ends>| *ends == Some(Ends::Vanished { refuses: true });
-            if ended.wait_for(refuses).await.is_err() {
-                std::future::pending::<()>().await;
-            }
-        };
-        tokio::select! {
-            () = self.until_ended(accept) => {}
-            () = refuses => {}
-        }
-    }
-
-    async fn wait_until_running(&self) {
-        // The sender lives as long as the engine.
-        let _ = self.paused.clone().wait_for(|paused| !paused).await;
-    }
-
-    /// Waits until everything that was read before has gone on.
-    async fn take_turn(&self) {
-        let turn = self.turn.acquire().await;
-        self.wait_until_running().await;
-        drop(turn);
-    }
-}
-
 fn refused(status: StatusCode, id: &str) -> Answer {
     let mut answer: Response<_> = whole(status, id, String::new());
     answer.headers_mut().insert("not-executed", http::HeaderValue::from_static("1"));
