standin: engines whose streams end with their connection

Cause: the stand-in engine could not send an answer without a length, since it used the product's server, which writes HTTP/1.1. Change: it serves with hyper itself; EngineFault::ends_with_connection. The test of cut streams runs its cuts with chunks and without, and a whole stream without a length arrives whole at each gateway.

--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use futures_util::stream;
-use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use serde::{Deserialize, Serialize};
@@ -65,6 +65,8 @@
     pub load_hangs: bool,
     /// Streams are cut after so many bytes.
     pub cut_after_bytes: Option<usize>,
+    /// Streams have no length and no chunks, so that their end is that of their connection.
+    pub ends_with_connection: bool,
     /// The engine takes no requests.
     pub refuses: bool,
     /// Each answer begins this much later.
@@ -300,7 +302,7 @@
         let named = fault.answers_as.clone().unwrap_or_else(|| model.to_owned());
         let shape = Shape { chat, model: named };
         if stream {
-            return stream_answer(running, shape, tokens, fault.cut_after_bytes);
+            return stream_answer(running, shape, tokens, &fault);
         }
         for _ in 0..tokens {
             tokio::time::sleep(Duration::from_millis(self.options.step_ms)).await;
@@ -407,12 +409,8 @@
 
 type Piece = Result<Frame<Bytes>, std::io::Error>;
 
-fn stream_answer(
-    running: Running,
-    shape: Shape,
-    tokens: u64,
-    cut_after_bytes: Option<usize>,
-) -> Answer {
+fn stream_answer(running: Running, shape: Shape, tokens: u64, fault: &EngineFault) -> Answer {
+    let cut_after_bytes = fault.cut_after_bytes;
     let tokens =
         Tokens { running, shape, left: tokens, cut_after_bytes, sent_bytes: 0, ended: false };
     let body = StreamBody::new(stream::unfold(tokens, next_piece));
@@ -420,6 +418,9 @@
     let mut answer = Response::new(body);
     let value = http::HeaderValue::from_static("text/event-stream");
     answer.headers_mut().insert(http::header::CONTENT_TYPE, value);
+    if fault.ends_with_connection {
+        *answer.version_mut() = Version::HTTP_10;
+    }
     answer
 }
 
--- a/standin/src/server.rs
+++ b/standin/src/server.rs
@@ -1,15 +1,17 @@
 //! What the stand-ins share: serving HTTP on a listener that a test can ask for its address.
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
 use serde::de::DeserializeOwned;
-use tokio::net::TcpListener;
-use tokio::sync::watch;
-use winchvane::http::{Answer, HttpHandler, ServerLimits, json_answer, read_body, serve};
-use winchvane::metrics::Metrics;
+use tokio::net::{TcpListener, TcpStream};
+use winchvane::http::{Answer, HttpHandler, json_answer, read_body};
 use winchvane::wire::BoxFuture;
 
 const BODY_MAX_BYTES: usize = 64 << 20;
@@ -38,14 +40,28 @@
 ) -> std::io::Result<SocketAddr> {
     let listener = TcpListener::bind(address).await?;
     let bound = listener.local_addr()?;
-    let limits = ServerLimits { connections: 20_000, ..ServerLimits::default() };
     tokio::spawn(async move {
-        let (_stop, stopped) = watch::channel(false);
-        serve(listener, handler, limits, Metrics::local(), stopped).await;
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve_connection(stream, handler.clone()));
+        }
     });
     Ok(bound)
 }
 
+/// Answers keep the version that the handler gave them: one of HTTP/1.0 without a length ends with
+/// its connection.
+async fn serve_connection(stream: TcpStream, handler: Arc<dyn HttpHandler>) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let answer = handler.handle(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let connection =
+        http1::Builder::new().half_close(true).serve_connection(TokioIo::new(stream), service);
+    // Tests break connections.
+    let _ = connection.await;
+}
+
 /// Reads a JSON body.
 ///
 /// # Errors
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -286,11 +286,18 @@
     let got = region.complete(1, &body).await;
     assert!(!got.body.contains("shop-x@1\",\"choices"), "{}", got.body);
 
-    for cut in [0, 1, 40, 100, 150, 400, 430] {
-        engine.set_fault(EngineFault { cut_after_bytes: Some(cut), ..EngineFault::default() });
-        let got = region.complete(1, &body).await;
-        assert!(!got.body.contains("[DONE]"), "cut at {cut}: {}", got.body);
-        assert!(got.body.contains("unknown") || got.header("winchvane-run") == "unknown");
+    for ends_with_connection in [false, true] {
+        for cut in [0, 1, 40, 100, 150, 400, 430] {
+            let cut_after_bytes = Some(cut);
+            engine.set_fault(EngineFault {
+                cut_after_bytes,
+                ends_with_connection,
+                ..EngineFault::default()
+            });
+            let got = region.complete(1, &body).await;
+            assert!(!got.body.contains("[DONE]"), "cut at {cut}: {}", got.body);
+            assert!(got.body.contains("unknown") || got.header("winchvane-run") == "unknown");
+        }
     }
 
     engine.set_fault(EngineFault { load_lies: true, ..EngineFault::default() });
@@ -312,6 +319,21 @@
         .await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_ends_with_its_connection_arrives_whole() {
+    let region = Region::start(RegionOptions { engines: 1, ..options() }).await;
+    assert_eq!(region.quote(0, "taichung").await.status, StatusCode::OK);
+    let fault = EngineFault { ends_with_connection: true, ..EngineFault::default() };
+    region.engines[0].set_fault(fault);
+    let body = json!({"model": "taichung", "prompt": "x", "stream": true});
+    for gateway in 0..3 {
+        let got = region.complete(gateway, &body).await;
+        assert_eq!(got.status, StatusCode::OK, "{}", got.body);
+        assert!(got.body.ends_with("data: [DONE]\n\n"), "{}", got.body);
+        assert_eq!(got.body.matches("shop-a@1").count(), 4, "{}", got.body);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_cut_connection_to_an_engine_leaves_no_truncated_answer() {
     let slow = EngineOptions { tokens: 100, step_ms: 10, ..engine() };
