http, relay: an answer that ends with its connection is whole only if its sender still runs

Ruled out: the answer's bytes tell nothing; heartbeats are up to seconds late; idle connections close for other reasons as well. Change: WholeBody checks the sender of a body that ends with its connection (SenderCheck): it still accepts a connection, or has announced that it is leaving. The relay keeps that connection for its next request. HttpClient, which the core's gateways use, checks likewise. A sender that goes on running and gives an answer up between two events is still taken for done.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,6 +1,7 @@
 //! A client with a connection pool.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,15 +11,18 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::{Framing, WholeBody, is_event_stream};
+use super::{Framing, SenderCheck, WholeBody, is_event_stream};
 use crate::error::{Error, Result};
+use crate::wire::BoxFuture;
 
 /// A client that keeps connections open for later requests.
 #[derive(Clone)]
 pub struct HttpClient {
     client: Client<HttpConnector, Full<Bytes>>,
+    connect_timeout_ms: u64,
 }
 
 impl HttpClient {
@@ -44,7 +48,7 @@
             // again on another connection only if none of it was written.
             .retry_canceled_requests(true)
             .build(connector);
-        Self { client }
+        Self { client, connect_timeout_ms }
     }
 
     /// Sends a request and returns the answer once its head has arrived.
@@ -70,7 +74,10 @@
         let framing = Framing::of(&head)
             .map_err(|error| Error::failed("read answer", peer.clone(), error))?;
         let is_events = is_event_stream(&head.headers, false);
-        let body = WholeBody::new(peer.into(), framing, body, is_events);
+        let peer: Arc<str> = peer.into();
+        let timeout_ms = self.connect_timeout_ms;
+        let body = WholeBody::new(peer.clone(), framing, body, is_events)
+            .with_sender_check(Reconnect { peer, timeout_ms });
         Ok(Response::from_parts(head, body))
     }
 
@@ -120,6 +127,28 @@
     }
 }
 
+/// Takes a sender for running that accepts another connection.
+#[derive(Debug)]
+struct Reconnect {
+    peer: Arc<str>,
+    timeout_ms: u64,
+}
+
+impl SenderCheck for Reconnect {
+    fn confirm(&self) -> BoxFuture<'static, Result<()>> {
+        let Self { peer, timeout_ms } = self;
+        let (peer, timeout_ms) = (peer.clone(), *timeout_ms);
+        Box::pin(async move {
+            let connecting = TcpStream::connect(&*peer);
+            timeout(Duration::from_millis(timeout_ms), connecting)
+                .await
+                .map_err(|_| Error::timeout("connect again", peer.clone(), timeout_ms))?
+                .map_err(|error| Error::failed("connect again", peer.clone(), error))?;
+            Ok(())
+        })
+    }
+}
+
 /// Builds a request to `address`.
 ///
 /// # Errors
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -22,7 +22,7 @@
 pub use connection_headers::remove_connection_headers;
 pub use framing::{Framing, FramingError};
 pub use server::{HttpHandler, ServerLimits, serve, stopped};
-pub use whole_body::{WholeBody, is_event_stream};
+pub use whole_body::{SenderCheck, WholeBody, is_event_stream};
 
 use crate::error::Error;
 
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -16,6 +16,7 @@
 use super::pool::{self, SendFailure};
 use super::queue::QueuePlace;
 use super::reach::Suspicion;
+use super::sender::EndpointCheck;
 use super::shared::Relay;
 use super::source::{Source, StartedResponse};
 use crate::http::{Framing, WholeBody};
@@ -225,7 +226,10 @@
             Err(error) => return Attempt::Unknown(error.to_string()),
         };
         let is_events = self.is_event_stream(&head);
-        let body = WholeBody::new(send.endpoint.clone(), framing, body, is_events).boxed();
+        let sender = EndpointCheck::new(relay.clone(), send.endpoint.clone(), address);
+        let body = WholeBody::new(send.endpoint.clone(), framing, body, is_events)
+            .with_sender_check(sender)
+            .boxed();
         let response = Response::from_parts(head, body);
         let source = Source::Endpoint(flight, connection);
         Attempt::Started(Box::new(StartedResponse { source, response }))
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -45,6 +45,7 @@
 mod resends;
 mod respond;
 mod selection;
+mod sender;
 mod served;
 mod session;
 mod shared;
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -56,25 +56,17 @@
         {
             return Ok(connection);
         }
-        let peer = address.to_string();
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
-            .await
-            .map_err(|_| Error::refused("connect", peer.clone(), "no answer in time"))?
-            .map_err(|error| Error::refused("connect", peer.clone(), error))?;
-        let options = SockRef::from(&stream);
-        options
-            .set_tcp_nodelay(true)
-            .and_then(|()| options.set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX)))
-            .map_err(|error| Error::refused("set socket options", peer.clone(), error))?;
-        let (connection, driver) = handshake(TokioIo::new(stream))
-            .await
-            .map_err(|error| Error::refused("handshake", peer.clone(), error))?;
-        tokio::spawn(async move {
-            if let Err(error) = driver.await {
-                debug!(event = "endpoint_connection_ended", peer = %peer, error = %error);
-            }
-        });
-        Ok(connection)
+        open(address).await
+    }
+
+    /// Opens a connection for a later request.
+    ///
+    /// # Errors
+    /// No connection could be made.
+    pub async fn open_ahead(&self, address: SocketAddr) -> Result<()> {
+        let connection = open(address).await?;
+        self.idle().put(self.clock.now_ms(), address, connection, None);
+        Ok(())
     }
 
     /// Keeps a connection whose response was read completely.
@@ -101,6 +93,28 @@
     }
 }
 
+async fn open(address: SocketAddr) -> Result<Connection> {
+    let peer = address.to_string();
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        .await
+        .map_err(|_| Error::refused("connect", peer.clone(), "no answer in time"))?
+        .map_err(|error| Error::refused("connect", peer.clone(), error))?;
+    let options = SockRef::from(&stream);
+    options
+        .set_tcp_nodelay(true)
+        .and_then(|()| options.set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX)))
+        .map_err(|error| Error::refused("set socket options", peer.clone(), error))?;
+    let (connection, driver) = handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| Error::refused("handshake", peer.clone(), error))?;
+    tokio::spawn(async move {
+        if let Err(error) = driver.await {
+            debug!(event = "endpoint_connection_ended", peer = %peer, error = %error);
+        }
+    });
+    Ok(connection)
+}
+
 /// Sends `request` and waits for the response head.
 ///
 /// # Errors
--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -12,8 +12,15 @@
 
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 
+/// Its end is that of the connection.
+const ANSWER_WITHOUT_LENGTH: &[u8] = b"HTTP/1.1 200 OK\r\n\r\nok";
+
 /// Reads one request and answers it; false if the connection ended first.
 fn answer_one(stream: &mut TcpStream) -> bool {
+    answer_one_with(stream, ANSWER)
+}
+
+fn answer_one_with(stream: &mut TcpStream, answer: &[u8]) -> bool {
     let mut read = Vec::new();
     let mut buffer = [0; 1 << 10];
     while !read.windows(4).any(|end| end == b"\r\n\r\n") {
@@ -22,7 +29,7 @@
             _ => return false,
         }
     }
-    stream.write_all(ANSWER).is_ok()
+    stream.write_all(answer).is_ok()
 }
 
 /// A server that answers one request on one connection and keeps the connection open until `close`.
@@ -101,3 +108,24 @@
     assert!(busy.is_finished());
     (client, listener)
 }
+
+/// Guards against a short answer without a length that counts as whole although its sender crashed.
+#[tokio::test]
+async fn an_answer_without_a_length_is_whole_only_if_its_sender_still_listens() {
+    for crashes in [false, true] {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        let server = std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            assert!(answer_one_with(&mut stream, ANSWER_WITHOUT_LENGTH));
+            if crashes {
+                drop(listener);
+                return None;
+            }
+            Some(listener)
+        });
+        let got = exchange(&HttpClient::new(1_000), address).await;
+        assert_eq!(got.is_ok(), !crashes, "{got:?}");
+        drop(server.join().expect("the server thread does not panic"));
+    }
+}
--- a/tests/whole_body.rs
+++ b/tests/whole_body.rs
@@ -8,7 +8,9 @@
 use http::response::Parts;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Body, Frame};
-use winchvane::http::{Framing, FramingError, WholeBody, is_event_stream};
+use winchvane::error::{Error, Result as CallResult};
+use winchvane::http::{Framing, FramingError, SenderCheck, WholeBody, is_event_stream};
+use winchvane::wire::BoxFuture;
 use yare::parameterized;
 
 fn head(status: u16, headers: &[(&'static str, &str)]) -> Parts {
@@ -87,3 +89,61 @@
     assert!(body.frame().await.is_none());
     assert!(body.is_end_stream());
 }
+
+/// A sender that runs or has crashed.
+#[derive(Debug)]
+struct Sender {
+    runs: bool,
+}
+
+impl SenderCheck for Sender {
+    fn confirm(&self) -> BoxFuture<'static, CallResult<()>> {
+        let runs = self.runs;
+        Box::pin(async move {
+            tokio::task::yield_now().await;
+            if runs { Ok(()) } else { Err(Error::refused("connect", "e-1", "refused")) }
+        })
+    }
+}
+
+/// True if a body of these pieces is whole, given whether its sender runs at the end.
+async fn is_whole_from(sender: Sender, pieces: &'static [&'static str], framing: Framing) -> bool {
+    let frames = pieces.iter().map(|piece| Ok::<_, Infallible>(Frame::data(Bytes::from(*piece))));
+    let body = StreamBody::new(stream::iter(frames));
+    let mut body = WholeBody::new("e-1".into(), framing, body, true).with_sender_check(sender);
+    let mut read = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            assert!(body.is_end_stream(), "an error is the end");
+            return false;
+        };
+        read.extend_from_slice(frame.data_ref().expect("data"));
+    }
+    assert!(body.is_end_stream());
+    assert!(body.frame().await.is_none(), "the end is told again");
+    assert_eq!(read, pieces.concat().into_bytes());
+    true
+}
+
+#[tokio::test]
+async fn a_body_that_ends_with_its_connection_is_whole_if_its_sender_runs() {
+    const EVENT: &[&str] = &["data: a\n\n"];
+    assert!(is_whole_from(Sender { runs: true }, EVENT, Framing::Close).await);
+    assert!(!is_whole_from(Sender { runs: false }, EVENT, Framing::Close).await);
+    for framing in [Framing::Chunked, Framing::Length] {
+        assert!(is_whole_from(Sender { runs: false }, EVENT, framing).await, "its end is marked");
+    }
+    for runs in [false, true] {
+        assert!(!is_whole_from(Sender { runs }, &["data: a\n"], Framing::Close).await);
+        assert!(!is_whole_from(Sender { runs }, &[], Framing::Close).await, "no event");
+    }
+}
+
+#[tokio::test]
+async fn a_body_has_not_ended_before_its_sender_was_checked() {
+    let body = Full::new(Bytes::new());
+    let body = WholeBody::new("e-1".into(), Framing::Close, body, false)
+        .with_sender_check(Sender { runs: false });
+    assert!(!body.is_end_stream());
+    assert!(body.collect().await.is_err());
+}
