soak: engines whose streams end with their connection crash with a close again

Change: an engine that crashes closes its listener before its connections, as the system does with a process; the reset is gone.

--- a/soak/src/cut.rs
+++ b/soak/src/cut.rs
@@ -9,7 +9,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak};
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -93,13 +93,7 @@
         if !self.current.borrow().is_empty() {
             self.find_gateways_soon().await;
         }
-        let stream = CutStream {
-            inner: stream,
-            gateway,
-            cuts: self.clone(),
-            timer: None,
-            resets: Arc::default(),
-        };
+        let stream = CutStream { inner: stream, gateway, cuts: self.clone(), timer: None };
         if matches!(stream.cut(), Some(Cut::Reset | Cut::NewReset)) {
             stream.reset();
             return None;
@@ -186,7 +180,6 @@
     gateway: Arc<OnceLock<String>>,
     cuts: Arc<Cuts>,
     timer: Option<Pin<Box<Sleep>>>,
-    resets: Arc<AtomicBool>,
 }
 
 impl CutStream {
@@ -194,13 +187,6 @@
         self.cuts.current.borrow().get(self.gateway.get()?).copied()
     }
 
-    /// Makes the connection close with a reset if `resets` is true by then.
-    #[must_use]
-    pub fn with_reset_if(mut self, resets: Arc<AtomicBool>) -> Self {
-        self.resets = resets;
-        self
-    }
-
     /// Makes the connection close with a reset instead of an end.
     pub fn reset(&self) {
         // A failure leaves an ordinary close, which is a fault as well.
@@ -237,7 +223,7 @@
 
 impl Drop for CutStream {
     fn drop(&mut self) {
-        if self.cut() == Some(Cut::Reset) || self.resets.load(Ordering::SeqCst) {
+        if self.cut() == Some(Cut::Reset) {
             self.reset();
         }
     }
--- a/soak/src/engine/life.rs
+++ b/soak/src/engine/life.rs
@@ -1,7 +1,6 @@
 //! An incarnation of an engine, and how it ends.
 
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -20,8 +19,8 @@
     pub(super) slots: Arc<Semaphore>,
     pub(super) paused: watch::Receiver<bool>,
     pub(super) ended: watch::Sender<Option<Ends>>,
-    /// True once it crashed and its connections are reset.
-    pub(super) crashed: Arc<AtomicBool>,
+    /// True until its listener is closed.
+    pub(super) listens: watch::Sender<bool>,
 }
 
 /// How an incarnation ends.
@@ -58,6 +57,19 @@
         }
     }
 
+    /// Runs the task of a connection until it ends, or this incarnation does and has closed its
+    /// listener: the system closes the sockets of a crashed process in the order of their creation.
+    pub(super) async fn until_closed(self: Arc<Self>, task: impl Future<Output = ()>) {
+        let mut listens = self.listens.subscribe();
+        tokio::pin!(task);
+        tokio::select! {
+            () = &mut task => return,
+            () = self.clone().until_ended(std::future::pending()) => {}
+        }
+        // The sender lives as long as the incarnation.
+        let _ = listens.wait_for(|listens| !listens).await;
+    }
+
     /// Accepts connections until this incarnation ends, or for as long as they are left unanswered after that.
     pub(super) async fn until_refusing(self: Arc<Self>, accept: impl Future<Output = ()>) {
         let mut ended = self.ended.subscribe();
--- a/soak/src/engine/mod.rs
+++ b/soak/src/engine/mod.rs
@@ -62,8 +62,7 @@
     /// The share of streams that end inside an event.
     cut_percent: AtomicU64,
     has_newer_software: AtomicBool,
-    /// True if half of its streams end with their connection, and its connections are reset when it
-    /// crashes: a close between two events would look like the end of such a stream.
+    /// True if half of its streams end with their connection.
     marks_no_ends: AtomicBool,
     waiting: AtomicUsize,
     /// Its overload signal and received requests.
@@ -145,12 +144,16 @@
             slots: Arc::new(Semaphore::new(SLOTS as usize)),
             paused: self.paused.subscribe(),
             ended,
-            crashed: Arc::default(),
+            listens: watch::channel(true).0,
         });
         self.overload.record_restart();
         *lock(&self.life) = Some(life.clone());
+        let engine = self.clone();
         tokio::spawn(life.clone().until_ended(self.clone().beat(life.clone())));
-        tokio::spawn(life.clone().until_refusing(self.clone().accept(life, listener)));
+        tokio::spawn(async move {
+            life.clone().until_refusing(engine.accept(life.clone(), listener)).await;
+            life.listens.send_replace(false);
+        });
         Ok(())
     }
 
@@ -159,7 +162,6 @@
         let ends =
             if self.ends_silently.load(Ordering::SeqCst) { Ends::Silent } else { Ends::Closed };
         if let Some(life) = lock(&self.life).take() {
-            life.crashed.store(self.marks_no_ends.load(Ordering::SeqCst), Ordering::SeqCst);
             life.ended.send_replace(Some(ends));
         }
     }
@@ -255,10 +257,9 @@
                 let (engine, life) = (engine.clone(), of_life.clone());
                 async move { Ok::<_, Infallible>(engine.serve(&life, request).await) }
             });
-            let (cuts, life_of_stream) = (self.cuts.clone(), life.clone());
-            tokio::spawn(life.clone().until_ended(async move {
+            let cuts = self.cuts.clone();
+            tokio::spawn(life.clone().until_closed(async move {
                 let Some(stream) = cuts.admit(stream).await else { return };
-                let stream = stream.with_reset_if(life_of_stream.crashed.clone());
                 let reset = stream.until_reset();
                 let connection = hyper::server::conn::http1::Builder::new()
                     .serve_connection(TokioIo::new(stream), service);
