relay: capacity wakes only the waiting requests that it concerns

Each message with loads or placements, and each response that ended, made the first request of every queue search for an endpoint, and computed the places of each late queue from all endpoints of its service (a hash and a comparison of names each); with some hundred adapters waiting this took more than the 0.12 cores of a gateway. Ruled out: one long computation (no gateway used more than 0.05 s of any half second, by perf); frozen or restarted processes (none before 29 s); the leader (0.20 of its 0.6 cores). perf: Fleet::places, hashing and comparing first. Change: loads wake only queues that an endpoint with a free slot may serve, placements only those of their weights, a response that ended those of its endpoint. Places of weights are summed over the endpoints that hold them. The first request of each queue tries again after 25 ms to 250 ms, later if there are many queues; after 250 ms if no endpoint holds its weights, whose arrival wakes it. The usual time of a response is computed only where a wait is limited. New tests in tests/waiting_queue.rs; 14 test programs around queues, limits and streams: none red.

--- a/src/policy/waiting_queue.rs
+++ b/src/policy/waiting_queue.rs
@@ -354,10 +354,13 @@
         self.queues.get(key)?.first(now_ms).map(|entry| entry.ticket)
     }
 
-    /// The first request of each queue, the most urgent one first.
-    pub fn firsts(&self, now_ms: u64) -> Vec<u64> {
+    /// The first request of each queue for which `concerns` is true, the most urgent one first.
+    pub fn firsts(&self, now_ms: u64, concerns: impl Fn(&QueueKey) -> bool) -> Vec<u64> {
         let mut firsts = Vec::new();
-        for queue in self.queues.values() {
+        for (key, queue) in &self.queues {
+            if queue.waiting.is_empty() || !concerns(key) {
+                continue;
+            }
             let first = queue.first(now_ms);
             firsts.extend(first.map(|entry| (entry.request.rank(now_ms), entry.ticket)));
         }
@@ -380,9 +383,13 @@
         has_others
     }
 
-    /// Restores the order, because capacity may have become free.
-    pub fn note_capacity(&mut self) {
-        for queue in self.queues.values_mut() {
+    /// Restores the order of the queues for which `concerns` is true, because their capacity may have
+    /// become free.
+    pub fn note_capacity(&mut self, concerns: impl Fn(&QueueKey) -> bool) {
+        for (key, queue) in &mut self.queues {
+            if queue.waiting.is_empty() || !concerns(key) {
+                continue;
+            }
             for entry in &mut queue.waiting {
                 entry.is_passed = false;
             }
@@ -432,6 +439,11 @@
         self.queues.get(key).is_some_and(|queue| !queue.waiting.is_empty())
     }
 
+    /// The number of queues in which requests wait.
+    pub fn busy_queues(&self) -> usize {
+        self.queues.values().filter(|queue| !queue.waiting.is_empty()).count()
+    }
+
     /// The number of waiting requests.
     pub fn len(&self) -> usize {
         self.keys.len()
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -98,7 +98,7 @@
             self.relay.queue.note_end(now_ms, &self.service, took_ms);
         }
         let key = QueueKey { service: self.service.clone(), weights: self.weights.take() };
-        self.relay.queue.note_place_left(now_ms, &key);
+        self.relay.note_place_left(now_ms, &self.endpoint, &key);
     }
 }
 
--- a/src/relay/queue.rs
+++ b/src/relay/queue.rs
@@ -22,6 +22,12 @@
 /// How long and over how many responses the usual response times of a service are measured.
 const RESPONSE_WINDOW_MS: u64 = 5_000;
 const RESPONSES_MAX: usize = 64;
+/// How often the first request of a queue tries again without a notification, which pauses of
+/// endpoints end without; the limits of this interval, and the number of tries a second of all
+/// queues together between them.
+const RETRY_INTERVAL_MIN_MS: u64 = 25;
+const RETRY_INTERVAL_MAX_MS: u64 = 250;
+const RETRIES_PER_S: usize = 320;
 /// How long the share of free places is kept after the last request waited.
 const SHARE_KEPT_MS: u64 = 2_000;
 
@@ -166,36 +172,34 @@
         self.state().queues.retry_after_ms(now_ms, key, rand::rng().random())
     }
 
+    /// How soon the first request of a queue tries again if nothing wakes it: later if there are many
+    /// queues, since each try is a search for an endpoint.
+    pub fn retry_interval_ms(&self) -> u64 {
+        let queues = self.state().queues.busy_queues();
+        ((queues * 1_000 / RETRIES_PER_S) as u64)
+            .clamp(RETRY_INTERVAL_MIN_MS, RETRY_INTERVAL_MAX_MS)
+    }
+
     /// The queues in which requests wait.
     pub fn status(&self, now_ms: u64) -> Vec<QueueStatus> {
         self.state().queues.status(now_ms)
     }
 
-    /// Wakes the first request of each queue, because capacity may have become free.
-    pub fn wake_firsts(&self, now_ms: u64) {
+    /// Wakes the first request of each queue for which `concerns` is true, because its capacity may
+    /// have become free.
+    pub fn wake_firsts(&self, now_ms: u64, concerns: impl Fn(&QueueKey) -> bool) {
         if self.is_idle() {
             return;
         }
         let mut state = self.state();
-        state.queues.note_capacity();
-        for ticket in state.queues.firsts(now_ms) {
+        state.queues.note_capacity(&concerns);
+        for ticket in state.queues.firsts(now_ms, &concerns) {
             if let Some(waiter) = state.waiters.get(&ticket) {
                 waiter.wake.notify_one();
             }
         }
     }
 
-    /// Records that a request of this gateway for `key` ended, and wakes the first requests.
-    pub(super) fn note_place_left(&self, now_ms: u64, key: &QueueKey) {
-        if self.is_idle() {
-            return;
-        }
-        if let Some(kept) = self.state().shares.get_mut(key) {
-            kept.share.note_ended();
-        }
-        self.wake_firsts(now_ms);
-    }
-
     /// Records that an endpoint rejected a request because it is full.
     pub(super) fn note_rejected(&self, key: &QueueKey) {
         if let Some(kept) = self.state().shares.get_mut(key) {
@@ -271,8 +275,22 @@
 }
 
 impl Relay {
-    /// Applies new load counts to the shares of free places and wakes the first requests.
-    pub(super) fn note_counts(&self) {
+    /// Records that a request of this gateway for `key` left `endpoint`, and wakes the first
+    /// requests that the endpoint may take.
+    pub(super) fn note_place_left(&self, now_ms: u64, endpoint: &str, key: &QueueKey) {
+        if self.queue.is_idle() {
+            return;
+        }
+        if let Some(kept) = self.queue.state().shares.get_mut(key) {
+            kept.share.note_ended();
+        }
+        let fleet = self.fleet();
+        self.queue.wake_firsts(now_ms, |waiting| fleet.may_take(endpoint, waiting));
+    }
+
+    /// Applies new load counts of `endpoints` to the shares of free places, and wakes the first
+    /// requests that these endpoints may take.
+    pub(super) fn note_counts(&self, endpoints: &[Arc<str>]) {
         let now_ms = self.now_ms();
         for key in self.queue.shared_keys() {
             let (gateways, places) = self.places(now_ms, &key);
@@ -287,20 +305,31 @@
                 self.queue.publish(&state);
             }
         }
-        self.queue.wake_firsts(now_ms);
+        if self.queue.is_idle() {
+            return;
+        }
+        let fleet = self.fleet();
+        let free: Vec<_> = endpoints.iter().filter(|id| fleet.has_free_slot(id)).collect();
+        self.queue.wake_firsts(now_ms, |key| {
+            // Plain endpoints also take requests that wait in their queues.
+            key.weights.is_none() || free.iter().any(|id| fleet.may_take(id, key))
+        });
     }
 
-    /// Applies places that became known by a registration or a load of weights, and wakes the first
-    /// requests.
-    pub(super) fn note_places(&self) {
+    /// Applies places of the queues for which `concerns` is true, which became known by a
+    /// registration or a load of weights, and wakes the first requests.
+    pub(super) fn note_places(&self, concerns: impl Fn(&QueueKey) -> bool) {
         let now_ms = self.now_ms();
         for key in self.queue.shared_keys() {
+            if !concerns(&key) {
+                continue;
+            }
             let (_, places) = self.places(now_ms, &key);
             if let Some(kept) = self.queue.state().shares.get_mut(&key) {
                 kept.share.note_places(places, rand::rng().random());
             }
         }
-        self.queue.wake_firsts(now_ms);
+        self.queue.wake_firsts(now_ms, concerns);
     }
 
     fn places(&self, now_ms: u64, key: &QueueKey) -> (usize, ServicePlaces) {
@@ -422,25 +451,49 @@
         homes.values().any(|holding| matches!(holding, Holding::Ready(_)))
     }
 
+    fn has_free_slot(&self, endpoint: &str) -> bool {
+        let Some(state) = self.endpoints.get(endpoint) else { return false };
+        state.own_running + state.others_running < state.endpoint.slots
+    }
+
+    /// True if `endpoint` may be able to take requests of `key`.
+    fn may_take(&self, endpoint: &str, key: &QueueKey) -> bool {
+        match &key.weights {
+            Some(name) => self.homes.get(name).is_some_and(|homes| homes.contains_key(endpoint)),
+            None => self
+                .endpoints
+                .get(endpoint)
+                .is_none_or(|state| state.endpoint.service == key.service),
+        }
+    }
+
     /// The places of the endpoints that requests of `key` compete for.
     fn places(&self, now_ms: u64, key: &QueueKey) -> ServicePlaces {
         let mut places = ServicePlaces::default();
-        for id in self.by_service.get(&key.service).into_iter().flatten() {
-            let Some(state) = self.endpoints.get(id) else { continue };
-            if state.is_leaving(now_ms) || state.paused_until_ms > now_ms {
-                continue;
+        let mut add = |id: &Arc<str>| {
+            let Some(state) = self.endpoints.get(id) else { return };
+            if state.endpoint.service != key.service
+                || state.is_leaving(now_ms)
+                || state.paused_until_ms > now_ms
+            {
+                return;
             }
             let slots = state.endpoint.slots;
-            if let Some(name) = &key.weights {
-                let holding = self.homes.get(name).and_then(|homes| homes.get(id));
-                if !matches!(holding, Some(Holding::Ready(_))) {
-                    continue;
-                }
-            }
             let running = state.own_running + state.others_running;
             places.total += slots;
             places.free += slots.saturating_sub(running);
             places.excess += running.saturating_sub(slots);
+        };
+        match &key.weights {
+            // Few endpoints hold given weights.
+            Some(name) => {
+                for (id, holding) in self.homes.get(name).into_iter().flatten() {
+                    if matches!(holding, Holding::Ready(_)) {
+                        add(id);
+                    }
+                }
+            }
+            None => self.by_service.get(&key.service).into_iter().flatten().for_each(add),
         }
         places
     }
--- a/src/relay/reach.rs
+++ b/src/relay/reach.rs
@@ -253,7 +253,7 @@
         }
         if !ids.is_empty() {
             self.peers_wanted.notify_one();
-            self.note_places();
+            self.note_places(|_| true);
         }
     }
 
@@ -266,7 +266,7 @@
         }
         if !ids.is_empty() {
             self.peers_wanted.notify_one();
-            self.note_places();
+            self.note_places(|_| true);
         }
     }
 }
--- a/src/relay/selection.rs
+++ b/src/relay/selection.rs
@@ -15,8 +15,9 @@
 /// How long a request waits for a service without any known endpoint: a gateway that has just
 /// started learns of the endpoints within that time.
 const FIRST_ENDPOINT_WAIT_MS: u64 = 400;
-/// How often the first waiting request tries again without a notification. Pauses end without one.
-const RETRY_INTERVAL_MS: u64 = 25;
+/// How often the first waiting request whose weights no endpoint holds tries again without a
+/// notification: it is woken once one does.
+const PLACED_RETRY_INTERVAL_MS: u64 = 250;
 /// How often the leader is asked again for weights; it drops asks that are not repeated within
 /// 1.5 s.
 const ASK_AGAIN_MS: u64 = 1_000;
@@ -108,7 +109,7 @@
         };
         loop {
             let now_ms = relay.now_ms();
-            let mut again_at_ms = now_ms + RETRY_INTERVAL_MS;
+            let mut again_at_ms = now_ms + relay.queue.retry_interval_ms();
             match turn {
                 Turn::Now => match self.pick_endpoint(now_ms, &wait, Some(&place)) {
                     Ok(target) => {
@@ -117,7 +118,13 @@
                     }
                     Err(picked) => {
                         let until_ms = self.note_not_picked(now_ms, &mut wait, &picked)?;
-                        again_at_ms = until_ms.unwrap_or(again_at_ms);
+                        again_at_ms = match (until_ms, &picked) {
+                            (Some(until_ms), _) => until_ms,
+                            (None, Picked::Coming | Picked::NoHome) => {
+                                now_ms + PLACED_RETRY_INTERVAL_MS
+                            }
+                            (None, _) => again_at_ms,
+                        };
                         let is_over_share =
                             picked == Picked::Full && self.share() == ShareClass::Over;
                         // Endpoints of other software versions may take the requests behind it.
@@ -292,18 +299,14 @@
     /// # Errors
     /// The request cannot wait for that long.
     fn throttled_until_ms(&self, now_ms: u64, picked: &Picked) -> Result<Option<u64>, NotSent> {
-        let give_up_at_ms = self.give_up_at_ms(now_ms);
-        match *picked {
-            Picked::Limited { after_ms } if now_ms + after_ms >= give_up_at_ms => {
-                Err(NotSent::Limited { after_ms })
-            }
-            Picked::BackingOff { after_ms } if now_ms + after_ms >= give_up_at_ms => {
-                Err(NotSent::BackingOff { after_ms })
-            }
-            Picked::Limited { after_ms } | Picked::BackingOff { after_ms } => {
-                Ok(Some(now_ms + after_ms))
-            }
-            _ => Ok(None),
+        let (Picked::Limited { after_ms } | Picked::BackingOff { after_ms }) = *picked else {
+            return Ok(None);
+        };
+        let is_too_late = now_ms + after_ms >= self.give_up_at_ms(now_ms);
+        match picked {
+            Picked::Limited { .. } if is_too_late => Err(NotSent::Limited { after_ms }),
+            Picked::BackingOff { .. } if is_too_late => Err(NotSent::BackingOff { after_ms }),
+            _ => Ok(Some(now_ms + after_ms)),
         }
     }
 
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -302,7 +302,7 @@
         }
         drop(fleet);
         self.changed.notify_waiters();
-        self.note_places();
+        self.note_places(|_| true);
         if has_new_version {
             self.version_known.notify_waiters();
         }
@@ -319,14 +319,17 @@
     }
 
     pub(super) fn apply_placements(&self, reset: bool, placed: Vec<Placed>) {
+        let names: HashSet<_> = placed.iter().map(|placed| placed.name.clone()).collect();
         self.fleet().place(reset, placed);
-        self.note_places();
+        let is_placed = |name: &WeightsName| reset || names.contains(name);
+        self.note_places(|key| key.weights.as_ref().is_some_and(is_placed));
     }
 
     /// Applies the load of the other gateways.
     pub(super) fn apply_loads(&self, loads: Vec<EndpointLoad>) {
+        let counted: Vec<_> = loads.iter().map(|load| load.endpoint.clone()).collect();
         self.fleet().note_loads(self.now_ms(), loads);
-        self.note_counts();
+        self.note_counts(&counted);
     }
 
     /// Asks the leader to load weights that no endpoint holds, or too few.
--- a/tests/waiting_queue.rs
+++ b/tests/waiting_queue.rs
@@ -7,6 +7,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use winchvane::clock::Clock;
+use winchvane::message::WeightsName;
 use winchvane::metrics::Metrics;
 use winchvane::policy::fair_share::ShareClass;
 use winchvane::policy::waiting_queue::{
@@ -264,7 +265,7 @@
     let long = queues.push(0, &key(), request(1, 0, 800, 10_000)).expect("it may wait").ticket;
     assert_eq!(queues.first(10, &key()), Some(short));
     assert_eq!(queues.first(6_000, &key()), Some(long), "the first one's deadline has passed");
-    assert_eq!(queues.firsts(6_000), [long]);
+    assert_eq!(queues.firsts(6_000, |_| true), [long]);
     assert_eq!(queues.recheck(6_000, short), Err(QueueRefusal::DeadlineUnreachable));
 }
 
@@ -316,12 +317,12 @@
     let over = WaitingRequest { share: ShareClass::Over, ..request(0, 0, 800, 5_000) };
     let over = queues.push(0, &key(), over).expect("it may wait").ticket;
     assert!(!queues.let_others_pass(over), "no other request waits");
-    queues.note_capacity();
+    queues.note_capacity(|_| true);
     let within = queues.push(0, &key(), request(1, 0, 800, 5_000)).expect("it may wait").ticket;
     assert_eq!(queues.first(1, &key()), Some(over), "it is more urgent");
     assert!(queues.let_others_pass(over));
     assert_eq!(queues.first(1, &key()), Some(within));
-    queues.note_capacity();
+    queues.note_capacity(|_| true);
     assert_eq!(queues.first(2, &key()), Some(over), "a slot may have become free");
 }
 
@@ -387,7 +388,7 @@
     let is_woken = async |place: &QueuePlace| {
         tokio::time::timeout(Duration::from_millis(20), place.woken()).await.is_ok()
     };
-    queue.wake_firsts(now_ms);
+    queue.wake_firsts(now_ms, |_| true);
     assert!(!is_woken(&second).await && !is_woken(&third).await, "only the first one tries");
     assert!(is_woken(&first).await && first.is_first(now_ms));
     // The client leaves before its request was sent.
@@ -401,3 +402,46 @@
     drop(third);
     assert!(queue.is_idle());
 }
+
+fn key_of(adapter: &str) -> QueueKey {
+    let weights = WeightsName { model: "m".into(), adapter: Some(adapter.into()) };
+    QueueKey { service: Arc::from("quotes"), weights: Some(weights) }
+}
+
+/// Guards against gateways that search an endpoint for the first request of every queue whenever
+/// any weights are loaded: with a few hundred queues this took more than their processor time, and
+/// they stood still for seconds.
+#[tokio::test]
+async fn capacity_for_some_weights_wakes_no_request_for_others() {
+    let clock = Clock::new();
+    let queue = Arc::new(RequestQueue::new(clock, Metrics::local(), QueueLimits::default()));
+    let now_ms = clock.now_ms();
+    let join = |key| {
+        queue.join(now_ms, &key, "r", request(0, now_ms, 60_000, 60_000)).expect("it may wait")
+    };
+    let (a, b) = (join(key_of("a")), join(key_of("b")));
+    let is_woken = async |place: &QueuePlace| {
+        tokio::time::timeout(Duration::from_millis(20), place.woken()).await.is_ok()
+    };
+    queue.wake_firsts(now_ms, |key| *key == key_of("a"));
+    assert!(is_woken(&a).await && !is_woken(&b).await);
+    queue.wake_firsts(now_ms, |_| true);
+    assert!(is_woken(&a).await && is_woken(&b).await);
+}
+
+#[test]
+fn capacity_for_some_weights_restores_the_order_of_their_queue_only() {
+    let mut queues = WaitingQueues::new(QueueLimits::default());
+    let mut firsts = Vec::new();
+    for name in ["a", "b"] {
+        let first = queues.push(0, &key_of(name), request(0, 0, 60_000, 60_000)).expect("it waits");
+        let second =
+            queues.push(0, &key_of(name), request(1, 0, 60_000, 60_000)).expect("it waits");
+        assert!(queues.let_others_pass(first.ticket));
+        assert_eq!(queues.first(0, &key_of(name)), Some(second.ticket));
+        firsts.push((first.ticket, second.ticket));
+    }
+    queues.note_capacity(|key| *key == key_of("a"));
+    assert_eq!(queues.first(0, &key_of("a")), Some(firsts[0].0));
+    assert_eq!(queues.first(0, &key_of("b")), Some(firsts[1].1));
+}
