soak: connections of an engine that ended stand still again

Cause: since a connection's task ran on after its engine had vanished or fallen silent, so that a lost engine served old connections and answered no new ones. Change: the task stops with its incarnation; only its socket stays open until the listener is closed.

--- a/soak/src/engine/life.rs
+++ b/soak/src/engine/life.rs
@@ -60,12 +60,14 @@
     /// Runs the task of a connection until it ends, or this incarnation does and has closed its
     /// listener: the system closes the sockets of a crashed process in the order of their creation.
     pub(super) async fn until_closed(self: Arc<Self>, task: impl Future<Output = ()>) {
-        let mut listens = self.listens.subscribe();
+        let (mut listens, mut ended) = (self.listens.subscribe(), self.ended.subscribe());
         tokio::pin!(task);
         tokio::select! {
             () = &mut task => return,
-            () = self.clone().until_ended(std::future::pending()) => {}
+            // From now on the task stands still.
+            _ = ended.wait_for(Option::is_some) => {}
         }
+        self.until_ended(std::future::pending()).await;
         // The sender lives as long as the incarnation.
         let _ = listens.wait_for(|listens| !listens).await;
     }
