control: a comment says what the assumed duration of a load is for

Cause: it compared the figure with real loads, which belongs in docs/CAPACITY.md. Change: the comment only.

--- a/src/control/placement/store_limit.rs
+++ b/src/control/placement/store_limit.rs
@@ -9,8 +9,8 @@
 
 use crate::message::WeightsName;
 
-/// The assumed duration of a load before any was measured; shorter than real loads, so that the
-/// first checks are early.
+/// The duration that a load is expected to take until one has ended; short, so that the first
+/// checks are early.
 const INITIAL_BASELINE_MS: u64 = 100;
 /// The lower bound of the limit: every store supports eight concurrent loads for each one that its
 /// declaration names, a requirement of the users.
