relay: the age of what a gateway knows bounds what it sends

Cause: a gateway knew how old its knowledge was (the send time of the last confirmed renewal), and used it for keys, orders and 404s only. One that stalled (too little processor time, a stop) handled the requests in its sockets before the news in its session, and an endpoint that had left meanwhile got them: callers' requests reach an endpoint after the time for which it promised to serve. On waking it could also give its session up, since the time-out of the leader's silence was checked before the messages that waited. Ruled out: the news being late on its way, in the reproduction: control acknowledged at once and the gateway's socket held the news. Change: `Freshness` (policy) has one answer for routes, endpoints, standings and unknown keys: knowledge older than 80% of `changes_within_ms` is not decided with; requests wait for the next confirmation, at admission, before each send, in the queue, and after a connection was made, since the endpoint may have left meanwhile. Waits and the leader's silence count running time only (`RunningTimer`), and the session reads news before all else. The separate 2 s for 404s, unknown keys and trials is gone. Histograms of the age at each send and of the wait; `answered` names the age.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -151,6 +151,10 @@
     LoadWait => "requests.load_wait",
     /// Time that a request waited for capacity before it was sent.
     QueueWait => "requests.queue_wait",
+    /// Time that a request waited until control confirmed that what the gateway knows is recent.
+    ConfirmationWait => "requests.confirmation_wait",
+    /// Age of what a gateway knew of endpoints and routes when it sent a request.
+    KnownAge => "requests.known_age",
     /// Duration of an adapter load.
     Load => "endpoints.load",
     /// Duration of a sync of the log to disk.
--- a/src/relay/access.rs
+++ b/src/relay/access.rs
@@ -44,7 +44,7 @@
         match table.authenticate(route, credential) {
             Ok(workspace) => Ok(Self { credential, workspace, version }),
             // The key may have been added since this gateway's last update.
-            Err(KeyRefusal::Unknown) if !relay.is_confirmed(now_ms) => Err(unknown),
+            Err(KeyRefusal::Unknown) if !relay.is_up_to_date(now_ms) => Err(unknown),
             Err(refusal) => Err(NotSent::Unauthorized(refusal)),
         }
     }
--- a/src/relay/admission.rs
+++ b/src/relay/admission.rs
@@ -25,6 +25,11 @@
 /// newly elected leader. It is shorter than the time clients allow for reading a request.
 const FIRST_ROUTES_WAIT_MS: u64 = 400;
 
+/// The longest wait of a request without a deadline for recent routes.
+const KNOWLEDGE_WAIT_MAX_MS: u64 = 2_000;
+/// `Retry-After` of a request whose route is not known for certain: a renewal of the session.
+const UNCERTAIN_ROUTES_RETRY_MS: u64 = 300;
+
 /// A request that was read completely and may be sent.
 pub(super) struct Admitted {
     pub(super) meta: RequestMeta,
@@ -55,6 +60,7 @@
     for field in &meta.unread {
         info!(event = "request_unclear", request = %meta.id, field);
     }
+    await_knowledge(relay, started_ms, &meta).await?;
     let table = await_table(relay, started_ms).await;
     let host = header(&head.headers, HOST.as_str()).unwrap_or_default();
     let Some(chosen) = table.find(host, head.uri.path(), &meta.id) else {
@@ -99,6 +105,20 @@
     })
 }
 
+/// Waits for a confirmation that the known routes are recent, if that is expected.
+///
+/// # Errors
+/// None came before the client's deadline.
+async fn await_knowledge(relay: &Relay, started_ms: u64, meta: &RequestMeta) -> Result<(), Answer> {
+    let until_ms = started_ms + meta.deadline_ms.unwrap_or(KNOWLEDGE_WAIT_MAX_MS);
+    if relay.await_knowledge(until_ms).await {
+        return Ok(());
+    }
+    let known_age_ms = relay.known_age_ms(relay.now_ms()).unwrap_or(0);
+    info!(event = "refused", request = %meta.id, reason = "KnowledgeTooOld", known_age_ms);
+    Err(refuse_unavailable("the routes are not known for certain", UNCERTAIN_ROUTES_RETRY_MS))
+}
+
 /// Returns the routing table. A gateway that has just started first waits up to
 /// [`FIRST_ROUTES_WAIT_MS`] until the leader has sent a table and confirmed that it is the newest;
 /// without that it could accept no key.
@@ -106,13 +126,17 @@
     let until_ms = started_ms + FIRST_ROUTES_WAIT_MS;
     loop {
         let changed = relay.changed.notified();
+        let confirmed = relay.confirmed.notified();
         let table = relay.table();
         let now_ms = relay.now_ms();
         let is_known = table.version() > 0 && relay.has_been_confirmed();
         if is_known || now_ms >= until_ms {
             return table;
         }
-        let _ = timeout(Duration::from_millis(until_ms - now_ms), changed).await;
+        let news = async {
+            tokio::select! { () = changed => {}, () = confirmed => {} }
+        };
+        let _ = timeout(Duration::from_millis(until_ms - now_ms), news).await;
     }
 }
 
@@ -143,10 +167,10 @@
 }
 
 fn no_route(relay: &Relay, table: &RouteTable, meta: &RequestMeta) -> Answer {
-    let is_certain = table.version() > 0 && relay.is_confirmed(relay.now_ms());
+    let is_certain = table.version() > 0 && relay.is_up_to_date(relay.now_ms());
     info!(event = "no_route", request = %meta.id, version = table.version(), certain = is_certain);
     if is_certain {
         return own_answer(StatusCode::NOT_FOUND, "no route");
     }
-    refuse_unavailable("the routes are not known for certain", 300)
+    refuse_unavailable("the routes are not known for certain", UNCERTAIN_ROUTES_RETRY_MS)
 }
--- a/src/relay/advertised.rs
+++ b/src/relay/advertised.rs
@@ -80,6 +80,11 @@
         self.endpoints.get(id).is_some_and(|state| state.is_leaving(now_ms))
     }
 
+    /// True if `id` is registered and not leaving.
+    pub(super) fn is_available(&self, now_ms: u64, id: &str) -> bool {
+        self.endpoints.get(id).is_some_and(|state| !state.is_leaving(now_ms))
+    }
+
     /// Marks `id` as leaving because it announced this in a response; returns true if it was not
     /// already leaving.
     pub fn mark_leaving(&mut self, now_ms: u64, id: &Arc<str>) -> bool {
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -113,6 +113,9 @@
     Full,
     /// The endpoint refused the request and asked for backoff.
     RefusedWithBackoff,
+    /// Nothing was written, because the endpoint began to leave while the connection was made, or the
+    /// gateway's knowledge became too old.
+    Outdated,
     Unknown(String),
     /// No response came before the deadline.
     Overdue,
@@ -177,6 +180,9 @@
                 return Attempt::NotSent("the endpoint cannot be reached");
             }
         };
+        if !relay.may_still_send(&send.endpoint) {
+            return Attempt::Outdated;
+        }
         // The endpoint accepted a connection, so an end that was found before may be over.
         flight.ended = relay.fleet().watch_end(&send.endpoint);
         let peer = &*send.endpoint;
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -21,6 +21,7 @@
 use super::trial::Trial;
 use crate::http::{header, is_event_stream};
 use crate::message::{RequestContent, RequestKey, StreamOrigin};
+use crate::metrics::Timer;
 use crate::policy::resend::FailureCause;
 use crate::routing::RouteMatch;
 
@@ -56,6 +57,8 @@
     /// The expected wait at the selected endpoint, and the request's rank in its queue.
     pub(super) expected_ms: u64,
     pub(super) rank: u8,
+    /// The age of what the gateway knew at the last send.
+    pub(super) known_age_ms: u64,
     /// What the request waited for before it was sent; empty if it did not wait.
     pub(super) waited_for: &'static str,
     /// True once an endpoint has started a response; one that is buffered may still fail.
@@ -124,6 +127,7 @@
             last_data_at_ms: 0,
             expected_ms: 0,
             rank: 0,
+            known_age_ms: 0,
             waited_for: "",
             has_answered: false,
             held_version: None,
@@ -194,6 +198,10 @@
         last_event: Option<u64>,
     ) -> Result<StartedResponse, Failure> {
         loop {
+            // What the gateway knows may have aged while an earlier send failed.
+            if !self.relay.await_knowledge(self.ends_at_ms).await {
+                return Err(Failure::NotSent(NotSent::Late));
+            }
             self.permission = self.obtain_permission().await.map_err(Failure::NotSent)?;
             // The leader may have changed the request's standing since the last send.
             if self.possible_runs > 0
@@ -224,6 +232,8 @@
             let Target { id, name, address, software_version, weights_version, place, .. } = picked;
             let now_ms = self.relay.now_ms();
             self.sent_at_ms = now_ms;
+            self.known_age_ms = self.relay.known_age_ms(now_ms).unwrap_or(0);
+            self.relay.metrics.time(Timer::KnownAge, self.known_age_ms);
             self.response_started_at_ms = None;
             if !self.is_first_send() && !self.take_retry(now_ms) {
                 return Err(Failure::NotSent(NotSent::NoBudget));
--- a/src/relay/held.rs
+++ b/src/relay/held.rs
@@ -159,7 +159,7 @@
     async fn ask_for_trial(&self, key: RequestKey) -> Result<Trial, NotSent> {
         let relay = &self.relay;
         let refused = NotSent::Held { after_ms: TRIAL_RETRY_MS };
-        if !relay.is_confirmed(relay.now_ms()) {
+        if !relay.is_up_to_date(relay.now_ms()) {
             return Err(refused);
         }
         let _wait = TrialWait::new(relay, key);
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -14,6 +14,7 @@
 mod budget;
 mod buffered;
 mod choice;
+mod confirmation;
 mod crashes;
 mod detour;
 mod exchange;
--- a/src/relay/outcome.rs
+++ b/src/relay/outcome.rs
@@ -31,6 +31,9 @@
                     return Err(Failure::NotSent(NotSent::NoPlace(reason)));
                 }
             }
+            Attempt::Outdated => {
+                info!(event = "send_outdated", request = %self.meta.id, endpoint = %id);
+            }
             outcome @ (Attempt::NotRun(_) | Attempt::Full) => {
                 let reason = match outcome {
                     Attempt::NotRun(reason) => reason,
--- a/src/relay/report.rs
+++ b/src/relay/report.rs
@@ -88,6 +88,7 @@
             expected_ms = self.expected_ms,
             sent_after_ms = self.sent_at_ms.saturating_sub(self.started_ms),
             waited_for = self.waited_for,
+            known_age_ms = self.known_age_ms,
             objective_ms = self.chosen.route.latency_objective_ms,
             held_version = self.held_version.unwrap_or(0),
             not_resent = self.not_resent,
--- a/src/relay/selection.rs
+++ b/src/relay/selection.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use super::confirmation::CHECK_INTERVAL_MS;
 use super::exchange::Exchange;
 use super::known::Wanted;
 use super::pick::{PickRequest, Picked};
@@ -111,6 +112,9 @@
             let now_ms = relay.now_ms();
             let mut again_at_ms = now_ms + relay.queue.retry_interval_ms();
             match turn {
+                Turn::Now if !relay.may_decide(now_ms) => {
+                    again_at_ms = now_ms + CHECK_INTERVAL_MS;
+                }
                 Turn::Now => match self.pick_endpoint(now_ms, &wait, Some(&place)) {
                     Ok(target) => {
                         place.note_sent(now_ms);
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -20,6 +20,7 @@
     SessionRole, SessionUp,
 };
 use crate::policy::counts;
+use crate::policy::running_time::RunningTimer;
 use crate::wire::{Channel, Peer, Receiver, Sender};
 
 /// How often the gateway renews its session, which confirms that it has received all changes.
@@ -28,6 +29,9 @@
 /// Including the search for the next leader, this stays below the two seconds within which a change
 /// must take effect.
 const LEADER_TIMEOUT_MS: u64 = 900;
+/// The longest time between two checks for silence that counts towards it: after a stall of this
+/// process, messages of the leader may wait to be read.
+const SILENCE_STEP_MAX_MS: u64 = 2 * RENEW_MS;
 /// A replica that has served for this long is no longer avoided for earlier failures.
 const STABLE_AFTER_MS: u64 = 5_000;
 /// The time after the first offer to send requests of others, at which the gateway offers it again
@@ -113,14 +117,18 @@
     let mut reports = report_timer(counts_every_ms);
     let opened_at_ms = relay.now_ms();
     let mut last_message_at_ms = opened_at_ms;
+    let mut silence = RunningTimer::new(opened_at_ms, SILENCE_STEP_MAX_MS);
     let mut is_welcome = false;
     let mut welcome_at_ms = 0;
     let mut staged = Vec::new();
     let (results, mut ordered) = mpsc::unbounded_channel();
     loop {
         tokio::select! {
+            // After a stall, the news is applied first, and nothing times out before it is read.
+            biased;
             down = receiver.next() => {
                 last_message_at_ms = relay.now_ms().max(opened_at_ms + 1);
+                silence = RunningTimer::new(last_message_at_ms, SILENCE_STEP_MAX_MS);
                 let Some(down) = down? else {
                     return Err(Error::failed("follow", address.to_string(), "the session ended"));
                 };
@@ -167,6 +175,23 @@
                     down => apply_message(relay, down, &mut staged),
                 }
             }
+            _ = renewals.tick() => {
+                let now_ms = relay.now_ms();
+                if silence.observe(now_ms) > LEADER_TIMEOUT_MS {
+                    return Err(Error::timeout("follow", address.to_string(), LEADER_TIMEOUT_MS));
+                }
+                if is_welcome && let Some(near) = search.nearer_replica(now_ms, address) {
+                    debug!(event = "control_nearer", from = %address, to = %near);
+                    return Ok(Some(near));
+                }
+                if is_welcome && welcome_at_ms + STABLE_AFTER_MS <= now_ms {
+                    search.serves(address);
+                }
+                if is_welcome {
+                    let renewal = SessionUp::Renew { sent_at_ms: now_ms, summaries: Vec::new() };
+                    send(&mut sender, &renewal).await?;
+                }
+            }
             Some(up) = queues.outgoing.recv(), if is_welcome => send(&mut sender, &up).await?,
             Some(need) = queues.needs.recv(), if is_welcome => {
                 let needs = merge_needs(need, &mut queues.needs);
@@ -206,23 +231,6 @@
             () = relay.clock.sleep_until(opened_at_ms + FIRST_MESSAGE_TIMEOUT_MS), if last_message_at_ms == opened_at_ms => {
                 return Err(Error::timeout("open session", address.to_string(), FIRST_MESSAGE_TIMEOUT_MS));
             }
-            _ = renewals.tick() => {
-                let now_ms = relay.now_ms();
-                if now_ms > last_message_at_ms + LEADER_TIMEOUT_MS {
-                    return Err(Error::timeout("follow", address.to_string(), LEADER_TIMEOUT_MS));
-                }
-                if is_welcome && let Some(near) = search.nearer_replica(now_ms, address) {
-                    debug!(event = "control_nearer", from = %address, to = %near);
-                    return Ok(Some(near));
-                }
-                if is_welcome && welcome_at_ms + STABLE_AFTER_MS <= now_ms {
-                    search.serves(address);
-                }
-                if is_welcome {
-                    let renewal = SessionUp::Renew { sent_at_ms: now_ms, summaries: Vec::new() };
-                    send(&mut sender, &renewal).await?;
-                }
-            }
         }
     }
 }
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -2,7 +2,7 @@
 //! the send lease.
 
 use std::collections::{HashMap, HashSet};
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
 use rand::RngExt;
@@ -24,6 +24,7 @@
 use crate::clock::Clock;
 use crate::message::{AdapterNeed, Change, EndpointLoad, NewestVersion, Placed, WeightsName};
 use crate::metrics::{Counter, Metrics};
+use crate::policy::freshness::Freshness;
 use crate::policy::peers::PeerGateways;
 use crate::policy::reach::BrokenSends;
 use crate::policy::resend::ResendOutcomes;
@@ -32,12 +33,6 @@
 use crate::settings::RelaySettings;
 use crate::wire::Peers;
 
-/// How long after a confirmed renewal the known state counts as current, for example to answer that
-/// no route matches.
-const CONFIRMATION_VALID_MS: u64 = 2_000;
-/// How long keys are accepted without a confirmation, in percent of the time within which a revoked
-/// key must stop working; less than 100 because clocks run at different rates.
-const KEY_LEASE_PERCENT: u64 = 95;
 /// The number of changes in one message up to which each is logged; a gateway that starts receives
 /// thousands.
 const LOGGED_CHANGES_MAX: usize = 200;
@@ -48,7 +43,7 @@
     pub metrics: Metrics,
     pub(super) platform_headers: Arc<dyn PlatformHeaders>,
     pub(super) pool: ConnectionPool,
-    /// Notified when routes, standings or the first confirmation arrive.
+    /// Notified when routes or standings arrive.
     pub(super) changed: Notify,
     pub(super) queue: Arc<RequestQueue>,
     /// Notified when a newer version of weights becomes known.
@@ -65,7 +60,9 @@
     needs: mpsc::UnboundedSender<AdapterNeed>,
     pub(super) crashes: CrashWatch,
     gateways: Mutex<GatewayCount>,
-    confirmed_at_ms: AtomicU64,
+    pub(super) freshness: Mutex<Freshness>,
+    /// Notified when the leader confirms a renewal.
+    pub(super) confirmed: Notify,
     stopping: AtomicBool,
     pub(super) in_progress: AtomicU32,
     /// Endpoints to check.
@@ -95,6 +92,7 @@
             .with_version_within(settings.version_within_ms);
         let queue = RequestQueue::new(clock, metrics.clone(), QueueLimits::default());
         let gateways = GatewayCount::new(settings.retry.window_ms);
+        let freshness = Freshness::new(settings.changes_within_ms);
         let peers = PeerGateways::new(settings.name.clone(), settings.zone.clone());
         Self {
             settings,
@@ -116,7 +114,8 @@
             needs,
             crashes,
             gateways: Mutex::new(gateways),
-            confirmed_at_ms: AtomicU64::new(0),
+            freshness: Mutex::new(freshness),
+            confirmed: Notify::new(),
             stopping: AtomicBool::new(false),
             in_progress: AtomicU32::new(0),
             suspects,
@@ -150,7 +149,7 @@
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn gateways(&self) -> MutexGuard<'_, GatewayCount> {
+    pub(super) fn gateways(&self) -> MutexGuard<'_, GatewayCount> {
         self.gateways.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -164,44 +163,6 @@
         self.fleet().set_gateways(self.now_ms(), gateways);
     }
 
-    /// Records that this gateway has received all changes up to the time the confirmed renewal was
-    /// sent.
-    pub(super) fn note_confirmed(&self, sent_at_ms: u64) {
-        let before_ms = self.confirmed_at_ms.fetch_max(sent_at_ms.max(1), Ordering::Relaxed);
-        if before_ms == 0 {
-            self.changed.notify_waiters();
-        }
-        self.send_lease.confirm(sent_at_ms);
-        self.gateways().note_confirmed(sent_at_ms);
-        self.fleet().note_confirmed(sent_at_ms);
-    }
-
-    /// True once any renewal was confirmed, however long ago.
-    pub(super) fn has_been_confirmed(&self) -> bool {
-        self.confirmed_at_ms.load(Ordering::Relaxed) > 0
-    }
-
-    pub(super) fn is_confirmed(&self, now_ms: u64) -> bool {
-        let confirmed_at_ms = self.confirmed_at_ms.load(Ordering::Relaxed);
-        confirmed_at_ms > 0 && confirmed_at_ms + CONFIRMATION_VALID_MS > now_ms
-    }
-
-    /// How much longer the known keys may be accepted; 0 if not at all.
-    ///
-    /// The gateway knows of a revoked key by the first confirmed renewal that it sent after the
-    /// revocation. So without confirmations it accepts keys for less than the time within which a
-    /// revoked key must stop working, measured by a clock that keeps running while the process is
-    /// suspended.
-    pub(super) fn keys_valid_ms(&self, now_ms: u64) -> u64 {
-        let Some(within_ms) = self.settings.revoked_within_ms else { return u64::MAX };
-        let confirmed_at_ms = self.confirmed_at_ms.load(Ordering::Relaxed);
-        if confirmed_at_ms == 0 {
-            return 0;
-        }
-        let lease_ms = within_ms * KEY_LEASE_PERCENT / 100;
-        (confirmed_at_ms + lease_ms).saturating_sub(now_ms)
-    }
-
     /// True from the time requests can be served until a graceful shutdown begins.
     pub fn is_ready(&self) -> bool {
         let table = self.table();
@@ -231,7 +192,7 @@
         // A version that arrives now was accepted after the last confirmed renewal was sent,
         // perhaps right after it. If the message was delayed, the version must not count as named
         // only now.
-        let published_since_ms = now_ms.min(self.confirmed_at_ms.load(Ordering::Relaxed));
+        let published_since_ms = now_ms - self.known_age_ms(now_ms).unwrap_or(now_ms);
         let mut has_new_version = false;
         let mut ids = Vec::new();
         let mut requests = HashSet::new();
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -25,6 +25,9 @@
     pub seeds: Vec<SocketAddr>,
     /// Limits on retries.
     pub retry: RelayRetrySettings,
+    /// How long after control acknowledged a change of routes or endpoints requests may still be
+    /// sent without it, by gateways that are connected to control.
+    pub changes_within_ms: u64,
     /// How long after a version of weights was replaced requests may still start on it.
     pub version_within_ms: u64,
     /// How long after an API key was revoked requests with it may still be accepted, also by gateways
@@ -77,6 +80,7 @@
         slack: fields.number_or("slack", 20.0, 0.0..=1_000_000.0),
         window_ms: fields.int_or("window_ms", 10_000, 100..=3_600_000),
     });
+    let changes_within_ms = fields.int_or("changes_within_ms", 2_000, 1_000..=600_000);
     let version_within_ms = fields.int_or("version_within_ms", 5_000, 100..=600_000);
     let revoked_within_ms = fields.optional_int("revoked_within_ms", 100..=3_600_000);
     let header_max_bytes = fields.int_or("header_max_bytes", 64 << 10, 1_024..=16 << 20) as usize;
@@ -108,6 +112,7 @@
         listen_peers,
         seeds,
         retry,
+        changes_within_ms,
         version_within_ms,
         revoked_within_ms,
         header_max_bytes,
