control: a distributor that stalls reads the leader's messages before it gives the link up

Cause: the same as in the relay's session: the time-out of 0.6 s stood beside the reading of messages, and after a stall of the process either was taken first; with the time-out first the zone's gateways wait for a new link and its whole state. Ruled out: the owner gateway's session: its silence is its lease, which control has ended by then. Change: messages are read first, and the silence counts running time only.

--- a/src/control/distribution/link.rs
+++ b/src/control/distribution/link.rs
@@ -13,6 +13,7 @@
 use crate::error::{Error, Result};
 use crate::following::send;
 use crate::message::{Heartbeat, SessionDown, SessionHello, SessionRole, SessionUp};
+use crate::policy::running_time::RunningTimer;
 use crate::wire::{Channel, Peer, Receiver, Sender};
 
 /// The event loop's tick; renewals and load counts are sent in multiples of this.
@@ -21,6 +22,10 @@
 /// gateways here must find another leader in time for changes to take effect.
 const SILENCE_TIMEOUT_MS: u64 = 600;
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(SILENCE_TIMEOUT_MS);
+/// How often the silence is checked, and the longest time between two checks that counts towards it:
+/// after a stall of this process, messages of the leader may wait to be read.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+const SILENCE_STEP_MAX_MS: u64 = 100;
 const OPEN_TIMEOUT: Duration = Duration::from_millis(300);
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// The maximum number of queued messages to the leader.
@@ -196,11 +201,15 @@
     let (up, mut outgoing) = mpsc::channel(QUEUE_MAX);
     let mut up = Some(up);
     let clock = Clock::new();
-    let mut silence_deadline_ms = SILENCE_TIMEOUT_MS;
+    let mut silence = RunningTimer::new(clock.now_ms(), SILENCE_STEP_MAX_MS);
+    let mut checks = interval(SILENCE_CHECK_INTERVAL);
+    checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
+            // After a stall, nothing times out before the leader's messages are read.
+            biased;
             down = receiver.next() => {
-                silence_deadline_ms = clock.now_ms() + SILENCE_TIMEOUT_MS;
+                silence = RunningTimer::new(clock.now_ms(), SILENCE_STEP_MAX_MS);
                 let Some(down) = down? else {
                     return Err(Error::failed("follow", address.to_string(), "the link was closed"));
                 };
@@ -218,8 +227,10 @@
                 }
             }
             Some(message) = outgoing.recv() => send(&mut sender, &message).await?,
-            () = clock.sleep_until(silence_deadline_ms) => {
-                return Err(Error::timeout("follow", address.to_string(), SILENCE_TIMEOUT_MS));
+            _ = checks.tick() => {
+                if silence.observe(clock.now_ms()) >= SILENCE_TIMEOUT_MS {
+                    return Err(Error::timeout("follow", address.to_string(), SILENCE_TIMEOUT_MS));
+                }
             }
         }
     }
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use ractor::ActorRef;
@@ -107,6 +107,50 @@
     });
 }
 
+/// A leader that answers all renewals and counts the links that are opened.
+#[derive(Default)]
+struct CountingLeader {
+    links: Arc<AtomicUsize>,
+}
+
+impl Handler for CountingLeader {
+    fn handle(&self, incoming: Incoming) -> BoxFuture<'static, Result<()>> {
+        self.links.fetch_add(1, Ordering::Relaxed);
+        Box::pin(async move {
+            let (mut receiver, mut sender) = incoming.accept::<SessionUp, SessionDown>()?;
+            sender.send(&SessionDown::Welcome { epoch: 0 }).await?;
+            while let Some(up) = receiver.next().await? {
+                let SessionUp::RenewFor { number, .. } = up else { continue };
+                sender.send(&SessionDown::RenewedFor { number }).await?;
+            }
+            Ok(())
+        })
+    }
+}
+
+#[test]
+fn a_distributor_that_stalls_keeps_the_link_whose_news_it_has_not_read() {
+    let leader_runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    let links = Arc::<AtomicUsize>::default();
+    let listener = leader_runtime.block_on(TcpListener::bind("127.0.0.1:0")).expect("a free port");
+    let leader = listener.local_addr().expect("the listener is bound");
+    let handler = Arc::new(CountingLeader { links: links.clone() });
+    leader_runtime.spawn(serve(listener, handler, Metrics::local()));
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(async {
+        let own = ([127, 0, 0, 1], 9).into();
+        let (_leader_known, known) = watch::channel(Some(leader));
+        let _distributor = spawn(hello("c1".into(), 1, ZONE.into(), own), Clock::new(), known);
+        for _ in 0..8 {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            // Nothing else runs on this thread meanwhile.
+            std::thread::sleep(Duration::from_millis(700));
+        }
+    });
+    assert_eq!(links.load(Ordering::Relaxed), 1);
+}
+
 /// Starts the only replica of a group, which becomes leader.
 async fn leader_in(folder: &Path) -> ActorRef<ReplicaMessage> {
     let storage = FileStorage::open(folder).expect("the folder is empty").storage;
