--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -34,6 +34,9 @@
 /// The header with the gateway to which a client sent its request; gateways forward it unchanged.
 pub const SENT_TO: &str = "x-sent-to";
 
+/// The parts of a usual prompt.
+pub(crate) const PROMPT: &str = "1:200,2:100";
+
 /// The adapters that clients ask for.
 pub const ADAPTERS: [&str; 4] = ["a1", "a2", "a3", "a4"];
 
@@ -135,6 +138,17 @@
     ask_once(address, Kind::Adapter, Some(adapter), body.into(), record).await
 }
 
+/// Sends one request with a `prompt` of these parts, for the first adapter, on a new connection; returns
+/// its id and how it ended. No two have the same body.
+pub async fn ask_with_prompt(address: SocketAddr, prompt: &str, record: &Record) -> (String, End) {
+    let id = next_id();
+    let body = Bytes::from(id.clone());
+    let adapter = Some(ADAPTERS[0]);
+    let ask = Ask { gateway: address, id: &id, kind: Kind::Adapter, adapter, prompt };
+    let end = ask_on_new_connection(ask, body, record).await;
+    (id, end)
+}
+
 /// Sends one request of a `kind` on a new connection; returns its id and how it ended.
 pub(crate) async fn ask_once(
     address: SocketAddr,
@@ -144,18 +158,25 @@
     record: &Record,
 ) -> (String, End) {
     let id = next_id();
-    record.sent(&id, kind);
-    let Some(mut open) = connect(address).await else {
-        return (id, End::Unknown("no connection".to_owned()));
+    let ask = Ask { gateway: address, id: &id, kind, adapter, prompt: PROMPT };
+    let end = ask_on_new_connection(ask, body, record).await;
+    (id, end)
+}
+
+async fn ask_on_new_connection(ask: Ask<'_>, body: Bytes, record: &Record) -> End {
+    let Ask { gateway, id, kind, .. } = ask;
+    record.sent(id, kind);
+    let Some(mut open) = connect(gateway).await else {
+        return End::Unknown("no connection".to_owned());
     };
     let limit = Duration::from_millis(deadline_ms(kind) + 500);
-    let asked = ask_with(&mut open, address, &id, kind, adapter, body, record);
-    let end = match timeout(limit, asked).await {
+    let answered = answer_to(&mut open, ask.request(body), id, kind, record);
+    let end = match timeout(limit, answered).await {
         Ok(end) => end,
         Err(_) => End::Unknown("no answer within the deadline".to_owned()),
     };
-    record.ended(&id, end.clone());
-    (id, end)
+    record.ended(id, end.clone());
+    end
 }
 
 /// Sends one request with `key` on a connection of its own; its id, which `note` is told before, and how it ended.
@@ -253,19 +274,8 @@
 ) -> End {
     let adapter = (kind == Kind::Adapter).then(|| adapter(NEXT.fetch_add(1, Ordering::SeqCst)));
     let body = if kind == Kind::Any { Bytes::new() } else { Bytes::from_static(b"work") };
-    ask_with(open, gateway, id, kind, adapter.as_deref(), body, record).await
-}
-
-async fn ask_with(
-    open: &mut SendRequest<Full<Bytes>>,
-    gateway: SocketAddr,
-    id: &str,
-    kind: Kind,
-    adapter: Option<&str>,
-    body: Bytes,
-    record: &Record,
-) -> End {
-    let request = Ask { gateway, id, kind, adapter }.request(body);
+    let request =
+        Ask { gateway, id, kind, adapter: adapter.as_deref(), prompt: PROMPT }.request(body);
     answer_to(open, request, id, kind, record).await
 }
 
@@ -276,11 +286,13 @@
     pub(crate) id: &'a str,
     pub(crate) kind: Kind,
     pub(crate) adapter: Option<&'a str>,
+    /// The parts of the prompt, if it has an adapter.
+    pub(crate) prompt: &'a str,
 }
 
 impl Ask<'_> {
     pub(crate) fn request(&self, body: Bytes) -> Request<Full<Bytes>> {
-        let Self { gateway, id, kind, adapter } = *self;
+        let Self { gateway, id, kind, adapter, prompt } = *self;
         let (method, path) = match kind {
             Kind::Once => (Method::POST, "/once/x"),
             Kind::Any => (Method::GET, "/any/x"),
@@ -299,7 +311,7 @@
             request = request
                 .header("model", format!("{BASE}/{adapter}"))
                 .header("token-counts", "300,40")
-                .header("prompt-prefix", "1:200,2:100");
+                .header("prompt-prefix", prompt);
         }
         if NEXT.load(Ordering::SeqCst).is_multiple_of(FORGES_EVERY) {
             for name in FORGED_HEADERS {
--- a/soak/src/engine/mod.rs
+++ b/soak/src/engine/mod.rs
@@ -39,6 +39,9 @@
 const EVENT_PAUSE: Duration = Duration::from_millis(20);
 /// The body of a request that ends each engine which begins it.
 pub const CRASHING: &[u8] = b"crashes its engine";
+/// The ids of prompt parts that crash each engine which begins a request with one of them, unless it
+/// is the last part, start with these digits.
+pub const CRASHING_PART: &str = "dead";
 /// How long after its first event an engine ends that runs such a request.
 const CRASHES_AFTER: Duration = Duration::from_millis(30);
 /// How long an engine that ended so stays away.
@@ -389,8 +392,8 @@
         self.record.run(id);
         self.record.begun(id, &running.adapter, version, &self.id);
         tokio::time::sleep(FIRST_TOKEN).await;
-        if body.starts_with(CRASHING) {
-            self.record.crashes(id, body);
+        if let Some(cause) = crash_cause(headers, body) {
+            self.record.crashes(id, cause);
             tokio::spawn(self.clone().crash_under_it(life.clone()));
         }
         let first = text(headers, "last-event-id").parse::<u64>().map_or(1, |last| last + 1);
@@ -408,6 +411,17 @@
     }
 }
 
+/// What crashes the engine that begins this request: the whole body, or a shared part of its prompt.
+fn crash_cause<'a>(headers: &'a http::HeaderMap, body: &'a [u8]) -> Option<&'a [u8]> {
+    if body.starts_with(CRASHING) {
+        return Some(body);
+    }
+    let prompt = headers.get("prompt-prefix")?.to_str().ok()?;
+    let (shared, _own) = prompt.rsplit_once(',')?;
+    let mut parts = shared.split(',');
+    parts.find(|part| part.starts_with(CRASHING_PART)).map(str::as_bytes)
+}
+
 fn refused(status: StatusCode, id: &str) -> Answer {
     let mut answer: Response<_> = whole(status, id, String::new());
     answer.headers_mut().insert("not-executed", http::HeaderValue::from_static("1"));
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -140,10 +140,10 @@
         runs
     }
 
-    /// An engine begins a request with `body`, which ends it.
-    pub fn crashes(&self, request: &str, body: &[u8]) {
+    /// An engine begins a request that crashes it, because of its body or a part of its prompt.
+    pub fn crashes(&self, request: &str, cause: &[u8]) {
         println!("  {request} ends its engine");
-        self.inner().crashing.push((Instant::now(), body.to_vec()));
+        self.inner().crashing.push((Instant::now(), cause.to_vec()));
     }
 
     /// When engines began requests that ended them, in order.
@@ -151,13 +151,13 @@
         self.inner().crashing.iter().map(|(at, _)| *at).collect()
     }
 
-    /// When engines began requests that ended them, in order, by body.
-    pub fn crashing_by_body(&self) -> BTreeMap<Vec<u8>, Vec<Instant>> {
-        let mut by_body: BTreeMap<Vec<u8>, Vec<Instant>> = BTreeMap::new();
-        for (at, body) in &self.inner().crashing {
-            by_body.entry(body.clone()).or_default().push(*at);
+    /// When engines began requests that ended them, in order, by cause.
+    pub fn crashing_by_cause(&self) -> BTreeMap<Vec<u8>, Vec<Instant>> {
+        let mut by_cause: BTreeMap<Vec<u8>, Vec<Instant>> = BTreeMap::new();
+        for (at, cause) in &self.inner().crashing {
+            by_cause.entry(cause.clone()).or_default().push(*at);
         }
-        by_body
+        by_cause
     }
 
     /// True when an endpoint began the request.
--- a/soak/tests/requests_that_crash_engines.rs
+++ b/soak/tests/requests_that_crash_engines.rs
@@ -145,7 +145,7 @@
     let (sent, failed) = since(&tries, calm);
     let runs = system.record.crashing().len();
     let mut later = Vec::new();
-    for begun in system.record.crashing_by_body().values() {
+    for begun in system.record.crashing_by_cause().values() {
         let Some(third) = begun.get(2) else { continue };
         later.push(begun.iter().filter(|at| **at > *third + KNOWN_WITHIN).count());
     }
