message, policy, relay: what may crash endpoints is a feature of requests, with a key of its own

Cause: the detection of what crashes endpoints is to cover parts of prompts too; its types were named after whole requests.

--- a/src/control/distribution/view.rs
+++ b/src/control/distribution/view.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use crate::message::{
-    Change, EndpointLoad, Group, Holding, Load, NewestVersion, Placed, RegisteredEndpoint,
-    RequestKey, RequestStanding, Standing, WeightsName,
+    Change, EndpointLoad, FeatureKey, FeatureStanding, Group, Holding, Load, NewestVersion, Placed,
+    RegisteredEndpoint, Standing, WeightsName,
 };
 use crate::policy::endpoint_speed::ServiceWork;
 use crate::routing::RoutingConfiguration;
@@ -16,7 +16,7 @@
     routing: Option<Arc<RoutingConfiguration>>,
     endpoints: BTreeMap<Arc<str>, RegisteredEndpoint>,
     versions: BTreeMap<WeightsName, u64>,
-    standings: BTreeMap<RequestKey, RequestStanding>,
+    standings: BTreeMap<FeatureKey, FeatureStanding>,
     placed: BTreeMap<(Arc<str>, WeightsName), Holding>,
     /// The loads of gateways in other availability zones, by endpoint.
     remote_loads: HashMap<Arc<str>, Load>,
@@ -49,7 +49,7 @@
                 Change::Version(newest) | Change::VersionOfUnknownAge(newest) => {
                     self.versions.insert(newest.name.clone(), newest.version);
                 }
-                Change::Request(standing) => {
+                Change::Standing(standing) => {
                     if standing.standing == Standing::Cleared {
                         self.standings.remove(&standing.key);
                     } else {
@@ -128,13 +128,13 @@
         }
         for (key, standing) in &next.standings {
             if self.standings.get(key) != Some(standing) {
-                changes.push(Change::Request(standing.clone()));
+                changes.push(Change::Standing(standing.clone()));
             }
         }
         for (key, standing) in &self.standings {
             if !next.standings.contains_key(key) {
-                let cleared = RequestStanding { standing: Standing::Cleared, ..standing.clone() };
-                changes.push(Change::Request(cleared));
+                let cleared = FeatureStanding { standing: Standing::Cleared, ..standing.clone() };
+                changes.push(Change::Standing(cleared));
             }
         }
         if let Some(routing) = &next.routing
--- a/src/control/legacy.rs
+++ b/src/control/legacy.rs
@@ -13,7 +13,7 @@
 use crate::control::placement::OrderHolders;
 use crate::control::registry::{Registry, StoredRouting};
 use crate::control::state::State;
-use crate::message::{RegisteredEndpoint, RequestKey, RequestStanding, WeightsName};
+use crate::message::{FeatureKey, FeatureStanding, RegisteredEndpoint, WeightsName};
 
 #[derive(Deserialize)]
 struct LegacyState {
@@ -32,7 +32,7 @@
     pub(super) versions: BTreeMap<WeightsName, u64>,
     pub(super) order_holders: OrderHolders,
     pub(super) copies: BTreeMap<Arc<str>, VecDeque<WeightsName>>,
-    pub(super) standings: BTreeMap<RequestKey, RequestStanding>,
+    pub(super) standings: BTreeMap<FeatureKey, FeatureStanding>,
 }
 
 #[derive(Deserialize)]
--- a/src/control/registry.rs
+++ b/src/control/registry.rs
@@ -12,7 +12,7 @@
 use crate::control::placement::{COPIES_MAX, HolderChoice, NewCopy, OrderHolder, OrderHolders};
 use crate::control::software::{ServiceSoftware, SoftwareVersions};
 use crate::message::{
-    Change, EndpointEnd, NewestVersion, RegisteredEndpoint, RequestKey, RequestStanding, Standing,
+    Change, EndpointEnd, FeatureKey, FeatureStanding, NewestVersion, RegisteredEndpoint, Standing,
     WeightsName,
 };
 use crate::routing::RoutingConfiguration;
@@ -34,7 +34,7 @@
     versions: BTreeMap<WeightsName, u64>,
     order_holders: OrderHolders,
     copies: BTreeMap<Arc<str>, VecDeque<WeightsName>>,
-    standings: BTreeMap<RequestKey, RequestStanding>,
+    standings: BTreeMap<FeatureKey, FeatureStanding>,
     software: SoftwareVersions,
 }
 
@@ -176,12 +176,12 @@
     }
 
     /// The standings of requests that may have caused endpoint crashes; other requests have none.
-    pub fn standings(&self) -> impl Iterator<Item = &RequestStanding> {
+    pub fn standings(&self) -> impl Iterator<Item = &FeatureStanding> {
         self.standings.values()
     }
 
     /// Sets standings; a cleared one is removed.
-    pub fn set_standings(&mut self, standings: Vec<RequestStanding>) -> Vec<Change> {
+    pub fn set_standings(&mut self, standings: Vec<FeatureStanding>) -> Vec<Change> {
         let mut changes = Vec::new();
         for standing in standings {
             if standing.standing == Standing::Cleared {
@@ -189,7 +189,7 @@
             } else {
                 self.standings.insert(standing.key, standing.clone());
             }
-            changes.push(Change::Request(standing));
+            changes.push(Change::Standing(standing));
         }
         changes
     }
@@ -347,7 +347,7 @@
             changes.push(Change::VersionOfUnknownAge(newest));
         }
         for standing in self.standings.values() {
-            changes.push(Change::Request(standing.clone()));
+            changes.push(Change::Standing(standing.clone()));
         }
         changes
     }
--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -260,7 +260,7 @@
                     placement.set_version(now_ms, newest.name.clone(), newest.version);
                     self.registered.crashes.note_weights_updated(now_ms, &newest.name);
                 }
-                Change::Request(standing) => {
+                Change::Standing(standing) => {
                     log_standing(standing);
                     self.registered.crashes.apply_committed(now_ms, standing);
                 }
--- a/src/control/replica/standings.rs
+++ b/src/control/replica/standings.rs
@@ -4,7 +4,7 @@
 
 use super::{Replica, Waiter};
 use crate::control::state::Operation;
-use crate::message::{EndpointCrash, RequestStanding, Standing};
+use crate::message::{EndpointCrash, FeatureStanding, Standing};
 
 impl Replica {
     /// Records endpoint crashes that `gateway` observed.
@@ -26,7 +26,7 @@
                     endpoint = %crash.endpoint,
                     service = %crash.service,
                     gateway,
-                    runs = crash.runs.len(),
+                    features = crash.features.len(),
                     ago_ms = crash.ago_ms,
                     used
                 );
@@ -67,8 +67,8 @@
 }
 
 /// Logs the new standing of a request.
-pub(super) fn log_standing(decided: &RequestStanding) {
-    let RequestStanding { key, standing, .. } = decided;
+pub(super) fn log_standing(decided: &FeatureStanding) {
+    let FeatureStanding { key, standing, .. } = decided;
     match standing {
         Standing::Held { for_ms, times } => {
             warn!(event = "request_held", key = %key, for_ms, times);
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -16,7 +16,7 @@
 use crate::document::Document;
 use crate::error::{Error, Result};
 use crate::message::{
-    ApplyReply, Change, EndpointEnd, NewestVersion, RegisteredEndpoint, RequestStanding,
+    ApplyReply, Change, EndpointEnd, FeatureStanding, NewestVersion, RegisteredEndpoint,
 };
 use crate::routing::RoutingConfiguration;
 
@@ -98,7 +98,7 @@
     /// Records which endpoints got copies of weights.
     NoteCopies(Vec<NewCopy>),
     /// Sets the standings of requests that may have caused endpoint crashes.
-    SetStandings(Vec<RequestStanding>),
+    SetStandings(Vec<FeatureStanding>),
     /// Forgets software versions that have had no endpoint for long.
     ForgetSoftware(Vec<ServiceSoftware>),
 }
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -171,7 +171,7 @@
             | Change::Deregistered(_)
             | Change::Version(_)
             | Change::VersionOfUnknownAge(_)
-            | Change::Request(_) => {}
+            | Change::Standing(_) => {}
         }
     }
 
--- a/src/message/control.rs
+++ b/src/message/control.rs
@@ -11,7 +11,7 @@
 use crate::control::raft::{Envelope, NodeId};
 use crate::document::{Document, DocumentKind};
 use crate::message::{
-    EndpointEnd, Heartbeat, NewestVersion, RegisteredEndpoint, RequestStanding, Service,
+    EndpointEnd, FeatureStanding, Heartbeat, NewestVersion, RegisteredEndpoint, Service,
 };
 use crate::routing::RoutingConfiguration;
 
@@ -41,8 +41,8 @@
     /// The newest version of weights, announced at an unknown time: the change is part of the whole
     /// state, or was delivered late.
     VersionOfUnknownAge(NewestVersion),
-    /// The standing of requests with the same content changed.
-    Request(RequestStanding),
+    /// The standing of requests that have a feature changed.
+    Standing(FeatureStanding),
 }
 
 /// A single call to control.
--- a/src/message/crash.rs
+++ b/src/message/crash.rs
@@ -5,19 +5,20 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{RequestKey, WeightsName};
+use super::{FeatureKey, WeightsName};
 
-/// A request that was in progress at an endpoint when the endpoint crashed.
+/// A feature of requests that were in progress at an endpoint when the endpoint crashed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BrokenRun {
-    /// The request.
-    pub key: RequestKey,
-    /// The weights that the request used.
+pub struct InterruptedFeature {
+    /// The feature.
+    pub key: FeatureKey,
+    /// The weights that the requests used, if the feature is their whole content.
     pub weights: Option<WeightsName>,
-    /// The time for which the request had run, or had waited at the endpoint if it had not started.
+    /// The longest time for which a request with the feature had run, or had waited at the endpoint
+    /// if it had not started.
     pub ran_ms: u32,
-    /// The time between the last request with the same content that the gateway served and the
-    /// crash; `None` if the gateway served none recently.
+    /// The time between the last request with the feature that the gateway served and the crash;
+    /// `None` if the gateway served none recently.
     pub served_ago_ms: Option<u32>,
 }
 
@@ -30,11 +31,11 @@
     pub service: Arc<str>,
     /// The time since the gateway observed the crash.
     pub ago_ms: u32,
-    /// The gateway's requests that the crash interrupted.
-    pub runs: Vec<BrokenRun>,
+    /// The features of the gateway's requests that the crash interrupted.
+    pub features: Vec<InterruptedFeature>,
 }
 
-/// How gateways treat requests with the same content.
+/// How gateways treat requests that have a feature.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Standing {
     /// Treated like all other requests, but gateways report when one of them is served.
@@ -74,12 +75,12 @@
     }
 }
 
-/// The standing of requests with the same content.
+/// The standing of requests that have a feature.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RequestStanding {
-    /// The key of the requests.
-    pub key: RequestKey,
-    /// The weights that the requests require.
+pub struct FeatureStanding {
+    /// The feature.
+    pub key: FeatureKey,
+    /// The weights that the requests require, if the feature is their whole content.
     pub weights: Option<WeightsName>,
     /// The standing.
     pub standing: Standing,
--- a/src/message/mod.rs
+++ b/src/message/mod.rs
@@ -7,10 +7,10 @@
 mod crash;
 mod credit;
 mod detour;
+mod feature_key;
 mod forward;
 mod order;
 mod registration;
-mod request_key;
 mod session;
 mod stream_origin;
 mod workspace_use;
@@ -24,16 +24,16 @@
     ApplyReply, Change, ControlReply, ControlRequest, DocumentVerdict, GroupStatus, PeerMessage,
     PermitRequest, ProbeReply, Verdict,
 };
-pub use crash::{BrokenRun, EndpointCrash, RequestStanding, Standing};
+pub use crash::{EndpointCrash, FeatureStanding, InterruptedFeature, Standing};
 pub use credit::{CreditAsk, CreditGrant};
 pub use detour::{DetourRefusal, DetourRequest, PeerEvent, PeerGateway, PeerRequest};
+pub use feature_key::{FeatureKey, RequestContent};
 pub use forward::{Call, ForwardEvent, ForwardRequest, Refusal};
 pub use order::{EngineOrder, EngineReport, OrderKind, OrderOutcome, OrderResult};
 pub use registration::{
     AdapterNeed, EndpointEnd, EndpointLoad, Heartbeat, Holding, Load, NewestVersion, Placed,
     RegisteredEndpoint, Weights, WeightsName, WeightsUse,
 };
-pub use request_key::{RequestContent, RequestKey};
 pub use session::{
     Forwarded, Group, LoadReport, SessionDown, SessionHello, SessionRole, SessionServer, SessionUp,
 };
--- a/src/message/session.rs
+++ b/src/message/session.rs
@@ -10,7 +10,7 @@
 use super::control::Change;
 use crate::message::{
     AdapterNeed, BegunStreams, CreditAsk, CreditGrant, EndpointCrash, EndpointLoad, EngineOrder,
-    Heartbeat, OrderResult, OriginAsk, PeerGateway, Placed, RequestKey, StreamKey, StreamOrigin,
+    FeatureKey, Heartbeat, OrderResult, OriginAsk, PeerGateway, Placed, StreamKey, StreamOrigin,
     Summary, WeightsUse, WorkspaceUse,
 };
 
@@ -71,17 +71,17 @@
     /// Endpoints that crashed while they ran requests; reported again to each new leader.
     Crashes(Vec<EndpointCrash>),
     /// A request that is watched or held was served.
-    Served(RequestKey),
+    Served(FeatureKey),
     /// Asks for permission to send a held request once, as a trial.
-    AskForTrial(RequestKey),
+    AskForTrial(FeatureKey),
     /// Asks for credit of workspaces; answered by one grant per ask, in one or more messages.
     CreditAsks(Vec<CreditAsk>),
     /// Returns the permission for a trial that ended without an outcome.
-    TrialReturned(RequestKey),
+    TrialReturned(FeatureKey),
     /// A watched request was served before the gateway learned that it is watched.
     ServedBefore {
         /// The request.
-        key: RequestKey,
+        key: FeatureKey,
         /// The time since the request was served.
         ago_ms: u32,
     },
--- a/src/policy/crashes.rs
+++ b/src/policy/crashes.rs
@@ -26,7 +26,7 @@
 use std::sync::Arc;
 
 use crate::message::{
-    BrokenRun, EndpointCrash, RequestKey, RequestStanding, Standing, WeightsName,
+    EndpointCrash, FeatureKey, FeatureStanding, InterruptedFeature, Standing, WeightsName,
 };
 
 /// A p-value `p` becomes the e-value `CALIBRATOR_POWER * p.powf(CALIBRATOR_POWER - 1)`.
@@ -100,9 +100,9 @@
     /// The number of endpoints of the service that ran requests, including this one: crashes of
     /// idle endpoints are not observed.
     used: usize,
-    runs: BTreeMap<RequestKey, Run>,
+    runs: BTreeMap<FeatureKey, Run>,
     /// The held request among the interrupted ones.
-    explained_by: Option<RequestKey>,
+    explained_by: Option<FeatureKey>,
 }
 
 /// The committed standing of a request.
@@ -126,24 +126,24 @@
     /// Incarnations, in the order of their first reports.
     order: VecDeque<Arc<str>>,
     /// The crashes that interrupted each request since it was last served.
-    by_request: HashMap<RequestKey, Vec<Arc<str>>>,
+    by_request: HashMap<FeatureKey, Vec<Arc<str>>>,
     /// Crashes with interrupted requests to evaluate, and the time of the evaluation.
     pending: VecDeque<(u64, Arc<str>)>,
-    known: BTreeMap<RequestKey, KnownStanding>,
+    known: BTreeMap<FeatureKey, KnownStanding>,
     /// Decided standings that are not proposed yet.
-    decided: Vec<RequestStanding>,
+    decided: Vec<FeatureStanding>,
     /// The last decided standing of each request whose commit is pending.
-    uncommitted: BTreeMap<RequestKey, Standing>,
+    uncommitted: BTreeMap<FeatureKey, Standing>,
     /// Requests that are likely causes of the crashes that interrupted them, as of their last
     /// evaluation.
-    suspects: BTreeSet<RequestKey>,
+    suspects: BTreeSet<FeatureKey>,
     /// When requests that a crash interrupted were last served.
-    served_at_ms: HashMap<RequestKey, u64>,
+    served_at_ms: HashMap<FeatureKey, u64>,
 }
 
 impl Crashes {
     /// Creates a detector that knows only `standings`, all of which count as committed at `now_ms`.
-    pub fn new(now_ms: u64, standings: impl IntoIterator<Item = RequestStanding>) -> Self {
+    pub fn new(now_ms: u64, standings: impl IntoIterator<Item = FeatureStanding>) -> Self {
         let mut crashes = Self::default();
         for standing in standings {
             crashes.apply_committed(now_ms, &standing);
@@ -158,7 +158,7 @@
 
     /// Records a crash; `used` endpoints of its service ran requests, including this one.
     pub fn record_crash(&mut self, now_ms: u64, crash: EndpointCrash, used: usize) {
-        let EndpointCrash { endpoint, service, ago_ms, runs } = crash;
+        let EndpointCrash { endpoint, service, ago_ms, features } = crash;
         let at_ms = now_ms.saturating_sub(u64::from(ago_ms));
         if !self.by_endpoint.contains_key(&endpoint) {
             self.remove_expired(now_ms);
@@ -173,8 +173,8 @@
             self.by_endpoint.insert(endpoint.clone(), crash);
         }
         let mut is_new = false;
-        for run in runs {
-            is_new |= self.add_run(&endpoint, run);
+        for feature in features {
+            is_new |= self.add_run(&endpoint, feature);
         }
         if is_new {
             self.pending.push_back((now_ms + COLLECTION_MS, endpoint));
@@ -183,8 +183,8 @@
 
     /// Records a request that was interrupted by the crash of `endpoint`; returns false if it was
     /// known.
-    fn add_run(&mut self, endpoint: &Arc<str>, run: BrokenRun) -> bool {
-        let BrokenRun { key, weights, ran_ms, served_ago_ms } = run;
+    fn add_run(&mut self, endpoint: &Arc<str>, run: InterruptedFeature) -> bool {
+        let InterruptedFeature { key, weights, ran_ms, served_ago_ms } = run;
         // A crash during a trial may have been caused by another request, so `OnTrial` does not
         // count as held.
         let standing = self.known.get(&key).map(|known| &known.standing);
@@ -247,7 +247,7 @@
     }
 
     /// Returns true if a request other than `key` is likely to have caused the crash.
-    fn is_explained_without(&self, key: RequestKey, crash: &Crash) -> bool {
+    fn is_explained_without(&self, key: FeatureKey, crash: &Crash) -> bool {
         if let Some(explained_by) = crash.explained_by {
             return explained_by != key;
         }
@@ -257,13 +257,13 @@
 
     /// Returns true if a request was served so shortly before the crash that it is an unlikely
     /// cause.
-    fn is_recently_served(&self, key: RequestKey, crash: &Crash) -> bool {
+    fn is_recently_served(&self, key: FeatureKey, crash: &Crash) -> bool {
         self.served_at_ms.get(&key).is_some_and(|at_ms| crash.at_ms < at_ms + RECENTLY_SERVED_MS)
     }
 
     /// The most likely cause of a crash: among the requests not served recently, the one with the
     /// most crashes; `None` if two have as many, or if no gateway reports which requests it served.
-    fn prime_suspect(&self, crash: &Crash) -> Option<RequestKey> {
+    fn prime_suspect(&self, crash: &Crash) -> Option<FeatureKey> {
         if self.served_at_ms.is_empty() {
             return None;
         }
@@ -286,7 +286,7 @@
     ///
     /// This avoids holding a request that was interrupted together with several others: one of
     /// these is always among the interrupted ones too.
-    fn prime_crashes(&self, key: RequestKey) -> usize {
+    fn prime_crashes(&self, key: FeatureKey) -> usize {
         let mut crashes = 0;
         let mut was_only_candidate = false;
         for crash in self.unexplained_crashes(key) {
@@ -307,7 +307,7 @@
         now_ms: u64,
         at_ms: u64,
         endpoint: &Arc<str>,
-        key: RequestKey,
+        key: FeatureKey,
         weights: Option<WeightsName>,
     ) {
         let known = self.known.get(&key);
@@ -336,13 +336,13 @@
     }
 
     /// Returns true if gateways have had time to report whether they served the request.
-    fn is_served_report_due(&self, now_ms: u64, key: RequestKey) -> bool {
+    fn is_served_report_due(&self, now_ms: u64, key: FeatureKey) -> bool {
         let Some(known) = self.known.get(&key) else { return self.served_at_ms.is_empty() };
         self.served_at_ms.is_empty() || known.announced_at_ms + SERVED_REPORT_MS <= now_ms
     }
 
     /// Schedules another evaluation of a request for when gateways have had time to report.
-    fn schedule_evaluation(&mut self, now_ms: u64, endpoint: &Arc<str>, key: RequestKey) {
+    fn schedule_evaluation(&mut self, now_ms: u64, endpoint: &Arc<str>, key: FeatureKey) {
         let Some(crash) = self.by_endpoint.get_mut(endpoint) else { return };
         if let Some(run) = crash.runs.get_mut(&key) {
             run.is_evaluated = false;
@@ -351,7 +351,7 @@
     }
 
     /// The standing that follows from the crashes of a request; `None` for too few crashes.
-    fn assess(&self, key: RequestKey) -> Option<Standing> {
+    fn assess(&self, key: FeatureKey) -> Option<Standing> {
         let crashes = self.unexplained_count(key);
         if crashes < WATCHED_CRASHES {
             return None;
@@ -369,13 +369,13 @@
     }
 
     /// The number of crashes of a request that no other request explains.
-    fn unexplained_count(&self, key: RequestKey) -> usize {
+    fn unexplained_count(&self, key: FeatureKey) -> usize {
         self.unexplained_crashes(key).count()
     }
 
     /// The evidence that the request causes its crashes rather than being interrupted by
     /// coincidence, as an e-value.
-    pub fn e_value(&self, key: RequestKey) -> f64 {
+    pub fn e_value(&self, key: FeatureKey) -> f64 {
         let mut e_value = 1.0;
         for crash in self.unexplained_crashes(key) {
             e_value *= self.crash_e_value(key, crash);
@@ -383,19 +383,19 @@
         e_value
     }
 
-    fn crash_e_value(&self, key: RequestKey, crash: &Crash) -> f64 {
+    fn crash_e_value(&self, key: FeatureKey, crash: &Crash) -> f64 {
         let ran_ms = crash.runs.get(&key).map_or(u32::MAX, |run| run.ran_ms);
         let expected_crashes = self.background_rate_per_ms(key, crash) * f64::from(ran_ms.max(1));
         let p_value = 1.0 - (-expected_crashes).exp();
         CALIBRATOR_POWER * p_value.powf(CALIBRATOR_POWER - 1.0)
     }
 
-    fn crashes_with(&self, key: RequestKey) -> impl Iterator<Item = &Crash> {
+    fn crashes_with(&self, key: FeatureKey) -> impl Iterator<Item = &Crash> {
         let endpoints = self.by_request.get(&key).into_iter().flatten();
         endpoints.filter_map(|endpoint| self.by_endpoint.get(endpoint))
     }
 
-    fn unexplained_crashes(&self, key: RequestKey) -> impl Iterator<Item = &Crash> {
+    fn unexplained_crashes(&self, key: FeatureKey) -> impl Iterator<Item = &Crash> {
         self.crashes_with(key).filter(move |crash| match crash.explained_by {
             Some(explained_by) => explained_by == key,
             // Avoids holding requests that were repeatedly interrupted together with a suspect.
@@ -406,8 +406,8 @@
     /// Returns true if another request was interrupted by all crashes of this one, or all but one,
     /// after a shorter time: the other request caused them, and this one was interrupted by
     /// coincidence each time.
-    fn has_likelier_cause(&self, key: RequestKey) -> bool {
-        let mut candidates: BTreeMap<RequestKey, (usize, f64)> = BTreeMap::new();
+    fn has_likelier_cause(&self, key: FeatureKey) -> bool {
+        let mut candidates: BTreeMap<FeatureKey, (usize, f64)> = BTreeMap::new();
         let mut crashes = 0;
         for crash in self.unexplained_crashes(key) {
             crashes += 1;
@@ -429,7 +429,7 @@
     /// The crash rate per endpoint of the service, without the other crashes that interrupted the
     /// request: the highest rate over all periods that end with this crash, since crashes come in
     /// series.
-    fn background_rate_per_ms(&self, key: RequestKey, crash: &Crash) -> f64 {
+    fn background_rate_per_ms(&self, key: FeatureKey, crash: &Crash) -> f64 {
         let from_ms = crash.at_ms.saturating_sub(RATE_PERIOD_MAX_MS);
         let until_ms = crash.at_ms + SIMULTANEOUS_MS;
         let mut ages_ms = Vec::new();
@@ -458,7 +458,7 @@
     }
 
     /// Records that a request was served at `at_ms`.
-    pub fn note_served(&mut self, key: RequestKey, at_ms: u64) {
+    pub fn note_served(&mut self, key: FeatureKey, at_ms: u64) {
         if self.served_at_ms.len() >= SERVED_MAX && !self.served_at_ms.contains_key(&key) {
             let earliest = self.served_at_ms.iter().min_by_key(|(_, at_ms)| **at_ms);
             let Some((earliest, _)) = earliest else { return };
@@ -471,7 +471,7 @@
     }
 
     /// Removes a request from the crashes before it was served.
-    fn remove_from_crashes_before(&mut self, key: RequestKey, served_at_ms: u64) {
+    fn remove_from_crashes_before(&mut self, key: FeatureKey, served_at_ms: u64) {
         let Some(endpoints) = self.by_request.get_mut(&key) else { return };
         let by_endpoint = &self.by_endpoint;
         let is_before = |endpoint: &mut Arc<str>| {
@@ -484,7 +484,7 @@
     }
 
     /// Clears a request that was served: it causes no crashes.
-    pub fn served(&mut self, key: RequestKey) {
+    pub fn served(&mut self, key: FeatureKey) {
         self.suspects.remove(&key);
         for endpoint in self.by_request.remove(&key).unwrap_or_default() {
             self.remove_from_crash(key, &endpoint);
@@ -498,7 +498,7 @@
 
     /// Removes a request from a crash; if the request explained the crash, the others are evaluated
     /// again.
-    fn remove_from_crash(&mut self, key: RequestKey, endpoint: &Arc<str>) {
+    fn remove_from_crash(&mut self, key: FeatureKey, endpoint: &Arc<str>) {
         let Some(crash) = self.by_endpoint.get_mut(endpoint) else { return };
         crash.runs.remove(&key);
         if crash.explained_by != Some(key) {
@@ -513,7 +513,7 @@
 
     /// Lets `gateway` send a request whose holding time is over, unless another gateway already
     /// does.
-    pub fn grant_trial(&mut self, now_ms: u64, key: RequestKey, gateway: &Arc<str>) {
+    pub fn grant_trial(&mut self, now_ms: u64, key: FeatureKey, gateway: &Arc<str>) {
         let Some(known) = self.known.get(&key) else { return };
         let (held_ms, times) = match known.standing {
             Standing::Held { for_ms, times } => (for_ms, times),
@@ -529,7 +529,7 @@
 
     /// Takes back a trial that `gateway` could not use or that had no outcome; another one may
     /// follow soon.
-    pub fn return_trial(&mut self, key: RequestKey, gateway: &Arc<str>) {
+    pub fn return_trial(&mut self, key: FeatureKey, gateway: &Arc<str>) {
         let Some(known) = self.known.get(&key) else { return };
         let Standing::OnTrial { gateway: trying, times } = &known.standing else { return };
         if trying != gateway || self.uncommitted.contains_key(&key) {
@@ -560,13 +560,13 @@
     }
 
     /// Takes the standings decided since the last call, to be committed.
-    pub fn take_decided(&mut self) -> Vec<RequestStanding> {
+    pub fn take_decided(&mut self) -> Vec<FeatureStanding> {
         std::mem::take(&mut self.decided)
     }
 
     /// Applies a committed standing.
-    pub fn apply_committed(&mut self, now_ms: u64, committed: &RequestStanding) {
-        let RequestStanding { key, weights, standing } = committed;
+    pub fn apply_committed(&mut self, now_ms: u64, committed: &FeatureStanding) {
+        let FeatureStanding { key, weights, standing } = committed;
         self.uncommitted.remove(key);
         let before = self.known.remove(key);
         if *standing == Standing::Cleared {
@@ -591,7 +591,7 @@
 
     /// Marks the crashes of a held request as explained by it: they are no evidence against the
     /// other requests.
-    fn explain(&mut self, key: RequestKey) {
+    fn explain(&mut self, key: FeatureKey) {
         for endpoint in self.by_request.get(&key).into_iter().flatten() {
             if let Some(crash) = self.by_endpoint.get_mut(endpoint) {
                 crash.explained_by.get_or_insert(key);
@@ -613,7 +613,7 @@
         }
     }
 
-    fn decide(&mut self, key: RequestKey, weights: Option<WeightsName>, standing: Standing) {
+    fn decide(&mut self, key: FeatureKey, weights: Option<WeightsName>, standing: Standing) {
         let known = self.known.get(&key).map(|known| &known.standing);
         if self.uncommitted.get(&key).or(known) == Some(&standing) {
             return;
@@ -622,7 +622,7 @@
             self.clear_least_severe();
         }
         self.uncommitted.insert(key, standing.clone());
-        self.decided.push(RequestStanding { key, weights, standing });
+        self.decided.push(FeatureStanding { key, weights, standing });
     }
 
     /// Makes room by clearing one standing: a watched request before a suspected before a held one,
@@ -638,7 +638,7 @@
         let (key, weights) = (*key, known.weights.clone());
         let standing = Standing::Cleared;
         self.uncommitted.insert(key, standing.clone());
-        self.decided.push(RequestStanding { key, weights, standing });
+        self.decided.push(FeatureStanding { key, weights, standing });
     }
 
     fn remove_expired(&mut self, now_ms: u64) {
--- a/src/relay/crashes.rs
+++ b/src/relay/crashes.rs
@@ -13,7 +13,8 @@
 use super::served::RecentlyServed;
 use super::standings::Standings;
 use crate::message::{
-    BrokenRun, EndpointCrash, RegisteredEndpoint, RequestKey, RequestStanding, SessionUp, Standing,
+    EndpointCrash, FeatureKey, FeatureStanding, InterruptedFeature, RegisteredEndpoint, SessionUp,
+    Standing,
 };
 
 /// How long broken responses are kept after their endpoint seemed alive: an endpoint that restarts
@@ -65,7 +66,7 @@
 #[derive(Debug, Default)]
 struct Broken {
     since_ms: u64,
-    runs: Vec<BrokenRun>,
+    features: Vec<InterruptedFeature>,
 }
 
 impl CrashWatch {
@@ -99,20 +100,20 @@
     }
 
     /// Records that a request with the content `key` was served.
-    pub(super) fn note_served(&self, now_ms: u64, key: RequestKey) {
+    pub(super) fn note_served(&self, now_ms: u64, key: FeatureKey) {
         self.served().note(now_ms, key);
     }
 
     /// How long ago this gateway last served the content `key`, if that is remembered.
-    pub(super) fn served_ago_ms(&self, now_ms: u64, key: &RequestKey) -> Option<u32> {
+    pub(super) fn served_ago_ms(&self, now_ms: u64, key: &FeatureKey) -> Option<u32> {
         self.served().ago_ms(now_ms, key)
     }
 
     /// Applies a standing that the leader decided.
-    pub(super) fn apply_standing(&self, now_ms: u64, standing: RequestStanding) {
+    pub(super) fn apply_standing(&self, now_ms: u64, standing: FeatureStanding) {
         if standing.standing == Standing::Cleared {
             for (_, crash) in &mut self.records().crashes {
-                crash.runs.retain(|run| run.key != standing.key);
+                crash.features.retain(|feature| feature.key != standing.key);
             }
         }
         let key = standing.key;
@@ -127,13 +128,13 @@
     }
 
     /// Returns a trial without an outcome to the leader, which would otherwise wait for one.
-    pub(super) fn return_trial(&self, key: RequestKey) {
+    pub(super) fn return_trial(&self, key: FeatureKey) {
         info!(event = "trial_without_outcome", key = %key);
         self.send_to_leader(SessionUp::TrialReturned(key));
     }
 
     /// Forgets all standings except those of `keys`.
-    pub(super) fn retain_standings(&self, keys: &HashSet<RequestKey>) {
+    pub(super) fn retain_standings(&self, keys: &HashSet<FeatureKey>) {
         self.standings().keep_only(keys);
     }
 
@@ -144,7 +145,7 @@
         now_ms: u64,
         check: LivenessCheck,
         sent_at_ms: u64,
-        run: BrokenRun,
+        run: InterruptedFeature,
     ) -> bool {
         let mut records = self.records();
         // A request sent to an endpoint that had already ended cannot have caused the end.
@@ -152,10 +153,10 @@
             return false;
         }
         if let Some(broken) = records.broken.get_mut(&check.id) {
-            broken.runs.push(run);
+            broken.features.push(run);
             return true;
         }
-        records.broken.insert(check.id.clone(), Broken { since_ms: now_ms, runs: vec![run] });
+        records.broken.insert(check.id.clone(), Broken { since_ms: now_ms, features: vec![run] });
         // The receiver lives as long as the process.
         let _ = self.liveness_checks.send(check);
         true
@@ -180,13 +181,13 @@
     /// before count as a crash, although the address answered the probe.
     pub(super) fn note_replaced(&self, now_ms: u64, endpoint: &RegisteredEndpoint) {
         let mut records = self.records();
-        let Some(Broken { since_ms, runs }) = records.unconfirmed.remove(&endpoint.id) else {
+        let Some(Broken { since_ms, features }) = records.unconfirmed.remove(&endpoint.id) else {
             return;
         };
         if endpoint.leaving || since_ms + UNCONFIRMED_MS <= now_ms {
             return;
         }
-        let crash = records.add_crash(now_ms, since_ms, &endpoint.id, &endpoint.service, runs);
+        let crash = records.add_crash(now_ms, since_ms, &endpoint.id, &endpoint.service, features);
         drop(records);
         self.send_to_leader(SessionUp::Crashes(vec![crash]));
     }
@@ -196,7 +197,7 @@
         let mut records = self.records();
         let Some(broken) = records.broken.remove(endpoint) else { return };
         records.forget_old(now_ms);
-        let keys: Vec<RequestKey> = broken.runs.iter().map(|run| run.key).collect();
+        let keys: Vec<FeatureKey> = broken.features.iter().map(|feature| feature.key).collect();
         records.unconfirmed.insert(endpoint.clone(), broken);
         drop(records);
         for key in keys {
@@ -209,15 +210,15 @@
     /// Records that an endpoint has ended, and reports the crash to the leader.
     pub(super) fn note_ended(&self, now_ms: u64, endpoint: &Arc<str>, service: &Arc<str>) {
         let mut records = self.records();
-        let Some(Broken { since_ms, runs }) = records.broken.remove(endpoint) else { return };
-        let crash = records.add_crash(now_ms, since_ms, endpoint, service, runs);
+        let Some(Broken { since_ms, features }) = records.broken.remove(endpoint) else { return };
+        let crash = records.add_crash(now_ms, since_ms, endpoint, service, features);
         drop(records);
         self.send_to_leader(SessionUp::Crashes(vec![crash]));
     }
 
     /// The number of broken responses of an endpoint that has not been probed yet.
     pub(super) fn count_broken(&self, endpoint: &str) -> usize {
-        self.records().broken.get(endpoint).map_or(0, |broken| broken.runs.len())
+        self.records().broken.get(endpoint).map_or(0, |broken| broken.features.len())
     }
 
     /// Queues a message for the leader; it is sent with the next session if there is none now.
@@ -256,11 +257,11 @@
         since_ms: u64,
         endpoint: &Arc<str>,
         service: &Arc<str>,
-        runs: Vec<BrokenRun>,
+        features: Vec<InterruptedFeature>,
     ) -> EndpointCrash {
         let ago_ms = u32::try_from(now_ms - since_ms).unwrap_or(u32::MAX);
         let (endpoint, service) = (endpoint.clone(), service.clone());
-        let crash = EndpointCrash { endpoint, service, ago_ms, runs };
+        let crash = EndpointCrash { endpoint, service, ago_ms, features };
         self.crashes.push_back((since_ms, crash.clone()));
         self.forget_old(now_ms);
         crash
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -20,7 +20,7 @@
 use super::standings::Permission;
 use super::trial::Trial;
 use crate::http::{header, is_event_stream};
-use crate::message::{RequestContent, RequestKey, StreamOrigin};
+use crate::message::{FeatureKey, RequestContent, StreamOrigin};
 use crate::metrics::Timer;
 use crate::policy::resend::FailureCause;
 use crate::routing::RouteMatch;
@@ -65,7 +65,7 @@
     pub(super) has_answered: bool,
     /// The version that the endpoint's weights are known to have.
     pub(super) held_version: Option<u64>,
-    key: OnceLock<RequestKey>,
+    key: OnceLock<FeatureKey>,
     /// Whether the request may be resent within the same attempt of the client.
     permission: Permission,
     /// The leader's permission to send this attempt although the request was held.
@@ -173,12 +173,12 @@
 
     /// The key of the request's content, equal for all attempts of a client. Computed on first use,
     /// since few requests need it.
-    pub(super) fn key(&self) -> RequestKey {
+    pub(super) fn key(&self) -> FeatureKey {
         *self.key.get_or_init(|| self.compute_key())
     }
 
-    fn compute_key(&self) -> RequestKey {
-        RequestKey::new(RequestContent {
+    fn compute_key(&self) -> FeatureKey {
+        FeatureKey::of_content(RequestContent {
             method: self.method.as_str(),
             host: header(&self.headers, HOST.as_str()).unwrap_or_default(),
             target: self.target.path_and_query().map_or("/", |target| target.as_str()),
--- a/src/relay/held.rs
+++ b/src/relay/held.rs
@@ -13,7 +13,7 @@
 use super::refusal::NotSent;
 use super::standings::Permission;
 use super::trial::{Trial, TrialWait};
-use crate::message::{BrokenRun, RequestKey, SessionUp};
+use crate::message::{FeatureKey, InterruptedFeature, SessionUp};
 
 /// The run time that is reported at least for a request whose response had not started. Otherwise a
 /// request sent while its endpoint was already ending would look as if it had crashed it at once.
@@ -79,7 +79,8 @@
         let ran_ms = u32::try_from(ran_ms).unwrap_or(u32::MAX);
         let key = self.key();
         let served_ago_ms = self.relay.crashes.served_ago_ms(now_ms, &key);
-        let run = BrokenRun { key, weights: self.meta.weights.clone(), ran_ms, served_ago_ms };
+        let run =
+            InterruptedFeature { key, weights: self.meta.weights.clone(), ran_ms, served_ago_ms };
         let is_evidence = self.relay.crashes.note_broken_run(now_ms, check, self.sent_at_ms, run);
         if let (true, Some(trial)) = (is_evidence, &self.trial) {
             trial.mark_outcome_known();
@@ -156,7 +157,7 @@
         held_for_ms.map_or(Ok(()), |after_ms| Err(NotSent::Held { after_ms }))
     }
 
-    async fn ask_for_trial(&self, key: RequestKey) -> Result<Trial, NotSent> {
+    async fn ask_for_trial(&self, key: FeatureKey) -> Result<Trial, NotSent> {
         let relay = &self.relay;
         let refused = NotSent::Held { after_ms: TRIAL_RETRY_MS };
         if !relay.is_up_to_date(relay.now_ms()) {
--- a/src/relay/served.rs
+++ b/src/relay/served.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use crate::message::RequestKey;
+use crate::message::FeatureKey;
 
 /// The minimum number of contents that are remembered; a gateway serves about this many requests in
 /// a minute.
@@ -12,13 +12,13 @@
 /// the older one.
 #[derive(Debug, Default)]
 pub(super) struct RecentlyServed {
-    newer: HashMap<RequestKey, u64>,
-    older: HashMap<RequestKey, u64>,
+    newer: HashMap<FeatureKey, u64>,
+    older: HashMap<FeatureKey, u64>,
 }
 
 impl RecentlyServed {
     /// Records that `key` was served.
-    pub(super) fn note(&mut self, now_ms: u64, key: RequestKey) {
+    pub(super) fn note(&mut self, now_ms: u64, key: FeatureKey) {
         if self.newer.len() >= SERVED_MIN && !self.newer.contains_key(&key) {
             self.older = std::mem::take(&mut self.newer);
         }
@@ -26,7 +26,7 @@
     }
 
     /// How long ago `key` was last served; `None` if it was not, or if that was forgotten.
-    pub(super) fn ago_ms(&self, now_ms: u64, key: &RequestKey) -> Option<u32> {
+    pub(super) fn ago_ms(&self, now_ms: u64, key: &FeatureKey) -> Option<u32> {
         let served_at_ms = self.newer.get(key).or_else(|| self.older.get(key))?;
         u32::try_from(now_ms.saturating_sub(*served_at_ms)).ok()
     }
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -250,7 +250,7 @@
                     fleet.learn_newest(now_ms, name, version);
                     has_new_version = true;
                 }
-                Change::Request(standing) => {
+                Change::Standing(standing) => {
                     requests.insert(standing.key);
                     self.crashes.apply_standing(now_ms, standing);
                 }
--- a/src/relay/standings.rs
+++ b/src/relay/standings.rs
@@ -4,7 +4,7 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
-use crate::message::{RequestKey, RequestStanding, Standing};
+use crate::message::{FeatureKey, FeatureStanding, Standing};
 
 /// `Retry-After` of a request that comes while a trial of the same content is in progress, and how
 /// long a trial of this gateway may take.
@@ -41,11 +41,11 @@
 #[derive(Debug)]
 pub struct Standings {
     gateway: Arc<str>,
-    entries: HashMap<RequestKey, Entry>,
+    entries: HashMap<FeatureKey, Entry>,
     /// Trials of this gateway that were used.
-    tried: HashSet<RequestKey>,
+    tried: HashSet<FeatureKey>,
     /// The number of requests that wait for a trial.
-    waiting: HashMap<RequestKey, usize>,
+    waiting: HashMap<FeatureKey, usize>,
 }
 
 impl Standings {
@@ -60,14 +60,14 @@
     }
 
     /// True if the leader must be told when the request was served.
-    pub fn is_watched(&self, key: &RequestKey) -> bool {
+    pub fn is_watched(&self, key: &FeatureKey) -> bool {
         self.entries.contains_key(key)
     }
 
     /// Applies a decision of the leader; returns true for a trial of this gateway that no request
     /// waits for.
-    pub fn apply(&mut self, now_ms: u64, standing: RequestStanding) -> bool {
-        let RequestStanding { key, standing, .. } = standing;
+    pub fn apply(&mut self, now_ms: u64, standing: FeatureStanding) -> bool {
+        let FeatureStanding { key, standing, .. } = standing;
         self.tried.remove(&key);
         if standing == Standing::Cleared {
             self.entries.remove(&key);
@@ -80,12 +80,12 @@
     }
 
     /// Records that a request waits for a trial.
-    pub fn begin_wait(&mut self, key: RequestKey) {
+    pub fn begin_wait(&mut self, key: FeatureKey) {
         *self.waiting.entry(key).or_insert(0) += 1;
     }
 
     /// Records that a request no longer waits for a trial.
-    pub fn end_wait(&mut self, key: &RequestKey) {
+    pub fn end_wait(&mut self, key: &FeatureKey) {
         let Some(waiting) = self.waiting.get_mut(key) else { return };
         *waiting -= 1;
         if *waiting == 0 {
@@ -94,12 +94,12 @@
     }
 
     /// Forgets all standings except those of `keys`, which are all that the leader has.
-    pub fn keep_only(&mut self, keys: &HashSet<RequestKey>) {
+    pub fn keep_only(&mut self, keys: &HashSet<FeatureKey>) {
         self.entries.retain(|key, _| keys.contains(key));
     }
 
     /// Whether a request may be sent.
-    pub fn permission(&self, now_ms: u64, key: RequestKey) -> Permission {
+    pub fn permission(&self, now_ms: u64, key: FeatureKey) -> Permission {
         let Some(Entry { standing, since_ms }) = self.entries.get(&key) else {
             return Permission::Unrestricted;
         };
@@ -123,7 +123,7 @@
     }
 
     /// How long the request is still held; `None` if it is not held.
-    pub fn held_for_ms(&self, now_ms: u64, key: &RequestKey) -> Option<u64> {
+    pub fn held_for_ms(&self, now_ms: u64, key: &FeatureKey) -> Option<u64> {
         let Entry { standing: Standing::Held { for_ms, .. }, since_ms } = self.entries.get(key)?
         else {
             return None;
@@ -133,7 +133,7 @@
 
     /// Takes the trial that the leader gave to this gateway; returns false if there is none or it
     /// was used.
-    pub fn take_trial(&mut self, key: &RequestKey) -> bool {
+    pub fn take_trial(&mut self, key: &FeatureKey) -> bool {
         let Some(Entry { standing: Standing::OnTrial { gateway, .. }, .. }) = self.entries.get(key)
         else {
             return false;
@@ -142,7 +142,7 @@
     }
 
     /// True if this gateway has used its trial of the request.
-    pub fn has_used_trial(&self, key: &RequestKey) -> bool {
+    pub fn has_used_trial(&self, key: &FeatureKey) -> bool {
         self.tried.contains(key)
     }
 }
--- a/src/relay/trial.rs
+++ b/src/relay/trial.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use super::shared::Relay;
-use crate::message::RequestKey;
+use crate::message::FeatureKey;
 
 /// The leader's permission to send a held request once.
 ///
@@ -12,13 +12,13 @@
 /// outcome, all other attempts of the request are refused.
 pub(super) struct Trial {
     relay: Arc<Relay>,
-    key: RequestKey,
+    key: FeatureKey,
     has_outcome: AtomicBool,
 }
 
 impl Trial {
     /// A trial of the request `key` that was taken.
-    pub(super) fn new(relay: Arc<Relay>, key: RequestKey) -> Self {
+    pub(super) fn new(relay: Arc<Relay>, key: FeatureKey) -> Self {
         Self { relay, key, has_outcome: AtomicBool::new(false) }
     }
 
@@ -40,11 +40,11 @@
 /// Counts a request as waiting for a trial until it is dropped.
 pub(super) struct TrialWait<'a> {
     relay: &'a Relay,
-    key: RequestKey,
+    key: FeatureKey,
 }
 
 impl<'a> TrialWait<'a> {
-    pub(super) fn new(relay: &'a Relay, key: RequestKey) -> Self {
+    pub(super) fn new(relay: &'a Relay, key: FeatureKey) -> Self {
         relay.crashes.standings().begin_wait(key);
         Self { relay, key }
     }
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -7,7 +7,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use winchvane::message::{
-    BrokenRun, EndpointCrash, RequestContent, RequestKey, Standing, WeightsName,
+    EndpointCrash, FeatureKey, InterruptedFeature, RequestContent, Standing, WeightsName,
 };
 use winchvane::policy::crashes::Crashes;
 
@@ -22,10 +22,10 @@
 /// The number of ordinary clients that send the same request.
 const IDENTICAL_CLIENTS: usize = 5;
 
-fn key(number: usize) -> RequestKey {
+fn key(number: usize) -> FeatureKey {
     let number = if number < IDENTICAL_CLIENTS { 0 } else { number };
     let body = format!("body {number}");
-    RequestKey::new(RequestContent {
+    FeatureKey::of_content(RequestContent {
         method: "POST",
         host: "h",
         target: "/x",
@@ -121,8 +121,8 @@
         let mut next_ms: Vec<u64> = (0..self.ordinary).map(|_| rng.random_range(0..500)).collect();
         let first_crashing = self.ordinary;
         let (mut next_crash_ms, mut turn) = (1_000, 0);
-        let mut watched: Vec<RequestKey> = Vec::new();
-        let mut served_at_ms: HashMap<RequestKey, u64> = HashMap::new();
+        let mut watched: Vec<FeatureKey> = Vec::new();
+        let mut served_at_ms: HashMap<FeatureKey, u64> = HashMap::new();
         for now_ms in (0..self.length_ms).step_by(STEP_MS as usize) {
             let mut crashing_engine: Option<usize> = None;
             for (number, engine) in engines.iter_mut().enumerate() {
@@ -192,7 +192,7 @@
                 engine.up_from_ms = now_ms + DOWN_MS;
                 let runs = std::mem::take(&mut engine.runs);
                 outcome.interrupted += runs.len();
-                let mut interrupted_runs = Vec::new();
+                let mut interrupted = Vec::new();
                 for run in runs {
                     if run.request < first_crashing {
                         next_ms[run.request] = now_ms + CLIENT_PAUSE_MS;
@@ -201,7 +201,7 @@
                     let served = served_at_ms.get(&key(run.request));
                     let served_ago_ms = served.map(|at_ms: &u64| (now_ms - at_ms) as u32);
                     let served_ago_ms = served_ago_ms.filter(|_| self.reports_served);
-                    interrupted_runs.push(BrokenRun {
+                    interrupted.push(InterruptedFeature {
                         key: key(run.request),
                         weights: None,
                         ran_ms,
@@ -212,10 +212,10 @@
                     endpoint: crashed,
                     service: "s".into(),
                     ago_ms: 0,
-                    runs: interrupted_runs,
+                    features: interrupted,
                 };
                 // The crash of an idle endpoint is not observed.
-                if !crash.runs.is_empty() {
+                if !crash.features.is_empty() {
                     let used = engines.iter().filter(|engine| !engine.runs.is_empty()).count();
                     crashes.record_crash(now_ms, crash, used + 1);
                 }
@@ -399,12 +399,17 @@
 
 /// Reports that `endpoint` crashed after the request `number` had run there for `ran_ms`.
 fn report_crash(crashes: &mut Crashes, now_ms: u64, endpoint: &str, number: usize, ran_ms: u32) {
-    let run = BrokenRun { key: key(number), weights: Some(adapter()), ran_ms, served_ago_ms: None };
+    let run = InterruptedFeature {
+        key: key(number),
+        weights: Some(adapter()),
+        ran_ms,
+        served_ago_ms: None,
+    };
     let crash = EndpointCrash {
         endpoint: endpoint.into(),
         service: "s".into(),
         ago_ms: 0,
-        runs: vec![run],
+        features: vec![run],
     };
     crashes.record_crash(now_ms, crash, 10);
 }
@@ -660,9 +665,9 @@
     let mut crashes = held();
     crashes.grant_trial(14_000, key(9), &"g1".into());
     assert!(commit(&mut crashes, 14_000).is_some());
-    let run = BrokenRun { key: key(9), weights: None, ran_ms: 40, served_ago_ms: None };
+    let run = InterruptedFeature { key: key(9), weights: None, ran_ms: 40, served_ago_ms: None };
     let (endpoint, service) = ("e-early".into(), "s".into());
-    let early = EndpointCrash { endpoint, service, ago_ms: 3_000, runs: vec![run] };
+    let early = EndpointCrash { endpoint, service, ago_ms: 3_000, features: vec![run] };
     crashes.record_crash(14_500, early, 10);
     assert_eq!(commit(&mut crashes, 14_500), None);
 }
--- a/tests/distribution.rs
+++ b/tests/distribution.rs
@@ -11,10 +11,11 @@
 use tokio::sync::mpsc;
 use winchvane::control::distribution::{Distributor, hello};
 use winchvane::message::{
-    AdapterNeed, Change, EndpointCrash, EndpointLoad, EngineOrder, Forwarded, Group, Heartbeat,
-    Holding, Load, NewestVersion, OrderKind, OrderOutcome, OrderResult, Placed, RegisteredEndpoint,
-    RequestContent, RequestKey, RequestStanding, SessionDown, SessionHello, SessionRole,
-    SessionServer, SessionUp, Standing, UseCounts, WeightsName, WeightsUse, WorkspaceUse,
+    AdapterNeed, Change, EndpointCrash, EndpointLoad, EngineOrder, FeatureKey, FeatureStanding,
+    Forwarded, Group, Heartbeat, Holding, Load, NewestVersion, OrderKind, OrderOutcome,
+    OrderResult, Placed, RegisteredEndpoint, RequestContent, SessionDown, SessionHello,
+    SessionRole, SessionServer, SessionUp, Standing, UseCounts, WeightsName, WeightsUse,
+    WorkspaceUse,
 };
 
 /// Renewals of gateways are batched for at most this long.
@@ -697,11 +698,11 @@
     );
 }
 
-fn held() -> RequestStanding {
+fn held() -> FeatureStanding {
     let content =
         RequestContent { method: "POST", host: "h", target: "/", weights: None, body: b"body" };
     let standing = Standing::Held { for_ms: 10_000, times: 0 };
-    RequestStanding { key: RequestKey::new(content), weights: None, standing }
+    FeatureStanding { key: FeatureKey::of_content(content), weights: None, standing }
 }
 
 /// Returns the standings among messages to a gateway.
@@ -710,7 +711,7 @@
     for down in received {
         let SessionDown::Changes { changes, .. } = down else { continue };
         for change in changes {
-            let Change::Request(received) = change else { continue };
+            let Change::Standing(received) = change else { continue };
             standings.push(received.standing.clone());
         }
     }
@@ -723,7 +724,7 @@
     zone.welcome(1, "g1");
     zone.sent_to_leader();
     let (endpoint, service) = ("e1".into(), "quotes".into());
-    let crash = EndpointCrash { endpoint, service, ago_ms: 30, runs: Vec::new() };
+    let crash = EndpointCrash { endpoint, service, ago_ms: 30, features: Vec::new() };
     for up in [
         SessionUp::Crashes(vec![crash]),
         SessionUp::Served(held().key),
@@ -741,7 +742,7 @@
 fn gateways_get_request_standings_on_connect_and_on_change() {
     let mut zone = Zone::linked();
     zone.welcome(1, "g1");
-    let changes = vec![Change::Request(held())];
+    let changes = vec![Change::Standing(held())];
     zone.down(SessionDown::Changes { index: 6, reset: false, complete: true, changes });
     assert_eq!(standings(&zone.received(1)), [held().standing]);
     zone.open(2, "g2", "a");
--- a/tests/standings.rs
+++ b/tests/standings.rs
@@ -5,7 +5,7 @@
 
 use winchvane::control::state::{Command, Operation, State};
 use winchvane::message::{
-    Change, RequestContent, RequestKey, RequestStanding, Standing, WeightsName,
+    Change, FeatureKey, FeatureStanding, RequestContent, Standing, WeightsName,
 };
 use winchvane::relay::{Permission, Standings};
 
@@ -13,12 +13,12 @@
     RequestContent { method: "POST", host: "h", target: "/a?b=c", weights: None, body }
 }
 
-fn key() -> RequestKey {
-    RequestKey::new(content(b"body"))
+fn key() -> FeatureKey {
+    FeatureKey::of_content(content(b"body"))
 }
 
-fn told(standing: Standing) -> RequestStanding {
-    RequestStanding { key: key(), weights: None, standing }
+fn told(standing: Standing) -> FeatureStanding {
+    FeatureStanding { key: key(), weights: None, standing }
 }
 
 fn held(for_ms: u64) -> Standing {
@@ -32,7 +32,7 @@
 #[test]
 fn requests_are_the_same_when_all_that_endpoints_run_is_the_same() {
     let weights = WeightsName::new("base", Some("shop"));
-    assert_eq!(key(), RequestKey::new(content(b"body")));
+    assert_eq!(key(), FeatureKey::of_content(content(b"body")));
     let others = [
         content(b"bodx"),
         RequestContent { method: "PUT", ..content(b"body") },
@@ -43,7 +43,7 @@
         RequestContent { target: "/a?b=cb", ..content(b"ody") },
     ];
     for other in others {
-        assert_ne!(key(), RequestKey::new(other), "{other:?}");
+        assert_ne!(key(), FeatureKey::of_content(other), "{other:?}");
     }
 }
 
@@ -138,10 +138,10 @@
 fn standings_are_replicated_until_they_are_cleared() {
     let mut state = State::new();
     let changes = set(&mut state, 1, held(10_000));
-    assert!(matches!(&changes[..], [Change::Request(_)]));
+    assert!(matches!(&changes[..], [Change::Standing(_)]));
     let state_read = State::decode(&state.encode()).expect("the state decodes");
     assert_eq!(state_read.registry.standings().count(), 1);
-    assert!(state_read.all_changes().iter().any(|change| matches!(change, Change::Request(_))));
+    assert!(state_read.all_changes().iter().any(|change| matches!(change, Change::Standing(_))));
     set(&mut state, 2, Standing::Cleared);
     assert_eq!(state.registry.standings().count(), 0);
 }
