policy: records, evidence and verdicts of crashes are modules

Change: moved; the records return the crashes that lost their explanation, where the old code queued them itself. Nothing is decided differently.

--- /dev/null
+++ b/src/policy/crashes/evidence.rs
@@ -0,0 +1,227 @@
+//! The evidence of recorded crashes against features of the interrupted requests.
+
+use std::collections::BTreeMap;
+
+use super::records::{Crash, CrashRecords};
+use crate::message::FeatureKey;
+
+/// A p-value `p` becomes the e-value `CALIBRATOR_POWER * p.powf(CALIBRATOR_POWER - 1)`.
+const CALIBRATOR_POWER: f64 = 0.5;
+/// The number of crashes from which a feature may be held.
+const HELD_CRASHES: usize = 3;
+/// The e-value from which a feature is held.
+const HELD_E_VALUE: f64 = 3_000.0;
+/// The e-value from which the prime suspect of at least `HELD_CRASHES` crashes is held.
+const HELD_PRIME_E_VALUE: f64 = 200.0;
+/// The number of crashes from which their prime suspect explains them for the other interrupted
+/// features.
+const EXPLAINING_CRASHES: usize = 2;
+/// How long a feature that was served is an unlikely cause of crashes.
+const RECENTLY_SERVED_MS: u64 = 60_000;
+/// The e-value from which each attempt of a request goes to one endpoint only.
+const SUSPECTED_E_VALUE: f64 = 30.0;
+/// The number of crashes from which gateways report when a feature is served.
+const WATCHED_CRASHES: usize = 2;
+/// The minimum time over which the crash rate is measured: the first crash of a series gives no
+/// rate.
+const RATE_PERIOD_MIN_MS: u64 = 2_000;
+/// The maximum time over which the crash rate is measured.
+const RATE_PERIOD_MAX_MS: u64 = 60_000;
+/// Crashes up to this long after another one count for its rate too: simultaneous crashes are
+/// reported one by one.
+const SIMULTANEOUS_MS: u64 = 250;
+
+/// What the evidence against a feature amounts to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Assessment {
+    /// Gateways report when it is served.
+    Watch,
+    /// Each attempt goes to one endpoint only.
+    Suspect,
+    /// It is refused.
+    Hold,
+}
+
+impl CrashRecords {
+    /// What follows from the crashes of a feature; `None` for too few crashes.
+    pub(super) fn assess(&self, key: FeatureKey) -> Option<Assessment> {
+        let crashes = self.unexplained_count(key);
+        if crashes < WATCHED_CRASHES {
+            return None;
+        }
+        let e_value = self.e_value(key);
+        if crashes >= HELD_CRASHES && e_value >= HELD_E_VALUE && !self.has_likelier_cause(key) {
+            return Some(Assessment::Hold);
+        }
+        let prime_crashes = self.prime_crashes(key);
+        if prime_crashes >= HELD_CRASHES && e_value >= HELD_PRIME_E_VALUE {
+            return Some(Assessment::Hold);
+        }
+        let is_suspect = e_value >= SUSPECTED_E_VALUE || prime_crashes >= EXPLAINING_CRASHES;
+        Some(if is_suspect { Assessment::Suspect } else { Assessment::Watch })
+    }
+
+    /// Updates which of the features interrupted by the crash of `endpoint` are suspects.
+    pub(super) fn update_suspects(&mut self, endpoint: &str) {
+        let Some(crash) = self.by_endpoint.get(endpoint) else { return };
+        for key in crash.features.keys().copied().collect::<Vec<_>>() {
+            let is_likely_cause = self.unexplained_count(key) >= HELD_CRASHES
+                && self.e_value(key) >= SUSPECTED_E_VALUE
+                && !self.has_likelier_cause(key);
+            if is_likely_cause || self.prime_crashes(key) >= EXPLAINING_CRASHES {
+                self.suspects.insert(key);
+            } else {
+                self.suspects.remove(&key);
+            }
+        }
+    }
+
+    /// True if the feature is a possible cause of a crash that it is known to have been part of.
+    pub(super) fn is_possible_cause(&self, endpoint: &str, key: FeatureKey) -> bool {
+        self.by_endpoint.get(endpoint).is_some_and(|crash| {
+            self.crash_e_value(key, crash) >= 1.0 && !self.is_explained_without(key, crash)
+        })
+    }
+
+    /// True if a feature other than `key` is likely to have caused the crash.
+    fn is_explained_without(&self, key: FeatureKey, crash: &Crash) -> bool {
+        if let Some(explained_by) = crash.explained_by {
+            return explained_by != key;
+        }
+        !self.suspects.is_empty()
+            && crash.features.keys().any(|other| *other != key && self.suspects.contains(other))
+    }
+
+    /// True if a feature was served so shortly before the crash that it is an unlikely cause.
+    fn is_recently_served(&self, key: FeatureKey, crash: &Crash) -> bool {
+        self.served_at_ms.get(&key).is_some_and(|at_ms| crash.at_ms < at_ms + RECENTLY_SERVED_MS)
+    }
+
+    /// The most likely cause of a crash: among the features not served recently, the one with the
+    /// most crashes; `None` if two have as many, or if no gateway reports which features it served.
+    fn prime_suspect(&self, crash: &Crash) -> Option<FeatureKey> {
+        if self.served_at_ms.is_empty() {
+            return None;
+        }
+        let mut suspect = None;
+        let mut most_crashes = 0;
+        for key in crash.features.keys() {
+            let crashes = self.by_feature.get(key).map_or(0, Vec::len);
+            if crashes < most_crashes || self.is_recently_served(*key, crash) {
+                continue;
+            }
+            suspect = (crashes > most_crashes).then_some(*key);
+            most_crashes = crashes;
+        }
+        suspect
+    }
+
+    /// The number of crashes soon after the start of a request with the feature that have it as
+    /// their prime suspect; 0 unless, for one of them, it was the only interrupted feature that was
+    /// not served recently.
+    ///
+    /// This avoids holding a feature that was interrupted together with several others: one of
+    /// these is always among the interrupted ones too.
+    fn prime_crashes(&self, key: FeatureKey) -> usize {
+        let mut crashes = 0;
+        let mut was_only_candidate = false;
+        for crash in self.unexplained_crashes(key) {
+            if self.crash_e_value(key, crash) < 1.0 || self.prime_suspect(crash) != Some(key) {
+                continue;
+            }
+            crashes += 1;
+            let mut others = crash.features.keys().filter(|other| **other != key);
+            was_only_candidate |= others.all(|other| self.is_recently_served(*other, crash));
+        }
+        if was_only_candidate { crashes } else { 0 }
+    }
+
+    /// The number of crashes of a feature that no other feature explains.
+    fn unexplained_count(&self, key: FeatureKey) -> usize {
+        self.unexplained_crashes(key).count()
+    }
+
+    /// The evidence that the feature causes its crashes rather than being interrupted by
+    /// coincidence, as an e-value.
+    pub(super) fn e_value(&self, key: FeatureKey) -> f64 {
+        let mut e_value = 1.0;
+        for crash in self.unexplained_crashes(key) {
+            e_value *= self.crash_e_value(key, crash);
+        }
+        e_value
+    }
+
+    fn crash_e_value(&self, key: FeatureKey, crash: &Crash) -> f64 {
+        let ran_ms = crash.features.get(&key).map_or(u32::MAX, |feature| feature.ran_ms);
+        let expected_crashes = self.background_rate_per_ms(key, crash) * f64::from(ran_ms.max(1));
+        let p_value = 1.0 - (-expected_crashes).exp();
+        CALIBRATOR_POWER * p_value.powf(CALIBRATOR_POWER - 1.0)
+    }
+
+    fn crashes_with(&self, key: FeatureKey) -> impl Iterator<Item = &Crash> {
+        let endpoints = self.by_feature.get(&key).into_iter().flatten();
+        endpoints.filter_map(|endpoint| self.by_endpoint.get(endpoint))
+    }
+
+    fn unexplained_crashes(&self, key: FeatureKey) -> impl Iterator<Item = &Crash> {
+        self.crashes_with(key).filter(move |crash| match crash.explained_by {
+            Some(explained_by) => explained_by == key,
+            // Avoids holding features that were repeatedly interrupted together with a suspect.
+            None => !(self.is_recently_served(key, crash) && self.is_explained_without(key, crash)),
+        })
+    }
+
+    /// True if another feature was interrupted by all crashes of this one, or all but one, after a
+    /// shorter time: the other feature caused them, and this one was interrupted by coincidence
+    /// each time.
+    fn has_likelier_cause(&self, key: FeatureKey) -> bool {
+        let mut candidates: BTreeMap<FeatureKey, (usize, f64)> = BTreeMap::new();
+        let mut crashes = 0;
+        for crash in self.unexplained_crashes(key) {
+            crashes += 1;
+            let own_e_value = self.crash_e_value(key, crash);
+            for other in crash.features.keys() {
+                if *other == key || self.is_recently_served(*other, crash) {
+                    continue;
+                }
+                let (shared, e_value_ratio) = candidates.entry(*other).or_insert((0, 1.0));
+                *shared += 1;
+                *e_value_ratio *= self.crash_e_value(*other, crash) / own_e_value;
+            }
+        }
+        candidates
+            .values()
+            .any(|(shared, e_value_ratio)| shared + 1 >= crashes && *e_value_ratio > 1.0)
+    }
+
+    /// The crash rate per endpoint of the service, without the other crashes that interrupted the
+    /// feature: the highest rate over all periods that end with this crash, since crashes come in
+    /// series.
+    fn background_rate_per_ms(&self, key: FeatureKey, crash: &Crash) -> f64 {
+        let from_ms = crash.at_ms.saturating_sub(RATE_PERIOD_MAX_MS);
+        let until_ms = crash.at_ms + SIMULTANEOUS_MS;
+        let mut ages_ms = Vec::new();
+        for other in self.by_endpoint.values() {
+            if other.service != crash.service || !(from_ms..=until_ms).contains(&other.at_ms) {
+                continue;
+            }
+            let is_same_crash = std::ptr::eq(other, crash);
+            if !is_same_crash && other.features.contains_key(&key) {
+                continue;
+            }
+            // Several features that crash endpoints in turn would otherwise count as each other's
+            // background rate.
+            if !is_same_crash && self.is_explained_without(key, other) {
+                continue;
+            }
+            ages_ms.push(crash.at_ms.saturating_sub(other.at_ms));
+        }
+        ages_ms.sort_unstable();
+        let mut highest: f64 = 0.0;
+        for (position, age_ms) in ages_ms.iter().enumerate() {
+            let rate = (position + 1) as f64 / (age_ms + RATE_PERIOD_MIN_MS) as f64;
+            highest = highest.max(rate);
+        }
+        highest / crash.used as f64
+    }
+}
--- /dev/null
+++ b/src/policy/crashes/mod.rs
@@ -0,0 +1,208 @@
+//! Detection of what crashes the endpoints that run it.
+//!
+//! A crash interrupts all requests that run at the endpoint, most of them by coincidence. What
+//! requests share is a *feature*: their whole content, or a part of their prompts. A feature that
+//! causes crashes differs in how soon they happen, again and again: by coincidence, a request is
+//! interrupted within the time in which endpoints crash anyway. Requests with a feature that is
+//! *held* are refused for some time.
+//!
+//! For each crash, the p-value of a feature is the probability that an endpoint crashes within the
+//! time for which requests with the feature had run there, at the rate at which endpoints of the
+//! service crash without it. P-values are converted to e-values, whose mean is one for features that
+//! are interrupted by coincidence, and the e-values of a feature are multiplied until a request with
+//! it is served, which shows that it causes no crashes. By Ville's inequality, such a product exceeds
+//! the threshold by coincidence in about one of as many series. If several features were interrupted
+//! by each of the crashes, only the one that had run for the shortest time is held.
+//!
+//! Each crash has one cause, and a feature that was served recently is an unlikely one. Of the other
+//! features interrupted by a crash, the one with the most crashes is its *prime suspect*. The prime
+//! suspect of several crashes is held on weaker evidence, and its crashes count as explained for all
+//! other features that they interrupted.
+//!
+//! The detection runs in the leader, on reports of gateways, each of which knows only its own
+//! requests.
+
+mod evidence;
+mod records;
+mod verdicts;
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use self::evidence::Assessment;
+use self::records::CrashRecords;
+use self::verdicts::{Verdicts, held};
+use crate::message::{EndpointCrash, FeatureKey, FeatureStanding, Standing, WeightsName};
+
+/// How long reports of a crash are collected before it is evaluated: each gateway knows only its
+/// own requests, and the longest run of a request may be another gateway's.
+const COLLECTION_MS: u64 = 150;
+/// How long gateways have, from when they are informed of a feature's standing, to report that they
+/// served the feature.
+const SERVED_REPORT_MS: u64 = 100;
+
+/// Recorded crashes, the evidence from them, and the standings that follow.
+#[derive(Debug, Default)]
+pub struct Crashes {
+    records: CrashRecords,
+    verdicts: Verdicts,
+    /// Crashes with features to evaluate, and the time of the evaluation.
+    pending: VecDeque<(u64, Arc<str>)>,
+}
+
+impl Crashes {
+    /// Creates a detector that knows only `standings`, all of which count as committed at `now_ms`.
+    pub fn new(now_ms: u64, standings: impl IntoIterator<Item = FeatureStanding>) -> Self {
+        let mut crashes = Self::default();
+        for standing in standings {
+            crashes.apply_committed(now_ms, &standing);
+        }
+        crashes
+    }
+
+    /// True if the endpoint's incarnation is known to have crashed.
+    pub fn has_ended(&self, endpoint: &str) -> bool {
+        self.records.by_endpoint.contains_key(endpoint)
+    }
+
+    /// Records a crash; `used` endpoints of its service ran requests, including this one.
+    pub fn record_crash(&mut self, now_ms: u64, crash: EndpointCrash, used: usize) {
+        let EndpointCrash { endpoint, service, ago_ms, features } = crash;
+        let at_ms = now_ms.saturating_sub(u64::from(ago_ms));
+        let at_ms = self.records.add_crash(now_ms, at_ms, &endpoint, service, used);
+        let mut is_new = false;
+        for feature in features {
+            // A crash during a trial may have been caused by something else, so a feature on trial
+            // does not count as held.
+            if let Some(ago_ms) = feature.served_ago_ms {
+                self.note_served(feature.key, at_ms.saturating_sub(ago_ms.into()));
+            }
+            let is_held = self.verdicts.is_held(feature.key);
+            is_new |= self.records.add_feature(&endpoint, feature, is_held);
+        }
+        if is_new {
+            self.pending.push_back((now_ms + COLLECTION_MS, endpoint));
+        }
+    }
+
+    /// Evaluates the crashes whose reports have been collected.
+    fn evaluate_due(&mut self, now_ms: u64) {
+        while let Some((due_ms, endpoint)) = self.pending.front().cloned() {
+            if due_ms > now_ms {
+                return;
+            }
+            self.pending.pop_front();
+            self.records.update_suspects(&endpoint);
+            let Some(crash) = self.records.by_endpoint.get(&endpoint) else { continue };
+            let at_ms = crash.at_ms;
+            for (key, weights) in self.records.take_unevaluated(&endpoint) {
+                self.evaluate(now_ms, at_ms, &endpoint, key, weights);
+            }
+        }
+    }
+
+    /// Decides the standing of a feature that was interrupted by the crash of `endpoint` at `at_ms`.
+    fn evaluate(
+        &mut self,
+        now_ms: u64,
+        at_ms: u64,
+        endpoint: &Arc<str>,
+        key: FeatureKey,
+        weights: Option<WeightsName>,
+    ) {
+        let known = self.verdicts.get(key).map(|known| (&known.standing, known.since_ms));
+        let standing = match known {
+            // The attempt was already running when the feature was held.
+            Some((Standing::Held { .. }, _)) => return,
+            Some((Standing::OnTrial { .. }, since_ms)) if at_ms < since_ms => return,
+            Some((Standing::OnTrial { times, .. }, _)) => {
+                // During a trial, endpoints also crash by coincidence or for other reasons.
+                let is_cause = self.records.is_possible_cause(endpoint, key);
+                held(if is_cause { times + 1 } else { *times })
+            }
+            Some((Standing::Watched | Standing::Suspected | Standing::Cleared, _)) | None => {
+                match self.records.assess(key) {
+                    None => return,
+                    Some(Assessment::Watch) => Standing::Watched,
+                    Some(Assessment::Suspect) => Standing::Suspected,
+                    Some(Assessment::Hold) if self.is_served_report_due(now_ms, key) => held(0),
+                    Some(Assessment::Hold) => {
+                        self.records.reset_evaluation(endpoint, key);
+                        self.pending.push_back((now_ms + SERVED_REPORT_MS, endpoint.clone()));
+                        Standing::Suspected
+                    }
+                }
+            }
+        };
+        self.verdicts.decide(key, weights, standing);
+    }
+
+    /// True if gateways have had time to report whether they served the feature.
+    fn is_served_report_due(&self, now_ms: u64, key: FeatureKey) -> bool {
+        let announced_at_ms = self.verdicts.get(key).map(|known| known.announced_at_ms);
+        self.records.served_at_ms.is_empty()
+            || announced_at_ms.is_some_and(|at_ms| at_ms + SERVED_REPORT_MS <= now_ms)
+    }
+
+    /// The evidence that the feature causes its crashes rather than being interrupted by
+    /// coincidence, as an e-value.
+    pub fn e_value(&self, key: FeatureKey) -> f64 {
+        self.records.e_value(key)
+    }
+
+    /// Records that a request with the feature was served at `at_ms`.
+    pub fn note_served(&mut self, key: FeatureKey, at_ms: u64) {
+        let unexplained = self.records.note_served(key, at_ms);
+        self.evaluate_again(unexplained);
+    }
+
+    /// Clears a feature of a request that was served: it causes no crashes.
+    pub fn served(&mut self, key: FeatureKey) {
+        let unexplained = self.records.clear(key);
+        self.evaluate_again(unexplained);
+        self.verdicts.clear(key);
+    }
+
+    fn evaluate_again(&mut self, endpoints: Vec<Arc<str>>) {
+        for endpoint in endpoints {
+            self.pending.push_front((0, endpoint));
+        }
+    }
+
+    /// Lets `gateway` send a request with a feature whose holding time is over, unless another
+    /// gateway already does.
+    pub fn grant_trial(&mut self, now_ms: u64, key: FeatureKey, gateway: &Arc<str>) {
+        self.verdicts.grant_trial(now_ms, key, gateway);
+    }
+
+    /// Takes back a trial that `gateway` could not use or that had no outcome; another one may
+    /// follow soon.
+    pub fn return_trial(&mut self, key: FeatureKey, gateway: &Arc<str>) {
+        self.verdicts.return_trial(key, gateway);
+    }
+
+    /// Shortens the time for which contents for `name` are held, since `name` has just got a newer
+    /// version.
+    pub fn note_weights_updated(&mut self, now_ms: u64, name: &WeightsName) {
+        self.verdicts.note_weights_updated(now_ms, name);
+    }
+
+    /// Takes the standings decided since the last call, to be committed.
+    pub fn take_decided(&mut self) -> Vec<FeatureStanding> {
+        self.verdicts.take_decided()
+    }
+
+    /// Applies a committed standing.
+    pub fn apply_committed(&mut self, now_ms: u64, committed: &FeatureStanding) {
+        self.verdicts.apply_committed(now_ms, committed);
+        if committed.standing.is_refused() {
+            self.records.explain(committed.key);
+        }
+    }
+
+    /// Evaluates the crashes that are due, and clears standings that have not changed for long.
+    pub fn advance(&mut self, now_ms: u64) {
+        self.evaluate_due(now_ms);
+        self.verdicts.clear_expired(now_ms);
+    }
+}
