--- a/src/relay/admission.rs
+++ b/src/relay/admission.rs
@@ -133,10 +133,10 @@
         if is_known || now_ms >= until_ms {
             return table;
         }
-        let news = async {
+        let either = async {
             tokio::select! { () = changed => {}, () = confirmed => {} }
         };
-        let _ = timeout(Duration::from_millis(until_ms - now_ms), news).await;
+        let _ = timeout(Duration::from_millis(until_ms - now_ms), either).await;
     }
 }
 
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -124,7 +124,8 @@
     let (results, mut ordered) = mpsc::unbounded_channel();
     loop {
         tokio::select! {
-            // After a stall, the news is applied first, and nothing times out before it is read.
+            // After a stall, the changes that wait are applied first, and nothing times out before
+            // they are read.
             biased;
             down = receiver.next() => {
                 last_message_at_ms = relay.now_ms().max(opened_at_ms + 1);
