soak: gateways that stall while endpoints leave, and clients whose prompts share a part that crashes engines

Change: `--mix stalls`: a gateway is paused, or an endpoint announces with a heartbeat that it leaves; a request that reaches it later than 2.5 s after the acknowledgement is a breach. `--crashing-part-clients N`; in that mix more than three runs later than 3 s after the part's fifth crash are one.

--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 
 use crate::endpoint::{EVENTS, FORGED};
-use crate::engine::{BASE, CRASHING};
+use crate::engine::{BASE, CRASHING, CRASHING_PART};
 use crate::record::{End, Kind, Record};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -128,6 +128,27 @@
     started
 }
 
+/// Starts clients whose requests have one part in common, which crashes engines; no two are alike, and
+/// each goes to another gateway than the one before.
+pub fn start_with_crashing_part(
+    gateways: &[SocketAddr],
+    clients: u32,
+    record: &Arc<Record>,
+) -> Vec<JoinHandle<()>> {
+    let mut started = Vec::new();
+    for client in 0..clients {
+        let (gateways, record) = (gateways.to_vec(), record.clone());
+        started.push(tokio::spawn(async move {
+            for turn in client as usize.. {
+                let prompt = format!("1:200,{CRASHING_PART}:80,{client:x}{turn:05x}:40");
+                ask_with_prompt(gateways[turn % gateways.len()], &prompt, &record).await;
+                tokio::time::sleep(CRASHING_PAUSE).await;
+            }
+        }));
+    }
+    started
+}
+
 /// Sends one request for `adapter` on a connection of its own; its id, and how it ended.
 pub async fn ask_for_adapter(
     address: SocketAddr,
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -17,8 +17,10 @@
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::time::timeout;
 
 use crate::engine::unix_ms;
+use crate::leaving::Leaving;
 use crate::operator::call_control;
 use crate::overload::Overload;
 use crate::record::Record;
@@ -44,6 +46,7 @@
     born_ms: AtomicU64,
     breaks: AtomicBool,
     stalls: watch::Sender<bool>,
+    leaving: Leaving,
     record: Arc<Record>,
     /// Its overload signal and received requests.
     pub overload: Overload,
@@ -63,6 +66,7 @@
             born_ms,
             breaks,
             stalls: watch::Sender::new(false),
+            leaving: Leaving::default(),
             record,
             overload: Overload::new(),
         })
@@ -84,6 +88,18 @@
         self.overload.record_restart();
     }
 
+    /// Announces with its heartbeats that it leaves, and goes on serving.
+    pub fn leave(&self) {
+        self.leaving.begin();
+    }
+
+    /// Starts another incarnation if it was leaving.
+    pub fn return_if_left(&self) {
+        if self.leaving.end() {
+            self.restart();
+        }
+    }
+
     /// Breaks answers off in the middle from now on, or no longer.
     pub fn set_breaks(&self, breaks: bool) {
         self.breaks.store(breaks, Ordering::SeqCst);
@@ -127,16 +143,22 @@
                 (told_born_ms, sequence) = (born_ms, 0);
             }
             sequence += 1;
+            let is_leaving = self.leaving.has_begun();
+            let state = if is_leaving { "draining" } else { "ready" };
             let body = json!({
                 "service": self.service, "address": self.public, "zone": "zone-1", "version": "v1",
-                "slots": SLOTS, "state": "ready", "cold_remaining_ms": 0, "sequence": sequence,
+                "slots": SLOTS, "state": state, "cold_remaining_ms": 0, "sequence": sequence,
                 "born": born_ms,
             });
             let path = format!("/winchvane/instances/{}", self.id());
             let answered =
                 call_control(&control, turn, http::Method::PUT, &path, body.to_string()).await;
             turn += usize::from(answered.is_none());
-            tokio::time::sleep(HEARTBEAT).await;
+            if is_leaving && answered.is_some_and(|(status, _)| status.is_success()) {
+                self.leaving.note_acknowledged(Instant::now());
+            }
+            // A change of its state is told at once.
+            let _ = timeout(HEARTBEAT, self.leaving.changed.notified()).await;
         }
     }
 
@@ -153,6 +175,12 @@
         if text(&headers, "expect-instance") != self.id() {
             return whole(StatusCode::MISDIRECTED_REQUEST, &id, String::new());
         }
+        if let Some(late) = self.leaving.lateness(Instant::now()) {
+            let name = self.id();
+            self.record.breach(format!(
+                "request {id} reached {name} {late:?} after its leaving was acknowledged"
+            ));
+        }
         // A request whose body did not arrive is not run.
         if request.into_body().collect().await.is_err() {
             return whole(StatusCode::BAD_REQUEST, &id, String::new());
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -36,6 +36,7 @@
     EndpointSignal(usize),
     EngineSignal(usize),
     Cut(u8),
+    Return(usize),
 }
 
 /// Which faults come in a run.
@@ -55,6 +56,8 @@
     Overload,
     /// The faults of `All`, and more often gateways that are cut off from all endpoints.
     Cut,
+    /// Gateways that stall for seconds while endpoints leave.
+    Stalls,
     /// The faults of `All`, while engines of two software versions serve side by side, and more
     /// often engines that cut streams inside events.
     Streams,
@@ -118,6 +121,13 @@
             }
             continue;
         }
+        if mix == Mix::Stalls {
+            let lasts = Duration::from_millis(rng.random_range(500..4_500));
+            if let Some(what) = stall_or_leave(region, rng, &repairs, record) {
+                repairs.push(Repair { at: Instant::now() + lasts, what });
+            }
+            continue;
+        }
         if mix == Mix::Streams && rng.random_range(0..3) > 0 {
             let engine = rng.random_range(0..region.engines.len());
             let percent = rng.random_range(20..100);
@@ -173,6 +183,7 @@
             End::WholeStreams(engine) => region.engines[engine].cut_streams(0),
             End::GoOn(endpoint) => region.endpoints[endpoint].set_stalls(false),
             End::Cut(gateway) => region.cut(gateway, None),
+            End::Return(endpoint) => region.endpoints[endpoint].return_if_left(),
             End::EndpointSignal(endpoint) => region.end_endpoint_signal(endpoint),
             End::EngineSignal(engine) => {
                 if let Err(error) = region.end_engine_signal(engine).await {
@@ -205,6 +216,7 @@
             End::Mend(_)
             | End::GoOn(_)
             | End::Cut(_)
+            | End::Return(_)
             | End::EndpointSignal(_)
             | End::EngineSignal(_)
             | End::StartEngine(_)
@@ -349,6 +361,41 @@
     }
 }
 
+/// Pauses a gateway, or lets an endpoint announce that it leaves; half of the endpoints at most.
+fn stall_or_leave(
+    region: &mut Region,
+    rng: &mut SmallRng,
+    repairs: &[Repair],
+    record: &Record,
+) -> Option<End> {
+    if rng.random() {
+        let program = rng.random_range(0..region.programs.len());
+        let stalled = &mut region.programs[program];
+        if stalled.is_control || is_hurt(repairs, program) {
+            return None;
+        }
+        record.disturb();
+        record.fault(format!("{} is paused", stalled.name));
+        stalled.signal(Signal::SIGSTOP);
+        return Some(End::Resume(program));
+    }
+    let endpoint = rng.random_range(0..region.endpoints.len());
+    let mut leaving = 0;
+    for repair in repairs {
+        let End::Return(other) = repair.what else { continue };
+        if other == endpoint {
+            return None;
+        }
+        leaving += 1;
+    }
+    if (leaving + 1) * 2 > region.endpoints.len() {
+        return None;
+    }
+    record.fault(format!("endpoint {endpoint} leaves"));
+    region.endpoints[endpoint].leave();
+    Some(End::Return(endpoint))
+}
+
 /// Cuts a gateway off from all endpoints, unless it is already.
 fn cut_gateway(
     region: &Region,
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod engine;
 pub mod faults;
 pub mod keyed;
+pub mod leaving;
 pub mod operator;
 pub mod overload;
 pub mod proxy;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -61,6 +61,10 @@
     /// Clients that send a request which ends each engine that begins it, as long as faults come.
     #[arg(long, default_value_t = 0)]
     crashing_clients: u32,
+    /// Clients whose requests share a part of their prompts that crashes each engine which begins
+    /// one, as long as faults come.
+    #[arg(long, default_value_t = 0)]
+    crashing_part_clients: u32,
     /// Clients that resume broken streams at any gateway.
     #[arg(long, default_value_t = 0)]
     resuming_clients: u32,
@@ -131,7 +135,9 @@
     clients.extend(abusive::start(&gateways, arguments.abusive_clients, seed, &record));
     clients.extend(resuming::start(&gateways, arguments.resuming_clients, seed, &record));
     clients.extend(keyed::start(&gateways, arguments.keyed_clients, &record));
-    let crashing = client::start_crashing(&gateways, arguments.crashing_clients, &record);
+    let mut crashing = client::start_crashing(&gateways, arguments.crashing_clients, &record);
+    let with_part = arguments.crashing_part_clients;
+    crashing.extend(client::start_with_crashing_part(&gateways, with_part, &record));
     let operator = operator::start_operator(region.control_addresses(), record.clone());
     let until = Instant::now() + Duration::from_secs_f64(arguments.seconds);
     faults::inject(&mut region, &mut rng, arguments.mix, until, &record).await;
@@ -155,6 +161,10 @@
     let mut breaches = record.breaches(&region.exits());
     breaches.extend(region.empty_engines());
     breaches.extend(region.overload_breaches());
+    // Other mixes stop control, so that it may learn of a part late.
+    if arguments.mix == Mix::Stalls {
+        breaches.extend(record.crashing_part_breaches());
+    }
     println!("seed {seed}: {}", record.summary());
     if !breaches.is_empty() {
         region.keep_logs(&arguments.keep.join(seed.to_string()), &record);
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -4,6 +4,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use crate::engine::CRASHING_PART;
 use crate::keyed::KeyRecord;
 
 /// How long after an acknowledgement a read may still wait for it to be in force.
@@ -18,6 +19,12 @@
 /// How long after a fault of our own processes, or of what connects them, that time begins anew.
 const UNDISTURBED: Duration = Duration::from_secs(3);
 
+/// The crashes after which a part of prompts has to be known, and how many requests with it may reach
+/// engines later than this after the last of them.
+const PART_CRASHES: usize = 5;
+const PART_KNOWN_WITHIN: Duration = Duration::from_secs(3);
+const PART_LATER_MAX: usize = 3;
+
 /// What kind of request a client sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -160,6 +167,20 @@
         by_cause
     }
 
+    /// Parts of prompts that crashed engines for longer than the users allow.
+    pub fn crashing_part_breaches(&self) -> Vec<String> {
+        let mut breaches = Vec::new();
+        for (cause, begun) in self.crashing_by_cause() {
+            let Some(known_at) = begun.get(PART_CRASHES - 1) else { continue };
+            let later = begun.iter().filter(|at| **at > *known_at + PART_KNOWN_WITHIN).count();
+            if cause.starts_with(CRASHING_PART.as_bytes()) && later > PART_LATER_MAX {
+                let part = String::from_utf8_lossy(&cause).into_owned();
+                breaches.push(format!("part {part} crashed {later} engines after it was known"));
+            }
+        }
+        breaches
+    }
+
     /// True when an endpoint began the request.
     pub fn has_run(&self, id: &str) -> bool {
         self.inner().requests.get(id).is_some_and(|seen| seen.runs > 0)
--- a/soak/src/region.rs
+++ b/soak/src/region.rs
@@ -320,6 +320,7 @@
         for endpoint in &self.endpoints {
             endpoint.set_breaks(false);
             endpoint.set_stalls(false);
+            endpoint.return_if_left();
         }
         for program in &mut self.programs {
             program.signal(Signal::SIGCONT);
