relay: a request's deadline bounds its wait for recent routes to 2 s at most

Cause: reading the diff: the wait added the client's deadline to the time without a limit, so the longest deadline would end the task in a build with overflow checks.

--- a/src/relay/admission.rs
+++ b/src/relay/admission.rs
@@ -25,7 +25,7 @@
 /// newly elected leader. It is shorter than the time clients allow for reading a request.
 const FIRST_ROUTES_WAIT_MS: u64 = 400;
 
-/// The longest wait of a request without a deadline for recent routes.
+/// The longest wait of a request for recent routes.
 const KNOWLEDGE_WAIT_MAX_MS: u64 = 2_000;
 /// `Retry-After` of a request whose route is not known for certain: a renewal of the session.
 const UNCERTAIN_ROUTES_RETRY_MS: u64 = 300;
@@ -110,7 +110,8 @@
 /// # Errors
 /// None came before the client's deadline.
 async fn await_knowledge(relay: &Relay, started_ms: u64, meta: &RequestMeta) -> Result<(), Answer> {
-    let until_ms = started_ms + meta.deadline_ms.unwrap_or(KNOWLEDGE_WAIT_MAX_MS);
+    let wait_max_ms = meta.deadline_ms.unwrap_or(KNOWLEDGE_WAIT_MAX_MS).min(KNOWLEDGE_WAIT_MAX_MS);
+    let until_ms = started_ms + wait_max_ms;
     if relay.await_knowledge(until_ms).await {
         return Ok(());
     }
