all: an engineer's usual words in twenty comments

Change: comments, and one local of policy/reach; the error text "the stream stood still" stays, since clients may read it. Measured: no figure: comments only.

--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -88,7 +88,7 @@
         self.overload.record_restart();
     }
 
-    /// Announces with its heartbeats that it leaves, and goes on serving.
+    /// Announces with its heartbeats that it leaves, and continues to serve.
     pub fn leave(&self) {
         self.leaving.begin();
     }
@@ -157,7 +157,7 @@
             if is_leaving && answered.is_some_and(|(status, _)| status.is_success()) {
                 self.leaving.note_acknowledged(Instant::now());
             }
-            // A change of its state is told at once.
+            // A change of its state is announced at once.
             let _ = timeout(HEARTBEAT, self.leaving.changed.notified()).await;
         }
     }
--- a/src/control/distribution/mod.rs
+++ b/src/control/distribution/mod.rs
@@ -60,7 +60,7 @@
     counts: Counts,
     /// Messages of gateways that were not yet sent to the leader.
     forwarded: Vec<Forwarded>,
-    /// Streams that began at the gateways here and that the leader was not told of yet.
+    /// Streams that began at the gateways here and that were not reported to the leader yet.
     begun: Vec<BegunStreams>,
     /// The latest heartbeat of each endpoint that was not yet sent to the leader.
     heartbeats: BTreeMap<Arc<str>, Heartbeat>,
--- a/src/control/placement/outcome.rs
+++ b/src/control/placement/outcome.rs
@@ -192,7 +192,7 @@
             OrderKind::Unload { name } => {
                 let version = self.places.get(name).map_or(1, |place| place.version);
                 self.set_state(now_ms, name, version, WeightsState::Ready);
-                // Gateways were told that the model and its adapters are gone.
+                // Gateways were informed that the model and its adapters are gone.
                 for kept in self.with_adapters(name) {
                     let Some(place) = self.places.get(&kept) else { continue };
                     if place.state == WeightsState::Ready {
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -249,7 +249,7 @@
     }
 
     /// Retries while the disk is full. Nothing that has to be stored is acknowledged meanwhile, and
-    /// the other replicas go on without this one.
+    /// the other replicas continue without this one.
     async fn retry_while_full(
         &mut self,
         work: impl Fn(&mut dyn Storage) -> Result<()> + Clone + Send + 'static,
--- a/src/error.rs
+++ b/src/error.rs
@@ -12,7 +12,7 @@
 
 /// An error, with the step that failed and the peer or file that was involved.
 ///
-/// The kind is private: callers decide by the `is_` methods how to go on.
+/// The kind is private: callers decide by the `is_` methods how to proceed.
 #[derive(Debug, Snafu)]
 #[snafu(source(from(Kind, Box::new)))]
 pub struct Error(Box<Kind>);
--- a/src/http/framing.rs
+++ b/src/http/framing.rs
@@ -52,7 +52,7 @@
     }
 }
 
-/// Why the end of a body cannot be told from the head of its response.
+/// Why the head of a response does not determine the end of its body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
 pub enum FramingError {
     /// Both `Content-Length` and `Transfer-Encoding` are given.
--- a/src/policy/freshness.rs
+++ b/src/policy/freshness.rs
@@ -3,7 +3,7 @@
 //! The leader confirms a renewal after it has sent all changes that it accepted before the renewal,
 //! so a gateway knows every change that is older than its last confirmed renewal. A gateway without
 //! a recent confirmation waits for it, since a stall of its own process or a delay on the way ends
-//! soon. A gateway that runs and still gets none is disconnected from control, and goes on serving
+//! soon. A gateway that runs and still gets none is disconnected from control, and continues to serve
 //! with what it knows.
 
 use super::running_time::RunningTimer;
--- a/src/policy/quota/pool.rs
+++ b/src/policy/quota/pool.rs
@@ -18,7 +18,7 @@
 /// The maximum time that an ask waits for units to be refilled; an ask that would wait longer is
 /// answered at once.
 const QUEUE_WAIT_MAX_MS: f64 = 150.0;
-/// The maximum time for which a holder is told that units are exhausted: demand may end sooner than
+/// The maximum time for which a holder is informed that units are exhausted: demand may end sooner than
 /// estimated.
 const DRY_MAX_MS: f64 = 500.0;
 
--- a/src/policy/reach.rs
+++ b/src/policy/reach.rs
@@ -54,8 +54,8 @@
 pub fn combine_views(count: usize, views: &[Vec<Option<bool>>]) -> Vec<Option<bool>> {
     let mut combined = vec![None; count];
     for view in views {
-        for (known, told) in combined.iter_mut().zip(view) {
-            *known = match (*known, *told) {
+        for (known, reported) in combined.iter_mut().zip(view) {
+            *known = match (*known, *reported) {
                 (Some(true), _) | (_, Some(true)) => Some(true),
                 (Some(false), _) | (_, Some(false)) => Some(false),
                 (None, None) => None,
--- a/src/relay/detour/serve.rs
+++ b/src/relay/detour/serve.rs
@@ -27,7 +27,7 @@
 use crate::relay::stream;
 use crate::wire::{BoxFuture, Channel, Handler, Incoming, Receiver, Sender};
 
-/// How often a gateway is told that its request is still worked on.
+/// How often a gateway is informed that its request is still in progress.
 const ALIVE_INTERVAL: Duration = Duration::from_millis(250);
 /// The number of requests of other gateways that are served at once. Clients of this gateway come
 /// first: it has at most 3,000 connections.
@@ -277,7 +277,7 @@
 /// Checks whether this gateway may send the request, which the other one has admitted.
 ///
 /// # Errors
-/// The refusal that the other gateway is told.
+/// The refusal that is sent to the other gateway.
 fn admit(
     relay: &Arc<Relay>,
     request: DetourRequest,
--- a/src/relay/failures.rs
+++ b/src/relay/failures.rs
@@ -1,4 +1,4 @@
-//! Failures of endpoints, their pauses, and the requests that are told of their ends.
+//! Failures of endpoints, their pauses, and the requests that are notified of their ends.
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
--- a/src/relay/held.rs
+++ b/src/relay/held.rs
@@ -100,7 +100,7 @@
     /// can know which of them caused the end.
     pub(super) async fn wait_for_evaluation(&self, endpoint: &str) {
         let relay = &self.relay;
-        // An endpoint that is out of reach has not ended, and the leader is told nothing.
+        // An endpoint that is out of reach has not ended, and nothing is reported to the leader.
         if relay.fleet().is_out_of_reach(endpoint) {
             return;
         }
--- a/src/relay/origins.rs
+++ b/src/relay/origins.rs
@@ -35,7 +35,7 @@
 #[derive(Debug, Default)]
 struct Inner {
     own: StreamOrigins,
-    /// Streams that the leader was not told of yet.
+    /// Streams that were not reported to the leader yet.
     untold: Vec<(StreamKey, StreamOrigin)>,
     /// When they are sent; `None` if there are none.
     tell_at_ms: Option<u64>,
--- a/src/relay/process.rs
+++ b/src/relay/process.rs
@@ -41,7 +41,7 @@
 /// because a connection accepted under a longer limit must keep that limit.
 const CLIENT_IDLE_MS: u64 = 90_000;
 
-/// Runs a relay until it is told to stop.
+/// Runs a relay until it receives the signal to stop.
 ///
 /// # Errors
 /// A listener cannot be opened, or the metrics or the signal handler cannot be set up.
--- a/src/relay/selection.rs
+++ b/src/relay/selection.rs
@@ -181,7 +181,7 @@
         Ok(None)
     }
 
-    /// Checks after a wake-up whether the request may go on waiting.
+    /// Checks after a wake-up whether the request may continue to wait.
     ///
     /// # Errors
     /// Its wait is over, or it is not expected to be served in time any more.
--- a/src/relay/standings.rs
+++ b/src/relay/standings.rs
@@ -64,7 +64,7 @@
         self.entries.is_empty()
     }
 
-    /// True if the leader must be told when the request was served.
+    /// True if the leader must be informed when the request was served.
     pub fn is_watched(&self, key: &FeatureKey) -> bool {
         self.entries.contains_key(key)
     }
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -176,7 +176,7 @@
     Ok(ForwardedStream { exchange, endpoint, events: Some(events), can_resume })
 }
 
-/// The events sent so far, or why the stream may not go on at another endpoint.
+/// The events sent so far, or why the stream may not be resumed at another endpoint.
 fn resumable(
     exchange: &Exchange,
     events: Option<EventSplitter>,
@@ -235,7 +235,7 @@
         Error::failed("pass stream on", self.endpoint.clone(), self.error)
     }
 
-    /// Logs and counts a stream that goes on at `source`.
+    /// Logs and counts a stream that is resumed at `source`.
     fn note_resumed(&self, exchange: &Exchange, source: &Source, last_event: Option<u64>) {
         exchange.relay.metrics.count(Counter::StreamsResumed);
         let software = exchange.relay.fleet().software_version(source.endpoint());
