soak: a part counts as known from the fifth engine that it crashed; a gateway stalls as an endpoint leaves

Change: the time begins with the fifth incarnation that crashed, as in the users' rule; the three that may follow are requests, as before. In the mix a gateway is paused and an endpoint leaves at the same moment.

--- a/soak/src/engine/mod.rs
+++ b/soak/src/engine/mod.rs
@@ -393,7 +393,8 @@
         self.record.begun(id, &running.adapter, version, &self.id);
         tokio::time::sleep(FIRST_TOKEN).await;
         if let Some(cause) = crash_cause(headers, body) {
-            self.record.crashes(id, cause);
+            let incarnation = format!("{}@{}", self.id, life.born_ms);
+            self.record.crashes(id, cause, incarnation);
             tokio::spawn(self.clone().crash_under_it(life.clone()));
         }
         let first = text(headers, "last-event-id").parse::<u64>().map_or(1, |last| last + 1);
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -122,8 +122,11 @@
             continue;
         }
         if mix == Mix::Stalls {
-            let lasts = Duration::from_millis(rng.random_range(500..4_500));
-            if let Some(what) = stall_or_leave(region, rng, &repairs, record) {
+            // A gateway that stalls as an endpoint leaves learns of it when it resumes.
+            let stalled = stall_gateway(region, rng, &repairs, record);
+            let left = leave(region, rng, &repairs, record);
+            for what in [stalled, left].into_iter().flatten() {
+                let lasts = Duration::from_millis(rng.random_range(500..4_500));
                 repairs.push(Repair { at: Instant::now() + lasts, what });
             }
             continue;
@@ -361,24 +364,26 @@
     }
 }
 
-/// Pauses a gateway, or lets an endpoint announce that it leaves; half of the endpoints at most.
-fn stall_or_leave(
+/// Pauses a gateway, unless the drawn program is a replica or is hurt already.
+fn stall_gateway(
     region: &mut Region,
     rng: &mut SmallRng,
     repairs: &[Repair],
     record: &Record,
 ) -> Option<End> {
-    if rng.random() {
-        let program = rng.random_range(0..region.programs.len());
-        let stalled = &mut region.programs[program];
-        if stalled.is_control || is_hurt(repairs, program) {
-            return None;
-        }
-        record.disturb();
-        record.fault(format!("{} is paused", stalled.name));
-        stalled.signal(Signal::SIGSTOP);
-        return Some(End::Resume(program));
+    let program = rng.random_range(0..region.programs.len());
+    let stalled = &mut region.programs[program];
+    if stalled.is_control || is_hurt(repairs, program) {
+        return None;
     }
+    record.disturb();
+    record.fault(format!("{} is paused", stalled.name));
+    stalled.signal(Signal::SIGSTOP);
+    Some(End::Resume(program))
+}
+
+/// Lets an endpoint announce that it leaves; half of the endpoints at most.
+fn leave(region: &Region, rng: &mut SmallRng, repairs: &[Repair], record: &Record) -> Option<End> {
     let endpoint = rng.random_range(0..region.endpoints.len());
     let mut leaving = 0;
     for repair in repairs {
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -1,6 +1,6 @@
 //! What clients, endpoints and the operator have seen, and which promises it breaks.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -92,11 +92,19 @@
     breaches: Vec<String>,
     calm: bool,
     read_back: Option<u64>,
-    crashing: Vec<(Instant, Vec<u8>)>,
+    crashing: Vec<CrashingRun>,
     /// Streams that clients resumed while the system was undisturbed, and those of them that went on.
     resumed: (u32, u32),
 }
 
+/// A request that crashes the engine which began it.
+#[derive(Debug)]
+struct CrashingRun {
+    at: Instant,
+    cause: Vec<u8>,
+    incarnation: String,
+}
+
 /// Everything seen in one run.
 #[derive(Default)]
 pub struct Record {
@@ -147,40 +155,58 @@
         runs
     }
 
-    /// An engine begins a request that crashes it, because of its body or a part of its prompt.
-    pub fn crashes(&self, request: &str, cause: &[u8]) {
+    /// An incarnation of an engine begins a request that crashes it, because of its body or a part of
+    /// its prompt.
+    pub fn crashes(&self, request: &str, cause: &[u8], incarnation: String) {
         println!("  {request} ends its engine");
-        self.inner().crashing.push((Instant::now(), cause.to_vec()));
+        let run = CrashingRun { at: Instant::now(), cause: cause.to_vec(), incarnation };
+        self.inner().crashing.push(run);
     }
 
     /// When engines began requests that ended them, in order.
     pub fn crashing(&self) -> Vec<Instant> {
-        self.inner().crashing.iter().map(|(at, _)| *at).collect()
+        self.inner().crashing.iter().map(|run| run.at).collect()
     }
 
     /// When engines began requests that ended them, in order, by cause.
     pub fn crashing_by_cause(&self) -> BTreeMap<Vec<u8>, Vec<Instant>> {
         let mut by_cause: BTreeMap<Vec<u8>, Vec<Instant>> = BTreeMap::new();
-        for (at, cause) in &self.inner().crashing {
-            by_cause.entry(cause.clone()).or_default().push(*at);
+        for run in &self.inner().crashing {
+            by_cause.entry(run.cause.clone()).or_default().push(run.at);
         }
         by_cause
     }
 
-    /// Parts of prompts that crashed engines for longer than the users allow.
+    /// Parts of prompts whose requests reached engines for longer than the users allow after the part
+    /// had crashed `PART_CRASHES` of them.
     pub fn crashing_part_breaches(&self) -> Vec<String> {
         let mut breaches = Vec::new();
         for (cause, begun) in self.crashing_by_cause() {
-            let Some(known_at) = begun.get(PART_CRASHES - 1) else { continue };
-            let later = begun.iter().filter(|at| **at > *known_at + PART_KNOWN_WITHIN).count();
-            if cause.starts_with(CRASHING_PART.as_bytes()) && later > PART_LATER_MAX {
+            if !cause.starts_with(CRASHING_PART.as_bytes()) {
+                continue;
+            }
+            let Some(known_at) = self.known_at(&cause) else { continue };
+            let later = begun.iter().filter(|at| **at > known_at + PART_KNOWN_WITHIN).count();
+            if later > PART_LATER_MAX {
                 let part = String::from_utf8_lossy(&cause).into_owned();
-                breaches.push(format!("part {part} crashed {later} engines after it was known"));
+                breaches.push(format!("part {part} reached {later} engines after it was known"));
             }
         }
         breaches
     }
 
+    /// When `cause` crashed the last of `PART_CRASHES` engines. Several requests may have begun at one.
+    fn known_at(&self, cause: &[u8]) -> Option<Instant> {
+        let mut crashed = BTreeSet::new();
+        for run in self.inner().crashing.iter().filter(|run| run.cause == cause) {
+            crashed.insert(run.incarnation.clone());
+            if crashed.len() == PART_CRASHES {
+                return Some(run.at);
+            }
+        }
+        None
+    }
+
     /// True when an endpoint began the request.
     pub fn has_run(&self, id: &str) -> bool {
         self.inner().requests.get(id).is_some_and(|seen| seen.runs > 0)
