--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -108,31 +108,21 @@
     started
 }
 
-/// Starts clients that send the same request, which ends its engine, to one gateway after the other.
-pub fn start_crashing(
-    gateways: &[SocketAddr],
-    clients: u32,
-    record: &Arc<Record>,
-) -> Vec<JoinHandle<()>> {
-    let mut started = Vec::new();
-    for client in 0..clients {
-        let (gateways, record) = (gateways.to_vec(), record.clone());
-        started.push(tokio::spawn(async move {
-            for turn in client as usize.. {
-                let address = gateways[turn % gateways.len()];
-                ask_for_adapter(address, ADAPTERS[0], CRASHING, &record).await;
-                tokio::time::sleep(CRASHING_PAUSE).await;
-            }
-        }));
-    }
-    started
+/// What the requests of a client have that crashes engines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CrashingFeature {
+    /// The whole content: all requests are the same.
+    Content,
+    /// A part of their prompts: no two requests are alike.
+    PromptPart,
 }
 
-/// Starts clients whose requests have one part in common, which crashes engines; no two are alike, and
-/// each goes to another gateway than the one before.
-pub fn start_with_crashing_part(
+/// Starts clients whose requests crash engines; each request goes to another gateway than the one
+/// before.
+pub fn start_crashing(
     gateways: &[SocketAddr],
     clients: u32,
+    feature: CrashingFeature,
     record: &Arc<Record>,
 ) -> Vec<JoinHandle<()>> {
     let mut started = Vec::new();
@@ -140,8 +130,13 @@
         let (gateways, record) = (gateways.to_vec(), record.clone());
         started.push(tokio::spawn(async move {
             for turn in client as usize.. {
-                let prompt = format!("1:200,{CRASHING_PART}:80,{client:x}{turn:05x}:40");
-                ask_with_prompt(gateways[turn % gateways.len()], &prompt, &record).await;
+                let address = gateways[turn % gateways.len()];
+                if feature == CrashingFeature::Content {
+                    ask_for_adapter(address, ADAPTERS[0], CRASHING, &record).await;
+                } else {
+                    let prompt = format!("1:200,{CRASHING_PART}:80,{client:x}{turn:05x}:40");
+                    ask_with_prompt(address, &prompt, &record).await;
+                }
                 tokio::time::sleep(CRASHING_PAUSE).await;
             }
         }));
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -12,6 +12,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use winchvane_soak::client::CrashingFeature;
 use winchvane_soak::faults::Mix;
 use winchvane_soak::record::Record;
 use winchvane_soak::region::{Region, Size};
@@ -135,9 +136,14 @@
     clients.extend(abusive::start(&gateways, arguments.abusive_clients, seed, &record));
     clients.extend(resuming::start(&gateways, arguments.resuming_clients, seed, &record));
     clients.extend(keyed::start(&gateways, arguments.keyed_clients, &record));
-    let mut crashing = client::start_crashing(&gateways, arguments.crashing_clients, &record);
+    let with_content = arguments.crashing_clients;
     let with_part = arguments.crashing_part_clients;
-    crashing.extend(client::start_with_crashing_part(&gateways, with_part, &record));
+    let mut crashing = Vec::new();
+    for (clients, feature) in
+        [(with_content, CrashingFeature::Content), (with_part, CrashingFeature::PromptPart)]
+    {
+        crashing.extend(client::start_crashing(&gateways, clients, feature, &record));
+    }
     let operator = operator::start_operator(region.control_addresses(), record.clone());
     let until = Instant::now() + Duration::from_secs_f64(arguments.seconds);
     faults::inject(&mut region, &mut rng, arguments.mix, until, &record).await;
