--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -159,8 +159,7 @@
 pub async fn ask_with_prompt(address: SocketAddr, prompt: &str, record: &Record) -> (String, End) {
     let id = next_id();
     let body = Bytes::from(id.clone());
-    let adapter = Some(ADAPTERS[0]);
-    let ask = Ask { gateway: address, id: &id, kind: Kind::Adapter, adapter, prompt };
+    let ask = Ask { adapter: Some(ADAPTERS[0]), prompt, ..Ask::new(address, &id, Kind::Adapter) };
     let end = ask_on_new_connection(ask, body, record).await;
     (id, end)
 }
@@ -174,18 +173,33 @@
     record: &Record,
 ) -> (String, End) {
     let id = next_id();
-    let ask = Ask { gateway: address, id: &id, kind, adapter, prompt: PROMPT };
+    let ask = Ask { adapter, ..Ask::new(address, &id, kind) };
     let end = ask_on_new_connection(ask, body, record).await;
     (id, end)
 }
 
+/// Like [`ask_once`], for a request that waits for its answer no longer than `deadline_ms`; returns how
+/// it ended.
+pub(crate) async fn ask_within(
+    address: SocketAddr,
+    kind: Kind,
+    adapter: Option<&str>,
+    body: Bytes,
+    deadline_ms: u64,
+    record: &Record,
+) -> End {
+    let id = next_id();
+    let ask = Ask { adapter, deadline_ms, ..Ask::new(address, &id, kind) };
+    ask_on_new_connection(ask, body, record).await
+}
+
 async fn ask_on_new_connection(ask: Ask<'_>, body: Bytes, record: &Record) -> End {
     let Ask { gateway, id, kind, .. } = ask;
     record.sent(id, kind);
     let Some(mut open) = connect(gateway).await else {
         return End::Unknown("no connection".to_owned());
     };
-    let limit = Duration::from_millis(deadline_ms(kind) + 500);
+    let limit = Duration::from_millis(ask.deadline_ms + 500);
     let answered = answer_to(&mut open, ask.request(body), id, kind, record);
     let end = match timeout(limit, answered).await {
         Ok(end) => end,
@@ -290,8 +304,7 @@
 ) -> End {
     let adapter = (kind == Kind::Adapter).then(|| adapter(NEXT.fetch_add(1, Ordering::SeqCst)));
     let body = if kind == Kind::Any { Bytes::new() } else { Bytes::from_static(b"work") };
-    let request =
-        Ask { gateway, id, kind, adapter: adapter.as_deref(), prompt: PROMPT }.request(body);
+    let request = Ask { adapter: adapter.as_deref(), ..Ask::new(gateway, id, kind) }.request(body);
     answer_to(open, request, id, kind, record).await
 }
 
@@ -304,11 +317,18 @@
     pub(crate) adapter: Option<&'a str>,
     /// The parts of the prompt, if it has an adapter.
     pub(crate) prompt: &'a str,
+    /// The time that the client waits for the answer.
+    pub(crate) deadline_ms: u64,
 }
 
-impl Ask<'_> {
+impl<'a> Ask<'a> {
+    /// A request without an adapter.
+    pub(crate) fn new(gateway: SocketAddr, id: &'a str, kind: Kind) -> Self {
+        Self { gateway, id, kind, adapter: None, prompt: PROMPT, deadline_ms: deadline_ms(kind) }
+    }
+
     pub(crate) fn request(&self, body: Bytes) -> Request<Full<Bytes>> {
-        let Self { gateway, id, kind, adapter, prompt } = *self;
+        let Self { gateway, id, kind, adapter, prompt, deadline_ms } = *self;
         let (method, path) = match kind {
             Kind::Once => (Method::POST, "/once/x"),
             Kind::Any => (Method::GET, "/any/x"),
@@ -322,7 +342,7 @@
             .header("host", HOST)
             .header("request-id", id)
             .header(SENT_TO, gateway.to_string())
-            .header("deadline-ms", deadline_ms(kind));
+            .header("deadline-ms", deadline_ms);
         if let Some(adapter) = adapter {
             request = request
                 .header("model", format!("{BASE}/{adapter}"))
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -16,7 +16,7 @@
 use hyper_util::rt::TokioIo;
 use serde_json::json;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use tokio::time::timeout;
 
 use crate::engine::unix_ms;
@@ -24,13 +24,17 @@
 use crate::operator::call_control;
 use crate::overload::Overload;
 use crate::record::Record;
+use crate::room::Room;
 
 /// Events of a stream.
 pub const EVENTS: u64 = 8;
 const EVENT_PAUSE: Duration = Duration::from_millis(40);
-const WORK: Duration = Duration::from_millis(15);
+const WORK_MS: u64 = 15;
 const HEARTBEAT: Duration = Duration::from_millis(600);
-const SLOTS: u32 = 64;
+/// Requests that an endpoint runs at once, unless a run sets another number.
+pub const SLOTS: u32 = 64;
+/// How long an endpoint that ended stays away.
+const RESTARTS_AFTER: Duration = Duration::from_secs(3);
 /// What clients put into headers that only gateways may set.
 pub const FORGED: &str = "999999";
 
@@ -48,13 +52,24 @@
     stalls: watch::Sender<bool>,
     leaving: Leaving,
     record: Arc<Record>,
+    work_ms: AtomicU64,
+    running: Semaphore,
+    /// False while it has ended and the next incarnation has not started.
+    is_up: watch::Sender<bool>,
     /// Its overload signal and received requests.
     pub overload: Overload,
+    /// The requests that it has room for.
+    pub room: Arc<Room>,
 }
 
 impl Endpoint {
-    /// An endpoint that serves at `address` and is reached at `public`.
-    pub fn new(address: SocketAddr, public: SocketAddr, record: Arc<Record>) -> Arc<Self> {
+    /// An endpoint that serves `slots` requests at once at `address` and is reached at `public`.
+    pub fn new(
+        address: SocketAddr,
+        public: SocketAddr,
+        slots: u32,
+        record: Arc<Record>,
+    ) -> Arc<Self> {
         let incarnation = AtomicU64::new(1);
         let born_ms = AtomicU64::new(unix_ms());
         let breaks = AtomicBool::new(false);
@@ -68,10 +83,19 @@
             stalls: watch::Sender::new(false),
             leaving: Leaving::default(),
             record,
+            work_ms: AtomicU64::new(WORK_MS),
+            running: Semaphore::new(slots as usize),
+            is_up: watch::Sender::new(true),
             overload: Overload::new(),
+            room: Room::new(slots),
         })
     }
 
+    /// Sets how long it works on a request.
+    pub fn set_work(&self, work: Duration) {
+        self.work_ms.store(work.as_millis() as u64, Ordering::SeqCst);
+    }
+
     fn id(&self) -> String {
         format!("i-{}-{}", self.public.ip(), self.incarnation.load(Ordering::SeqCst))
     }
@@ -115,29 +139,60 @@
     /// # Errors
     /// The address is taken.
     pub async fn start(self: Arc<Self>, control: Vec<SocketAddr>) -> std::io::Result<()> {
-        let listener = TcpListener::bind(self.address).await?;
+        let mut listener = TcpListener::bind(self.address).await?;
         tokio::spawn(self.clone().beat(control));
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let endpoint = self.clone();
-                let service = service_fn(move |request| {
-                    let endpoint = endpoint.clone();
-                    async move { Ok::<_, Infallible>(endpoint.serve(request).await) }
-                });
-                let connection = hyper::server::conn::http1::Builder::new()
-                    .serve_connection(TokioIo::new(stream), service);
-                // A connection that breaks is what this program is about.
-                tokio::spawn(async move { drop(connection.await) });
+            loop {
+                let mut is_up = self.is_up.subscribe();
+                tokio::select! {
+                    () = self.clone().accept(&listener) => {}
+                    // The sender lives as long as the endpoint.
+                    _ = is_up.wait_for(|is_up| !is_up) => {}
+                }
+                drop(listener);
+                tokio::time::sleep(RESTARTS_AFTER).await;
+                listener = match TcpListener::bind(self.address).await {
+                    Ok(listener) => listener,
+                    Err(error) => {
+                        self.record.breach(format!("{} does not restart: {error}", self.id()));
+                        return;
+                    }
+                };
+                self.restart();
+                self.is_up.send_replace(true);
             }
         });
         Ok(())
     }
 
+    /// Serves connections until the listener fails.
+    async fn accept(self: Arc<Self>, listener: &TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let endpoint = self.clone();
+            let service = service_fn(move |request| {
+                let endpoint = endpoint.clone();
+                async move { Ok::<_, Infallible>(endpoint.serve(request).await) }
+            });
+            let connection = hyper::server::conn::http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service);
+            let mut is_up = self.is_up.subscribe();
+            tokio::spawn(async move {
+                tokio::select! {
+                    // A connection that breaks is what this program is about.
+                    ended = connection => drop(ended),
+                    _ = is_up.wait_for(|is_up| !is_up) => {}
+                }
+            });
+        }
+    }
+
     async fn beat(self: Arc<Self>, control: Vec<SocketAddr>) {
         let mut sequence = 0;
         let mut turn = 0;
         let mut told_born_ms = 0;
         loop {
+            // The sender lives as long as the endpoint.
+            let _ = self.is_up.subscribe().wait_for(|is_up| *is_up).await;
             let born_ms = self.born_ms.load(Ordering::SeqCst);
             if born_ms != told_born_ms {
                 (told_born_ms, sequence) = (born_ms, 0);
@@ -147,7 +202,7 @@
             let state = if is_leaving { "draining" } else { "ready" };
             let body = json!({
                 "service": self.service, "address": self.public, "zone": "zone-1", "version": "v1",
-                "slots": SLOTS, "state": state, "cold_remaining_ms": 0, "sequence": sequence,
+                "slots": self.room.slots, "state": state, "cold_remaining_ms": 0, "sequence": sequence,
                 "born": born_ms,
             });
             let path = format!("/winchvane/instances/{}", self.id());
@@ -166,6 +221,7 @@
         self.overload.record_arrival(request.headers(), self.record.disturbance_state());
         let mut answer = self.answer(request).await;
         self.overload.write_headers(answer.headers_mut());
+        self.room.write_headers(answer.headers_mut());
         answer
     }
 
@@ -192,8 +248,18 @@
         if let Some(breach) = self.record.keys.run(&id, &headers) {
             self.record.breach(breach);
         }
+        let _present = match self.room.enter() {
+            Ok(present) => present,
+            Err(rejected) => {
+                if rejected.ends {
+                    self.is_up.send_replace(false);
+                }
+                return rejection(&id);
+            }
+        };
+        let Ok(_slot) = self.running.acquire().await else { return rejection(&id) };
         let run = self.record.run(&id);
-        tokio::time::sleep(WORK).await;
+        tokio::time::sleep(Duration::from_millis(self.work_ms.load(Ordering::SeqCst))).await;
         if text(&headers, "x-stream").is_empty() {
             let body = format!("done {id}");
             if self.breaks.load(Ordering::SeqCst) && run == 1 {
@@ -234,6 +300,13 @@
     head(status, id).body(body).expect("the parts are valid")
 }
 
+/// The answer of an endpoint that does not run the request.
+pub(crate) fn rejection(id: &str) -> Answer {
+    let mut answer = whole(StatusCode::SERVICE_UNAVAILABLE, id, String::new());
+    answer.headers_mut().insert("not-executed", http::HeaderValue::from_static("1"));
+    answer
+}
+
 /// Half of a body, then a break.
 fn broken(id: &str, body: String) -> Answer {
     let length = body.len();
--- a/soak/src/engine/mod.rs
+++ b/soak/src/engine/mod.rs
@@ -11,7 +11,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use http::{Method, Request, Response, StatusCode};
+use http::{Method, Request, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -25,10 +25,11 @@
 pub use weights::{ADAPTERS_MAX, BASE, NotBegun, Order, Outcome, Weights};
 
 use crate::cut::Cuts;
-use crate::endpoint::{Answer, look_for_headers, text, whole};
+use crate::endpoint::{Answer, look_for_headers, rejection, text, whole};
 use crate::operator::call_control;
 use crate::overload::Overload;
 use crate::record::Record;
+use crate::room::Room;
 
 /// The service that engines serve.
 pub const SERVICE: &str = "engine";
@@ -70,6 +71,8 @@
     waiting: AtomicUsize,
     /// Its overload signal and received requests.
     pub overload: Overload,
+    /// The requests that it has room for.
+    pub room: Arc<Room>,
 }
 
 /// A request that was read and has not begun, until this is dropped.
@@ -97,10 +100,11 @@
 }
 
 impl Engine {
-    /// An engine that has not started; its incarnations take the addresses in turn.
+    /// An engine with `slots` that has not started; its incarnations take the addresses in turn.
     pub fn new(
         id: String,
         addresses: [SocketAddr; 2],
+        slots: u32,
         control: Vec<SocketAddr>,
         cuts: Arc<Cuts>,
         record: Arc<Record>,
@@ -122,6 +126,7 @@
             marks_no_ends: AtomicBool::new(false),
             waiting: AtomicUsize::new(0),
             overload: Overload::new(),
+            room: Room::new(slots),
         })
     }
 
@@ -144,7 +149,7 @@
             software: if self.has_newer_software.load(Ordering::SeqCst) { "v1.2" } else { "v1" },
             weights: Mutex::new(weights),
             turn: Semaphore::new(1),
-            slots: Arc::new(Semaphore::new(SLOTS as usize)),
+            slots: Arc::new(Semaphore::new(self.room.slots as usize)),
             paused: self.paused.subscribe(),
             ended,
             listens: watch::channel(true).0,
@@ -283,7 +288,7 @@
             let models = lock(&life.weights).tell(unix_ms());
             let body = json!({
                 "service": SERVICE, "address": life.address, "zone": "zone-1", "version": life.software,
-                "slots": SLOTS, "state": "ready", "cold_remaining_ms": 0, "stage": "both",
+                "slots": self.room.slots, "state": "ready", "cold_remaining_ms": 0, "stage": "both",
                 "models": models, "sequence": sequence, "born": life.born_ms,
             });
             let path = format!("/winchvane/instances/{}", self.id);
@@ -298,6 +303,7 @@
         let engine = self.clone();
         let mut answer = self.answer(life, request).await;
         engine.overload.write_headers(answer.headers_mut());
+        engine.room.write_headers(answer.headers_mut());
         answer
     }
 
@@ -376,6 +382,15 @@
         {
             return refused(StatusCode::MISDIRECTED_REQUEST, id);
         }
+        let present = match self.room.enter() {
+            Ok(present) => present,
+            Err(rejected) => {
+                if rejected.ends {
+                    self.crash_for_a_while();
+                }
+                return rejection(id);
+            }
+        };
         let Ok(slot) = life.slots.clone().acquire_owned().await else {
             return refused(StatusCode::SERVICE_UNAVAILABLE, id);
         };
@@ -387,7 +402,8 @@
         };
         drop(waits);
         let event_pause = Duration::from_millis(self.event_pause_ms.load(Ordering::SeqCst));
-        let running = Running { life: life.clone(), adapter, event_pause, _slot: slot };
+        let running =
+            Running { life: life.clone(), adapter, event_pause, _slot: slot, _present: present };
         look_for_headers(&self.record, id, headers);
         self.record.run(id);
         self.record.begun(id, &running.adapter, version, &self.id);
@@ -424,7 +440,7 @@
 }
 
 fn refused(status: StatusCode, id: &str) -> Answer {
-    let mut answer: Response<_> = whole(status, id, String::new());
-    answer.headers_mut().insert("not-executed", http::HeaderValue::from_static("1"));
+    let mut answer = rejection(id);
+    *answer.status_mut() = status;
     answer
 }
--- a/soak/src/engine/running.rs
+++ b/soak/src/engine/running.rs
@@ -13,6 +13,7 @@
 use super::life::Life;
 use super::{lock, unix_ms};
 use crate::endpoint::{Answer, EVENTS, head};
+use crate::room::Present;
 
 /// A request that runs; its place is free once it is dropped.
 pub(super) struct Running {
@@ -20,6 +21,7 @@
     pub(super) adapter: String,
     pub(super) event_pause: Duration,
     pub(super) _slot: OwnedSemaphorePermit,
+    pub(super) _present: Present,
 }
 
 impl Drop for Running {
--- a/soak/src/overload.rs
+++ b/soak/src/overload.rs
@@ -5,10 +5,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use http::{HeaderMap, HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderValue};
 
 use crate::client::SENT_TO;
-use crate::endpoint::{Answer, text, whole};
+use crate::endpoint::{Answer, rejection, text};
 use crate::record::DisturbanceState;
 
 /// The time after the first advertisement from which a rate limit is enforced: `contact_ms`, plus
@@ -130,8 +130,7 @@
     /// Returns the refusal for request `id`, or `None` while requests are accepted.
     pub fn refusal(&self, id: &str) -> Option<Answer> {
         let Some(Signal::Backoff(backoff)) = self.lock().signal else { return None };
-        let mut answer = whole(StatusCode::SERVICE_UNAVAILABLE, id, String::new());
-        answer.headers_mut().insert("not-executed", HeaderValue::from_static("1"));
+        let mut answer = rejection(id);
         let seconds = HeaderValue::from_str(&backoff.as_secs_f64().to_string());
         answer
             .headers_mut()
--- a/soak/src/region.rs
+++ b/soak/src/region.rs
@@ -14,8 +14,8 @@
 use tempfile::TempDir;
 
 use crate::cut::{Cut, Cuts};
-use crate::endpoint::Endpoint;
-use crate::engine::Engine;
+use crate::endpoint::{self, Endpoint};
+use crate::engine::{self, Engine};
 use crate::keyed;
 use crate::operator;
 use crate::overload;
@@ -46,6 +46,21 @@
     pub block: u8,
 }
 
+/// The slots of endpoints and of engines, where a run sets them.
+#[derive(Debug, Clone, Copy)]
+pub struct Slots {
+    /// The slots of each endpoint.
+    pub endpoint: u32,
+    /// The slots of each engine.
+    pub engine: u32,
+}
+
+impl Default for Slots {
+    fn default() -> Self {
+        Self { endpoint: endpoint::SLOTS, engine: engine::SLOTS }
+    }
+}
+
 /// A program that is run as a process, again after it was killed.
 pub struct Program {
     /// Its name in logs.
@@ -99,6 +114,19 @@
     /// # Errors
     /// A program that is missing, or a group that does not form.
     pub async fn start(programs: &Path, size: Size, record: Arc<Record>) -> io::Result<Self> {
+        Self::start_with_slots(programs, size, Slots::default(), record).await
+    }
+
+    /// Like [`Region::start`], with endpoints and engines of these `slots`.
+    ///
+    /// # Errors
+    /// A program that is missing, or a group that does not form.
+    pub async fn start_with_slots(
+        programs: &Path,
+        size: Size,
+        slots: Slots,
+        record: Arc<Record>,
+    ) -> io::Result<Self> {
         let folder = tempfile::tempdir()?;
         let mut region = Self {
             programs: Vec::new(),
@@ -123,7 +151,7 @@
             let (public, own) = (size.at(5, number, SERVE_PORT), size.at(4, number, SERVE_PORT));
             let proxy = Proxy::start(public, own, region.cuts.clone()).await?;
             region.proxies.push((format!("endpoint-{number}"), proxy));
-            let endpoint = Endpoint::new(own, public, record.clone());
+            let endpoint = Endpoint::new(own, public, slots.endpoint, record.clone());
             endpoint.clone().start(region.control_addresses()).await?;
             region.endpoints.push(endpoint);
         }
@@ -131,7 +159,7 @@
             let addresses = [size.at(6, number, SERVE_PORT), size.at(7, number, SERVE_PORT)];
             let control = region.control_addresses();
             let (name, cuts) = (format!("e-{number}"), region.cuts.clone());
-            let engine = Engine::new(name, addresses, control, cuts, record.clone());
+            let engine = Engine::new(name, addresses, slots.engine, control, cuts, record.clone());
             engine.start().await?;
             region.engines.push(engine);
         }
@@ -293,6 +321,11 @@
         engine.start().await
     }
 
+    /// Where gateways and replicas reach the replicas.
+    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
+        (1..=REPLICAS).map(|number| self.size.at(2, number, PEER_PORT)).collect()
+    }
+
     /// Ends all faults that last.
     pub async fn heal(&mut self) {
         for number in 0..self.endpoints.len() {
--- a/soak/src/resuming.rs
+++ b/soak/src/resuming.rs
@@ -12,7 +12,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-use crate::client::{ADAPTERS, Ask, PROMPT, connect, next_id};
+use crate::client::{ADAPTERS, Ask, connect, next_id};
 use crate::endpoint::EVENTS;
 use crate::record::{End, Kind, Record};
 
@@ -74,8 +74,7 @@
 impl Stream {
     async fn try_once(&mut self, at: SocketAddr, adapter: &str, id: &str, record: &Record) -> End {
         let Some(mut open) = connect(at).await else { return End::Unknown("no link".to_owned()) };
-        let ask =
-            Ask { gateway: at, id, kind: Kind::Adapter, adapter: Some(adapter), prompt: PROMPT };
+        let ask = Ask { adapter: Some(adapter), ..Ask::new(at, id, Kind::Adapter) };
         let mut request = ask.request(Bytes::from_static(b"work"));
         if let Some(first) = &self.first_id {
             let headers = request.headers_mut();
