policy: the evaluation of crashes costs the leader a bounded time

Cause: after a final fault gateways report what they saw of crashes to the new leader, which stalled over it, and so did the next ones; no configuration was read for over 3 s. Each report evaluated its crash again, and an evaluation compared every crash of every interrupted feature with all others: 200 crashes of 12 requests each took 117 s in one tick. Ruled out: the log's replay (a leader stood after one second in each case). Change: the reports of a crash are evaluated together; a feature's latest 12 crashes are its evidence, the rate is measured over 64; an evaluation that would take long is left to the next tick. Crashes are numbered, so that none is looked up by name. A leader knows which crashes a suspect explains without a search.

--- a/src/policy/crashes/evidence.rs
+++ b/src/policy/crashes/evidence.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use super::records::{Crash, CrashRecords};
+use super::records::{Crash, CrashNumber, CrashRecords};
 use crate::message::FeatureKey;
 
 /// A p-value `p` becomes the e-value `CALIBRATOR_POWER * p.powf(CALIBRATOR_POWER - 1)`.
@@ -28,6 +28,11 @@
 const RATE_PERIOD_MIN_MS: u64 = 2_000;
 /// The maximum time over which the crash rate is measured.
 const RATE_PERIOD_MAX_MS: u64 = 60_000;
+/// The maximum number of crashes over which the rate is measured.
+const RATE_CRASHES_MAX: usize = 64;
+/// The number of a feature's latest crashes that count as evidence: a cause is found with a few, and
+/// the evaluation compares each of them with others.
+const EVIDENCE_MAX: usize = 12;
 /// Crashes up to this long after another one count for its rate too: simultaneous crashes are
 /// reported one by one.
 const SIMULTANEOUS_MS: u64 = 250;
@@ -62,24 +67,21 @@
         Some(if is_suspect { Assessment::Suspect } else { Assessment::Watch })
     }
 
-    /// Updates which of the features interrupted by the crash of `endpoint` are suspects.
-    pub(super) fn update_suspects(&mut self, endpoint: &str) {
-        let Some(crash) = self.by_endpoint.get(endpoint) else { return };
+    /// Updates which of the features interrupted by a crash are suspects.
+    pub(super) fn update_suspects(&mut self, number: CrashNumber) {
+        let Some(crash) = self.get(number) else { return };
         for key in crash.features.keys().copied().collect::<Vec<_>>() {
             let is_likely_cause = self.unexplained_count(key) >= HELD_CRASHES
                 && self.e_value(key) >= SUSPECTED_E_VALUE
                 && !self.has_likelier_cause(key);
-            if is_likely_cause || self.prime_crashes(key) >= EXPLAINING_CRASHES {
-                self.suspects.insert(key);
-            } else {
-                self.suspects.remove(&key);
-            }
+            let is_suspect = is_likely_cause || self.prime_crashes(key) >= EXPLAINING_CRASHES;
+            self.set_suspect(key, is_suspect);
         }
     }
 
     /// True if the feature is a possible cause of a crash that it is known to have been part of.
-    pub(super) fn is_possible_cause(&self, endpoint: &str, key: FeatureKey) -> bool {
-        self.by_endpoint.get(endpoint).is_some_and(|crash| {
+    pub(super) fn is_possible_cause(&self, number: CrashNumber, key: FeatureKey) -> bool {
+        self.get(number).is_some_and(|crash| {
             self.crash_e_value(key, crash) >= 1.0 && !self.is_explained_without(key, crash)
         })
     }
@@ -89,8 +91,8 @@
         if let Some(explained_by) = crash.explained_by {
             return explained_by != key;
         }
-        !self.suspects.is_empty()
-            && crash.features.keys().any(|other| *other != key && self.suspects.contains(other))
+        let own = self.is_suspect(key) && crash.features.contains_key(&key);
+        crash.suspects > usize::from(own)
     }
 
     /// True if a feature was served so shortly before the crash that it is an unlikely cause.
@@ -127,7 +129,7 @@
         let mut crashes = 0;
         let mut was_only_candidate = false;
         for crash in self.unexplained_crashes(key) {
-            if self.crash_e_value(key, crash) < 1.0 || self.prime_suspect(crash) != Some(key) {
+            if self.prime_suspect(crash) != Some(key) || self.crash_e_value(key, crash) < 1.0 {
                 continue;
             }
             crashes += 1;
@@ -162,55 +164,74 @@
     /// The endpoints whose crashes count as evidence against a feature.
     pub(super) fn crashed_endpoints(&self, key: FeatureKey) -> Vec<Arc<str>> {
         let mut endpoints = Vec::new();
-        for endpoint in self.by_feature.get(&key).into_iter().flatten() {
-            let crash = self.by_endpoint.get(endpoint);
-            if crash.is_some_and(|crash| crash.explained_by.is_none_or(|cause| cause == key)) {
-                endpoints.push(endpoint.clone());
+        for crash in self.crashes_with(key) {
+            if crash.explained_by.is_none_or(|cause| cause == key) {
+                endpoints.push(crash.endpoint.clone());
             }
         }
         endpoints
     }
 
-    fn crashes_with(&self, key: FeatureKey) -> impl Iterator<Item = &Crash> {
-        let endpoints = self.by_feature.get(&key).into_iter().flatten();
-        endpoints.filter_map(|endpoint| self.by_endpoint.get(endpoint))
+    fn crashes_with(&self, key: FeatureKey) -> impl DoubleEndedIterator<Item = &Crash> {
+        let numbers = self.by_feature.get(&key).into_iter().flatten();
+        numbers.filter_map(|number| self.get(*number))
     }
 
+    /// The latest crashes of a feature that no other feature explains.
     fn unexplained_crashes(&self, key: FeatureKey) -> impl Iterator<Item = &Crash> {
-        self.crashes_with(key).filter(move |crash| match crash.explained_by {
+        let is_unexplained = move |crash: &&Crash| match crash.explained_by {
             Some(explained_by) => explained_by == key,
             None => !(self.is_recently_served(key, crash) && self.has_other_candidate(key, crash)),
-        })
+        };
+        self.crashes_with(key).rev().filter(is_unexplained).take(EVIDENCE_MAX)
+    }
+
+    /// The number of comparisons that the evaluation of a crash takes, up to a constant factor.
+    pub(super) fn evaluation_cost(&self, number: CrashNumber) -> usize {
+        let Some(crash) = self.get(number) else { return 0 };
+        let compared = self.len().min(RATE_CRASHES_MAX);
+        let mut cost = 0;
+        for key in crash.features.keys() {
+            let crashes = self.by_feature.get(key).map_or(0, Vec::len);
+            cost += crashes.min(EVIDENCE_MAX) * compared;
+        }
+        cost
     }
 
     /// True if another feature, which was not served recently or is a suspect, may have caused the
     /// crash.
     fn has_other_candidate(&self, key: FeatureKey, crash: &Crash) -> bool {
         let mut others = crash.features.keys().filter(|other| **other != key);
-        others.any(|other| !self.is_recently_served(*other, crash) || self.suspects.contains(other))
+        others.any(|other| !self.is_recently_served(*other, crash) || self.is_suspect(*other))
     }
 
     /// True if another feature was interrupted by all crashes of this one, or all but one, after a
     /// shorter time: the other feature caused them, and this one was interrupted by coincidence
     /// each time.
     fn has_likelier_cause(&self, key: FeatureKey) -> bool {
-        let mut candidates: BTreeMap<FeatureKey, (usize, f64)> = BTreeMap::new();
-        let mut crashes = 0;
-        for crash in self.unexplained_crashes(key) {
-            crashes += 1;
-            let own_e_value = self.crash_e_value(key, crash);
+        let crashes: Vec<&Crash> = self.unexplained_crashes(key).collect();
+        let mut shared: BTreeMap<FeatureKey, usize> = BTreeMap::new();
+        for crash in &crashes {
             for other in crash.features.keys() {
-                if *other == key || self.is_recently_served(*other, crash) {
-                    continue;
+                if *other != key && !self.is_recently_served(*other, crash) {
+                    *shared.entry(*other).or_default() += 1;
                 }
-                let (shared, e_value_ratio) = candidates.entry(*other).or_insert((0, 1.0));
-                *shared += 1;
-                *e_value_ratio *= self.crash_e_value(*other, crash) / own_e_value;
             }
         }
-        candidates
-            .values()
-            .any(|(shared, e_value_ratio)| shared + 1 >= crashes && *e_value_ratio > 1.0)
+        // Few features are left to compare the evidence with, which takes longer.
+        shared.retain(|_, shared| *shared + 1 >= crashes.len());
+        shared.keys().any(|other| self.is_likelier_cause(*other, key, &crashes))
+    }
+
+    /// True if the crashes that interrupted both features are stronger evidence against `other`.
+    fn is_likelier_cause(&self, other: FeatureKey, key: FeatureKey, crashes: &[&Crash]) -> bool {
+        let mut e_value_ratio = 1.0;
+        for crash in crashes {
+            if crash.features.contains_key(&other) && !self.is_recently_served(other, crash) {
+                e_value_ratio *= self.crash_e_value(other, crash) / self.crash_e_value(key, crash);
+            }
+        }
+        e_value_ratio > 1.0
     }
 
     /// The crash rate per endpoint of the service, without the other crashes that interrupted the
@@ -220,7 +241,10 @@
         let from_ms = crash.at_ms.saturating_sub(RATE_PERIOD_MAX_MS);
         let until_ms = crash.at_ms + SIMULTANEOUS_MS;
         let mut ages_ms = Vec::new();
-        for other in self.by_endpoint.values() {
+        for other in self.latest() {
+            if ages_ms.len() == RATE_CRASHES_MAX {
+                break;
+            }
             if other.service != crash.service || !(from_ms..=until_ms).contains(&other.at_ms) {
                 continue;
             }
--- a/src/policy/crashes/mod.rs
+++ b/src/policy/crashes/mod.rs
@@ -32,13 +32,16 @@
 use std::sync::Arc;
 
 use self::evidence::Assessment;
-use self::records::CrashRecords;
+use self::records::{CrashNumber, CrashRecords};
 use self::verdicts::{Verdicts, held};
 use crate::message::{EndpointCrash, FeatureKey, FeatureStanding, Standing, WeightsName};
 
 /// How long reports of a crash are collected before it is evaluated: each gateway knows only its
 /// own requests, and the longest run of a request may be another gateway's.
 const COLLECTION_MS: u64 = 150;
+/// The comparisons after which the evaluation of further crashes is left to the next call: the leader
+/// does nothing else meanwhile.
+const COST_PER_ADVANCE: usize = 40_000;
 /// How long gateways have, from when they are informed of a feature's standing, to report that they
 /// served the feature.
 const SERVED_REPORT_MS: u64 = 100;
@@ -49,7 +52,7 @@
     records: CrashRecords,
     verdicts: Verdicts,
     /// Crashes with features to evaluate, and the time of the evaluation.
-    pending: VecDeque<(u64, Arc<str>)>,
+    pending: VecDeque<(u64, CrashNumber)>,
 }
 
 impl Crashes {
@@ -64,14 +67,16 @@
 
     /// True if the endpoint's incarnation is known to have crashed.
     pub fn has_ended(&self, endpoint: &str) -> bool {
-        self.records.by_endpoint.contains_key(endpoint)
+        self.records.number_of(endpoint).is_some()
     }
 
     /// Records a crash; `used` endpoints of its service ran requests, including this one.
     pub fn record_crash(&mut self, now_ms: u64, crash: EndpointCrash, used: usize) {
         let EndpointCrash { endpoint, service, ago_ms, features } = crash;
         let at_ms = now_ms.saturating_sub(u64::from(ago_ms));
-        let at_ms = self.records.add_crash(now_ms, at_ms, &endpoint, service, used);
+        let number = self.records.add_crash(now_ms, at_ms, &endpoint, service, used);
+        // The first report tells when it was.
+        let at_ms = self.records.get(number).map_or(at_ms, |crash| crash.at_ms);
         let mut is_new = false;
         for feature in features {
             // A crash during a trial may have been caused by something else, so a feature on trial
@@ -80,35 +85,38 @@
                 self.note_served(feature.key, at_ms.saturating_sub(ago_ms.into()));
             }
             let is_held = self.verdicts.is_held(feature.key);
-            is_new |= self.records.add_feature(&endpoint, feature, is_held);
+            is_new |= self.records.add_feature(number, feature, is_held);
         }
-        if is_new {
-            self.pending.push_back((now_ms + COLLECTION_MS, endpoint));
+        if is_new && self.records.mark_for_evaluation(number) {
+            self.pending.push_back((now_ms + COLLECTION_MS, number));
         }
     }
 
-    /// Evaluates the crashes whose reports have been collected.
+    /// Evaluates crashes whose reports have been collected.
     fn evaluate_due(&mut self, now_ms: u64) {
-        while let Some((due_ms, endpoint)) = self.pending.front().cloned() {
-            if due_ms > now_ms {
+        let mut cost = 0;
+        while let Some((due_ms, number)) = self.pending.front().copied() {
+            if due_ms > now_ms || cost >= COST_PER_ADVANCE {
                 return;
             }
             self.pending.pop_front();
-            self.records.update_suspects(&endpoint);
-            let Some(crash) = self.records.by_endpoint.get(&endpoint) else { continue };
+            cost += self.records.evaluation_cost(number);
+            let Some(crash) = self.records.get_mut(number) else { continue };
+            crash.awaits_evaluation = false;
             let at_ms = crash.at_ms;
-            for (key, weights) in self.records.take_unevaluated(&endpoint) {
-                self.evaluate(now_ms, at_ms, &endpoint, key, weights);
+            self.records.update_suspects(number);
+            for (key, weights) in self.records.take_unevaluated(number) {
+                self.evaluate(now_ms, at_ms, number, key, weights);
             }
         }
     }
 
-    /// Decides the standing of a feature that was interrupted by the crash of `endpoint` at `at_ms`.
+    /// Decides the standing of a feature that was interrupted by a crash at `at_ms`.
     fn evaluate(
         &mut self,
         now_ms: u64,
         at_ms: u64,
-        endpoint: &Arc<str>,
+        number: CrashNumber,
         key: FeatureKey,
         weights: Option<WeightsName>,
     ) {
@@ -119,7 +127,7 @@
             Some((Standing::OnTrial { .. }, since_ms)) if at_ms < since_ms => return,
             Some((Standing::OnTrial { times, .. }, _)) => {
                 // During a trial, endpoints also crash by coincidence or for other reasons.
-                let is_cause = self.records.is_possible_cause(endpoint, key);
+                let is_cause = self.records.is_possible_cause(number, key);
                 held(if is_cause { times + 1 } else { *times })
             }
             Some((Standing::Watched | Standing::Suspected | Standing::Cleared, _)) | None => {
@@ -129,8 +137,10 @@
                     Some(Assessment::Suspect) => Standing::Suspected,
                     Some(Assessment::Hold) if self.is_served_report_due(now_ms, key) => held(0),
                     Some(Assessment::Hold) => {
-                        self.records.reset_evaluation(endpoint, key);
-                        self.pending.push_back((now_ms + SERVED_REPORT_MS, endpoint.clone()));
+                        self.records.reset_evaluation(number, key);
+                        if self.records.mark_for_evaluation(number) {
+                            self.pending.push_back((now_ms + SERVED_REPORT_MS, number));
+                        }
                         Standing::Suspected
                     }
                 }
@@ -174,9 +184,11 @@
         self.verdicts.clear(key);
     }
 
-    fn evaluate_again(&mut self, endpoints: Vec<Arc<str>>) {
-        for endpoint in endpoints {
-            self.pending.push_front((0, endpoint));
+    fn evaluate_again(&mut self, numbers: Vec<CrashNumber>) {
+        for number in numbers {
+            if self.records.mark_for_evaluation(number) {
+                self.pending.push_front((0, number));
+            }
         }
     }
 
--- a/src/policy/crashes/records.rs
+++ b/src/policy/crashes/records.rs
@@ -23,9 +23,13 @@
     pub(super) is_evaluated: bool,
 }
 
+/// Numbers crashes in the order of their first reports.
+pub(super) type CrashNumber = u64;
+
 /// The crash of an endpoint.
 #[derive(Debug)]
 pub(super) struct Crash {
+    pub(super) endpoint: Arc<str>,
     pub(super) at_ms: u64,
     pub(super) service: Arc<str>,
     /// The number of endpoints of the service that ran requests, including this one: crashes of
@@ -34,28 +38,58 @@
     pub(super) features: BTreeMap<FeatureKey, Interruption>,
     /// The held feature among the interrupted ones.
     pub(super) explained_by: Option<FeatureKey>,
+    /// The number of suspects among its features.
+    pub(super) suspects: usize,
+    /// True while its evaluation is due: reports that arrive before it are evaluated together.
+    pub(super) awaits_evaluation: bool,
 }
 
 /// Recorded crashes, by endpoint and by feature.
 #[derive(Debug, Default)]
 pub(super) struct CrashRecords {
+    /// The crashes, in the order of their numbers.
+    crashes: VecDeque<Crash>,
+    /// The number of the first of `crashes`.
+    first: CrashNumber,
     /// Keyed by incarnation, so that a crash reported repeatedly or by several gateways counts
     /// once.
-    pub(super) by_endpoint: HashMap<Arc<str>, Crash>,
-    /// Incarnations, in the order of their first reports.
-    order: VecDeque<Arc<str>>,
+    by_endpoint: HashMap<Arc<str>, CrashNumber>,
     /// The crashes that interrupted requests with each feature since one was last served.
-    pub(super) by_feature: HashMap<FeatureKey, Vec<Arc<str>>>,
+    pub(super) by_feature: HashMap<FeatureKey, Vec<CrashNumber>>,
     /// Features that are likely causes of the crashes that interrupted them, as of their last
     /// evaluation.
-    pub(super) suspects: BTreeSet<FeatureKey>,
+    suspects: BTreeSet<FeatureKey>,
     /// When requests with features that a crash interrupted were last served.
     pub(super) served_at_ms: HashMap<FeatureKey, u64>,
 }
 
 impl CrashRecords {
-    /// Records the crash of `endpoint` at `at_ms`, unless it is known; returns the time first
-    /// recorded.
+    /// The crash with this number, unless it has expired.
+    pub(super) fn get(&self, number: CrashNumber) -> Option<&Crash> {
+        self.crashes.get(usize::try_from(number.checked_sub(self.first)?).ok()?)
+    }
+
+    /// Like [`CrashRecords::get`], to change it.
+    pub(super) fn get_mut(&mut self, number: CrashNumber) -> Option<&mut Crash> {
+        self.crashes.get_mut(usize::try_from(number.checked_sub(self.first)?).ok()?)
+    }
+
+    /// The number of the crash of an incarnation.
+    pub(super) fn number_of(&self, endpoint: &str) -> Option<CrashNumber> {
+        self.by_endpoint.get(endpoint).copied()
+    }
+
+    /// The number of stored crashes.
+    pub(super) fn len(&self) -> usize {
+        self.crashes.len()
+    }
+
+    /// The crashes, those reported last first.
+    pub(super) fn latest(&self) -> impl Iterator<Item = &Crash> {
+        self.crashes.iter().rev()
+    }
+
+    /// Records the crash of `endpoint` at `at_ms`, unless it is known; returns its number.
     pub(super) fn add_crash(
         &mut self,
         now_ms: u64,
@@ -63,28 +97,37 @@
         endpoint: &Arc<str>,
         service: Arc<str>,
         used: usize,
-    ) -> u64 {
-        if let Some(known) = self.by_endpoint.get(endpoint) {
-            return known.at_ms;
+    ) -> CrashNumber {
+        if let Some(number) = self.number_of(endpoint) {
+            return number;
         }
         self.remove_expired(now_ms);
-        self.order.push_back(endpoint.clone());
-        let (features, explained_by) = (BTreeMap::new(), None);
-        let crash = Crash { at_ms, service, used: used.max(1), features, explained_by };
-        self.by_endpoint.insert(endpoint.clone(), crash);
-        at_ms
+        let number = self.first + self.crashes.len() as CrashNumber;
+        self.by_endpoint.insert(endpoint.clone(), number);
+        self.crashes.push_back(Crash {
+            endpoint: endpoint.clone(),
+            at_ms,
+            service,
+            used: used.max(1),
+            features: BTreeMap::new(),
+            explained_by: None,
+            suspects: 0,
+            awaits_evaluation: false,
+        });
+        number
     }
 
-    /// Records a feature of requests that the crash of `endpoint` interrupted; returns false if it
+    /// Records a feature of requests that a crash interrupted; returns false if it
     /// was known.
     pub(super) fn add_feature(
         &mut self,
-        endpoint: &Arc<str>,
+        number: CrashNumber,
         feature: InterruptedFeature,
         is_held: bool,
     ) -> bool {
         let InterruptedFeature { key, weights, ran_ms, .. } = feature;
-        let Some(crash) = self.by_endpoint.get_mut(endpoint) else { return false };
+        let is_suspect = self.is_suspect(key);
+        let Some(crash) = self.get_mut(number) else { return false };
         if is_held {
             crash.explained_by.get_or_insert(key);
         }
@@ -93,7 +136,8 @@
             return false;
         }
         crash.features.insert(key, Interruption { ran_ms, weights, is_evaluated: false });
-        self.by_feature.entry(key).or_default().push(endpoint.clone());
+        crash.suspects += usize::from(is_suspect);
+        self.by_feature.entry(key).or_default().push(number);
         true
     }
 
@@ -102,10 +146,10 @@
     /// before parts of prompts: it holds up fewer requests.
     pub(super) fn take_unevaluated(
         &mut self,
-        endpoint: &str,
+        number: CrashNumber,
     ) -> Vec<(FeatureKey, Option<WeightsName>)> {
         let mut taken = Vec::new();
-        let Some(crash) = self.by_endpoint.get_mut(endpoint) else { return taken };
+        let Some(crash) = self.get_mut(number) else { return taken };
         for (key, interruption) in &mut crash.features {
             if !std::mem::replace(&mut interruption.is_evaluated, true) {
                 taken.push((*key, interruption.weights.clone()));
@@ -118,9 +162,15 @@
         taken
     }
 
+    /// Marks a crash to be evaluated; returns false if it is already.
+    pub(super) fn mark_for_evaluation(&mut self, number: CrashNumber) -> bool {
+        let Some(crash) = self.get_mut(number) else { return false };
+        !std::mem::replace(&mut crash.awaits_evaluation, true)
+    }
+
     /// Lets a feature of a crash be evaluated again.
-    pub(super) fn reset_evaluation(&mut self, endpoint: &str, key: FeatureKey) {
-        let Some(crash) = self.by_endpoint.get_mut(endpoint) else { return };
+    pub(super) fn reset_evaluation(&mut self, number: CrashNumber, key: FeatureKey) {
+        let Some(crash) = self.get_mut(number) else { return };
         if let Some(interruption) = crash.features.get_mut(&key) {
             interruption.is_evaluated = false;
         }
@@ -128,7 +178,7 @@
 
     /// Records that a request with the feature was served at `at_ms`. Returns the crashes that the
     /// feature explained until now.
-    pub(super) fn note_served(&mut self, key: FeatureKey, at_ms: u64) -> Vec<Arc<str>> {
+    pub(super) fn note_served(&mut self, key: FeatureKey, at_ms: u64) -> Vec<CrashNumber> {
         if self.served_at_ms.len() >= SERVED_MAX && !self.served_at_ms.contains_key(&key) {
             let earliest = self.served_at_ms.iter().min_by_key(|(_, at_ms)| **at_ms);
             let Some((earliest, _)) = earliest else { return Vec::new() };
@@ -137,29 +187,31 @@
         }
         let known_ms = self.served_at_ms.entry(key).or_insert(at_ms);
         *known_ms = at_ms.max(*known_ms);
-        let Some(endpoints) = self.by_feature.get_mut(&key) else { return Vec::new() };
-        let by_endpoint = &self.by_endpoint;
-        let is_before = |endpoint: &mut Arc<str>| {
-            by_endpoint.get(endpoint).is_none_or(|crash| crash.at_ms < at_ms)
-        };
-        let before: Vec<Arc<str>> = endpoints.extract_if(.., is_before).collect();
+        let Some(mut numbers) = self.by_feature.remove(&key) else { return Vec::new() };
+        let is_before =
+            |number: &mut CrashNumber| self.get(*number).is_none_or(|crash| crash.at_ms < at_ms);
+        let before: Vec<CrashNumber> = numbers.extract_if(.., is_before).collect();
+        self.by_feature.insert(key, numbers);
         self.remove_feature(key, before)
     }
 
     /// Removes a feature from all crashes. Returns those that it explained.
-    pub(super) fn clear(&mut self, key: FeatureKey) -> Vec<Arc<str>> {
-        self.suspects.remove(&key);
-        let endpoints = self.by_feature.remove(&key).unwrap_or_default();
-        self.remove_feature(key, endpoints)
+    pub(super) fn clear(&mut self, key: FeatureKey) -> Vec<CrashNumber> {
+        self.set_suspect(key, false);
+        let numbers = self.by_feature.remove(&key).unwrap_or_default();
+        self.remove_feature(key, numbers)
     }
 
-    /// Removes a feature from the crashes of `endpoints`. Returns those that it explained, whose
+    /// Removes a feature from the crashes of these `numbers`. Returns those that it explained, whose
     /// other features are to be evaluated again.
-    fn remove_feature(&mut self, key: FeatureKey, endpoints: Vec<Arc<str>>) -> Vec<Arc<str>> {
+    fn remove_feature(&mut self, key: FeatureKey, numbers: Vec<CrashNumber>) -> Vec<CrashNumber> {
+        let is_suspect = self.is_suspect(key);
         let mut unexplained = Vec::new();
-        for endpoint in endpoints {
-            let Some(crash) = self.by_endpoint.get_mut(&endpoint) else { continue };
-            crash.features.remove(&key);
+        for number in numbers {
+            let Some(crash) = self.get_mut(number) else { continue };
+            if crash.features.remove(&key).is_some() && is_suspect {
+                crash.suspects -= 1;
+            }
             if crash.explained_by != Some(key) {
                 continue;
             }
@@ -167,34 +219,56 @@
             for interruption in crash.features.values_mut() {
                 interruption.is_evaluated = false;
             }
-            unexplained.push(endpoint);
+            unexplained.push(number);
         }
         unexplained
     }
 
+    /// Records whether a feature is a likely cause of the crashes that interrupted it.
+    pub(super) fn set_suspect(&mut self, key: FeatureKey, is_suspect: bool) {
+        let has_changed =
+            if is_suspect { self.suspects.insert(key) } else { self.suspects.remove(&key) };
+        if !has_changed {
+            return;
+        }
+        for number in self.by_feature.get(&key).cloned().unwrap_or_default() {
+            let Some(crash) = self.get_mut(number) else { continue };
+            if is_suspect {
+                crash.suspects += 1;
+            } else {
+                crash.suspects -= 1;
+            }
+        }
+    }
+
+    /// True if the feature is a likely cause of the crashes that interrupted it.
+    pub(super) fn is_suspect(&self, key: FeatureKey) -> bool {
+        self.suspects.contains(&key)
+    }
+
     /// Marks the crashes of a held feature as explained by it: they are no evidence against the
     /// other features.
     pub(super) fn explain(&mut self, key: FeatureKey) {
-        for endpoint in self.by_feature.get(&key).into_iter().flatten() {
-            if let Some(crash) = self.by_endpoint.get_mut(endpoint) {
+        for number in self.by_feature.get(&key).cloned().unwrap_or_default() {
+            if let Some(crash) = self.get_mut(number) {
                 crash.explained_by.get_or_insert(key);
             }
         }
     }
 
     fn remove_expired(&mut self, now_ms: u64) {
-        while let Some(endpoint) = self.order.front() {
-            let at_ms = self.by_endpoint.get(endpoint).map_or(0, |crash| crash.at_ms);
-            if self.order.len() < CRASHES_MAX && at_ms + RETENTION_MS > now_ms {
+        while let Some(crash) = self.crashes.front() {
+            if self.crashes.len() < CRASHES_MAX && crash.at_ms + RETENTION_MS > now_ms {
                 return;
             }
-            let endpoint = endpoint.clone();
-            self.order.pop_front();
-            let Some(crash) = self.by_endpoint.remove(&endpoint) else { continue };
+            let number = self.first;
+            self.first += 1;
+            let Some(crash) = self.crashes.pop_front() else { return };
+            self.by_endpoint.remove(&crash.endpoint);
             for key in crash.features.keys() {
-                let Some(endpoints) = self.by_feature.get_mut(key) else { continue };
-                endpoints.retain(|known| *known != endpoint);
-                if endpoints.is_empty() {
+                let Some(numbers) = self.by_feature.get_mut(key) else { continue };
+                numbers.retain(|known| *known != number);
+                if numbers.is_empty() {
                     self.by_feature.remove(key);
                     self.suspects.remove(key);
                 }
