control: messages of operators and replicas go before those of gateways and endpoints

Change: a replica's messages wait in two lanes (control/inbox.rs); what the urgent ones caused is stored and sent before an ordinary one is handled, at most 64 of these go without a flush, and no more than one tick waits. The log tells which message kept the replica busy for 100 ms or more (replica_busy), the metrics how many wait.

--- a/src/control/listing.rs
+++ b/src/control/listing.rs
@@ -8,12 +8,11 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use ractor::ActorRef;
 use serde::{Deserialize, Serialize};
 use tracing::warn;
 
 use crate::control::fleet::{EndpointKind, ListedEndpoint};
-use crate::control::server::ReplicaMessage;
+use crate::control::server::{ReplicaHandle, ReplicaMessage};
 use crate::error::{Error, Result};
 use crate::http::HttpClient;
 use crate::message::LoadReport;
@@ -56,7 +55,7 @@
     settings: ControlSettings,
     address: SocketAddr,
     leads: Arc<AtomicBool>,
-    actor: ActorRef<ReplicaMessage>,
+    actor: ReplicaHandle,
 ) {
     let client = HttpClient::new(LIST_TIMEOUT_MS);
     let pause = Duration::from_millis(settings.platform_poll_ms);
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,6 +8,7 @@
 pub mod counts;
 pub mod distribution;
 pub mod fleet;
+mod inbox;
 pub mod ledger;
 mod legacy;
 pub mod listing;
--- a/src/control/process.rs
+++ b/src/control/process.rs
@@ -6,7 +6,6 @@
 
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
-use ractor::{Actor, ActorRef};
 use rand::RngExt;
 use serde_json::json;
 use tokio::signal::unix::{SignalKind, signal};
@@ -17,7 +16,7 @@
 use crate::clock::Clock;
 use crate::control::api::ControlApi;
 use crate::control::boot::{self, Booted};
-use crate::control::server::{ReplicaActor, ReplicaArguments, ReplicaMessage};
+use crate::control::server::{ReplicaArguments, ReplicaHandle, ReplicaMessage};
 use crate::control::serving::{ControlHandler, Running, Stage};
 use crate::control::{distribution, listing};
 use crate::error::{Error, Result};
@@ -82,7 +81,7 @@
     info!(event = "started", name = %common.name, peers = %common.listen_peers);
     terminate.recv().await;
     info!(event = "stopping");
-    let _ = ractor::call_t!(actor, ReplicaMessage::Stop, DUMP_TIMEOUT_MS);
+    let _ = actor.call(ReplicaMessage::Stop, DUMP_TIMEOUT_MS).await;
     tokio::time::sleep(TRANSFER_PAUSE).await;
     let _ = stop.send(true);
     info!(event = "stopped");
@@ -107,9 +106,7 @@
         leads: leads.clone(),
         leader,
     };
-    let (actor, _) = ReplicaActor::spawn(None, ReplicaActor, arguments)
-        .await
-        .map_err(|error| Error::failed("start replica", "actor", error))?;
+    let actor = ReplicaHandle::spawn(arguments).await?;
     if let Some(address) = settings.platform_address {
         tokio::spawn(listing::poll(settings.clone(), address, leads.clone(), actor.clone()));
     }
@@ -135,8 +132,8 @@
 }
 
 /// True if the replica is not a member, or knows no leader and may have been replaced.
-async fn needs_to_join(actor: &ActorRef<ReplicaMessage>, id: u64) -> bool {
-    let Ok(dump) = ractor::call_t!(actor, ReplicaMessage::Dump, DUMP_TIMEOUT_MS) else {
+async fn needs_to_join(actor: &ReplicaHandle, id: u64) -> bool {
+    let Ok(dump) = actor.call(ReplicaMessage::Dump, DUMP_TIMEOUT_MS).await else {
         return true;
     };
     let members = dump["group"]["members"].as_array().cloned().unwrap_or_default();
@@ -172,7 +169,7 @@
             let Some(running) = running else {
                 return json_answer(StatusCode::OK, &json!({"role": "starting"}));
             };
-            match ractor::call_t!(running.replica, ReplicaMessage::Dump, DUMP_TIMEOUT_MS) {
+            match running.replica.call(ReplicaMessage::Dump, DUMP_TIMEOUT_MS).await {
                 Ok(mut dump) => {
                     dump["distributor"] = running.distributor.dump().await.into();
                     json_answer(StatusCode::OK, &dump)
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -6,12 +6,15 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use ractor::concurrency::oneshot;
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use tokio::sync::{mpsc, watch};
+use tokio::time::{MissedTickBehavior, timeout};
 use tracing::{debug, error, info, warn};
 
 use crate::clock::{Clock, wall_ms};
 use crate::control::fleet::ListedEndpoint;
+use crate::control::inbox::{Inbox, Unflushed, Work};
 use crate::control::raft::{Envelope, NodeId, Output, Snapshot};
 use crate::control::replica::Replica;
 use crate::control::storage::{Batch, Storage};
@@ -20,7 +23,7 @@
 use crate::message::{
     ControlReply, ControlRequest, LoadReport, PeerMessage, SessionDown, SessionHello, SessionUp,
 };
-use crate::metrics::{Counter, Metrics, Timer};
+use crate::metrics::{Counter, Gauge, Metrics, Timer};
 use crate::process::EXIT_STORAGE;
 use crate::traffic;
 use crate::wire::{Channel, Peer, Receiver, Sender};
@@ -29,6 +32,8 @@
 const LINK_QUEUE_SIZE: usize = 4_096;
 const LINK_RETRY_PAUSE: Duration = Duration::from_millis(50);
 const LINK_SEND_TIMEOUT: Duration = Duration::from_secs(2);
+/// A replica that handles one message for longer than this holds up all others.
+const SLOW_MS: u64 = 100;
 /// Pause before a write to a full disk is retried.
 const DISK_FULL_PAUSE: Duration = Duration::from_millis(200);
 
@@ -38,8 +43,6 @@
     Peer(PeerMessage),
     /// Advance the timers.
     Tick,
-    /// Store, send and apply the collected output.
-    Flush,
     /// A single call.
     Call(ControlRequest, RpcReplyPort<ControlReply>),
     /// A gateway opens a session.
@@ -56,6 +59,86 @@
     Stop(RpcReplyPort<()>),
 }
 
+impl ReplicaMessage {
+    /// The message kind, as named in log lines.
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Peer(_) => "peer",
+            Self::Tick => "tick",
+            Self::Call(..) => "call",
+            Self::Open(..) => "open",
+            Self::Up(_, up) => up.kind(),
+            Self::Close(_) => "close",
+            Self::Listed(..) => "listed",
+            Self::Dump(_) => "dump",
+            Self::Stop(_) => "stop",
+        }
+    }
+}
+
+/// Lets the actor do its next piece of work. One is sent for each message, and one for each flush.
+struct Turn;
+
+/// Sends messages to a replica.
+#[derive(Clone)]
+pub struct ReplicaHandle {
+    actor: ActorRef<Turn>,
+    inbox: Arc<Inbox>,
+}
+
+impl ReplicaHandle {
+    /// Starts the actor of a replica.
+    ///
+    /// # Errors
+    /// The actor cannot be started.
+    pub async fn spawn(arguments: ReplicaArguments) -> Result<Self> {
+        let inbox = Arc::new(Inbox::default());
+        let (actor, _) = ReplicaActor::spawn(None, ReplicaActor, (arguments, inbox.clone()))
+            .await
+            .map_err(|error| Error::failed("start replica", "actor", error))?;
+        let handle = Self { actor, inbox };
+        let ticking = handle.clone();
+        tokio::spawn(async move {
+            let mut ticks = tokio::time::interval(TICK_INTERVAL);
+            ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+            loop {
+                ticks.tick().await;
+                if ticking.cast(ReplicaMessage::Tick).is_err() {
+                    return;
+                }
+            }
+        });
+        Ok(handle)
+    }
+
+    /// Sends a message.
+    ///
+    /// # Errors
+    /// The replica has stopped.
+    pub fn cast(&self, message: ReplicaMessage) -> Result<()> {
+        if !self.inbox.push(message) {
+            return Ok(());
+        }
+        self.actor.cast(Turn).map_err(|error| Error::failed("send", "replica", error))
+    }
+
+    /// Sends a message and waits for the answer.
+    ///
+    /// # Errors
+    /// The replica has stopped, or does not answer within `timeout_ms`.
+    pub async fn call<T: Send + 'static>(
+        &self,
+        message: impl FnOnce(RpcReplyPort<T>) -> ReplicaMessage,
+        timeout_ms: u64,
+    ) -> Result<T> {
+        let (reply, answered) = oneshot::<T>();
+        self.cast(message(RpcReplyPort::from(reply)))?;
+        let answered = timeout(Duration::from_millis(timeout_ms), answered).await;
+        let answered = answered.map_err(|_| Error::timeout("call", "replica", timeout_ms))?;
+        answered.map_err(|error| Error::failed("call", "replica", error))
+    }
+}
+
 /// The arguments of the actor.
 pub struct ReplicaArguments {
     /// The replica.
@@ -75,7 +158,7 @@
 }
 
 /// The actor's state.
-pub struct ReplicaState {
+struct ReplicaState {
     replica: Replica,
     storage: Option<Box<dyn Storage>>,
     address: SocketAddr,
@@ -85,23 +168,23 @@
     leader: watch::Sender<Option<SocketAddr>>,
     links: HashMap<NodeId, (SocketAddr, mpsc::Sender<PeerMessage>)>,
     addresses: HashMap<NodeId, SocketAddr>,
-    flush_scheduled: bool,
+    inbox: Arc<Inbox>,
+    unflushed: Unflushed,
 }
 
 /// The actor.
-pub struct ReplicaActor;
+struct ReplicaActor;
 
 impl Actor for ReplicaActor {
-    type Msg = ReplicaMessage;
+    type Msg = Turn;
     type State = ReplicaState;
-    type Arguments = ReplicaArguments;
+    type Arguments = (ReplicaArguments, Arc<Inbox>);
 
     async fn pre_start(
         &self,
-        myself: ActorRef<Self::Msg>,
-        arguments: Self::Arguments,
+        _: ActorRef<Self::Msg>,
+        (arguments, inbox): Self::Arguments,
     ) -> std::result::Result<Self::State, ActorProcessingErr> {
-        myself.send_interval(TICK_INTERVAL, || ReplicaMessage::Tick);
         Ok(ReplicaState {
             replica: arguments.replica,
             storage: Some(arguments.storage),
@@ -112,20 +195,21 @@
             leader: arguments.leader,
             links: HashMap::new(),
             addresses: HashMap::new(),
-            flush_scheduled: false,
+            inbox,
+            unflushed: Unflushed::default(),
         })
     }
 
     async fn handle(
         &self,
         myself: ActorRef<Self::Msg>,
-        message: Self::Msg,
+        Turn: Self::Msg,
         state: &mut Self::State,
     ) -> std::result::Result<(), ActorProcessingErr> {
-        let now_ms = state.clock.now_ms();
-        match message {
-            ReplicaMessage::Flush => {
-                state.flush_scheduled = false;
+        match state.inbox.next(state.unflushed) {
+            Work::None => {}
+            Work::Flush => {
+                state.unflushed = Unflushed::default();
                 if let Err(error) = state.flush().await {
                     // The content of the disk is unknown now, so nothing may be acknowledged any
                     // more.
@@ -134,45 +218,60 @@
                     std::process::exit(i32::from(EXIT_STORAGE));
                 }
                 state.metrics.count(Counter::Flushes);
-                // Nothing came after this that another flush would have to serve.
-                return Ok(());
             }
+            Work::Handle(message, lane) => {
+                let needs_flush = !matches!(message, ReplicaMessage::Dump(_));
+                state.handle(message);
+                if needs_flush && state.unflushed.count(lane) {
+                    myself.cast(Turn)?;
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+impl ReplicaState {
+    fn handle(&mut self, message: ReplicaMessage) {
+        let now_ms = self.clock.now_ms();
+        let what = message.kind();
+        match message {
             ReplicaMessage::Dump(reply) => {
-                let _ = reply.send(state.replica.dump());
-                return Ok(());
+                let _ = reply.send(self.replica.dump());
             }
             ReplicaMessage::Stop(reply) => {
-                state.replica.raft.transfer_leadership();
+                self.replica.raft.transfer_leadership();
                 let _ = reply.send(());
             }
-            ReplicaMessage::Tick => state.replica.tick(now_ms, wall_ms()),
+            ReplicaMessage::Tick => {
+                self.metrics.gauge(Gauge::MessagesWaiting, self.inbox.len() as u64);
+                self.replica.tick(now_ms, wall_ms());
+            }
             ReplicaMessage::Peer(message) => {
-                state.addresses.insert(message.envelope.from, message.address);
-                if message.envelope.to == state.replica.raft.id() {
-                    state.replica.raft.receive(now_ms, message.envelope);
+                self.addresses.insert(message.envelope.from, message.address);
+                if message.envelope.to == self.replica.raft.id() {
+                    self.replica.raft.receive(now_ms, message.envelope);
                 }
             }
             ReplicaMessage::Call(request, reply) => {
-                state.replica.call(now_ms, wall_ms(), request, reply);
+                self.replica.call(now_ms, wall_ms(), request, reply);
             }
             ReplicaMessage::Open(session, hello, down) => {
-                state.replica.open(now_ms, wall_ms(), session, hello, down);
+                self.replica.open(now_ms, wall_ms(), session, hello, down);
             }
             ReplicaMessage::Up(session, up) => {
-                state.replica.handle_session_message(now_ms, wall_ms(), session, up);
+                self.replica.handle_session_message(now_ms, wall_ms(), session, up);
             }
-            ReplicaMessage::Close(session) => state.replica.close(session),
+            ReplicaMessage::Close(session) => self.replica.close(session),
             ReplicaMessage::Listed(listed, load_reports) => {
-                state.replica.listed(wall_ms(), listed);
-                state.replica.set_load_reports(load_reports);
+                self.replica.listed(wall_ms(), listed);
+                self.replica.set_load_reports(load_reports);
             }
         }
-        // One flush serves all messages queued before it, so that many share one sync.
-        if !state.flush_scheduled {
-            state.flush_scheduled = true;
-            myself.cast(ReplicaMessage::Flush)?;
+        let took_ms = self.clock.now_ms() - now_ms;
+        if took_ms >= SLOW_MS {
+            warn!(event = "replica_busy", what, took_ms, waiting = self.inbox.len());
         }
-        Ok(())
     }
 }
 
@@ -367,7 +466,7 @@
             }
         }
         let Some((sender, _)) = &mut link else { continue };
-        let sent = tokio::time::timeout(LINK_SEND_TIMEOUT, sender.send(&message)).await;
+        let sent = timeout(LINK_SEND_TIMEOUT, sender.send(&message)).await;
         let Ok(Ok(size_bytes)) = sent else {
             link = None;
             peer.drop_connection().await;
--- a/src/control/serving.rs
+++ b/src/control/serving.rs
@@ -5,13 +5,13 @@
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
+use ractor::RpcReplyPort;
 use ractor::concurrency::oneshot;
-use ractor::{ActorRef, RpcReplyPort};
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
 use crate::control::distribution::DistributorHandle;
-use crate::control::server::ReplicaMessage;
+use crate::control::server::{ReplicaHandle, ReplicaMessage};
 use crate::error::{Error, Result};
 use crate::message::{
     ControlReply, ControlRequest, PeerMessage, ProbeReply, SessionDown, SessionHello, SessionRole,
@@ -37,7 +37,7 @@
 #[derive(Clone)]
 pub struct Running {
     /// The replica.
-    pub replica: ActorRef<ReplicaMessage>,
+    pub replica: ReplicaHandle,
     /// Forwards the leader's messages to gateways while another replica leads.
     pub distributor: DistributorHandle,
     /// True while this replica leads.
@@ -89,7 +89,7 @@
 
 /// The actor that serves a session.
 enum SessionHost {
-    Replica(ActorRef<ReplicaMessage>),
+    Replica(ReplicaHandle),
     Distributor(DistributorHandle),
 }
 
@@ -159,7 +159,7 @@
     }
 }
 
-async fn serve_peer(incoming: Incoming, actor: ActorRef<ReplicaMessage>) -> Result<()> {
+async fn serve_peer(incoming: Incoming, actor: ReplicaHandle) -> Result<()> {
     let (mut receiver, _sender) = incoming.accept::<PeerMessage, ()>()?;
     while let Some(message) = receiver.next().await? {
         if actor.cast(ReplicaMessage::Peer(message)).is_err() {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -173,6 +173,8 @@
     RequestsInProgress => "requests.in_progress",
     /// Requests that wait for capacity at this gateway.
     RequestsWaiting => "requests.waiting",
+    /// Messages that wait at this replica of control.
+    MessagesWaiting => "replica.messages_waiting",
     /// Endpoints owned by this gateway.
     EndpointsOwned => "endpoints.owned",
     /// Services in the known configuration.
--- a/tests/common/replica.rs
+++ b/tests/common/replica.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 
-use ractor::{Actor, ActorRef};
 use tokio::sync::watch;
 use winchvane::clock::Clock;
 use winchvane::control::ledger::LedgerLimits;
@@ -12,7 +11,7 @@
 use winchvane::control::placement::PlacementSettings;
 use winchvane::control::raft::{Member, Members, Raft, Recovered, Timing};
 use winchvane::control::replica::{Replica, ReplicaSettings};
-use winchvane::control::server::{ReplicaActor, ReplicaArguments, ReplicaMessage};
+use winchvane::control::server::{ReplicaArguments, ReplicaHandle};
 use winchvane::control::state::State;
 use winchvane::control::storage::Storage;
 use winchvane::metrics::Metrics;
@@ -44,7 +43,7 @@
 
 /// A replica that was started, and what it tells others in its process.
 pub struct Started {
-    pub replica: ActorRef<ReplicaMessage>,
+    pub replica: ReplicaHandle,
     /// Set while it leads.
     pub leads: Arc<AtomicBool>,
     /// Who leads, as far as it knows.
@@ -67,7 +66,6 @@
         leads: leads.clone(),
         leader,
     };
-    let started = ReplicaActor::spawn(None, ReplicaActor, arguments).await;
-    let replica = started.expect("the replica starts").0;
+    let replica = ReplicaHandle::spawn(arguments).await.expect("the replica starts");
     Started { replica, leads, leader: leader_known }
 }
--- a/tests/disk_full.rs
+++ b/tests/disk_full.rs
@@ -6,9 +6,8 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
-use ractor::ActorRef;
 use winchvane::control::raft::{Entry, HardState, Snapshot, Timing};
-use winchvane::control::server::ReplicaMessage;
+use winchvane::control::server::{ReplicaHandle, ReplicaMessage};
 use winchvane::control::storage::{Batch, Storage};
 use winchvane::error::{Error, Result};
 use winchvane::message::{ControlReply, ControlRequest};
@@ -44,7 +43,7 @@
     }
 }
 
-async fn start(disk: FullDisk) -> ActorRef<ReplicaMessage> {
+async fn start(disk: FullDisk) -> ReplicaHandle {
     common::replica::start(Box::new(disk), Timing::default()).await.replica
 }
 
@@ -56,12 +55,11 @@
     }
 }
 
-async fn call(actor: &ActorRef<ReplicaMessage>, request: ControlRequest) -> Option<ControlReply> {
-    let reply = ractor::call_t!(actor, |reply| ReplicaMessage::Call(request, reply), 500);
-    reply.ok()
+async fn call(actor: &ReplicaHandle, request: ControlRequest) -> Option<ControlReply> {
+    actor.call(|reply| ReplicaMessage::Call(request, reply), 500).await.ok()
 }
 
-async fn call_until_accepted(actor: &ActorRef<ReplicaMessage>, version: u64) {
+async fn call_until_accepted(actor: &ReplicaHandle, version: u64) {
     for _ in 0..100 {
         if matches!(call(actor, put(version)).await, Some(ControlReply::Accepted)) {
             return;
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -8,14 +8,13 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use ractor::ActorRef;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use winchvane::Result;
 use winchvane::clock::Clock;
 use winchvane::control::distribution::{hello, spawn};
 use winchvane::control::raft::Timing;
-use winchvane::control::server::ReplicaMessage;
+use winchvane::control::server::{ReplicaHandle, ReplicaMessage};
 use winchvane::control::storage::FileStorage;
 use winchvane::message::{SessionDown, SessionHello, SessionRole, SessionUp};
 use winchvane::metrics::Metrics;
@@ -152,7 +151,7 @@
 }
 
 /// Starts the only replica of a group, which becomes leader.
-async fn leader_in(folder: &Path) -> ActorRef<ReplicaMessage> {
+async fn leader_in(folder: &Path) -> ReplicaHandle {
     let storage = FileStorage::open(folder).expect("the folder is empty").storage;
     let timing = Timing { heartbeat_ms: 10, election_ms: 50 };
     let common::replica::Started { replica: actor, leader: mut leader_known, .. } =
@@ -163,7 +162,7 @@
 
 /// Opens a link of zone `b` as `session` and waits until the leader answers its renewals.
 async fn link_to(
-    actor: &ActorRef<ReplicaMessage>,
+    actor: &ReplicaHandle,
     session: u64,
     address: SocketAddr,
 ) -> mpsc::Receiver<SessionDown> {
@@ -179,7 +178,7 @@
     }
 }
 
-fn renew(actor: &ActorRef<ReplicaMessage>, session: u64, number: u64) {
+fn renew(actor: &ReplicaHandle, session: u64, number: u64) {
     let up = SessionUp::RenewFor { number, gateways: Vec::new() };
     actor.cast(ReplicaMessage::Up(session, up)).expect("the replica runs");
 }
