relay, policy: the slots of brittle endpoints are leased to gateways

Each gateway counted what ran with counts of the others that arrive later than requests do, and learned of a rejection by itself; a rejection then kept it away for up to 30 s. Change: each endpoint has a coordinator among the gateways, by rendezvous hashing over a list that control sends. It leases the endpoint's slots, never more than there are, to gateways that claim them, one at a time and in turn; an unused slot is kept for .1 s, or returned at once while others wait. Leases end with their gateway's silence; a new coordinator leases nothing for a second, while the others claim what they use. That a service is brittle is known of the service, so a new incarnation inherits it, and reaches all gateways with the loads. Pauses by the number of gateways, jitter, the share by rate and three constants are gone. Wire version 3: Group names the coordinators, Load tells of brittleness, channel /slots.

--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -13,6 +13,9 @@
 const NEAR_MAX: usize = 6;
 /// The number of gateways of other availability zones that a gateway is offered.
 const FAR_MAX: usize = 6;
+/// The number of gateways that lease the slots of endpoints: enough that none of them has much to do,
+/// and few enough to tell all gateways of each change.
+const COORDINATORS_MAX: usize = 64;
 
 /// A gateway that announced itself.
 #[derive(Debug)]
@@ -73,6 +76,25 @@
         offered
     }
 
+    /// The gateways that lease the slots of endpoints, by name: those of the connected ones that rank
+    /// first by a hash.
+    pub fn coordinators(
+        &self,
+        now_ms: u64,
+        is_connected: impl Fn(&str) -> bool,
+    ) -> Vec<PeerGateway> {
+        let mut gateways = Vec::new();
+        for (name, known) in &self.by_name {
+            if now_ms < known.at_ms + ANNOUNCED_MS && is_connected(name) {
+                gateways.push(known.gateway.clone());
+            }
+        }
+        gateways.sort_by_cached_key(|gateway| hash::stable(&gateway.name));
+        gateways.truncate(COORDINATORS_MAX);
+        gateways.sort_by(|one, other| one.name.cmp(&other.name));
+        gateways
+    }
+
     /// The gateways that reach no endpoint of some service, each with these services.
     pub fn cut_off(&self, now_ms: u64) -> BTreeSet<(Arc<str>, Arc<str>)> {
         let mut cut_off = BTreeSet::new();
--- a/src/control/replica/followers.rs
+++ b/src/control/replica/followers.rs
@@ -15,6 +15,9 @@
 };
 use crate::policy::counts;
 
+/// How long after it began to lead a leader knows all gateways.
+const GATEWAYS_KNOWN_MS: u64 = 2_500;
+
 impl Replica {
     pub(super) fn send_order(&mut self, now_ms: u64, order: EngineOrder) {
         // Direct sessions come first: a distributor may still list a gateway that has just left it.
@@ -65,6 +68,11 @@
                 connected.insert(gateway, session.hello.zone.clone());
             }
         }
+        // A new leader learns of the gateways one by one; until then the list of the previous one holds.
+        if self.registered.leading_since_ms + GATEWAYS_KNOWN_MS <= now_ms {
+            self.registered.coordinators =
+                self.registered.peers.coordinators(now_ms, |name| connected.contains_key(name));
+        }
         self.registered.placement.set_gateways(now_ms, connected);
     }
 
@@ -257,6 +265,7 @@
                 group.servers.push(SessionServer { zone, address });
             }
         }
+        group.coordinators.clone_from(&self.registered.coordinators);
         if !group.has_significant_change_from(&self.registered.group_sent) {
             return;
         }
--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -16,7 +16,7 @@
 use crate::control::software::UnusedSoftware;
 use crate::control::state::Operation;
 use crate::control::workspace_use::WorkspaceUses;
-use crate::message::{Change, ControlReply, Group, Heartbeat, NewestVersion, Placed};
+use crate::message::{Change, ControlReply, Group, Heartbeat, NewestVersion, PeerGateway, Placed};
 use crate::policy::crashes::Crashes;
 use crate::policy::quota::{CreditPools, QuotaBounds};
 use crate::policy::stream_origins::StreamOrigins;
@@ -42,6 +42,8 @@
     ticked_at_ms: u64,
     pub(super) loads_due_ms: u64,
     pub(super) group_sent: Group,
+    /// The gateways that lease the slots of brittle endpoints.
+    pub(super) coordinators: Vec<PeerGateway>,
     copies_due_ms: u64,
     pub(super) counts: Counts,
     pub(super) crashes: Crashes,
@@ -66,6 +68,7 @@
             ticked_at_ms: 0,
             loads_due_ms: 0,
             group_sent: Group::default(),
+            coordinators: Vec::new(),
             copies_due_ms: 0,
             counts: Counts::new(),
             crashes: Crashes::default(),
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -26,7 +26,7 @@
 use crate::metrics::{Counter, Gauge, Metrics, Timer};
 use crate::process::EXIT_STORAGE;
 use crate::traffic;
-use crate::wire::{Channel, Peer, Receiver, Sender};
+use crate::wire::{BoxFuture, Channel, Peer, Receiver, Sender};
 
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 const LINK_QUEUE_SIZE: usize = 4_096;
@@ -91,24 +91,29 @@
     ///
     /// # Errors
     /// The actor cannot be started.
-    pub async fn spawn(arguments: ReplicaArguments) -> Result<Self> {
-        let inbox = Arc::new(Inbox::default());
-        let (actor, _) = ReplicaActor::spawn(None, ReplicaActor, (arguments, inbox.clone()))
-            .await
-            .map_err(|error| Error::failed("start replica", "actor", error))?;
-        let handle = Self { actor, inbox };
-        let ticking = handle.clone();
-        tokio::spawn(async move {
-            let mut ticks = tokio::time::interval(TICK_INTERVAL);
-            ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-            loop {
-                ticks.tick().await;
-                if ticking.cast(ReplicaMessage::Tick).is_err() {
-                    return;
-                }
+    pub fn spawn(arguments: ReplicaArguments) -> BoxFuture<'static, Result<Self>> {
+        // Boxed because the replica is large.
+        Box::pin(async move {
+            let inbox = Arc::new(Inbox::default());
+            let (actor, _) = ReplicaActor::spawn(None, ReplicaActor, (arguments, inbox.clone()))
+                .await
+                .map_err(|error| Error::failed("start replica", "actor", error))?;
+            let handle = Self { actor, inbox };
+            tokio::spawn(handle.clone().tick());
+            Ok(handle)
+        })
+    }
+
+    /// Advances the replica's timers until it stops.
+    async fn tick(self) {
+        let mut ticks = tokio::time::interval(TICK_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            if self.cast(ReplicaMessage::Tick).is_err() {
+                return;
             }
-        });
-        Ok(handle)
+        }
     }
 
     /// Sends a message.
--- a/src/control/serving.rs
+++ b/src/control/serving.rs
@@ -151,7 +151,7 @@
                 (Channel::Control, running) => serve_call(incoming, running).await,
                 (Channel::Session, Ok(running)) => serve_session(incoming, running, session).await,
                 (Channel::Raft | Channel::Session, Err(_))
-                | (Channel::Forward | Channel::Peer, _) => {
+                | (Channel::Forward | Channel::Peer | Channel::Slots, _) => {
                     Err(Error::refused("serve", "control", "this stream is not served here now"))
                 }
             }
--- a/src/message/mod.rs
+++ b/src/message/mod.rs
@@ -12,6 +12,7 @@
 mod order;
 mod registration;
 mod session;
+mod slots;
 mod stream_origin;
 mod workspace_use;
 
@@ -37,6 +38,7 @@
 pub use session::{
     Forwarded, Group, LoadReport, SessionDown, SessionHello, SessionRole, SessionServer, SessionUp,
 };
+pub use slots::{SlotClaim, SlotClaims, SlotGrant, SlotGrants};
 pub use stream_origin::{BegunStreams, OriginAsk, StreamKey, StreamOrigin};
 pub use workspace_use::{UseCounts, WorkspaceUse};
 
--- a/src/message/registration.rs
+++ b/src/message/registration.rs
@@ -161,6 +161,8 @@
     pub work_units: u32,
     /// The time that these units took.
     pub work_ms: u32,
+    /// The number of gateways to which endpoints of the service have said that they are brittle.
+    pub brittle: u32,
 }
 
 impl Load {
@@ -174,6 +176,7 @@
             demand_per_min: self.demand_per_min.saturating_add(other.demand_per_min),
             work_units: self.work_units.saturating_add(other.work_units),
             work_ms: self.work_ms.saturating_add(other.work_ms),
+            brittle: self.brittle.saturating_add(other.brittle),
         }
     }
 
@@ -193,6 +196,7 @@
             demand_per_min: self.demand_per_min.saturating_sub(other.demand_per_min),
             work_units: self.work_units.saturating_sub(other.work_units),
             work_ms: self.work_ms.saturating_sub(other.work_ms),
+            brittle: self.brittle.saturating_sub(other.brittle),
         }
     }
 }
--- a/src/message/session.rs
+++ b/src/message/session.rs
@@ -197,6 +197,8 @@
     pub counts_every_ms: u32,
     /// The leader and the distributors.
     pub servers: Vec<SessionServer>,
+    /// The gateways that lease the slots of brittle endpoints.
+    pub coordinators: Vec<PeerGateway>,
 }
 
 /// A new number of gateways is sent once it differs from the one sent before by the latter divided
--- a/src/policy/counts.rs
+++ b/src/policy/counts.rs
@@ -29,6 +29,7 @@
         || reported.waiting_ms.abs_diff(current.waiting_ms) >= READING_STEP_MS
         || reported.late_ms.abs_diff(current.late_ms) >= READING_STEP_MS
         || differs_in_demand(reported, current)
+        || (reported.brittle > 0) != (current.brittle > 0)
 }
 
 /// Like [`is_worth_reporting`], for an endpoint of a service whose endpoints together did the work
--- a/src/policy/waiting_queue.rs
+++ b/src/policy/waiting_queue.rs
@@ -436,7 +436,12 @@
 
     /// True if requests wait for this capacity.
     pub fn has_waiting(&self, key: &QueueKey) -> bool {
-        self.queues.get(key).is_some_and(|queue| !queue.waiting.is_empty())
+        self.waiting(key) > 0
+    }
+
+    /// The number of requests that wait in the queue of `key`.
+    pub fn waiting(&self, key: &QueueKey) -> usize {
+        self.queues.get(key).map_or(0, |queue| queue.waiting.len())
     }
 
     /// The number of queues in which requests wait.
--- a/src/relay/advertised.rs
+++ b/src/relay/advertised.rs
@@ -5,7 +5,6 @@
 use super::border::RateLimit;
 use super::fleet::Fleet;
 use super::limits::LimitChange;
-use super::pick::ALL_COMPARED_MAX_GATEWAYS;
 
 /// How long an endpoint counts as leaving after a response announced it. The limit brings back an
 /// endpoint that announced it by mistake.
@@ -20,7 +19,6 @@
         sent_at_ms: u64,
         rate_limit: RateLimit,
     ) -> Option<LimitChange> {
-        let rate_limit = self.limit_when_brittle(now_ms, id, rate_limit);
         if rate_limit == RateLimit::None && self.limits.is_empty()
             || !self.endpoints.contains_key(id)
         {
@@ -33,26 +31,8 @@
         change
     }
 
-    /// The rate limit of endpoint `id`, which named `rate_limit`: many gateways, whose counts arrive
-    /// later than a plain request runs, share what a brittle endpoint bears by rate.
-    fn limit_when_brittle(&self, now_ms: u64, id: &str, rate_limit: RateLimit) -> RateLimit {
-        let Some(state) = self.endpoints.get(id) else { return rate_limit };
-        let unit_ms = self.unit_ms.get(&state.endpoint.service).copied();
-        let is_shared = state.is_plain && self.gateways > ALL_COMPARED_MAX_GATEWAYS;
-        let Some(unit_ms) = unit_ms.filter(|_| is_shared && state.brittleness.is_brittle(now_ms))
-        else {
-            return rate_limit;
-        };
-        // The measured times include waits, which leaves room for uneven arrivals.
-        let bears_per_s = f64::from(state.endpoint.slots) * 1_000.0 / unit_ms.max(1.0);
-        match rate_limit {
-            RateLimit::PerSecond(per_s) => RateLimit::PerSecond(per_s.min(bears_per_s)),
-            RateLimit::None | RateLimit::Unreadable => RateLimit::PerSecond(bears_per_s),
-        }
-    }
-
-    /// Applies the rejections a second that endpoint `id` bears, as its response to a request sent
-    /// at `sent_at_ms` names them; returns whether it is brittle if that has changed.
+    /// Applies whether endpoint `id` is brittle according to its response to a request sent at
+    /// `sent_at_ms`; returns whether its service is brittle if that has changed.
     pub fn note_brittle(
         &mut self,
         now_ms: u64,
@@ -60,14 +40,30 @@
         sent_at_ms: u64,
         limit: RateLimit,
     ) -> Option<bool> {
-        let rejections_per_s = match limit {
-            RateLimit::None => None,
-            RateLimit::PerSecond(per_s) => Some(per_s),
+        let is_brittle = match limit {
+            RateLimit::None => false,
+            // The number does not matter: no more requests are sent than there are slots.
+            RateLimit::PerSecond(_) => true,
             RateLimit::Unreadable => return None,
         };
-        let state = self.endpoints.get_mut(id)?;
-        let has_changed = state.brittleness.note(now_ms, sent_at_ms, rejections_per_s);
-        has_changed.then(|| state.brittleness.is_brittle(now_ms))
+        let service = self.endpoints.get(id)?.endpoint.service.clone();
+        if !is_brittle && !self.brittle.contains_key(&service) {
+            return None;
+        }
+        let brittleness = self.brittle.entry(service.clone()).or_default();
+        let was_brittle = brittleness.is_brittle(now_ms);
+        let was_heard = brittleness.is_heard(now_ms);
+        brittleness.note(now_ms, sent_at_ms, is_brittle);
+        let is_brittle = brittleness.is_brittle(now_ms);
+        if was_heard != brittleness.is_heard(now_ms) {
+            self.loads_changed.extend(self.by_service.get(&service).into_iter().flatten().cloned());
+        }
+        (was_brittle != is_brittle).then_some(is_brittle)
+    }
+
+    /// True while the endpoints of `service` end when they reject too many requests.
+    pub fn is_brittle(&self, now_ms: u64, service: &str) -> bool {
+        self.brittle.get(service).is_some_and(|brittleness| brittleness.is_brittle(now_ms))
     }
 
     /// Starts or extends the backoff that `id` asked for; returns true if it was started.
--- a/src/relay/detour/serve.rs
+++ b/src/relay/detour/serve.rs
@@ -24,6 +24,7 @@
 use crate::relay::orders::EngineClient;
 use crate::relay::refusal::{Failure, NotSent, retry_after_ms};
 use crate::relay::shared::Relay;
+use crate::relay::slots;
 use crate::relay::stream;
 use crate::wire::{BoxFuture, Channel, Handler, Incoming, Receiver, Sender};
 
@@ -60,6 +61,9 @@
     fn handle(&self, incoming: Incoming) -> BoxFuture<'static, Result<()>> {
         let (relay, engines) = (self.relay.clone(), self.engines.clone());
         Box::pin(async move {
+            if incoming.channel == Channel::Slots {
+                return slots::serve(&relay, incoming).await;
+            }
             if incoming.channel != Channel::Peer {
                 return Err(Error::refused("serve", "relay", "this stream is not served here"));
             }
--- a/src/relay/failures.rs
+++ b/src/relay/failures.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use rand::RngExt;
 use tokio::sync::watch;
 
 use super::fleet::Fleet;
@@ -21,12 +20,17 @@
 /// How long an endpoint that reported itself full gets no requests.
 const FULL_PAUSE_MS: u64 = 60;
 
+/// The same for one that ends when it rejects too many requests in a second.
+const BRITTLE_PAUSE_MS: u64 = 1_000;
+
 impl Fleet {
     /// Records that `id` refused a request because it is full.
     pub fn refused(&mut self, now_ms: u64, id: &str) {
         let Some(state) = self.endpoints.get_mut(id) else { return };
-        let brittle_ms = state.brittleness.pause_ms(now_ms, self.gateways, self.random.random());
-        let pause_ms = brittle_ms.unwrap_or(FULL_PAUSE_MS).max(FULL_PAUSE_MS);
+        self.slot_leases.note_rejected(id);
+        let brittleness = self.brittle.get(&state.endpoint.service);
+        let is_brittle = brittleness.is_some_and(|it| it.is_brittle(now_ms));
+        let pause_ms = if is_brittle { BRITTLE_PAUSE_MS } else { FULL_PAUSE_MS };
         state.paused_until_ms = state.paused_until_ms.max(now_ms + pause_ms);
     }
 
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -17,7 +17,10 @@
 use crate::message::{
     EndpointLoad, Holding, Load, Placed, RegisteredEndpoint, WeightsName, WeightsUse,
 };
+use crate::policy::brittle::Brittleness;
 use crate::policy::endpoint_speed::{Work, is_normal};
+use crate::policy::slot_coordinators::SlotCoordinators;
+use crate::policy::slot_leases::SlotLeases;
 use crate::policy::versions::{SENT_PERCENT, Versions};
 
 /// How long after a weights version was replaced requests may start on it, unless the settings
@@ -55,6 +58,10 @@
     pub(super) uneven_services: HashSet<Arc<str>>,
     /// When the slowdowns of endpoints are computed again.
     pub(super) slowdowns_due_ms: u64,
+    /// The services of which a response, or another gateway, has said that they are brittle.
+    pub(super) brittle: HashMap<Arc<str>, Brittleness>,
+    pub(super) slot_leases: SlotLeases,
+    pub(super) coordinators: SlotCoordinators,
 }
 
 /// A gateway's periodic traffic report to the leader.
@@ -93,9 +100,19 @@
             unit_ms: HashMap::new(),
             uneven_services: HashSet::new(),
             slowdowns_due_ms: 0,
+            brittle: HashMap::new(),
+            slot_leases: SlotLeases::new("".into()),
+            coordinators: SlotCoordinators::new(),
         }
     }
 
+    /// Sets the gateway's name, under which it claims slots.
+    #[must_use]
+    pub fn with_gateway(mut self, name: Arc<str>) -> Self {
+        self.slot_leases = SlotLeases::new(name);
+        self
+    }
+
     /// Sets the number of gateways.
     pub fn set_gateways(&mut self, now_ms: u64, gateways: u32) {
         self.gateways = gateways as usize;
@@ -125,6 +142,10 @@
         self.failing_reported_at_ms.remove(id);
         self.leaving.remove(id);
         self.out_of_reach.remove(id);
+        self.slot_leases.remove(id);
+        if let Some(brittleness) = self.brittle.get_mut(&state.endpoint.service) {
+            brittleness.note_others(&state.endpoint.id, false);
+        }
         if let Some(ids) = self.by_service.get_mut(&state.endpoint.service) {
             ids.retain(|other| &**other != id);
         }
@@ -183,6 +204,11 @@
                 let Load { waiting_ms, late_ms, .. } = load.load;
                 let others = UnreadMs { in_time: waiting_ms.into(), late: late_ms.into() };
                 state.waiting.set_others(others);
+                let (service, is_brittle) = (&state.endpoint.service, load.load.brittle > 0);
+                if is_brittle || self.brittle.contains_key(service) {
+                    let brittleness = self.brittle.entry(service.clone()).or_default();
+                    brittleness.note_others(&load.endpoint, is_brittle);
+                }
             }
         }
     }
@@ -190,6 +216,7 @@
     /// Clears the load of the other gateways, which is not updated without a leader.
     pub fn forget_loads(&mut self, now_ms: u64) {
         self.limits.forget_others(now_ms);
+        self.brittle.values_mut().for_each(Brittleness::forget_others);
         for state in self.endpoints.values_mut() {
             state.others_running = 0;
             state.others_work = Work::default();
@@ -219,6 +246,7 @@
                 state.plain_samples.start(now_ms, self.sends, running);
             }
             state.own_running += 1;
+            self.slot_leases.note_use(now_ms, id);
             let tokens = wanted.map_or(0, |wanted| state.unread_tokens(wanted));
             reading_ms = state.pace(self.pace).reading_ms(tokens);
             if let Some(wanted) = wanted {
@@ -248,6 +276,7 @@
         }
         if let Some(state) = self.endpoints.get_mut(id) {
             state.own_running = state.own_running.saturating_sub(1);
+            self.slot_leases.note_use(now_ms, id);
             state.waiting.end(now_ms, number);
             state.plain_samples.end(number);
             self.loads_changed.insert(id.clone());
@@ -306,7 +335,9 @@
             let demand_per_min = self.limits.demand_per_min(&endpoint);
             let mut load = Load::default();
             if let Some(state) = self.endpoints.get_mut(&endpoint) {
-                load = state.load(now_ms, demand_per_min);
+                let brittleness = self.brittle.get(&state.endpoint.service);
+                let is_brittle = brittleness.is_some_and(|it| it.is_heard(now_ms));
+                load = state.load(now_ms, demand_per_min, is_brittle);
                 state.reported_units = load.work_units;
             }
             loads.push(EndpointLoad { endpoint, load });
@@ -347,7 +378,9 @@
     pub fn all_loads(&self, now_ms: u64) -> Vec<EndpointLoad> {
         let mut loads = Vec::new();
         for (id, state) in &self.endpoints {
-            let load = state.load(now_ms, self.limits.demand_per_min(id));
+            let brittleness = self.brittle.get(&state.endpoint.service);
+            let is_brittle = brittleness.is_some_and(|it| it.is_heard(now_ms));
+            let load = state.load(now_ms, self.limits.demand_per_min(id), is_brittle);
             if load != Load::default() {
                 loads.push(EndpointLoad { endpoint: id.clone(), load });
             }
--- a/src/relay/known.rs
+++ b/src/relay/known.rs
@@ -8,7 +8,6 @@
 use super::waiting::{ReadingPace, UnansweredRequests, UnreadMs};
 use crate::hash;
 use crate::message::{Load, RegisteredEndpoint, WeightsName};
-use crate::policy::brittle::Brittleness;
 use crate::policy::endpoint_backoff::EndpointBackoff;
 use crate::policy::endpoint_speed::{self, RecentWork, Work};
 use crate::policy::rank::{LATE_RANK, Urgency};
@@ -41,7 +40,6 @@
     pub(super) failures: u32,
     pub(super) paused_until_ms: u64,
     pub(super) backoff: EndpointBackoff,
-    pub(super) brittleness: Brittleness,
     /// True once a request that needs no weights was sent there.
     pub(super) is_plain: bool,
     /// The work that the endpoint did for this gateway.
@@ -134,7 +132,6 @@
             failures: 0,
             paused_until_ms: 0,
             backoff: EndpointBackoff::default(),
-            brittleness: Brittleness::default(),
             is_plain: false,
             own_work: RecentWork::default(),
             others_work: Work::default(),
@@ -167,11 +164,9 @@
     /// beyond its slots: the counts of the other gateways arrive late, so an endpoint that looks
     /// full may be half empty. Its queue is limited to what completes in time, if it is known how
     /// long a request takes.
-    pub(super) fn is_full(&self, now_ms: u64, room: RoomWanted) -> bool {
+    pub(super) fn is_full(&self, room: RoomWanted) -> bool {
         let slots = self.endpoint.slots;
         let limit = match room {
-            // A brittle endpoint lets few wait, and rejections end it.
-            RoomWanted::Queue { .. } if self.brittleness.is_brittle(now_ms) => slots,
             // Engines get no queue allowance: each additional request slows down all others.
             RoomWanted::Slot => slots,
             RoomWanted::SlotBesideReserve => slots - slots.div_ceil(RESERVE_DIVISOR).min(slots / 2),
@@ -187,13 +182,20 @@
         running >= limit
     }
 
-    /// This gateway's load at the endpoint, with the given `demand_per_min`.
-    pub(super) fn load(&self, now_ms: u64, demand_per_min: u32) -> Load {
+    /// True if fewer requests run there than it has slots, as far as is known.
+    pub(super) fn has_free_slot(&self) -> bool {
+        self.own_running + self.others_running < self.endpoint.slots
+    }
+
+    /// This gateway's load at the endpoint, with the given `demand_per_min`; `is_brittle` if the
+    /// gateway has heard that its service is.
+    pub(super) fn load(&self, now_ms: u64, demand_per_min: u32, is_brittle: bool) -> Load {
         let UnreadMs { in_time, late } = self.waiting.own_unread();
         let (waiting_ms, late_ms) = (in_time as u32, late as u32);
         let (work_units, work_ms) = self.own_work.get(now_ms).to_reported();
         let running = self.own_running;
-        Load { running, waiting_ms, late_ms, demand_per_min, work_units, work_ms }
+        let brittle = u32::from(is_brittle);
+        Load { running, waiting_ms, late_ms, demand_per_min, work_units, work_ms, brittle }
     }
 
     /// The tokens of a prompt that the endpoint has to read because it has not cached them.
--- a/src/relay/pick.rs
+++ b/src/relay/pick.rs
@@ -12,6 +12,7 @@
 use super::limits::EndpointLimits;
 use super::waiting::ReadingPace;
 use crate::message::Holding;
+use crate::policy::slot_leases::SlotLeases;
 
 /// The minimum number of endpoints that are compared for a request.
 const COMPARED_MIN: usize = 8;
@@ -44,6 +45,8 @@
     pub leaves_reserve: bool,
     /// True for a request that already counts towards the demand because it was waiting.
     pub is_repeated: bool,
+    /// True if others wait behind it, for which slots remain wanted.
+    pub others_wait: bool,
     /// The software version that the endpoint must have; `None` if any will do.
     pub software_version: Option<&'a str>,
 }
@@ -59,6 +62,7 @@
             free_slots_only: false,
             leaves_reserve: false,
             is_repeated: false,
+            others_wait: false,
             software_version: None,
         }
     }
@@ -88,6 +92,8 @@
     },
     /// The endpoints that could take the request are full or paused.
     Full,
+    /// A brittle endpoint may take the request as soon as this gateway has leased one of its slots.
+    AwaitingSlot,
     /// This gateway's share of the rate limits of the endpoints that could take the request is used
     /// up.
     Limited {
@@ -128,6 +134,8 @@
     out_of_reach: usize,
     /// The endpoints that are in backoff or whose limit is used up.
     throttled: Vec<ThrottledEndpoint>,
+    /// The brittle endpoints of which this gateway has no free slot.
+    unleased: Vec<Candidate<'a>>,
 }
 
 /// An endpoint that is in backoff or whose limit is used up.
@@ -161,6 +169,8 @@
     counts_demand: bool,
     /// The software version that the endpoint must have; `None` if any will do.
     software_version: Option<&'a str>,
+    /// The leased slots, if endpoints of the service are brittle.
+    leases: Option<&'a SlotLeases>,
 }
 
 impl<'a> Search<'a> {
@@ -198,7 +208,7 @@
         if self.counts_demand {
             limits.note_request(self.now_ms, id);
         }
-        if state.paused_until_ms > self.now_ms || state.is_full(self.now_ms, self.room) {
+        if state.paused_until_ms > self.now_ms || self.is_full(state) {
             return;
         }
         let backoff_ms = state.backoff.wait_ms(self.now_ms);
@@ -211,6 +221,12 @@
         self.add_candidate(id, state, found);
     }
 
+    /// A lease is better evidence of a free slot than counts that arrive late.
+    fn is_full(&self, state: &EndpointState) -> bool {
+        let counts = self.leases.is_none() || matches!(self.room, RoomWanted::SlotBesideReserve);
+        counts && state.is_full(self.room)
+    }
+
     fn add_candidate(&self, id: &Arc<str>, state: &'a EndpointState, found: &mut Found<'a>) {
         let CostEstimate { mut cost_ms, rank } =
             state.estimate(self.now_ms, self.wanted, self.pace);
@@ -218,6 +234,12 @@
             cost_ms -= ZONE_PREFERENCE_MS;
         }
         let candidate = Candidate { cost_ms, rank, state };
+        if let Some(leases) = self.leases
+            && !leases.may_use(self.now_ms, id, state.own_running)
+        {
+            found.unleased.push(candidate);
+            return;
+        }
         if !self.tried.contains(id) {
             found.candidates.push(candidate);
             return;
@@ -256,7 +278,7 @@
     pub fn pick_for(&mut self, now_ms: u64, request: &PickRequest<'_>) -> Picked {
         let PickRequest { service, wanted, tried, is_repeated, .. } = *request;
         self.refresh_slowdowns(now_ms);
-        let room = self.room_wanted(request);
+        let room = self.room_wanted(now_ms, request);
         let weights = wanted.map(|wanted| &wanted.weights);
         if self.is_service_out_of_reach(now_ms, service) {
             return Picked::OutOfReach;
@@ -282,6 +304,7 @@
             room,
             counts_demand: !is_repeated,
             software_version: request.software_version,
+            leases: self.needs_lease(now_ms, service).then_some(&self.slot_leases),
         };
         // Few endpoints hold a given adapter, so only these are considered.
         let ids: Vec<&Arc<str>> = match weights {
@@ -308,12 +331,27 @@
         } else {
             choice::cheapest(&found.candidates)
         };
+        let unleased: Vec<Arc<str>> =
+            found.unleased.iter().map(|candidate| candidate.state.endpoint.id.clone()).collect();
         if let Some(chosen) = best.or(found.best_tried) {
             let id = chosen.state.endpoint.id.clone();
             let picked = picked_endpoint(chosen, search.homes, due);
             self.note_picked(now_ms, &id);
+            self.slot_leases.unwant(&id);
+            if !request.others_wait {
+                for id in &unleased {
+                    self.slot_leases.unwant(id);
+                }
+            }
             return picked;
         }
+        if !unleased.is_empty() {
+            let has_free = found.unleased.iter().any(|candidate| candidate.state.has_free_slot());
+            for id in self.wanted_slots(now_ms, &found.unleased, draw) {
+                self.slot_leases.want(now_ms, &id);
+            }
+            return if has_free { Picked::AwaitingSlot } else { Picked::Full };
+        }
         let totals = SearchTotals::new(found);
         self.unavailable(now_ms, request, totals)
     }
@@ -325,11 +363,14 @@
             && self.uneven_services.contains(request.service)
     }
 
-    fn room_wanted(&self, request: &PickRequest<'_>) -> RoomWanted {
+    fn room_wanted(&self, now_ms: u64, request: &PickRequest<'_>) -> RoomWanted {
         if request.wanted.is_some() && request.leaves_reserve {
             return RoomWanted::SlotBesideReserve;
         }
-        if request.wanted.is_some() || request.free_slots_only {
+        if request.wanted.is_some()
+            || request.free_slots_only
+            || self.is_brittle(now_ms, request.service)
+        {
             return RoomWanted::Slot;
         }
         let unit_ms = self.unit_ms.get(request.service).copied().unwrap_or(0.0);
--- a/src/relay/process.rs
+++ b/src/relay/process.rs
@@ -22,6 +22,7 @@
 use super::reach;
 use super::session;
 use super::shared::Relay;
+use super::slots;
 use crate::admin::{metrics_text, problem, run_metrics_upkeep, set_log_level};
 use crate::error::{Error, Result};
 use crate::http::{Answer, HttpHandler, ServerLimits, answer, json_answer, serve};
@@ -70,6 +71,7 @@
     let relay = Arc::new(relay);
     tokio::spawn(liveness::watch(relay.clone(), engines.clone(), queued_checks));
     tokio::spawn(reach::watch(relay.clone(), engines.clone(), queued_suspects));
+    tokio::spawn(slots::run(relay.clone()));
     if let Some(peers) = peers {
         let handler = Arc::new(PeerHandler::new(relay.clone(), engines.clone()));
         tokio::spawn(wire::serve(peers, handler, metrics.clone()));
--- a/src/relay/queue.rs
+++ b/src/relay/queue.rs
@@ -10,6 +10,7 @@
 use tracing::info;
 
 use super::fleet::Fleet;
+use super::known::EndpointState;
 use super::shared::Relay;
 use crate::clock::Clock;
 use crate::message::{Holding, WeightsName};
@@ -146,6 +147,11 @@
         state.queues.has_waiting(key) || state.shares.contains_key(key)
     }
 
+    /// The number of requests that wait in the queue of `key`.
+    pub(super) fn waiting(&self, key: &QueueKey) -> usize {
+        self.state().queues.waiting(key)
+    }
+
     /// Records a response whose head has arrived.
     pub(super) fn note_head(&self, now_ms: u64, service: &Arc<str>, took_ms: u64) {
         let mut state = self.state();
@@ -278,6 +284,9 @@
     /// Records that a request of this gateway for `key` left `endpoint`, and wakes the first
     /// requests that the endpoint may take.
     pub(super) fn note_place_left(&self, now_ms: u64, endpoint: &str, key: &QueueKey) {
+        if self.fleet().slot_leases.contains(endpoint) {
+            self.slots.changed.notify_one();
+        }
         if self.queue.is_idle() {
             return;
         }
@@ -349,6 +358,10 @@
         if !place.request.is_late(now_ms) {
             return Turn::Now;
         }
+        // Leased slots are this gateway's share of the places.
+        if self.fleet().needs_lease(now_ms, &key.service) {
+            return Turn::Now;
+        }
         let (gateways, places) = self.places(now_ms, key);
         // Without a free place there is nothing to leave to others; the search tells what to wait
         // for.
@@ -452,12 +465,11 @@
     }
 
     fn has_free_slot(&self, endpoint: &str) -> bool {
-        let Some(state) = self.endpoints.get(endpoint) else { return false };
-        state.own_running + state.others_running < state.endpoint.slots
+        self.endpoints.get(endpoint).is_some_and(EndpointState::has_free_slot)
     }
 
     /// True if `endpoint` may be able to take requests of `key`.
-    fn may_take(&self, endpoint: &str, key: &QueueKey) -> bool {
+    pub(super) fn may_take(&self, endpoint: &str, key: &QueueKey) -> bool {
         match &key.weights {
             Some(name) => self.homes.get(name).is_some_and(|homes| homes.contains_key(endpoint)),
             None => self
--- a/src/relay/selection.rs
+++ b/src/relay/selection.rs
@@ -76,6 +76,7 @@
         Picked::NoEndpoint => NO_ENDPOINT,
         Picked::NoVersion => "no endpoint has the stream's software version",
         Picked::Full => ENDPOINT_FULL,
+        Picked::AwaitingSlot => "a leased slot",
         Picked::Limited { .. } => "endpoints limit what they take",
         Picked::BackingOff { .. } => "endpoints asked for backoff",
         Picked::Coming => "weights are on their way",
@@ -234,7 +235,9 @@
         if *picked == Picked::NoVersion {
             return Err(NotSent::VersionGone);
         }
-        self.ask_for_weights(now_ms, wait, *picked == Picked::Full);
+        if *picked != Picked::AwaitingSlot {
+            self.ask_for_weights(now_ms, wait, *picked == Picked::Full);
+        }
         self.note_capacity_wait(wait);
         if now_ms >= self.ends_at_ms {
             return Err(NotSent::Late);
@@ -268,6 +271,7 @@
             free_slots_only: is_late || is_over_share,
             leaves_reserve: is_over_share,
             is_repeated: !wait.for_reason.is_empty(),
+            others_wait: place.is_some() && self.relay.queue.waiting(&self.queue_key()) > 1,
             software_version: self.software_version(),
             ..PickRequest::new(&self.chosen.service.name, wanted.as_ref(), &self.tried)
         };
@@ -293,7 +297,12 @@
                 waited_for: wait.for_reason,
                 place: None,
             }),
-            picked => Err(picked),
+            picked => {
+                if matches!(picked, Picked::AwaitingSlot | Picked::Full) {
+                    self.relay.slots.changed.notify_one();
+                }
+                Err(picked)
+            }
         }
     }
 
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -158,6 +158,8 @@
                     }
                     SessionDown::Group(group) => {
                         relay.set_gateways(group.gateways);
+                        let coordinators = group.coordinators.clone();
+                        relay.fleet().set_coordinators(relay.now_ms(), coordinators);
                         if group.counts_every_ms != counts_every_ms {
                             counts_every_ms = group.counts_every_ms;
                             reports = report_timer(counts_every_ms);
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -21,6 +21,7 @@
 use super::quota::QuotaGate;
 use super::reach::{Suspect, Suspicion};
 use super::shares::Shares;
+use super::slots::Slots;
 use crate::clock::Clock;
 use crate::message::{AdapterNeed, Change, EndpointLoad, NewestVersion, Placed, WeightsName};
 use crate::metrics::{Counter, Metrics};
@@ -75,6 +76,7 @@
     /// Requests of other gateways in progress, and the size of their bodies.
     pub(super) detours: AtomicU32,
     pub(super) detour_bytes: AtomicUsize,
+    pub(super) slots: Slots,
 }
 
 impl Relay {
@@ -89,6 +91,7 @@
     ) -> Self {
         let clock = Clock::new();
         let fleet = Fleet::new(settings.zone.clone(), rand::rng().random())
+            .with_gateway(settings.name.clone())
             .with_version_within(settings.version_within_ms);
         let queue = RequestQueue::new(clock, metrics.clone(), QueueLimits::default());
         let gateways = GatewayCount::new(settings.retry.window_ms);
@@ -125,6 +128,7 @@
             peers_wanted: Notify::new(),
             detours: AtomicU32::new(0),
             detour_bytes: AtomicUsize::new(0),
+            slots: Slots::default(),
         }
     }
 
--- /dev/null
+++ b/src/relay/slots.rs
@@ -0,0 +1,219 @@
+//! Exchanges claims and grants of the slots of brittle endpoints with other gateways.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{MissedTickBehavior, interval, timeout};
+use tracing::{debug, info};
+
+use super::leases::LeasedEndpoints;
+use super::shared::Relay;
+use crate::error::{Error, Result};
+use crate::message::{PeerGateway, SlotClaims, SlotGrants};
+use crate::policy::slot_grants::SlotGrantor;
+use crate::wire::{Channel, Incoming, Receiver, Sender};
+
+/// How often leases are kept, returned and ended.
+const TICK: Duration = Duration::from_millis(25);
+/// A connection to another gateway is made within one round trip, if at all.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// The slots that this gateway leases to others, and the streams on which it does so.
+#[derive(Default)]
+pub(super) struct Slots {
+    grantor: Mutex<SlotGrantor>,
+    /// The streams of the gateways that claim slots here, by gateway.
+    holders: Mutex<HashMap<Arc<str>, mpsc::UnboundedSender<SlotGrants>>>,
+    /// The streams to coordinators, by gateway.
+    links: Mutex<HashMap<Arc<str>, mpsc::UnboundedSender<SlotClaims>>>,
+    /// Notified when a slot is wanted or no longer in use.
+    pub(super) changed: Notify,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Claims and grants slots for as long as the process runs.
+pub(super) async fn run(relay: Arc<Relay>) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            () = relay.slots.changed.notified() => {}
+            _ = ticks.tick() => relay.advance_slots(),
+        }
+        relay.send_claims();
+    }
+}
+
+/// Serves the stream of a gateway that claims slots here.
+pub(super) async fn serve(relay: &Arc<Relay>, incoming: Incoming) -> Result<()> {
+    let (mut receiver, mut sender): (Receiver<SlotClaims>, Sender<SlotGrants>) =
+        incoming.accept()?;
+    let Some(first) = receiver.next().await? else { return Ok(()) };
+    let gateway = first.gateway.clone();
+    let (grants, mut granted) = mpsc::unbounded_channel();
+    lock(&relay.slots.holders).insert(gateway, grants);
+    let mut claims = first;
+    loop {
+        if !relay.grant(claims) {
+            return Ok(());
+        }
+        claims = loop {
+            tokio::select! {
+                grants = granted.recv() => match grants {
+                    Some(grants) => {
+                        sender.send(&grants).await?;
+                    }
+                    // Its leases have expired, or it has opened another stream.
+                    None => return Ok(()),
+                },
+                next = receiver.next() => match next? {
+                    Some(next) => break next,
+                    None => return Ok(()),
+                },
+            }
+        };
+    }
+}
+
+/// Sends claims to a coordinator and applies its grants until the stream ends.
+async fn run_link(
+    relay: &Arc<Relay>,
+    to: &PeerGateway,
+    mut claims: mpsc::UnboundedReceiver<SlotClaims>,
+) -> Result<()> {
+    let connection = relay.peer_connections.get(to.address);
+    let opened = timeout(OPEN_TIMEOUT, connection.open(Channel::Slots)).await;
+    let limit_ms = OPEN_TIMEOUT.as_millis() as u64;
+    let (mut sender, mut receiver): (Sender<SlotClaims>, Receiver<SlotGrants>) =
+        opened.map_err(|_| Error::timeout("open stream", to.name.clone(), limit_ms)).flatten()?;
+    loop {
+        tokio::select! {
+            next = claims.recv() => match next {
+                Some(next) => {
+                    sender.send(&next).await?;
+                }
+                None => return Ok(()),
+            },
+            grants = receiver.next() => match grants? {
+                Some(grants) => relay.apply_grants(&to.name, grants),
+                None => return Err(Error::failed("claim slots", to.name.clone(), "the stream ended")),
+            },
+        }
+    }
+}
+
+impl Relay {
+    /// Sends the claims that are due.
+    fn send_claims(self: &Arc<Self>) {
+        let due = {
+            let mut fleet = self.fleet();
+            if fleet.slot_leases.is_empty() {
+                return;
+            }
+            let now_ms = self.now_ms();
+            fleet.take_claims(now_ms)
+        };
+        for (to, claims) in due {
+            if to.name == self.settings.name {
+                if !self.grant(claims) {
+                    self.fleet().slot_leases.lose(&to.name);
+                }
+                continue;
+            }
+            // The stream reports its own end.
+            let _ = self.link_to(&to).send(claims);
+        }
+    }
+
+    fn link_to(self: &Arc<Self>, to: &PeerGateway) -> mpsc::UnboundedSender<SlotClaims> {
+        let mut links = lock(&self.slots.links);
+        if let Some(link) = links.get(&to.name).filter(|link| !link.is_closed()) {
+            return link.clone();
+        }
+        let (sender, claims) = mpsc::unbounded_channel();
+        links.insert(to.name.clone(), sender.clone());
+        let (relay, to) = (self.clone(), to.clone());
+        tokio::spawn(async move {
+            if let Err(error) = run_link(&relay, &to, claims).await {
+                info!(event = "slots_lost", coordinator = %to.name, error = %error);
+                relay.peer_connections.get(to.address).drop_connection().await;
+            }
+            lock(&relay.slots.links).remove(&to.name);
+            relay.fleet().slot_leases.lose(&to.name);
+        });
+        sender
+    }
+
+    /// Ends the leases of gateways, and the streams to coordinators, that have fallen silent.
+    fn advance_slots(&self) {
+        let now_ms = self.now_ms();
+        let silent = self.fleet().slot_leases.silent(now_ms);
+        for coordinator in silent {
+            debug!(event = "slots_unanswered", coordinator = %coordinator);
+            // Its stream ends, and its leases are claimed anew.
+            if lock(&self.slots.links).remove(&coordinator).is_none() {
+                self.fleet().slot_leases.lose(&coordinator);
+            }
+        }
+        let changed = {
+            let fleet = self.fleet();
+            let mut grantor = lock(&self.slots.grantor);
+            if grantor.is_empty() {
+                return;
+            }
+            let endpoints = LeasedEndpoints::new(&fleet, &self.settings.name, now_ms);
+            let changed = grantor.advance(now_ms, &endpoints);
+            lock(&self.slots.holders).retain(|gateway, _| grantor.has_holder(gateway));
+            changed
+        };
+        self.send_grants(changed);
+    }
+
+    /// Applies the claims of a gateway; returns false if it has to open another stream.
+    fn grant(&self, claims: SlotClaims) -> bool {
+        let changed = {
+            let fleet = self.fleet();
+            let now_ms = self.now_ms();
+            let endpoints = LeasedEndpoints::new(&fleet, &self.settings.name, now_ms);
+            lock(&self.slots.grantor).claim(now_ms, claims, &endpoints)
+        };
+        let Some(changed) = changed else { return false };
+        self.send_grants(changed);
+        true
+    }
+
+    fn send_grants(&self, changed: Vec<(Arc<str>, SlotGrants)>) {
+        for (gateway, grants) in changed {
+            if gateway == self.settings.name {
+                self.apply_grants(&gateway, grants);
+                continue;
+            }
+            if let Some(holder) = lock(&self.slots.holders).get(&gateway) {
+                // A stream that has ended is opened again by the gateway.
+                let _ = holder.send(grants);
+            }
+        }
+    }
+
+    /// Applies the grants of a coordinator, and wakes the first requests that may now be sent.
+    fn apply_grants(&self, coordinator: &str, grants: SlotGrants) {
+        let mut fleet = self.fleet();
+        let is_contended = grants.grants.iter().any(|grant| grant.is_contended);
+        let more = fleet.apply_grants(coordinator, grants);
+        if !more.is_empty() {
+            self.queue.wake_firsts(self.now_ms(), |key| {
+                more.iter().any(|endpoint| fleet.may_take(endpoint, key))
+            });
+        }
+        drop(fleet);
+        if is_contended {
+            // Unused slots are returned at once.
+            self.slots.changed.notify_one();
+        }
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -26,7 +26,7 @@
 use crate::metrics::{Counter, Metrics};
 
 /// The version of the message format; a process refuses streams of any other version.
-pub const WIRE_VERSION: &str = "2";
+pub const WIRE_VERSION: &str = "3";
 
 const VERSION_HEADER: &str = "winchvane-wire";
 const LENGTH_BYTES: usize = 4;
@@ -69,10 +69,13 @@
     Forward,
     /// A request of a relay to another one.
     Peer,
+    /// The slots that a relay claims from another one.
+    Slots,
 }
 
 impl Channel {
-    const ALL: [Self; 5] = [Self::Raft, Self::Session, Self::Control, Self::Forward, Self::Peer];
+    const ALL: [Self; 6] =
+        [Self::Raft, Self::Session, Self::Control, Self::Forward, Self::Peer, Self::Slots];
 
     fn path(self) -> &'static str {
         match self {
@@ -81,6 +84,7 @@
             Self::Control => "/control",
             Self::Forward => "/forward",
             Self::Peer => "/peer",
+            Self::Slots => "/slots",
         }
     }
 
