--- a/src/relay/leases.rs
+++ b/src/relay/leases.rs
@@ -7,6 +7,17 @@
 use crate::message::{PeerGateway, SlotClaims, SlotGrants};
 use crate::policy::slot_grants::CoordinatedEndpoints;
 
+/// The load of an endpoint as a gateway knows it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct KnownLoad {
+    /// The requests of this gateway that run there.
+    pub(super) own_running: u32,
+    /// Those of the others, as last reported.
+    pub(super) others_running: u32,
+    /// The slots that this gateway has leased.
+    pub(super) leased: u32,
+}
+
 impl Fleet {
     /// Sets the gateways that lease slots. A list without any comes from a leader that does not know
     /// them yet.
@@ -49,6 +60,16 @@
         wanted
     }
 
+    /// What this gateway knows of the load of an endpoint, for logs.
+    pub(super) fn known_load(&self, endpoint: &str) -> KnownLoad {
+        let state = self.endpoints.get(endpoint);
+        KnownLoad {
+            own_running: state.map_or(0, |state| state.own_running),
+            others_running: state.map_or(0, |state| state.others_running),
+            leased: self.slot_leases.granted(endpoint),
+        }
+    }
+
     /// The claims of slots to send now, by coordinator.
     pub fn take_claims(&mut self, now_ms: u64) -> Vec<(PeerGateway, SlotClaims)> {
         let (endpoints, coordinators) = (&self.endpoints, &self.coordinators);
--- a/src/relay/outcome.rs
+++ b/src/relay/outcome.rs
@@ -41,7 +41,7 @@
                 };
                 self.was_rejected = matches!(outcome, Attempt::Full);
                 self.refused += 1;
-                info!(event = "send_refused", request = %self.meta.id, endpoint = %id, reason);
+                self.log_rejection(id, reason);
                 self.tried.push(id.clone());
                 if self.refused > REFUSED_SENDS_MAX {
                     return Err(Failure::NotSent(NotSent::NoPlace(reason)));
@@ -125,6 +125,21 @@
         Ok(Some(started))
     }
 
+    /// Logs a rejection with what the gateway knew of the endpoint when it sent the request.
+    fn log_rejection(&self, endpoint: &str, reason: &str) {
+        let known = self.relay.fleet().known_load(endpoint);
+        info!(
+            event = "send_refused",
+            request = %self.meta.id,
+            endpoint,
+            reason,
+            own_running = known.own_running,
+            others_running = known.others_running,
+            leased = known.leased,
+            known_age_ms = self.known_age_ms
+        );
+    }
+
     fn note_failed(&mut self, endpoint: &Arc<str>, address: SocketAddr) {
         self.possible_runs += 1;
         self.relay.note_failure(endpoint);
