--- a/src/message/session.rs
+++ b/src/message/session.rs
@@ -166,7 +166,7 @@
     /// The gateway.
     pub gateway: Arc<str>,
     /// The message.
-    #[serde(deserialize_with = "read_told")]
+    #[serde(deserialize_with = "read_unnested")]
     pub up: SessionUp,
 }
 
@@ -177,7 +177,7 @@
 
 /// Deserializes the message of a gateway and rejects a nested [`Forwarded`] message: otherwise the
 /// sender could choose the nesting depth and overflow the receiver's stack.
-fn read_told<'de, D: Deserializer<'de>>(deserializer: D) -> Result<SessionUp, D::Error> {
+fn read_unnested<'de, D: Deserializer<'de>>(deserializer: D) -> Result<SessionUp, D::Error> {
     if IN_FORWARDED.replace(true) {
         return Err(D::Error::custom("gateways forward nothing"));
     }
--- a/src/relay/pick.rs
+++ b/src/relay/pick.rs
@@ -8,6 +8,7 @@
 
 use super::choice::{self, COST_SCALE_MS, Candidate, SPEED_SCALE_MS};
 use super::fleet::Fleet;
+use super::found::{Found, SearchTotals, ThrottledEndpoint};
 use super::known::{CostEstimate, EndpointState, RoomWanted, Wanted};
 use super::limits::EndpointLimits;
 use super::waiting::ReadingPace;
@@ -118,36 +119,6 @@
     NoVersion,
 }
 
-/// The result of a search for an endpoint.
-#[derive(Debug, Default)]
-struct Found<'a> {
-    candidates: Vec<Candidate<'a>>,
-    /// The cheapest of the endpoints that were already tried.
-    best_tried: Option<Candidate<'a>>,
-    /// The number of endpoints that are up.
-    up: usize,
-    /// The number of these that hold the weights.
-    holding: usize,
-    /// The number of these that are loading the weights.
-    coming: usize,
-    /// The number of endpoints that hold the weights and are out of reach.
-    out_of_reach: usize,
-    /// The endpoints that are in backoff or whose limit is used up.
-    throttled: Vec<ThrottledEndpoint>,
-    /// The brittle endpoints of which this gateway has no free slot.
-    unleased: Vec<Candidate<'a>>,
-}
-
-/// An endpoint that is in backoff or whose limit is used up.
-#[derive(Debug)]
-struct ThrottledEndpoint {
-    id: Arc<str>,
-    /// The time until the next request may be sent.
-    wait_ms: u64,
-    /// True for an endpoint in backoff, whether or not its limit is used up.
-    in_backoff: bool,
-}
-
 /// The parameters of a search for an endpoint.
 struct Search<'a> {
     now_ms: u64,
@@ -459,32 +430,6 @@
     }
 }
 
-/// The totals of a search that found no candidate.
-struct SearchTotals {
-    up: usize,
-    holding: usize,
-    coming: usize,
-    out_of_reach: usize,
-    throttled: Vec<ThrottledEndpoint>,
-}
-
-impl SearchTotals {
-    fn new(found: Found<'_>) -> Self {
-        let Found { up, holding, coming, out_of_reach, throttled, .. } = found;
-        Self { up, holding, coming, out_of_reach, throttled }
-    }
-}
-
-impl ThrottledEndpoint {
-    fn to_picked(&self) -> Picked {
-        let after_ms = self.wait_ms;
-        if self.in_backoff {
-            return Picked::BackingOff { after_ms };
-        }
-        Picked::Limited { after_ms }
-    }
-}
-
 fn picked_endpoint(
     chosen: Candidate<'_>,
     homes: Option<&BTreeMap<Arc<str>, Holding>>,
--- a/tests/common/replica.rs
+++ b/tests/common/replica.rs
@@ -1,17 +1,20 @@
 //! One replica of control, alone in its group, as actor tests start it.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, RwLock};
 
 use tokio::sync::watch;
 use winchvane::clock::Clock;
+use winchvane::control::api::ControlApi;
+use winchvane::control::distribution;
 use winchvane::control::ledger::LedgerLimits;
 use winchvane::control::permit::StoreBudget;
 use winchvane::control::placement::PlacementSettings;
 use winchvane::control::raft::{Member, Members, Raft, Recovered, Timing};
 use winchvane::control::replica::{Replica, ReplicaSettings};
 use winchvane::control::server::{ReplicaArguments, ReplicaHandle};
+use winchvane::control::serving::{Running, Stage};
 use winchvane::control::state::State;
 use winchvane::control::storage::Storage;
 use winchvane::metrics::Metrics;
@@ -69,3 +72,13 @@
     let replica = ReplicaHandle::spawn(arguments).await.expect("the replica starts");
     Started { replica, leads, leader: leader_known }
 }
+
+/// The call interface of a started replica.
+pub fn api_of(started: Started) -> ControlApi {
+    let own: SocketAddr = ([127, 0, 0, 1], 9).into();
+    let hello = distribution::hello("n1".into(), 1, "a".into(), own);
+    let Started { replica, leads, leader } = started;
+    let distributor = distribution::spawn(hello, Clock::new(), leader.clone());
+    let running = Running { replica, distributor, leads, leader };
+    ControlApi::new(Arc::new(RwLock::new(Stage::Running(running))))
+}
--- a/tests/configuration_reads.rs
+++ b/tests/configuration_reads.rs
@@ -2,17 +2,13 @@
 
 mod common;
 
-use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, RwLock};
 use std::thread;
 use std::time::Duration;
 
-use winchvane::clock::Clock;
-use winchvane::control::api::{CallOutcome, ControlApi};
-use winchvane::control::distribution;
+use winchvane::control::api::CallOutcome;
 use winchvane::control::raft::{Entry, HardState, Snapshot, Timing};
-use winchvane::control::serving::{Running, Stage};
 use winchvane::control::storage::{Batch, Storage};
 use winchvane::error::Result;
 use winchvane::message::{
@@ -67,15 +63,6 @@
     ControlRequest::Heartbeat(Heartbeat { endpoint, sequence: 1, holds: None })
 }
 
-fn api_of(started: common::replica::Started) -> ControlApi {
-    let own: SocketAddr = ([127, 0, 0, 1], 9).into();
-    let hello = distribution::hello("n1".into(), 1, "a".into(), own);
-    let common::replica::Started { replica, leads, leader } = started;
-    let distributor = distribution::spawn(hello, Clock::new(), leader.clone());
-    let running = Running { replica, distributor, leads, leader };
-    ControlApi::new(Arc::new(RwLock::new(Stage::Running(running))))
-}
-
 /// Guards against a leader that answers the operator only once it has handled everything that
 /// endpoints and gateways sent before.
 #[tokio::test]
@@ -83,7 +70,7 @@
     let (stalls, writes) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
     let disk = StalledDisk { stalls: stalls.clone(), writes: writes.clone() };
     let timing = Timing { election_ms: ELECTION_MS, ..Timing::default() };
-    let api = api_of(common::replica::start(Box::new(disk), timing).await);
+    let api = common::replica::api_of(common::replica::start(Box::new(disk), timing).await);
     let name = WeightsName { model: "m".into(), adapter: Some("a".into()) };
     let named = ControlRequest::PutVersion(NewestVersion { name, version: 1 });
     while !matches!(api.call(named.clone()).await, CallOutcome::Answered(_)) {
--- a/tests/stalled_disk.rs
+++ b/tests/stalled_disk.rs
@@ -58,16 +58,6 @@
     ControlRequest::PutVersion(NewestVersion { name, version })
 }
 
-/// The call interface of a started replica.
-fn api_of(started: common::replica::Started) -> ControlApi {
-    let own: SocketAddr = ([127, 0, 0, 1], 9).into();
-    let hello = distribution::hello("n1".into(), 1, "a".into(), own);
-    let common::replica::Started { replica, leads, leader } = started;
-    let distributor = distribution::spawn(hello, Clock::new(), leader.clone());
-    let running = Running { replica, distributor, leads, leader };
-    ControlApi::new(Arc::new(RwLock::new(Stage::Running(running))))
-}
-
 #[tokio::test]
 async fn a_follower_whose_disk_stalls_still_names_the_leader() {
     let (stalls, writes) = (Arc::new(AtomicBool::new(true)), Arc::new(AtomicBool::new(false)));
@@ -100,7 +90,7 @@
     let (stalls, writes) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
     let disk = StalledDisk { stalls: stalls.clone(), writes: writes.clone() };
     let started = common::replica::start(Box::new(disk), Timing::default()).await;
-    let api = api_of(started);
+    let api = common::replica::api_of(started);
     while !matches!(api.call(named(1)).await, CallOutcome::Answered(_)) {
         tokio::time::sleep(POLL).await;
     }
