relay: a gateway without leases does not wake up for them

Cause: the task that exchanges slots woke 40 times a second at every gateway, brittle endpoints or not; found by reading the diff. Change: it waits for the first slot that is wanted or claimed, and looks at leases every 25 ms while there are any.

--- a/src/relay/slots.rs
+++ b/src/relay/slots.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use tokio::sync::{Notify, mpsc};
-use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio::time::timeout;
 use tracing::{debug, info};
 
 use super::leases::LeasedEndpoints;
@@ -15,8 +15,8 @@
 use crate::policy::slot_grants::SlotGrantor;
 use crate::wire::{Channel, Incoming, Receiver, Sender};
 
-/// How often leases are kept, returned and ended.
-const TICK: Duration = Duration::from_millis(25);
+/// How often leases are kept, returned and ended while there are any.
+const ADVANCE_INTERVAL_MS: u64 = 25;
 /// A connection to another gateway is made within one round trip, if at all.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -38,12 +38,19 @@
 
 /// Claims and grants slots for as long as the process runs.
 pub(super) async fn run(relay: Arc<Relay>) {
-    let mut ticks = interval(TICK);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut advance_at_ms = 0;
     loop {
-        tokio::select! {
-            () = relay.slots.changed.notified() => {}
-            _ = ticks.tick() => relay.advance_slots(),
+        let changed = relay.slots.changed.notified();
+        if relay.has_slots() {
+            // Whether something changed or not, the claims are looked at.
+            let _ = relay.clock.timeout_at(advance_at_ms, changed).await;
+        } else {
+            changed.await;
+        }
+        let now_ms = relay.now_ms();
+        if now_ms >= advance_at_ms {
+            advance_at_ms = now_ms + ADVANCE_INTERVAL_MS;
+            relay.advance_slots(now_ms);
         }
         relay.send_claims();
     }
@@ -108,6 +115,11 @@
 }
 
 impl Relay {
+    /// True if this gateway has leased slots, or wants some, or leases some to others.
+    fn has_slots(&self) -> bool {
+        !self.fleet().slot_leases.is_empty() || !lock(&self.slots.grantor).is_empty()
+    }
+
     /// Sends the claims that are due.
     fn send_claims(self: &Arc<Self>) {
         let due = {
@@ -150,8 +162,7 @@
     }
 
     /// Ends the leases of gateways, and the streams to coordinators, that have fallen silent.
-    fn advance_slots(&self) {
-        let now_ms = self.now_ms();
+    fn advance_slots(&self, now_ms: u64) {
         let silent = self.fleet().slot_leases.silent(now_ms);
         for coordinator in silent {
             debug!(event = "slots_unanswered", coordinator = %coordinator);
@@ -180,7 +191,11 @@
             let fleet = self.fleet();
             let now_ms = self.now_ms();
             let endpoints = LeasedEndpoints::new(&fleet, &self.settings.name, now_ms);
-            lock(&self.slots.grantor).claim(now_ms, claims, &endpoints)
+            let mut grantor = lock(&self.slots.grantor);
+            if grantor.is_empty() {
+                self.slots.changed.notify_one();
+            }
+            grantor.claim(now_ms, claims, &endpoints)
         };
         let Some(changed) = changed else { return false };
         self.send_grants(changed);
