--- a/tests/brittle_endpoints.rs
+++ b/tests/brittle_endpoints.rs
@@ -292,7 +292,14 @@
     let request = PickRequest::new("orders", None, &[]);
     assert!(matches!(fleet.pick_for(0, &request), Picked::Endpoint { .. }), "it may wait there");
     assert_eq!(fleet.note_brittle(0, &id(0), 0, RateLimit::PerSecond(5.0)), Some(true));
+    for number in 1..ENDPOINTS {
+        let changed = fleet.note_brittle(0, &id(number), 0, RateLimit::PerSecond(5.0));
+        assert_eq!(changed, None, "the service is brittle already");
+    }
     assert_eq!(fleet.pick_for(0, &request), Picked::Full);
+    assert_eq!(fleet.note_brittle(5, "e1", 1, RateLimit::PerSecond(5.0)), None);
+    assert_eq!(fleet.note_brittle(6, "e0", 4, RateLimit::None), None, "it was overtaken");
+    assert_eq!(fleet.pick_for(6, &request), Picked::Full);
     assert_eq!(fleet.note_brittle(10, "e0", 5, RateLimit::None), Some(false));
     assert!(matches!(fleet.pick_for(10, &request), Picked::Endpoint { .. }));
 }
