policy, relay: leases hold while streams are lost and coordinators change

A grant of an ended stream was taken for an answer to the first claims of the next one; a former coordinator still counted, and granted, what its holders had moved away; claims that arrived before a gateway knew that it coordinates an endpoint were dropped; a new coordinator was ready before the leases of the former one had ended (1 s, 1.5 s). Change: claims and grants carry their stream, and those of an earlier one are ignored; a coordinator takes all slots of an endpoint back when it learns that it is one no more; early claims are kept; leases are valid for 1.2 s, a new coordinator waits .3 s longer than that. A link task ends its own stream only.

--- a/src/message/mod.rs
+++ b/src/message/mod.rs
@@ -38,7 +38,7 @@
 pub use session::{
     Forwarded, Group, LoadReport, SessionDown, SessionHello, SessionRole, SessionServer, SessionUp,
 };
-pub use slots::{SlotClaim, SlotClaims, SlotGrant, SlotGrants};
+pub use slots::{SlotClaim, SlotClaims, SlotGrant, SlotGrants, SlotStream};
 pub use stream_origin::{BegunStreams, OriginAsk, StreamKey, StreamOrigin};
 pub use workspace_use::{UseCounts, WorkspaceUse};
 
--- a/src/message/slots.rs
+++ b/src/message/slots.rs
@@ -5,6 +5,22 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Identifies a stream of claims.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlotStream {
+    /// Drawn at random by each process of a gateway.
+    pub process: u64,
+    /// Counts the streams of the process in the order in which it opened them.
+    pub number: u64,
+}
+
+impl SlotStream {
+    /// True if the same process has opened this stream before `other`.
+    pub fn is_before(&self, other: &Self) -> bool {
+        self.process == other.process && self.number < other.number
+    }
+}
+
 /// The slots that a gateway wants at one endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SlotClaim {
@@ -23,6 +39,8 @@
 pub struct SlotClaims {
     /// The gateway.
     pub gateway: Arc<str>,
+    /// The stream on which it sends them.
+    pub stream: SlotStream,
     /// Increases with each message of a stream. The first one, with number 1, holds all claims of the
     /// gateway and replaces those of earlier streams.
     pub number: u64,
@@ -44,6 +62,8 @@
 /// What a coordinator grants; grants for other endpoints stay as they were.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SlotGrants {
+    /// The stream of the claims.
+    pub stream: SlotStream,
     /// The number of the latest claims that the coordinator has received.
     pub number: u64,
     /// The grants.
--- a/src/policy/slot_coordinators.rs
+++ b/src/policy/slot_coordinators.rs
@@ -9,10 +9,11 @@
 
 use crate::hash;
 use crate::message::PeerGateway;
+use crate::policy::slot_leases::VALID_MS;
 
-/// How long after it became the coordinator a gateway leases no free slots: the time in which the
-/// other gateways learn of it and claim the slots that they use.
-const SETTLE_MS: u64 = 1_000;
+/// How long after it became the coordinator a gateway leases no free slots: until the leases of the
+/// coordinator before have ended, and the other gateways have claimed the slots that they use.
+const SETTLE_MS: u64 = VALID_MS + 300;
 
 /// The lists of coordinators of the last seconds.
 #[derive(Debug, Default)]
--- a/src/policy/slot_grants.rs
+++ b/src/policy/slot_grants.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 
-use crate::message::{SlotClaim, SlotClaims, SlotGrant, SlotGrants};
+use crate::message::{SlotClaim, SlotClaims, SlotGrant, SlotGrants, SlotStream};
 
 /// How long the slots of a gateway that sends nothing stay leased to it. Longer than gateways use them
 /// without an answer.
@@ -22,8 +22,11 @@
     /// True if `endpoint` is registered.
     fn is_known(&self, endpoint: &str) -> bool;
 
-    /// The slots that may be leased at `endpoint`; `None` if none may be, because the endpoint is not
-    /// known or the slots in use there are not.
+    /// True if this gateway coordinates `endpoint`, as far as it knows.
+    fn is_coordinated(&self, endpoint: &str) -> bool;
+
+    /// The slots that may be leased at `endpoint`; `None` if none may be, because this gateway does not
+    /// coordinate it or does not know yet which slots are in use there.
     fn leasable_slots(&self, endpoint: &str) -> Option<u32>;
 }
 
@@ -41,12 +44,15 @@
     /// The gateways that want more slots, in the order of their turns.
     waiting: VecDeque<Arc<str>>,
     rejected_at_ms: VecDeque<u64>,
+    /// True once this gateway has known that it coordinates the endpoint: claims also arrive before.
+    is_coordinated: bool,
 }
 
 /// A gateway that has claimed slots.
 #[derive(Debug)]
 struct Holder {
     heard_at_ms: u64,
+    stream: SlotStream,
     /// The number of its latest claims.
     number: u64,
 }
@@ -74,7 +80,7 @@
         let share = self.shares.entry(gateway.clone()).or_default();
         share.wanted = claim.wanted;
         // Requests that run already need no permission.
-        share.granted = share.granted.min(claim.wanted).max(claim.in_use.min(claim.wanted));
+        share.granted = share.granted.max(claim.in_use).min(claim.wanted);
         let is_waiting = self.waiting.contains(gateway);
         if share.granted < share.wanted && !is_waiting {
             self.waiting.push_back(gateway.clone());
@@ -127,15 +133,19 @@
 
     /// Applies the claims of a gateway; returns the grants to send, by gateway. There is always one
     /// for the gateway itself, which tells it that its claims have arrived. `None` if earlier claims of
-    /// the gateway have expired, so that it has to send all of them on a new stream.
+    /// the gateway have expired, so that it has to send all of them on a new stream, or if it has opened
+    /// another one since.
     pub fn claim(
         &mut self,
         now_ms: u64,
         claims: SlotClaims,
         endpoints: &dyn CoordinatedEndpoints,
     ) -> Option<Vec<(Arc<str>, SlotGrants)>> {
-        let SlotClaims { gateway, number, claims } = claims;
-        if number != 1 && !self.holders.contains_key(&gateway) {
+        let SlotClaims { gateway, stream, number, claims } = claims;
+        let known = self.holders.get(&gateway).map(|holder| holder.stream);
+        if known.is_some_and(|known| stream.is_before(&known))
+            || known != Some(stream) && number != 1
+        {
             return None;
         }
         let mut changed = Changed::new();
@@ -143,7 +153,7 @@
         if number == 1 {
             touched.extend(self.remove_holder(&gateway));
         }
-        self.holders.insert(gateway.clone(), Holder { heard_at_ms: now_ms, number });
+        self.holders.insert(gateway.clone(), Holder { heard_at_ms: now_ms, stream, number });
         let answered = changed.entry(gateway.clone()).or_default();
         for claim in claims {
             let pool = self.pools.entry(claim.endpoint.clone()).or_default();
@@ -175,7 +185,7 @@
             self.remove_holder(&gateway);
             self.holders.remove(&gateway);
         }
-        let mut changed = Changed::new();
+        let mut changed = self.revoke_lost(endpoints);
         let waited_for: Vec<Arc<str>> = self.pools.keys().cloned().collect();
         for endpoint in waited_for {
             self.distribute(now_ms, &endpoint, endpoints, &mut changed);
@@ -187,6 +197,23 @@
         self.grants(changed)
     }
 
+    /// Takes back the slots of endpoints that another gateway coordinates now: those who do not know it
+    /// yet would continue to use them.
+    fn revoke_lost(&mut self, endpoints: &dyn CoordinatedEndpoints) -> Changed {
+        let mut changed = Changed::new();
+        for (endpoint, pool) in &mut self.pools {
+            let is_coordinated = endpoints.is_coordinated(endpoint);
+            if pool.is_coordinated && !is_coordinated {
+                for gateway in std::mem::take(&mut pool.shares).into_keys() {
+                    changed.entry(gateway).or_default().insert(endpoint.clone());
+                }
+                pool.waiting.clear();
+            }
+            pool.is_coordinated = is_coordinated;
+        }
+        changed
+    }
+
     /// Removes all claims of a gateway; returns the endpoints that they were for.
     fn remove_holder(&mut self, gateway: &str) -> Vec<Arc<str>> {
         let mut left = Vec::new();
@@ -232,7 +259,8 @@
                 let is_contended = pool.is_some_and(|pool| !pool.waiting.is_empty());
                 grants.push(SlotGrant { endpoint, slots, is_contended });
             }
-            all.push((gateway, SlotGrants { number: holder.number, grants }));
+            let Holder { stream, number, .. } = *holder;
+            all.push((gateway, SlotGrants { stream, number, grants }));
         }
         all
     }
--- a/src/policy/slot_leases.rs
+++ b/src/policy/slot_leases.rs
@@ -3,12 +3,12 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
-use crate::message::{PeerGateway, SlotClaim, SlotClaims, SlotGrants};
+use crate::message::{PeerGateway, SlotClaim, SlotClaims, SlotGrants, SlotStream};
 
 /// How long a gateway uses its slots after it sent the latest claims that were answered.
-const VALID_MS: u64 = 1_500;
+pub(super) const VALID_MS: u64 = 1_200;
 /// How often claims are sent at least while slots are leased.
-const KEEP_INTERVAL_MS: u64 = 500;
+const KEEP_INTERVAL_MS: u64 = 400;
 /// How long a slot that no request needs any more stays wanted.
 const WANTED_MS: u64 = 300;
 /// How long an unused slot is kept for the next request, unless other gateways wait for it.
@@ -19,7 +19,7 @@
 /// The slots at one endpoint.
 #[derive(Debug, Default)]
 struct Lease {
-    coordinator: Arc<str>,
+    coordinator: Option<PeerGateway>,
     granted: u32,
     /// The slots of the latest claim.
     claimed: u32,
@@ -36,6 +36,7 @@
 /// The exchange with one coordinator.
 #[derive(Debug, Default)]
 struct Link {
+    stream: SlotStream,
     number: u64,
     sent_at_ms: u64,
     /// When each message that was not answered yet was sent, by its number.
@@ -47,6 +48,8 @@
 #[derive(Debug)]
 pub struct SlotLeases {
     gateway: Arc<str>,
+    /// The latest stream that was opened.
+    stream: SlotStream,
     leases: HashMap<Arc<str>, Lease>,
     links: HashMap<Arc<str>, Link>,
 }
@@ -58,6 +61,10 @@
         claimed.map_or(self.granted, |claimed| claimed.min(self.granted))
     }
 
+    fn is_from(&self, coordinator: &str) -> bool {
+        self.coordinator.as_ref().is_some_and(|known| &*known.name == coordinator)
+    }
+
     fn is_wanted(&self, now_ms: u64) -> bool {
         now_ms < self.wanted_until_ms
     }
@@ -71,9 +78,10 @@
 }
 
 impl SlotLeases {
-    /// Creates a set without leases for the gateway `gateway`.
-    pub fn new(gateway: Arc<str>) -> Self {
-        Self { gateway, leases: HashMap::new(), links: HashMap::new() }
+    /// Creates a set without leases for the gateway `gateway`; `process` is drawn at random.
+    pub fn new(gateway: Arc<str>, process: u64) -> Self {
+        let stream = SlotStream { process, number: 0 };
+        Self { gateway, stream, leases: HashMap::new(), links: HashMap::new() }
     }
 
     /// True if no slot is leased or wanted.
@@ -89,7 +97,7 @@
     /// True if one more request may be sent to `endpoint` while `in_use` run there.
     pub fn may_use(&self, now_ms: u64, endpoint: &str, in_use: u32) -> bool {
         let Some(lease) = self.leases.get(endpoint) else { return false };
-        let link = self.links.get(&lease.coordinator);
+        let link = lease.coordinator.as_ref().and_then(|it| self.links.get(&it.name));
         link.is_some_and(|link| now_ms < link.valid_until_ms) && in_use < lease.usable()
     }
 
@@ -159,10 +167,12 @@
         let mut due: HashMap<Arc<str>, (PeerGateway, Vec<SlotClaim>)> = HashMap::new();
         for (endpoint, lease) in &mut self.leases {
             let Some(to) = coordinator(endpoint) else { continue };
-            if lease.coordinator != to.name {
+            if !lease.is_from(&to.name) {
                 let (wanted_at_ms, wanted_until_ms) = (lease.wanted_at_ms, lease.wanted_until_ms);
-                let coordinator = to.name.clone();
-                *lease = Lease { coordinator, wanted_at_ms, wanted_until_ms, ..Lease::default() };
+                let coordinator = Some(to.clone());
+                let new = Lease { coordinator, wanted_at_ms, wanted_until_ms, ..Lease::default() };
+                // The former coordinator takes the slots back when it learns that it is one no more.
+                *lease = new;
             }
             let used = in_use(endpoint);
             let target = lease.target(now_ms, used);
@@ -185,17 +195,22 @@
         }
         let mut taken = Vec::new();
         for (name, (to, claims)) in due {
-            let link = self.links.entry(name).or_default();
+            let link = self.links.entry(name).or_insert_with(|| {
+                self.stream.number += 1;
+                Link { stream: self.stream, ..Link::default() }
+            });
             link.number += 1;
             link.sent_at_ms = now_ms;
             link.unanswered.push_back((link.number, now_ms));
             for claim in &claims {
-                if let Some(lease) = self.leases.get_mut(&claim.endpoint) {
+                if let Some(lease) = self.leases.get_mut(&claim.endpoint)
+                    && lease.is_from(&to.name)
+                {
                     lease.unanswered.push_back((link.number, claim.wanted));
                 }
             }
-            let (gateway, number) = (self.gateway.clone(), link.number);
-            taken.push((to, SlotClaims { gateway, number, claims }));
+            let (gateway, stream, number) = (self.gateway.clone(), link.stream, link.number);
+            taken.push((to, SlotClaims { gateway, stream, number, claims }));
         }
         self.leases.retain(|_, lease| {
             lease.claimed > 0 || lease.is_wanted(now_ms) || !lease.unanswered.is_empty()
@@ -206,6 +221,9 @@
     /// Applies the grants of a coordinator; returns the endpoints at which more slots may be used.
     pub fn apply(&mut self, coordinator: &str, grants: SlotGrants) -> Vec<Arc<str>> {
         let Some(link) = self.links.get_mut(coordinator) else { return Vec::new() };
+        if link.stream != grants.stream {
+            return Vec::new();
+        }
         while let Some((number, sent_at_ms)) = link.unanswered.front().copied() {
             if number > grants.number {
                 break;
@@ -216,7 +234,7 @@
         let mut more = Vec::new();
         for grant in grants.grants {
             let Some(lease) = self.leases.get_mut(&grant.endpoint) else { continue };
-            if &*lease.coordinator != coordinator {
+            if !lease.is_from(coordinator) {
                 continue;
             }
             let usable = lease.usable();
@@ -232,11 +250,15 @@
         more
     }
 
-    /// Drops the leases of a coordinator that cannot be reached; they are claimed anew.
-    pub fn lose(&mut self, coordinator: &str) {
+    /// Drops the leases of a coordinator whose stream has ended, unless another one was opened since;
+    /// they are claimed anew.
+    pub fn lose(&mut self, coordinator: &str, stream: SlotStream) {
+        if self.links.get(coordinator).is_none_or(|link| link.stream != stream) {
+            return;
+        }
         self.links.remove(coordinator);
         for lease in self.leases.values_mut() {
-            if &*lease.coordinator == coordinator {
+            if lease.is_from(coordinator) {
                 lease.granted = 0;
                 lease.claimed = 0;
                 lease.unanswered.clear();
@@ -244,12 +266,13 @@
         }
     }
 
-    /// The coordinators that have left claims unanswered for so long that they count as lost.
-    pub fn silent(&self, now_ms: u64) -> Vec<Arc<str>> {
+    /// The coordinators, with their streams, that have left claims unanswered for so long that they
+    /// count as lost.
+    pub fn silent(&self, now_ms: u64) -> Vec<(Arc<str>, SlotStream)> {
         let mut silent = Vec::new();
         for (name, link) in &self.links {
             if link.unanswered.front().is_some_and(|(_, at_ms)| at_ms + VALID_MS <= now_ms) {
-                silent.push(name.clone());
+                silent.push((name.clone(), link.stream));
             }
         }
         silent
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -5,8 +5,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 use tracing::info;
 
 use super::known::{EndpointState, Wanted};
@@ -101,7 +101,7 @@
             uneven_services: HashSet::new(),
             slowdowns_due_ms: 0,
             brittle: HashMap::new(),
-            slot_leases: SlotLeases::new("".into()),
+            slot_leases: SlotLeases::new("".into(), 0),
             coordinators: SlotCoordinators::new(),
         }
     }
@@ -109,7 +109,7 @@
     /// Sets the gateway's name, under which it claims slots.
     #[must_use]
     pub fn with_gateway(mut self, name: Arc<str>) -> Self {
-        self.slot_leases = SlotLeases::new(name);
+        self.slot_leases = SlotLeases::new(name, self.random.random());
         self
     }
 
--- a/src/relay/leases.rs
+++ b/src/relay/leases.rs
@@ -105,6 +105,10 @@
         self.fleet.endpoints.contains_key(endpoint)
     }
 
+    fn is_coordinated(&self, endpoint: &str) -> bool {
+        self.fleet.coordinators.of(endpoint).is_some_and(|it| &*it.name == self.gateway)
+    }
+
     fn leasable_slots(&self, endpoint: &str) -> Option<u32> {
         let state = self.fleet.endpoints.get(endpoint)?;
         let is_settled = self.fleet.coordinators.is_settled(self.now_ms, self.gateway, endpoint);
--- a/src/relay/slots.rs
+++ b/src/relay/slots.rs
@@ -11,7 +11,7 @@
 use super::leases::LeasedEndpoints;
 use super::shared::Relay;
 use crate::error::{Error, Result};
-use crate::message::{PeerGateway, SlotClaims, SlotGrants};
+use crate::message::{PeerGateway, SlotClaims, SlotGrants, SlotStream};
 use crate::policy::slot_grants::SlotGrantor;
 use crate::wire::{Channel, Incoming, Receiver, Sender};
 
@@ -25,13 +25,19 @@
 pub(super) struct Slots {
     grantor: Mutex<SlotGrantor>,
     /// The streams of the gateways that claim slots here, by gateway.
-    holders: Mutex<HashMap<Arc<str>, mpsc::UnboundedSender<SlotGrants>>>,
+    holders: Mutex<HashMap<Arc<str>, Open<SlotGrants>>>,
     /// The streams to coordinators, by gateway.
-    links: Mutex<HashMap<Arc<str>, mpsc::UnboundedSender<SlotClaims>>>,
+    links: Mutex<HashMap<Arc<str>, Open<SlotClaims>>>,
     /// Notified when a slot is wanted or no longer in use.
     pub(super) changed: Notify,
 }
 
+/// A stream, and where its messages are sent.
+struct Open<T> {
+    stream: SlotStream,
+    sender: mpsc::UnboundedSender<T>,
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -61,9 +67,7 @@
     let (mut receiver, mut sender): (Receiver<SlotClaims>, Sender<SlotGrants>) =
         incoming.accept()?;
     let Some(first) = receiver.next().await? else { return Ok(()) };
-    let gateway = first.gateway.clone();
-    let (grants, mut granted) = mpsc::unbounded_channel();
-    lock(&relay.slots.holders).insert(gateway, grants);
+    let Some(mut granted) = relay.accept_holder(&first) else { return Ok(()) };
     let mut claims = first;
     loop {
         if !relay.grant(claims) {
@@ -100,6 +104,8 @@
         opened.map_err(|_| Error::timeout("open stream", to.name.clone(), limit_ms)).flatten()?;
     loop {
         tokio::select! {
+            // The gateway may have given the stream up.
+            biased;
             next = claims.recv() => match next {
                 Some(next) => {
                     sender.send(&next).await?;
@@ -131,44 +137,77 @@
             fleet.take_claims(now_ms)
         };
         for (to, claims) in due {
-            if to.name == self.settings.name {
-                if !self.grant(claims) {
-                    self.fleet().slot_leases.lose(&to.name);
-                }
-                continue;
+            let stream = claims.stream;
+            let is_sent = if to.name == self.settings.name {
+                self.grant(claims)
+            } else {
+                self.send_claims_to(&to, claims)
+            };
+            if !is_sent {
+                self.fleet().slot_leases.lose(&to.name, stream);
             }
-            // The stream reports its own end.
-            let _ = self.link_to(&to).send(claims);
         }
     }
 
-    fn link_to(self: &Arc<Self>, to: &PeerGateway) -> mpsc::UnboundedSender<SlotClaims> {
+    /// Sends claims on their stream, which the first ones open; returns false if it has ended.
+    fn send_claims_to(self: &Arc<Self>, to: &PeerGateway, claims: SlotClaims) -> bool {
         let mut links = lock(&self.slots.links);
-        if let Some(link) = links.get(&to.name).filter(|link| !link.is_closed()) {
-            return link.clone();
+        if let Some(link) = links.get(&to.name).filter(|link| link.stream == claims.stream) {
+            return link.sender.send(claims).is_ok();
         }
-        let (sender, claims) = mpsc::unbounded_channel();
-        links.insert(to.name.clone(), sender.clone());
-        let (relay, to) = (self.clone(), to.clone());
-        tokio::spawn(async move {
-            if let Err(error) = run_link(&relay, &to, claims).await {
-                info!(event = "slots_lost", coordinator = %to.name, error = %error);
-                relay.peer_connections.get(to.address).drop_connection().await;
-            }
-            lock(&relay.slots.links).remove(&to.name);
-            relay.fleet().slot_leases.lose(&to.name);
-        });
-        sender
+        if claims.number != 1 {
+            return false;
+        }
+        let (stream, (sender, received)) = (claims.stream, mpsc::unbounded_channel());
+        let is_sent = sender.send(claims).is_ok();
+        // A stream that was open before ends with its sender.
+        links.insert(to.name.clone(), Open { stream, sender });
+        tokio::spawn(self.clone().keep_link(to.clone(), stream, received));
+        is_sent
+    }
+
+    /// Exchanges claims and grants with a coordinator until the stream ends.
+    async fn keep_link(
+        self: Arc<Self>,
+        to: PeerGateway,
+        stream: SlotStream,
+        claims: mpsc::UnboundedReceiver<SlotClaims>,
+    ) {
+        if let Err(error) = run_link(&self, &to, claims).await {
+            info!(event = "slots_lost", coordinator = %to.name, error = %error);
+            self.peer_connections.get(to.address).drop_connection().await;
+        }
+        let mut links = lock(&self.slots.links);
+        if links.get(&to.name).is_some_and(|link| link.stream == stream) {
+            links.remove(&to.name);
+        }
+        drop(links);
+        self.fleet().slot_leases.lose(&to.name, stream);
+    }
+
+    /// Accepts the stream of a gateway that claims slots, unless it has opened another one since;
+    /// returns the grants to send on it.
+    fn accept_holder(&self, first: &SlotClaims) -> Option<mpsc::UnboundedReceiver<SlotGrants>> {
+        let mut holders = lock(&self.slots.holders);
+        let known = holders.get(&first.gateway);
+        if known.is_some_and(|known| first.stream.is_before(&known.stream)) {
+            return None;
+        }
+        let (sender, granted) = mpsc::unbounded_channel();
+        holders.insert(first.gateway.clone(), Open { stream: first.stream, sender });
+        Some(granted)
     }
 
     /// Ends the leases of gateways, and the streams to coordinators, that have fallen silent.
     fn advance_slots(&self, now_ms: u64) {
         let silent = self.fleet().slot_leases.silent(now_ms);
-        for coordinator in silent {
+        for (coordinator, stream) in silent {
             debug!(event = "slots_unanswered", coordinator = %coordinator);
-            // Its stream ends, and its leases are claimed anew.
-            if lock(&self.slots.links).remove(&coordinator).is_none() {
-                self.fleet().slot_leases.lose(&coordinator);
+            self.fleet().slot_leases.lose(&coordinator, stream);
+            let mut links = lock(&self.slots.links);
+            if links.get(&coordinator).is_some_and(|link| link.stream == stream) {
+                // The stream ends with its sender.
+                links.remove(&coordinator);
             }
         }
         let changed = {
@@ -208,9 +247,10 @@
                 self.apply_grants(&gateway, grants);
                 continue;
             }
-            if let Some(holder) = lock(&self.slots.holders).get(&gateway) {
+            let holders = lock(&self.slots.holders);
+            if let Some(holder) = holders.get(&gateway).filter(|it| it.stream == grants.stream) {
                 // A stream that has ended is opened again by the gateway.
-                let _ = holder.send(grants);
+                let _ = holder.sender.send(grants);
             }
         }
     }
