--- a/review/standin/stale.rs
+++ b/review/standin/stale.rs
@@ -23,7 +23,7 @@
 const PAUSE: Duration = Duration::from_millis(20);
 const DEADLINE: Duration = Duration::from_millis(3_000);
 /// How late the heartbeats of the engine arrive.
-const LATE_MS: u64 = 4_000;
+const LATE_MS: u64 = 3_500;
 
 /// Runs the case.
 pub fn run(repository: &Path, record: &Arc<Record>, trouble: &str) -> Result<Verdict, String> {
