--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,4 +5,5 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 root="$(cd "$here/../.." && pwd)"
 [ -x "$root/target/review/standin" ] || { echo "review/build.sh has to be run first" >&2; exit 2; }
-exec "$root/target/review/standin" silent "$root" "$here"
+# What was sent, answered and run goes to record.txt.
+exec "$root/target/review/standin" silent "$root" "$here/record.txt"
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,7 +1,7 @@
 //! The stand-ins of the review's scripts: it starts the project's programs as processes, plays
 //! clients, endpoints, operator and network for them, and checks one rule of the users' pages.
 //!
-//! Usage: `standin CASE REPOSITORY CASE_FOLDER`. The exit status is 0 if the rule held, 1 if it was
+//! Usage: `standin CASE REPOSITORY RECORD_FILE`. The exit status is 0 if the rule held, 1 if it was
 //! broken and 2 if the case could not run.
 
 mod control;
@@ -34,16 +34,16 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, repository, folder] = arguments.as_slice() else {
-        eprintln!("usage: standin CASE REPOSITORY CASE_FOLDER");
+    let [_, case, repository, record_path] = arguments.as_slice() else {
+        eprintln!("usage: standin CASE REPOSITORY RECORD_FILE");
         exit(2);
     };
-    let (repository, folder) = (PathBuf::from(repository), PathBuf::from(folder));
+    let (repository, record_path) = (PathBuf::from(repository), PathBuf::from(record_path));
     let trouble = std::env::var("TROUBLE").unwrap_or_else(|_| "1".to_owned());
-    let record = match Record::create(&folder.join("record.txt")) {
+    let record = match Record::create(&record_path) {
         Ok(record) => Arc::new(record),
         Err(error) => {
-            eprintln!("record.txt: {error}");
+            eprintln!("{}: {error}", record_path.display());
             exit(2);
         }
     };
