review: the surplus answer of case 1 comes late in the work, endpoints tell when they began

Seen: in case 1 the server had begun to work, but sent the surplus answer at once; now it has worked on the next request for 20 of its 30 ms, and every surplus answer still has that request run twice.

--- a/review/standin/endpoint.rs
+++ b/review/standin/endpoint.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::control::call_control;
 use crate::http::{Head, read_body, read_head};
@@ -15,6 +15,8 @@
 const HEARTBEAT_PAUSE: Duration = Duration::from_millis(1_200);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
 const WORK: Duration = Duration::from_millis(30);
+/// How long it has worked on a request when a surplus answer goes out in the place of its answer.
+const WORK_BEFORE_SURPLUS: Duration = Duration::from_millis(20);
 /// Requests that run at once, and those that wait besides.
 const SLOTS: u32 = 32;
 const QUEUE: u32 = 96;
@@ -46,20 +48,11 @@
     pub surplus_share: f64,
 }
 
-impl Boot {
-    /// The body of a heartbeat.
-    pub fn heartbeat(&self, sequence: u64) -> String {
-        format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"zone-a\",\"version\":\"v1\",\
-             \"slots\":{SLOTS},\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":{sequence}}}",
-            self.service, self.address
-        )
-    }
-}
-
 /// An endpoint of a plain service.
 pub struct Endpoint {
     boot: Boot,
+    /// The Unix time of its start.
+    born_ms: u64,
     record: Arc<Record>,
     runs: Arc<Runs>,
     present: AtomicU32,
@@ -82,6 +75,7 @@
         listener.set_nonblocking(true)?;
         let endpoint = Arc::new(Self {
             boot,
+            born_ms: unix_ms(),
             record,
             runs,
             present: AtomicU32::new(0),
@@ -111,13 +105,22 @@
         }
     }
 
+    fn heartbeat(&self, sequence: u64) -> String {
+        format!(
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"zone-a\",\"version\":\"v1\",\
+             \"slots\":{SLOTS},\"state\":\"ready\",\"cold_remaining_ms\":0,\"born\":{},\
+             \"sequence\":{sequence}}}",
+            self.boot.service, self.boot.address, self.born_ms
+        )
+    }
+
     fn beat(&self, controls: &[SocketAddr]) {
         let path = format!("/winchvane/instances/{}", self.boot.id);
         let (mut sequence, mut turn, mut named) = (0, 0, None);
         loop {
             sequence += 1;
             let address = named.unwrap_or(controls[turn % controls.len()]);
-            let result = call_control(address, "PUT", &path, &self.boot.heartbeat(sequence));
+            let result = call_control(address, "PUT", &path, &self.heartbeat(sequence));
             match result {
                 Ok(response) if response.status() == 200 => {
                     named = heartbeat_address(&response.body);
@@ -173,8 +176,10 @@
     ) -> io::Result<()> {
         let id = head.header("request-id");
         self.runs.begin(id, &self.boot.id);
+        let begun_at = Instant::now();
         if let Some(earlier) = surplus.take() {
             // The late second answer to an earlier request, in the place of this one's answer.
+            thread::sleep(WORK_BEFORE_SURPLUS);
             self.surplus_sent.fetch_add(1, Ordering::SeqCst);
             self.record.line(&format!(
                 "{} runs {id}, and sends a surplus answer to {earlier} before its answer",
@@ -183,8 +188,7 @@
             let name = "503 Service Unavailable";
             writer.write_all(&answer(name, &earlier, "Not-Executed: 1\r\n", ""))?;
         }
-        let begun_at = Instant::now();
-        if is_closed_within(reader.get_ref(), WORK)? {
+        if is_closed_within(reader.get_ref(), WORK.saturating_sub(begun_at.elapsed()))? {
             let after_ms = begun_at.elapsed().as_millis();
             self.record.line(&format!(
                 "{} drops {id} after {after_ms} ms of work: its connection was closed",
@@ -211,9 +215,16 @@
     }
 }
 
+/// The Unix time.
+pub fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).expect("the time is after 1970");
+    since.as_millis() as u64
+}
+
 /// True if the peer closes the connection within `time`.
 fn is_closed_within(stream: &TcpStream, time: Duration) -> io::Result<bool> {
-    stream.set_read_timeout(Some(time))?;
+    // A time of zero isn't allowed.
+    stream.set_read_timeout(Some(time.max(Duration::from_millis(1))))?;
     let peeked = stream.peek(&mut [0]);
     stream.set_read_timeout(None)?;
     match peeked {
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use crate::control::call_control;
+use crate::endpoint::unix_ms;
 use crate::http::{Head, read_body, read_head};
 use crate::record::Record;
 
@@ -105,6 +106,8 @@
 pub struct Engine {
     id: String,
     address: SocketAddr,
+    /// The Unix time of its start.
+    born_ms: u64,
     record: Arc<Record>,
     /// How late its heartbeats arrive.
     pub heartbeat_delay_ms: AtomicU64,
@@ -128,6 +131,7 @@
         let engine = Arc::new(Self {
             id: id.to_owned(),
             address,
+            born_ms: unix_ms(),
             record,
             heartbeat_delay_ms: AtomicU64::new(0),
             weights: Mutex::default(),
@@ -178,9 +182,10 @@
         format!(
             "{{\"service\":\"llm\",\"address\":\"{}\",\"zone\":\"zone-a\",\"version\":\"v1\",\
              \"slots\":{SLOTS},\"state\":\"ready\",\"cold_remaining_ms\":0,\"stage\":\"both\",\
-             \"models\":{},\"sequence\":{sequence}}}",
+             \"models\":{},\"born\":{},\"sequence\":{sequence}}}",
             self.address,
-            self.weights().models()
+            self.weights().models(),
+            self.born_ms
         )
     }
 
@@ -258,10 +263,12 @@
         let weights = self.weights();
         format!(
             "{{\"stage\":\"both\",\"models\":{},\"busy\":{},\"sequence\":{},\"queue_depth\":0,\
-             \"running\":0,\"kv_used\":0,\"kv_total\":219357,\"handles\":0,\"coming\":[{}]}}",
+             \"running\":0,\"kv_used\":0,\"kv_total\":219357,\"handles\":0,\
+             \"born\":{},\"coming\":[{}]}}",
             weights.models(),
             weights.is_busy(),
             weights.sequence,
+            self.born_ms,
             weights.coming().join(",")
         )
     }
