relay: an open answer is given up only once its continuation has brought something

Cause: two decisions in the wrong order. A stream that brought nothing for 0.6 s beside a newer connection that worked, or whose endpoint answered no probe, was given up first, and only then it was asked whether anything may replace it; without a retry budget, an attempt or time the client lost an answer that was on its way. A pause of one stream and a silent connection look the same, so no better detector helps. Whole answers and requests whose response had not started were given up in the same way. Change: relay/doubt.rs has the one place for it, a race: what used to be a verdict is a doubt, on which the request is sent once more beside the open answer if attempts, time and the retry budget allow. Whichever brings the next event (the head, the whole body) first goes on; the other one is dropped, which cancels it. Without a continuation nothing is given up. Only the end of the connection, another incarnation in the endpoint's place, the deadline or the client's end ends an answer by itself. A continuation that is under way goes on alone if the open answer is lost meanwhile. A stream is doubted by its own pace (twice its longest pause or the pause its route aims at, 0.6 s at least), before its first event after its latency objective. Doubts leave the last retries to answers that are lost. A send counts before it is made, so that a cancelled one remains counted.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -104,6 +104,10 @@
     Takeovers => "endpoints.takeovers",
     /// Engine restarts, detected by a changed boot id.
     EngineRestarts => "endpoints.engine_restarts",
+    /// Open answers that brought nothing for long, and were read on.
+    AnswersDoubted => "answers.doubted",
+    /// Open answers given up because a continuation elsewhere brought something first.
+    AnswersTakenOver => "answers.taken_over",
     /// Streams that were resumed at another endpoint within an answer.
     StreamsResumed => "streams.resumed",
     /// Streams that broke off and were not resumed.
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -1,5 +1,6 @@
 //! Sends a request to an endpoint once, and waits for the head of the response.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 
 use super::border::{Backoff, SendMeta};
 use super::connection_records::OlderConnections;
+use super::doubt::{Continuation, Doubt, OpenAnswer, Raced};
 use super::exchange::Exchange;
 use super::known::IncarnationEnd;
 use super::pool::{self, SendFailure};
@@ -49,43 +51,47 @@
     pub(super) software_version: Arc<str>,
     pub(super) address: std::net::SocketAddr,
     ended: Option<watch::Receiver<IncarnationEnd>>,
-    /// The least certain evidence of the endpoint's end that stops the wait for the response.
-    give_up_on: IncarnationEnd,
+    /// True if the request may be sent once more beside the open answer.
+    is_repeatable: bool,
 }
 
 impl InFlightRequest {
-    /// Returns once the endpoint is found to have ended, or never. The endpoint's connections may
-    /// still be open at that time.
+    /// Returns once another incarnation has certainly taken the endpoint's place, or never. The
+    /// endpoint's connections may still be open at that time.
     pub(super) async fn wait_for_end(&self) {
-        if let Some(mut ended) = self.ended.clone()
-            && ended.wait_for(|ended| *ended >= self.give_up_on).await.is_ok()
-        {
-            // Responses that the endpoint sent before may still be in transit.
-            tokio::time::sleep(Duration::from_millis(LAST_RESPONSES_MS)).await;
-            return;
-        }
-        std::future::pending::<()>().await;
+        wait_for(self.ended.clone(), IncarnationEnd::Replaced).await;
+        // Responses that the endpoint sent before may still be in transit.
+        tokio::time::sleep(Duration::from_millis(LAST_RESPONSES_MS)).await;
+    }
+
+    /// True if another incarnation has taken the endpoint's place.
+    pub(super) fn is_replaced(&self) -> bool {
+        self.ended.as_ref().is_some_and(|ended| *ended.borrow() == IncarnationEnd::Replaced)
     }
 
-    /// How the endpoint was found to have ended; `None` while the response is still awaited.
-    pub(super) fn end(&self) -> Option<IncarnationEnd> {
-        let end = *self.ended.as_ref()?.borrow();
-        (end >= self.give_up_on).then_some(end)
+    /// Returns once the response is doubted, or never: for silence, not before `after_ms`.
+    ///
+    /// Awaited alongside each part of the response, so it does nothing before the first probe is due.
+    pub(super) async fn doubt(&self, after_ms: u64) -> Doubt {
+        if !self.is_repeatable {
+            std::future::pending::<()>().await;
+        }
+        tokio::select! {
+            end = wait_for(self.ended.clone(), IncarnationEnd::Unreachable) => Doubt::Ended(end),
+            () = self.watch_silence(after_ms) => Doubt::Silent,
+        }
     }
 
     /// Probes the endpoint, unless the response is awaited whatever the result.
     fn probe_silent(&self) {
-        if self.give_up_on == IncarnationEnd::Unreachable {
+        if self.is_repeatable {
             self.relay.probe_silent(&self.endpoint);
         }
     }
 
-    /// Probes the endpoint repeatedly while nothing comes. Returns once the connection is found to be
-    /// silent although the endpoint is reached on newer ones, not before `after_ms`; never for a
-    /// response that is awaited whatever happens.
-    ///
-    /// Awaited alongside each part of the response, so it does nothing before the first probe is due.
-    pub(super) async fn watch_silence(&self, after_ms: u64) {
+    /// Probes the endpoint repeatedly while nothing comes. Returns once the connection seems to be
+    /// silent although the endpoint is reached on newer ones, not before `after_ms`.
+    async fn watch_silence(&self, after_ms: u64) {
         let Relay { clock, pool, .. } = &*self.relay;
         let from_ms = clock.now_ms();
         let mut check_at_ms = from_ms + SILENT_PROBE_MS;
@@ -94,9 +100,6 @@
             self.probe_silent();
             let silent_ms = check_at_ms - from_ms;
             check_at_ms += SILENCE_CHECK_MS;
-            if self.give_up_on != IncarnationEnd::Unreachable {
-                continue;
-            }
             let is_first = silent_ms == SILENT_PROBE_MS;
             if is_first
                 && pool.compare_older(self.address, from_ms, from_ms) == OlderConnections::Quiet
@@ -110,13 +113,25 @@
                 && silent_ms >= after_ms
                 && pool.are_silent(self.address, from_ms, quiet_since_ms)
             {
-                self.relay.note_silent_connection(&self.endpoint, self.address, from_ms);
                 return;
             }
         }
     }
 }
 
+/// Returns the evidence of an endpoint's end once it is at least as certain as `least`, or never.
+pub(super) async fn wait_for(
+    ended: Option<watch::Receiver<IncarnationEnd>>,
+    least: IncarnationEnd,
+) -> IncarnationEnd {
+    if let Some(mut ended) = ended
+        && let Ok(end) = ended.wait_for(|end| *end >= least).await
+    {
+        return *end;
+    }
+    std::future::pending().await
+}
+
 impl Drop for InFlightRequest {
     fn drop(&mut self) {
         let now_ms = self.relay.now_ms();
@@ -150,18 +165,25 @@
     Foreign,
     /// No response came before the deadline.
     Overdue,
-    /// The endpoint was found to have ended without closing its connections.
-    Ended(IncarnationEnd),
+    /// Another incarnation took the endpoint's place, which had not closed its connections.
+    Ended,
     /// The connection was closed because the request may no longer start on the version that the
     /// endpoint holds.
     TakenBack,
 }
 
+impl Attempt {
+    /// True if the send has certainly brought no response, while there was time for one.
+    fn is_lost(&self) -> bool {
+        !matches!(self, Self::Started(_) | Self::Overdue)
+    }
+}
+
 /// Why the wait for a response was given up.
 pub(super) enum WaitAborted {
     /// The deadline passed.
     Deadline,
-    /// The endpoint was found to have ended.
+    /// Another incarnation took the endpoint's place.
     Ended,
     /// The version that the endpoint holds was replaced too long ago.
     Replaced,
@@ -194,12 +216,7 @@
             software_version,
             address,
             ended: None,
-            give_up_on: match self.chosen.route.repeat {
-                // An endpoint that is shutting down may still answer a request that must not be
-                // resent.
-                Repeat::Once => IncarnationEnd::Replaced,
-                Repeat::Any | Repeat::Resume => IncarnationEnd::Unreachable,
-            },
+            is_repeatable: self.chosen.route.repeat != Repeat::Once,
         };
         drop(place);
         let mut connection = match relay.pool.connection(address).await {
@@ -229,9 +246,7 @@
             Err(WaitAborted::Deadline) => {
                 return Attempt::Overdue;
             }
-            Err(WaitAborted::Ended) => {
-                return Attempt::Ended(flight.end().unwrap_or(IncarnationEnd::Replaced));
-            }
+            Err(WaitAborted::Ended) => return Attempt::Ended,
             Err(WaitAborted::Replaced) => return Attempt::TakenBack,
             Ok(Err(SendFailure::NotSent(error))) => {
                 info!(event = "send_lost", endpoint = %send.endpoint, error = %error);
@@ -283,6 +298,27 @@
         Attempt::Started(Box::new(StartedResponse { source, response }))
     }
 
+    /// Sends the request once, and once more elsewhere if the first send is doubted before its response
+    /// has started.
+    pub(super) async fn race_for_head(
+        &self,
+        send: &SendMeta,
+        address: std::net::SocketAddr,
+        software_version: Arc<str>,
+        place: Option<QueuePlace>,
+    ) -> Raced<Attempt, Continuation> {
+        let ended = self.relay.fleet().watch_end(&send.endpoint);
+        let doubt =
+            pin!(async { Doubt::Ended(wait_for(ended, IncarnationEnd::Unreachable).await) });
+        let answer = OpenAnswer {
+            endpoint: &send.endpoint,
+            last_event: send.last_event,
+            is_continuable: !self.is_continuation,
+        };
+        let open = pin!(self.attempt(send, address, software_version, place));
+        self.race(answer, open, Attempt::is_lost, doubt, |it| async { Some(it) }).await
+    }
+
     /// Waits for the head of a response until the deadline, or until the request may no longer
     /// start on the weights version it was sent to.
     ///
--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -76,17 +76,26 @@
         self.take_above(now_ms, gateways, LAST_TOKENS)
     }
 
+    /// True if [`take_late`](Self::take_late) would take a token.
+    pub fn allows_late(&mut self, now_ms: u64, gateways: u32) -> bool {
+        self.allows_above(now_ms, gateways, LAST_TOKENS)
+    }
+
     fn take_above(&mut self, now_ms: u64, gateways: u32, reserved: f64) -> bool {
+        let is_allowed = self.allows_above(now_ms, gateways, reserved);
+        if is_allowed {
+            self.tokens -= 1.0;
+            self.retries.push_back(now_ms);
+        }
+        is_allowed
+    }
+
+    fn allows_above(&mut self, now_ms: u64, gateways: u32, reserved: f64) -> bool {
         self.forget_old(now_ms);
         let slack = self.slack * SLACK_SHARE / f64::from(gateways.max(1));
         self.cap = slack + self.requests.len() as f64 * self.ratio * SAVED_SHARE;
         self.tokens = self.tokens.min(self.cap);
-        if self.tokens < (1.0 + reserved).min(self.cap).max(1.0) {
-            return false;
-        }
-        self.tokens -= 1.0;
-        self.retries.push_back(now_ms);
-        true
+        self.tokens >= (1.0 + reserved).min(self.cap).max(1.0)
     }
 
     /// The counts of the window and the tokens left, as of the last call.
--- a/src/relay/buffered.rs
+++ b/src/relay/buffered.rs
@@ -1,18 +1,44 @@
 //! Forwards whole responses, which are buffered so that a request can still be resent.
 
+use std::pin::pin;
+
+use bytes::Bytes;
 use http::header::CONTENT_LENGTH;
+use http::response::Parts;
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 
-use super::exchange::{CONNECTION_SILENT, ENDPOINT_ENDED, Exchange};
+use super::doubt::{Continuation, OpenAnswer, Raced};
+use super::exchange::{ENDPOINT_ENDED, Exchange};
+use super::known::IncarnationEnd;
 use super::second_send::USUAL_TIMES;
 use super::source::{Source, StartedResponse};
-use crate::http::{Answer, full, remove_connection_headers};
+use crate::http::{Answer, AnswerBody, full, remove_connection_headers};
 use crate::policy::resend::FailureKind;
 
 /// The largest response that is buffered before it is forwarded.
 const BUFFERED_RESPONSE_MAX_BYTES: usize = 256 << 10;
 
+/// The body of a response or why it broke off; `None` if the deadline passed before its end.
+type Collected = Option<Result<Bytes, String>>;
+
+/// A continuation whose response has arrived completely.
+struct Continued {
+    exchange: Exchange,
+    source: Source,
+    head: Parts,
+    body: Bytes,
+}
+
+/// Waits until the response of a continuation is complete; `None` if it breaks off.
+async fn collect_continuation(continuation: Continuation) -> Option<Continued> {
+    let Continuation { exchange, started, .. } = continuation;
+    let StartedResponse { source, response } = started;
+    let (head, body) = response.into_parts();
+    let body = exchange.collect(body, &source).await?.ok()?;
+    Some(Continued { exchange, source, head, body })
+}
+
 impl Exchange {
     /// Buffers the whole response, so that the request can still be resent if the response breaks
     /// off.
@@ -21,13 +47,12 @@
         loop {
             let StartedResponse { source, response } = started;
             let (head, body) = response.into_parts();
-            let collected = Limited::new(body, BUFFERED_RESPONSE_MAX_BYTES).collect();
-            let collected = self.relay.clock.timeout_at(self.ends_at_ms, collected);
-            let silent_after_ms = self.chosen.route.latency_objective_ms * USUAL_TIMES;
-            let collected = tokio::select! {
-                collected = collected => collected.map(|body| body.map_err(|error| error.to_string())),
-                () = source.wait_for_end() => Some(Err(ENDPOINT_ENDED.to_owned())),
-                () = source.watch_silence(silent_after_ms) => Some(Err(CONNECTION_SILENT.to_owned())),
+            let (source, head, collected) = match self.race_for_body(body, &source).await {
+                Raced::Open(collected) => (source, head, collected),
+                Raced::Continued(continued) => {
+                    self.take_over(source.endpoint(), continued.exchange);
+                    (continued.source, continued.head, Some(Ok(continued.body)))
+                }
             };
             let broken = match collected {
                 Some(Ok(body)) => {
@@ -39,7 +64,7 @@
                     if is_direct && !head.status.is_server_error() {
                         self.note_outcome(&endpoint, None);
                     }
-                    let mut answer = Response::from_parts(head, full(body.to_bytes()));
+                    let mut answer = Response::from_parts(head, full(body));
                     remove_connection_headers(answer.headers_mut());
                     answer.headers_mut().remove(CONTENT_LENGTH);
                     return answer;
@@ -50,7 +75,7 @@
                 }
                 None => None,
             };
-            let ended_silently = source.end().is_some();
+            let is_replaced = source.is_replaced();
             let (endpoint, is_direct) = (source.endpoint().clone(), source.is_direct());
             drop(source);
             let handled = if let Some(detail) = broken {
@@ -67,7 +92,7 @@
             if let Err(failure) = handled {
                 return self.give_up(failure);
             }
-            if ended_silently {
+            if is_replaced {
                 self.wait_for_evaluation(&endpoint).await;
             }
             started = match self.start(None).await {
@@ -77,14 +102,44 @@
         }
     }
 
+    /// Reads the rest of a response and, once that is doubted, the response of another endpoint.
+    async fn race_for_body(
+        &self,
+        body: AnswerBody,
+        source: &Source,
+    ) -> Raced<Collected, Continued> {
+        let answer = OpenAnswer {
+            endpoint: source.endpoint(),
+            last_event: None,
+            is_continuable: !self.is_detour,
+        };
+        let quiet_max_ms = self.chosen.route.latency_objective_ms * USUAL_TIMES;
+        let open = pin!(self.collect(body, source));
+        let doubt = pin!(source.doubt(quiet_max_ms));
+        let is_lost = |collected: &Collected| matches!(collected, Some(Err(_)));
+        self.race(answer, open, is_lost, doubt, collect_continuation).await
+    }
+
+    /// Reads the rest of a response; `None` if the deadline passes.
+    async fn collect(&self, body: AnswerBody, source: &Source) -> Collected {
+        let collected = Limited::new(body, BUFFERED_RESPONSE_MAX_BYTES).collect();
+        tokio::select! {
+            collected = self.relay.clock.timeout_at(self.ends_at_ms, collected) => {
+                collected.map(|body| Ok(body.map_err(|error| error.to_string())?.to_bytes()))
+            }
+            () = source.wait_for_end() => Some(Err(ENDPOINT_ENDED.to_owned())),
+        }
+    }
+
     /// Records a response that broke off. One that came through another gateway is recorded there.
     fn note_broken_response(&mut self, source: &Source, status: StatusCode) {
         if !source.is_direct() {
             return;
         }
-        match source.end() {
-            Some(end) => self.note_ended(source.endpoint(), end),
-            None => self.note_broken_off(source.endpoint()),
+        if source.is_replaced() {
+            self.note_ended(source.endpoint(), IncarnationEnd::Replaced);
+        } else {
+            self.note_broken_off(source.endpoint());
         }
         // An error status was recorded when the response started.
         if !status.is_server_error() {
--- a/src/relay/detour/mod.rs
+++ b/src/relay/detour/mod.rs
@@ -126,11 +126,13 @@
         }
         self.sent_at_ms = now_ms;
         let request = PeerRequest::Detour(Box::new(self.to_detour(now_ms, last_event)));
+        self.possible_runs.add(1);
         let streams = match relay.open_peer(peer, &request).await {
             Ok(streams) => streams,
             Err(error) => {
                 relay.note_peer_lost(peer, &error).await;
                 if error.is_not_run() {
+                    self.possible_runs.take_back();
                     return Ok(Sent::Refused);
                 }
                 return self.note_unknown(1, error.to_string());
@@ -148,7 +150,7 @@
                 let head = PeerHead { endpoint, software_version, status, headers };
                 match stream.into_response(self, head) {
                     Ok(started) => {
-                        self.possible_runs += runs;
+                        self.count_further_runs(runs);
                         Ok(Sent::Started(Box::new(started)))
                     }
                     Err(error) => self.note_unknown(runs, error.to_string()),
@@ -169,6 +171,7 @@
         peer: &PeerGateway,
         refusal: DetourRefusal,
     ) -> std::result::Result<Sent, Failure> {
+        self.possible_runs.take_back();
         info!(event = "detour_refused", request = %self.meta.id, peer = %peer.name, refusal = ?refusal);
         self.relay.metrics.count(Counter::DetoursRefused);
         if let DetourRefusal::NotServed { after_ms } = refusal {
@@ -180,11 +183,16 @@
 
     /// Records that up to `runs` endpoints, at least one, may have run the request.
     fn note_unknown(&mut self, runs: u32, detail: String) -> std::result::Result<Sent, Failure> {
-        self.possible_runs += runs.max(1);
+        self.count_further_runs(runs);
         self.handle_unknown_outcome(detail)?;
         Ok(Sent::Unknown)
     }
 
+    /// Counts the runs of a detour beyond the one that was counted when it was sent.
+    fn count_further_runs(&self, runs: u32) {
+        self.possible_runs.add(runs.saturating_sub(1));
+    }
+
     fn to_detour(&self, now_ms: u64, last_event: Option<u64>) -> DetourRequest {
         let mut headers = Vec::with_capacity(self.headers.len());
         for (name, value) in &self.headers {
@@ -199,7 +207,7 @@
             credential: self.meta.credential,
             age_ms: now_ms.saturating_sub(self.started_ms),
             left_ms: self.left_ms(now_ms),
-            attempts: self.attempts().saturating_sub(self.possible_runs).max(1),
+            attempts: self.attempts().saturating_sub(self.possible_runs.get()).max(1),
             tried: self.tried.clone(),
             last_event: last_event.or(self.meta.last_event),
             origin: self.origin.clone(),
--- a/src/relay/detour/serve.rs
+++ b/src/relay/detour/serve.rs
@@ -212,7 +212,7 @@
     let answering = Answering {
         endpoint: started.source.endpoint().clone(),
         software_version: started.source.software_version().clone(),
-        runs: exchange.possible_runs,
+        runs: exchange.possible_runs.get(),
     };
     let answer = stream::answer(exchange, started);
     send_answer(sender, answer, answering).await
@@ -335,7 +335,7 @@
 }
 
 fn to_event(exchange: &Exchange, failure: Failure) -> PeerEvent {
-    let runs = exchange.possible_runs;
+    let runs = exchange.possible_runs.get();
     match failure {
         Failure::NotSent(NotSent::OutOfReach) if runs == 0 => {
             PeerEvent::Refused(DetourRefusal::OutOfReach)
--- a/src/relay/detour/upstream.rs
+++ b/src/relay/detour/upstream.rs
@@ -12,6 +12,7 @@
 use crate::error::{Error, Result};
 use crate::http::{Framing, WholeBody};
 use crate::message::{PeerEvent, PeerGateway, PeerRequest};
+use crate::relay::doubt::Doubt;
 use crate::relay::exchange::Exchange;
 use crate::relay::shared::Relay;
 use crate::relay::source::{Source, StartedResponse};
@@ -40,6 +41,16 @@
     pub(super) headers: Vec<(Box<str>, Vec<u8>)>,
 }
 
+impl PeerFlight {
+    /// Returns once the response has brought nothing for `after_ms`, and for longer than the other
+    /// gateway takes to find out by itself that the endpoint's connection has ended.
+    pub(in crate::relay) async fn doubt(&self, after_ms: u64) -> Doubt {
+        let clock = self.relay.clock;
+        clock.sleep_until(clock.now_ms() + after_ms.max(SILENT_MAX_MS)).await;
+        Doubt::Silent
+    }
+}
+
 impl Drop for PeerFlight {
     fn drop(&mut self) {
         self.relay.peers().finish(&self.peer);
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -10,9 +10,11 @@
 use super::access::Access;
 use super::admission::Admitted;
 use super::border::{AnswerMeta, RequestMeta, SendMeta};
+use super::doubt::{Continuation, Raced};
 use super::prompt::{PromptChain, shared_features};
 use super::quota::UsedCredit;
 use super::refusal::{Failure, NotSent};
+use super::run_count::RunCount;
 use super::selection::Target;
 use super::shared::Relay;
 use super::shares::RequestShare;
@@ -29,8 +31,6 @@
 pub(super) const RESPONSE_MARGIN_MS: u64 = 5;
 /// The error of a response whose endpoint was found to have ended without closing the connection.
 pub(super) const ENDPOINT_ENDED: &str = "the endpoint has ended";
-/// The error of a response on a connection that brings nothing while newer ones work.
-pub(super) const CONNECTION_SILENT: &str = "the connection is silent";
 /// The maximum number of refused sends per request, in addition to the attempts that the route
 /// allows.
 pub(super) const REFUSED_SENDS_MAX: u32 = 3;
@@ -74,13 +74,13 @@
     permission: Permission,
     /// The leader's permissions to send this attempt although features of it were held.
     pub(super) trials: Vec<Trial>,
-    pub(super) share: RequestShare,
+    pub(super) share: Arc<RequestShare>,
     /// The cause of the last failure, until the outcome of the send that follows it is known.
     pub(super) failure_cause: Option<FailureCause>,
     /// True if the request failed and was not resent because second sends seldom succeed.
     pub(super) not_resent: bool,
     /// The number of sends that an endpoint may have run.
-    pub(super) possible_runs: u32,
+    pub(super) possible_runs: RunCount,
     /// The number of sends of which nothing was written.
     pub(super) unsent: u32,
     /// The number of sends that endpoints refused without asking for backoff.
@@ -92,6 +92,8 @@
     pub(super) was_rejected: bool,
     /// True if another gateway read the request and sent it here.
     pub(super) is_detour: bool,
+    /// True if it continues an answer that is still open.
+    pub(super) is_continuation: bool,
     /// The number of endpoints that the request may be sent to.
     attempts: u32,
     /// Where the stream began of which the client has received an event; only endpoints of this
@@ -140,20 +142,62 @@
             prompt_features,
             permission: Permission::Unrestricted,
             trials: Vec::new(),
-            share: RequestShare::default(),
+            share: Arc::default(),
             failure_cause: None,
             not_resent: false,
-            possible_runs: 0,
+            possible_runs: RunCount::default(),
             unsent: 0,
             refused: 0,
             refused_with_backoff: 0,
             was_rejected: false,
             is_detour: false,
+            is_continuation: false,
             attempts,
             origin: None,
         }
     }
 
+    /// The same request, to be sent once more beside its open answer from `endpoint`.
+    pub(super) fn beside(&self, endpoint: &Arc<str>) -> Self {
+        let mut tried = self.tried.clone();
+        if !tried.contains(endpoint) {
+            tried.push(endpoint.clone());
+        }
+        Self {
+            relay: self.relay.clone(),
+            meta: self.meta.clone(),
+            chosen: self.chosen.clone(),
+            access: self.access.clone(),
+            used_credit: None,
+            method: self.method.clone(),
+            target: self.target.clone(),
+            headers: self.headers.clone(),
+            body: self.body.clone(),
+            prompt: self.prompt.clone(),
+            tried,
+            response_started_at_ms: None,
+            waited_for: "",
+            content_key: self.content_key.clone(),
+            prompt_features: self.prompt_features.clone(),
+            trials: Vec::new(),
+            share: self.share.clone(),
+            failure_cause: None,
+            possible_runs: self.possible_runs.clone(),
+            was_rejected: false,
+            is_continuation: true,
+            origin: self.origin.clone(),
+            ..*self
+        }
+    }
+
+    /// Goes on with `continuation`, which has won against the open answer.
+    pub(super) fn replace_with(&mut self, mut continuation: Self) {
+        continuation.used_credit = self.used_credit.take();
+        continuation.trials.append(&mut self.trials);
+        continuation.is_continuation = false;
+        *self = continuation;
+    }
+
     /// Binds it to the place where the stream began that it resumes.
     #[must_use]
     pub(super) fn with_origin(mut self, origin: Option<StreamOrigin>) -> Self {
@@ -220,7 +264,7 @@
             }
             self.permission = self.obtain_permission().await.map_err(Failure::NotSent)?;
             // The leader may have changed the request's standing since the last send.
-            if self.possible_runs > 0
+            if self.possible_runs.get() > 0
                 && self.permission == Permission::Once
                 && !self.can_send_again()
             {
@@ -263,7 +307,14 @@
                 priority: self.rank,
                 workspace: self.access.workspace_name(),
             };
-            let outcome = self.attempt(&send, address, software_version, place).await;
+            self.possible_runs.add(1);
+            let outcome = match self.race_for_head(&send, address, software_version, place).await {
+                Raced::Open(outcome) => outcome,
+                Raced::Continued(Continuation { exchange, started, .. }) => {
+                    self.take_over(&id, exchange);
+                    return Ok(started);
+                }
+            };
             if let Some(started) = self.handle_outcome(outcome, &id, address).await? {
                 return Ok(started);
             }
@@ -283,7 +334,7 @@
 
     /// True unless an endpoint has seen the request before.
     fn is_first_send(&self) -> bool {
-        self.possible_runs + self.refused + self.refused_with_backoff == 0
+        self.possible_runs.get() + self.refused + self.refused_with_backoff == 0
     }
 
     /// Sends the request through another gateway; `None` if it may be sent again after an unknown
@@ -311,7 +362,7 @@
     }
 
     pub(super) fn can_send_again(&self) -> bool {
-        self.possible_runs < self.attempts()
+        self.possible_runs.get() < self.attempts()
             && self.relay.now_ms() + RESPONSE_MARGIN_MS < self.ends_at_ms
     }
 
--- a/src/relay/give_up.rs
+++ b/src/relay/give_up.rs
@@ -13,7 +13,7 @@
     pub(super) fn give_up(&self, failure: Failure) -> Answer {
         let after_ms = self.relay.now_ms() - self.started_ms;
         let request = &self.meta.id;
-        let may_have_run = self.possible_runs > 0;
+        let may_have_run = self.possible_runs.get() > 0;
         match failure {
             Failure::NotSent(reason) if !may_have_run => {
                 self.relay.metrics.count(Counter::RequestsRefused);
--- a/src/relay/outcome.rs
+++ b/src/relay/outcome.rs
@@ -7,6 +7,7 @@
 
 use super::attempt::Attempt;
 use super::exchange::{ENDPOINT_ENDED, Exchange, REFUSED_SENDS_MAX};
+use super::known::IncarnationEnd;
 use super::refusal::{Failure, NotSent};
 use super::source::StartedResponse;
 use crate::policy::resend::FailureKind;
@@ -24,6 +25,7 @@
             Attempt::Started(started) => return Ok(self.check_started(*started, id)),
             // No endpoint has seen the request, so this is no retry.
             Attempt::NotSent(reason) => {
+                self.possible_runs.take_back();
                 self.unsent += 1;
                 info!(event = "send_refused", request = %self.meta.id, endpoint = %id, reason);
                 self.tried.push(id.clone());
@@ -32,6 +34,7 @@
                 }
             }
             Attempt::Outdated => {
+                self.possible_runs.take_back();
                 info!(event = "send_outdated", request = %self.meta.id, endpoint = %id);
             }
             outcome @ (Attempt::NotRun(_) | Attempt::Full) => {
@@ -39,6 +42,7 @@
                     Attempt::NotRun(reason) => reason,
                     _ => "the endpoint refused",
                 };
+                self.possible_runs.take_back();
                 self.was_rejected = matches!(outcome, Attempt::Full);
                 self.refused += 1;
                 self.log_rejection(id, reason);
@@ -50,13 +54,13 @@
             // Not counted towards `REFUSED_SENDS_MAX`: during its backoff the endpoint is not
             // picked again, so each endpoint causes one such refusal per backoff.
             Attempt::RefusedWithBackoff => {
+                self.possible_runs.take_back();
                 self.refused_with_backoff += 1;
                 let reason = "the endpoint asked for backoff";
                 info!(event = "send_refused", request = %self.meta.id, endpoint = %id, reason);
                 self.tried.push(id.clone());
             }
             Attempt::TakenBack => {
-                self.possible_runs += 1;
                 self.note_taken_back(id);
                 self.tried.push(id.clone());
                 self.handle_unknown_outcome(
@@ -65,7 +69,6 @@
             }
             Attempt::Foreign => {
                 warn!(event = "foreign_answer", request = %self.meta.id, endpoint = %id);
-                self.possible_runs += 1;
                 self.tried.push(id.clone());
                 self.handle_unknown_outcome("the answer belongs to another request".to_owned())?;
             }
@@ -74,8 +77,8 @@
                 self.note_failed(id, address);
                 self.handle_unknown_outcome("no answer before the deadline".to_owned())?;
             }
-            Attempt::Ended(end) => {
-                self.note_ended(id, end);
+            Attempt::Ended => {
+                self.note_ended(id, IncarnationEnd::Replaced);
                 self.note_failed(id, address);
                 self.note_outcome(id, Some(FailureKind::Broken));
                 self.handle_broken(id, ENDPOINT_ENDED.to_owned())?;
@@ -98,7 +101,6 @@
         started: StartedResponse,
         id: &Arc<str>,
     ) -> Option<StartedResponse> {
-        self.possible_runs += 1;
         self.last_data_at_ms = self.relay.now_ms();
         self.response_started_at_ms = Some(self.last_data_at_ms);
         let status = started.response.status();
@@ -140,7 +142,6 @@
     }
 
     fn note_failed(&mut self, endpoint: &Arc<str>, address: SocketAddr) {
-        self.possible_runs += 1;
         self.relay.note_failure(endpoint);
         self.relay.pool.forget(address);
         self.tried.push(endpoint.clone());
--- a/src/relay/resends.rs
+++ b/src/relay/resends.rs
@@ -54,7 +54,8 @@
         let is_ranked = self.chosen.service.engine.is_some() && self.meta.weights.is_some();
         let is_late = now_ms >= self.started_ms + route.latency_objective_ms
             || (is_ranked && self.rank >= LATE_RANK);
-        let in_time = !is_late || (route.streams && self.has_answered);
+        // A doubted answer may still come, so that the last retries go to answers that are lost.
+        let in_time = !self.is_continuation && (!is_late || (route.streams && self.has_answered));
         self.relay.take_retry(now_ms, &self.meta.id, &self.chosen.service.name, in_time)
     }
 }
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -348,6 +348,12 @@
         allowed
     }
 
+    /// True if the budget of `service` has a retry for a request that leaves the last ones to others.
+    pub(super) fn allows_late_retry(&self, now_ms: u64, service: &Arc<str>) -> bool {
+        let Some(gateways) = self.gateways().divisor(now_ms) else { return false };
+        self.budget(service, |budget| budget.allows_late(now_ms, gateways))
+    }
+
     pub(super) fn budget<T>(
         &self,
         service: &Arc<str>,
--- a/src/relay/source.rs
+++ b/src/relay/source.rs
@@ -7,7 +7,7 @@
 
 use super::attempt::InFlightRequest;
 use super::detour::PeerFlight;
-use super::known::IncarnationEnd;
+use super::doubt::Doubt;
 use super::pool::Connection;
 use super::shared::Relay;
 use crate::http::AnswerBody;
@@ -56,7 +56,7 @@
         matches!(self, Self::Endpoint(..))
     }
 
-    /// Returns once the endpoint is found to have ended, or never.
+    /// Returns once another incarnation has taken the endpoint's place, or never.
     pub(super) async fn wait_for_end(&self) {
         match self {
             Self::Endpoint(flight, _) => flight.wait_for_end().await,
@@ -65,21 +65,20 @@
         }
     }
 
-    /// Probes the endpoint repeatedly; returns once its connection is found to be silent, not before
-    /// `after_ms`, or never. Awaited alongside the next part of the response.
-    pub(super) async fn watch_silence(&self, after_ms: u64) {
+    /// Returns once the response is doubted, or never: for silence, not before `after_ms`. Awaited
+    /// alongside the next part of the response.
+    pub(super) async fn doubt(&self, after_ms: u64) -> Doubt {
         match self {
-            Self::Endpoint(flight, _) => flight.watch_silence(after_ms).await,
-            // The other gateway watches the connection.
-            Self::Peer(_) => pending().await,
+            Self::Endpoint(flight, _) => flight.doubt(after_ms).await,
+            Self::Peer(flight) => flight.doubt(after_ms).await,
         }
     }
 
-    /// How the endpoint was found to have ended; `None` while the response is still awaited.
-    pub(super) fn end(&self) -> Option<IncarnationEnd> {
+    /// True if another incarnation has taken the endpoint's place.
+    pub(super) fn is_replaced(&self) -> bool {
         match self {
-            Self::Endpoint(flight, _) => flight.end(),
-            Self::Peer(_) => None,
+            Self::Endpoint(flight, _) => flight.is_replaced(),
+            Self::Peer(_) => false,
         }
     }
 
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -1,5 +1,6 @@
 //! Forwards streams, and resumes a broken event stream at another endpoint.
 
+use std::pin::pin;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -11,9 +12,10 @@
 use tokio::task::yield_now;
 use tracing::{info, warn};
 
-use super::exchange::{CONNECTION_SILENT, ENDPOINT_ENDED, Exchange};
+use super::doubt::{Continuation, OpenAnswer, Raced};
+use super::exchange::{ENDPOINT_ENDED, Exchange};
+use super::known::IncarnationEnd;
 use super::refusal::Failure;
-use super::second_send::USUAL_TIMES;
 use super::source::{Source, StartedResponse};
 use super::speed::EventTimes;
 use crate::clock::Clock;
@@ -21,7 +23,11 @@
 use crate::events::EventSplitter;
 use crate::http::{Answer, AnswerBody, Framing, remove_connection_headers};
 use crate::metrics::Counter;
-use crate::routing::Repeat;
+use crate::routing::{Repeat, Route};
+
+/// A stream is doubted after this multiple of the longest pause that it has made, or that its route
+/// aims at.
+const PAUSE_TIMES: u64 = 2;
 
 /// A stream that is being forwarded.
 struct ForwardedStream {
@@ -35,40 +41,77 @@
 /// The endpoint's side of a stream.
 struct Upstream {
     head: Parts,
-    body: AnswerBody,
     source: Source,
+    reader: UpstreamReader,
+}
+
+/// Reads what an endpoint streams.
+struct UpstreamReader {
+    body: AnswerBody,
     times: EventTimes,
     /// The longest time for which the endpoint has sent nothing so far.
     longest_pause_ms: u64,
+    has_data: bool,
 }
 
 impl Upstream {
     fn new(started: StartedResponse) -> Self {
         let (head, body) = started.response.into_parts();
-        Self {
-            head,
+        let reader = UpstreamReader {
             body,
-            source: started.source,
             times: EventTimes::default(),
             longest_pause_ms: 0,
+            has_data: false,
+        };
+        Self { head, source: started.source, reader }
+    }
+}
+
+impl UpstreamReader {
+    /// How long the endpoint may send nothing until the stream is doubted.
+    fn quiet_max_ms(&self, route: &Route) -> u64 {
+        if !self.has_data {
+            return route.latency_objective_ms;
+        }
+        self.longest_pause_ms.max(route.gap_objective_ms) * PAUSE_TIMES
+    }
+
+    /// The next part of the stream to pass on: whole events, or any data if it is no event stream.
+    async fn next(
+        &mut self,
+        clock: Clock,
+        until_ms: u64,
+        source: &Source,
+        events: &mut Option<EventSplitter>,
+    ) -> Result<Option<Bytes>> {
+        loop {
+            let Some(data) = self.next_data(clock, until_ms, source).await? else {
+                return Ok(None);
+            };
+            let Some(events) = events else { return Ok(Some(data)) };
+            if let Some(whole) = events.push(&data) {
+                return Ok(Some(whole));
+            }
         }
     }
 
-    async fn next(&mut self, clock: Clock, until_ms: u64) -> Result<Option<Bytes>> {
-        let peer = self.source.endpoint().clone();
-        let left_ms = until_ms.saturating_sub(clock.now_ms());
+    async fn next_data(
+        &mut self,
+        clock: Clock,
+        until_ms: u64,
+        source: &Source,
+    ) -> Result<Option<Bytes>> {
+        let peer = source.endpoint();
         let read_at_ms = clock.now_ms();
+        let left_ms = until_ms.saturating_sub(read_at_ms);
         self.times.note_read(read_at_ms);
         loop {
             let frame = tokio::select! {
                 biased;
                 frame = clock.timeout_at(until_ms, self.body.frame()) => frame,
-                () = self.source.wait_for_end() => {
+                () = source.wait_for_end() => {
                     return Err(Error::failed("read stream", peer.clone(), ENDPOINT_ENDED));
                 }
-                () = self.source.watch_silence(self.longest_pause_ms * USUAL_TIMES) => {
-                    return Err(Error::failed("read stream", peer.clone(), CONNECTION_SILENT));
-                }
             };
             let frame =
                 frame.ok_or_else(|| Error::timeout("read stream", peer.clone(), left_ms))?;
@@ -78,6 +121,7 @@
                 let now_ms = clock.now_ms();
                 self.times.note_data(now_ms, &data);
                 self.longest_pause_ms = self.longest_pause_ms.max(now_ms - read_at_ms);
+                self.has_data = true;
                 return Ok(Some(data));
             }
         }
@@ -109,18 +153,13 @@
 ) -> Option<(FrameResult, Option<ForwardedStream>)> {
     let mut running = running?;
     loop {
-        let (clock, ends_at_ms) = (running.exchange.relay.clock, running.exchange.ends_at_ms);
-        match running.endpoint.next(clock, ends_at_ms).await {
+        match running.next().await {
             Ok(Some(data)) => {
-                running.exchange.last_data_at_ms = clock.now_ms();
-                let Some(events) = &mut running.events else {
-                    return Some((Ok(Frame::data(data)), Some(running)));
-                };
-                let Some(whole) = events.push(&data) else { continue };
-                if running.can_resume {
+                running.exchange.last_data_at_ms = running.exchange.relay.now_ms();
+                if running.events.is_some() && running.can_resume {
                     running.exchange.note_stream_begun(running.endpoint.source.software_version());
                 }
-                return Some((Ok(Frame::data(whole)), Some(running)));
+                return Some((Ok(Frame::data(data)), Some(running)));
             }
             Ok(None) => return finish(running),
             Err(error) => {
@@ -137,9 +176,73 @@
     }
 }
 
+/// A continuation that has brought the next part of its stream, or its end.
+struct ContinuedStream {
+    exchange: Exchange,
+    endpoint: Upstream,
+    events: Option<EventSplitter>,
+    data: Option<Bytes>,
+}
+
+impl ForwardedStream {
+    /// The next part of the stream, from its endpoint or from a continuation elsewhere.
+    async fn next(&mut self) -> Result<Option<Bytes>> {
+        let last_event = self.events.as_ref().and_then(EventSplitter::last_event);
+        let continued = match self.race_for_next(last_event).await {
+            Raced::Open(next) => return next,
+            Raced::Continued(continued) => continued,
+        };
+        let ContinuedStream { exchange, endpoint, events, data } = continued;
+        let from = &self.endpoint.source;
+        let (from, from_software) = (from.endpoint(), from.software_version());
+        note_resumed(&exchange, (from, from_software), &endpoint.source, last_event);
+        self.exchange.take_over(from, exchange);
+        self.endpoint = endpoint;
+        self.events = events;
+        Ok(data)
+    }
+
+    /// Reads the next part of the stream and, once it is doubted, of its continuation after
+    /// `last_event`.
+    async fn race_for_next(
+        &mut self,
+        last_event: Option<u64>,
+    ) -> Raced<Result<Option<Bytes>>, ContinuedStream> {
+        let Self { exchange, endpoint, events, can_resume } = self;
+        let Upstream { source, reader, .. } = endpoint;
+        let (clock, until_ms) = (exchange.relay.clock, exchange.ends_at_ms);
+        let is_at_boundary = events.as_ref().is_some_and(EventSplitter::is_at_event_boundary);
+        let answer = OpenAnswer {
+            endpoint: source.endpoint(),
+            last_event,
+            is_continuable: *can_resume && is_at_boundary,
+        };
+        let doubt = pin!(source.doubt(reader.quiet_max_ms(&exchange.chosen.route)));
+        let open = pin!(reader.next(clock, until_ms, source, events));
+        let is_lost = |next: &Result<_>| next.as_ref().is_err_and(|error| !error.is_timeout());
+        exchange.race(answer, open, is_lost, doubt, read_continuation).await
+    }
+}
+
+/// Waits until a continuation has brought the next part of its stream; `None` if it breaks off.
+async fn read_continuation(continuation: Continuation) -> Option<ContinuedStream> {
+    let Continuation { exchange, started, last_event } = continuation;
+    let mut endpoint = Upstream::new(started);
+    let mut events = Some(EventSplitter::new(last_event));
+    let (clock, until_ms) = (exchange.relay.clock, exchange.ends_at_ms);
+    let next = endpoint.reader.next(clock, until_ms, &endpoint.source, &mut events).await;
+    match next {
+        Ok(data) => Some(ContinuedStream { exchange, endpoint, events, data }),
+        Err(error) => {
+            info!(event = "not_continued", request = %exchange.meta.id, reason = %error);
+            None
+        }
+    }
+}
+
 fn finish(running: ForwardedStream) -> Option<(FrameResult, Option<ForwardedStream>)> {
     let ForwardedStream { exchange, endpoint, events, .. } = running;
-    let Upstream { head, source, times, .. } = endpoint;
+    let Upstream { head, source, reader } = endpoint;
     let now_ms = exchange.relay.now_ms();
     let after_ms = now_ms - exchange.started_ms;
     info!(
@@ -154,7 +257,7 @@
         exchange.note_served();
         // The unit of a plain service is a response, not an event.
         let is_engine = exchange.chosen.service.engine.is_some();
-        let work = times.work().filter(|_| is_engine && source.is_direct());
+        let work = reader.times.work().filter(|_| is_engine && source.is_direct());
         if let Some(work) = work {
             exchange.relay.fleet().note_work(now_ms, source.endpoint(), work);
         }
@@ -185,7 +288,8 @@
     if !started.response.status().is_success() {
         return Err(broken.report(&exchange, "the endpoint refused"));
     }
-    broken.note_resumed(&exchange, &started.source, events.last_event());
+    let from = (&broken.endpoint, &broken.software_version);
+    note_resumed(&exchange, from, &started.source, events.last_event());
     let endpoint = Upstream::new(started);
     Ok(ForwardedStream { exchange, endpoint, events: Some(events), can_resume })
 }
@@ -211,7 +315,7 @@
     endpoint: Arc<str>,
     software_version: Arc<str>,
     error: &'a Error,
-    /// True if the endpoint itself ended, by what the gateway knows.
+    /// True if another incarnation has taken the endpoint's place.
     endpoint_ended: bool,
 }
 
@@ -220,16 +324,16 @@
     fn note(exchange: &mut Exchange, source: &Source, error: &'a Error) -> Self {
         let endpoint = source.endpoint().clone();
         let software_version = exchange.relay.fleet().software_version(&endpoint);
-        let end = source.end();
-        if let Some(end) = end {
-            exchange.note_ended(&endpoint, end);
+        let endpoint_ended = source.is_replaced();
+        if endpoint_ended {
+            exchange.note_ended(&endpoint, IncarnationEnd::Replaced);
         } else if !error.is_timeout() && source.is_direct() {
             exchange.note_broken_off(&endpoint);
         }
         if source.is_direct() {
             exchange.relay.note_failure(&endpoint);
         }
-        Self { endpoint, software_version, error, endpoint_ended: end.is_some() }
+        Self { endpoint, software_version, error, endpoint_ended }
     }
 
     /// Logs and counts a stream that its client does not receive whole.
@@ -248,20 +352,25 @@
         exchange.relay.metrics.count(Counter::StreamsBroken);
         Error::failed("pass stream on", self.endpoint.clone(), self.error)
     }
+}
 
-    /// Logs and counts a stream that is resumed at `source`.
-    fn note_resumed(&self, exchange: &Exchange, source: &Source, last_event: Option<u64>) {
-        exchange.relay.metrics.count(Counter::StreamsResumed);
-        let software = exchange.relay.fleet().software_version(source.endpoint());
-        info!(
-            event = "stream_resumed",
-            request = %exchange.meta.id,
-            from = %self.endpoint,
-            from_software = %self.software_version,
-            endpoint = %source.endpoint(),
-            software = %software,
-            peer = source.peer(),
-            last_event = last_event.unwrap_or(0)
-        );
-    }
+/// Logs and counts a stream that is resumed at `source` after `last_event`, which came `from` another
+/// endpoint and its software version.
+fn note_resumed(
+    exchange: &Exchange,
+    (endpoint, software_version): (&Arc<str>, &Arc<str>),
+    source: &Source,
+    last_event: Option<u64>,
+) {
+    exchange.relay.metrics.count(Counter::StreamsResumed);
+    info!(
+        event = "stream_resumed",
+        request = %exchange.meta.id,
+        from = %endpoint,
+        from_software = %software_version,
+        endpoint = %source.endpoint(),
+        software = %source.software_version(),
+        peer = source.peer(),
+        last_event = last_event.unwrap_or(0)
+    );
 }
