relay: the end of a request whose client left is logged

Change: relay/end_guard.rs logs `request_dropped` with whether a response had started and whether the gateway stops, and counts it under requests.callers_gone, unless the end was logged as refused, failed, stream_ended, stream_broken or a whole answer. A whole answer that is buffered counts as ended once it is handed over to the client's connection.

--- a/src/relay/buffered.rs
+++ b/src/relay/buffered.rs
@@ -64,6 +64,7 @@
                     if is_direct && !head.status.is_server_error() {
                         self.note_outcome(&endpoint, None);
                     }
+                    self.end_guard.note_logged();
                     let mut answer = Response::from_parts(head, full(body));
                     remove_connection_headers(answer.headers_mut());
                     answer.headers_mut().remove(CONTENT_LENGTH);
--- a/src/relay/detour/serve.rs
+++ b/src/relay/detour/serve.rs
@@ -190,7 +190,7 @@
     let id = exchange.meta.id.clone();
     info!(event = "detour_served", request = %id, gateway = %gateway);
     let last_event = exchange.meta.last_event;
-    let (started, exchange) = {
+    let (started, mut exchange) = {
         let starting = async {
             let started = exchange.start(last_event).await;
             (started, exchange)
@@ -204,6 +204,7 @@
     let started = match started {
         Ok(started) => started,
         Err(failure) => {
+            exchange.end_guard.note_logged();
             let event = to_event(&exchange, failure);
             info!(event = "detour_failed", request = %id, gateway = %gateway, reason = ?event);
             return sender.send(&event).await.map(drop);
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -11,6 +11,7 @@
 use super::admission::Admitted;
 use super::border::{AnswerMeta, RequestMeta, SendMeta};
 use super::doubt::{Continuation, Raced};
+use super::end_guard::EndGuard;
 use super::prompt::{PromptChain, shared_features};
 use super::quota::UsedCredit;
 use super::refusal::{Failure, NotSent};
@@ -67,6 +68,8 @@
     pub(super) has_answered: bool,
     /// The version that the endpoint's weights are known to have.
     pub(super) held_version: Option<u64>,
+    /// Logs the end of the request if nothing else does.
+    pub(super) end_guard: EndGuard,
     content_key: OnceLock<FeatureKey>,
     /// The features that the prompt shares with others.
     prompt_features: Vec<FeatureKey>,
@@ -115,6 +118,8 @@
             None => PromptChain::default(),
         };
         let prompt_features = shared_features(&meta.prompt_parts);
+        let (id, route) = (meta.id.clone(), chosen.route.name.clone());
+        let end_guard = EndGuard::new(relay.clone(), id, route, started_ms);
         Self {
             relay: relay.clone(),
             meta,
@@ -138,6 +143,7 @@
             waited_for: "",
             has_answered: false,
             held_version: None,
+            end_guard,
             content_key: OnceLock::new(),
             prompt_features,
             permission: Permission::Unrestricted,
@@ -177,6 +183,7 @@
             tried,
             response_started_at_ms: None,
             waited_for: "",
+            end_guard: self.end_guard.beside(),
             content_key: self.content_key.clone(),
             prompt_features: self.prompt_features.clone(),
             trials: Vec::new(),
@@ -194,6 +201,7 @@
     pub(super) fn replace_with(&mut self, mut continuation: Self) {
         continuation.used_credit = self.used_credit.take();
         continuation.trials.append(&mut self.trials);
+        std::mem::swap(&mut continuation.end_guard, &mut self.end_guard);
         continuation.is_continuation = false;
         *self = continuation;
     }
--- a/src/relay/give_up.rs
+++ b/src/relay/give_up.rs
@@ -10,7 +10,8 @@
 
 impl Exchange {
     /// Answers the client of a request that got no response, and logs why.
-    pub(super) fn give_up(&self, failure: Failure) -> Answer {
+    pub(super) fn give_up(&mut self, failure: Failure) -> Answer {
+        self.end_guard.note_logged();
         let after_ms = self.relay.now_ms() - self.started_ms;
         let request = &self.meta.id;
         let may_have_run = self.possible_runs.get() > 0;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -19,6 +19,7 @@
 mod crashes;
 mod detour;
 mod doubt;
+mod end_guard;
 mod exchange;
 mod failures;
 mod fleet;
--- a/src/relay/respond.rs
+++ b/src/relay/respond.rs
@@ -19,6 +19,7 @@
         let status = started.response.status();
         self.note_answered(&started);
         self.has_answered = true;
+        self.end_guard.note_answered();
         debug_assert!(!head.not_run, "a refused send is not started");
         if self.chosen.route.streams && status.is_success() {
             return stream::answer(self, started);
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -241,7 +241,8 @@
 }
 
 fn finish(running: ForwardedStream) -> Option<(FrameResult, Option<ForwardedStream>)> {
-    let ForwardedStream { exchange, endpoint, events, .. } = running;
+    let ForwardedStream { mut exchange, endpoint, events, .. } = running;
+    exchange.end_guard.note_logged();
     let Upstream { head, source, reader } = endpoint;
     let now_ms = exchange.relay.now_ms();
     let after_ms = now_ms - exchange.started_ms;
@@ -272,8 +273,8 @@
     let ForwardedStream { mut exchange, endpoint, events, can_resume } = running;
     let broken = Break::note(&mut exchange, &endpoint.source, error);
     drop(endpoint);
-    let mut events =
-        resumable(&exchange, events, can_resume).map_err(|why| broken.report(&exchange, why))?;
+    let mut events = resumable(&exchange, events, can_resume)
+        .map_err(|why| broken.report(&mut exchange, why))?;
     if broken.endpoint_ended {
         exchange.wait_for_evaluation(&broken.endpoint).await;
     }
@@ -281,12 +282,12 @@
     let started = match exchange.start(events.last_event()).await {
         Ok(started) => started,
         Err(Failure::NotSent(reason)) => {
-            return Err(broken.report(&exchange, &format!("{reason:?}")));
+            return Err(broken.report(&mut exchange, &format!("{reason:?}")));
         }
-        Err(Failure::Unknown(detail)) => return Err(broken.report(&exchange, &detail)),
+        Err(Failure::Unknown(detail)) => return Err(broken.report(&mut exchange, &detail)),
     };
     if !started.response.status().is_success() {
-        return Err(broken.report(&exchange, "the endpoint refused"));
+        return Err(broken.report(&mut exchange, "the endpoint refused"));
     }
     let from = (&broken.endpoint, &broken.software_version);
     note_resumed(&exchange, from, &started.source, events.last_event());
@@ -337,7 +338,8 @@
     }
 
     /// Logs and counts a stream that its client does not receive whole.
-    fn report(&self, exchange: &Exchange, not_resumed: &str) -> Error {
+    fn report(&self, exchange: &mut Exchange, not_resumed: &str) -> Error {
+        exchange.end_guard.note_logged();
         let serving = exchange.relay.fleet().software_versions(&exchange.chosen.service.name);
         warn!(
             event = "stream_broken",
