--- a/soak/src/engine/mod.rs
+++ b/soak/src/engine/mod.rs
@@ -21,6 +21,7 @@
 use tokio::sync::{Semaphore, watch};
 
 use life::{Ends, Life};
+pub use running::LateEvents;
 use running::Running;
 pub use weights::{ADAPTERS_MAX, BASE, NotBegun, Order, Outcome, Weights};
 
@@ -63,6 +64,8 @@
     delays_orders: AtomicBool,
     ends_silently: AtomicBool,
     event_pause_ms: AtomicU64,
+    /// Makes some events of its streams late.
+    late_events: Mutex<LateEvents>,
     /// The share of streams that end inside an event.
     cut_percent: AtomicU64,
     has_newer_software: AtomicBool,
@@ -121,6 +124,7 @@
             delays_orders: AtomicBool::new(false),
             ends_silently: AtomicBool::new(false),
             event_pause_ms: AtomicU64::new(EVENT_PAUSE.as_millis() as u64),
+            late_events: Mutex::default(),
             cut_percent: AtomicU64::new(0),
             has_newer_software: AtomicBool::new(false),
             marks_no_ends: AtomicBool::new(false),
@@ -206,6 +210,11 @@
         self.event_pause_ms.store(pause.as_millis() as u64, Ordering::SeqCst);
     }
 
+    /// Makes some events of its streams late from now on, while it answers everything else in time.
+    pub fn set_late_events(&self, late_events: LateEvents) {
+        *lock(&self.late_events) = late_events;
+    }
+
     /// Cuts this share of its streams inside an event from now on.
     pub fn cut_streams(&self, percent: u64) {
         self.cut_percent.store(percent, Ordering::SeqCst);
@@ -402,8 +411,15 @@
         };
         drop(waits);
         let event_pause = Duration::from_millis(self.event_pause_ms.load(Ordering::SeqCst));
-        let running =
-            Running { life: life.clone(), adapter, event_pause, _slot: slot, _present: present };
+        let late_events = *lock(&self.late_events);
+        let running = Running {
+            life: life.clone(),
+            adapter,
+            event_pause,
+            late_events,
+            _slot: slot,
+            _present: present,
+        };
         look_for_headers(&self.record, id, headers);
         self.record.run(id);
         self.record.begun(id, &running.adapter, version, &self.id);
--- a/soak/src/engine/running.rs
+++ b/soak/src/engine/running.rs
@@ -15,11 +15,29 @@
 use crate::endpoint::{Answer, EVENTS, head};
 use crate::room::Present;
 
+/// Which events of streams come late.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct LateEvents {
+    /// The share of events.
+    pub percent: u32,
+    /// How late they come.
+    pub by: Duration,
+}
+
+impl LateEvents {
+    async fn wait(self) {
+        if rand::random_range(0..100) < self.percent {
+            tokio::time::sleep(self.by).await;
+        }
+    }
+}
+
 /// A request that runs; its place is free once it is dropped.
 pub(super) struct Running {
     pub(super) life: Arc<Life>,
     pub(super) adapter: String,
     pub(super) event_pause: Duration,
+    pub(super) late_events: LateEvents,
     pub(super) _slot: OwnedSemaphorePermit,
     pub(super) _present: Present,
 }
@@ -42,6 +60,7 @@
                     return None;
                 }
                 tokio::time::sleep(running.event_pause).await;
+                running.late_events.wait().await;
                 running.life.wait_until_running().await;
                 let software = running.life.software;
                 let mut event = format!(": {software}\nid: {number}\ndata: {id}\n\n");
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -8,6 +8,7 @@
 use rand::{Rng, RngExt};
 
 use crate::cut::Cut;
+use crate::engine::LateEvents;
 use crate::overload::{self, Overload};
 use crate::proxy::{Mode, Silence};
 use crate::record::Record;
@@ -16,6 +17,9 @@
 /// Replicas that may be lost at once with all promises kept.
 const LOST_MAX: usize = 2;
 
+/// The longest pause of a stream, within what its client allows.
+const PAUSE_MAX_MS: u64 = 2_500;
+
 /// How often connections fall silent in a row.
 const SILENCES_MAX: u32 = 4;
 
@@ -34,6 +38,7 @@
     ResumeEngine(usize),
     OrdersInTime(usize),
     WholeStreams(usize),
+    EventsInTime(usize),
     StartControl,
     GoOn(usize),
     EndpointSignal(usize),
@@ -67,6 +72,8 @@
     /// The faults of `All`, and more often open connections that fall silent for good, several times
     /// in a row, while other faults last.
     Silence,
+    /// The faults of `All`, and more often engines whose streams pause for as long as clients allow.
+    Pauses,
 }
 
 impl Mix {
@@ -152,6 +159,19 @@
             record.calm_down();
             continue;
         }
+        if mix == Mix::Pauses && rng.random_range(0..3) > 0 {
+            let engine = rng.random_range(0..region.engines.len());
+            let percent = rng.random_range(2..20);
+            let by = Duration::from_millis(rng.random_range(700..PAUSE_MAX_MS));
+            record.fault(format!(
+                "{} makes {percent} % of events {by:?} late",
+                region.engines[engine].id()
+            ));
+            region.engines[engine].set_late_events(LateEvents { percent, by });
+            let at = Instant::now() + Duration::from_millis(rng.random_range(1_000..6_000));
+            repairs.push(Repair { at, what: End::EventsInTime(engine) });
+            continue;
+        }
         let is_engine = mix == Mix::Endpoints || rng.random_range(0..4) == 0;
         if is_engine {
             let lasts = Duration::from_millis(rng.random_range(200..8_000));
@@ -196,6 +216,9 @@
             End::ResumeEngine(engine) => region.engines[engine].pause(false),
             End::OrdersInTime(engine) => region.engines[engine].delay_orders(false),
             End::WholeStreams(engine) => region.engines[engine].cut_streams(0),
+            End::EventsInTime(engine) => {
+                region.engines[engine].set_late_events(LateEvents::default());
+            }
             End::GoOn(endpoint) => region.endpoints[endpoint].set_stalls(false),
             End::Cut(gateway) => region.cut(gateway, None),
             End::Return(endpoint) => region.endpoints[endpoint].return_if_left(),
@@ -237,7 +260,8 @@
             | End::StartEngine(_)
             | End::ResumeEngine(_)
             | End::OrdersInTime(_)
-            | End::WholeStreams(_) => false,
+            | End::WholeStreams(_)
+            | End::EventsInTime(_) => false,
         };
         lost += usize::from(is_control);
     }
