relay: an answer through another gateway is doubted, not given up, when that gateway falls silent

Cause: a gateway that gave no sign of life for 1 s counted as lost, and the answer that came through it was given up, though a gateway that stands still for a second goes on; without a retry budget the answer was lost.

--- a/src/relay/detour/mod.rs
+++ b/src/relay/detour/mod.rs
@@ -5,9 +5,11 @@
 //! never sent through a third one.
 
 mod serve;
+mod signs;
 mod upstream;
 mod views;
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::MutexGuard;
 use std::time::Duration;
@@ -19,6 +21,7 @@
 use tracing::info;
 
 pub(super) use serve::PeerHandler;
+pub(super) use signs::PeerSigns;
 pub(super) use upstream::PeerFlight;
 
 use super::exchange::Exchange;
@@ -31,6 +34,7 @@
 use crate::policy::peers::PeerGateways;
 use crate::routing::Repeat;
 use crate::wire::{Channel, Receiver, Sender};
+use signs::SILENT_MAX_MS;
 use upstream::{PeerHead, PeerStream};
 
 /// A connection to another gateway is made within one round trip, if at all.
@@ -93,18 +97,19 @@
 }
 
 impl Exchange {
-    /// Sends the request through another gateway, until an endpoint starts a response; `None` if it
-    /// may be sent again after an unknown outcome.
+    /// Sends the request through another gateway, of which `signs` of life are recorded, until an
+    /// endpoint starts a response; `None` if it may be sent again after an unknown outcome.
     pub(super) async fn detour(
-        &mut self,
+        &self,
         last_event: Option<u64>,
+        signs: &PeerSigns,
     ) -> std::result::Result<Option<StartedResponse>, Failure> {
         if self.is_detour {
             return Err(Failure::NotSent(NotSent::OutOfReach));
         }
         let mut tried = Vec::new();
         while let Some(peer) = self.relay.choose_peer(&mut tried) {
-            match self.send_through(&peer, last_event).await? {
+            match self.send_through(&peer, last_event, signs).await? {
                 Sent::Started(started) => return Ok(Some(*started)),
                 Sent::Unknown => return Ok(None),
                 Sent::Refused => {}
@@ -115,16 +120,17 @@
     }
 
     async fn send_through(
-        &mut self,
+        &self,
         peer: &PeerGateway,
         last_event: Option<u64>,
+        signs: &PeerSigns,
     ) -> std::result::Result<Sent, Failure> {
         let relay = self.relay.clone();
         let now_ms = relay.now_ms();
         if now_ms >= self.ends_at_ms {
             return Err(Failure::NotSent(NotSent::Late));
         }
-        self.sent_at_ms = now_ms;
+        signs.note();
         let request = PeerRequest::Detour(Box::new(self.to_detour(now_ms, last_event)));
         self.possible_runs.add(1);
         let streams = match relay.open_peer(peer, &request).await {
@@ -140,13 +146,13 @@
         };
         relay.metrics.count(Counter::DetoursSent);
         info!(event = "detour", request = %self.meta.id, peer = %peer.name, zone = %peer.zone);
-        let gives_up_when_silent = self.chosen.route.repeat != Repeat::Once;
+        let is_repeatable = self.chosen.route.repeat != Repeat::Once;
         let mut stream =
-            PeerStream::new(relay.clone(), peer.clone(), streams, gives_up_when_silent);
-        match relay.clock.timeout_at(self.ends_at_ms, stream.next()).await {
+            PeerStream::new(relay.clone(), peer.clone(), streams, signs.clone(), is_repeatable);
+        let first = self.first_event(peer, &mut stream, signs);
+        match relay.clock.timeout_at(self.ends_at_ms, first).await {
             Some(Ok(PeerEvent::Refused(refusal))) => self.note_detour_refused(peer, refusal),
             Some(Ok(PeerEvent::Head { endpoint, software_version, runs, status, headers })) => {
-                self.tried.push(endpoint.clone());
                 let head = PeerHead { endpoint, software_version, status, headers };
                 match stream.into_response(self, head) {
                     Ok(started) => {
@@ -166,6 +172,25 @@
         }
     }
 
+    /// The first event of an answer through `peer`, which is left out for other requests if it gives no
+    /// sign of life meanwhile.
+    async fn first_event(
+        &self,
+        peer: &PeerGateway,
+        stream: &mut PeerStream,
+        signs: &PeerSigns,
+    ) -> Result<PeerEvent> {
+        let mut next = pin!(stream.next());
+        tokio::select! {
+            biased;
+            event = &mut next => return event,
+            () = signs.silence() => {}
+        }
+        let silent = Error::timeout("read answer", peer.name.clone(), SILENT_MAX_MS);
+        self.relay.note_peer_lost(peer, &silent).await;
+        next.await
+    }
+
     fn note_detour_refused(
         &self,
         peer: &PeerGateway,
@@ -182,7 +207,7 @@
     }
 
     /// Records that up to `runs` endpoints, at least one, may have run the request.
-    fn note_unknown(&mut self, runs: u32, detail: String) -> std::result::Result<Sent, Failure> {
+    fn note_unknown(&self, runs: u32, detail: String) -> std::result::Result<Sent, Failure> {
         self.count_further_runs(runs);
         self.handle_unknown_outcome(detail)?;
         Ok(Sent::Unknown)
--- a/src/relay/detour/upstream.rs
+++ b/src/relay/detour/upstream.rs
@@ -1,5 +1,6 @@
 //! The answer to a request that was sent through another gateway.
 
+use std::future::pending;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -8,6 +9,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 
+use super::signs::{PeerSigns, SILENT_MAX_MS};
 use super::{PeerStreams, read_headers};
 use crate::error::{Error, Result};
 use crate::http::{Framing, WholeBody};
@@ -18,10 +20,6 @@
 use crate::relay::source::{Source, StartedResponse};
 use crate::wire::{Receiver, Sender};
 
-/// How long the other gateway may send nothing before it counts as lost; it sends a sign of life
-/// four times in that time.
-const SILENT_MAX_MS: u64 = 1_000;
-
 /// Counts a request as in progress at another gateway until its answer has ended.
 pub(in crate::relay) struct PeerFlight {
     relay: Arc<Relay>,
@@ -31,6 +29,9 @@
     pub(in crate::relay) endpoint: Arc<str>,
     /// The endpoint's software version.
     pub(in crate::relay) software_version: Arc<str>,
+    signs: PeerSigns,
+    /// True if the request may be sent once more beside the open answer.
+    is_repeatable: bool,
 }
 
 /// The head of a response that comes through another gateway.
@@ -42,11 +43,19 @@
 }
 
 impl PeerFlight {
-    /// Returns once the response has brought nothing for `after_ms`, and for longer than the other
-    /// gateway takes to find out by itself that the endpoint's connection has ended.
+    /// Returns once the response is doubted, or never: the other gateway gives no sign of life, or the
+    /// response has brought nothing for `after_ms` and for long enough that the other gateway would
+    /// have found out by itself that its connection has ended.
     pub(in crate::relay) async fn doubt(&self, after_ms: u64) -> Doubt {
+        if !self.is_repeatable {
+            pending::<()>().await;
+        }
         let clock = self.relay.clock;
-        clock.sleep_until(clock.now_ms() + after_ms.max(SILENT_MAX_MS)).await;
+        let quiet_at_ms = clock.now_ms() + after_ms.max(SILENT_MAX_MS);
+        tokio::select! {
+            () = clock.sleep_until(quiet_at_ms) => {}
+            () = self.signs.silence() => self.relay.peers().note_lost(clock.now_ms(), &self.peer),
+        }
         Doubt::Silent
     }
 }
@@ -59,23 +68,21 @@
 
 /// The stream of a request to another gateway.
 pub(super) struct PeerStream {
-    relay: Arc<Relay>,
     peer: PeerGateway,
     receiver: Receiver<PeerEvent>,
     /// Held because dropping it cancels the request.
     sender: Sender<PeerRequest>,
-    gives_up_when_silent: bool,
     flight: PeerFlight,
 }
 
 impl PeerStream {
-    /// A request that was sent to `peer`. If it `gives_up_when_silent`, a gateway that sends no sign
-    /// of life counts as lost.
+    /// A request that was sent to `peer`, of which `signs` of life are recorded.
     pub(super) fn new(
         relay: Arc<Relay>,
         peer: PeerGateway,
         (sender, receiver): PeerStreams,
-        gives_up_when_silent: bool,
+        signs: PeerSigns,
+        is_repeatable: bool,
     ) -> Self {
         relay.peers().start(&peer.name);
         let flight = PeerFlight {
@@ -83,8 +90,10 @@
             peer: peer.name.clone(),
             endpoint: "".into(),
             software_version: "".into(),
+            signs,
+            is_repeatable,
         };
-        Self { relay, peer, receiver, sender, gives_up_when_silent, flight }
+        Self { peer, receiver, sender, flight }
     }
 
     /// The next event other than a sign of life.
@@ -92,8 +101,7 @@
     /// # Errors
     /// The gateway was lost.
     pub(super) async fn next(&mut self) -> Result<PeerEvent> {
-        next_event(&self.relay, &self.peer.name, &mut self.receiver, self.gives_up_when_silent)
-            .await
+        next_event(&self.peer.name, &mut self.receiver, &self.flight.signs).await
     }
 
     /// The response whose head arrived.
@@ -106,7 +114,7 @@
         received: PeerHead,
     ) -> Result<StartedResponse> {
         let PeerHead { endpoint, software_version, status, headers } = received;
-        let Self { relay, peer, receiver, sender, gives_up_when_silent, mut flight } = self;
+        let Self { peer, receiver, sender, mut flight } = self;
         let status = StatusCode::from_u16(status)
             .map_err(|error| Error::invalid(format!("status {status}: {error}")))?;
         let (mut head, ()) = Response::new(()).into_parts();
@@ -114,8 +122,8 @@
         head.headers = read_headers(&headers)?;
         let is_events = exchange.is_event_stream(&head);
         let name = peer.name.clone();
-        let body =
-            PeerBody { relay, peer: peer.name, receiver, gives_up_when_silent, _sender: sender };
+        let signs = flight.signs.clone();
+        let body = PeerBody { peer: peer.name, receiver, signs, _sender: sender };
         let body = StreamBody::new(Box::pin(stream::unfold(Some(body), next_frame)));
         // Like the last chunk, the last event marks the end of the body.
         let body = WholeBody::new(name, Framing::Chunked, body, is_events).boxed();
@@ -127,10 +135,9 @@
 }
 
 struct PeerBody {
-    relay: Arc<Relay>,
     peer: Arc<str>,
     receiver: Receiver<PeerEvent>,
-    gives_up_when_silent: bool,
+    signs: PeerSigns,
     _sender: Sender<PeerRequest>,
 }
 
@@ -138,9 +145,9 @@
 
 async fn next_frame(body: Option<PeerBody>) -> Option<(FrameResult, Option<PeerBody>)> {
     let mut body = body?;
-    let PeerBody { relay, peer, receiver, gives_up_when_silent, .. } = &mut body;
+    let PeerBody { peer, receiver, signs, .. } = &mut body;
     let failed = |detail: String| Err(Error::failed("read answer", peer.clone(), detail));
-    let frame = match next_event(relay, peer, receiver, *gives_up_when_silent).await {
+    let frame = match next_event(peer, receiver, signs).await {
         Ok(PeerEvent::Data(data)) => return Some((Ok(Frame::data(data.into())), Some(body))),
         Ok(PeerEvent::End) => return None,
         Ok(PeerEvent::Failed { detail, .. }) => failed(detail),
@@ -151,18 +158,14 @@
 }
 
 async fn next_event(
-    relay: &Relay,
     peer: &Arc<str>,
     receiver: &mut Receiver<PeerEvent>,
-    gives_up_when_silent: bool,
+    signs: &PeerSigns,
 ) -> Result<PeerEvent> {
     loop {
-        let silent_at_ms =
-            if gives_up_when_silent { relay.now_ms() + SILENT_MAX_MS } else { u64::MAX };
-        let event = relay.clock.timeout_at(silent_at_ms, receiver.next()).await;
-        let event =
-            event.ok_or_else(|| Error::timeout("read answer", peer.clone(), SILENT_MAX_MS))?;
-        match event? {
+        let event = receiver.next().await?;
+        signs.note();
+        match event {
             Some(PeerEvent::Alive) => {}
             Some(event) => return Ok(event),
             None => return Err(Error::failed("read answer", peer.clone(), "the stream ended")),
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -1,5 +1,6 @@
 //! Handles one client request from admission to the end of its response.
 
+use std::pin::pin;
 use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
@@ -10,7 +11,8 @@
 use super::access::Access;
 use super::admission::Admitted;
 use super::border::{AnswerMeta, RequestMeta, SendMeta};
-use super::doubt::{Continuation, Raced};
+use super::detour::PeerSigns;
+use super::doubt::{Continuation, Doubt, OpenAnswer, Raced};
 use super::end_guard::EndGuard;
 use super::prompt::{PromptChain, shared_features};
 use super::quota::UsedCredit;
@@ -166,7 +168,7 @@
     /// The same request, to be sent once more beside its open answer from `endpoint`.
     pub(super) fn beside(&self, endpoint: &Arc<str>) -> Self {
         let mut tried = self.tried.clone();
-        if !tried.contains(endpoint) {
+        if !endpoint.is_empty() && !tried.contains(endpoint) {
             tried.push(endpoint.clone());
         }
         Self {
@@ -356,14 +358,44 @@
         if !self.is_first_send() && !self.take_retry(self.relay.now_ms()) {
             return Err(Failure::NotSent(NotSent::NoBudget));
         }
-        let started = self.detour(last_event).await?;
-        if started.is_some() {
+        self.sent_at_ms = self.relay.now_ms();
+        let started = match self.race_detour(last_event).await {
+            Raced::Open(started) => started?,
+            Raced::Continued(Continuation { exchange, started, .. }) => {
+                self.take_over(&Arc::from(""), exchange);
+                return Ok(Some(started));
+            }
+        };
+        if let Some(started) = &started {
+            self.tried.push(started.source.endpoint().clone());
             self.last_data_at_ms = self.relay.now_ms();
             self.response_started_at_ms = Some(self.last_data_at_ms);
         }
         Ok(started)
     }
 
+    /// Sends the request through another gateway, and once more if that one gives no sign of life
+    /// before the response has started.
+    async fn race_detour(
+        &self,
+        last_event: Option<u64>,
+    ) -> Raced<Result<Option<StartedResponse>, Failure>, Continuation> {
+        let signs = PeerSigns::new(self.relay.clock);
+        let answer = OpenAnswer {
+            // The other gateway selects it.
+            endpoint: &Arc::from(""),
+            last_event,
+            is_continuable: !self.is_continuation,
+        };
+        let open = pin!(self.detour(last_event, &signs));
+        let doubt = pin!(async {
+            signs.silence().await;
+            Doubt::Silent
+        });
+        let is_lost = |started: &Result<Option<_>, _>| !matches!(started, Ok(Some(_)));
+        self.race(answer, open, is_lost, doubt, |it| async { Some(it) }).await
+    }
+
     /// The number of endpoints that the request may be sent to.
     pub(super) fn attempts(&self) -> u32 {
         if self.permission == Permission::Once { 1 } else { self.attempts }
