relay: a stream is doubted within four times the pause that its route aims at

Cause: after one long pause a stream was doubted only after twice that pause, which may be later than its client abandons it (eight times the pause aimed at, or 2 s). Change: an upper bound by the route's own aim; without an aim there is none.

--- a/soak/src/region.rs
+++ b/soak/src/region.rs
@@ -15,7 +15,7 @@
 
 use crate::cut::{Cut, Cuts};
 use crate::endpoint::{self, Endpoint};
-use crate::engine::{self, Engine};
+use crate::engine::{self, Engine, LateEvents};
 use crate::keyed;
 use crate::operator;
 use crate::overload;
@@ -339,6 +339,7 @@
         for engine in &self.engines {
             engine.pause(false);
             engine.delay_orders(false);
+            engine.set_late_events(LateEvents::default());
             engine.cut_streams(0);
             if !engine.is_running()
                 && let Err(error) = engine.start().await
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -26,8 +26,11 @@
 use crate::routing::{Repeat, Route};
 
 /// A stream is doubted after this multiple of the longest pause that it has made, or that its route
-/// aims at.
+/// aims at if that is more.
 const PAUSE_TIMES: u64 = 2;
+/// The same multiple of the pause that its route aims at, as an upper bound: clients abandon a stream
+/// after some pause, and its continuation needs time to start.
+const PAUSE_AIM_TIMES_MAX: u64 = 4;
 
 /// A stream that is being forwarded.
 struct ForwardedStream {
@@ -73,7 +76,9 @@
         if !self.has_data {
             return route.latency_objective_ms;
         }
-        self.longest_pause_ms.max(route.gap_objective_ms) * PAUSE_TIMES
+        let aim_ms = route.gap_objective_ms;
+        let quiet_max_ms = self.longest_pause_ms.max(aim_ms) * PAUSE_TIMES;
+        if aim_ms == 0 { quiet_max_ms } else { quiet_max_ms.min(aim_ms * PAUSE_AIM_TIMES_MAX) }
     }
 
     /// The next part of the stream to pass on: whole events, or any data if it is no event stream.
