relay: requests that end with their gateway's process leave a line

Cause: requests that are left at the end of the grace period are dropped with the runtime, after `process::start` had already ended logging, so `request_dropped` of each one was lost. Change: logging ends when `main` returns its exit status, which is after the runtime has dropped all tasks. Not shown: an output whose reader is slow; tracing-appender waits about 1 s for its writer at the end.

--- a/src/bin/winchvane-control.rs
+++ b/src/bin/winchvane-control.rs
@@ -1,10 +1,8 @@
 //! The control process: one replica of the replicated log and the state kept in it.
 
-use std::process::ExitCode;
-
 use clap::Parser;
 use winchvane::control;
-use winchvane::process::{ProcessArguments, start};
+use winchvane::process::{Exit, ProcessArguments, start};
 use winchvane::settings::ControlSettings;
 
 /// Runs a control replica, which keeps configuration, run ledger, endpoint ownership and membership
@@ -17,7 +15,7 @@
 }
 
 #[tokio::main]
-async fn main() -> ExitCode {
+async fn main() -> Exit {
     let arguments = Arguments::parse().process;
     start(
         arguments,
--- a/src/bin/winchvane-gateway.rs
+++ b/src/bin/winchvane-gateway.rs
@@ -1,10 +1,8 @@
 //! The gateway process: accepts callers' requests and owns some of the endpoints.
 
-use std::process::ExitCode;
-
 use clap::Parser;
 use winchvane::gateway;
-use winchvane::process::{ProcessArguments, start};
+use winchvane::process::{Exit, ProcessArguments, start};
 use winchvane::settings::GatewaySettings;
 
 /// Runs a gateway, which accepts and routes callers' requests and owns some of the endpoints.
@@ -16,7 +14,7 @@
 }
 
 #[tokio::main]
-async fn main() -> ExitCode {
+async fn main() -> Exit {
     let arguments = Arguments::parse().process;
     start(
         arguments,
--- a/src/process.rs
+++ b/src/process.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::ExitCode;
+use std::process::{ExitCode, Termination};
 use std::sync::Arc;
 
 use clap::Args;
@@ -31,6 +31,19 @@
     check_settings: bool,
 }
 
+/// The exit status of a process, which ends logging when `main` returns it.
+///
+/// By then the runtime has dropped all tasks, and the requests dropped with them have been logged.
+#[must_use]
+pub struct Exit(ExitCode);
+
+impl Termination for Exit {
+    fn report(self) -> ExitCode {
+        logging::finish();
+        self.0
+    }
+}
+
 /// Reads the settings with `parse`, starts logging at the level that `log_level` returns for them,
 /// and runs the process until it ends.
 pub async fn start<T: 'static, R: Future<Output = Result<()>>>(
@@ -38,7 +51,7 @@
     parse: fn(&Arc<str>, &str) -> std::result::Result<T, Vec<Fault>>,
     log_level: fn(&T) -> &str,
     run: impl FnOnce(T) -> R,
-) -> ExitCode {
+) -> Exit {
     // The handler is installed first: until then, a SIGHUP kills the process.
     let hang_up = signal(SignalKind::hangup());
     let settings = match load(&arguments.settings, parse) {
@@ -47,16 +60,16 @@
             for fault in faults {
                 eprintln!("{fault}");
             }
-            return ExitCode::from(EXIT_SETTINGS);
+            return Exit(ExitCode::from(EXIT_SETTINGS));
         }
     };
     if arguments.check_settings {
         println!("settings are valid");
-        return ExitCode::SUCCESS;
+        return Exit(ExitCode::SUCCESS);
     }
     if let Err(fault) = logging::start(log_level(&settings)) {
         eprintln!("{}: log_level: {fault}", arguments.settings.display());
-        return ExitCode::from(EXIT_SETTINGS);
+        return Exit(ExitCode::from(EXIT_SETTINGS));
     }
     tokio::spawn(reload(hang_up, arguments.settings.clone(), parse, log_level));
     let code = match run(settings).await {
@@ -66,8 +79,7 @@
             ExitCode::from(if failure.is_damaged() { EXIT_STORAGE } else { 1 })
         }
     };
-    logging::finish();
-    code
+    Exit(code)
 }
 
 /// Reads the settings again on each SIGHUP and applies the log level. All other settings take
