wire: a replica that has not started yet says why it refuses a stream

A replica whose process listens but has no identity or waits for its founders dropped the stream unanswered, for which h2 sends CANCEL. In src/control and src/wire no other path drops a session's stream before its response: `serve_session` accepts first, and other wire versions get 501. Change: such streams are answered with 503 and a header that gives the reason; the error of the side that opened the stream has both. A gateway's own peer port still drops streams of channels that it does not serve.

--- a/src/control/serving.rs
+++ b/src/control/serving.rs
@@ -22,6 +22,8 @@
 
 const SESSION_QUEUE_SIZE: usize = 512;
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Why a replica that has only just started refuses a stream.
+const NOT_STARTED: &str = "the replica has not started yet";
 
 /// Startup stage of the process.
 pub enum Stage {
@@ -150,9 +152,12 @@
                 (Channel::Raft, Ok(running)) => serve_peer(incoming, running.replica).await,
                 (Channel::Control, running) => serve_call(incoming, running).await,
                 (Channel::Session, Ok(running)) => serve_session(incoming, running, session).await,
-                (Channel::Raft | Channel::Session, Err(_))
-                | (Channel::Forward | Channel::Peer | Channel::Slots, _) => {
-                    Err(Error::refused("serve", "control", "this stream is not served here now"))
+                (Channel::Raft | Channel::Session, Err(_)) => {
+                    incoming.refuse(NOT_STARTED);
+                    Err(Error::refused("serve", "control", NOT_STARTED))
+                }
+                (Channel::Forward | Channel::Peer | Channel::Slots, _) => {
+                    Err(Error::refused("serve", "control", "this stream is not served here"))
                 }
             }
         })
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -16,6 +16,8 @@
 pub const WIRE_VERSION: &str = "3";
 
 const VERSION_HEADER: &str = "winchvane-wire";
+/// Says why a stream is refused.
+const REFUSAL_HEADER: &str = "winchvane-refusal";
 const STREAM_WINDOW_BYTES: u32 = 1 << 20;
 const CONNECTION_WINDOW_BYTES: u32 = 16 << 20;
 const MAX_STREAMS: u32 = 100_000;
--- a/src/wire/server.rs
+++ b/src/wire/server.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use h2::RecvStream;
-use http::{Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
@@ -16,8 +16,8 @@
 use super::liveness::{Activity, Side, StreamGuard, watch};
 use super::stream::{Body, Receiver, Sender};
 use super::{
-    BoxFuture, CONNECTION_WINDOW_BYTES, Channel, MAX_STREAMS, STREAM_WINDOW_BYTES, VERSION_HEADER,
-    WIRE_VERSION,
+    BoxFuture, CONNECTION_WINDOW_BYTES, Channel, MAX_STREAMS, REFUSAL_HEADER, STREAM_WINDOW_BYTES,
+    VERSION_HEADER, WIRE_VERSION,
 };
 use crate::error::{Error, Result};
 use crate::metrics::{Counter, Metrics};
@@ -51,6 +51,15 @@
         let receiver = Receiver::new(body, self.peer.clone(), self.guard.clone());
         Ok((receiver, Sender::new(stream, self.peer, self.guard)))
     }
+
+    /// Refuses the stream and tells the peer the `reason`, which a reset could not.
+    pub fn refuse(mut self, reason: &'static str) {
+        let mut response = Response::new(());
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        response.headers_mut().insert(REFUSAL_HEADER, HeaderValue::from_static(reason));
+        // Fails if the peer has given the stream up, and then needs no reason.
+        let _ = self.respond.send_response(response, true);
+    }
 }
 
 /// Handles the streams that peers open.
--- a/src/wire/stream.rs
+++ b/src/wire/stream.rs
@@ -9,12 +9,12 @@
 use bytes::{Buf, Bytes, BytesMut};
 use h2::client::ResponseFuture;
 use h2::{RecvStream, SendStream};
-use http::StatusCode;
+use http::{Response, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use super::liveness::StreamGuard;
-use super::{RECEIVED_BYTES, RECEIVED_MESSAGES, SENT_BYTES, SENT_MESSAGES};
+use super::{RECEIVED_BYTES, RECEIVED_MESSAGES, REFUSAL_HEADER, SENT_BYTES, SENT_MESSAGES};
 use crate::binary;
 use crate::error::{Error, Result};
 
@@ -132,8 +132,7 @@
                 .await
                 .map_err(|error| Error::failed("open stream", self.peer.clone(), error))?;
             if response.status() != StatusCode::OK {
-                let detail = format!("the peer answered {}", response.status());
-                return Err(Error::refused("open stream", self.peer.clone(), detail));
+                return Err(Error::refused("open stream", self.peer.clone(), refusal(&response)));
             }
             self.body = Body::Open(response.into_body());
         }
@@ -165,6 +164,16 @@
     }
 }
 
+/// Why the peer refused the stream, as far as its response tells.
+fn refusal(response: &Response<RecvStream>) -> String {
+    let status = response.status();
+    let reason = response.headers().get(REFUSAL_HEADER).and_then(|reason| reason.to_str().ok());
+    match reason {
+        Some(reason) => format!("the peer answered {status}: {reason}"),
+        None => format!("the peer answered {status}"),
+    }
+}
+
 fn encode<T: Serialize>(message: &T) -> Result<Bytes> {
     let mut bytes = vec![0; LENGTH_BYTES];
     bincode::serde::encode_into_std_write(message, &mut bytes, standard())
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,13 +1,14 @@
 //! Streams between processes: other wire versions, unknown channels and malformed messages are
 //! refused.
 
-use std::sync::Arc;
+use std::sync::{Arc, RwLock};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
 use tokio::net::{TcpListener, TcpStream};
 use winchvane::Result;
+use winchvane::control::serving::{ControlHandler, Stage};
 use winchvane::metrics::{Counter, Metrics};
 use winchvane::policy::silence::SILENT_MAX_MS;
 use winchvane::wire::{
@@ -73,6 +74,23 @@
     });
 }
 
+/// Guards against resets, which do not tell a gateway why it has to look for another replica.
+#[test]
+fn a_replica_that_has_not_started_says_so() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let address = listener.local_addr().expect("the listener is bound");
+        let handler = ControlHandler::new(Arc::new(RwLock::new(Stage::Empty)));
+        tokio::spawn(serve(listener, Arc::new(handler), Metrics::local()));
+        let peer = Peer::new(address);
+        let opened = peer.open(Channel::Session).await.expect("the replica listens");
+        let (_sender, mut receiver): (Sender<String>, Receiver<String>) = opened;
+        let error = receiver.next().await.expect_err("no sessions are served yet");
+        assert!(error.to_string().contains("the replica has not started yet"), "{error}");
+        assert!(error.is_not_run(), "{error}");
+    });
+}
+
 #[test]
 fn a_malformed_message_fails_only_its_stream() {
     run(async {
