relay: a continuation whose first send is refused is over

One doubt made four sends in half a second at full endpoints, each with a retry, which starved other requests of the service. Cause: a continuation followed refusals like a first send, and started over with each try.

--- a/src/relay/outcome.rs
+++ b/src/relay/outcome.rs
@@ -29,7 +29,7 @@
                 self.unsent += 1;
                 info!(event = "send_refused", request = %self.meta.id, endpoint = %id, reason);
                 self.tried.push(id.clone());
-                if self.unsent > REFUSED_SENDS_MAX {
+                if self.unsent > self.refused_sends_max() {
                     return Err(Failure::NotSent(NotSent::NoPlace(reason)));
                 }
             }
@@ -47,7 +47,7 @@
                 self.refused += 1;
                 self.log_rejection(id, reason);
                 self.tried.push(id.clone());
-                if self.refused > REFUSED_SENDS_MAX {
+                if self.refused > self.refused_sends_max() {
                     return Err(Failure::NotSent(NotSent::NoPlace(reason)));
                 }
             }
@@ -95,6 +95,12 @@
         Ok(None)
     }
 
+    /// The number of refused sends that are followed by another one. Each takes a retry, so that a
+    /// continuation whose first send is refused is over.
+    fn refused_sends_max(&self) -> u32 {
+        if self.is_continuation { 0 } else { REFUSED_SENDS_MAX }
+    }
+
     /// Returns the response unless it is an error after which the request is sent again.
     fn check_started(
         &mut self,
--- a/src/relay/second_send.rs
+++ b/src/relay/second_send.rs
@@ -115,7 +115,7 @@
     /// False where one request more than an endpoint has slots for could end it.
     fn may_send_twice(&self, now_ms: u64) -> bool {
         let is_brittle = self.relay.fleet().is_brittle(now_ms, &self.chosen.service.name);
-        self.possible_runs.get() < self.attempts() && !is_brittle
+        self.possible_runs.get() < self.attempts() && !is_brittle && !self.is_continuation
     }
 
     /// Sends the request on a new connection; `None` if it is not run there, since it may still be on
