relay: a detour is read on at once while its gateway is silent

Change: the gateway is only left out for other requests, and its doubted connection leaves the pool by itself.

--- a/src/relay/detour/mod.rs
+++ b/src/relay/detour/mod.rs
@@ -34,7 +34,6 @@
 use crate::policy::peers::PeerGateways;
 use crate::routing::Repeat;
 use crate::wire::{Channel, Receiver, Sender};
-use signs::SILENT_MAX_MS;
 use upstream::{PeerHead, PeerStream};
 
 /// A connection to another gateway is made within one round trip, if at all.
@@ -186,8 +185,9 @@
             event = &mut next => return event,
             () = signs.silence() => {}
         }
-        let silent = Error::timeout("read answer", peer.name.clone(), SILENT_MAX_MS);
-        self.relay.note_peer_lost(peer, &silent).await;
+        info!(event = "peer_silent", request = %self.meta.id, peer = %peer.name);
+        self.relay.peers().note_lost(self.relay.now_ms(), &peer.name);
+        self.relay.peers_wanted.notify_one();
         next.await
     }
 
