relay: continuations end, and doubts and losses leave the right evidence

Causes and changes: - A continuation is doubted like any answer and then ends, so that the next try or a resume follows. - What an answer brings takes back the guess that its endpoint has ended; a doubt before the head is raised only by new evidence, and looking for it no longer resets what other answers wait for. - A loss of the open answer is recorded also if its continuation goes on: before, a crash under it left no evidence. - A continuation that ends without an event is none; requests with held or suspected features are not continued.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -69,6 +69,16 @@
         self.ended.as_ref().is_some_and(|ended| *ended.borrow() == IncarnationEnd::Replaced)
     }
 
+    /// Records that the response has brought something, which takes back what was guessed of an end of
+    /// the endpoint.
+    pub(super) fn note_data(&self) {
+        let Some(ended) = &self.ended else { return };
+        let end = *ended.borrow();
+        if end == IncarnationEnd::Unreachable || end == IncarnationEnd::Unresponsive {
+            self.relay.fleet().withdraw_end(&self.endpoint);
+        }
+    }
+
     /// Returns once the response is doubted, or never: for silence, not before `after_ms`.
     ///
     /// Awaited alongside each part of the response, so it does nothing before the first probe is due.
@@ -146,6 +156,19 @@
     }
 }
 
+/// Returns the next evidence of an endpoint's end, or never.
+async fn wait_for_new(ended: Option<watch::Receiver<IncarnationEnd>>) -> IncarnationEnd {
+    if let Some(mut ended) = ended {
+        while ended.changed().await.is_ok() {
+            let end = *ended.borrow_and_update();
+            if end >= IncarnationEnd::Unreachable {
+                return end;
+            }
+        }
+    }
+    std::future::pending().await
+}
+
 /// The result of one send.
 pub(super) enum Attempt {
     Started(Box<StartedResponse>),
@@ -307,13 +330,13 @@
         software_version: Arc<str>,
         place: Option<QueuePlace>,
     ) -> Raced<Attempt, Continuation> {
-        let ended = self.relay.fleet().watch_end(&send.endpoint);
-        let doubt =
-            pin!(async { Doubt::Ended(wait_for(ended, IncarnationEnd::Unreachable).await) });
+        // What was found before the send may be over.
+        let ended = self.relay.fleet().subscribe_end(&send.endpoint);
+        let doubt = pin!(async { Doubt::Ended(wait_for_new(ended).await) });
         let answer = OpenAnswer {
             endpoint: &send.endpoint,
             last_event: send.last_event,
-            is_continuable: !self.is_continuation,
+            is_continuable: true,
         };
         let open = pin!(self.attempt(send, address, software_version, place));
         self.race(answer, open, Attempt::is_lost, doubt, |it| async { Some(it) }).await
--- a/src/relay/buffered.rs
+++ b/src/relay/buffered.rs
@@ -30,12 +30,18 @@
     body: Bytes,
 }
 
-/// Waits until the response of a continuation is complete; `None` if it breaks off.
+/// Waits until the response of a continuation is complete; `None` if it breaks off or is doubted
+/// itself.
 async fn collect_continuation(continuation: Continuation) -> Option<Continued> {
     let Continuation { exchange, started, .. } = continuation;
     let StartedResponse { source, response } = started;
     let (head, body) = response.into_parts();
-    let body = exchange.collect(body, &source).await?.ok()?;
+    let quiet_max_ms = exchange.chosen.route.latency_objective_ms * USUAL_TIMES;
+    let body = tokio::select! {
+        biased;
+        body = exchange.collect(body, &source) => body?.ok()?,
+        _ = source.doubt(quiet_max_ms) => return None,
+    };
     Some(Continued { exchange, source, head, body })
 }
 
@@ -49,7 +55,10 @@
             let (head, body) = response.into_parts();
             let (source, head, collected) = match self.race_for_body(body, &source).await {
                 Raced::Open(collected) => (source, head, collected),
-                Raced::Continued(continued) => {
+                Raced::Continued { continued, lost } => {
+                    if lost.is_some() {
+                        self.note_broken_response(&source, head.status);
+                    }
                     self.take_over(source.endpoint(), continued.exchange);
                     (continued.source, continued.head, Some(Ok(continued.body)))
                 }
--- a/src/relay/doubt.rs
+++ b/src/relay/doubt.rs
@@ -16,6 +16,7 @@
 use super::known::IncarnationEnd;
 use super::refusal::Failure;
 use super::source::StartedResponse;
+use super::standings::Permission;
 use crate::metrics::Counter;
 use crate::policy::resend::FailureKind;
 use crate::routing::Repeat;
@@ -23,6 +24,9 @@
 /// How long after a continuation that was not possible, or came to nothing, the next one may begin.
 const CONTINUE_AGAIN_MS: u64 = 200;
 
+/// The same at most, after several that came to nothing; doubled with each.
+const CONTINUE_AGAIN_MAX_MS: u64 = 1_600;
+
 /// Why an open answer is doubted; never a reason to give it up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Doubt {
@@ -37,7 +41,12 @@
     /// The open one, unless it has ended and nothing continues it.
     Open(O),
     /// Its continuation.
-    Continued(C),
+    Continued {
+        /// What the continuation has brought.
+        continued: C,
+        /// How the open answer ended, if it was lost meanwhile.
+        lost: Option<O>,
+    },
 }
 
 /// A request that was sent once more beside its open answer, and the response that has started.
@@ -94,6 +103,7 @@
             doubt = doubt => doubt,
         };
         self.note_doubted(&answer, doubt);
+        let mut pause_ms = CONTINUE_AGAIN_MS;
         loop {
             let tried = async {
                 let continuation = self.try_to_continue(&answer, doubt).await?;
@@ -104,17 +114,21 @@
                 biased;
                 opened = &mut open => {
                     if is_lost(&opened) && let Ok(continued) = tried.await {
-                        return Raced::Continued(continued);
+                        return Raced::Continued { continued, lost: Some(opened) };
                     }
                     return Raced::Open(opened);
                 }
                 continued = &mut tried => match continued {
-                    Ok(continued) => return Raced::Continued(continued),
+                    Ok(continued) => return Raced::Continued { continued, lost: None },
                     Err(NotContinued::Yet) => {}
                     Err(NotContinued::Ever) => return Raced::Open(open.await),
                 }
             }
-            let again_at_ms = self.relay.now_ms() + CONTINUE_AGAIN_MS;
+            let now_ms = self.relay.now_ms();
+            let again_at_ms = now_ms + pause_ms;
+            if self.not_continued(now_ms, &answer).is_none() {
+                pause_ms = (pause_ms * 2).min(CONTINUE_AGAIN_MAX_MS);
+            }
             select! {
                 biased;
                 opened = &mut open => return Raced::Open(opened),
@@ -151,12 +165,24 @@
         if !self.can_send_again() {
             return Some("no attempt or no time is left");
         }
+        if !self.is_unrestricted(now_ms) {
+            return Some("requests like it may have ended endpoints");
+        }
         if !self.relay.allows_late_retry(now_ms, &self.chosen.service.name) {
             return Some("no retry is left");
         }
         None
     }
 
+    /// True if no feature of the request is held, on trial or suspected.
+    fn is_unrestricted(&self, now_ms: u64) -> bool {
+        let standings = self.relay.crashes.standings();
+        standings.is_empty()
+            || self
+                .features()
+                .all(|key| standings.permission(now_ms, key) == Permission::Unrestricted)
+    }
+
     /// Sends the request once more.
     fn try_to_continue(&self, answer: &OpenAnswer<'_>, doubt: Doubt) -> Trying {
         if self.not_continued(self.relay.now_ms(), answer).is_some() {
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -320,7 +320,12 @@
             self.possible_runs.add(1);
             let outcome = match self.race_for_head(&send, address, software_version, place).await {
                 Raced::Open(outcome) => outcome,
-                Raced::Continued(Continuation { exchange, started, .. }) => {
+                Raced::Continued { continued, lost } => {
+                    let Continuation { exchange, started, .. } = continued;
+                    if let Some(lost) = lost {
+                        // Whatever follows from it, the continuation goes on.
+                        let _ = self.handle_outcome(lost, &id, address).await;
+                    }
                     self.take_over(&id, exchange);
                     return Ok(started);
                 }
@@ -361,7 +366,8 @@
         self.sent_at_ms = self.relay.now_ms();
         let started = match self.race_detour(last_event).await {
             Raced::Open(started) => started?,
-            Raced::Continued(Continuation { exchange, started, .. }) => {
+            Raced::Continued { continued, .. } => {
+                let Continuation { exchange, started, .. } = continued;
                 self.take_over(&Arc::from(""), exchange);
                 return Ok(Some(started));
             }
@@ -385,7 +391,7 @@
             // The other gateway selects it.
             endpoint: &Arc::from(""),
             last_event,
-            is_continuable: !self.is_continuation,
+            is_continuable: true,
         };
         let open = pin!(self.detour(last_event, &signs));
         let doubt = pin!(async {
--- a/src/relay/failures.rs
+++ b/src/relay/failures.rs
@@ -77,6 +77,26 @@
         Some(ended.subscribe())
     }
 
+    /// Returns a receiver that is notified when `id` is found to have ended from now on.
+    pub(super) fn subscribe_end(&mut self, id: &str) -> Option<watch::Receiver<IncarnationEnd>> {
+        let state = self.endpoints.get_mut(id)?;
+        let ended = state.ended.get_or_insert_with(|| watch::Sender::new(IncarnationEnd::None));
+        Some(ended.subscribe())
+    }
+
+    /// Takes back that `id` may have ended, since it has sent something; not that it was replaced.
+    pub(super) fn withdraw_end(&self, id: &str) {
+        let Some(ended) = self.endpoints.get(id).and_then(|state| state.ended.as_ref()) else {
+            return;
+        };
+        ended.send_if_modified(|ended| {
+            if *ended != IncarnationEnd::Replaced {
+                *ended = IncarnationEnd::None;
+            }
+            false
+        });
+    }
+
     /// Notifies the requests that await responses of `id` that it may have ended.
     pub(super) fn notify_possible_end(&self, id: &str, end: IncarnationEnd) {
         let Some(ended) = self.endpoints.get(id).and_then(|state| state.ended.as_ref()) else {
--- a/src/relay/source.rs
+++ b/src/relay/source.rs
@@ -74,6 +74,13 @@
         }
     }
 
+    /// Records that the response has brought something.
+    pub(super) fn note_data(&self) {
+        if let Self::Endpoint(flight, _) = self {
+            flight.note_data();
+        }
+    }
+
     /// True if another incarnation has taken the endpoint's place.
     pub(super) fn is_replaced(&self) -> bool {
         match self {
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -127,6 +127,7 @@
                 self.times.note_data(now_ms, &data);
                 self.longest_pause_ms = self.longest_pause_ms.max(now_ms - read_at_ms);
                 self.has_data = true;
+                source.note_data();
                 return Ok(Some(data));
             }
         }
@@ -181,12 +182,12 @@
     }
 }
 
-/// A continuation that has brought the next part of its stream, or its end.
+/// A continuation that has brought the next part of its stream.
 struct ContinuedStream {
     exchange: Exchange,
     endpoint: Upstream,
     events: Option<EventSplitter>,
-    data: Option<Bytes>,
+    data: Bytes,
 }
 
 impl ForwardedStream {
@@ -195,7 +196,12 @@
         let last_event = self.events.as_ref().and_then(EventSplitter::last_event);
         let continued = match self.race_for_next(last_event).await {
             Raced::Open(next) => return next,
-            Raced::Continued(continued) => continued,
+            Raced::Continued { continued, lost } => {
+                if let Some(Err(error)) = lost {
+                    Break::note(&self.exchange, &self.endpoint.source, &error);
+                }
+                continued
+            }
         };
         let ContinuedStream { exchange, endpoint, events, data } = continued;
         let from = &self.endpoint.source;
@@ -204,7 +210,7 @@
         self.exchange.take_over(from, exchange);
         self.endpoint = endpoint;
         self.events = events;
-        Ok(data)
+        Ok(Some(data))
     }
 
     /// Reads the next part of the stream and, once it is doubted, of its continuation after
@@ -229,20 +235,27 @@
     }
 }
 
-/// Waits until a continuation has brought the next part of its stream; `None` if it breaks off.
+/// Waits until a continuation has brought the next part of its stream; `None` if it breaks off, ends
+/// without any, or is doubted itself.
 async fn read_continuation(continuation: Continuation) -> Option<ContinuedStream> {
     let Continuation { exchange, started, last_event } = continuation;
     let mut endpoint = Upstream::new(started);
     let mut events = Some(EventSplitter::new(last_event));
     let (clock, until_ms) = (exchange.relay.clock, exchange.ends_at_ms);
-    let next = endpoint.reader.next(clock, until_ms, &endpoint.source, &mut events).await;
-    match next {
-        Ok(data) => Some(ContinuedStream { exchange, endpoint, events, data }),
-        Err(error) => {
-            info!(event = "not_continued", request = %exchange.meta.id, reason = %error);
-            None
-        }
-    }
+    let Upstream { source, reader, .. } = &mut endpoint;
+    let quiet_max_ms = reader.quiet_max_ms(&exchange.chosen.route);
+    let next = tokio::select! {
+        biased;
+        next = reader.next(clock, until_ms, source, &mut events) => next.map_err(|it| it.to_string()),
+        doubt = source.doubt(quiet_max_ms) => Err(format!("it is doubted: {doubt:?}")),
+    };
+    let reason = match next {
+        Ok(Some(data)) => return Some(ContinuedStream { exchange, endpoint, events, data }),
+        Ok(None) => "it ended without an event".to_owned(),
+        Err(reason) => reason,
+    };
+    info!(event = "not_continued", request = %exchange.meta.id, reason);
+    None
 }
 
 fn finish(running: ForwardedStream) -> Option<(FrameResult, Option<ForwardedStream>)> {
@@ -276,7 +289,7 @@
 /// Resumes a broken stream at another endpoint, if that is allowed.
 async fn resume(running: ForwardedStream, error: &Error) -> Result<ForwardedStream> {
     let ForwardedStream { mut exchange, endpoint, events, can_resume } = running;
-    let broken = Break::note(&mut exchange, &endpoint.source, error);
+    let broken = Break::note(&exchange, &endpoint.source, error);
     drop(endpoint);
     let mut events = resumable(&exchange, events, can_resume)
         .map_err(|why| broken.report(&mut exchange, why))?;
@@ -327,7 +340,7 @@
 
 impl<'a> Break<'a> {
     /// Lets later choices of endpoints know of the failure of `source`.
-    fn note(exchange: &mut Exchange, source: &Source, error: &'a Error) -> Self {
+    fn note(exchange: &Exchange, source: &Source, error: &'a Error) -> Self {
         let endpoint = source.endpoint().clone();
         let software_version = exchange.relay.fleet().software_version(&endpoint);
         let endpoint_ended = source.is_replaced();
