--- a/tests/stream_origins.rs
+++ b/tests/stream_origins.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use winchvane::control::registry::Registry;
 use winchvane::control::software::{SoftwareVersions, UnusedSoftware};
 use winchvane::message::{BegunStreams, RegisteredEndpoint, StreamKey, StreamOrigin};
 use winchvane::policy::stream_origins::{StreamOrigins, group_by_origin, merge_by_origin};
@@ -63,6 +64,25 @@
     assert!(origins.all().iter().all(|begun| begun.streams.is_empty()));
 }
 
+/// Guards against a stream of one service that is taken for one of another service with the same version
+/// names.
+#[test]
+fn versions_of_the_same_name_of_two_services_are_different() {
+    let of_service = |service: &str, attempts: &[&str]| BegunStreams {
+        origin: StreamOrigin { service: service.into(), software_version: "v1".into() },
+        streams: attempts.iter().map(|attempt| key(attempt)).collect(),
+    };
+    let (first, second) = (of_service("s", &["a"]), of_service("t", &["b"]));
+    let mut origins = StreamOrigins::new();
+    for begun in merge_by_origin(vec![first.clone(), second.clone()]) {
+        origins.record(0, &begun);
+    }
+    assert_eq!(origins.get(&key("a")), Some(&first.origin));
+    assert_eq!(origins.get(&key("b")), Some(&second.origin));
+    origins.record(1, &of_service("t", &["a"]));
+    assert_eq!(origins.get(&key("a")), None, "an id that was used at two services");
+}
+
 #[test]
 fn what_is_remembered_is_bounded() {
     let mut origins = StreamOrigins::new();
@@ -100,12 +120,17 @@
 }
 
 fn endpoint(version: &str) -> RegisteredEndpoint {
+    endpoint_of("s", version, 1)
+}
+
+fn endpoint_of(service: &str, version: &str, port: u16) -> RegisteredEndpoint {
+    let id: Arc<str> = format!("{service}-{version}").into();
     RegisteredEndpoint {
-        id: version.into(),
-        name: version.into(),
+        id: id.clone(),
+        name: id,
         born_ms: 0,
-        service: "s".into(),
-        address: ([127, 0, 0, 1], 1).into(),
+        service: service.into(),
+        address: ([127, 0, 0, 1], port).into(),
         zone: "a".into(),
         slots: 1,
         leaving: false,
@@ -131,3 +156,29 @@
     assert_eq!(take(215_000, &both[1..]), []);
     assert_eq!(take(216_000, &both[1..]), [("s".into(), "v1".into())]);
 }
+
+/// Guards against a version that is kept, or taken for the only one, because another service uses its
+/// name.
+#[test]
+fn a_version_is_in_use_by_its_own_service_only() {
+    let mut registry = Registry::default();
+    let endpoints =
+        [endpoint_of("s", "v1", 1), endpoint_of("s", "v2", 2), endpoint_of("t", "v1", 3)];
+    for endpoint in endpoints.clone() {
+        registry.register(endpoint);
+    }
+    let sole = |registry: &Registry, service| registry.sole_software(service).cloned();
+    assert_eq!(sole(&registry, "s"), None);
+    assert_eq!(sole(&registry, "t"), Some("v1".into()));
+    registry.deregister(&endpoints[0].id);
+    let mut unused = UnusedSoftware::new();
+    let mut take = |now_ms, registry: &Registry| {
+        unused.take(now_ms, registry.software(), registry.endpoints().values(), None)
+    };
+    assert_eq!(take(0, &registry), []);
+    let forgotten = take(60_000, &registry);
+    assert_eq!(forgotten, [("s".into(), "v1".into())]);
+    registry.forget_software(forgotten);
+    assert_eq!(sole(&registry, "s"), Some("v2".into()));
+    assert_eq!(sole(&registry, "t"), Some("v1".into()), "its own endpoint uses it");
+}
