relay: answers that are never doubted have small futures

Cause, suspected: the futures of a continuation lay inside those of each request and each event of a stream, which are moved for each. Change: what follows a doubt is boxed.

--- a/src/relay/doubt.rs
+++ b/src/relay/doubt.rs
@@ -103,6 +103,21 @@
             doubt = doubt => doubt,
         };
         self.note_doubted(&answer, doubt);
+        // Boxed, so that the many answers that are never doubted have small futures.
+        Box::pin(self.race_doubted(answer, open, is_lost, doubt, read)).await
+    }
+
+    async fn race_doubted<O, C, R>(
+        &self,
+        answer: OpenAnswer<'_>,
+        mut open: Pin<&mut impl Future<Output = O>>,
+        is_lost: impl Fn(&O) -> bool,
+        doubt: Doubt,
+        read: impl Fn(Continuation) -> R,
+    ) -> Raced<O, C>
+    where
+        R: Future<Output = Option<C>>,
+    {
         let mut pause_ms = CONTINUE_AGAIN_MS;
         loop {
             let tried = async {
