control: placement passes leave most of the leader's time to other messages

Cause: each message that asks for weights, and each outcome of an order, runs a placement pass if 5 ms have gone since the last one began. A pass over 92 endpoints and 64 wanted weights takes 3 to 4 ms of the leader's time in the first second, and 5 to 10 ms once processors are short. From then on every such message runs a pass: in an instrumented copy (trial) passes took 440 to 460 ms of each 500 ms, 744 messages waited after 1.5 s, 2,986 after 3.5 s. Renewals wait with them, so distributors lose their links and gateways their sessions; they open new ones and ask for the same weights again, which keeps it going.

Change: PassPacing decides when a pass may begin: as before, and not before a pause of three times the duration of the last pass, of 100 ms at most. The actor tells when a message has been handled, so the duration is known. Metric control.placement_pass.

Why it works: whatever a pass costs, three quarters of the leader's time are left for renewals, heartbeats and calls, so the loop that feeds itself cannot start.

The cost of a pass itself is unchanged.

--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -14,6 +14,7 @@
 mod homes;
 mod observed;
 mod outcome;
+mod pacing;
 mod renewal;
 mod store_limit;
 mod wanted;
@@ -28,6 +29,7 @@
 pub use endpoint::{COPIES_MAX, EndpointState, PlacedWeights, StoreLoad, WeightsState};
 pub use holders::{HolderChoice, OrderHolder, OrderHolders};
 pub use outcome::CompletedStoreLoad;
+pub use pacing::PassPacing;
 pub use store_limit::StoreConcurrencyLimit;
 
 use crate::message::{
@@ -43,10 +45,6 @@
 /// Endpoints without a heartbeat for this long get no new weights: two heartbeat periods plus one
 /// second for a late one.
 const HEARTBEAT_TIMEOUT_MS: u64 = 4_000;
-/// The minimum time between two placement passes.
-const PASS_INTERVAL_MIN_MS: u64 = 5;
-/// The number of endpoints for which passes have to be 1 ms apart: a pass scans all endpoints.
-const ENDPOINTS_PER_PASS_MS: u64 = 75;
 /// Weights used this recently are not evicted: a request that is on its way to the endpoint is
 /// reported within this time.
 const USE_GRACE_MS: u64 = 250;
@@ -130,7 +128,7 @@
     /// The demand in milliseconds that endpoints spend on reading prompts, by weights.
     prompt_reading: Demand,
     wanted: HashMap<Wanted, PlacementRequest>,
-    last_pass_at_ms: u64,
+    pacing: PassPacing,
     open: OpenWants,
     logged_at_ms: u64,
     store: HashMap<Arc<str>, StoreRateLimit>,
@@ -164,7 +162,7 @@
             surge: Demand::new().with_half_life_ms(SURGE_HALF_LIFE_MS),
             prompt_reading: Demand::new(),
             wanted: HashMap::new(),
-            last_pass_at_ms: 0,
+            pacing: PassPacing::default(),
             open: OpenWants::default(),
             logged_at_ms: 0,
             store: HashMap::new(),
@@ -369,15 +367,11 @@
         self.store_limit.record_load(&load.name, took_ms, concurrent);
     }
 
-    /// Runs a placement pass: creates the orders that are due, for the gateways recorded in
-    /// `holders`.
+    /// Runs a placement pass if one is due: creates orders for the gateways recorded in `holders`.
     pub fn advance(&mut self, now_ms: u64, holders: &OrderHolders) {
-        let pause_ms =
-            PASS_INTERVAL_MIN_MS.max(self.endpoints.len() as u64 / ENDPOINTS_PER_PASS_MS);
-        if now_ms < self.last_pass_at_ms + pause_ms {
+        if !self.pacing.begin(now_ms, self.endpoints.len()) {
             return;
         }
-        self.last_pass_at_ms = now_ms;
         self.update_holders(now_ms, holders);
         self.fail_lost_orders(now_ms);
         self.order_reports(now_ms);
@@ -389,6 +383,11 @@
         self.load_wanted(now_ms);
     }
 
+    /// Records that a pass which has begun has ended by now; returns its duration in milliseconds.
+    pub fn end_pass(&mut self, now_ms: u64) -> Option<u64> {
+        self.pacing.end(now_ms)
+    }
+
     fn fail_lost_orders(&mut self, now_ms: u64) {
         let mut lost = Vec::new();
         for endpoint in self.endpoints.values() {
--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -17,6 +17,7 @@
 use crate::control::state::Operation;
 use crate::control::workspace_use::WorkspaceUses;
 use crate::message::{Change, ControlReply, Group, Heartbeat, NewestVersion, PeerGateway, Placed};
+use crate::metrics::Timer;
 use crate::policy::crashes::Crashes;
 use crate::policy::quota::{CreditPools, QuotaBounds};
 use crate::policy::stream_origins::StreamOrigins;
@@ -289,6 +290,13 @@
         self.forget_software(now_ms, wall_ms);
     }
 
+    /// Records the end of a placement pass if the message that was handled last ran one.
+    pub fn end_placement_pass(&mut self, now_ms: u64) {
+        if let Some(took_ms) = self.registered.placement.end_pass(now_ms) {
+            self.metrics.time(Timer::PlacementPass, took_ms);
+        }
+    }
+
     /// Proposes to forget software versions that have had no endpoint for long.
     fn forget_software(&mut self, now_ms: u64, wall_ms: u64) {
         let registry = &self.state.registry;
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -270,7 +270,9 @@
                 self.replica.set_load_reports(load_reports);
             }
         }
-        let took_ms = self.clock.now_ms() - now_ms;
+        let ended_ms = self.clock.now_ms();
+        self.replica.end_placement_pass(ended_ms);
+        let took_ms = ended_ms - now_ms;
         if took_ms >= SLOW_MS {
             warn!(event = "replica_busy", what, took_ms, waiting = self.inbox.len());
         }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -167,6 +167,8 @@
     Load => "endpoints.load",
     /// Duration of a sync of the log to disk.
     LogSync => "control.log_sync",
+    /// Placement passes of the leader.
+    PlacementPass => "control.placement_pass",
 }
 
 /// Upper bounds of the histogram buckets in milliseconds. The users' latency objectives are between
