relay: requests stay at endpoints that read nothing for two seconds

Callers saw: a request that may run once ended in 502 although its endpoint was sound and had only stood still for two seconds.

Cause: the kernel ends a connection to an endpoint once bytes of the request have been unacknowledged, or could not be sent because the endpoint reads nothing, for 2 s (UNACKNOWLEDGED_MAX). A sound endpoint may be silent for as long as that.

Change: 4 s, twice as long as such a silence. Requests that may be repeated do not wait for it: they are sent once more or continued as soon as their connection is doubted.

The bound for orders to engines is unchanged: an order that was given up must not arrive later.

--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -23,8 +23,9 @@
 
 /// A connection is established within one round trip, if at all; a lost packet adds a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// How long sent data may stay unacknowledged before the connection is closed.
-const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(2);
+/// How long sent data may stay unacknowledged before the connection is closed: twice as long as a sound
+/// endpoint may be silent.
+const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(4);
 
 /// A connection without a request in progress.
 pub type Connection = SendRequest<Full<Bytes>>;
