relay: whole answers that still arrive are not given up when their endpoint was replaced

Callers saw: 502 in place of an answer that was on its way, once another incarnation had registered in its endpoint's place.

Cause: 0.3 s after another incarnation has taken an endpoint's place, what is left of its responses counts as lost. For streams that time begins anew with each part; for whole answers it was counted once, even while data arrived.

Change: a whole answer is read part by part, and the wait for its endpoint's end begins anew with each.

Measured: platform/tests/silent_endpoints.rs, an answer in 12 parts 0.1 s apart whose endpoint is replaced after 0.2 s: 502 before, whole after.

--- a/src/relay/buffered.rs
+++ b/src/relay/buffered.rs
@@ -2,7 +2,7 @@
 
 use std::pin::pin;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::header::CONTENT_LENGTH;
 use http::response::Parts;
 use http::{Response, StatusCode};
@@ -132,12 +132,23 @@
 
     /// Reads the rest of a response; `None` if the deadline passes.
     async fn collect(&self, body: AnswerBody, source: &Source) -> Collected {
-        let collected = Limited::new(body, BUFFERED_RESPONSE_MAX_BYTES).collect();
-        tokio::select! {
-            collected = self.relay.clock.timeout_at(self.ends_at_ms, collected) => {
-                collected.map(|body| Ok(body.map_err(|error| error.to_string())?.to_bytes()))
+        let mut body = Limited::new(body, BUFFERED_RESPONSE_MAX_BYTES);
+        let mut collected = BytesMut::new();
+        loop {
+            // Awaited anew for each part: a response that still arrives is not lost.
+            let frame = tokio::select! {
+                biased;
+                frame = self.relay.clock.timeout_at(self.ends_at_ms, body.frame()) => frame?,
+                () = source.wait_for_end() => return Some(Err(ENDPOINT_ENDED.to_owned())),
+            };
+            match frame {
+                None => return Some(Ok(collected.freeze())),
+                Some(Err(error)) => return Some(Err(error.to_string())),
+                Some(Ok(frame)) => {
+                    let Ok(data) = frame.into_data() else { continue };
+                    collected.extend_from_slice(&data);
+                }
             }
-            () = source.wait_for_end() => Some(Err(ENDPOINT_ENDED.to_owned())),
         }
     }
 
