control: requests that no endpoint can take leave placement passes to others

Cause: a pass handles the 64 requests in highest demand. One whose homes are being loaded is left out for 40 ms; one for which nothing can be evicted was handled in every pass. Change: it is checked again after the same 40 ms.

--- a/src/control/placement/homes.rs
+++ b/src/control/placement/homes.rs
@@ -24,9 +24,9 @@
 /// The maximum number of placement requests handled in one pass, those in highest demand first; the
 /// weight store starts fewer loads between two passes.
 const REQUESTS_PER_PASS: usize = 64;
-/// How often a request whose homes are being loaded is checked again; loads take several times as
-/// long.
-const LOADING_CHECK_INTERVAL_MS: u64 = 40;
+/// How often a request is checked again whose homes are being loaded, or for which no adapter can be
+/// evicted; loads take several times as long.
+const CHECK_AGAIN_INTERVAL_MS: u64 = 40;
 /// The maximum number of endpoints scanned for placement requests in one pass, which bounds the
 /// pass to a few milliseconds.
 const ENDPOINT_SCANS_PER_PASS: usize = 20_000;
@@ -243,14 +243,14 @@
         if survey.candidates.is_empty() && survey.homes + survey.on_their_way == 0 {
             return self.load_without_candidates(now_ms, wanted, rate, request, &survey);
         }
-        self.load_adapter(now_ms, service, &engine, name, request, &survey)
+        self.load_adapter(now_ms, wanted, &engine, request, &survey)
     }
 
-    /// Leaves a request whose homes are being loaded out of the next passes, so that it takes none of
-    /// the pass's limited number of requests from those that still need a load.
+    /// Leaves a request for which nothing can be done now out of the next passes, so that it takes none
+    /// of the pass's limited number of requests from those that still need a load.
     fn check_again_later(&mut self, now_ms: u64, wanted: &Wanted) {
         if let Some(request) = self.wanted.get_mut(wanted) {
-            request.check_again_at_ms = now_ms + LOADING_CHECK_INTERVAL_MS;
+            request.check_again_at_ms = now_ms + CHECK_AGAIN_INTERVAL_MS;
         }
     }
 
@@ -310,12 +310,12 @@
     fn load_adapter(
         &mut self,
         now_ms: u64,
-        service: &Arc<str>,
+        wanted: &Wanted,
         engine: &EngineSpec,
-        name: &WeightsName,
         request: &PlacementRequest,
         survey: &Survey,
     ) -> bool {
+        let Wanted { service, weights: name, .. } = wanted;
         let mut is_any_busy = false;
         for (fit, id) in &survey.candidates {
             let Some(endpoint) = self.endpoints.get(id) else { continue };
@@ -349,6 +349,7 @@
             }
         }
         self.open.no_victim += 1;
+        self.check_again_later(now_ms, wanted);
         let has_home = survey.homes + survey.on_their_way > 0;
         if !request.is_additional && !has_home && !is_any_busy {
             self.unload_older_version(now_ms, name, survey);
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -933,3 +933,41 @@
     let kinds: Vec<_> = orders.iter().map(|order| &order.kind).collect();
     assert!(kinds.contains(&&load_of(1)), "{kinds:?}");
 }
+
+/// Guards against requests that no endpoint can serve taking up all passes, so that a request in less
+/// demand that could be served at once waits for as long as they are repeated.
+#[test]
+fn requests_without_a_place_leave_passes_to_others() {
+    const WITHOUT_PLACE: usize = 100;
+    let mut leader = Leader::new(1);
+    leader.load(1);
+    let mut configured = configuration(1);
+    let engine = configured.services[0].engine.as_mut().expect("the service has an engine");
+    let other = ModelSpec { name: "other".into(), ..engine.models[0].clone() };
+    engine.models.push(other);
+    leader.placement.configure(leader.now_ms, &configured);
+    leader.add_endpoint_with("e2", &WeightsName::new("other", None));
+    let wanted = WeightsName::new("other", Some("b"));
+    for turn in 0..10 {
+        leader.report_use("e1", 1, 0, 1);
+        for number in 2..2 + WITHOUT_PLACE {
+            leader.need(number);
+            leader.need(number);
+        }
+        let need = AdapterNeed {
+            service: "quotes".into(),
+            weights: wanted.clone(),
+            requests: 1,
+            more: false,
+            software_version: None,
+        };
+        leader.placement.note_needs(leader.now_ms, &"a".into(), vec![need]);
+        for order in leader.pass(10) {
+            if order.kind == (OrderKind::Load { name: wanted.clone(), version: None }) {
+                println!("loaded in pass {turn}");
+                return;
+            }
+        }
+    }
+    panic!("the request that could be served was not handled");
+}
