control: long placement passes leave most of the leader's time too

Cause: the pause after a pass ends at 100 ms, so passes of more than 33 ms take more than a quarter of the leader's time, and the more of it the dearer they get: the loop that breaks can still start where passes are long. Found by reading. Change: after two long passes in a row the pause may be 1 s. One that was held up once is still followed by 100 ms at most. While passes are that long, a need may wait 1 s for the next one.

--- a/src/control/placement/pacing.rs
+++ b/src/control/placement/pacing.rs
@@ -11,8 +11,10 @@
 const ENDPOINTS_PER_MS: u64 = 75;
 /// The pause after a pass, as a multiple of its duration: passes take a quarter of the time at most.
 const PAUSE_TIMES: u64 = 3;
-/// The longest pause after a pass: one that took longer was held up by something else.
+/// The longest pause after a single long pass, which may have been held up by something else.
 const PAUSE_MAX_MS: u64 = 100;
+/// The longest pause after two long passes in a row: that is what a pass costs now.
+const PAUSE_AFTER_TWO_MAX_MS: u64 = 1_000;
 
 /// Decides when the next pass may begin.
 #[derive(Debug, Default)]
@@ -20,6 +22,8 @@
     began_at_ms: u64,
     /// True from the beginning of a pass until its end is known.
     is_running: bool,
+    /// The duration of the last pass.
+    last_took_ms: u64,
     /// No pass begins before this time.
     paused_until_ms: u64,
 }
@@ -42,7 +46,10 @@
             return None;
         }
         let took_ms = now_ms.saturating_sub(self.began_at_ms);
-        self.paused_until_ms = now_ms + (took_ms * PAUSE_TIMES).min(PAUSE_MAX_MS);
+        let after_one_ms = (took_ms * PAUSE_TIMES).min(PAUSE_MAX_MS);
+        let both_took_ms = took_ms.min(std::mem::replace(&mut self.last_took_ms, took_ms));
+        let after_two_ms = (both_took_ms * PAUSE_TIMES).min(PAUSE_AFTER_TWO_MAX_MS);
+        self.paused_until_ms = now_ms + after_one_ms.max(after_two_ms);
         Some(took_ms)
     }
 }
--- a/tests/placement_pacing.rs
+++ b/tests/placement_pacing.rs
@@ -45,3 +45,25 @@
     assert_eq!(pacing.end(4_000), Some(3_000));
     assert!(pacing.begin(4_000 + WAIT_MAX_MS, ENDPOINTS));
 }
+
+/// Guards against a bound of the pause that long passes outgrow, as with 12,000 endpoints: each pass of
+/// 200 ms was followed by 100 ms for everything else.
+#[parameterized(
+    long = { 60 },
+    very_long = { 200 },
+)]
+fn long_passes_leave_most_of_the_time_to_other_messages(took_ms: u64) {
+    let mut pacing = PassPacing::default();
+    let (mut now_ms, mut passing_ms) = (1_000, 0);
+    while now_ms < END_MS {
+        if pacing.begin(now_ms, 12_000) {
+            now_ms += took_ms;
+            passing_ms += took_ms;
+        } else {
+            now_ms += 1;
+        }
+        pacing.end(now_ms);
+    }
+    let share = passing_ms as f64 / (END_MS - 1_000) as f64;
+    assert!(share <= SHARE_MAX, "{share:.2}");
+}
