control: passes look for the scarcest model once for each service

Cause: fill_empty_endpoints scanned all endpoints for each model and each empty endpoint, in every pass until the store allowed the load. The answer is the same for all endpoints of a service, since nothing is ordered until all are found. Found by reading. Change: it is found once for each service and pass; the orders are the same. After a cold start or the loss of a zone, such passes would have held up the leader for as long as endpoints are empty.

--- a/src/control/placement/homes.rs
+++ b/src/control/placement/homes.rs
@@ -1,5 +1,6 @@
 //! Chooses endpoints for weights that are in demand, for new versions, and for empty endpoints.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use tracing::info;
@@ -132,16 +133,23 @@
 
     /// Loads the base model with the fewest homes for its demand at each empty endpoint.
     pub(super) fn fill_empty_endpoints(&mut self, now_ms: u64) {
+        // Found once for each service, since it takes a scan of all endpoints.
+        let mut scarcest = HashMap::new();
         let mut due = Vec::new();
         for (id, endpoint) in &self.endpoints {
-            let Some(engine) = self.engines.get(&endpoint.endpoint.service) else { continue };
+            let service = &endpoint.endpoint.service;
+            let Some(engine) = self.engines.get(service) else { continue };
             let is_due = endpoint.is_free_for_orders(now_ms)
                 && endpoint.accepts_weights(now_ms)
                 && endpoint.places.is_empty();
-            let Some(model) = is_due.then(|| self.scarcest_model(now_ms, engine)).flatten() else {
+            if !is_due {
                 continue;
-            };
-            due.push((id.clone(), endpoint.endpoint.service.clone(), model));
+            }
+            let model = scarcest
+                .entry(service.clone())
+                .or_insert_with(|| self.scarcest_model(now_ms, engine));
+            let Some(model) = model else { continue };
+            due.push((id.clone(), service.clone(), model.clone()));
         }
         for (id, service, name) in due {
             self.load_if_store_allows(now_ms, &service, &id, &name);
