control: a load follows at once when its eviction ends

Cause: puts a request off for 40 ms when no endpoint can take it. A request that waits for its own eviction is one of these, since its endpoint is busy and the others have no adapter that may be evicted: a pass meanwhile puts it off, and when the eviction ends, the room stays empty for up to 40 ms or goes to another request. Change: for 200 ms after an eviction was ordered for it, a request is not put off.

--- a/src/control/placement/homes.rs
+++ b/src/control/placement/homes.rs
@@ -28,6 +28,9 @@
 /// How often a request is checked again whose homes are being loaded, or for which no adapter can be
 /// evicted; loads take several times as long.
 const CHECK_AGAIN_INTERVAL_MS: u64 = 40;
+/// How long a request for which an adapter is being evicted is checked in every pass; after that, another
+/// request has probably got the room.
+const EVICTION_WAIT_MS: u64 = 200;
 /// The maximum number of endpoints scanned for placement requests in one pass, which bounds the
 /// pass to a few milliseconds.
 const ENDPOINT_SCANS_PER_PASS: usize = 20_000;
@@ -353,11 +356,17 @@
             if let Some(victim) = endpoint.least_demanded_adapter(now_ms, &self.demand) {
                 self.open.ordered += 1;
                 self.order(now_ms, id, OrderKind::Unload { name: victim });
+                if let Some(request) = self.wanted.get_mut(wanted) {
+                    request.evicting_until_ms = now_ms + EVICTION_WAIT_MS;
+                }
                 return false;
             }
         }
         self.open.no_victim += 1;
-        self.check_again_later(now_ms, wanted);
+        // A request for which an adapter is being evicted is loaded as soon as that is done.
+        if request.evicting_until_ms <= now_ms {
+            self.check_again_later(now_ms, wanted);
+        }
         let has_home = survey.homes + survey.on_their_way > 0;
         if !request.is_additional && !has_home && !is_any_busy {
             self.unload_older_version(now_ms, name, survey);
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -259,6 +259,7 @@
             if let Some(known) = self.wanted.get(&key) {
                 request.first_asked_at_ms = known.first_asked_at_ms;
                 request.check_again_at_ms = known.check_again_at_ms;
+                request.evicting_until_ms = known.evicting_until_ms;
             }
             self.wanted.insert(key, request);
         }
--- a/src/control/placement/wanted.rs
+++ b/src/control/placement/wanted.rs
@@ -42,6 +42,8 @@
     pub(super) first_asked_at_ms: u64,
     /// When to check again whether more homes are needed than those being loaded.
     pub(super) check_again_at_ms: u64,
+    /// Until when the end of an eviction that was ordered for it is awaited.
+    pub(super) evicting_until_ms: u64,
     /// The hash of the weights, which ranks endpoints by affinity.
     pub(super) hash: u64,
     /// True when all homes of the weights are at capacity.
@@ -59,6 +61,7 @@
             asked_at_ms: now_ms,
             first_asked_at_ms: now_ms,
             check_again_at_ms: now_ms,
+            evicting_until_ms: 0,
             hash: crate::hash::stable(&name.to_string()),
             homes_are_full: false,
             is_additional: true,
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -971,3 +971,18 @@
     }
     panic!("the request that could be served was not handled");
 }
+
+/// Guards against a request that waits for its own eviction, and is not looked at again when it ends.
+#[test]
+fn a_load_follows_at_once_when_its_eviction_ends() {
+    let mut leader = Leader::new(1);
+    leader.load(1);
+    leader.now_ms += 3_000;
+    leader.need(2);
+    let unload = leader.next_order();
+    assert_eq!(unload.kind, OrderKind::Unload { name: adapter(1) });
+    assert!(leader.pass(10).is_empty(), "the endpoint is busy with the eviction");
+    leader.answer(&unload, OrderOutcome::Done);
+    let orders = leader.pass(5);
+    assert_eq!(orders.first().map(|order| &order.kind), Some(&load_of(2)));
+}
