--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -5,38 +5,38 @@
 //! the window in which the retries count continues. So no allowance is granted in advance: each
 //! process starts with no tokens and earns them from the requests that it reads.
 //!
-//! A process that has counted for a whole window earns [`STEADY_SHARE`] of the ratio, may save up as
-//! much for the requests of a window, and never makes more retries in a window: all of them may be
-//! needed at once, when many connections fail together. A process that has just started earns
-//! [`STARTED_SHARE`], since its predecessor's retries still count. The retries in any window are
-//! then those of processes that were steady and those of their successors, which together use at most
-//! 0.95 of the ratio, for any number of restarts. The remaining twentieth of the ratio and fifth of the
-//! slack cover requests that are read later than they were sent.
-//!
-//! The slack, which is divided as in `gateway_count`, only raises what may be saved up.
+//! The retries in any window come from two sources. The first is the tokens that processes had
+//! saved when the window began, at most the cap of each. Together the caps are [`SLACK_SHARE`] of
+//! the slack, divided as in `gateway_count`, plus [`SAVED_SHARE`] of the ratio times the requests
+//! of the previous window. The second is the tokens earned within the window: [`EARNED_SHARE`] of
+//! the ratio times its requests. A starting process adds no tokens and an ending one only removes
+//! some, so the bound holds for any number of restarts. Both shares of the ratio sum to 0.95. The
+//! remaining twentieth of the ratio and fifth of the slack cover requests that are read later than
+//! they were sent.
 
 use std::collections::VecDeque;
 
-/// The share of the ratio for a process that has counted its retries for a whole window. All of it may
-/// be used at once, as when many connections fail together.
-const STEADY_SHARE: f64 = 0.67;
-/// The same for a process that has just started: its predecessor's retries still count.
-const STARTED_SHARE: f64 = 0.28;
+/// The share of the ratio that each request earns. A smaller share fails more requests while
+/// endpoints refuse for long; a larger one leaves too little to save up.
+const EARNED_SHARE: f64 = 0.75;
+/// The share of the ratio, per request of a window, that may be saved up. At most [`EARNED_SHARE`],
+/// since the cap is applied only when a retry is requested.
+const SAVED_SHARE: f64 = 0.2;
 /// The share of the common slack that all gateways together may use.
 const SLACK_SHARE: f64 = 0.8;
 /// The number of tokens that only requests that may still be answered in time can take.
 const LAST_TOKENS: f64 = 2.0;
 
-/// One gateway's retry budget for one service.
+/// One gateway's retry budget for one service: a token bucket that requests fill.
+///
+/// The cap bounds the saved tokens. The slack, which is divided by the number of gateways, only
+/// raises the cap.
 #[derive(Debug)]
 pub struct RetryBudget {
     ratio: f64,
     slack: f64,
     window_ms: u64,
-    /// Since when all retries of this gateway were counted; `None` before the first request.
-    counted_from_ms: Option<u64>,
     tokens: f64,
-    /// The most tokens, and the most retries in the window, as of the last look.
     cap: f64,
     requests: VecDeque<u64>,
     retries: VecDeque<u64>,
@@ -49,7 +49,6 @@
             ratio,
             slack,
             window_ms,
-            counted_from_ms: None,
             tokens: 0.0,
             cap: 0.0,
             requests: VecDeque::new(),
@@ -57,17 +56,9 @@
         }
     }
 
-    /// Counts from the start of the process at `started_ms`, not only from its first request.
-    #[must_use]
-    pub fn with_start(mut self, started_ms: u64) -> Self {
-        self.counted_from_ms = Some(started_ms);
-        self
-    }
-
     /// Counts a request and earns its share of a retry.
     pub fn note_request(&mut self, now_ms: u64) {
-        self.counted_from_ms.get_or_insert(now_ms);
-        self.tokens += self.ratio * self.share(now_ms);
+        self.tokens += self.ratio * EARNED_SHARE;
         self.requests.push_back(now_ms);
         self.forget_old(now_ms);
     }
@@ -102,30 +93,17 @@
     fn allows_above(&mut self, now_ms: u64, gateways: u32, reserved: f64) -> bool {
         self.forget_old(now_ms);
         let slack = self.slack * SLACK_SHARE / f64::from(gateways.max(1));
-        self.cap = slack + self.requests.len() as f64 * self.ratio * self.share(now_ms);
+        self.cap = slack + self.requests.len() as f64 * self.ratio * SAVED_SHARE;
         self.tokens = self.tokens.min(self.cap);
-        let left = self.left();
-        left >= (1.0 + reserved).min(self.cap).max(1.0)
-    }
-
-    /// The share of the ratio that each request earns.
-    fn share(&self, now_ms: u64) -> f64 {
-        let is_steady =
-            self.counted_from_ms.is_some_and(|from_ms| from_ms + self.window_ms <= now_ms);
-        if is_steady { STEADY_SHARE } else { STARTED_SHARE }
-    }
-
-    /// The tokens that may be used in this window.
-    fn left(&self) -> f64 {
-        self.tokens.min(self.cap - self.retries.len() as f64).max(0.0)
+        self.tokens >= (1.0 + reserved).min(self.cap).max(1.0)
     }
 
-    /// The counts of the window and the retries left, as of the last call.
+    /// The counts of the window and the tokens left, as of the last call.
     pub fn in_window(&self) -> WindowUse {
         WindowUse {
             requests: self.requests.len(),
             retries: self.retries.len(),
-            tokens: self.left(),
+            tokens: self.tokens,
             cap: self.cap,
         }
     }
@@ -137,7 +115,7 @@
     }
 }
 
-/// One gateway's counts for the current window, and its remaining retries.
+/// One gateway's counts for the current window, and its remaining tokens.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct WindowUse {
     /// Requests that were read.
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -361,9 +361,9 @@
     ) -> T {
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
         let retry = self.settings.retry;
-        let budget = budgets.entry(service.clone()).or_insert_with(|| {
-            RetryBudget::new(retry.ratio, retry.slack, retry.window_ms).with_start(0)
-        });
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(retry.ratio, retry.slack, retry.window_ms));
         update(budget)
     }
 }
