soak: endpoints, engines, gateways and replicas that are silent for a second

The soak had engines and processes that stand still for random times, and plain endpoints that stall only inside streams.

Cause: nothing in the soak let a plain endpoint stand still as a whole, probes and heartbeats too. Change: Endpoint::set_silent; what arrives meanwhile runs once it goes on, also if its client closed the connection, as in a paused process. Mix stand-stills: SIGSTOP of gateways and replicas, engines that pause and endpoints that are silent, 1.2 s each.

--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -11,7 +11,7 @@
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::{Body, Frame, Incoming};
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use serde_json::json;
@@ -50,6 +50,7 @@
     born_ms: AtomicU64,
     breaks: AtomicBool,
     stalls: watch::Sender<bool>,
+    silent: watch::Sender<bool>,
     leaving: Leaving,
     record: Arc<Record>,
     work_ms: AtomicU64,
@@ -81,6 +82,7 @@
             born_ms,
             breaks,
             stalls: watch::Sender::new(false),
+            silent: watch::Sender::new(false),
             leaving: Leaving::default(),
             record,
             work_ms: AtomicU64::new(WORK_MS),
@@ -134,6 +136,16 @@
         self.stalls.send_replace(stalls);
     }
 
+    /// Stands still as a whole, or goes on: requests, probes and heartbeats wait meanwhile.
+    pub fn set_silent(&self, silent: bool) {
+        self.silent.send_replace(silent);
+    }
+
+    async fn until_not_silent(&self) {
+        // The sender lives as long as the endpoint.
+        let _ = self.silent.subscribe().wait_for(|silent| !silent).await;
+    }
+
     /// Serves requests and sends heartbeats until the run ends.
     ///
     /// # Errors
@@ -193,6 +205,7 @@
         loop {
             // The sender lives as long as the endpoint.
             let _ = self.is_up.subscribe().wait_for(|is_up| *is_up).await;
+            self.until_not_silent().await;
             let born_ms = self.born_ms.load(Ordering::SeqCst);
             if born_ms != told_born_ms {
                 (told_born_ms, sequence) = (born_ms, 0);
@@ -217,15 +230,35 @@
         }
     }
 
-    async fn serve(&self, request: Request<Incoming>) -> Answer {
+    async fn serve(self: Arc<Self>, request: Request<Incoming>) -> Answer {
+        if !*self.silent.borrow() {
+            let answer = self.answer(request).await;
+            self.until_not_silent().await;
+            return answer;
+        }
+        let (head, body) = request.into_parts();
+        let id = text(&head.headers, "request-id");
+        let Ok(body) = body.collect().await else {
+            return whole(StatusCode::BAD_REQUEST, &id, String::new());
+        };
+        let request = Request::from_parts(head, Full::new(body.to_bytes()));
+        // A process that goes on runs what has arrived, also if its client has closed the connection.
+        let answered = tokio::spawn(async move {
+            self.until_not_silent().await;
+            self.answer(request).await
+        });
+        answered.await.unwrap_or_else(|_| whole(StatusCode::BAD_GATEWAY, &id, String::new()))
+    }
+
+    async fn answer<B: Body>(&self, request: Request<B>) -> Answer {
         self.overload.record_arrival(request.headers(), self.record.disturbance_state());
-        let mut answer = self.answer(request).await;
+        let mut answer = self.run(request).await;
         self.overload.write_headers(answer.headers_mut());
         self.room.write_headers(answer.headers_mut());
         answer
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Answer {
+    async fn run<B: Body>(&self, request: Request<B>) -> Answer {
         let headers = request.headers().clone();
         let id = text(&headers, "request-id");
         if text(&headers, "expect-instance") != self.id() {
@@ -269,7 +302,7 @@
         }
         let first = text(&headers, "last-event-id").parse::<u64>().map_or(1, |last| last + 1);
         let last = if self.breaks.load(Ordering::SeqCst) { EVENTS / 2 } else { EVENTS };
-        streamed(&id, first, last, self.stalls.subscribe())
+        streamed(&id, first, last, self.stalls.subscribe(), self.silent.subscribe())
     }
 }
 
@@ -322,10 +355,16 @@
 }
 
 /// Events from `first` to `last`; a stream that ends before its last event breaks off.
-fn streamed(id: &str, first: u64, last: u64, stalls: watch::Receiver<bool>) -> Answer {
+fn streamed(
+    id: &str,
+    first: u64,
+    last: u64,
+    stalls: watch::Receiver<bool>,
+    silent: watch::Receiver<bool>,
+) -> Answer {
     let id_owned = id.to_owned();
     let frames = stream::unfold(first, move |number| {
-        let (id, mut stalls) = (id_owned.clone(), stalls.clone());
+        let (id, mut stalls, mut silent) = (id_owned.clone(), stalls.clone(), silent.clone());
         async move {
             if number > EVENTS {
                 return None;
@@ -335,6 +374,7 @@
                 // The sender lives as long as the endpoint.
                 let _ = stalls.wait_for(|stalls| !stalls).await;
             }
+            let _ = silent.wait_for(|silent| !silent).await;
             if number > last {
                 return Some((Err(std::io::Error::other("broken off")), EVENTS + 1));
             }
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -20,6 +20,9 @@
 /// The longest pause of a stream, within what its client allows.
 const PAUSE_MAX_MS: u64 = 2_500;
 
+/// How long a sound endpoint, gateway or replica may be silent before it goes on.
+pub const SILENT_FOR_A_SECOND: Duration = Duration::from_millis(1_200);
+
 /// How often connections fall silent in a row.
 const SILENCES_MAX: u32 = 4;
 
@@ -29,6 +32,7 @@
     what: End,
 }
 
+#[derive(Clone, Copy, PartialEq, Eq)]
 enum End {
     Start(usize),
     Resume(usize),
@@ -41,6 +45,7 @@
     EventsInTime(usize),
     StartControl,
     GoOn(usize),
+    Wake(usize),
     EndpointSignal(usize),
     EngineSignal(usize),
     Cut(u8),
@@ -74,6 +79,8 @@
     Silence,
     /// The faults of `All`, and more often engines whose streams pause for as long as clients allow.
     Pauses,
+    /// Endpoints, engines, gateways and replicas that are silent for a second and go on.
+    StandStills,
 }
 
 impl Mix {
@@ -172,6 +179,12 @@
             repairs.push(Repair { at, what: End::EventsInTime(engine) });
             continue;
         }
+        if mix == Mix::StandStills {
+            if let Some(what) = silent_for_a_second(region, rng, &repairs, record) {
+                repairs.push(Repair { at: Instant::now() + SILENT_FOR_A_SECOND, what });
+            }
+            continue;
+        }
         let is_engine = mix == Mix::Endpoints || rng.random_range(0..4) == 0;
         if is_engine {
             let lasts = Duration::from_millis(rng.random_range(200..8_000));
@@ -220,6 +233,7 @@
                 region.engines[engine].set_late_events(LateEvents::default());
             }
             End::GoOn(endpoint) => region.endpoints[endpoint].set_stalls(false),
+            End::Wake(endpoint) => region.endpoints[endpoint].set_silent(false),
             End::Cut(gateway) => region.cut(gateway, None),
             End::Return(endpoint) => region.endpoints[endpoint].return_if_left(),
             End::EndpointSignal(endpoint) => region.end_endpoint_signal(endpoint),
@@ -253,6 +267,7 @@
             End::StartControl => return region.programs.len(),
             End::Mend(_)
             | End::GoOn(_)
+            | End::Wake(_)
             | End::Cut(_)
             | End::Return(_)
             | End::EndpointSignal(_)
@@ -418,6 +433,46 @@
     Some(End::Resume(program))
 }
 
+/// Lets an endpoint, an engine or one of our processes fall silent, unless the drawn one is hurt already.
+fn silent_for_a_second(
+    region: &mut Region,
+    rng: &mut SmallRng,
+    repairs: &[Repair],
+    record: &Record,
+) -> Option<End> {
+    let endpoint = rng.random_range(0..region.endpoints.len());
+    let engine = rng.random_range(0..region.engines.len());
+    let program = rng.random_range(0..region.programs.len());
+    let what = match rng.random_range(0..3) {
+        0 => End::Wake(endpoint),
+        1 => End::ResumeEngine(engine),
+        _ => End::Resume(program),
+    };
+    if repairs.iter().any(|repair| repair.what == what) {
+        return None;
+    }
+    match what {
+        End::Wake(_) => {
+            record.fault(format!("endpoint {endpoint} falls silent for a second"));
+            region.endpoints[endpoint].set_silent(true);
+        }
+        End::ResumeEngine(_) => {
+            record.fault(format!("{} falls silent for a second", region.engines[engine].id()));
+            region.engines[engine].pause(true);
+        }
+        _ => {
+            let may_lose = !region.programs[program].is_control || lost(region, repairs) < LOST_MAX;
+            if !may_lose {
+                return None;
+            }
+            record.disturb();
+            record.fault(format!("{} falls silent for a second", region.programs[program].name));
+            region.programs[program].signal(Signal::SIGSTOP);
+        }
+    }
+    Some(what)
+}
+
 /// Lets an endpoint announce that it leaves; half of the endpoints at most.
 fn leave(region: &Region, rng: &mut SmallRng, repairs: &[Repair], record: &Record) -> Option<End> {
     let endpoint = rng.random_range(0..region.endpoints.len());
--- a/soak/src/region.rs
+++ b/soak/src/region.rs
@@ -354,6 +354,7 @@
         for endpoint in &self.endpoints {
             endpoint.set_breaks(false);
             endpoint.set_stalls(false);
+            endpoint.set_silent(false);
             endpoint.return_if_left();
         }
         for program in &mut self.programs {
