soak: the mix stand-stills ends its silences in time and names uncertain ends

Cause: a repair waited for the next fault, so that a silence of 1.2 s could last 2.7 s. Change: the mix waits for the end of each silence; it prints requests without a key whose ends promise nothing, and keeps their logs.

--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -182,6 +182,9 @@
         if mix == Mix::StandStills {
             if let Some(what) = silent_for_a_second(region, rng, &repairs, record) {
                 repairs.push(Repair { at: Instant::now() + SILENT_FOR_A_SECOND, what });
+                // Repaired in time: a longer silence is a fault.
+                tokio::time::sleep(SILENT_FOR_A_SECOND).await;
+                repair(region, &mut repairs, record).await;
             }
             continue;
         }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -172,7 +172,13 @@
         breaches.extend(record.crashing_part_breaches());
     }
     println!("seed {seed}: {}", record.summary());
-    if !breaches.is_empty() {
+    let uncertain = record.uncertain_ends();
+    if arguments.mix == Mix::StandStills {
+        for end in &uncertain {
+            println!("  uncertain: {end}");
+        }
+    }
+    if !breaches.is_empty() || (arguments.mix == Mix::StandStills && !uncertain.is_empty()) {
         region.keep_logs(&arguments.keep.join(seed.to_string()), &record);
     }
     region.stop();
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -389,6 +389,18 @@
         )
     }
 
+    /// Requests without a key whose ends promise nothing.
+    pub fn uncertain_ends(&self) -> Vec<String> {
+        let mut uncertain = Vec::new();
+        for (id, seen) in &self.inner().requests {
+            let Some(End::Unknown(end)) = &seen.end else { continue };
+            if seen.kind != Kind::Keyed {
+                uncertain.push(format!("{id}, {:?}, {} runs: {end}", seen.kind, seen.runs));
+            }
+        }
+        uncertain
+    }
+
     /// The faults so far, for a kept log.
     pub fn faults(&self) -> String {
         self.inner().faults.join("\n")
