--- a/src/control/placement/homes.rs
+++ b/src/control/placement/homes.rs
@@ -31,8 +31,8 @@
 /// How long a request for which an adapter is being evicted is checked in every pass; after that, another
 /// request has probably got the room.
 const EVICTION_WAIT_MS: u64 = 200;
-/// The maximum number of endpoints scanned for placement requests in one pass, which bounds the
-/// pass to a few milliseconds.
+/// The maximum number of endpoints scanned for placement requests in one pass, which bounds the time
+/// that they take to a few milliseconds.
 const ENDPOINT_SCANS_PER_PASS: usize = 20_000;
 /// The maximum number of adapters that an engine loads concurrently; an engine answers further
 /// loads with a conflict (see "Model placement" in the engine protocol).
@@ -177,10 +177,10 @@
     pub(super) fn load_wanted(&mut self, now_ms: u64) {
         self.wanted.retain(|_, request| request.asked_at_ms + REQUEST_TIMEOUT_MS > now_ms);
         let mut wanted = Vec::with_capacity(self.wanted.len());
-        let mut being_loaded = 0;
+        let mut open = OpenWants::default();
         for (key, request) in &self.wanted {
             if now_ms < request.check_again_at_ms {
-                being_loaded += 1;
+                open.put_off += 1;
                 continue;
             }
             wanted.push((self.rate(now_ms, &key.weights), key.clone(), request.clone()));
@@ -198,7 +198,7 @@
                 store_bears = self.store_limit.concurrent_max()
             );
         }
-        self.open = OpenWants { on_their_way: being_loaded, ..OpenWants::default() };
+        self.open = open;
         let is_store_full = self.is_store_full(now_ms);
         let requests_max =
             (ENDPOINT_SCANS_PER_PASS / self.endpoints.len().max(1)).clamp(1, REQUESTS_PER_PASS);
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -100,6 +100,8 @@
 /// Counts, by reason, of placement requests that a pass left open.
 #[derive(Debug, Clone, Copy, Default)]
 struct OpenWants {
+    /// Not handled in this pass, since nothing could be done for them shortly before.
+    put_off: usize,
     on_their_way: usize,
     endpoint_busy: usize,
     store_busy: usize,
--- a/src/control/placement/wanted.rs
+++ b/src/control/placement/wanted.rs
@@ -40,7 +40,8 @@
     pub(super) asked_at_ms: u64,
     /// The time of the first request.
     pub(super) first_asked_at_ms: u64,
-    /// When to check again whether more homes are needed than those being loaded.
+    /// No pass handles the request before this time: its homes are being loaded, or no endpoint can take
+    /// it.
     pub(super) check_again_at_ms: u64,
     /// Until when the end of an eviction that was ordered for it is awaited.
     pub(super) evicting_until_ms: u64,
