relay: a whole answer is collected without a timer for each of its parts

Callers saw (never landed): answers in many tiny parts cost the gateway so much processor time that requests beside them got no answer in time.

Cause: began the wait for an endpoint's end, and the deadline's timer, anew with each part of a whole answer.

--- a/src/relay/buffered.rs
+++ b/src/relay/buffered.rs
@@ -1,6 +1,7 @@
 //! Forwards whole responses, which are buffered so that a request can still be resent.
 
 use std::pin::pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use bytes::{Bytes, BytesMut};
 use http::header::CONTENT_LENGTH;
@@ -132,23 +133,32 @@
 
     /// Reads the rest of a response; `None` if the deadline passes.
     async fn collect(&self, body: AnswerBody, source: &Source) -> Collected {
-        let mut body = Limited::new(body, BUFFERED_RESPONSE_MAX_BYTES);
-        let mut collected = BytesMut::new();
-        loop {
-            // Awaited anew for each part: a response that still arrives is not lost.
-            let frame = tokio::select! {
-                biased;
-                frame = self.relay.clock.timeout_at(self.ends_at_ms, body.frame()) => frame?,
-                () = source.wait_for_end() => return Some(Err(ENDPOINT_ENDED.to_owned())),
-            };
-            match frame {
-                None => return Some(Ok(collected.freeze())),
-                Some(Err(error)) => return Some(Err(error.to_string())),
-                Some(Ok(frame)) => {
-                    let Ok(data) = frame.into_data() else { continue };
-                    collected.extend_from_slice(&data);
+        let has_data = AtomicBool::new(false);
+        let read = async {
+            let mut body = Limited::new(body, BUFFERED_RESPONSE_MAX_BYTES);
+            let mut collected = BytesMut::new();
+            while let Some(frame) = body.frame().await {
+                has_data.store(true, Ordering::Relaxed);
+                let frame = frame.map_err(|error| error.to_string())?;
+                let Ok(data) = frame.into_data() else { continue };
+                collected.extend_from_slice(&data);
+            }
+            Ok(collected.freeze())
+        };
+        let ended = async {
+            loop {
+                has_data.store(false, Ordering::Relaxed);
+                source.wait_for_end().await;
+                // A response that still arrives is not lost.
+                if !has_data.load(Ordering::Relaxed) {
+                    return;
                 }
             }
+        };
+        tokio::select! {
+            biased;
+            collected = self.relay.clock.timeout_at(self.ends_at_ms, read) => collected,
+            () = ended => Some(Err(ENDPOINT_ENDED.to_owned())),
         }
     }
 
