--- a/src/admin.rs
+++ b/src/admin.rs
@@ -3,11 +3,10 @@
 use std::time::Duration;
 
 use http::{Request, StatusCode};
-use hyper::body::Incoming;
 use serde_json::json;
 use tracing::info;
 
-use crate::http::{Answer, answer, json_answer, read_body};
+use crate::http::{Answer, RequestBody, answer, json_answer};
 use crate::logging;
 use crate::metrics::Metrics;
 
@@ -36,8 +35,8 @@
 }
 
 /// Sets the log level of the process to the one in the request's body.
-pub async fn set_log_level(request: Request<Incoming>) -> Answer {
-    let body = read_body(request.into_body(), LOG_LEVEL_MAX_BYTES, LOG_LEVEL_TIMEOUT_MS).await;
+pub async fn set_log_level(request: Request<RequestBody>) -> Answer {
+    let body = request.into_body().read(LOG_LEVEL_MAX_BYTES, LOG_LEVEL_TIMEOUT_MS).await;
     let Ok(body) = body else {
         return problem(StatusCode::BAD_REQUEST, "expected a log level such as debug");
     };
--- a/src/control/process.rs
+++ b/src/control/process.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use http::{Method, Request, StatusCode};
-use hyper::body::Incoming;
 use rand::RngExt;
 use serde_json::json;
 use tokio::signal::unix::{SignalKind, signal};
@@ -20,9 +19,11 @@
 use crate::control::serving::{ControlHandler, Running, Stage};
 use crate::control::{distribution, listing};
 use crate::error::{Error, Result};
-use crate::http::{Answer, HttpHandler, ServerLimits, json_answer, serve};
+use crate::http::{Answer, HttpHandler, RequestBody, ServerLimits, json_answer, serve};
 use crate::metrics::Metrics;
+use crate::policy::resource_limiter::ListenerClass;
 use crate::process::listen;
+use crate::resources::{Resources, descriptors_allowed};
 use crate::settings::ControlSettings;
 use crate::wire::{self, BoxFuture};
 
@@ -53,21 +54,25 @@
     let metrics = Metrics::new(&common.metrics_prefix, common.metrics_address)?;
     let peers = listen("listen for peers", common.listen_peers).await?;
     let admin = listen("listen for operators", common.listen_admin).await?;
+    let limits = settings.resources.limits(descriptors_allowed());
+    info!(event = "resource_limits", limits = ?limits);
+    let resources = Resources::new(limits, metrics.clone());
     let mut terminate = signal(SignalKind::terminate())
         .map_err(|error| Error::io("watch signals", "process", error))?;
     let clock = Clock::new();
     let stage = Arc::new(RwLock::new(Stage::Empty));
     let handler = Arc::new(ControlHandler::new(stage.clone()));
-    tokio::spawn(wire::serve(peers, handler, metrics.clone()));
+    tokio::spawn(wire::serve(peers, handler, resources.clone()));
     tokio::spawn(run_metrics_upkeep(metrics.clone()));
     let (stop, stopped) = watch::channel(false);
     let admin_handler = Arc::new(AdminHandler { stage: stage.clone(), metrics: metrics.clone() });
-    let limits = ServerLimits::default();
-    tokio::spawn(serve(admin, admin_handler, limits, metrics.clone(), stopped.clone()));
+    let limits = ServerLimits::new(ListenerClass::Operators);
+    tokio::spawn(serve(admin, admin_handler, limits, resources.clone(), stopped.clone()));
     if let (Some(border), Some(address)) = (border, settings.listen_api) {
         let listener = listen("listen for the platform", address).await?;
         let handler = (border.serve_api)(ControlApi::new(stage.clone()));
-        tokio::spawn(serve(listener, handler, limits, metrics.clone(), stopped));
+        let limits = ServerLimits::new(ListenerClass::Clients);
+        tokio::spawn(serve(listener, handler, limits, resources, stopped));
     }
     let booted = tokio::select! {
         booted = boot::boot(&settings, &stage, clock, &metrics) => booted?,
@@ -147,7 +152,7 @@
 }
 
 impl HttpHandler for AdminHandler {
-    fn handle(&self, request: Request<Incoming>) -> BoxFuture<'static, Answer> {
+    fn handle(&self, request: Request<RequestBody>) -> BoxFuture<'static, Answer> {
         let running = match &*self.stage.read().unwrap_or_else(PoisonError::into_inner) {
             Stage::Running(running) => Some(running.clone()),
             Stage::Empty | Stage::Founding => None,
@@ -159,7 +164,7 @@
 async fn serve_admin(
     running: Option<Running>,
     metrics: Metrics,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Answer {
     match (request.method(), request.uri().path()) {
         (&Method::GET, "/health") => json_answer(StatusCode::OK, &json!({"status": "ok"})),
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -5,7 +5,6 @@
 use std::sync::atomic::Ordering;
 
 use http::{Method, Request, StatusCode};
-use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tracing::info;
@@ -15,7 +14,7 @@
 use crate::error::Error;
 use crate::gateway::owner::OwnerMessage;
 use crate::gateway::shared::Shared;
-use crate::http::{Answer, BodyFault, HttpHandler, json_answer, read_body};
+use crate::http::{Answer, BodyFault, HttpHandler, NO_ROOM, RequestBody, json_answer};
 use crate::message::{ApplyReply, ControlReply, ControlRequest, Verdict};
 use crate::wire::{BoxFuture, traffic};
 
@@ -48,13 +47,13 @@
 }
 
 impl HttpHandler for AdminHandler {
-    fn handle(&self, request: Request<Incoming>) -> BoxFuture<'static, Answer> {
+    fn handle(&self, request: Request<RequestBody>) -> BoxFuture<'static, Answer> {
         let shared = self.shared.clone();
         Box::pin(async move { serve(&shared, request).await })
     }
 }
 
-async fn serve(shared: &Arc<Shared>, request: Request<Incoming>) -> Answer {
+async fn serve(shared: &Arc<Shared>, request: Request<RequestBody>) -> Answer {
     match (request.method(), request.uri().path()) {
         (&Method::GET, "/health") => json_answer(StatusCode::OK, &json!({"status": "ok"})),
         (&Method::GET, "/metrics") => metrics_text(&shared.metrics),
@@ -70,13 +69,16 @@
     }
 }
 
-async fn apply(shared: &Shared, request: Request<Incoming>) -> Answer {
-    let body = match read_body(request.into_body(), BODY_MAX_BYTES, BODY_TIMEOUT_MS).await {
+async fn apply(shared: &Shared, request: Request<RequestBody>) -> Answer {
+    let body = match request.into_body().read(BODY_MAX_BYTES, BODY_TIMEOUT_MS).await {
         Ok(body) => body,
         Err(BodyFault::TooLarge) => {
             return problem(StatusCode::PAYLOAD_TOO_LARGE, "the declarations are too large");
         }
-        Err(_) => return problem(StatusCode::BAD_REQUEST, "the body did not arrive whole"),
+        Err(BodyFault::NoRoom) => return problem(StatusCode::SERVICE_UNAVAILABLE, NO_ROOM),
+        Err(BodyFault::TooSlow | BodyFault::Broken) => {
+            return problem(StatusCode::BAD_REQUEST, "the body did not arrive whole");
+        }
     };
     let body: ApplyBody = match serde_json::from_slice(&body) {
         Ok(body) => body,
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, Method, Request, StatusCode};
-use hyper::body::Incoming;
 use serde_json::json;
 use tracing::info;
 use uuid::Uuid;
@@ -19,7 +18,9 @@
 use crate::gateway::openai::{CompletionKind, CompletionRequest};
 use crate::gateway::problem::Problem;
 use crate::gateway::shared::{InProgress, Shared};
-use crate::http::{Answer, BodyFault, HttpHandler, header, json_answer, read_body};
+use crate::http::{
+    Answer, BodyFault, HttpHandler, NO_ROOM, RequestBody, header, json_answer, no_room_retry_ms,
+};
 use crate::message::{AdapterKey, Call, Priority, RunState, Service};
 use crate::metrics::{Counter, Timer};
 use crate::wire::BoxFuture;
@@ -48,7 +49,7 @@
 }
 
 impl HttpHandler for ClientHandler {
-    fn handle(&self, request: Request<Incoming>) -> BoxFuture<'static, Answer> {
+    fn handle(&self, request: Request<RequestBody>) -> BoxFuture<'static, Answer> {
         let shared = self.shared.clone();
         Box::pin(async move {
             let request_id = request_id(request.headers());
@@ -68,7 +69,11 @@
     }
 }
 
-async fn serve(shared: &Arc<Shared>, request: Request<Incoming>, request_id: &Arc<str>) -> Answer {
+async fn serve(
+    shared: &Arc<Shared>,
+    request: Request<RequestBody>,
+    request_id: &Arc<str>,
+) -> Answer {
     match (request.method(), request.uri().path()) {
         (&Method::GET, "/health") => return json_answer(StatusCode::OK, &json!({"status": "ok"})),
         (&Method::GET, "/ready") => return ready(shared),
@@ -95,7 +100,7 @@
 
 async fn route(
     shared: &Arc<Shared>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     request_id: &Arc<str>,
     in_progress: InProgress,
 ) -> Result<Answer, Problem> {
@@ -223,15 +228,16 @@
     Ok(ClientOptions { priority, deadline_ms, idempotency_key })
 }
 
-async fn read_client_body(shared: &Shared, body: Incoming) -> Result<Bytes, Problem> {
+async fn read_client_body(shared: &Shared, body: RequestBody) -> Result<Bytes, Problem> {
     let limits = &shared.settings.limits;
-    let body = read_body(body, limits.body_max_bytes, limits.body_timeout_ms).await;
+    let body = body.read(limits.body_max_bytes, limits.body_timeout_ms).await;
     body.map_err(|fault| match fault {
         BodyFault::TooLarge => Problem::invalid(
             StatusCode::PAYLOAD_TOO_LARGE,
             "body_too_large",
             format!("the body is larger than {} bytes", limits.body_max_bytes),
         ),
+        BodyFault::NoRoom => Problem::busy("no_room", NO_ROOM, no_room_retry_ms() as u32),
         BodyFault::TooSlow => Problem::invalid(
             StatusCode::REQUEST_TIMEOUT,
             "body_too_slow",
@@ -247,7 +253,7 @@
 
 async fn serve_completion(
     shared: &Arc<Shared>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     request_id: &Arc<str>,
     kind: CompletionKind,
     in_progress: InProgress,
@@ -310,7 +316,7 @@
 
 async fn serve_service_call(
     shared: &Arc<Shared>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     request_id: &Arc<str>,
 ) -> Result<Answer, Problem> {
     let arrived_ms = shared.now_ms();
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -19,7 +19,9 @@
 use crate::http::{self, ServerLimits};
 use crate::message::SessionUp;
 use crate::metrics::Metrics;
+use crate::policy::resource_limiter::ListenerClass;
 use crate::process::listen;
+use crate::resources::{Resources, descriptors_allowed};
 use crate::settings::GatewaySettings;
 use crate::wire;
 
@@ -36,18 +38,22 @@
     let callers = listen("listen for clients", settings.listen_callers).await?;
     let peers = listen("listen for peers", common.listen_peers).await?;
     let admin = listen("listen for operators", common.listen_admin).await?;
+    let limits = settings.resources.limits(descriptors_allowed());
+    let limits = limits.with_clients_max(settings.limits.connections);
+    info!(event = "resource_limits", limits = ?limits);
+    let resources = Resources::new(limits, metrics.clone());
     let mut terminate = signal(SignalKind::terminate())
         .map_err(|error| Error::io("watch signals", "process", error))?;
     let (session, queue) = mpsc::unbounded_channel();
     let shared = Arc::new(Shared::new(settings.clone(), metrics.clone(), session));
     let boot_id = rand::rng().random();
     let handler = Arc::new(ForwardHandler::new(shared.clone()));
-    tokio::spawn(wire::serve(peers, handler, metrics.clone()));
+    tokio::spawn(wire::serve(peers, handler, resources.clone()));
     tokio::spawn(session::run(shared.clone(), boot_id, queue));
-    tokio::spawn(run_metrics_upkeep(metrics.clone()));
+    tokio::spawn(run_metrics_upkeep(metrics));
     let (stop, stopped) = watch::channel(false);
     let limits = ServerLimits {
-        connections: settings.limits.connections,
+        class: ListenerClass::Clients,
         header_max_bytes: settings.limits.header_max_bytes,
         header_timeout_ms: settings.limits.header_timeout_ms,
         half_close: true,
@@ -56,14 +62,14 @@
     let admin_server = http::serve(
         admin,
         admin_handler,
-        ServerLimits::default(),
-        metrics.clone(),
+        ServerLimits::new(ListenerClass::Operators),
+        resources.clone(),
         stopped.clone(),
     );
     tokio::spawn(admin_server);
     let client_handler = Arc::new(ClientHandler::new(shared.clone()));
     let client_server =
-        tokio::spawn(http::serve(callers, client_handler, limits, metrics, stopped));
+        tokio::spawn(http::serve(callers, client_handler, limits, resources, stopped));
     info!(
         event = "started",
         name = %common.name,
--- /dev/null
+++ b/src/http/body.rs
@@ -0,0 +1,187 @@
+//! Reads the bodies of requests into memory that the process has room for.
+
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use rand::RngExt;
+use tokio::time::{Instant, timeout_at};
+
+use super::meter::RequestMeter;
+use crate::resources::{HeldBytes, Shed};
+
+/// The room for the first bytes of a body without a length.
+const FIRST_BYTES: usize = 4 << 10;
+/// A body makes progress when this much of it has arrived.
+const PROGRESS_BYTES: usize = 64 << 10;
+/// What is read of a body that nobody needs, so that its client has sent it and reads the answer.
+const DISCARDED_MAX_BYTES: usize = 8 << 20;
+const DISCARDED_FOR: Duration = Duration::from_secs(1);
+
+/// What a client is told whose body there is no memory for.
+pub const NO_ROOM: &str = "there is no memory for the body";
+/// When such a client may come back: bodies take about as long. Clients that were refused together come
+/// back one by one.
+const NO_ROOM_RETRY_MS: RangeInclusive<u64> = 500..=1_500;
+
+/// The time after which a client may retry whose body there was no memory for.
+pub fn no_room_retry_ms() -> u64 {
+    rand::rng().random_range(NO_ROOM_RETRY_MS)
+}
+
+/// The reason why a body could not be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyFault {
+    /// The body is larger than allowed.
+    TooLarge,
+    /// The process has no memory left for the body.
+    NoRoom,
+    /// The body did not arrive in time.
+    TooSlow,
+    /// The connection failed before the end of the body.
+    Broken,
+}
+
+/// The body of a request that is being received. What is not read of it is discarded.
+pub struct RequestBody {
+    /// `None` once the body was read.
+    incoming: Option<Incoming>,
+    meter: RequestMeter,
+}
+
+impl RequestBody {
+    /// The body of the request that `meter` measures.
+    pub(super) fn new(incoming: Incoming, meter: RequestMeter) -> Self {
+        Self { incoming: Some(incoming), meter }
+    }
+
+    /// Reads the whole body, of at most `max_bytes`, within `timeout_ms`. Its memory belongs to the
+    /// process's limit for all requests until the last clone of the bytes is dropped.
+    ///
+    /// # Errors
+    /// The limit that was exceeded, or a connection that failed.
+    pub async fn read(mut self, max_bytes: usize, timeout_ms: u64) -> Result<Bytes, BodyFault> {
+        let Some(mut incoming) = self.incoming.take() else { return Err(BodyFault::Broken) };
+        let until = Instant::now() + Duration::from_millis(timeout_ms);
+        let guard = self.meter.guard().clone();
+        let collected = async {
+            tokio::select! {
+                collected = self.collect(&mut incoming, max_bytes) => collected,
+                () = guard.closing() => Err(BodyFault::NoRoom),
+            }
+        };
+        let collected = timeout_at(until, collected).await.unwrap_or(Err(BodyFault::TooSlow));
+        let resources = guard.resources();
+        match &collected {
+            Ok(_) => {}
+            Err(BodyFault::TooLarge) => resources.note(Shed::LargeBody),
+            Err(BodyFault::NoRoom) => resources.note(Shed::Body),
+            Err(BodyFault::TooSlow | BodyFault::Broken) => {}
+        }
+        if collected.is_err() {
+            // What is left of it is discarded.
+            self.incoming = Some(incoming);
+        }
+        collected
+    }
+
+    async fn collect(&self, incoming: &mut Incoming, max_bytes: usize) -> Result<Bytes, BodyFault> {
+        let resources = self.meter.guard().resources();
+        // A larger one could never be read, however calm it is.
+        let max_bytes = max_bytes.min(resources.limits().request_max_bytes() as usize);
+        let mut buffer = BodyBuffer::new(self.meter.guard().hold(), incoming.size_hint().exact());
+        if incoming.size_hint().lower() > max_bytes as u64 {
+            return Err(BodyFault::TooLarge);
+        }
+        let mut progress_bytes = 0;
+        while let Some(frame) = incoming.frame().await {
+            let Ok(data) = frame.map_err(|_| BodyFault::Broken)?.into_data() else { continue };
+            if buffer.len() + data.len() > max_bytes {
+                return Err(BodyFault::TooLarge);
+            }
+            buffer.append(&data, max_bytes)?;
+            if buffer.len() >= progress_bytes + PROGRESS_BYTES {
+                progress_bytes = buffer.len();
+                self.meter.guard().note_progress();
+            }
+        }
+        buffer.finish()
+    }
+}
+
+impl Drop for RequestBody {
+    fn drop(&mut self) {
+        match self.incoming.take() {
+            Some(incoming) if !incoming.is_end_stream() => {
+                self.meter.body_refused();
+                tokio::spawn(discard(incoming, self.meter.clone()));
+            }
+            _ => self.meter.body_ended(),
+        }
+    }
+}
+
+/// Reads the rest of a body that nobody needs. Closing its connection earlier could discard the answer
+/// before its client has read it.
+async fn discard(mut incoming: Incoming, meter: RequestMeter) {
+    let until = Instant::now() + DISCARDED_FOR;
+    let mut left_bytes = DISCARDED_MAX_BYTES;
+    while let Ok(Some(Ok(frame))) = timeout_at(until, incoming.frame()).await {
+        let length = frame.data_ref().map_or(0, Bytes::len);
+        let Some(left) = left_bytes.checked_sub(length) else { break };
+        left_bytes = left;
+    }
+    meter.body_ended();
+}
+
+/// The part of a body that has arrived, in one piece of memory. The parts that the connection cuts
+/// from its buffers are copied, since each of them would keep a whole buffer.
+struct BodyBuffer {
+    bytes: Vec<u8>,
+    held: HeldBytes,
+    /// The length that the client has announced. Memory is taken only as bytes arrive.
+    announced_bytes: Option<u64>,
+}
+
+impl BodyBuffer {
+    fn new(held: HeldBytes, announced_bytes: Option<u64>) -> Self {
+        Self { bytes: Vec::new(), held, announced_bytes }
+    }
+
+    fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Appends a part of a body that has `max_bytes` at most.
+    fn append(&mut self, part: &[u8], max_bytes: usize) -> Result<(), BodyFault> {
+        let needed = self.bytes.len() + part.len();
+        if needed > self.bytes.capacity() {
+            let doubled = (self.bytes.capacity() * 2).max(FIRST_BYTES);
+            let most = self.announced_bytes.map_or(max_bytes, |it| max_bytes.min(it as usize));
+            let capacity = doubled.min(most).max(needed);
+            self.held.resize(capacity as u64).map_err(|_| BodyFault::NoRoom)?;
+            self.bytes.reserve_exact(capacity - self.bytes.len());
+        }
+        self.bytes.extend_from_slice(part);
+        Ok(())
+    }
+
+    fn finish(mut self) -> Result<Bytes, BodyFault> {
+        self.bytes.shrink_to_fit();
+        self.held.resize(self.bytes.len() as u64).map_err(|_| BodyFault::NoRoom)?;
+        Ok(Bytes::from_owner(WholeBytes { bytes: self.bytes, _held: self.held }))
+    }
+}
+
+struct WholeBytes {
+    bytes: Vec<u8>,
+    _held: HeldBytes,
+}
+
+impl AsRef<[u8]> for WholeBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
--- a/src/http/client_stream.rs
+++ b/src/http/client_stream.rs
@@ -4,40 +4,60 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::meter::RequestMeter;
+
+/// The most that one read takes. A read that fills hyper's buffer of 8 KiB would double it, and it would
+/// stay large.
+const READ_MAX_BYTES: usize = (8 << 10) - 1;
+
 /// A client's connection that is reset unless it is shut down, once
 /// [`reset_unless_shut_down`](ResetSwitch::reset_unless_shut_down) was called.
 ///
 /// A response to HTTP/1.0 without a length ends with its connection. Its client can tell a response
 /// that was broken off only by a reset; this holds also if this process is killed.
-#[derive(Debug)]
-pub struct ClientStream {
+pub(super) struct ClientStream {
     stream: TcpStream,
     switch: ResetSwitch,
     resets: bool,
+    meter: RequestMeter,
+    /// True if the client does not read what was written last.
+    is_blocked: bool,
 }
 
 /// Turns on the reset of a connection.
 #[derive(Debug, Clone, Default)]
-pub struct ResetSwitch(Arc<AtomicBool>);
+pub(super) struct ResetSwitch(Arc<AtomicBool>);
 
 impl ResetSwitch {
     /// From the next write on the connection is reset when it is dropped, unless it was shut down.
-    pub fn reset_unless_shut_down(&self) {
+    pub(super) fn reset_unless_shut_down(&self) {
         self.0.store(true, Ordering::Release);
     }
 }
 
 impl ClientStream {
-    /// Wraps a connection, which `switch` belongs to.
-    pub fn new(stream: TcpStream, switch: ResetSwitch) -> Self {
-        Self { stream, switch, resets: false }
+    /// Wraps a connection, which `switch` and `meter` belong to.
+    pub(super) fn new(stream: TcpStream, switch: ResetSwitch, meter: RequestMeter) -> Self {
+        Self { stream, switch, resets: false, meter, is_blocked: false }
+    }
+
+    /// Notes the result of a write.
+    fn note_write(&mut self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        let is_blocked = written.is_pending();
+        // Each write that the client makes room for is progress.
+        if is_blocked || self.is_blocked {
+            self.meter.set_unread(false);
+            self.meter.set_unread(is_blocked);
+        }
+        self.is_blocked = is_blocked;
+        written
     }
 
     fn follow_switch(&mut self) -> io::Result<()> {
@@ -66,7 +86,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let length = buffer.remaining().min(READ_MAX_BYTES);
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(length));
+        ready!(Pin::new(&mut self.stream).poll_read(context, &mut part))?;
+        let read_bytes = part.filled().len();
+        buffer.advance(read_bytes);
+        Poll::Ready(self.meter.note_read(read_bytes))
     }
 }
 
@@ -77,7 +102,8 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.follow_switch()?;
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.note_write(written)
     }
 
     fn poll_write_vectored(
@@ -86,7 +112,8 @@
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.follow_switch()?;
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.note_write(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- /dev/null
+++ b/src/http/meter.rs
@@ -0,0 +1,175 @@
+//! Measures what a connection holds for the request that it receives or answers.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+
+use super::AnswerBody;
+use crate::error::Error;
+use crate::policy::resource_limiter::Stage;
+use crate::resources::{ConnectionGuard, HeldBytes, Shed};
+
+/// The part of a head that fits into the buffer that each connection has.
+const BUFFER_BYTES: usize = 8 << 10;
+/// A buffer that grows doubles its size.
+const GROWTH: usize = 2;
+
+/// Measures the requests of one connection, which come one after the other. Clones share it.
+#[derive(Clone)]
+pub(super) struct RequestMeter {
+    guard: ConnectionGuard,
+    request: Arc<Mutex<RequestState>>,
+}
+
+struct RequestState {
+    stage: Stage,
+    head_bytes: usize,
+    /// The memory of a large head until the request is answered.
+    held: HeldBytes,
+    body_is_open: bool,
+    answer_is_open: bool,
+}
+
+impl RequestMeter {
+    /// Measures the requests of the connection that `guard` belongs to.
+    pub(super) fn new(guard: ConnectionGuard) -> Self {
+        let request = RequestState {
+            stage: Stage::Idle,
+            head_bytes: 0,
+            held: guard.hold(),
+            body_is_open: false,
+            answer_is_open: false,
+        };
+        Self { guard, request: Arc::new(Mutex::new(request)) }
+    }
+
+    /// Counts the connection as open.
+    pub(super) fn guard(&self) -> &ConnectionGuard {
+        &self.guard
+    }
+
+    /// Measures bytes that the connection has received.
+    ///
+    /// # Errors
+    /// They belong to a head that there is no memory for.
+    pub(super) fn note_read(&self, bytes: usize) -> io::Result<()> {
+        let mut request = self.request();
+        match request.stage {
+            Stage::Idle => self.enter(&mut request, Stage::Head),
+            Stage::Head => {}
+            _ => return Ok(()),
+        }
+        request.head_bytes += bytes;
+        if request.head_bytes <= BUFFER_BYTES {
+            return Ok(());
+        }
+        let held_bytes = request.head_bytes * GROWTH;
+        request.held.resize(held_bytes as u64).map_err(|_| {
+            self.guard.resources().note(Shed::Head);
+            io::Error::new(io::ErrorKind::OutOfMemory, "there is no memory for the head")
+        })
+    }
+
+    /// The head of a request was received.
+    pub(super) fn head_ended(&self, has_body: bool) {
+        let mut request = self.request();
+        request.body_is_open = has_body;
+        request.answer_is_open = true;
+        self.enter(&mut request, if has_body { Stage::Body } else { Stage::Running });
+    }
+
+    /// The body of the request is refused, and what is left of it is discarded.
+    pub(super) fn body_refused(&self) {
+        self.enter(&mut self.request(), Stage::Discarding);
+    }
+
+    /// The body of the request was received or given up.
+    pub(super) fn body_ended(&self) {
+        let mut request = self.request();
+        if !request.body_is_open {
+            return;
+        }
+        request.body_is_open = false;
+        self.go_on(&mut request);
+    }
+
+    /// The connection does, or does not, accept more of an answer.
+    pub(super) fn set_unread(&self, is_unread: bool) {
+        let mut request = self.request();
+        match (request.stage, is_unread) {
+            (Stage::Running, true) => self.enter(&mut request, Stage::Unread),
+            (Stage::Unread, false) => self.enter(&mut request, Stage::Running),
+            _ => {}
+        }
+    }
+
+    /// Measures the request until `body`, which answers it, has ended.
+    pub(super) fn until_end_of(self, body: AnswerBody) -> MeteredAnswer {
+        MeteredAnswer { body, meter: self }
+    }
+
+    fn answer_ended(&self) {
+        let mut request = self.request();
+        request.answer_is_open = false;
+        self.go_on(&mut request);
+    }
+
+    /// Goes on with the answer, or with the next request.
+    fn go_on(&self, request: &mut RequestState) {
+        if request.body_is_open {
+            return;
+        }
+        if request.answer_is_open {
+            self.enter(request, Stage::Running);
+            return;
+        }
+        request.head_bytes = 0;
+        request.held = self.guard.hold();
+        self.enter(request, Stage::Idle);
+    }
+
+    fn enter(&self, request: &mut RequestState, stage: Stage) {
+        request.stage = stage;
+        self.guard.set_stage(stage);
+    }
+
+    fn request(&self) -> MutexGuard<'_, RequestState> {
+        self.request.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The body of an answer whose request is measured until it ends.
+pub(super) struct MeteredAnswer {
+    body: AnswerBody,
+    meter: RequestMeter,
+}
+
+impl Drop for MeteredAnswer {
+    fn drop(&mut self) {
+        self.meter.answer_ended();
+    }
+}
+
+impl Body for MeteredAnswer {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,23 +1,23 @@
 //! HTTP over `hyper`: a client with a connection pool, a server with limits, and whether a response is
 //! whole.
 
+mod body;
 mod client;
 mod client_stream;
 mod connection_headers;
 mod framing;
+mod meter;
 mod server;
 mod whole_body;
 
 use std::convert::Infallible;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::combinators::BoxBody;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Body;
-use tokio::time::timeout;
+use http_body_util::{BodyExt, Full};
 
+pub use body::{BodyFault, NO_ROOM, RequestBody, no_room_retry_ms};
 pub use client::{HttpClient, request};
 pub use connection_headers::remove_connection_headers;
 pub use framing::{Framing, FramingError};
@@ -53,42 +53,6 @@
     answer(status, "application/json", body.to_string())
 }
 
-/// The reason why a body could not be read.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum BodyFault {
-    /// The body is larger than allowed.
-    TooLarge,
-    /// The body did not arrive in time.
-    TooSlow,
-    /// The connection failed before the end of the body.
-    Broken,
-}
-
-/// Reads a complete body, of at most `max_bytes`, within `timeout_ms`.
-///
-/// # Errors
-/// The limit that was exceeded, or a connection that failed.
-pub async fn read_body<B>(
-    body: B,
-    max_bytes: usize,
-    timeout_ms: u64,
-) -> std::result::Result<Bytes, BodyFault>
-where
-    B: Body<Data = Bytes>,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
-{
-    let collected =
-        timeout(Duration::from_millis(timeout_ms), Limited::new(body, max_bytes).collect());
-    match collected.await {
-        Err(_) => Err(BodyFault::TooSlow),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.downcast_ref::<LengthLimitError>().is_some() => {
-            Err(BodyFault::TooLarge)
-        }
-        Ok(Err(_)) => Err(BodyFault::Broken),
-    }
-}
-
 /// Returns the value of a header; `None` if it is missing or is not visible ASCII.
 pub fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name).and_then(|value| value.to_str().ok())
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -5,29 +5,42 @@
 use std::time::Duration;
 
 use http::{Request, Version};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{mpsc, watch};
+use tokio::task::yield_now;
+use tokio::time::timeout;
 use tracing::{debug, warn};
 
 use super::Answer;
+use super::body::RequestBody;
 use super::client_stream::{ClientStream, ResetSwitch};
-use crate::metrics::{Counter, Metrics};
+use super::meter::RequestMeter;
+use crate::metrics::Counter;
+use crate::policy::resource_limiter::ListenerClass;
+use crate::resources::Resources;
 use crate::wire::BoxFuture;
 
+/// What may arrive on a connection before it is read.
+const UNREAD_MAX_BYTES: usize = 64 << 10;
+/// How long a connection that is closed for another one may take to send its last answer.
+const LAST_ANSWER: Duration = Duration::from_millis(200);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// A handler of HTTP requests.
 pub trait HttpHandler: Send + Sync + 'static {
     /// Answers a request.
-    fn handle(&self, request: Request<Incoming>) -> BoxFuture<'static, Answer>;
+    fn handle(&self, request: Request<RequestBody>) -> BoxFuture<'static, Answer>;
 }
 
 /// Limits of an HTTP server.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerLimits {
-    /// The maximum number of open connections; further ones are closed immediately.
-    pub connections: usize,
+    /// Whom it serves, which decides how many connections it may have.
+    pub class: ListenerClass,
     /// The maximum size of the request headers.
     pub header_max_bytes: usize,
     /// The maximum time for the headers to arrive.
@@ -37,14 +50,10 @@
     pub half_close: bool,
 }
 
-impl Default for ServerLimits {
-    fn default() -> Self {
-        Self {
-            connections: 1_024,
-            header_max_bytes: 32 << 10,
-            header_timeout_ms: 5_000,
-            half_close: true,
-        }
+impl ServerLimits {
+    /// The usual limits of a server for `class`.
+    pub fn new(class: ListenerClass) -> Self {
+        Self { class, header_max_bytes: 32 << 10, header_timeout_ms: 5_000, half_close: true }
     }
 }
 
@@ -53,10 +62,14 @@
     listener: TcpListener,
     handler: Arc<dyn HttpHandler>,
     limits: ServerLimits,
-    metrics: Metrics,
+    resources: Resources,
     mut stop: watch::Receiver<bool>,
 ) {
-    let open = Arc::new(Semaphore::new(limits.connections));
+    // Its connections take over the size.
+    if let Err(error) = SockRef::from(&listener).set_recv_buffer_size(UNREAD_MAX_BYTES) {
+        warn!(event = "receive_buffer_not_set", error = %error);
+    }
+    let (open, mut all_ended) = mpsc::channel::<Infallible>(1);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -65,50 +78,57 @@
         let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(error) => {
-                warn!(event = "accept_failed", listener = "http", error = %error);
-                tokio::time::sleep(Duration::from_millis(50)).await;
+                debug!(event = "accept_failed", listener = "http", error = %error);
+                resources.free_descriptor();
+                tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
-        let Ok(permit) = open.clone().try_acquire_owned() else {
-            metrics.count(Counter::CallerConnectionFailed);
-            warn!(event = "connection_refused", reason = "too many connections");
+        let Ok(connected) = resources.connect(limits.class) else {
+            resources.metrics().count(Counter::CallerConnectionFailed);
             continue;
         };
-        let connection =
-            serve_connection(stream, handler.clone(), limits, metrics.clone(), stop.clone());
+        let meter = RequestMeter::new(connected.guard);
+        let connection = serve_connection(stream, handler.clone(), limits, meter, stop.clone());
+        let is_open = open.clone();
         tokio::spawn(async move {
             connection.await;
-            drop(permit);
+            drop(is_open);
         });
+        if connected.has_closed {
+            yield_now().await;
+        }
     }
     drop(listener);
-    // Each connection holds a permit, so all permits are available once the last connection has
-    // ended.
-    let _ = open.acquire_many(limits.connections as u32).await;
+    // Each connection holds a sender.
+    drop(open);
+    let _ = all_ended.recv().await;
 }
 
 async fn serve_connection(
     stream: TcpStream,
     handler: Arc<dyn HttpHandler>,
     limits: ServerLimits,
-    metrics: Metrics,
+    meter: RequestMeter,
     mut stop: watch::Receiver<bool>,
 ) {
     let _ = stream.set_nodelay(true);
     let reset_switch = ResetSwitch::default();
-    let stream = ClientStream::new(stream, reset_switch.clone());
+    let guard = meter.guard().clone();
+    let stream = ClientStream::new(stream, reset_switch.clone(), meter.clone());
     let service = service_fn(move |request: Request<Incoming>| {
         // Its responses without a length end with the connection.
         if request.version() < Version::HTTP_11 {
             reset_switch.reset_unless_shut_down();
         }
-        let answer = handler.handle(request);
+        meter.head_ended(!request.body().is_end_stream());
+        let answer = handler.handle(request.map(|body| RequestBody::new(body, meter.clone())));
+        let meter = meter.clone();
         async move {
             let mut answer = answer.await;
             // An answer that is passed on may have the version of its endpoint.
             *answer.version_mut() = Version::HTTP_11;
-            Ok::<_, Infallible>(answer)
+            Ok::<_, Infallible>(answer.map(|body| meter.until_end_of(body)))
         }
     });
     let connection = hyper::server::conn::http1::Builder::new()
@@ -122,11 +142,19 @@
         result = connection.as_mut() => result,
         () = stopped(&mut stop) => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                result = connection.as_mut() => result,
+                () = guard.closing() => return,
+            }
+        }
+        () = guard.closing() => {
+            connection.as_mut().graceful_shutdown();
+            // What has not been sent by then is given up.
+            timeout(LAST_ANSWER, connection).await.unwrap_or(Ok(()))
         }
     };
     if let Err(error) = result {
-        metrics.count(Counter::CallerConnectionFailed);
+        guard.resources().metrics().count(Counter::CallerConnectionFailed);
         debug!(event = "connection_failed", error = %error);
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -70,6 +70,7 @@
 pub mod policy;
 pub mod process;
 pub mod relay;
+pub mod resources;
 pub mod routing;
 pub mod settings;
 pub mod traffic;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -128,6 +128,22 @@
     EndpointsEnded => "endpoints.ended",
     /// Connections of callers that failed or were refused at the connection limit.
     CallerConnectionFailed => "callers.connection_failed",
+    /// Connections refused because there were too many and all others were in use.
+    ConnectionsRefused => "connections.refused",
+    /// Connections that could not be accepted because no descriptor was left.
+    AcceptsFailed => "connections.accepts_failed",
+    /// Open connections closed for others while they waited for a request.
+    ConnectionsClosedIdle => "connections.closed_idle",
+    /// Open connections closed for others because their requests stopped before their end.
+    ConnectionsClosedUnfinished => "connections.closed_unfinished",
+    /// Open connections closed for others because their clients did not read their answers.
+    ConnectionsClosedUnread => "connections.closed_unread",
+    /// Requests whose head was given up for want of memory.
+    HeadsWithoutRoom => "requests.head_without_room",
+    /// Requests refused because there was no memory for their body.
+    BodiesWithoutRoom => "requests.body_without_room",
+    /// Requests refused because their body was too large.
+    BodiesTooLarge => "requests.body_too_large",
     /// Connections of peers whose h2 handshake failed.
     PeerHandshakeFailed => "peers.handshake_failed",
     /// Streams of peers refused for an unsupported wire version or an unknown channel.
@@ -185,6 +201,10 @@
     RequestsWaiting => "requests.waiting",
     /// Messages that wait at this replica of control.
     MessagesWaiting => "replica.messages_waiting",
+    /// Open connections that others have opened to this process.
+    ConnectionsOpen => "connections.open",
+    /// Memory of the heads and bodies of requests, in bytes.
+    RequestBytesHeld => "requests.held_bytes",
     /// Endpoints owned by this gateway.
     EndpointsOwned => "endpoints.owned",
     /// Services in the known configuration.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -22,6 +22,7 @@
 pub mod reach;
 pub mod recent_max;
 pub mod resend;
+pub mod resource_limiter;
 pub mod retry;
 pub mod route;
 pub mod running_time;
--- /dev/null
+++ b/src/policy/resource_limiter.rs
@@ -0,0 +1,345 @@
+//! Bounds the connections that a process accepts and the memory that their requests take, and decides
+//! which connection is closed when one more needs room.
+//!
+//! Memory is counted for all requests together, as it is taken. A part of it is kept for small
+//! requests. Room is made by closing the connection whose unfinished request has held memory for
+//! longest without progress; a request that was received completely is never given up.
+
+use std::collections::HashMap;
+
+/// The share of a process's memory for connections, in percent.
+const CONNECTIONS_MEMORY_PERCENT: u64 = 25;
+/// The memory of a connection, with its buffers, that does not hold a request.
+const CONNECTION_BYTES: u64 = 18 << 10;
+/// The share of a process's memory for the heads and bodies of requests, in percent.
+const REQUESTS_MEMORY_PERCENT: u64 = 30;
+/// The share of that memory that is kept for small requests, in percent.
+const SMALL_PERCENT: u64 = 25;
+/// The largest memory of a small request.
+const SMALL_MAX_BYTES: u64 = 64 << 10;
+/// The share of descriptors for connections of clients, in percent; each may need a further one for a
+/// connection to an endpoint.
+const CLIENTS_PERCENT: usize = 60;
+/// The share of descriptors for health checks and operators, in percent.
+const OPERATORS_PERCENT: usize = 4;
+/// The share of descriptors for connections of the system's other processes, in percent.
+const PEERS_PERCENT: usize = 20;
+/// A listener has at least this many connections, however few descriptors there are.
+const CONNECTIONS_MIN: usize = 8;
+/// An unfinished request is stalled when it has made no progress for so long.
+const STALLED_MS: u64 = 200;
+/// A client does not read its answer when it has read nothing for so long.
+const UNREAD_MS: u64 = 2_000;
+
+/// Whom a listener serves. Each class has connections of its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListenerClass {
+    /// Clients; at control, endpoints and operators of a platform.
+    Clients,
+    /// Health checks and operators.
+    Operators,
+    /// The system's other processes.
+    Peers,
+}
+
+impl ListenerClass {
+    const COUNT: usize = 3;
+}
+
+/// The bounds of a process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ResourceLimits {
+    /// The most connections of clients.
+    pub clients_max: usize,
+    /// The most connections of health checks and operators, at all their listeners together.
+    pub operators_max: usize,
+    /// The most connections of other processes.
+    pub peers_max: usize,
+    /// The most memory of all requests together.
+    pub requests_max_bytes: u64,
+    /// The part of it that is kept for small requests.
+    pub small_kept_bytes: u64,
+}
+
+impl ResourceLimits {
+    /// The bounds of a process that may use `memory_max_bytes` of memory and `descriptors_max`
+    /// descriptors.
+    pub fn new(memory_max_bytes: u64, descriptors_max: usize) -> Self {
+        let by_memory = memory_max_bytes * CONNECTIONS_MEMORY_PERCENT / 100 / CONNECTION_BYTES;
+        let share = |percent: usize, memory_percent: u64| {
+            let by_memory = by_memory * memory_percent / 100;
+            (descriptors_max / 100 * percent + descriptors_max % 100 * percent / 100)
+                .min(by_memory as usize)
+                .max(CONNECTIONS_MIN)
+        };
+        let requests_max_bytes = memory_max_bytes * REQUESTS_MEMORY_PERCENT / 100;
+        Self {
+            clients_max: share(CLIENTS_PERCENT, 100),
+            operators_max: share(OPERATORS_PERCENT, 10),
+            peers_max: share(PEERS_PERCENT, 50),
+            requests_max_bytes,
+            small_kept_bytes: requests_max_bytes * SMALL_PERCENT / 100,
+        }
+    }
+
+    /// The most memory that one request can take.
+    pub fn request_max_bytes(&self) -> u64 {
+        self.requests_max_bytes - self.small_kept_bytes
+    }
+
+    /// Sets a lower bound on connections of clients.
+    #[must_use]
+    pub fn with_clients_max(mut self, clients_max: usize) -> Self {
+        self.clients_max = self.clients_max.min(clients_max);
+        self
+    }
+
+    fn connections_max(&self, class: ListenerClass) -> usize {
+        match class {
+            ListenerClass::Clients => self.clients_max,
+            ListenerClass::Operators => self.operators_max,
+            ListenerClass::Peers => self.peers_max,
+        }
+    }
+}
+
+/// What a connection does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// It waits for a request.
+    Idle,
+    /// The head of a request is being received, or the handshake of a peer.
+    Head,
+    /// The body of a request is being received.
+    Body,
+    /// The body of a request that was refused is being received and discarded.
+    Discarding,
+    /// A request that was received completely is being answered.
+    Running,
+    /// The client does not read its answer.
+    Unread,
+}
+
+/// Identifies a connection in the limiter of its process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnectionId(u64);
+
+/// A connection that has to be closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Closed {
+    /// The connection.
+    pub id: ConnectionId,
+    /// What it did.
+    pub stage: Stage,
+}
+
+/// There is no room, and none can be made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NoRoom;
+
+#[derive(Debug)]
+struct Connection {
+    class: ListenerClass,
+    stage: Stage,
+    /// When it entered its stage, or last made progress there.
+    since_ms: u64,
+    /// The memory of its requests, some of which may outlive it.
+    held_bytes: u64,
+    state: ConnectionState,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ConnectionState {
+    Open,
+    /// It was selected to be closed. It counts no more, nor does its memory, which is freed at once.
+    Closing,
+    /// It has ended, and memory of its requests is still in use.
+    Ended,
+}
+
+/// The connections of a process and the memory of their requests.
+#[derive(Debug)]
+pub struct ResourceLimiter {
+    limits: ResourceLimits,
+    next_id: u64,
+    connections: HashMap<ConnectionId, Connection>,
+    /// The number of open connections of each class.
+    open: [usize; ListenerClass::COUNT],
+    held_bytes: u64,
+}
+
+impl ResourceLimiter {
+    /// Creates a limiter without connections.
+    pub fn new(limits: ResourceLimits) -> Self {
+        let open = [0; ListenerClass::COUNT];
+        Self { limits, next_id: 0, connections: HashMap::new(), open, held_bytes: 0 }
+    }
+
+    /// The bounds.
+    pub fn limits(&self) -> ResourceLimits {
+        self.limits
+    }
+
+    /// The memory of all requests.
+    pub fn held_bytes(&self) -> u64 {
+        self.held_bytes
+    }
+
+    /// The number of open connections of all classes.
+    pub fn open_connections(&self) -> usize {
+        self.open.iter().sum()
+    }
+
+    /// Adds a connection, and selects another one to be closed if there are too many.
+    ///
+    /// # Errors
+    /// The class has its most connections, and all of them are in use.
+    pub fn connect(
+        &mut self,
+        now_ms: u64,
+        class: ListenerClass,
+    ) -> Result<(ConnectionId, Option<Closed>), NoRoom> {
+        let mut closed = None;
+        if self.open[class as usize] >= self.limits.connections_max(class) {
+            closed = Some(self.close_oldest(now_ms, class).ok_or(NoRoom)?);
+        }
+        let id = ConnectionId(self.next_id);
+        self.next_id += 1;
+        let state = ConnectionState::Open;
+        let connection =
+            Connection { class, stage: Stage::Idle, since_ms: now_ms, held_bytes: 0, state };
+        self.connections.insert(id, connection);
+        self.open[class as usize] += 1;
+        Ok((id, closed))
+    }
+
+    /// Selects the connection of `class` to be closed that has asked for nothing for longest.
+    pub fn close_oldest(&mut self, now_ms: u64, class: ListenerClass) -> Option<Closed> {
+        self.close_longest_waiting(|_, connection| {
+            connection.class == class && connection.is_closable(now_ms)
+        })
+    }
+
+    /// Sets what a connection does from now on.
+    pub fn set_stage(&mut self, now_ms: u64, id: ConnectionId, stage: Stage) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.stage = stage;
+        connection.since_ms = now_ms;
+    }
+
+    /// Records that a connection's request has made progress.
+    pub fn note_progress(&mut self, now_ms: u64, id: ConnectionId) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.since_ms = now_ms;
+    }
+
+    /// Takes memory for the request of a connection, and selects connections to be closed if there is
+    /// too little; they are added to `closed`.
+    ///
+    /// # Errors
+    /// All memory belongs to requests that were received completely or make progress, or the
+    /// connection itself was selected to be closed.
+    pub fn take(
+        &mut self,
+        now_ms: u64,
+        id: ConnectionId,
+        bytes: u64,
+        closed: &mut Vec<Closed>,
+    ) -> Result<(), NoRoom> {
+        let connection = self.connections.get(&id).ok_or(NoRoom)?;
+        if connection.state != ConnectionState::Open {
+            return Err(NoRoom);
+        }
+        let is_small = connection.held_bytes + bytes <= SMALL_MAX_BYTES;
+        let max_bytes =
+            if is_small { self.limits.requests_max_bytes } else { self.limits.request_max_bytes() };
+        while self.held_bytes + bytes > max_bytes {
+            let stalled = self.close_stalled(now_ms, id).ok_or(NoRoom)?;
+            closed.push(stalled);
+        }
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.held_bytes += bytes;
+            self.held_bytes += bytes;
+        }
+        Ok(())
+    }
+
+    /// Gives back memory of a connection's requests, which may have outlived it.
+    pub fn give_back(&mut self, id: ConnectionId, bytes: u64) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.held_bytes -= bytes;
+        match connection.state {
+            ConnectionState::Open => self.held_bytes -= bytes,
+            ConnectionState::Closing => {}
+            ConnectionState::Ended => {
+                self.held_bytes -= bytes;
+                if connection.held_bytes == 0 {
+                    self.connections.remove(&id);
+                }
+            }
+        }
+    }
+
+    /// Records that a connection has ended.
+    pub fn end(&mut self, id: ConnectionId) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        if connection.state == ConnectionState::Open {
+            self.open[connection.class as usize] -= 1;
+        }
+        if connection.state == ConnectionState::Closing || connection.held_bytes == 0 {
+            self.connections.remove(&id);
+            return;
+        }
+        connection.state = ConnectionState::Ended;
+    }
+
+    /// Selects the connection to be closed whose unfinished request has been stalled for longest,
+    /// unless it is `except`.
+    fn close_stalled(&mut self, now_ms: u64, except: ConnectionId) -> Option<Closed> {
+        self.close_longest_waiting(|id, connection| {
+            id != except && connection.held_bytes > 0 && connection.is_stalled(now_ms)
+        })
+    }
+
+    /// Selects the one of the open connections that `is_candidate` whose last progress is the oldest.
+    fn close_longest_waiting(
+        &mut self,
+        is_candidate: impl Fn(ConnectionId, &Connection) -> bool,
+    ) -> Option<Closed> {
+        let mut longest: Option<(u64, ConnectionId)> = None;
+        for (id, connection) in &self.connections {
+            if connection.state != ConnectionState::Open || !is_candidate(*id, connection) {
+                continue;
+            }
+            // Of those that wait since the same time, the one that was accepted first.
+            let found = (connection.since_ms, *id);
+            if longest.is_none_or(|known| found < known) {
+                longest = Some(found);
+            }
+        }
+        let (_, id) = longest?;
+        let connection = self.connections.get_mut(&id)?;
+        connection.state = ConnectionState::Closing;
+        self.open[connection.class as usize] -= 1;
+        self.held_bytes -= connection.held_bytes;
+        Some(Closed { id, stage: connection.stage })
+    }
+}
+
+impl Connection {
+    /// True if it may be closed for another connection.
+    fn is_closable(&self, now_ms: u64) -> bool {
+        match self.stage {
+            Stage::Idle | Stage::Head | Stage::Discarding => true,
+            Stage::Body => self.is_stalled(now_ms),
+            Stage::Unread => now_ms.saturating_sub(self.since_ms) >= UNREAD_MS,
+            Stage::Running => false,
+        }
+    }
+
+    /// True if it may be closed for the memory of another request.
+    fn is_stalled(&self, now_ms: u64) -> bool {
+        matches!(self.stage, Stage::Head | Stage::Body)
+            && now_ms.saturating_sub(self.since_ms) >= STALLED_MS
+    }
+}
--- a/src/relay/admission.rs
+++ b/src/relay/admission.rs
@@ -6,16 +6,17 @@
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, HOST};
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
-use hyper::body::Incoming;
 use tokio::time::timeout;
-use tracing::info;
+use tracing::{debug, info};
 
 use super::access::Access;
 use super::border::RequestMeta;
 use super::quota::UsedCredit;
 use super::refusal::{NotSent, own_answer, refuse, refuse_unavailable};
 use super::shared::Relay;
-use crate::http::{Answer, BodyFault, header, read_body, remove_connection_headers};
+use crate::http::{
+    Answer, BodyFault, NO_ROOM, RequestBody, header, no_room_retry_ms, remove_connection_headers,
+};
 use crate::metrics::Counter;
 use crate::routing::{RouteMatch, RouteTable};
 
@@ -50,7 +51,7 @@
 pub(super) async fn admit(
     relay: &Arc<Relay>,
     started_ms: u64,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<Admitted, Answer> {
     let (head, body) = request.into_parts();
     let meta = relay.platform_headers.read_request(&head.headers).map_err(|detail| {
@@ -72,10 +73,11 @@
     let access = Access::authenticate(relay, started_ms, &table, &chosen.route, meta.credential)
         .map_err(&refused)?;
     let limits = table.configuration().limits;
-    let body = read_body(body, limits.body_max_bytes, BODY_TIMEOUT_MS).await.map_err(|fault| {
-        info!(event = "request_refused", request = %meta.id, reason = ?fault);
+    let body = body.read(limits.body_max_bytes, BODY_TIMEOUT_MS).await.map_err(|fault| {
+        debug!(event = "request_refused", request = %meta.id, reason = ?fault);
         match fault {
             BodyFault::TooLarge => own_answer(StatusCode::PAYLOAD_TOO_LARGE, "too large"),
+            BodyFault::NoRoom => refuse_unavailable(NO_ROOM, no_room_retry_ms()),
             BodyFault::TooSlow | BodyFault::Broken => {
                 own_answer(StatusCode::REQUEST_TIMEOUT, "the body did not arrive")
             }
--- a/src/relay/handler.rs
+++ b/src/relay/handler.rs
@@ -5,13 +5,12 @@
 use bytes::Bytes;
 use http::header::CONNECTION;
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
 
 use super::admission::admit;
 use super::exchange::Exchange;
 use super::in_progress::InProgress;
 use super::shared::Relay;
-use crate::http::{Answer, HttpHandler, answer};
+use crate::http::{Answer, HttpHandler, RequestBody, answer};
 use crate::metrics::Counter;
 use crate::wire::BoxFuture;
 
@@ -28,7 +27,7 @@
 }
 
 impl HttpHandler for RelayHandler {
-    fn handle(&self, request: Request<Incoming>) -> BoxFuture<'static, Answer> {
+    fn handle(&self, request: Request<RequestBody>) -> BoxFuture<'static, Answer> {
         let relay = self.relay.clone();
         Box::pin(async move {
             let counted = InProgress::new(relay.clone());
@@ -42,7 +41,7 @@
     }
 }
 
-async fn serve(relay: &Arc<Relay>, request: Request<Incoming>) -> Answer {
+async fn serve(relay: &Arc<Relay>, request: Request<RequestBody>) -> Answer {
     let started_ms = relay.now_ms();
     if relay.platform_headers.is_ready_path(request.uri().path()) {
         let status = ready_status(relay);
--- a/src/relay/process.rs
+++ b/src/relay/process.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use http::{Method, Request, StatusCode};
-use hyper::body::Incoming;
 use rand::RngExt;
 use serde_json::json;
 use tokio::signal::unix::{SignalKind, signal};
@@ -25,9 +24,11 @@
 use super::slots;
 use crate::admin::{metrics_text, problem, run_metrics_upkeep, set_log_level};
 use crate::error::{Error, Result};
-use crate::http::{Answer, HttpHandler, ServerLimits, answer, json_answer, serve};
+use crate::http::{Answer, HttpHandler, RequestBody, ServerLimits, answer, json_answer, serve};
 use crate::metrics::Metrics;
+use crate::policy::resource_limiter::ListenerClass;
 use crate::process::listen;
+use crate::resources::{Resources, descriptors_allowed};
 use crate::settings::RelaySettings;
 use crate::wire::{self, BoxFuture};
 
@@ -35,9 +36,6 @@
 const STOP_POLL: Duration = Duration::from_millis(50);
 /// How often expired idle connections are dropped.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(2);
-/// The maximum number of client connections; below the file descriptor limit of the users'
-/// instances.
-const CONNECTIONS_MAX: usize = 3_000;
 /// How long a client connection may be idle. It is independent of the routing configuration,
 /// because a connection accepted under a longer limit must keep that limit.
 const CLIENT_IDLE_MS: u64 = 90_000;
@@ -59,6 +57,9 @@
         Some(address) => Some(listen("listen for gateways", address).await?),
         None => None,
     };
+    let limits = settings.resources.limits(descriptors_allowed());
+    info!(event = "resource_limits", limits = ?limits);
+    let resources = Resources::new(limits, metrics.clone());
     let mut terminate = signal(SignalKind::terminate())
         .map_err(|error| Error::io("watch signals", "process", error))?;
     let (needs, wanted) = mpsc::unbounded_channel();
@@ -74,26 +75,26 @@
     tokio::spawn(slots::run(relay.clone()));
     if let Some(peers) = peers {
         let handler = Arc::new(PeerHandler::new(relay.clone(), engines.clone()));
-        tokio::spawn(wire::serve(peers, handler, metrics.clone()));
+        tokio::spawn(wire::serve(peers, handler, resources.clone()));
     }
     let queues = session::Queues { needs: wanted, outgoing };
     tokio::spawn(session::run(relay.clone(), rand::rng().random(), queues, engines));
     tokio::spawn(prune(relay.clone()));
-    tokio::spawn(run_metrics_upkeep(metrics.clone()));
+    tokio::spawn(run_metrics_upkeep(metrics));
     let (stop, stopped) = watch::channel(false);
     let ready_handler = Arc::new(ReadyHandler { relay: relay.clone() });
-    let limits = ServerLimits::default();
-    tokio::spawn(serve(ready, ready_handler, limits, metrics.clone(), stopped.clone()));
+    let limits = ServerLimits::new(ListenerClass::Operators);
+    tokio::spawn(serve(ready, ready_handler, limits, resources.clone(), stopped.clone()));
     let admin_handler = Arc::new(RelayAdmin { relay: relay.clone() });
-    tokio::spawn(serve(admin, admin_handler, limits, metrics.clone(), stopped.clone()));
+    tokio::spawn(serve(admin, admin_handler, limits, resources.clone(), stopped.clone()));
     let limits = ServerLimits {
-        connections: CONNECTIONS_MAX,
+        class: ListenerClass::Clients,
         header_max_bytes: settings.header_max_bytes,
         header_timeout_ms: CLIENT_IDLE_MS,
         half_close: false,
     };
     let handler = Arc::new(RelayHandler::new(relay.clone()));
-    let server = tokio::spawn(serve(clients, handler, limits, metrics, stopped));
+    let server = tokio::spawn(serve(clients, handler, limits, resources, stopped));
     info!(event = "started", name = %settings.name, clients = %settings.listen_clients);
     terminate.recv().await;
     shut_down_gracefully(&relay, &stop, server).await;
@@ -146,7 +147,7 @@
 }
 
 impl HttpHandler for ReadyHandler {
-    fn handle(&self, request: Request<Incoming>) -> BoxFuture<'static, Answer> {
+    fn handle(&self, request: Request<RequestBody>) -> BoxFuture<'static, Answer> {
         let status = if self.relay.platform_headers.is_ready_path(request.uri().path()) {
             ready_status(&self.relay)
         } else {
@@ -161,7 +162,7 @@
 }
 
 impl HttpHandler for RelayAdmin {
-    fn handle(&self, request: Request<Incoming>) -> BoxFuture<'static, Answer> {
+    fn handle(&self, request: Request<RequestBody>) -> BoxFuture<'static, Answer> {
         let relay = self.relay.clone();
         Box::pin(async move {
             match (request.method(), request.uri().path()) {
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -8,11 +8,15 @@
 use crate::control::placement::PlacementSettings;
 use crate::control::raft::Timing;
 use crate::policy::quota::QuotaBounds;
-use crate::settings::reader::{FieldReader, check_ports, read_address, read_common};
+use crate::settings::reader::{
+    FieldReader, check_ports, read_address, read_common, read_resources,
+};
 use crate::settings::{ControlSettings, PoolSettings, ReplicaAddress, SeedSettings};
 use crate::yaml::{Faults, Node};
 
 const DAY_MS: u64 = 86_400_000;
+/// The memory of the smallest instances with a disk.
+const MEMORY_MB: u64 = 256;
 
 pub(super) fn read_control(root: &Node<'_>, faults: &mut Faults) -> Option<ControlSettings> {
     let mut fields = FieldReader::new(root, faults);
@@ -40,6 +44,7 @@
     let quota = fields.section("quota", QuotaBounds::default(), read_quota);
     let founding_wait_ms = fields.int_or("founding_wait_ms", 6_000, 0..=600_000);
     let platform_poll_ms = fields.int_or("platform_poll_ms", 1_000, 50..=60_000);
+    let resources = read_resources(&mut fields, MEMORY_MB);
     let pools = if platform_address.is_some() { read_pools(&mut fields) } else { Vec::new() };
     fields.finish();
     let common = common?;
@@ -68,6 +73,7 @@
         placement,
         quota,
         founding_wait_ms,
+        resources,
     })
 }
 
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -3,12 +3,17 @@
 use std::net::SocketAddr;
 
 use crate::policy::route::MAX_HOMES;
-use crate::settings::reader::{FieldReader, check_ports, read_address, read_common};
+use crate::settings::reader::{
+    FieldReader, check_ports, read_address, read_common, read_resources,
+};
 use crate::settings::{
     CallerLimits, EndpointSettings, GatewaySettings, LeaseSettings, PolicySettings, RetrySettings,
 };
 use crate::yaml::{Faults, Node};
 
+/// Enough for the largest declarations that an operator may apply.
+const MEMORY_MB: u64 = 512;
+
 pub(super) fn read_gateway(root: &Node<'_>, faults: &mut Faults) -> Option<GatewaySettings> {
     let mut fields = FieldReader::new(root, faults);
     let common = read_common(&mut fields);
@@ -23,6 +28,7 @@
     });
     let policy = fields.section("policy", PolicySettings::default(), read_policy);
     let endpoints = fields.section("endpoints", default_endpoints(), read_endpoints);
+    let resources = read_resources(&mut fields, MEMORY_MB);
     let stop_timeout_ms = fields.int_or("stop_timeout_ms", 60_000, 0..=3_600_000);
     let stop_grace_ms = fields.int_or("stop_grace_ms", 2_000, 0..=600_000);
     fields.finish();
@@ -43,6 +49,7 @@
         retry,
         policy,
         endpoints,
+        resources,
         stop_timeout_ms,
         stop_grace_ms,
     })
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -15,6 +15,7 @@
 use crate::control::placement::PlacementSettings;
 use crate::control::raft::Timing;
 use crate::policy::quota::QuotaBounds;
+use crate::policy::resource_limiter::ResourceLimits;
 use crate::settings::control::read_control;
 use crate::settings::gateway::read_gateway;
 use crate::settings::reader::parse_settings;
@@ -42,6 +43,24 @@
     pub metrics_prefix: Arc<str>,
 }
 
+/// What a process may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ResourceSettings {
+    /// The memory of the process, in millions of bytes.
+    pub memory_max_mb: u64,
+    /// The most open descriptors; `None` for as many as the operating system allows.
+    pub descriptors_max: Option<u64>,
+}
+
+impl ResourceSettings {
+    /// The bounds of a process that the operating system lets open `descriptors_allowed`.
+    pub fn limits(&self, descriptors_allowed: usize) -> ResourceLimits {
+        let configured = self.descriptors_max.map_or(usize::MAX, |most| most as usize);
+        let memory_max_bytes = self.memory_max_mb * 1_000_000;
+        ResourceLimits::new(memory_max_bytes, configured.min(descriptors_allowed))
+    }
+}
+
 /// The name and address of a replica of control.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReplicaAddress {
@@ -102,6 +121,8 @@
     /// How long a new group waits for its target number of voters before it accepts a routing
     /// configuration.
     pub founding_wait_ms: u64,
+    /// What the process may use.
+    pub resources: ResourceSettings,
 }
 
 /// How a replica finds its group if only some of the replicas are known in advance.
@@ -247,6 +268,8 @@
     pub policy: PolicySettings,
     /// Timeouts and health checks of endpoints.
     pub endpoints: EndpointSettings,
+    /// What the process may use.
+    pub resources: ResourceSettings,
     /// How long a planned stop waits for requests in progress.
     pub stop_timeout_ms: u64,
     /// How long requests are still accepted after a planned stop began, until the load balancer has
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use crate::document::is_name;
-use crate::settings::CommonSettings;
+use crate::settings::{CommonSettings, ResourceSettings};
 use crate::yaml::{Fault, Faults, Node, ParsedFile};
 
 /// Parses a file with a single document and reads the document with `read`; returns the faults if there
@@ -184,6 +184,14 @@
     })
 }
 
+/// Reads what the process may use; `memory_mb` is the default of its memory.
+pub(super) fn read_resources(fields: &mut FieldReader<'_, '_>, memory_mb: u64) -> ResourceSettings {
+    ResourceSettings {
+        memory_max_mb: fields.int_or("memory_max_mb", memory_mb, 16..=1_000_000),
+        descriptors_max: fields.optional_int("descriptors_max", 64..=10_000_000),
+    }
+}
+
 /// Reports listeners that use the same port; port 0 is chosen by the system and never the same.
 pub(super) fn check_ports(node: &Node<'_>, listeners: &[(&str, SocketAddr)], faults: &mut Faults) {
     for (position, (name, address)) in listeners.iter().enumerate() {
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -3,9 +3,15 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::settings::reader::{FieldReader, check_ports, parse_settings, read_address};
+use crate::settings::ResourceSettings;
+use crate::settings::reader::{
+    FieldReader, check_ports, parse_settings, read_address, read_resources,
+};
 use crate::yaml::{Fault, Faults, Node};
 
+/// The memory of the smallest entry instances.
+const MEMORY_MB: u64 = 120;
+
 /// The settings of a relay.
 #[derive(Debug, Clone)]
 pub struct RelaySettings {
@@ -35,6 +41,8 @@
     pub revoked_within_ms: Option<u64>,
     /// The maximum size of a request's headers.
     pub header_max_bytes: usize,
+    /// What the process may use.
+    pub resources: ResourceSettings,
     /// How long the process may still run after a planned stop began.
     pub stop_grace_ms: u64,
     /// The initial log level.
@@ -84,6 +92,7 @@
     let version_within_ms = fields.int_or("version_within_ms", 5_000, 100..=600_000);
     let revoked_within_ms = fields.optional_int("revoked_within_ms", 100..=3_600_000);
     let header_max_bytes = fields.int_or("header_max_bytes", 64 << 10, 1_024..=16 << 20) as usize;
+    let resources = read_resources(&mut fields, MEMORY_MB);
     let stop_grace_ms = fields.int_or("stop_grace_ms", 8_000, 0..=3_600_000);
     let log_level = fields.text_or("log_level", "info");
     let metrics_address = fields.optional_address("metrics_address");
@@ -116,6 +125,7 @@
         version_within_ms,
         revoked_within_ms,
         header_max_bytes,
+        resources,
         stop_grace_ms,
         log_level,
         metrics_address,
--- a/src/wire/server.rs
+++ b/src/wire/server.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::yield_now;
 use tokio::time::timeout;
 use tracing::{debug, warn};
 
@@ -22,8 +23,11 @@
 use crate::error::{Error, Result};
 use crate::metrics::{Counter, Metrics};
 use crate::observed_stream::ObservedStream;
+use crate::policy::resource_limiter::{ListenerClass, Stage};
+use crate::resources::{ConnectionGuard, Resources};
 
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// A stream that a peer has opened.
 pub struct Incoming {
@@ -69,19 +73,29 @@
 }
 
 /// Accepts connections of peers until the future is dropped.
-pub async fn serve(listener: TcpListener, handler: Arc<dyn Handler>, metrics: Metrics) {
+pub async fn serve(listener: TcpListener, handler: Arc<dyn Handler>, resources: Resources) {
     loop {
-        match listener.accept().await {
-            Ok((stream, address)) => {
-                let _ = stream.set_nodelay(true);
-                let connection =
-                    serve_connection(stream, address, handler.clone(), metrics.clone());
-                tokio::spawn(connection);
-            }
+        let (stream, address) = match listener.accept().await {
+            Ok(accepted) => accepted,
             Err(error) => {
-                warn!(event = "accept_failed", listener = "peers", error = %error);
-                tokio::time::sleep(Duration::from_millis(50)).await;
+                debug!(event = "accept_failed", listener = "peers", error = %error);
+                resources.free_descriptor();
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let Ok(connected) = resources.connect(ListenerClass::Peers) else { continue };
+        let _ = stream.set_nodelay(true);
+        let (handler, guard) = (handler.clone(), connected.guard);
+        tokio::spawn(async move {
+            let metrics = guard.resources().metrics();
+            tokio::select! {
+                () = serve_connection(stream, address, handler, &guard, metrics) => {}
+                () = guard.closing() => {}
             }
+        });
+        if connected.has_closed {
+            yield_now().await;
         }
     }
 }
@@ -90,7 +104,8 @@
     stream: TcpStream,
     address: SocketAddr,
     handler: Arc<dyn Handler>,
-    metrics: Metrics,
+    guard: &ConnectionGuard,
+    metrics: &Metrics,
 ) {
     let peer: Arc<str> = address.to_string().into();
     let activity = Arc::<Activity>::default();
@@ -112,13 +127,14 @@
             return;
         }
     };
+    guard.set_stage(Stage::Running);
     let silence = watch(activity.clone(), connection.ping_pong());
     tokio::pin!(silence);
     loop {
         let accepted = tokio::select! {
             accepted = connection.accept() => accepted,
             end = &mut silence => {
-                end.note(&peer, Side::Accepted, &activity, Some(&metrics));
+                end.note(&peer, Side::Accepted, &activity, Some(metrics));
                 return;
             }
         };
@@ -130,10 +146,10 @@
             }
             None => return,
         };
-        let checked = check_stream(request, respond, &peer, &metrics);
+        let checked = check_stream(request, respond, &peer, metrics);
         let Some((channel, body, respond)) = checked else { continue };
-        let guard = activity.open(channel);
-        let incoming = Incoming { channel, peer: peer.clone(), body, respond, guard };
+        let stream_guard = activity.open(channel);
+        let incoming = Incoming { channel, peer: peer.clone(), body, respond, guard: stream_guard };
         let future = handler.handle(incoming);
         let peer = peer.clone();
         tokio::spawn(async move {
--- a/standin/src/plain.rs
+++ b/standin/src/plain.rs
@@ -9,9 +9,9 @@
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use winchvane::http::{Answer, header, json_answer, read_body};
+use winchvane::http::{Answer, header, json_answer};
 
-use crate::server::{FnHandler, json_body, start};
+use crate::server::{FnHandler, json_body, read_body, start};
 
 /// How the service misbehaves.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
@@ -82,7 +82,7 @@
         }
         let key = header(request.headers(), "idempotency-key").unwrap_or("").to_owned();
         let path = request.uri().path().to_owned();
-        let Ok(body) = read_body(request.into_body(), 16 << 20, 30_000).await else {
+        let Ok(body) = read_body(request.into_body()).await else {
             return json_answer(StatusCode::BAD_REQUEST, &json!({"error": "no whole body"}));
         };
         let number = {
--- a/standin/src/server.rs
+++ b/standin/src/server.rs
@@ -1,21 +1,29 @@
 //! What the stand-ins share: serving HTTP on a listener that a test can ask for its address.
 
 use std::convert::Infallible;
+use std::error::Error;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
-use winchvane::http::{Answer, HttpHandler, json_answer, read_body};
+use winchvane::http::{Answer, json_answer};
 use winchvane::wire::BoxFuture;
 
 const BODY_MAX_BYTES: usize = 64 << 20;
-const BODY_TIMEOUT_MS: u64 = 30_000;
+
+/// A handler of a stand-in's HTTP requests.
+pub trait HttpHandler: Send + Sync + 'static {
+    /// Answers a request.
+    fn handle(&self, request: Request<Incoming>) -> BoxFuture<'static, Answer>;
+}
 
 /// A function that answers requests.
 pub struct FnHandler<F>(pub F);
@@ -62,14 +70,22 @@
     let _ = connection.await;
 }
 
+/// Reads a whole body.
+///
+/// # Errors
+/// It is too large, or its connection failed.
+pub async fn read_body(body: Incoming) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
+    Ok(Limited::new(body, BODY_MAX_BYTES).collect().await?.to_bytes())
+}
+
 /// Reads a JSON body.
 ///
 /// # Errors
 /// The answer to send when the body is not what was expected.
 pub async fn json_body<T: DeserializeOwned>(body: Incoming) -> Result<T, Answer> {
-    let bytes = read_body(body, BODY_MAX_BYTES, BODY_TIMEOUT_MS)
+    let bytes = read_body(body)
         .await
-        .map_err(|fault| bad_request(&format!("the body could not be read: {fault:?}")))?;
+        .map_err(|error| bad_request(&format!("the body could not be read: {error}")))?;
     serde_json::from_slice(&bytes).map_err(|error| bad_request(&error.to_string()))
 }
 
--- a/platform/tests/common/crowd.rs
+++ b/tests/common/crowd.rs
@@ -4,7 +4,6 @@
 use std::fs;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::process::Child;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Duration;
@@ -203,7 +202,7 @@
 
 /// The most that a process has held: its memory at its peak, and what has arrived and is not read. Ends
 /// once that has stopped growing, since clients' own buffers hold what they have sent for a while.
-pub fn held_bytes(process: &Child, listener: SocketAddr) -> u64 {
+pub fn held_bytes(process: u32, listener: SocketAddr) -> u64 {
     let mut held_max_bytes = 0;
     let mut last_growth = 0;
     for sample in 0..SAMPLES_MAX {
@@ -221,18 +220,18 @@
 }
 
 /// The most descriptors that a process has open, until their number has stopped growing.
-pub fn open_descriptors(process: &Child) -> usize {
+pub fn open_descriptors(process: u32) -> usize {
     let mut open_max = 0;
     for _ in 0..2 * STEADY_SAMPLES {
-        let open = fs::read_dir(format!("/proc/{}/fd", process.id()));
+        let open = fs::read_dir(format!("/proc/{}/fd", process));
         open_max = open_max.max(open.expect("the process lives").count());
         thread::sleep(SAMPLE_PAUSE);
     }
     open_max
 }
 
-fn peak_bytes(process: &Child) -> u64 {
-    let status = fs::read_to_string(format!("/proc/{}/status", process.id()));
+fn peak_bytes(process: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{}/status", process));
     let status = status.expect("the process lives");
     let line = status.lines().find(|line| line.starts_with("VmHWM:")).expect("a peak of memory");
     let kib: u64 = line.split_whitespace().nth(1).and_then(|it| it.parse().ok()).expect("a number");
@@ -256,8 +255,3 @@
     }
     unread
 }
-
-/// True unless the process has ended.
-pub fn lives(process: &mut Child) -> bool {
-    process.try_wait().expect("the process is ours").is_none()
-}
--- a/tests/common/link.rs
+++ b/tests/common/link.rs
@@ -16,7 +16,7 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::timeout;
 use winchvane::Result;
-use winchvane::metrics::Metrics;
+use winchvane::resources::Resources;
 use winchvane::wire::{BoxFuture, Handler, Incoming, serve};
 
 /// The outcome of a message whose reading panicked.
@@ -76,7 +76,7 @@
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
             let address = listener.local_addr().expect("it is bound");
             let taker = Taker::<T> { outcomes, message: PhantomData };
-            tokio::spawn(serve(listener, Arc::new(taker), Metrics::local()));
+            tokio::spawn(serve(listener, Arc::new(taker), Resources::local()));
             let stream = TcpStream::connect(address).await.expect("it connects");
             let (sender, connection) = h2::client::handshake(stream).await.expect("h2");
             tokio::spawn(connection);
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -17,7 +17,7 @@
 use winchvane::control::server::{ReplicaHandle, ReplicaMessage};
 use winchvane::control::storage::FileStorage;
 use winchvane::message::{SessionDown, SessionHello, SessionRole, SessionUp};
-use winchvane::metrics::Metrics;
+use winchvane::resources::Resources;
 use winchvane::wire::{BoxFuture, Handler, Incoming, serve};
 
 const ZONE: &str = "a";
@@ -66,7 +66,7 @@
     runtime.block_on(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
         let leader = listener.local_addr().expect("the listener is bound");
-        tokio::spawn(serve(listener, Arc::new(SilentLeader::default()), Metrics::local()));
+        tokio::spawn(serve(listener, Arc::new(SilentLeader::default()), Resources::local()));
         let own = ([127, 0, 0, 1], 9).into();
         let (_leader_known, known) = watch::channel(Some(leader));
         let distributor = spawn(hello("c1".into(), 1, ZONE.into(), own), Clock::new(), known);
@@ -134,7 +134,7 @@
     let listener = leader_runtime.block_on(TcpListener::bind("127.0.0.1:0")).expect("a free port");
     let leader = listener.local_addr().expect("the listener is bound");
     let handler = Arc::new(CountingLeader { links: links.clone() });
-    leader_runtime.spawn(serve(listener, handler, Metrics::local()));
+    leader_runtime.spawn(serve(listener, handler, Resources::local()));
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     runtime.block_on(async {
--- /dev/null
+++ b/tests/resource_limiter.rs
@@ -0,0 +1,162 @@
+//! Which connections are closed when a process needs room, and what is refused.
+
+use winchvane::policy::resource_limiter::{
+    Closed, ConnectionId, ListenerClass, NoRoom, ResourceLimiter, ResourceLimits, Stage,
+};
+use yare::parameterized;
+
+const KIB: u64 = 1 << 10;
+const LIMITS: ResourceLimits = ResourceLimits {
+    clients_max: 3,
+    operators_max: 1,
+    peers_max: 1,
+    requests_max_bytes: 1_000 * KIB,
+    small_kept_bytes: 250 * KIB,
+};
+
+fn connect(limiter: &mut ResourceLimiter, now_ms: u64) -> ConnectionId {
+    let (id, closed) = limiter.connect(now_ms, ListenerClass::Clients).expect("there is room");
+    assert_eq!(closed, None);
+    id
+}
+
+fn take(limiter: &mut ResourceLimiter, now_ms: u64, id: ConnectionId, bytes: u64) -> Vec<Closed> {
+    let mut closed = Vec::new();
+    limiter.take(now_ms, id, bytes, &mut closed).expect("there is room");
+    closed
+}
+
+fn is_refused(limiter: &mut ResourceLimiter, now_ms: u64, id: ConnectionId, bytes: u64) -> bool {
+    let mut closed = Vec::new();
+    let refused = limiter.take(now_ms, id, bytes, &mut closed) == Err(NoRoom);
+    assert!(!refused || closed.is_empty(), "{closed:?} closed in vain");
+    refused
+}
+
+#[test]
+fn the_oldest_idle_connection_is_closed_for_a_new_one() {
+    let mut limiter = ResourceLimiter::new(LIMITS);
+    let first = connect(&mut limiter, 0);
+    let second = connect(&mut limiter, 1);
+    connect(&mut limiter, 2);
+    limiter.set_stage(3, first, Stage::Running);
+    limiter.set_stage(4, first, Stage::Idle);
+    let (_, closed) = limiter.connect(5, ListenerClass::Clients).expect("there is room");
+    assert_eq!(closed, Some(Closed { id: second, stage: Stage::Idle }));
+    assert_eq!(limiter.open_connections(), 3);
+    limiter.end(second);
+    assert_eq!(limiter.open_connections(), 3, "it was not counted any more");
+}
+
+#[parameterized(
+    heads = { Stage::Head, 0, true },
+    bodies_that_arrive = { Stage::Body, 100, false },
+    bodies_that_stopped = { Stage::Body, 200, true },
+    discarded_bodies = { Stage::Discarding, 0, true },
+    running = { Stage::Running, 600_000, false },
+    answers_under_way = { Stage::Unread, 1_000, false },
+    answers_nobody_reads = { Stage::Unread, 2_000, true },
+)]
+fn connections_in_use_are_not_closed(stage: Stage, after_ms: u64, is_closed: bool) {
+    let mut limiter = ResourceLimiter::new(LIMITS);
+    for _ in 0..LIMITS.clients_max {
+        let id = connect(&mut limiter, 0);
+        limiter.set_stage(0, id, stage);
+    }
+    let connected = limiter.connect(after_ms, ListenerClass::Clients);
+    assert_eq!(connected.is_ok_and(|(_, closed)| closed.is_some()), is_closed);
+    assert_eq!(limiter.open_connections(), LIMITS.clients_max);
+}
+
+#[test]
+fn a_crowd_at_one_listener_leaves_the_others_their_connections() {
+    let mut limiter = ResourceLimiter::new(LIMITS);
+    for now_ms in 0..10 {
+        let connected = limiter.connect(now_ms, ListenerClass::Clients);
+        connected.expect("an idle one is closed");
+    }
+    for class in [ListenerClass::Operators, ListenerClass::Peers] {
+        let (_, closed) = limiter.connect(20, class).expect("it has a connection of its own");
+        assert_eq!(closed, None);
+    }
+    let only = limiter.connect(21, ListenerClass::Peers).expect("the older one is idle").0;
+    limiter.set_stage(22, only, Stage::Running);
+    assert_eq!(limiter.connect(9_000, ListenerClass::Peers), Err(NoRoom));
+}
+
+#[test]
+fn the_request_that_stopped_first_is_given_up_for_another_one() {
+    let mut limiter = ResourceLimiter::new(LIMITS);
+    let (stopped, slow, new) =
+        (connect(&mut limiter, 0), connect(&mut limiter, 0), connect(&mut limiter, 0));
+    for id in [stopped, slow, new] {
+        limiter.set_stage(0, id, Stage::Body);
+    }
+    take(&mut limiter, 0, stopped, 300 * KIB);
+    take(&mut limiter, 0, slow, 300 * KIB);
+    assert!(is_refused(&mut limiter, 100, new, 300 * KIB), "the others still arrive");
+    limiter.note_progress(150, slow);
+    let closed = take(&mut limiter, 250, new, 300 * KIB);
+    assert_eq!(closed, [Closed { id: stopped, stage: Stage::Body }]);
+    assert!(is_refused(&mut limiter, 250, stopped, 1), "it was given up");
+    limiter.give_back(stopped, 300 * KIB);
+    limiter.end(stopped);
+    assert_eq!(limiter.held_bytes(), 600 * KIB);
+}
+
+#[test]
+fn a_whole_request_is_never_given_up() {
+    let mut limiter = ResourceLimiter::new(LIMITS);
+    let (whole, new) = (connect(&mut limiter, 0), connect(&mut limiter, 0));
+    limiter.set_stage(0, whole, Stage::Body);
+    take(&mut limiter, 0, whole, 700 * KIB);
+    limiter.set_stage(10, whole, Stage::Running);
+    limiter.set_stage(10, new, Stage::Body);
+    assert!(is_refused(&mut limiter, 60_000, new, 100 * KIB));
+    limiter.give_back(whole, 700 * KIB);
+    assert_eq!(take(&mut limiter, 60_001, new, 100 * KIB), []);
+}
+
+#[test]
+fn large_requests_leave_a_part_to_small_ones() {
+    let mut limiter = ResourceLimiter::new(LIMITS);
+    let (large, other, small) =
+        (connect(&mut limiter, 0), connect(&mut limiter, 0), connect(&mut limiter, 0));
+    take(&mut limiter, 0, large, 750 * KIB);
+    assert!(is_refused(&mut limiter, 0, large, KIB));
+    assert!(is_refused(&mut limiter, 0, other, 65 * KIB));
+    assert_eq!(take(&mut limiter, 0, small, 64 * KIB), []);
+    assert!(is_refused(&mut limiter, 0, small, KIB), "it is large now");
+}
+
+#[test]
+fn memory_that_outlives_its_connection_is_counted_until_it_is_given_back() {
+    let mut limiter = ResourceLimiter::new(LIMITS);
+    let id = connect(&mut limiter, 0);
+    take(&mut limiter, 0, id, 100 * KIB);
+    limiter.set_stage(0, id, Stage::Running);
+    limiter.end(id);
+    assert_eq!((limiter.open_connections(), limiter.held_bytes()), (0, 100 * KIB));
+    limiter.give_back(id, 100 * KIB);
+    assert_eq!(limiter.held_bytes(), 0);
+}
+
+/// The smallest instance that runs a gateway, and that runs control.
+#[parameterized(
+    gateway = { 120, 3_075, 4 << 20, 16 },
+    control = { 256, 4_096, 16 << 20, 16 },
+)]
+fn the_limits_of_an_instance_fit_into_it(
+    memory_mb: u64,
+    descriptors: usize,
+    body_bytes: u64,
+    base_mb: u64,
+) {
+    let limits = ResourceLimits::new(memory_mb * 1_000_000, descriptors);
+    let connections = limits.clients_max + limits.operators_max + limits.peers_max;
+    assert!(connections < descriptors * 9 / 10, "{limits:?}");
+    let connections_bytes = connections as u64 * 18 * KIB;
+    let used_bytes = base_mb * 1_000_000 + connections_bytes + limits.requests_max_bytes;
+    assert!(used_bytes < memory_mb * 900_000, "{limits:?}");
+    assert!(limits.request_max_bytes() >= body_bytes, "{limits:?}");
+}
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -11,6 +11,7 @@
 use winchvane::control::serving::{ControlHandler, Stage};
 use winchvane::metrics::{Counter, Metrics};
 use winchvane::policy::silence::SILENT_MAX_MS;
+use winchvane::resources::Resources;
 use winchvane::wire::{
     BoxFuture, Channel, Handler, Incoming, Peer, Receiver, Sender, WIRE_VERSION, serve,
 };
@@ -35,8 +36,9 @@
 async fn start() -> (std::net::SocketAddr, Metrics) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
     let address = listener.local_addr().expect("the listener is bound");
-    let metrics = Metrics::local();
-    tokio::spawn(serve(listener, Arc::new(Echo), metrics.clone()));
+    let resources = Resources::local();
+    let metrics = resources.metrics().clone();
+    tokio::spawn(serve(listener, Arc::new(Echo), resources));
     (address, metrics)
 }
 
@@ -81,7 +83,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
         let address = listener.local_addr().expect("the listener is bound");
         let handler = ControlHandler::new(Arc::new(RwLock::new(Stage::Empty)));
-        tokio::spawn(serve(listener, Arc::new(handler), Metrics::local()));
+        tokio::spawn(serve(listener, Arc::new(handler), Resources::local()));
         let peer = Peer::new(address);
         let opened = peer.open(Channel::Session).await.expect("the replica listens");
         let (_sender, mut receiver): (Sender<String>, Receiver<String>) = opened;
