http: no request begins on a connection that is being closed for another one

What callers saw: nothing yet; found by reading. Cause: the loop that serves a connection looked at what arrives and at the order to close it in random order. Peers counted as in use once their handshake was done, so that hosts that open no stream could hold all connections of the class. Change: the order to close goes first, everywhere. A connection of a peer is in use from its first valid stream on. A body dropped when the process ends starts no task.

--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -7,6 +7,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use rand::RngExt;
+use tokio::runtime::Handle;
 use tokio::time::{Instant, timeout_at};
 
 use super::meter::RequestMeter;
@@ -68,17 +69,18 @@
         let guard = self.meter.guard().clone();
         let collected = async {
             tokio::select! {
-                collected = self.collect(&mut incoming, max_bytes) => collected,
+                // The connection is closed soon, so the request must not begin.
+                biased;
                 () = guard.closing() => Err(BodyFault::NoRoom),
+                collected = self.collect(&mut incoming, max_bytes) => collected,
             }
         };
         let collected = timeout_at(until, collected).await.unwrap_or(Err(BodyFault::TooSlow));
         let resources = guard.resources();
         match &collected {
-            Ok(_) => {}
             Err(BodyFault::TooLarge) => resources.note(Shed::LargeBody),
             Err(BodyFault::NoRoom) => resources.note(Shed::Body),
-            Err(BodyFault::TooSlow | BodyFault::Broken) => {}
+            Ok(_) | Err(BodyFault::TooSlow | BodyFault::Broken) => {}
         }
         if collected.is_err() {
             // What is left of it is discarded.
@@ -113,13 +115,14 @@
 
 impl Drop for RequestBody {
     fn drop(&mut self) {
-        match self.incoming.take() {
-            Some(incoming) if !incoming.is_end_stream() => {
-                self.meter.body_refused();
-                tokio::spawn(discard(incoming, self.meter.clone()));
-            }
-            _ => self.meter.body_ended(),
-        }
+        let unread = self.incoming.take().filter(|incoming| !incoming.is_end_stream());
+        // There is no runtime when the process ends.
+        let (Some(incoming), Ok(runtime)) = (unread, Handle::try_current()) else {
+            self.meter.body_ended();
+            return;
+        };
+        self.meter.body_refused();
+        runtime.spawn(discard(incoming, self.meter.clone()));
     }
 }
 
--- a/src/http/meter.rs
+++ b/src/http/meter.rs
@@ -32,6 +32,8 @@
     held: HeldBytes,
     body_is_open: bool,
     answer_is_open: bool,
+    /// True once the head of a first request was received.
+    has_requests: bool,
 }
 
 impl RequestMeter {
@@ -43,6 +45,7 @@
             held: guard.hold(),
             body_is_open: false,
             answer_is_open: false,
+            has_requests: false,
         };
         Self { guard, request: Arc::new(Mutex::new(request)) }
     }
@@ -79,6 +82,7 @@
         let mut request = self.request();
         request.body_is_open = has_body;
         request.answer_is_open = true;
+        request.has_requests = true;
         self.enter(&mut request, if has_body { Stage::Body } else { Stage::Running });
     }
 
@@ -97,6 +101,13 @@
         self.go_on(&mut request);
     }
 
+    /// True if an answer may not have been sent completely: unless the connection receives a head, or
+    /// has received none.
+    pub(super) fn has_begun_answers(&self) -> bool {
+        let request = self.request();
+        request.has_requests && request.stage != Stage::Head
+    }
+
     /// The connection does, or does not, accept more of an answer.
     pub(super) fn set_unread(&self, is_unread: bool) {
         let mut request = self.request();
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -114,7 +114,7 @@
 ) {
     let _ = stream.set_nodelay(true);
     let reset_switch = ResetSwitch::default();
-    let guard = meter.guard().clone();
+    let (guard, own_meter) = (meter.guard().clone(), meter.clone());
     let stream = ClientStream::new(stream, reset_switch.clone(), meter.clone());
     let service = service_fn(move |request: Request<Incoming>| {
         // Its responses without a length end with the connection.
@@ -138,19 +138,24 @@
         .half_close(limits.half_close)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let result = tokio::select! {
-        result = connection.as_mut() => result,
-        () = stopped(&mut stop) => {
-            connection.as_mut().graceful_shutdown();
-            tokio::select! {
-                result = connection.as_mut() => result,
-                () = guard.closing() => return,
+    let mut is_stopping = false;
+    let result = loop {
+        tokio::select! {
+            // A request must not begin on a connection that is being closed.
+            biased;
+            () = guard.closing() => {
+                if !own_meter.has_begun_answers() {
+                    return;
+                }
+                connection.as_mut().graceful_shutdown();
+                // What has not been sent by then is given up.
+                break timeout(LAST_ANSWER, connection).await.unwrap_or(Ok(()));
+            }
+            result = connection.as_mut() => break result,
+            () = stopped(&mut stop), if !is_stopping => {
+                is_stopping = true;
+                connection.as_mut().graceful_shutdown();
             }
-        }
-        () = guard.closing() => {
-            connection.as_mut().graceful_shutdown();
-            // What has not been sent by then is given up.
-            timeout(LAST_ANSWER, connection).await.unwrap_or(Ok(()))
         }
     };
     if let Err(error) = result {
--- a/src/wire/server.rs
+++ b/src/wire/server.rs
@@ -127,7 +127,6 @@
             return;
         }
     };
-    guard.set_stage(Stage::Running);
     let silence = watch(activity.clone(), connection.ping_pong());
     tokio::pin!(silence);
     loop {
@@ -148,6 +147,8 @@
         };
         let checked = check_stream(request, respond, &peer, metrics);
         let Some((channel, body, respond)) = checked else { continue };
+        // Until then it may be closed for another one.
+        guard.set_stage(Stage::Running);
         let stream_guard = activity.open(channel);
         let incoming = Incoming { channel, peer: peer.clone(), body, respond, guard: stream_guard };
         let future = handler.handle(incoming);
