logging: a line has 4 KiB at most

Cause: ids, paths and names of models are chosen by clients and stand in log lines whole. 4,096 lines wait in memory while nobody reads them: 160 MB at 40 KB each. Change: the writer of lines cuts what is beyond 4 KiB and marks the line with cut=true, whoever writes it. Also tests of bodies whose chunk extensions or trailers do not end, and of whole bodies at control.

--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,10 +1,12 @@
 //! Logging in logfmt: one line of key=value pairs for each event. The level can be changed at run
 //! time.
 
+use std::io::{self, Write};
 use std::sync::{Mutex, OnceLock, PoisonError};
 
-use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
+use tracing_appender::non_blocking::{ErrorCounter, NonBlocking, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::filter::EnvFilter;
+use tracing_subscriber::fmt::MakeWriter;
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::reload;
 use tracing_subscriber::util::SubscriberInitExt;
@@ -18,6 +20,12 @@
 /// the process does not block when the reader of its output has stopped.
 const MAX_BUFFERED_LINES: usize = 4_096;
 
+/// The longest line; what is beyond is cut. Clients choose ids and paths, and all buffered lines have to
+/// fit into memory.
+const LINE_MAX_BYTES: usize = 4_096;
+/// What ends a line that was cut.
+const CUT: &[u8] = b" cut=true\n";
+
 static DROPPED: OnceLock<ErrorCounter> = OnceLock::new();
 static WRITER: Mutex<Option<WorkerGuard>> = Mutex::new(None);
 
@@ -37,7 +45,7 @@
         .with_span_name(false)
         .with_span_path(false)
         .layer()
-        .with_writer(writer);
+        .with_writer(ShortLines(writer));
     tracing_subscriber::registry()
         .with(lines.with_filter(filter))
         .try_init()
@@ -46,6 +54,42 @@
     Ok(())
 }
 
+/// Writes each line up to [`LINE_MAX_BYTES`].
+struct ShortLines(NonBlocking);
+
+impl<'a> MakeWriter<'a> for ShortLines {
+    type Writer = ShortLine;
+
+    fn make_writer(&'a self) -> ShortLine {
+        ShortLine(self.0.clone())
+    }
+}
+
+struct ShortLine(NonBlocking);
+
+impl Write for ShortLine {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        if line.len() <= LINE_MAX_BYTES {
+            return self.0.write(line);
+        }
+        self.0.write_all(&shorten(line))?;
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.0.flush()
+    }
+}
+
+/// Cuts a line off, between two characters.
+fn shorten(line: &[u8]) -> Vec<u8> {
+    let mut end = LINE_MAX_BYTES - CUT.len();
+    while end > 0 && line[end] & 0xC0 == 0x80 {
+        end -= 1;
+    }
+    [&line[..end], CUT].concat()
+}
+
 /// Changes the log level of the process. Does nothing if logging has not been started.
 ///
 /// # Errors
--- a/tests/common/crowd.rs
+++ b/tests/common/crowd.rs
@@ -1,5 +1,7 @@
 //! Crowds of clients that keep no rule, and what a process holds for them.
 
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
 use std::fmt::Write as _;
 use std::fs;
 use std::io::{self, Read, Write};
@@ -48,6 +50,10 @@
     Whole(usize),
     /// A whole request whose head has this size.
     WholeHead(usize),
+    /// A chunk whose extension has this size and does not end.
+    EndlessExtension(usize),
+    /// Trailers of this size that do not end.
+    EndlessTrailers(usize),
     /// A body that announces 1 GiB, until the connection is closed.
     EndlessByLength,
     /// A body in large chunks, until the connection is closed.
@@ -82,6 +88,14 @@
                 stream.write_all(in_chunks(&head).as_bytes())?;
                 send_chunks(stream, LARGE_CHUNK_BYTES, bytes)
             }
+            Self::EndlessExtension(bytes) => {
+                let extension = "x".repeat(bytes);
+                stream.write_all(format!("{}1;{extension}", in_chunks(&head)).as_bytes())
+            }
+            Self::EndlessTrailers(bytes) => {
+                let trailers = "x".repeat(bytes);
+                stream.write_all(format!("{}0\r\nx-long: {trailers}", in_chunks(&head)).as_bytes())
+            }
             Self::EndlessByLength => {
                 stream.write_all(with_length(&head, 1 << 30).as_bytes())?;
                 stream.write_all(&vec![b'x'; ENDLESS_BYTES])
@@ -223,7 +237,7 @@
 pub fn open_descriptors(process: u32) -> usize {
     let mut open_max = 0;
     for _ in 0..2 * STEADY_SAMPLES {
-        let open = fs::read_dir(format!("/proc/{}/fd", process));
+        let open = fs::read_dir(format!("/proc/{process}/fd"));
         open_max = open_max.max(open.expect("the process lives").count());
         thread::sleep(SAMPLE_PAUSE);
     }
@@ -231,7 +245,7 @@
 }
 
 fn peak_bytes(process: u32) -> u64 {
-    let status = fs::read_to_string(format!("/proc/{}/status", process));
+    let status = fs::read_to_string(format!("/proc/{process}/status"));
     let status = status.expect("the process lives");
     let line = status.lines().find(|line| line.starts_with("VmHWM:")).expect("a peak of memory");
     let kib: u64 = line.split_whitespace().nth(1).and_then(|it| it.parse().ok()).expect("a number");
