soak: clients whose bodies stop short, come in tiny chunks or are far over the limit

Cause: abusive clients sent what the soak's small limit on bodies (64 KiB) refused, to gateways only, and nobody looked at the memory of the processes. Change: the limit is that of the users' pages (4 MiB); bodies stop one byte short, come in chunks of one byte or of 64 KiB, or are far over the limit, at gateways and at control; heads stop short. Each process's peak of memory is a breach above that of the smallest instances.

--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod faults;
 pub mod keyed;
 pub mod leaving;
+pub mod memory;
 pub mod open_load;
 pub mod operator;
 pub mod overload;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -16,7 +16,7 @@
 use winchvane_soak::faults::Mix;
 use winchvane_soak::record::Record;
 use winchvane_soak::region::{Region, Size};
-use winchvane_soak::{abusive, client, faults, keyed, operator, resuming};
+use winchvane_soak::{abusive, client, faults, keyed, memory, operator, resuming};
 
 /// How long after the last fault everything must be served again; the users allow 12 s.
 const RECOVERY: Duration = Duration::from_secs(12);
@@ -133,7 +133,9 @@
     let mut clients = client::start(gateways.clone(), arguments.clients, record.clone());
     let for_adapters = arguments.adapter_clients;
     clients.extend(client::start_for_adapters(gateways.clone(), for_adapters, record.clone()));
-    clients.extend(abusive::start(&gateways, arguments.abusive_clients, seed, &record));
+    let servers =
+        abusive::Servers { gateways: gateways.clone(), control: region.control_addresses() };
+    clients.extend(abusive::start(&servers, arguments.abusive_clients, seed, &record));
     clients.extend(resuming::start(&gateways, arguments.resuming_clients, seed, &record));
     clients.extend(keyed::start(&gateways, arguments.keyed_clients, &record));
     let with_content = arguments.crashing_clients;
@@ -167,6 +169,7 @@
     let mut breaches = record.breaches(&region.exits());
     breaches.extend(region.empty_engines());
     breaches.extend(region.overload_breaches());
+    breaches.extend(memory::breaches(&region.programs));
     // Other mixes stop control, so that it may learn of a part late.
     if arguments.mix == Mix::Stalls {
         breaches.extend(record.crashing_part_breaches());
--- a/soak/src/operator.rs
+++ b/soak/src/operator.rs
@@ -55,7 +55,7 @@
             {"name": "plain", "health_path": "/health", "max_connections": 200},
             {"name": SERVICE, "health_path": "/health", "max_connections": 200, "engine": engine},
         ],
-        "limits": {"max_header_bytes": 16_384, "max_body_bytes": 65_536,
+        "limits": {"max_header_bytes": 16_384, "max_body_bytes": 4_194_304,
             "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000},
     })
 }
--- a/soak/src/region.rs
+++ b/soak/src/region.rs
@@ -73,7 +73,7 @@
     log: PathBuf,
     child: Option<Child>,
     /// The id of its process; 0 while it does not run.
-    process: Arc<AtomicU32>,
+    pub(crate) process: Arc<AtomicU32>,
     expected_exit: bool,
 }
 
