--- a/src/relay/admission.rs
+++ b/src/relay/admission.rs
@@ -7,7 +7,7 @@
 use http::header::{CONTENT_LENGTH, HOST};
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use tokio::time::timeout;
-use tracing::{debug, info};
+use tracing::info;
 
 use super::access::Access;
 use super::border::RequestMeta;
@@ -74,7 +74,7 @@
         .map_err(&refused)?;
     let limits = table.configuration().limits;
     let body = body.read(limits.body_max_bytes, BODY_TIMEOUT_MS).await.map_err(|fault| {
-        debug!(event = "request_refused", request = %meta.id, reason = ?fault);
+        info!(event = "request_refused", request = %meta.id, reason = ?fault);
         match fault {
             BodyFault::TooLarge => own_answer(StatusCode::PAYLOAD_TOO_LARGE, "too large"),
             BodyFault::NoRoom => refuse_unavailable(NO_ROOM, no_room_retry_ms()),
