--- a/tests/common/crowd.rs
+++ b/tests/common/crowd.rs
@@ -15,7 +15,7 @@
 /// The pause after each client has sent a piece, in which a server reads it.
 const TURN_PAUSE: Duration = Duration::from_millis(2);
 /// How long one write or read of a client may take; a server may close its connection instead.
-const SOCKET_TIMEOUT: Duration = Duration::from_secs(5);
+const SOCKET_TIMEOUT: Duration = Duration::from_secs(10);
 /// What a process holds is read at this interval, until it has not grown for some samples.
 const SAMPLE_PAUSE: Duration = Duration::from_millis(50);
 const STEADY_SAMPLES: u32 = 10;
