--- a/tests/common/crowd.rs
+++ b/tests/common/crowd.rs
@@ -251,7 +251,8 @@
     open_max
 }
 
-fn peak_bytes(process: u32) -> u64 {
+/// The most memory that a process has held.
+pub fn peak_bytes(process: u32) -> u64 {
     let status = fs::read_to_string(format!("/proc/{process}/status"));
     let status = status.expect("the process lives");
     let line = status.lines().find(|line| line.starts_with("VmHWM:")).expect("a peak of memory");
@@ -260,7 +261,7 @@
 }
 
 /// What has arrived on connections of `listener` and is not read yet.
-fn unread_bytes(listener: SocketAddr) -> u64 {
+pub fn unread_bytes(listener: SocketAddr) -> u64 {
     let table = fs::read_to_string("/proc/net/tcp").expect("Linux lists connections");
     let port = format!(":{:04X}", listener.port());
     let mut unread = 0;
