control: names that clients choose are kept up to 512 bytes, and 100,000 of them

What callers saw: nothing yet. Control's memory grew with the length of what clients put into the header for the weights. Cause: the name was bounded by the head only, and the leader keeps the demand for each name that is asked for, known or not. Its bound of 100,000 names only dropped those with little demand, and searched all of them for each new name while it was exceeded. Ruled out: to refuse names that no endpoint holds, since adapters are loaded when they are first asked for. Change: a request to engines whose names of model and adapter have more than 512 bytes gets 400, at once; a full record of demand takes no further name, and looks for old ones every 0.5 s. Known names are counted on. Why this works: what is kept is bounded by number and by length, whatever clients send.

--- a/src/control/placement/demand.rs
+++ b/src/control/placement/demand.rs
@@ -7,17 +7,19 @@
 /// The usual half-life of a request's contribution to demand; a popular adapter is requested many
 /// times in this period.
 const HALF_LIFE_MS: f64 = 4_000.0;
-/// The number of weights from which entries with low demand are dropped; the largest required
-/// deployment has 63,000 adapters.
+/// The most weights with a record; the largest required deployment has 63,000 adapters.
 const TRACKED_MAX: usize = 100_000;
 /// Entries whose decayed sum is at most this are dropped when the limit is reached.
 const FORGET_BELOW: f64 = 0.05;
+/// The pause between two searches for such entries.
+const FORGET_INTERVAL_MS: u64 = 500;
 
 /// Exponentially decaying sums, by weights.
 #[derive(Debug)]
 pub struct Demand {
     half_life_ms: f64,
     counts: HashMap<WeightsName, DecayedSum>,
+    forget_at_ms: u64,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -35,7 +37,7 @@
 
 impl Default for Demand {
     fn default() -> Self {
-        Self { half_life_ms: HALF_LIFE_MS, counts: HashMap::new() }
+        Self { half_life_ms: HALF_LIFE_MS, counts: HashMap::new(), forget_at_ms: 0 }
     }
 }
 
@@ -52,16 +54,35 @@
         self
     }
 
-    /// Adds an amount for `name`, such as requests or their duration.
+    /// Adds an amount for `name`, such as requests or their duration, unless there is no room for
+    /// another name.
     pub fn add(&mut self, now_ms: u64, name: &WeightsName, amount: f64) {
         let half_life_ms = self.half_life_ms;
+        if let Some(count) = self.counts.get_mut(name) {
+            *count = DecayedSum { sum: count.at(now_ms, half_life_ms) + amount, at_ms: now_ms };
+            return;
+        }
         if self.counts.len() >= TRACKED_MAX {
-            self.counts.retain(|_, count| count.at(now_ms, half_life_ms) > FORGET_BELOW);
+            self.forget(now_ms);
+        }
+        if self.counts.len() < TRACKED_MAX {
+            self.counts.insert(name.clone(), DecayedSum { sum: amount, at_ms: now_ms });
+        }
+    }
+
+    /// The number of weights with a record.
+    pub fn tracked(&self) -> usize {
+        self.counts.len()
+    }
+
+    /// Drops entries with low demand, unless that was tried a moment ago.
+    fn forget(&mut self, now_ms: u64) {
+        if now_ms < self.forget_at_ms {
+            return;
         }
-        let count =
-            self.counts.entry(name.clone()).or_insert(DecayedSum { sum: 0.0, at_ms: now_ms });
-        count.sum = count.at(now_ms, half_life_ms) + amount;
-        count.at_ms = now_ms;
+        self.forget_at_ms = now_ms + FORGET_INTERVAL_MS;
+        let half_life_ms = self.half_life_ms;
+        self.counts.retain(|_, count| count.at(now_ms, half_life_ms) > FORGET_BELOW);
     }
 
     /// Returns the decayed sum of recent amounts.
--- a/src/message/registration.rs
+++ b/src/message/registration.rs
@@ -22,6 +22,11 @@
         Self { model: model.into(), adapter: adapter.map(Into::into) }
     }
 
+    /// The length of both names together.
+    pub fn size_bytes(&self) -> usize {
+        self.model.len() + self.adapter.as_ref().map_or(0, |adapter| adapter.len())
+    }
+
     /// The base model of these weights.
     #[must_use]
     pub fn base(&self) -> Self {
--- a/src/relay/admission.rs
+++ b/src/relay/admission.rs
@@ -17,11 +17,15 @@
 use crate::http::{
     Answer, BodyFault, NO_ROOM, RequestBody, header, no_room_retry_ms, remove_connection_headers,
 };
+use crate::message::WeightsName;
 use crate::metrics::Counter;
 use crate::routing::{RouteMatch, RouteTable};
 
 /// The time limit for reading a client's request body.
 const BODY_TIMEOUT_MS: u64 = 3_000;
+/// The longest names of weights that are looked for. The names of all requests are kept for a while, by
+/// the leader too.
+const WEIGHTS_NAME_MAX_BYTES: usize = 512;
 /// How long a request waits on a gateway that has no routes yet: the time a gateway needs to find a
 /// newly elected leader. It is shorter than the time clients allow for reading a request.
 const FIRST_ROUTES_WAIT_MS: u64 = 400;
@@ -67,6 +71,7 @@
     let Some(chosen) = table.find(host, head.uri.path(), &meta.id) else {
         return Err(no_route(relay, &table, &meta));
     };
+    check_weights_name(&meta, &chosen)?;
     let refused = |reason: NotSent| refuse_unsent(relay, started_ms, &meta, &chosen, reason);
     // Checked at the time the request was read: a later confirmation by the leader must not change
     // the result.
@@ -107,6 +112,20 @@
     })
 }
 
+/// Checks the length of the names of the weights, unless the service ignores them.
+///
+/// # Errors
+/// They are too long.
+fn check_weights_name(meta: &RequestMeta, chosen: &RouteMatch) -> Result<(), Answer> {
+    let size_bytes = meta.weights.as_ref().map_or(0, WeightsName::size_bytes);
+    if chosen.service.engine.is_none() || size_bytes <= WEIGHTS_NAME_MAX_BYTES {
+        return Ok(());
+    }
+    info!(event = "request_refused", request = %meta.id, reason = "WeightsNameTooLong", size_bytes);
+    let detail = format!("the names of weights have at most {WEIGHTS_NAME_MAX_BYTES} bytes");
+    Err(own_answer(StatusCode::BAD_REQUEST, &detail))
+}
+
 /// Waits for a confirmation that the known routes are recent, if that is expected.
 ///
 /// # Errors
