http: whole answers take from a bound of their own, which unread ones give back first

What callers saw: nothing yet. Clients that ask for large answers all at once let a gateway grow past the memory of its instance. Cause: a whole answer (256 KiB at most) was collected without a bound for all together, and hyper's read buffer of each endpoint connection grew beside it, up to 400 KB. A whole answer that was handed to its connection left that "idle" while the client did not read it, so it went first when a new connection needed room, and each further try to write counted as progress. Ruled out: bodies and answers under one bound, since requests that run would wait for the memory that they hold themselves; parts taken as they arrive, which would wait for each other; to fail an answer that has run; to pass it on uncollected, which takes the resend. Change: 7% of the memory is for answers of more than 16 KiB, each taken as a whole before more than that is read; connections 36% (were 40), requests 28% (were 30), so that all fit. For room the connection goes whose client has read nothing for longest, .2 s at least. Buffers of endpoint connections are 64 KiB at most. The stage of a connection follows what it accepts: "unread" until all is sent. Why this works: what is collected holds its memory until the last byte was accepted; an answer that waits holds 16 KiB and a buffer. The gauge answers.held_bytes shows it.

--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::meter::RequestMeter;
-use crate::resources::{HeldBytes, Shed};
+use crate::resources::{ConnectionGuard, HeldBytes, Shed};
 
 /// The sizes to which the memory of a body grows before it doubles. Many steps of many bodies would leave
 /// holes in the heap that nothing else fits into.
@@ -59,6 +59,11 @@
         Self { incoming: Some(incoming), meter }
     }
 
+    /// Counts the connection that the request came on as open.
+    pub fn connection(&self) -> ConnectionGuard {
+        self.meter.guard().clone()
+    }
+
     /// Reads the whole body, of at most `max_bytes`, within `timeout_ms`. Its memory belongs to the
     /// process's limit for all requests until the last clone of the bytes is dropped.
     ///
@@ -110,7 +115,7 @@
                 self.meter.guard().note_progress();
             }
         }
-        buffer.finish()
+        Ok(buffer.finish())
     }
 }
 
@@ -173,20 +178,8 @@
         Ok(())
     }
 
-    fn finish(mut self) -> Result<Bytes, BodyFault> {
+    fn finish(mut self) -> Bytes {
         self.bytes.shrink_to_fit();
-        self.held.resize(self.bytes.len() as u64).map_err(|_| BodyFault::NoRoom)?;
-        Ok(Bytes::from_owner(WholeBytes { bytes: self.bytes, _held: self.held }))
-    }
-}
-
-struct WholeBytes {
-    bytes: Vec<u8>,
-    _held: HeldBytes,
-}
-
-impl AsRef<[u8]> for WholeBytes {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
+        self.held.into_bytes(self.bytes)
     }
 }
--- a/src/http/client_stream.rs
+++ b/src/http/client_stream.rs
@@ -51,10 +51,9 @@
     /// Notes the result of a write.
     fn note_write(&mut self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         let is_blocked = written.is_pending();
-        // Each write that the client makes room for is progress.
-        if is_blocked || self.is_blocked {
-            self.meter.set_unread(false);
-            self.meter.set_unread(is_blocked);
+        // A write that the client makes room for is progress, another try is none.
+        if is_blocked != self.is_blocked {
+            self.meter.set_blocked(is_blocked);
         }
         self.is_blocked = is_blocked;
         written
--- a/src/http/meter.rs
+++ b/src/http/meter.rs
@@ -32,6 +32,8 @@
     held: HeldBytes,
     body_is_open: bool,
     answer_is_open: bool,
+    /// True while the connection accepts no more of an answer.
+    is_blocked: bool,
     /// True once the head of a first request was received.
     has_requests: bool,
 }
@@ -45,6 +47,7 @@
             held: guard.hold(),
             body_is_open: false,
             answer_is_open: false,
+            is_blocked: false,
             has_requests: false,
         };
         Self { guard, request: Arc::new(Mutex::new(request)) }
@@ -62,7 +65,8 @@
     pub(super) fn note_read(&self, bytes: usize) -> io::Result<()> {
         let mut request = self.request();
         match request.stage {
-            Stage::Idle => self.enter(&mut request, Stage::Head),
+            Stage::Unread if request.answer_is_open => return Ok(()),
+            Stage::Idle | Stage::Unread => self.enter(&mut request, Stage::Head),
             Stage::Head => {}
             _ => return Ok(()),
         }
@@ -109,12 +113,11 @@
     }
 
     /// The connection does, or does not, accept more of an answer.
-    pub(super) fn set_unread(&self, is_unread: bool) {
+    pub(super) fn set_blocked(&self, is_blocked: bool) {
         let mut request = self.request();
-        match (request.stage, is_unread) {
-            (Stage::Running, true) => self.enter(&mut request, Stage::Unread),
-            (Stage::Unread, false) => self.enter(&mut request, Stage::Running),
-            _ => {}
+        request.is_blocked = is_blocked;
+        if matches!(request.stage, Stage::Idle | Stage::Running | Stage::Unread) {
+            self.enter_next(&mut request);
         }
     }
 
@@ -134,13 +137,24 @@
         if request.body_is_open {
             return;
         }
-        if request.answer_is_open {
-            self.enter(request, Stage::Running);
-            return;
+        if !request.answer_is_open {
+            request.head_bytes = 0;
+            request.held = self.guard.hold();
         }
-        request.head_bytes = 0;
-        request.held = self.guard.hold();
-        self.enter(request, Stage::Idle);
+        self.enter_next(request);
+    }
+
+    /// Enters the stage of a connection that receives no request.
+    fn enter_next(&self, request: &mut RequestState) {
+        let stage = if request.is_blocked {
+            // The last part of an answer is sent after its body has ended.
+            Stage::Unread
+        } else if request.answer_is_open {
+            Stage::Running
+        } else {
+            Stage::Idle
+        };
+        self.enter(request, stage);
     }
 
     fn enter(&self, request: &mut RequestState, stage: Stage) {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -205,6 +205,8 @@
     ConnectionsOpen => "connections.open",
     /// Memory of the heads and bodies of requests, in bytes.
     RequestBytesHeld => "requests.held_bytes",
+    /// Memory of whole answers until their clients have read them, in bytes.
+    AnswerBytesHeld => "answers.held_bytes",
     /// Endpoints owned by this gateway.
     EndpointsOwned => "endpoints.owned",
     /// Services in the known configuration.
--- a/src/policy/resource_limiter.rs
+++ b/src/policy/resource_limiter.rs
@@ -3,19 +3,22 @@
 //!
 //! Memory is counted for all requests together, as it is taken. A part of it is kept for small
 //! requests. Room is made by closing the connection whose unfinished request has held memory for
-//! longest without progress; a request that was received completely is never given up.
+//! longest without progress; a request that was received completely is never given up. Whole answers have
+//! memory of their own, for which those connections are closed whose clients do not read.
 
 use std::collections::HashMap;
 
 /// The share of a process's memory for connections, in percent.
-const CONNECTIONS_MEMORY_PERCENT: u64 = 40;
+const CONNECTIONS_MEMORY_PERCENT: u64 = 36;
 /// The memory of a connection that does not hold a request: 18 KiB with its buffers, and what may arrive
 /// for it while nothing is read.
 const CONNECTION_BYTES: u64 = 78 << 10;
 /// The share of a process's memory for the heads and bodies of requests, in percent.
-const REQUESTS_MEMORY_PERCENT: u64 = 30;
+const REQUESTS_MEMORY_PERCENT: u64 = 28;
 /// The share of that memory that is kept for small requests, in percent.
 const SMALL_PERCENT: u64 = 25;
+/// The share of a process's memory for whole answers, in percent.
+const ANSWERS_MEMORY_PERCENT: u64 = 7;
 /// The largest memory of a small request.
 const SMALL_MAX_BYTES: u64 = 64 << 10;
 /// The share of descriptors for connections of clients, in percent; each may need a further one for a
@@ -27,9 +30,11 @@
 const PEERS_PERCENT: usize = 20;
 /// A listener has at least this many connections, however few descriptors there are.
 const CONNECTIONS_MIN: usize = 8;
-/// An unfinished request is stalled when it has made no progress for so long.
+/// An unfinished request, or an answer that is not read, is stalled when it has made no progress for so
+/// long.
 const STALLED_MS: u64 = 200;
-/// A client does not read its answer when it has read nothing for so long.
+/// A connection may be closed for another one when its client has read nothing of its answer for so
+/// long.
 const UNREAD_MS: u64 = 2_000;
 
 /// Whom a listener serves. Each class has connections of its own.
@@ -60,6 +65,8 @@
     pub requests_max_bytes: u64,
     /// The part of it that is kept for small requests.
     pub small_kept_bytes: u64,
+    /// The most memory of all whole answers together.
+    pub answers_max_bytes: u64,
 }
 
 impl ResourceLimits {
@@ -80,6 +87,7 @@
             peers_max: share(PEERS_PERCENT, 50),
             requests_max_bytes,
             small_kept_bytes: requests_max_bytes * SMALL_PERCENT / 100,
+            answers_max_bytes: memory_max_bytes * ANSWERS_MEMORY_PERCENT / 100,
         }
     }
 
@@ -121,6 +129,19 @@
     Unread,
 }
 
+/// What memory of a connection is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Purpose {
+    /// The head or the body of a request.
+    Request,
+    /// A whole answer, until the client has read it.
+    Answer,
+}
+
+impl Purpose {
+    const COUNT: usize = 2;
+}
+
 /// Identifies a connection in the limiter of its process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ConnectionId(u64);
@@ -144,8 +165,8 @@
     stage: Stage,
     /// When it entered its stage, or last made progress there.
     since_ms: u64,
-    /// The memory of its requests, some of which may outlive it.
-    held_bytes: u64,
+    /// Its memory for each purpose, some of which may outlive it.
+    held_bytes: [u64; Purpose::COUNT],
     state: ConnectionState,
 }
 
@@ -154,11 +175,11 @@
     Open,
     /// It was selected to be closed. It counts no more, nor does its memory, which is freed at once.
     Closing,
-    /// It has ended, and memory of its requests is still in use.
+    /// It has ended, and memory of it is still in use.
     Ended,
 }
 
-/// The connections of a process and the memory of their requests.
+/// The connections of a process and their memory.
 #[derive(Debug)]
 pub struct ResourceLimiter {
     limits: ResourceLimits,
@@ -166,14 +187,16 @@
     connections: HashMap<ConnectionId, Connection>,
     /// The number of open connections of each class.
     open: [usize; ListenerClass::COUNT],
-    held_bytes: u64,
+    /// The memory of all connections for each purpose.
+    held_bytes: [u64; Purpose::COUNT],
 }
 
 impl ResourceLimiter {
     /// Creates a limiter without connections.
     pub fn new(limits: ResourceLimits) -> Self {
         let open = [0; ListenerClass::COUNT];
-        Self { limits, next_id: 0, connections: HashMap::new(), open, held_bytes: 0 }
+        let held_bytes = [0; Purpose::COUNT];
+        Self { limits, next_id: 0, connections: HashMap::new(), open, held_bytes }
     }
 
     /// The bounds.
@@ -181,9 +204,9 @@
         self.limits
     }
 
-    /// The memory of all requests.
-    pub fn held_bytes(&self) -> u64 {
-        self.held_bytes
+    /// The memory of all connections for `purpose`.
+    pub fn held_bytes(&self, purpose: Purpose) -> u64 {
+        self.held_bytes[purpose as usize]
     }
 
     /// The number of open connections of all classes.
@@ -207,8 +230,9 @@
         let id = ConnectionId(self.next_id);
         self.next_id += 1;
         let state = ConnectionState::Open;
+        let held_bytes = [0; Purpose::COUNT];
         let connection =
-            Connection { class, stage: Stage::Idle, since_ms: now_ms, held_bytes: 0, state };
+            Connection { class, stage: Stage::Idle, since_ms: now_ms, held_bytes, state };
         self.connections.insert(id, connection);
         self.open[class as usize] += 1;
         Ok((id, closed))
@@ -234,16 +258,17 @@
         connection.since_ms = now_ms;
     }
 
-    /// Takes memory for the request of a connection, and selects connections to be closed if there is
-    /// too little; they are added to `closed`.
+    /// Takes memory for the request or the answer of a connection, and selects connections to be closed
+    /// if there is too little; they are added to `closed`.
     ///
     /// # Errors
-    /// All memory belongs to requests that were received completely or make progress, or the
-    /// connection itself was selected to be closed.
+    /// All memory belongs to requests that were received completely or make progress, or to answers that
+    /// are read, or the connection itself was selected to be closed.
     pub fn take(
         &mut self,
         now_ms: u64,
         id: ConnectionId,
+        purpose: Purpose,
         bytes: u64,
         closed: &mut Vec<Closed>,
     ) -> Result<(), NoRoom> {
@@ -251,30 +276,38 @@
         if connection.state != ConnectionState::Open {
             return Err(NoRoom);
         }
-        let is_small = connection.held_bytes + bytes <= SMALL_MAX_BYTES;
-        let max_bytes =
-            if is_small { self.limits.requests_max_bytes } else { self.limits.request_max_bytes() };
-        while self.held_bytes + bytes > max_bytes {
-            let stalled = self.close_stalled(now_ms, id).ok_or(NoRoom)?;
+        let max_bytes = match purpose {
+            Purpose::Answer => self.limits.answers_max_bytes,
+            Purpose::Request if connection.held(purpose) + bytes <= SMALL_MAX_BYTES => {
+                self.limits.requests_max_bytes
+            }
+            Purpose::Request => self.limits.request_max_bytes(),
+        };
+        while self.held_bytes(purpose) + bytes > max_bytes {
+            let stalled = self.close_stalled(now_ms, id, purpose).ok_or(NoRoom)?;
             closed.push(stalled);
         }
-        if let Some(connection) = self.connections.get_mut(&id) {
-            connection.held_bytes += bytes;
-            self.held_bytes += bytes;
-        }
+        self.add(id, purpose, bytes);
         Ok(())
     }
 
-    /// Gives back memory of a connection's requests, which may have outlived it.
-    pub fn give_back(&mut self, id: ConnectionId, bytes: u64) {
+    /// Counts memory of an open connection.
+    fn add(&mut self, id: ConnectionId, purpose: Purpose, bytes: u64) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.held_bytes[purpose as usize] += bytes;
+        self.held_bytes[purpose as usize] += bytes;
+    }
+
+    /// Gives back memory of a connection, which it may have outlived.
+    pub fn give_back(&mut self, id: ConnectionId, purpose: Purpose, bytes: u64) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
-        connection.held_bytes -= bytes;
+        connection.held_bytes[purpose as usize] -= bytes;
         match connection.state {
-            ConnectionState::Open => self.held_bytes -= bytes,
+            ConnectionState::Open => self.held_bytes[purpose as usize] -= bytes,
             ConnectionState::Closing => {}
             ConnectionState::Ended => {
-                self.held_bytes -= bytes;
-                if connection.held_bytes == 0 {
+                self.held_bytes[purpose as usize] -= bytes;
+                if !connection.holds_memory() {
                     self.connections.remove(&id);
                 }
             }
@@ -287,18 +320,23 @@
         if connection.state == ConnectionState::Open {
             self.open[connection.class as usize] -= 1;
         }
-        if connection.state == ConnectionState::Closing || connection.held_bytes == 0 {
+        if connection.state == ConnectionState::Closing || !connection.holds_memory() {
             self.connections.remove(&id);
             return;
         }
         connection.state = ConnectionState::Ended;
     }
 
-    /// Selects the connection to be closed whose unfinished request has been stalled for longest,
-    /// unless it is `except`.
-    fn close_stalled(&mut self, now_ms: u64, except: ConnectionId) -> Option<Closed> {
+    /// Selects the connection to be closed that has held memory for `purpose` for longest without
+    /// progress, unless it is `except`.
+    fn close_stalled(
+        &mut self,
+        now_ms: u64,
+        except: ConnectionId,
+        purpose: Purpose,
+    ) -> Option<Closed> {
         self.close_longest_waiting(|id, connection| {
-            id != except && connection.held_bytes > 0 && connection.is_stalled(now_ms)
+            id != except && connection.held(purpose) > 0 && connection.is_stalled(now_ms, purpose)
         })
     }
 
@@ -322,25 +360,38 @@
         let connection = self.connections.get_mut(&id)?;
         connection.state = ConnectionState::Closing;
         self.open[connection.class as usize] -= 1;
-        self.held_bytes -= connection.held_bytes;
+        for (all_bytes, held_bytes) in self.held_bytes.iter_mut().zip(connection.held_bytes) {
+            *all_bytes -= held_bytes;
+        }
         Some(Closed { id, stage: connection.stage })
     }
 }
 
 impl Connection {
+    fn held(&self, purpose: Purpose) -> u64 {
+        self.held_bytes[purpose as usize]
+    }
+
+    fn holds_memory(&self) -> bool {
+        self.held_bytes.iter().any(|bytes| *bytes > 0)
+    }
+
     /// True if it may be closed for another connection.
     fn is_closable(&self, now_ms: u64) -> bool {
         match self.stage {
             Stage::Idle | Stage::Head | Stage::Discarding => true,
-            Stage::Body => self.is_stalled(now_ms),
+            Stage::Body => self.is_stalled(now_ms, Purpose::Request),
             Stage::Unread => now_ms.saturating_sub(self.since_ms) >= UNREAD_MS,
             Stage::Running => false,
         }
     }
 
-    /// True if it may be closed for the memory of another request.
-    fn is_stalled(&self, now_ms: u64) -> bool {
-        matches!(self.stage, Stage::Head | Stage::Body)
-            && now_ms.saturating_sub(self.since_ms) >= STALLED_MS
+    /// True if it may be closed for the memory that it holds for `purpose`.
+    fn is_stalled(&self, now_ms: u64, purpose: Purpose) -> bool {
+        let can_stall = match purpose {
+            Purpose::Request => matches!(self.stage, Stage::Head | Stage::Body),
+            Purpose::Answer => self.stage == Stage::Unread,
+        };
+        can_stall && now_ms.saturating_sub(self.since_ms) >= STALLED_MS
     }
 }
--- a/src/relay/admission.rs
+++ b/src/relay/admission.rs
@@ -19,6 +19,7 @@
 };
 use crate::message::WeightsName;
 use crate::metrics::Counter;
+use crate::resources::ConnectionGuard;
 use crate::routing::{RouteMatch, RouteTable};
 
 /// The time limit for reading a client's request body.
@@ -46,6 +47,8 @@
     /// The headers to forward to an endpoint.
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    /// The client's connection; `None` if another gateway read the request.
+    pub(super) client: Option<ConnectionGuard>,
 }
 
 /// Reads a request completely and finds its route.
@@ -78,6 +81,7 @@
     let access = Access::authenticate(relay, started_ms, &table, &chosen.route, meta.credential)
         .map_err(&refused)?;
     let limits = table.configuration().limits;
+    let client = body.connection();
     let body = body.read(limits.body_max_bytes, BODY_TIMEOUT_MS).await.map_err(|fault| {
         info!(event = "request_refused", request = %meta.id, reason = ?fault);
         match fault {
@@ -109,6 +113,7 @@
         target: head.uri,
         headers,
         body,
+        client: Some(client),
     })
 }
 
--- a/src/relay/buffered.rs
+++ b/src/relay/buffered.rs
@@ -3,12 +3,14 @@
 use std::pin::pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::header::CONTENT_LENGTH;
 use http::response::Parts;
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
+use hyper::body::Body;
 
+use super::answer_buffer::AnswerBuffer;
 use super::doubt::{Continuation, OpenAnswer, Raced};
 use super::exchange::{ENDPOINT_ENDED, Exchange};
 use super::known::IncarnationEnd;
@@ -135,15 +137,18 @@
     async fn collect(&self, body: AnswerBody, source: &Source) -> Collected {
         let has_data = AtomicBool::new(false);
         let read = async {
+            let announced_bytes = body.size_hint().exact().and_then(|it| usize::try_from(it).ok());
+            let size_max_bytes = announced_bytes
+                .map_or(BUFFERED_RESPONSE_MAX_BYTES, |it| it.min(BUFFERED_RESPONSE_MAX_BYTES));
             let mut body = Limited::new(body, BUFFERED_RESPONSE_MAX_BYTES);
-            let mut collected = BytesMut::new();
+            let mut collected = AnswerBuffer::new(self.client.as_ref(), size_max_bytes);
             while let Some(frame) = body.frame().await {
                 has_data.store(true, Ordering::Relaxed);
                 let frame = frame.map_err(|error| error.to_string())?;
                 let Ok(data) = frame.into_data() else { continue };
-                collected.extend_from_slice(&data);
+                collected.append(&data).await;
             }
-            Ok(collected.freeze())
+            Ok(collected.finish())
         };
         let ended = async {
             loop {
--- a/src/relay/detour/serve.rs
+++ b/src/relay/detour/serve.rs
@@ -329,6 +329,7 @@
         target,
         headers,
         body: request.body.into(),
+        client: None,
     };
     let exchange = Exchange::new(relay, started_ms, admitted);
     let exchange = exchange.with_origin(request.origin);
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -28,6 +28,7 @@
 use crate::message::{FeatureKey, RequestContent, StreamOrigin};
 use crate::metrics::Timer;
 use crate::policy::resend::FailureCause;
+use crate::resources::ConnectionGuard;
 use crate::routing::RouteMatch;
 
 /// The part of the deadline that is reserved for returning the response.
@@ -51,6 +52,8 @@
     pub(super) target: Uri,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    /// The client's connection; `None` if another gateway read the request.
+    pub(super) client: Option<ConnectionGuard>,
     pub(super) prompt: PromptChain,
     pub(super) tried: Vec<Arc<str>>,
     /// The time of the last send; 0 before the first one.
@@ -109,7 +112,7 @@
 impl Exchange {
     /// Starts handling an admitted request.
     pub(super) fn new(relay: &Arc<Relay>, started_ms: u64, admitted: Admitted) -> Self {
-        let Admitted { meta, chosen, access, used_credit, method, target, headers, body } =
+        let Admitted { meta, chosen, access, used_credit, method, target, headers, body, client } =
             admitted;
         let timeout_ms = chosen.route.timeout_ms;
         let attempts = chosen.route.attempts.max(1);
@@ -134,6 +137,7 @@
             target,
             headers,
             body,
+            client,
             prompt,
             tried: Vec::new(),
             sent_at_ms: 0,
@@ -181,6 +185,7 @@
             target: self.target.clone(),
             headers: self.headers.clone(),
             body: self.body.clone(),
+            client: self.client.clone(),
             prompt: self.prompt.clone(),
             tried,
             response_started_at_ms: None,
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -9,6 +9,7 @@
 mod access;
 mod admission;
 mod advertised;
+mod answer_buffer;
 mod attempt;
 mod border;
 mod budget;
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::TcpStream;
@@ -27,6 +27,9 @@
 /// endpoint may be silent.
 const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(4);
 
+/// The most that is read of an answer before it is taken, which is also the largest head.
+const BUFFER_MAX_BYTES: usize = 64 << 10;
+
 /// A connection without a request in progress.
 pub type Connection = SendRequest<Full<Bytes>>;
 
@@ -112,7 +115,9 @@
         let record = Arc::new(ConnectionRecord::new(self.clock));
         self.records().add(self.clock.now_ms(), address, record.clone());
         let stream = ObservedStream::new(stream, record);
-        let (connection, driver) = handshake(TokioIo::new(stream))
+        let (connection, driver) = Builder::new()
+            .max_buf_size(BUFFER_MAX_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| Error::refused("handshake", peer.clone(), error))?;
         tokio::spawn(async move {
--- a/src/resources.rs
+++ b/src/resources.rs
@@ -2,19 +2,25 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
+use bytes::Bytes;
 use nix::sys::resource::{Resource, getrlimit};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
+use tokio::time::timeout;
 use tracing::warn;
 
 use crate::clock::Clock;
 use crate::metrics::{Counter, Gauge, Metrics};
 use crate::policy::resource_limiter::{
-    Closed, ConnectionId, ListenerClass, NoRoom, ResourceLimiter, ResourceLimits, Stage,
+    Closed, ConnectionId, ListenerClass, NoRoom, Purpose, ResourceLimiter, ResourceLimits, Stage,
 };
 
 /// The interval of log lines of one kind; what happens between them is counted.
 const LOG_INTERVAL_MS: u64 = 1_000;
+/// How often memory for an answer is tried for while none is given back: clients may have stopped to read
+/// meanwhile.
+const ANSWER_RETRY: Duration = Duration::from_millis(50);
 
 /// The number of descriptors that the operating system lets this process open.
 pub fn descriptors_allowed() -> usize {
@@ -94,6 +100,8 @@
     clock: Clock,
     metrics: Metrics,
     state: Mutex<State>,
+    /// Signals that memory of an answer was given back.
+    answer_freed: Notify,
 }
 
 struct State {
@@ -115,7 +123,13 @@
     pub fn new(limits: ResourceLimits, metrics: Metrics) -> Self {
         let limiter = ResourceLimiter::new(limits);
         let state = State { limiter, closing: HashMap::new(), lines: HashMap::new() };
-        Self(Arc::new(Inner { clock: Clock::new(), metrics, state: Mutex::new(state) }))
+        let answer_freed = Notify::new();
+        Self(Arc::new(Inner {
+            clock: Clock::new(),
+            metrics,
+            state: Mutex::new(state),
+            answer_freed,
+        }))
     }
 
     /// Creates resources that have room for anything, and local metrics.
@@ -169,7 +183,7 @@
         let now_ms = self.0.clock.now_ms();
         let mut state = self.state();
         let (connections, held_bytes) =
-            (state.limiter.open_connections(), state.limiter.held_bytes());
+            (state.limiter.open_connections(), state.limiter.held_bytes(Purpose::Request));
         let number = match state.lines.get_mut(&shed) {
             Some(line) if now_ms < line.written_ms + LOG_INTERVAL_MS => {
                 line.unwritten += 1;
@@ -193,26 +207,31 @@
         self.publish();
     }
 
-    fn take(&self, id: ConnectionId, bytes: u64) -> Result<(), NoRoom> {
+    fn take(&self, id: ConnectionId, purpose: Purpose, bytes: u64) -> Result<(), NoRoom> {
         let now_ms = self.0.clock.now_ms();
         let mut closed = Vec::new();
-        let taken = self.state().limiter.take(now_ms, id, bytes, &mut closed);
+        let taken = self.state().limiter.take(now_ms, id, purpose, bytes, &mut closed);
         self.close(&closed);
         taken
     }
 
-    fn give_back(&self, id: ConnectionId, bytes: u64) {
-        self.state().limiter.give_back(id, bytes);
+    fn give_back(&self, id: ConnectionId, purpose: Purpose, bytes: u64) {
+        self.state().limiter.give_back(id, purpose, bytes);
+        if purpose == Purpose::Answer {
+            self.0.answer_freed.notify_waiters();
+        }
         self.publish();
     }
 
     fn publish(&self) {
         let state = self.state();
-        let (connections, held_bytes) =
-            (state.limiter.open_connections() as u64, state.limiter.held_bytes());
+        let connections = state.limiter.open_connections() as u64;
+        let requests_bytes = state.limiter.held_bytes(Purpose::Request);
+        let answers_bytes = state.limiter.held_bytes(Purpose::Answer);
         drop(state);
         self.0.metrics.gauge(Gauge::ConnectionsOpen, connections);
-        self.0.metrics.gauge(Gauge::RequestBytesHeld, held_bytes);
+        self.0.metrics.gauge(Gauge::RequestBytesHeld, requests_bytes);
+        self.0.metrics.gauge(Gauge::AnswerBytesHeld, answers_bytes);
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -267,7 +286,32 @@
 
     /// Memory for the connection's request, none yet.
     pub fn hold(&self) -> HeldBytes {
-        HeldBytes { resources: self.0.resources.clone(), id: self.0.id, bytes: 0 }
+        self.hold_for(Purpose::Request)
+    }
+
+    /// Waits until there are `bytes` of memory for an answer; `None` if the connection is being closed or
+    /// there can never be as much.
+    pub async fn hold_answer(&self, bytes: u64) -> Option<HeldBytes> {
+        let resources = &self.0.resources;
+        if bytes > resources.limits().answers_max_bytes {
+            return None;
+        }
+        let mut held = self.hold_for(Purpose::Answer);
+        loop {
+            let freed = resources.0.answer_freed.notified();
+            if held.resize(bytes).is_ok() {
+                return Some(held);
+            }
+            if *self.0.closing.borrow() {
+                return None;
+            }
+            // It tries again in either case.
+            let _ = timeout(ANSWER_RETRY, freed).await;
+        }
+    }
+
+    fn hold_for(&self, purpose: Purpose) -> HeldBytes {
+        HeldBytes { resources: self.0.resources.clone(), id: self.0.id, purpose, bytes: 0 }
     }
 }
 
@@ -281,10 +325,12 @@
     }
 }
 
-/// Memory of a request, which is given back when it is dropped. It may outlive its connection.
+/// Memory of a request or an answer, which is given back when it is dropped. It may outlive its
+/// connection.
 pub struct HeldBytes {
     resources: Resources,
     id: ConnectionId,
+    purpose: Purpose,
     bytes: u64,
 }
 
@@ -295,19 +341,37 @@
     /// There is too little.
     pub fn resize(&mut self, bytes: u64) -> Result<(), NoRoom> {
         if bytes > self.bytes {
-            self.resources.take(self.id, bytes - self.bytes)?;
+            self.resources.take(self.id, self.purpose, bytes - self.bytes)?;
         } else {
-            self.resources.give_back(self.id, self.bytes - bytes);
+            self.resources.give_back(self.id, self.purpose, self.bytes - bytes);
         }
         self.bytes = bytes;
         Ok(())
     }
+
+    /// `bytes` that keep their memory until the last clone is dropped, and give back what they don't need.
+    pub fn into_bytes(mut self, bytes: Vec<u8>) -> Bytes {
+        // Only taking more can fail, and then it keeps what it has.
+        let _ = self.resize(bytes.len() as u64);
+        Bytes::from_owner(OwnedBytes { bytes, _held: self })
+    }
 }
 
 impl Drop for HeldBytes {
     fn drop(&mut self) {
         if self.bytes > 0 {
-            self.resources.give_back(self.id, self.bytes);
+            self.resources.give_back(self.id, self.purpose, self.bytes);
         }
     }
 }
+
+struct OwnedBytes {
+    bytes: Vec<u8>,
+    _held: HeldBytes,
+}
+
+impl AsRef<[u8]> for OwnedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
--- a/tests/resource_limiter.rs
+++ b/tests/resource_limiter.rs
@@ -1,7 +1,7 @@
 //! Which connections are closed when a process needs room, and what is refused.
 
 use winchvane::policy::resource_limiter::{
-    Closed, ConnectionId, ListenerClass, NoRoom, ResourceLimiter, ResourceLimits, Stage,
+    Closed, ConnectionId, ListenerClass, NoRoom, Purpose, ResourceLimiter, ResourceLimits, Stage,
 };
 use yare::parameterized;
 
@@ -12,6 +12,7 @@
     peers_max: 1,
     requests_max_bytes: 1_000 * KIB,
     small_kept_bytes: 250 * KIB,
+    answers_max_bytes: 100 * KIB,
 };
 
 fn connect(limiter: &mut ResourceLimiter, now_ms: u64) -> ConnectionId {
@@ -22,13 +23,13 @@
 
 fn take(limiter: &mut ResourceLimiter, now_ms: u64, id: ConnectionId, bytes: u64) -> Vec<Closed> {
     let mut closed = Vec::new();
-    limiter.take(now_ms, id, bytes, &mut closed).expect("there is room");
+    limiter.take(now_ms, id, Purpose::Request, bytes, &mut closed).expect("there is room");
     closed
 }
 
 fn is_refused(limiter: &mut ResourceLimiter, now_ms: u64, id: ConnectionId, bytes: u64) -> bool {
     let mut closed = Vec::new();
-    let refused = limiter.take(now_ms, id, bytes, &mut closed) == Err(NoRoom);
+    let refused = limiter.take(now_ms, id, Purpose::Request, bytes, &mut closed) == Err(NoRoom);
     assert!(!refused || closed.is_empty(), "{closed:?} closed in vain");
     refused
 }
@@ -99,9 +100,9 @@
     let closed = take(&mut limiter, 250, new, 300 * KIB);
     assert_eq!(closed, [Closed { id: stopped, stage: Stage::Body }]);
     assert!(is_refused(&mut limiter, 250, stopped, 1), "it was given up");
-    limiter.give_back(stopped, 300 * KIB);
+    limiter.give_back(stopped, Purpose::Request, 300 * KIB);
     limiter.end(stopped);
-    assert_eq!(limiter.held_bytes(), 600 * KIB);
+    assert_eq!(limiter.held_bytes(Purpose::Request), 600 * KIB);
 }
 
 #[test]
@@ -113,7 +114,7 @@
     limiter.set_stage(10, whole, Stage::Running);
     limiter.set_stage(10, new, Stage::Body);
     assert!(is_refused(&mut limiter, 60_000, new, 100 * KIB));
-    limiter.give_back(whole, 700 * KIB);
+    limiter.give_back(whole, Purpose::Request, 700 * KIB);
     assert_eq!(take(&mut limiter, 60_001, new, 100 * KIB), []);
 }
 
@@ -136,9 +137,55 @@
     take(&mut limiter, 0, id, 100 * KIB);
     limiter.set_stage(0, id, Stage::Running);
     limiter.end(id);
-    assert_eq!((limiter.open_connections(), limiter.held_bytes()), (0, 100 * KIB));
-    limiter.give_back(id, 100 * KIB);
-    assert_eq!(limiter.held_bytes(), 0);
+    assert_eq!((limiter.open_connections(), limiter.held_bytes(Purpose::Request)), (0, 100 * KIB));
+    limiter.give_back(id, Purpose::Request, 100 * KIB);
+    assert_eq!(limiter.held_bytes(Purpose::Request), 0);
+}
+
+fn take_for_answer(
+    limiter: &mut ResourceLimiter,
+    now_ms: u64,
+    id: ConnectionId,
+    bytes: u64,
+) -> Result<Vec<Closed>, NoRoom> {
+    let mut closed = Vec::new();
+    limiter.take(now_ms, id, Purpose::Answer, bytes, &mut closed).map(|()| closed)
+}
+
+#[test]
+fn requests_leave_the_memory_of_answers_to_them() {
+    let mut limiter = ResourceLimiter::new(LIMITS);
+    let (large, other) = (connect(&mut limiter, 0), connect(&mut limiter, 0));
+    take(&mut limiter, 0, large, 750 * KIB);
+    limiter.set_stage(0, large, Stage::Running);
+    limiter.set_stage(0, other, Stage::Running);
+    assert_eq!(take_for_answer(&mut limiter, 0, large, 100 * KIB), Ok(Vec::new()));
+    assert_eq!(take_for_answer(&mut limiter, 10_000, other, KIB), Err(NoRoom), "it may be read");
+    limiter.give_back(large, Purpose::Answer, 100 * KIB);
+    assert_eq!(take_for_answer(&mut limiter, 10_000, other, 100 * KIB), Ok(Vec::new()));
+    assert_eq!(limiter.held_bytes(Purpose::Request), 750 * KIB);
+}
+
+#[parameterized(
+    a_moment_ago = { Stage::Unread, 199, false },
+    for_a_while = { Stage::Unread, 200, true },
+    not_sent_yet = { Stage::Running, 10_000, false },
+)]
+fn an_answer_that_is_not_read_is_given_up_for_another_one(
+    stage: Stage,
+    after_ms: u64,
+    is_closed: bool,
+) {
+    let mut limiter = ResourceLimiter::new(LIMITS);
+    let (unread, other) = (connect(&mut limiter, 0), connect(&mut limiter, 0));
+    assert_eq!(take_for_answer(&mut limiter, 0, unread, 60 * KIB), Ok(Vec::new()));
+    limiter.set_stage(0, unread, stage);
+    limiter.set_stage(0, other, Stage::Running);
+    let expected = if is_closed { Ok(vec![Closed { id: unread, stage }]) } else { Err(NoRoom) };
+    assert_eq!(take_for_answer(&mut limiter, after_ms, other, 60 * KIB), expected);
+    // What a request lacks is no reason to give up an answer.
+    take(&mut limiter, after_ms, other, 750 * KIB);
+    assert!(is_refused(&mut limiter, after_ms, other, KIB));
 }
 
 /// The smallest instance that runs a gateway, and that runs control.
@@ -156,7 +203,8 @@
     let connections = limits.clients_max + limits.operators_max + limits.peers_max;
     assert!(connections < descriptors * 9 / 10, "{limits:?}");
     let connections_bytes = limits.clients_max as u64 * 78 * KIB + 6_000_000;
-    let used_bytes = base_mb * 1_000_000 + connections_bytes + limits.requests_max_bytes;
+    let held_bytes = limits.requests_max_bytes + limits.answers_max_bytes;
+    let used_bytes = base_mb * 1_000_000 + connections_bytes + held_bytes;
     assert!(used_bytes < memory_mb * 900_000, "{limits:?}");
     assert!(limits.request_max_bytes() >= body_bytes, "{limits:?}");
 }
