http: large bodies of clients that are far away or slow are served as long as they make progress

What callers saw: since a body of 4 MiB from a client 17 ms away or farther takes more than 3 s (by reckoning) and gets 408; and so did any body slower than 1.4 MB/s before. Cause: the receive buffer of 24 KiB lets some 37 KB through for each round trip, and a body had 3 s in all, whatever arrived. Ruled out: larger buffers for all, since up to 119 KB wait for a connection that is not read; a buffer that is set after the connection was accepted, since 64 KB and more arrive before; a larger window, as the scale is fixed at the handshake. Change: while a body of 256 KiB or more is received its connection has a buffer of 64 KiB, if less than a quarter of the memory for requests is in use; the 128 KiB that may arrive are taken from there until all was read. The time for a body counts for each 64 KiB of it, five times as long for all of it. Whoever stops is given up for others after .2 s as before. Why this works: the buffer is part of the bound, and the time of a body that arrives is no matter of the process's memory. No test has a network with delays.

--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -16,8 +16,12 @@
 /// The sizes to which the memory of a body grows before it doubles. Many steps of many bodies would leave
 /// holes in the heap that nothing else fits into.
 const FIRST_BYTES: [usize; 2] = [8 << 10, 64 << 10];
+/// A body from this size on is a large one, more of which may arrive before it is read.
+const LARGE_BYTES: usize = 256 << 10;
 /// A body makes progress when this much of it has arrived.
 const PROGRESS_BYTES: usize = 64 << 10;
+/// A body that makes progress may take this many times as long as one that makes none.
+const SLOWNESS_MAX: u32 = 5;
 /// What is read of a body that nobody needs, so that its client has sent it and reads the answer.
 const DISCARDED_MAX_BYTES: usize = 8 << 20;
 const DISCARDED_FOR: Duration = Duration::from_secs(1);
@@ -40,7 +44,7 @@
     TooLarge,
     /// The process has no memory left for the body.
     NoRoom,
-    /// The body did not arrive in time.
+    /// The body did not arrive in time, or made no progress.
     TooSlow,
     /// The connection failed before the end of the body.
     Broken,
@@ -64,24 +68,24 @@
         self.meter.guard().clone()
     }
 
-    /// Reads the whole body, of at most `max_bytes`, within `timeout_ms`. Its memory belongs to the
+    /// Reads the whole body, of at most `max_bytes`. Each part of [`PROGRESS_BYTES`], and what is left at
+    /// the end, may take `timeout_ms`, all of it [`SLOWNESS_MAX`] times as long. Its memory belongs to the
     /// process's limit for all requests until the last clone of the bytes is dropped.
     ///
     /// # Errors
     /// The limit that was exceeded, or a connection that failed.
     pub async fn read(mut self, max_bytes: usize, timeout_ms: u64) -> Result<Bytes, BodyFault> {
         let Some(mut incoming) = self.incoming.take() else { return Err(BodyFault::Broken) };
-        let until = Instant::now() + Duration::from_millis(timeout_ms);
         let guard = self.meter.guard().clone();
         let collected = async {
             tokio::select! {
                 // The connection is closed soon, so the request must not begin.
                 biased;
                 () = guard.closing() => Err(BodyFault::NoRoom),
-                collected = self.collect(&mut incoming, max_bytes) => collected,
+                collected = self.collect(&mut incoming, max_bytes, timeout_ms) => collected,
             }
         };
-        let collected = timeout_at(until, collected).await.unwrap_or(Err(BodyFault::TooSlow));
+        let collected = collected.await;
         let resources = guard.resources();
         match &collected {
             Err(BodyFault::TooLarge) => resources.note(Shed::LargeBody),
@@ -95,7 +99,15 @@
         collected
     }
 
-    async fn collect(&self, incoming: &mut Incoming, max_bytes: usize) -> Result<Bytes, BodyFault> {
+    async fn collect(
+        &self,
+        incoming: &mut Incoming,
+        max_bytes: usize,
+        timeout_ms: u64,
+    ) -> Result<Bytes, BodyFault> {
+        let progress_max = Duration::from_millis(timeout_ms);
+        let ends_at = Instant::now() + progress_max * SLOWNESS_MAX;
+        let mut until = Instant::now() + progress_max;
         let resources = self.meter.guard().resources();
         // A larger one could never be read, however calm it is.
         let max_bytes = max_bytes.min(resources.limits().request_max_bytes() as usize);
@@ -103,8 +115,13 @@
         if incoming.size_hint().lower() > max_bytes as u64 {
             return Err(BodyFault::TooLarge);
         }
+        if incoming.size_hint().lower() >= LARGE_BYTES as u64 {
+            self.meter.widen();
+        }
         let mut progress_bytes = 0;
-        while let Some(frame) = incoming.frame().await {
+        while let Some(frame) =
+            timeout_at(until, incoming.frame()).await.map_err(|_| BodyFault::TooSlow)?
+        {
             let Ok(data) = frame.map_err(|_| BodyFault::Broken)?.into_data() else { continue };
             if buffer.len() + data.len() > max_bytes {
                 return Err(BodyFault::TooLarge);
@@ -113,6 +130,10 @@
             if buffer.len() >= progress_bytes + PROGRESS_BYTES {
                 progress_bytes = buffer.len();
                 self.meter.guard().note_progress();
+                until = ends_at.min(Instant::now() + progress_max);
+                if progress_bytes >= LARGE_BYTES {
+                    self.meter.widen();
+                }
             }
         }
         Ok(buffer.finish())
--- a/src/http/client_stream.rs
+++ b/src/http/client_stream.rs
@@ -17,6 +17,13 @@
 /// stay large.
 const READ_MAX_BYTES: usize = (8 << 10) - 1;
 
+/// The receive buffer of a connection. The system doubles it for its own data, which are few on fast
+/// networks, so that up to twice as much may arrive before it is read.
+pub(super) const RECEIVE_BUFFER_BYTES: usize = 24 << 10;
+/// The same while a large body is received: the largest window of a connection that was accepted with a
+/// small buffer.
+pub(super) const WIDE_RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+
 /// A client's connection that is reset unless it is shut down, once
 /// [`reset_unless_shut_down`](ResetSwitch::reset_unless_shut_down) was called.
 ///
@@ -29,6 +36,10 @@
     meter: RequestMeter,
     /// True if the client does not read what was written last.
     is_blocked: bool,
+    /// True while the receive buffer is the wide one.
+    is_wide: bool,
+    /// True from then on until all that has arrived was read.
+    may_hold_more: bool,
 }
 
 /// Turns on the reset of a connection.
@@ -45,7 +56,15 @@
 impl ClientStream {
     /// Wraps a connection, which `switch` and `meter` belong to.
     pub(super) fn new(stream: TcpStream, switch: ResetSwitch, meter: RequestMeter) -> Self {
-        Self { stream, switch, resets: false, meter, is_blocked: false }
+        Self {
+            stream,
+            switch,
+            resets: false,
+            meter,
+            is_blocked: false,
+            is_wide: false,
+            may_hold_more: false,
+        }
     }
 
     /// Notes the result of a write.
@@ -59,6 +78,19 @@
         written
     }
 
+    /// Sets the receive buffer that the meter asks for.
+    fn follow_meter(&mut self) -> io::Result<()> {
+        let is_wide = self.meter.is_wide();
+        if is_wide == self.is_wide {
+            return Ok(());
+        }
+        let size_bytes = if is_wide { WIDE_RECEIVE_BUFFER_BYTES } else { RECEIVE_BUFFER_BYTES };
+        SockRef::from(&self.stream).set_recv_buffer_size(size_bytes)?;
+        self.is_wide = is_wide;
+        self.may_hold_more = true;
+        Ok(())
+    }
+
     fn follow_switch(&mut self) -> io::Result<()> {
         if self.resets || !self.switch.0.load(Ordering::Acquire) {
             return Ok(());
@@ -85,9 +117,15 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.follow_meter()?;
         let length = buffer.remaining().min(READ_MAX_BYTES);
         let mut part = ReadBuf::new(buffer.initialize_unfilled_to(length));
-        ready!(Pin::new(&mut self.stream).poll_read(context, &mut part))?;
+        let read = Pin::new(&mut self.stream).poll_read(context, &mut part);
+        if read.is_pending() && self.may_hold_more && !self.is_wide {
+            self.may_hold_more = false;
+            self.meter.end_wide();
+        }
+        ready!(read)?;
         let read_bytes = part.filled().len();
         buffer.advance(read_bytes);
         Poll::Ready(self.meter.note_read(read_bytes))
@@ -100,6 +138,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.follow_meter()?;
         self.follow_switch()?;
         let written = Pin::new(&mut self.stream).poll_write(context, bytes);
         self.note_write(written)
@@ -110,6 +149,7 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.follow_meter()?;
         self.follow_switch()?;
         let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
         self.note_write(written)
--- a/src/http/meter.rs
+++ b/src/http/meter.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 
@@ -9,12 +10,16 @@
 use hyper::body::{Body, Frame, SizeHint};
 
 use super::AnswerBody;
+use super::client_stream::WIDE_RECEIVE_BUFFER_BYTES;
 use crate::error::Error;
 use crate::policy::resource_limiter::Stage;
 use crate::resources::{ConnectionGuard, HeldBytes, Shed};
 
 /// The part of a head that fits into the buffer that each connection has.
 const BUFFER_BYTES: usize = 8 << 10;
+/// What may arrive beyond the usual while a large body is received: the system doubles the size of a
+/// receive buffer.
+const WIDE_WINDOW_BYTES: u64 = 2 * WIDE_RECEIVE_BUFFER_BYTES as u64;
 /// A buffer that grows doubles its size.
 const GROWTH: usize = 2;
 
@@ -23,6 +28,8 @@
 pub(super) struct RequestMeter {
     guard: ConnectionGuard,
     request: Arc<Mutex<RequestState>>,
+    /// True while more than usual may arrive before it is read.
+    is_wide: Arc<AtomicBool>,
 }
 
 struct RequestState {
@@ -30,6 +37,8 @@
     head_bytes: usize,
     /// The memory of a large head until the request is answered.
     held: HeldBytes,
+    /// The memory of what may arrive beyond the usual, until all of that was read.
+    window: Option<HeldBytes>,
     body_is_open: bool,
     answer_is_open: bool,
     /// True while the connection accepts no more of an answer.
@@ -45,12 +54,13 @@
             stage: Stage::Idle,
             head_bytes: 0,
             held: guard.hold(),
+            window: None,
             body_is_open: false,
             answer_is_open: false,
             is_blocked: false,
             has_requests: false,
         };
-        Self { guard, request: Arc::new(Mutex::new(request)) }
+        Self { guard, request: Arc::new(Mutex::new(request)), is_wide: Arc::default() }
     }
 
     /// Counts the connection as open.
@@ -90,8 +100,31 @@
         self.enter(&mut request, if has_body { Stage::Body } else { Stage::Running });
     }
 
+    /// A large body is being received. If there is memory, more of it may arrive before it is read, so
+    /// that it takes fewer round trips.
+    pub(super) fn widen(&self) {
+        let mut request = self.request();
+        if request.window.is_none() {
+            request.window = self.guard.hold_spare(WIDE_WINDOW_BYTES);
+        }
+        if request.window.is_some() {
+            self.is_wide.store(true, Ordering::Release);
+        }
+    }
+
+    /// True while more than usual may arrive before it is read.
+    pub(super) fn is_wide(&self) -> bool {
+        self.is_wide.load(Ordering::Acquire)
+    }
+
+    /// All that had arrived was read, and no more than usual arrives from now on.
+    pub(super) fn end_wide(&self) {
+        self.request().window = None;
+    }
+
     /// The body of the request is refused, and what is left of it is discarded.
     pub(super) fn body_refused(&self) {
+        self.is_wide.store(false, Ordering::Release);
         self.enter(&mut self.request(), Stage::Discarding);
     }
 
@@ -102,6 +135,7 @@
             return;
         }
         request.body_is_open = false;
+        self.is_wide.store(false, Ordering::Release);
         self.go_on(&mut request);
     }
 
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -17,16 +17,13 @@
 
 use super::Answer;
 use super::body::RequestBody;
-use super::client_stream::{ClientStream, ResetSwitch};
+use super::client_stream::{ClientStream, RECEIVE_BUFFER_BYTES, ResetSwitch};
 use super::meter::RequestMeter;
 use crate::metrics::Counter;
 use crate::policy::resource_limiter::ListenerClass;
 use crate::resources::Resources;
 use crate::wire::BoxFuture;
 
-/// The receive buffer of a connection. The system doubles it for its own data, which are few on fast
-/// networks, so that up to twice as much may arrive before it is read.
-const RECEIVE_BUFFER_BYTES: usize = 24 << 10;
 /// How long a connection that is closed for another one may take to send its last answer.
 const LAST_ANSWER: Duration = Duration::from_millis(200);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
--- a/src/policy/resource_limiter.rs
+++ b/src/policy/resource_limiter.rs
@@ -19,6 +19,8 @@
 const SMALL_PERCENT: u64 = 25;
 /// The share of a process's memory for whole answers, in percent.
 const ANSWERS_MEMORY_PERCENT: u64 = 7;
+/// The part of the memory for requests up to which they may take more than they need, in percent.
+const SPARE_PERCENT: u64 = 25;
 /// The largest memory of a small request.
 const SMALL_MAX_BYTES: u64 = 64 << 10;
 /// The share of descriptors for connections of clients, in percent; each may need a further one for a
@@ -291,6 +293,21 @@
         Ok(())
     }
 
+    /// Takes memory that the request of a connection could do without.
+    ///
+    /// # Errors
+    /// Others may need it, or the connection was selected to be closed.
+    pub fn take_spare(&mut self, id: ConnectionId, bytes: u64) -> Result<(), NoRoom> {
+        let connection = self.connections.get(&id).ok_or(NoRoom)?;
+        let spare_bytes = self.limits.requests_max_bytes * SPARE_PERCENT / 100;
+        let needed_bytes = self.held_bytes(Purpose::Request) + bytes;
+        if connection.state != ConnectionState::Open || needed_bytes > spare_bytes {
+            return Err(NoRoom);
+        }
+        self.add(id, Purpose::Request, bytes);
+        Ok(())
+    }
+
     /// Counts memory of an open connection.
     fn add(&mut self, id: ConnectionId, purpose: Purpose, bytes: u64) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
--- a/src/resources.rs
+++ b/src/resources.rs
@@ -289,6 +289,16 @@
         self.hold_for(Purpose::Request)
     }
 
+    /// Memory that the connection's request could do without; `None` if others may need it.
+    pub fn hold_spare(&self, bytes: u64) -> Option<HeldBytes> {
+        let resources = &self.0.resources;
+        resources.state().limiter.take_spare(self.0.id, bytes).ok()?;
+        resources.publish();
+        let mut held = self.hold();
+        held.bytes = bytes;
+        Some(held)
+    }
+
     /// Waits until there are `bytes` of memory for an answer; `None` if the connection is being closed or
     /// there can never be as much.
     pub async fn hold_answer(&self, bytes: u64) -> Option<HeldBytes> {
--- a/tests/resource_limiter.rs
+++ b/tests/resource_limiter.rs
@@ -188,6 +188,19 @@
     assert!(is_refused(&mut limiter, after_ms, other, KIB));
 }
 
+#[test]
+fn what_a_request_can_do_without_is_taken_while_there_is_much_left() {
+    let mut limiter = ResourceLimiter::new(LIMITS);
+    let (first, second) = (connect(&mut limiter, 0), connect(&mut limiter, 0));
+    assert_eq!(limiter.take_spare(first, 200 * KIB), Ok(()));
+    assert_eq!(limiter.take_spare(second, 51 * KIB), Err(NoRoom));
+    assert_eq!(limiter.take_spare(second, 50 * KIB), Ok(()));
+    limiter.give_back(first, Purpose::Request, 200 * KIB);
+    take(&mut limiter, 0, first, 201 * KIB);
+    assert_eq!(limiter.take_spare(second, KIB), Err(NoRoom));
+    assert_eq!(limiter.held_bytes(Purpose::Request), 251 * KIB);
+}
+
 /// The smallest instance that runs a gateway, and that runs control.
 #[parameterized(
     gateway = { 120, 3_075, 4 << 20, 16 },
