soak: the test of brittle endpoints shows what was served in each second; one of its cases was red once

The log does not tell a pause of 2 s from two engines that were lost throughout. Conclusion: not traced.

--- a/soak/tests/brittle_endpoints.rs
+++ b/soak/tests/brittle_endpoints.rs
@@ -197,12 +197,25 @@
             "{name}: {ends} ends, at most {most} rejections in a second, {used:.2} used, {unknown} of {} without an answer",
             counted.len()
         );
+        println!("{name}: served by second {:?}", served_by_second(&counted, from));
         self.system.stop(name);
         assert!(ends <= ENDS_MAX, "{ends} ends, {ENDS_MAX} allowed");
         assert!(used >= SERVED_MIN, "{used:.2} of what endpoints bear or clients asked was used");
     }
 }
 
+/// How many requests were served in each of the counted seconds, which tells a pause from a lasting loss.
+fn served_by_second(counted: &[&(Instant, Try)], from: Instant) -> Vec<usize> {
+    let mut served = vec![0; COUNTED.as_secs() as usize];
+    for (ended_at, tried) in counted {
+        if tried.end != End::Served {
+            continue;
+        }
+        served[ended_at.duration_since(from).as_secs() as usize] += 1;
+    }
+    served
+}
+
 /// Gateways are killed and started again while endpoints are brittle, then all of control at once;
 /// `WINCHVANE_SEEDS` draws more such days.
 #[test]
