--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -68,8 +68,8 @@
         self.meter.guard().clone()
     }
 
-    /// Reads the whole body, of at most `max_bytes`. Each part of [`PROGRESS_BYTES`], and what is left at
-    /// the end, may take `timeout_ms`, all of it [`SLOWNESS_MAX`] times as long. Its memory belongs to the
+    /// Reads the whole body, of at most `max_bytes`. Each 64 KiB of it, and what is left at the end,
+    /// may take `timeout_ms`, all of it five times as long. Its memory belongs to the
     /// process's limit for all requests until the last clone of the bytes is dropped.
     ///
     /// # Errors
--- a/src/relay/admission.rs
+++ b/src/relay/admission.rs
@@ -17,7 +17,6 @@
 use crate::http::{
     Answer, BodyFault, NO_ROOM, RequestBody, header, no_room_retry_ms, remove_connection_headers,
 };
-use crate::message::WeightsName;
 use crate::metrics::Counter;
 use crate::resources::ConnectionGuard;
 use crate::routing::{RouteMatch, RouteTable};
@@ -74,7 +73,16 @@
     let Some(chosen) = table.find(host, head.uri.path(), &meta.id) else {
         return Err(no_route(relay, &table, &meta));
     };
-    check_weights_name(&meta, &chosen)?;
+    if let Some(size_bytes) = long_weights_name(&meta, &chosen) {
+        info!(
+            event = "request_refused",
+            request = %meta.id,
+            reason = "WeightsNameTooLong",
+            size_bytes
+        );
+        let detail = format!("the names of weights have at most {WEIGHTS_NAME_MAX_BYTES} bytes");
+        return Err(own_answer(StatusCode::BAD_REQUEST, &detail));
+    }
     let refused = |reason: NotSent| refuse_unsent(relay, started_ms, &meta, &chosen, reason);
     // Checked at the time the request was read: a later confirmation by the leader must not change
     // the result.
@@ -117,18 +125,11 @@
     })
 }
 
-/// Checks the length of the names of the weights, unless the service ignores them.
-///
-/// # Errors
-/// They are too long.
-fn check_weights_name(meta: &RequestMeta, chosen: &RouteMatch) -> Result<(), Answer> {
-    let size_bytes = meta.weights.as_ref().map_or(0, WeightsName::size_bytes);
-    if chosen.service.engine.is_none() || size_bytes <= WEIGHTS_NAME_MAX_BYTES {
-        return Ok(());
-    }
-    info!(event = "request_refused", request = %meta.id, reason = "WeightsNameTooLong", size_bytes);
-    let detail = format!("the names of weights have at most {WEIGHTS_NAME_MAX_BYTES} bytes");
-    Err(own_answer(StatusCode::BAD_REQUEST, &detail))
+/// The size of the names of the weights if they are too long, unless the service ignores them.
+fn long_weights_name(meta: &RequestMeta, chosen: &RouteMatch) -> Option<usize> {
+    chosen.service.engine.as_ref()?;
+    let size_bytes = meta.weights.as_ref()?.size_bytes();
+    (size_bytes > WEIGHTS_NAME_MAX_BYTES).then_some(size_bytes)
 }
 
 /// Waits for a confirmation that the known routes are recent, if that is expected.
