wire: what other processes send is bounded by the memory of the process

What callers saw: one host that speaks HTTP/2 to a listener for other processes (gateways' and control's) takes the memory of the process: 100 connections with heads that don't end, 20 messages that stop short, or 80,000 streams without a message. Found by a test written for it; clients of the other listeners could not do this.

Cause: a head was bounded by h2's default of 16 MiB, a message by 256 MiB, streams by 100,000 for each connection, and connections by the limiter alone: each is a limit of one thing where many may come.

Why this works: a head has 8 KiB at most. A quarter is kept for connections with 64 KiB of it at most. So that all shares together fit, heads and bodies have 24% in place of 28%, whole answers 5% in place of 7%. A stream without room gets 503; for a message, connections whose messages or requests have stopped for .2 s are closed, else its stream ends and its sender tries again. A message that comes in one piece needs no room, so sessions go on beside such a crowd. Counters, gauges and one bounded log line for each kind as for the others.

Ruled out: streams without a part for small peers. Shares for messages beside those of requests: all together exceeded the memory.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -150,6 +150,12 @@
     PeerRefused => "peers.refused",
     /// Connections with peers closed because the other side had not answered.
     PeerConnectionsSilent => "peers.connections_silent",
+    /// Streams of peers refused because there was no memory for them.
+    StreamsWithoutRoom => "peers.stream_without_room",
+    /// Streams of peers ended because there was no memory for a message.
+    MessagesWithoutRoom => "peers.message_without_room",
+    /// Connections of peers closed for others because their messages did not arrive.
+    PeersClosedStalled => "peers.closed_stalled",
     /// Sessions with control that ended.
     SessionsEnded => "control.sessions_ended",
     /// Log entries applied to the state.
@@ -207,6 +213,10 @@
     RequestBytesHeld => "requests.held_bytes",
     /// Memory of whole answers until their clients have read them, in bytes.
     AnswerBytesHeld => "answers.held_bytes",
+    /// Memory of streams of peers, in bytes.
+    StreamBytesHeld => "peers.streams_held_bytes",
+    /// Memory of messages of peers that have not arrived completely, in bytes.
+    MessageBytesHeld => "peers.messages_held_bytes",
     /// Endpoints owned by this gateway.
     EndpointsOwned => "endpoints.owned",
     /// Services in the known configuration.
--- a/src/policy/resource_limiter.rs
+++ b/src/policy/resource_limiter.rs
@@ -4,7 +4,8 @@
 //! Memory is counted for all requests together, as it is taken. A part of it is kept for small
 //! requests. Room is made by closing the connection whose unfinished request has held memory for
 //! longest without progress; a request that was received completely is never given up. Whole answers have
-//! memory of their own, for which those connections are closed whose clients do not read.
+//! memory of their own, for which those connections are closed whose clients do not read. So have the
+//! streams that other processes open, and the messages that arrive on them.
 
 use std::collections::HashMap;
 
@@ -14,14 +15,22 @@
 /// for it while nothing is read.
 const CONNECTION_BYTES: u64 = 78 << 10;
 /// The share of a process's memory for the heads and bodies of requests, in percent.
-const REQUESTS_MEMORY_PERCENT: u64 = 28;
-/// The share of that memory that is kept for small requests, in percent.
+const REQUESTS_MEMORY_PERCENT: u64 = 24;
+/// The share of that memory that is kept for small requests, and of that for streams and messages for peers
+/// that have little of it, in percent.
 const SMALL_PERCENT: u64 = 25;
 /// The share of a process's memory for whole answers, in percent.
-const ANSWERS_MEMORY_PERCENT: u64 = 7;
+const ANSWERS_MEMORY_PERCENT: u64 = 5;
+/// The share of a process's memory for streams that other processes open, in percent.
+const STREAMS_MEMORY_PERCENT: u64 = 2;
+/// The share that is kept for messages of other processes that have not arrived completely, in percent.
+const MESSAGES_MEMORY_PERCENT: u64 = 4;
+/// The share that these may have in all while requests leave it to them, in percent: a snapshot is one
+/// message.
+const MESSAGES_MAX_MEMORY_PERCENT: u64 = 20;
 /// The part of the memory for requests up to which they may take more than they need, in percent.
 const SPARE_PERCENT: u64 = 25;
-/// The largest memory of a small request.
+/// The largest memory of a small request, or of the streams or messages of a small peer.
 const SMALL_MAX_BYTES: u64 = 64 << 10;
 /// The share of descriptors for connections of clients, in percent; each may need a further one for a
 /// connection to an endpoint.
@@ -69,6 +78,12 @@
     pub small_kept_bytes: u64,
     /// The most memory of all whole answers together.
     pub answers_max_bytes: u64,
+    /// The most memory of all streams that other processes have opened.
+    pub streams_max_bytes: u64,
+    /// The memory that is kept for messages that have not arrived completely.
+    pub messages_kept_bytes: u64,
+    /// The most memory of all these; what exceeds the memory that is kept is taken from that of requests.
+    pub messages_max_bytes: u64,
 }
 
 impl ResourceLimits {
@@ -90,6 +105,9 @@
             requests_max_bytes,
             small_kept_bytes: requests_max_bytes * SMALL_PERCENT / 100,
             answers_max_bytes: memory_max_bytes * ANSWERS_MEMORY_PERCENT / 100,
+            streams_max_bytes: memory_max_bytes * STREAMS_MEMORY_PERCENT / 100,
+            messages_kept_bytes: memory_max_bytes * MESSAGES_MEMORY_PERCENT / 100,
+            messages_max_bytes: memory_max_bytes * MESSAGES_MAX_MEMORY_PERCENT / 100,
         }
     }
 
@@ -138,10 +156,14 @@
     Request,
     /// A whole answer, until the client has read it.
     Answer,
+    /// A stream that another process has opened.
+    Stream,
+    /// A message of another process, until it has arrived completely.
+    Message,
 }
 
 impl Purpose {
-    const COUNT: usize = 2;
+    const COUNT: usize = 4;
 }
 
 /// Identifies a connection in the limiter of its process.
@@ -260,12 +282,13 @@
         connection.since_ms = now_ms;
     }
 
-    /// Takes memory for the request or the answer of a connection, and selects connections to be closed
+    /// Takes memory for something of a connection, and selects connections to be closed
     /// if there is too little; they are added to `closed`.
     ///
     /// # Errors
-    /// All memory belongs to requests that were received completely or make progress, or to answers that
-    /// are read, or the connection itself was selected to be closed.
+    /// All memory belongs to requests that were received completely or make progress, to answers that
+    /// are read, to streams, or to messages that make progress, or the connection itself was selected to
+    /// be closed.
     pub fn take(
         &mut self,
         now_ms: u64,
@@ -278,14 +301,12 @@
         if connection.state != ConnectionState::Open {
             return Err(NoRoom);
         }
-        let max_bytes = match purpose {
-            Purpose::Answer => self.limits.answers_max_bytes,
-            Purpose::Request if connection.held(purpose) + bytes <= SMALL_MAX_BYTES => {
-                self.limits.requests_max_bytes
-            }
-            Purpose::Request => self.limits.request_max_bytes(),
-        };
-        while self.held_bytes(purpose) + bytes > max_bytes {
+        if purpose == Purpose::Message
+            && connection.held(purpose) + bytes > share(self.limits.messages_max_bytes, false)
+        {
+            return Err(NoRoom);
+        }
+        while !self.has_room(id, purpose, bytes) {
             let stalled = self.close_stalled(now_ms, id, purpose).ok_or(NoRoom)?;
             closed.push(stalled);
         }
@@ -308,6 +329,32 @@
         Ok(())
     }
 
+    fn has_room(&self, id: ConnectionId, purpose: Purpose, bytes: u64) -> bool {
+        let limits = &self.limits;
+        let needed_bytes = self.held_bytes(purpose) + bytes;
+        let own_bytes = self.connections.get(&id).map_or(0, |it| it.held(purpose)) + bytes;
+        let is_small = own_bytes <= SMALL_MAX_BYTES;
+        let requests_max_bytes =
+            if is_small { limits.requests_max_bytes } else { limits.request_max_bytes() };
+        match purpose {
+            Purpose::Request => {
+                let messages_bytes = self.held_bytes(Purpose::Message);
+                let beyond_bytes = messages_bytes.saturating_sub(limits.messages_kept_bytes);
+                needed_bytes + beyond_bytes <= requests_max_bytes
+            }
+            Purpose::Answer => needed_bytes <= limits.answers_max_bytes,
+            Purpose::Stream => needed_bytes <= share(limits.streams_max_bytes, is_small),
+            Purpose::Message => {
+                let kept_bytes = share(limits.messages_kept_bytes, is_small);
+                let beyond_bytes = needed_bytes.saturating_sub(kept_bytes);
+                let requests_bytes = self.held_bytes(Purpose::Request);
+                beyond_bytes == 0
+                    || (needed_bytes <= share(limits.messages_max_bytes, is_small)
+                        && requests_bytes + beyond_bytes <= requests_max_bytes)
+            }
+        }
+    }
+
     /// Counts memory of an open connection.
     fn add(&mut self, id: ConnectionId, purpose: Purpose, bytes: u64) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
@@ -344,7 +391,7 @@
         connection.state = ConnectionState::Ended;
     }
 
-    /// Selects the connection to be closed that has held memory for `purpose` for longest without
+    /// Selects the connection to be closed that has held memory which serves `purpose` for longest without
     /// progress, unless it is `except`.
     fn close_stalled(
         &mut self,
@@ -352,8 +399,15 @@
         except: ConnectionId,
         purpose: Purpose,
     ) -> Option<Closed> {
+        // Messages may have the memory of requests, and come first.
+        let purposes: &[Purpose] = match purpose {
+            Purpose::Message => &[Purpose::Message, Purpose::Request],
+            Purpose::Request => &[Purpose::Request],
+            Purpose::Answer => &[Purpose::Answer],
+            Purpose::Stream => &[],
+        };
         self.close_longest_waiting(|id, connection| {
-            id != except && connection.held(purpose) > 0 && connection.is_stalled(now_ms, purpose)
+            id != except && purposes.iter().any(|it| connection.is_stalled_with(now_ms, *it))
         })
     }
 
@@ -384,6 +438,12 @@
     }
 }
 
+/// How much of `max_bytes` for peers one of them may fill; the rest is kept for those that are small.
+fn share(max_bytes: u64, is_small: bool) -> u64 {
+    let kept_bytes = if is_small { 0 } else { max_bytes * SMALL_PERCENT / 100 };
+    max_bytes - kept_bytes
+}
+
 impl Connection {
     fn held(&self, purpose: Purpose) -> u64 {
         self.held_bytes[purpose as usize]
@@ -393,6 +453,11 @@
         self.held_bytes.iter().any(|bytes| *bytes > 0)
     }
 
+    /// True if it may be closed for the memory that it holds for `purpose`, and holds some.
+    fn is_stalled_with(&self, now_ms: u64, purpose: Purpose) -> bool {
+        self.held(purpose) > 0 && self.is_stalled(now_ms, purpose)
+    }
+
     /// True if it may be closed for another connection.
     fn is_closable(&self, now_ms: u64) -> bool {
         match self.stage {
@@ -406,8 +471,10 @@
     /// True if it may be closed for the memory that it holds for `purpose`.
     fn is_stalled(&self, now_ms: u64, purpose: Purpose) -> bool {
         let can_stall = match purpose {
+            Purpose::Stream => false,
             Purpose::Request => matches!(self.stage, Stage::Head | Stage::Body),
             Purpose::Answer => self.stage == Stage::Unread,
+            Purpose::Message => true,
         };
         can_stall && now_ms.saturating_sub(self.since_ms) >= STALLED_MS
     }
--- a/src/resources.rs
+++ b/src/resources.rs
@@ -52,12 +52,20 @@
     Body,
     /// A body that is larger than one may be.
     LargeBody,
+    /// A stream of another process for which there was no memory.
+    Stream,
+    /// A message of another process for which there was no memory.
+    Message,
+    /// An open connection of another process whose messages did not arrive.
+    Peer,
 }
 
 impl Shed {
-    /// Of a connection that was selected to be closed while it was in `stage`.
-    fn of_closed(stage: Stage) -> Self {
+    /// Of a connection that was selected to be closed while it was in `stage`, by someone who needs memory
+    /// for `purpose` or a connection.
+    fn of_closed(stage: Stage, purpose: Option<Purpose>) -> Self {
         match stage {
+            Stage::Running if purpose == Some(Purpose::Message) => Self::Peer,
             Stage::Idle => Self::Idle,
             Stage::Head | Stage::Body | Stage::Discarding => Self::Unfinished,
             Stage::Running | Stage::Unread => Self::Unread,
@@ -74,6 +82,9 @@
             Self::Head => Counter::HeadsWithoutRoom,
             Self::Body => Counter::BodiesWithoutRoom,
             Self::LargeBody => Counter::BodiesTooLarge,
+            Self::Stream => Counter::StreamsWithoutRoom,
+            Self::Message => Counter::MessagesWithoutRoom,
+            Self::Peer => Counter::PeersClosedStalled,
         }
     }
 
@@ -88,6 +99,9 @@
             Self::Head => "head",
             Self::Body => "body",
             Self::LargeBody => "large_body",
+            Self::Stream => "stream",
+            Self::Message => "message",
+            Self::Peer => "stalled_peer",
         }
     }
 }
@@ -162,7 +176,7 @@
         let (sender, closing) = watch::channel(false);
         state.closing.insert(id, sender);
         drop(state);
-        self.close(closed.as_slice());
+        self.close(closed.as_slice(), None);
         let inner = GuardInner { resources: self.clone(), id, closing };
         Ok(Connected { guard: ConnectionGuard(Arc::new(inner)), has_closed: closed.is_some() })
     }
@@ -172,7 +186,7 @@
     pub fn free_descriptor(&self) {
         let now_ms = self.0.clock.now_ms();
         let closed = self.state().limiter.close_oldest(now_ms, ListenerClass::Clients);
-        self.close(closed.as_slice());
+        self.close(closed.as_slice(), None);
         self.note(Shed::Accept);
     }
 
@@ -197,12 +211,12 @@
         warn!(event = "shed", what = shed.as_str(), number, connections, held_bytes);
     }
 
-    fn close(&self, closed: &[Closed]) {
+    fn close(&self, closed: &[Closed], purpose: Option<Purpose>) {
         for closed in closed {
             if let Some(sender) = self.state().closing.get(&closed.id) {
                 sender.send_replace(true);
             }
-            self.note(Shed::of_closed(closed.stage));
+            self.note(Shed::of_closed(closed.stage, purpose));
         }
         self.publish();
     }
@@ -211,7 +225,7 @@
         let now_ms = self.0.clock.now_ms();
         let mut closed = Vec::new();
         let taken = self.state().limiter.take(now_ms, id, purpose, bytes, &mut closed);
-        self.close(&closed);
+        self.close(&closed, Some(purpose));
         taken
     }
 
@@ -223,15 +237,24 @@
         self.publish();
     }
 
+    fn note_progress(&self, id: ConnectionId) {
+        let now_ms = self.0.clock.now_ms();
+        self.state().limiter.note_progress(now_ms, id);
+    }
+
     fn publish(&self) {
         let state = self.state();
         let connections = state.limiter.open_connections() as u64;
         let requests_bytes = state.limiter.held_bytes(Purpose::Request);
         let answers_bytes = state.limiter.held_bytes(Purpose::Answer);
+        let streams_bytes = state.limiter.held_bytes(Purpose::Stream);
+        let messages_bytes = state.limiter.held_bytes(Purpose::Message);
         drop(state);
         self.0.metrics.gauge(Gauge::ConnectionsOpen, connections);
         self.0.metrics.gauge(Gauge::RequestBytesHeld, requests_bytes);
         self.0.metrics.gauge(Gauge::AnswerBytesHeld, answers_bytes);
+        self.0.metrics.gauge(Gauge::StreamBytesHeld, streams_bytes);
+        self.0.metrics.gauge(Gauge::MessageBytesHeld, messages_bytes);
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -279,9 +302,7 @@
 
     /// Records that the connection's request has made progress.
     pub fn note_progress(&self) {
-        let resources = &self.0.resources;
-        let now_ms = resources.0.clock.now_ms();
-        resources.state().limiter.note_progress(now_ms, self.0.id);
+        self.0.resources.note_progress(self.0.id);
     }
 
     /// Memory for the connection's request, none yet.
@@ -320,7 +341,8 @@
         }
     }
 
-    fn hold_for(&self, purpose: Purpose) -> HeldBytes {
+    /// Memory of the connection for `purpose`, none yet.
+    pub fn hold_for(&self, purpose: Purpose) -> HeldBytes {
         HeldBytes { resources: self.0.resources.clone(), id: self.0.id, purpose, bytes: 0 }
     }
 }
@@ -335,8 +357,7 @@
     }
 }
 
-/// Memory of a request or an answer, which is given back when it is dropped. It may outlive its
-/// connection.
+/// Memory of a connection, which is given back when it is dropped and may outlive the connection.
 pub struct HeldBytes {
     resources: Resources,
     id: ConnectionId,
@@ -345,6 +366,16 @@
 }
 
 impl HeldBytes {
+    /// The resources that the memory was taken from.
+    pub fn resources(&self) -> &Resources {
+        &self.resources
+    }
+
+    /// Records that what the memory is for has made progress.
+    pub fn note_progress(&self) {
+        self.resources.note_progress(self.id);
+    }
+
     /// Takes more memory or gives some back, so that it is `bytes` in all.
     ///
     /// # Errors
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,6 +1,7 @@
 //! Streams of length-prefixed `bincode` messages between processes of the system, over HTTP/2.
 
 mod liveness;
+mod memory;
 mod peer;
 mod server;
 mod stream;
--- a/src/wire/server.rs
+++ b/src/wire/server.rs
@@ -15,6 +15,7 @@
 use tracing::{debug, warn};
 
 use super::liveness::{Activity, Side, StreamGuard, watch};
+use super::memory::StreamMemory;
 use super::stream::{Body, Receiver, Sender};
 use super::{
     BoxFuture, CONNECTION_WINDOW_BYTES, Channel, MAX_STREAMS, REFUSAL_HEADER, STREAM_WINDOW_BYTES,
@@ -27,6 +28,10 @@
 use crate::resources::{ConnectionGuard, Resources};
 
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
+/// The largest head of a stream: its path and the version.
+const HEAD_MAX_BYTES: u32 = 8 << 10;
+/// Why a stream is refused while others use the memory.
+const NO_MEMORY: &str = "there is no memory for another stream";
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// A stream that a peer has opened.
@@ -37,6 +42,7 @@
     body: RecvStream,
     respond: h2::server::SendResponse<Bytes>,
     guard: StreamGuard,
+    memory: StreamMemory,
 }
 
 impl Incoming {
@@ -52,20 +58,25 @@
             .send_response(Response::new(()), false)
             .map_err(|error| Error::failed("accept stream", self.peer.clone(), error))?;
         let body = Body::Open(self.body);
-        let receiver = Receiver::new(body, self.peer.clone(), self.guard.clone());
+        let receiver =
+            Receiver::new(body, self.peer.clone(), self.guard.clone()).with_memory(self.memory);
         Ok((receiver, Sender::new(stream, self.peer, self.guard)))
     }
 
     /// Refuses the stream and tells the peer the `reason`, which a reset could not.
     pub fn refuse(mut self, reason: &'static str) {
-        let mut response = Response::new(());
-        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-        response.headers_mut().insert(REFUSAL_HEADER, HeaderValue::from_static(reason));
-        // Fails if the peer has given the stream up, and then needs no reason.
-        let _ = self.respond.send_response(response, true);
+        refuse(&mut self.respond, reason);
     }
 }
 
+fn refuse(respond: &mut h2::server::SendResponse<Bytes>, reason: &'static str) {
+    let mut response = Response::new(());
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    response.headers_mut().insert(REFUSAL_HEADER, HeaderValue::from_static(reason));
+    // Fails if the peer has given the stream up, and then needs no reason.
+    let _ = respond.send_response(response, true);
+}
+
 /// Handles the streams that peers open.
 pub trait Handler: Send + Sync + 'static {
     /// Serves one stream until it ends.
@@ -113,6 +124,7 @@
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .max_concurrent_streams(MAX_STREAMS)
+        .max_header_list_size(HEAD_MAX_BYTES)
         .handshake::<_, Bytes>(ObservedStream::new(stream, activity.clone()));
     let mut connection = match timeout(HANDSHAKE_TIMEOUT, handshake).await {
         Ok(Ok(connection)) => connection,
@@ -146,11 +158,17 @@
             None => return,
         };
         let checked = check_stream(request, respond, &peer, metrics);
-        let Some((channel, body, respond)) = checked else { continue };
+        let Some((channel, body, mut respond)) = checked else { continue };
+        let Ok(memory) = StreamMemory::new(guard) else {
+            refuse(&mut respond, NO_MEMORY);
+            continue;
+        };
         // Until then it may be closed for another one.
         guard.set_stage(Stage::Running);
         let stream_guard = activity.open(channel);
-        let incoming = Incoming { channel, peer: peer.clone(), body, respond, guard: stream_guard };
+        let peer_name = peer.clone();
+        let incoming =
+            Incoming { channel, peer: peer_name, body, respond, guard: stream_guard, memory };
         let future = handler.handle(incoming);
         let peer = peer.clone();
         tokio::spawn(async move {
--- a/src/wire/stream.rs
+++ b/src/wire/stream.rs
@@ -14,12 +14,16 @@
 use serde::de::DeserializeOwned;
 
 use super::liveness::StreamGuard;
+use super::memory::StreamMemory;
 use super::{RECEIVED_BYTES, RECEIVED_MESSAGES, REFUSAL_HEADER, SENT_BYTES, SENT_MESSAGES};
 use crate::binary;
 use crate::error::{Error, Result};
+use crate::policy::resource_limiter::NoRoom;
 
 const LENGTH_BYTES: usize = 4;
 const MAX_MESSAGE_BYTES: usize = 256 << 20;
+/// A buffer up to this size is kept for further messages.
+const KEPT_BUFFER_BYTES: usize = 64 << 10;
 
 /// The sending half of a stream.
 pub struct Sender<T> {
@@ -87,6 +91,8 @@
     peer: Arc<str>,
     message: PhantomData<fn() -> T>,
     _guard: StreamGuard,
+    /// The memory that the process has for what others send; `None` for its own streams.
+    memory: Option<Box<StreamMemory>>,
 }
 
 pub(super) enum Body {
@@ -96,19 +102,26 @@
 
 impl<T: DeserializeOwned> Receiver<T> {
     pub(super) fn new(body: Body, peer: Arc<str>, guard: StreamGuard) -> Self {
-        Self { body, buffer: BytesMut::new(), peer, message: PhantomData, _guard: guard }
+        let buffer = BytesMut::new();
+        Self { body, buffer, peer, message: PhantomData, _guard: guard, memory: None }
+    }
+
+    /// Takes memory for messages that have not arrived completely.
+    pub(super) fn with_memory(self, memory: StreamMemory) -> Self {
+        Self { memory: Some(Box::new(memory)), ..self }
     }
 
     /// Receives the next message; `None` once the peer has ended the stream.
     ///
     /// # Errors
-    /// The stream was reset or ended within a message, the peer has another wire version, or the
-    /// bytes are not a valid message.
+    /// The stream was reset or ended within a message, the peer has another wire version, the bytes
+    /// are not a valid message, or there is no memory for the message.
     pub async fn next(&mut self) -> Result<Option<T>> {
         loop {
             if let Some(message) = self.decode_buffered()? {
                 return Ok(Some(message));
             }
+            self.take_memory()?;
             let stream = self.open().await?;
             let Some(chunk) = stream.data().await else {
                 if self.buffer.is_empty() {
@@ -119,12 +132,27 @@
             let chunk = chunk.map_err(|error| self.receive_error(error))?;
             let size = chunk.len();
             self.buffer.extend_from_slice(&chunk);
+            if let Some(memory) = &self.memory {
+                memory.note_progress();
+            }
             if let Body::Open(stream) = &mut self.body {
                 let _ = stream.flow_control().release_capacity(size);
             }
         }
     }
 
+    /// Takes memory for the part of a message that has arrived.
+    fn take_memory(&mut self) -> Result<()> {
+        let arrived_bytes = self.buffer.len();
+        if arrived_bytes == 0 && self.buffer.capacity() > KEPT_BUFFER_BYTES {
+            self.buffer = BytesMut::new();
+        }
+        let Some(memory) = &mut self.memory else { return Ok(()) };
+        memory
+            .set_message_bytes(arrived_bytes as u64)
+            .map_err(|NoRoom| self.receive_error("there is no memory for the message"))
+    }
+
     /// The body of the stream; waits for the peer's response first if it has not arrived yet.
     async fn open(&mut self) -> Result<&mut RecvStream> {
         if let Body::Pending(response) = &mut self.body {
--- a/tests/resource_limiter.rs
+++ b/tests/resource_limiter.rs
@@ -13,6 +13,9 @@
     requests_max_bytes: 1_000 * KIB,
     small_kept_bytes: 250 * KIB,
     answers_max_bytes: 100 * KIB,
+    streams_max_bytes: 400 * KIB,
+    messages_kept_bytes: 400 * KIB,
+    messages_max_bytes: 1_000 * KIB,
 };
 
 fn connect(limiter: &mut ResourceLimiter, now_ms: u64) -> ConnectionId {
@@ -216,8 +219,79 @@
     let connections = limits.clients_max + limits.operators_max + limits.peers_max;
     assert!(connections < descriptors * 9 / 10, "{limits:?}");
     let connections_bytes = limits.clients_max as u64 * 78 * KIB + 6_000_000;
-    let held_bytes = limits.requests_max_bytes + limits.answers_max_bytes;
+    let peers_bytes = limits.streams_max_bytes + limits.messages_kept_bytes;
+    let held_bytes = limits.requests_max_bytes + limits.answers_max_bytes + peers_bytes;
     let used_bytes = base_mb * 1_000_000 + connections_bytes + held_bytes;
     assert!(used_bytes < memory_mb * 900_000, "{limits:?}");
     assert!(limits.request_max_bytes() >= body_bytes, "{limits:?}");
 }
+
+fn take_for_message(
+    limiter: &mut ResourceLimiter,
+    now_ms: u64,
+    id: ConnectionId,
+    bytes: u64,
+) -> Result<Vec<Closed>, NoRoom> {
+    let mut closed = Vec::new();
+    limiter.take(now_ms, id, Purpose::Message, bytes, &mut closed).map(|()| closed)
+}
+
+/// A snapshot is one message, for which the memory that is kept for messages may be too little.
+#[test]
+fn messages_may_have_the_memory_that_requests_do_not_use() {
+    let mut limiter = ResourceLimiter::new(LIMITS);
+    let [first, second, third] = [(); 3].map(|()| connect(&mut limiter, 0));
+    assert_eq!(take_for_message(&mut limiter, 0, first, 750 * KIB), Ok(Vec::new()));
+    assert_eq!(take_for_message(&mut limiter, 0, first, KIB), Err(NoRoom), "no message is larger");
+    assert_eq!(take_for_message(&mut limiter, 0, second, 65 * KIB), Err(NoRoom), "not a small one");
+    assert_eq!(take_for_message(&mut limiter, 0, second, 64 * KIB), Ok(Vec::new()));
+    // 414 KiB are those of requests.
+    take(&mut limiter, 0, third, 336 * KIB);
+    assert!(is_refused(&mut limiter, 0, third, KIB), "the rest is for small ones");
+    limiter.give_back(first, Purpose::Message, 750 * KIB);
+    take(&mut limiter, 0, third, 414 * KIB);
+    assert_eq!(take_for_message(&mut limiter, 0, first, 236 * KIB), Ok(Vec::new()), "it is kept");
+    assert_eq!(take_for_message(&mut limiter, 0, first, KIB), Err(NoRoom));
+}
+
+#[parameterized(
+    message = { Purpose::Message, 250 * KIB, Stage::Running },
+    request = { Purpose::Request, 350 * KIB, Stage::Body },
+)]
+fn what_does_not_arrive_is_given_up_for_a_message(purpose: Purpose, bytes: u64, stage: Stage) {
+    let mut limiter = ResourceLimiter::new(LIMITS);
+    let [first, stopped, other] = [(); 3].map(|()| connect(&mut limiter, 0));
+    for (id, stage) in [(first, Stage::Running), (stopped, stage), (other, Stage::Running)] {
+        limiter.set_stage(0, id, stage);
+    }
+    assert_eq!(take_for_message(&mut limiter, 0, first, 500 * KIB), Ok(Vec::new()));
+    let mut closed = Vec::new();
+    limiter.take(0, stopped, purpose, bytes, &mut closed).expect("there is room");
+    limiter.note_progress(100, first);
+    limiter.note_progress(0, stopped);
+    assert_eq!(take_for_message(&mut limiter, 199, other, 450 * KIB), Err(NoRoom));
+    let closed = vec![Closed { id: stopped, stage }];
+    assert_eq!(take_for_message(&mut limiter, 200, other, 250 * KIB), Ok(closed));
+    // One that can never arrive is no reason to give up others.
+    assert_eq!(take_for_message(&mut limiter, 900, other, 800 * KIB), Err(NoRoom));
+    assert_eq!(limiter.open_connections(), 2);
+}
+
+#[test]
+fn streams_leave_a_part_to_peers_with_few_of_them() {
+    let mut limiter = ResourceLimiter::new(LIMITS);
+    let [many, more, few] = [(); 3].map(|()| connect(&mut limiter, 0));
+    let mut closed = Vec::new();
+    for (id, bytes, expected) in [
+        (many, 300 * KIB, Ok(())),
+        (many, 4 * KIB, Err(NoRoom)),
+        (more, 60 * KIB, Ok(())),
+        (more, 8 * KIB, Err(NoRoom)),
+        (few, 40 * KIB, Ok(())),
+        (few, 4 * KIB, Err(NoRoom)),
+    ] {
+        let taken = limiter.take(9_000, id, Purpose::Stream, bytes, &mut closed);
+        assert_eq!(taken, expected, "{id:?}, {bytes} bytes");
+    }
+    assert_eq!(closed, [], "no stream is given up for another one");
+}
