wire: messages wait for their memory as a whole, and one not sent whole has not run

Two messages that fit one after the other, but not both, each took memory for the parts that had come, and neither got the rest: both streams ended. Their senders took that for an unknown outcome, so a call that may run once was lost.

Cause: memory was taken part by part, and refused at once; an error while a message is sent counted as unknown, although a message is decoded only when it has arrived completely.

One that can never fit is refused at once. An error before the last part was handed over means that the message has not arrived, and is told as not run: a gateway sends it elsewhere or refuses it with that promise.

--- a/src/policy/resource_limiter.rs
+++ b/src/policy/resource_limiter.rs
@@ -116,6 +116,11 @@
         self.requests_max_bytes - self.small_kept_bytes
     }
 
+    /// The most memory that messages of one connection can take.
+    pub fn message_max_bytes(&self) -> u64 {
+        share(self.messages_max_bytes, false)
+    }
+
     /// Sets a lower bound on connections of clients.
     #[must_use]
     pub fn with_clients_max(mut self, clients_max: usize) -> Self {
@@ -302,7 +307,7 @@
             return Err(NoRoom);
         }
         if purpose == Purpose::Message
-            && connection.held(purpose) + bytes > share(self.limits.messages_max_bytes, false)
+            && connection.held(purpose) + bytes > self.limits.message_max_bytes()
         {
             return Err(NoRoom);
         }
--- a/src/wire/stream.rs
+++ b/src/wire/stream.rs
@@ -41,7 +41,8 @@
     /// Sends one message, waiting for flow-control capacity, and returns its size in bytes.
     ///
     /// # Errors
-    /// The message cannot be encoded, or the stream or connection is closed.
+    /// The message cannot be encoded, or the stream or connection is closed; it has certainly not
+    /// arrived completely.
     pub async fn send(&mut self, message: &T) -> Result<usize> {
         let mut data = encode(message)?;
         let size_bytes = data.len();
@@ -79,8 +80,9 @@
         let _ = poll_fn(|context| self.stream.poll_reset(context)).await;
     }
 
+    /// The message has not arrived completely.
     fn send_error(&self, error: impl ToString) -> Error {
-        Error::failed("send", self.peer.clone(), error)
+        Error::refused("send", self.peer.clone(), error)
     }
 }
 
@@ -121,7 +123,7 @@
             if let Some(message) = self.decode_buffered()? {
                 return Ok(Some(message));
             }
-            self.take_memory()?;
+            self.take_memory().await?;
             let stream = self.open().await?;
             let Some(chunk) = stream.data().await else {
                 if self.buffer.is_empty() {
@@ -141,15 +143,18 @@
         }
     }
 
-    /// Takes memory for the part of a message that has arrived.
-    fn take_memory(&mut self) -> Result<()> {
-        let arrived_bytes = self.buffer.len();
-        if arrived_bytes == 0 && self.buffer.capacity() > KEPT_BUFFER_BYTES {
+    /// Takes memory for the whole message of which a part has arrived: several that have a part of their
+    /// memory would wait for each other.
+    async fn take_memory(&mut self) -> Result<()> {
+        if self.buffer.is_empty() && self.buffer.capacity() > KEPT_BUFFER_BYTES {
             self.buffer = BytesMut::new();
         }
+        let announced_bytes = self.announced_bytes().map_or(0, |length| LENGTH_BYTES + length);
+        let message_bytes = announced_bytes.max(self.buffer.len()) as u64;
         let Some(memory) = &mut self.memory else { return Ok(()) };
         memory
-            .set_message_bytes(arrived_bytes as u64)
+            .set_message_bytes(message_bytes)
+            .await
             .map_err(|NoRoom| self.receive_error("there is no memory for the message"))
     }
 
@@ -170,10 +175,15 @@
         }
     }
 
+    /// The length of the first buffered message, once that has arrived.
+    fn announced_bytes(&self) -> Option<usize> {
+        let header = self.buffer.first_chunk::<LENGTH_BYTES>()?;
+        Some(u32::from_le_bytes(*header) as usize)
+    }
+
     /// Decodes and removes the first buffered message; `None` while it is incomplete.
     fn decode_buffered(&mut self) -> Result<Option<T>> {
-        let Some(header) = self.buffer.get(..LENGTH_BYTES) else { return Ok(None) };
-        let length = u32::from_le_bytes([header[0], header[1], header[2], header[3]]) as usize;
+        let Some(length) = self.announced_bytes() else { return Ok(None) };
         if length > MAX_MESSAGE_BYTES {
             return Err(self.receive_error(format!("a message of {length} bytes is too long")));
         }
--- a/tests/misbehaving_peers.rs
+++ b/tests/misbehaving_peers.rs
@@ -28,9 +28,10 @@
 /// The memory of a control process, which is the default of its settings.
 const CONTROL_MEMORY_BYTES: u64 = 256_000_000;
 const CALLERS: usize = 20;
-/// The size of a message that never ends, and what is sent of it.
-const MESSAGE_BYTES: u32 = 200 << 20;
-const SENT_BYTES: usize = 40 << 20;
+/// A message that is far larger than any, and what is sent of it.
+const HUGE: Message = Message { callers: 20, announced_bytes: 200 << 20, sent_bytes: 40 << 20 };
+/// A message that a process takes, and stops short of its end.
+const LARGE: Message = Message { callers: 60, announced_bytes: 8 << 20, sent_bytes: (8 << 20) - 1 };
 const STREAMS_PER_CALLER: usize = 4_000;
 const CALLERS_WITH_HEADS: usize = 100;
 /// What is sent of a head that never ends.
@@ -73,6 +74,14 @@
     }
 }
 
+/// What each caller of a crowd sends.
+#[derive(Debug, Clone, Copy)]
+struct Message {
+    callers: usize,
+    announced_bytes: u32,
+    sent_bytes: usize,
+}
+
 fn run(test: impl Future<Output = ()>) {
     let _alone = crowd::alone();
     tokio::runtime::Runtime::new().expect("a runtime").block_on(test);
@@ -125,10 +134,10 @@
 }
 
 /// Sends the beginning of a message, as much as the server takes.
-async fn send_message(stream: &mut SendStream<Bytes>) -> Option<()> {
-    let length = Bytes::copy_from_slice(&MESSAGE_BYTES.to_le_bytes());
+async fn send_message(stream: &mut SendStream<Bytes>, message: Message) -> Option<()> {
+    let length = Bytes::copy_from_slice(&message.announced_bytes.to_le_bytes());
     stream.send_data(length, false).ok()?;
-    let mut left_bytes = SENT_BYTES;
+    let mut left_bytes = message.sent_bytes;
     while left_bytes > 0 {
         stream.reserve_capacity(left_bytes.min(FRAME_BYTES));
         let capacity = timeout(STALLED, poll_fn(|context| stream.poll_capacity(context)));
@@ -140,20 +149,22 @@
 }
 
 #[parameterized(
-    gateway = { Process::Gateway },
-    control = { Process::Control },
+    huge_gateway = { Process::Gateway, HUGE },
+    huge_control = { Process::Control, HUGE },
+    large_gateway = { Process::Gateway, LARGE },
+    large_control = { Process::Control, LARGE },
 )]
-fn messages_that_do_not_end_stay_within_the_memory(process: Process) {
+fn messages_that_do_not_end_stay_within_the_memory(process: Process, message: Message) {
     run(async {
         let region = start().await;
         let mut crowd = Vec::new();
-        for _ in 0..CALLERS {
+        for _ in 0..message.callers {
             let Some(mut caller) = Caller::connect(process.listener(&region)).await else {
                 continue;
             };
             let Some(mut stream) = caller.open(process.path()).await else { continue };
             // The server may end the stream or the connection at any time.
-            let _ = send_message(&mut stream).await;
+            let _ = send_message(&mut stream, message).await;
             crowd.push((caller, stream));
         }
         process.check_memory(&region);
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -10,6 +10,7 @@
 use winchvane::Result;
 use winchvane::control::serving::{ControlHandler, Stage};
 use winchvane::metrics::{Counter, Metrics};
+use winchvane::policy::resource_limiter::ResourceLimits;
 use winchvane::policy::silence::SILENT_MAX_MS;
 use winchvane::resources::Resources;
 use winchvane::wire::{
@@ -34,9 +35,12 @@
 }
 
 async fn start() -> (std::net::SocketAddr, Metrics) {
+    start_with(Resources::local()).await
+}
+
+async fn start_with(resources: Resources) -> (std::net::SocketAddr, Metrics) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
     let address = listener.local_addr().expect("the listener is bound");
-    let resources = Resources::local();
     let metrics = resources.metrics().clone();
     tokio::spawn(serve(listener, Arc::new(Echo), resources));
     (address, metrics)
@@ -156,6 +160,46 @@
     });
 }
 
+/// Of a message that has not arrived completely nothing has run, so that it may be sent elsewhere.
+#[test]
+fn a_message_for_which_there_is_no_memory_has_not_run() {
+    run(async {
+        let limits = ResourceLimits::new(20_000_000, 1_000);
+        let (address, metrics) = start_with(Resources::new(limits, Metrics::local())).await;
+        let peer = Peer::new(address);
+        let large = "x".repeat(8 << 20);
+        let refused: Result<String> = peer.call(Channel::Control, &large, 20_000).await;
+        let error = refused.expect_err("it is larger than the memory for messages");
+        assert!(error.is_not_run(), "{error}");
+        assert_eq!(metrics.total(Counter::MessagesWithoutRoom), 1);
+        let echo: Result<String> = peer.call(Channel::Control, &"x".to_owned(), 2_000).await;
+        assert_eq!(echo.expect("others are served"), "x");
+    });
+}
+
+/// Several large messages at once wait for each other, and each of them arrives.
+#[test]
+fn a_message_waits_for_memory_that_another_one_uses() {
+    run(async {
+        let limits = ResourceLimits::new(20_000_000, 1_000);
+        let (address, metrics) = start_with(Resources::new(limits, Metrics::local())).await;
+        let large: Arc<str> = "x".repeat(2_500_000).into();
+        let mut calls = Vec::new();
+        for _ in 0..2 {
+            let large = large.clone();
+            calls.push(tokio::spawn(async move {
+                let echo: Result<String> =
+                    Peer::new(address).call(Channel::Control, &large, 20_000).await;
+                echo.expect("it arrives").len()
+            }));
+        }
+        for call in calls {
+            assert_eq!(call.await.expect("no panic"), large.len());
+        }
+        assert_eq!(metrics.total(Counter::MessagesWithoutRoom), 0);
+    });
+}
+
 #[test]
 fn a_missing_answer_is_an_error_with_unknown_outcome() {
     run(async {
