logs: why a probe gave its verdict, which gateway keeps broken responses, and later reports of a crash

Change: reach_evidence, reach_told, broken_runs_unconfirmed, crash_confirmed, run_sent_after_end at gateways; crash_reported_again at the leader. No logic changes.

--- a/src/control/replica/standings.rs
+++ b/src/control/replica/standings.rs
@@ -30,6 +30,14 @@
                     ago_ms = crash.ago_ms,
                     used
                 );
+            } else {
+                info!(
+                    event = "crash_reported_again",
+                    endpoint = %crash.endpoint,
+                    gateway,
+                    features = crash.features.len(),
+                    ago_ms = crash.ago_ms
+                );
             }
             self.registered.crashes.record_crash(now_ms, crash, used);
         }
--- a/src/relay/crashes.rs
+++ b/src/relay/crashes.rs
@@ -231,6 +231,8 @@
         let Some(broken) = records.broken.remove(endpoint) else { return };
         records.forget_old(now_ms);
         let keys: Vec<FeatureKey> = broken.features.keys().copied().collect();
+        let (runs, features) = (broken.runs, keys.len());
+        info!(event = "broken_runs_unconfirmed", endpoint = %endpoint, runs, features);
         records.unconfirmed.insert(endpoint.clone(), broken);
         drop(records);
         for key in keys {
@@ -292,7 +294,9 @@
         service: &Arc<str>,
     ) -> EndpointCrash {
         let since_ms = broken.since_ms;
+        let runs = broken.runs;
         let features = broken.into_features();
+        info!(event = "crash_confirmed", endpoint = %endpoint, runs, features = features.len());
         let ago_ms = u32::try_from(now_ms - since_ms).unwrap_or(u32::MAX);
         let (endpoint, service) = (endpoint.clone(), service.clone());
         let crash = EndpointCrash { endpoint, service, ago_ms, features };
--- a/src/relay/detour/serve.rs
+++ b/src/relay/detour/serve.rs
@@ -114,6 +114,14 @@
                 let is_engine = relay.table().is_engine(&endpoint.service);
                 reach_endpoint(engines, &endpoint, is_engine).await
             };
+            if liveness != Liveness::Up || has_answered {
+                info!(
+                    event = "reach_told",
+                    endpoint = %endpoint.id,
+                    liveness = ?liveness,
+                    by_connect = has_answered
+                );
+            }
             Some(liveness == Liveness::Up)
         });
     }
--- a/src/relay/held.rs
+++ b/src/relay/held.rs
@@ -85,7 +85,9 @@
             let served_ago_ms = crashes.served_ago_ms(now_ms, &key);
             features.push(InterruptedFeature { key, weights, ran_ms, served_ago_ms });
         }
+        let endpoint = check.id.clone();
         if !crashes.note_broken_run(now_ms, check, self.sent_at_ms, features) {
+            info!(event = "run_sent_after_end", request = %self.meta.id, endpoint = %endpoint);
             return;
         }
         for trial in &self.trials {
--- a/src/relay/reach.rs
+++ b/src/relay/reach.rs
@@ -168,6 +168,16 @@
             are_others_reached: is_any_reached,
         };
         let reach = evidence.judge();
+        if position < suspected {
+            info!(
+                event = "reach_evidence",
+                endpoint = %endpoint.id,
+                probed = ?own[position],
+                by_peer = ?evidence.is_reached_by_peer,
+                others = ?evidence.are_others_reached,
+                reach = ?reach
+            );
+        }
         if reach == Reach::OutOfReach {
             out_of_reach.push(endpoint.id.clone());
         }
