--- a/soak/src/engine/life.rs
+++ b/soak/src/engine/life.rs
@@ -4,7 +4,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, watch};
+use tokio::time::timeout;
 
 use super::{RESTARTS_AFTER, Weights};
 
@@ -25,9 +27,11 @@
 
 /// How an incarnation ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Ends {
-    /// Its connections are closed.
+pub enum Ends {
+    /// Its connections are closed, and new ones are refused.
     Closed,
+    /// Its connections are closed; new ones are accepted and closed at once, as by a proxy before it.
+    ClosedBehindProxy,
     /// Nothing is closed and nothing answers any more, until the next incarnation has been up for a while.
     Silent,
     /// The same for good, as when its machine is lost.
@@ -53,7 +57,7 @@
                 tokio::time::sleep(RESTARTS_AFTER + Duration::from_secs(1)).await;
             }
             Some(Ends::Vanished { .. }) => std::future::pending().await,
-            Some(Ends::Closed) | None => {}
+            Some(Ends::Closed | Ends::ClosedBehindProxy) | None => {}
         }
     }
 
@@ -88,6 +92,17 @@
         }
     }
 
+    /// Accepts connections of an incarnation that ended behind a proxy and closes them, until the next
+    /// incarnation has started.
+    pub(super) async fn close_new_connections(&self, listener: &TcpListener) {
+        if *self.ended.borrow() != Some(Ends::ClosedBehindProxy) {
+            return;
+        }
+        let closing = async { while listener.accept().await.is_ok() {} };
+        // It always ends by the timeout.
+        let _ = timeout(RESTARTS_AFTER, closing).await;
+    }
+
     pub(super) async fn wait_until_running(&self) {
         // The sender lives as long as the engine.
         let _ = self.paused.clone().wait_for(|paused| !paused).await;
--- a/soak/src/engine/mod.rs
+++ b/soak/src/engine/mod.rs
@@ -20,7 +20,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, watch};
 
-use life::{Ends, Life};
+pub use life::Ends;
+use life::Life;
 pub use running::LateEvents;
 use running::Running;
 pub use weights::{ADAPTERS_MAX, BASE, NotBegun, Order, Outcome, Weights};
@@ -62,7 +63,8 @@
     lives: AtomicU64,
     paused: watch::Sender<bool>,
     delays_orders: AtomicBool,
-    ends_silently: AtomicBool,
+    /// How its incarnations end when they crash.
+    ends: Mutex<Ends>,
     event_pause_ms: AtomicU64,
     /// Makes some events of its streams late.
     late_events: Mutex<LateEvents>,
@@ -122,7 +124,7 @@
             lives: AtomicU64::new(0),
             paused: watch::channel(false).0,
             delays_orders: AtomicBool::new(false),
-            ends_silently: AtomicBool::new(false),
+            ends: Mutex::new(Ends::Closed),
             event_pause_ms: AtomicU64::new(EVENT_PAUSE.as_millis() as u64),
             late_events: Mutex::default(),
             cut_percent: AtomicU64::new(0),
@@ -163,16 +165,16 @@
         let engine = self.clone();
         tokio::spawn(life.clone().until_ended(self.clone().beat(life.clone())));
         tokio::spawn(async move {
-            life.clone().until_refusing(engine.accept(life.clone(), listener)).await;
+            life.clone().until_refusing(engine.accept(life.clone(), &listener)).await;
             life.listens.send_replace(false);
+            life.close_new_connections(&listener).await;
         });
         Ok(())
     }
 
     /// Ends the incarnation at once; it says nothing.
     pub fn crash(&self) {
-        let ends =
-            if self.ends_silently.load(Ordering::SeqCst) { Ends::Silent } else { Ends::Closed };
+        let ends = *lock(&self.ends);
         if let Some(life) = lock(&self.life).take() {
             life.ended.send_replace(Some(ends));
         }
@@ -186,9 +188,9 @@
         }
     }
 
-    /// Lets its incarnations end without closing a connection, or with it again.
-    pub fn set_ends_silently(&self, silently: bool) {
-        self.ends_silently.store(silently, Ordering::SeqCst);
+    /// Sets how its incarnations end when they crash.
+    pub fn set_ends(&self, ends: Ends) {
+        *lock(&self.ends) = ends;
     }
 
     /// Ends the incarnation at once and starts the next one a while later.
@@ -267,7 +269,7 @@
         &self.id
     }
 
-    async fn accept(self: Arc<Self>, life: Arc<Life>, listener: TcpListener) {
+    async fn accept(self: Arc<Self>, life: Arc<Life>, listener: &TcpListener) {
         while let Ok((stream, _)) = listener.accept().await {
             let (engine, of_life) = (self.clone(), life.clone());
             let service = service_fn(move |request| {
--- a/soak/tests/common/mod.rs
+++ b/soak/tests/common/mod.rs
@@ -27,6 +27,12 @@
     own.ancestors().nth(2).expect("the test lies below the programs").to_path_buf()
 }
 
+/// The log of a process that was kept below `name`.
+pub fn log_of(name: &str, process: &str) -> String {
+    let path = programs().join("soak").join(name).join(format!("{process}.log"));
+    std::fs::read_to_string(path).expect("the log was kept")
+}
+
 impl System {
     /// Starts a region in its own `block` of addresses and waits until adapters are served.
     pub async fn start(block: u8, clients: u32) -> Self {
@@ -75,6 +81,11 @@
         }
     }
 
+    /// Keeps the logs so far beside the programs, below `name`.
+    pub fn keep_logs(&self, name: &str) {
+        self.region.keep_logs(&programs().join("soak").join(name), &self.record);
+    }
+
     /// Ends everything; the logs are kept beside the programs, below `name`, and given back as one text.
     pub fn stop(mut self, name: &str) -> String {
         let folder = programs().join("soak").join(name);
--- a/soak/tests/requests_that_crash_engines.rs
+++ b/soak/tests/requests_that_crash_engines.rs
@@ -18,7 +18,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use winchvane_soak::client::{self, ADAPTERS, Try, ask_for_adapter, start_repeating};
-use winchvane_soak::engine::CRASHING;
+use winchvane_soak::engine::{CRASHING, Ends};
 use winchvane_soak::record::End;
 use winchvane_soak::region::Size;
 
@@ -165,7 +165,7 @@
     let size = Size { gateways: 3, endpoints: 1, engines: ENGINES, block: 87 };
     let system = System::start_with(size, 12).await;
     for engine in &system.region.engines {
-        engine.set_ends_silently(true);
+        engine.set_ends(Ends::Silent);
     }
     let (tries, clients) = ordinary_clients(&system);
     let mut rng = SmallRng::seed_from_u64(87);
