relay: an endpoint is reached only if it answers, also when another gateway asks

Callers saw: one body under which engines crash reached engines up to 6 times late (3 allowed), since it was held late, where the port of a crashed engine accepts connections (a proxy, a supervisor). Cause: before a gateway reports a crash, it asks other gateways. One that had got an answer of the endpoint within 300 ms made a connection only, and a busy engine that has just crashed always answered within 300 ms. So the others vouched for a dead engine, the verdict was OutOfReach, and the broken responses stayed unconfirmed until the next incarnation registered, 3 s later. Class: a weaker proof of life stands in for a stronger one. The same elsewhere: a plain endpoint that broke off responses was asked by a connection only. Change: one definition, reach_endpoint: it answers a request. The shortcut and the plain endpoints' exception are gone. Evidence: reach_evidence probed=Ignoring by_peer=Some(true) at each of four gateways, reach_told by_connect=true at their peers.

--- a/src/relay/detour/serve.rs
+++ b/src/relay/detour/serve.rs
@@ -20,7 +20,7 @@
 use crate::relay::access::Access;
 use crate::relay::admission::Admitted;
 use crate::relay::exchange::Exchange;
-use crate::relay::liveness::{Liveness, connect, reach_endpoint};
+use crate::relay::liveness::{Liveness, reach_endpoint};
 use crate::relay::orders::EngineClient;
 use crate::relay::refusal::{Failure, NotSent, retry_after_ms};
 use crate::relay::shared::Relay;
@@ -35,8 +35,6 @@
 const SERVED_MAX: u32 = 200;
 /// The maximum size of their bodies together.
 const SERVED_MAX_BYTES: usize = 8 << 20;
-/// How long ago an endpoint may have answered to count as reached once it accepts a connection.
-const ANSWERED_RECENTLY_MS: u64 = 300;
 /// The number of endpoints that another gateway may ask for at once.
 const REACH_MAX: usize = 64;
 /// The number of other endpoints that are probed to find out whether this gateway is cut off.
@@ -103,24 +101,12 @@
     let mut probes = Vec::new();
     for id in &ids {
         let endpoint = relay.fleet().endpoint(id);
-        let since_ms = relay.now_ms().saturating_sub(ANSWERED_RECENTLY_MS);
-        let has_answered = !relay.fleet().is_silent_since(since_ms, id);
         probes.push(async move {
             let endpoint = endpoint?;
-            // An endpoint that has just ended may have answered just before.
-            let liveness = if has_answered {
-                connect(&endpoint).await
-            } else {
-                let is_engine = relay.table().is_engine(&endpoint.service);
-                reach_endpoint(engines, &endpoint, is_engine).await
-            };
-            if liveness != Liveness::Up || has_answered {
-                info!(
-                    event = "reach_told",
-                    endpoint = %endpoint.id,
-                    liveness = ?liveness,
-                    by_connect = has_answered
-                );
+            let is_engine = relay.table().is_engine(&endpoint.service);
+            let liveness = reach_endpoint(engines, &endpoint, is_engine).await;
+            if liveness != Liveness::Up {
+                info!(event = "reach_told", endpoint = %endpoint.id, liveness = ?liveness);
             }
             Some(liveness == Liveness::Up)
         });
--- a/src/relay/liveness.rs
+++ b/src/relay/liveness.rs
@@ -54,7 +54,7 @@
     let liveness = match &endpoint {
         Some(endpoint) => {
             let is_engine = relay.table().is_engine(&service);
-            probe_endpoint(engines.as_ref(), endpoint, is_engine).await
+            reach_endpoint(engines.as_ref(), endpoint, is_engine).await
         }
         None => Liveness::Refusing,
     };
@@ -138,7 +138,7 @@
 /// The result of a probe.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Liveness {
-    /// The endpoint answers, or at least accepts connections.
+    /// The endpoint answers.
     Up,
     /// Nothing listens at the endpoint's address.
     Refusing,
@@ -149,40 +149,23 @@
 }
 
 /// Probes an endpoint with a request that it answers at once, whatever it serves.
+///
+/// An accepted connection proves nothing: a proxy, or the supervisor of a crashed process, accepts
+/// connections in its place.
 pub(super) async fn reach_endpoint(
     engines: &dyn EngineClient,
     endpoint: &RegisteredEndpoint,
     is_engine: bool,
 ) -> Liveness {
-    match probe_endpoint(engines, endpoint, is_engine).await {
-        Liveness::Up if !is_engine && !engines.probe_plain(endpoint).await => Liveness::Ignoring,
-        liveness => liveness,
-    }
-}
-
-/// Opens a connection to an endpoint and closes it.
-pub(super) async fn connect(endpoint: &RegisteredEndpoint) -> Liveness {
     match timeout(CONNECT_TIMEOUT, TcpStream::connect(endpoint.address)).await {
-        Ok(Ok(_)) => Liveness::Up,
-        Ok(Err(error)) if is_refusal(&error) => Liveness::Refusing,
+        Ok(Ok(_)) => {}
+        Ok(Err(error)) if is_refusal(&error) => return Liveness::Refusing,
         // Any other error may be a fault of the network or of this process.
-        Err(_) | Ok(Err(_)) => Liveness::Unknown,
-    }
-}
-
-async fn probe_endpoint(
-    engines: &dyn EngineClient,
-    endpoint: &RegisteredEndpoint,
-    is_engine: bool,
-) -> Liveness {
-    let connected = connect(endpoint).await;
-    if connected != Liveness::Up {
-        return connected;
+        Err(_) | Ok(Err(_)) => return Liveness::Unknown,
     }
-    // A probe request to a plain service would compete with client requests, so an accepted
-    // connection is enough. An engine that accepts connections without answering does not run any
-    // request either.
-    if !is_engine || engines.probe(endpoint).await { Liveness::Up } else { Liveness::Ignoring }
+    let has_answered =
+        if is_engine { engines.probe(endpoint).await } else { engines.probe_plain(endpoint).await };
+    if has_answered { Liveness::Up } else { Liveness::Ignoring }
 }
 
 fn is_refusal(error: &io::Error) -> bool {
