--- a/soak/tests/requests_that_crash_engines.rs
+++ b/soak/tests/requests_that_crash_engines.rs
@@ -30,6 +30,8 @@
 const ORDINARY_CLIENTS: u32 = 16;
 const ORDINARY_PERIOD: Duration = Duration::from_millis(100);
 const ENGINES: u8 = 10;
+/// The number of copies of a request that are sent at the same time.
+const COPIES: usize = 15;
 
 type Tries = Arc<Mutex<Vec<Try>>>;
 
@@ -130,6 +132,36 @@
     assert!(failed * 20 <= sent, "{failed} of {sent} ordinary requests failed");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn copies_of_a_suspected_request_are_not_sent_together() {
+    let size = Size { gateways: 5, endpoints: 1, engines: ENGINES, block: 142 };
+    let system = System::start_with(size, 12).await;
+    let mut rng = SmallRng::seed_from_u64(142);
+    while system.record.crashing().len() < 2 {
+        send_crashing(&system, CRASHING_PERIOD, &mut rng).await;
+    }
+    // The leader evaluates the second crash and informs the gateways.
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let before = system.record.crashing().len();
+    let mut copies = Vec::new();
+    for address in system.region.gateway_addresses().into_iter().cycle().take(COPIES) {
+        let record = system.record.clone();
+        copies.push(tokio::spawn(async move {
+            ask_for_adapter(address, ADAPTERS[0], CRASHING, &record).await.1
+        }));
+    }
+    let mut ends = Vec::new();
+    for copy in copies {
+        ends.push(copy.await.expect("it does not panic"));
+    }
+    let runs = system.record.crashing().len() - before;
+    println!("{before} runs before; {runs} of {COPIES} copies ran; {ends:?}");
+    let breaches = system.record.seen_breaches();
+    system.stop("copies");
+    assert!(breaches.is_empty(), "{breaches:?}");
+    assert!(runs <= LATER_RUNS_MAX, "{runs} copies of a suspected request ran");
+}
+
 /// Eight clients whose requests end their engines by turns, while others go on: 62 and 64 engines ended in 30 s, five of them
 /// under one body after it should have been known, and 293 of 1,441 ordinary requests failed, because the ends under
 /// seven of them passed for the chance of the eighth.
