policy, relay: requests with a suspected content run one at a time

Cause: a suspected request went to one endpoint an attempt, but any number of copies went beside each other. Its adapter had lost its last home; the copies waited for the load and were all sent to the same engine at the same moment, before the outcome of any was known. Class: a verdict that comes after everything it is about has been sent. Change: Standing::Running, after the pattern of trials: a gateway asks the leader before it sends a suspected content, one copy runs in the whole system, the others are refused with Retry-After or go on once it is served, which clears the content. What became suspected while it waited for a place asks as well. Prompt parts stay as they were: too many requests share one. The variant stands last in the enum, so stored standings are read as before; a replica of an older version cannot read the new one.

--- a/src/control/replica/standings.rs
+++ b/src/control/replica/standings.rs
@@ -106,6 +106,9 @@
         }
         Standing::Watched => info!(event = "request_watched", key = %key),
         Standing::Suspected => info!(event = "request_suspected", key = %key),
+        Standing::Running { gateway } => {
+            info!(event = "suspected_request_runs", key = %key, gateway = %gateway);
+        }
         Standing::Cleared => info!(event = "request_cleared", key = %key),
     }
 }
--- a/src/message/crash.rs
+++ b/src/message/crash.rs
@@ -40,7 +40,7 @@
 pub enum Standing {
     /// Treated like all other requests, but gateways report when one of them is served.
     Watched,
-    /// Each attempt is sent to one endpoint only.
+    /// Each attempt is sent to one endpoint only; of requests with the same content, one at a time.
     Suspected,
     /// Refused for some time, since endpoints crash when they run these requests.
     Held {
@@ -58,6 +58,11 @@
     },
     /// No longer suspected of causing crashes.
     Cleared,
+    /// Suspected, and running at one gateway; all others wait for the outcome.
+    Running {
+        /// The gateway that may send one of these requests.
+        gateway: Arc<str>,
+    },
 }
 
 impl Standing {
@@ -70,7 +75,7 @@
     pub fn times_held(&self) -> u32 {
         match self {
             Self::Held { times, .. } | Self::OnTrial { times, .. } => *times,
-            Self::Watched | Self::Suspected | Self::Cleared => 0,
+            Self::Watched | Self::Suspected | Self::Running { .. } | Self::Cleared => 0,
         }
     }
 }
--- a/src/policy/crashes/mod.rs
+++ b/src/policy/crashes/mod.rs
@@ -21,6 +21,10 @@
 //! several crashes is held on weaker evidence, and its crashes count as explained for all other
 //! features that they interrupted.
 //!
+//! A content is *suspected* on weaker evidence than it is held on. Requests with a suspected content run
+//! one at a time: copies beside each other would all be sent before the outcome of the first is known.
+//! One that is served clears the content.
+//!
 //! The detection runs in the leader, on reports of gateways, each of which knows only its own
 //! requests.
 
@@ -120,7 +124,7 @@
         key: FeatureKey,
         weights: Option<WeightsName>,
     ) {
-        let known = self.verdicts.get(key).map(|known| (&known.standing, known.since_ms));
+        let known = self.verdicts.get(key).map(|known| (known.standing.clone(), known.since_ms));
         let standing = match known {
             // The attempt was already running when the feature was held.
             Some((Standing::Held { .. }, _)) => return,
@@ -128,21 +132,18 @@
             Some((Standing::OnTrial { times, .. }, _)) => {
                 // During a trial, endpoints also crash by coincidence or for other reasons.
                 let is_cause = self.records.is_possible_cause(number, key);
-                held(if is_cause { times + 1 } else { *times })
+                held(if is_cause { times + 1 } else { times })
             }
+            Some((Standing::Running { .. }, since_ms)) => match self.assess(now_ms, number, key) {
+                Some(standing) if standing.is_refused() => standing,
+                _ if since_ms <= at_ms => Standing::Suspected,
+                // A copy that was sent before this one.
+                _ => return,
+            },
             Some((Standing::Watched | Standing::Suspected | Standing::Cleared, _)) | None => {
-                match self.records.assess(key) {
+                match self.assess(now_ms, number, key) {
+                    Some(standing) => standing,
                     None => return,
-                    Some(Assessment::Watch) => Standing::Watched,
-                    Some(Assessment::Suspect) => Standing::Suspected,
-                    Some(Assessment::Hold) if self.is_served_report_due(now_ms, key) => held(0),
-                    Some(Assessment::Hold) => {
-                        self.records.reset_evaluation(number, key);
-                        if self.records.mark_for_evaluation(number) {
-                            self.pending.push_back((now_ms + SERVED_REPORT_MS, number));
-                        }
-                        Standing::Suspected
-                    }
                 }
             }
         };
@@ -153,6 +154,22 @@
         self.verdicts.decide(key, weights, standing);
     }
 
+    /// The standing that the crashes of a feature amount to; `None` for too few crashes.
+    fn assess(&mut self, now_ms: u64, number: CrashNumber, key: FeatureKey) -> Option<Standing> {
+        match self.records.assess(key)? {
+            Assessment::Watch => Some(Standing::Watched),
+            Assessment::Suspect => Some(Standing::Suspected),
+            Assessment::Hold if self.is_served_report_due(now_ms, key) => Some(held(0)),
+            Assessment::Hold => {
+                self.records.reset_evaluation(number, key);
+                if self.records.mark_for_evaluation(number) {
+                    self.pending.push_back((now_ms + SERVED_REPORT_MS, number));
+                }
+                Some(Standing::Suspected)
+            }
+        }
+    }
+
     /// The endpoints whose crashes are evidence against the feature.
     pub fn crashed_endpoints(&self, key: FeatureKey) -> Vec<Arc<str>> {
         self.records.crashed_endpoints(key)
@@ -192,8 +209,8 @@
         }
     }
 
-    /// Lets `gateway` send a request with a feature whose holding time is over, unless another
-    /// gateway already does.
+    /// Lets `gateway` send a request with a feature that is suspected, or whose holding time is over,
+    /// unless another gateway already does.
     pub fn grant_trial(&mut self, now_ms: u64, key: FeatureKey, gateway: &Arc<str>) {
         self.verdicts.grant_trial(now_ms, key, gateway);
     }
--- a/src/policy/crashes/verdicts.rs
+++ b/src/policy/crashes/verdicts.rs
@@ -87,7 +87,7 @@
     fn clear_least_severe(&mut self) {
         let rank = |known: &KnownStanding| match known.standing {
             Standing::Cleared | Standing::Watched => 0,
-            Standing::Suspected => 1,
+            Standing::Suspected | Standing::Running { .. } => 1,
             Standing::Held { .. } | Standing::OnTrial { .. } => 2,
         };
         let least = self.known.iter().min_by_key(|(_, known)| (rank(known), known.since_ms));
@@ -98,31 +98,40 @@
         self.decided.push(FeatureStanding { key, weights, standing });
     }
 
-    /// Lets `gateway` send a request with a feature whose holding time is over, unless another
-    /// gateway already does.
+    /// Lets `gateway` send a request with a feature that is suspected, or whose holding time is over,
+    /// unless another gateway already does.
     pub(super) fn grant_trial(&mut self, now_ms: u64, key: FeatureKey, gateway: &Arc<str>) {
         let Some(known) = self.known.get(&key) else { return };
-        let (held_ms, times) = match known.standing {
-            Standing::Held { for_ms, times } => (for_ms, times),
-            Standing::OnTrial { times, .. } => (TRIAL_TIMEOUT_MS, times),
-            Standing::Watched | Standing::Suspected | Standing::Cleared => return,
+        let gateway = gateway.clone();
+        let (wait_ms, granted) = match known.standing {
+            Standing::Held { for_ms, times } => (for_ms, Standing::OnTrial { gateway, times }),
+            Standing::OnTrial { times, .. } => {
+                (TRIAL_TIMEOUT_MS, Standing::OnTrial { gateway, times })
+            }
+            Standing::Suspected => (0, Standing::Running { gateway }),
+            Standing::Running { .. } => (TRIAL_TIMEOUT_MS, Standing::Running { gateway }),
+            Standing::Watched | Standing::Cleared => return,
         };
-        if known.since_ms + held_ms > now_ms || self.uncommitted.contains_key(&key) {
+        if known.since_ms + wait_ms > now_ms || self.uncommitted.contains_key(&key) {
             return;
         }
-        let weights = known.weights.clone();
-        self.decide(key, weights, Standing::OnTrial { gateway: gateway.clone(), times });
+        self.decide(key, known.weights.clone(), granted);
     }
 
     /// Takes back a trial that `gateway` could not use or that had no outcome; another one may
     /// follow soon.
     pub(super) fn return_trial(&mut self, key: FeatureKey, gateway: &Arc<str>) {
         let Some(known) = self.known.get(&key) else { return };
-        let Standing::OnTrial { gateway: trying, times } = &known.standing else { return };
+        let (trying, standing) = match &known.standing {
+            Standing::OnTrial { gateway, times } => {
+                (gateway, Standing::Held { for_ms: TRIAL_RETRY_MS, times: *times })
+            }
+            Standing::Running { gateway } => (gateway, Standing::Suspected),
+            _ => return,
+        };
         if trying != gateway || self.uncommitted.contains_key(&key) {
             return;
         }
-        let standing = Standing::Held { for_ms: TRIAL_RETRY_MS, times: *times };
         self.decide(key, known.weights.clone(), standing);
     }
 
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -297,6 +297,9 @@
             };
             self.was_rejected = false;
             self.check_not_held().map_err(Failure::NotSent)?;
+            if self.lacks_trial() {
+                continue;
+            }
             self.access
                 .check_still_valid(&self.relay, &self.chosen.route)
                 .map_err(Failure::NotSent)?;
--- a/src/relay/held.rs
+++ b/src/relay/held.rs
@@ -126,8 +126,8 @@
         }
     }
 
-    /// Returns whether the request may be sent; asks the leader for a trial if features of it were
-    /// held for long enough.
+    /// Returns whether the request may be sent; asks the leader for a trial if features of it are
+    /// suspected or were held for long enough.
     ///
     /// # Errors
     /// A feature of the request is held, because endpoints crashed while they ran requests with it.
@@ -147,13 +147,16 @@
                 Permission::Unrestricted => continue,
                 Permission::Once => {}
                 Permission::Refused { after_ms } => return Err(self.refuse_held(key, after_ms)),
+                // A request with a trial is sent to one endpoint only.
+                Permission::AskLeader if self.possible_runs.get() > 0 => {}
                 Permission::AskLeader => to_try.push(key),
             }
             strictest = Permission::Once;
         }
         for key in to_try {
-            let trial = self.ask_for_trial(key).await?;
-            self.trials.push(trial);
+            if let Some(trial) = self.ask_for_trial(key).await? {
+                self.trials.push(trial);
+            }
         }
         Ok(strictest)
     }
@@ -177,12 +180,27 @@
         Ok(())
     }
 
+    /// True if a feature of the request has become suspected, or is tried elsewhere, since the request
+    /// was permitted.
+    pub(super) fn lacks_trial(&self) -> bool {
+        if !self.trials.is_empty() || self.relay.crashes.standings().is_empty() {
+            return false;
+        }
+        let now_ms = self.relay.now_ms();
+        let is_sendable = |key| {
+            let permission = self.relay.crashes.standings().permission(now_ms, key);
+            matches!(permission, Permission::Unrestricted | Permission::Once)
+        };
+        !self.features().all(is_sendable)
+    }
+
     fn refuse_held(&self, key: FeatureKey, after_ms: u64) -> NotSent {
         info!(event = "feature_held", request = %self.meta.id, key = %key, after_ms);
         NotSent::Held { after_ms }
     }
 
-    async fn ask_for_trial(&self, key: FeatureKey) -> Result<Trial, NotSent> {
+    /// Waits for a trial; `None` if the request has been cleared and needs none.
+    async fn ask_for_trial(&self, key: FeatureKey) -> Result<Option<Trial>, NotSent> {
         let relay = &self.relay;
         let refused = NotSent::Held { after_ms: TRIAL_RETRY_MS };
         if !relay.is_up_to_date(relay.now_ms()) {
@@ -198,7 +216,10 @@
             let now_ms = relay.now_ms();
             if relay.crashes.standings().take_trial(&key) {
                 info!(event = "trial_taken", request = %self.meta.id, key = %key);
-                return Ok(Trial::new(relay.clone(), key));
+                return Ok(Some(Trial::new(relay.clone(), key)));
+            }
+            if relay.crashes.standings().permission(now_ms, key) == Permission::Unrestricted {
+                return Ok(None);
             }
             if now_ms >= until_ms {
                 return Err(refused);
--- a/src/relay/standings.rs
+++ b/src/relay/standings.rs
@@ -30,7 +30,7 @@
         /// The time after which the client may retry.
         after_ms: u64,
     },
-    /// Only after asking the leader for a trial, since the request was held long enough.
+    /// Only after asking the leader for a trial: the request is suspected, or was held long enough.
     AskLeader,
 }
 
@@ -90,8 +90,7 @@
             self.entries.remove(&key);
             return false;
         }
-        let is_own_trial =
-            matches!(&standing, Standing::OnTrial { gateway, .. } if *gateway == self.gateway);
+        let is_own_trial = trying(&standing) == Some(&self.gateway);
         self.entries.insert(key, Entry { standing, since_ms: now_ms, served_reported_at_ms: None });
         is_own_trial && !self.waiting.contains_key(&key)
     }
@@ -123,11 +122,13 @@
         let age_ms = now_ms.saturating_sub(*since_ms);
         match standing {
             Standing::Watched | Standing::Cleared => Permission::Unrestricted,
-            Standing::Suspected => Permission::Once,
+            // Requests with a common prompt part are too many to run one at a time.
+            Standing::Suspected if key.prompt_part().is_some() => Permission::Once,
+            Standing::Suspected => Permission::AskLeader,
             Standing::Held { for_ms, .. } if age_ms < *for_ms => {
                 Permission::Refused { after_ms: (for_ms - age_ms).max(RETRY_AFTER_MIN_MS) }
             }
-            Standing::OnTrial { gateway, .. } => {
+            Standing::OnTrial { gateway, .. } | Standing::Running { gateway } => {
                 let decided_ms =
                     if *gateway == self.gateway { OWN_TRIAL_MS } else { OTHER_TRIAL_MS };
                 if age_ms >= decided_ms {
@@ -152,11 +153,8 @@
     /// Takes the trial that the leader gave to this gateway; returns false if there is none or it
     /// was used.
     pub fn take_trial(&mut self, key: &FeatureKey) -> bool {
-        let Some(Entry { standing: Standing::OnTrial { gateway, .. }, .. }) = self.entries.get(key)
-        else {
-            return false;
-        };
-        *gateway == self.gateway && self.tried.insert(*key)
+        let Some(Entry { standing, .. }) = self.entries.get(key) else { return false };
+        trying(standing) == Some(&self.gateway) && self.tried.insert(*key)
     }
 
     /// True if this gateway has used its trial of the request.
@@ -164,3 +162,11 @@
         self.tried.contains(key)
     }
 }
+
+/// The gateway that may send a request with this standing.
+fn trying(standing: &Standing) -> Option<&Arc<str>> {
+    match standing {
+        Standing::OnTrial { gateway, .. } | Standing::Running { gateway } => Some(gateway),
+        Standing::Watched | Standing::Suspected | Standing::Held { .. } | Standing::Cleared => None,
+    }
+}
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -494,6 +494,18 @@
 
 /// Reports that `endpoint` crashed after the request `number` had run there for `ran_ms`.
 fn report_crash(crashes: &mut Crashes, now_ms: u64, endpoint: &str, number: usize, ran_ms: u32) {
+    report_earlier_crash(crashes, now_ms, 0, endpoint, number, ran_ms);
+}
+
+/// The same for a crash that the gateway observed `ago_ms` ago.
+fn report_earlier_crash(
+    crashes: &mut Crashes,
+    now_ms: u64,
+    ago_ms: u32,
+    endpoint: &str,
+    number: usize,
+    ran_ms: u32,
+) {
     let run = InterruptedFeature {
         key: key(number),
         weights: Some(adapter()),
@@ -503,7 +515,7 @@
     let crash = EndpointCrash {
         endpoint: endpoint.into(),
         service: "s".into(),
-        ago_ms: 0,
+        ago_ms,
         features: vec![run],
     };
     crashes.record_crash(now_ms, crash, 10);
@@ -795,3 +807,47 @@
     next.grant_trial(10_100, key(9), &"g1".into());
     assert!(matches!(commit(&mut next, 10_100), Some(Standing::OnTrial { .. })));
 }
+
+/// A request that is suspected after two crashes.
+fn suspected() -> Crashes {
+    let mut crashes = Crashes::default();
+    for (number, at_ms) in [1_000, 2_000].into_iter().enumerate() {
+        report_crash(&mut crashes, at_ms, &format!("e{number}"), 1, 30);
+        commit(&mut crashes, at_ms + 500);
+    }
+    crashes
+}
+
+#[test]
+fn a_suspected_request_runs_at_one_gateway_at_a_time() {
+    let mut crashes = suspected();
+    let running = |gateway: &str| Some(Standing::Running { gateway: gateway.into() });
+    crashes.grant_trial(3_000, key(1), &"g1".into());
+    assert_eq!(commit(&mut crashes, 3_000), running("g1"));
+    crashes.grant_trial(3_100, key(1), &"g2".into());
+    assert_eq!(commit(&mut crashes, 3_100), None, "it runs at the other gateway");
+    crashes.return_trial(key(1), &"g2".into());
+    assert_eq!(commit(&mut crashes, 3_200), None, "it is not the trial of this gateway");
+    crashes.return_trial(key(1), &"g1".into());
+    assert_eq!(commit(&mut crashes, 3_300), Some(Standing::Suspected));
+    crashes.grant_trial(3_400, key(1), &"g2".into());
+    assert_eq!(commit(&mut crashes, 3_400), running("g2"));
+    crashes.grant_trial(18_399, key(1), &"g1".into());
+    assert_eq!(commit(&mut crashes, 18_399), None);
+    crashes.grant_trial(18_400, key(1), &"g1".into());
+    assert_eq!(commit(&mut crashes, 18_400), running("g1"), "the other gateway was lost");
+    crashes.served(key(1));
+    assert_eq!(commit(&mut crashes, 18_500), Some(Standing::Cleared));
+}
+
+#[test]
+fn a_crash_ends_the_run_of_a_suspected_request() {
+    let mut crashes = suspected();
+    crashes.grant_trial(3_000, key(1), &"g1".into());
+    commit(&mut crashes, 3_000);
+    // A copy that was sent before, and ran for so long that it is hardly evidence.
+    report_earlier_crash(&mut crashes, 3_100, 200, "e8", 1, 5_000);
+    assert_eq!(commit(&mut crashes, 3_500), None);
+    report_crash(&mut crashes, 4_000, "e9", 1, 5_000);
+    assert_eq!(commit(&mut crashes, 4_500), Some(Standing::Suspected));
+}
--- a/tests/standings.rs
+++ b/tests/standings.rs
@@ -62,13 +62,30 @@
 }
 
 #[test]
-fn watched_requests_are_sent_and_suspected_ones_once() {
+fn watched_requests_are_sent_and_suspected_ones_one_at_a_time() {
     let mut standings = Standings::new("g1".into());
     standings.apply(0, told(Standing::Watched));
     assert_eq!(standings.permission(0, key()), Permission::Unrestricted);
     assert!(standings.is_watched(&key()));
     standings.apply(0, told(Standing::Suspected));
-    assert_eq!(standings.permission(0, key()), Permission::Once);
+    assert_eq!(standings.permission(0, key()), Permission::AskLeader);
+    standings.apply(0, told(Standing::Running { gateway: "g2".into() }));
+    assert!(matches!(standings.permission(0, key()), Permission::Refused { .. }));
+    assert!(!standings.take_trial(&key()), "another gateway's");
+    standings.begin_wait(key());
+    assert!(!standings.apply(0, told(Standing::Running { gateway: "g1".into() })));
+    assert!(standings.take_trial(&key()));
+    assert!(!standings.take_trial(&key()), "it was used");
+    assert!(matches!(standings.permission(0, key()), Permission::Refused { .. }));
+}
+
+#[test]
+fn requests_with_a_suspected_prompt_part_are_sent_once_each() {
+    let part = FeatureKey::of_prompt_part(7);
+    let mut standings = Standings::new("g1".into());
+    let standing = Standing::Suspected;
+    standings.apply(0, FeatureStanding { key: part, weights: None, standing });
+    assert_eq!(standings.permission(0, part), Permission::Once);
 }
 
 #[test]
