relay: a stream whose data never pauses ends at its deadline

Operators saw: connections to an engine whose event never ends stayed open for 13 to 20 s, past the 12 s of their request. Cause: each part of a stream is awaited with a timeout of its own, which looks at the data first. Once the deadline has passed the timeout is 0 ms; data that is there each time always wins. Class: a bound that is checked only when there is nothing to do. Looked for elsewhere: whole answers (relay/buffered.rs) and calls (http/client.rs) have one timeout around the whole read, where the runtime makes the read yield. Change: the deadline is checked before each part. Tests: platform/tests/endless_events.rs, six cases.

--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -109,6 +109,10 @@
         let peer = source.endpoint();
         let read_at_ms = clock.now_ms();
         let left_ms = until_ms.saturating_sub(read_at_ms);
+        // Data that is always there would otherwise come before the timeout each time.
+        if left_ms == 0 {
+            return Err(Error::timeout("read stream", peer.clone(), left_ms));
+        }
         self.times.note_read(read_at_ms);
         loop {
             let frame = tokio::select! {
