relay: what cannot be answered before a planned stop ends is refused at once

Callers saw: in a planned stop of one gateway, requests whose bodies ended late were passed on and cut with no answer at the end of the grace: 25 of 116 that ran at an engine, answers of 1.2 s, grace 4 s. Cause: a stop asked only whether connections were idle. Whether the answer can end in what is left of the grace was asked nowhere, neither while a body arrives, nor while a request waits for a place, nor before it is sent. Class: a promise to end in time without a look at how long the work takes. Change: relay/stopping.rs knows when the process ends and the longest recent answer of each route (30 s). From the latest time on at which an answer can still be expected to end, bodies that are still arriving, requests that wait and those about to be sent are refused: 503, not run. The product's own gateway (src/gateway/process.rs) was not looked at.

--- a/src/relay/admission.rs
+++ b/src/relay/admission.rs
@@ -90,7 +90,12 @@
         .map_err(&refused)?;
     let limits = table.configuration().limits;
     let client = body.connection();
-    let body = body.read(limits.body_max_bytes, BODY_TIMEOUT_MS).await.map_err(|fault| {
+    let body = tokio::select! {
+        biased;
+        body = body.read(limits.body_max_bytes, BODY_TIMEOUT_MS) => body,
+        () = relay.until_too_late_for(&chosen.route) => return Err(refused(NotSent::Stopping)),
+    };
+    let body = body.map_err(|fault| {
         info!(event = "request_refused", request = %meta.id, reason = ?fault);
         match fault {
             BodyFault::TooLarge => own_answer(StatusCode::PAYLOAD_TOO_LARGE, "too large"),
--- a/src/relay/buffered.rs
+++ b/src/relay/buffered.rs
@@ -70,6 +70,7 @@
                 Some(Ok(body)) => {
                     let (endpoint, is_direct) = (source.endpoint().clone(), source.is_direct());
                     source.keep(&self.relay, &head.headers);
+                    self.note_answer_time();
                     if head.status.is_success() {
                         self.note_served();
                     }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -285,7 +285,12 @@
             {
                 return Err(Failure::Unknown("it is sent to one endpoint only".to_owned()));
             }
-            let picked = match self.pick().await {
+            let picked = tokio::select! {
+                biased;
+                picked = self.pick() => picked,
+                () = self.relay.until_too_late_for(&self.chosen.route) => Err(NotSent::Stopping),
+            };
+            let picked = match picked {
                 Ok(picked) => picked,
                 Err(NotSent::OutOfReach) => {
                     if let Some(started) = self.start_detour(last_event).await? {
@@ -300,6 +305,9 @@
             if self.lacks_trial() {
                 continue;
             }
+            if self.relay.is_too_late_for(self.relay.now_ms(), &self.chosen.route) {
+                return Err(Failure::NotSent(NotSent::Stopping));
+            }
             self.access
                 .check_still_valid(&self.relay, &self.chosen.route)
                 .map_err(Failure::NotSent)?;
@@ -420,6 +428,13 @@
             && self.relay.now_ms() + RESPONSE_MARGIN_MS < self.ends_at_ms
     }
 
+    /// Records how long the answer took that has just ended.
+    pub(super) fn note_answer_time(&self) {
+        let now_ms = self.relay.now_ms();
+        let after_ms = now_ms.saturating_sub(self.sent_at_ms);
+        self.relay.stopping.note_answer_time(now_ms, &self.chosen.route.name, after_ms);
+    }
+
     pub(super) fn left_ms(&self, now_ms: u64) -> u64 {
         self.ends_at_ms.saturating_sub(now_ms).max(1)
     }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -64,6 +64,7 @@
 mod source;
 mod speed;
 mod standings;
+mod stopping;
 mod stream;
 mod stream_deadline;
 mod trial;
--- a/src/relay/process.rs
+++ b/src/relay/process.rs
@@ -123,8 +123,8 @@
     server: tokio::task::JoinHandle<()>,
 ) {
     info!(event = "stopping", in_progress = relay.in_progress());
-    relay.stop();
     let grace_ms = relay.settings.stop_grace_ms;
+    relay.stop(relay.now_ms() + grace_ms.saturating_sub(EXIT_MARGIN_MS));
     let serve_ms = grace_ms * SERVE_PERCENT / 100;
     tokio::time::sleep(Duration::from_millis(serve_ms)).await;
     let _ = stop.send(true);
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -59,6 +59,8 @@
     },
     /// The deadline passed.
     Late,
+    /// This gateway is stopping, and an answer would not end before it does.
+    Stopping,
     /// The retry budget is used up.
     NoBudget,
     /// Endpoints ended while they ran requests with the same content.
@@ -105,7 +107,7 @@
 /// responses.
 pub(super) fn retry_after_ms(reason: NotSent) -> u64 {
     match reason {
-        NotSent::NoPlace(_) | NotSent::OutOfReach | NotSent::Late => 200,
+        NotSent::NoPlace(_) | NotSent::OutOfReach | NotSent::Late | NotSent::Stopping => 200,
         NotSent::NoBudget => 500,
         NotSent::WaitEnded { after_ms, .. }
         | NotSent::DeadlineUnreachable { after_ms, .. }
@@ -146,6 +148,7 @@
             refuse_unavailable("the endpoints cannot take the request", after_ms)
         }
         NotSent::Late => refuse_unavailable("the deadline passed", after_ms),
+        NotSent::Stopping => refuse_unavailable("the gateway is stopping", after_ms),
         NotSent::NoBudget => refuse_unavailable("too many requests were sent again", after_ms),
         NotSent::Held { .. } => {
             refuse_unavailable("endpoints ended under requests like this one", after_ms)
--- a/src/relay/shared.rs
+++ b/src/relay/shared.rs
@@ -2,7 +2,7 @@
 //! the send lease.
 
 use std::collections::{HashMap, HashSet};
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
 use rand::RngExt;
@@ -22,6 +22,7 @@
 use super::reach::{Suspect, Suspicion};
 use super::shares::Shares;
 use super::slots::Slots;
+use super::stopping::Stopping;
 use crate::clock::Clock;
 use crate::message::{AdapterNeed, Change, EndpointLoad, NewestVersion, Placed, WeightsName};
 use crate::metrics::{Counter, Metrics};
@@ -64,7 +65,7 @@
     pub(super) freshness: Mutex<Freshness>,
     /// Notified when the leader confirms a renewal.
     pub(super) confirmed: Notify,
-    stopping: AtomicBool,
+    pub(super) stopping: Stopping,
     pub(super) in_progress: AtomicU32,
     /// Endpoints to check.
     pub(super) suspects: mpsc::UnboundedSender<Suspect>,
@@ -120,7 +121,7 @@
             gateways: Mutex::new(gateways),
             freshness: Mutex::new(freshness),
             confirmed: Notify::new(),
-            stopping: AtomicBool::new(false),
+            stopping: Stopping::default(),
             in_progress: AtomicU32::new(0),
             suspects,
             broken_sends: Mutex::default(),
@@ -175,14 +176,14 @@
         table.version() > 0 && self.has_been_confirmed() && serves && !self.is_stopping()
     }
 
-    /// Starts a graceful shutdown.
-    pub fn stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+    /// Starts a graceful shutdown that waits for answers until `ends_at_ms`.
+    pub fn stop(&self, ends_at_ms: u64) {
+        self.stopping.begin(ends_at_ms);
     }
 
     /// True once a graceful shutdown has begun.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.stopping.ends_at_ms().is_some()
     }
 
     /// The number of requests whose responses are not complete yet.
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -269,6 +269,7 @@
 fn finish(running: ForwardedStream) -> Option<(FrameResult, Option<ForwardedStream>)> {
     let ForwardedStream { mut exchange, endpoint, events, .. } = running;
     exchange.end_guard.note_logged();
+    exchange.note_answer_time();
     let Upstream { head, source, reader } = endpoint;
     let now_ms = exchange.relay.now_ms();
     let after_ms = now_ms - exchange.started_ms;
