--- a/src/relay/standings.rs
+++ b/src/relay/standings.rs
@@ -124,7 +124,6 @@
             Standing::Watched | Standing::Cleared => Permission::Unrestricted,
             // Requests with a common prompt part are too many to run one at a time.
             Standing::Suspected if key.prompt_part().is_some() => Permission::Once,
-            Standing::Suspected => Permission::AskLeader,
             Standing::Held { for_ms, .. } if age_ms < *for_ms => {
                 Permission::Refused { after_ms: (for_ms - age_ms).max(RETRY_AFTER_MIN_MS) }
             }
@@ -136,7 +135,7 @@
                 }
                 Permission::Refused { after_ms: OWN_TRIAL_MS }
             }
-            Standing::Held { .. } => Permission::AskLeader,
+            Standing::Suspected | Standing::Held { .. } => Permission::AskLeader,
         }
     }
 
