--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -207,6 +207,14 @@
         None
     }
 
+    /// The requests that were sent, the times that endpoints began one of them, and the most times that
+    /// they began the same one.
+    pub fn run_counts(&self) -> (usize, u32, u32) {
+        let inner = self.inner();
+        let runs = inner.requests.values().map(|seen| seen.runs);
+        (inner.requests.len(), runs.clone().sum(), runs.max().unwrap_or(0))
+    }
+
     /// True when an endpoint began the request.
     pub fn has_run(&self, id: &str) -> bool {
         self.inner().requests.get(id).is_some_and(|seen| seen.runs > 0)
--- a/soak/tests/crashes_behind_open_ports.rs
+++ b/soak/tests/crashes_behind_open_ports.rs
@@ -101,6 +101,8 @@
     let known_at = runs.get(2).map(|third| *third + KNOWN_WITHIN);
     let later = runs.iter().filter(|at| known_at.is_some_and(|known_at| **at > known_at)).count();
     let refused_ms = refused_at.map(|at| at.duration_since(started).as_millis());
+    let (sent, begun, most) = system.record.run_counts();
+    println!("{sent} requests ran {begun} times, one of them {most} times");
     println!("{} engines crashed, {later} late, first refusal after {refused_ms:?} ms", runs.len());
     let breaches = system.record.seen_breaches();
     system.stop("open-ports");
