logs: what each crash says about a feature, the standing known when a run broke off, and why a trial had no outcome

Change: crash_weighed at the leader for each evaluated feature of two crashes or more; standing and on_trial in run_broken_off; broken_run_not_reported; a reason in trial_without_outcome. An evaluation computes the evidence once, as a value that says what follows from it; nothing is decided otherwise than before.

--- a/src/control/replica/standings.rs
+++ b/src/control/replica/standings.rs
@@ -5,6 +5,7 @@
 use super::{Replica, Waiter};
 use crate::control::state::Operation;
 use crate::message::{EndpointCrash, FeatureStanding, Standing};
+use crate::policy::crashes::Evidence;
 
 impl Replica {
     /// Records endpoint crashes that `gateway` observed.
@@ -81,9 +82,30 @@
         );
     }
 
+    /// Logs what the evaluated crashes say about the features that they interrupted.
+    fn log_weighed(&mut self) {
+        for weighed in self.registered.crashes.take_weighed() {
+            let Evidence { crashes, e_value, prime_crashes, has_likelier_cause } = weighed.evidence;
+            info!(
+                event = "crash_weighed",
+                key = %weighed.key,
+                endpoint = %weighed.endpoint,
+                ran_ms = weighed.ran_ms,
+                used = weighed.used,
+                interrupted = weighed.interrupted,
+                crash_e_value = weighed.crash_e_value,
+                e_value,
+                crashes,
+                prime_crashes,
+                has_likelier_cause
+            );
+        }
+    }
+
     /// Proposes decided standings. They are sent out only after the commit, since the next leader
     /// and gateways that start later must know them.
     pub(super) fn propose_standings(&mut self, wall_ms: u64) {
+        self.log_weighed();
         let decided = self.registered.crashes.take_decided();
         for standing in &decided {
             self.log_evidence(standing);
--- a/src/policy/crashes/evidence.rs
+++ b/src/policy/crashes/evidence.rs
@@ -48,23 +48,52 @@
     Hold,
 }
 
+/// The evidence against a feature.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Evidence {
+    /// The number of crashes that no other feature explains.
+    pub crashes: usize,
+    /// The evidence of these crashes as an e-value.
+    pub e_value: f64,
+    /// The number of them that have the feature as their prime suspect.
+    pub prime_crashes: usize,
+    /// True if another feature is a likelier cause of them.
+    pub has_likelier_cause: bool,
+}
+
+impl Evidence {
+    /// What follows from the evidence.
+    pub(super) fn assess(self) -> Assessment {
+        let is_proven = self.crashes >= HELD_CRASHES && self.e_value >= HELD_E_VALUE;
+        let is_prime = self.prime_crashes >= HELD_CRASHES && self.e_value >= HELD_PRIME_E_VALUE;
+        if (is_proven && !self.has_likelier_cause) || is_prime {
+            return Assessment::Hold;
+        }
+        let is_suspect =
+            self.e_value >= SUSPECTED_E_VALUE || self.prime_crashes >= EXPLAINING_CRASHES;
+        if is_suspect { Assessment::Suspect } else { Assessment::Watch }
+    }
+}
+
 impl CrashRecords {
-    /// What follows from the crashes of a feature; `None` for too few crashes.
-    pub(super) fn assess(&self, key: FeatureKey) -> Option<Assessment> {
+    /// The evidence against a feature; `None` for too few crashes.
+    pub(super) fn evidence(&self, key: FeatureKey) -> Option<Evidence> {
         let crashes = self.unexplained_count(key);
         if crashes < WATCHED_CRASHES {
             return None;
         }
         let e_value = self.e_value(key);
-        if crashes >= HELD_CRASHES && e_value >= HELD_E_VALUE && !self.has_likelier_cause(key) {
-            return Some(Assessment::Hold);
-        }
+        let has_likelier_cause =
+            crashes >= HELD_CRASHES && e_value >= HELD_E_VALUE && self.has_likelier_cause(key);
         let prime_crashes = self.prime_crashes(key);
-        if prime_crashes >= HELD_CRASHES && e_value >= HELD_PRIME_E_VALUE {
-            return Some(Assessment::Hold);
-        }
-        let is_suspect = e_value >= SUSPECTED_E_VALUE || prime_crashes >= EXPLAINING_CRASHES;
-        Some(if is_suspect { Assessment::Suspect } else { Assessment::Watch })
+        Some(Evidence { crashes, e_value, prime_crashes, has_likelier_cause })
+    }
+
+    /// How a feature was interrupted by a crash; `None` if the crash has expired.
+    pub(super) fn weigh(&self, number: CrashNumber, key: FeatureKey) -> Option<(&Crash, u32, f64)> {
+        let crash = self.get(number)?;
+        let ran_ms = crash.features.get(&key)?.ran_ms;
+        Some((crash, ran_ms, self.crash_e_value(key, crash)))
     }
 
     /// Updates which of the features interrupted by a crash are suspects.
--- a/src/policy/crashes/mod.rs
+++ b/src/policy/crashes/mod.rs
@@ -36,6 +36,7 @@
 use std::sync::Arc;
 
 use self::evidence::Assessment;
+pub use self::evidence::Evidence;
 use self::records::{CrashNumber, CrashRecords};
 use self::verdicts::{Verdicts, held};
 use crate::message::{EndpointCrash, FeatureKey, FeatureStanding, Standing, WeightsName};
@@ -50,6 +51,28 @@
 /// served the feature.
 const SERVED_REPORT_MS: u64 = 100;
 
+/// The maximum number of evaluations that are kept for the log.
+const WEIGHED_MAX: usize = 64;
+
+/// The evaluation of one feature that a crash interrupted, for the log.
+#[derive(Debug, Clone, PartialEq)]
+pub struct WeighedFeature {
+    /// The feature.
+    pub key: FeatureKey,
+    /// The incarnation that crashed.
+    pub endpoint: Arc<str>,
+    /// The time for which the feature had run there.
+    pub ran_ms: u32,
+    /// The endpoints of the service that were in use.
+    pub used: usize,
+    /// The number of features that the crash interrupted.
+    pub interrupted: usize,
+    /// The evidence of this crash alone, as an e-value.
+    pub crash_e_value: f64,
+    /// The evidence of all crashes of the feature.
+    pub evidence: Evidence,
+}
+
 /// Recorded crashes, the evidence from them, and the standings that follow.
 #[derive(Debug, Default)]
 pub struct Crashes {
@@ -57,6 +80,8 @@
     verdicts: Verdicts,
     /// Crashes with features to evaluate, and the time of the evaluation.
     pending: VecDeque<(u64, CrashNumber)>,
+    /// Evaluations since the last call of [`Crashes::take_weighed`].
+    weighed: Vec<WeighedFeature>,
 }
 
 impl Crashes {
@@ -156,7 +181,9 @@
 
     /// The standing that the crashes of a feature amount to; `None` for too few crashes.
     fn assess(&mut self, now_ms: u64, number: CrashNumber, key: FeatureKey) -> Option<Standing> {
-        match self.records.assess(key)? {
+        let evidence = self.records.evidence(key)?;
+        self.note_weighed(number, key, evidence);
+        match evidence.assess() {
             Assessment::Watch => Some(Standing::Watched),
             Assessment::Suspect => Some(Standing::Suspected),
             Assessment::Hold if self.is_served_report_due(now_ms, key) => Some(held(0)),
@@ -170,6 +197,29 @@
         }
     }
 
+    fn note_weighed(&mut self, number: CrashNumber, key: FeatureKey, evidence: Evidence) {
+        if self.weighed.len() >= WEIGHED_MAX {
+            return;
+        }
+        let Some((crash, ran_ms, crash_e_value)) = self.records.weigh(number, key) else { return };
+        let endpoint = crash.endpoint.clone();
+        let (used, interrupted) = (crash.used, crash.features.len());
+        self.weighed.push(WeighedFeature {
+            key,
+            endpoint,
+            ran_ms,
+            used,
+            interrupted,
+            crash_e_value,
+            evidence,
+        });
+    }
+
+    /// Takes the evaluations since the last call, of which the first [`WEIGHED_MAX`] are kept.
+    pub fn take_weighed(&mut self) -> Vec<WeighedFeature> {
+        std::mem::take(&mut self.weighed)
+    }
+
     /// The endpoints whose crashes are evidence against the feature.
     pub fn crashed_endpoints(&self, key: FeatureKey) -> Vec<Arc<str>> {
         self.records.crashed_endpoints(key)
--- a/src/relay/crashes.rs
+++ b/src/relay/crashes.rs
@@ -156,13 +156,14 @@
             self.send_to_leader(SessionUp::ServedBefore { key, ago_ms });
         }
         if self.standings().apply(now_ms, standing) {
-            self.return_trial(key);
+            self.return_trial(key, "no request waits for it");
         }
     }
 
-    /// Returns a trial without an outcome to the leader, which would otherwise wait for one.
-    pub(super) fn return_trial(&self, key: FeatureKey) {
-        info!(event = "trial_without_outcome", key = %key);
+    /// Returns a trial without an outcome to the leader, which would otherwise wait for one; `reason`
+    /// is logged.
+    pub(super) fn return_trial(&self, key: FeatureKey, reason: &str) {
+        info!(event = "trial_without_outcome", key = %key, reason);
         self.send_to_leader(SessionUp::TrialReturned(key));
     }
 
@@ -237,7 +238,7 @@
         drop(records);
         for key in keys {
             if self.standings().has_used_trial(&key) {
-                self.return_trial(key);
+                self.return_trial(key, "the endpoint seems alive");
             }
         }
     }
--- a/src/relay/held.rs
+++ b/src/relay/held.rs
@@ -41,11 +41,17 @@
             key = %self.content_key(),
             parts = %listed(self.prompt_features()),
             begun = self.response_started_at_ms.is_some(),
-            ran_ms
+            ran_ms,
+            standing = %self.described_standing(now_ms),
+            on_trial = !self.trials.is_empty()
         );
-        let Some(known) = self.relay.fleet().endpoint(endpoint) else { return };
+        let Some(known) = self.relay.fleet().endpoint(endpoint) else {
+            info!(event = "broken_run_not_reported", request = %self.meta.id, reason = "replaced");
+            return;
+        };
         // An endpoint that announced its shutdown did not crash.
         if known.leaving {
+            info!(event = "broken_run_not_reported", request = %self.meta.id, reason = "leaving");
             return;
         }
         let least_ms = if self.response_started_at_ms.is_some() { 0 } else { NOT_STARTED_RUN_MS };
@@ -75,6 +81,14 @@
         self.report_run(now_ms, check, self.last_data_at_ms.saturating_sub(response_started_at_ms));
     }
 
+    /// The standing of the request's content as this gateway knows it, and its age, for logs.
+    fn described_standing(&self, now_ms: u64) -> String {
+        match self.relay.crashes.standings().known(now_ms, &self.content_key()) {
+            Some((standing, age_ms)) => format!("{standing:?} for {age_ms} ms"),
+            None => "none".to_owned(),
+        }
+    }
+
     fn report_run(&self, now_ms: u64, check: LivenessCheck, ran_ms: u64) {
         let ran_ms = u32::try_from(ran_ms).unwrap_or(u32::MAX);
         let crashes = &self.relay.crashes;
@@ -195,7 +209,9 @@
     }
 
     fn refuse_held(&self, key: FeatureKey, after_ms: u64) -> NotSent {
-        info!(event = "feature_held", request = %self.meta.id, key = %key, after_ms);
+        let now_ms = self.relay.now_ms();
+        let standing = self.described_standing(now_ms);
+        info!(event = "feature_held", request = %self.meta.id, key = %key, after_ms, standing);
         NotSent::Held { after_ms }
     }
 
--- a/src/relay/standings.rs
+++ b/src/relay/standings.rs
@@ -114,6 +114,12 @@
         self.entries.retain(|key, _| keys.contains(key));
     }
 
+    /// The known standing of a feature and its age in milliseconds; `None` if it has none.
+    pub fn known(&self, now_ms: u64, key: &FeatureKey) -> Option<(&Standing, u64)> {
+        let entry = self.entries.get(key)?;
+        Some((&entry.standing, now_ms.saturating_sub(entry.since_ms)))
+    }
+
     /// Whether a request may be sent.
     pub fn permission(&self, now_ms: u64, key: FeatureKey) -> Permission {
         let Some(Entry { standing, since_ms, .. }) = self.entries.get(&key) else {
--- a/src/relay/trial.rs
+++ b/src/relay/trial.rs
@@ -32,7 +32,8 @@
 impl Drop for Trial {
     fn drop(&mut self) {
         if !*self.has_outcome.get_mut() {
-            self.relay.crashes.return_trial(self.key);
+            let reason = "its request ended neither served nor broken off";
+            self.relay.crashes.return_trial(self.key, reason);
         }
     }
 }
