--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -193,6 +193,20 @@
     ask_on_new_connection(ask, body, record).await
 }
 
+/// Sends one request of a `kind` for this `path` of the plain service on a new connection; returns its
+/// id and how it ended.
+pub async fn ask_for_path(
+    address: SocketAddr,
+    kind: Kind,
+    path: &str,
+    record: &Record,
+) -> (String, End) {
+    let id = next_id();
+    let ask = Ask { path: Some(path), ..Ask::new(address, &id, kind) };
+    let end = ask_on_new_connection(ask, Bytes::new(), record).await;
+    (id, end)
+}
+
 /// Sends one request for a stream of the plain service on a new connection; returns how it ended.
 pub async fn ask_for_stream(address: SocketAddr, deadline: Duration, record: &Record) -> End {
     let body = Bytes::from_static(b"work");
@@ -325,17 +339,20 @@
     pub(crate) prompt: &'a str,
     /// The time that the client waits for the answer.
     pub(crate) deadline_ms: u64,
+    /// The path; the usual one of its kind if there is none.
+    pub(crate) path: Option<&'a str>,
 }
 
 impl<'a> Ask<'a> {
     /// A request without an adapter.
     pub(crate) fn new(gateway: SocketAddr, id: &'a str, kind: Kind) -> Self {
-        Self { gateway, id, kind, adapter: None, prompt: PROMPT, deadline_ms: deadline_ms(kind) }
+        let deadline_ms = deadline_ms(kind);
+        Self { gateway, id, kind, adapter: None, prompt: PROMPT, deadline_ms, path: None }
     }
 
     pub(crate) fn request(&self, body: Bytes) -> Request<Full<Bytes>> {
-        let Self { gateway, id, kind, adapter, prompt, deadline_ms } = *self;
-        let (method, path) = match kind {
+        let Self { gateway, id, kind, adapter, prompt, deadline_ms, path } = *self;
+        let (method, usual_path) = match kind {
             Kind::Once => (Method::POST, "/once/x"),
             Kind::Any => (Method::GET, "/any/x"),
             Kind::Stream => (Method::POST, "/stream/x"),
@@ -344,7 +361,7 @@
         };
         let mut request = Request::builder()
             .method(method)
-            .uri(path)
+            .uri(path.unwrap_or(usual_path))
             .header("host", HOST)
             .header("request-id", id)
             .header(SENT_TO, gateway.to_string())
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -33,8 +33,10 @@
 const HEARTBEAT: Duration = Duration::from_millis(600);
 /// Requests that an endpoint runs at once, unless a run sets another number.
 pub const SLOTS: u32 = 64;
-/// How long an endpoint that ended stays away.
-const RESTARTS_AFTER: Duration = Duration::from_secs(3);
+/// How long an endpoint that ended stays away, unless a run sets another time.
+const RESTARTS_AFTER_MS: u64 = 3_000;
+/// An endpoint ends once it has worked on a request whose path has this in it.
+pub const CRASHING_PATH: &str = "/crash";
 /// What clients put into headers that only gateways may set.
 pub const FORGED: &str = "999999";
 
@@ -55,6 +57,7 @@
     record: Arc<Record>,
     work_ms: AtomicU64,
     event_pause_ms: AtomicU64,
+    restarts_after_ms: AtomicU64,
     running: Semaphore,
     /// False while it has ended and the next incarnation has not started.
     is_up: watch::Sender<bool>,
@@ -88,6 +91,7 @@
             record,
             work_ms: AtomicU64::new(WORK_MS),
             event_pause_ms: AtomicU64::new(EVENT_PAUSE_MS),
+            restarts_after_ms: AtomicU64::new(RESTARTS_AFTER_MS),
             running: Semaphore::new(slots as usize),
             is_up: watch::Sender::new(true),
             overload: Overload::new(),
@@ -105,6 +109,16 @@
         self.event_pause_ms.store(pause.as_millis() as u64, Ordering::SeqCst);
     }
 
+    /// Sets how long it stays away once it has ended.
+    pub fn set_restarts_after(&self, after: Duration) {
+        self.restarts_after_ms.store(after.as_millis() as u64, Ordering::SeqCst);
+    }
+
+    /// Ends at once with all that it runs, and starts the next incarnation a while later.
+    pub fn crash_for_a_while(&self) {
+        self.is_up.send_replace(false);
+    }
+
     fn id(&self) -> String {
         format!("i-{}-{}", self.public.ip(), self.incarnation.load(Ordering::SeqCst))
     }
@@ -169,7 +183,8 @@
                     _ = is_up.wait_for(|is_up| !is_up) => {}
                 }
                 drop(listener);
-                tokio::time::sleep(RESTARTS_AFTER).await;
+                let away_ms = self.restarts_after_ms.load(Ordering::SeqCst);
+                tokio::time::sleep(Duration::from_millis(away_ms)).await;
                 listener = match TcpListener::bind(self.address).await {
                     Ok(listener) => listener,
                     Err(error) => {
@@ -267,6 +282,7 @@
 
     async fn run<B: Body>(&self, request: Request<B>) -> Answer {
         let headers = request.headers().clone();
+        let path = request.uri().path().to_owned();
         let id = text(&headers, "request-id");
         if text(&headers, "expect-instance") != self.id() {
             return whole(StatusCode::MISDIRECTED_REQUEST, &id, String::new());
@@ -299,7 +315,16 @@
         };
         let Ok(_slot) = self.running.acquire().await else { return rejection(&id) };
         let run = self.record.run(&id);
+        let crashes = path.contains(CRASHING_PATH);
+        if crashes {
+            self.record.crashes(&id, path.as_bytes(), self.id());
+        }
         tokio::time::sleep(Duration::from_millis(self.work_ms.load(Ordering::SeqCst))).await;
+        if crashes {
+            self.crash_for_a_while();
+            // Its connection is closed meanwhile.
+            std::future::pending::<()>().await;
+        }
         if text(&headers, "x-stream").is_empty() {
             let body = format!("done {id}");
             if self.breaks.load(Ordering::SeqCst) && run == 1 {
--- a/soak/src/region.rs
+++ b/soak/src/region.rs
@@ -46,18 +46,29 @@
     pub block: u8,
 }
 
-/// The slots of endpoints and of engines, where a run sets them.
+/// What happens at the port of an endpoint that has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Port {
+    /// A proxy before the endpoint accepts connections and resets them.
+    StaysOpen,
+    /// Connections are refused.
+    Closes,
+}
+
+/// The slots of endpoints and of engines, and the ports of endpoints, where a run sets them.
 #[derive(Debug, Clone, Copy)]
 pub struct Slots {
     /// The slots of each endpoint.
     pub endpoint: u32,
     /// The slots of each engine.
     pub engine: u32,
+    /// What happens at the port of an endpoint that has ended.
+    pub port: Port,
 }
 
 impl Default for Slots {
     fn default() -> Self {
-        Self { endpoint: endpoint::SLOTS, engine: engine::SLOTS }
+        Self { endpoint: endpoint::SLOTS, engine: engine::SLOTS, port: Port::StaysOpen }
     }
 }
 
@@ -148,9 +159,13 @@
             region.add_gateway(programs, number)?;
         }
         for number in 1..=size.endpoints {
-            let (public, own) = (size.at(5, number, SERVE_PORT), size.at(4, number, SERVE_PORT));
-            let proxy = Proxy::start(public, own, region.cuts.clone()).await?;
-            region.proxies.push((format!("endpoint-{number}"), proxy));
+            let public = size.at(5, number, SERVE_PORT);
+            let mut own = public;
+            if slots.port == Port::StaysOpen {
+                own = size.at(4, number, SERVE_PORT);
+                let proxy = Proxy::start(public, own, region.cuts.clone()).await?;
+                region.proxies.push((format!("endpoint-{number}"), proxy));
+            }
             let endpoint = Endpoint::new(own, public, slots.endpoint, record.clone());
             endpoint.clone().start(region.control_addresses()).await?;
             region.endpoints.push(endpoint);
--- a/soak/tests/brittle_endpoints.rs
+++ b/soak/tests/brittle_endpoints.rs
@@ -69,7 +69,7 @@
             if kind == Kind::Adapter { (1, ENDPOINTS) } else { (ENDPOINTS, 1) };
         let alone = ONE_DAY.lock().await;
         let size = Size { gateways, endpoints, engines, block };
-        let slots = Slots { endpoint: SLOTS, engine: SLOTS };
+        let slots = Slots { endpoint: SLOTS, engine: SLOTS, ..Slots::default() };
         let system = System::start_with_slots(size, slots, 4).await;
         let region = &system.region;
         region.engines.iter().for_each(|engine| engine.set_event_pause(ENGINE_EVENT_PAUSE));
