control: endpoints that have just crashed count as in use, and so do those with short requests

Cause: a crash is weighed by the rate at which an endpoint crashes anyway: the crashes of the service, divided by its endpoints in use. These were counted at the moment of the report: endpoints with a running request that have not crashed. Change: what ran requests in the last seconds is in use, and so is what crashed within the 2 s to which a single crash is related; a place counts once. Why it works: the rate is over these 2 s, in which all of them ran.

--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -299,9 +299,12 @@
         &self.work
     }
 
-    /// True when any gateway has requests running at the endpoint.
-    pub fn has_running_requests(&self, id: &str) -> bool {
-        self.endpoints.get(id).is_some_and(|endpoint| endpoint.load.running > 0)
+    /// True when any gateway has requests running at the endpoint, or had some in the last seconds.
+    ///
+    /// Requests that run for milliseconds are seldom running when loads are reported.
+    pub fn is_in_use(&self, id: &str) -> bool {
+        let is_in_use = |load: &Load| load.running > 0 || load.work_units > 0;
+        self.endpoints.get(id).is_some_and(|endpoint| is_in_use(&endpoint.load))
     }
 
     /// Marks endpoints that `gateway` reported as failing.
--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -18,7 +18,7 @@
 use crate::control::workspace_use::WorkspaceUses;
 use crate::message::{Change, ControlReply, Group, Heartbeat, NewestVersion, PeerGateway, Placed};
 use crate::metrics::Timer;
-use crate::policy::crashes::Crashes;
+use crate::policy::crashes::{Crashes, Exposure};
 use crate::policy::quota::{CreditPools, QuotaBounds};
 use crate::policy::stream_origins::StreamOrigins;
 use crate::routing::RoutingConfiguration;
@@ -48,6 +48,7 @@
     copies_due_ms: u64,
     pub(super) counts: Counts,
     pub(super) crashes: Crashes,
+    pub(super) exposure: Exposure,
     /// Quota credit of workspaces.
     pub(super) credit: CreditPools,
     pub(super) workspace_uses: WorkspaceUses,
@@ -73,6 +74,7 @@
             copies_due_ms: 0,
             counts: Counts::new(),
             crashes: Crashes::default(),
+            exposure: Exposure::new(),
             credit: CreditPools::new(quota),
             workspace_uses: WorkspaceUses::new(),
             peers: Peers::new(),
--- a/src/control/replica/standings.rs
+++ b/src/control/replica/standings.rs
@@ -2,6 +2,7 @@
 
 use tracing::{info, warn};
 
+use super::registration::Registered;
 use super::{Replica, Waiter};
 use crate::control::state::Operation;
 use crate::message::{EndpointCrash, FeatureStanding, Standing};
@@ -20,7 +21,7 @@
             // Dozens of gateways report the same crash, and the loss of an availability zone ends
             // hundreds of endpoints, so the endpoints in use are counted only for the first report.
             let is_new = !self.registered.crashes.has_ended(&crash.endpoint);
-            let used = if is_new { self.count_endpoints_used(&crash) } else { 0 };
+            let used = if is_new { self.count_endpoints_used(now_ms, &crash) } else { 0 };
             if is_new {
                 info!(
                     event = "endpoint_crashed",
@@ -45,18 +46,18 @@
         self.propose_standings(wall_ms);
     }
 
-    /// Counts the endpoints of the service that were in use until this one ended, including it.
-    fn count_endpoints_used(&self, crash: &EndpointCrash) -> usize {
-        let mut used = 1;
-        for endpoint in self.state.registry.endpoints().values() {
-            let serves = endpoint.service == crash.service && endpoint.id != crash.endpoint;
-            let has_ended = self.registered.crashes.has_ended(&endpoint.id);
-            if serves && !has_ended && self.registered.placement.has_running_requests(&endpoint.id)
-            {
-                used += 1;
-            }
-        }
-        used
+    /// Counts the endpoints of the service that were in use until this one crashed, including it.
+    fn count_endpoints_used(&mut self, now_ms: u64, crash: &EndpointCrash) -> usize {
+        let Registered { crashes, placement, exposure, .. } = &mut self.registered;
+        let endpoints = self.state.registry.endpoints();
+        let address = endpoints.get(&crash.endpoint).map(|endpoint| endpoint.address);
+        let in_use = endpoints.values().filter(|endpoint| {
+            endpoint.service == crash.service
+                && placement.is_in_use(&endpoint.id)
+                && !crashes.has_ended(&endpoint.id)
+        });
+        let in_use = in_use.map(|endpoint| endpoint.address);
+        exposure.count_used(now_ms, &crash.service, address, in_use)
     }
 
     /// Advances the crash records and proposes the standings decided since the last call.
--- a/src/policy/crashes/evidence.rs
+++ b/src/policy/crashes/evidence.rs
@@ -25,7 +25,7 @@
 const WATCHED_CRASHES: usize = 2;
 /// The minimum time over which the crash rate is measured: the first crash of a series gives no
 /// rate.
-const RATE_PERIOD_MIN_MS: u64 = 2_000;
+pub(super) const RATE_PERIOD_MIN_MS: u64 = 2_000;
 /// The maximum time over which the crash rate is measured.
 const RATE_PERIOD_MAX_MS: u64 = 60_000;
 /// The maximum number of crashes over which the rate is measured.
--- a/src/policy/crashes/mod.rs
+++ b/src/policy/crashes/mod.rs
@@ -29,6 +29,7 @@
 //! requests.
 
 mod evidence;
+mod exposure;
 mod records;
 mod verdicts;
 
@@ -37,6 +38,7 @@
 
 use self::evidence::Assessment;
 pub use self::evidence::Evidence;
+pub use self::exposure::Exposure;
 use self::records::{CrashNumber, CrashRecords};
 use self::verdicts::{Verdicts, held};
 use crate::message::{EndpointCrash, FeatureKey, FeatureStanding, Standing, WeightsName};
