policy, relay: a run counts with the time that it took, also if its response had not started

Cause: a run whose response has not started was reported with 200 ms at least, so that a request sent to an endpoint that had already crashed would not look as if it had crashed it at once. Responses of plain services never start before the crash: 24 to 127 ms counted as 200, 1.6 to 2.8 for a crash in place of 3.1 to 7.8. Change: the measured time counts, 25 ms at least. What the 200 ms guarded against is judged where all reports are known: a run that began after the earliest report of the crash still counts as 200 ms. The earliest report tells when the crash was.

--- a/src/policy/crashes/evidence.rs
+++ b/src/policy/crashes/evidence.rs
@@ -92,7 +92,7 @@
     /// How a feature was interrupted by a crash; `None` if the crash has expired.
     pub(super) fn weigh(&self, number: CrashNumber, key: FeatureKey) -> Option<(&Crash, u32, f64)> {
         let crash = self.get(number)?;
-        let ran_ms = crash.features.get(&key)?.ran_ms;
+        let ran_ms = crash.features.get(&key)?.ran_ms(crash.at_ms);
         Some((crash, ran_ms, self.crash_e_value(key, crash)))
     }
 
@@ -184,7 +184,7 @@
     }
 
     fn crash_e_value(&self, key: FeatureKey, crash: &Crash) -> f64 {
-        let ran_ms = crash.features.get(&key).map_or(u32::MAX, |feature| feature.ran_ms);
+        let ran_ms = crash.features.get(&key).map_or(u32::MAX, |run| run.ran_ms(crash.at_ms));
         let expected_crashes = self.background_rate_per_ms(key, crash) * f64::from(ran_ms.max(1));
         let p_value = 1.0 - (-expected_crashes).exp();
         CALIBRATOR_POWER * p_value.powf(CALIBRATOR_POWER - 1.0)
--- a/src/policy/crashes/mod.rs
+++ b/src/policy/crashes/mod.rs
@@ -104,10 +104,9 @@
     /// Records a crash; `used` endpoints of its service ran requests, including this one.
     pub fn record_crash(&mut self, now_ms: u64, crash: EndpointCrash, used: usize) {
         let EndpointCrash { endpoint, service, ago_ms, features } = crash;
-        let at_ms = now_ms.saturating_sub(u64::from(ago_ms));
-        let number = self.records.add_crash(now_ms, at_ms, &endpoint, service, used);
-        // The first report tells when it was.
-        let at_ms = self.records.get(number).map_or(at_ms, |crash| crash.at_ms);
+        let seen_at_ms = now_ms.saturating_sub(u64::from(ago_ms));
+        let number = self.records.add_crash(now_ms, seen_at_ms, &endpoint, service, used);
+        let at_ms = self.records.get(number).map_or(seen_at_ms, |crash| crash.at_ms);
         let mut is_new = false;
         for feature in features {
             // A crash during a trial may have been caused by something else, so a feature on trial
@@ -116,7 +115,7 @@
                 self.note_served(feature.key, at_ms.saturating_sub(ago_ms.into()));
             }
             let is_held = self.verdicts.is_held(feature.key);
-            is_new |= self.records.add_feature(number, feature, is_held);
+            is_new |= self.records.add_feature(number, seen_at_ms, feature, is_held);
         }
         if is_new && self.records.mark_for_evaluation(number) {
             self.pending.push_back((now_ms + COLLECTION_MS, number));
--- a/src/policy/crashes/records.rs
+++ b/src/policy/crashes/records.rs
@@ -10,6 +10,10 @@
 pub(super) const RETENTION_MS: u64 = 3_600_000;
 /// The maximum number of stored crashes.
 const CRASHES_MAX: usize = 1_000;
+/// The run time that counts at least for requests that were sent after the crash, as far as the reports
+/// tell: gateways that have not heard of a crash send to a port that accepts connections in its
+/// endpoint's place, and would look as if they had crashed it at once.
+const SENT_AFTER_CRASH_RUN_MS: u32 = 200;
 /// The maximum number of features whose last time of being served is stored.
 const SERVED_MAX: usize = 4_096;
 
@@ -18,11 +22,23 @@
 pub(super) struct Interruption {
     /// The longest time for which a request with the feature had run there: if it crashed endpoints
     /// soon after its start, this endpoint would have crashed earlier.
-    pub(super) ran_ms: u32,
+    ran_ms: u32,
+    /// When the first of these requests was sent or, at engines, began to be answered.
+    began_at_ms: u64,
     pub(super) weights: Option<WeightsName>,
     pub(super) is_evaluated: bool,
 }
 
+impl Interruption {
+    /// The time for which requests with the feature had run when the endpoint crashed at `crashed_at_ms`.
+    pub(super) fn ran_ms(&self, crashed_at_ms: u64) -> u32 {
+        if self.began_at_ms < crashed_at_ms {
+            return self.ran_ms;
+        }
+        self.ran_ms.max(SENT_AFTER_CRASH_RUN_MS)
+    }
+}
+
 /// Numbers crashes in the order of their first reports.
 pub(super) type CrashNumber = u64;
 
@@ -99,6 +115,10 @@
         used: usize,
     ) -> CrashNumber {
         if let Some(number) = self.number_of(endpoint) {
+            // Reports are delayed, so the earliest is the most accurate.
+            if let Some(crash) = self.get_mut(number) {
+                crash.at_ms = crash.at_ms.min(at_ms);
+            }
             return number;
         }
         self.remove_expired(now_ms);
@@ -117,15 +137,17 @@
         number
     }
 
-    /// Records a feature of requests that a crash interrupted; returns false if it
-    /// was known.
+    /// Records a feature of requests that a crash interrupted, as seen at `seen_at_ms`; returns false
+    /// if it was known.
     pub(super) fn add_feature(
         &mut self,
         number: CrashNumber,
+        seen_at_ms: u64,
         feature: InterruptedFeature,
         is_held: bool,
     ) -> bool {
         let InterruptedFeature { key, weights, ran_ms, .. } = feature;
+        let began_at_ms = seen_at_ms.saturating_sub(ran_ms.into());
         let is_suspect = self.is_suspect(key);
         let Some(crash) = self.get_mut(number) else { return false };
         if is_held {
@@ -133,9 +155,12 @@
         }
         if let Some(known) = crash.features.get_mut(&key) {
             known.ran_ms = ran_ms.max(known.ran_ms);
+            known.began_at_ms = began_at_ms.min(known.began_at_ms);
             return false;
         }
-        crash.features.insert(key, Interruption { ran_ms, weights, is_evaluated: false });
+        crash
+            .features
+            .insert(key, Interruption { ran_ms, began_at_ms, weights, is_evaluated: false });
         crash.suspects += usize::from(is_suspect);
         self.by_feature.entry(key).or_default().push(number);
         true
--- a/src/relay/held.rs
+++ b/src/relay/held.rs
@@ -15,9 +15,9 @@
 use super::trial::{Trial, TrialWait};
 use crate::message::{FeatureKey, InterruptedFeature, SessionUp};
 
-/// The run time that is reported at least for a request whose response had not started. Otherwise a
-/// request sent while its endpoint was already ending would look as if it had crashed it at once.
-const NOT_STARTED_RUN_MS: u64 = 200;
+/// The run time that is reported at least for a request whose response had not started: a shorter one
+/// is within the time that the request and the news of its end take on their way.
+const NOT_STARTED_RUN_MS: u64 = 25;
 /// The largest body that is hashed for the record of served contents while no request has a
 /// standing; the hash of a larger one costs too much CPU time.
 const SERVED_BODY_MAX_BYTES: usize = 64 << 10;
