policy: a trial that was sent to an endpoint which had already crashed is followed by another

Cause: a gateway that has not heard of a crash sends a trial to the port of the crashed endpoint. Its report names a crash that has been evaluated, and a feature that it already had: nothing was evaluated, so the trial stayed under way until it timed out after 15 s. Change: such a report ends the trial without an outcome, whether the crash had the feature or not. Why it works: the crash was before the trial was granted, and the run began after it, by the clock of the leader alone.

--- a/src/message/crash.rs
+++ b/src/message/crash.rs
@@ -71,6 +71,14 @@
         matches!(self, Self::Held { .. } | Self::OnTrial { .. })
     }
 
+    /// The gateway that may send one of these requests as a trial.
+    pub fn trying(&self) -> Option<&Arc<str>> {
+        match self {
+            Self::OnTrial { gateway, .. } | Self::Running { gateway } => Some(gateway),
+            Self::Watched | Self::Suspected | Self::Held { .. } | Self::Cleared => None,
+        }
+    }
+
     /// The number of times that such requests were held before.
     pub fn times_held(&self) -> u32 {
         match self {
--- a/src/policy/crashes/mod.rs
+++ b/src/policy/crashes/mod.rs
@@ -114,6 +114,11 @@
             if let Some(ago_ms) = feature.served_ago_ms {
                 self.note_served(feature.key, at_ms.saturating_sub(ago_ms.into()));
             }
+            let began_at_ms = seen_at_ms.saturating_sub(feature.ran_ms.into());
+            // A trial that was sent to an endpoint which had already crashed tells nothing.
+            if self.verdicts.is_trial_between(feature.key, at_ms, began_at_ms) {
+                self.verdicts.end_trial(feature.key);
+            }
             let is_held = self.verdicts.is_held(feature.key);
             is_new |= self.records.add_feature(number, seen_at_ms, feature, is_held);
         }
--- a/src/policy/crashes/verdicts.rs
+++ b/src/policy/crashes/verdicts.rs
@@ -121,18 +121,32 @@
     /// Takes back a trial that `gateway` could not use or that had no outcome; another one may
     /// follow soon.
     pub(super) fn return_trial(&mut self, key: FeatureKey, gateway: &Arc<str>) {
+        let trying = self.known.get(&key).and_then(|known| known.standing.trying());
+        if trying == Some(gateway) {
+            self.end_trial(key);
+        }
+    }
+
+    /// Ends a trial that had no outcome.
+    pub(super) fn end_trial(&mut self, key: FeatureKey) {
         let Some(known) = self.known.get(&key) else { return };
-        let (trying, standing) = match &known.standing {
-            Standing::OnTrial { gateway, times } => {
-                (gateway, Standing::Held { for_ms: TRIAL_RETRY_MS, times: *times })
+        let standing = match &known.standing {
+            Standing::OnTrial { times, .. } => {
+                Standing::Held { for_ms: TRIAL_RETRY_MS, times: *times }
             }
-            Standing::Running { gateway } => (gateway, Standing::Suspected),
+            Standing::Running { .. } => Standing::Suspected,
             _ => return,
         };
-        if trying != gateway || self.uncommitted.contains_key(&key) {
-            return;
+        if !self.uncommitted.contains_key(&key) {
+            self.decide(key, known.weights.clone(), standing);
         }
-        self.decide(key, known.weights.clone(), standing);
+    }
+
+    /// True if a trial of the feature was granted after `from_ms`, and not after `until_ms`.
+    pub(super) fn is_trial_between(&self, key: FeatureKey, from_ms: u64, until_ms: u64) -> bool {
+        self.get(key).is_some_and(|known| {
+            known.standing.trying().is_some() && (from_ms + 1..=until_ms).contains(&known.since_ms)
+        })
     }
 
     /// Shortens the time for which contents for `name` are held, since `name` has just got a newer
--- a/src/relay/standings.rs
+++ b/src/relay/standings.rs
@@ -90,7 +90,7 @@
             self.entries.remove(&key);
             return false;
         }
-        let is_own_trial = trying(&standing) == Some(&self.gateway);
+        let is_own_trial = standing.trying() == Some(&self.gateway);
         self.entries.insert(key, Entry { standing, since_ms: now_ms, served_reported_at_ms: None });
         is_own_trial && !self.waiting.contains_key(&key)
     }
@@ -159,7 +159,7 @@
     /// was used.
     pub fn take_trial(&mut self, key: &FeatureKey) -> bool {
         let Some(Entry { standing, .. }) = self.entries.get(key) else { return false };
-        trying(standing) == Some(&self.gateway) && self.tried.insert(*key)
+        standing.trying() == Some(&self.gateway) && self.tried.insert(*key)
     }
 
     /// True if this gateway has used its trial of the request.
@@ -167,11 +167,3 @@
         self.tried.contains(key)
     }
 }
-
-/// The gateway that may send a request with this standing.
-fn trying(standing: &Standing) -> Option<&Arc<str>> {
-    match standing {
-        Standing::OnTrial { gateway, .. } | Standing::Running { gateway } => Some(gateway),
-        Standing::Watched | Standing::Suspected | Standing::Held { .. } | Standing::Cleared => None,
-    }
-}
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -851,3 +851,19 @@
     report_crash(&mut crashes, 4_000, "e9", 1, 5_000);
     assert_eq!(commit(&mut crashes, 4_500), Some(Standing::Suspected));
 }
+
+/// Guards against refusing a suspected request until its trial times out: the gateway had not heard that the
+/// endpoint had crashed, and the crash had been evaluated.
+#[yare::parameterized(
+    of_the_same_request = { 1 },
+    of_another_request = { 2 },
+)]
+fn a_trial_that_was_sent_to_a_crashed_endpoint_is_followed_by_another(interrupted: usize) {
+    let mut crashes = suspected();
+    report_crash(&mut crashes, 2_600, "e8", interrupted, 5_000);
+    commit(&mut crashes, 2_900);
+    crashes.grant_trial(3_000, key(1), &"g1".into());
+    assert!(matches!(commit(&mut crashes, 3_000), Some(Standing::Running { .. })));
+    report_crash(&mut crashes, 3_050, "e8", 1, 2);
+    assert_eq!(commit(&mut crashes, 3_100), Some(Standing::Suspected));
+}
