policy: a suspected request that runs alone is an experiment, and its crash weighs as one

Cause: what was asked of each crash was only how surprising a coincidence it would be. Change: a crash in a trial of a content that was not served lately weighs as a likelihood ratio, 1 / p with 200 ms of run time at least and the endpoints in use at that moment; three crashes, one of them in a trial, are held from 200, unless another feature is a likelier cause. Three crashes of 1.6 each on average make a content suspected: at a service with an endpoint or two none says more. Why it works: a trial is one request, sent on purpose once all gateways were asked whether they served its content.

--- a/src/control/replica/standings.rs
+++ b/src/control/replica/standings.rs
@@ -6,7 +6,7 @@
 use super::{Replica, Waiter};
 use crate::control::state::Operation;
 use crate::message::{EndpointCrash, FeatureStanding, Standing};
-use crate::policy::crashes::Evidence;
+use crate::policy::crashes::{Evidence, Used};
 
 impl Replica {
     /// Records endpoint crashes that `gateway` observed.
@@ -21,7 +21,8 @@
             // Dozens of gateways report the same crash, and the loss of an availability zone ends
             // hundreds of endpoints, so the endpoints in use are counted only for the first report.
             let is_new = !self.registered.crashes.has_ended(&crash.endpoint);
-            let used = if is_new { self.count_endpoints_used(now_ms, &crash) } else { 0 };
+            let used =
+                if is_new { self.count_endpoints_used(now_ms, &crash) } else { Used::from(0) };
             if is_new {
                 info!(
                     event = "endpoint_crashed",
@@ -30,7 +31,8 @@
                     gateway,
                     features = crash.features.len(),
                     ago_ms = crash.ago_ms,
-                    used
+                    used = used.within_period,
+                    used_at_crash = used.at_crash
                 );
             } else {
                 info!(
@@ -47,7 +49,7 @@
     }
 
     /// Counts the endpoints of the service that were in use until this one crashed, including it.
-    fn count_endpoints_used(&mut self, now_ms: u64, crash: &EndpointCrash) -> usize {
+    fn count_endpoints_used(&mut self, now_ms: u64, crash: &EndpointCrash) -> Used {
         let Registered { crashes, placement, exposure, .. } = &mut self.registered;
         let endpoints = self.state.registry.endpoints();
         let address = endpoints.get(&crash.endpoint).map(|endpoint| endpoint.address);
@@ -86,18 +88,21 @@
     /// Logs what the evaluated crashes say about the features that they interrupted.
     fn log_weighed(&mut self) {
         for weighed in self.registered.crashes.take_weighed() {
-            let Evidence { crashes, e_value, prime_crashes, has_likelier_cause } = weighed.evidence;
+            let Evidence { crashes, e_value, prime_crashes, trial_crashes, has_likelier_cause } =
+                weighed.evidence;
             info!(
                 event = "crash_weighed",
                 key = %weighed.key,
                 endpoint = %weighed.endpoint,
                 ran_ms = weighed.ran_ms,
-                used = weighed.used,
+                used = weighed.used.within_period,
+                used_at_crash = weighed.used.at_crash,
                 interrupted = weighed.interrupted,
                 crash_e_value = weighed.crash_e_value,
                 e_value,
                 crashes,
                 prime_crashes,
+                trial_crashes,
                 has_likelier_cause
             );
         }
--- a/src/policy/crashes/evidence.rs
+++ b/src/policy/crashes/evidence.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use super::exposure::Used;
 use super::records::{Crash, CrashNumber, CrashRecords};
 use crate::message::FeatureKey;
 
@@ -14,6 +15,12 @@
 const HELD_E_VALUE: f64 = 3_000.0;
 /// The e-value from which the prime suspect of at least `HELD_CRASHES` crashes is held.
 const HELD_PRIME_E_VALUE: f64 = 200.0;
+/// The e-value from which a feature of at least `HELD_CRASHES` crashes is held, if one of them was in a
+/// trial: by then the gateways had time to report that they served it.
+const HELD_TRIED_E_VALUE: f64 = 200.0;
+/// The run time that counts at least for a trial. Its probability to be interrupted must not depend on
+/// when the endpoint crashed.
+const TRIAL_RUN_MIN_MS: u32 = 200;
 /// The number of crashes from which their prime suspect explains them for the other interrupted
 /// features.
 const EXPLAINING_CRASHES: usize = 2;
@@ -21,6 +28,9 @@
 const RECENTLY_SERVED_MS: u64 = 60_000;
 /// The e-value from which each attempt of a request goes to one endpoint only.
 const SUSPECTED_E_VALUE: f64 = 30.0;
+/// The mean e-value of a crash from which a feature of at least `HELD_CRASHES` crashes is suspected: at a
+/// service with an endpoint or two, each single crash says little.
+const SUSPECTED_MEAN_E_VALUE: f64 = 1.6;
 /// The number of crashes from which gateways report when a feature is served.
 const WATCHED_CRASHES: usize = 2;
 /// The minimum time over which the crash rate is measured: the first crash of a series gives no
@@ -57,6 +67,8 @@
     pub e_value: f64,
     /// The number of them that have the feature as their prime suspect.
     pub prime_crashes: usize,
+    /// The number of them that happened in trials.
+    pub trial_crashes: usize,
     /// True if another feature is a likelier cause of them.
     pub has_likelier_cause: bool,
 }
@@ -64,13 +76,17 @@
 impl Evidence {
     /// What follows from the evidence.
     pub(super) fn assess(self) -> Assessment {
-        let is_proven = self.crashes >= HELD_CRASHES && self.e_value >= HELD_E_VALUE;
+        let required = if self.trial_crashes > 0 { HELD_TRIED_E_VALUE } else { HELD_E_VALUE };
+        let is_proven = self.crashes >= HELD_CRASHES && self.e_value >= required;
         let is_prime = self.prime_crashes >= HELD_CRASHES && self.e_value >= HELD_PRIME_E_VALUE;
         if (is_proven && !self.has_likelier_cause) || is_prime {
             return Assessment::Hold;
         }
-        let is_suspect =
-            self.e_value >= SUSPECTED_E_VALUE || self.prime_crashes >= EXPLAINING_CRASHES;
+        let is_suspect = self.e_value >= SUSPECTED_E_VALUE
+            || self.prime_crashes >= EXPLAINING_CRASHES
+            || (self.crashes >= HELD_CRASHES
+                && self.e_value.powf(1.0 / self.crashes as f64) >= SUSPECTED_MEAN_E_VALUE
+                && !self.has_likelier_cause);
         if is_suspect { Assessment::Suspect } else { Assessment::Watch }
     }
 }
@@ -83,10 +99,11 @@
             return None;
         }
         let e_value = self.e_value(key);
-        let has_likelier_cause =
-            crashes >= HELD_CRASHES && e_value >= HELD_E_VALUE && self.has_likelier_cause(key);
+        let has_likelier_cause = crashes >= HELD_CRASHES && self.has_likelier_cause(key);
         let prime_crashes = self.prime_crashes(key);
-        Some(Evidence { crashes, e_value, prime_crashes, has_likelier_cause })
+        let is_trial = |crash: &&Crash| self.is_trial(key, crash);
+        let trial_crashes = self.unexplained_crashes(key).filter(is_trial).count();
+        Some(Evidence { crashes, e_value, prime_crashes, trial_crashes, has_likelier_cause })
     }
 
     /// How a feature was interrupted by a crash; `None` if the crash has expired.
@@ -185,9 +202,27 @@
 
     fn crash_e_value(&self, key: FeatureKey, crash: &Crash) -> f64 {
         let ran_ms = crash.features.get(&key).map_or(u32::MAX, |run| run.ran_ms(crash.at_ms));
-        let expected_crashes = self.background_rate_per_ms(key, crash) * f64::from(ran_ms.max(1));
-        let p_value = 1.0 - (-expected_crashes).exp();
-        CALIBRATOR_POWER * p_value.powf(CALIBRATOR_POWER - 1.0)
+        let rate_per_ms = self.background_rate_per_ms(key, crash);
+        let p_value = |ran_ms: u32, used: usize| {
+            1.0 - (-rate_per_ms / used.max(1) as f64 * f64::from(ran_ms)).exp()
+        };
+        let Used { within_period, at_crash } = crash.used;
+        if self.is_trial(key, crash) {
+            // The likelihood ratio: a trial of the cause always crashes its endpoint.
+            return 1.0 / p_value(ran_ms.max(TRIAL_RUN_MIN_MS), at_crash);
+        }
+        // Requests that run again and again are at most crashes of a service that is hardly ever up, and were
+        // served in between.
+        let used = if self.is_recently_served(key, crash) { at_crash } else { within_period };
+        CALIBRATOR_POWER * p_value(ran_ms.max(1), used).powf(CALIBRATOR_POWER - 1.0)
+    }
+
+    /// True if a feature that had not been served for long ran alone, as a trial of what it does.
+    ///
+    /// Requests that all run again and again are interrupted together by each crash, also by those of a
+    /// trial; but they were served before.
+    fn is_trial(&self, key: FeatureKey, crash: &Crash) -> bool {
+        crash.is_trial_of(key) && !self.is_recently_served(key, crash)
     }
 
     /// The endpoints whose crashes count as evidence against a feature.
@@ -263,7 +298,7 @@
         e_value_ratio > 1.0
     }
 
-    /// The crash rate per endpoint of the service, without the other crashes that interrupted the
+    /// The crash rate of the service, without the other crashes that interrupted the
     /// feature: the highest rate over all periods that end with this crash, since crashes come in
     /// series.
     fn background_rate_per_ms(&self, key: FeatureKey, crash: &Crash) -> f64 {
@@ -294,6 +329,6 @@
             let rate = (position + 1) as f64 / (age_ms + RATE_PERIOD_MIN_MS) as f64;
             highest = highest.max(rate);
         }
-        highest / crash.used as f64
+        highest
     }
 }
--- a/src/policy/crashes/exposure.rs
+++ b/src/policy/crashes/exposure.rs
@@ -13,9 +13,24 @@
     address: SocketAddr,
 }
 
-/// Counts the endpoints of a service that were in use over the time to which a crash is related.
+/// The number of endpoints of a service that were in use, including one that has crashed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Used {
+    /// At some time of the period to which a single crash is related.
+    pub within_period: usize,
+    /// At the moment of the crash.
+    pub at_crash: usize,
+}
+
+impl From<usize> for Used {
+    fn from(used: usize) -> Self {
+        Self { within_period: used, at_crash: used }
+    }
+}
+
+/// Counts the endpoints of a service that were in use when one of them crashed.
 ///
-/// Those that crashed within this time were in use until then: without them, the few that are left would
+/// Those that crashed shortly before were in use until then: without them, the few that are left would
 /// seem to crash several times as often as they do.
 #[derive(Debug, Default)]
 pub struct Exposure {
@@ -28,15 +43,15 @@
         Self::default()
     }
 
-    /// Counts the endpoints of `service` that were in use until the one at `address` crashed, including
-    /// it; `in_use` are those that are in use now. A place counts once, whatever incarnations it had.
+    /// Counts the endpoints of `service` that were in use until the one at `address` crashed; `in_use` are
+    /// those that are in use now. A place counts once, whatever incarnations it had.
     pub fn count_used(
         &mut self,
         now_ms: u64,
         service: &Arc<str>,
         address: Option<SocketAddr>,
         in_use: impl IntoIterator<Item = SocketAddr>,
-    ) -> usize {
+    ) -> Used {
         self.crashed.retain(|crashed| crashed.at_ms + RATE_PERIOD_MIN_MS > now_ms);
         let mut crashed = BTreeSet::new();
         for known in &self.crashed {
@@ -44,10 +59,10 @@
                 crashed.insert(known.address);
             }
         }
-        let mut used = 1;
+        let mut at_crash = 1;
         for other in in_use {
             if Some(other) != address {
-                used += 1;
+                at_crash += 1;
                 crashed.remove(&other);
             }
         }
@@ -58,6 +73,6 @@
                 address,
             });
         }
-        used + crashed.len()
+        Used { within_period: at_crash + crashed.len(), at_crash }
     }
 }
--- a/src/policy/crashes/mod.rs
+++ b/src/policy/crashes/mod.rs
@@ -38,7 +38,7 @@
 
 use self::evidence::Assessment;
 pub use self::evidence::Evidence;
-pub use self::exposure::Exposure;
+pub use self::exposure::{Exposure, Used};
 use self::records::{CrashNumber, CrashRecords};
 use self::verdicts::{Verdicts, held};
 use crate::message::{EndpointCrash, FeatureKey, FeatureStanding, Standing, WeightsName};
@@ -66,7 +66,7 @@
     /// The time for which the feature had run there.
     pub ran_ms: u32,
     /// The endpoints of the service that were in use.
-    pub used: usize,
+    pub used: Used,
     /// The number of features that the crash interrupted.
     pub interrupted: usize,
     /// The evidence of this crash alone, as an e-value.
@@ -102,10 +102,10 @@
     }
 
     /// Records a crash; `used` endpoints of its service ran requests, including this one.
-    pub fn record_crash(&mut self, now_ms: u64, crash: EndpointCrash, used: usize) {
+    pub fn record_crash(&mut self, now_ms: u64, crash: EndpointCrash, used: impl Into<Used>) {
         let EndpointCrash { endpoint, service, ago_ms, features } = crash;
         let seen_at_ms = now_ms.saturating_sub(u64::from(ago_ms));
-        let number = self.records.add_crash(now_ms, seen_at_ms, &endpoint, service, used);
+        let number = self.records.add_crash(now_ms, seen_at_ms, &endpoint, service, used.into());
         let at_ms = self.records.get(number).map_or(seen_at_ms, |crash| crash.at_ms);
         let mut is_new = false;
         for feature in features {
@@ -119,8 +119,8 @@
             if self.verdicts.is_trial_between(feature.key, at_ms, began_at_ms) {
                 self.verdicts.end_trial(feature.key);
             }
-            let is_held = self.verdicts.is_held(feature.key);
-            is_new |= self.records.add_feature(number, seen_at_ms, feature, is_held);
+            let known = self.verdicts.known_feature(feature.key);
+            is_new |= self.records.add_feature(number, seen_at_ms, feature, known);
         }
         if is_new && self.records.mark_for_evaluation(number) {
             self.pending.push_back((now_ms + COLLECTION_MS, number));
--- a/src/policy/crashes/records.rs
+++ b/src/policy/crashes/records.rs
@@ -4,16 +4,19 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 
+use super::exposure::Used;
 use crate::message::{FeatureKey, InterruptedFeature, WeightsName};
 
 /// How long crashes are stored, for the sake of rare requests.
 pub(super) const RETENTION_MS: u64 = 3_600_000;
 /// The maximum number of stored crashes.
 const CRASHES_MAX: usize = 1_000;
-/// The run time that counts at least for requests that were sent after the crash, as far as the reports
-/// tell: gateways that have not heard of a crash send to a port that accepts connections in its
-/// endpoint's place, and would look as if they had crashed it at once.
+/// The run time that counts at least for requests that may have been sent after the crash: gateways that
+/// have not heard of it send to a port that accepts connections in its endpoint's place, and would look
+/// as if they had crashed it at once.
 const SENT_AFTER_CRASH_RUN_MS: u32 = 200;
+/// How much the times of reports differ, at most, that gateways send of the same crash.
+const REPORT_JITTER_MS: u64 = 10;
 /// The maximum number of features whose last time of being served is stored.
 const SERVED_MAX: usize = 4_096;
 
@@ -25,6 +28,8 @@
     ran_ms: u32,
     /// When the first of these requests was sent or, at engines, began to be answered.
     began_at_ms: u64,
+    /// True if one such request ran alone, because its content was suspected.
+    is_trial: bool,
     pub(super) weights: Option<WeightsName>,
     pub(super) is_evaluated: bool,
 }
@@ -32,7 +37,7 @@
 impl Interruption {
     /// The time for which requests with the feature had run when the endpoint crashed at `crashed_at_ms`.
     pub(super) fn ran_ms(&self, crashed_at_ms: u64) -> u32 {
-        if self.began_at_ms < crashed_at_ms {
+        if self.began_at_ms + REPORT_JITTER_MS < crashed_at_ms {
             return self.ran_ms;
         }
         self.ran_ms.max(SENT_AFTER_CRASH_RUN_MS)
@@ -50,7 +55,7 @@
     pub(super) service: Arc<str>,
     /// The number of endpoints of the service that ran requests, including this one: crashes of
     /// idle endpoints are not observed.
-    pub(super) used: usize,
+    pub(super) used: Used,
     pub(super) features: BTreeMap<FeatureKey, Interruption>,
     /// The held feature among the interrupted ones.
     pub(super) explained_by: Option<FeatureKey>,
@@ -60,6 +65,22 @@
     pub(super) awaits_evaluation: bool,
 }
 
+impl Crash {
+    /// True if the feature ran alone, as a trial of what it does.
+    pub(super) fn is_trial_of(&self, key: FeatureKey) -> bool {
+        self.features.get(&key).is_some_and(|interruption| interruption.is_trial)
+    }
+}
+
+/// What the leader knew of a feature when its requests were interrupted.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct KnownFeature {
+    /// True while it is refused without exception.
+    pub(super) is_held: bool,
+    /// Since when one request with it at a time may run, as a trial.
+    pub(super) on_trial_since_ms: Option<u64>,
+}
+
 /// Recorded crashes, by endpoint and by feature.
 #[derive(Debug, Default)]
 pub(super) struct CrashRecords {
@@ -112,7 +133,7 @@
         at_ms: u64,
         endpoint: &Arc<str>,
         service: Arc<str>,
-        used: usize,
+        used: Used,
     ) -> CrashNumber {
         if let Some(number) = self.number_of(endpoint) {
             // Reports are delayed, so the earliest is the most accurate.
@@ -128,7 +149,7 @@
             endpoint: endpoint.clone(),
             at_ms,
             service,
-            used: used.max(1),
+            used,
             features: BTreeMap::new(),
             explained_by: None,
             suspects: 0,
@@ -144,10 +165,12 @@
         number: CrashNumber,
         seen_at_ms: u64,
         feature: InterruptedFeature,
-        is_held: bool,
+        known_feature: KnownFeature,
     ) -> bool {
+        let KnownFeature { is_held, on_trial_since_ms } = known_feature;
         let InterruptedFeature { key, weights, ran_ms, .. } = feature;
         let began_at_ms = seen_at_ms.saturating_sub(ran_ms.into());
+        let is_trial = on_trial_since_ms.is_some_and(|since_ms| since_ms <= began_at_ms);
         let is_suspect = self.is_suspect(key);
         let Some(crash) = self.get_mut(number) else { return false };
         if is_held {
@@ -156,11 +179,13 @@
         if let Some(known) = crash.features.get_mut(&key) {
             known.ran_ms = ran_ms.max(known.ran_ms);
             known.began_at_ms = began_at_ms.min(known.began_at_ms);
+            known.is_trial &= is_trial;
             return false;
         }
-        crash
-            .features
-            .insert(key, Interruption { ran_ms, began_at_ms, weights, is_evaluated: false });
+        crash.features.insert(
+            key,
+            Interruption { ran_ms, began_at_ms, is_trial, weights, is_evaluated: false },
+        );
         crash.suspects += usize::from(is_suspect);
         self.by_feature.entry(key).or_default().push(number);
         true
--- a/src/policy/crashes/verdicts.rs
+++ b/src/policy/crashes/verdicts.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use super::records::RETENTION_MS;
+use super::records::{KnownFeature, RETENTION_MS};
 use crate::message::{FeatureKey, FeatureStanding, Standing, WeightsName};
 
 /// How long a feature is held at first; each trial that crashes its endpoint multiplies the time by
@@ -50,9 +50,12 @@
         self.known.get(&key)
     }
 
-    /// True while a feature is refused without exception.
-    pub(super) fn is_held(&self, key: FeatureKey) -> bool {
-        self.get(key).is_some_and(|known| matches!(known.standing, Standing::Held { .. }))
+    /// What is known of a feature whose requests a crash interrupted.
+    pub(super) fn known_feature(&self, key: FeatureKey) -> KnownFeature {
+        let known = self.get(key);
+        let is_held = known.is_some_and(|known| matches!(known.standing, Standing::Held { .. }));
+        let on_trial = known.filter(|known| matches!(known.standing, Standing::Running { .. }));
+        KnownFeature { is_held, on_trial_since_ms: on_trial.map(|known| known.since_ms) }
     }
 
     /// Decides a standing, to be committed, unless it is the same as before.
--- a/src/relay/held.rs
+++ b/src/relay/held.rs
@@ -15,9 +15,6 @@
 use super::trial::{Trial, TrialWait};
 use crate::message::{FeatureKey, InterruptedFeature, SessionUp};
 
-/// The run time that is reported at least for a request whose response had not started: a shorter one
-/// is within the time that the request and the news of its end take on their way.
-const NOT_STARTED_RUN_MS: u64 = 25;
 /// The largest body that is hashed for the record of served contents while no request has a
 /// standing; the hash of a larger one costs too much CPU time.
 const SERVED_BODY_MAX_BYTES: usize = 64 << 10;
@@ -54,14 +51,13 @@
             info!(event = "broken_run_not_reported", request = %self.meta.id, reason = "leaving");
             return;
         }
-        let least_ms = if self.response_started_at_ms.is_some() { 0 } else { NOT_STARTED_RUN_MS };
         let check = LivenessCheck {
             id: known.id.clone(),
             service: known.service.clone(),
             endpoint: Some(known),
             is_silent: false,
         };
-        self.report_run(now_ms, check, ran_ms.max(least_ms));
+        self.report_run(now_ms, check, ran_ms);
     }
 
     /// Records that `endpoint` was found to have ended without closing its connections.
