http, relay: an answer whose status is none of a final answer is no answer

A 600 that said not-executed was believed (503 to the client). Orders answered so counted as refused, probes as answered. 000 and 099 never passed. Cause: hyper gives any status of three digits from 100 on, and 101 as a final answer, and nothing read the status but for success and server error. Change: one check (http/status.rs), from 200 to 599: where relays read heads of endpoints (both sends of a request), in the client of orders, reports, probes, owners' calls and lists, for heads from other gateways, and for answers that are recorded or forwarded. For the relay it is a broken answer that is no evidence of a crash: 502, or another send where the route allows it. Not shown by a test: detours, recorded and forwarded answers. HTTP/2 to endpoints does not exist here. Links between processes accept 200 alone, as before.

--- a/src/gateway/answers.rs
+++ b/src/gateway/answers.rs
@@ -16,7 +16,7 @@
 use crate::gateway::openai::error_object;
 use crate::gateway::problem::RUN_HEADER;
 use crate::gateway::shared::{InProgress, Shared};
-use crate::http::{Answer, answer};
+use crate::http::{Answer, answer, final_status};
 use crate::message::{AdapterKey, ForwardEvent, RunState};
 use crate::metrics::Counter;
 
@@ -31,14 +31,14 @@
 pub const REPLAYED_HEADER: &str = "winchvane-replayed";
 
 pub(super) fn whole_answer(whole: WholeAnswer, adapter: Option<&AdapterKey>) -> Answer {
-    let status = StatusCode::from_u16(whole.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let status = final_status(whole.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut answer = answer(status, &whole.content_type, whole.body);
     set_adapter_headers(answer.headers_mut(), adapter, whole.load_wait_ms);
     answer
 }
 
 pub(super) fn replayed_answer(recorded: &RecordedAnswer) -> Answer {
-    let status = StatusCode::from_u16(recorded.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let status = final_status(recorded.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut answer = answer(status, &recorded.content_type, recorded.body.clone());
     set_adapter_headers(answer.headers_mut(), recorded.adapter.as_ref(), 0);
     answer.headers_mut().insert(REPLAYED_HEADER, HeaderValue::from_static("true"));
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::{Framing, SenderCheck, WholeBody, is_event_stream};
+use super::{Framing, SenderCheck, WholeBody, check_final, is_event_stream};
 use crate::error::{Error, Result};
 use crate::wire::BoxFuture;
 
@@ -113,6 +113,8 @@
             Error::failed("send request", peer.clone(), root_cause(&error))
         })?;
         let (head, body) = response.into_parts();
+        check_final(head.status)
+            .map_err(|error| Error::failed("read answer", peer.clone(), error))?;
         let framing = Framing::of(&head)
             .map_err(|error| Error::failed("read answer", peer.clone(), error))?;
         let is_events = is_event_stream(&head.headers, false);
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -8,6 +8,7 @@
 mod framing;
 mod meter;
 mod server;
+mod status;
 mod whole_body;
 
 use std::convert::Infallible;
@@ -22,6 +23,7 @@
 pub use connection_headers::remove_connection_headers;
 pub use framing::{Framing, FramingError};
 pub use server::{HttpHandler, ServerLimits, serve, stopped};
+pub use status::{InvalidStatus, check_final, final_status};
 pub use whole_body::{SenderCheck, WholeBody, is_event_stream};
 
 use crate::error::Error;
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -186,6 +186,8 @@
     Unknown(String),
     /// The endpoint answered another request.
     Foreign,
+    /// The endpoint sent something that is no final answer.
+    Invalid(String),
     /// No response came before the deadline.
     Overdue,
     /// Another incarnation took the endpoint's place, which had not closed its connections.
@@ -276,6 +278,7 @@
                 return Attempt::NotSent("the connection was closed");
             }
             Ok(Err(SendFailure::Unknown(error))) => return Attempt::Unknown(error.to_string()),
+            Ok(Err(SendFailure::Invalid(error))) => return Attempt::Invalid(error.to_string()),
             Ok(Ok(response)) => response,
         };
         let head = relay.platform_headers.read_answer(response.status(), response.headers());
--- a/src/relay/detour/upstream.rs
+++ b/src/relay/detour/upstream.rs
@@ -5,14 +5,14 @@
 
 use bytes::Bytes;
 use futures_util::stream;
-use http::{Response, StatusCode};
+use http::Response;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 
 use super::signs::{PeerSigns, SILENT_MAX_MS};
 use super::{PeerStreams, read_headers};
 use crate::error::{Error, Result};
-use crate::http::{Framing, WholeBody};
+use crate::http::{Framing, WholeBody, final_status};
 use crate::message::{PeerEvent, PeerGateway, PeerRequest};
 use crate::relay::doubt::Doubt;
 use crate::relay::exchange::Exchange;
@@ -115,8 +115,7 @@
     ) -> Result<StartedResponse> {
         let PeerHead { endpoint, software_version, status, headers } = received;
         let Self { peer, receiver, sender, mut flight } = self;
-        let status = StatusCode::from_u16(status)
-            .map_err(|error| Error::invalid(format!("status {status}: {error}")))?;
+        let status = final_status(status).map_err(|error| Error::invalid(error.to_string()))?;
         let (mut head, ()) = Response::new(()).into_parts();
         head.status = status;
         head.headers = read_headers(&headers)?;
--- a/src/relay/outcome.rs
+++ b/src/relay/outcome.rs
@@ -72,6 +72,13 @@
                 self.tried.push(id.clone());
                 self.handle_unknown_outcome("the answer belongs to another request".to_owned())?;
             }
+            // The endpoint runs, so this is no crash.
+            Attempt::Invalid(detail) => {
+                warn!(event = "invalid_answer", request = %self.meta.id, endpoint = %id, detail = %detail);
+                self.note_failed(id, address);
+                self.note_outcome(id, Some(FailureKind::Broken));
+                self.handle_broken(id, detail)?;
+            }
             Attempt::Overdue => {
                 self.note_overdue();
                 self.note_failed(id, address);
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -19,6 +19,7 @@
 use super::idle::IdleConnections;
 use crate::clock::Clock;
 use crate::error::{Error, Result};
+use crate::http::check_final;
 use crate::observed_stream::ObservedStream;
 
 /// A connection is established within one round trip, if at all; a lost packet adds a second.
@@ -51,6 +52,8 @@
     NotSent(Error),
     /// The request may have reached the endpoint.
     Unknown(Error),
+    /// The endpoint sent something that is no final answer.
+    Invalid(Error),
 }
 
 /// Connections to all endpoints.
@@ -185,20 +188,23 @@
 /// Sends `request` and waits for the response head.
 ///
 /// # Errors
-/// The request got no response; the variant tells whether any of it was written.
+/// The request got no final response; the variant tells whether any of it was written.
 pub async fn send(
     connection: &mut Connection,
     peer: &str,
     request: Request<Full<Bytes>>,
 ) -> std::result::Result<Response<Incoming>, SendFailure> {
-    connection.try_send_request(request).await.map_err(|mut failure| {
+    let response = connection.try_send_request(request).await.map_err(|mut failure| {
         let is_unsent = failure.take_message().is_some();
         let error = failure.into_error();
         if is_unsent {
             return SendFailure::NotSent(Error::refused("send request", peer, error));
         }
         SendFailure::Unknown(Error::failed("send request", peer, error))
-    })
+    })?;
+    check_final(response.status())
+        .map_err(|error| SendFailure::Invalid(Error::failed("read answer", peer, error)))?;
+    Ok(response)
 }
 
 /// The keep-alive time that the endpoint promises in `Keep-Alive: timeout=SECONDS`.
