relay: requests at endpoints that end without closing a connection are evidence, also if nothing was answered

Cause, four parts of one: what a gateway knows of an end that is silent was lost. A run whose response had not started was not reported at all when its endpoint was found to have ended; streams have started, whole answers never have. One that reached its deadline first was forgotten. A probe of the address was answered by the next incarnation while the check of an earlier broken connection was under way, and the runs counted as at a living endpoint (endpoint_asked liveness=Up 30 ms after endpoint_replaced). And such a verdict gave a trial back that had been granted since for the same content, so that several ran beside each other. Change: such a run counts with the time until the endpoint's last answer to any request; one that was never answered is kept, and counts if another incarnation takes its endpoint's place within 5 s; a replaced endpoint has ended, whatever answers at its address; a verdict gives back only trials that were sent to that endpoint.

--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -35,6 +35,8 @@
 pub const SLOTS: u32 = 64;
 /// How long an endpoint that ended stays away, unless a run sets another time.
 const RESTARTS_AFTER_MS: u64 = 3_000;
+/// How long connections of an incarnation that ended silently stay open once the next one is up.
+const SILENT_AFTER_RESTART: Duration = Duration::from_secs(1);
 /// An endpoint ends once it has worked on a request whose path has this in it.
 pub const CRASHING_PATH: &str = "/crash";
 /// What clients put into headers that only gateways may set.
@@ -58,6 +60,7 @@
     work_ms: AtomicU64,
     event_pause_ms: AtomicU64,
     restarts_after_ms: AtomicU64,
+    ends_silently: AtomicBool,
     running: Semaphore,
     /// False while it has ended and the next incarnation has not started.
     is_up: watch::Sender<bool>,
@@ -92,6 +95,7 @@
             work_ms: AtomicU64::new(WORK_MS),
             event_pause_ms: AtomicU64::new(EVENT_PAUSE_MS),
             restarts_after_ms: AtomicU64::new(RESTARTS_AFTER_MS),
+            ends_silently: AtomicBool::new(false),
             running: Semaphore::new(slots as usize),
             is_up: watch::Sender::new(true),
             overload: Overload::new(),
@@ -114,6 +118,12 @@
         self.restarts_after_ms.store(after.as_millis() as u64, Ordering::SeqCst);
     }
 
+    /// Lets it end without closing a connection: nothing answers until the next incarnation has been up for a
+    /// while.
+    pub fn end_silently(&self) {
+        self.ends_silently.store(true, Ordering::SeqCst);
+    }
+
     /// Ends at once with all that it runs, and starts the next incarnation a while later.
     pub fn crash_for_a_while(&self) {
         self.is_up.send_replace(false);
@@ -182,9 +192,12 @@
                     // The sender lives as long as the endpoint.
                     _ = is_up.wait_for(|is_up| !is_up) => {}
                 }
-                drop(listener);
                 let away_ms = self.restarts_after_ms.load(Ordering::SeqCst);
-                tokio::time::sleep(Duration::from_millis(away_ms)).await;
+                let away = tokio::time::sleep(Duration::from_millis(away_ms));
+                // Connections to a listener that accepts none stay open.
+                let silent = self.ends_silently.load(Ordering::SeqCst).then_some(listener);
+                away.await;
+                drop(silent);
                 listener = match TcpListener::bind(self.address).await {
                     Ok(listener) => listener,
                     Err(error) => {
@@ -209,17 +222,28 @@
             });
             let connection = hyper::server::conn::http1::Builder::new()
                 .serve_connection(TokioIo::new(stream), service);
-            let mut is_up = self.is_up.subscribe();
+            let endpoint = self.clone();
             tokio::spawn(async move {
                 tokio::select! {
                     // A connection that breaks is what this program is about.
                     ended = connection => drop(ended),
-                    _ = is_up.wait_for(|is_up| !is_up) => {}
+                    () = endpoint.until_closed() => {}
                 }
             });
         }
     }
 
+    /// Waits until a connection that is open now is closed by the endpoint's end.
+    async fn until_closed(&self) {
+        let mut is_up = self.is_up.subscribe();
+        // The sender lives as long as the endpoint.
+        let _ = is_up.wait_for(|is_up| !is_up).await;
+        if self.ends_silently.load(Ordering::SeqCst) {
+            let _ = is_up.wait_for(|is_up| *is_up).await;
+            tokio::time::sleep(SILENT_AFTER_RESTART).await;
+        }
+    }
+
     async fn beat(self: Arc<Self>, control: Vec<SocketAddr>) {
         let mut sequence = 0;
         let mut turn = 0;
--- a/soak/src/region.rs
+++ b/soak/src/region.rs
@@ -53,6 +53,8 @@
     StaysOpen,
     /// Connections are refused.
     Closes,
+    /// Nothing is closed, and nothing answers.
+    IsSilent,
 }
 
 /// The slots of endpoints and of engines, and the ports of endpoints, where a run sets them.
@@ -167,6 +169,9 @@
                 region.proxies.push((format!("endpoint-{number}"), proxy));
             }
             let endpoint = Endpoint::new(own, public, slots.endpoint, record.clone());
+            if slots.port == Port::IsSilent {
+                endpoint.end_silently();
+            }
             endpoint.clone().start(region.control_addresses()).await?;
             region.endpoints.push(endpoint);
         }
--- a/soak/tests/requests_that_crash_plain_endpoints.rs
+++ b/soak/tests/requests_that_crash_plain_endpoints.rs
@@ -145,6 +145,10 @@
     post_at_open_ports = { Crashing { kind: Kind::Once, ..Crashing::new(151) } },
     get_at_closed_ports = { Crashing { port: Port::Closes, ..Crashing::new(152) } },
     post_at_closed_ports = { Crashing { kind: Kind::Once, port: Port::Closes, ..Crashing::new(153) } },
+    get_at_silent_ports = { Crashing { port: Port::IsSilent, ..Crashing::new(163) } },
+    post_at_silent_ports = {
+        Crashing { kind: Kind::Once, port: Port::IsSilent, ..Crashing::new(164) }
+    },
     three_by_turns = { Crashing { contents: 3, ..Crashing::new(154) } },
     at_two_endpoints = { Crashing { endpoints: 2, ..Crashing::new(155) } },
     at_ten_endpoints = { Crashing { endpoints: 10, ..Crashing::new(156) } },
--- a/src/relay/crashes.rs
+++ b/src/relay/crashes.rs
@@ -4,7 +4,7 @@
 //! keeps running. So the gateway probes the endpoint, once for all responses that broke off
 //! together.
 
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use tokio::sync::mpsc;
@@ -71,17 +71,31 @@
     /// The number of responses.
     runs: usize,
     features: BTreeMap<FeatureKey, InterruptedFeature>,
+    /// The features that one of the requests was a trial of.
+    tried: BTreeSet<FeatureKey>,
+    /// True once another incarnation has taken the endpoint's place, which answers at its address.
+    is_replaced: bool,
+}
+
+/// A request whose response an endpoint broke off.
+#[derive(Debug)]
+pub(super) struct BrokenRun {
+    pub(super) sent_at_ms: u64,
+    pub(super) features: Vec<InterruptedFeature>,
+    /// The features that the request was a trial of.
+    pub(super) tried: Vec<FeatureKey>,
 }
 
 impl Broken {
     fn new(since_ms: u64) -> Self {
-        Self { since_ms, runs: 0, features: BTreeMap::new() }
+        let (features, tried) = (BTreeMap::new(), BTreeSet::new());
+        Self { since_ms, runs: 0, features, tried, is_replaced: false }
     }
 
-    /// Adds a response to a request with `features`.
-    fn add(&mut self, features: Vec<InterruptedFeature>) {
+    fn add(&mut self, run: BrokenRun) {
         self.runs += 1;
-        for feature in features {
+        self.tried.extend(run.tried);
+        for feature in run.features {
             if let Some(known) = self.features.get_mut(&feature.key) {
                 known.ran_ms = known.ran_ms.max(feature.ran_ms);
                 continue;
@@ -172,32 +186,39 @@
         self.standings().keep_only(keys);
     }
 
-    /// Records a response that an endpoint broke off to a request with `features` sent at
-    /// `sent_at_ms`. Returns false if it is no evidence about the request.
+    /// Records a response that an endpoint broke off. Returns false if it is no evidence about the request.
     pub(super) fn note_broken_run(
         &self,
         now_ms: u64,
         check: LivenessCheck,
-        sent_at_ms: u64,
-        features: Vec<InterruptedFeature>,
+        run: BrokenRun,
     ) -> bool {
         let mut records = self.records();
         // A request sent to an endpoint that had already ended cannot have caused the end.
-        if records.first_broken_ms(&check.id).is_some_and(|at_ms| at_ms <= sent_at_ms) {
+        if records.first_broken_ms(&check.id).is_some_and(|at_ms| at_ms <= run.sent_at_ms) {
             return false;
         }
         if let Some(broken) = records.broken.get_mut(&check.id) {
-            broken.add(features);
+            broken.is_replaced |= check.endpoint.is_none();
+            broken.add(run);
             return true;
         }
         let mut broken = Broken::new(now_ms);
-        broken.add(features);
+        broken.add(run);
         records.broken.insert(check.id.clone(), broken);
         // The receiver lives as long as the process.
         let _ = self.liveness_checks.send(check);
         true
     }
 
+    /// Records a request that an endpoint has not answered, in case it is replaced soon.
+    pub(super) fn note_unanswered_run(&self, now_ms: u64, endpoint: &Arc<str>, run: BrokenRun) {
+        let mut records = self.records();
+        records.forget_old(now_ms);
+        let broken = records.unconfirmed.entry(endpoint.clone());
+        broken.or_insert_with(|| Broken::new(now_ms)).add(run);
+    }
+
     /// Queues a liveness check of an endpoint that has been silent for long, unless one was queued
     /// less than [`SILENT_PROBE_INTERVAL_MS`] ago.
     pub(super) fn probe_silent(&self, now_ms: u64, endpoint: RegisteredEndpoint) {
@@ -217,6 +238,9 @@
     /// before count as a crash, although the address answered the probe.
     pub(super) fn note_replaced(&self, now_ms: u64, endpoint: &RegisteredEndpoint) {
         let mut records = self.records();
+        if let Some(broken) = records.broken.get_mut(&endpoint.id) {
+            broken.is_replaced |= !endpoint.leaving;
+        }
         let Some(broken) = records.unconfirmed.remove(&endpoint.id) else { return };
         if endpoint.leaving || broken.since_ms + UNCONFIRMED_MS <= now_ms {
             return;
@@ -231,12 +255,12 @@
         let mut records = self.records();
         let Some(broken) = records.broken.remove(endpoint) else { return };
         records.forget_old(now_ms);
-        let keys: Vec<FeatureKey> = broken.features.keys().copied().collect();
-        let (runs, features) = (broken.runs, keys.len());
+        let tried = broken.tried.clone();
+        let (runs, features) = (broken.runs, broken.features.len());
         info!(event = "broken_runs_unconfirmed", endpoint = %endpoint, runs, features);
         records.unconfirmed.insert(endpoint.clone(), broken);
         drop(records);
-        for key in keys {
+        for key in tried {
             if self.standings().has_used_trial(&key) {
                 self.return_trial(key, "the endpoint seems alive");
             }
@@ -252,6 +276,11 @@
         self.send_to_leader(SessionUp::Crashes(vec![crash]));
     }
 
+    /// True if another incarnation has taken the place of an endpoint that broke off responses.
+    pub(super) fn is_replaced(&self, endpoint: &str) -> bool {
+        self.records().broken.get(endpoint).is_some_and(|broken| broken.is_replaced)
+    }
+
     /// The number of broken responses of an endpoint that has not been probed yet.
     pub(super) fn count_broken(&self, endpoint: &str) -> usize {
         self.records().broken.get(endpoint).map_or(0, |broken| broken.runs)
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -229,6 +229,11 @@
         self.endpoints.get(id).is_none_or(|state| state.waiting.is_silent_since(at_ms))
     }
 
+    /// When `id` last answered a request of this gateway; 0 if it is not known or has answered none.
+    pub fn answered_at_ms(&self, id: &str) -> u64 {
+        self.endpoints.get(id).map_or(0, |state| state.waiting.answered_at_ms())
+    }
+
     /// Records a request that is sent to `id`; returns the number that identifies it.
     pub fn start(
         &mut self,
--- a/src/relay/held.rs
+++ b/src/relay/held.rs
@@ -7,7 +7,7 @@
 use tokio::time::timeout;
 use tracing::info;
 
-use super::crashes::LivenessCheck;
+use super::crashes::{BrokenRun, LivenessCheck};
 use super::exchange::Exchange;
 use super::known::IncarnationEnd;
 use super::refusal::NotSent;
@@ -62,19 +62,35 @@
 
     /// Records that `endpoint` was found to have ended without closing its connections.
     ///
-    /// The time of its end is unknown; only the time until the last received data counts as run
-    /// time.
+    /// The time of its end is unknown; only the time until the last received data counts as run time,
+    /// or until the endpoint's last answer to any request if the response has not started.
     pub(super) fn note_ended(&self, endpoint: &Arc<str>, end: IncarnationEnd) {
         let now_ms = self.relay.now_ms();
         info!(event = "run_ended", request = %self.meta.id, endpoint = %endpoint, key = %self.content_key(), parts = %listed(self.prompt_features()), end = ?end);
-        let Some(response_started_at_ms) = self.response_started_at_ms else { return };
+        let ran_ms = match self.response_started_at_ms {
+            Some(started_at_ms) => self.last_data_at_ms.saturating_sub(started_at_ms),
+            None => self.relay.fleet().answered_at_ms(endpoint).saturating_sub(self.sent_at_ms),
+        };
         let service = self.chosen.service.name.clone();
         // An unreachable endpoint is probed again and counts as ended only once it is replaced.
         let is_unreachable = end == IncarnationEnd::Unreachable;
         let known = self.relay.fleet().endpoint(endpoint).filter(|_| is_unreachable);
         let check =
             LivenessCheck { id: endpoint.clone(), service, endpoint: known, is_silent: false };
-        self.report_run(now_ms, check, self.last_data_at_ms.saturating_sub(response_started_at_ms));
+        self.report_run(now_ms, check, ran_ms);
+    }
+
+    /// Records that `endpoint` has answered nothing since it got the request: if another incarnation takes
+    /// its place soon, it has ended without closing its connections.
+    pub(super) fn note_unanswered(&self, endpoint: &Arc<str>) {
+        let now_ms = self.relay.now_ms();
+        let is_silent = self.relay.fleet().is_silent_since(self.sent_at_ms, endpoint);
+        if !is_silent || self.relay.fleet().is_out_of_reach(endpoint) {
+            return;
+        }
+        info!(event = "run_unanswered", request = %self.meta.id, endpoint = %endpoint, key = %self.content_key());
+        let run = self.broken_run(now_ms, 0);
+        self.relay.crashes.note_unanswered_run(now_ms, endpoint, run);
     }
 
     /// The standing of the request's content as this gateway knows it, and its age, for logs.
@@ -86,17 +102,9 @@
     }
 
     fn report_run(&self, now_ms: u64, check: LivenessCheck, ran_ms: u64) {
-        let ran_ms = u32::try_from(ran_ms).unwrap_or(u32::MAX);
-        let crashes = &self.relay.crashes;
-        let mut features = Vec::new();
-        for key in self.features() {
-            let is_content = key == self.content_key();
-            let weights = self.meta.weights.clone().filter(|_| is_content);
-            let served_ago_ms = crashes.served_ago_ms(now_ms, &key);
-            features.push(InterruptedFeature { key, weights, ran_ms, served_ago_ms });
-        }
+        let run = self.broken_run(now_ms, ran_ms);
         let endpoint = check.id.clone();
-        if !crashes.note_broken_run(now_ms, check, self.sent_at_ms, features) {
+        if !self.relay.crashes.note_broken_run(now_ms, check, run) {
             info!(event = "run_sent_after_end", request = %self.meta.id, endpoint = %endpoint);
             return;
         }
@@ -105,6 +113,20 @@
         }
     }
 
+    /// The request, which had run for `ran_ms` when it was broken off.
+    fn broken_run(&self, now_ms: u64, ran_ms: u64) -> BrokenRun {
+        let ran_ms = u32::try_from(ran_ms).unwrap_or(u32::MAX);
+        let mut features = Vec::new();
+        for key in self.features() {
+            let is_content = key == self.content_key();
+            let weights = self.meta.weights.clone().filter(|_| is_content);
+            let served_ago_ms = self.relay.crashes.served_ago_ms(now_ms, &key);
+            features.push(InterruptedFeature { key, weights, ran_ms, served_ago_ms });
+        }
+        let tried = self.trials.iter().map(Trial::key).collect();
+        BrokenRun { sent_at_ms: self.sent_at_ms, features, tried }
+    }
+
     /// Waits until the leader has evaluated the end of an endpoint that closed no connection.
     ///
     /// Without this wait a request that crashes its endpoints would reach the next one: all
--- a/src/relay/liveness.rs
+++ b/src/relay/liveness.rs
@@ -60,8 +60,10 @@
     };
     let broken = relay.crashes.count_broken(&id);
     info!(event = "endpoint_asked", endpoint = %id, liveness = ?liveness, broken);
-    let has_ended = matches!(liveness, Liveness::Refusing | Liveness::Ignoring)
+    let seems_ended = matches!(liveness, Liveness::Refusing | Liveness::Ignoring)
         && is_down(&relay, engines.as_ref(), &service, endpoint.as_ref()).await;
+    // The next incarnation answers at the same address.
+    let has_ended = seems_ended || relay.crashes.is_replaced(&id);
     let now_ms = relay.now_ms();
     if !has_ended {
         relay.crashes.note_alive(now_ms, &id);
--- a/src/relay/outcome.rs
+++ b/src/relay/outcome.rs
@@ -81,6 +81,7 @@
             }
             Attempt::Overdue => {
                 self.note_overdue();
+                self.note_unanswered(id);
                 self.note_failed(id, address);
                 self.handle_unknown_outcome("no answer before the deadline".to_owned())?;
             }
--- a/src/relay/trial.rs
+++ b/src/relay/trial.rs
@@ -22,6 +22,11 @@
         Self { relay, key, has_outcome: AtomicBool::new(false) }
     }
 
+    /// The feature that is tried.
+    pub(super) fn key(&self) -> FeatureKey {
+        self.key
+    }
+
     /// Records that the leader will learn the outcome: the request was served, or its response
     /// broke off.
     pub(super) fn mark_outcome_known(&self) {
--- a/src/relay/waiting.rs
+++ b/src/relay/waiting.rs
@@ -133,6 +133,11 @@
         self.answered_at_ms <= at_ms
     }
 
+    /// When the endpoint last answered; 0 if it has not.
+    pub fn answered_at_ms(&self) -> u64 {
+        self.answered_at_ms
+    }
+
     /// The number of this gateway's unanswered requests.
     pub fn len(&self) -> usize {
         self.own.len()
