--- a/src/policy/crashes/evidence.rs
+++ b/src/policy/crashes/evidence.rs
@@ -211,16 +211,16 @@
             // The likelihood ratio: a trial of the cause always crashes its endpoint.
             return 1.0 / p_value(ran_ms.max(TRIAL_RUN_MIN_MS), at_crash);
         }
-        // Requests that run again and again are at most crashes of a service that is hardly ever up, and were
-        // served in between.
+        // What is served now and then is interrupted by most crashes of a service that is seldom up, where few
+        // endpoints were really in use.
         let used = if self.is_recently_served(key, crash) { at_crash } else { within_period };
         CALIBRATOR_POWER * p_value(ran_ms.max(1), used).powf(CALIBRATOR_POWER - 1.0)
     }
 
     /// True if a feature that had not been served for long ran alone, as a trial of what it does.
     ///
-    /// Requests that all run again and again are interrupted together by each crash, also by those of a
-    /// trial; but they were served before.
+    /// Requests that are repeated all the time are interrupted together by each crash, whether one of them is
+    /// on trial or not; they have been served before.
     fn is_trial(&self, key: FeatureKey, crash: &Crash) -> bool {
         crash.is_trial_of(key) && !self.is_recently_served(key, crash)
     }
--- a/src/policy/crashes/mod.rs
+++ b/src/policy/crashes/mod.rs
@@ -23,7 +23,12 @@
 //!
 //! A content is *suspected* on weaker evidence than it is held on. Requests with a suspected content run
 //! one at a time: copies beside each other would all be sent before the outcome of the first is known.
-//! One that is served clears the content.
+//! One that is served clears the content. Such a run is a trial, sent on purpose: a crash of its endpoint
+//! counts as a likelihood ratio, `1 / p`, since a trial of the cause always crashes its endpoint.
+//!
+//! Rates are related to the endpoints in use, among them those that have crashed within the time over
+//! which the rate is measured. A run that broke off as soon as the crash was known may have been sent
+//! after it, and is weak evidence.
 //!
 //! The detection runs in the leader, on reports of gateways, each of which knows only its own
 //! requests.
