--- a/src/policy/crashes/mod.rs
+++ b/src/policy/crashes/mod.rs
@@ -226,7 +226,7 @@
         });
     }
 
-    /// Takes the evaluations since the last call, of which the first [`WEIGHED_MAX`] are kept.
+    /// Takes the evaluations since the last call, of which a bounded number is kept.
     pub fn take_weighed(&mut self) -> Vec<WeighedFeature> {
         std::mem::take(&mut self.weighed)
     }
