--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod region;
 pub mod resuming;
 pub mod room;
+mod size;
--- a/soak/src/region.rs
+++ b/soak/src/region.rs
@@ -2,7 +2,7 @@
 
 use std::fs::{self, File};
 use std::io;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
@@ -14,66 +14,25 @@
 use tempfile::TempDir;
 
 use crate::cut::{Cut, Cuts};
-use crate::endpoint::{self, Endpoint};
-use crate::engine::{self, Engine, LateEvents};
+use crate::endpoint::Endpoint;
+use crate::engine::{Engine, LateEvents};
 use crate::keyed;
 use crate::operator;
 use crate::overload;
 use crate::proxy::{Mode, Proxy};
 use crate::record::Record;
+use crate::size::API_PORT;
+pub use crate::size::{Port, Size, Slots};
 
 /// Replicas of control; two may be lost at once.
 pub const REPLICAS: u8 = 5;
-const SEEDS: u8 = 3;
 const PEER_PORT: u16 = 17_380;
-const API_PORT: u16 = 17_144;
 const CLIENT_PORT: u16 = 17_149;
 const READY_PORT: u16 = 17_141;
 const ADMIN_PORT: u16 = 17_464;
 const SERVE_PORT: u16 = 17_108;
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// How many processes a run has.
-#[derive(Debug, Clone, Copy)]
-pub struct Size {
-    /// Gateways.
-    pub gateways: u8,
-    /// Endpoints, which are part of this process.
-    pub endpoints: u8,
-    /// Engines, which are part of this process too.
-    pub engines: u8,
-    /// The second number of the loopback addresses.
-    pub block: u8,
-}
-
-/// What happens at the port of an endpoint that has ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Port {
-    /// A proxy before the endpoint accepts connections and resets them.
-    StaysOpen,
-    /// Connections are refused.
-    Closes,
-    /// Nothing is closed, and nothing answers.
-    IsSilent,
-}
-
-/// The slots of endpoints and of engines, and the ports of endpoints, where a run sets them.
-#[derive(Debug, Clone, Copy)]
-pub struct Slots {
-    /// The slots of each endpoint.
-    pub endpoint: u32,
-    /// The slots of each engine.
-    pub engine: u32,
-    /// What happens at the port of an endpoint that has ended.
-    pub port: Port,
-}
-
-impl Default for Slots {
-    fn default() -> Self {
-        Self { endpoint: endpoint::SLOTS, engine: engine::SLOTS, port: Port::StaysOpen }
-    }
-}
-
 /// A program that is run as a process, again after it was killed.
 pub struct Program {
     /// Its name in logs.
@@ -106,21 +65,6 @@
     exits: Vec<String>,
 }
 
-impl Size {
-    /// The address of one process; runs in different blocks can go on side by side.
-    fn at(self, group: u8, number: u8, port: u16) -> SocketAddr {
-        SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, self.block, group, number)), port)
-    }
-
-    fn seeds(self) -> String {
-        let mut addresses = Vec::new();
-        for number in 1..=SEEDS {
-            addresses.push(format!("\"{}\"", self.at(2, number, API_PORT)));
-        }
-        format!("[{}]", addresses.join(", "))
-    }
-}
-
 impl Region {
     /// Starts all processes and waits until a request could be served.
     ///
