policy: a trial sent to an endpoint that had already crashed is no evidence against its content

A suspected innocent content could be held by a crash of another request: its trial went to the port of an endpoint whose crash was known, and counted as an experiment. Cause: such a trial was ended, but its run was still marked as a trial of that crash, and weighed as a likelihood ratio. Change: the run is no trial of that crash.

--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -114,22 +114,22 @@
 mutate "an unknown service ends none that serves" src/control/registry.rs 's/if self\.is_configured\(&endpoint\.service\) \{/if true {/' --test registry
 mutate "anchors count as what they stand for" src/nesting.rs 's/self\.anchors\.get\(anchor\)\.copied\(\)\.unwrap_or\(0\)/0/' --test fuzz_documents deep_nesting
 crashes=src/policy/crashes
-mutate "a feature that was served begins anew" $crashes/records.rs 's/self\.by_feature\.remove\(&key\)\.unwrap_or_default\(\)/Vec::new()/' --test crashes
-mutate "a crash is explained by the feature that is held" $crashes/records.rs 's/        if is_held \{/        if false {/' --test crashes
-mutate "the longest run of a feature counts" $crashes/records.rs 's/ran_ms\.max\(known\.ran_ms\)/ran_ms.min(known.ran_ms)/' --test crashes
-mutate "a crash that is reported again counts once" $crashes/records.rs 's/if let Some\(known\) = crash\.features\.get_mut\(&key\) \{/if let (Some(known), false) = (crash.features.get_mut(&key), true) {/' --test crashes
+mutate "a feature that was served begins anew" $crashes/records.rs 's/self\.by_feature\.remove\(&key\)\.unwrap_or_default\(\)/Vec::new()/' --test crashes --test crash_cases
+mutate "a crash is explained by the feature that is held" $crashes/records.rs 's/        if is_held \{/        if false {/' --test crashes --test crash_cases
+mutate "the longest run of a feature counts" $crashes/records.rs 's/ran_ms\.max\(known\.ran_ms\)/ran_ms.min(known.ran_ms)/' --test crashes --test crash_cases
+mutate "a crash that is reported again counts once" $crashes/records.rs 's/if let Some\(known\) = crash\.features\.get_mut\(&key\) \{/if let (Some(known), false) = (crash.features.get_mut(&key), true) {/' --test crashes --test crash_cases
 mutate "of features always together a content is held first" $crashes/records.rs 's/\(Reverse\(crashes\), key\.prompt_part\(\)\.is_some\(\)\)/(Reverse(crashes), key.prompt_part().is_none())/' --test crash_features
 mutate "of features always together one is held" $crashes/mod.rs 's/self\.records\.explain\(key\);\n        \}\n        self\.verdicts/}\n        self.verdicts/' --test crash_features
 mutate "what is served is no cause beside what is not" $crashes/evidence.rs 's/None => !\(self\.is_recently_served\(key, crash\) && self\.has_other_candidate\(key, crash\)\),/None => true,/' --test crash_features
-mutate "the rate of crashes is weighed" $crashes/evidence.rs 's/highest \/ crash\.used as f64/0.000_01/' --test crashes
-mutate "one gateway at a time tries" $crashes/verdicts.rs 's/known\.since_ms \+ held_ms > now_ms \|\| self\.uncommitted\.contains_key\(&key\)/known.since_ms + held_ms > now_ms/' --test crashes
+mutate "the rate of crashes is weighed" $crashes/evidence.rs 's/highest \/ crash\.used as f64/0.000_01/' --test crashes --test crash_cases
+mutate "one gateway at a time tries" $crashes/verdicts.rs 's/known\.since_ms \+ held_ms > now_ms \|\| self\.uncommitted\.contains_key\(&key\)/known.since_ms + held_ms > now_ms/' --test crashes --test crash_cases
 mutate "a stall is no lost control" src/policy/running_time.rs 's/\.min\(self\.step_max_ms\)//' --test freshness
 mutate "old knowledge decides nothing" src/policy/freshness.rs 's/is_none_or\(\|age_ms\| age_ms < self\.max_age_ms\)/is_none_or(|_| true)/' -p winchvane-platform --test stalled_gateways
 mutate "a trial is used once" src/relay/standings.rs 's/ && self\.tried\.insert\(\*key\)//' --test standings
 mutate "time goes on while suspended" src/clock.rs 's/left_ms\.min\(POLL_INTERVAL_MS\)/left_ms/' --test clock
-mutate "crashes that others explain are no background" $crashes/evidence.rs 's/if !is_same_crash && self\.is_explained_without\(key, other\) \{/if false {/' --test crashes in_turn
-mutate "what was not served lately stands out" $crashes/evidence.rs 's/suspect = \(crashes > most_crashes\)\.then_some\(\*key\);/suspect = None;/' --test crashes in_turn
-mutate "gateways report what they served before a hold" $crashes/mod.rs 's/Some\(Assessment::Hold\) if self\.is_served_report_due\(now_ms, key\) => held\(0\),/Some(Assessment::Hold) if true => held(0),/' --test crashes gateways_can_report
+mutate "crashes that others explain are no background" $crashes/evidence.rs 's/if !is_same_crash && self\.is_explained_without\(key, other\) \{/if false {/' --test crashes --test crash_cases in_turn
+mutate "what was not served lately stands out" $crashes/evidence.rs 's/suspect = \(crashes > most_crashes\)\.then_some\(\*key\);/suspect = None;/' --test crashes --test crash_cases in_turn
+mutate "gateways report what they served before a hold" $crashes/mod.rs 's/Some\(Assessment::Hold\) if self\.is_served_report_due\(now_ms, key\) => held\(0\),/Some(Assessment::Hold) if true => held(0),/' --test crashes --test crash_cases gateways_can_report
 mutate "what has just failed is tried last" src/following.rs 's/failed_at\.is_none_or\(/true || failed_at.is_none_or(/' --test server_search
 pool=src/policy/quota/pool.rs
 mutate "what is out is bounded" $pool 's/let scale = [^;]*;/let scale = 1.0;/; s/\.min\(advance_max - self\.holders\.held\(\) as f64\)//' --test quota
--- a/src/policy/crashes/mod.rs
+++ b/src/policy/crashes/mod.rs
@@ -120,11 +120,12 @@
                 self.note_served(feature.key, at_ms.saturating_sub(ago_ms.into()));
             }
             let began_at_ms = seen_at_ms.saturating_sub(feature.ran_ms.into());
+            let mut known = self.verdicts.known_feature(feature.key);
             // A trial that was sent to an endpoint which had already crashed tells nothing.
             if self.verdicts.is_trial_between(feature.key, at_ms, began_at_ms) {
                 self.verdicts.end_trial(feature.key);
+                known.on_trial_since_ms = None;
             }
-            let known = self.verdicts.known_feature(feature.key);
             is_new |= self.records.add_feature(number, seen_at_ms, feature, known);
         }
         if is_new && self.records.mark_for_evaluation(number) {
