Review case: bytes without an id that a server sends late pass as the next answer

Looked for: surplus bytes in the place of the next answer, with and without a request id. Seen: an answer without an id is taken for the request's own: a 200 of nobody, and a 503 for an order that runs.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -12,6 +12,7 @@
 use crate::region::{Region, ZONES};
 
 mod checkin;
+mod extra;
 mod spot;
 
 /// Plays a case, with its files in `folder`; returns the exit code.
@@ -19,6 +20,7 @@
     let record = Record::default();
     let result = match name {
         "checkin" => checkin::run(root, folder, &record, trouble),
+        "extra" => extra::run(root, folder, &record, trouble),
         "spot" => spot::run(root, folder, &record, trouble),
         _ => Err(io::Error::other("there is no such case")),
     };
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -37,6 +37,7 @@
                 pause: Duration::from_millis(number("--pause-ms")),
                 work: Duration::from_millis(number("--work-ms")),
                 unframed: get("--unframed") == "yes",
+                extra_every: number("--extra-every"),
             });
         }
         Some("case") => {
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -34,14 +34,24 @@
     pub work: Duration,
     /// True if its answers have no length and end with their channel.
     pub unframed: bool,
+    /// After every so many answers it sends more on the same channel, late; 0 for never.
+    pub extra_every: u64,
 }
 
+/// What a faulty server sends by turns after a whole answer; it belongs to no request.
+const EXTRA: [&str; 2] = [
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+];
+
 struct Server {
     options: Options,
     leaving_until: Mutex<Option<Instant>>,
     is_leaving: AtomicBool,
     is_acknowledged: AtomicBool,
     running: AtomicU64,
+    answered: AtomicU64,
+    extras: AtomicU64,
     engine: Mutex<Engine>,
 }
 
@@ -61,6 +71,8 @@
         is_leaving: AtomicBool::new(false),
         is_acknowledged: AtomicBool::new(false),
         running: AtomicU64::new(0),
+        answered: AtomicU64::new(0),
+        extras: AtomicU64::new(0),
     });
     say(&format!("server {} starts at {}", server.options.id, server.options.address));
     let beating = server.clone();
@@ -156,10 +168,26 @@
         let _ = stream.set_nodelay(true);
         let Ok(reading) = stream.try_clone() else { return };
         let mut reader = BufReader::new(reading);
+        let mut is_extra_due = false;
         while let Ok(Some(mut request)) = read_head(&mut reader) {
             if read_request_body(&mut reader, &mut request).is_err() {
                 return;
             }
+            if std::mem::take(&mut is_extra_due) {
+                let next = request.header("request-id");
+                say(&format!(
+                    "server {} sends more, late, as request {next} comes",
+                    self.options.id
+                ));
+                let sent = self.extras.fetch_add(1, Ordering::SeqCst) as usize;
+                if (&stream).write_all(EXTRA[sent % EXTRA.len()].as_bytes()).is_err() {
+                    return;
+                }
+            }
+            let every = self.options.extra_every;
+            if every > 0 && !request.header("request-id").is_empty() {
+                is_extra_due = self.answered.fetch_add(1, Ordering::SeqCst) % every == every - 1;
+            }
             if !self.answer(&stream, &request) {
                 return;
             }
