Review cases: the gravest first; an order runs twice after bytes without an id

Looked for: what a refusal without an id does in the place of the next answer. Seen: the gateway sends the order to another server while the first one runs it.

--- a/review/standin-2/cases/extra.rs
+++ b/review/standin-2/cases/extra.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::thread::spawn;
 
-use super::{ServerArguments, ServerProcess, check_processes, pause_ms, send, zone};
+use super::{Sent, ServerArguments, ServerProcess, check_processes, pause_ms, send, zone};
 use crate::record::Record;
 use crate::region::Region;
 
@@ -13,8 +13,10 @@
 /// One in so many of its answers is followed by more: less than .02.
 const EXTRA_EVERY: u64 = 50;
 /// The requests that one requester sends, one after the other.
-const REQUESTS: usize = 250;
+const REQUESTS: usize = 320;
 const DEADLINE_MS: u64 = 1_500;
+/// The statuses that promise that a request has not run and never will.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
 const CONFIGURATION: &str = r#"{"version":3,
 "routes":[{"name":"scan-confirm","host":"pick.example","path_prefix":"/scan/","kind":"unsafe",
@@ -58,36 +60,17 @@
             sent
         }));
     }
+    let mut all_sent = Vec::new();
+    for requester in requesters {
+        all_sent.extend(requester.join().unwrap_or_default());
+    }
     let mut breaks = Vec::new();
     let mut served = 0;
-    for requester in requesters {
-        for sent in requester.join().unwrap_or_default() {
-            let Some(answer) = sent.answer else { continue };
-            let ran = format!("request {} runs at", sent.id);
-            let has_run = || record.lines().iter().any(|(_, line)| line.starts_with(&ran));
-            if [408, 421, 429, 503].contains(&answer.status()) && has_run() {
-                breaks.push(format!(
-                    "REFUSED: request {} got a {}, which promises that it has not run, and it has run",
-                    sent.id,
-                    answer.status()
-                ));
-            }
-            if !(200..300).contains(&answer.status()) {
-                continue;
-            }
-            let own = format!("done {}", sent.id);
-            if answer.text() == own && !answer.header("server-stamp").is_empty() {
-                served += 1;
-                continue;
-            }
-            breaks.push(format!(
-                "MIXED: request {} got a {} with Server-Stamp {:?} and body {:?}, where its server made {own:?}",
-                sent.id,
-                answer.status(),
-                answer.header("server-stamp"),
-                answer.text()
-            ));
-        }
+    let lines = record.lines();
+    for sent in all_sent {
+        let ran = format!("request {} runs at", sent.id);
+        let runs = lines.iter().filter(|(_, line)| line.starts_with(&ran)).count();
+        served += usize::from(check(&sent, runs, &mut breaks));
     }
     record.note(format!("{served} requests were served"));
     check_processes(&mut region)?;
@@ -96,3 +79,30 @@
     }
     Ok(breaks)
 }
+
+/// Checks a request that has run `runs` times; returns true if it got the answer that its server made.
+fn check(sent: &Sent, runs: usize, breaks: &mut Vec<String>) -> bool {
+    let id = &sent.id;
+    if runs > 1 {
+        breaks.push(format!("TWICE: request {id}, which may run once, has run {runs} times"));
+    }
+    let Some(answer) = &sent.answer else { return false };
+    let status = answer.status();
+    if PROMISES.contains(&status) && runs > 0 {
+        breaks.push(format!(
+            "REFUSED: request {id} got a {status}, which promises that it has not run, and it has run"
+        ));
+    }
+    if !(200..300).contains(&status) {
+        return false;
+    }
+    let (stamp, body, own) = (answer.header("server-stamp"), answer.text(), format!("done {id}"));
+    if body != own || stamp.is_empty() {
+        breaks.push(format!(
+            "MIXED: request {id} got a {status} with Server-Stamp {stamp:?} and body {body:?}, where its \
+             server made {own:?}"
+        ));
+        return false;
+    }
+    true
+}
--- a/review/standin-2/region.rs
+++ b/review/standin-2/region.rs
@@ -10,6 +10,11 @@
 
 use crate::net::call_control;
 
+/// The port of the programs' own figures, which the templates name.
+const ADMIN_PORT: u16 = 9464;
+const FIRST_NET: u32 = 32;
+const NETS: u32 = 190;
+
 pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
 /// One machine with one program.
@@ -49,7 +54,7 @@
         (replicas, gateways): (u8, u8),
         configuration: &str,
     ) -> io::Result<Self> {
-        let net = 32 + (std::process::id() % 190) as u8;
+        let net = free_net()?;
         let mut region = Self {
             control: Vec::new(),
             gateways: Vec::new(),
@@ -69,7 +74,7 @@
         for machine in region.control.iter_mut().chain(&mut region.gateways) {
             machine.start()?;
         }
-        let until = Instant::now() + Duration::from_secs(25);
+        let until = Instant::now() + Duration::from_secs(40);
         let answer =
             call_control(&region.control_api(), "PUT", "/winchvane/config", configuration, until);
         if answer.is_none_or(|answer| answer.status() != 200) {
@@ -222,6 +227,22 @@
     }
 }
 
+/// The second part of the addresses of this run, which no other run uses.
+fn free_net() -> io::Result<u8> {
+    let first = std::process::id() % NETS;
+    for number in 0..NETS {
+        let net = (FIRST_NET + (first + number) % NETS) as u8;
+        let mut addresses = (1..=8).flat_map(|four| [(2, four), (3, four)]);
+        let is_free = |(block, four)| {
+            TcpListener::bind((format!("127.{net}.{block}.{four}"), ADMIN_PORT)).is_ok()
+        };
+        if addresses.all(is_free) {
+            return Ok(net);
+        }
+    }
+    Err(io::Error::other("no addresses are free"))
+}
+
 /// Ports that are free on all addresses of this run.
 fn free_ports(net: u8) -> io::Result<Ports> {
     let mut found = Vec::new();
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -39,7 +39,8 @@
 }
 
 /// What a faulty server sends by turns after a whole answer; it belongs to no request.
-const EXTRA: [&str; 2] = [
+const EXTRA: [&str; 3] = [
+    "HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
     "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
 ];
