--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -11,7 +11,6 @@
 use crate::record::Record;
 use crate::region::{Region, ZONES};
 
-mod checkin;
 mod extra;
 mod spot;
 mod storm;
@@ -20,8 +19,8 @@
 pub fn run(name: &str, root: &Path, record_path: &Path, folder: &Path, trouble: bool) -> i32 {
     let record = Record::default();
     let result = match name {
-        "checkin" => checkin::run(root, folder, &record, trouble),
-        "extra" => extra::run(root, folder, &record, trouble),
+        "extra-refusal" => extra::run("refusal", root, folder, &record, trouble),
+        "extra-bare" => extra::run("bare", root, folder, &record, trouble),
         "storm" => storm::run(root, folder, &record, trouble),
         "spot" => spot::run(root, folder, &record, trouble),
         _ => Err(io::Error::other("there is no such case")),
--- a/review/standin-2/cases/extra.rs
+++ b/review/standin-2/cases/extra.rs
@@ -25,7 +25,14 @@
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
 "idle_timeout_ms":15000}}"#;
 
-pub fn run(root: &Path, folder: &Path, record: &Record, trouble: bool) -> io::Result<Vec<String>> {
+/// Plays the case; what the faulty server sends after an answer is named by `extra`.
+pub fn run(
+    extra: &str,
+    root: &Path,
+    folder: &Path,
+    record: &Record,
+    trouble: bool,
+) -> io::Result<Vec<String>> {
     let mut region = Region::start(root, folder, (5, 3), CONFIGURATION)?;
     let control = region.control_api();
     let every = EXTRA_EVERY.to_string();
@@ -34,7 +41,7 @@
         let mut more = vec![("--slots", "6"), ("--work-ms", "10")];
         if number == 1 && trouble {
             record.note(format!("DISRUPTION: i-1 sends more after one in {EXTRA_EVERY} answers"));
-            more.push(("--extra-every", &every));
+            more.extend([("--extra-every", every.as_str()), ("--extra", extra)]);
         }
         let arguments = ServerArguments {
             id: &format!("i-{number}"),
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -6,7 +6,6 @@
 mod cases;
 mod engine;
 mod net;
-mod proxy;
 mod record;
 mod region;
 mod server;
@@ -32,12 +31,12 @@
                 model: get("--model"),
                 adapter_slots: number("--adapter-slots") as usize,
                 slots: number("--slots") as u32,
-                via: number("--via") as u8,
                 events: number("--events"),
                 pause: Duration::from_millis(number("--pause-ms")),
                 work: Duration::from_millis(number("--work-ms")),
                 unframed: get("--unframed") == "yes",
                 extra_every: number("--extra-every"),
+                is_extra_bare: get("--extra") == "bare",
             });
         }
         Some("case") => {
--- a/review/standin-2/net.rs
+++ b/review/standin-2/net.rs
@@ -192,15 +192,13 @@
 /// second without an answer.
 pub struct ControlCaller {
     control: Vec<SocketAddr>,
-    via: u8,
     turn: usize,
     kept: Option<(SocketAddr, TcpStream)>,
 }
 
 impl ControlCaller {
-    /// Calls `control`, through proxies whose addresses have `via` as their third part unless it is 0.
-    pub fn new(control: Vec<SocketAddr>, via: u8) -> Self {
-        Self { control, via, turn: 0, kept: None }
+    pub fn new(control: Vec<SocketAddr>) -> Self {
+        Self { control, turn: 0, kept: None }
     }
 
     /// Calls one daemon, and those that it redirects to; `None` without a clear answer within a second.
@@ -235,7 +233,7 @@
     ) -> Option<Message> {
         let limit = Duration::from_secs(1);
         if self.kept.as_ref().is_none_or(|(known, _)| *known != address) {
-            let stream = TcpStream::connect_timeout(&through(address, self.via), limit).ok()?;
+            let stream = TcpStream::connect_timeout(&address, limit).ok()?;
             stream.set_nodelay(true).ok()?;
             self.kept = Some((address, stream));
         }
@@ -246,14 +244,3 @@
         read_answer(&mut BufReader::new(stream.try_clone().ok()?)).ok()?
     }
 }
-
-/// The address of the proxy before `address`.
-pub fn through(address: SocketAddr, via: u8) -> SocketAddr {
-    match address.ip() {
-        std::net::IpAddr::V4(ip) if via != 0 => {
-            let [one, two, _, four] = ip.octets();
-            SocketAddr::from(([one, two, via, four], address.port()))
-        }
-        _ => address,
-    }
-}
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -27,8 +27,6 @@
     /// The adapters that it can hold.
     pub adapter_slots: usize,
     pub slots: u32,
-    /// The third part of the addresses of proxies before control; 0 without proxies.
-    pub via: u8,
     pub events: u64,
     pub pause: Duration,
     pub work: Duration,
@@ -36,11 +34,14 @@
     pub unframed: bool,
     /// After every so many answers it sends more on the same channel, late; 0 for never.
     pub extra_every: u64,
+    pub is_extra_bare: bool,
 }
 
-/// What a faulty server sends by turns after a whole answer; it belongs to no request.
-const EXTRA: [&str; 3] = [
-    "HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+/// What a faulty server sends after a whole answer; it belongs to no request.
+const REFUSAL: &[&str] =
+    &["HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"];
+/// The same, by turns, with nothing in it but a status and a length.
+const BARE: &[&str] = &[
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
     "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
 ];
@@ -115,7 +116,7 @@
         let Options { id, service, zone, address, control, model, slots, .. } = &self.options;
         let mut told_leaving = false;
         let mut sequence = 0;
-        let mut caller = ControlCaller::new(control.clone(), self.options.via);
+        let mut caller = ControlCaller::new(control.clone());
         loop {
             sequence += 1;
             let is_leaving = self.is_leaving.load(Ordering::SeqCst);
@@ -181,7 +182,8 @@
                     self.options.id
                 ));
                 let sent = self.extras.fetch_add(1, Ordering::SeqCst) as usize;
-                if (&stream).write_all(EXTRA[sent % EXTRA.len()].as_bytes()).is_err() {
+                let extra = if self.options.is_extra_bare { BARE } else { REFUSAL };
+                if (&stream).write_all(extra[sent % extra.len()].as_bytes()).is_err() {
                     return;
                 }
             }
