--- a/review/standin-2/region.rs
+++ b/review/standin-2/region.rs
@@ -144,17 +144,6 @@
         self.control.iter().map(|machine| api(machine).parse().expect("an address")).collect()
     }
 
-    /// The processes of control, by name.
-    pub fn control_processes(&self) -> Vec<(String, u32)> {
-        let mut processes = Vec::new();
-        for machine in &self.control {
-            if let Some(child) = &machine.child {
-                processes.push((machine.name.clone(), child.id()));
-            }
-        }
-        processes
-    }
-
     pub fn front(&self, number: usize) -> SocketAddr {
         let machine = &self.gateways[number % self.gateways.len()];
         format!("{}:{}", machine.ip, self.ports.front).parse().expect("an address")
@@ -215,6 +204,10 @@
         Ok(())
     }
 
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     fn log(&self) -> PathBuf {
         self.folder.join("log")
     }
