--- a/src/control/raft/leading.rs
+++ b/src/control/raft/leading.rs
@@ -245,6 +245,7 @@
         round: u64,
     ) {
         let last = self.last_index();
+        let snapshot_index = self.snapshot_index();
         let Role::Leader(leading) = &mut self.role else { return };
         let Some(progress) = leading.progress.get_mut(&from) else { return };
         progress.acked_at_ms = now_ms;
@@ -252,7 +253,7 @@
         if matched {
             progress.match_index = progress.match_index.max(index);
             progress.next_index = progress.next_index.max(progress.match_index + 1);
-            if progress.match_index >= self.snapshot_index {
+            if progress.match_index >= snapshot_index {
                 progress.snapshot_sent_at_ms = None;
             }
             if progress.next_index <= last {
@@ -333,7 +334,7 @@
     }
 
     pub(super) fn send_append(&mut self, now_ms: u64, to: NodeId, round: u64) {
-        let snapshot_index = self.snapshot_index;
+        let snapshot_index = self.snapshot_index();
         let Role::Leader(leading) = &mut self.role else { return };
         let Some(progress) = leading.progress.get_mut(&to) else { return };
         if progress.next_index <= snapshot_index {
@@ -348,8 +349,7 @@
         let prev_index = progress.next_index - 1;
         let mut entries = Vec::new();
         let mut size_bytes = 0;
-        let skip = usize::try_from(prev_index - snapshot_index).unwrap_or(usize::MAX);
-        for entry in self.entries.iter().skip(skip).take(MAX_ENTRIES_PER_APPEND) {
+        for entry in self.log.after(prev_index).take(MAX_ENTRIES_PER_APPEND) {
             size_bytes += entry.payload.size_bytes();
             if size_bytes > MAX_BYTES_PER_APPEND && !entries.is_empty() {
                 break;
--- a/src/control/raft/mod.rs
+++ b/src/control/raft/mod.rs
@@ -7,14 +7,16 @@
 
 mod election;
 mod leading;
+mod log;
 mod types;
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
 use leading::{LeaderState, Progress};
+use log::Log;
 pub use types::{
     Entry, Envelope, HardState, Member, Members, Message, NodeId, Output, Payload, Recovered,
     Snapshot, Timing,
@@ -36,10 +38,8 @@
     rng: SmallRng,
     hard_state: HardState,
     hard_state_changed: bool,
-    snapshot_index: u64,
-    snapshot_term: u64,
+    log: Log,
     snapshot_members: Members,
-    entries: VecDeque<Entry>,
     /// Index of the last entry on disk.
     stable_index: u64,
     members: Members,
@@ -76,12 +76,10 @@
             rng: SmallRng::seed_from_u64(seed ^ id),
             hard_state: recovered.hard_state,
             hard_state_changed: false,
-            snapshot_index,
-            snapshot_term,
             members: snapshot_members.clone(),
             members_index: snapshot_index,
             snapshot_members,
-            entries: recovered.entries.into(),
+            log: Log::new(snapshot_index, snapshot_term, recovered.entries),
             stable_index,
             commit: snapshot_index,
             delivered_index: snapshot_index,
@@ -150,12 +148,12 @@
 
     /// The last index of the log.
     pub fn last_index(&self) -> u64 {
-        self.entries.back().map_or(self.snapshot_index, |entry| entry.index)
+        self.log.last_index()
     }
 
     /// The index that the snapshot covers.
     pub fn snapshot_index(&self) -> u64 {
-        self.snapshot_index
+        self.log.snapshot_index()
     }
 
     /// The latest members in the log, which apply before they are committed.
@@ -165,16 +163,12 @@
 
     /// The term of the entry at `index`, if it is in the log.
     pub fn term_at(&self, index: u64) -> Option<u64> {
-        if index == self.snapshot_index {
-            return Some(self.snapshot_term);
-        }
-        self.entry(index).map(|entry| entry.term)
+        self.log.term_at(index)
     }
 
     /// The entry at `index`, if the log still has it.
     pub fn entry(&self, index: u64) -> Option<&Entry> {
-        let position = index.checked_sub(self.snapshot_index + 1)?;
-        self.entries.get(usize::try_from(position).ok()?)
+        self.log.get(index)
     }
 
     /// Proposes `payload` and returns its index and term, or `None` if this replica does not lead
@@ -296,11 +290,12 @@
         round: u64,
     ) {
         let end = prev_index + entries.len() as u64;
-        if prev_index < self.snapshot_index {
+        let snapshot_index = self.snapshot_index();
+        if prev_index < snapshot_index {
             // The snapshot holds only committed entries, which never differ.
-            entries.retain(|entry| entry.index > self.snapshot_index);
-            prev_index = self.snapshot_index;
-            prev_term = self.snapshot_term;
+            entries.retain(|entry| entry.index > snapshot_index);
+            prev_index = snapshot_index;
+            prev_term = self.term_at(snapshot_index).unwrap_or(prev_term);
         }
         if self.term_at(prev_index) != Some(prev_term) {
             let index = self.conflict_hint(prev_index);
@@ -315,7 +310,7 @@
             }
             self.append_entry(entry);
         }
-        let index = end.max(self.snapshot_index);
+        let index = end.max(snapshot_index);
         self.commit = self.commit.max(commit.min(index));
         self.send_after_store(from, Message::AppendReply { matched: true, index, round });
     }
@@ -328,10 +323,10 @@
         }
         let conflicting = self.term_at(prev_index);
         let mut index = prev_index;
-        while index > self.snapshot_index + 1 && self.term_at(index - 1) == conflicting {
+        while index > self.snapshot_index() + 1 && self.term_at(index - 1) == conflicting {
             index -= 1;
         }
-        index.saturating_sub(1).max(self.snapshot_index)
+        index.saturating_sub(1).max(self.snapshot_index())
     }
 
     fn truncate_from(&mut self, index: u64) {
@@ -339,8 +334,7 @@
             index > self.commit,
             "log truncation from index {index} would remove committed entries"
         );
-        let keep = usize::try_from(index - self.snapshot_index - 1).unwrap_or(usize::MAX);
-        self.entries.truncate(keep);
+        self.log.truncate_from(index);
         self.output.append.retain(|entry| entry.index < index);
         if index <= self.stable_index {
             let earlier = self.output.truncate_from.unwrap_or(u64::MAX);
@@ -357,26 +351,25 @@
             self.set_members(members);
         }
         self.output.append.push(entry.clone());
-        self.entries.push_back(entry);
+        self.log.push(entry);
     }
 
     /// Sets the members from the log's latest membership entry, or from the snapshot.
     fn reload_members(&mut self) {
-        for entry in self.entries.iter().rev() {
+        for entry in self.log.iter().rev() {
             if let Payload::Members(members) = &entry.payload {
                 self.members_index = entry.index;
                 self.members = members.clone();
                 return;
             }
         }
-        self.members_index = self.snapshot_index;
+        self.members_index = self.snapshot_index();
         self.members = self.snapshot_members.clone();
     }
 
     fn set_members(&mut self, members: Members) {
         if let Role::Leader(leading) = &mut self.role {
-            let next_index =
-                self.entries.back().map_or(self.snapshot_index, |entry| entry.index) + 1;
+            let next_index = self.log.last_index() + 1;
             leading.progress.retain(|id, _| members.0.contains_key(id));
             for id in members.0.keys() {
                 if *id != self.id && !leading.progress.contains_key(id) {
@@ -393,12 +386,10 @@
             self.send_after_store(from, Message::AppendReply { matched: true, index, round: 0 });
             return;
         }
-        self.entries.clear();
         self.output.append.clear();
         self.output.truncate_from = None;
         self.output.committed.clear();
-        self.snapshot_index = snapshot.index;
-        self.snapshot_term = snapshot.term;
+        self.log.reset(snapshot.index, snapshot.term);
         self.snapshot_members = snapshot.members.clone();
         self.stable_index = snapshot.index;
         self.commit = snapshot.index;
@@ -417,21 +408,17 @@
     /// Drops the log up to `index`, which a stored snapshot covers.
     pub fn compact(&mut self, index: u64) {
         let Some(term) = self.term_at(index) else { return };
-        if index <= self.snapshot_index || index > self.delivered_index {
+        if index <= self.snapshot_index() || index > self.delivered_index {
             return;
         }
         self.snapshot_members = self.members_at(index);
-        while self.entries.front().is_some_and(|entry| entry.index <= index) {
-            self.entries.pop_front();
-        }
-        self.snapshot_index = index;
-        self.snapshot_term = term;
+        self.log.compact(index, term);
         self.reload_members();
     }
 
     /// The members as of `index`.
     pub fn members_at(&self, index: u64) -> Members {
-        for entry in self.entries.iter().rev() {
+        for entry in self.log.iter().rev() {
             if entry.index > index {
                 continue;
             }
@@ -444,7 +431,12 @@
 
     /// The entries that the log holds after the snapshot.
     pub fn entries(&self) -> impl Iterator<Item = &Entry> {
-        self.entries.iter()
+        self.log.iter()
+    }
+
+    /// The bytes of the entries that the log holds after the snapshot.
+    pub fn log_bytes(&self) -> u64 {
+        self.log.size_bytes()
     }
 
     /// The term and vote to be stored.
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -34,7 +34,7 @@
 use crate::control::session::{RecentChanges, Session, Summaries};
 use crate::control::state::{Command, Operation, State};
 use crate::message::{Change, ControlReply, GroupStatus, LoadReport, SessionDown};
-use crate::metrics::{Counter, Metrics};
+use crate::metrics::{Counter, Gauge, Metrics};
 use crate::policy::quota::QuotaBounds;
 
 /// Consecutive polls of the platform's list that must agree before most of the endpoints are
@@ -313,6 +313,12 @@
         }
     }
 
+    /// Publishes how much memory each part takes that grows with changes.
+    pub fn publish_held_bytes(&self) {
+        self.metrics.gauge(Gauge::HistoryBytesHeld, self.recent.size_bytes() as u64);
+        self.metrics.gauge(Gauge::LogBytesHeld, self.raft.log_bytes());
+    }
+
     /// The status of the group as this replica knows it.
     pub fn status(&self) -> GroupStatus {
         let mut members = Vec::new();
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -247,6 +247,7 @@
             }
             ReplicaMessage::Tick => {
                 self.metrics.gauge(Gauge::MessagesWaiting, self.inbox.len() as u64);
+                self.replica.publish_held_bytes();
                 self.replica.tick(now_ms, wall_ms());
             }
             ReplicaMessage::Peer(message) => {
@@ -346,6 +347,7 @@
             }
         }
         self.metrics.count(Counter::SnapshotsWritten);
+        self.metrics.gauge(Gauge::SnapshotBytes, snapshot.data.len() as u64);
         let (snapshot, entries) = (Arc::new(snapshot), Arc::new(entries));
         self.retry_while_full(move |storage| storage.save_snapshot(&snapshot, hard_state, &entries))
             .await
--- a/src/control/session.rs
+++ b/src/control/session.rs
@@ -29,6 +29,7 @@
 pub struct RecentChanges {
     floor: u64,
     change_count: usize,
+    size_bytes: usize,
     entries: VecDeque<(u64, Arc<[Change]>)>,
 }
 
@@ -41,14 +42,21 @@
     /// Adds the changes of the entry at `index`.
     pub fn push(&mut self, index: u64, changes: Arc<[Change]>) {
         self.change_count += changes.len();
+        self.size_bytes += size_bytes(&changes);
         self.entries.push_back((index, changes));
         while self.change_count > MAX_KEPT_CHANGES {
             let Some((index, changes)) = self.entries.pop_front() else { return };
             self.change_count -= changes.len();
+            self.size_bytes -= size_bytes(&changes);
             self.floor = index;
         }
     }
 
+    /// An estimate of the memory that the kept changes take.
+    pub fn size_bytes(&self) -> usize {
+        self.size_bytes
+    }
+
     /// The changes after `index`, or `None` if some of them are no longer kept.
     pub fn since(&self, index: u64) -> Option<Vec<Change>> {
         if index < self.floor {
@@ -64,6 +72,10 @@
     }
 }
 
+fn size_bytes(changes: &[Change]) -> usize {
+    changes.iter().map(Change::size_bytes).sum()
+}
+
 /// A session with a gateway or a distributor.
 #[derive(Debug)]
 pub struct Session {
--- a/src/message/mod.rs
+++ b/src/message/mod.rs
@@ -12,6 +12,7 @@
 mod order;
 mod registration;
 mod session;
+mod size;
 mod slots;
 mod stream_origin;
 mod workspace_use;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -207,6 +207,12 @@
     RequestsWaiting => "requests.waiting",
     /// Messages that wait at this replica of control.
     MessagesWaiting => "replica.messages_waiting",
+    /// Memory of changes that are kept for followers a little behind, in bytes.
+    HistoryBytesHeld => "control.history_held_bytes",
+    /// Memory of log entries since the last snapshot, in bytes.
+    LogBytesHeld => "control.log_held_bytes",
+    /// Size of the last snapshot of the state, in bytes.
+    SnapshotBytes => "control.snapshot_bytes",
     /// Open connections that others have opened to this process.
     ConnectionsOpen => "connections.open",
     /// Memory of the heads and bodies of requests, in bytes.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -4,6 +4,7 @@
 //! or equal one changes nothing. Each service is a set of endpoints that register themselves; the
 //! configuration of an engine service contains the capacity of its endpoints.
 
+mod size;
 mod table;
 mod workspace;
 
@@ -15,6 +16,8 @@
 pub use table::{KeyRefusal, RouteMatch, RouteTable};
 pub use workspace::{ApiKey, Credential, Quota, QuotaUnit, Workspace};
 
+pub(crate) use size::string_bytes;
+
 use crate::message::WeightsName;
 
 /// The maximum time in a route, 34 years: sums with the current time and products with percentages
