--- a/soak/src/memory.rs
+++ b/soak/src/memory.rs
@@ -15,7 +15,8 @@
     let mut breaches = Vec::new();
     for program in programs {
         let max_kb = if program.is_control { CONTROL_MAX_KB } else { GATEWAY_MAX_KB };
-        let Some(peak_kb) = peak_kb(program.process.load(Ordering::SeqCst)) else { continue };
+        let process = program.process.load(Ordering::SeqCst);
+        let Some(peak_kb) = status_kb(process, "VmHWM:") else { continue };
         if peak_kb > max_kb {
             breaches.push(format!("{} took {peak_kb} of {max_kb} kB of memory", program.name));
         }
@@ -23,9 +24,9 @@
     breaches
 }
 
-/// The peak of a process's memory; `None` if it does not run.
-fn peak_kb(process: u32) -> Option<u64> {
+/// A line of a process's status that tells an amount of memory; `None` if it does not run.
+pub(crate) fn status_kb(process: u32, field: &str) -> Option<u64> {
     let status = fs::read_to_string(format!("/proc/{process}/status")).ok()?;
-    let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
+    let line = status.lines().find(|line| line.starts_with(field))?;
     line.split_whitespace().nth(1)?.parse().ok()
 }
--- a/soak/src/region.rs
+++ b/soak/src/region.rs
@@ -17,6 +17,7 @@
 use crate::endpoint::Endpoint;
 use crate::engine::{Engine, LateEvents};
 use crate::keyed;
+use crate::memory;
 use crate::operator;
 use crate::overload;
 use crate::proxy::{Mode, Proxy};
@@ -429,6 +430,21 @@
         let _ = child.wait();
     }
 
+    /// The resident memory of the process, and its peak since it was started; `None` if it does not run.
+    pub fn memory_kb(&self) -> Option<(u64, u64)> {
+        let process = self.process.load(Ordering::SeqCst);
+        Some((memory::status_kb(process, "VmRSS:")?, memory::status_kb(process, "VmHWM:")?))
+    }
+
+    /// The bytes of what a replica has stored.
+    pub fn stored_bytes(&self) -> u64 {
+        let Some(files) = self.data.as_ref().and_then(|data| fs::read_dir(data).ok()) else {
+            return 0;
+        };
+        // A file may be renamed or removed meanwhile.
+        files.flatten().filter_map(|file| file.metadata().ok()).map(|file| file.len()).sum()
+    }
+
     /// Removes what a killed replica has stored.
     pub fn wipe(&mut self) {
         let Some(data) = &self.data else { return };
--- a/soak/tests/common/mod.rs
+++ b/soak/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod large;
 pub mod scenario;
 
 use std::path::PathBuf;
--- a/src/control/boot.rs
+++ b/src/control/boot.rs
@@ -97,6 +97,7 @@
         zone: settings.common.zone.clone(),
         lease_ms: settings.lease_ms,
         snapshot_entries: settings.snapshot_entries,
+        limits: settings.control_limits(),
         ledger: settings.ledger,
         store: settings.store,
         placement: settings.placement,
--- a/src/control/distribution/from_leader.rs
+++ b/src/control/distribution/from_leader.rs
@@ -7,6 +7,8 @@
 
 use super::Distributor;
 use super::renewals::AwaitedReply;
+use crate::control::outbox::Outgoing;
+use crate::control::session::change_messages;
 use crate::message::{Change, CreditGrant, EngineOrder, Forwarded, Placed, SessionDown, SessionUp};
 use crate::policy::quota::HolderGrant;
 
@@ -27,7 +29,7 @@
             SessionDown::Group(group) => {
                 self.view.group = group;
                 let group = self.local_group();
-                self.broadcast(|| SessionDown::Group(group.clone()));
+                self.broadcast(SessionDown::Group(group));
             }
             SessionDown::RenewedFor { number } => self.confirm_renewal(number),
             SessionDown::Order(order) => self.forward_order(order),
@@ -52,9 +54,10 @@
     }
 
     fn confirm_renewal(&mut self, number: u64) {
+        let mut welcomed = Vec::new();
         for reply in self.renewals.take_confirmed(number) {
             match reply {
-                AwaitedReply::Welcome { session } => self.welcome(session),
+                AwaitedReply::Welcome { session } => welcomed.push(session),
                 AwaitedReply::Renewal { session, sent_at_ms } => {
                     let Some(session) = self.sessions.get(&session) else { continue };
                     let (summaries, load_reports) = (Vec::new(), Vec::new());
@@ -68,21 +71,23 @@
                 }
             }
         }
+        if !welcomed.is_empty() {
+            self.welcome(&welcomed);
+        }
     }
 
-    fn welcome(&mut self, id: u64) {
-        let changes = self.view.all_changes();
+    /// Sends the whole state to new sessions, which share the messages.
+    fn welcome(&mut self, ids: &[u64]) {
+        let mut messages = change_messages(0, true, &self.view.all_changes());
         let placed = self.view.all_placed();
-        let group = self.local_group();
-        let Some(session) = self.sessions.get_mut(&id) else { return };
-        session.epoch = Some(0);
-        self.counts.mark_all_changed();
-        let keeps_up = session.send(SessionDown::Welcome { epoch: 0 })
-            && session.send_changes(0, true, &changes)
-            && session.send(SessionDown::Placed { reset: true, placed })
-            && session.send(SessionDown::Group(group));
-        if !keeps_up {
-            self.sessions.remove(&id);
+        messages.push(Outgoing::new(SessionDown::Placed { reset: true, placed }));
+        messages.push(Outgoing::new(SessionDown::Group(self.local_group())));
+        for id in ids {
+            let Some(session) = self.sessions.get_mut(id) else { continue };
+            self.counts.mark_all_changed();
+            if !session.welcome(0, &messages) {
+                self.sessions.remove(id);
+            }
         }
     }
 
@@ -93,31 +98,24 @@
         }
         self.view.apply_changes(&changes);
         let reset = false;
-        self.broadcast(|| SessionDown::Changes {
-            index,
-            reset,
-            complete,
-            changes: changes.clone(),
-        });
+        self.broadcast(SessionDown::Changes { index, reset, complete, changes });
     }
 
     fn place(&mut self, placed: Vec<Placed>) {
         let Some(mut incoming) = self.incoming.take() else {
             self.view.place(&placed);
-            self.broadcast(|| SessionDown::Placed { reset: false, placed: placed.clone() });
+            self.broadcast(SessionDown::Placed { reset: false, placed });
             return;
         };
         // Placements complete a new leader's initial state. Gateways that know the previous
         // leader's state get only the differences.
         incoming.place(&placed);
-        let changes = self.view.changes_to(&incoming);
+        let mut messages = change_messages(0, false, &self.view.changes_to(&incoming));
         let placed = self.view.placed_to(&incoming);
+        messages.push(Outgoing::new(SessionDown::Placed { reset: false, placed }));
         self.view = incoming;
-        self.sessions.retain(|_, session| {
-            session.epoch.is_none()
-                || session.send_changes(0, false, &changes)
-                    && session.send(SessionDown::Placed { reset: false, placed: placed.clone() })
-        });
+        self.sessions
+            .retain(|_, session| session.epoch.is_none() || session.send_initial(&messages));
     }
 
     fn forward_order(&mut self, order: EngineOrder) {
--- a/src/control/distribution/link.rs
+++ b/src/control/distribution/link.rs
@@ -10,6 +10,7 @@
 
 use super::Distributor;
 use crate::clock::Clock;
+use crate::control::outbox::OutboxSender;
 use crate::error::{Error, Result};
 use crate::following::send;
 use crate::message::{Heartbeat, SessionDown, SessionHello, SessionRole, SessionUp};
@@ -34,7 +35,7 @@
 /// A message to the distributor's event loop.
 #[derive(Debug)]
 enum Message {
-    Open(u64, SessionHello, mpsc::Sender<SessionDown>),
+    Open(u64, SessionHello, OutboxSender),
     Up(u64, SessionUp),
     Close(u64),
     Linked(mpsc::Sender<SessionUp>),
@@ -59,7 +60,7 @@
 
 impl DistributorHandle {
     /// Opens a gateway's session; false when the process is shutting down.
-    pub fn open(&self, id: u64, hello: SessionHello, down: mpsc::Sender<SessionDown>) -> bool {
+    pub fn open(&self, id: u64, hello: SessionHello, down: OutboxSender) -> bool {
         self.0.send(Message::Open(id, hello, down)).is_ok()
     }
 
--- a/src/control/distribution/mod.rs
+++ b/src/control/distribution/mod.rs
@@ -24,6 +24,7 @@
 pub use link::{DistributorHandle, HeartbeatResult, hello, spawn};
 
 use crate::control::counts::Counts;
+use crate::control::outbox::{OutboxSender, Outgoing};
 use crate::control::session::Session;
 use crate::control::workspace_use::WorkspaceUses;
 use crate::message::{
@@ -98,7 +99,7 @@
         now_ms: u64,
         id: u64,
         hello: SessionHello,
-        down: mpsc::Sender<SessionDown>,
+        down: OutboxSender,
         leader: Option<SocketAddr>,
     ) {
         let session = Session::new(now_ms, hello, down);
@@ -194,7 +195,7 @@
         self.workspace_uses.linked(now_ms);
         self.ask_for_credit(now_ms);
         // The new leader has no record of the weights in use, so gateways report them again.
-        self.broadcast(|| SessionDown::Welcome { epoch: 0 });
+        self.broadcast(SessionDown::Welcome { epoch: 0 });
     }
 
     /// Handles the end of the link.
@@ -256,13 +257,14 @@
         Group { counts_every_ms: period_ms as u32, ..self.view.group.clone() }
     }
 
-    fn broadcast(&mut self, message: impl Fn() -> SessionDown) {
+    fn broadcast(&mut self, message: SessionDown) {
+        let message = Outgoing::new(message);
         self.sessions.retain(|_, session| {
-            let keeps_up = session.epoch.is_none() || session.send(message());
-            if !keeps_up {
-                warn!(event = "session_dropped", gateway = %session.hello.name);
+            let sent = session.follow(std::slice::from_ref(&message));
+            if let Err(reason) = &sent {
+                warn!(event = "session_dropped", gateway = %session.hello.name, ?reason);
             }
-            keeps_up
+            sent.is_ok()
         });
     }
 
--- a/src/control/process.rs
+++ b/src/control/process.rs
@@ -61,7 +61,7 @@
         .map_err(|error| Error::io("watch signals", "process", error))?;
     let clock = Clock::new();
     let stage = Arc::new(RwLock::new(Stage::Empty));
-    let handler = Arc::new(ControlHandler::new(stage.clone()));
+    let handler = Arc::new(ControlHandler::new(stage.clone(), settings.control_limits()));
     tokio::spawn(wire::serve(peers, handler, resources.clone()));
     tokio::spawn(run_metrics_upkeep(metrics.clone()));
     let (stop, stopped) = watch::channel(false);
--- a/src/control/replica/applying.rs
+++ b/src/control/replica/applying.rs
@@ -2,8 +2,8 @@
 
 use super::reads::Read;
 use super::{Replica, Waiter};
+use crate::control::history::{LatestChanges, RecentChanges};
 use crate::control::raft::{Entry, Output, Payload, Snapshot};
-use crate::control::session::RecentChanges;
 use crate::control::state::{Command, Outcome, State};
 use crate::error::Result;
 use crate::message::{Change, ControlReply};
@@ -76,17 +76,17 @@
             }
         }
         self.apply_changes(&changes);
-        self.unpublished.extend(changes.iter().cloned());
-        self.recent.push(index, changes.into());
+        for change in &changes {
+            self.unpublished.push(index, change.clone());
+        }
+        self.recent.push(index, changes);
+        self.whole_state.clear();
     }
 
     fn resolve_waiter(&mut self, index: u64, waiter: Waiter, outcome: Outcome) {
         match (waiter, outcome) {
             (Waiter::Register { session }, Outcome::Registered(epoch)) => {
-                let Some(found) = self.sessions.get_mut(&session) else { return };
-                if !found.welcome(epoch, index, &self.recent, &self.state) {
-                    self.sessions.remove(&session);
-                }
+                self.welcome(session, epoch, index);
             }
             (Waiter::Call(reply), outcome) => {
                 let answer = match outcome {
@@ -135,7 +135,9 @@
     pub fn install(&mut self, snapshot: &Snapshot) -> Result<()> {
         self.state = State::decode(&snapshot.data)?;
         self.applied = snapshot.index;
-        self.recent = RecentChanges::new(snapshot.index);
+        self.recent = RecentChanges::new(snapshot.index, self.settings.limits.history_max_bytes);
+        self.unpublished = LatestChanges::new();
+        self.whole_state.clear();
         Ok(())
     }
 
--- a/src/control/replica/followers.rs
+++ b/src/control/replica/followers.rs
@@ -8,6 +8,7 @@
 
 use super::sessions::Renewal;
 use super::{Replica, Waiter};
+use crate::control::outbox::Outgoing;
 use crate::control::placement::UsageSource;
 use crate::control::session::Session;
 use crate::message::{
@@ -78,17 +79,21 @@
 
     /// Sends a new follower the committed state, the placements and the group.
     pub(super) fn welcome_follower(&mut self, id: u64) {
-        let index = self.applied;
-        let Some(session) = self.sessions.get_mut(&id) else { return };
         let placed = self.registered.placement.all_placed();
         // Sends the group as the others last received it. Had the leader recomputed it for each of
         // many sessions opened at once, it would not know in the meantime which gateways belong to
         // a distributor.
         let group = self.registered.group_sent.clone();
-        let keeps_up = session.welcome(0, index, &self.recent, &self.state)
-            && session.send(SessionDown::Placed { reset: true, placed })
-            && (group == Group::default() || session.send(SessionDown::Group(group)));
-        if !keeps_up {
+        if !self.welcome(id, 0, self.applied) {
+            return;
+        }
+        let mut messages = vec![Outgoing::new(SessionDown::Placed { reset: true, placed })];
+        if group != Group::default() {
+            messages.push(Outgoing::new(SessionDown::Group(group)));
+        }
+        if let Some(session) = self.sessions.get(&id)
+            && !session.send_initial(&messages)
+        {
             self.sessions.remove(&id);
         }
         self.registered.counts.mark_all_changed();
@@ -245,7 +250,7 @@
     fn send_placed(&mut self) {
         let placed = self.registered.placement.take_placed();
         if !placed.is_empty() {
-            self.send_to_followers(|| SessionDown::Placed { reset: false, placed: placed.clone() });
+            self.send_to_followers(SessionDown::Placed { reset: false, placed });
         }
     }
 
@@ -270,7 +275,7 @@
             return;
         }
         self.registered.group_sent = group.clone();
-        self.send_to_followers(|| SessionDown::Group(group.clone()));
+        self.send_to_followers(SessionDown::Group(group));
     }
 
     fn send_loads(&mut self, now_ms: u64) {
@@ -284,16 +289,17 @@
         }
     }
 
-    fn send_to_followers(&mut self, message: impl Fn() -> SessionDown) {
+    fn send_to_followers(&mut self, message: SessionDown) {
+        let message = Outgoing::new(message);
         self.sessions.retain(|_, session| {
             if session.hello.role == SessionRole::Owner || session.epoch.is_none() {
                 return true;
             }
-            let keeps_up = session.send(message());
-            if !keeps_up {
-                warn!(event = "session_dropped", gateway = %session.hello.name);
+            let sent = session.send_shared(&message);
+            if let Err(reason) = &sent {
+                warn!(event = "session_dropped", gateway = %session.hello.name, ?reason);
             }
-            keeps_up
+            sent.is_ok()
         });
     }
 }
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -17,13 +17,16 @@
 mod terms;
 
 use std::collections::{BTreeMap, HashMap};
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 
 use ractor::RpcReplyPort;
 use serde_json::json;
 use tracing::{info, warn};
 
 use crate::control::fleet::ListedEndpoint;
+use crate::control::history::{LatestChanges, RecentChanges};
+use crate::control::limits::ControlLimits;
+use crate::control::outbox::{self, Outgoing};
 use crate::control::permit::{Permits, StoreBudget};
 use crate::control::placement::{Placement, PlacementSettings};
 use crate::control::raft::{Payload, Raft};
@@ -31,9 +34,9 @@
 use crate::control::replica::registration::Registered;
 use crate::control::replica::sessions::Renewal;
 use crate::control::replica::terms::Terms;
-use crate::control::session::{RecentChanges, Session, Summaries};
+use crate::control::session::{Session, Summaries};
 use crate::control::state::{Command, Operation, State};
-use crate::message::{Change, ControlReply, GroupStatus, LoadReport, SessionDown};
+use crate::message::{ControlReply, GroupStatus, LoadReport, SessionDown};
 use crate::metrics::{Counter, Gauge, Metrics};
 use crate::policy::quota::QuotaBounds;
 
@@ -53,6 +56,8 @@
     pub lease_ms: u64,
     /// Applied entries after which a snapshot is due.
     pub snapshot_entries: u64,
+    /// Bounds of what grows with changes.
+    pub limits: ControlLimits,
     /// Bounds of the run ledger.
     pub ledger: crate::control::ledger::LedgerLimits,
     /// Load limits of the weight store.
@@ -93,7 +98,9 @@
     sessions: BTreeMap<u64, Session>,
     recent: RecentChanges,
     /// Changes not sent to sessions yet.
-    unpublished: Vec<Change>,
+    unpublished: LatestChanges,
+    /// The messages with the whole state, as long as some session has not sent them all.
+    whole_state: Vec<Weak<Outgoing>>,
     summaries: Summaries,
     permits: Permits,
     permit_waiters: HashMap<u64, RpcReplyPort<ControlReply>>,
@@ -114,6 +121,7 @@
         let permits = Permits::new(settings.store, 0);
         let registered = Registered::new(placement, settings.quota);
         let applied = raft.snapshot_index();
+        let recent = RecentChanges::new(applied, settings.limits.history_max_bytes);
         Self {
             raft,
             state,
@@ -128,8 +136,9 @@
             reads: HashMap::new(),
             next_token: 0,
             sessions: BTreeMap::new(),
-            recent: RecentChanges::new(applied),
-            unpublished: Vec::new(),
+            recent,
+            unpublished: LatestChanges::new(),
+            whole_state: Vec::new(),
             summaries: Summaries::new(),
             permits,
             permit_waiters: HashMap::new(),
@@ -317,6 +326,7 @@
     pub fn publish_held_bytes(&self) {
         self.metrics.gauge(Gauge::HistoryBytesHeld, self.recent.size_bytes() as u64);
         self.metrics.gauge(Gauge::LogBytesHeld, self.raft.log_bytes());
+        self.metrics.gauge(Gauge::SessionBytesWaiting, outbox::waiting_bytes());
     }
 
     /// The status of the group as this replica knows it.
--- a/src/control/replica/sessions.rs
+++ b/src/control/replica/sessions.rs
@@ -1,14 +1,14 @@
 //! The leader's sessions: opening, messages, lease renewals and the publication of changes.
 
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 
-use tokio::sync::mpsc;
 use tracing::{debug, info, warn};
 
 use super::reads::Read;
 use super::{Replica, Waiter};
 use crate::control::fleet::Registration;
-use crate::control::session::Session;
+use crate::control::outbox::{OutboxSender, Outgoing};
+use crate::control::session::{Session, change_messages, new_change_messages};
 use crate::control::state::Operation;
 use crate::message::{SessionDown, SessionHello, SessionRole, SessionUp};
 
@@ -52,7 +52,7 @@
         wall_ms: u64,
         session: u64,
         hello: SessionHello,
-        down: mpsc::Sender<SessionDown>,
+        down: OutboxSender,
     ) {
         let opened = Session::new(now_ms, hello, down);
         if !self.leading {
@@ -146,19 +146,46 @@
         }
     }
 
+    /// Registers a session under `epoch` and sends it what it misses up to `index`, or the whole state.
+    pub(super) fn welcome(&mut self, id: u64, epoch: u64, index: u64) -> bool {
+        let Some(session) = self.sessions.get(&id) else { return false };
+        let applied_index = session.hello.applied_index;
+        let missed = if applied_index > 0 { self.recent.since(applied_index) } else { None };
+        let messages = match missed {
+            Some(changes) => change_messages(index, false, &changes),
+            None => self.whole_state_messages(index),
+        };
+        let Some(session) = self.sessions.get_mut(&id) else { return false };
+        let keeps_up = session.welcome(epoch, &messages);
+        if !keeps_up {
+            self.sessions.remove(&id);
+        }
+        keeps_up
+    }
+
+    /// The messages with the whole state; sessions that open at once share them.
+    fn whole_state_messages(&mut self, index: u64) -> Vec<Arc<Outgoing>> {
+        let known: Option<Vec<_>> = self.whole_state.iter().map(Weak::upgrade).collect();
+        if let Some(messages) = known.filter(|messages| !messages.is_empty()) {
+            return messages;
+        }
+        let messages = change_messages(index, true, &self.state.all_changes());
+        self.whole_state = messages.iter().map(Arc::downgrade).collect();
+        messages
+    }
+
     /// Sends all sessions the changes since the last call.
     pub(super) fn publish(&mut self) {
-        let changes = std::mem::take(&mut self.unpublished);
-        if changes.is_empty() {
+        if self.unpublished.is_empty() {
             return;
         }
-        let index = self.applied;
+        let messages = new_change_messages(self.applied, self.unpublished.take());
         self.sessions.retain(|_, session| {
-            let keeps_up = session.follow(index, &changes);
-            if !keeps_up {
-                warn!(event = "session_dropped", gateway = %session.hello.name);
+            let followed = session.follow(&messages);
+            if let Err(reason) = &followed {
+                warn!(event = "session_dropped", gateway = %session.hello.name, ?reason);
             }
-            keeps_up
+            followed.is_ok()
         });
     }
 
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -8,13 +8,14 @@
 
 use ractor::concurrency::oneshot;
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, timeout};
 use tracing::{error, info, warn};
 
 use crate::clock::{Clock, wall_ms};
 use crate::control::fleet::ListedEndpoint;
 use crate::control::inbox::{Inbox, Unflushed, Work};
+use crate::control::outbox::OutboxSender;
 use crate::control::raft::{Envelope, NodeId, Output, Snapshot};
 use crate::control::replica::Replica;
 use crate::control::replica_links::ReplicaLinks;
@@ -22,7 +23,7 @@
 use crate::error::{Error, Result};
 use crate::logging;
 use crate::message::{
-    ControlReply, ControlRequest, LoadReport, PeerMessage, SessionDown, SessionHello, SessionUp,
+    ControlReply, ControlRequest, LoadReport, PeerMessage, SessionHello, SessionUp,
 };
 use crate::metrics::{Counter, Gauge, Metrics, Timer};
 use crate::process::EXIT_STORAGE;
@@ -43,7 +44,7 @@
     /// A single call.
     Call(ControlRequest, RpcReplyPort<ControlReply>),
     /// A gateway opens a session.
-    Open(u64, SessionHello, mpsc::Sender<SessionDown>),
+    Open(u64, SessionHello, OutboxSender),
     /// A message of a session.
     Up(u64, SessionUp),
     /// A session's stream has ended.
--- a/src/control/serving.rs
+++ b/src/control/serving.rs
@@ -7,10 +7,13 @@
 
 use ractor::RpcReplyPort;
 use ractor::concurrency::oneshot;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use tokio::time::timeout;
+use tracing::debug;
 
 use crate::control::distribution::DistributorHandle;
+use crate::control::limits::ControlLimits;
+use crate::control::outbox::{OutboxReceiver, OutboxSender, outbox};
 use crate::control::server::{ReplicaHandle, ReplicaMessage};
 use crate::error::{Error, Result};
 use crate::message::{
@@ -18,9 +21,8 @@
     SessionUp,
 };
 use crate::traffic;
-use crate::wire::{BoxFuture, Channel, Handler, Incoming, Receiver};
+use crate::wire::{BoxFuture, Channel, Handler, Incoming, Receiver, Sender};
 
-const SESSION_QUEUE_SIZE: usize = 512;
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Why a replica that has only just started refuses a stream.
 const NOT_STARTED: &str = "the replica has not started yet";
@@ -97,7 +99,7 @@
 
 impl SessionHost {
     /// Opens a session; returns false if the process is stopping.
-    fn open(&self, id: u64, hello: SessionHello, down: mpsc::Sender<SessionDown>) -> bool {
+    fn open(&self, id: u64, hello: SessionHello, down: OutboxSender) -> bool {
         match self {
             Self::Replica(actor) => actor.cast(ReplicaMessage::Open(id, hello, down)).is_ok(),
             Self::Distributor(distributor) => distributor.open(id, hello, down),
@@ -126,12 +128,13 @@
 pub struct ControlHandler {
     stage: Arc<RwLock<Stage>>,
     sessions: Arc<AtomicU64>,
+    limits: ControlLimits,
 }
 
 impl ControlHandler {
     /// Creates a handler for the replica in `stage`.
-    pub fn new(stage: Arc<RwLock<Stage>>) -> Self {
-        Self { stage, sessions: Arc::default() }
+    pub fn new(stage: Arc<RwLock<Stage>>, limits: ControlLimits) -> Self {
+        Self { stage, sessions: Arc::default(), limits }
     }
 
     fn running(&self) -> std::result::Result<Running, ProbeReply> {
@@ -147,11 +150,14 @@
     fn handle(&self, incoming: Incoming) -> BoxFuture<'static, Result<()>> {
         let running = self.running();
         let session = self.sessions.fetch_add(1, Ordering::Relaxed);
+        let session_max_bytes = self.limits.session_max_bytes;
         Box::pin(async move {
             match (incoming.channel, running) {
                 (Channel::Raft, Ok(running)) => serve_peer(incoming, running.replica).await,
                 (Channel::Control, running) => serve_call(incoming, running).await,
-                (Channel::Session, Ok(running)) => serve_session(incoming, running, session).await,
+                (Channel::Session, Ok(running)) => {
+                    serve_session(incoming, running, session, session_max_bytes).await
+                }
                 (Channel::Raft | Channel::Session, Err(_)) => {
                     incoming.refuse(NOT_STARTED);
                     Err(Error::refused("serve", "control", NOT_STARTED))
@@ -190,19 +196,18 @@
     Ok(())
 }
 
-async fn serve_session(incoming: Incoming, running: Running, session: u64) -> Result<()> {
-    let (mut receiver, mut sender) = incoming.accept::<SessionUp, SessionDown>()?;
+async fn serve_session(
+    incoming: Incoming,
+    running: Running,
+    session: u64,
+    session_max_bytes: u64,
+) -> Result<()> {
+    let (mut receiver, sender) = incoming.accept::<SessionUp, SessionDown>()?;
     let Some(SessionUp::Hello(hello)) = receiver.next().await? else {
         return Err(Error::refused("open session", "gateway", "the first message is no hello"));
     };
-    let (down, mut queue) = mpsc::channel(SESSION_QUEUE_SIZE);
-    let writer = tokio::spawn(async move {
-        while let Some(message) = queue.recv().await {
-            let Ok(size_bytes) = sender.send(&message).await else { return };
-            traffic::count(message.kind(), size_bytes);
-        }
-        sender.finish();
-    });
+    let (down, queue) = outbox(session_max_bytes);
+    let writer = tokio::spawn(send_all(queue, sender));
     let host = running.host(hello.role);
     if !host.open(session, hello, down) {
         return Ok(());
@@ -212,6 +217,24 @@
     result
 }
 
+/// Sends what is queued until the session is removed or its connection ends.
+async fn send_all(mut queue: OutboxReceiver, mut sender: Sender<SessionDown>) {
+    while let Some(message) = queue.next().await {
+        let sent = match message.encoded() {
+            Ok(encoded) => sender.send_encoded(encoded).await,
+            Err(error) => Err(error),
+        };
+        match sent {
+            Ok(size_bytes) => traffic::count(message.message().kind(), size_bytes),
+            Err(error) => {
+                debug!(event = "session_not_sent", error = %error);
+                return;
+            }
+        }
+    }
+    sender.finish();
+}
+
 async fn forward_session(
     receiver: &mut Receiver<SessionUp>,
     host: &SessionHost,
--- a/src/control/session.rs
+++ b/src/control/session.rs
@@ -1,11 +1,10 @@
 //! Sessions with gateways and distributors: their state, and the changes, load reports and
 //! summaries sent to them.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use tokio::sync::mpsc;
-
+use crate::control::outbox::{NotQueued, OutboxSender, Outgoing};
 use crate::control::state::State;
 use crate::message::{
     Change, EndpointLoad, Load, LoadReport, SessionDown, SessionHello, SessionRole, Summary,
@@ -13,7 +12,6 @@
 use crate::policy::counts;
 use crate::policy::endpoint_speed::ServiceWork;
 
-const MAX_KEPT_CHANGES: usize = 20_000;
 const CHANGES_PER_MESSAGE: usize = 1_000;
 /// Age of a gateway's last renewal from which it gets no orders: two renewals are missing, and its
 /// lease is about to end.
@@ -24,58 +22,6 @@
 /// ones.
 const MAX_DISTRIBUTOR_SILENCE_MS: u64 = 1_200;
 
-/// The changes of recent entries, for followers that are only a little behind.
-#[derive(Debug, Default)]
-pub struct RecentChanges {
-    floor: u64,
-    change_count: usize,
-    size_bytes: usize,
-    entries: VecDeque<(u64, Arc<[Change]>)>,
-}
-
-impl RecentChanges {
-    /// Creates an empty history; followers behind `floor` need the whole state.
-    pub fn new(floor: u64) -> Self {
-        Self { floor, ..Self::default() }
-    }
-
-    /// Adds the changes of the entry at `index`.
-    pub fn push(&mut self, index: u64, changes: Arc<[Change]>) {
-        self.change_count += changes.len();
-        self.size_bytes += size_bytes(&changes);
-        self.entries.push_back((index, changes));
-        while self.change_count > MAX_KEPT_CHANGES {
-            let Some((index, changes)) = self.entries.pop_front() else { return };
-            self.change_count -= changes.len();
-            self.size_bytes -= size_bytes(&changes);
-            self.floor = index;
-        }
-    }
-
-    /// An estimate of the memory that the kept changes take.
-    pub fn size_bytes(&self) -> usize {
-        self.size_bytes
-    }
-
-    /// The changes after `index`, or `None` if some of them are no longer kept.
-    pub fn since(&self, index: u64) -> Option<Vec<Change>> {
-        if index < self.floor {
-            return None;
-        }
-        let mut changes = Vec::new();
-        for (entry_index, entry_changes) in &self.entries {
-            if *entry_index > index {
-                changes.extend(entry_changes.iter().cloned());
-            }
-        }
-        Some(changes)
-    }
-}
-
-fn size_bytes(changes: &[Change]) -> usize {
-    changes.iter().map(Change::size_bytes).sum()
-}
-
 /// A session with a gateway or a distributor.
 #[derive(Debug)]
 pub struct Session {
@@ -83,7 +29,7 @@
     pub hello: SessionHello,
     /// The epoch of its registration, once registered; 0 for followers and distributors.
     pub epoch: Option<u64>,
-    down: mpsc::Sender<SessionDown>,
+    down: OutboxSender,
     summaries_seen: u64,
     reports_sent: HashMap<Arc<str>, u32>,
     /// When its last renewal was confirmed.
@@ -100,7 +46,7 @@
 
 impl Session {
     /// Creates a session that sends to `down`.
-    pub fn new(now_ms: u64, hello: SessionHello, down: mpsc::Sender<SessionDown>) -> Self {
+    pub fn new(now_ms: u64, hello: SessionHello, down: OutboxSender) -> Self {
         Self {
             last_message_at_ms: now_ms,
             hello,
@@ -187,50 +133,29 @@
 
     /// Sends without waiting; returns false if the receiver does not keep up or has gone.
     pub fn send(&self, message: SessionDown) -> bool {
-        self.down.try_send(message).is_ok()
+        self.send_shared(&Outgoing::new(message)).is_ok()
     }
 
-    /// Sets the epoch and sends the changes up to `index`, or the whole state if some are no longer
-    /// kept.
-    pub fn welcome(
-        &mut self,
-        epoch: u64,
-        index: u64,
-        recent: &RecentChanges,
-        state: &State,
-    ) -> bool {
+    /// Like [`send`](Self::send), for a message to several sessions.
+    ///
+    /// # Errors
+    /// The receiver does not keep up, or has gone.
+    pub fn send_shared(&self, message: &Arc<Outgoing>) -> Result<(), NotQueued> {
+        self.down.send(message.clone())
+    }
+
+    /// Sets the epoch and sends messages that bring the receiver up to date, however large they are;
+    /// returns false if it has gone.
+    pub fn welcome(&mut self, epoch: u64, messages: &[Arc<Outgoing>]) -> bool {
         self.epoch = Some(epoch);
-        if !self.send(SessionDown::Welcome { epoch }) {
-            return false;
-        }
-        if self.hello.applied_index > 0
-            && let Some(changes) = recent.since(self.hello.applied_index)
-        {
-            return self.send_changes(index, false, &changes);
-        }
-        self.send_changes(index, true, &state.all_changes())
+        let welcome = Outgoing::new(SessionDown::Welcome { epoch });
+        self.send_initial(&[welcome]) && self.send_initial(messages)
     }
 
-    /// Sends the changes up to `index` in as many messages as they need.
-    pub fn send_changes(&self, index: u64, reset: bool, changes: &[Change]) -> bool {
-        let chunks: Vec<&[Change]> = if changes.is_empty() {
-            vec![&[]]
-        } else {
-            changes.chunks(CHANGES_PER_MESSAGE).collect()
-        };
-        let last = chunks.len() - 1;
-        for (position, chunk) in chunks.into_iter().enumerate() {
-            let message = SessionDown::Changes {
-                index,
-                reset: reset && position == 0,
-                complete: position == last,
-                changes: chunk.to_vec(),
-            };
-            if !self.send(message) {
-                return false;
-            }
-        }
-        true
+    /// Sends messages that the receiver cannot do without, however large they are; returns false if it
+    /// has gone.
+    pub fn send_initial(&self, messages: &[Arc<Outgoing>]) -> bool {
+        messages.iter().all(|message| self.down.send_initial(message.clone()).is_ok())
     }
 
     /// The load reports on the gateway's own endpoints that differ from those sent last.
@@ -272,10 +197,48 @@
         }
     }
 
-    /// Sends the changes up to `index` if the gateway is registered.
-    pub fn follow(&self, index: u64, changes: &[Change]) -> bool {
-        self.epoch.is_none() || self.send_changes(index, false, changes)
+    /// Sends messages to all sessions unless the session is not registered yet.
+    ///
+    /// # Errors
+    /// The receiver does not keep up, or has gone.
+    pub fn follow(&self, messages: &[Arc<Outgoing>]) -> Result<(), NotQueued> {
+        if self.epoch.is_none() {
+            return Ok(());
+        }
+        messages.iter().try_for_each(|message| self.send_shared(message))
+    }
+}
+
+/// The changes up to `index` in as many messages as they need; with `reset`, they are the whole state.
+pub fn change_messages(index: u64, reset: bool, changes: &[Change]) -> Vec<Arc<Outgoing>> {
+    let chunks: Vec<&[Change]> =
+        if changes.is_empty() { vec![&[]] } else { changes.chunks(CHANGES_PER_MESSAGE).collect() };
+    let last = chunks.len() - 1;
+    let mut messages = Vec::with_capacity(chunks.len());
+    for (position, chunk) in chunks.into_iter().enumerate() {
+        messages.push(Outgoing::new(SessionDown::Changes {
+            index,
+            reset: reset && position == 0,
+            complete: position == last,
+            changes: chunk.to_vec(),
+        }));
+    }
+    messages
+}
+
+/// Like [`change_messages`] for new changes, with a routing configuration in a message of its own, which a
+/// newer one can replace while it waits.
+pub fn new_change_messages(index: u64, changes: Vec<Change>) -> Vec<Arc<Outgoing>> {
+    let is_routing = |change: &Change| matches!(change, Change::Routing(_));
+    let (routing, others): (Vec<Change>, Vec<Change>) = changes.into_iter().partition(is_routing);
+    let mut messages = Vec::new();
+    if !routing.is_empty() {
+        let (reset, complete) = (false, false);
+        let message = SessionDown::Changes { index, reset, complete, changes: routing };
+        messages.push(Outgoing::new(message));
     }
+    messages.extend(change_messages(index, false, &others));
+    messages
 }
 
 fn is_fresh(renewed_at_ms: u64, now_ms: u64) -> bool {
--- a/src/message/size.rs
+++ b/src/message/size.rs
@@ -1,8 +1,11 @@
-//! Estimates of the memory that changes take while they are kept or wait to be sent.
+//! Estimates of the memory that changes and messages take while they are kept or wait to be sent.
 
-use std::mem::size_of;
+use std::mem::{size_of, size_of_val};
 
-use super::{Change, NotRepeatable, RegisteredEndpoint, Service};
+use super::{
+    Change, CreditGrant, EndpointLoad, LoadReport, NotRepeatable, PeerGateway, Placed,
+    RegisteredEndpoint, Service, SessionDown, SessionServer, Summary, WorkspaceUse,
+};
 use crate::control::fleet::{EndpointRecord, GatewayRecord, ListedEndpoint};
 use crate::routing::string_bytes;
 
@@ -30,6 +33,34 @@
     }
 }
 
+impl SessionDown {
+    /// An estimate of the memory that this message takes, without strings that it shares with the state.
+    pub fn size_bytes(&self) -> usize {
+        size_of::<Self>()
+            + match self {
+                Self::Changes { changes, .. } => changes.iter().map(Change::size_bytes).sum(),
+                Self::Renewed { summaries, load_reports, .. } => {
+                    size_of_val::<[Summary]>(summaries) + size_of_val::<[LoadReport]>(load_reports)
+                }
+                Self::Placed { placed, .. } => size_of_val::<[Placed]>(placed),
+                Self::Loads(loads) => size_of_val::<[EndpointLoad]>(loads),
+                Self::Group(group) => {
+                    size_of_val::<[SessionServer]>(&group.servers)
+                        + size_of_val::<[PeerGateway]>(&group.coordinators)
+                }
+                Self::Credit(grants) => size_of_val::<[CreditGrant]>(grants),
+                Self::WorkspaceUse(uses) => size_of_val::<[WorkspaceUse]>(uses),
+                Self::Peers { peers, .. } => size_of_val::<[PeerGateway]>(peers),
+                Self::Welcome { .. }
+                | Self::NotLeader { .. }
+                | Self::Expired
+                | Self::Order(_)
+                | Self::RenewedFor { .. }
+                | Self::Origin { .. } => 0,
+            }
+    }
+}
+
 impl Service {
     fn content_bytes(&self) -> usize {
         let Self { name, workspace, pool, adapter, not_repeatable, .. } = self;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -211,6 +211,8 @@
     HistoryBytesHeld => "control.history_held_bytes",
     /// Memory of log entries since the last snapshot, in bytes.
     LogBytesHeld => "control.log_held_bytes",
+    /// Memory of messages that wait for gateways and distributors or are being sent to them, in bytes.
+    SessionBytesWaiting => "control.session_waiting_bytes",
     /// Size of the last snapshot of the state, in bytes.
     SnapshotBytes => "control.snapshot_bytes",
     /// Open connections that others have opened to this process.
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -17,6 +17,8 @@
 const DAY_MS: u64 = 86_400_000;
 /// The memory of the smallest instances with a disk.
 const MEMORY_MB: u64 = 256;
+/// Their disk.
+const DISK_MB: u64 = 128;
 
 pub(super) fn read_control(root: &Node<'_>, faults: &mut Faults) -> Option<ControlSettings> {
     let mut fields = FieldReader::new(root, faults);
@@ -45,6 +47,7 @@
     let founding_wait_ms = fields.int_or("founding_wait_ms", 6_000, 0..=600_000);
     let platform_poll_ms = fields.int_or("platform_poll_ms", 1_000, 50..=60_000);
     let resources = read_resources(&mut fields, MEMORY_MB);
+    let disk_max_mb = fields.int_or("disk_max_mb", DISK_MB, 16..=1_000_000_000);
     let pools = if platform_address.is_some() { read_pools(&mut fields) } else { Vec::new() };
     fields.finish();
     let common = common?;
@@ -74,6 +77,7 @@
         quota,
         founding_wait_ms,
         resources,
+        disk_max_mb,
     })
 }
 
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -11,6 +11,7 @@
 
 use crate::control::fleet::EndpointKind;
 use crate::control::ledger::LedgerLimits;
+use crate::control::limits::ControlLimits;
 use crate::control::permit::StoreBudget;
 use crate::control::placement::PlacementSettings;
 use crate::control::raft::Timing;
@@ -22,6 +23,8 @@
 pub use crate::settings::relay::{RelayRetrySettings, RelaySettings};
 use crate::yaml::{Fault, Faults};
 
+const MEGABYTE: u64 = 1_000_000;
+
 /// Settings shared by `winchvane-control` and `winchvane-gateway`.
 #[derive(Debug, Clone)]
 pub struct CommonSettings {
@@ -56,7 +59,7 @@
     /// The bounds of a process that the operating system lets open `descriptors_allowed`.
     pub fn limits(&self, descriptors_allowed: usize) -> ResourceLimits {
         let configured = self.descriptors_max.map_or(usize::MAX, |most| most as usize);
-        let memory_max_bytes = self.memory_max_mb * 1_000_000;
+        let memory_max_bytes = self.memory_max_mb * MEGABYTE;
         ResourceLimits::new(memory_max_bytes, configured.min(descriptors_allowed))
     }
 }
@@ -123,6 +126,8 @@
     pub founding_wait_ms: u64,
     /// What the process may use.
     pub resources: ResourceSettings,
+    /// The disk of the process, in millions of bytes.
+    pub disk_max_mb: u64,
 }
 
 /// How a replica finds its group if only some of the replicas are known in advance.
@@ -311,6 +316,11 @@
     pub fn parse(file: &Arc<str>, text: &str) -> Result<Self, Vec<Fault>> {
         parse_settings(file, text, read_control)
     }
+
+    /// The bounds of what grows with changes.
+    pub fn control_limits(&self) -> ControlLimits {
+        ControlLimits::new(self.resources.memory_max_mb * MEGABYTE, self.disk_max_mb * MEGABYTE)
+    }
 }
 
 impl GatewaySettings {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -11,7 +11,7 @@
 
 pub use peer::{Peer, Peers};
 pub use server::{Handler, Incoming, serve};
-pub use stream::{Receiver, Sender};
+pub use stream::{Encoded, Receiver, Sender};
 
 /// The version of the message format; a process refuses streams of any other version.
 pub const WIRE_VERSION: &str = "3";
--- a/src/wire/stream.rs
+++ b/src/wire/stream.rs
@@ -1,5 +1,6 @@
 //! The two halves of a stream of messages.
 
+use std::fmt;
 use std::future::poll_fn;
 use std::marker::PhantomData;
 use std::sync::Arc;
@@ -25,6 +26,39 @@
 /// A buffer up to this size is kept for further messages.
 const KEPT_BUFFER_BYTES: usize = 64 << 10;
 
+/// A message in the form in which it is sent. Clones share its bytes.
+pub struct Encoded<T> {
+    bytes: Bytes,
+    message: PhantomData<fn(T)>,
+}
+
+impl<T: Serialize> Encoded<T> {
+    /// Encodes a message.
+    ///
+    /// # Errors
+    /// The message cannot be encoded.
+    pub fn new(message: &T) -> Result<Self> {
+        Ok(Self { bytes: encode(message)?, message: PhantomData })
+    }
+
+    /// The number of bytes that are sent.
+    pub fn size_bytes(&self) -> usize {
+        self.bytes.len()
+    }
+}
+
+impl<T> Clone for Encoded<T> {
+    fn clone(&self) -> Self {
+        Self { bytes: self.bytes.clone(), message: PhantomData }
+    }
+}
+
+impl<T> fmt::Debug for Encoded<T> {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "Encoded({} bytes)", self.bytes.len())
+    }
+}
+
 /// The sending half of a stream.
 pub struct Sender<T> {
     stream: SendStream<Bytes>,
@@ -44,7 +78,15 @@
     /// The message cannot be encoded, or the stream or connection is closed; it has certainly not
     /// arrived completely.
     pub async fn send(&mut self, message: &T) -> Result<usize> {
-        let mut data = encode(message)?;
+        self.send_encoded(Encoded::new(message)?).await
+    }
+
+    /// Like [`send`](Self::send), for a message that several receivers get.
+    ///
+    /// # Errors
+    /// The stream or connection is closed; the message has certainly not arrived completely.
+    pub async fn send_encoded(&mut self, message: Encoded<T>) -> Result<usize> {
+        let mut data = message.bytes;
         let size_bytes = data.len();
         SENT_MESSAGES.fetch_add(1, Ordering::Relaxed);
         SENT_BYTES.fetch_add(size_bytes as u64, Ordering::Relaxed);
--- a/tests/common/replica.rs
+++ b/tests/common/replica.rs
@@ -9,6 +9,7 @@
 use winchvane::control::api::ControlApi;
 use winchvane::control::distribution;
 use winchvane::control::ledger::LedgerLimits;
+use winchvane::control::limits::ControlLimits;
 use winchvane::control::permit::StoreBudget;
 use winchvane::control::placement::PlacementSettings;
 use winchvane::control::raft::{Member, Members, Raft, Recovered, Timing};
@@ -20,6 +21,11 @@
 use winchvane::metrics::Metrics;
 use winchvane::policy::quota::QuotaBounds;
 
+/// The bounds of the smallest instances that run control.
+pub fn limits() -> ControlLimits {
+    ControlLimits::new(256_000_000, 128_000_000)
+}
+
 /// A replica in zone `a` that is alone in its group, at the time `now_ms`.
 pub fn alone(address: SocketAddr, timing: Timing, now_ms: u64) -> Replica {
     alone_with(State::new(), address, timing, now_ms)
@@ -35,6 +41,7 @@
         zone: "a".into(),
         lease_ms: 2_500,
         snapshot_entries: 1_000,
+        limits: limits(),
         ledger: LedgerLimits::default(),
         store: StoreBudget { loads_per_s: 1.0, concurrent_loads: 1, load_timeout_ms: 1_000 },
         placement: PlacementSettings::default(),
--- a/tests/counts.rs
+++ b/tests/counts.rs
@@ -3,16 +3,16 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use tokio::sync::mpsc;
 use winchvane::control::counts::Counts;
 use winchvane::control::distribution::hello;
+use winchvane::control::outbox::outbox;
 use winchvane::control::session::Session;
 use winchvane::message::{EndpointLoad, Load};
 use winchvane::policy::counts::{is_worth_reporting, period_ms};
 
 fn session() -> Session {
     let address = ([127, 0, 0, 1], 9).into();
-    Session::new(0, hello("g".into(), 1, "a".into(), address), mpsc::channel(10).0)
+    Session::new(0, hello("g".into(), 1, "a".into(), address), outbox(u64::MAX).0)
 }
 
 fn running(endpoint: &str, running: u32) -> EndpointLoad {
--- a/tests/distribution.rs
+++ b/tests/distribution.rs
@@ -10,6 +10,7 @@
 use common::engines::configuration;
 use tokio::sync::mpsc;
 use winchvane::control::distribution::{Distributor, hello};
+use winchvane::control::outbox::{OutboxReceiver, outbox};
 use winchvane::message::{
     AdapterNeed, Change, EndpointCrash, EndpointLoad, EngineOrder, FeatureKey, FeatureStanding,
     Forwarded, Group, Heartbeat, Holding, Load, NewestVersion, OrderKind, OrderOutcome,
@@ -58,7 +59,7 @@
     distributor: Distributor,
     now_ms: u64,
     link: mpsc::Receiver<SessionUp>,
-    gateways: BTreeMap<u64, mpsc::Receiver<SessionDown>>,
+    gateways: BTreeMap<u64, OutboxReceiver>,
 }
 
 impl Zone {
@@ -96,7 +97,7 @@
     }
 
     fn open(&mut self, id: u64, name: &str, zone: &str) {
-        let (down, queue) = mpsc::channel(1_000);
+        let (down, queue) = outbox(u64::MAX);
         self.gateways.insert(id, queue);
         self.distributor.open(self.now_ms, id, gateway_hello(name, zone), down, Some(address(1)));
     }
@@ -121,7 +122,7 @@
     fn received(&mut self, id: u64) -> Vec<SessionDown> {
         let queue = self.gateways.get_mut(&id).expect("the session was opened");
         let mut received = Vec::new();
-        while let Ok(down) = queue.try_recv() {
+        while let Some(down) = queue.try_next() {
             received.push(down);
         }
         received
--- a/tests/distribution_random.rs
+++ b/tests/distribution_random.rs
@@ -10,6 +10,7 @@
 use rand::{RngExt, SeedableRng};
 use tokio::sync::mpsc;
 use winchvane::control::distribution::{Distributor, hello};
+use winchvane::control::outbox::{OutboxReceiver, outbox};
 use winchvane::message::{
     Change, Holding, NewestVersion, Placed, RegisteredEndpoint, SessionDown, SessionHello,
     SessionRole, SessionUp, WeightsName,
@@ -94,7 +95,7 @@
 
 /// A simulated gateway of the zone.
 struct Gateway {
-    queue: mpsc::Receiver<SessionDown>,
+    queue: OutboxReceiver,
     known: Knowledge,
     /// Renewals that were sent and not confirmed yet.
     renewed_at_ms: BTreeSet<u64>,
@@ -293,7 +294,7 @@
     fn open(&mut self) {
         self.next_gateway += 1;
         let id = self.next_gateway;
-        let (down, queue) = mpsc::channel(10_000);
+        let (down, queue) = outbox(u64::MAX);
         let name = format!("g{id}").into();
         let hello =
             SessionHello { role: SessionRole::Follower, ..hello(name, 1, "a".into(), address(90)) };
@@ -325,7 +326,7 @@
 
     fn read_gateways(&mut self) {
         for gateway in self.gateways.values_mut() {
-            while let Ok(down) = gateway.queue.try_recv() {
+            while let Some(down) = gateway.queue.try_next() {
                 gateway.take(down, &self.leader);
             }
         }
--- a/tests/endpoint_speed.rs
+++ b/tests/endpoint_speed.rs
@@ -5,9 +5,9 @@
 
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use tokio::sync::mpsc;
 use winchvane::control::counts::Counts;
 use winchvane::control::distribution::hello;
+use winchvane::control::outbox::{OutboxReceiver, outbox};
 use winchvane::control::session::Session;
 use winchvane::message::{EndpointLoad, Load, RegisteredEndpoint, SessionDown};
 use winchvane::policy::counts::period_ms;
@@ -63,7 +63,7 @@
     waiting: Vec<(u64, usize)>,
     endpoints: Vec<Endpoint>,
     sessions: Vec<Session>,
-    inboxes: Vec<mpsc::Receiver<SessionDown>>,
+    inboxes: Vec<OutboxReceiver>,
     counts: Counts,
     work: ServiceWork,
     messages: VecDeque<(u64, usize, Vec<EndpointLoad>)>,
@@ -100,7 +100,7 @@
                 fleet.register(registered(endpoint));
             }
             fleets.push(fleet);
-            let (sender, inbox) = mpsc::channel(100);
+            let (sender, inbox) = outbox(u64::MAX);
             let address = ([127, 0, 0, 1], 9).into();
             sessions.push(Session::new(0, hello("g".into(), 1, "a".into(), address), sender));
             inboxes.push(inbox);
@@ -221,7 +221,7 @@
             }
             for (gateway, session) in self.sessions.iter_mut().enumerate() {
                 session.send_loads(&totals, &self.work);
-                while let Ok(SessionDown::Loads(loads)) = self.inboxes[gateway].try_recv() {
+                while let Some(SessionDown::Loads(loads)) = self.inboxes[gateway].try_next() {
                     self.sent_down += loads.len();
                     self.messages.push_back((now_ms + MESSAGES_MS, gateway, loads));
                 }
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -9,10 +9,11 @@
 use std::time::Duration;
 
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use winchvane::Result;
 use winchvane::clock::Clock;
 use winchvane::control::distribution::{hello, spawn};
+use winchvane::control::outbox::{OutboxReceiver, outbox};
 use winchvane::control::raft::Timing;
 use winchvane::control::server::{ReplicaHandle, ReplicaMessage};
 use winchvane::control::storage::FileStorage;
@@ -70,13 +71,13 @@
         let own = ([127, 0, 0, 1], 9).into();
         let (_leader_known, known) = watch::channel(Some(leader));
         let distributor = spawn(hello("c1".into(), 1, ZONE.into(), own), Clock::new(), known);
-        let (down, mut received) = mpsc::channel(100);
+        let (down, mut received) = outbox(u64::MAX);
         // Until the link is open, the distributor redirects gateways to the leader.
         loop {
-            let (probe, mut answer) = mpsc::channel(10);
+            let (probe, mut answer) = outbox(u64::MAX);
             distributor.open(1, gateway(own), probe);
             let answer_timeout = Duration::from_millis(50);
-            if tokio::time::timeout(answer_timeout, answer.recv()).await.is_err() {
+            if tokio::time::timeout(answer_timeout, recv(&mut answer)).await.is_err() {
                 distributor.close(1);
                 break;
             }
@@ -86,7 +87,7 @@
             let mut renewals = tokio::time::interval(Duration::from_millis(10));
             loop {
                 tokio::select! {
-                    message = received.recv() => {
+                    message = recv(&mut received) => {
                         if let Some(SessionDown::NotLeader { .. }) | None = message {
                             return;
                         }
@@ -161,17 +162,18 @@
 }
 
 /// Opens a link of zone `b` as `session` and waits until the leader answers its renewals.
-async fn link_to(
-    actor: &ReplicaHandle,
-    session: u64,
-    address: SocketAddr,
-) -> mpsc::Receiver<SessionDown> {
-    let (down, mut received) = mpsc::channel(100);
+/// Waits for the next message; `None` once the session has ended.
+async fn recv(received: &mut OutboxReceiver) -> Option<SessionDown> {
+    received.next().await.map(|message| message.message().clone())
+}
+
+async fn link_to(actor: &ReplicaHandle, session: u64, address: SocketAddr) -> OutboxReceiver {
+    let (down, mut received) = outbox(u64::MAX);
     let link = hello("c2".into(), 1, "b".into(), address);
     actor.cast(ReplicaMessage::Open(session, link, down)).expect("the replica runs");
     loop {
         renew(actor, session, 1);
-        let message = tokio::time::timeout(Duration::from_millis(100), received.recv()).await;
+        let message = tokio::time::timeout(Duration::from_millis(100), recv(&mut received)).await;
         if let Ok(Some(SessionDown::RenewedFor { number: 1 })) = message {
             return received;
         }
@@ -193,7 +195,7 @@
         tokio::time::sleep(Duration::from_millis(1_300)).await;
         renew(&actor, 7, 2);
         let ended = async {
-            while let Some(message) = received.recv().await {
+            while let Some(message) = recv(&mut received).await {
                 match message {
                     SessionDown::NotLeader { .. } => return true,
                     SessionDown::RenewedFor { number: 2 } => return false,
@@ -218,15 +220,15 @@
         tokio::time::sleep(Duration::from_millis(1_500)).await;
         // The link is silent in both directions; the leader closes it by itself.
         let mut was_redirected = false;
-        while let Ok(message) = received.try_recv() {
+        while let Some(message) = received.try_next() {
             was_redirected |= matches!(message, SessionDown::NotLeader { .. });
         }
         assert!(was_redirected);
-        let (down, mut received) = mpsc::channel(100);
+        let (down, mut received) = outbox(u64::MAX);
         let role = SessionRole::Follower;
         let gateway = SessionHello { role, ..hello("g1".into(), 1, "b".into(), distributor) };
         actor.cast(ReplicaMessage::Open(8, gateway, down)).expect("the replica runs");
-        let answer = received.recv().await;
+        let answer = recv(&mut received).await;
         assert!(matches!(answer, Some(SessionDown::Welcome { .. })), "{answer:?}");
     });
 }
@@ -245,7 +247,7 @@
         for (session, zone, zone_server_failed) in
             [(8, "b", false), (9, "b", true), (10, "c", false)]
         {
-            let (down, mut received) = mpsc::channel(100);
+            let (down, mut received) = outbox(u64::MAX);
             let hello = SessionHello {
                 role: SessionRole::Follower,
                 zone_server_failed,
@@ -253,7 +255,7 @@
             };
             actor.cast(ReplicaMessage::Open(session, hello, down)).expect("the replica runs");
             renew(&actor, 7, session);
-            answers.push(received.recv().await);
+            answers.push(recv(&mut received).await);
         }
         let [sent, stayed, other] = &answers[..] else { unreachable!("there are three gateways") };
         assert!(
@@ -283,7 +285,7 @@
         tokio::time::sleep(Duration::from_millis(150)).await;
         for round in 0..10 {
             let open = |session, zone: &str| {
-                let (down, received) = mpsc::channel(100);
+                let (down, received) = outbox(u64::MAX);
                 let role = SessionRole::Follower;
                 let hello = SessionHello { role, ..hello("g1".into(), 1, zone.into(), distributor) };
                 actor.cast(ReplicaMessage::Open(session, hello, down)).expect("the replica runs");
@@ -291,15 +293,15 @@
             };
             renew(&actor, 7, round);
             let mut welcomed = open(100 + round, "c");
-            let answer = welcomed.recv().await;
+            let answer = recv(&mut welcomed).await;
             assert!(matches!(answer, Some(SessionDown::Welcome { .. })), "{answer:?}");
-            let answer = open(200 + round, "b").recv().await;
+            let answer = recv(&mut open(200 + round, "b")).await;
             assert!(
                 matches!(answer, Some(SessionDown::NotLeader { leader }) if leader == Some(distributor)),
                 "round {round}: {answer:?}"
             );
             let gets_group = async {
-                while let Some(message) = welcomed.recv().await {
+                while let Some(message) = recv(&mut welcomed).await {
                     if let SessionDown::Group(group) = message {
                         return group.server_of("b") == Some(distributor);
                     }
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -8,6 +8,7 @@
 use http::{Method, Request, StatusCode};
 use tokio::net::{TcpListener, TcpStream};
 use winchvane::Result;
+use winchvane::control::limits::ControlLimits;
 use winchvane::control::serving::{ControlHandler, Stage};
 use winchvane::metrics::{Counter, Metrics};
 use winchvane::policy::resource_limiter::ResourceLimits;
@@ -86,7 +87,8 @@
     run(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
         let address = listener.local_addr().expect("the listener is bound");
-        let handler = ControlHandler::new(Arc::new(RwLock::new(Stage::Empty)));
+        let limits = ControlLimits::new(256_000_000, 128_000_000);
+        let handler = ControlHandler::new(Arc::new(RwLock::new(Stage::Empty)), limits);
         tokio::spawn(serve(listener, Arc::new(handler), Resources::local()));
         let peer = Peer::new(address);
         let opened = peer.open(Channel::Session).await.expect("the replica listens");
--- a/tests/workspace_use.rs
+++ b/tests/workspace_use.rs
@@ -8,6 +8,7 @@
 
 use tokio::sync::mpsc;
 use winchvane::control::distribution::{Distributor, hello};
+use winchvane::control::outbox::{OutboxReceiver, outbox};
 use winchvane::control::raft::Timing;
 use winchvane::control::replica::Replica;
 use winchvane::message::{
@@ -21,8 +22,8 @@
 struct Zone {
     distributor: Distributor,
     link: Option<(mpsc::Sender<SessionUp>, mpsc::Receiver<SessionUp>)>,
-    from_leader: mpsc::Receiver<SessionDown>,
-    gateways: Vec<mpsc::Receiver<SessionDown>>,
+    from_leader: OutboxReceiver,
+    gateways: Vec<OutboxReceiver>,
 }
 
 struct Region {
@@ -51,7 +52,7 @@
             zones.push(Zone {
                 distributor: Distributor::new(zone.into()),
                 link: None,
-                from_leader: mpsc::channel(1).1,
+                from_leader: outbox(u64::MAX).1,
                 gateways: Vec::new(),
             });
         }
@@ -62,7 +63,7 @@
         region.advance(200);
         for zone in 0..ZONES.len() {
             for gateway in 0..GATEWAYS_PER_ZONE {
-                let (down, received) = mpsc::channel(1_000);
+                let (down, received) = outbox(u64::MAX);
                 let role = SessionRole::Follower;
                 let hello = hello_of(zone, &format!("g{zone}{gateway}"), role);
                 region.zones[zone].gateways.push(received);
@@ -88,7 +89,7 @@
             self.advance(20);
         }
         for (position, zone) in self.zones.iter_mut().enumerate().skip(1) {
-            let (down, received) = mpsc::channel(1_000);
+            let (down, received) = outbox(u64::MAX);
             zone.from_leader = received;
             let hello = hello_of(position, ZONES[position], SessionRole::Distributor);
             self.leader.open(self.now_ms, self.now_ms, position as u64, hello, down);
@@ -124,7 +125,7 @@
             let now_ms = self.now_ms;
             self.tick_leader();
             for (position, zone) in self.zones.iter_mut().enumerate() {
-                while let Ok(down) = zone.from_leader.try_recv() {
+                while let Some(down) = zone.from_leader.try_next() {
                     if let SessionDown::Welcome { .. } = down {
                         let (up, link) = mpsc::channel(1_000);
                         zone.distributor.linked(now_ms, up.clone());
@@ -142,7 +143,7 @@
             }
             for (zone, known) in self.zones.iter_mut().enumerate() {
                 for (gateway, received) in known.gateways.iter_mut().enumerate() {
-                    while let Ok(down) = received.try_recv() {
+                    while let Some(down) = received.try_next() {
                         let SessionDown::WorkspaceUse(uses) = down else { continue };
                         self.messages += 1;
                         for WorkspaceUse { workspace, counts, .. } in uses {
