--- a/soak/tests/large_configurations.rs
+++ b/soak/tests/large_configurations.rs
@@ -10,6 +10,7 @@
 use common::System;
 use common::large::{Changes, Seen, Trouble, run};
 use winchvane_soak::region::Size;
+use yare::parameterized;
 
 /// The memory and the disk of the smallest instance that runs control.
 const MEMORY_KB: u64 = 256_000;
@@ -35,6 +36,26 @@
     seen
 }
 
+/// The same changes beside a trouble.
+#[parameterized(
+    gateway_stands_still = { 131, Trouble::GatewayStandsStill, 1, 5_600 },
+    replica_stands_still = { 132, Trouble::ReplicaStandsStill, 1, 5_600 },
+    replica_killed = { 133, Trouble::ReplicaKilled, 1, 5_600 },
+    all_replicas_killed = { 134, Trouble::AllReplicasKilled, 1, 5_600 },
+    readers_that_take_nothing = { 135, Trouble::SilentReaders(150), 1, 5_600 },
+    many_senders = { 136, Trouble::None, 40, 5_600 },
+    twice_as_large = { 137, Trouble::None, 1, 11_200 },
+    twice_as_large_and_killed = { 138, Trouble::AllReplicasKilled, 1, 11_200 },
+    twice_as_large_from_many_senders = { 139, Trouble::None, 40, 11_200 },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+#[ignore = "a run of all of them takes minutes; started by hand"]
+async fn control_keeps_its_memory(block: u8, trouble: Trouble, senders: u64, routes: usize) {
+    let seen = play(block, Changes { routes, versions: versions(200), senders, trouble }).await;
+    assert!(seen.slowest_applied <= APPLIED, "{seen:?}");
+    assert!(seen.acknowledged > 0, "{seen:?}");
+}
+
 /// Guards against a memory of control that grows with each change: it kept each version of the
 /// configuration.
 #[tokio::test(flavor = "multi_thread")]
--- a/src/control/boot.rs
+++ b/src/control/boot.rs
@@ -89,6 +89,8 @@
         seed,
         clock.now_ms(),
     );
+    let limits = settings.control_limits();
+    raft = raft.with_in_flight_max_bytes(limits.in_flight_max_bytes);
     if let Some(seeds) = &settings.seeds {
         raft = raft.with_target_voters(seeds.voters);
     }
@@ -97,7 +99,7 @@
         zone: settings.common.zone.clone(),
         lease_ms: settings.lease_ms,
         snapshot_entries: settings.snapshot_entries,
-        limits: settings.control_limits(),
+        limits,
         ledger: settings.ledger,
         store: settings.store,
         placement: settings.placement,
--- a/src/control/raft/leading.rs
+++ b/src/control/raft/leading.rs
@@ -6,7 +6,7 @@
 use super::{Raft, Role};
 
 const MAX_ENTRIES_PER_APPEND: usize = 1_024;
-const MAX_BYTES_PER_APPEND: usize = 4 << 20;
+const MAX_BYTES_PER_APPEND: u64 = 4 << 20;
 const SNAPSHOT_RESEND_MS: u64 = 5_000;
 /// A learner at most this many entries behind the commit index may become a voter.
 const MAX_PROMOTION_LAG: u64 = 256;
@@ -25,7 +25,15 @@
     pub(super) next_index: u64,
     pub(super) acked_at_ms: u64,
     pub(super) acked_round: u64,
-    pub(super) snapshot_sent_at_ms: Option<u64>,
+    /// The snapshot that it was sent and has not confirmed.
+    pub(super) snapshot_sent: Option<SentSnapshot>,
+}
+
+/// A snapshot that was sent to a replica.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct SentSnapshot {
+    pub(super) at_ms: u64,
+    pub(super) index: u64,
 }
 
 /// State that a replica keeps only while it leads.
@@ -245,7 +253,6 @@
         round: u64,
     ) {
         let last = self.last_index();
-        let snapshot_index = self.snapshot_index();
         let Role::Leader(leading) = &mut self.role else { return };
         let Some(progress) = leading.progress.get_mut(&from) else { return };
         progress.acked_at_ms = now_ms;
@@ -253,8 +260,9 @@
         if matched {
             progress.match_index = progress.match_index.max(index);
             progress.next_index = progress.next_index.max(progress.match_index + 1);
-            if progress.match_index >= snapshot_index {
-                progress.snapshot_sent_at_ms = None;
+            // It may need a newer one by now, which is then sent at once.
+            if progress.snapshot_sent.is_some_and(|sent| progress.match_index >= sent.index) {
+                progress.snapshot_sent = None;
             }
             if progress.next_index <= last {
                 leading.broadcast_due = true;
@@ -262,7 +270,8 @@
         } else {
             progress.next_index =
                 (index + 1).min(progress.next_index).max(progress.match_index + 1);
-            leading.broadcast_due = true;
+            // One that waits for a snapshot can't do with anything else.
+            leading.broadcast_due |= progress.snapshot_sent.is_none();
         }
         self.advance_commit();
         self.confirm_reads();
@@ -338,22 +347,31 @@
         let Role::Leader(leading) = &mut self.role else { return };
         let Some(progress) = leading.progress.get_mut(&to) else { return };
         if progress.next_index <= snapshot_index {
-            let due =
-                progress.snapshot_sent_at_ms.is_none_or(|sent| sent + SNAPSHOT_RESEND_MS <= now_ms);
-            if due {
-                progress.snapshot_sent_at_ms = Some(now_ms);
+            let is_due =
+                progress.snapshot_sent.is_none_or(|sent| sent.at_ms + SNAPSHOT_RESEND_MS <= now_ms);
+            if is_due {
+                progress.snapshot_sent =
+                    Some(SentSnapshot { at_ms: now_ms, index: snapshot_index });
                 self.output.need_snapshot.push(to);
             }
             progress.next_index = snapshot_index + 1;
         }
         let prev_index = progress.next_index - 1;
         let mut entries = Vec::new();
+        let room_bytes = if progress.snapshot_sent.is_some() {
+            // Entries are of no use to the replica before it has the snapshot.
+            0
+        } else {
+            let in_flight_bytes = self.log.bytes_between(progress.match_index, prev_index);
+            self.in_flight_max_bytes.saturating_sub(in_flight_bytes)
+        };
         let mut size_bytes = 0;
         for entry in self.log.after(prev_index).take(MAX_ENTRIES_PER_APPEND) {
-            size_bytes += entry.payload.size_bytes();
-            if size_bytes > MAX_BYTES_PER_APPEND && !entries.is_empty() {
+            // An entry that is larger than the bound goes alone.
+            if size_bytes >= room_bytes.min(MAX_BYTES_PER_APPEND) {
                 break;
             }
+            size_bytes += entry.payload.size_bytes() as u64;
             entries.push(entry.clone());
         }
         progress.next_index += entries.len() as u64;
@@ -382,7 +400,7 @@
             next_index,
             acked_at_ms: now_ms,
             acked_round: 0,
-            snapshot_sent_at_ms: None,
+            snapshot_sent: None,
         }
     }
 }
--- a/src/control/raft/mod.rs
+++ b/src/control/raft/mod.rs
@@ -22,6 +22,9 @@
     Snapshot, Timing,
 };
 
+/// The bytes of entries on the way to one replica, unless they are set.
+const IN_FLIGHT_MAX_BYTES: u64 = 4 << 20;
+
 #[derive(Debug)]
 enum Role {
     Follower,
@@ -53,6 +56,8 @@
     leader_heard_at_ms: Option<u64>,
     election_due_ms: u64,
     target_voters: Option<usize>,
+    /// The bytes of entries that are sent to a replica before it has confirmed them.
+    in_flight_max_bytes: u64,
     output: Output,
 }
 
@@ -88,6 +93,7 @@
             leader_heard_at_ms: None,
             election_due_ms: 0,
             target_voters: None,
+            in_flight_max_bytes: IN_FLIGHT_MAX_BYTES,
             output: Output::default(),
         };
         raft.reload_members();
@@ -105,6 +111,13 @@
         self
     }
 
+    /// Sets the bytes of entries that are sent to a replica before it has confirmed them.
+    #[must_use]
+    pub fn with_in_flight_max_bytes(mut self, max_bytes: u64) -> Self {
+        self.in_flight_max_bytes = max_bytes;
+        self
+    }
+
     /// True if the group has the target number of voters and its latest membership is committed.
     pub fn has_target_voters(&self) -> bool {
         let wanted = self.target_voters.unwrap_or(1);
@@ -439,6 +452,11 @@
         self.log.size_bytes()
     }
 
+    /// The bytes of the entries after the snapshot up to `index`.
+    pub fn log_bytes_up_to(&self, index: u64) -> u64 {
+        self.log.bytes_between(self.snapshot_index(), index)
+    }
+
     /// The term and vote to be stored.
     pub fn hard_state(&self) -> HardState {
         self.hard_state
--- a/src/control/raft/types.rs
+++ b/src/control/raft/types.rs
@@ -167,6 +167,24 @@
     TimeoutNow,
 }
 
+impl Message {
+    /// The bytes of the entries or the snapshot in the message; 0 for other messages.
+    pub fn content_bytes(&self) -> u64 {
+        match self {
+            Self::Append { entries, .. } => {
+                entries.iter().map(|entry| entry.payload.size_bytes() as u64).sum()
+            }
+            Self::Install(snapshot) => snapshot.data.len() as u64,
+            Self::PreVote { .. }
+            | Self::PreVoteReply { .. }
+            | Self::Vote { .. }
+            | Self::VoteReply { .. }
+            | Self::AppendReply { .. }
+            | Self::TimeoutNow => 0,
+        }
+    }
+}
+
 /// Work collected for the caller.
 #[derive(Debug, Default)]
 pub struct Output {
--- a/src/control/replica/applying.rs
+++ b/src/control/replica/applying.rs
@@ -9,10 +9,6 @@
 use crate::message::{Change, ControlReply};
 use crate::metrics::Counter;
 
-/// Bytes of applied commands after which a snapshot is due. Recorded responses can make entries
-/// large, so the number of entries alone does not bound the log.
-const MAX_BYTES_SINCE_SNAPSHOT: usize = 64 << 20;
-
 impl Replica {
     /// Applies committed entries, replies to the callers that wait for them, and serves confirmed
     /// reads.
@@ -46,7 +42,6 @@
         let mut outcome = Outcome::Done;
         let mut changes = Vec::new();
         if let Payload::Command(bytes) = payload {
-            self.bytes_since_snapshot += bytes.len();
             (outcome, changes) = self.state.apply(index, Command::decode(&bytes)?);
         }
         self.applied = index;
@@ -143,13 +138,13 @@
 
     /// Returns a snapshot of the state if enough entries or bytes have been applied since the last
     /// one.
-    pub fn snapshot_due(&mut self) -> Option<Snapshot> {
+    pub fn snapshot_due(&self) -> Option<Snapshot> {
         let has_enough_entries =
             self.applied >= self.raft.snapshot_index() + self.settings.snapshot_entries;
-        if !has_enough_entries && self.bytes_since_snapshot < MAX_BYTES_SINCE_SNAPSHOT {
+        let applied_bytes = self.raft.log_bytes_up_to(self.applied);
+        if !has_enough_entries && applied_bytes < self.settings.limits.log_max_bytes {
             return None;
         }
-        self.bytes_since_snapshot = 0;
         Some(Snapshot {
             index: self.applied,
             term: self.raft.term_at(self.applied)?,
--- a/src/control/storage.rs
+++ b/src/control/storage.rs
@@ -6,7 +6,7 @@
 //! since the replica may have acknowledged it.
 
 use std::fs::{self, File, OpenOptions};
-use std::io::{self, Read, Write};
+use std::io::{self, BufReader, Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 
 use bincode::config::standard;
@@ -19,6 +19,8 @@
 
 const HEADER_BYTES: usize = 8;
 const MAX_RECORD_BYTES: usize = 256 << 20;
+/// A buffer for records up to this size is kept for further ones.
+const KEPT_BUFFER_BYTES: usize = 256 << 10;
 const IDENTITY_FILE: &str = "identity";
 const SNAPSHOT_FILE: &str = "snapshot";
 const LOG_PREFIX: &str = "log-";
@@ -173,6 +175,7 @@
 impl Storage for FileStorage {
     fn save(&mut self, batch: &Batch) -> Result<()> {
         self.buffer.clear();
+        self.buffer.shrink_to(KEPT_BUFFER_BYTES);
         if let Some(hard_state) = batch.hard_state {
             encode_record(&Record::HardState(hard_state), &mut self.buffer)?;
         }
@@ -196,12 +199,7 @@
         write_file(&self.folder, SNAPSHOT_FILE, snapshot)?;
         let new_path = log_path(&self.folder, self.generation + 1);
         let temporary = self.folder.join("log.tmp");
-        let mut buffer = Vec::new();
-        encode_record(&Record::HardState(hard_state), &mut buffer)?;
-        for entry in entries {
-            encode_record(&Record::Entry(entry.clone()), &mut buffer)?;
-        }
-        write_synced(&temporary, &buffer)?;
+        let size_bytes = write_log(&temporary, hard_state, entries)?;
         fs::rename(&temporary, &new_path)
             .map_err(|error| file_error("rename", &new_path, error))?;
         sync_folder(&self.folder)?;
@@ -210,7 +208,7 @@
             .open(&new_path)
             .map_err(|error| file_error("open", &new_path, error))?;
         self.generation += 1;
-        self.size_bytes = buffer.len() as u64;
+        self.size_bytes = size_bytes;
         let old_path = std::mem::replace(&mut self.log_path, new_path);
         fs::remove_file(&old_path).map_err(|error| file_error("remove", &old_path, error))
     }
@@ -242,31 +240,68 @@
     Ok((newest, log_path(folder, newest)))
 }
 
+/// Reads the records of a log one by one; returns the bytes of an incomplete one at its end, which is cut
+/// off.
 fn read_log(path: &Path, recovered: &mut Recovered) -> Result<u64> {
-    let mut bytes = Vec::new();
-    File::open(path)
-        .and_then(|mut file| file.read_to_end(&mut bytes))
-        .map_err(|error| file_error("read", path, error))?;
+    let file = File::open(path).map_err(|error| file_error("open", path, error))?;
+    let end = file.metadata().map_err(|error| file_error("stat", path, error))?.len();
+    let mut file = BufReader::new(file);
     let mut reader = LogReader::new(recovered);
+    let mut body = Vec::new();
     let mut offset = 0;
-    while offset < bytes.len() {
-        let Some((record, size)) = decode_record(&bytes[offset..]) else {
-            if let Some(next) = find_record(&bytes, offset + 1) {
-                let detail = format!(
-                    "the record at byte {offset} is damaged while one at byte {next} is whole; \
-                     move the data folder away and start again to join as a new replica"
-                );
-                return Err(Error::damaged("read log", path_text(path), detail));
-            }
+    while offset < end {
+        let read = read_body(&mut file, end - offset, &mut body);
+        let is_whole = read.map_err(|error| file_error("read", path, error))?;
+        let Some(record) = is_whole.then(|| binary::decode(&body).ok()).flatten() else {
+            check_tail(path, offset)?;
             cut(path, offset)?;
-            return Ok((bytes.len() - offset) as u64);
+            return Ok(end - offset);
         };
         reader.apply(record, path)?;
-        offset += size;
+        offset += (HEADER_BYTES + body.len()) as u64;
     }
     Ok(0)
 }
 
+/// Reads the body of the next record, of a file that has `left_bytes` more; returns false if it is
+/// incomplete or damaged.
+fn read_body(file: &mut impl Read, left_bytes: u64, body: &mut Vec<u8>) -> io::Result<bool> {
+    let mut header = [0; HEADER_BYTES];
+    if left_bytes < HEADER_BYTES as u64 {
+        return Ok(false);
+    }
+    file.read_exact(&mut header)?;
+    let [size, checksum] = header_fields(header);
+    let is_possible = size > 0
+        && size as usize <= MAX_RECORD_BYTES
+        && u64::from(size) <= left_bytes - HEADER_BYTES as u64;
+    if !is_possible {
+        return Ok(false);
+    }
+    body.clear();
+    body.shrink_to(KEPT_BUFFER_BYTES.max(size as usize));
+    body.resize(size as usize, 0);
+    file.read_exact(body)?;
+    Ok(crc32fast::hash(body) == checksum)
+}
+
+/// Fails if whole records follow the damaged one at `offset`.
+fn check_tail(path: &Path, offset: u64) -> Result<()> {
+    let mut tail = Vec::new();
+    let read = File::open(path).and_then(|mut file| {
+        file.seek(SeekFrom::Start(offset))?;
+        file.read_to_end(&mut tail)
+    });
+    read.map_err(|error| file_error("read", path, error))?;
+    let Some(next) = find_record(&tail, 1) else { return Ok(()) };
+    let detail = format!(
+        "the record at byte {offset} is damaged while one at byte {} is whole; move the data folder away \
+         and start again to join as a new replica",
+        offset + next as u64
+    );
+    Err(Error::damaged("read log", path_text(path), detail))
+}
+
 /// Applies the records of a log on top of a snapshot.
 struct LogReader<'a> {
     recovered: &'a mut Recovered,
@@ -312,16 +347,16 @@
     }
 }
 
-fn cut(path: &Path, size: usize) -> Result<()> {
+fn cut(path: &Path, size: u64) -> Result<()> {
     let file = OpenOptions::new()
         .write(true)
         .open(path)
         .map_err(|error| file_error("open", path, error))?;
-    file.set_len(size as u64).map_err(|error| file_error("cut", path, error))?;
+    file.set_len(size).map_err(|error| file_error("cut", path, error))?;
     file.sync_all().map_err(|error| file_error("sync", path, error))
 }
 
-fn encode_record(record: &Record, buffer: &mut Vec<u8>) -> Result<()> {
+fn encode_record<T: Serialize>(record: &T, buffer: &mut Vec<u8>) -> Result<()> {
     let start = buffer.len();
     buffer.extend_from_slice(&[0; HEADER_BYTES]);
     bincode::serde::encode_into_std_write(record, buffer, standard())
@@ -333,6 +368,12 @@
     Ok(())
 }
 
+/// The size and the checksum of a record's body.
+fn header_fields(header: [u8; HEADER_BYTES]) -> [u32; 2] {
+    let [a, b, c, d, e, f, g, h] = header;
+    [u32::from_le_bytes([a, b, c, d]), u32::from_le_bytes([e, f, g, h])]
+}
+
 fn decode_record(bytes: &[u8]) -> Option<(Record, usize)> {
     let body = verified_body(bytes)?;
     let record = binary::decode(body).ok()?;
@@ -340,14 +381,12 @@
 }
 
 fn verified_body(bytes: &[u8]) -> Option<&[u8]> {
-    let size_field = bytes.get(..4)?;
-    let checksum_field = bytes.get(4..HEADER_BYTES)?;
-    let size = u32::from_le_bytes(size_field.try_into().ok()?) as usize;
+    let [size, checksum] = header_fields(*bytes.first_chunk()?);
+    let size = size as usize;
     if size == 0 || size > MAX_RECORD_BYTES {
         return None;
     }
     let body = bytes.get(HEADER_BYTES..HEADER_BYTES + size)?;
-    let checksum = u32::from_le_bytes(checksum_field.try_into().ok()?);
     (crc32fast::hash(body) == checksum).then_some(body)
 }
 
@@ -374,12 +413,8 @@
 }
 
 fn write_file<T: Serialize>(folder: &Path, name: &str, value: &T) -> Result<()> {
-    let body = bincode::serde::encode_to_vec(value, standard())
-        .map_err(|error| Error::failed("encode", name, error))?;
-    let mut bytes = Vec::with_capacity(HEADER_BYTES + body.len());
-    bytes.extend_from_slice(&(body.len() as u32).to_le_bytes());
-    bytes.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
-    bytes.extend_from_slice(&body);
+    let mut bytes = Vec::new();
+    encode_record(value, &mut bytes)?;
     let temporary = folder.join(format!("{name}.tmp"));
     let path = folder.join(name);
     write_synced(&temporary, &bytes)?;
@@ -387,6 +422,25 @@
     sync_folder(folder)
 }
 
+/// Writes a new log record by record; returns its size.
+fn write_log(path: &Path, hard_state: HardState, entries: &[Entry]) -> Result<u64> {
+    let mut file = File::create(path).map_err(|error| file_error("create", path, error))?;
+    let mut buffer = Vec::new();
+    let mut size_bytes = 0;
+    encode_record(&Record::HardState(hard_state), &mut buffer)?;
+    for entry in entries {
+        if buffer.len() >= KEPT_BUFFER_BYTES {
+            file.write_all(&buffer).map_err(|error| file_error("write", path, error))?;
+            size_bytes += buffer.len() as u64;
+            buffer.clear();
+        }
+        encode_record(&Record::Entry(entry.clone()), &mut buffer)?;
+    }
+    file.write_all(&buffer).map_err(|error| file_error("write", path, error))?;
+    file.sync_all().map_err(|error| file_error("sync", path, error))?;
+    Ok(size_bytes + buffer.len() as u64)
+}
+
 fn write_synced(path: &Path, bytes: &[u8]) -> Result<()> {
     let mut file = File::create(path).map_err(|error| file_error("create", path, error))?;
     file.write_all(bytes).map_err(|error| file_error("write", path, error))?;
--- a/tests/common/replica.rs
+++ b/tests/common/replica.rs
@@ -6,6 +6,7 @@
 
 use tokio::sync::watch;
 use winchvane::clock::Clock;
+use winchvane::control::admission::Admissions;
 use winchvane::control::api::ControlApi;
 use winchvane::control::distribution;
 use winchvane::control::ledger::LedgerLimits;
@@ -86,6 +87,7 @@
     let hello = distribution::hello("n1".into(), 1, "a".into(), own);
     let Started { replica, leads, leader } = started;
     let distributor = distribution::spawn(hello, Clock::new(), leader.clone());
-    let running = Running { replica, distributor, leads, leader };
+    let admissions = Admissions::new(limits(), Metrics::local());
+    let running = Running { replica, distributor, leads, leader, admissions };
     ControlApi::new(Arc::new(RwLock::new(Stage::Running(running))))
 }
