control, platform: changes are taken on as far as control can hold them, and have their turns

What callers saw: with 40 senders of a configuration at once control went to 464 MB and its data folder to 129 MB of 128; readers of the configuration each had a copy of it. Cause: each sender's body, its parsed form, its proposal and what waited in the inbox lived beside each other, and nothing bounded their sum; a replica that doesn't lead read and parsed a configuration only to redirect its sender. Ruled out: the history and the log, which are bounded. Change: `ChangeBudget` decides: what can't be held (9% of the memory in documents), or would wait for more than 0.5 s at the measured rate, is refused at once with 503 and a Retry-After that brings senders back one after another; one larger than 3% of the memory is refused for good (413). `Admissions` gives turns in order, 3% of the memory at once; what was taken on counts until its entry is applied. Calls of gateways from 16 KiB on are counted likewise (`Busy`, retried by the client). A version that is in force needs no entry. A body for which there is no room gets a Retry-After too. Why this works: the bytes are counted from before the parse until the state has them, whatever queue they are in.

--- a/src/binary.rs
+++ b/src/binary.rs
@@ -1,6 +1,7 @@
 //! Decoding of `bincode` values, with memory limited in proportion to the size of the input.
 
 use bincode::config::{Config, standard};
+use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 /// Decodes one value, which must use all of `bytes`.
@@ -39,3 +40,9 @@
     }
     Ok(value)
 }
+
+/// The size of `value` once it is encoded.
+pub(crate) fn encoded_bytes<T: Serialize>(value: &T) -> usize {
+    bincode::serde::encode_into_std_write(value, &mut std::io::sink(), standard())
+        .expect("messages hold only types that bincode can encode")
+}
--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -73,6 +73,11 @@
                     may_have_run = true;
                     self.redirect(address, None);
                 }
+                Ok(ControlReply::Busy { retry_after_ms }) => {
+                    let pause_ms = u64::from(retry_after_ms).min(left_ms);
+                    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+                    continue;
+                }
                 Ok(reply) => return Ok(reply),
                 Err(error) if !error.is_retryable() => return Err(error),
                 Err(error) => {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! Control: the replicated state of the region, the consensus protocol behind it, and the replicas
 //! that serve it.
 
+pub mod admission;
 pub mod api;
 pub mod boot;
 pub mod client;
@@ -23,6 +24,7 @@
 pub mod registry;
 pub mod replica;
 mod replica_links;
+pub mod reply;
 pub mod server;
 pub mod serving;
 pub mod session;
--- a/src/control/process.rs
+++ b/src/control/process.rs
@@ -13,6 +13,7 @@
 
 use crate::admin::{metrics_text, problem, run_metrics_upkeep, set_log_level};
 use crate::clock::Clock;
+use crate::control::admission::Admissions;
 use crate::control::api::ControlApi;
 use crate::control::boot::{self, Booted};
 use crate::control::server::{ReplicaArguments, ReplicaHandle, ReplicaMessage};
@@ -100,6 +101,7 @@
     metrics: Metrics,
 ) -> Result<Running> {
     let id = booted.replica.raft.id();
+    let admissions = Admissions::new(settings.control_limits(), metrics.clone());
     let leads = Arc::new(AtomicBool::new(false));
     let (leader, leader_updates) = watch::channel(None);
     let arguments = ReplicaArguments {
@@ -133,7 +135,7 @@
     let (name, zone) = (common.name.clone(), common.zone.clone());
     let hello = distribution::hello(name, rand::rng().random(), zone, common.peers_address());
     let distributor = distribution::spawn(hello, clock, leader_updates.clone());
-    Ok(Running { replica: actor, distributor, leads, leader: leader_updates })
+    Ok(Running { replica: actor, distributor, leads, leader: leader_updates, admissions })
 }
 
 /// True if the replica is not a member, or knows no leader and may have been replaced.
--- a/src/control/replica/calls.rs
+++ b/src/control/replica/calls.rs
@@ -1,12 +1,12 @@
 //! Calls of gateways, operators and endpoints.
 
-use ractor::RpcReplyPort;
 use tracing::info;
 
 use super::reads::Read;
 use super::{Replica, Waiter};
 use crate::control::permit::PermitOutcome;
 use crate::control::raft::Member;
+use crate::control::reply::Reply;
 use crate::control::state::Operation;
 use crate::message::{ControlReply, ControlRequest, ProbeReply};
 
@@ -15,26 +15,20 @@
 
 impl Replica {
     /// Handles a call; the answer goes to `reply`.
-    pub fn call(
-        &mut self,
-        now_ms: u64,
-        wall_ms: u64,
-        request: ControlRequest,
-        reply: RpcReplyPort<ControlReply>,
-    ) {
+    pub fn call(&mut self, now_ms: u64, wall_ms: u64, request: ControlRequest, reply: Reply) {
         if let ControlRequest::Probe = request {
-            let _ = reply.send(ControlReply::Probe(ProbeReply::Established));
+            reply.send(ControlReply::Probe(ProbeReply::Established));
             return;
         }
         if !self.leading {
-            let _ = reply.send(self.not_leader());
+            reply.send(self.not_leader());
             return;
         }
         match request {
             ControlRequest::Probe => {}
             ControlRequest::Join { id, name, address } => {
                 self.add_learner(id, Member { name, address, voter: false });
-                let _ = reply.send(ControlReply::Joining);
+                reply.send(ControlReply::Joining);
             }
             ControlRequest::Apply { documents, dry_run: true } => {
                 self.read(Read::DryRun { documents, reply });
@@ -64,7 +58,7 @@
             }
             ControlRequest::Permit(request) => {
                 if self.state.fleet.gateway_epoch(&request.gateway) != Some(request.gateway_epoch) {
-                    let _ = reply.send(ControlReply::NoPermit { retry_after_ms: 500 });
+                    reply.send(ControlReply::NoPermit { retry_after_ms: 500 });
                     return;
                 }
                 self.next_token += 1;
@@ -76,7 +70,7 @@
             }
             ControlRequest::PermitDone { gateway, permit_id } => {
                 self.permits.return_permit(&gateway, permit_id);
-                let _ = reply.send(ControlReply::PermitReturned);
+                reply.send(ControlReply::PermitReturned);
                 self.poll_permits(now_ms);
             }
         }
@@ -106,7 +100,7 @@
                     ControlReply::NoPermit { retry_after_ms: retry_after_ms as u32 }
                 }
             };
-            if let (Err(_), PermitOutcome::Granted(permit_id)) = (reply.send(answer), outcome) {
+            if let (false, PermitOutcome::Granted(permit_id)) = (reply.send(answer), outcome) {
                 self.permits.revoke(permit_id);
             }
         }
--- a/src/control/replica/incarnations.rs
+++ b/src/control/replica/incarnations.rs
@@ -9,12 +9,12 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use ractor::RpcReplyPort;
 use tracing::info;
 
 use super::{Replica, Waiter};
+use crate::control::reply::Reply;
 use crate::control::state::Operation;
-use crate::message::{ControlReply, EndpointEnd, Heartbeat, RegisteredEndpoint};
+use crate::message::{EndpointEnd, Heartbeat, RegisteredEndpoint};
 
 /// How long after a restart a deregistration without a birth time may belong to the previous
 /// incarnation: calls arrive seconds late.
@@ -95,7 +95,7 @@
         now_ms: u64,
         wall_ms: u64,
         end: EndpointEnd,
-        reply: RpcReplyPort<ControlReply>,
+        reply: Reply,
     ) {
         let uncertain = self.uncertain_incarnation(now_ms, &end);
         let born_ms = end.born_ms.unwrap_or(0);
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -19,7 +19,6 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Weak};
 
-use ractor::RpcReplyPort;
 use serde_json::json;
 use tracing::{info, warn};
 
@@ -34,6 +33,7 @@
 use crate::control::replica::registration::Registered;
 use crate::control::replica::sessions::Renewal;
 use crate::control::replica::terms::Terms;
+use crate::control::reply::Reply;
 use crate::control::session::{Session, Summaries};
 use crate::control::state::{Command, Operation, State};
 use crate::message::{ControlReply, GroupStatus, LoadReport, SessionDown};
@@ -73,7 +73,7 @@
 
 /// Receiver of the outcome of a proposed entry.
 enum Waiter {
-    Call(RpcReplyPort<ControlReply>),
+    Call(Reply),
     Register { session: u64 },
     NoReply,
 }
@@ -84,8 +84,6 @@
     pub raft: Raft,
     state: State,
     applied: u64,
-    /// Bytes of commands applied since the last snapshot.
-    bytes_since_snapshot: usize,
     settings: ReplicaSettings,
     metrics: Metrics,
     leading: bool,
@@ -103,7 +101,7 @@
     whole_state: Vec<Weak<Outgoing>>,
     summaries: Summaries,
     permits: Permits,
-    permit_waiters: HashMap<u64, RpcReplyPort<ControlReply>>,
+    permit_waiters: HashMap<u64, Reply>,
     /// When each gateway last renewed its lease.
     renewed_at_ms: HashMap<Arc<str>, u64>,
     load_reports: HashMap<Arc<str>, u32>,
@@ -126,7 +124,6 @@
             raft,
             state,
             applied,
-            bytes_since_snapshot: 0,
             settings,
             metrics,
             leading: false,
@@ -236,13 +233,13 @@
         info!(event = "not_leading", term = self.raft.term());
         for (_, (_, waiter)) in std::mem::take(&mut self.waiters) {
             if let Waiter::Call(reply) = waiter {
-                let _ = reply.send(ControlReply::Lost);
+                reply.send(ControlReply::Lost);
             }
         }
         self.renewals.clear();
         let not_leader = self.not_leader();
         for (_, reply) in self.permit_waiters.drain() {
-            let _ = reply.send(not_leader.clone());
+            reply.send(not_leader.clone());
         }
         let leader = self.leader_address();
         for session in std::mem::take(&mut self.sessions).into_values() {
@@ -271,7 +268,7 @@
             }
             None => {
                 if let Waiter::Call(reply) = waiter {
-                    let _ = reply.send(self.not_leader());
+                    reply.send(self.not_leader());
                 }
             }
         }
--- a/src/control/replica/reads.rs
+++ b/src/control/replica/reads.rs
@@ -2,13 +2,12 @@
 
 use std::sync::Arc;
 
-use ractor::RpcReplyPort;
-
 use super::Replica;
 use super::sessions::Renewal;
 use crate::control::placement::UsageSource;
+use crate::control::reply::Reply;
 use crate::document::{Document, DocumentKind};
-use crate::message::{ControlReply, OriginAsk};
+use crate::message::OriginAsk;
 
 /// A read that waits for a quorum round.
 pub(super) enum Read {
@@ -16,16 +15,16 @@
     Welcome {
         session: u64,
     },
-    Routing(RpcReplyPort<ControlReply>),
+    Routing(Reply),
     Get {
         kind: Option<DocumentKind>,
         name: Option<Arc<str>>,
-        reply: RpcReplyPort<ControlReply>,
+        reply: Reply,
     },
-    Status(RpcReplyPort<ControlReply>),
+    Status(Reply),
     DryRun {
         documents: Vec<Document>,
-        reply: RpcReplyPort<ControlReply>,
+        reply: Reply,
     },
     /// A gateway's question where a stream began.
     Origin {
@@ -62,7 +61,7 @@
             | Read::Status(reply)
             | Read::DryRun { reply, .. }
             | Read::Routing(reply) => {
-                let _ = reply.send(not_leader);
+                reply.send(not_leader);
             }
         }
     }
--- a/src/control/replica/registration.rs
+++ b/src/control/replica/registration.rs
@@ -4,7 +4,6 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use ractor::RpcReplyPort;
 use tracing::info;
 
 use super::incarnations::UncertainEnds;
@@ -13,6 +12,7 @@
 use crate::control::counts::Counts;
 use crate::control::peers::Peers;
 use crate::control::placement::Placement;
+use crate::control::reply::Reply;
 use crate::control::software::UnusedSoftware;
 use crate::control::state::Operation;
 use crate::control::workspace_use::WorkspaceUses;
@@ -143,29 +143,29 @@
         wall_ms: u64,
         configuration: Arc<RoutingConfiguration>,
         document: Arc<str>,
-        reply: RpcReplyPort<ControlReply>,
+        reply: Reply,
     ) {
         let is_founding =
             now_ms < self.registered.leading_since_ms + self.settings.founding_wait_ms;
         if is_founding && self.state.registry.routing().is_none() && !self.raft.has_target_voters()
         {
             info!(event = "routing_put_off", reason = "voters are missing");
-            let _ = reply.send(ControlReply::NotReady);
+            reply.send(ControlReply::NotReady);
+            return;
+        }
+        let (version, held) = (configuration.version, self.state.registry.routing_version());
+        info!(event = "routing_put", version, held);
+        if version <= held {
+            // It is committed, or a newer one is, and changes nothing.
+            reply.send(ControlReply::Accepted);
             return;
         }
-        let version = configuration.version;
-        info!(event = "routing_put", version, held = self.state.registry.routing_version());
         let operation = Operation::PutRouting { configuration, document };
         self.propose(wall_ms, operation, Waiter::Call(reply));
     }
 
     /// Proposes the newest version of weights and replies after the commit.
-    pub(super) fn put_version(
-        &mut self,
-        wall_ms: u64,
-        newest: NewestVersion,
-        reply: RpcReplyPort<ControlReply>,
-    ) {
+    pub(super) fn put_version(&mut self, wall_ms: u64, newest: NewestVersion, reply: Reply) {
         info!(event = "version_put", weights = %newest.name, version = newest.version);
         self.propose(wall_ms, Operation::PutVersion(newest), Waiter::Call(reply));
     }
@@ -176,7 +176,7 @@
         now_ms: u64,
         wall_ms: u64,
         heartbeat: Heartbeat,
-        reply: RpcReplyPort<ControlReply>,
+        reply: Reply,
     ) {
         let zone = heartbeat.endpoint.zone.clone();
         let waiter = Waiter::Call(reply);
@@ -185,7 +185,7 @@
         };
         if let Waiter::Call(reply) = waiter {
             let server = self.registered.group_sent.server_of(&zone);
-            let _ = reply.send(ControlReply::Heard { server });
+            reply.send(ControlReply::Heard { server });
         }
     }
 
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -19,12 +19,11 @@
 use crate::control::raft::{Envelope, NodeId, Output, Snapshot};
 use crate::control::replica::Replica;
 use crate::control::replica_links::ReplicaLinks;
+use crate::control::reply::Reply;
 use crate::control::storage::{Batch, Storage};
 use crate::error::{Error, Result};
 use crate::logging;
-use crate::message::{
-    ControlReply, ControlRequest, LoadReport, PeerMessage, SessionHello, SessionUp,
-};
+use crate::message::{ControlRequest, LoadReport, PeerMessage, SessionHello, SessionUp};
 use crate::metrics::{Counter, Gauge, Metrics, Timer};
 use crate::process::EXIT_STORAGE;
 use crate::wire::BoxFuture;
@@ -42,7 +41,7 @@
     /// Advance the timers.
     Tick,
     /// A single call.
-    Call(ControlRequest, RpcReplyPort<ControlReply>),
+    Call(ControlRequest, Reply),
     /// A gateway opens a session.
     Open(u64, SessionHello, OutboxSender),
     /// A message of a session.
@@ -249,6 +248,7 @@
             ReplicaMessage::Tick => {
                 self.metrics.gauge(Gauge::MessagesWaiting, self.inbox.len() as u64);
                 self.replica.publish_held_bytes();
+                self.metrics.gauge(Gauge::LinkBytesWaiting, self.links.waiting_bytes());
                 self.replica.tick(now_ms, wall_ms());
             }
             ReplicaMessage::Peer(message) => {
--- a/src/control/serving.rs
+++ b/src/control/serving.rs
@@ -11,19 +11,24 @@
 use tokio::time::timeout;
 use tracing::debug;
 
+use crate::control::admission::{Admissions, Admitted};
 use crate::control::distribution::DistributorHandle;
 use crate::control::limits::ControlLimits;
 use crate::control::outbox::{OutboxReceiver, OutboxSender, outbox};
+use crate::control::reply::Reply;
 use crate::control::server::{ReplicaHandle, ReplicaMessage};
 use crate::error::{Error, Result};
 use crate::message::{
     ControlReply, ControlRequest, PeerMessage, ProbeReply, SessionDown, SessionHello, SessionRole,
     SessionUp,
 };
+use crate::policy::change_budget::ChangeRefusal;
 use crate::traffic;
 use crate::wire::{BoxFuture, Channel, Handler, Incoming, Receiver, Sender};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Smaller calls of other processes are not counted.
+const ADMITTED_MIN_BYTES: u64 = 16 << 10;
 /// Why a replica that has only just started refuses a stream.
 const NOT_STARTED: &str = "the replica has not started yet";
 
@@ -48,20 +53,62 @@
     pub leads: Arc<AtomicBool>,
     /// The leader's address, as far as this replica knows.
     pub leader: watch::Receiver<Option<SocketAddr>>,
+    /// The changes that are taken on.
+    pub admissions: Admissions,
 }
 
 impl Running {
+    /// Where a call belongs that only the leader serves; `None` while this replica leads.
+    pub fn elsewhere(&self) -> Option<ControlReply> {
+        let leads = self.leads.load(Ordering::Relaxed);
+        (!leads).then(|| ControlReply::NotLeader { leader: *self.leader.borrow() })
+    }
+
+    /// Takes a large call on that came from another process.
+    ///
+    /// # Errors
+    /// The answer to a call that was not taken on.
+    async fn admit(
+        &self,
+        request: &ControlRequest,
+    ) -> std::result::Result<Option<Admitted>, ControlReply> {
+        let size_bytes = request.content_bytes() as u64;
+        if size_bytes < ADMITTED_MIN_BYTES {
+            return Ok(None);
+        }
+        if let Some(elsewhere) = self.elsewhere() {
+            return Err(elsewhere);
+        }
+        match self.admissions.admit(size_bytes).await {
+            Ok(admitted) => Ok(Some(admitted)),
+            Err(ChangeRefusal::Busy { retry_after_ms }) => {
+                Err(ControlReply::Busy { retry_after_ms: retry_after_ms as u32 })
+            }
+            Err(ChangeRefusal::TooLarge { max_bytes }) => Err(ControlReply::Invalid(format!(
+                "the call has {size_bytes} bytes, of {max_bytes} at most"
+            ))),
+        }
+    }
+
     /// Sends a call to the replica while it leads; otherwise answers with the leader's address.
     /// Without this, callers of a follower whose disk stalls would wait until they time out, since
     /// the replica does nothing until the write completes.
-    pub async fn call(&self, request: ControlRequest, within: Duration) -> ControlReply {
+    pub async fn call(
+        &self,
+        request: ControlRequest,
+        admitted: Option<Admitted>,
+        within: Duration,
+    ) -> ControlReply {
         // A probe asks for this replica's own state.
         let is_for_leader = !matches!(request, ControlRequest::Probe);
-        if is_for_leader && !self.leads.load(Ordering::Relaxed) {
-            return ControlReply::NotLeader { leader: *self.leader.borrow() };
+        if is_for_leader && let Some(elsewhere) = self.elsewhere() {
+            return elsewhere;
         }
         let (reply, answered) = oneshot::<ControlReply>();
-        let call = ReplicaMessage::Call(request, RpcReplyPort::from(reply));
+        let call = ReplicaMessage::Call(
+            request,
+            Reply::new(RpcReplyPort::from(reply)).with_admitted(admitted),
+        );
         if self.replica.cast(call).is_err() {
             return ControlReply::Lost;
         }
@@ -189,7 +236,10 @@
     let reply = match running {
         Err(stage) if matches!(request, ControlRequest::Probe) => ControlReply::Probe(stage),
         Err(_) => ControlReply::NotLeader { leader: None },
-        Ok(running) => running.call(request, CALL_TIMEOUT).await,
+        Ok(running) => match running.admit(&request).await {
+            Ok(admitted) => running.call(request, admitted, CALL_TIMEOUT).await,
+            Err(reply) => reply,
+        },
     };
     sender.send(&reply).await?;
     sender.finish();
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -103,6 +103,7 @@
             );
             json_answer(apply_status(&reply), &json!(reply))
         }
+        Ok(ControlReply::Invalid(detail)) => problem(StatusCode::PAYLOAD_TOO_LARGE, &detail),
         Ok(_) => problem(StatusCode::BAD_GATEWAY, "control gave another kind of answer"),
         Err(error) => control_unavailable(&error),
     }
--- a/src/message/control.rs
+++ b/src/message/control.rs
@@ -176,6 +176,11 @@
     NotReady,
     /// The operator's document of the newest routing configuration; `None` before the first one.
     Routing(Option<Arc<str>>),
+    /// The call was not taken on, since others are being processed; it had no effect.
+    Busy {
+        /// The time after which to call again.
+        retry_after_ms: u32,
+    },
 }
 
 /// The answer to [`ControlRequest::Probe`]: how far the replica is in founding the group.
--- a/src/message/size.rs
+++ b/src/message/size.rs
@@ -3,10 +3,12 @@
 use std::mem::{size_of, size_of_val};
 
 use super::{
-    Change, CreditGrant, EndpointLoad, LoadReport, NotRepeatable, PeerGateway, Placed,
-    RegisteredEndpoint, Service, SessionDown, SessionServer, Summary, WorkspaceUse,
+    Change, ControlRequest, CreditGrant, EndpointLoad, LoadReport, NotRepeatable, PeerGateway,
+    Placed, RegisteredEndpoint, Service, SessionDown, SessionServer, Summary, WorkspaceUse,
 };
+use crate::binary;
 use crate::control::fleet::{EndpointRecord, GatewayRecord, ListedEndpoint};
+use crate::control::ledger::Settlement;
 use crate::routing::string_bytes;
 
 impl Change {
@@ -33,6 +35,20 @@
     }
 }
 
+impl ControlRequest {
+    /// The bytes of what the call carries, as it is sent; 0 for calls that are always small.
+    pub fn content_bytes(&self) -> usize {
+        match self {
+            Self::Apply { documents, .. } => binary::encoded_bytes(documents),
+            Self::PutRouting { document, .. } => document.len(),
+            Self::Settle { settlement: Settlement::Finished(Some(answer)), .. } => {
+                answer.body.len()
+            }
+            _ => 0,
+        }
+    }
+}
+
 impl SessionDown {
     /// An estimate of the memory that this message takes, without strings that it shares with the state.
     pub fn size_bytes(&self) -> usize {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -168,6 +168,8 @@
     ElectionsWon => "control.elections_won",
     /// Gateways whose lease expired.
     GatewaysExpired => "control.gateways_expired",
+    /// Changes that were refused since control could not hold them or answer them in time.
+    ChangesRefused => "control.changes_refused",
     /// Snapshots of the state written.
     SnapshotsWritten => "control.snapshots_written",
 }
@@ -207,12 +209,16 @@
     RequestsWaiting => "requests.waiting",
     /// Messages that wait at this replica of control.
     MessagesWaiting => "replica.messages_waiting",
+    /// Bytes of changes from their arrival until they are applied.
+    ChangeBytesHeld => "control.changes_held_bytes",
     /// Memory of changes that are kept for followers a little behind, in bytes.
     HistoryBytesHeld => "control.history_held_bytes",
     /// Memory of log entries since the last snapshot, in bytes.
     LogBytesHeld => "control.log_held_bytes",
     /// Memory of messages that wait for gateways and distributors or are being sent to them, in bytes.
     SessionBytesWaiting => "control.session_waiting_bytes",
+    /// Memory of messages that wait for other replicas or are being sent to them, in bytes.
+    LinkBytesWaiting => "control.link_waiting_bytes",
     /// Size of the last snapshot of the state, in bytes.
     SnapshotBytes => "control.snapshot_bytes",
     /// Open connections that others have opened to this process.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,6 +5,7 @@
 //! gateways and the measurement run the same code.
 
 pub mod brittle;
+pub mod change_budget;
 pub mod counts;
 pub mod crashes;
 pub mod endpoint_backoff;
--- a/tests/disk_full.rs
+++ b/tests/disk_full.rs
@@ -56,7 +56,7 @@
 }
 
 async fn call(actor: &ReplicaHandle, request: ControlRequest) -> Option<ControlReply> {
-    actor.call(|reply| ReplicaMessage::Call(request, reply), 500).await.ok()
+    actor.call(|reply| ReplicaMessage::Call(request, reply.into()), 500).await.ok()
 }
 
 async fn call_until_accepted(actor: &ReplicaHandle, version: u64) {
--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -60,7 +60,7 @@
 
     fn call(&mut self, request: ControlRequest) {
         let (reply, _) = ractor::concurrency::oneshot::<ControlReply>();
-        let reply = RpcReplyPort::from(reply);
+        let reply = RpcReplyPort::from(reply).into();
         self.replica.call(self.now_ms, self.now_ms, request, reply);
         self.pass(1);
     }
--- a/tests/stalled_disk.rs
+++ b/tests/stalled_disk.rs
@@ -10,6 +10,7 @@
 
 use tokio::sync::watch;
 use winchvane::clock::Clock;
+use winchvane::control::admission::Admissions;
 use winchvane::control::api::{CallOutcome, ControlApi};
 use winchvane::control::distribution;
 use winchvane::control::raft::{Entry, HardState, Snapshot, Timing};
@@ -17,6 +18,7 @@
 use winchvane::control::storage::{Batch, Storage};
 use winchvane::error::Result;
 use winchvane::message::{ControlRequest, NewestVersion, WeightsName};
+use winchvane::metrics::Metrics;
 
 /// How long a caller may wait for an answer.
 const ANSWER_MAX: Duration = Duration::from_millis(200);
@@ -71,7 +73,8 @@
     let own: SocketAddr = ([127, 0, 0, 1], 9).into();
     let hello = distribution::hello("n1".into(), 1, "a".into(), own);
     let distributor = distribution::spawn(hello, Clock::new(), leader.clone());
-    let running = Running { replica, distributor, leads: Arc::default(), leader };
+    let admissions = Admissions::new(common::replica::limits(), Metrics::local());
+    let running = Running { replica, distributor, leads: Arc::default(), leader, admissions };
     let api = ControlApi::new(Arc::new(RwLock::new(Stage::Running(running))));
     let outcome = tokio::time::timeout(ANSWER_MAX, api.call(named(2))).await;
     // Lets the writing thread end before the test does.
