relay: an answer without the id of its request, or a success without a signature, is no answer of it

Cause: `Exchange::attempt` took an answer for foreign only if it carries another id; bytes without any, which a faulty endpoint sends late in the place of the next answer, passed as the answer that is due. A success without a signature passed too. Change: endpoints return the id of each request, so an answer without it is `Foreign`; `AnswerMeta::is_signed`, and an unsigned success is `Invalid`. Why this works: nothing of such bytes is used; the connection is dropped, a request that may run once gets 502, others are sent again.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -283,9 +283,13 @@
         };
         let head = relay.platform_headers.read_answer(response.status(), response.headers());
         // Nothing in an answer to another request says anything about this one, or about the endpoint.
-        if head.request_id.as_ref().is_some_and(|answered| *answered != self.meta.id) {
+        // An answer without an id belongs to no request: endpoints return the id of each.
+        if head.request_id.as_ref() != Some(&self.meta.id) {
             return Attempt::Foreign;
         }
+        if response.status().is_success() && !head.is_signed {
+            return Attempt::Invalid("a success without a signature".to_owned());
+        }
         relay.note_endpoint_state(&send.endpoint, self.sent_at_ms, &head);
         if head.misdirected {
             if let Some(weights) = weights {
--- a/src/relay/border.rs
+++ b/src/relay/border.rs
@@ -92,8 +92,11 @@
     pub not_run: bool,
     /// True if another incarnation answered, or an endpoint that lacks the weights.
     pub misdirected: bool,
-    /// The id of the request that was answered.
+    /// The id of the request that was answered; `None` if the answer carries none and thus belongs to no
+    /// request.
     pub request_id: Option<Arc<str>>,
+    /// True if the answer carries the endpoint's signature, as every success does.
+    pub is_signed: bool,
     /// The endpoint's rate limit.
     pub rate_limit: RateLimit,
     /// The rejections a second, of all gateways together, that the endpoint bears before it ends.
