relay: a response without a length of a draining endpoint is whole only if the endpoint still runs

Cause: `EndpointCheck` took the end of the connection for the end of the response, unchecked, for each endpoint that is leaving, whether it had said so in a response or its registration says so. Ruled out: the check itself, which finds endpoints killed without notice. Change: only an endpoint that announced its end in a response may have stopped listening before its last ones; one whose registration is draining serves until it deregisters, so it is asked like any other. Why this works: an endpoint that was taken away accepts no connection; one that ends in a planned way still does. An endpoint that announced its end in a response and is then killed is still taken for done.

--- a/src/relay/advertised.rs
+++ b/src/relay/advertised.rs
@@ -71,9 +71,9 @@
         self.endpoints.get_mut(id).is_some_and(|state| state.backoff.start(now_ms, backoff_ms))
     }
 
-    /// True if `id` is leaving according to its registration or to a recent response.
-    pub(super) fn is_leaving(&self, now_ms: u64, id: &str) -> bool {
-        self.endpoints.get(id).is_some_and(|state| state.is_leaving(now_ms))
+    /// True if `id` announced in a recent response that it is about to shut down.
+    pub(super) fn has_announced_end(&self, now_ms: u64, id: &str) -> bool {
+        self.endpoints.get(id).is_some_and(|state| state.has_announced_end(now_ms))
     }
 
     /// True if `id` is registered and not leaving.
--- a/src/relay/known.rs
+++ b/src/relay/known.rs
@@ -147,7 +147,12 @@
 
     /// True if the endpoint is leaving according to its registration or to a recent response.
     pub(super) fn is_leaving(&self, now_ms: u64) -> bool {
-        self.endpoint.leaving || now_ms < self.leaving_until_ms
+        self.endpoint.leaving || self.has_announced_end(now_ms)
+    }
+
+    /// True if a recent response announced that the endpoint is about to shut down.
+    pub(super) fn has_announced_end(&self, now_ms: u64) -> bool {
+        now_ms < self.leaving_until_ms
     }
 
     /// True if the endpoint has this software version, or if none is needed.
--- a/src/relay/sender.rs
+++ b/src/relay/sender.rs
@@ -12,8 +12,9 @@
 use crate::wire::BoxFuture;
 
 /// Checks an endpoint that sent a response without a length or chunks: it was done if it accepts
-/// another connection, which the next request uses. One that announced that it is leaving may have
-/// stopped listening before its last responses.
+/// another connection, which the next request uses. One that announced in a response that it is about to
+/// shut down may have stopped listening before its last responses. One whose registration says that it
+/// is leaving serves until it deregisters, and may be taken away before that.
 pub(super) struct EndpointCheck {
     relay: Arc<Relay>,
     endpoint: Arc<str>,
@@ -36,7 +37,7 @@
     fn confirm(&self) -> BoxFuture<'static, Result<()>> {
         let (relay, endpoint, address) = (self.relay.clone(), self.endpoint.clone(), self.address);
         Box::pin(async move {
-            if relay.fleet().is_leaving(relay.now_ms(), &endpoint) {
+            if relay.fleet().has_announced_end(relay.now_ms(), &endpoint) {
                 return Ok(());
             }
             let opened = relay.pool.open_ahead(address).await;
