--- a/src/message/registration.rs
+++ b/src/message/registration.rs
@@ -113,6 +113,56 @@
     pub holds: Option<Vec<Weights>>,
 }
 
+/// The longest name that control keeps.
+const NAME_MAX_BYTES: usize = 1 << 10;
+
+/// Fails if a name is longer than control keeps.
+fn check_name(what: &str, name: &str) -> Result<(), String> {
+    if name.len() <= NAME_MAX_BYTES {
+        return Ok(());
+    }
+    Err(format!("{what} has {} bytes, of {NAME_MAX_BYTES} at most", name.len()))
+}
+
+impl WeightsName {
+    /// Checks that control can keep the names.
+    ///
+    /// # Errors
+    /// Which one is too long.
+    pub fn check(&self) -> Result<(), String> {
+        check_name("the model", &self.model)?;
+        self.adapter.as_deref().map_or(Ok(()), |adapter| check_name("the adapter", adapter))
+    }
+}
+
+impl EndpointEnd {
+    /// Checks that control can keep the name.
+    ///
+    /// # Errors
+    /// It is too long.
+    pub fn check(&self) -> Result<(), String> {
+        check_name("the endpoint", &self.name)
+    }
+}
+
+impl Heartbeat {
+    /// Checks that control can keep what the endpoint reports.
+    ///
+    /// # Errors
+    /// Which name is too long.
+    pub fn check(&self) -> Result<(), String> {
+        let RegisteredEndpoint { name, service, zone, software_version, .. } = &self.endpoint;
+        check_name("the endpoint", name)?;
+        check_name("the service", service)?;
+        check_name("the availability zone", zone)?;
+        check_name("the software version", software_version)?;
+        for weights in self.holds.iter().flatten() {
+            weights.name.check()?;
+        }
+        Ok(())
+    }
+}
+
 /// Weights that requests need and that no endpoint known to the gateway holds, or too few of them.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdapterNeed {
