--- a/src/control/reply.rs
+++ b/src/control/reply.rs
@@ -8,7 +8,7 @@
 /// The caller that waits for an answer, and the memory that its call takes until then.
 pub struct Reply {
     port: RpcReplyPort<ControlReply>,
-    _admitted: Option<Admitted>,
+    _admitted: Option<Box<Admitted>>,
 }
 
 impl Reply {
@@ -20,7 +20,7 @@
     /// Counts the call as held until it is answered or given up.
     #[must_use]
     pub fn with_admitted(self, admitted: Option<Admitted>) -> Self {
-        Self { _admitted: admitted, ..self }
+        Self { _admitted: admitted.map(Box::new), ..self }
     }
 
     /// Answers the call; returns false if its caller has gone.
--- a/src/control/storage.rs
+++ b/src/control/storage.rs
@@ -370,8 +370,9 @@
 
 /// The size and the checksum of a record's body.
 fn header_fields(header: [u8; HEADER_BYTES]) -> [u32; 2] {
-    let [a, b, c, d, e, f, g, h] = header;
-    [u32::from_le_bytes([a, b, c, d]), u32::from_le_bytes([e, f, g, h])]
+    // Each half has the length of a field.
+    let (size, checksum) = header.split_at(HEADER_BYTES / 2);
+    [size, checksum].map(|field| u32::from_le_bytes(field.try_into().expect("half a header")))
 }
 
 fn decode_record(bytes: &[u8]) -> Option<(Record, usize)> {
--- a/src/message/size.rs
+++ b/src/message/size.rs
@@ -4,7 +4,8 @@
 
 use super::{
     Change, ControlRequest, CreditGrant, EndpointLoad, LoadReport, NotRepeatable, PeerGateway,
-    Placed, RegisteredEndpoint, Service, SessionDown, SessionServer, Summary, WorkspaceUse,
+    Placed, RegisteredEndpoint, Service, SessionDown, SessionServer, Summary, WeightsName,
+    WorkspaceUse,
 };
 use crate::binary;
 use crate::control::fleet::{EndpointRecord, GatewayRecord, ListedEndpoint};
@@ -29,7 +30,7 @@
                     newest.name.size_bytes()
                 }
                 Self::Standing(standing) => {
-                    standing.weights.as_ref().map_or(0, |name| name.size_bytes())
+                    standing.weights.as_ref().map_or(0, WeightsName::size_bytes)
                 }
             }
     }
