--- a/tests/outbox.rs
+++ b/tests/outbox.rs
@@ -85,7 +85,9 @@
     let messages = take_all(&mut received);
     assert_eq!(routings(&messages), [200]);
     let mut known = Known::default();
-    messages.into_iter().for_each(|message| known.apply(message));
+    for message in messages {
+        known.apply(message);
+    }
     assert_eq!(known, Known { routing: 200, index: 200, ..Known::default() });
 }
 
