--- a/src/policy/change_budget.rs
+++ b/src/policy/change_budget.rs
@@ -7,7 +7,7 @@
 /// A change that would wait for longer is refused: senders wait for a second, and its own turn takes time
 /// too.
 const WAIT_MAX_MS: f64 = 500.0;
-/// The time that a megabyte of changes is expected to take before any was measured.
+/// The time that a megabyte of changes is expected to take before the first change has ended.
 const FIRST_MS_PER_MB: f64 = 30.0;
 /// The weight of the latest change in the measured time.
 const LATEST_WEIGHT: f64 = 0.25;
