wire, policy: a connection with short streams is not unused

Cause: a connection was taken for unused if it had no open stream at the moment of each observation, which are 200 ms apart. One whose streams are over within that time was doubted after 0.6 s and closed after 10 s.

Evidence: the tests of fuzz_wire send 256 messages one after the other, 40 ms each (21.6 s for two links and more), so that they end at about the 10 s of the bound.

Why this works: bytes that arrive are a sign of use as well as of life, as they are for connections with open streams. A connection without streams is not pinged, so that an unused one brings none.

The new test a_connection_with_short_streams_is_kept_and_not_doubted was red before (1 of 1) and is green.

--- a/src/policy/silence.rs
+++ b/src/policy/silence.rs
@@ -66,7 +66,7 @@
     /// wait behind megabytes of other data.
     pub fn observe(&mut self, now_ms: u64, received_bytes: u64, is_in_use: bool) -> SilenceAction {
         if !is_in_use {
-            return self.observe_unused(now_ms);
+            return self.observe_unused(now_ms, received_bytes);
         }
         if self.received_bytes != received_bytes || self.unused.take().is_some() {
             self.received_bytes = received_bytes;
@@ -86,7 +86,12 @@
         SilenceAction::Wait
     }
 
-    fn observe_unused(&mut self, now_ms: u64) -> SilenceAction {
+    /// Streams that begin and end between two observations are seen by what they bring.
+    fn observe_unused(&mut self, now_ms: u64, received_bytes: u64) -> SilenceAction {
+        if self.received_bytes != received_bytes {
+            self.received_bytes = received_bytes;
+            self.unused = None;
+        }
         let unused = self.unused.get_or_insert_with(|| RunningTimer::new(now_ms, STEP_MAX_MS));
         let unused_ms = unused.observe(now_ms);
         self.is_doubted = unused_ms >= DOUBTED_AFTER_MS;
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -52,6 +52,18 @@
     assert!(!actions.contains(&SilenceAction::Ping), "{actions:?}");
 }
 
+/// Guards against the end of a connection under its streams: each of them was over within the time
+/// between two observations, so that the connection seemed to be unused.
+#[test]
+fn a_connection_with_short_streams_is_kept_and_not_doubted() {
+    let mut observer = SilenceObserver::new(0);
+    for step in 1..=300 {
+        let action = observer.observe(step * OBSERVE_INTERVAL_MS, step, false);
+        assert_eq!(action, SilenceAction::Wait, "step {step}");
+        assert!(!observer.is_doubted(), "step {step}");
+    }
+}
+
 #[test]
 fn a_connection_that_is_used_again_has_the_whole_time_to_answer() {
     let used_from_ms = 5_000;
