--- a/tests/common/link.rs
+++ b/tests/common/link.rs
@@ -78,6 +78,7 @@
             let taker = Taker::<T> { outcomes, message: PhantomData };
             tokio::spawn(serve(listener, Arc::new(taker), Resources::local()));
             let stream = TcpStream::connect(address).await.expect("it connects");
+            stream.set_nodelay(true).expect("it is connected");
             let (sender, connection) = h2::client::handshake(stream).await.expect("h2");
             tokio::spawn(connection);
             sender
