control, relay: followers get the routes that changed, not the whole configuration

Cause: a change of the configuration was published as the whole of it, about 1 MB, whatever had changed.

Now the leader and the distributors send what turns the configuration that their followers have into the next one: runs of routes that are kept, and the new ones; services and workspaces if they differ. A change of most routes is sent whole. Where a follower has not got the message before, which the next one replaces in its queue, it gets the whole configuration, as before. Unchanged routes are shared between versions at gateways.

Why this works: a session's messages arrive in order, all of a session's updates are made from what the same sender sent before, and an update that does not fit ends the session, after which the whole state is sent. The index and the confirmation of renewals are unchanged, so that nothing is confirmed earlier or later.

The fuzz tests of messages draw updates too.

--- a/src/control/distribution/from_leader.rs
+++ b/src/control/distribution/from_leader.rs
@@ -96,7 +96,12 @@
             incoming.apply_changes(&changes);
             return;
         }
+        let known = self.view.routing().cloned();
         self.view.apply_changes(&changes);
+        if let ([Change::Routing(next)], false) = (&changes[..], complete) {
+            self.broadcast_shared(&Outgoing::routing(index, known.as_ref(), next.clone()));
+            return;
+        }
         let reset = false;
         self.broadcast(SessionDown::Changes { index, reset, complete, changes });
     }
--- a/src/control/distribution/link.rs
+++ b/src/control/distribution/link.rs
@@ -13,7 +13,9 @@
 use crate::control::outbox::OutboxSender;
 use crate::error::{Error, Result};
 use crate::following::send;
-use crate::message::{Heartbeat, SessionDown, SessionHello, SessionRole, SessionUp};
+use crate::message::{
+    FollowedRouting, Heartbeat, SessionDown, SessionHello, SessionRole, SessionUp,
+};
 use crate::policy::running_time::RunningTimer;
 use crate::wire::{Channel, Peer, Receiver, Sender};
 
@@ -201,6 +203,7 @@
     send(&mut sender, &SessionUp::Hello(hello.clone())).await?;
     let (up, mut outgoing) = mpsc::channel(QUEUE_MAX);
     let mut up = Some(up);
+    let mut routing = FollowedRouting::new();
     let clock = Clock::new();
     let mut silence = RunningTimer::new(clock.now_ms(), SILENCE_STEP_MAX_MS);
     let mut checks = interval(SILENCE_CHECK_INTERVAL);
@@ -221,6 +224,10 @@
                         Some(up) => Message::Linked(up),
                         None => continue,
                     },
+                    SessionDown::Changes { index, reset, complete, mut changes } => {
+                        routing.resolve(&mut changes)?;
+                        Message::Down(SessionDown::Changes { index, reset, complete, changes })
+                    }
                     down => Message::Down(down),
                 };
                 if queue.send(message).is_err() {
--- a/src/control/distribution/mod.rs
+++ b/src/control/distribution/mod.rs
@@ -258,9 +258,12 @@
     }
 
     fn broadcast(&mut self, message: SessionDown) {
-        let message = Outgoing::new(message);
+        self.broadcast_shared(&Outgoing::new(message));
+    }
+
+    fn broadcast_shared(&mut self, message: &Arc<Outgoing>) {
         self.sessions.retain(|_, session| {
-            let sent = session.follow(std::slice::from_ref(&message));
+            let sent = session.follow(std::slice::from_ref(message));
             if let Err(reason) = &sent {
                 warn!(event = "session_dropped", gateway = %session.hello.name, ?reason);
             }
--- a/src/control/distribution/view.rs
+++ b/src/control/distribution/view.rs
@@ -56,8 +56,9 @@
                         self.standings.insert(standing.key, standing.clone());
                     }
                 }
-                // These changes concern owners, which follow the leader directly.
-                Change::Service(_)
+                // The link has resolved updates; the others concern owners, which follow the leader directly.
+                Change::RoutingUpdate(_)
+                | Change::Service(_)
                 | Change::ServiceRetired(_)
                 | Change::Endpoint(_)
                 | Change::EndpointRemoved(_)
@@ -67,6 +68,11 @@
         }
     }
 
+    /// The routing configuration, if there is one.
+    pub(super) fn routing(&self) -> Option<&Arc<RoutingConfiguration>> {
+        self.routing.as_ref()
+    }
+
     /// Applies changes of what endpoints hold.
     pub(super) fn place(&mut self, placed: &[Placed]) {
         for Placed { endpoint, name, holding } in placed {
--- a/src/control/history.rs
+++ b/src/control/history.rs
@@ -32,7 +32,7 @@
             Change::EndpointRemoved(name) => Self::Endpoint(name.clone()),
             Change::Gateway(record) => Self::Gateway(record.name.clone()),
             Change::GatewayRemoved(name) => Self::Gateway(name.clone()),
-            Change::Routing(_) => Self::Routing,
+            Change::Routing(_) | Change::RoutingUpdate(_) => Self::Routing,
             Change::Registered(endpoint) => Self::Registration(endpoint.id.clone()),
             Change::Deregistered(id) => Self::Registration(id.clone()),
             Change::Version(newest) | Change::VersionOfUnknownAge(newest) => {
--- a/src/control/outbox.rs
+++ b/src/control/outbox.rs
@@ -12,6 +12,7 @@
 
 use crate::error::Result;
 use crate::message::{Change, SessionDown};
+use crate::routing::{RoutingConfiguration, RoutingUpdate};
 use crate::wire::Encoded;
 
 /// Most messages that wait for one follower.
@@ -31,14 +32,53 @@
     message: SessionDown,
     size_bytes: u64,
     encoded: OnceLock<Encoded<SessionDown>>,
+    /// What replaces the message for a follower that has not got the one before.
+    whole: Option<Whole>,
+}
+
+/// A configuration, and the message that carries all of it.
+#[derive(Debug)]
+struct Whole {
+    index: u64,
+    configuration: Arc<RoutingConfiguration>,
+    message: OnceLock<Arc<Outgoing>>,
 }
 
 impl Outgoing {
     /// Creates a message that may be sent to several followers.
     pub fn new(message: SessionDown) -> Arc<Self> {
+        Self::with_whole(message, None)
+    }
+
+    /// Creates the message of the configuration `next`, which a further message completes, for followers
+    /// that have the configuration `known`, or none.
+    pub fn routing(
+        index: u64,
+        known: Option<&Arc<RoutingConfiguration>>,
+        next: Arc<RoutingConfiguration>,
+    ) -> Arc<Self> {
+        if let Some(known) = known {
+            let update = RoutingUpdate::between(known, &next);
+            if update.size_bytes() < next.size_bytes() / 2 {
+                let whole = Whole { index, configuration: next, message: OnceLock::new() };
+                let message = routing_message(index, Change::RoutingUpdate(update));
+                return Self::with_whole(message, Some(whole));
+            }
+        }
+        Self::new(routing_message(index, Change::Routing(next)))
+    }
+
+    fn with_whole(message: SessionDown, whole: Option<Whole>) -> Arc<Self> {
         let size_bytes = message.size_bytes() as u64;
         WAITING_BYTES.fetch_add(size_bytes, Ordering::Relaxed);
-        Arc::new(Self { message, size_bytes, encoded: OnceLock::new() })
+        Arc::new(Self { message, size_bytes, encoded: OnceLock::new(), whole })
+    }
+
+    /// This message for followers that have not got the one before.
+    fn to_whole(self: Arc<Self>) -> Arc<Self> {
+        let Some(Whole { index, configuration, message }) = &self.whole else { return self };
+        let new = || Self::new(routing_message(*index, Change::Routing(configuration.clone())));
+        message.get_or_init(new).clone()
     }
 
     /// The message.
@@ -46,6 +86,11 @@
         &self.message
     }
 
+    /// An estimate of the memory that the message takes.
+    pub fn size_bytes(&self) -> u64 {
+        self.size_bytes
+    }
+
     /// The message in the form in which it is sent.
     ///
     /// # Errors
@@ -68,15 +113,19 @@
         else {
             return false;
         };
-        matches!(changes[..], [Change::Routing(_)])
+        matches!(changes[..], [Change::Routing(_) | Change::RoutingUpdate(_)])
     }
 
     fn has_routing(&self) -> bool {
         let SessionDown::Changes { changes, .. } = &self.message else { return false };
-        changes.iter().any(|change| matches!(change, Change::Routing(_)))
+        changes.iter().any(|it| matches!(it, Change::Routing(_) | Change::RoutingUpdate(_)))
     }
 }
 
+fn routing_message(index: u64, change: Change) -> SessionDown {
+    SessionDown::Changes { index, reset: false, complete: false, changes: vec![change] }
+}
+
 impl Drop for Outgoing {
     fn drop(&mut self) {
         let encoded_bytes = self.encoded.get().map_or(0, Encoded::size_bytes) as u64;
@@ -139,7 +188,7 @@
     fn push(&mut self, message: Arc<Outgoing>) {
         if message.is_replaceable() {
             if let Some(position) = self.replaceable {
-                self.messages[position] = message;
+                self.messages[position] = message.to_whole();
                 return;
             }
             self.replaceable = Some(self.messages.len());
--- a/src/control/replica/applying.rs
+++ b/src/control/replica/applying.rs
@@ -132,6 +132,7 @@
         self.applied = snapshot.index;
         self.recent = RecentChanges::new(snapshot.index, self.settings.limits.history_max_bytes);
         self.unpublished = LatestChanges::new();
+        self.published_routing = self.state.registry.routing().cloned();
         self.whole_state.clear();
         Ok(())
     }
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -39,6 +39,7 @@
 use crate::message::{ControlReply, GroupStatus, LoadReport, SessionDown};
 use crate::metrics::{Counter, Gauge, Metrics};
 use crate::policy::quota::QuotaBounds;
+use crate::routing::RoutingConfiguration;
 
 /// Consecutive polls of the platform's list that must agree before most of the endpoints are
 /// removed.
@@ -97,6 +98,8 @@
     recent: RecentChanges,
     /// Changes not sent to sessions yet.
     unpublished: LatestChanges,
+    /// The configuration that all follower sessions have been sent, if there is one.
+    published_routing: Option<Arc<RoutingConfiguration>>,
     /// The messages with the whole state, as long as some session has not sent them all.
     whole_state: Vec<Weak<Outgoing>>,
     summaries: Summaries,
@@ -120,6 +123,7 @@
         let registered = Registered::new(placement, settings.quota);
         let applied = raft.snapshot_index();
         let recent = RecentChanges::new(applied, settings.limits.history_max_bytes);
+        let published_routing = state.registry.routing().cloned();
         Self {
             raft,
             state,
@@ -135,6 +139,7 @@
             sessions: BTreeMap::new(),
             recent,
             unpublished: LatestChanges::new(),
+            published_routing,
             whole_state: Vec::new(),
             summaries: Summaries::new(),
             permits,
--- a/src/control/replica/sessions.rs
+++ b/src/control/replica/sessions.rs
@@ -179,7 +179,9 @@
         if self.unpublished.is_empty() {
             return;
         }
-        let messages = new_change_messages(self.applied, self.unpublished.take());
+        let known = self.published_routing.as_ref();
+        let messages = new_change_messages(self.applied, self.unpublished.take(), known);
+        self.published_routing = self.state.registry.routing().cloned();
         self.sessions.retain(|_, session| {
             let followed = session.follow(&messages);
             if let Err(reason) = &followed {
--- a/src/control/session.rs
+++ b/src/control/session.rs
@@ -11,6 +11,7 @@
 };
 use crate::policy::counts;
 use crate::policy::endpoint_speed::ServiceWork;
+use crate::routing::RoutingConfiguration;
 
 const CHANGES_PER_MESSAGE: usize = 1_000;
 /// Age of a gateway's last renewal from which it gets no orders: two renewals are missing, and its
@@ -228,14 +229,20 @@
 
 /// Like [`change_messages`] for new changes, with a routing configuration in a message of its own, which a
 /// newer one can replace while it waits.
-pub fn new_change_messages(index: u64, changes: Vec<Change>) -> Vec<Arc<Outgoing>> {
-    let is_routing = |change: &Change| matches!(change, Change::Routing(_));
-    let (routing, others): (Vec<Change>, Vec<Change>) = changes.into_iter().partition(is_routing);
+///
+/// All receivers have the configuration `known`, if there is one, and get what differs from it.
+pub fn new_change_messages(
+    index: u64,
+    changes: Vec<Change>,
+    known: Option<&Arc<RoutingConfiguration>>,
+) -> Vec<Arc<Outgoing>> {
     let mut messages = Vec::new();
-    if !routing.is_empty() {
-        let (reset, complete) = (false, false);
-        let message = SessionDown::Changes { index, reset, complete, changes: routing };
-        messages.push(Outgoing::new(message));
+    let mut others = Vec::new();
+    for change in changes {
+        match change {
+            Change::Routing(next) => messages.push(Outgoing::routing(index, known, next)),
+            change => others.push(change),
+        }
     }
     messages.extend(change_messages(index, false, &others));
     messages
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -167,6 +167,7 @@
             }
             // Routes and endpoints that register themselves are handled by the relay.
             Change::Routing(_)
+            | Change::RoutingUpdate(_)
             | Change::Registered(_)
             | Change::Deregistered(_)
             | Change::Version(_)
--- a/src/message/control.rs
+++ b/src/message/control.rs
@@ -13,7 +13,7 @@
 use crate::message::{
     EndpointEnd, FeatureStanding, Heartbeat, NewestVersion, RegisteredEndpoint, Service,
 };
-use crate::routing::RoutingConfiguration;
+use crate::routing::{RoutingConfiguration, RoutingUpdate};
 
 /// A change that control publishes to gateways.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -43,6 +43,8 @@
     VersionOfUnknownAge(NewestVersion),
     /// The standing of requests that have a feature changed.
     Standing(FeatureStanding),
+    /// Another routing configuration is in force; what turns the one that was sent before into it.
+    RoutingUpdate(RoutingUpdate),
 }
 
 /// A single call to control.
--- a/src/message/mod.rs
+++ b/src/message/mod.rs
@@ -8,6 +8,7 @@
 mod credit;
 mod detour;
 mod feature_key;
+mod followed_routing;
 mod forward;
 mod order;
 mod registration;
@@ -30,6 +31,7 @@
 pub use credit::{CreditAsk, CreditGrant};
 pub use detour::{DetourRefusal, DetourRequest, PeerEvent, PeerGateway, PeerRequest};
 pub use feature_key::{FeatureKey, RequestContent};
+pub use followed_routing::FollowedRouting;
 pub use forward::{Call, ForwardEvent, ForwardRequest, Refusal};
 pub use order::{EngineOrder, EngineReport, OrderKind, OrderOutcome, OrderResult};
 pub use registration::{
--- a/src/message/size.rs
+++ b/src/message/size.rs
@@ -25,6 +25,7 @@
                 Self::Endpoint(endpoint) => endpoint.content_bytes(),
                 Self::Gateway(gateway) => gateway.content_bytes(),
                 Self::Routing(configuration) => configuration.size_bytes(),
+                Self::RoutingUpdate(update) => update.size_bytes(),
                 Self::Registered(endpoint) => endpoint.content_bytes(),
                 Self::Version(newest) | Self::VersionOfUnknownAge(newest) => {
                     newest.name.size_bytes()
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -16,8 +16,8 @@
 use crate::error::{Error, Result};
 use crate::following::{ServerSearch, send};
 use crate::message::{
-    AdapterNeed, Change, EngineOrder, OrderOutcome, OrderResult, SessionDown, SessionHello,
-    SessionRole, SessionUp,
+    AdapterNeed, EngineOrder, FollowedRouting, OrderOutcome, OrderResult, SessionDown,
+    SessionHello, SessionRole, SessionUp,
 };
 use crate::policy::counts;
 use crate::policy::running_time::RunningTimer;
@@ -121,6 +121,7 @@
     let mut is_welcome = false;
     let mut welcome_at_ms = 0;
     let mut staged = Vec::new();
+    let mut routing = FollowedRouting::new();
     let (results, mut ordered) = mpsc::unbounded_channel();
     loop {
         tokio::select! {
@@ -175,7 +176,17 @@
                             let _ = results.send(give.await);
                         });
                     }
-                    down => apply_message(relay, down, &mut staged),
+                    SessionDown::Changes { reset, complete, mut changes, .. } => {
+                        routing.resolve(&mut changes)?;
+                        if reset {
+                            staged.clear();
+                        }
+                        staged.extend(changes);
+                        if complete {
+                            relay.follow(reset, std::mem::take(&mut staged));
+                        }
+                    }
+                    down => apply_message(relay, down),
                 }
             }
             _ = renewals.tick() => {
@@ -309,17 +320,8 @@
     by_weights.into_values().collect()
 }
 
-fn apply_message(relay: &Arc<Relay>, down: SessionDown, staged: &mut Vec<Change>) {
+fn apply_message(relay: &Arc<Relay>, down: SessionDown) {
     match down {
-        SessionDown::Changes { reset, complete, changes, .. } => {
-            if reset {
-                staged.clear();
-            }
-            staged.extend(changes);
-            if complete {
-                relay.follow(reset, std::mem::take(staged));
-            }
-        }
         SessionDown::Renewed { sent_at_ms, .. } => relay.note_confirmed(sent_at_ms),
         SessionDown::Placed { reset, placed } => relay.apply_placements(reset, placed),
         SessionDown::Loads(loads) => relay.apply_loads(loads),
@@ -328,7 +330,8 @@
         SessionDown::Origin { stream, origin, .. } => {
             relay.origins.answered(&stream, origin.as_ref());
         }
-        SessionDown::Welcome { .. }
+        SessionDown::Changes { .. }
+        | SessionDown::Welcome { .. }
         | SessionDown::NotLeader { .. }
         | SessionDown::Expired
         | SessionDown::Order(_)
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -6,6 +6,7 @@
 
 mod size;
 mod table;
+mod update;
 mod workspace;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use table::{KeyRefusal, RouteMatch, RouteTable};
+pub use update::RoutingUpdate;
 pub use workspace::{ApiKey, Credential, Quota, QuotaUnit, Workspace};
 
 pub(crate) use size::string_bytes;
@@ -33,7 +35,7 @@
     /// The version; the highest one is in force.
     pub version: u64,
     /// The routes.
-    pub routes: Vec<Route>,
+    pub routes: Vec<Arc<Route>>,
     /// The services that routes name.
     pub services: Vec<ServiceSpec>,
     /// Limits on client requests.
@@ -183,7 +185,7 @@
         }
         let mut places = BTreeSet::new();
         for route in &self.routes {
-            let Route { name, host, path_prefix, .. } = route;
+            let Route { name, host, path_prefix, .. } = &**route;
             if !path_prefix.starts_with('/') || !path_prefix.ends_with('/') {
                 faults.push(format!("route {name}: prefix {path_prefix} needs slashes around it"));
             }
--- a/src/routing/size.rs
+++ b/src/routing/size.rs
@@ -1,6 +1,7 @@
 //! Estimates of the memory that a configuration takes.
 
 use std::mem::size_of;
+use std::sync::Arc;
 
 use super::{
     ApiKey, EngineSpec, ModelSpec, Route, RoutingConfiguration, ServiceSpec, Target, Workspace,
@@ -19,7 +20,7 @@
     pub fn size_bytes(&self) -> usize {
         let mut size_bytes = size_of::<Self>();
         for route in &self.routes {
-            size_bytes += route.size_bytes();
+            size_bytes += size_of::<Arc<Route>>() + route.size_bytes();
         }
         for service in &self.services {
             size_bytes += service.size_bytes();
@@ -32,7 +33,7 @@
 }
 
 impl Route {
-    fn size_bytes(&self) -> usize {
+    pub(super) fn size_bytes(&self) -> usize {
         let Self { name, host, path_prefix, targets, .. } = self;
         let mut size_bytes = size_of::<Self>();
         size_bytes += string_bytes(name) + string_bytes(host) + string_bytes(path_prefix);
@@ -44,7 +45,7 @@
 }
 
 impl ServiceSpec {
-    fn size_bytes(&self) -> usize {
+    pub(super) fn size_bytes(&self) -> usize {
         let engine_bytes = self.engine.as_ref().map_or(0, EngineSpec::models_bytes);
         size_of::<Self>() + string_bytes(&self.name) + engine_bytes
     }
@@ -58,7 +59,7 @@
 }
 
 impl Workspace {
-    fn size_bytes(&self) -> usize {
+    pub(super) fn size_bytes(&self) -> usize {
         size_of::<Self>() + string_bytes(&self.name) + self.keys.len() * size_of::<ApiKey>()
     }
 }
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -42,9 +42,8 @@
     pub fn new(configuration: Arc<RoutingConfiguration>) -> Self {
         let mut by_host: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>> = HashMap::new();
         for route in &configuration.routes {
-            let host: Arc<str> = route.host.to_ascii_lowercase().into();
-            let prefixes = by_host.entry(host).or_default();
-            prefixes.insert(route.path_prefix.clone(), Arc::new(route.clone()));
+            let prefixes = by_host.entry(lowercase(&route.host)).or_default();
+            prefixes.insert(route.path_prefix.clone(), route.clone());
         }
         let mut services = HashMap::new();
         for service in &configuration.services {
@@ -142,6 +141,13 @@
     }
 }
 
+fn lowercase(host: &Arc<str>) -> Arc<str> {
+    if host.bytes().any(|byte| byte.is_ascii_uppercase()) {
+        return host.to_ascii_lowercase().into();
+    }
+    host.clone()
+}
+
 fn select_target<'a>(route: &'a Route, request_id: &str) -> Option<&'a Arc<str>> {
     if let [only] = route.targets.as_slice() {
         return Some(&only.service);
--- a/tests/fuzz_documents.rs
+++ b/tests/fuzz_documents.rs
@@ -247,7 +247,7 @@
         if !seen.insert((host, prefix)) {
             continue;
         }
-        written.push(Route {
+        written.push(Arc::new(Route {
             name: "r".into(),
             host: host.as_str().into(),
             path_prefix: prefix.as_str().into(),
@@ -264,7 +264,7 @@
                 Target { service: "s".into(), weight: u32::MAX },
             ],
             is_public: false,
-        });
+        }));
     }
     let service = ServiceSpec { name: "s".into(), connections_max: 1, engine: None };
     let limits = RequestLimits::default();
--- a/tests/fuzz_wire.rs
+++ b/tests/fuzz_wire.rs
@@ -5,6 +5,8 @@
 mod fuzz;
 #[path = "common/link.rs"]
 mod link;
+#[path = "common/routes.rs"]
+mod routes;
 
 use std::sync::Arc;
 
@@ -24,7 +26,7 @@
     SessionServer, SessionUp, StreamKey, StreamOrigin, Summary, UseCounts, Weights, WeightsName,
     WeightsUse, WorkspaceUse,
 };
-use winchvane::routing::{ApiKey, Credential};
+use winchvane::routing::{ApiKey, Credential, RoutingUpdate};
 
 /// Arbitrary values of an inferred type.
 fn arbitrary<T: Arbitrary>() -> impl Strategy<Value = T> {
@@ -281,6 +283,16 @@
     ]
 }
 
+fn routing_update() -> impl Strategy<Value = RoutingUpdate> {
+    let configuration = || (arbitrary(), vec((0..9_u64, arbitrary()), 0..4));
+    (configuration(), configuration()).prop_map(|(base, next)| {
+        RoutingUpdate::between(
+            &routes::configuration(base.0, base.1),
+            &routes::configuration(next.0, next.1),
+        )
+    })
+}
+
 fn changes() -> impl Strategy<Value = Vec<Change>> {
     let version =
         (weights_name(), arbitrary()).prop_map(|(name, version)| NewestVersion { name, version });
@@ -290,6 +302,7 @@
         registered_endpoint().prop_map(Change::Registered),
         name().prop_map(Change::Deregistered),
         version.prop_map(Change::Version),
+        routing_update().prop_map(Change::RoutingUpdate),
     ];
     vec(change, 0..4)
 }
--- a/tests/history.rs
+++ b/tests/history.rs
@@ -1,35 +1,21 @@
 //! Guards against kept changes that take more memory with each change: a replica kept each version of a
 //! large configuration for followers that are behind.
 
+#[path = "common/routes.rs"]
+mod routes;
+
 use std::sync::Arc;
 
+use routes::configuration;
 use winchvane::control::history::RecentChanges;
 use winchvane::message::{Change, NewestVersion, WeightsName};
-use winchvane::routing::{Route, RoutingConfiguration, Target};
 
 const HISTORY_MAX_BYTES: u64 = 8_000_000;
-const ROUTES: usize = 5_600;
+const ROUTES: u64 = 5_600;
 
-fn routing(version: u64, routes: usize) -> Change {
-    let mut configuration = RoutingConfiguration { version, ..RoutingConfiguration::default() };
-    for number in 0..routes {
-        configuration.routes.push(Route {
-            name: format!("route-{number}").into(),
-            host: "example".into(),
-            path_prefix: format!("/{number}/").into(),
-            repeat: winchvane::routing::Repeat::Any,
-            streams: false,
-            generates: false,
-            timeout_ms: 1_000 + version,
-            latency_objective_ms: 100,
-            gap_objective_ms: 0,
-            priority: 0,
-            attempts: 2,
-            targets: vec![Target { service: "quotes".into(), weight: 1 }],
-            is_public: false,
-        });
-    }
-    Change::Routing(Arc::new(configuration))
+fn routing(version: u64, routes: u64) -> Change {
+    let routes = (0..routes).map(|number| (number, 1_000 + version));
+    Change::Routing(Arc::new(configuration(version, routes)))
 }
 
 fn version(adapter: &str, version: u64) -> Change {
--- a/tests/outbox.rs
+++ b/tests/outbox.rs
@@ -78,7 +78,7 @@
 fn the_newest_configuration_is_sent_once_to_a_follower_that_stands_still() {
     let (sender, mut received) = outbox(MAX_BYTES);
     for version in 1..=200 {
-        for message in new_change_messages(version, vec![routing(version)]) {
+        for message in new_change_messages(version, vec![routing(version)], None) {
             sender.send(message).expect("there is room");
         }
     }
@@ -96,7 +96,8 @@
     let (sender, mut received) = outbox(MAX_BYTES);
     let mut known = Known::default();
     for version in 1..=50 {
-        for message in new_change_messages(version, vec![routing(version), weights(version)]) {
+        for message in new_change_messages(version, vec![routing(version), weights(version)], None)
+        {
             sender.send(message).expect("there is room");
         }
         sender.send(renewed(version)).expect("there is room");
@@ -122,10 +123,10 @@
             sender.send(message).expect("there is room");
         }
     };
-    send(new_change_messages(1, vec![routing(1)]));
+    send(new_change_messages(1, vec![routing(1)], None));
     send(change_messages(2, true, &[weights(1), routing(2)]));
-    send(new_change_messages(3, vec![routing(3)]));
-    send(new_change_messages(4, vec![routing(4)]));
+    send(new_change_messages(3, vec![routing(3)], None));
+    send(new_change_messages(4, vec![routing(4)], None));
     assert_eq!(routings(&take_all(&mut received)), [1, 2, 4]);
 }
 
@@ -133,7 +134,7 @@
 fn a_message_that_is_being_sent_is_not_replaced() {
     let (sender, mut received) = outbox(MAX_BYTES);
     let send = |version: u64| {
-        for message in new_change_messages(version, vec![routing(version)]) {
+        for message in new_change_messages(version, vec![routing(version)], None) {
             sender.send(message).expect("there is room");
         }
     };
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -37,7 +37,7 @@
     }
     RoutingConfiguration {
         version: 3,
-        routes,
+        routes: routes.into_iter().map(Arc::new).collect(),
         services,
         limits: RequestLimits::default(),
         workspaces: Vec::new(),
@@ -139,7 +139,7 @@
     let valid = configuration(vec![route("a", "/a/", &[("parts", 1)])]);
     assert!(valid.faults().is_empty());
     let mut no_timeout = valid.clone();
-    no_timeout.routes[0].timeout_ms = 0;
+    Arc::make_mut(&mut no_timeout.routes[0]).timeout_ms = 0;
     let cases = [
         (no_timeout, "timeout"),
         (configuration(vec![route("a", "/a/", &[("nobody", 1)])]), "no service nobody"),
