control: recorded answers have a share of the memory

Callers would see control end for want of memory under calls that run once with large answers: the ledger kept a million keys, each with an answer of up to 256 KB, 17,000 times the memory of the smallest instance.

Now the leader has the oldest answers dropped, through the log, once all of them would take more than 6% of the memory; 90% of that is kept. A key whose answer was dropped is kept as at the end of the retention time: a call with it still doesn't run again, and its caller learns that it has run. A replica of an earlier version can't read the new operation, as with each operation that was added before.

--- a/src/control/ledger.rs
+++ b/src/control/ledger.rs
@@ -151,6 +151,28 @@
     records: BTreeMap<KeyDigest, Record>,
     /// Settled keys with their settlement times, in order of settlement.
     settled: VecDeque<(u64, KeyDigest)>,
+    /// The settled keys with recorded answers, in the same order.
+    #[serde(skip)]
+    answered: VecDeque<KeyDigest>,
+    /// The bytes of all recorded answers.
+    #[serde(skip)]
+    answers_bytes: u64,
+}
+
+impl RecordedAnswer {
+    /// The bytes that it takes, without a fixed part.
+    pub fn size_bytes(&self) -> u64 {
+        (self.body.len() + self.content_type.len()) as u64
+    }
+}
+
+impl RecordState {
+    fn answer_bytes(&self) -> u64 {
+        match self {
+            Self::Finished(Some(answer)) => answer.size_bytes(),
+            Self::Claimed { .. } | Self::Finished(None) | Self::NotRun | Self::Unknown => 0,
+        }
+    }
 }
 
 impl Ledger {
@@ -164,6 +186,33 @@
         self.limits = limits;
     }
 
+    /// The bytes of all recorded answers.
+    pub fn answers_bytes(&self) -> u64 {
+        self.answers_bytes
+    }
+
+    /// Finds the recorded answers of a ledger that was decoded.
+    pub(super) fn find_answers(&mut self) {
+        for (_, key) in &self.settled {
+            let answer_bytes = self.records.get(key).map_or(0, |it| it.state.answer_bytes());
+            if answer_bytes > 0 {
+                self.answered.push_back(*key);
+                self.answers_bytes += answer_bytes;
+            }
+        }
+    }
+
+    /// Drops the recorded answers that were settled first until those that are left have at most
+    /// `max_bytes`; their keys are kept, as at the end of the retention time.
+    pub fn keep_answers(&mut self, max_bytes: u64) {
+        while self.answers_bytes > max_bytes {
+            let Some(key) = self.answered.pop_front() else { return };
+            let Some(record) = self.records.get_mut(&key) else { continue };
+            self.answers_bytes -= record.state.answer_bytes();
+            record.state = RecordState::Finished(None);
+        }
+    }
+
     /// The number of keys.
     pub fn len(&self) -> usize {
         self.records.len()
@@ -239,6 +288,11 @@
             Settlement::NotRun => RecordState::NotRun,
             Settlement::Unknown => RecordState::Unknown,
         };
+        let answer_bytes = record.state.answer_bytes();
+        if answer_bytes > 0 {
+            self.answered.push_back(key);
+            self.answers_bytes += answer_bytes;
+        }
         self.settled.push_back((now_ms, key));
     }
 
@@ -268,6 +322,12 @@
             if matches!(record.state, RecordState::Claimed { .. }) {
                 continue;
             }
+            let answer_bytes = record.state.answer_bytes();
+            if answer_bytes > 0 {
+                // Of the settled keys with an answer, this was the first.
+                self.answered.pop_front();
+                self.answers_bytes -= answer_bytes;
+            }
             if let Some(issued_at_ms) = record.issued_at_ms {
                 // A key may carry a time of issue after its settlement. It is removed only when
                 // every call with it would be refused as too old.
@@ -275,6 +335,10 @@
                     self.records.remove(&key);
                 } else {
                     self.settled.push_back((issued_at_ms.max(now_ms), key));
+                    if answer_bytes > 0 {
+                        self.answered.push_back(key);
+                        self.answers_bytes += answer_bytes;
+                    }
                 }
                 continue;
             }
--- a/src/control/limits.rs
+++ b/src/control/limits.rs
@@ -10,6 +10,10 @@
 const IN_FLIGHT_MEMORY_PERCENT: u64 = 2;
 /// The share of the memory for messages that wait for one follower, in percent.
 const SESSION_MEMORY_PERCENT: u64 = 2;
+/// The share of the memory for recorded answers of calls that run once, in percent. Snapshots have them too.
+const ANSWERS_MEMORY_PERCENT: u64 = 6;
+/// The share of those that is kept once there are more, in percent, so that they are not dropped one by one.
+const ANSWERS_KEPT_PERCENT: u64 = 90;
 /// The share of the memory for changes from their arrival until they are applied, in percent of their
 /// documents. Each takes some five times as much: parsed, encoded, stored, sent and decoded again.
 const CHANGES_MEMORY_PERCENT: u64 = 3;
@@ -28,6 +32,8 @@
     pub in_flight_max_bytes: u64,
     /// Messages that wait for one follower.
     pub session_max_bytes: u64,
+    /// Recorded answers of calls that run once.
+    pub answers_max_bytes: u64,
     /// Documents of changes that are processed at once; a single larger one is refused for good.
     pub changes_max_bytes: u64,
     /// Documents of changes that wait for their turn.
@@ -44,8 +50,14 @@
             log_max_bytes: memory(LOG_MEMORY_PERCENT).min(log_on_disk_bytes),
             in_flight_max_bytes: memory(IN_FLIGHT_MEMORY_PERCENT),
             session_max_bytes: memory(SESSION_MEMORY_PERCENT),
+            answers_max_bytes: memory(ANSWERS_MEMORY_PERCENT),
             changes_max_bytes: memory(CHANGES_MEMORY_PERCENT),
             waiting_max_bytes: memory(WAITING_MEMORY_PERCENT),
         }
     }
+
+    /// The recorded answers that are kept once there are more than may be.
+    pub fn answers_kept_bytes(&self) -> u64 {
+        self.answers_max_bytes * ANSWERS_KEPT_PERCENT / 100
+    }
 }
--- a/src/control/replica/calls.rs
+++ b/src/control/replica/calls.rs
@@ -4,6 +4,7 @@
 
 use super::reads::Read;
 use super::{Replica, Waiter};
+use crate::control::ledger::Settlement;
 use crate::control::permit::PermitOutcome;
 use crate::control::raft::Member;
 use crate::control::reply::Reply;
@@ -53,6 +54,7 @@
                 self.propose(wall_ms, Operation::Claim(claim), Waiter::Call(reply));
             }
             ControlRequest::Settle { key, claim_id, settlement } => {
+                self.make_room_for_answer(wall_ms, &settlement);
                 let operation = Operation::Settle { key, claim_id, settlement };
                 self.propose(wall_ms, operation, Waiter::Call(reply));
             }
@@ -76,6 +78,18 @@
         }
     }
 
+    /// Has the oldest recorded answers dropped if `settlement` has one for which there is no room.
+    fn make_room_for_answer(&mut self, wall_ms: u64, settlement: &Settlement) {
+        let Settlement::Finished(Some(answer)) = settlement else { return };
+        let (held_bytes, limits) = (self.state.ledger.answers_bytes(), self.settings.limits);
+        if held_bytes + answer.size_bytes() <= limits.answers_max_bytes {
+            return;
+        }
+        let max_bytes = limits.answers_kept_bytes();
+        info!(event = "answers_dropped", held_bytes, max_bytes);
+        self.propose(wall_ms, Operation::KeepAnswers { max_bytes }, Waiter::NoReply);
+    }
+
     fn add_learner(&mut self, id: u64, member: Member) {
         if self.raft.members().0.contains_key(&id) {
             return;
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -327,6 +327,7 @@
     /// Publishes how much memory each part takes that grows with changes.
     pub fn publish_held_bytes(&self) {
         self.metrics.gauge(Gauge::HistoryBytesHeld, self.recent.size_bytes() as u64);
+        self.metrics.gauge(Gauge::AnswerBytesRecorded, self.state.ledger.answers_bytes());
         self.metrics.gauge(Gauge::LogBytesHeld, self.raft.log_bytes());
         self.metrics.gauge(Gauge::SessionBytesWaiting, outbox::waiting_bytes());
     }
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -101,6 +101,11 @@
     SetStandings(Vec<FeatureStanding>),
     /// Forgets software versions that have had no endpoint for long.
     ForgetSoftware(Vec<ServiceSoftware>),
+    /// Drops the oldest recorded answers of calls that run once.
+    KeepAnswers {
+        /// The most bytes of those that are kept.
+        max_bytes: u64,
+    },
 }
 
 /// The outcome of an operation.
@@ -164,6 +169,10 @@
                 self.ledger.settle(self.clock_ms, key, claim_id, settlement);
                 (Outcome::Done, Vec::new())
             }
+            Operation::KeepAnswers { max_bytes } => {
+                self.ledger.keep_answers(max_bytes);
+                (Outcome::Done, Vec::new())
+            }
             Operation::Register(registration) => self.register(index, registration),
             Operation::Expire { gateway, epoch } => {
                 let changes = self.fleet.expire(index, &gateway, epoch);
@@ -249,10 +258,12 @@
     /// Bytes that are not an encoded state.
     pub fn decode(bytes: &[u8]) -> Result<Self> {
         let damaged = |error| Error::damaged("decode", "snapshot", error);
-        match binary::decode(bytes) {
-            Ok(state) => Ok(state),
-            Err(error) => legacy::decode(bytes).map_err(|_| damaged(error)),
-        }
+        let mut state: Self = match binary::decode(bytes) {
+            Ok(state) => state,
+            Err(error) => legacy::decode(bytes).map_err(|_| damaged(error))?,
+        };
+        state.ledger.find_answers();
+        Ok(state)
     }
 
     /// Puts the state of an older snapshot together.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -213,6 +213,8 @@
     ChangeBytesHeld => "control.changes_held_bytes",
     /// Memory of changes that are kept for followers a little behind, in bytes.
     HistoryBytesHeld => "control.history_held_bytes",
+    /// Bytes of the recorded answers of calls that run once.
+    AnswerBytesRecorded => "control.answers_recorded_bytes",
     /// Memory of log entries since the last snapshot, in bytes.
     LogBytesHeld => "control.log_held_bytes",
     /// Memory of messages that wait for gateways and distributors or are being sent to them, in bytes.
