--- a/soak/tests/common/large.rs
+++ b/soak/tests/common/large.rs
@@ -61,7 +61,9 @@
     pub control_peak_kb: Vec<u64>,
     /// The most resident memory of each gateway.
     pub gateway_peak_kb: Vec<u64>,
-    /// The most memory of any replica at the end of each series.
+    /// The resident memory of each replica, as it was last seen.
+    pub control_kb: Vec<u64>,
+    /// The most of any replica at the end of each series.
     pub series_kb: Vec<u64>,
     /// The most that a replica had stored.
     pub stored_max_bytes: u64,
@@ -185,6 +187,7 @@
     let gateways = region.gateway_addresses();
     let seen = Arc::new(Mutex::new(Seen {
         control_peak_kb: vec![0; control.len()],
+        control_kb: vec![0; control.len()],
         gateway_peak_kb: vec![0; gateways.len()],
         ..Seen::default()
     }));
@@ -269,8 +272,8 @@
             }
             sleep(PAUSE).await;
             let mut seen = seen.lock().expect("the lock is not poisoned");
-            let peak_kb = seen.control_peak_kb.iter().copied().max().unwrap_or_default();
-            seen.series_kb.push(peak_kb);
+            let most_kb = seen.control_kb.iter().copied().max().unwrap_or_default();
+            seen.series_kb.push(most_kb);
         }
         sleep(GAP.saturating_sub(sent.elapsed())).await;
     }
@@ -280,9 +283,10 @@
     let mut seen = seen.lock().expect("the lock is not poisoned");
     let (mut replica, mut gateway) = (0, 0);
     for program in &region.programs {
-        let peak_kb = program.memory_kb().map_or(0, |(_, peak_kb)| peak_kb);
+        let (resident_kb, peak_kb) = program.memory_kb().unwrap_or_default();
         let peaks_kb = if program.is_control {
             replica += 1;
+            seen.control_kb[replica - 1] = resident_kb;
             &mut seen.control_peak_kb[replica - 1]
         } else {
             gateway += 1;
