--- a/soak/src/cut.rs
+++ b/soak/src/cut.rs
@@ -1,4 +1,5 @@
-//! Cuts between single gateways and all endpoints, while other gateways reach these endpoints.
+//! Cuts between single gateways and all endpoints, while other gateways reach these endpoints, and slow
+//! links between single gateways and control.
 //!
 //! All gateways connect from the same loopback address, so the gateway of a connection is found by
 //! the socket that its process holds.
@@ -11,7 +12,7 @@
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -22,6 +23,7 @@
 /// The state of an open connection in the kernel's table of sockets.
 const ESTABLISHED: &str = " 01 ";
 const POLL: Duration = Duration::from_millis(15);
+const SLOW_BYTES_PER_S: f64 = 1_250_000.0;
 /// How long connections are collected whose gateways are then found together.
 const COLLECT: Duration = Duration::from_millis(3);
 
@@ -34,6 +36,8 @@
     Reset,
     /// Open connections live on, new ones are reset.
     NewReset,
+    /// What goes to the gateway passes at 10 Mbit/s.
+    Slow,
 }
 
 /// The gateways that are cut off from endpoints.
@@ -93,7 +97,8 @@
         if !self.current.borrow().is_empty() {
             self.find_gateways_soon().await;
         }
-        let stream = CutStream { inner: stream, gateway, cuts: self.clone(), timer: None };
+        let stream =
+            CutStream { inner: stream, gateway, cuts: self.clone(), timer: None, pace: None };
         if matches!(stream.cut(), Some(Cut::Reset | Cut::NewReset)) {
             stream.reset();
             return None;
@@ -180,6 +185,8 @@
     gateway: Arc<OnceLock<String>>,
     cuts: Arc<Cuts>,
     timer: Option<Pin<Box<Sleep>>>,
+    /// Runs until a slow link has passed on what was written last.
+    pace: Option<Pin<Box<Sleep>>>,
 }
 
 impl CutStream {
@@ -251,7 +258,16 @@
         if self.is_silent(context) {
             return Poll::Pending;
         }
-        Pin::new(&mut self.inner).poll_write(context, bytes)
+        if let Some(pace) = &mut self.pace {
+            ready!(pace.as_mut().poll(context));
+            self.pace = None;
+        }
+        let written = ready!(Pin::new(&mut self.inner).poll_write(context, bytes))?;
+        if self.cut() == Some(Cut::Slow) {
+            let takes = Duration::from_secs_f64(written as f64 / SLOW_BYTES_PER_S);
+            self.pace = Some(Box::pin(sleep(takes)));
+        }
+        Poll::Ready(Ok(written))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/soak/src/region.rs
+++ b/soak/src/region.rs
@@ -61,6 +61,8 @@
     /// The engines.
     pub engines: Vec<Arc<Engine>>,
     cuts: Arc<Cuts>,
+    /// Of gateways from control.
+    control_cuts: Arc<Cuts>,
     size: Size,
     folder: TempDir,
     exits: Vec<String>,
@@ -92,13 +94,14 @@
             endpoints: Vec::new(),
             engines: Vec::new(),
             cuts: Arc::default(),
+            control_cuts: Arc::default(),
             size,
             folder,
             exits: Vec::new(),
         };
         for number in 1..=REPLICAS {
             let (public, own) = (size.at(2, number, PEER_PORT), size.at(1, number, PEER_PORT));
-            let proxy = Proxy::start(public, own, Arc::default()).await?;
+            let proxy = Proxy::start(public, own, region.control_cuts.clone()).await?;
             region.proxies.push((format!("control-{number}"), proxy));
             region.add_control(programs, number, slots.control_memory_mb)?;
         }
@@ -174,6 +177,7 @@
         self.add(programs, "winchvane-platform-gateway", name.clone(), None, &text)?;
         if let Some(program) = self.programs.last() {
             self.cuts.add_gateway(&name, program.process.clone());
+            self.control_cuts.add_gateway(&name, program.process.clone());
         }
         Ok(())
     }
@@ -249,6 +253,11 @@
         self.cuts.set(&format!("gateway-{gateway}"), cut);
     }
 
+    /// Makes the links from control to the gateway with this number slow.
+    pub fn slow_down(&self, gateway: u8) {
+        self.control_cuts.set(&format!("gateway-{gateway}"), Some(Cut::Slow));
+    }
+
     /// Where endpoints and the operator call.
     pub fn control_addresses(&self) -> Vec<SocketAddr> {
         (1..=REPLICAS).map(|number| self.size.at(2, number, API_PORT)).collect()
--- a/soak/tests/common/large.rs
+++ b/soak/tests/common/large.rs
@@ -37,6 +37,8 @@
     ReplicaKilled,
     /// All replicas are killed at once each 8 s, and start again after 1 s.
     AllReplicasKilled,
+    /// The links from control to a gateway pass 10 Mbit/s.
+    SlowGateway,
     /// Readers ask for the configuration and take nothing of the answers.
     SilentReaders(usize),
 }
@@ -194,8 +196,13 @@
     let next = Arc::new(AtomicU64::new(FIRST_VERSION));
     let is_done = Arc::new(AtomicBool::new(false));
     let mut senders: Vec<JoinHandle<()>> = Vec::new();
-    // The first gateway may stand still.
-    let steady: Vec<SocketAddr> = gateways.iter().skip(1).copied().collect();
+    let steady: Vec<SocketAddr> = match changes.trouble {
+        Trouble::GatewayStandsStill => gateways.iter().skip(1).copied().collect(),
+        _ => gateways.clone(),
+    };
+    if changes.trouble == Trouble::SlowGateway {
+        region.slow_down(1);
+    }
     for _ in 0..changes.senders {
         let (control, steady, seen, next) =
             (control.clone(), steady.clone(), seen.clone(), next.clone());
@@ -311,7 +318,7 @@
         // It begins 2 s after the changes.
         let Some(elapsed) = elapsed.checked_sub(Duration::from_secs(2)) else { return };
         let (period_ms, on_ms) = match trouble {
-            Trouble::None | Trouble::SilentReaders(_) => return,
+            Trouble::None | Trouble::SlowGateway | Trouble::SilentReaders(_) => return,
             Trouble::GatewayStandsStill | Trouble::ReplicaStandsStill => (12_000, 8_000),
             Trouble::ReplicaKilled | Trouble::AllReplicasKilled => (8_000, 1_000),
         };
@@ -339,7 +346,7 @@
                 let gateway = region.programs.iter_mut().find(|program| !program.is_control);
                 stop_or_go(gateway.expect("there is a gateway"), is_on);
             }
-            Trouble::None | Trouble::SilentReaders(_) => {}
+            Trouble::None | Trouble::SlowGateway | Trouble::SilentReaders(_) => {}
         }
     }
 
--- a/soak/tests/large_configurations.rs
+++ b/soak/tests/large_configurations.rs
@@ -53,8 +53,10 @@
     replica_killed = { 133, Trouble::ReplicaKilled, 1, 5_600 },
     all_replicas_killed = { 134, Trouble::AllReplicasKilled, 1, 5_600 },
     readers_that_take_nothing = { 135, Trouble::SilentReaders(150), 1, 5_600 },
+    slow_gateway = { 169, Trouble::SlowGateway, 1, 5_600 },
     many_senders = { 136, Trouble::None, 40, 5_600 },
     twice_as_large = { 137, Trouble::None, 1, 11_200 },
+    twice_as_large_and_slow = { 170, Trouble::SlowGateway, 1, 11_200 },
     twice_as_large_and_killed = { 138, Trouble::AllReplicasKilled, 1, 11_200 },
     twice_as_large_from_many_senders = { 139, Trouble::None, 40, 11_200 },
 )]
