tests: the tests of orders to endpoints are in three files

The tests of renewed weights and those of the load of the weight store have files of their own, and the leader that all three drive is in common/.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -5,5 +5,6 @@
 pub mod engines;
 pub mod fleet;
 pub mod group;
+pub mod leader;
 pub mod region;
 pub mod replica;
