tests: the tests of distributors are in two files; a distributor passes on what differs

The tests of workspaces' use have a file of their own, and the zone that both drive is in common/. The 23 tests are as they were.

New: a_change_of_the_configuration_is_relayed_as_what_differs, red 1 of 1 with the distributor's part of the update taken out, green with it.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -8,3 +8,4 @@
 pub mod leader;
 pub mod region;
 pub mod replica;
+pub mod zone;
--- a/tests/distribution.rs
+++ b/tests/distribution.rs
@@ -2,163 +2,22 @@
 //! redirects gateways.
 
 mod common;
+#[path = "common/routes.rs"]
+mod routes;
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use common::engines::configuration;
+use common::zone::{
+    BATCHED_MS, UNLINKED_MAX_MS, Zone, address, endpoint, is_renewed, placed, running, weights,
+};
 use tokio::sync::mpsc;
-use winchvane::control::distribution::{Distributor, hello};
-use winchvane::control::outbox::{OutboxReceiver, outbox};
 use winchvane::message::{
-    AdapterNeed, Change, EndpointCrash, EndpointLoad, EngineOrder, FeatureKey, FeatureStanding,
-    Forwarded, Group, Heartbeat, Holding, Load, NewestVersion, OrderKind, OrderOutcome,
-    OrderResult, Placed, RegisteredEndpoint, RequestContent, SessionDown, SessionHello,
-    SessionRole, SessionServer, SessionUp, Standing, UseCounts, WeightsName, WeightsUse,
-    WorkspaceUse,
+    AdapterNeed, Change, EndpointCrash, EngineOrder, FeatureKey, FeatureStanding, FollowedRouting,
+    Forwarded, Group, Heartbeat, Holding, NewestVersion, OrderKind, OrderOutcome, OrderResult,
+    RequestContent, SessionDown, SessionServer, SessionUp, Standing, WeightsUse,
 };
 
-/// Renewals of gateways are batched for at most this long.
-const BATCHED_MS: u64 = 60;
-/// Gateways are kept without a link for this long.
-const UNLINKED_MAX_MS: u64 = 1_000;
-
-fn address(last: u8) -> SocketAddr {
-    ([127, 0, 0, last], 7_380).into()
-}
-
-fn gateway_hello(name: &str, zone: &str) -> SessionHello {
-    SessionHello { role: SessionRole::Follower, ..hello(name.into(), 1, zone.into(), address(90)) }
-}
-
-fn endpoint(number: u16) -> RegisteredEndpoint {
-    RegisteredEndpoint {
-        id: format!("e{number}").into(),
-        name: format!("e{number}").into(),
-        born_ms: 0,
-        service: "quotes".into(),
-        address: ([127, 0, 0, 1], 7_000 + number).into(),
-        zone: "a".into(),
-        slots: 8,
-        leaving: false,
-        software_version: "v1".into(),
-    }
-}
-
-fn weights(adapter: &str) -> WeightsName {
-    WeightsName::new("m", Some(adapter))
-}
-
-fn running(endpoint: &str, running: u32) -> EndpointLoad {
-    EndpointLoad { endpoint: endpoint.into(), load: Load { running, ..Load::default() } }
-}
-
-/// A distributor of zone `a` with the other ends of its channels.
-struct Zone {
-    distributor: Distributor,
-    now_ms: u64,
-    link: mpsc::Receiver<SessionUp>,
-    gateways: BTreeMap<u64, OutboxReceiver>,
-}
-
-impl Zone {
-    /// A distributor linked to a leader that sent a routing configuration, two endpoints, a version
-    /// and a placement.
-    fn linked() -> Self {
-        let (_, link) = mpsc::channel(1);
-        let distributor = Distributor::new("a".into());
-        let mut zone = Self { distributor, now_ms: 0, link, gateways: BTreeMap::new() };
-        zone.link();
-        zone
-    }
-
-    fn link(&mut self) {
-        let (up, link) = mpsc::channel(1_000);
-        self.link = link;
-        self.distributor.linked(self.now_ms, up);
-        self.down(SessionDown::Changes {
-            index: 5,
-            reset: true,
-            complete: true,
-            changes: vec![
-                Change::Routing(Arc::new(configuration(4))),
-                Change::Registered(endpoint(1)),
-                Change::Registered(endpoint(2)),
-                Change::Version(NewestVersion { name: weights("a1"), version: 3 }),
-            ],
-        });
-        let placed = vec![placed("e1", "a1", Holding::Ready(2))];
-        self.down(SessionDown::Placed { reset: true, placed });
-    }
-
-    fn down(&mut self, down: SessionDown) {
-        self.distributor.handle_leader_message(self.now_ms, down);
-    }
-
-    fn open(&mut self, id: u64, name: &str, zone: &str) {
-        let (down, queue) = outbox(u64::MAX);
-        self.gateways.insert(id, queue);
-        self.distributor.open(self.now_ms, id, gateway_hello(name, zone), down, Some(address(1)));
-    }
-
-    fn advance(&mut self, by_ms: u64) {
-        for _ in 0..by_ms / 20 {
-            self.now_ms += 20;
-            self.distributor.tick(self.now_ms);
-        }
-    }
-
-    /// Returns the messages sent to the leader.
-    fn sent_to_leader(&mut self) -> Vec<SessionUp> {
-        let mut received = Vec::new();
-        while let Ok(up) = self.link.try_recv() {
-            received.push(up);
-        }
-        received
-    }
-
-    /// Returns the messages sent to the gateway of session `id`.
-    fn received(&mut self, id: u64) -> Vec<SessionDown> {
-        let queue = self.gateways.get_mut(&id).expect("the session was opened");
-        let mut received = Vec::new();
-        while let Some(down) = queue.try_next() {
-            received.push(down);
-        }
-        received
-    }
-
-    /// Confirms all renewals sent so far; returns the gateways in them.
-    fn confirm(&mut self) -> Vec<Arc<str>> {
-        let mut renewed = Vec::new();
-        for up in self.sent_to_leader() {
-            let SessionUp::RenewFor { number, gateways } = up else { continue };
-            renewed.extend(gateways);
-            self.down(SessionDown::RenewedFor { number });
-        }
-        renewed
-    }
-
-    /// Opens a session and completes its welcome.
-    fn welcome(&mut self, id: u64, name: &str) {
-        self.open(id, name, "a");
-        self.advance(BATCHED_MS);
-        self.confirm();
-        let received = self.received(id);
-        assert!(matches!(received.first(), Some(SessionDown::Welcome { .. })), "{received:?}");
-    }
-}
-
-fn placed(endpoint: &str, adapter: &str, holding: Holding) -> Placed {
-    Placed { endpoint: endpoint.into(), name: weights(adapter), holding }
-}
-
-fn is_renewed(received: &[SessionDown], value_ms: u64) -> bool {
-    received.iter().any(
-        |down| matches!(down, SessionDown::Renewed { sent_at_ms, .. } if *sent_at_ms == value_ms),
-    )
-}
-
 #[test]
 fn gateway_gets_the_full_state_after_majority_confirmation() {
     let mut zone = Zone::linked();
@@ -332,6 +191,41 @@
     assert_eq!(placed[0].name, weights("a2"));
 }
 
+/// Guards against a change of one route that is passed on as the whole configuration.
+#[test]
+fn a_change_of_the_configuration_is_relayed_as_what_differs() {
+    let mut zone = Zone::linked();
+    let relay = |zone: &mut Zone, version, changed| {
+        let timeout_ms = |number| if number == changed { 2_000 } else { 1_000 };
+        let settings = (0..500).map(|number| (number, timeout_ms(number)));
+        let next = Arc::new(routes::configuration(version, settings));
+        let (index, reset) = (version, false);
+        let changes = vec![Change::Routing(next.clone())];
+        zone.down(SessionDown::Changes { index, reset, complete: false, changes });
+        zone.down(SessionDown::Changes { index, reset, complete: true, changes: Vec::new() });
+        next
+    };
+    relay(&mut zone, 5, 0);
+    zone.open(1, "g1", "a");
+    zone.advance(BATCHED_MS);
+    zone.confirm();
+    let mut routing = FollowedRouting::new();
+    for down in zone.received(1) {
+        let SessionDown::Changes { mut changes, .. } = down else { continue };
+        routing.resolve(&mut changes).expect("a new gateway gets the whole configuration");
+    }
+    for version in 6..20 {
+        let next = relay(&mut zone, version, version);
+        let received = zone.received(1);
+        let SessionDown::Changes { changes, .. } = &received[0] else { panic!("{received:?}") };
+        let mut changes = changes.clone();
+        assert!(matches!(changes[..], [Change::RoutingUpdate(_)]), "{changes:?}");
+        routing.resolve(&mut changes).expect("it fits");
+        let [Change::Routing(known)] = &changes[..] else { panic!("{changes:?}") };
+        assert_eq!(*known, next);
+    }
+}
+
 #[test]
 fn order_reaches_its_holder_or_is_reported_as_not_sent() {
     let mut zone = Zone::linked();
@@ -451,123 +345,6 @@
     assert_eq!(summed, Some(vec![running("e1", 3)]));
 }
 
-fn workspace_use(workspace: &str, asked: u32, waiting: u32) -> WorkspaceUse {
-    let counts = UseCounts { asked, sent: asked / 2, waiting };
-    WorkspaceUse { service: "quotes".into(), workspace: workspace.into(), counts }
-}
-
-/// The last counts of each workspace in `messages`, and the number of messages with counts.
-fn last_uses(messages: Vec<Vec<WorkspaceUse>>) -> (BTreeMap<Arc<str>, WorkspaceUse>, usize) {
-    let count = messages.len();
-    let uses = messages.into_iter().flatten();
-    (uses.map(|used| (used.workspace.clone(), used)).collect(), count)
-}
-
-impl Zone {
-    fn report_use(&mut self, id: u64, uses: Vec<WorkspaceUse>) {
-        let up = SessionUp::WorkspaceUse(uses);
-        self.distributor.handle_session_message(self.now_ms, id, up);
-    }
-
-    fn uses_sent_to_leader(&mut self) -> Vec<Vec<WorkspaceUse>> {
-        let mut sent = Vec::new();
-        for up in self.sent_to_leader() {
-            if let SessionUp::WorkspaceUse(uses) = up {
-                sent.push(uses);
-            }
-        }
-        sent
-    }
-
-    fn uses_received(&mut self, id: u64) -> Vec<Vec<WorkspaceUse>> {
-        let mut received = Vec::new();
-        for down in self.received(id) {
-            if let SessionDown::WorkspaceUse(uses) = down {
-                received.push(uses);
-            }
-        }
-        received
-    }
-}
-
-/// Guards against a gateway's own counts in the sums that it gets, counts of ended gateways, and
-/// more messages than one per 250 ms.
-#[test]
-fn workspace_uses_are_summed_for_the_leader_and_exclude_the_receiving_gateways_own() {
-    let mut zone = Zone::linked();
-    zone.welcome(1, "g1");
-    zone.welcome(2, "g2");
-    zone.advance(2_000);
-    assert!(zone.uses_sent_to_leader().is_empty(), "there is nothing to report");
-    zone.report_use(1, vec![workspace_use("w1", 400, 3)]);
-    zone.advance(20);
-    assert_eq!(zone.uses_sent_to_leader(), [vec![workspace_use("w1", 400, 3)]]);
-    assert_eq!(zone.uses_received(2), [vec![workspace_use("w1", 400, 3)]]);
-    zone.report_use(2, vec![workspace_use("w1", 200, 0), workspace_use("w2", 100, 0)]);
-    zone.down(SessionDown::WorkspaceUse(vec![workspace_use("w1", 1_000, 5)]));
-    zone.advance(220);
-    assert!(zone.uses_sent_to_leader().is_empty(), "sooner than the interval");
-    zone.advance(40);
-    let expected = vec![workspace_use("w1", 600, 3), workspace_use("w2", 100, 0)];
-    assert_eq!(zone.uses_sent_to_leader(), [expected]);
-    let expected = vec![workspace_use("w1", 1_200, 5), workspace_use("w2", 100, 0)];
-    assert_eq!(zone.uses_received(1), [expected]);
-    // Small changes of the sums are not sent.
-    zone.report_use(1, vec![workspace_use("w1", 410, 3)]);
-    zone.advance(2_000);
-    assert!(zone.uses_sent_to_leader().is_empty());
-    // The counts of a closed session are dropped.
-    zone.distributor.close(2);
-    zone.advance(300);
-    let (sent, messages) = last_uses(zone.uses_sent_to_leader());
-    assert_eq!(messages, 1);
-    assert_eq!(sent["w1"], workspace_use("w1", 410, 3));
-    assert_eq!(sent["w2"], workspace_use("w2", 0, 0));
-    let (received, messages) = last_uses(zone.uses_received(1));
-    assert_eq!(messages, 1);
-    assert_eq!(received["w1"], workspace_use("w1", 1_000, 5));
-    assert_eq!(received["w2"], workspace_use("w2", 0, 0));
-}
-
-/// Guards against gateways that forget the other zones when a leader is lost, and against a new
-/// leader without the counts of a zone.
-#[test]
-fn workspace_uses_outlast_the_leader_and_are_reported_to_the_next_one() {
-    let mut zone = Zone::linked();
-    zone.welcome(1, "g1");
-    zone.welcome(2, "g2");
-    zone.report_use(1, vec![workspace_use("w1", 400, 3)]);
-    zone.down(SessionDown::WorkspaceUse(vec![workspace_use("w1", 1_000, 5)]));
-    zone.advance(1_100);
-    let (received, _) = last_uses(zone.uses_received(2));
-    assert_eq!(received["w1"], workspace_use("w1", 1_400, 8));
-    zone.distributor.unlinked(zone.now_ms);
-    zone.advance(600);
-    zone.link();
-    zone.advance(100);
-    assert_eq!(zone.uses_sent_to_leader(), [vec![workspace_use("w1", 400, 3)]]);
-    zone.advance(700);
-    assert!(zone.uses_received(2).is_empty(), "the former sums hold until the new ones are whole");
-    zone.down(SessionDown::WorkspaceUse(vec![workspace_use("w1", 800, 5)]));
-    zone.advance(1_300);
-    let (received, _) = last_uses(zone.uses_received(2));
-    assert_eq!(received["w1"], workspace_use("w1", 1_200, 8));
-}
-
-/// Guards against a session opened later that never gets the sums.
-#[test]
-fn workspace_uses_are_sent_to_a_new_gateway_within_a_second() {
-    let mut zone = Zone::linked();
-    zone.welcome(1, "g1");
-    zone.report_use(1, vec![workspace_use("w1", 400, 3)]);
-    zone.advance(500);
-    zone.open(2, "g2", "a");
-    zone.advance(BATCHED_MS);
-    zone.confirm();
-    zone.advance(1_000);
-    assert_eq!(zone.uses_received(2), [vec![workspace_use("w1", 400, 3)]]);
-}
-
 #[test]
 fn uses_are_batched() {
     let mut zone = Zone::linked();
